--- /dev/null
+++ b/chutelink/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/chutelink/cli/main.py
@@ -0,0 +1,145 @@
+"""Entry point of ``chutelink``, the operators' tool."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from .. import __version__
+from ..exceptions import ChutelinkError, SettingsError, WriteOutcomeUnknown
+from ..ids import ApplyId, ConfigVersion
+from ..platform import Platform, async_setup_platform
+from ..settings import OperatorSettings, load_settings
+from .apply import Applier, validate
+from .daemons import DaemonClient
+from .inspect import (
+    async_drain,
+    async_explain,
+    async_history,
+    async_plan,
+    async_status,
+)
+from .output import ExitCode, Result, failed, show
+
+ENV_SETTINGS = "CHUTELINK_SETTINGS"
+DEFAULT_SETTINGS = "chutelink.ini"
+DEFAULT_WAIT_S = 10.0
+
+EXIT_CODES = """\
+exit codes: 0 done; 1 failed, nothing was changed; 2 invalid file, settings or
+name; 3 conflict with another operator; 4 outcome unknown, use --resume;
+5 not in force everywhere in time"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line's parser."""
+    parser = argparse.ArgumentParser(
+        prog="chutelink",
+        description="Declare what is served, where and for whom.",
+        epilog=EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=Path(os.environ.get(ENV_SETTINGS, DEFAULT_SETTINGS)),
+        help=f"INI file with [platform] (default: ${ENV_SETTINGS}, "
+        f"else {DEFAULT_SETTINGS})",
+    )
+    parser.add_argument("--json", action="store_true", help="output for programs")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    add = commands.add_parser
+    command = add("validate", help="check a fleet file, without the platform")
+    command.add_argument("file", type=Path)
+    command = add("plan", help="show what a fleet file would change and cost")
+    command.add_argument("file", type=Path)
+    _add_apply(add("apply", help="commit a fleet file as a whole"))
+    add("status", help="show daemons, leases, endpoints and models")
+    add("history", help="list the committed versions")
+    command = add("drain", help="keep new work away from an endpoint or VM")
+    command.add_argument("name", metavar="ENDPOINT|VM")
+    command.add_argument("--undo", action="store_true", help="let it back")
+    command = add("explain", help="show where a model is and why")
+    command.add_argument("name", metavar="MODEL")
+    return parser
+
+
+def _add_apply(command: argparse.ArgumentParser) -> None:
+    command.add_argument("file", type=Path, nargs="?")
+    command.add_argument(
+        "--base", type=int, help="the version that the file was based on; 0 for none"
+    )
+    command.add_argument(
+        "--wait", action="store_true", help="return once it is in force everywhere"
+    )
+    command.add_argument(
+        "--timeout-s", type=float, default=DEFAULT_WAIT_S, help="for --wait"
+    )
+    command.add_argument(
+        "--resume", metavar="APPLY_ID", help="find out what became of an apply"
+    )
+
+
+async def _async_apply(
+    args: argparse.Namespace, platform: Platform, daemons: DaemonClient
+) -> Result:
+    applier = Applier(platform, daemons)
+    if args.resume and not args.file:
+        result = await applier.async_resume(ApplyId(args.resume))
+    elif args.file is None or args.base is None:
+        return failed(ExitCode.INVALID, "apply needs FILE and --base, or --resume")
+    else:
+        apply_id = ApplyId(args.resume) if args.resume else None
+        base = ConfigVersion(args.base)
+        result = await applier.async_apply(args.file, base, apply_id)
+    if not args.wait or result.code is not ExitCode.OK:
+        return result
+    waited = await applier.async_wait(result.data["version"], args.timeout_s)
+    return Result(waited.code, result.lines + waited.lines, result.data | waited.data)
+
+
+async def _async_run(args: argparse.Namespace) -> Result:
+    settings = load_settings(args.settings, OperatorSettings)
+    async with aiohttp.ClientSession() as session:
+        platform = async_setup_platform(session, settings.platform)
+        daemons = DaemonClient(session, platform, settings.platform)
+        if args.command == "apply":
+            return await _async_apply(args, platform, daemons)
+        if args.command == "plan":
+            return await async_plan(platform, args.file)
+        if args.command == "status":
+            return await async_status(platform, daemons)
+        if args.command == "history":
+            return await async_history(platform)
+        if args.command == "drain":
+            return await async_drain(platform, args.name, is_undo=args.undo)
+        return await async_explain(platform, args.name)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command."""
+    args = make_parser().parse_args(argv)
+    if args.command == "validate":
+        return show(validate(args.file), is_json=args.json)
+    try:
+        result = asyncio.run(_async_run(args))
+    except SettingsError as error:
+        result = failed(ExitCode.INVALID, error.message, "check --settings")
+    except WriteOutcomeUnknown as error:
+        result = failed(ExitCode.UNKNOWN, str(error), "see: chutelink status")
+    except ChutelinkError as error:
+        advice = "look at the platform, then run it again"
+        result = failed(ExitCode.FAILED, str(error), advice)
+    except KeyboardInterrupt:
+        result = failed(ExitCode.UNKNOWN, "interrupted", "see: chutelink history")
+    return show(result, is_json=args.json)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chutelink/core.py
@@ -0,0 +1,205 @@
+"""The application object: owns what a daemon uses and cleans it up."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+import time
+from abc import abstractmethod
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from . import __version__
+from .const import MAX_HEADER_BYTES
+from .exceptions import ChutelinkError, SettingsError
+from .ids import BootId, DaemonId, make_id
+from .log import EventLog, setup_logging
+from .metrics import CONTENT_TYPE, Metrics
+from .settings import DaemonSection, describe_settings, load_settings
+from .tracing import SpanExporter, SpanQueue, make_tracer
+
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+CONNECTIONS_TO_ONE_HOST = 0
+
+
+class Application(Service):
+    """Base of the daemons.
+
+    Owns the HTTP session and server, the log, the metrics and the tracer; starts
+    its parts in order and stops them in the reverse order.
+
+    Parameters
+    ----------
+    program : str
+        Name for logs and traces.
+    daemon : DaemonSection
+        Who this process is and where it listens.
+    """
+
+    abstract = True
+
+    def __init__(self, program: str, daemon: DaemonSection) -> None:
+        super().__init__()
+        self.program = program
+        self.daemon = daemon
+        self.daemon_id = DaemonId(daemon.id)
+        self.boot_id = BootId(make_id())
+        self.clock: Callable[[], float] = time.monotonic
+        self.rng = random.Random()
+        self.events = EventLog(program)
+        self.metrics = Metrics()
+        self.span_queue = SpanQueue(self.metrics)
+        self.tracer = make_tracer(
+            program, daemon.id, self.span_queue, is_exported=bool(daemon.trace_url)
+        )
+        self.is_draining = False
+        self.drain_requested = asyncio.Event()
+        self.session: aiohttp.ClientSession | None = None
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Open the session and the parts, then listen."""
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=CONNECTIONS_TO_ONE_HOST, use_dns_cache=False
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        )
+        if self.daemon.trace_url:
+            exporter = SpanExporter(
+                self.span_queue, self.session, self.daemon.trace_url, self.events
+            )
+            await self.add_runtime_dependency(exporter)
+        await self.async_setup_parts()
+        await self._async_listen()
+        self.events.info(
+            "started", daemon=self.daemon.id, version=__version__, boot=self.boot_id
+        )
+
+    async def on_shutdown(self) -> None:
+        """Close the server and the session, after the parts have stopped."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self.session is not None:
+            await self.session.close()
+        self.events.info("stopped", daemon=self.daemon.id)
+
+    @abstractmethod
+    async def async_setup_parts(self) -> None:
+        """Create and start the parts of this program."""
+
+    @abstractmethod
+    def add_routes(self, app: web.Application) -> None:
+        """Add the program's own HTTP routes."""
+
+    @abstractmethod
+    async def async_drain(self) -> None:
+        """Leave gracefully: return once nothing is left in flight."""
+
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Return whether this daemon can do its work now."""
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest request body taken."""
+        return 1_000_000
+
+    async def _async_listen(self) -> None:
+        app = web.Application(client_max_size=self.max_body_bytes)
+        app.router.add_get("/healthz", self._async_health)
+        app.router.add_get("/readyz", self._async_ready)
+        app.router.add_get("/metrics", self._async_metrics)
+        self.add_routes(app)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, self.daemon.address, self.daemon.port, reuse_address=True
+        )
+        await site.start()
+
+    async def _async_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok", "daemon": self.daemon.id})
+
+    async def _async_ready(self, request: web.Request) -> web.Response:
+        is_ready = self.is_ready() and not self.is_draining
+        return web.json_response({"ready": is_ready}, status=200 if is_ready else 503)
+
+    async def _async_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self.metrics.render(), headers={"Content-Type": CONTENT_TYPE}
+        )
+
+
+async def _async_run(make_application: Callable[[], Application]) -> int:
+    app = make_application()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, app.drain_requested.set)
+    try:
+        await app.start()
+    except (OSError, ChutelinkError) as error:
+        app.events.error("start_failed", error=error)
+        await app.stop()
+        return EXIT_FAILED
+    # Returns early when a part crashes, too.
+    await app.wait(app.drain_requested.wait())
+    if app.crash_reason is None:
+        app.is_draining = True
+        app.events.info("draining", daemon=app.daemon.id)
+        await app.async_drain()
+    await app.stop()
+    if app.crash_reason is not None:
+        app.events.error("crashed", error=repr(app.crash_reason))
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+def run_program(
+    program: str,
+    description: str,
+    kind: type[SettingsT],
+    make_application: Callable[[SettingsT], Application],
+) -> int:
+    """Parse the command line, check the settings and run a daemon.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 1 after a failure, 2 for bad settings.
+    """
+    parser = argparse.ArgumentParser(prog=program, description=description)
+    parser.add_argument("--settings", type=Path, required=True, help="INI file")
+    parser.add_argument(
+        "--check", action="store_true", help="print the settings in force and exit"
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    args = parser.parse_args()
+    try:
+        settings = load_settings(args.settings, kind)
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_USAGE
+    if args.check:
+        print(describe_settings(settings))
+        return EXIT_OK
+    setup_logging(settings.daemon.log_level)
+    return asyncio.run(_async_run(lambda: make_application(settings)))
--- /dev/null
+++ b/chutelink/daemon.py
@@ -0,0 +1,196 @@
+"""What gateways and directors have in common."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+
+import msgspec
+from aiohttp import web
+
+from .configuration import ConfigKeeper
+from .const import PREFIX_DAEMON
+from .core import Application
+from .endpoints.client import EndpointClient
+from .endpoints.monitor import EndpointMonitor
+from .exceptions import (
+    PlatformUnavailable,
+    TransactionConflict,
+    WriteOutcomeUnknown,
+)
+from .ids import EndpointName
+from .peers.mesh import Mesh
+from .platform import (
+    Check,
+    Platform,
+    Vm,
+    Write,
+    async_commit,
+    async_setup_platform,
+)
+from .settings import DirectorSettings, GatewaySettings
+from .tables.endpoints import EndpointTable
+from .tables.members import Member, MemberTable, Role
+
+REGISTER_RETRY_S = 2.0
+PATH_STATUS = "/v1/status"
+
+
+class DaemonRow(msgspec.Struct, frozen=True):
+    """The row by which operators' tools find a daemon."""
+
+    member: Member
+
+
+class DaemonStatus(msgspec.Struct, frozen=True):
+    """What a daemon says of itself to operators."""
+
+    daemon: str
+    role: Role
+    vm: str
+    failure_domain: str
+    version: int
+    confirmed: bool
+    draining: bool
+    members: list[Member]
+    endpoints: dict[str, str]
+    leases: list[str] = []
+    quarantined: list[str] = []
+    unplaced: list[str] = []
+
+
+class Daemon(Application):
+    """An application that is a member, follows the configuration and watches."""
+
+    abstract = True
+    role: Role
+
+    def __init__(
+        self, program: str, settings: GatewaySettings | DirectorSettings
+    ) -> None:
+        super().__init__(program, settings.daemon)
+        self.settings = settings
+        self.endpoints = EndpointTable()
+        self.members = MemberTable(self._make_member())
+        self.platform: Platform | None = None
+        self.mesh: Mesh | None = None
+        self.keeper: ConfigKeeper | None = None
+        self.client: EndpointClient | None = None
+        self.monitor: EndpointMonitor | None = None
+        self._registering: asyncio.Task | None = None
+
+    def _make_member(self) -> Member:
+        # Compared only with what peers remember of this same daemon; if a
+        # clock went back, the mesh raises it above that.
+        incarnation = time.time_ns() // 1_000_000
+        return Member(
+            self.daemon_id,
+            self.role,
+            self.daemon.vm,
+            self.daemon.failure_domain,
+            self.daemon.address,
+            self.daemon.port,
+            self.daemon.peer_port,
+            self.boot_id,
+            incarnation,
+        )
+
+    async def async_setup_parts(self) -> None:
+        """Create the common parts, then the program's own, then start all."""
+        self.platform = async_setup_platform(self.session, self.settings.platform)
+        self.mesh = Mesh(self, self.settings.peers, self.members)
+        self.keeper = ConfigKeeper(
+            self, self.platform, self.mesh, self.settings.platform.poll_interval_s
+        )
+        self.client = EndpointClient(self.session, self.settings.endpoints)
+        self.monitor = EndpointMonitor(
+            self,
+            self.client,
+            self.platform,
+            self.endpoints,
+            self.settings.endpoints,
+            self.is_watched,
+        )
+        self.monitor.on_vms = self._take_vms
+        self.keeper.listen(self._on_config)
+        await self.async_setup_role()
+        for part in (self.mesh, self.keeper, self.monitor):
+            await self.add_runtime_dependency(part)
+        self._registering = asyncio.ensure_future(self._async_register())
+
+    async def async_setup_role(self) -> None:
+        """Create the parts of this role."""
+        raise NotImplementedError
+
+    def is_watched(self, name: EndpointName) -> bool:
+        """Return whether this daemon polls an endpoint."""
+        return True
+
+    def on_fleet(self) -> None:
+        """Bring the parts of this role in line with the fleet in force."""
+
+    def fill_status(self, status: DaemonStatus) -> DaemonStatus:
+        """Add what this role knows."""
+        return status
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the route for operators."""
+        app.router.add_get(PATH_STATUS, self._async_status)
+
+    def is_ready(self) -> bool:
+        """Return whether a configuration is in force."""
+        return self.keeper is not None and self.keeper.fleet is not None
+
+    async def on_stop(self) -> None:
+        """Stop what was started beside the parts."""
+        if self._registering is not None:
+            self._registering.cancel()
+        if self.client is not None:
+            await self.client.async_close()
+
+    def _on_config(self) -> None:
+        if self.keeper.fleet is None:
+            return
+        self.endpoints.sync(self.keeper.fleet)
+        self.monitor.sync(frozenset(self.keeper.drains.names))
+        self.on_fleet()
+
+    def _take_vms(self, vms: list[Vm]) -> None:
+        seeds = {f"{vm.address}:{port}" for vm in vms for port in vm.peer_ports}
+        self.mesh.set_seeds(seeds)
+
+    async def _async_register(self) -> None:
+        """Write the row by which operators' tools find this daemon."""
+        key = PREFIX_DAEMON + self.daemon_id
+        value = msgspec.to_builtins(DaemonRow(self.members.own))
+        while not self.should_stop:
+            try:
+                page = await self.platform.table.async_read(key)
+                row = page.get(key)
+                check = Check(key, row.version if row is not None else 0)
+                await async_commit(self.platform.table, [check], [Write(key, value)])
+                return
+            except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict):
+                await asyncio.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
+
+    async def _async_status(self, request: web.Request) -> web.Response:
+        expected = f"Bearer {self.settings.platform.key}"
+        given = request.headers.get("Authorization", "")
+        if not secrets.compare_digest(given.encode(), expected.encode()):
+            raise web.HTTPUnauthorized(text="operator key missing or wrong")
+        status = DaemonStatus(
+            daemon=self.daemon_id,
+            role=self.role,
+            vm=self.daemon.vm,
+            failure_domain=self.daemon.failure_domain,
+            version=self.keeper.version,
+            confirmed=self.keeper.is_confirmed,
+            draining=self.is_draining,
+            members=list(self.members.rows.values()),
+            endpoints={n: r.state.value for n, r in self.endpoints.rows.items()},
+        )
+        return web.Response(
+            body=msgspec.json.encode(self.fill_status(status)),
+            content_type="application/json",
+        )
--- /dev/null
+++ b/chutelink/director/__init__.py
@@ -0,0 +1,1 @@
+"""The director: places models, orders loads and keeps the memory ledger."""
--- /dev/null
+++ b/chutelink/director/app.py
@@ -0,0 +1,93 @@
+"""The director's application object: wiring only."""
+
+from __future__ import annotations
+
+from ..daemon import Daemon, DaemonStatus
+from ..ids import EndpointName, FailureDomainName
+from ..settings import DirectorSettings
+from ..tables.members import MemberState, Role
+from ..tables.state import StateTable
+from .leases import LeaseKeeper
+from .orders import OrderDesk
+from .placer import Placer
+
+
+class DirectorApp(Daemon):
+    """Acts for the failure domains whose leases it holds."""
+
+    role = Role.DIRECTOR
+
+    def __init__(self, settings: DirectorSettings) -> None:
+        super().__init__("chutelink-director", settings)
+        self.leases: LeaseKeeper | None = None
+        self.placer: Placer | None = None
+        self._watched_domains: frozenset[str] = frozenset()
+
+    async def async_setup_role(self) -> None:
+        """Create leases, orders and placement."""
+        settings = self.settings.director
+        table = self.platform.table
+        state = StateTable()
+        self.leases = LeaseKeeper(self, table, settings)
+        desk = OrderDesk(
+            self, table, self.client, self.leases, state, settings.order_timeout_s
+        )
+        self.placer = Placer(
+            self,
+            self.keeper,
+            table,
+            self.endpoints,
+            self.monitor,
+            self.leases,
+            desk,
+            state,
+            settings,
+        )
+        self.leases.on_change = self._watch_held
+        self.leases.has_director = self._has_director
+        for part in (self.leases, self.placer):
+            await self.add_runtime_dependency(part)
+
+    def is_watched(self, name: EndpointName) -> bool:
+        """Return whether the endpoint's failure domain is held here."""
+        spec = self.endpoints.rows[name].spec
+        return spec.failure_domain in self._watched_domains
+
+    def on_fleet(self) -> None:
+        """Contend for the failure domains of the fleet in force."""
+        self.leases.sync(sorted(self.keeper.fleet.failure_domains))
+
+    def _has_director(self, failure_domain: FailureDomainName) -> bool:
+        """Return whether a failure domain has a live director of its own."""
+        return any(
+            member.state is MemberState.ALIVE
+            and member.failure_domain == failure_domain
+            for member in self.members.live(Role.DIRECTOR)
+        )
+
+    def _watch_held(self) -> None:
+        """Poll just the endpoints of the failure domains that are held."""
+        held = frozenset(self.leases.held())
+        if held == self._watched_domains:
+            return
+        self._watched_domains = held
+        self.monitor.sync(frozenset(self.keeper.drains.names))
+
+    def fill_status(self, status: DaemonStatus) -> DaemonStatus:
+        """Add leases, quarantine and what found no place."""
+        status_fields = {
+            "leases": sorted(self.leases.held()),
+            "quarantined": sorted(self.placer.quarantined),
+            "unplaced": sorted(self.placer.plan.unplaced),
+        }
+        return DaemonStatus(
+            **{f: getattr(status, f) for f in status.__struct_fields__} | status_fields
+        )
+
+    async def async_drain(self) -> None:
+        """Finish the orders being sent, then give the leases back."""
+        self.mesh.announce_leaving()
+        self.leases.is_releasing = True
+        await self.placer.stop()
+        await self.placer.async_settle()
+        await self.leases.async_release()
--- /dev/null
+++ b/chutelink/director/placer.py
@@ -0,0 +1,412 @@
+"""Bring the endpoints of held failure domains in line with the plan."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from mode import Service
+
+from ..configuration import ConfigKeeper
+from ..const import PREFIX_HEALTH, PREFIX_LEASE_TERM, PREFIX_STATE
+from ..core import Application
+from ..endpoints.monitor import EndpointMonitor
+from ..exceptions import (
+    ChutelinkError,
+    LeaseNotHeld,
+    PlatformUnavailable,
+    TransactionConflict,
+)
+from ..fleet import Artifact, FleetSpec
+from ..fleet.model import EndpointSpec
+from ..ids import EndpointName, FailureDomainName, FencingNumber
+from ..platform import Check, TableService, Write, async_commit
+from ..settings import DirectorSection
+from ..systems.allowance import LoadAllowance
+from ..systems.placement import PlacementInput, Plan, make_placement
+from ..systems.reconcile import Action, Situation, next_action, unexplained
+from ..tables.endpoints import Endpoint, EndpointState, EndpointTable
+from ..tables.ledger import ClaimState, LedgerRow
+from ..tables.state import HealthRow, StateTable
+from .leases import LeaseKeeper
+from .orders import OrderDesk
+
+READ_INTERVAL_S = 0.5
+FIRST_REPEAT_S = 1.0
+MAX_REPEAT_S = 30.0
+DEMAND_SMOOTHING = 0.2
+DEMAND_STEP = 4
+TAKEOVER_PAUSE_S = 1.0
+
+
+class Placer(Service):
+    """Plans, and orders one step at a time at each endpoint.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    keeper : ConfigKeeper
+        The fleet in force.
+    table : TableService
+        Where ledger and health rows are.
+    endpoints : EndpointTable
+        Reports of the endpoints watched.
+    monitor : EndpointMonitor
+        Asked for a new report after each order.
+    leases : LeaseKeeper
+        Says which failure domains are this director's.
+    desk : OrderDesk
+        Carries out the steps.
+    state : StateTable
+        Ledger and health rows.
+    settings : DirectorSection
+        Pace and bounds.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        keeper: ConfigKeeper,
+        table: TableService,
+        endpoints: EndpointTable,
+        monitor: EndpointMonitor,
+        leases: LeaseKeeper,
+        desk: OrderDesk,
+        state: StateTable,
+        settings: DirectorSection,
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._keeper = keeper
+        self._table = table
+        self._endpoints = endpoints
+        self._monitor = monitor
+        self._leases = leases
+        self._desk = desk
+        self.shared = state
+        self._settings = settings
+        self._allowance = LoadAllowance(settings.loads_per_s, settings.loads_at_once)
+        self._busy: dict[EndpointName, asyncio.Task] = {}
+        self._repeats: dict[tuple[EndpointName, Artifact], tuple[float, float]] = {}
+        self._pending_since: dict[tuple[EndpointName, FencingNumber], float] = {}
+        self._demand: dict[FailureDomainName, dict[str, float]] = {}
+        self._answered_s: dict[EndpointName, float] = {}
+        self._held_since: dict[FailureDomainName, float] = {}
+        self._read_s = float("-inf")
+        self.plan = Plan({}, [])
+        self.quarantined: set[EndpointName] = set()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no step is being carried out."""
+        return not self._busy
+
+    @Service.task
+    async def _async_loop(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._async_tick()
+            except PlatformUnavailable as error:
+                self._core.events.warning("placement_paused", error=error)
+            except ChutelinkError as error:
+                self._core.events.error("placement_failed", error=error)
+            await self.sleep(self._settings.tick_interval_s)
+
+    async def _async_tick(self) -> None:
+        fleet = self._keeper.fleet
+        held = self._note_held()
+        if fleet is None or not held:
+            return
+        await self._async_read()
+        for domain in held:
+            await self._async_publish_health(fleet, domain)
+        self._make_plan(fleet)
+        self._allowance.share(len(held), len(fleet.failure_domains))
+        steps = [
+            step
+            for spec in fleet.engines()
+            if spec.failure_domain in held
+            and (step := self._next_step(fleet, spec)) is not None
+        ]
+        # A model without any replica is loaded before a second copy of another.
+        steps.sort(key=lambda step: step[1].is_load and not step[1].is_first_replica)
+        loading = self._count_loading(fleet, held)
+        for spec, action in steps:
+            if action.is_load:
+                if not self._allowance.take(self._core.clock(), loading):
+                    continue
+                loading += 1
+            self._start(spec, action)
+
+    def _note_held(self) -> list[FailureDomainName]:
+        """Return the held domains, leaving out those taken a moment ago.
+
+        The previous holder's last order may still be on its way; a short pause
+        lets it arrive before the endpoint's report is believed.
+        """
+        held = self._leases.held()
+        now_s = self._core.clock()
+        for name in self._held_since.keys() - set(held):
+            del self._held_since[name]
+        for name in held:
+            self._held_since.setdefault(name, now_s)
+        return [n for n in held if now_s - self._held_since[n] >= TAKEOVER_PAUSE_S]
+
+    async def _async_read(self) -> None:
+        now_s = self._core.clock()
+        if now_s - self._read_s < READ_INTERVAL_S and self.shared.is_read:
+            return
+        page = await self._table.async_read(PREFIX_STATE, self.shared.version)
+        for row in page.rows:
+            self.shared.take(row)
+        self.shared.version = max(self.shared.version, page.version)
+        self.shared.is_read = True
+        self._read_s = now_s
+
+    def _make_plan(self, fleet: FleetSpec) -> None:
+        placement = make_placement(fleet.options)
+        self.plan = placement.plan(
+            PlacementInput(
+                fleet, self.shared.rows(), self.shared.usable(), self.shared.demand()
+            )
+        )
+        self._core.metrics.unplaced.set({}, len(self.plan.unplaced))
+
+    async def _async_publish_health(
+        self, fleet: FleetSpec, domain: FailureDomainName
+    ) -> None:
+        """Tell the other directors, only when something has changed."""
+        health = self._observe_health(fleet, domain)
+        if health == self.shared.health.get(domain):
+            return
+        version = self.shared.health_versions.get(domain, 0)
+        key = PREFIX_HEALTH + domain
+        term_version = self._leases.check_held(domain, "health.write")
+        try:
+            written = await async_commit(
+                self._table,
+                [
+                    Check(key, version),
+                    Check(PREFIX_LEASE_TERM + domain, term_version),
+                ],
+                [Write(key, msgspec.to_builtins(health))],
+            )
+        except TransactionConflict:
+            self._reread()
+            return
+        self.shared.put_health(domain, health, written)
+
+    def _observe_health(self, fleet: FleetSpec, domain: FailureDomainName) -> HealthRow:
+        usable: list[EndpointName] = []
+        seen: dict[str, float] = {}
+        for spec in fleet.engines():
+            row = self._endpoints.rows.get(spec.name)
+            if spec.failure_domain != domain or row is None:
+                continue
+            if row.state is EndpointState.LIVE:
+                usable.append(spec.name)
+            self._add_demand(fleet, row, seen)
+        smooth = self._demand.setdefault(domain, {})
+        for model in fleet.models:
+            before = smooth.get(model, 0.0)
+            smooth[model] = before + DEMAND_SMOOTHING * (seen.get(model, 0.0) - before)
+        known = self.shared.health.get(domain, HealthRow()).demand
+        demand = {
+            model: _settle_step(value, known.get(model, 0))
+            for model, value in smooth.items()
+        }
+        return HealthRow(tuple(usable), {m: d for m, d in demand.items() if d})
+
+    def _add_demand(
+        self, fleet: FleetSpec, row: Endpoint, seen: dict[str, float]
+    ) -> None:
+        if row.report is None or row.state is EndpointState.LOST:
+            return
+        for held in row.report.artifacts:
+            model = fleet.base_model(held.name)
+            if model is not None:
+                count = held.running + held.waiting
+                seen[model.name] = seen.get(model.name, 0.0) + count
+
+    def _next_step(
+        self, fleet: FleetSpec, spec: EndpointSpec
+    ) -> tuple[EndpointSpec, Action] | None:
+        row = self._endpoints.rows.get(spec.name)
+        is_seen = row is not None and row.report is not None
+        if spec.name in self._busy or not is_seen or row.report_failures:
+            return None
+        if row.report_asked_s <= self._answered_s.get(spec.name, float("-inf")):
+            return None
+        kept = self.shared.ledger.get(spec.name)
+        if kept is None:
+            self._spawn(spec.name, self._desk.async_create_row(spec))
+            return None
+        size = (kept.row.accelerators, kept.row.memory_mb)
+        if size != (spec.accelerators, spec.memory_mb) and not kept.row.claims:
+            self._spawn(spec.name, self._desk.async_resize(spec, kept))
+            return None
+        self._note_quarantine(spec.name, row, kept.row.boot_id)
+        expired = self._expired(spec.name)
+        if expired:
+            self._spawn(spec.name, self._desk.async_expire(spec, expired))
+            return None
+        given = Situation(
+            row=kept.row,
+            report=row.report,
+            fleet=fleet,
+            desired=frozenset(self._desired(spec.name)),
+            ledger=self.shared.rows(),
+            usable=self.shared.usable(),
+            due=self._due(spec.name),
+        )
+        if self._is_report_news(kept.row, row):
+            self._spawn(spec.name, self._desk.async_note_report(spec, row.report))
+            return None
+        action = next_action(given)
+        return None if action is None else (spec, action)
+
+    def _desired(self, name: EndpointName) -> set[str]:
+        """Return the planned models; an endpoint not in the plan keeps its own."""
+        if name in self.plan.assignment:
+            return self.plan.assignment[name]
+        row = self.shared.ledger[name].row
+        fleet = self._keeper.fleet
+        return {
+            claim.artifact.name
+            for claim in row.claims
+            if claim.artifact.name in fleet.models
+            and claim.state is not ClaimState.UNLOADING
+        }
+
+    def _note_quarantine(self, name: EndpointName, row: Endpoint, boot_id: str) -> None:
+        kept = self.shared.ledger[name]
+        is_same_boot = row.report.boot_id == boot_id
+        strays = unexplained(kept.row, row.report) if is_same_boot else []
+        if strays and name not in self.quarantined:
+            self.quarantined.add(name)
+            self._core.events.error(
+                "endpoint_quarantined", endpoint=name, artifact=strays[0]
+            )
+        elif not strays:
+            self.quarantined.discard(name)
+        self._core.metrics.quarantined.set({}, len(self.quarantined))
+
+    def _is_report_news(self, ledger_row: LedgerRow, row: Endpoint) -> bool:
+        """Return whether a report would change the ledger's row."""
+        if row.report.boot_id != ledger_row.boot_id:
+            return False
+        held = {h.artifact for h in row.report.artifacts}
+        for claim in ledger_row.claims:
+            is_loaded = claim.artifact in row.loaded
+            if claim.state is ClaimState.LOADING and is_loaded:
+                return True
+            if claim.state is ClaimState.LOADED and not is_loaded:
+                return True
+            is_gone = claim.artifact not in held and not claim.has_pending_load
+            if claim.state is ClaimState.UNLOADING and is_gone:
+                return True
+        return False
+
+    def _due(self, name: EndpointName) -> frozenset[Artifact]:
+        """Return the claims whose order is to be repeated, with growing pauses.
+
+        A load whose order was answered is left alone while the engine reports
+        that it is loading.
+        """
+        now_s = self._core.clock()
+        row = self._endpoints.rows[name]
+        held = {h.artifact for h in row.report.artifacts}
+        due = set()
+        for claim in self.shared.ledger[name].row.claims:
+            key = (name, claim.artifact)
+            is_present = claim.artifact in held
+            is_waiting = (claim.state is ClaimState.LOADING and not is_present) or (
+                claim.state is ClaimState.UNLOADING
+                and (is_present or bool(claim.pending))
+            )
+            if not is_waiting and not claim.pending:
+                self._repeats.pop(key, None)
+                continue
+            if claim.state is ClaimState.LOADED:
+                continue
+            at_s, pause_s = self._repeats.setdefault(
+                key, (now_s + FIRST_REPEAT_S, FIRST_REPEAT_S)
+            )
+            if now_s >= at_s:
+                pause_s = min(MAX_REPEAT_S, pause_s * 2)
+                self._repeats[key] = (now_s + pause_s, pause_s)
+                due.add(claim.artifact)
+        return frozenset(due)
+
+    def _expired(self, name: EndpointName) -> list[FencingNumber]:
+        """Return orders that have been open for longer than the bound allows."""
+        bound_s = self._settings.order_lateness_s
+        now_s = self._core.clock()
+        open_now = {
+            (name, order.fence)
+            for claim in self.shared.ledger[name].row.claims
+            for order in claim.pending
+        }
+        known = {key for key in self._pending_since if key[0] == name}
+        for key in known - open_now:
+            del self._pending_since[key]
+        for key in open_now:
+            self._pending_since.setdefault(key, now_s)
+        if bound_s == 0:
+            return []
+        return [f for n, f in open_now if now_s - self._pending_since[n, f] > bound_s]
+
+    def _count_loading(self, fleet: FleetSpec, held: list[FailureDomainName]) -> int:
+        return sum(
+            claim.state is ClaimState.LOADING
+            for spec in fleet.engines()
+            if spec.failure_domain in held and spec.name in self.shared.ledger
+            for claim in self.shared.ledger[spec.name].row.claims
+        )
+
+    def _start(self, spec: EndpointSpec, action: Action) -> None:
+        boot_id = self._endpoints.rows[spec.name].report.boot_id
+        self._spawn(spec.name, self._async_step(spec, action, boot_id))
+
+    async def _async_step(self, spec: EndpointSpec, action: Action, boot_id) -> None:
+        try:
+            await self._desk.async_run(spec, action, boot_id)
+        finally:
+            self._answered_s[spec.name] = self._core.clock()
+        await self._monitor.async_poll(spec.name)
+
+    def _spawn(self, name: EndpointName, coroutine) -> None:
+        task = asyncio.ensure_future(self._async_guarded(name, coroutine))
+        self._busy[name] = task
+
+    async def _async_guarded(self, name: EndpointName, coroutine) -> None:
+        try:
+            await coroutine
+        except TransactionConflict:
+            self._reread()
+        except LeaseNotHeld as error:
+            self._core.events.warning("step_without_lease", error=error)
+        except ChutelinkError as error:
+            self._core.events.warning("step_failed", endpoint=name, error=error)
+            self._reread()
+        finally:
+            self._busy.pop(name, None)
+
+    def _reread(self) -> None:
+        """Read all rows anew before the next plan."""
+        self.shared.version = 0
+        self.shared.is_read = False
+
+    async def async_settle(self) -> None:
+        """Wait for the steps that are being carried out."""
+        tasks = list(self._busy.values())
+        if tasks:
+            await asyncio.wait(tasks, timeout=self._settings.order_timeout_s * 3)
+
+
+def _settle_step(value: float, known: int) -> int:
+    """Round to steps, keeping the known value within a step of it."""
+    if known and abs(value - known) < DEMAND_STEP:
+        return known if value >= 0.5 else 0
+    return round(value / DEMAND_STEP) * DEMAND_STEP
--- /dev/null
+++ b/chutelink/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol to endpoints: engines and plain services."""
--- /dev/null
+++ b/chutelink/endpoints/client.py
@@ -0,0 +1,287 @@
+"""Calls to endpoints; what goes wrong is told apart by whether it was run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+import aiohttp
+import msgspec
+from multidict import CIMultiDictProxy
+
+from ..const import HEADER_ORDER_KEY, HEADER_REQUEST_ID, MAX_HEADER_BYTES
+from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
+from ..fleet.model import EndpointKind, EndpointSpec
+from ..settings import EndpointsSection
+from ..tables.endpoints import EndpointReport
+from .messages import (
+    HEADER_NOT_RUN,
+    PATH_HEALTH,
+    PATH_ORDERS,
+    PATH_REPORT,
+    Order,
+    OrderAnswer,
+)
+
+MAX_EVENT_BYTES: Final = 1_000_000
+EVENT_SEPARATOR: Final = b"\n\n"
+_REFUSED_STATUS: Final = 503
+_SEND_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError)
+
+
+class WholeAnswer(msgspec.Struct, frozen=True):
+    """An endpoint's answer, complete."""
+
+    status: int
+    headers: CIMultiDictProxy
+    body: bytes
+
+    @property
+    def content_type(self) -> str:
+        """The type of the body."""
+        return self.headers.get("Content-Type", "application/octet-stream")
+
+
+class EndpointClient:
+    """Speaks to engines and plain services.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Used where a call may be repeated.
+    settings : EndpointsSection
+        Time limits and the order key.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, settings: EndpointsSection
+    ) -> None:
+        self._session = session
+        self._settings = settings
+        # A pooled connection that the endpoint has just closed would make it
+        # unknown whether a call was run; calls that must not be repeated
+        # therefore open their own.
+        self._once_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, force_close=True, use_dns_cache=False
+            ),
+            timeout=aiohttp.ClientTimeout(total=None),
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        self._report_decoder = msgspec.json.Decoder(EndpointReport)
+
+    async def async_close(self) -> None:
+        """Close the connections of calls that must not be repeated."""
+        await self._once_session.close()
+
+    @asynccontextmanager
+    async def async_open(
+        self,
+        spec: EndpointSpec,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str],
+        body: bytes | None,
+        idle_timeout_s: float,
+        is_repeatable: bool,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Open an exchange and check that the answer is to this request.
+
+        Raises
+        ------
+        EndpointUnreachable
+            No byte was sent.
+        EndpointRefused
+            The endpoint says that it did not run the request.
+        EndpointFailed
+            The request may have been run.
+        """
+        response = await self._async_send(
+            spec, method, path, headers, body, idle_timeout_s, is_repeatable
+        )
+        try:
+            _check_answer(response, headers[HEADER_REQUEST_ID], spec)
+            yield response
+        finally:
+            # Hands the connection back only if the answer was read whole.
+            response.close()
+
+    async def _async_send(
+        self,
+        spec: EndpointSpec,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        idle_timeout_s: float,
+        is_repeatable: bool,
+    ) -> aiohttp.ClientResponse:
+        """Send a request and return the answer once its head has arrived."""
+        session = self._session if is_repeatable else self._once_session
+        step = "endpoint.send"
+        try:
+            return await session.request(
+                method,
+                spec.url + path,
+                headers=headers,
+                data=body,
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=self._settings.connect_timeout_s,
+                    sock_read=idle_timeout_s,
+                ),
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise EndpointUnreachable(str(error), step=step, peer=spec.name) from error
+        except _SEND_FAILURES as error:
+            message = str(error) or type(error).__name__
+            raise EndpointFailed(message, step=step, peer=spec.name) from error
+
+    async def async_exchange(
+        self,
+        spec: EndpointSpec,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+        is_repeatable: bool,
+    ) -> WholeAnswer:
+        """Send a request and return its whole answer.
+
+        Raises
+        ------
+        EndpointUnreachable, EndpointRefused, EndpointFailed
+            As `async_open`.
+        """
+        async with self.async_open(
+            spec,
+            method,
+            path,
+            headers=headers,
+            body=body,
+            idle_timeout_s=timeout_s,
+            is_repeatable=is_repeatable,
+        ) as response:
+            try:
+                content = await asyncio.wait_for(response.read(), timeout_s)
+            except _SEND_FAILURES as error:
+                message = str(error) or type(error).__name__
+                raise EndpointFailed(
+                    message, step="endpoint.read", peer=spec.name
+                ) from error
+            return WholeAnswer(response.status, response.headers, content)
+
+    async def async_report(self, spec: EndpointSpec) -> tuple[EndpointReport, int]:
+        """Return an engine's report and its size in bytes."""
+        content = await self._async_get(spec, PATH_REPORT)
+        try:
+            return self._report_decoder.decode(content), len(content)
+        except msgspec.MsgspecError as error:
+            raise EndpointFailed(
+                str(error), step="endpoint.report", peer=spec.name
+            ) from error
+
+    async def async_check_health(self, spec: EndpointSpec) -> int:
+        """Check that a plain service is up; return the size of its answer."""
+        return len(await self._async_get(spec, PATH_HEALTH))
+
+    async def async_order(
+        self, spec: EndpointSpec, order: Order, timeout_s: float
+    ) -> OrderAnswer:
+        """Send an order to an engine and return its answer.
+
+        Raises
+        ------
+        EndpointUnreachable
+            The order was not sent.
+        EndpointFailed
+            The order may take effect, now or later.
+        """
+        step = "endpoint.order"
+        try:
+            async with self._session.post(
+                spec.url + PATH_ORDERS,
+                data=msgspec.json.encode(order),
+                headers={HEADER_ORDER_KEY: self._settings.order_key},
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                content = await response.read()
+                if response.status != 200:
+                    message = f"status {response.status}"
+                    raise EndpointFailed(message, step=step, peer=spec.name)
+                return msgspec.json.decode(content, type=OrderAnswer)
+        except aiohttp.ClientConnectorError as error:
+            raise EndpointUnreachable(str(error), step=step, peer=spec.name) from error
+        except (*_SEND_FAILURES, msgspec.MsgspecError) as error:
+            message = str(error) or type(error).__name__
+            raise EndpointFailed(message, step=step, peer=spec.name) from error
+
+    async def _async_get(self, spec: EndpointSpec, path: str) -> bytes:
+        step = "endpoint.report"
+        timeout = aiohttp.ClientTimeout(total=self._settings.report_timeout_s)
+        try:
+            async with self._session.get(spec.url + path, timeout=timeout) as response:
+                content = await response.read()
+        except _SEND_FAILURES as error:
+            message = str(error) or type(error).__name__
+            raise EndpointFailed(message, step=step, peer=spec.name) from error
+        if response.status != 200:
+            message = f"status {response.status}"
+            raise EndpointFailed(message, step=step, peer=spec.name)
+        return content
+
+
+def _check_answer(
+    response: aiohttp.ClientResponse, request_id: str, spec: EndpointSpec
+) -> None:
+    """Check that an answer is to this request and says where it ends."""
+    step = "endpoint.answer"
+    is_refusal = HEADER_NOT_RUN in response.headers
+    if response.status == _REFUSED_STATUS and is_refusal:
+        raise EndpointRefused("not run", step=step, peer=spec.name)
+    answered_id = response.headers.get(HEADER_REQUEST_ID)
+    if response.status < 400 and answered_id != request_id:
+        raise EndpointFailed("answer to another request", step=step, peer=spec.name)
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    has_length = "Content-Length" in response.headers
+    if not is_chunked and not has_length and response.status not in (204, 304):
+        raise EndpointFailed("answer without an end", step=step, peer=spec.name)
+
+
+async def async_iter_events(
+    response: aiohttp.ClientResponse, spec: EndpointSpec
+) -> AsyncIterator[bytes]:
+    """Yield whole server-sent events, each with its blank line.
+
+    Raises
+    ------
+    EndpointFailed
+        The stream broke off inside an event, or an event is too large.
+    """
+    step = "endpoint.stream"
+    buffer = b""
+    try:
+        async for chunk in response.content.iter_any():
+            buffer += chunk
+            while (end := buffer.find(EVENT_SEPARATOR)) >= 0:
+                end += len(EVENT_SEPARATOR)
+                yield buffer[:end]
+                buffer = buffer[end:]
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise EndpointFailed("event too large", step=step, peer=spec.name)
+    except _SEND_FAILURES as error:
+        message = str(error) or type(error).__name__
+        raise EndpointFailed(message, step=step, peer=spec.name) from error
+    if buffer:
+        raise EndpointFailed("stream cut inside an event", step=step, peer=spec.name)
+
+
+def is_engine(spec: EndpointSpec) -> bool:
+    """Return whether an endpoint holds models."""
+    return spec.kind is EndpointKind.ENGINE
--- /dev/null
+++ b/chutelink/endpoints/messages.py
@@ -0,0 +1,45 @@
+"""What is said between the system and an engine, beside the callers' requests."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from ..ids import FencingNumber
+from ..tables.ledger import OrderAction
+
+PATH_ORDERS: Final = "/v1/orders"
+PATH_REPORT: Final = "/v1/report"
+PATH_HEALTH: Final = "/healthz"
+HEADER_VERSION: Final = "Chutelink-Version"
+HEADER_RESUME_FROM: Final = "Chutelink-Resume-From"
+HEADER_PRIORITY: Final = "Chutelink-Priority"
+HEADER_NOT_RUN: Final = "Chutelink-Not-Run"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order to an engine; memory is for each accelerator."""
+
+    fence: FencingNumber
+    action: OrderAction
+    name: str = ""
+    version: str = ""
+    accelerators: tuple[int, ...] = ()
+    memory_mb: int = 0
+
+
+class OrderResult(Enum):
+    """What an engine made of an order."""
+
+    ACCEPTED = "accepted"
+    STALE = "stale"
+    REFUSED = "refused"
+
+
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """An engine's answer to an order."""
+
+    result: OrderResult
+    detail: str = ""
--- /dev/null
+++ b/chutelink/fleet/model.py
@@ -0,0 +1,212 @@
+"""What a fleet file declares, as trusted data: checked once, then immutable."""
+
+from __future__ import annotations
+
+from enum import Enum
+from fnmatch import fnmatchcase
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..ids import ArtifactName, CallerName, EndpointName, FailureDomainName, VmId
+
+Megabytes = Annotated[int, Meta(ge=1, le=100_000_000)]
+Positive = Annotated[float, Meta(gt=0, le=1_000_000)]
+Weight = Annotated[float, Meta(ge=0, le=1000)]
+Text = Annotated[str, Meta(min_length=1, max_length=256)]
+Priority = Annotated[int, Meta(ge=0, le=9)]
+
+
+class EndpointKind(Enum):
+    """What runs at an endpoint."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class LatePolicy(Enum):
+    """What becomes of a request that can't make its target."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+class RoutingPolicy(Enum):
+    """How an endpoint is chosen for a request."""
+
+    EXPECTED_TIME = "expected_time"
+    ROUND_ROBIN = "round_robin"
+    LEAST_OUTSTANDING = "least_outstanding"
+    TWO_CHOICES = "two_choices"
+
+
+class QueueingPolicy(Enum):
+    """How waiting requests are ordered."""
+
+    SLACK = "slack"
+    FIFO = "fifo"
+    EARLIEST_DEADLINE = "earliest_deadline"
+    PRIORITY = "priority"
+
+
+class PlacementPolicy(Enum):
+    """How spare memory is given to models."""
+
+    WEIGHTED = "weighted"
+    STATIC = "static"
+    GREEDY = "greedy"
+
+
+class ArtifactKind(Enum):
+    """What an engine can load."""
+
+    MODEL = "model"
+    ADAPTER = "adapter"
+
+
+class Artifact(msgspec.Struct, frozen=True, order=True):
+    """One version of a model or adapter, as an engine loads it."""
+
+    name: ArtifactName
+    version: str
+
+    def __str__(self) -> str:
+        return f"{self.name}@{self.version}"
+
+
+class FleetOptions(msgspec.Struct, frozen=True):
+    """``[fleet]``: policies and weights for the whole fleet."""
+
+    attainment_weight: Weight = 1.0
+    moves_weight: Weight = 0.1
+    routing: RoutingPolicy = RoutingPolicy.EXPECTED_TIME
+    queueing: QueueingPolicy = QueueingPolicy.SLACK
+    placement: PlacementPolicy = PlacementPolicy.WEIGHTED
+
+
+class FailureDomainSpec(msgspec.Struct, frozen=True):
+    """``[failure_domain D]``: where VMs fail together."""
+
+    name: FailureDomainName
+    region: Text = "default"
+    distance_ms: Annotated[float, Meta(ge=0, le=1000)] = 1.0
+
+
+class EndpointSpec(msgspec.Struct, frozen=True):
+    """``[endpoint E]``: an engine, or one instance of a plain service."""
+
+    name: EndpointName
+    url: Annotated[str, Meta(pattern=r"^https?://[0-9a-fA-F.:\[\]]+$")]
+    failure_domain: FailureDomainName
+    vm: VmId
+    kind: EndpointKind = EndpointKind.ENGINE
+    accelerators: Annotated[int, Meta(ge=0, le=64)] = 1
+    memory_mb: Annotated[int, Meta(ge=0, le=100_000_000)] = 0
+    slots: Annotated[int, Meta(ge=1, le=4096)] = 16
+    checks_fencing: bool = True
+
+
+class RequestClass(msgspec.Struct, frozen=True):
+    """``[request_class R]``: what counts as in time."""
+
+    name: Text
+    target_s: Positive = 1.0
+    late: LatePolicy = LatePolicy.SERVE
+    priority: Priority = 5
+
+
+class ModelSpec(msgspec.Struct, frozen=True):
+    """``[model M]``: memory is per accelerator, on ``accelerators`` of one endpoint."""
+
+    name: ArtifactName
+    memory_mb: Megabytes
+    version: Text = "1"
+    accelerators: Annotated[int, Meta(ge=1, le=64)] = 1
+    replicas: Annotated[int, Meta(ge=1, le=1000)] = 1
+    request_class: Text = "default"
+
+    @property
+    def artifact(self) -> Artifact:
+        """The artifact that an engine loads for this model."""
+        return Artifact(self.name, self.version)
+
+
+class AdapterSpec(msgspec.Struct, frozen=True):
+    """``[adapter Y]``: loaded beside each replica of its model."""
+
+    name: ArtifactName
+    model: ArtifactName
+    memory_mb: Megabytes
+    version: Text = "1"
+
+    @property
+    def artifact(self) -> Artifact:
+        """The artifact that an engine loads for this adapter."""
+        return Artifact(self.name, self.version)
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """``[service Z]``: a plain service; only listed methods may be repeated."""
+
+    name: Text
+    endpoints: tuple[str, ...]
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
+    timeout_s: Positive = 30.0
+
+
+class CallerSpec(msgspec.Struct, frozen=True):
+    """``[caller C]``: who may call what, and how often."""
+
+    name: CallerName
+    key_sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    rate_per_s: Positive = 1000.0
+    burst: Positive = 2000.0
+
+    def may_use_model(self, name: str) -> bool:
+        """Return whether the caller may name this model or adapter."""
+        return any(fnmatchcase(name, pattern) for pattern in self.models)
+
+    def may_use_service(self, name: str) -> bool:
+        """Return whether the caller may name this service."""
+        return any(fnmatchcase(name, pattern) for pattern in self.services)
+
+
+class FleetSpec(msgspec.Struct, frozen=True):
+    """A whole fleet file."""
+
+    options: FleetOptions
+    failure_domains: dict[str, FailureDomainSpec]
+    endpoints: dict[str, EndpointSpec]
+    request_classes: dict[str, RequestClass]
+    models: dict[str, ModelSpec]
+    adapters: dict[str, AdapterSpec]
+    services: dict[str, ServiceSpec]
+    callers: dict[str, CallerSpec]
+
+    def base_model(self, name: str) -> ModelSpec | None:
+        """Return the model that serves a model's or adapter's name."""
+        adapter = self.adapters.get(name)
+        return self.models.get(adapter.model if adapter else name)
+
+    def needed_artifacts(self, name: str) -> tuple[Artifact, ...]:
+        """Return the artifacts that must be loaded to serve a name."""
+        model = self.base_model(name)
+        if model is None:
+            return ()
+        adapter = self.adapters.get(name)
+        if adapter is None:
+            return (model.artifact,)
+        return (model.artifact, adapter.artifact)
+
+    def adapters_of(self, model: str) -> list[AdapterSpec]:
+        """Return the adapters of a model, by name."""
+        found = [a for a in self.adapters.values() if a.model == model]
+        return sorted(found, key=lambda adapter: adapter.name)
+
+    def engines(self) -> list[EndpointSpec]:
+        """Return the endpoints that hold models, by name."""
+        found = [e for e in self.endpoints.values() if e.kind is EndpointKind.ENGINE]
+        return sorted(found, key=lambda endpoint: endpoint.name)
--- /dev/null
+++ b/chutelink/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: admits, queues, routes, retries and relays callers' requests."""
--- /dev/null
+++ b/chutelink/gateway/app.py
@@ -0,0 +1,82 @@
+"""The gateway's application object: wiring only."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from ..daemon import Daemon
+from ..settings import GatewaySettings
+from ..tables.members import Role
+from .claims import ClaimKeeper
+from .http import GatewayHttp
+from .parts import GatewayParts
+
+DRAIN_POLL_S = 0.05
+
+
+class GatewayApp(Daemon):
+    """Answers callers."""
+
+    role = Role.GATEWAY
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        super().__init__("chutelink-gateway", settings)
+        self.parts: GatewayParts | None = None
+        self.http: GatewayHttp | None = None
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest request body taken."""
+        return self.settings.gateway.max_body_bytes
+
+    async def async_setup_role(self) -> None:
+        """Create the parts that serve callers."""
+        settings = self.settings
+        claims = ClaimKeeper(
+            self,
+            self.platform.table,
+            settings.gateway.claim_flush_s,
+            settings.gateway.claim_wait_s,
+            self.members.is_gone,
+        )
+        self.parts = GatewayParts(
+            self, settings, self.client, claims, self.endpoints, self.members
+        )
+        self.http = GatewayHttp(self.parts, self.keeper)
+        self.monitor.on_change = self.parts.dispatcher.tick
+        self.mesh.on_members_changed = self._share_limits
+        await self.add_runtime_dependency(claims)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes for callers and for operators."""
+        super().add_routes(app)
+        self.http.add_routes(app)
+
+    def on_fleet(self) -> None:
+        """Take callers and policies of the fleet in force."""
+        fleet = self.keeper.fleet
+        self.parts.caller_index.sync(fleet)
+        self.parts.dispatcher.sync(fleet)
+        self._share_limits()
+
+    def _share_limits(self) -> None:
+        fleet = self.keeper.fleet
+        if fleet is None:
+            return
+        live = len(self.members.live(Role.GATEWAY))
+        gateways = min(live, self.settings.gateway.subset)
+        self.parts.callers.sync(fleet, gateways, self.clock())
+
+    async def async_drain(self) -> None:
+        """Leave: out of the answers at once, out of service when nobody calls.
+
+        Callers may keep an address for ``valid_s``, so requests are taken for
+        that long and a margin; then everything in flight is finished.
+        """
+        self.mesh.announce_leaving()
+        daemon = self.settings.daemon
+        await asyncio.sleep(self.settings.gateway.valid_s + daemon.drain_margin_s)
+        while self.http.inflight or self.parts.running_tasks:
+            await asyncio.sleep(DRAIN_POLL_S)
--- /dev/null
+++ b/chutelink/gateway/main.py
@@ -0,0 +1,17 @@
+"""Entry point of ``chutelink-gateway``."""
+
+from __future__ import annotations
+
+from ..core import run_program
+from ..settings import GatewaySettings
+from .app import GatewayApp
+
+
+def main() -> int:
+    """Run a gateway."""
+    return run_program(
+        "chutelink-gateway",
+        "Answer callers: admit, queue, route, retry and relay their requests.",
+        GatewaySettings,
+        GatewayApp,
+    )
--- /dev/null
+++ b/chutelink/gateway/requests.py
@@ -0,0 +1,134 @@
+"""Check what callers send: key, name and body."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from typing import Annotated, Any
+
+import msgspec
+from aiohttp import web
+from msgspec import Meta
+
+from ..fleet import CallerSpec, FleetSpec
+from ..systems.routing import CHARACTERS_PER_TOKEN
+from .refusals import Refusal, forbidden, malformed, not_found, unauthorized
+
+PREFIX_BLOCK_CHARACTERS = 256
+MAX_PREFIXES = 16
+DEFAULT_MAX_TOKENS = 16
+_BEARER = "Bearer "
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a chat."""
+
+    role: Annotated[str, Meta(min_length=1, max_length=64)]
+    content: str
+
+
+class CompletionRequest(msgspec.Struct):
+    """The fields that the gateway reads; the others are passed on."""
+
+    model: Annotated[str, Meta(min_length=1, max_length=128)]
+    messages: list[ChatMessage] | msgspec.UnsetType = msgspec.UNSET
+    prompt: str | msgspec.UnsetType = msgspec.UNSET
+    stream: bool = False
+    max_tokens: Annotated[int, Meta(ge=1, le=1_000_000)] = DEFAULT_MAX_TOKENS
+
+    def text(self) -> str:
+        """Return the prompt as the engine sees it."""
+        if self.messages is not msgspec.UNSET:
+            return "\n".join(message.content for message in self.messages)
+        return "" if self.prompt is msgspec.UNSET else self.prompt
+
+
+_DECODER = msgspec.json.Decoder(CompletionRequest)
+
+
+def key_hash(key: str) -> str:
+    """Return the hash by which the fleet file names a caller's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class CallerIndex:
+    """Callers by the hash of their key."""
+
+    def __init__(self) -> None:
+        self._by_hash: dict[str, CallerSpec] = {}
+
+    def sync(self, fleet: FleetSpec) -> None:
+        """Take the callers of the fleet in force."""
+        self._by_hash = {c.key_sha256: c for c in fleet.callers.values()}
+
+    def authenticate(self, request: web.Request) -> CallerSpec:
+        """Return the caller of a request, or refuse it."""
+        value = request.headers.get("Authorization", "")
+        if not value.startswith(_BEARER):
+            raise unauthorized()
+        caller = self._by_hash.get(key_hash(value[len(_BEARER) :]))
+        if caller is None:
+            raise unauthorized()
+        return caller
+
+
+def check_model(caller: CallerSpec, fleet: FleetSpec, name: str) -> None:
+    """Refuse a model that the caller may not use or that is not declared.
+
+    A name outside the caller's own patterns gets the same answer whether it is
+    declared or not.
+    """
+    if not caller.may_use_model(name):
+        raise forbidden()
+    if fleet.base_model(name) is None:
+        raise not_found(f"model {name}")
+
+
+async def async_read_body(
+    request: web.Request, max_bytes: int, timeout_s: float
+) -> bytes:
+    """Return the body; one too large or too slow is refused."""
+    if request.content_length is not None and request.content_length > max_bytes:
+        raise Refusal(413, f"body above {max_bytes} bytes")
+    try:
+        return await asyncio.wait_for(request.read(), timeout_s)
+    except TimeoutError as error:
+        raise Refusal(408, f"body not received within {timeout_s:g} s") from error
+    except web.HTTPRequestEntityTooLarge as error:
+        raise Refusal(413, f"body above {max_bytes} bytes") from error
+
+
+def decode_completion(body: bytes, *, is_chat: bool) -> CompletionRequest:
+    """Return a completion request; faults are refused with their place."""
+    try:
+        completion = _DECODER.decode(body)
+    except msgspec.ValidationError as error:
+        raise malformed(str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise malformed(f"not JSON: {error}") from error
+    field: Any = completion.messages if is_chat else completion.prompt
+    if field is msgspec.UNSET:
+        name = "messages" if is_chat else "prompt"
+        raise malformed(f"Object missing required field `{name}`")
+    if is_chat and not completion.messages:
+        raise malformed("Expected at least one message - at `$.messages`")
+    return completion
+
+
+def count_tokens(text: str) -> int:
+    """Return an estimate of the tokens in a prompt."""
+    return max(1, len(text) // CHARACTERS_PER_TOKEN)
+
+
+def hash_prefixes(text: str) -> tuple[str, ...]:
+    """Return the hashes of a prompt's block prefixes, shortest first.
+
+    Engines report the same hashes for the prefixes in their cache.
+    """
+    count = min(MAX_PREFIXES, len(text) // PREFIX_BLOCK_CHARACTERS)
+    return tuple(
+        hashlib.blake2b(
+            text[: PREFIX_BLOCK_CHARACTERS * (i + 1)].encode(), digest_size=6
+        ).hexdigest()
+        for i in range(count)
+    )
--- /dev/null
+++ b/chutelink/gateway/services.py
@@ -0,0 +1,180 @@
+"""Handlers of plain services; some of their calls may not be repeated."""
+
+from __future__ import annotations
+
+import hashlib
+
+from aiohttp import web
+from opentelemetry.trace import Span, set_span_in_context
+
+from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_NON_IDEMPOTENT, HEADER_REQUEST_ID
+from ..endpoints.client import WholeAnswer
+from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
+from ..fleet import CallerSpec, FleetSpec, ServiceSpec
+from ..ids import RequestId, make_id
+from ..tables.endpoints import Endpoint
+from ..tracing import inject_context
+from .keyed import async_run_keyed
+from .parts import GatewayParts
+from .refusals import Refusal, forbidden, not_found, unavailable, unknown_outcome
+from .requests import async_read_body
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 2.0
+_PASSED_HEADERS = ("Content-Type", "Accept", HEADER_IDEMPOTENCY_KEY)
+
+
+class ServiceHandler:
+    """Passes calls on to plain services."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+
+    async def async_handle(
+        self, request: web.Request, span: Span, caller: CallerSpec, fleet: FleetSpec
+    ) -> web.StreamResponse:
+        """Serve one call of a plain service."""
+        name = request.match_info["name"]
+        if not caller.may_use_service(name):
+            raise forbidden()
+        service = fleet.services.get(name)
+        if service is None:
+            raise not_found(f"service {name}")
+        settings = self._parts.settings.gateway
+        body = await async_read_body(
+            request, settings.max_body_bytes, settings.idle_timeout_s
+        )
+        self._parts.admit(caller)
+        call = _ServiceCall(self._parts, request, span, service, body)
+        key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
+        if key and not call.is_repeatable:
+            content = request.query_string.encode() + b"\0" + body
+            return await async_run_keyed(
+                self._parts,
+                caller.name,
+                f"{request.method} {request.path}",
+                key,
+                hashlib.sha256(content).hexdigest(),
+                call.async_run,
+            )
+        answer = await call.async_run()
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={
+                "Content-Type": answer.content_type,
+                HEADER_REQUEST_ID: call.request_id,
+            },
+        )
+
+
+class _ServiceCall:
+    """One call, tried on one endpoint after another while that is safe."""
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        request: web.Request,
+        span: Span,
+        service: ServiceSpec,
+        body: bytes,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._span = span
+        self._service = service
+        self._body = body
+        self.request_id = RequestId(make_id())
+        self.is_repeatable = (
+            request.method in service.idempotent_methods
+            and HEADER_NON_IDEMPOTENT not in request.headers
+        )
+
+    async def async_run(self) -> WholeAnswer:
+        """Return the answer, or refuse honestly."""
+        may_have_run = False
+        candidates = self._candidates()
+        for row in candidates[:MAX_ATTEMPTS]:
+            try:
+                return await self._async_attempt(row)
+            except (EndpointUnreachable, EndpointRefused) as error:
+                self._note_failure(row, error)
+            except EndpointFailed as error:
+                may_have_run = True
+                self._note_failure(row, error)
+                if not self.is_repeatable:
+                    title = "the service did not answer in full"
+                    raise unknown_outcome(title) from error
+            if not self._parts.budget.take():
+                break
+            self._parts.core.metrics.retries.inc({"reason": "service"})
+        raise self._give_up(may_have_run)
+
+    def _candidates(self) -> list[Endpoint]:
+        now_s = self._parts.core.clock()
+        rows = self._parts.endpoints.rows
+        found = [
+            rows[name]
+            for name in self._service.endpoints
+            if name in rows and rows[name].takes_new_work
+        ]
+        own_domain = self._parts.core.daemon.failure_domain
+        return sorted(
+            found,
+            key=lambda row: (
+                row.excluded_until_s > now_s,
+                row.inflight,
+                row.spec.failure_domain != own_domain,
+            ),
+        )
+
+    async def _async_attempt(self, row: Endpoint) -> WholeAnswer:
+        request = self._request
+        path = "/" + request.match_info["tail"]
+        if request.query_string:
+            path += "?" + request.query_string
+        with self._parts.core.tracer.start_as_current_span(
+            "endpoint.exchange",
+            context=set_span_in_context(self._span),
+            attributes={"endpoint": row.name},
+        ) as span:
+            row.inflight += 1
+            try:
+                answer = await self._parts.client.async_exchange(
+                    row.spec,
+                    request.method,
+                    path,
+                    headers=self._headers(span),
+                    body=self._body or None,
+                    timeout_s=self._service.timeout_s,
+                    is_repeatable=self.is_repeatable,
+                )
+            finally:
+                row.inflight -= 1
+        self._parts.endpoints.note_success(row.name)
+        return answer
+
+    def _headers(self, span: Span) -> dict[str, str]:
+        headers = {
+            name: self._request.headers[name]
+            for name in _PASSED_HEADERS
+            if name in self._request.headers
+        }
+        headers[HEADER_REQUEST_ID] = self.request_id
+        inject_context(span, headers)
+        return headers
+
+    def _note_failure(self, row: Endpoint, error: Exception) -> None:
+        self._parts.endpoints.note_failure(row.name, self._parts.core.clock())
+        self._parts.core.events.warning(
+            "service_call_failed",
+            request=self.request_id,
+            endpoint=row.name,
+            kind=type(error).__name__,
+            error=error,
+        )
+
+    def _give_up(self, may_have_run: bool) -> Refusal:
+        if may_have_run:
+            return unknown_outcome("no endpoint of the service answered in full")
+        return unavailable("no endpoint of the service is there", RETRY_AFTER_S)
--- /dev/null
+++ b/chutelink/ids.py
@@ -0,0 +1,30 @@
+"""Identifiers, one type for each kind of thing named."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+ApplyId = NewType("ApplyId", str)
+ArtifactName = NewType("ArtifactName", str)
+AttemptId = NewType("AttemptId", str)
+BootId = NewType("BootId", str)
+CallerName = NewType("CallerName", str)
+ConfigVersion = NewType("ConfigVersion", int)
+DaemonId = NewType("DaemonId", str)
+EndpointName = NewType("EndpointName", str)
+FailureDomainName = NewType("FailureDomainName", str)
+FencingNumber = NewType("FencingNumber", int)
+Incarnation = NewType("Incarnation", str)
+ModelName = NewType("ModelName", str)
+RequestId = NewType("RequestId", str)
+ServiceName = NewType("ServiceName", str)
+VmId = NewType("VmId", str)
+WriteId = NewType("WriteId", str)
+
+NO_VERSION = ConfigVersion(0)
+
+
+def make_id() -> str:
+    """Return a new random id of 128 bits in hex."""
+    return secrets.token_hex(16)
--- /dev/null
+++ b/chutelink/log.py
@@ -0,0 +1,96 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+
+import logbook
+
+REPEAT_PERIOD_S = 10.0
+REPEAT_LIMIT = 20
+_MAX_TRACKED_EVENTS = 512
+
+
+def _format_value(value: object) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if text and not any(c in text for c in ' "=\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
+
+
+def format_event(event: str, fields: dict[str, object]) -> str:
+    """Return ``event=NAME key=value ...`` on one line."""
+    pairs = [f"event={_format_value(event)}"]
+    pairs += [f"{key}={_format_value(value)}" for key, value in fields.items()]
+    return " ".join(pairs)
+
+
+class EventLog:
+    """Logs events and bounds how often the same event repeats.
+
+    Parameters
+    ----------
+    name : str
+        Channel name, usually the program.
+    clock : callable, default=time.monotonic
+        Seconds on a clock that never goes back.
+    """
+
+    def __init__(
+        self, name: str, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._logger = logbook.Logger(name)
+        self._clock = clock
+        self._seen: dict[str, tuple[float, int]] = {}
+
+    def debug(self, event: str, **fields: object) -> None:
+        """Log at debug level."""
+        self._emit(logbook.DEBUG, event, fields)
+
+    def info(self, event: str, **fields: object) -> None:
+        """Log at info level."""
+        self._emit(logbook.INFO, event, fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        """Log at warning level."""
+        self._emit(logbook.WARNING, event, fields)
+
+    def error(self, event: str, **fields: object) -> None:
+        """Log at error level."""
+        self._emit(logbook.ERROR, event, fields)
+
+    def _emit(self, level: int, event: str, fields: dict[str, object]) -> None:
+        suppressed = self._suppressed(event)
+        if suppressed is None:
+            return
+        if suppressed:
+            fields = {**fields, "suppressed": suppressed}
+        self._logger.log(level, "{}", format_event(event, fields))
+
+    def _suppressed(self, event: str) -> int | None:
+        """Return how many repeats were left out, or None to leave this out."""
+        now_s = self._clock()
+        start_s, count = self._seen.get(event, (now_s, 0))
+        if now_s - start_s < REPEAT_PERIOD_S:
+            self._seen[event] = (start_s, count + 1)
+            return None if count >= REPEAT_LIMIT else 0
+        if len(self._seen) >= _MAX_TRACKED_EVENTS:
+            self._seen.clear()
+        self._seen[event] = (now_s, 1)
+        return max(0, count - REPEAT_LIMIT)
+
+
+def setup_logging(level_name: str) -> None:
+    """Send log lines at or above the level to standard error."""
+    handler = logbook.StreamHandler(
+        sys.stderr,
+        level=logbook.lookup_level(level_name.upper()),
+        format_string=(
+            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+            "channel={record.channel} {record.message}"
+        ),
+    )
+    handler.push_application()
--- /dev/null
+++ b/chutelink/metrics.py
@@ -0,0 +1,51 @@
+"""Metrics by the field's names, with bounded labels."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class Metrics:
+    """All metrics of one process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = self._counter("requests_total", "Requests by outcome")
+        self.retries = self._counter("retries_total", "Retries by reason")
+        self.claims = self._counter("idempotency_claims_total", "Claims by result")
+        self.moves = self._counter("moves_total", "Orders by action and result")
+        self.violations = self._counter(
+            "invariant_violations_total", "Invariants that did not hold, by step"
+        )
+        self.spans_dropped = self._counter("spans_dropped_total", "Spans not exported")
+        self.queue_length = self._gauge("queue_length", "Requests waiting")
+        self.inflight = self._gauge("requests_in_flight", "Requests being served")
+        self.lease_held = self._gauge("lease_held", "1 for each lease held")
+        self.quarantined = self._gauge("endpoints_quarantined", "No loads sent there")
+        self.unplaced = self._gauge("models_unplaced", "Models that found no place")
+        self.peer_links = self._gauge("peer_links", "Open links to peers")
+        self.members = self._gauge("members", "Daemons by state")
+        self.config_version = self._gauge("config_version", "Version in force")
+        self.config_confirmed = self._gauge(
+            "config_confirmed", "1 if the table service confirmed the version"
+        )
+        self.request_seconds = Histogram(
+            "chutelink_request_seconds",
+            "Time to the first byte of the answer, in seconds",
+            registry=self.registry,
+            buckets=(*LATENCY_BUCKETS_S, float("inf")),
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in Prometheus's text format."""
+        content, _ = render(self.registry, [CONTENT_TYPE])
+        return content
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(f"chutelink_{name}", doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(f"chutelink_{name}", doc, registry=self.registry)
--- /dev/null
+++ b/chutelink/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes: websockets with CBOR."""
--- /dev/null
+++ b/chutelink/peers/mesh.py
@@ -0,0 +1,304 @@
+"""Membership over a bounded number of links for each daemon.
+
+Each daemon links to its next few neighbours on a ring of hashed ids and to
+nobody else, so that what it sends does not grow with the number of daemons.
+News is passed on once; a neighbour that goes silent is suspected, and declared
+down unless it refutes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import websockets
+from mode import Service
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from ..const import MAX_PEER_MESSAGE_BYTES
+from ..core import Application
+from ..exceptions import PeerMessageInvalid
+from ..ids import ConfigVersion, DaemonId
+from ..settings import PeersSection
+from ..systems.hashing import rendezvous_score
+from ..tables.members import Member, MemberState, MemberTable
+from .messages import (
+    ConfigBody,
+    ConfigRequest,
+    Heartbeat,
+    Hello,
+    MemberNews,
+    Message,
+    decode_message,
+    encode_message,
+)
+
+HEADER_PEER_KEY = "Chutelink-Peer-Key"
+MAX_QUEUED_MESSAGES = 256
+LOST_MEMBER_RETRY_S = 2.0
+SPREAD = 0.3
+
+
+class Link:
+    """One open connection to a peer, whichever side opened it."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.member: Member | None = None
+        self.heard_s = 0.0
+        self.config_version = ConfigVersion(0)
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+
+    def send(self, message: Message) -> None:
+        """Queue a message; a peer that does not keep up loses the link."""
+        try:
+            self._queue.put_nowait(encode_message(message))
+        except asyncio.QueueFull:
+            self.connection.transport.abort()
+
+    async def async_write_loop(self) -> None:
+        """Send queued messages until the link ends."""
+        while True:
+            await self.connection.send(await self._queue.get())
+
+
+class Mesh(Service):
+    """Keeps links, membership and the spread of configuration versions.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    settings : PeersSection
+        How many links, and how long a silence may be.
+    table : MemberTable
+        Filled by this service.
+    """
+
+    def __init__(
+        self, core: Application, settings: PeersSection, table: MemberTable
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._settings = settings
+        self.table = table
+        self._links: set[Link] = set()
+        self._server: Server | None = None
+        self._seeds: set[str] = set(settings.seeds)
+        self._dialing: dict[str, asyncio.Task] = {}
+        self._retry_s: dict[str, float] = {}
+        self._unreachable: set[str] = set()
+        self.config_version: Callable[[], ConfigVersion] = lambda: ConfigVersion(0)
+        self.config_body: Callable[[], ConfigBody | None] = lambda: None
+        self.on_config_version: Callable[[ConfigVersion], None] = lambda version: None
+        self.on_config_body: Callable[[ConfigBody], None] = lambda body: None
+        self.on_members_changed: Callable[[], None] = lambda: None
+
+    async def on_start(self) -> None:
+        """Listen for peers."""
+        self._server = await serve(
+            self._async_accept,
+            self._core.daemon.address,
+            self._core.daemon.peer_port,
+            process_request=self._check_key,
+            max_size=MAX_PEER_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=None,
+        )
+
+    async def on_stop(self) -> None:
+        """Say goodbye to the peers and close all links."""
+        self.spread(self.table.set_own_state(MemberState.LEFT))
+        await asyncio.sleep(0.05)
+        for task in self._dialing.values():
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def set_seeds(self, addresses: set[str]) -> None:
+        """Take peers that the VM list names beside those of the settings."""
+        self._seeds = set(self._settings.seeds) | addresses
+
+    def announce_leaving(self) -> None:
+        """Tell the peers that this daemon takes no new work soon."""
+        self.spread(self.table.set_own_state(MemberState.LEAVING))
+
+    def spread(self, member: Member, source: Link | None = None) -> None:
+        """Pass news of a member on to every link but the one that it came by."""
+        for link in self._links:
+            if link is not source and link.member is not None:
+                link.send(MemberNews([member]))
+        self.on_members_changed()
+
+    def announce_config(self) -> None:
+        """Tell the peers at once of a newer version."""
+        for link in self._links:
+            link.send(Heartbeat(self.config_version()))
+
+    def request_config(self, version: ConfigVersion) -> None:
+        """Ask one linked peer that has at least a version for its body."""
+        for link in self._links:
+            if link.config_version >= version:
+                link.send(ConfigRequest())
+                return
+
+    def linked_members(self) -> set[DaemonId]:
+        """Return the members that this daemon has a link with."""
+        return {link.member.id for link in self._links if link.member is not None}
+
+    def highest_peer_version(self) -> ConfigVersion:
+        """Return the highest version that a linked peer has in force."""
+        versions = [link.config_version for link in self._links]
+        return max(versions, default=ConfigVersion(0))
+
+    def _check_key(self, connection: ServerConnection, request):
+        if request.headers.get(HEADER_PEER_KEY) != self._core.daemon.peer_key:
+            return connection.respond(401, "peer key missing or wrong\n")
+        return None
+
+    async def _async_accept(self, connection: ServerConnection) -> None:
+        await self._async_run_link(Link(connection))
+
+    async def _async_dial(self, address: str) -> None:
+        try:
+            async with connect(
+                f"ws://{address}/",
+                additional_headers={HEADER_PEER_KEY: self._core.daemon.peer_key},
+                max_size=MAX_PEER_MESSAGE_BYTES,
+                compression=None,
+                ping_interval=None,
+                proxy=None,
+                open_timeout=self._settings.peer_timeout_s,
+            ) as connection:
+                self._unreachable.discard(address)
+                await self._async_run_link(Link(connection))
+        except (OSError, TimeoutError, websockets.WebSocketException) as error:
+            self._unreachable.add(address)
+            self._core.events.debug("peer_dial_failed", peer=address, error=error)
+        finally:
+            pause_s = LOST_MEMBER_RETRY_S * self._core.rng.uniform(0.5, 1.0)
+            self._retry_s[address] = self._core.clock() + pause_s
+            self._dialing.pop(address, None)
+
+    async def _async_run_link(self, link: Link) -> None:
+        link.heard_s = self._core.clock()
+        members = list(self.table.rows.values())
+        link.send(Hello(self.table.own, members, self.config_version()))
+        self._links.add(link)
+        writer = asyncio.ensure_future(link.async_write_loop())
+        try:
+            async for data in link.connection:
+                link.heard_s = self._core.clock()
+                self._take(link, decode_message(data, self._peer_name(link)))
+        except PeerMessageInvalid as error:
+            self._core.events.warning("peer_message_invalid", error=error)
+        except websockets.ConnectionClosed:
+            pass
+        finally:
+            self._links.discard(link)
+            writer.cancel()
+            self._core.metrics.peer_links.set({}, len(self._links))
+
+    def _peer_name(self, link: Link) -> str:
+        return link.member.id if link.member is not None else "unknown"
+
+    def _take(self, link: Link, message: Message) -> None:
+        if isinstance(message, Hello):
+            link.member = message.member
+            self._core.metrics.peer_links.set({}, len(self._links))
+            self._take_members(link, [message.member, *message.members])
+            self._take_version(link, message.config_version)
+        elif isinstance(message, Heartbeat):
+            self._take_version(link, message.config_version)
+        elif isinstance(message, MemberNews):
+            self._take_members(link, message.members)
+        elif isinstance(message, ConfigRequest):
+            body = self.config_body()
+            if body is not None:
+                link.send(body)
+        elif isinstance(message, ConfigBody):
+            self.on_config_body(message)
+
+    def _take_members(self, link: Link, members: list[Member]) -> None:
+        for member in members:
+            news = self.table.merge(member, self._core.clock())
+            if news is not None:
+                source = link if news is member else None
+                self.spread(news, source)
+
+    def _take_version(self, link: Link, version: ConfigVersion) -> None:
+        link.config_version = version
+        if version > self.config_version():
+            self.on_config_version(version)
+
+    def _neighbours(self) -> list[Member]:
+        """Return the next members on the ring of hashed ids."""
+        others = [m for m in self.table.live() if m.id != self.table.own.id]
+        own_place = rendezvous_score("ring", self.table.own.id)
+
+        def distance(member: Member) -> int:
+            return (rendezvous_score("ring", member.id) - own_place) % 2**64
+
+        return sorted(others, key=distance)[: self._settings.links]
+
+    @Service.task
+    async def _async_tick_loop(self) -> None:
+        while not self.should_stop:
+            self._tick()
+            pause_s = self._settings.heartbeat_interval_s
+            await self.sleep(pause_s * self._core.rng.uniform(1 - SPREAD, 1.0))
+
+    def _tick(self) -> None:
+        now_s = self._core.clock()
+        self._drop_silent(now_s)
+        neighbours = self._neighbours()
+        self._suspect_unreachable(neighbours, now_s)
+        for member in self.table.expire_suspects(now_s, self._settings.suspicion_s):
+            self._core.events.warning("member_down", member=member.id)
+            self.spread(member)
+        self._dial_missing(neighbours, now_s)
+        for link in self._links:
+            link.send(Heartbeat(self.config_version()))
+        counts: dict[str, int] = {state.value: 0 for state in MemberState}
+        for member in self.table.rows.values():
+            counts[member.state.value] += 1
+        for state, count in counts.items():
+            self._core.metrics.members.set({"state": state}, count)
+
+    def _drop_silent(self, now_s: float) -> None:
+        for link in list(self._links):
+            if now_s - link.heard_s > self._settings.peer_timeout_s:
+                link.connection.transport.abort()
+
+    def _suspect_unreachable(self, neighbours: list[Member], now_s: float) -> None:
+        """Suspect a neighbour whose link is gone and can't be opened again."""
+        linked = self.linked_members()
+        for member in neighbours:
+            is_reached = member.peer_address not in self._unreachable
+            if member.id in linked or is_reached:
+                continue
+            news = self.table.suspect(member.id, now_s)
+            if news is not None:
+                self.spread(news)
+
+    def _dial_missing(self, neighbours: list[Member], now_s: float) -> None:
+        linked = self.linked_members()
+        wanted = {m.peer_address for m in neighbours if m.id not in linked}
+        known = {m.peer_address: m for m in self.table.rows.values()}
+        has_unknown = len(self.table.rows) <= 1 or not self._links
+        for seed in self._seeds:
+            member = known.get(seed)
+            is_lost = member is not None and member.state is MemberState.DOWN
+            if has_unknown or member is None or is_lost:
+                wanted.add(seed)
+        wanted.discard(self.table.own.peer_address)
+        linked_addresses = {
+            link.member.peer_address for link in self._links if link.member
+        }
+        for address in wanted - linked_addresses:
+            if address in self._dialing or now_s < self._retry_s.get(address, 0.0):
+                continue
+            self._dialing[address] = asyncio.ensure_future(self._async_dial(address))
--- /dev/null
+++ b/chutelink/peers/messages.py
@@ -0,0 +1,78 @@
+"""Messages between daemons, as tagged structs in CBOR."""
+
+from __future__ import annotations
+
+import cbor2
+import msgspec
+
+from ..const import MAX_PEER_MESSAGE_BYTES
+from ..exceptions import PeerMessageInvalid
+from ..ids import ConfigVersion
+from ..tables.members import Member
+
+_CBOR_FAILURES = (
+    cbor2.CBORDecodeError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    MemoryError,
+    LookupError,
+)
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """First on each link: who is there and what it knows."""
+
+    member: Member
+    members: list[Member]
+    config_version: ConfigVersion
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
+    """Sign of life, with the version in force."""
+
+    config_version: ConfigVersion
+
+
+class MemberNews(msgspec.Struct, frozen=True, tag="members"):
+    """Changes of members, passed on to every peer that may not know them."""
+
+    members: list[Member]
+
+
+class ConfigRequest(msgspec.Struct, frozen=True, tag="config_request"):
+    """Asks for the configuration in force at the peer."""
+
+
+class ConfigBody(msgspec.Struct, frozen=True, tag="config_body"):
+    """A whole fleet file as it was committed."""
+
+    version: ConfigVersion
+    hash: str
+    text: str
+
+
+Message = Hello | Heartbeat | MemberNews | ConfigRequest | ConfigBody
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as CBOR."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def decode_message(data: bytes | str, peer: str) -> Message:
+    """Return the message, checked at this edge.
+
+    Raises
+    ------
+    PeerMessageInvalid
+        The bytes are not a message that is known.
+    """
+    step = "peers.decode"
+    if isinstance(data, str) or len(data) > MAX_PEER_MESSAGE_BYTES:
+        raise PeerMessageInvalid("not a binary message in size", step=step, peer=peer)
+    try:
+        return msgspec.convert(cbor2.loads(data), Message)
+    except _CBOR_FAILURES as error:
+        raise PeerMessageInvalid(str(error), step=step, peer=peer) from error
--- /dev/null
+++ b/chutelink/platform/__init__.py
@@ -0,0 +1,34 @@
+"""The platform: table service, object store and VM list, all run by others."""
+
+from .base import (
+    Check,
+    ObjectStore,
+    Platform,
+    Row,
+    RowPage,
+    TableService,
+    Transaction,
+    Vm,
+    VmList,
+    VmState,
+    Write,
+)
+from .http import async_setup_platform
+from .transactions import async_commit, decode_value
+
+__all__ = [
+    "Check",
+    "ObjectStore",
+    "Platform",
+    "Row",
+    "RowPage",
+    "TableService",
+    "Transaction",
+    "Vm",
+    "VmList",
+    "VmState",
+    "Write",
+    "async_commit",
+    "async_setup_platform",
+    "decode_value",
+]
--- /dev/null
+++ b/chutelink/settings.py
@@ -0,0 +1,191 @@
+"""Settings of the programs: INI, every key checked, unknown keys refused."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from .exceptions import SettingsError
+from .ini import Problem, decode_section, read_ini
+
+SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Seconds = Annotated[float, Meta(gt=0, le=86400)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+Text = Annotated[str, Meta(min_length=1, max_length=256)]
+LogLevel = Annotated[str, Meta(pattern=r"^(debug|info|warning|error)$")]
+
+
+class DaemonSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[daemon]``: who this process is and where it listens."""
+
+    id: Text
+    vm: Text
+    failure_domain: Text
+    address: Address
+    port: Port
+    peer_port: Port
+    peer_key: Text
+    log_level: LogLevel = "info"
+    drain_margin_s: Seconds = 1.0
+    trace_url: str = ""
+
+
+class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[platform]``: the platform's services and how long to wait for them."""
+
+    url: Annotated[str, Meta(pattern=r"^https?://")]
+    key: Text
+    timeout_s: Seconds = 2.0
+    poll_interval_s: Seconds = 1.0
+    calls_per_s: Count = 200
+
+
+class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[peers]``: links between the system's own processes."""
+
+    seeds: tuple[str, ...] = ()
+    links: Annotated[int, Meta(ge=1, le=16)] = 3
+    heartbeat_interval_s: Seconds = 0.5
+    peer_timeout_s: Seconds = 2.0
+    suspicion_s: Seconds = 2.0
+
+
+class EndpointsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[endpoints]``: how endpoints are watched and called."""
+
+    order_key: str = ""
+    poll_interval_s: Seconds = 0.25
+    poll_budget_bytes_s: Count = 8000
+    report_timeout_s: Seconds = 1.0
+    stale_after_s: Seconds = 3.0
+    connect_timeout_s: Seconds = 1.0
+
+
+class GatewaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[gateway]``: limits on what callers send and how long they wait."""
+
+    valid_s: Seconds = 2.0
+    subset: Annotated[int, Meta(ge=1, le=64)] = 8
+    max_body_bytes: Count = 1_000_000
+    max_queue: Count = 1000
+    request_timeout_s: Seconds = 120.0
+    idle_timeout_s: Seconds = 30.0
+    retry_budget_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    claim_flush_s: Seconds = 0.005
+    claim_wait_s: Seconds = 10.0
+
+
+class DirectorSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[director]``: the lease, the pace of placement and of orders."""
+
+    lease_s: Seconds = 3.0
+    lease_margin_s: Seconds = 0.5
+    tick_interval_s: Seconds = 0.25
+    order_timeout_s: Seconds = 1.0
+    order_lateness_s: Annotated[float, Meta(ge=0, le=86400)] = 600.0
+    loads_per_s: Annotated[float, Meta(gt=0, le=1000)] = 2.0
+    loads_at_once: Count = 8
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections of a gateway's file."""
+
+    daemon: DaemonSection
+    platform: PlatformSection
+    peers: PeersSection = PeersSection()
+    endpoints: EndpointsSection = EndpointsSection()
+    gateway: GatewaySection = GatewaySection()
+
+
+class DirectorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections of a director's file."""
+
+    daemon: DaemonSection
+    platform: PlatformSection
+    peers: PeersSection = PeersSection()
+    endpoints: EndpointsSection = EndpointsSection()
+    director: DirectorSection = DirectorSection()
+
+
+class OperatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections of the operators' tool's file."""
+
+    platform: PlatformSection
+
+
+def load_settings(path: Path, kind: type[SettingsT]) -> SettingsT:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        The INI file.
+    kind : type
+        The struct whose fields are the sections.
+
+    Returns
+    -------
+    SettingsT
+        Checked settings.
+
+    Raises
+    ------
+    SettingsError
+        With every problem found, one a line, each with its place.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(error), step="settings.read", peer=str(path)) from error
+    result, problems = decode_settings(text, str(path), kind)
+    if problems:
+        message = "\n".join(str(problem) for problem in problems)
+        raise SettingsError(message, step="settings.check", peer=str(path))
+    return result
+
+
+def decode_settings(
+    text: str, file: str, kind: type[SettingsT]
+) -> tuple[SettingsT | None, list[Problem]]:
+    """Check settings text; return the struct or the problems."""
+    ini = read_ini(text, file)
+    problems = list(ini.problems)
+    fields = {f.name: f for f in msgspec.structs.fields(kind)}
+    values: dict[str, object] = {}
+    for section in ini.sections:
+        if section.name not in fields:
+            known = ", ".join(sorted(fields))
+            message = f"unknown section; known here: {known}"
+            problems.append(Problem(file, section.line, section.name, "", message))
+            continue
+        value, faults = decode_section(section, fields[section.name].type, file)
+        problems += faults
+        values[section.name] = value
+    present = {section.name for section in ini.sections}
+    for name, field in fields.items():
+        if field.required and name not in present:
+            problems.append(Problem(file, 1, name, "", "section is missing"))
+    if problems:
+        return None, problems
+    return kind(**values), []
+
+
+def describe_settings(settings: msgspec.Struct) -> str:
+    """Return the settings in force as INI text; secrets are masked."""
+    lines: list[str] = []
+    for section_name, section in msgspec.structs.asdict(settings).items():
+        lines.append(f"[{section_name}]")
+        for key, value in msgspec.structs.asdict(section).items():
+            if key.endswith("key") and value:
+                value = "***"
+            elif isinstance(value, tuple):
+                value = ", ".join(value)
+            lines.append(f"{key} = {value}")
+        lines.append("")
+    return "\n".join(lines)
--- /dev/null
+++ b/chutelink/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over tables: no I/O, and time is passed in."""
--- /dev/null
+++ b/chutelink/systems/packing.py
@@ -0,0 +1,147 @@
+"""Which endpoints hold which models: packing with everyone resident first."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .hashing import rendezvous_score
+
+if TYPE_CHECKING:
+    from ..fleet.model import EndpointSpec, FleetSpec, ModelSpec
+    from ..tables.ledger import LedgerRow
+
+Assignment = dict[str, set[str]]
+
+
+class PackResult(msgspec.Struct):
+    """Models by endpoint, and the models that found no place."""
+
+    assignment: Assignment
+    unplaced: list[str]
+
+
+class MemoryMap:
+    """Free memory of accelerators while a plan is being made, in MB.
+
+    Parameters
+    ----------
+    fleet : FleetSpec
+        For the sizes of models and adapters.
+    endpoints : iterable of EndpointSpec
+        The endpoints that may take models.
+    """
+
+    def __init__(self, fleet: FleetSpec, endpoints: Iterable[EndpointSpec]) -> None:
+        self._fleet = fleet
+        self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
+        self.free_mb = {
+            e.name: [e.memory_mb] * e.accelerators for e in self.endpoints.values()
+        }
+        self._size_mb = _replica_sizes(fleet)
+
+    def replica_mb(self, model: str) -> int:
+        """Return the memory of a model with its adapters, per accelerator."""
+        return self._size_mb[model]
+
+    def take_claims(self, row: LedgerRow) -> None:
+        """Take off what a ledger row claims, in whatever state."""
+        free_mb = self.free_mb.get(row.endpoint)
+        if free_mb is None:
+            return
+        for index, used_mb in enumerate(row.used_mb()):
+            if index < len(free_mb):
+                free_mb[index] -= used_mb
+
+    def fits(self, endpoint: str, model: ModelSpec) -> bool:
+        """Return whether a whole replica fits on an endpoint."""
+        return self._choose(endpoint, model) is not None
+
+    def place(self, endpoint: str, model: ModelSpec) -> bool:
+        """Take the memory of a replica; return whether it fitted."""
+        chosen = self._choose(endpoint, model)
+        if chosen is None:
+            return False
+        for index in chosen:
+            self.free_mb[endpoint][index] -= self._size_mb[model.name]
+        return True
+
+    def total_free_mb(self, endpoint: str) -> int:
+        """Return the free memory of an endpoint over its accelerators."""
+        return sum(self.free_mb[endpoint])
+
+    def _choose(self, endpoint: str, model: ModelSpec) -> tuple[int, ...] | None:
+        free_mb = self.free_mb[endpoint]
+        size_mb = self._size_mb[model.name]
+        fitting = [i for i, free in enumerate(free_mb) if free >= size_mb]
+        if len(fitting) < model.accelerators:
+            return None
+        fitting.sort(key=lambda index: (free_mb[index], index))
+        return tuple(fitting[: model.accelerators])
+
+
+def _replica_sizes(fleet: FleetSpec) -> dict[str, int]:
+    sizes_mb = {name: model.memory_mb for name, model in fleet.models.items()}
+    for adapter in fleet.adapters.values():
+        if adapter.model in sizes_mb:
+            sizes_mb[adapter.model] += adapter.memory_mb
+    return sizes_mb
+
+
+def by_size(fleet: FleetSpec) -> list[ModelSpec]:
+    """Return models, the hardest to place first."""
+    return sorted(
+        fleet.models.values(),
+        key=lambda m: (-m.accelerators * m.memory_mb, m.name),
+    )
+
+
+def best_endpoint(
+    memory: MemoryMap, model: ModelSpec, holders: Iterable[str]
+) -> str | None:
+    """Return the endpoint for one more replica, or None.
+
+    A new failure domain goes before more free memory; ties are broken by
+    rendezvous hashing, so that every director makes the same choice.
+    """
+    taken = set(holders)
+    used_domains = {
+        memory.endpoints[name].failure_domain
+        for name in taken
+        if name in memory.endpoints
+    }
+    candidates = [
+        endpoint
+        for endpoint in memory.endpoints.values()
+        if endpoint.name not in taken and memory.fits(endpoint.name, model)
+    ]
+    if not candidates:
+        return None
+    return min(
+        candidates,
+        key=lambda e: (
+            e.failure_domain in used_domains,
+            -memory.total_free_mb(e.name),
+            -rendezvous_score(model.name, e.name),
+        ),
+    ).name
+
+
+def pack_minimum(fleet: FleetSpec) -> PackResult:
+    """Place the smallest number of replicas of every model on empty endpoints."""
+    memory = MemoryMap(fleet, fleet.engines())
+    assignment: Assignment = {name: set() for name in memory.endpoints}
+    unplaced: list[str] = []
+    for model in by_size(fleet):
+        holders: set[str] = set()
+        for _ in range(model.replicas):
+            name = best_endpoint(memory, model, holders)
+            if name is None:
+                unplaced.append(model.name)
+                break
+            memory.place(name, model)
+            holders.add(name)
+            assignment[name].add(model.name)
+    return PackResult(assignment, unplaced)
--- /dev/null
+++ b/chutelink/systems/placement.py
@@ -0,0 +1,245 @@
+"""Placement: which models each endpoint should hold, given what it holds now."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+import msgspec
+
+from ..fleet.model import FleetOptions, FleetSpec, ModelSpec, PlacementPolicy
+from ..ids import EndpointName
+from ..tables.ledger import ClaimState, LedgerRow
+from .packing import Assignment, MemoryMap, best_endpoint, by_size
+
+MOVE_COST_SEQUENCES = 8.0
+"""Demand (running sequences) that one load must serve to be worth its cost."""
+HYSTERESIS_RATIO = 1.5
+
+
+class PlacementInput(msgspec.Struct, frozen=True):
+    """All that a placement depends on.
+
+    ``demand`` is the number of sequences running or waiting, by model.
+    ``usable`` are the endpoints that may take new models.
+    """
+
+    fleet: FleetSpec
+    ledger: Mapping[str, LedgerRow]
+    usable: frozenset[EndpointName]
+    demand: Mapping[str, float] = {}
+
+
+class Plan(msgspec.Struct):
+    """Models that each endpoint should hold, and what found no place."""
+
+    assignment: Assignment
+    unplaced: list[str]
+
+    def holders(self, model: str) -> list[str]:
+        """Return the endpoints that should hold a model."""
+        return sorted(e for e, models in self.assignment.items() if model in models)
+
+
+class Placement(ABC):
+    """Decides which models each endpoint should hold."""
+
+    def plan(self, given: PlacementInput) -> Plan:
+        """Return the plan: everyone resident first, then spare memory."""
+        draft = _Draft(given)
+        draft.keep_current()
+        draft.place_minimum()
+        self.give_spare(draft)
+        return Plan(draft.assignment, draft.unplaced)
+
+    @abstractmethod
+    def give_spare(self, draft: _Draft) -> None:
+        """Give the memory that is left to more replicas."""
+
+
+class StaticPlacement(Placement):
+    """Baseline: the smallest number of replicas and nothing more."""
+
+    def give_spare(self, draft: _Draft) -> None:
+        """Leave spare memory empty."""
+
+
+class GreedyPlacement(Placement):
+    """Baseline: replicas follow demand at once; a move costs nothing."""
+
+    def give_spare(self, draft: _Draft) -> None:
+        """Add replicas for demand, evicting whatever has less."""
+        draft.follow_demand(move_cost=0.0, hysteresis=1.0)
+
+
+class WeightedPlacement(Placement):
+    """Replicas follow demand only where the gain outlives the cost of a move."""
+
+    def __init__(self, options: FleetOptions) -> None:
+        weight = options.attainment_weight or 1e-9
+        self._move_cost = MOVE_COST_SEQUENCES * options.moves_weight / weight
+
+    def give_spare(self, draft: _Draft) -> None:
+        """Add replicas whose gain is above the weighted cost of the load."""
+        draft.follow_demand(move_cost=self._move_cost, hysteresis=HYSTERESIS_RATIO)
+
+
+def make_placement(options: FleetOptions) -> Placement:
+    """Return the placement that the fleet file names."""
+    if options.placement is PlacementPolicy.STATIC:
+        return StaticPlacement()
+    if options.placement is PlacementPolicy.GREEDY:
+        return GreedyPlacement()
+    return WeightedPlacement(options)
+
+
+class _Draft:
+    """A plan in the making, with the memory that it leaves."""
+
+    def __init__(self, given: PlacementInput) -> None:
+        self.given = given
+        self.fleet = given.fleet
+        self.assignment: Assignment = {}
+        self.unplaced: list[str] = []
+        engines = [e for e in given.fleet.engines() if e.name in given.usable]
+        self.memory = MemoryMap(given.fleet, engines)
+        self._slots = {e.name: e.slots for e in given.fleet.engines()}
+
+    def holders(self, model: str) -> set[str]:
+        """Return the endpoints that hold a model in this draft."""
+        return {e for e, models in self.assignment.items() if model in models}
+
+    def keep_current(self) -> None:
+        """Keep every claim of a declared model where it is."""
+        for name in self.memory.endpoints:
+            self.assignment[name] = set()
+            row = self.given.ledger.get(name)
+            if row is None:
+                continue
+            self.memory.take_claims(row)
+            self.assignment[name] = self._declared_models(row)
+            for model in self.assignment[name]:
+                self._take_missing_adapters(name, row, self.fleet.models[model])
+
+    def _declared_models(self, row: LedgerRow) -> set[str]:
+        models = set()
+        for claim in row.claims:
+            model = self.fleet.models.get(claim.artifact.name)
+            is_current = model is not None and model.artifact == claim.artifact
+            if is_current and claim.state is not ClaimState.UNLOADING:
+                models.add(model.name)
+        return models
+
+    def _take_missing_adapters(
+        self, endpoint: str, row: LedgerRow, model: ModelSpec
+    ) -> None:
+        claim = row.claim_of(model.artifact)
+        for adapter in self.fleet.adapters_of(model.name):
+            if claim is None or row.claim_of(adapter.artifact) is not None:
+                continue
+            for index in claim.accelerators:
+                self.memory.free_mb[endpoint][index] -= adapter.memory_mb
+
+    def place_minimum(self) -> None:
+        """Give every model its smallest number of replicas.
+
+        Models without any replica come first. Where memory is short, a spare
+        replica of another model gives way.
+        """
+        models = by_size(self.fleet)
+        models.sort(key=lambda model: bool(self.holders(model.name)))
+        for model in models:
+            while len(holders := self.holders(model.name)) < model.replicas:
+                name = best_endpoint(self.memory, model, holders)
+                if name is None and self._evict_spare_for(model, holders):
+                    break
+                if name is None:
+                    self.unplaced.append(model.name)
+                    break
+                self._add(name, model)
+
+    def follow_demand(self, *, move_cost: float, hysteresis: float) -> None:
+        """Add replicas in the order of gain until none is worth a load."""
+        wanted = sorted(
+            (m for m in self.fleet.models.values() if self._demand(m.name) > 0),
+            key=lambda m: (-self._gain(m, len(self.holders(m.name))), m.name),
+        )
+        for model in wanted:
+            holders = self.holders(model.name)
+            gain = self._gain(model, len(holders))
+            if not holders or gain <= move_cost:
+                continue
+            name = best_endpoint(self.memory, model, holders)
+            if name is not None:
+                self._add(name, model)
+            else:
+                self._evict_for_gain(model, holders, gain, move_cost, hysteresis)
+
+    def _demand(self, model: str) -> float:
+        return self.given.demand.get(model, 0.0)
+
+    def _gain(self, model: ModelSpec, replicas: int) -> float:
+        """Return the sequences that one more replica takes off the others."""
+        if replicas == 0:
+            return float("inf")
+        slots = min(self._slots.values(), default=1)
+        unserved = max(0.0, self._demand(model.name) - 0.7 * slots * replicas)
+        return min(unserved, 0.7 * slots)
+
+    def _loss(self, model: str, replicas: int) -> float:
+        """Return the sequences that lose their place with one replica less."""
+        spec = self.fleet.models[model]
+        return self._gain(spec, replicas - 1)
+
+    def _add(self, endpoint: str, model: ModelSpec) -> None:
+        self.memory.place(endpoint, model)
+        self.assignment[endpoint].add(model.name)
+
+    def _spare_replicas(self) -> list[tuple[float, str, str]]:
+        """Return (loss, endpoint, model) of replicas above the minimum."""
+        spare = []
+        for endpoint, models in self.assignment.items():
+            row = self.given.ledger.get(endpoint)
+            if row is None:
+                continue
+            for name in models:
+                model = self.fleet.models[name]
+                count = len(self.holders(name))
+                if count > model.replicas and row.holds(model.artifact):
+                    spare.append((self._loss(name, count), endpoint, name))
+        return sorted(spare)
+
+    def _evict_spare_for(self, model: ModelSpec, holders: set[str]) -> bool:
+        """Drop the cheapest spare replica that makes room; its memory comes later."""
+        for _, endpoint, name in self._spare_replicas():
+            if endpoint not in holders and self._would_fit(endpoint, name, model):
+                self.assignment[endpoint].discard(name)
+                return True
+        return False
+
+    def _evict_for_gain(
+        self,
+        model: ModelSpec,
+        holders: set[str],
+        gain: float,
+        move_cost: float,
+        hysteresis: float,
+    ) -> None:
+        for loss, endpoint, name in self._spare_replicas():
+            if name == model.name or endpoint in holders:
+                continue
+            is_worth = gain > hysteresis * loss + 2 * move_cost
+            if is_worth and self._would_fit(endpoint, name, model):
+                self.assignment[endpoint].discard(name)
+                return
+
+    def _would_fit(self, endpoint: str, evicted: str, model: ModelSpec) -> bool:
+        row = self.given.ledger[endpoint]
+        names = {evicted, *(a.name for a in self.fleet.adapters_of(evicted))}
+        free_mb = list(self.memory.free_mb[endpoint])
+        for claim in row.claims:
+            if claim.artifact.name in names:
+                for index in claim.accelerators:
+                    free_mb[index] += claim.memory_mb
+        size_mb = self.memory.replica_mb(model.name)
+        return sum(free >= size_mb for free in free_mb) >= model.accelerators
--- /dev/null
+++ b/chutelink/systems/reconcile.py
@@ -0,0 +1,226 @@
+"""What to order next at an endpoint, so that it comes to hold what is planned."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+
+import msgspec
+
+from ..fleet.model import Artifact, ArtifactKind, FleetSpec, ModelSpec
+from ..ids import EndpointName
+from ..tables.endpoints import EndpointReport
+from ..tables.ledger import Claim, ClaimState, LedgerRow, OrderAction
+from .ledger import choose_accelerators
+
+MAX_PENDING_ORDERS = 16
+
+
+class ActionKind(Enum):
+    """What a director may do at an endpoint."""
+
+    FENCE = "fence"
+    REPEAT = "repeat"
+    REMOVE_UNEXPLAINED = "remove_unexplained"
+    UNLOAD = "unload"
+    LOAD = "load"
+
+
+class Action(msgspec.Struct, frozen=True):
+    """One step at one endpoint.
+
+    ``guard`` is another endpoint that must still hold the artifact when an
+    unload is claimed.
+    """
+
+    kind: ActionKind
+    endpoint: EndpointName
+    artifact: Artifact | None = None
+    artifact_kind: ArtifactKind = ArtifactKind.MODEL
+    accelerators: tuple[int, ...] = ()
+    memory_mb: int = 0
+    guard: EndpointName | None = None
+    is_first_replica: bool = False
+
+    @property
+    def is_load(self) -> bool:
+        """Whether it takes a share of the weight store's allowance."""
+        return self.kind is ActionKind.LOAD
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """All that the next step at an endpoint depends on.
+
+    ``is_due`` says for an artifact whether its unanswered order may be
+    repeated now.
+    """
+
+    row: LedgerRow
+    report: EndpointReport
+    fleet: FleetSpec
+    desired: frozenset[str]
+    ledger: Mapping[EndpointName, LedgerRow]
+    usable: frozenset[EndpointName]
+    due: frozenset[Artifact]
+
+
+def unexplained(row: LedgerRow, report: EndpointReport) -> list[Artifact]:
+    """Return what an engine holds though no claim covers it."""
+    found = []
+    for held in report.artifacts:
+        claim = row.claim_of(held.artifact)
+        is_covered = (
+            claim is not None
+            and set(held.accelerators) <= set(claim.accelerators)
+            and held.memory_mb <= claim.memory_mb
+        )
+        if not is_covered:
+            found.append(held.artifact)
+    return found
+
+
+def next_action(given: Situation) -> Action | None:
+    """Return the next step at an endpoint, or None when all is as planned."""
+    endpoint = given.row.endpoint
+    if given.report.boot_id != given.row.boot_id:
+        return Action(ActionKind.FENCE, endpoint)
+    strays = unexplained(given.row, given.report)
+    if strays:
+        return Action(ActionKind.REMOVE_UNEXPLAINED, endpoint, strays[0])
+    return _repeat(given) or _unload(given) or _load(given)
+
+
+def _repeat(given: Situation) -> Action | None:
+    for claim in given.row.claims:
+        is_open = claim.state is not ClaimState.LOADED
+        is_bounded = len(claim.pending) < MAX_PENDING_ORDERS
+        if is_open and is_bounded and claim.artifact in given.due:
+            return _action_for(ActionKind.REPEAT, given.row, claim)
+    return None
+
+
+def _action_for(kind: ActionKind, row: LedgerRow, claim: Claim) -> Action:
+    return Action(
+        kind,
+        row.endpoint,
+        claim.artifact,
+        claim.kind,
+        claim.accelerators,
+        claim.memory_mb,
+    )
+
+
+def _unload(given: Situation) -> Action | None:
+    """Return an unload of what is not wanted here, adapters before models."""
+    wanted = _wanted_artifacts(given)
+    adapters_first = sorted(
+        given.row.claims, key=lambda c: (c.kind is ArtifactKind.MODEL, c.artifact)
+    )
+    for claim in adapters_first:
+        if claim.artifact in wanted or claim.state is ClaimState.UNLOADING:
+            continue
+        if claim.pending:
+            continue
+        is_safe, guard = find_guard(given, claim.artifact)
+        if is_safe:
+            action = _action_for(ActionKind.UNLOAD, given.row, claim)
+            return msgspec.structs.replace(action, guard=guard)
+    return None
+
+
+def _wanted_artifacts(given: Situation) -> set[Artifact]:
+    wanted: set[Artifact] = set()
+    for name in given.desired:
+        wanted.add(given.fleet.models[name].artifact)
+        wanted |= {a.artifact for a in given.fleet.adapters_of(name)}
+    return wanted
+
+
+def find_guard(
+    given: Situation, artifact: Artifact
+) -> tuple[bool, EndpointName | None]:
+    """Return whether an artifact may go, and which endpoint makes it safe.
+
+    An artifact of a name that is no longer declared may always go. Otherwise
+    another usable endpoint must hold all that is now declared for its model.
+    """
+    model = given.fleet.base_model(artifact.name)
+    if model is None:
+        return True, None
+    needed = [model.artifact]
+    needed += [a.artifact for a in given.fleet.adapters_of(model.name)]
+    replaced = artifact not in needed
+    for name, row in sorted(given.ledger.items()):
+        if name not in given.usable or not all(row.holds(a) for a in needed):
+            continue
+        # A replaced version may give way to its successor on the same endpoint.
+        if name != given.row.endpoint:
+            return True, name
+        if replaced:
+            return True, None
+    return False, None
+
+
+def _load(given: Situation) -> Action | None:
+    for name in sorted(given.desired):
+        model = given.fleet.models[name]
+        action = _load_model(given, model) or _load_adapters(given, model)
+        if action is not None:
+            return action
+    return None
+
+
+def _load_model(given: Situation, model: ModelSpec) -> Action | None:
+    if given.row.claim_of(model.artifact) is not None:
+        return None
+    size_mb = model.memory_mb
+    size_mb += sum(a.memory_mb for a in given.fleet.adapters_of(model.name))
+    chosen = choose_accelerators(given.row.free_mb(), model.accelerators, size_mb)
+    if chosen is None:
+        return None
+    return Action(
+        ActionKind.LOAD,
+        given.row.endpoint,
+        model.artifact,
+        ArtifactKind.MODEL,
+        chosen,
+        model.memory_mb,
+        is_first_replica=not _is_held_anywhere(given, model.artifact),
+    )
+
+
+def _load_adapters(given: Situation, model: ModelSpec) -> Action | None:
+    base = given.row.claim_of(model.artifact)
+    if base is None or base.state is not ClaimState.LOADED:
+        return None
+    free_mb = given.row.free_mb()
+    for adapter in given.fleet.adapters_of(model.name):
+        if given.row.claim_of(adapter.artifact) is not None:
+            continue
+        if any(free_mb[index] < adapter.memory_mb for index in base.accelerators):
+            continue
+        return Action(
+            ActionKind.LOAD,
+            given.row.endpoint,
+            adapter.artifact,
+            ArtifactKind.ADAPTER,
+            base.accelerators,
+            adapter.memory_mb,
+            is_first_replica=not _is_held_anywhere(given, adapter.artifact),
+        )
+    return None
+
+
+def _is_held_anywhere(given: Situation, artifact: Artifact) -> bool:
+    return any(
+        row.holds(artifact)
+        for name, row in given.ledger.items()
+        if name in given.usable
+    )
+
+
+def order_action(claim: Claim) -> OrderAction:
+    """Return what a claim's open order asks for."""
+    if claim.state is ClaimState.UNLOADING:
+        return OrderAction.UNLOAD
+    return OrderAction.LOAD
--- /dev/null
+++ b/chutelink/systems/routing.py
@@ -0,0 +1,129 @@
+"""Choose an endpoint for a request among those that can serve it now."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+
+from ..fleet.model import RoutingPolicy
+from ..tables.endpoints import Endpoint
+from ..tables.requests import WaitingRequest
+
+DISTANT_DOMAIN_S = 0.001
+CHARACTERS_PER_TOKEN = 4
+
+
+def usable(
+    rows: list[Endpoint], request: WaitingRequest, now_s: float
+) -> list[Endpoint]:
+    """Return the endpoints that take new work and were not tried before."""
+    return [
+        row
+        for row in rows
+        if row.takes_new_work
+        and row.excluded_until_s <= now_s
+        and row.name not in request.excluded
+    ]
+
+
+class Routing(ABC):
+    """Chooses among endpoints that have a free slot."""
+
+    def choose(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint | None:
+        """Return the endpoint to use, or None when all are full."""
+        free = [row for row in rows if row.free_slots() > 0]
+        return self._pick(free, request, now_s) if free else None
+
+    @abstractmethod
+    def _pick(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint:
+        """Return one of the rows; there is at least one."""
+
+
+class ExpectedTimeRouting(Routing):
+    """Least expected time to the first token.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The domain of this gateway; others cost a little time.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self._failure_domain = failure_domain
+
+    def _pick(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint:
+        return min(rows, key=lambda row: (self.expected_s(row, request), row.name))
+
+    def expected_s(self, row: Endpoint, request: WaitingRequest) -> float:
+        """Return the expected seconds to the first token at an endpoint."""
+        if row.report is None:
+            return float("inf")
+        load = row.estimated_load()
+        waiting = max(0, load - row.spec.slots)
+        prefill_s = self._prefill_s(row, request)
+        own_domain = row.spec.failure_domain == self._failure_domain
+        distance_s = 0.0 if own_domain else DISTANT_DOMAIN_S
+        crowding_s = row.report.step_s * load / max(1, row.spec.slots)
+        return distance_s + crowding_s + (1 + waiting) * prefill_s
+
+    def _prefill_s(self, row: Endpoint, request: WaitingRequest) -> float:
+        cached = 0
+        for depth, prefix in enumerate(request.prefixes, start=1):
+            if prefix in row.cached_prefixes:
+                cached = depth
+        share = 1.0 - cached / (len(request.prefixes) + 1)
+        return request.prompt_tokens * share / row.report.prefill_tokens_per_s
+
+
+class RoundRobinRouting(Routing):
+    """Baseline: one after another."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def _pick(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint:
+        self._turn += 1
+        return rows[self._turn % len(rows)]
+
+
+class LeastOutstandingRouting(Routing):
+    """Baseline: the fewest own requests in flight."""
+
+    def _pick(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint:
+        return min(rows, key=lambda row: (row.inflight, row.name))
+
+
+class TwoChoicesRouting(Routing):
+    """Baseline: the less loaded of two chosen at random."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def _pick(
+        self, rows: list[Endpoint], request: WaitingRequest, now_s: float
+    ) -> Endpoint:
+        pair = self._rng.sample(rows, min(2, len(rows)))
+        return min(pair, key=lambda row: (row.estimated_load(), row.name))
+
+
+def make_routing(
+    policy: RoutingPolicy, failure_domain: str, rng: random.Random
+) -> Routing:
+    """Return the routing that the fleet file names."""
+    if policy is RoutingPolicy.ROUND_ROBIN:
+        return RoundRobinRouting()
+    if policy is RoutingPolicy.LEAST_OUTSTANDING:
+        return LeastOutstandingRouting()
+    if policy is RoutingPolicy.TWO_CHOICES:
+        return TwoChoicesRouting(rng)
+    return ExpectedTimeRouting(failure_domain)
--- /dev/null
+++ b/chutelink/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities in tables; systems run over them each tick."""
--- /dev/null
+++ b/chutelink/tables/requests.py
@@ -0,0 +1,71 @@
+"""Requests that wait in this gateway."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..fleet.model import Artifact, LatePolicy, RequestClass
+from ..ids import CallerName, EndpointName, RequestId
+
+
+class WaitingRequest(msgspec.Struct, eq=False):
+    """A request between admission and dispatch; times are on the loop's clock.
+
+    ``prompt_tokens`` is an estimate; ``dispatched`` gets the endpoint chosen.
+    """
+
+    request_id: RequestId
+    caller: CallerName
+    name: str
+    artifacts: tuple[Artifact, ...]
+    request_class: RequestClass
+    arrived_s: float
+    deadline_s: float
+    expected_s: float
+    prompt_tokens: int
+    prefixes: tuple[str, ...]
+    dispatched: asyncio.Future[EndpointName]
+    excluded: frozenset[EndpointName] = frozenset()
+
+    @property
+    def may_be_late(self) -> bool:
+        """Whether the request is served even past its target."""
+        return self.request_class.late is LatePolicy.SERVE
+
+    def slack_s(self, now_s: float) -> float:
+        """Return the time that may still be spent waiting."""
+        return self.deadline_s - now_s - self.expected_s
+
+
+class RequestQueue:
+    """Waiting requests, grouped by the artifacts that they need."""
+
+    def __init__(self) -> None:
+        self._groups: dict[tuple[Artifact, ...], list[WaitingRequest]] = {}
+        self.size = 0
+
+    def add(self, request: WaitingRequest) -> None:
+        """Append a request to its group."""
+        self._groups.setdefault(request.artifacts, []).append(request)
+        self.size += 1
+
+    def remove(self, request: WaitingRequest) -> bool:
+        """Take a request out; return whether it was still waiting."""
+        group = self._groups.get(request.artifacts)
+        if group is None or request not in group:
+            return False
+        group.remove(request)
+        self.size -= 1
+        if not group:
+            del self._groups[request.artifacts]
+        return True
+
+    def group(self, artifacts: tuple[Artifact, ...]) -> list[WaitingRequest]:
+        """Return the requests that need just these artifacts."""
+        return self._groups.get(artifacts, [])
+
+    def groups(self) -> list[tuple[Artifact, ...]]:
+        """Return the keys of the groups in which requests wait."""
+        return list(self._groups)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo only."""
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,281 @@
+"""Stand-in for an engine endpoint, speaking HTTP, with faults over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from chutelink.const import (
+    HEADER_ORDER_KEY,
+    HEADER_REQUEST_ID,
+    STREAM_END,
+)
+from chutelink.endpoints.messages import (
+    HEADER_NOT_RUN,
+    HEADER_PRIORITY,
+    HEADER_RESUME_FROM,
+    HEADER_VERSION,
+    PATH_ORDERS,
+    PATH_REPORT,
+    Order,
+)
+from chutelink.fleet.model import Artifact
+
+from .engine import Engine, EngineOptions
+from .text import prompt_of
+from .web import (
+    FAULTS_PATH,
+    async_decode,
+    json_response,
+    make_parser,
+    merge_faults,
+    serve,
+)
+
+DEFAULT_MAX_TOKENS = 16
+MAX_LOGGED_REQUESTS = 200_000
+
+
+class EndpointFaults(msgspec.Struct, frozen=True):
+    """Faults that a test switches on; the counts are used up one by one."""
+
+    lose_orders: int = 0
+    lose_order_replies: int = 0
+    late_orders: int = 0
+    late_order_s: float = 1.0
+    doubled_orders: int = 0
+    freeze: bool = False
+    late_answers: int = 0
+    late_answer_s: float = 1.0
+    cut_answers: int = 0
+    cut_after_tokens: int = 3
+    wrong_ids: int = 0
+    errors: int = 0
+    leaving: bool = False
+
+
+class EndpointStandin:
+    """An engine behind HTTP."""
+
+    def __init__(
+        self, options: EngineOptions, order_key: str, weights_url: str, load_s: float
+    ) -> None:
+        self.engine = Engine(options, self._async_fetch)
+        self.faults = EndpointFaults()
+        self._order_key = order_key
+        self._weights_url = weights_url
+        self._load_s = load_s
+        self._requests: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=16 * 1024 * 1024)
+        app.router.add_get(PATH_REPORT, self.async_report)
+        app.router.add_post(PATH_ORDERS, self.async_order)
+        app.router.add_post("/v1/chat/completions", self.async_complete)
+        app.router.add_post("/v1/completions", self.async_complete)
+        app.router.add_post(FAULTS_PATH, self.async_faults)
+        app.router.add_get("/standin/account", self.async_account)
+        app.router.add_get("/standin/requests", self.async_requests)
+        return app
+
+    async def _async_fetch(self, memory_mb: int) -> None:
+        """Fetch weights at the pace that the weight store allows."""
+        if not self._weights_url:
+            await asyncio.sleep(self._load_s)
+            return
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.post(
+                        f"{self._weights_url}/v1/weights/loads",
+                        json={"memory_mb": memory_mb},
+                    ) as response:
+                        answer = await response.json(content_type=None)
+                        if response.status == 200:
+                            break
+                        retry_s = answer.get("retry_s", 0.5)
+                except (aiohttp.ClientError, ValueError):
+                    retry_s = 0.5
+                await asyncio.sleep(retry_s)
+        await asyncio.sleep(answer["duration_s"])
+
+    async def _async_while_frozen(self) -> None:
+        while self.faults.freeze:
+            await asyncio.sleep(0.02)
+
+    def _use_up(self, field: str) -> bool:
+        left = getattr(self.faults, field)
+        if left <= 0:
+            return False
+        self.faults = msgspec.structs.replace(self.faults, **{field: left - 1})
+        return True
+
+    async def _async_drop(self, request: web.Request) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+        await asyncio.sleep(0)
+        raise web.HTTPServiceUnavailable(text="dropped")
+
+    async def async_report(self, request: web.Request) -> web.Response:
+        """Return the report."""
+        await self._async_while_frozen()
+        self.engine.is_leaving = self.faults.leaving
+        return json_response(self.engine.report())
+
+    async def async_order(self, request: web.Request) -> web.Response:
+        """Take an order, with the faults in force."""
+        if request.headers.get(HEADER_ORDER_KEY) != self._order_key:
+            raise web.HTTPForbidden(text="order key missing or wrong")
+        order = await async_decode(request, Order)
+        await self._async_while_frozen()
+        if self._use_up("lose_orders"):
+            await self._async_drop(request)
+        if self._use_up("late_orders"):
+            self._later(order)
+            await self._async_drop(request)
+        answer = self.engine.take_order(order)
+        if self._use_up("doubled_orders"):
+            self._later(order)
+        if self._use_up("lose_order_replies"):
+            await self._async_drop(request)
+        return json_response(answer)
+
+    def _later(self, order: Order) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.faults.late_order_s, self.engine.take_order, order)
+
+    async def async_complete(self, request: web.Request) -> web.StreamResponse:
+        """Serve a completion, streamed or whole."""
+        body = msgspec.json.decode(await request.read())
+        request_id = request.headers.get(HEADER_REQUEST_ID, "")
+        await self._async_while_frozen()
+        artifact = self.engine.find_loaded(
+            body.get("model", ""), request.headers.get(HEADER_VERSION, "")
+        )
+        if artifact is None:
+            raise web.HTTPServiceUnavailable(
+                text="not loaded", headers={HEADER_NOT_RUN: "1"}
+            )
+        if len(self._requests) < MAX_LOGGED_REQUESTS:
+            self._requests.append(request_id)
+        if self._use_up("errors"):
+            raise web.HTTPInternalServerError(text="engine error")
+        if self._use_up("wrong_ids"):
+            request_id = "someone-else"
+        if self._use_up("late_answers"):
+            await asyncio.sleep(self.faults.late_answer_s)
+        if body.get("stream"):
+            return await self._async_stream(request, body, artifact, request_id)
+        return await self._async_whole(request, body, artifact, request_id)
+
+    def _tokens(self, request: web.Request, body: dict, artifact: Artifact):
+        return self.engine.async_generate(
+            artifact,
+            prompt_of(body),
+            int(body.get("max_tokens", DEFAULT_MAX_TOKENS)),
+            resume_from=int(request.headers.get(HEADER_RESUME_FROM, "0")),
+            priority=int(request.headers.get(HEADER_PRIORITY, "5")),
+        )
+
+    async def _async_whole(
+        self, request: web.Request, body: dict, artifact: Artifact, request_id: str
+    ) -> web.Response:
+        cut = self._use_up("cut_answers")
+        parts = [token async for token in self._tokens(request, body, artifact)]
+        text = "".join(parts)
+        is_chat = "messages" in body
+        choice: dict = {"index": 0, "finish_reason": "length"}
+        if is_chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        payload = msgspec.json.encode(
+            {
+                "id": request_id,
+                "object": "chat.completion" if is_chat else "text_completion",
+                "model": body["model"],
+                "choices": [choice],
+                "usage": {"completion_tokens": len(parts)},
+            }
+        )
+        headers = {HEADER_REQUEST_ID: request_id}
+        if not cut:
+            return web.Response(
+                body=payload, headers=headers, content_type="application/json"
+            )
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "application/json"
+        response.content_length = len(payload)
+        await response.prepare(request)
+        await response.write(payload[: len(payload) // 2])
+        await self._async_drop(request)
+        return response
+
+    async def _async_stream(
+        self, request: web.Request, body: dict, artifact: Artifact, request_id: str
+    ) -> web.StreamResponse:
+        cut = self._use_up("cut_answers")
+        response = web.StreamResponse(headers={HEADER_REQUEST_ID: request_id})
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        sent = 0
+        key = "delta" if "messages" in body else "text"
+        async for token in self._tokens(request, body, artifact):
+            if cut and sent >= self.faults.cut_after_tokens:
+                await self._async_drop(request)
+            await self._async_while_frozen()
+            value = {"content": token} if key == "delta" else token
+            chunk = {
+                "id": request_id,
+                "model": body["model"],
+                "choices": [{"index": 0, key: value}],
+            }
+            await response.write(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
+            sent += 1
+        await response.write(STREAM_END)
+        return response
+
+    async def async_faults(self, request: web.Request) -> web.Response:
+        """Switch faults on or off."""
+        self.faults = merge_faults(self.faults, await request.read())
+        return json_response(self.faults)
+
+    async def async_account(self, request: web.Request) -> web.Response:
+        """Return the engine's own account of its memory."""
+        return json_response(self.engine.account)
+
+    async def async_requests(self, request: web.Request) -> web.Response:
+        """Return the ids of all requests that reached the engine."""
+        return json_response(self._requests)
+
+
+def main() -> int:
+    """Run the stand-in."""
+    parser = make_parser("Stand-in for an engine endpoint.")
+    parser.add_argument("--accelerators", type=int, default=1)
+    parser.add_argument("--memory-mb", type=int, default=80_000)
+    parser.add_argument("--slots", type=int, default=16)
+    parser.add_argument("--step-s", type=float, default=0.02, help="per token")
+    parser.add_argument("--prefill-tokens-per-s", type=float, default=10_000.0)
+    parser.add_argument("--ignore-fencing", action="store_true")
+    parser.add_argument("--report-lag-s", type=float, default=0.2)
+    parser.add_argument("--order-key", default="order-key")
+    parser.add_argument("--weights-url", default="", help="the weight store")
+    parser.add_argument("--load-s", type=float, default=0.2, help="without a store")
+    args = parser.parse_args()
+    options = EngineOptions(
+        accelerators=args.accelerators,
+        memory_mb=args.memory_mb,
+        slots=args.slots,
+        step_s=args.step_s,
+        prefill_tokens_per_s=args.prefill_tokens_per_s,
+        checks_fencing=not args.ignore_fencing,
+        report_lag_s=args.report_lag_s,
+    )
+    standin = EndpointStandin(options, args.order_key, args.weights_url, args.load_s)
+    return serve(standin.make_app(), args.address, args.port)
