Keep a version that a peer delivered while the same one was fetched

Cause: between the read of the head and the arrival of the body from the object store, a peer's copy of the same version came in force; bringing it in force a second time broke the invariant that versions rise, and the gateway stopped. Seen at process level (gateway-1 crashed with 'version 1 after 1') and then in tests/test_configuration.py, which failed before and passes after.

--- a/chutelink/configuration.py
+++ b/chutelink/configuration.py
@@ -148,7 +148,9 @@
             raise PlatformUnavailable(
                 "body is missing", step="config.fetch", peer=head.hash
             )
-        self._put(ConfigBody(head.version, head.hash, body.decode()))
+        # A peer's copy may have come in force while this one was on its way.
+        if head.version > self.version:
+            self._put(ConfigBody(head.version, head.hash, body.decode()))
 
     def _ask_peers(self) -> None:
         if self._mesh.highest_peer_version() > self.version:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,110 @@
+"""Small fakes at the interfaces."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+from chutelink.exceptions import (
+    PlatformUnavailable,
+    TransactionConflict,
+    WriteOutcomeUnknown,
+)
+from chutelink.ids import BootId, DaemonId
+from chutelink.log import EventLog
+from chutelink.metrics import Metrics
+from chutelink.platform import (
+    ObjectStore,
+    Platform,
+    RowPage,
+    TableService,
+    Transaction,
+    Vm,
+    VmList,
+)
+from standins.platform import Table
+
+
+class FakeTable(TableService):
+    """The stand-in's table without HTTP, with faults by the call."""
+
+    def __init__(self) -> None:
+        self.table = Table()
+        self.is_out = False
+        self.lose_replies = 0
+        self.late: list[Transaction] = []
+        self.late_writes = 0
+
+    async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
+        if self.is_out:
+            raise PlatformUnavailable("outage", step="table.read")
+        return self.table.read(prefix, after_version)
+
+    async def async_transact(self, transaction: Transaction) -> int:
+        if self.is_out:
+            raise PlatformUnavailable("outage", step="table.transact")
+        if self.late_writes:
+            self.late_writes -= 1
+            self.late.append(transaction)
+            raise WriteOutcomeUnknown("late", step="table.transact")
+        conflict = self.table.first_conflict(transaction.checks)
+        if conflict is not None:
+            raise TransactionConflict(conflict, step="table.transact", peer=conflict)
+        version = self.table.commit(transaction)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            raise WriteOutcomeUnknown("lost", step="table.transact")
+        return version
+
+    def deliver_late(self) -> None:
+        """Let writes that were on their way take effect, if they still may."""
+        while self.late:
+            transaction = self.late.pop()
+            if self.table.first_conflict(transaction.checks) is None:
+                self.table.commit(transaction)
+
+
+class FakeObjects(ObjectStore):
+    """Bodies in memory; ``on_get`` runs while a body is on its way."""
+
+    def __init__(self) -> None:
+        self.bodies: dict[str, bytes] = {}
+        self.on_get = lambda: None
+
+    async def async_put(self, name: str, body: bytes) -> None:
+        self.bodies[name] = body
+
+    async def async_get(self, name: str) -> bytes | None:
+        self.on_get()
+        return self.bodies.get(name)
+
+
+class FakeVms(VmList):
+    """A VM list in memory."""
+
+    def __init__(self) -> None:
+        self.vms: list[Vm] = []
+
+    async def async_list(self) -> list[Vm]:
+        return self.vms
+
+
+def make_platform() -> Platform:
+    """Return a platform of fakes."""
+    return Platform(FakeTable(), FakeObjects(), FakeVms())
+
+
+def make_core(name: str = "d1", domain: str = "a") -> SimpleNamespace:
+    """Return what parts use of an application, with a clock set by hand."""
+    core = SimpleNamespace(
+        daemon_id=DaemonId(name),
+        boot_id=BootId(f"boot-{name}"),
+        daemon=SimpleNamespace(id=name, failure_domain=domain),
+        rng=random.Random(7),
+        events=EventLog("test"),
+        metrics=Metrics(),
+        now_s=100.0,
+        is_draining=False,
+    )
+    core.clock = lambda: core.now_s
+    return core
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,91 @@
+"""Versions come in force once, whole, and never go down."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from chutelink.configuration import ConfigHead, ConfigKeeper
+from chutelink.const import KEY_CONFIG_HEAD
+from chutelink.exceptions import PlatformUnavailable
+from chutelink.fleet import hash_fleet
+from chutelink.ids import ApplyId, ConfigVersion, WriteId
+from chutelink.peers.messages import ConfigBody
+from chutelink.platform import Transaction, Write
+
+from .fakes import make_core, make_platform
+
+TEXT = "[failure_domain a]\n"
+
+
+def make_mesh():
+    return SimpleNamespace(
+        announce_config=lambda: None,
+        request_config=lambda version: None,
+        highest_peer_version=lambda: ConfigVersion(0),
+    )
+
+
+def commit(platform, version, text=TEXT):
+    head = ConfigHead(ConfigVersion(version), hash_fleet(text), ApplyId("x"))
+    platform.objects.bodies[head.hash] = text.encode()
+    write = Write(KEY_CONFIG_HEAD, msgspec.to_builtins(head))
+    platform.table.table.commit(Transaction(WriteId("w"), (), (write,)))
+
+
+def make_keeper():
+    platform = make_platform()
+    keeper = ConfigKeeper(make_core(), platform, make_mesh(), 1.0)
+    return platform, keeper
+
+
+def test_body_from_a_peer_while_the_same_one_is_fetched():
+    platform, keeper = make_keeper()
+    commit(platform, 1)
+    body = ConfigBody(ConfigVersion(1), hash_fleet(TEXT), TEXT)
+    platform.objects.on_get = lambda: keeper._on_peer_body(body)
+    asyncio.run(keeper._async_poll())
+    assert keeper.version == 1
+    assert keeper.is_confirmed
+
+
+def test_a_stale_head_does_not_take_the_version_down():
+    platform, keeper = make_keeper()
+    commit(platform, 2)
+    asyncio.run(keeper._async_poll())
+    commit(platform, 1)
+    asyncio.run(keeper._async_poll())
+    assert keeper.version == 2
+
+
+def test_a_body_that_is_not_what_was_committed_is_refused():
+    platform, keeper = make_keeper()
+    commit(platform, 1)
+    keeper._on_peer_body(ConfigBody(ConfigVersion(3), hash_fleet(TEXT), "[fleet]\n"))
+    assert keeper.version == 0
+
+
+def test_a_missing_body_is_fetched_again():
+    platform, keeper = make_keeper()
+    commit(platform, 1)
+    bodies = dict(platform.objects.bodies)
+    platform.objects.bodies.clear()
+    with pytest.raises(PlatformUnavailable):
+        asyncio.run(keeper._async_poll())
+    platform.objects.bodies.update(bodies)
+    asyncio.run(keeper._async_poll())
+    assert keeper.version == 1
+
+
+def test_a_version_from_a_peer_is_unconfirmed_until_the_table_is_back():
+    platform, keeper = make_keeper()
+    commit(platform, 1)
+    platform.table.is_out = True
+    keeper._on_peer_body(ConfigBody(ConfigVersion(1), hash_fleet(TEXT), TEXT))
+    assert (keeper.version, keeper.is_confirmed) == (1, False)
+    platform.table.is_out = False
+    asyncio.run(keeper._async_poll())
+    assert keeper.is_confirmed
