Prove the memory ledger by a state machine over the real order desk

Two directors share an engine; orders are lost, unanswered, late or doubled, writes lose replies, the engine restarts; the judge is the engine's own account. Refusals now carry the request's id.

--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -8,13 +8,12 @@
 from aiohttp import web
 from opentelemetry.trace import Span
 
-from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_NON_IDEMPOTENT, HEADER_REQUEST_ID
+from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_NON_IDEMPOTENT
 from ..endpoints.client import WholeAnswer
 from ..fleet import CallerSpec, FleetSpec
-from ..ids import RequestId, make_id
 from ..tables.requests import WaitingRequest
 from .keyed import async_run_keyed
-from .parts import GatewayParts
+from .parts import REQUEST_ID, GatewayParts
 from .refusals import malformed
 from .relay import Exchange
 from .requests import (
@@ -56,7 +55,7 @@
         if completion.stream:
             return await self._parts.relay.async_stream(request, exchange)
         answer = await self._parts.relay.async_whole(exchange)
-        return _to_response(answer, exchange.waiting.request_id)
+        return _to_response(answer)
 
     async def _async_keyed(
         self, exchange: Exchange, caller: CallerSpec, key: str, body: bytes
@@ -87,7 +86,7 @@
         tokens = count_tokens(text)
         now_s = parts.core.clock()
         waiting = WaitingRequest(
-            request_id=RequestId(make_id()),
+            request_id=request[REQUEST_ID],
             caller=caller.name,
             name=completion.model,
             artifacts=parts.dispatcher.artifacts_for(fleet, completion.model),
@@ -103,12 +102,9 @@
         return Exchange(waiting, request.path, body, is_repeatable, span)
 
 
-def _to_response(answer: WholeAnswer, request_id: RequestId) -> web.Response:
+def _to_response(answer: WholeAnswer) -> web.Response:
     return web.Response(
         status=answer.status,
         body=answer.body,
-        headers={
-            "Content-Type": answer.content_type,
-            HEADER_REQUEST_ID: request_id,
-        },
+        headers={"Content-Type": answer.content_type},
     )
--- a/chutelink/gateway/http.py
+++ b/chutelink/gateway/http.py
@@ -9,18 +9,19 @@
 from opentelemetry.trace import Span
 
 from ..configuration import ConfigKeeper
+from ..const import HEADER_REQUEST_ID
 from ..fleet import CallerSpec, FleetSpec
+from ..ids import RequestId, make_id
 from ..systems.hashing import rendezvous_order
 from ..tables.members import Member, MemberState, Role
 from ..tracing import extract_context
 from .completions import PATH_CHAT, PATH_COMPLETIONS, CompletionHandler
-from .parts import GatewayParts
+from .parts import REQUEST_ID, GatewayParts
 from .refusals import Refusal, malformed, unavailable, unknown_outcome
 from .requests import check_model
 from .services import ServiceHandler
 
 NO_CONFIG_RETRY_S = 2.0
-PROGRESS_HEADER = "Connection"
 
 Handler = Callable[
     [web.Request, Span, CallerSpec, FleetSpec], Awaitable[web.StreamResponse]
@@ -83,6 +84,8 @@
         self, handler: Handler, request: web.Request, started_s: float
     ) -> web.StreamResponse:
         core = self._parts.core
+        request_id = RequestId(make_id())
+        request[REQUEST_ID] = request_id
         with core.tracer.start_as_current_span(
             "gateway.receive", context=extract_context(request.headers)
         ) as span:
@@ -104,6 +107,8 @@
                 response = unknown_outcome("internal error", 500).to_response()
                 outcome = "unknown"
             span.set_attribute("outcome", outcome)
+        if not response.prepared:
+            response.headers[HEADER_REQUEST_ID] = request_id
         status = str(response.status)
         core.metrics.requests.inc({"outcome": outcome, "status": status})
         core.metrics.request_seconds.observe({}, core.clock() - started_s)
@@ -114,6 +119,7 @@
     def _log_refusal(self, request: web.Request, refusal: Refusal) -> None:
         self._parts.core.events.info(
             "request_refused",
+            request=request[REQUEST_ID],
             path=request.path,
             status=refusal.status,
             outcome=refusal.outcome.value,
--- a/chutelink/gateway/parts.py
+++ b/chutelink/gateway/parts.py
@@ -6,9 +6,12 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from aiohttp import web
+
 from ..core import Application
 from ..endpoints.client import EndpointClient
 from ..fleet import CallerSpec
+from ..ids import RequestId
 from ..settings import GatewaySettings
 from ..systems.admission import RetryBudget
 from ..tables.callers import CallerTable
@@ -21,6 +24,7 @@
 from .requests import CallerIndex
 
 TYPICAL_PREFILL_TOKENS_PER_S = 10_000.0
+REQUEST_ID = web.RequestKey("request_id", RequestId)
 
 
 class GatewayParts:
--- a/chutelink/gateway/services.py
+++ b/chutelink/gateway/services.py
@@ -11,11 +11,10 @@
 from ..endpoints.client import WholeAnswer
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet import CallerSpec, FleetSpec, ServiceSpec
-from ..ids import RequestId, make_id
 from ..tables.endpoints import Endpoint
 from ..tracing import inject_context
 from .keyed import async_run_keyed
-from .parts import GatewayParts
+from .parts import REQUEST_ID, GatewayParts
 from .refusals import Refusal, forbidden, not_found, unavailable, unknown_outcome
 from .requests import async_read_body
 
@@ -61,10 +60,7 @@
         return web.Response(
             status=answer.status,
             body=answer.body,
-            headers={
-                "Content-Type": answer.content_type,
-                HEADER_REQUEST_ID: call.request_id,
-            },
+            headers={"Content-Type": answer.content_type},
         )
 
 
@@ -84,7 +80,7 @@
         self._span = span
         self._service = service
         self._body = body
-        self.request_id = RequestId(make_id())
+        self.request_id = request[REQUEST_ID]
         self.is_repeatable = (
             request.method in service.idempotent_methods
             and HEADER_NON_IDEMPOTENT not in request.headers
--- /dev/null
+++ b/tests/director/test_ledger_machine.py
@@ -0,0 +1,327 @@
+"""No engine is asked to hold more than it has, whatever happens to orders.
+
+The judge is the engine's own account, never the ledger. Two directors share one
+endpoint; orders are lost, answered late or delivered long after their sender has
+lost the lease; writes lose their replies; the engine restarts. An order rides on
+a connection to one engine process, so a restart ends what was on its way.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from chutelink.const import PREFIX_LEASE_TERM, PREFIX_LEDGER, PREFIX_STATE
+from chutelink.director.orders import OrderDesk
+from chutelink.exceptions import (
+    ChutelinkError,
+    EndpointFailed,
+    EndpointUnreachable,
+    LeaseNotHeld,
+)
+from chutelink.fleet import ArtifactKind, parse_fleet
+from chutelink.ids import WriteId
+from chutelink.platform import Transaction, Write, transactions
+from chutelink.systems.reconcile import Situation, next_action
+from chutelink.tables.endpoints import ArtifactState
+from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
+from chutelink.tables.state import StateTable
+from standins.engine import Engine, EngineOptions
+
+from ..fakes import FakeTable, make_core
+
+MEMORY_MB = 100
+ACCELERATORS = 1
+FLEET = """\
+[failure_domain a]
+[endpoint e]
+url = http://127.0.0.1:1
+failure_domain = a
+vm = v
+memory_mb = 100
+checks_fencing = {checks}
+[endpoint spare]
+url = http://127.0.0.1:2
+failure_domain = a
+vm = w
+memory_mb = 1000
+accelerators = 2
+[model first]
+memory_mb = 60
+[model second]
+memory_mb = 60
+[model small]
+memory_mb = 30
+[adapter small-x]
+model = small
+memory_mb = 8
+"""
+MODELS = ("first", "second", "small")
+
+
+class Fault(Enum):
+    NONE = "none"
+    LOSE_ORDER = "lose order"
+    LOSE_ANSWER = "lose answer"
+    LATE = "late"
+    UNREACHABLE = "unreachable"
+    LOSE_WRITE_REPLY = "lose write reply"
+
+
+class FakeClient:
+    """Sends orders to an engine, with the fault of the moment."""
+
+    def __init__(self, machine) -> None:
+        self._machine = machine
+
+    async def async_order(self, spec, order, timeout_s):
+        machine, fault = self._machine, self._machine.fault
+        if fault is Fault.UNREACHABLE:
+            raise EndpointUnreachable("refused", step="endpoint.order")
+        if fault is Fault.LOSE_ORDER:
+            raise EndpointFailed("lost", step="endpoint.order")
+        if fault is Fault.LATE:
+            machine.late.append(order)
+            raise EndpointFailed("no answer", step="endpoint.order")
+        answer = machine.engine.take_order(order)
+        machine.delivered.append(order)
+        if fault is Fault.LOSE_ANSWER:
+            raise EndpointFailed("no answer", step="endpoint.order")
+        return answer
+
+
+class FakeLeases:
+    """What one director believes of the lease."""
+
+    def __init__(self, machine, number: int) -> None:
+        self._machine = machine
+        self.number = number
+        self.believes = False
+        self.term_version = 0
+
+    def check_held(self, name, step):
+        if not self.believes:
+            raise LeaseNotHeld("not held", step=step)
+        return self.term_version
+
+    def lose(self, name):
+        self.believes = False
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    checks_fencing = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        text = FLEET.format(checks=str(self.checks_fencing).lower())
+        self.fleet = parse_fleet(text).unwrap()
+        self.spec = self.fleet.endpoints["e"]
+        self.table = FakeTable()
+        self.fault = Fault.NONE
+        self.late = []
+        self.delivered = []
+        self.directors = []
+        self.desired = frozenset()
+        self.overcommits = []
+        self.start_engine()
+
+    def start_engine(self):
+        async def async_fetch(memory_mb):
+            return None
+
+        options = EngineOptions(
+            ACCELERATORS, MEMORY_MB, 4, 0.0, 1000.0, self.checks_fencing, 0.0
+        )
+        self.engine = Engine(options, async_fetch)
+        self.late.clear()
+        self.delivered.clear()
+
+    @initialize()
+    def start_directors(self):
+        for number in range(2):
+            state = StateTable()
+            leases = FakeLeases(self, number)
+            core = make_core(f"d{number}")
+            client = FakeClient(self)
+            desk = OrderDesk(core, self.table, client, leases, state, 1.0)
+            self.directors.append((leases, state, desk))
+        self.take_over(0)
+
+    def teardown(self):
+        self.loop.close()
+
+    @rule(number=st.integers(0, 1))
+    def take_over(self, number):
+        """Another director takes the lease; the one before may not know it."""
+        key = PREFIX_LEASE_TERM + "a"
+        transaction = Transaction(WriteId("t"), (), (Write(key, {"n": number}),))
+        leases = self.directors[number][0]
+        leases.term_version = self.table.table.commit(transaction)
+        leases.believes = True
+        self.holder = number
+
+    def plan(self, desired):
+        self.desired = frozenset(desired)
+
+    @rule(
+        name=st.sampled_from(MODELS),
+        fault=st.sampled_from([*Fault, Fault.LATE, Fault.LATE]),
+        clean_steps=st.integers(0, 2),
+    )
+    def change_plan_with_a_fault(self, name, fault, clean_steps):
+        """Want one model only; some order on the way meets a fault."""
+        number = self.holder
+        self.steps_without_faults(number)
+        self.plan({name})
+        for _ in range(clean_steps):
+            self.step(number, Fault.NONE)
+        self.step(number, fault)
+        self.steps_without_faults(number)
+
+    @rule(number=st.integers(0, 1), fault=st.sampled_from(Fault))
+    def step(self, number, fault):
+        """One director reads, believes a fresh report and takes its next step."""
+        self.fault = fault
+        self.loop.run_until_complete(self.async_step(number))
+
+    def steps_without_faults(self, number):
+        self.fault = Fault.NONE
+        for _ in range(6):
+            self.loop.run_until_complete(self.async_step(number))
+
+    async def async_step(self, number):
+        leases, state, desk = self.directors[number]
+        if self.fault is Fault.LOSE_WRITE_REPLY:
+            self.table.lose_replies = 1
+        try:
+            page = await self.table.async_read(PREFIX_STATE)
+            for row in page.rows:
+                state.take(row)
+            if "e" not in state.ledger:
+                await desk.async_create_row(self.spec)
+                return
+            await asyncio.sleep(0)
+            report = self.engine.report()
+            await desk.async_note_report(self.spec, report)
+            row = state.ledger["e"].row
+            given = Situation(
+                row=row,
+                report=report,
+                fleet=self.fleet,
+                desired=self.desired,
+                ledger={"e": row, "spare": self.spare_row()},
+                usable=frozenset({"e", "spare"}),
+                due=frozenset(c.artifact for c in row.claims),
+            )
+            action = next_action(given)
+            if action is not None:
+                # The guard's row is not part of this machine's table.
+                action = type(action)(
+                    **{
+                        f: getattr(action, f)
+                        for f in action.__struct_fields__
+                        if f != "guard"
+                    }
+                )
+                await desk.async_run(self.spec, action, report.boot_id)
+        except ChutelinkError:
+            state.version = 0
+        finally:
+            self.table.lose_replies = 0
+
+    def spare_row(self):
+        """Return a row that holds everything, so that every unload is safe."""
+        names = [m.artifact for m in self.fleet.models.values()]
+        names += [a.artifact for a in self.fleet.adapters.values()]
+        claims = tuple(
+            Claim(a, ArtifactKind.MODEL, (0,), 1, ClaimState.LOADED, 1) for a in names
+        )
+        return LedgerRow("spare", 2, 1000, 1, claims)
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def deliver_late(self):
+        while self.late:
+            self.take_at_engine(self.late.pop(0))
+
+    @rule(is_busy=st.booleans())
+    def change_requests(self, is_busy):
+        """Start or end requests, which keep an artifact until they are done."""
+        for artifact, kept in list(self.engine.held.items()):
+            kept.running = int(is_busy)
+            self.engine._free_if_drained(artifact)
+
+    @precondition(lambda self: self.checks_fencing and self.delivered)
+    @rule(data=st.data())
+    def deliver_again(self, data):
+        """Double an order; an engine that ignores fencing can't be protected."""
+        index = data.draw(st.integers(0, len(self.delivered) - 1))
+        self.take_at_engine(self.delivered[index])
+
+    def take_at_engine(self, order):
+        async def async_take():
+            self.engine.take_order(order)
+
+        self.loop.run_until_complete(async_take())
+
+    @precondition(lambda self: self.engine.account.orders > 8)
+    @rule()
+    def restart_engine(self):
+        self.overcommits += self.engine.account.overcommits
+        self.start_engine()
+
+    @invariant()
+    def engine_was_never_asked_too_much(self):
+        assert self.overcommits + self.engine.account.overcommits == []
+        assert max(self.engine.used_mb()) <= MEMORY_MB
+
+    @invariant()
+    def ledger_keeps_to_the_memory(self):
+        for row in self.table.table.read(PREFIX_LEDGER, 0).rows:
+            used = {}
+            for claim in row.value["claims"]:
+                for index in claim["accelerators"]:
+                    used[index] = used.get(index, 0) + claim["memory_mb"]
+            assert all(total <= MEMORY_MB for total in used.values())
+
+
+class IgnoringLedgerMachine(LedgerMachine):
+    checks_fencing = False
+
+
+@pytest.mark.parametrize("machine", [LedgerMachine, IgnoringLedgerMachine])
+def test_memory_is_never_overcommitted(machine, monkeypatch):
+    monkeypatch.setattr(transactions, "SETTLE_PAUSE_S", 0.0)
+    run_state_machine_as_test(
+        machine, settings=settings(max_examples=200, stateful_step_count=30)
+    )
+
+
+def test_the_plan_is_reached_once_faults_end():
+    machine = LedgerMachine()
+    machine.start_directors()
+    machine.plan({"first", "small"})
+    for fault in Fault:
+        machine.step(0, fault)
+    for _ in range(4):
+        machine.steps_without_faults(0)
+    held = {
+        a.name
+        for a, h in machine.engine.held.items()
+        if h.state is ArtifactState.LOADED
+    }
+    assert held == {"first", "small", "small-x"}
+    machine.teardown()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,8 @@
 import random
 from types import SimpleNamespace
 
+from opentelemetry.trace import NoOpTracer
+
 from chutelink.exceptions import (
     PlatformUnavailable,
     TransactionConflict,
@@ -103,6 +105,7 @@
         rng=random.Random(7),
         events=EventLog("test"),
         metrics=Metrics(),
+        tracer=NoOpTracer(),
         now_s=100.0,
         is_draining=False,
     )
