Offer a gateway to callers only once it has asked every endpoint

Cause: a restarted gateway was in the address answers as soon as it was linked, before its first reports, and refused requests as 'not loaded'. Members now join as 'joining' and say 'alive' when ready.

Also from measurement in virtual time: directors saw no demand beyond the engines' slots, since the excess waits in the gateways. Gateways now spread what waits, by model, while anything waits.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool; not part of the daemons."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,107 @@
+"""Open-loop load on real processes; latency counts from the intended send time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+MIN_US = 1
+MAX_US = 60_000_000
+DIGITS = 3
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Where to send, and with which headers."""
+
+    name: str
+    url: str
+    headers: dict[str, str]
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Percentiles in milliseconds, and what failed."""
+
+    name: str
+    count: int
+    failures: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+
+
+def summarise(name: str, histogram: HdrHistogram, failures: int) -> Latency:
+    """Return the percentiles of a histogram of microseconds."""
+
+    def at(percentile: float) -> float:
+        return round(histogram.get_value_at_percentile(percentile) / 1000, 3)
+
+    count = histogram.get_total_count()
+    return Latency(name, count, failures, at(50), at(95), at(99))
+
+
+async def async_open_loop(
+    session: aiohttp.ClientSession,
+    targets: list[Target],
+    body: dict,
+    rate_per_s: float,
+    duration_s: float,
+) -> list[Latency]:
+    """Send to the targets in turn, so that they are paired in one run.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Without a limit of connections.
+    targets : list of Target
+        Each gets the whole rate divided by their number.
+    body : dict
+        Sent as JSON; with ``stream`` the first event is what is timed.
+    rate_per_s : float
+        Requests a second over all targets.
+    duration_s : float
+        How long to send.
+    """
+    histograms = [HdrHistogram(MIN_US, MAX_US, DIGITS) for _ in targets]
+    failures = [0] * len(targets)
+    payload = msgspec.json.encode(body)
+    started_s = time.perf_counter()
+
+    async def async_send(index: int, intended_s: float) -> None:
+        target = targets[index]
+        try:
+            async with session.post(
+                target.url, data=payload, headers=target.headers
+            ) as response:
+                if body.get("stream"):
+                    await response.content.readuntil(b"\n\n")
+                    elapsed_s = time.perf_counter() - intended_s
+                    await response.read()
+                else:
+                    await response.read()
+                    elapsed_s = time.perf_counter() - intended_s
+                is_answered = response.status == 200
+        except (aiohttp.ClientError, asyncio.IncompleteReadError):
+            is_answered = False
+        if is_answered:
+            histograms[index].record_value(max(MIN_US, int(elapsed_s * 1e6)))
+        else:
+            failures[index] += 1
+
+    tasks = []
+    for number in range(int(rate_per_s * duration_s)):
+        intended_s = started_s + number / rate_per_s
+        delay_s = intended_s - time.perf_counter()
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+        tasks.append(
+            asyncio.ensure_future(async_send(number % len(targets), intended_s))
+        )
+    await asyncio.gather(*tasks)
+    return [
+        summarise(target.name, histogram, failed)
+        for target, histogram, failed in zip(targets, histograms, failures, strict=True)
+    ]
--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,53 @@
+"""Entry point of ``chutelink-bench``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line's parser."""
+    parser = argparse.ArgumentParser(
+        prog="chutelink-bench", description="Load and experiments on loopback."
+    )
+    parser.add_argument("--json", action="store_true", help="output for programs")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    command = commands.add_parser("latency", help="what a gateway adds")
+    command.add_argument("--duration-s", type=float, default=8.0)
+    command = commands.add_parser("policies", help="policies against baselines")
+    command.add_argument("--seeds", type=int, default=10)
+    command.add_argument("--csv", default="", help="write the plotted points")
+    command.add_argument("--plot", default="", help="write the plot as PNG")
+    command = commands.add_parser("capacity", help="slopes for the capacity page")
+    command.add_argument("--csv", default="", help="write the raw points")
+    command = commands.add_parser("chaos", help="random faults on real processes")
+    command.add_argument("--seed", type=int, default=1)
+    command.add_argument("--seconds", type=float, default=60.0)
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command."""
+    args = make_parser().parse_args(argv)
+    if args.command == "latency":
+        from .latency import run
+
+        run(args.duration_s, is_json=args.json)
+    elif args.command == "policies":
+        from .policies import run_policies
+
+        run_policies(args.seeds, csv=args.csv, plot=args.plot)
+    elif args.command == "capacity":
+        from .capacity import run_capacity
+
+        run_capacity(csv=args.csv)
+    else:
+        from .chaos import run_chaos
+
+        return run_chaos(args.seed, args.seconds)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,186 @@
+"""Policies against their baselines, on the same seeds."""
+
+from __future__ import annotations
+
+import csv as csv_module
+import statistics
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import msgspec
+
+from chutelink.fleet import FleetSpec, parse_fleet
+from chutelink.fleet.model import (
+    EndpointKind,
+    PlacementPolicy,
+    QueueingPolicy,
+    RoutingPolicy,
+)
+
+from .virtual import Outcome, VirtualRun
+from .workload import make_arrivals
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+DURATION_S = 420.0
+RATES_PER_S = {"opa": 14.0, "kulmaahel": 16.0}
+TIGHT_MEMORY_MB = 40_000
+"""Half of what the examples have, so that spare replicas compete for memory."""
+MOVES_WEIGHTS = (0.0, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0)
+WORKERS = 6
+
+
+class Case(msgspec.Struct, frozen=True):
+    """One deployment with one set of policies."""
+
+    deployment: str
+    label: str
+    options: dict
+
+    def fleet(self) -> FleetSpec:
+        """Return the example's fleet with these options."""
+        text = (EXAMPLES / f"{self.deployment}.ini").read_text(encoding="utf-8")
+        fleet = parse_fleet(text, self.deployment, check_memory=False).unwrap()
+        options = msgspec.structs.replace(fleet.options, **self.options)
+        endpoints = {
+            name: msgspec.structs.replace(spec, memory_mb=TIGHT_MEMORY_MB)
+            if spec.kind is EndpointKind.ENGINE
+            else spec
+            for name, spec in fleet.endpoints.items()
+        }
+        return msgspec.structs.replace(fleet, options=options, endpoints=endpoints)
+
+
+def policy_cases(deployment: str) -> list[Case]:
+    """Return what ships and every baseline, one policy changed at a time."""
+    cases = [Case(deployment, "as shipped", {})]
+    for routing in RoutingPolicy:
+        label = f"routing {routing.value}"
+        cases.append(Case(deployment, label, {"routing": routing}))
+    for queueing in QueueingPolicy:
+        label = f"queueing {queueing.value}"
+        cases.append(Case(deployment, label, {"queueing": queueing}))
+    for placement in PlacementPolicy:
+        label = f"placement {placement.value}"
+        cases.append(Case(deployment, label, {"placement": placement}))
+    baseline = {
+        "routing": RoutingPolicy.LEAST_OUTSTANDING,
+        "queueing": QueueingPolicy.FIFO,
+        "placement": PlacementPolicy.GREEDY,
+    }
+    cases.append(Case(deployment, "all baselines (greedy)", baseline))
+    static = {**baseline, "placement": PlacementPolicy.STATIC}
+    cases.append(Case(deployment, "all baselines (static)", static))
+    return cases
+
+
+def weight_cases(deployment: str) -> list[Case]:
+    """Return the shipped policies with moves weighing more and more."""
+    return [
+        Case(deployment, f"moves_weight {weight:g}", {"moves_weight": weight})
+        for weight in MOVES_WEIGHTS
+    ]
+
+
+def run_case(case: Case, seed: int) -> Outcome:
+    """Run one case on one seed."""
+    fleet = case.fleet()
+    rate_per_s = RATES_PER_S[case.deployment]
+    arrivals = make_arrivals(fleet, seed, DURATION_S, rate_per_s)
+    return VirtualRun(fleet, arrivals, seed).run()
+
+
+def _run(job: tuple[Case, int]) -> Outcome:
+    return run_case(*job)
+
+
+def run_all(cases: list[Case], seeds: Iterable[int]) -> dict[str, list[Outcome]]:
+    """Run all cases on all seeds, in processes of the tool's own."""
+    jobs = [(case, seed) for case in cases for seed in seeds]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        outcomes = list(pool.map(_run, jobs, chunksize=2))
+    found: dict[str, list[Outcome]] = {}
+    for (case, _), outcome in zip(jobs, outcomes, strict=True):
+        found.setdefault(f"{case.deployment}: {case.label}", []).append(outcome)
+    return found
+
+
+def _spread(values: list[float], digits: int) -> str:
+    deviation = statistics.stdev(values) if len(values) > 1 else 0.0
+    return f"{statistics.mean(values):.{digits}f} ± {deviation:.{digits}f}"
+
+
+def to_table(found: dict[str, list[Outcome]]) -> str:
+    """Return a Markdown table, means and standard deviations over the seeds."""
+    lines = [
+        "| case | attainment per accelerator, % | attainment, % | worst class, % "
+        "| moves | refused |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for label, outcomes in found.items():
+        cells = [
+            label,
+            _spread([o.per_accelerator for o in outcomes], 3),
+            _spread([100 * o.attainment for o in outcomes], 1),
+            _spread([100 * o.worst_class for o in outcomes], 1),
+            _spread([float(o.moves) for o in outcomes], 0),
+            _spread([float(o.refused) for o in outcomes], 0),
+        ]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _write_csv(path: str, found: dict[str, list[Outcome]]) -> None:
+    with open(path, "w", newline="", encoding="utf-8") as file:
+        writer = csv_module.writer(file, lineterminator="\n")
+        writer.writerow(["case", "seed", "attainment", "worst_class", "moves"])
+        for label, outcomes in found.items():
+            for seed, outcome in enumerate(outcomes, start=1):
+                row = [label, seed, f"{outcome.attainment:.5f}"]
+                row += [f"{outcome.worst_class:.5f}", outcome.moves]
+                writer.writerow(row)
+
+
+def _write_plot(path: str, found: dict[str, list[Outcome]]) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for deployment in RATES_PER_S:
+        series = {k: v for k, v in found.items() if k.startswith(f"{deployment}:")}
+        moves = [statistics.mean(o.moves for o in v) for v in series.values()]
+        shares = [
+            100 * statistics.mean(o.attainment for o in v) for v in series.values()
+        ]
+        axes.plot(moves, shares, marker="o", label=deployment)
+        for label, x, y in zip(series, moves, shares, strict=True):
+            axes.annotate(
+                label.split()[-1],
+                (x, y),
+                textcoords="offset points",
+                xytext=(4, 4),
+                fontsize=8,
+            )
+    axes.set_xlabel("moves (loads and unloads)")
+    axes.set_ylabel("attainment, %")
+    axes.set_title("Attainment against moves, by moves_weight")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def run_policies(seeds: int, *, csv: str, plot: str) -> None:
+    """Run the comparison and print its table."""
+    numbers = range(1, seeds + 1)
+    for deployment in RATES_PER_S:
+        print(to_table(run_all(policy_cases(deployment), numbers)))
+        print()
+    cases = [case for name in RATES_PER_S for case in weight_cases(name)]
+    found = run_all(cases, numbers)
+    print(to_table(found))
+    if csv:
+        _write_csv(csv, found)
+    if plot:
+        _write_plot(plot, found)
--- /dev/null
+++ b/bench/virtual.py
@@ -0,0 +1,365 @@
+"""The real decisions, tick by tick in virtual time, against small fakes."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+
+from chutelink.fleet import Artifact, ArtifactKind, EndpointSpec, FleetSpec
+from chutelink.ids import BootId, FencingNumber
+from chutelink.systems.ledger import choose_accelerators
+from chutelink.systems.packing import pack_minimum
+from chutelink.systems.placement import PlacementInput, make_placement
+from chutelink.systems.queueing import make_queueing
+from chutelink.systems.routing import make_routing, usable
+from chutelink.tables.endpoints import (
+    ArtifactState,
+    EndpointReport,
+    EndpointTable,
+    HeldArtifact,
+)
+from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
+from chutelink.tables.requests import RequestQueue, WaitingRequest
+
+from .workload import Arrival
+
+REPORT_INTERVAL_S = 0.5
+REPORT_LAG_S = 0.3
+PLACEMENT_INTERVAL_S = 1.0
+DEMAND_SMOOTHING = 0.2
+PREFILL_TOKENS_PER_S = 8000.0
+STEP_S = 0.02
+CACHED_PREFIXES = 96
+LOADS_PER_S = 2.0
+LOADS_AT_ONCE = 8
+LOAD_BASE_S = 3.0
+LOAD_MB_PER_S = 4000.0
+DRAIN_S = 2.0
+GATEWAYS = 2
+
+
+class Outcome(msgspec.Struct):
+    """What a run measured."""
+
+    accelerators: int
+    requests: int = 0
+    attained: int = 0
+    refused: int = 0
+    loads: int = 0
+    unloads: int = 0
+    by_class: dict[str, list[int]] = {}
+
+    @property
+    def attainment(self) -> float:
+        """Share of the requests whose first token was in time."""
+        return self.attained / max(1, self.requests)
+
+    @property
+    def per_accelerator(self) -> float:
+        """Attainment for each accelerator, in percent."""
+        return 100 * self.attainment / self.accelerators
+
+    @property
+    def moves(self) -> int:
+        """Loads and unloads after the first placement."""
+        return self.loads + self.unloads
+
+    @property
+    def worst_class(self) -> float:
+        """Attainment of the class that fares worst."""
+        return min(a / max(1, n) for a, n in self.by_class.values())
+
+
+class _Engine:
+    """A fake engine: slots, batches that slow down, and a prefix cache."""
+
+    def __init__(self, spec: EndpointSpec) -> None:
+        self.spec = spec
+        self.row = LedgerRow(spec.name, spec.accelerators, spec.memory_mb)
+        self.running = 0
+        self.waiting: list = []
+        self.by_model: dict[str, int] = {}
+        self.cache: OrderedDict[str, None] = OrderedDict()
+        self.reports: list[tuple[float, EndpointReport]] = []
+
+    def step_s(self) -> float:
+        return STEP_S * (1 + self.running / self.spec.slots)
+
+    def prefill_s(self, arrival: Arrival) -> float:
+        cached = sum(prefix in self.cache for prefix in arrival.prefixes)
+        share = 1.0 - cached / (len(arrival.prefixes) + 1)
+        for prefix in arrival.prefixes:
+            self.cache[prefix] = None
+            self.cache.move_to_end(prefix)
+        while len(self.cache) > CACHED_PREFIXES:
+            self.cache.popitem(last=False)
+        return arrival.prompt_tokens * share / PREFILL_TOKENS_PER_S
+
+    def report(self) -> EndpointReport:
+        states = {
+            ClaimState.LOADING: ArtifactState.LOADING,
+            ClaimState.LOADED: ArtifactState.LOADED,
+            ClaimState.UNLOADING: ArtifactState.DRAINING,
+        }
+        held = tuple(
+            HeldArtifact(
+                claim.artifact.name,
+                claim.artifact.version,
+                states[claim.state],
+                claim.accelerators,
+                claim.memory_mb,
+                FencingNumber(1),
+            )
+            for claim in self.row.claims
+        )
+        return EndpointReport(
+            BootId("b"),
+            running=self.running,
+            waiting=len(self.waiting),
+            prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+            step_s=STEP_S,
+            artifacts=held,
+            cached_prefixes=tuple(self.cache),
+        )
+
+
+class _Gateway:
+    """The tables and systems of one gateway."""
+
+    def __init__(self, fleet: FleetSpec, domain: str, rng: random.Random) -> None:
+        self.table = EndpointTable()
+        self.table.sync(fleet)
+        self.queue = RequestQueue()
+        self.routing = make_routing(fleet.options.routing, domain, rng)
+        self.queueing = make_queueing(fleet.options.queueing)
+
+
+class _Flight(msgspec.Struct, eq=False):
+    """A request with where it came from."""
+
+    arrival: Arrival
+    waiting: WaitingRequest
+    gateway: _Gateway
+
+
+class VirtualRun:
+    """One run of a fleet against arrivals.
+
+    Parameters
+    ----------
+    fleet : FleetSpec
+        Names the policies and sizes.
+    arrivals : list of Arrival
+        In the order of time.
+    seed : int
+        For the choices of the run itself.
+    """
+
+    def __init__(self, fleet: FleetSpec, arrivals: list[Arrival], seed: int) -> None:
+        self._fleet = fleet
+        self._arrivals = arrivals
+        rng = random.Random(seed)
+        self._rng = rng
+        self._engines = {spec.name: _Engine(spec) for spec in fleet.engines()}
+        domains = sorted(fleet.failure_domains)
+        self._gateways = [
+            _Gateway(fleet, domains[i % len(domains)], rng) for i in range(GATEWAYS)
+        ]
+        self._placement = make_placement(fleet.options)
+        self._demand: dict[str, float] = {}
+        self._events: list = []
+        self._ticket = itertools.count()
+        self._loading = 0
+        self._load_tokens = 1.0
+        self._now_s = 0.0
+        accelerators = sum(spec.accelerators for spec in fleet.engines())
+        self.outcome = Outcome(accelerators=accelerators, by_class={})
+
+    def run(self) -> Outcome:
+        """Run to the last arrival and return what was measured."""
+        self._place_first()
+        for arrival in self._arrivals:
+            self._at(arrival.at_s, self._arrive, arrival)
+        self._at(0.0, self._report_all)
+        self._at(PLACEMENT_INTERVAL_S, self._place)
+        end_s = self._arrivals[-1].at_s + 30.0
+        while self._events and self._events[0][0] <= end_s:
+            self._now_s, _, function, arguments = heapq.heappop(self._events)
+            function(*arguments)
+        return self.outcome
+
+    def _at(self, at_s: float, function: Callable, *arguments: object) -> None:
+        event = (at_s, next(self._ticket), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def _place_first(self) -> None:
+        for name, models in pack_minimum(self._fleet).assignment.items():
+            for model in sorted(models):
+                self._claim(self._engines[name], model, ClaimState.LOADED)
+
+    def _claim(self, engine: _Engine, name: str, state: ClaimState) -> bool:
+        model = self._fleet.models[name]
+        adapters = self._fleet.adapters_of(name)
+        size_mb = model.memory_mb + sum(a.memory_mb for a in adapters)
+        chosen = choose_accelerators(engine.row.free_mb(), model.accelerators, size_mb)
+        if chosen is None:
+            return False
+        claim = Claim(
+            model.artifact, ArtifactKind.MODEL, chosen, size_mb, state, FencingNumber(1)
+        )
+        engine.row = msgspec.structs.replace(
+            engine.row, claims=(*engine.row.claims, claim)
+        )
+        return True
+
+    def _set_claim(self, engine: _Engine, artifact: Artifact, state: ClaimState | None):
+        claims = []
+        for claim in engine.row.claims:
+            if claim.artifact == artifact and state is None:
+                continue
+            if claim.artifact == artifact:
+                claim = msgspec.structs.replace(claim, state=state)
+            claims.append(claim)
+        engine.row = msgspec.structs.replace(engine.row, claims=tuple(claims))
+
+    def _report_all(self) -> None:
+        """Each gateway sees reports that are some time old; cache news has gaps."""
+        for name, engine in self._engines.items():
+            engine.reports.append((self._now_s, engine.report()))
+            while (
+                len(engine.reports) > 1
+                and engine.reports[1][0] <= self._now_s - REPORT_LAG_S
+            ):
+                engine.reports.pop(0)
+            report = engine.reports[0][1]
+            for gateway in self._gateways:
+                gateway.table.note_report(name, report, self._now_s, self._now_s)
+        for gateway in self._gateways:
+            for artifacts in gateway.queue.groups():
+                self._tick(gateway, artifacts)
+        self._at(self._now_s + REPORT_INTERVAL_S, self._report_all)
+
+    def _arrive(self, arrival: Arrival) -> None:
+        gateway = self._rng.choice(self._gateways)
+        model = self._fleet.models[arrival.name]
+        request_class = self._fleet.request_classes[model.request_class]
+        self.outcome.requests += 1
+        self.outcome.by_class.setdefault(request_class.name, [0, 0])[1] += 1
+        waiting = WaitingRequest(
+            request_id="",
+            caller="",
+            name=arrival.name,
+            artifacts=(model.artifact,),
+            request_class=request_class,
+            arrived_s=self._now_s,
+            deadline_s=self._now_s + request_class.target_s,
+            expected_s=arrival.prompt_tokens / PREFILL_TOKENS_PER_S,
+            prompt_tokens=arrival.prompt_tokens,
+            prefixes=arrival.prefixes,
+            dispatched=None,
+        )
+        flight = _Flight(arrival, waiting, gateway)
+        waiting.dispatched = flight
+        gateway.queue.add(waiting)
+        if not waiting.may_be_late:
+            limit_s = max(0.0, waiting.slack_s(self._now_s))
+            self._at(self._now_s + limit_s, self._expire, flight)
+        self._tick(gateway, waiting.artifacts)
+
+    def _expire(self, flight: _Flight) -> None:
+        if flight.gateway.queue.remove(flight.waiting):
+            self.outcome.refused += 1
+
+    def _tick(self, gateway: _Gateway, artifacts: tuple[Artifact, ...]) -> None:
+        holders = gateway.table.holders(artifacts)
+        while group := gateway.queue.group(artifacts):
+            request = gateway.queueing.select(group, self._now_s)
+            candidates = usable(holders, request, self._now_s)
+            row = gateway.routing.choose(candidates, request, self._now_s)
+            if row is None:
+                return
+            gateway.queue.remove(request)
+            row.inflight += 1
+            self._accept(self._engines[row.name], request.dispatched)
+
+    def _accept(self, engine: _Engine, flight: _Flight) -> None:
+        model = flight.arrival.name
+        engine.by_model[model] = engine.by_model.get(model, 0) + 1
+        if engine.running < engine.spec.slots:
+            self._start(engine, flight)
+            return
+        priority = -flight.waiting.request_class.priority
+        heapq.heappush(engine.waiting, (priority, next(self._ticket), flight))
+
+    def _start(self, engine: _Engine, flight: _Flight) -> None:
+        engine.running += 1
+        first_s = self._now_s + engine.prefill_s(flight.arrival) + engine.step_s()
+        if first_s <= flight.waiting.deadline_s:
+            self.outcome.attained += 1
+            name = flight.waiting.request_class.name
+            self.outcome.by_class[name][0] += 1
+        done_s = first_s + flight.arrival.output_tokens * engine.step_s()
+        self._at(done_s, self._finish, engine, flight)
+
+    def _finish(self, engine: _Engine, flight: _Flight) -> None:
+        engine.running -= 1
+        engine.by_model[flight.arrival.name] -= 1
+        if engine.waiting:
+            self._start(engine, heapq.heappop(engine.waiting)[2])
+        row = flight.gateway.table.rows[engine.spec.name]
+        row.inflight -= 1
+        for artifacts in flight.gateway.queue.groups():
+            if row.loaded.issuperset(artifacts):
+                self._tick(flight.gateway, artifacts)
+
+    def _place(self) -> None:
+        self._at(self._now_s + PLACEMENT_INTERVAL_S, self._place)
+        self._load_tokens = min(LOADS_PER_S, self._load_tokens + LOADS_PER_S)
+        for model in self._fleet.models:
+            seen = sum(e.by_model.get(model, 0) for e in self._engines.values())
+            artifacts = (self._fleet.models[model].artifact,)
+            seen += sum(len(g.queue.group(artifacts)) for g in self._gateways)
+            before = self._demand.get(model, 0.0)
+            self._demand[model] = before + DEMAND_SMOOTHING * (seen - before)
+        given = PlacementInput(
+            self._fleet,
+            {name: engine.row for name, engine in self._engines.items()},
+            frozenset(self._engines),
+            self._demand,
+        )
+        plan = self._placement.plan(given)
+        for name, models in sorted(plan.assignment.items()):
+            self._reconcile(self._engines[name], models)
+
+    def _reconcile(self, engine: _Engine, models: set[str]) -> None:
+        for claim in engine.row.claims:
+            is_wanted = claim.artifact.name in models
+            if is_wanted or claim.state is not ClaimState.LOADED:
+                continue
+            self._set_claim(engine, claim.artifact, ClaimState.UNLOADING)
+            self.outcome.unloads += 1
+            self._at(
+                self._now_s + DRAIN_S, self._set_claim, engine, claim.artifact, None
+            )
+        held = {claim.artifact.name for claim in engine.row.claims}
+        for model in sorted(models - held):
+            if self._load_tokens < 1 or self._loading >= LOADS_AT_ONCE:
+                return
+            if not self._claim(engine, model, ClaimState.LOADING):
+                continue
+            self._load_tokens -= 1
+            self._loading += 1
+            self.outcome.loads += 1
+            size_mb = self._fleet.models[model].memory_mb
+            done_s = self._now_s + LOAD_BASE_S + size_mb / LOAD_MB_PER_S
+            self._at(done_s, self._loaded, engine, model)
+
+    def _loaded(self, engine: _Engine, model: str) -> None:
+        self._loading -= 1
+        artifact = self._fleet.models[model].artifact
+        self._set_claim(engine, artifact, ClaimState.LOADED)
--- a/chutelink/daemon.py
+++ b/chutelink/daemon.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from aiohttp import web
+from mode import Service
 
 from .configuration import ConfigKeeper
 from .const import PREFIX_DAEMON
@@ -34,6 +35,7 @@
 from .tables.members import Member, MemberTable, Role
 
 REGISTER_RETRY_S = 2.0
+JOIN_POLL_S = 0.05
 PATH_STATUS = "/v1/status"
 
 
@@ -160,6 +162,14 @@
         seeds = {f"{vm.address}:{port}" for vm in vms for port in vm.peer_ports}
         self.mesh.set_seeds(seeds)
 
+    @Service.task
+    async def _async_join(self) -> None:
+        """Become a member that others use once this daemon is ready."""
+        while not self.is_ready():
+            await self.sleep(JOIN_POLL_S)
+        if not self.is_draining:
+            self.mesh.announce_alive()
+
     async def _async_register(self) -> None:
         """Write the row by which operators' tools find this daemon."""
         key = PREFIX_DAEMON + self.daemon_id
--- a/chutelink/director/app.py
+++ b/chutelink/director/app.py
@@ -42,6 +42,7 @@
             desk,
             state,
             settings,
+            self.mesh.queues.waiting,
         )
         self.leases.on_change = self._watch_held
         self.leases.has_director = self._has_director
--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 from mode import Service
@@ -62,6 +63,8 @@
         Ledger and health rows.
     settings : DirectorSection
         Pace and bounds.
+    waiting : callable
+        What waits in the gateways of a failure domain, by model.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         desk: OrderDesk,
         state: StateTable,
         settings: DirectorSection,
+        waiting: Callable[[FailureDomainName, float], dict[str, int]],
     ) -> None:
         super().__init__()
         self._core = core
@@ -86,6 +90,7 @@
         self._desk = desk
         self.shared = state
         self._settings = settings
+        self._waiting = waiting
         self._allowance = LoadAllowance(settings.loads_per_s, settings.loads_at_once)
         self._busy: dict[EndpointName, asyncio.Task] = {}
         self._repeats: dict[tuple[EndpointName, Artifact], tuple[float, float]] = {}
@@ -207,6 +212,9 @@
             if row.state is EndpointState.LIVE:
                 usable.append(spec.name)
             self._add_demand(fleet, row, seen)
+        # An engine's own queue is short: what is in excess waits in the gateways.
+        for name, count in self._waiting(domain, self._core.clock()).items():
+            seen[name] = seen.get(name, 0.0) + count
         smooth = self._demand.setdefault(domain, {})
         for model in fleet.models:
             before = smooth.get(model, 0.0)
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from aiohttp import web
+from mode import Service
 
 from ..daemon import Daemon
 from ..settings import GatewaySettings
@@ -14,6 +15,7 @@
 from .parts import GatewayParts
 
 DRAIN_POLL_S = 0.05
+QUEUE_NEWS_INTERVAL_S = 1.0
 
 
 class GatewayApp(Daemon):
@@ -54,6 +56,12 @@
         super().add_routes(app)
         self.http.add_routes(app)
 
+    def is_ready(self) -> bool:
+        """Return whether the fleet is known and each endpoint was asked once."""
+        rows = self.endpoints.rows.values()
+        is_asked = all(row.report is not None or row.report_failures for row in rows)
+        return super().is_ready() and is_asked
+
     def on_fleet(self) -> None:
         """Take callers and policies of the fleet in force."""
         fleet = self.keeper.fleet
@@ -69,6 +77,17 @@
         gateways = min(live, self.settings.gateway.subset)
         self.parts.callers.sync(fleet, gateways, self.clock())
 
+    @Service.task
+    async def _async_publish_queue(self) -> None:
+        """Tell directors what waits here; nothing is sent while nothing waits."""
+        published: dict[str, int] = {}
+        while not self.should_stop:
+            await self.sleep(QUEUE_NEWS_INTERVAL_S)
+            waiting = self.parts.dispatcher.waiting_by_model()
+            if waiting or published:
+                self.mesh.publish_queue(waiting)
+            published = waiting
+
     async def async_drain(self) -> None:
         """Leave: out of the answers at once, out of service when nobody calls.
 
--- a/chutelink/gateway/dispatcher.py
+++ b/chutelink/gateway/dispatcher.py
@@ -56,6 +56,10 @@
         """How many requests wait."""
         return self._queue.size
 
+    def waiting_by_model(self) -> dict[str, int]:
+        """Return how many requests wait, by model."""
+        return self._queue.waiting_by_model()
+
     def sync(self, fleet: FleetSpec) -> None:
         """Take the policies of the fleet in force."""
         policies = (fleet.options.routing, fleet.options.queueing)
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -24,6 +24,7 @@
 from ..settings import PeersSection
 from ..systems.hashing import rendezvous_score
 from ..tables.members import Member, MemberState, MemberTable
+from ..tables.queues import QueueTable
 from .messages import (
     ConfigBody,
     ConfigRequest,
@@ -31,6 +32,7 @@
     Hello,
     MemberNews,
     Message,
+    QueueNews,
     decode_message,
     encode_message,
 )
@@ -90,6 +92,7 @@
         self._dialing: dict[str, asyncio.Task] = {}
         self._retry_s: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        self.queues = QueueTable()
         self.config_version: Callable[[], ConfigVersion] = lambda: ConfigVersion(0)
         self.config_body: Callable[[], ConfigBody | None] = lambda: None
         self.on_config_version: Callable[[ConfigVersion], None] = lambda version: None
@@ -122,6 +125,10 @@
         """Take peers that the VM list names beside those of the settings."""
         self._seeds = set(self._settings.seeds) | addresses
 
+    def announce_alive(self) -> None:
+        """Tell the peers that this daemon does its work from now on."""
+        self.spread(self.table.set_own_state(MemberState.ALIVE))
+
     def announce_leaving(self) -> None:
         """Tell the peers that this daemon takes no new work soon."""
         self.spread(self.table.set_own_state(MemberState.LEAVING))
@@ -215,6 +222,8 @@
             self._take_version(link, message.config_version)
         elif isinstance(message, MemberNews):
             self._take_members(link, message.members)
+        elif isinstance(message, QueueNews):
+            self._take_queue(message, link)
         elif isinstance(message, ConfigRequest):
             body = self.config_body()
             if body is not None:
@@ -229,6 +238,25 @@
                 source = link if news is member else None
                 self.spread(news, source)
 
+    def publish_queue(self, waiting: dict[str, int]) -> None:
+        """Tell all daemons what waits in this gateway, by model."""
+        own = self.table.own
+        news = QueueNews(
+            own.id,
+            own.boot_id,
+            own.failure_domain,
+            self.queues.next_sequence(),
+            waiting,
+        )
+        self._take_queue(news, None)
+
+    def _take_queue(self, news: QueueNews, source: Link | None) -> None:
+        if not self.queues.merge(news, self._core.clock()):
+            return
+        for link in self._links:
+            if link is not source and link.member is not None:
+                link.send(news)
+
     def _take_version(self, link: Link, version: ConfigVersion) -> None:
         link.config_version = version
         if version > self.config_version():
@@ -236,13 +264,12 @@
 
     def _neighbours(self) -> list[Member]:
         """Return the next members on the ring of hashed ids."""
-        others = [m for m in self.table.live() if m.id != self.table.own.id]
         own_place = rendezvous_score("ring", self.table.own.id)
 
         def distance(member: Member) -> int:
             return (rendezvous_score("ring", member.id) - own_place) % 2**64
 
-        return sorted(others, key=distance)[: self._settings.links]
+        return sorted(self.table.linkable(), key=distance)[: self._settings.links]
 
     @Service.task
     async def _async_tick_loop(self) -> None:
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -7,7 +7,7 @@
 
 from ..const import MAX_PEER_MESSAGE_BYTES
 from ..exceptions import PeerMessageInvalid
-from ..ids import ConfigVersion
+from ..ids import BootId, ConfigVersion, DaemonId, FailureDomainName
 from ..tables.members import Member
 
 _CBOR_FAILURES = (
@@ -41,6 +41,19 @@
     members: list[Member]
 
 
+class QueueNews(msgspec.Struct, frozen=True, tag="queue"):
+    """How many requests wait in a gateway, by model; passed on once.
+
+    ``sequence`` rises with each message of one process.
+    """
+
+    gateway: DaemonId
+    boot_id: BootId
+    failure_domain: FailureDomainName
+    sequence: int
+    waiting: dict[str, int]
+
+
 class ConfigRequest(msgspec.Struct, frozen=True, tag="config_request"):
     """Asks for the configuration in force at the peer."""
 
@@ -53,7 +66,7 @@
     text: str
 
 
-Message = Hello | Heartbeat | MemberNews | ConfigRequest | ConfigBody
+Message = Hello | Heartbeat | MemberNews | QueueNews | ConfigRequest | ConfigBody
 
 
 def encode_message(message: Message) -> bytes:
--- a/chutelink/systems/routing.py
+++ b/chutelink/systems/routing.py
@@ -16,14 +16,14 @@
 def usable(
     rows: list[Endpoint], request: WaitingRequest, now_s: float
 ) -> list[Endpoint]:
-    """Return the endpoints that take new work and were not tried before."""
-    return [
-        row
-        for row in rows
-        if row.takes_new_work
-        and row.excluded_until_s <= now_s
-        and row.name not in request.excluded
+    """Return the endpoints that take new work and were not tried before.
+
+    Those that failed a moment ago are left out, unless there is no other.
+    """
+    found = [
+        row for row in rows if row.takes_new_work and row.name not in request.excluded
     ]
+    return [row for row in found if row.excluded_until_s <= now_s] or found
 
 
 class Routing(ABC):
--- a/chutelink/tables/members.py
+++ b/chutelink/tables/members.py
@@ -19,6 +19,7 @@
 class MemberState(Enum):
     """How a daemon stands, as far as is known."""
 
+    JOINING = "joining"
     ALIVE = "alive"
     LEAVING = "leaving"
     SUSPECT = "suspect"
@@ -26,13 +27,9 @@
     LEFT = "left"
 
 
-_RANK = {
-    MemberState.ALIVE: 0,
-    MemberState.LEAVING: 1,
-    MemberState.SUSPECT: 2,
-    MemberState.DOWN: 3,
-    MemberState.LEFT: 4,
-}
+_RANK = {state: rank for rank, state in enumerate(MemberState)}
+_USABLE = (MemberState.ALIVE, MemberState.SUSPECT)
+_RUNNING = (MemberState.JOINING, MemberState.ALIVE, MemberState.LEAVING)
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -52,7 +49,7 @@
     peer_port: int
     boot_id: BootId
     incarnation: int
-    state: MemberState = MemberState.ALIVE
+    state: MemberState = MemberState.JOINING
 
     @property
     def url(self) -> str:
@@ -106,7 +103,7 @@
     def suspect(self, member_id: DaemonId, now_s: float) -> Member | None:
         """Doubt a member that has gone silent; return the news, if any."""
         known = self.rows.get(member_id)
-        if known is None or known.state not in (MemberState.ALIVE, MemberState.LEAVING):
+        if known is None or known.state not in _RUNNING:
             return None
         news = msgspec.structs.replace(known, state=MemberState.SUSPECT)
         self._put(news, now_s)
@@ -124,12 +121,20 @@
         return changed
 
     def live(self, role: Role | None = None) -> list[Member]:
-        """Return members that may be used, this one included."""
-        usable = (MemberState.ALIVE, MemberState.SUSPECT)
+        """Return members that do their work, this one included."""
         return [
             member
             for member in self.rows.values()
-            if member.state in usable and role in (None, member.role)
+            if member.state in _USABLE and role in (None, member.role)
+        ]
+
+    def linkable(self) -> list[Member]:
+        """Return the other members that links may be opened to."""
+        return [
+            member
+            for member in self.rows.values()
+            if member.id != self.own.id
+            and member.state in (MemberState.JOINING, *_USABLE)
         ]
 
     def is_gone(self, member_id: DaemonId, boot_id: BootId) -> bool:
--- a/chutelink/tables/requests.py
+++ b/chutelink/tables/requests.py
@@ -66,6 +66,14 @@
         """Return the requests that need just these artifacts."""
         return self._groups.get(artifacts, [])
 
+    def waiting_by_model(self) -> dict[str, int]:
+        """Return how many requests wait, by the model that they need."""
+        counts: dict[str, int] = {}
+        for artifacts, group in self._groups.items():
+            name = artifacts[0].name
+            counts[name] = counts.get(name, 0) + len(group)
+        return counts
+
     def groups(self) -> list[tuple[Artifact, ...]]:
         """Return the keys of the groups in which requests wait."""
         return list(self._groups)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,7 +27,8 @@
 class PlatformFaults(msgspec.Struct, frozen=True):
     """Faults that a test switches on.
 
-    ``lose_replies`` is how many writes take effect without a reply;
+    ``write_prefix`` limits faults of writes to transactions that first write such
+    a key; ``lose_replies`` is how many writes take effect without a reply;
     ``late_writes`` how many are answered never and take effect after
     ``late_write_s``.
     """
@@ -40,6 +41,7 @@
     lose_replies: int = 0
     late_writes: int = 0
     late_write_s: float = 1.0
+    write_prefix: str = ""
 
 
 class WeightLoad(msgspec.Struct, frozen=True):
@@ -146,13 +148,15 @@
         transaction = await async_decode(request, Transaction)
         await self._async_degrade(self.faults.table_out)
         self.counts["writes"] += 1
-        if self.faults.late_writes > 0:
+        key = transaction.writes[0].key if transaction.writes else ""
+        is_faulty = key.startswith(self.faults.write_prefix)
+        if is_faulty and self.faults.late_writes > 0:
             self._use_up("late_writes")
             loop = asyncio.get_running_loop()
             loop.call_later(self.faults.late_write_s, self._commit, transaction)
             await self._async_drop(request)
         response = self._commit(transaction)
-        if self.faults.lose_replies > 0:
+        if is_faulty and self.faults.lose_replies > 0:
             self._use_up("lose_replies")
             await self._async_drop(request)
         return response
