Plan with one configuration for a whole tick

Cause: the director's tick took the fleet before its read of the shared state and the version after it; a file that came in force in between was taken as planned for, and the stale plan named a model that was gone.

Plans for demand now keep to 2 % of a core.

--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -8,7 +8,7 @@
 import msgspec
 from mode import Service
 
-from ..configuration import ConfigKeeper
+from ..configuration import ConfigKeeper, Configuration
 from ..const import PREFIX_HEALTH, PREFIX_LEASE_TERM, PREFIX_STATE
 from ..core import Application
 from ..endpoints.monitor import EndpointMonitor
@@ -38,6 +38,9 @@
 DEMAND_SMOOTHING = 0.2
 DEMAND_STEP = 4
 TAKEOVER_PAUSE_S = 1.0
+MIN_PLAN_INTERVAL_S = 0.5
+PLAN_SHARE = 0.02
+"""The most of a core's time that planning for demand may take."""
 
 
 class Placer(Service):
@@ -100,6 +103,9 @@
         self._held_since: dict[FailureDomainName, float] = {}
         self._read_s = float("-inf")
         self.plan = Plan({}, [])
+        self._plan_basis: tuple[int, frozenset[EndpointName]] | None = None
+        self._planned_changes = -1
+        self._plan_s = float("-inf")
         self.quarantined: set[EndpointName] = set()
 
     @property
@@ -119,14 +125,17 @@
             await self.sleep(self._settings.tick_interval_s)
 
     async def _async_tick(self) -> None:
-        fleet = self._keeper.fleet
+        # One configuration for the whole tick, though another may come in force
+        # while a read is on its way.
+        current = self._keeper.current
         held = self._note_held()
-        if fleet is None or not held:
+        if current is None or not held:
             return
+        fleet = current.fleet
         await self._async_read()
         for domain in held:
             await self._async_publish_health(fleet, domain)
-        self._make_plan(fleet)
+        self._make_plan(current)
         self._allowance.share(len(held), len(fleet.failure_domains))
         steps = [
             step
@@ -169,13 +178,28 @@
         self.shared.is_read = True
         self._read_s = now_s
 
-    def _make_plan(self, fleet: FleetSpec) -> None:
+    def _make_plan(self, current: Configuration) -> None:
+        """Plan anew when something has changed that a plan depends on.
+
+        Another file or another set of usable endpoints is planned for at once;
+        what changes otherwise waits, so that planning keeps to its share of time.
+        """
+        fleet = current.fleet
+        basis = (current.version, self.shared.usable())
+        now_s = self._core.clock()
+        is_due = self.shared.changes != self._planned_changes and now_s >= self._plan_s
+        if basis == self._plan_basis and not is_due:
+            return
+        self._plan_basis = basis
+        self._planned_changes = self.shared.changes
         placement = make_placement(fleet.options)
         self.plan = placement.plan(
             PlacementInput(
                 fleet, self.shared.rows(), self.shared.usable(), self.shared.demand()
             )
         )
+        elapsed_s = self._core.clock() - now_s
+        self._plan_s = now_s + max(MIN_PLAN_INTERVAL_S, elapsed_s / PLAN_SHARE)
         self._core.metrics.unplaced.set({}, len(self.plan.unplaced))
 
     async def _async_publish_health(
@@ -263,7 +287,7 @@
             row=kept.row,
             report=row.report,
             fleet=fleet,
-            desired=frozenset(self._desired(spec.name)),
+            desired=frozenset(self._desired(fleet, spec.name)),
             ledger=self.shared.rows(),
             usable=self.shared.usable(),
             due=self._due(spec.name),
@@ -274,12 +298,11 @@
         action = next_action(given)
         return None if action is None else (spec, action)
 
-    def _desired(self, name: EndpointName) -> set[str]:
+    def _desired(self, fleet: FleetSpec, name: EndpointName) -> set[str]:
         """Return the planned models; an endpoint not in the plan keeps its own."""
         if name in self.plan.assignment:
             return self.plan.assignment[name]
         row = self.shared.ledger[name].row
-        fleet = self._keeper.fleet
         return {
             claim.artifact.name
             for claim in row.claims
--- a/chutelink/ini.py
+++ b/chutelink/ini.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import re
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -108,6 +109,11 @@
     return [item.strip() for item in value.split(",") if item.strip()]
 
 
+@functools.cache
+def _fields_of(kind: type) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.name: field for field in msgspec.structs.fields(kind)}
+
+
 def decode_section(
     section: Section, kind: type, file: str, extra: dict[str, object] | None = None
 ) -> tuple[object | None, list[Problem]]:
@@ -130,7 +136,7 @@
         The struct, or None with the problems found.
     """
     extra = extra or {}
-    fields = {f.name: f for f in msgspec.structs.fields(kind)}
+    fields = _fields_of(kind)
     known = sorted(set(fields) - set(extra))
     problems: list[Problem] = []
     values: dict[str, object] = dict(extra)
--- a/chutelink/systems/packing.py
+++ b/chutelink/systems/packing.py
@@ -41,6 +41,7 @@
             e.name: [e.memory_mb] * e.accelerators for e in self.endpoints.values()
         }
         self._size_mb = _replica_sizes(fleet)
+        self._total_free_mb = {n: sum(free) for n, free in self.free_mb.items()}
 
     def replica_mb(self, model: str) -> int:
         """Return the memory of a model with its adapters, per accelerator."""
@@ -53,11 +54,25 @@
             return
         for index, used_mb in enumerate(row.used_mb()):
             if index < len(free_mb):
-                free_mb[index] -= used_mb
+                self.take(row.endpoint, index, used_mb)
+
+    def take(self, endpoint: str, index: int, memory_mb: int) -> None:
+        """Take memory of one accelerator."""
+        self.free_mb[endpoint][index] -= memory_mb
+        self._total_free_mb[endpoint] -= memory_mb
 
     def fits(self, endpoint: str, model: ModelSpec) -> bool:
         """Return whether a whole replica fits on an endpoint."""
-        return self._choose(endpoint, model) is not None
+        size_mb = self._size_mb[model.name]
+        if self._total_free_mb[endpoint] < size_mb * model.accelerators:
+            return False
+        count = 0
+        for free in self.free_mb[endpoint]:
+            if free >= size_mb:
+                count += 1
+                if count >= model.accelerators:
+                    return True
+        return False
 
     def place(self, endpoint: str, model: ModelSpec) -> bool:
         """Take the memory of a replica; return whether it fitted."""
@@ -65,12 +80,12 @@
         if chosen is None:
             return False
         for index in chosen:
-            self.free_mb[endpoint][index] -= self._size_mb[model.name]
+            self.take(endpoint, index, self._size_mb[model.name])
         return True
 
     def total_free_mb(self, endpoint: str) -> int:
         """Return the free memory of an endpoint over its accelerators."""
-        return sum(self.free_mb[endpoint])
+        return self._total_free_mb[endpoint]
 
     def _choose(self, endpoint: str, model: ModelSpec) -> tuple[int, ...] | None:
         free_mb = self.free_mb[endpoint]
--- a/chutelink/systems/placement.py
+++ b/chutelink/systems/placement.py
@@ -15,6 +15,8 @@
 MOVE_COST_SEQUENCES = 8.0
 """Demand (running sequences) that one load must serve to be worth its cost."""
 HYSTERESIS_RATIO = 1.5
+FULL_RATIO = 0.7
+"""Share of an endpoint's slots above which another replica helps."""
 
 
 class PlacementInput(msgspec.Struct, frozen=True):
@@ -100,14 +102,17 @@
         self.given = given
         self.fleet = given.fleet
         self.assignment: Assignment = {}
+        self._holders: dict[str, set[str]] = {
+            name: set() for name in given.fleet.models
+        }
         self.unplaced: list[str] = []
         engines = [e for e in given.fleet.engines() if e.name in given.usable]
         self.memory = MemoryMap(given.fleet, engines)
-        self._slots = {e.name: e.slots for e in given.fleet.engines()}
+        self._slots = min((e.slots for e in given.fleet.engines()), default=1)
 
     def holders(self, model: str) -> set[str]:
         """Return the endpoints that hold a model in this draft."""
-        return {e for e, models in self.assignment.items() if model in models}
+        return set(self._holders[model])
 
     def keep_current(self) -> None:
         """Keep every claim of a declared model where it is."""
@@ -117,8 +122,9 @@
             if row is None:
                 continue
             self.memory.take_claims(row)
-            self.assignment[name] = self._declared_models(row)
-            for model in self.assignment[name]:
+            for model in self._declared_models(row):
+                self.assignment[name].add(model)
+                self._holders[model].add(name)
                 self._take_missing_adapters(name, row, self.fleet.models[model])
 
     def _declared_models(self, row: LedgerRow) -> set[str]:
@@ -138,7 +144,7 @@
             if claim is None or row.claim_of(adapter.artifact) is not None:
                 continue
             for index in claim.accelerators:
-                self.memory.free_mb[endpoint][index] -= adapter.memory_mb
+                self.memory.take(endpoint, index, adapter.memory_mb)
 
     def place_minimum(self) -> None:
         """Give every model its smallest number of replicas.
@@ -179,12 +185,15 @@
         return self.given.demand.get(model, 0.0)
 
     def _gain(self, model: ModelSpec, replicas: int) -> float:
-        """Return the sequences that one more replica takes off the others."""
+        """Return the sequences that find no slot with so many replicas.
+
+        A backlog that lasts grows, so that a move that costs more than the
+        backlog of a moment is made later and not never.
+        """
         if replicas == 0:
             return float("inf")
-        slots = min(self._slots.values(), default=1)
-        unserved = max(0.0, self._demand(model.name) - 0.7 * slots * replicas)
-        return min(unserved, 0.7 * slots)
+        served = FULL_RATIO * self._slots * replicas
+        return max(0.0, self._demand(model.name) - served)
 
     def _loss(self, model: str, replicas: int) -> float:
         """Return the sequences that lose their place with one replica less."""
@@ -194,6 +203,12 @@
     def _add(self, endpoint: str, model: ModelSpec) -> None:
         self.memory.place(endpoint, model)
         self.assignment[endpoint].add(model.name)
+        self._holders[model.name].add(endpoint)
+
+    def _evict(self, endpoint: str, name: str) -> None:
+        """Give a spare replica up; its memory comes once it is unloaded."""
+        self.assignment[endpoint].discard(name)
+        self._holders[name].discard(endpoint)
 
     def _spare_replicas(self) -> list[tuple[float, str, str]]:
         """Return (loss, endpoint, model) of replicas above the minimum."""
@@ -204,7 +219,7 @@
                 continue
             for name in models:
                 model = self.fleet.models[name]
-                count = len(self.holders(name))
+                count = len(self._holders[name])
                 if count > model.replicas and row.holds(model.artifact):
                     spare.append((self._loss(name, count), endpoint, name))
         return sorted(spare)
@@ -213,7 +228,7 @@
         """Drop the cheapest spare replica that makes room; its memory comes later."""
         for _, endpoint, name in self._spare_replicas():
             if endpoint not in holders and self._would_fit(endpoint, name, model):
-                self.assignment[endpoint].discard(name)
+                self._evict(endpoint, name)
                 return True
         return False
 
@@ -230,7 +245,7 @@
                 continue
             is_worth = gain > hysteresis * loss + 2 * move_cost
             if is_worth and self._would_fit(endpoint, name, model):
-                self.assignment[endpoint].discard(name)
+                self._evict(endpoint, name)
                 return
 
     def _would_fit(self, endpoint: str, evicted: str, model: ModelSpec) -> bool:
--- a/chutelink/tables/state.py
+++ b/chutelink/tables/state.py
@@ -37,6 +37,7 @@
         self.health_versions: dict[FailureDomainName, int] = {}
         self.version = 0
         self.is_read = False
+        self.changes = 0
 
     def take(self, row: Row) -> None:
         """Take in a row that was read."""
@@ -56,6 +57,7 @@
         known = self.ledger.get(name)
         if known is None or version > known.version:
             self.ledger[name] = VersionedRow(version, row)
+            self.changes += 1
 
     def put_health(
         self, domain: FailureDomainName, row: HealthRow, version: int
@@ -63,6 +65,7 @@
         """Keep a health row unless a later one is known."""
         if version > self.health_versions.get(domain, 0):
             self.health[domain] = row
+            self.changes += 1
             self.health_versions[domain] = version
 
     def rows(self) -> dict[EndpointName, LedgerRow]:
--- /dev/null
+++ b/tests/director/test_placer.py
@@ -0,0 +1,97 @@
+"""The director's tick: one configuration throughout, planned at the right time."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from chutelink.configuration import Configuration
+from chutelink.director.placer import Placer
+from chutelink.fleet import parse_fleet
+from chutelink.ids import BootId
+from chutelink.settings import DirectorSection
+from chutelink.tables.endpoints import EndpointReport, EndpointTable
+from chutelink.tables.ledger import LedgerRow
+from chutelink.tables.state import HealthRow, StateTable
+
+from ..fakes import FakeTable, make_core
+
+BASE = """\
+[failure_domain a]
+[endpoint e]
+url = http://127.0.0.1:1
+failure_domain = a
+vm = v
+memory_mb = 100
+[model m]
+memory_mb = 20
+"""
+WITH_P = BASE + "[model p]\nmemory_mb = 20\n"
+
+
+def make_configuration(version, text):
+    return Configuration(version, "", text, parse_fleet(text).unwrap())
+
+
+class SwitchingTable(FakeTable):
+    """Runs something while a read is on its way."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_read = lambda: None
+
+    async def async_read(self, prefix, after_version=0):
+        self.on_read()
+        return await super().async_read(prefix, after_version)
+
+
+def make_keeper(version, text):
+    keeper = SimpleNamespace(current=make_configuration(version, text))
+    put(keeper, version, text)
+    return keeper
+
+
+def put(keeper, version, text):
+    keeper.current = make_configuration(version, text)
+    keeper.version = version
+    keeper.fleet = keeper.current.fleet
+
+
+def make_placer(keeper, table):
+    core = make_core()
+    endpoints = EndpointTable()
+    endpoints.sync(keeper.current.fleet)
+    endpoints.note_report("e", EndpointReport(BootId("b")), 1.0, 1.0)
+    leases = SimpleNamespace(
+        held=lambda: ["a"], check_held=lambda name, step: 0, lose=lambda name: None
+    )
+    state = StateTable()
+    state.put_ledger("e", LedgerRow("e", 1, 100, boot_id=BootId("b")), 1)
+    state.put_health("a", HealthRow(usable=("e",)), 1)
+    placer = Placer(
+        core,
+        keeper,
+        table,
+        endpoints,
+        SimpleNamespace(),
+        leases,
+        SimpleNamespace(),
+        state,
+        DirectorSection(),
+        lambda domain, now_s: {},
+    )
+    placer._held_since["a"] = 0.0
+    placer._start = lambda spec, action: None
+    return core, placer
+
+
+def test_a_file_that_comes_in_force_within_a_tick_is_planned_for_in_the_next():
+    keeper = make_keeper(2, WITH_P)
+    table = SwitchingTable()
+    core, placer = make_placer(keeper, table)
+
+    table.on_read = lambda: put(keeper, 3, BASE)
+    asyncio.run(placer._async_tick())
+    core.now_s += 0.25
+    asyncio.run(placer._async_tick())
+    assert placer.plan.assignment == {"e": {"m"}}
