--- /dev/null
+++ b/chutelink/director/health.py
@@ -0,0 +1,121 @@
+"""What a lease's holder tells the other directors of its failure domain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..const import PREFIX_HEALTH, PREFIX_LEASE_TERM
+from ..core import Application
+from ..exceptions import TransactionConflict
+from ..fleet import FleetSpec
+from ..ids import EndpointName, FailureDomainName
+from ..platform import Check, TableService, Write, async_commit
+from ..tables.endpoints import Endpoint, EndpointState, EndpointTable
+from ..tables.state import HealthRow, StateTable
+from .leases import LeaseKeeper
+
+DEMAND_SMOOTHING = 0.2
+DEMAND_STEP = 4
+
+
+class HealthPublisher:
+    """Publishes usable endpoints and demand, only when they change.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : TableService
+        Where health rows are.
+    endpoints : EndpointTable
+        Reports of the endpoints watched.
+    leases : LeaseKeeper
+        Checked in each transaction.
+    shared : StateTable
+        The rows as last known; own writes are put there.
+    waiting : callable
+        What waits in the gateways of a failure domain, by model.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: TableService,
+        endpoints: EndpointTable,
+        leases: LeaseKeeper,
+        shared: StateTable,
+        waiting: Callable[[FailureDomainName, float], dict[str, int]],
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._endpoints = endpoints
+        self._leases = leases
+        self._shared = shared
+        self._waiting = waiting
+        self._demand: dict[FailureDomainName, dict[str, float]] = {}
+
+    async def async_publish(self, fleet: FleetSpec, domain: FailureDomainName) -> None:
+        """Tell the other directors, only when something has changed."""
+        health = self._observe_health(fleet, domain)
+        if health == self._shared.health.get(domain):
+            return
+        version = self._shared.health_versions.get(domain, 0)
+        key = PREFIX_HEALTH + domain
+        term_version = self._leases.check_held(domain, "health.write")
+        try:
+            written = await async_commit(
+                self._table,
+                [
+                    Check(key, version),
+                    Check(PREFIX_LEASE_TERM + domain, term_version),
+                ],
+                [Write(key, msgspec.to_builtins(health))],
+            )
+        except TransactionConflict:
+            self._shared.forget_version()
+            return
+        self._shared.put_health(domain, health, written)
+
+    def _observe_health(self, fleet: FleetSpec, domain: FailureDomainName) -> HealthRow:
+        usable: list[EndpointName] = []
+        seen: dict[str, float] = {}
+        for spec in fleet.engines():
+            row = self._endpoints.rows.get(spec.name)
+            if spec.failure_domain != domain or row is None:
+                continue
+            if row.state is EndpointState.LIVE:
+                usable.append(spec.name)
+            self._add_demand(fleet, row, seen)
+        # An engine's own queue is short: what is in excess waits in the gateways.
+        for name, count in self._waiting(domain, self._core.clock()).items():
+            seen[name] = seen.get(name, 0.0) + count
+        smooth = self._demand.setdefault(domain, {})
+        for model in fleet.models:
+            before = smooth.get(model, 0.0)
+            smooth[model] = before + DEMAND_SMOOTHING * (seen.get(model, 0.0) - before)
+        known = self._shared.health.get(domain, HealthRow()).demand
+        demand = {
+            model: _settle_step(value, known.get(model, 0))
+            for model, value in smooth.items()
+        }
+        return HealthRow(tuple(usable), {m: d for m, d in demand.items() if d})
+
+    def _add_demand(
+        self, fleet: FleetSpec, row: Endpoint, seen: dict[str, float]
+    ) -> None:
+        if row.report is None or row.state is EndpointState.LOST:
+            return
+        for held in row.report.artifacts:
+            model = fleet.base_model(held.name)
+            if model is not None:
+                count = held.running + held.waiting
+                seen[model.name] = seen.get(model.name, 0.0) + count
+
+
+def _settle_step(value: float, known: int) -> int:
+    """Round to steps, keeping the known value within a step of it."""
+    if known and abs(value - known) < DEMAND_STEP:
+        return known if value >= 0.5 else 0
+    return round(value / DEMAND_STEP) * DEMAND_STEP
--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -5,11 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 from mode import Service
 
 from ..configuration import ConfigKeeper, Configuration
-from ..const import PREFIX_HEALTH, PREFIX_LEASE_TERM, PREFIX_STATE
+from ..const import PREFIX_STATE
 from ..core import Application
 from ..endpoints.monitor import EndpointMonitor
 from ..exceptions import (
@@ -18,25 +17,23 @@
     PlatformUnavailable,
     TransactionConflict,
 )
-from ..fleet import Artifact, FleetSpec
+from ..fleet import FleetSpec
 from ..fleet.model import EndpointSpec
-from ..ids import EndpointName, FailureDomainName, FencingNumber
-from ..platform import Check, TableService, Write, async_commit
+from ..ids import EndpointName, FailureDomainName
+from ..platform import TableService
 from ..settings import DirectorSection
 from ..systems.allowance import LoadAllowance
 from ..systems.placement import PlacementInput, Plan, make_placement
 from ..systems.reconcile import Action, Situation, next_action, unexplained
-from ..tables.endpoints import Endpoint, EndpointState, EndpointTable
+from ..tables.endpoints import Endpoint, EndpointTable
 from ..tables.ledger import ClaimState, LedgerRow
-from ..tables.state import HealthRow, StateTable
+from ..tables.state import StateTable
+from .health import HealthPublisher
 from .leases import LeaseKeeper
 from .orders import OrderDesk
+from .timer import OrderTimer
 
 READ_INTERVAL_S = 0.5
-FIRST_REPEAT_S = 1.0
-MAX_REPEAT_S = 30.0
-DEMAND_SMOOTHING = 0.2
-DEMAND_STEP = 4
 TAKEOVER_PAUSE_S = 1.0
 MIN_PLAN_INTERVAL_S = 0.5
 PLAN_SHARE = 0.02
@@ -93,12 +90,10 @@
         self._desk = desk
         self.shared = state
         self._settings = settings
-        self._waiting = waiting
         self._allowance = LoadAllowance(settings.loads_per_s, settings.loads_at_once)
         self._busy: dict[EndpointName, asyncio.Task] = {}
-        self._repeats: dict[tuple[EndpointName, Artifact], tuple[float, float]] = {}
-        self._pending_since: dict[tuple[EndpointName, FencingNumber], float] = {}
-        self._demand: dict[FailureDomainName, dict[str, float]] = {}
+        self._timer = OrderTimer(core.clock, settings.order_lateness_s)
+        self._health = HealthPublisher(core, table, endpoints, leases, state, waiting)
         self._answered_s: dict[EndpointName, float] = {}
         self._held_since: dict[FailureDomainName, float] = {}
         self._read_s = float("-inf")
@@ -134,7 +129,7 @@
         fleet = current.fleet
         await self._async_read()
         for domain in held:
-            await self._async_publish_health(fleet, domain)
+            await self._health.async_publish(fleet, domain)
         self._make_plan(current)
         self._allowance.share(len(held), len(fleet.failure_domains))
         steps = [
@@ -202,65 +197,6 @@
         self._plan_s = now_s + max(MIN_PLAN_INTERVAL_S, elapsed_s / PLAN_SHARE)
         self._core.metrics.unplaced.set({}, len(self.plan.unplaced))
 
-    async def _async_publish_health(
-        self, fleet: FleetSpec, domain: FailureDomainName
-    ) -> None:
-        """Tell the other directors, only when something has changed."""
-        health = self._observe_health(fleet, domain)
-        if health == self.shared.health.get(domain):
-            return
-        version = self.shared.health_versions.get(domain, 0)
-        key = PREFIX_HEALTH + domain
-        term_version = self._leases.check_held(domain, "health.write")
-        try:
-            written = await async_commit(
-                self._table,
-                [
-                    Check(key, version),
-                    Check(PREFIX_LEASE_TERM + domain, term_version),
-                ],
-                [Write(key, msgspec.to_builtins(health))],
-            )
-        except TransactionConflict:
-            self._reread()
-            return
-        self.shared.put_health(domain, health, written)
-
-    def _observe_health(self, fleet: FleetSpec, domain: FailureDomainName) -> HealthRow:
-        usable: list[EndpointName] = []
-        seen: dict[str, float] = {}
-        for spec in fleet.engines():
-            row = self._endpoints.rows.get(spec.name)
-            if spec.failure_domain != domain or row is None:
-                continue
-            if row.state is EndpointState.LIVE:
-                usable.append(spec.name)
-            self._add_demand(fleet, row, seen)
-        # An engine's own queue is short: what is in excess waits in the gateways.
-        for name, count in self._waiting(domain, self._core.clock()).items():
-            seen[name] = seen.get(name, 0.0) + count
-        smooth = self._demand.setdefault(domain, {})
-        for model in fleet.models:
-            before = smooth.get(model, 0.0)
-            smooth[model] = before + DEMAND_SMOOTHING * (seen.get(model, 0.0) - before)
-        known = self.shared.health.get(domain, HealthRow()).demand
-        demand = {
-            model: _settle_step(value, known.get(model, 0))
-            for model, value in smooth.items()
-        }
-        return HealthRow(tuple(usable), {m: d for m, d in demand.items() if d})
-
-    def _add_demand(
-        self, fleet: FleetSpec, row: Endpoint, seen: dict[str, float]
-    ) -> None:
-        if row.report is None or row.state is EndpointState.LOST:
-            return
-        for held in row.report.artifacts:
-            model = fleet.base_model(held.name)
-            if model is not None:
-                count = held.running + held.waiting
-                seen[model.name] = seen.get(model.name, 0.0) + count
-
     def _next_step(
         self, fleet: FleetSpec, spec: EndpointSpec
     ) -> tuple[EndpointSpec, Action] | None:
@@ -279,7 +215,7 @@
             self._spawn(spec.name, self._desk.async_resize(spec, kept))
             return None
         self._note_quarantine(spec.name, row, kept.row.boot_id)
-        expired = self._expired(spec.name)
+        expired = self._timer.expired(spec.name, kept.row)
         if expired:
             self._spawn(spec.name, self._desk.async_expire(spec, expired))
             return None
@@ -290,7 +226,7 @@
             desired=frozenset(self._desired(fleet, spec.name)),
             ledger=self.shared.rows(),
             usable=self.shared.usable(),
-            due=self._due(spec.name),
+            due=self._timer.due(spec.name, kept.row, row.report),
         )
         if self._is_report_news(kept.row, row):
             self._spawn(spec.name, self._desk.async_note_report(spec, row.report))
@@ -339,55 +275,6 @@
                 return True
         return False
 
-    def _due(self, name: EndpointName) -> frozenset[Artifact]:
-        """Return the claims whose order is to be repeated, with growing pauses.
-
-        A load whose order was answered is left alone while the engine reports
-        that it is loading.
-        """
-        now_s = self._core.clock()
-        row = self._endpoints.rows[name]
-        held = {h.artifact for h in row.report.artifacts}
-        due = set()
-        for claim in self.shared.ledger[name].row.claims:
-            key = (name, claim.artifact)
-            is_present = claim.artifact in held
-            is_waiting = (claim.state is ClaimState.LOADING and not is_present) or (
-                claim.state is ClaimState.UNLOADING
-                and (is_present or bool(claim.pending))
-            )
-            if not is_waiting and not claim.pending:
-                self._repeats.pop(key, None)
-                continue
-            if claim.state is ClaimState.LOADED:
-                continue
-            at_s, pause_s = self._repeats.setdefault(
-                key, (now_s + FIRST_REPEAT_S, FIRST_REPEAT_S)
-            )
-            if now_s >= at_s:
-                pause_s = min(MAX_REPEAT_S, pause_s * 2)
-                self._repeats[key] = (now_s + pause_s, pause_s)
-                due.add(claim.artifact)
-        return frozenset(due)
-
-    def _expired(self, name: EndpointName) -> list[FencingNumber]:
-        """Return orders that have been open for longer than the bound allows."""
-        bound_s = self._settings.order_lateness_s
-        now_s = self._core.clock()
-        open_now = {
-            (name, order.fence)
-            for claim in self.shared.ledger[name].row.claims
-            for order in claim.pending
-        }
-        known = {key for key in self._pending_since if key[0] == name}
-        for key in known - open_now:
-            del self._pending_since[key]
-        for key in open_now:
-            self._pending_since.setdefault(key, now_s)
-        if bound_s == 0:
-            return []
-        return [f for n, f in open_now if now_s - self._pending_since[n, f] > bound_s]
-
     def _count_loading(self, fleet: FleetSpec, held: list[FailureDomainName]) -> int:
         return sum(
             claim.state is ClaimState.LOADING
@@ -426,18 +313,10 @@
 
     def _reread(self) -> None:
         """Read all rows anew before the next plan."""
-        self.shared.version = 0
-        self.shared.is_read = False
+        self.shared.forget_version()
 
     async def async_settle(self) -> None:
         """Wait for the steps that are being carried out."""
         tasks = list(self._busy.values())
         if tasks:
             await asyncio.wait(tasks, timeout=self._settings.order_timeout_s * 3)
-
-
-def _settle_step(value: float, known: int) -> int:
-    """Round to steps, keeping the known value within a step of it."""
-    if known and abs(value - known) < DEMAND_STEP:
-        return known if value >= 0.5 else 0
-    return round(value / DEMAND_STEP) * DEMAND_STEP
--- a/chutelink/endpoints/client.py
+++ b/chutelink/endpoints/client.py
@@ -44,6 +44,22 @@
         return self.headers.get("Content-Type", "application/octet-stream")
 
 
+class Call(msgspec.Struct, frozen=True):
+    """A request to an endpoint.
+
+    ``timeout_s`` is the longest silence, and for a whole answer also the longest
+    time that its body may take. ``is_repeatable`` says that a second execution
+    does no harm.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes | None
+    timeout_s: float
+    is_repeatable: bool
+
+
 class EndpointClient:
     """Speaks to engines and plain services.
 
@@ -78,15 +94,7 @@
 
     @asynccontextmanager
     async def async_open(
-        self,
-        spec: EndpointSpec,
-        method: str,
-        path: str,
-        *,
-        headers: dict[str, str],
-        body: bytes | None,
-        idle_timeout_s: float,
-        is_repeatable: bool,
+        self, spec: EndpointSpec, call: Call
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Open an exchange and check that the answer is to this request.
 
@@ -99,59 +107,39 @@
         EndpointFailed
             The request may have been run.
         """
-        response = await self._async_send(
-            spec, method, path, headers, body, idle_timeout_s, is_repeatable
-        )
+        response = await self._async_send(spec, call)
         try:
-            _check_answer(response, headers[HEADER_REQUEST_ID], spec)
+            _check_answer(response, call.headers[HEADER_REQUEST_ID], spec)
             yield response
         finally:
             # Hands the connection back only if the answer was read whole.
             response.close()
 
     async def _async_send(
-        self,
-        spec: EndpointSpec,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-        body: bytes | None,
-        idle_timeout_s: float,
-        is_repeatable: bool,
+        self, spec: EndpointSpec, call: Call
     ) -> aiohttp.ClientResponse:
         """Send a request and return the answer once its head has arrived."""
-        session = self._session if is_repeatable else self._once_session
+        session = self._session if call.is_repeatable else self._once_session
         step = "endpoint.send"
         try:
             return await session.request(
-                method,
-                spec.url + path,
-                headers=headers,
-                data=body,
+                call.method,
+                spec.url + call.path,
+                headers=call.headers,
+                data=call.body,
                 timeout=aiohttp.ClientTimeout(
                     total=None,
                     sock_connect=self._settings.connect_timeout_s,
-                    sock_read=idle_timeout_s,
+                    sock_read=call.timeout_s,
                 ),
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise EndpointUnreachable(str(error), step=step, peer=spec.name) from error
         except _SEND_FAILURES as error:
-            message = str(error) or type(error).__name__
-            raise EndpointFailed(message, step=step, peer=spec.name) from error
-
-    async def async_exchange(
-        self,
-        spec: EndpointSpec,
-        method: str,
-        path: str,
-        *,
-        headers: dict[str, str],
-        body: bytes | None,
-        timeout_s: float,
-        is_repeatable: bool,
-    ) -> WholeAnswer:
+            raise _failed(error, step, spec) from error
+
+    async def async_exchange(self, spec: EndpointSpec, call: Call) -> WholeAnswer:
         """Send a request and return its whole answer.
 
         Raises
@@ -159,22 +147,11 @@
         EndpointUnreachable, EndpointRefused, EndpointFailed
             As `async_open`.
         """
-        async with self.async_open(
-            spec,
-            method,
-            path,
-            headers=headers,
-            body=body,
-            idle_timeout_s=timeout_s,
-            is_repeatable=is_repeatable,
-        ) as response:
+        async with self.async_open(spec, call) as response:
             try:
-                content = await asyncio.wait_for(response.read(), timeout_s)
+                content = await asyncio.wait_for(response.read(), call.timeout_s)
             except _SEND_FAILURES as error:
-                message = str(error) or type(error).__name__
-                raise EndpointFailed(
-                    message, step="endpoint.read", peer=spec.name
-                ) from error
+                raise _failed(error, "endpoint.read", spec) from error
             return WholeAnswer(response.status, response.headers, content)
 
     async def async_report(self, spec: EndpointSpec) -> tuple[EndpointReport, int]:
@@ -220,8 +197,7 @@
         except aiohttp.ClientConnectorError as error:
             raise EndpointUnreachable(str(error), step=step, peer=spec.name) from error
         except (*_SEND_FAILURES, msgspec.MsgspecError) as error:
-            message = str(error) or type(error).__name__
-            raise EndpointFailed(message, step=step, peer=spec.name) from error
+            raise _failed(error, step, spec) from error
 
     async def _async_get(self, spec: EndpointSpec, path: str) -> tuple[bytes, int]:
         """Return a body, and its size as it was sent, compressed or not."""
@@ -231,14 +207,18 @@
             async with self._session.get(spec.url + path, timeout=timeout) as response:
                 content = await response.read()
         except _SEND_FAILURES as error:
-            message = str(error) or type(error).__name__
-            raise EndpointFailed(message, step=step, peer=spec.name) from error
+            raise _failed(error, step, spec) from error
         if response.status != 200:
             message = f"status {response.status}"
             raise EndpointFailed(message, step=step, peer=spec.name)
         return content, response.content_length or len(content)
 
 
+def _failed(error: Exception, step: str, spec: EndpointSpec) -> EndpointFailed:
+    message = str(error) or type(error).__name__
+    return EndpointFailed(message, step=step, peer=spec.name)
+
+
 def _check_answer(
     response: aiohttp.ClientResponse, request_id: str, spec: EndpointSpec
 ) -> None:
@@ -278,8 +258,7 @@
             if len(buffer) > MAX_EVENT_BYTES:
                 raise EndpointFailed("event too large", step=step, peer=spec.name)
     except _SEND_FAILURES as error:
-        message = str(error) or type(error).__name__
-        raise EndpointFailed(message, step=step, peer=spec.name) from error
+        raise _failed(error, step, spec) from error
     if buffer:
         raise EndpointFailed("stream cut inside an event", step=step, peer=spec.name)
 
--- a/chutelink/gateway/relay.py
+++ b/chutelink/gateway/relay.py
@@ -15,7 +15,7 @@
     STREAM_END,
 )
 from ..core import Application
-from ..endpoints.client import EndpointClient, WholeAnswer, async_iter_events
+from ..endpoints.client import Call, EndpointClient, WholeAnswer, async_iter_events
 from ..endpoints.messages import (
     HEADER_PRIORITY,
     HEADER_RESUME_FROM,
@@ -122,15 +122,8 @@
     ) -> WholeAnswer:
         with self._start_exchange_span(exchange, row) as span:
             try:
-                answer = await self._client.async_exchange(
-                    row.spec,
-                    "POST",
-                    exchange.path,
-                    headers=self._headers(exchange, span),
-                    body=exchange.body,
-                    timeout_s=self._idle_timeout_s,
-                    is_repeatable=exchange.is_repeatable,
-                )
+                call = self._make_call(exchange, span)
+                answer = await self._client.async_exchange(row.spec, call)
             finally:
                 self._dispatcher.release(row.name)
         if answer.status >= SERVER_ERROR:
@@ -173,19 +166,11 @@
     ) -> None:
         request_id = exchange.waiting.request_id.encode()
         with self._start_exchange_span(exchange, row) as span:
-            headers = self._headers(exchange, span)
+            call = self._make_call(exchange, span)
             if stream.events:
-                headers[HEADER_RESUME_FROM] = str(stream.events)
+                call.headers[HEADER_RESUME_FROM] = str(stream.events)
             try:
-                async with self._client.async_open(
-                    row.spec,
-                    "POST",
-                    exchange.path,
-                    headers=headers,
-                    body=exchange.body,
-                    idle_timeout_s=self._idle_timeout_s,
-                    is_repeatable=exchange.is_repeatable,
-                ) as response:
+                async with self._client.async_open(row.spec, call) as response:
                     if response.status >= 400:
                         message = f"status {response.status}"
                         raise EndpointFailed(
@@ -212,7 +197,7 @@
             attributes={"endpoint": row.name},
         )
 
-    def _headers(self, exchange: Exchange, span: Span) -> dict[str, str]:
+    def _make_call(self, exchange: Exchange, span: Span) -> Call:
         waiting = exchange.waiting
         headers = {
             "Content-Type": "application/json",
@@ -221,7 +206,14 @@
             HEADER_PRIORITY: str(waiting.request_class.priority),
         }
         inject_context(span, headers)
-        return headers
+        return Call(
+            "POST",
+            exchange.path,
+            headers,
+            exchange.body,
+            self._idle_timeout_s,
+            exchange.is_repeatable,
+        )
 
     def _note_failure(
         self, exchange: Exchange, row: Endpoint, error: ChutelinkError
--- a/chutelink/gateway/services.py
+++ b/chutelink/gateway/services.py
@@ -8,7 +8,7 @@
 from opentelemetry.trace import Span, set_span_in_context
 
 from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_NON_IDEMPOTENT, HEADER_REQUEST_ID
-from ..endpoints.client import WholeAnswer
+from ..endpoints.client import Call, WholeAnswer
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet import CallerSpec, FleetSpec, ServiceSpec
 from ..tables.endpoints import Endpoint
@@ -136,15 +136,15 @@
         ) as span:
             row.inflight += 1
             try:
-                answer = await self._parts.client.async_exchange(
-                    row.spec,
+                call = Call(
                     request.method,
                     path,
-                    headers=self._headers(span),
-                    body=self._body or None,
-                    timeout_s=self._service.timeout_s,
-                    is_repeatable=self.is_repeatable,
+                    self._headers(span),
+                    self._body or None,
+                    self._service.timeout_s,
+                    self.is_repeatable,
                 )
+                answer = await self._parts.client.async_exchange(row.spec, call)
             finally:
                 row.inflight -= 1
         self._parts.endpoints.note_success(row.name)
--- a/chutelink/tables/state.py
+++ b/chutelink/tables/state.py
@@ -39,6 +39,11 @@
         self.is_read = False
         self.changes = 0
 
+    def forget_version(self) -> None:
+        """Read all rows anew the next time."""
+        self.version = 0
+        self.is_read = False
+
     def take(self, row: Row) -> None:
         """Take in a row that was read."""
         if row.key.startswith(PREFIX_LEDGER):
