Pass an engine's refusal of a stream on instead of trying elsewhere

Cause: any status from 400 on ended an attempt at a stream as failed, so a bad request went to other engines and ended as 503. The whole form passed it on. test_path.py failed before (503 for 400) and passes after. The operators' tool no longer breaks when its reader stops early.

--- a/chutelink/cli/output.py
+++ b/chutelink/cli/output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from enum import IntEnum
 
@@ -33,8 +34,13 @@
         print(msgspec.json.encode({"exit_code": result.code, **result.data}).decode())
         return int(result.code)
     stream = sys.stdout if result.code in (ExitCode.OK,) else sys.stderr
-    for line in result.lines:
-        print(line, file=stream)
+    try:
+        for line in result.lines:
+            print(line, file=stream)
+        stream.flush()
+    except BrokenPipeError:
+        # The reader, such as head, has seen enough; what was done stays done.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), stream.fileno())
     return int(result.code)
 
 
--- a/chutelink/gateway/relay.py
+++ b/chutelink/gateway/relay.py
@@ -36,7 +36,9 @@
 from .refusals import Outcome, Refusal, unavailable, unknown_outcome
 
 MAX_ATTEMPTS = 4
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
+MAX_DETAIL_BYTES = 500
 
 
 class Exchange(msgspec.Struct, eq=False):
@@ -171,11 +173,7 @@
                 call.headers[HEADER_RESUME_FROM] = str(stream.events)
             try:
                 async with self._client.async_open(row.spec, call) as response:
-                    if response.status >= 400:
-                        message = f"status {response.status}"
-                        raise EndpointFailed(
-                            message, step="endpoint.answer", peer=row.name
-                        )
+                    await _async_check_status(response, row)
                     async for event in async_iter_events(response, row.spec):
                         if event == STREAM_END:
                             await stream.async_finish()
@@ -303,6 +301,18 @@
             raise asyncio.CancelledError from error
 
 
+async def _async_check_status(response: aiohttp.ClientResponse, row: Endpoint) -> None:
+    """Tell an engine's refusal of the request from its own trouble."""
+    if response.status >= SERVER_ERROR:
+        message = f"status {response.status}"
+        raise EndpointFailed(message, step="endpoint.answer", peer=row.name)
+    if response.status >= CLIENT_ERROR:
+        detail = (await response.content.read(MAX_DETAIL_BYTES)).decode(
+            errors="replace"
+        )
+        raise Refusal(response.status, "the engine refused the request", detail=detail)
+
+
 def _check_event(event: bytes, request_id: bytes, row: Endpoint) -> None:
     if request_id not in event:
         raise EndpointFailed(
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -36,6 +36,7 @@
 )
 
 DEFAULT_MAX_TOKENS = 16
+MAX_TEMPERATURE = 2
 MAX_LOGGED_REQUESTS = 200_000
 
 
@@ -154,6 +155,8 @@
     async def async_complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a completion, streamed or whole."""
         body = msgspec.json.decode(await request.read())
+        if not 0 <= body.get("temperature", 0) <= MAX_TEMPERATURE:
+            raise web.HTTPBadRequest(text="temperature must be from 0 to 2")
         request_id = request.headers.get(HEADER_REQUEST_ID, "")
         await self._async_while_frozen()
         artifact = self.engine.find_loaded(
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -68,6 +68,16 @@
     # A declared name and an undeclared one look the same to another caller.
     assert await async_status("m", key=OTHER_KEY) == 403
     assert await async_status("none", key=OTHER_KEY) == 403
+    for is_stream in (False, True):
+        # The engine's own refusal is passed on, and tried nowhere else.
+        body = {"model": "m", "prompt": "p", "temperature": 9, "stream": is_stream}
+        async with deployment.session.post(
+            f"{deployment.gateway_url(1)}/v1/completions",
+            json=body,
+            headers={"Authorization": f"Bearer {KEY}"},
+        ) as response:
+            assert response.status == 400
+            assert "temperature" in await response.text()
     for body in (b"{", b'{"model": 3}', b'{"model": "m"}'):
         async with deployment.session.post(
             f"{deployment.gateway_url(1)}/v1/chat/completions",
