Measure changes of configuration; poll within 6,000 bytes a second

Cause: at the planned size the gateway's control traffic came to 13.1 KB/s by the measured slopes (8.0 polls, 3.3 peers, 1.4 files, 0.4 head) against 12 allowed; with 6,000 for polls it is 11.1.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies capacity chaos bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes capacity chaos bench-setup
 
 setup: $(VENV)/.installed
 
@@ -40,6 +40,9 @@
 policies: bench-setup
 	$(BIN)/chutelink-bench policies --csv docs/weights.csv --plot docs/weights.png
 
+changes: setup
+	$(BIN)/chutelink-bench changes
+
 capacity: setup
 	$(BIN)/chutelink-bench capacity --csv docs/capacity.csv
 
--- a/bench/main.py
+++ b/bench/main.py
@@ -19,6 +19,7 @@
     command.add_argument("--seeds", type=int, default=10)
     command.add_argument("--csv", default="", help="write the plotted points")
     command.add_argument("--plot", default="", help="write the plot as PNG")
+    commands.add_parser("changes", help="time until a change is in force everywhere")
     command = commands.add_parser("capacity", help="slopes for the capacity page")
     command.add_argument("--csv", default="", help="write the raw points")
     return parser
@@ -35,6 +36,10 @@
         from .policies import run_policies
 
         run_policies(args.seeds, csv=args.csv, plot=args.plot)
+    elif args.command == "changes":
+        from .changes import run_changes
+
+        run_changes()
     else:
         from .capacity import run_capacity
 
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -61,7 +61,7 @@
 
     order_key: str = ""
     poll_interval_s: Seconds = 0.25
-    poll_budget_bytes_s: Count = 8000
+    poll_budget_bytes_s: Count = 6000
     report_timeout_s: Seconds = 1.0
     stale_after_s: Seconds = 3.0
     connect_timeout_s: Seconds = 1.0
