Share a caller's rate over the gateways by use

Cause: the rate was split evenly, so that a caller that kept to one of three addresses, as callers do, was refused at a third of its rate. Each gateway now takes what the others leave, told each second with the news of the queues. In tests/tables/test_callers.py one gateway gives the whole rate (a third before) and a flood over all three gets it once.

--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -76,17 +76,26 @@
         live = len(self.members.live(Role.GATEWAY))
         gateways = min(live, self.settings.gateway.subset)
         self.parts.callers.sync(fleet, gateways, self.clock())
+        self._share_use()
+
+    def _share_use(self) -> None:
+        queues = self.mesh.queues
+        others_per_s = queues.callers_of_others(self.daemon_id, self.clock())
+        self.parts.callers.share(others_per_s)
 
     @Service.task
     async def _async_publish_queue(self) -> None:
-        """Tell directors what waits here; nothing is sent while nothing waits."""
-        published: dict[str, int] = {}
+        """Tell the others what waits here and who uses it, if there is anything."""
+        was_published = False
         while not self.should_stop:
             await self.sleep(QUEUE_NEWS_INTERVAL_S)
             waiting = self.parts.dispatcher.waiting_by_model()
-            if waiting or published:
-                self.mesh.publish_queue(waiting)
-            published = waiting
+            callers_per_s = self.parts.callers.take_usage(QUEUE_NEWS_INTERVAL_S)
+            has_news = bool(waiting or callers_per_s)
+            if has_news or was_published:
+                self.mesh.publish_queue(waiting, callers_per_s)
+            was_published = has_news
+            self._share_use()
 
     async def async_drain(self) -> None:
         """Leave: out of the answers at once, out of service when nobody calls.
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -238,8 +238,10 @@
                 source = link if news is member else None
                 self.spread(news, source)
 
-    def publish_queue(self, waiting: dict[str, int]) -> None:
-        """Tell all daemons what waits in this gateway, by model."""
+    def publish_queue(
+        self, waiting: dict[str, int], callers_per_s: dict[str, float]
+    ) -> None:
+        """Tell all daemons what waits in this gateway and who uses it."""
         own = self.table.own
         news = QueueNews(
             own.id,
@@ -247,6 +249,7 @@
             own.failure_domain,
             self.queues.next_sequence(),
             waiting,
+            callers_per_s,
         )
         self._take_queue(news, None)
 
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -42,8 +42,9 @@
 
 
 class QueueNews(msgspec.Struct, frozen=True, tag="queue"):
-    """How many requests wait in a gateway, by model; passed on once.
+    """What waits in a gateway, by model, and who uses it; passed on once.
 
+    ``callers_per_s`` has the callers that use much of their share of it.
     ``sequence`` rises with each message of one process.
     """
 
@@ -52,6 +53,7 @@
     failure_domain: FailureDomainName
     sequence: int
     waiting: dict[str, int]
+    callers_per_s: dict[str, float] = {}
 
 
 class ConfigRequest(msgspec.Struct, frozen=True, tag="config_request"):
--- a/chutelink/tables/callers.py
+++ b/chutelink/tables/callers.py
@@ -1,4 +1,4 @@
-"""Token buckets, one for each caller."""
+"""Token buckets, one for each caller, shared with the other gateways."""
 
 from __future__ import annotations
 
@@ -30,15 +30,29 @@
         return (1.0 - self.tokens) / self.rate_per_s
 
 
+PUBLISHED_SHARE = 0.5
+"""Use below this part of an even share is not told to the other gateways."""
+MAX_PUBLISHED_CALLERS = 16
+
+
 class CallerTable:
-    """Buckets by caller; rates are this gateway's share of the caller's."""
+    """Buckets by caller.
+
+    A gateway may use what the others leave of a caller's rate, and always its
+    even share. Use that is too small to be told may add up to half of the rate.
+    """
 
     def __init__(self) -> None:
         self._buckets: dict[CallerName, TokenBucket] = {}
+        self._even_per_s: dict[CallerName, float] = {}
+        self._rates_per_s: dict[CallerName, float] = {}
+        self._taken: dict[CallerName, int] = {}
 
     def sync(self, fleet: FleetSpec, gateways: int, now_s: float) -> None:
-        """Split each caller's rate and burst evenly over the live gateways."""
+        """Take the callers of a fleet; bursts are split evenly over gateways."""
         share = 1.0 / max(1, gateways)
+        self._rates_per_s = {n: c.rate_per_s for n, c in fleet.callers.items()}
+        self._even_per_s = {n: r * share for n, r in self._rates_per_s.items()}
         for name in self._buckets.keys() - fleet.callers.keys():
             del self._buckets[name]
         for name, caller in fleet.callers.items():
@@ -54,4 +68,25 @@
 
     def take(self, caller: CallerName, now_s: float) -> float:
         """Take a token; return 0, or the seconds until one is there."""
-        return self._buckets[caller].take(now_s)
+        wait_s = self._buckets[caller].take(now_s)
+        if wait_s == 0:
+            self._taken[caller] = self._taken.get(caller, 0) + 1
+        return wait_s
+
+    def share(self, others_per_s: dict[str, float]) -> None:
+        """Leave to the other gateways what they use, but keep the even share."""
+        for name, bucket in self._buckets.items():
+            left_per_s = self._rates_per_s[name] - others_per_s.get(name, 0.0)
+            bucket.rate_per_s = max(self._even_per_s[name], left_per_s)
+
+    def take_usage(self, period_s: float) -> dict[str, float]:
+        """Return requests a second since the last call, for the largest users."""
+        rates = {name: count / period_s for name, count in self._taken.items()}
+        self._taken.clear()
+        notable = [
+            (rate, name)
+            for name, rate in rates.items()
+            if rate >= PUBLISHED_SHARE * self._even_per_s.get(name, 0.0)
+        ]
+        largest = sorted(notable, reverse=True)[:MAX_PUBLISHED_CALLERS]
+        return {name: round(rate, 1) for rate, name in largest}
--- a/chutelink/tables/queues.py
+++ b/chutelink/tables/queues.py
@@ -29,6 +29,16 @@
         self._rows[news.gateway] = (now_s, news)
         return True
 
+    def callers_of_others(self, own: DaemonId, now_s: float) -> dict[str, float]:
+        """Return what the other gateways give each caller, in requests a second."""
+        total: dict[str, float] = {}
+        for taken_s, news in self._rows.values():
+            if news.gateway == own or now_s - taken_s > MAX_AGE_S:
+                continue
+            for caller, rate_per_s in news.callers_per_s.items():
+                total[caller] = total.get(caller, 0.0) + rate_per_s
+        return total
+
     def waiting(
         self, failure_domain: FailureDomainName, now_s: float
     ) -> dict[str, int]:
--- /dev/null
+++ b/tests/tables/test_callers.py
@@ -0,0 +1,54 @@
+"""A caller's rate, shared by use over the gateways."""
+
+from __future__ import annotations
+
+from chutelink.fleet import parse_fleet
+from chutelink.peers.messages import QueueNews
+from chutelink.tables.callers import CallerTable
+from chutelink.tables.queues import QueueTable
+
+GATEWAYS = 3
+RATE_PER_S = 90
+FLEET = parse_fleet(
+    f"[caller c]\nkey_sha256 = {'0' * 64}\nrate_per_s = {RATE_PER_S}\nburst = 9\n"
+).unwrap()
+
+
+def admit(demand_per_s, seconds):
+    """Return what gateways admit a second, at the end, for demands on each."""
+    tables = [CallerTable() for _ in range(GATEWAYS)]
+    queues = [QueueTable() for _ in range(GATEWAYS)]
+    for table in tables:
+        table.sync(FLEET, GATEWAYS, 0.0)
+    admitted = []
+    for second in range(1, seconds + 1):
+        admitted = [0] * GATEWAYS
+        for step in range(100):
+            now_s = second + step / 100
+            for i, table in enumerate(tables):
+                for _ in range(demand_per_s[i] // 100):
+                    admitted[i] += table.take("c", now_s) == 0.0
+        for i, table in enumerate(tables):
+            news = QueueNews(f"g{i}", "b", "a", second, {}, table.take_usage(1.0))
+            for queue in queues:
+                queue.merge(news, second + 1.0)
+        for i, table in enumerate(tables):
+            others = queues[i].callers_of_others(f"g{i}", second + 1.0)
+            table.share(others)
+    return admitted
+
+
+def test_one_gateway_gives_a_caller_its_whole_rate():
+    admitted = admit([300, 0, 0], 6)
+    assert RATE_PER_S * 0.95 <= admitted[0] <= RATE_PER_S * 1.05
+
+
+def test_a_flood_over_all_gateways_gets_the_rate_once():
+    admitted = admit([300, 300, 300], 8)
+    assert RATE_PER_S * 0.95 <= sum(admitted) <= RATE_PER_S * 1.05
+    assert min(admitted) >= RATE_PER_S / GATEWAYS * 0.9
+
+
+def test_use_that_is_not_told_adds_at_most_half():
+    admitted = admit([300, 100, 0], 8)
+    assert sum(admitted) <= RATE_PER_S * 1.5
