--- a/bench/latency.py
+++ b/bench/latency.py
@@ -146,7 +146,7 @@
 
 
 def to_table(result: dict) -> str:
-    """Return the result as a Markdown table; rates are over all three targets."""
+    """Return the result as a Markdown table; each target gets the rate."""
     lines = [
         "| load | target | n | failed | p50 ms | p95 ms | p99 ms |",
         "| --- | --- | --- | --- | --- | --- | --- |",
--- a/bench/load.py
+++ b/bench/load.py
@@ -57,11 +57,11 @@
     session : aiohttp.ClientSession
         Without a limit of connections.
     targets : list of Target
-        Each gets the whole rate divided by their number.
+        Each gets the whole rate.
     body : dict
         Sent as JSON; with ``stream`` the first event is what is timed.
     rate_per_s : float
-        Requests a second over all targets.
+        Requests a second to each target.
     duration_s : float
         How long to send.
     """
@@ -92,8 +92,9 @@
             failures[index] += 1
 
     tasks = []
-    for number in range(int(rate_per_s * duration_s)):
-        intended_s = started_s + number / rate_per_s
+    total_per_s = rate_per_s * len(targets)
+    for number in range(int(total_per_s * duration_s)):
+        intended_s = started_s + number / total_per_s
         delay_s = intended_s - time.perf_counter()
         if delay_s > 0:
             await asyncio.sleep(delay_s)
