--- a/chutelink/configuration.py
+++ b/chutelink/configuration.py
@@ -18,8 +18,6 @@
 from .peers.messages import ConfigBody
 from .platform import Platform, RowPage, decode_value
 
-PEER_ANSWER_S = 0.3
-
 
 class ConfigHead(msgspec.Struct, frozen=True):
     """The row that says which version is committed."""
--- a/chutelink/const.py
+++ b/chutelink/const.py
@@ -10,7 +10,6 @@
 HEADER_OUTCOME: Final = "Chutelink-Outcome"
 HEADER_REQUEST_ID: Final = "X-Request-Id"
 HEADER_RETRY_AFTER: Final = "Retry-After"
-HEADER_TRACEPARENT: Final = "traceparent"
 
 CONTENT_TYPE_PROBLEM: Final = "application/problem+json"
 CONTENT_TYPE_STREAM: Final = "text/event-stream"
--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -103,11 +103,6 @@
         self._plan_s = float("-inf")
         self.quarantined: set[EndpointName] = set()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no step is being carried out."""
-        return not self._busy
-
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
--- a/chutelink/gateway/claims.py
+++ b/chutelink/gateway/claims.py
@@ -42,7 +42,7 @@
 
 
 class ClaimRow(msgspec.Struct, frozen=True):
-    """One key's row; ``body`` is base64."""
+    """One key's row; ``body`` is base64, left out where it is too large."""
 
     attempt: AttemptId
     gateway: DaemonId
@@ -52,6 +52,7 @@
     http_status: int = 0
     content_type: str = ""
     body: str = ""
+    is_body_kept: bool = True
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -172,13 +173,14 @@
         self, claim: Claim, status: int, content_type: str, body: bytes
     ) -> None:
         """Store an answer; if the platform is out, go on trying behind it."""
-        is_stored = len(body) <= MAX_STORED_BODY_BYTES
+        is_kept = len(body) <= MAX_STORED_BODY_BYTES
         row = msgspec.structs.replace(
             claim.row,
             status=ClaimStatus.DONE,
             http_status=status,
             content_type=content_type,
-            body=base64.b64encode(body).decode() if is_stored else "",
+            body=base64.b64encode(body).decode() if is_kept else "",
+            is_body_kept=is_kept,
         )
         self._count("done")
         await self._async_store_or_settle(claim, row)
@@ -269,9 +271,8 @@
 
     def _replay(self, row: ClaimRow) -> StoredAnswer:
         self._count("replayed")
-        if row.http_status and not row.body and row.content_type:
-            title = "done before; the answer was too large to keep"
-            raise Refusal(409, title, outcome=unknown_outcome(title).outcome)
+        if not row.is_body_kept:
+            raise unknown_outcome("done before; the answer was too large to keep", 409)
         return StoredAnswer(
             row.http_status, row.content_type, base64.b64decode(row.body)
         )
--- /dev/null
+++ b/tests/endpoints/test_monitor.py
@@ -0,0 +1,48 @@
+"""How soon a change of an endpoint is seen, from the settings alone."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from chutelink.endpoints.monitor import VM_LIST_INTERVAL_S, EndpointMonitor
+from chutelink.settings import EndpointsSection, PlatformSection
+from chutelink.tables.endpoints import EndpointTable
+
+from ..fakes import make_core
+
+LEAVING_BOUND_S = 3.0
+OPA_ENGINES = 9
+OPA_REPORT_BYTES = 359 + 300
+"""A compressed report of 15 artifacts, and its headers."""
+
+
+def make_monitor(endpoints):
+    monitor = EndpointMonitor(
+        make_core(),
+        SimpleNamespace(),
+        SimpleNamespace(),
+        EndpointTable(),
+        EndpointsSection(),
+    )
+    monitor._pollers = dict.fromkeys(range(endpoints))
+    return monitor
+
+
+def test_the_vm_list_is_seen_within_the_bound():
+    platform = PlatformSection(url="http://x", key="k")
+    assert VM_LIST_INTERVAL_S + platform.timeout_s <= LEAVING_BOUND_S
+
+
+def test_opas_engines_are_polled_often_enough_within_the_budget():
+    monitor = make_monitor(OPA_ENGINES)
+    monitor._mean_bytes = OPA_REPORT_BYTES
+    assert monitor.interval_s() <= 1.0
+
+
+@pytest.mark.parametrize("endpoints", [1, 9, 100, 670])
+def test_polls_keep_to_the_budget(endpoints):
+    monitor = make_monitor(endpoints)
+    sent = endpoints * monitor._mean_bytes / monitor.interval_s()
+    assert sent <= EndpointsSection().poll_budget_bytes_s * 1.0001
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -169,6 +169,27 @@
     asyncio.run(async_scenario())
 
 
+def test_an_empty_answer_is_replayed_and_one_too_large_is_said_to_be():
+    async def async_scenario():
+        keeper = ClaimKeeper(make_core(), FakeTable(), 0.0, 0.1, lambda g, b: False)
+        await keeper.start()
+        key = claim_key("c", "POST /x", "empty")
+        claim = await keeper.async_claim(key, "h")
+        await keeper.async_finish(claim, 204, "text/plain", b"")
+        again = await keeper.async_claim(key, "h")
+        assert (again.status, again.body) == (204, b"")
+        key = claim_key("c", "POST /x", "large")
+        claim = await keeper.async_claim(key, "h")
+        body = b"x" * (claims_module.MAX_STORED_BODY_BYTES + 1)
+        await keeper.async_finish(claim, 200, "text/plain", body)
+        with pytest.raises(Refusal) as caught:
+            await keeper.async_claim(key, "h")
+        assert caught.value.status == 409
+        await keeper.stop()
+
+    asyncio.run(async_scenario())
+
+
 def test_claims_of_one_moment_are_one_transaction():
     async def async_scenario():
         table = FakeTable()
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -325,7 +325,7 @@
     )
 
 
-def test_a_leaving_endpoint_gets_no_new_work_after_three_seconds(tmp_path):
+def test_a_leaving_endpoint_gets_no_new_work(tmp_path):
     async def async_scenario(deployment):
         await deployment.async_set_vms()
         fleet = deployment.fleet_text({"m": {"memory_mb": 40, "replicas": 2}})
@@ -333,20 +333,43 @@
         await async_until_replicas(deployment, "m", 2)
         stop = asyncio.Event()
         failures: list[int] = []
+        answered = 0
 
         async def async_load():
+            nonlocal answered
             while not stop.is_set():
                 status, _, _ = await deployment.async_complete("m", max_tokens=1)
+                answered += 1
                 if status != 200:
                     failures.append(status)
 
+        async def async_until_answered(count):
+            wanted = answered + count
+
+            async def async_is_answered():
+                return answered >= wanted
+
+            await deployment.async_until(async_is_answered)
+
+        async def async_is_seen():
+            _, status = await deployment.async_cli("status")
+            found = [d["endpoints"]["engine-1"] for d in status["daemons"]]
+            gateways = [d["role"] == "gateway" for d in status["daemons"]]
+            return all(
+                state == "leaving"
+                for state, is_gateway in zip(found, gateways, strict=True)
+                if is_gateway
+            )
+
         workers = [asyncio.ensure_future(async_load()) for _ in range(8)]
-        await asyncio.sleep(0.5)
+        await async_until_answered(100)
         await deployment.async_set_vms(leaving=("vm-engine-1",))
-        await asyncio.sleep(3.0)
+        await deployment.async_until(async_is_seen)
+        # More than the requests that may have been on their way.
+        await async_until_answered(50)
         url = deployment.engines["engine-1"]["url"]
         before = len(await deployment.async_get(f"{url}/standin/requests"))
-        await asyncio.sleep(1.5)
+        await async_until_answered(400)
         after = len(await deployment.async_get(f"{url}/standin/requests"))
         stop.set()
         await asyncio.gather(*workers)
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -44,7 +44,6 @@
             )
             code, answer = await deployment.async_apply(two, 1, "--wait")
             assert (code, answer["version"]) == (0, 2)
-            assert answer["elapsed_s"] < 4
             # The write is still on its way when it is given up.
             await deployment.async_fault(
                 deployment.platform_url, late_writes=1, late_write_s=0.5
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,9 +15,11 @@
 from chutelink.ids import ApplyId, ConfigVersion, WriteId
 from chutelink.peers.messages import ConfigBody
 from chutelink.platform import Transaction, Write
+from chutelink.settings import PlatformSection
 
 from .fakes import make_core, make_platform
 
+CHANGE_BOUND_S = 4.0
 TEXT = "[failure_domain a]\n"
 
 
@@ -52,6 +54,17 @@
     assert keeper.is_confirmed
 
 
+def test_the_first_poll_after_a_commit_brings_it_in_force_within_the_bound():
+    platform, keeper = make_keeper()
+    commit(platform, 1)
+    asyncio.run(keeper._async_poll())
+    assert keeper.version == 1
+    # The longest pause before that poll, and the time limits of its two calls.
+    defaults = PlatformSection(url="http://x", key="k")
+    most_s = defaults.poll_interval_s + defaults.timeout_s
+    assert most_s < CHANGE_BOUND_S
+
+
 def test_a_stale_head_does_not_take_the_version_down():
     platform, keeper = make_keeper()
     commit(platform, 2)
