--- a/chutelink/cli/apply.py
+++ b/chutelink/cli/apply.py
@@ -14,8 +14,8 @@
 from ..exceptions import TransactionConflict, WriteOutcomeUnknown
 from ..fleet import FleetSpec, diff_fleets, hash_fleet, parse_fleet
 from ..ids import NO_VERSION, ApplyId, ConfigVersion, make_id
-from ..platform import Check, Platform, Row, Write, async_commit, decode_value
-from ..platform.transactions import ABANDONED_VALUE
+from ..store import Check, Platform, Row, Write, async_commit, decode_value
+from ..store.transactions import ABANDONED_VALUE
 from .daemons import DaemonClient
 from .output import ExitCode, Result, failed
 
--- a/chutelink/cli/daemons.py
+++ b/chutelink/cli/daemons.py
@@ -9,8 +9,8 @@
 
 from ..const import PREFIX_DAEMON
 from ..daemon import PATH_STATUS, DaemonRow, DaemonStatus
-from ..platform import Platform, decode_value
 from ..settings import PlatformSection
+from ..store import Platform, decode_value
 from ..tables.members import Member, MemberState
 
 STATUS_TIMEOUT_S = 1.0
--- a/chutelink/cli/inspect.py
+++ b/chutelink/cli/inspect.py
@@ -16,7 +16,7 @@
 from ..exceptions import TransactionConflict
 from ..fleet import FleetSpec, diff_fleets
 from ..ids import NO_VERSION, ConfigVersion, EndpointName
-from ..platform import Check, Platform, Write, async_commit, decode_value
+from ..store import Check, Platform, Write, async_commit, decode_value
 from ..systems.placement import PlacementInput, Plan, make_placement
 from ..tables.leases import LeaseRow
 from ..tables.ledger import Claim, ClaimState, LedgerRow
--- a/chutelink/cli/main.py
+++ b/chutelink/cli/main.py
@@ -13,8 +13,8 @@
 from .. import __version__
 from ..exceptions import ChutelinkError, SettingsError, WriteOutcomeUnknown
 from ..ids import ApplyId, ConfigVersion
-from ..platform import Platform, async_setup_platform
 from ..settings import OperatorSettings, load_settings
+from ..store import Platform, async_setup_platform
 from .apply import Applier, validate
 from .daemons import DaemonClient
 from .inspect import (
--- a/chutelink/configuration.py
+++ b/chutelink/configuration.py
@@ -16,7 +16,7 @@
 from .ids import NO_VERSION, ApplyId, ConfigVersion
 from .peers.mesh import Mesh
 from .peers.messages import ConfigBody
-from .platform import Platform, RowPage, decode_value
+from .store import Platform, RowPage, decode_value
 
 
 class ConfigHead(msgspec.Struct, frozen=True):
--- a/chutelink/const.py
+++ b/chutelink/const.py
@@ -27,6 +27,12 @@
 PREFIX_LEDGER: Final = "state/ledger/"
 PREFIX_VERSION: Final = "versions/"
 
+TABLE_CONFIG: Final = "config"
+TABLE_ENDPOINTS: Final = "endpoints"
+TABLE_MEMBERS: Final = "chutelink-members"
+TABLE_LEASES: Final = "chutelink-leases"
+KEY_ROUTING_CONFIG: Final = "config/config"
+
 STREAM_END: Final = b"data: [DONE]\n\n"
 
 MAX_HEADER_BYTES: Final = 16 * 1024
--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -112,6 +113,9 @@
     def is_ready(self) -> bool:
         """Return whether this daemon can do its work now."""
 
+    def take_settings(self, settings: msgspec.Struct) -> None:
+        """Take over settings that were read again; by default none may change."""
+
     @property
     def max_body_bytes(self) -> int:
         """The largest request body taken."""
@@ -149,11 +153,15 @@
         )
 
 
-async def _async_run(make_application: Callable[[], Application]) -> int:
+async def _async_run(
+    make_application: Callable[[], Application],
+    reload: Callable[[Application], None],
+) -> int:
     app = make_application()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.drain_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, app)
     try:
         await app.start()
     except (OSError, ChutelinkError) as error:
@@ -187,14 +195,28 @@
         0 after a graceful stop, 1 after a failure, 2 for bad settings.
     """
     parser = argparse.ArgumentParser(prog=program, description=description)
-    parser.add_argument("--settings", type=Path, required=True, help="INI file")
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument("--settings", type=Path, help="INI file")
+    source.add_argument(
+        "--settings-env", metavar="NAME", help="variable that holds the file's path"
+    )
     parser.add_argument(
         "--check", action="store_true", help="print the settings in force and exit"
     )
     parser.add_argument("--version", action="version", version=__version__)
     args = parser.parse_args()
+    path = args.settings or Path(os.environ.get(args.settings_env, ""))
+
+    def reload(app: Application) -> None:
+        try:
+            app.take_settings(load_settings(path, kind))
+        except SettingsError as error:
+            app.events.error("settings_refused", error=error)
+            return
+        app.events.info("settings_reloaded", file=path)
+
     try:
-        settings = load_settings(args.settings, kind)
+        settings = load_settings(path, kind)
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         return EXIT_USAGE
@@ -202,4 +224,4 @@
         print(describe_settings(settings))
         return EXIT_OK
     setup_logging(settings.daemon.log_level)
-    return asyncio.run(_async_run(lambda: make_application(settings)))
+    return asyncio.run(_async_run(lambda: make_application(settings), reload))
--- a/chutelink/daemon.py
+++ b/chutelink/daemon.py
@@ -22,7 +22,8 @@
 )
 from .ids import EndpointName
 from .peers.mesh import Mesh
-from .platform import (
+from .settings import DirectorSettings, GatewaySettings
+from .store import (
     Check,
     Platform,
     Vm,
@@ -30,7 +31,6 @@
     async_commit,
     async_setup_platform,
 )
-from .settings import DirectorSettings, GatewaySettings
 from .tables.endpoints import EndpointTable
 from .tables.members import Member, MemberTable, Role
 
--- a/chutelink/director/health.py
+++ b/chutelink/director/health.py
@@ -11,7 +11,7 @@
 from ..exceptions import TransactionConflict
 from ..fleet import FleetSpec
 from ..ids import EndpointName, FailureDomainName
-from ..platform import Check, TableService, Write, async_commit
+from ..store import Check, TableService, Write, async_commit
 from ..tables.endpoints import Endpoint, EndpointState, EndpointTable
 from ..tables.state import HealthRow, StateTable
 from .leases import LeaseKeeper
--- a/chutelink/director/leases.py
+++ b/chutelink/director/leases.py
@@ -17,8 +17,8 @@
     WriteOutcomeUnknown,
 )
 from ..ids import FailureDomainName
-from ..platform import Check, TableService, Write, async_commit, decode_value
 from ..settings import DirectorSection
+from ..store import Check, TableService, Write, async_commit, decode_value
 from ..tables.leases import Lease, LeaseRow, LeaseState, TermRow
 
 RENEWALS_PER_LEASE = 4
--- a/chutelink/director/orders.py
+++ b/chutelink/director/orders.py
@@ -17,7 +17,7 @@
 )
 from ..fleet.model import EndpointSpec
 from ..ids import BootId, FailureDomainName, FencingNumber
-from ..platform import Check, TableService, Write, async_commit
+from ..store import Check, TableService, Write, async_commit
 from ..systems.ledger import (
     allot_fence,
     check_memory,
--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -20,8 +20,8 @@
 from ..fleet import FleetSpec
 from ..fleet.model import EndpointSpec
 from ..ids import EndpointName, FailureDomainName
-from ..platform import TableService
 from ..settings import DirectorSection
+from ..store import TableService
 from ..systems.allowance import LoadAllowance
 from ..systems.placement import PlacementInput, Plan, make_placement
 from ..systems.reconcile import Action, Situation, next_action, unexplained
--- a/chutelink/endpoints/monitor.py
+++ b/chutelink/endpoints/monitor.py
@@ -10,8 +10,8 @@
 from ..core import Application
 from ..exceptions import EndpointFailed, PlatformUnavailable
 from ..ids import EndpointName
-from ..platform import Platform, Vm, VmState
 from ..settings import EndpointsSection
+from ..store import Platform, Vm, VmState
 from ..tables.endpoints import EndpointTable
 from .client import EndpointClient, is_engine
 
--- /dev/null
+++ b/chutelink/entry/app.py
@@ -0,0 +1,332 @@
+"""The entry daemon's application object: wiring only."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from aiohttp import web
+from mode import Service
+
+from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
+from ..core import Application
+from ..exceptions import PeerMessageInvalid
+from ..ids import FailureDomainName, VmId
+from ..peers.mesh import Mesh
+from ..peers.messages import Broadcast
+from ..settings import EntrySettings
+from ..tables.members import Member, MemberState, MemberTable, Role
+from .adapter import Handler, PlatformAdapter
+from .demand import DemandTable
+from .directory import Directory
+from .exchange import Exchanges
+from .http import CallerHttp
+from .lease import PlacerLease
+from .loads import LoadBook
+from .membership import Registration
+from .news import (
+    LoadNews,
+    News,
+    PlacementNews,
+    SnapshotRequest,
+    StoreNews,
+    decode_news,
+    encode_news,
+)
+from .pending import PendingTable
+from .placement import DemandPlacement
+from .placer import Placer
+from .relay import Relay
+from .retries import RetryShare
+from .routing import ExpectedDelay
+from .state import EntryState
+from .stream import StreamRelay
+from .upstream import Upstream
+from .watch import StoreWatch
+
+JOIN_POLL_S = 0.02
+LOAD_NEWS_PERIOD_S = 0.2
+"""How often other daemons hear what is under way; choices are as old at most."""
+KEPT_ANSWER_FACTOR = 3
+"""Some callers keep an answer three times as long as they should."""
+STOP_MARGIN_S = 0.8
+"""Left of the grace for closing down."""
+DRAIN_POLL_S = 0.05
+IDLE_MARGIN = 1.1
+MAX_HEADER_BYTES = 64 * 1024
+"""What the parser takes; the configuration's limit is checked afterwards."""
+
+
+class EntryApp(Application):
+    """Answers callers on one VM, and places models while it holds the lease.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    adapter : PlatformAdapter
+        Speaks the platform's protocols.
+    """
+
+    def __init__(self, settings: EntrySettings, adapter: PlatformAdapter) -> None:
+        super().__init__("chutelink-entry", settings.daemon)
+        self.settings = settings
+        self._adapter = adapter
+        self.members = MemberTable(self._make_member())
+        self.known = EntryState(self, adapter)
+        self.demand = DemandTable()
+        self.pending = PendingTable()
+        self.loads = LoadBook()
+        entry = settings.entry
+        self.retries = RetryShare(
+            entry.retry_ratio, entry.retry_slack, entry.retry_window_s
+        )
+        self.directory = Directory(self.members, entry.address_valid_s)
+        self.mesh: Mesh | None = None
+        self.watch: StoreWatch | None = None
+        self.lease: PlacerLease | None = None
+        self.placer: Placer | None = None
+        self.callers: CallerHttp | None = None
+        self._upstream: Upstream | None = None
+        self._caller_server: web.Server | None = None
+        self._listeners: list[asyncio.Server] = []
+
+    def _make_member(self) -> Member:
+        daemon = self.daemon
+        port = int(self.settings.entry.caller_listen.rpartition(":")[2])
+        # Compared only with what peers remember of this same daemon; if a
+        # clock went back, the mesh raises it above that.
+        incarnation = time.time_ns() // 1_000_000
+        return Member(
+            self.daemon_id,
+            Role.GATEWAY,
+            VmId(daemon.vm),
+            FailureDomainName(daemon.failure_domain),
+            daemon.address,
+            port,
+            daemon.peer_port,
+            self.boot_id,
+            incarnation,
+        )
+
+    async def async_setup_parts(self) -> None:
+        """Create the parts, then start them."""
+        table = self._adapter.make_table(self.session, self.settings.platform)
+        self._upstream = Upstream()
+        self.mesh = Mesh(self, self.settings.peers, self.members)
+        self.mesh.on_broadcast = self._take_broadcast
+        self.mesh.on_members_changed = self._take_members
+        names = (TABLE_CONFIG, TABLE_ENDPOINTS)
+        self.watch = StoreWatch(self, table, names, self.rank, self._send)
+        self.watch.on_row = self.known.take_row
+        gap_s = self.settings.entry.holder_gap_ms / 1000
+        self.lease = PlacerLease(self, table, self.rank, gap_s)
+        self._setup_placer()
+        self._setup_callers()
+        self.known.on_config = self._take_config
+        self.known.on_endpoints = self._take_endpoints
+        for part in (self.mesh, self.watch, self.lease, self.placer):
+            await self.add_runtime_dependency(part)
+        peer_address = self.members.own.peer_address
+        registration = Registration(self, table, self.mesh, peer_address)
+        self.add_future(registration.async_run())
+
+    def _setup_placer(self) -> None:
+        self.placer = Placer(
+            self,
+            self.lease,
+            self._adapter.make_engine_client(self.session),
+            self.known.endpoints,
+            self.demand,
+            DemandPlacement(),
+            self._send,
+        )
+        self.placer.cold_load_window_s = self.settings.entry.cold_load_window_s
+        self.placer.cold_load_excess = self.settings.entry.cold_load_excess
+
+    def _setup_callers(self) -> None:
+        known = self.known
+        exchanges = Exchanges(
+            self,
+            self._adapter.make_dialect(),
+            known.endpoints,
+            known.health,
+            known.prefixes,
+            self.pending,
+            self.loads,
+            self.retries,
+            ExpectedDelay(known.health, known.prefixes),
+        )
+        relay = Relay(exchanges, self._upstream)
+        streams = StreamRelay(self, exchanges, self._upstream, relay)
+        self.callers = CallerHttp(
+            self, exchanges, relay, streams, lambda: self.known.routes
+        )
+
+    async def _async_listen(self) -> None:
+        """Listen for operators, then for callers and their questions."""
+        await super()._async_listen()
+        entry = self.settings.entry
+        self._caller_server = web.Server(
+            self.callers.async_handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        await self._async_serve(entry.caller_listen, self._caller_server)
+        directory = self._adapter.make_directory_handler(self.directory)
+        await self._async_serve(entry.directory_listen, _make_server(directory))
+        ready = self._adapter.make_ready_handler(self.is_serving)
+        await self._async_serve(entry.ready_listen, _make_server(ready))
+
+    async def _async_serve(self, listen: str, server: web.Server) -> None:
+        host, _, port = listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listeners.append(
+            await loop.create_server(
+                server, host, int(port), backlog=512, reuse_address=True
+            )
+        )
+
+    def add_routes(self, app: web.Application) -> None:
+        """Nothing beside health, readiness and metrics."""
+
+    def is_ready(self) -> bool:
+        """Return whether routes and endpoints are known."""
+        return (
+            self.watch is not None
+            and self.watch.is_complete
+            and self.known.routes is not None
+        )
+
+    def is_serving(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.is_ready() and not self.is_draining
+
+    def rank(self) -> int:
+        """Return this daemon's place among the live ones, 0 for the first."""
+        own = self.members.own.id
+        return sum(
+            member.id < own
+            for member in self.members.rows.values()
+            if member.state is MemberState.ALIVE
+        )
+
+    def _send(self, news: News) -> None:
+        """Tell all other daemons; what this one needs too, it takes in itself."""
+        if isinstance(news, PlacementNews):
+            self._take_placement(news)
+        elif isinstance(news, LoadNews):
+            self.demand.take(news.daemon, news.uses, self.clock())
+        self.mesh.broadcast(encode_news(news))
+
+    def _take_broadcast(self, broadcast: Broadcast) -> None:
+        try:
+            news = decode_news(broadcast.body, broadcast.origin)
+        except PeerMessageInvalid as error:
+            self.events.warning("news_invalid", error=error)
+            return
+        if isinstance(news, StoreNews):
+            self.watch.take_news(news)
+        elif isinstance(news, SnapshotRequest):
+            self.watch.take_request(news)
+        elif isinstance(news, LoadNews):
+            self._take_load(news)
+        elif isinstance(news, PlacementNews):
+            self._take_placement(news)
+
+    def _take_load(self, news: LoadNews) -> None:
+        now_s = self.clock()
+        self.demand.take(news.daemon, news.uses, now_s)
+        self.known.endpoints.take_load(news.daemon, news.endpoints, now_s)
+        for endpoint, chain in news.prefixes:
+            self.known.prefixes.note(endpoint, chain, now_s)
+        if any(use.waiting for use in news.uses):
+            self.placer.wake()
+
+    def _take_placement(self, news: PlacementNews) -> None:
+        self.lease.note_holder(news.daemon, news.term)
+        if news.daemon != self.daemon_id:
+            for placement in news.endpoints:
+                row = self.known.endpoints.rows.get(placement.endpoint)
+                if row is not None:
+                    models = {
+                        model: frozenset(names)
+                        for model, names in placement.models.items()
+                    }
+                    row.take_models(placement.sequence, models)
+        self.pending.take(news.loads, self.clock())
+
+    def _take_members(self) -> None:
+        alive = sum(
+            member.state is MemberState.ALIVE for member in self.members.rows.values()
+        )
+        self.retries.daemons = max(1, alive)
+
+    def _take_config(self) -> None:
+        self.placer.config = self.known.routes.config
+
+    def _take_endpoints(self) -> None:
+        self.pending.signal()
+        self.placer.wake()
+
+    def take_settings(self, settings: EntrySettings) -> None:
+        """Take over what may change while running; addresses may not."""
+        self.settings = settings
+
+    @Service.task
+    async def _async_join(self) -> None:
+        """Let callers be sent here once this daemon can serve them."""
+        while not self.is_ready():
+            await self.sleep(JOIN_POLL_S)
+        if not self.is_draining:
+            self.mesh.announce_alive()
+            self.events.info("ready", version=self.known.routes.config.version)
+
+    @Service.task
+    async def _async_tell_load(self) -> None:
+        """Tell the others now and then, and at once when a request waits."""
+        while not self.should_stop:
+            try:
+                async with asyncio.timeout(LOAD_NEWS_PERIOD_S):
+                    await self.loads.urgent.wait()
+            except TimeoutError:
+                pass
+            self.loads.urgent.clear()
+            self.known.expire()
+            self.known.endpoints.forget_silent(self.clock())
+            news = self.loads.take(self.daemon_id, self.known.endpoints)
+            if news is not None:
+                self._send(news)
+                if any(use.waiting for use in news.uses):
+                    self.placer.wake()
+
+    async def async_drain(self) -> None:
+        """Leave: out of the answers first, then no new connections, then stop."""
+        grace_end_s = self.clock() + self.settings.entry.grace_s - STOP_MARGIN_S
+        self.mesh.announce_leaving()
+        await self.lease.async_release()
+        kept_s = KEPT_ANSWER_FACTOR * self.settings.entry.address_valid_s
+        kept_end_s = min(grace_end_s, self.clock() + kept_s * IDLE_MARGIN)
+        while self.clock() < kept_end_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        for listener in self._listeners:
+            listener.close()
+        self._caller_server.pre_shutdown()
+        while self.callers.in_flight and self.clock() < grace_end_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.events.info("drained", left=self.callers.in_flight)
+
+    async def on_shutdown(self) -> None:
+        """Close what was opened, after the parts have stopped."""
+        for listener in self._listeners:
+            listener.close()
+        if self._upstream is not None:
+            await self._upstream.async_close()
+        await super().on_shutdown()
+
+
+def _make_server(handler: Handler) -> web.Server:
+    return web.Server(handler, access_log=None)
--- /dev/null
+++ b/chutelink/entry/demand.py
@@ -0,0 +1,104 @@
+"""What is asked for, by model and adapter, over all daemons."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from ..ids import AdapterName, DaemonId, ModelName
+from .news import ModelUse
+
+AVERAGE_S = 3.0
+"""Time constant of averages; demand moves on within some 5 s."""
+WAITING_VALID_S = 1.5
+"""How long a daemon's word on waiting requests counts without a newer one."""
+
+
+class Use(msgspec.Struct):
+    """Use of one model or adapter.
+
+    ``work_per_s`` is seconds of an engine's time asked for a second.
+    """
+
+    work_per_s: float = 0.0
+    updated_s: float = 0.0
+    last_arrival_s: float = float("-inf")
+
+    def decay(self, now_s: float) -> None:
+        """Bring the average to now."""
+        elapsed_s = max(0.0, now_s - self.updated_s)
+        self.work_per_s *= math.exp(-elapsed_s / AVERAGE_S)
+        self.updated_s = now_s
+
+
+class _Waiting(msgspec.Struct, frozen=True):
+    """Requests that wait at one daemon, as it last said."""
+
+    requests: int
+    heard_s: float
+
+
+class DemandTable:
+    """Averages by model and adapter; the empty adapter stands for the model."""
+
+    def __init__(self) -> None:
+        self.uses: dict[tuple[ModelName, AdapterName], Use] = {}
+        self._waiting: dict[
+            tuple[ModelName, AdapterName], dict[DaemonId, _Waiting]
+        ] = {}
+
+    def take(self, daemon: DaemonId, uses: list[ModelUse], now_s: float) -> None:
+        """Take in what one daemon was asked for."""
+        for news in uses:
+            key = (news.model, news.adapter)
+            use = self.uses.setdefault(key, Use(updated_s=now_s))
+            use.decay(now_s)
+            use.work_per_s += news.work_s / AVERAGE_S
+            if news.arrivals:
+                use.last_arrival_s = now_s
+            waiting = self._waiting.setdefault(key, {})
+            waiting[daemon] = _Waiting(news.waiting, now_s)
+
+    def work_per_s(self, model: ModelName, now_s: float) -> float:
+        """Return the engine time that a model and its adapters are asked for."""
+        total = 0.0
+        for (name, _), use in self.uses.items():
+            if name == model:
+                use.decay(now_s)
+                total += use.work_per_s
+        return total
+
+    def last_arrival_s(self, model: ModelName) -> float:
+        """Return when a model or an adapter of it was last asked for."""
+        return max(
+            (u.last_arrival_s for (name, _), u in self.uses.items() if name == model),
+            default=float("-inf"),
+        )
+
+    def adapter_arrival_s(self, model: ModelName, adapter: AdapterName) -> float:
+        """Return when an adapter was last asked for."""
+        use = self.uses.get((model, adapter))
+        return float("-inf") if use is None else use.last_arrival_s
+
+    def waiting(self, now_s: float) -> dict[tuple[ModelName, AdapterName], int]:
+        """Return how many requests wait for each model and adapter."""
+        counts: dict[tuple[ModelName, AdapterName], int] = {}
+        for key, by_daemon in self._waiting.items():
+            count = sum(
+                waiting.requests
+                for waiting in by_daemon.values()
+                if now_s - waiting.heard_s < WAITING_VALID_S
+            )
+            if count:
+                counts[key] = count
+        return counts
+
+    def recent(self, now_s: float, window_s: float) -> list[ModelName]:
+        """Return the models that were asked for lately, busiest first."""
+        names = {
+            name
+            for (name, _), use in self.uses.items()
+            if now_s - use.last_arrival_s < window_s
+        }
+        return sorted(names, key=lambda name: (-self.work_per_s(name, now_s), name))
--- /dev/null
+++ b/chutelink/entry/endpoints.py
@@ -0,0 +1,176 @@
+"""The endpoints of all services, as this daemon knows them."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from ..ids import (
+    AdapterName,
+    DaemonId,
+    EndpointId,
+    FailureDomainName,
+    ModelName,
+    ServiceName,
+)
+from .news import EndpointLoad
+
+NO_ADAPTER = AdapterName("")
+LAPSE_GRACE_S = 1.8
+"""How long an endpoint is kept that vanished while the store was away.
+
+Live ones are back within 2 s of the store's return.
+"""
+SILENT_DAEMON_S = 2.0
+"""What a daemon said of its load counts for so long; it speaks every 0.2 s."""
+
+
+class EndpointState(Enum):
+    """Whether an endpoint takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class EndpointRecord(msgspec.Struct, frozen=True):
+    """What an endpoint registered of itself.
+
+    ``sequence`` counts the orders that it has accepted; ``models`` holds the
+    adapters of each resident model.
+    """
+
+    id: EndpointId
+    service: ServiceName
+    address: str
+    failure_domain: FailureDomainName
+    state: EndpointState
+    slots: int
+    sequence: int
+    models: dict[ModelName, frozenset[AdapterName]]
+    in_memory: frozenset[ModelName] = frozenset()
+    on_disk: frozenset[ModelName] = frozenset()
+
+
+class Endpoint:
+    """One endpoint: its record, and what this daemon has learned of it.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        As registered.
+    """
+
+    def __init__(self, record: EndpointRecord) -> None:
+        self.record = record
+        self.models = dict(record.models)
+        self.sequence = record.sequence
+        self.requests = 0
+        self.prefill_tokens = 0
+        self.other_requests = 0
+        self.other_prefill_tokens = 0
+        self.closing: frozenset[ModelName] = frozenset()
+        self.lapsed_until_s: float | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new work by its own account."""
+        return self.record.state is EndpointState.READY
+
+    @property
+    def total_requests(self) -> int:
+        """Requests under way from all daemons."""
+        return self.requests + self.other_requests
+
+    def holds(self, model: ModelName, adapter: AdapterName = NO_ADAPTER) -> bool:
+        """Return whether a model and adapter can be asked for here."""
+        adapters = self.models.get(model)
+        if adapters is None or model in self.closing:
+            return False
+        return not adapter or adapter in adapters
+
+    def take_models(
+        self, sequence: int, models: dict[ModelName, frozenset[AdapterName]]
+    ) -> None:
+        """Take in what it holds after a number of orders, unless it is older."""
+        if sequence >= self.sequence:
+            self.sequence = sequence
+            self.models = models
+
+
+class EndpointTable:
+    """Endpoints by id, and by the service that they belong to."""
+
+    def __init__(self) -> None:
+        self.rows: dict[EndpointId, Endpoint] = {}
+        self._shares: dict[DaemonId, list[EndpointLoad]] = {}
+        self._heard_s: dict[DaemonId, float] = {}
+
+    def of_service(self, service: ServiceName) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.record.service == service and row.is_ready
+        ]
+
+    def put(self, record: EndpointRecord) -> bool:
+        """Take in a registration; return whether it changes what may be sent."""
+        row = self.rows.get(record.id)
+        if row is None:
+            self.rows[record.id] = Endpoint(record)
+            return True
+        is_changed = row.record.state is not record.state
+        row.record = record
+        row.lapsed_until_s = None
+        row.take_models(record.sequence, dict(record.models))
+        return is_changed
+
+    def remove(self, endpoint: EndpointId) -> Endpoint | None:
+        """Drop an endpoint that is gone."""
+        return self.rows.pop(endpoint, None)
+
+    def lapse(self, endpoint: EndpointId, now_s: float) -> None:
+        """Keep an endpoint for a while that vanished while the store was away."""
+        row = self.rows.get(endpoint)
+        if row is not None and row.lapsed_until_s is None:
+            row.lapsed_until_s = now_s + LAPSE_GRACE_S
+
+    def expire(self, now_s: float) -> list[Endpoint]:
+        """Drop the endpoints that did not come back in time; return them."""
+        ended = [
+            row
+            for row in self.rows.values()
+            if row.lapsed_until_s is not None and now_s >= row.lapsed_until_s
+        ]
+        for row in ended:
+            self.remove(row.record.id)
+        return ended
+
+    def take_load(
+        self, daemon: DaemonId, loads: list[EndpointLoad], now_s: float
+    ) -> None:
+        """Replace what another daemon has under way."""
+        self._shares[daemon] = loads
+        self._heard_s[daemon] = now_s
+        self._sum_shares()
+
+    def forget_silent(self, now_s: float) -> None:
+        """Stop counting the load of daemons that have fallen silent."""
+        silent = [d for d, t in self._heard_s.items() if now_s - t > SILENT_DAEMON_S]
+        for daemon in silent:
+            del self._heard_s[daemon]
+            del self._shares[daemon]
+        if silent:
+            self._sum_shares()
+
+    def _sum_shares(self) -> None:
+        for row in self.rows.values():
+            row.other_requests = 0
+            row.other_prefill_tokens = 0
+        for shares in self._shares.values():
+            for share in shares:
+                row = self.rows.get(share.endpoint)
+                if row is not None:
+                    row.other_requests += share.requests
+                    row.other_prefill_tokens += share.prefill_tokens
--- /dev/null
+++ b/chutelink/entry/exchange.py
@@ -0,0 +1,259 @@
+"""A request on its way, and the choice of endpoints for it."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from multidict import CIMultiDict
+
+from ..core import Application
+from ..gateway.refusals import Refusal, unavailable
+from ..ids import EndpointId, FailureDomainName, ServiceName
+from .config import Route, ServiceSpec
+from .dialect import Dialect, Dispatch, RequestMeta
+from .endpoints import Endpoint, EndpointTable
+from .health import HealthTable
+from .loads import LoadBook
+from .pending import PendingTable
+from .prefixes import PrefixTable, hash_chain
+from .retries import RetryShare
+from .routing import PREFILL_TOKENS_PER_S, Candidate, RoutingPolicy
+from .upstream import EndpointCall
+
+ASK_SHARE = 0.25
+"""Share of the objective that a request waits for word of a load.
+
+A refusal within a quarter of the objective leaves the caller time to come back.
+"""
+RETRY_SHARE = 1 / 3
+"""Callers come back at the latest after a third of the time they have left."""
+LOAD_MARGIN_S = 0.1
+"""How much later than announced a load usually is there."""
+DEFAULT_RETRY_S = 0.5
+LAST_URGENCY = 9
+OBJECTIVES_PER_URGENCY_S = 1.5
+"""Requests whose objectives differ by this much differ by one step of urgency."""
+
+
+class Exchange(msgspec.Struct, eq=False):
+    """A request with its body, its route, and what became of it so far.
+
+    ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
+    route's. ``tried`` has the endpoints that it was sent to.
+    """
+
+    meta: RequestMeta
+    route: Route
+    service: ServiceSpec
+    method: str
+    target: str
+    host: str
+    headers: CIMultiDict[str]
+    body: bytes
+    started_s: float
+    deadline_s: float
+    candidate: Candidate
+    tried: list[EndpointId] = []
+    may_have_run: bool = False
+    resume_after: int | None = None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether running it twice does no harm."""
+        return self.route.is_repeatable
+
+    def left_s(self, now_s: float) -> float:
+        """Return how much time is left."""
+        return self.deadline_s - now_s
+
+
+class Exchanges:
+    """All that sending requests needs: tables, policies and the budget.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    dialect : Dialect
+        How headers are read and written.
+    table, health, prefixes, pending, loads, retries
+        What is known of endpoints, and what is told of them.
+    policy : RoutingPolicy
+        Chooses endpoints.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        dialect: Dialect,
+        table: EndpointTable,
+        health: HealthTable,
+        prefixes: PrefixTable,
+        pending: PendingTable,
+        loads: LoadBook,
+        retries: RetryShare,
+        policy: RoutingPolicy,
+    ) -> None:
+        self.core = core
+        self.dialect = dialect
+        self.table = table
+        self.health = health
+        self.prefixes = prefixes
+        self.pending = pending
+        self.loads = loads
+        self.retries = retries
+        self._policy = policy
+
+    def make_candidate(self, meta: RequestMeta) -> Candidate:
+        """Return what the choice of endpoints needs of a request."""
+        tokens = 0
+        totals = []
+        for part in meta.prompt:
+            tokens += part.tokens
+            totals.append(tokens)
+        return Candidate(
+            model=meta.model,
+            adapter=meta.adapter,
+            prompt_tokens=meta.prompt_tokens,
+            chain=hash_chain(meta.model, meta.adapter, meta.prompt),
+            chain_tokens=tuple(totals),
+            failure_domain=FailureDomainName(self.core.daemon.failure_domain),
+        )
+
+    def note_arrival(self, exchange: Exchange) -> None:
+        """Count a request for the budget of repeats and for placement."""
+        now_s = self.core.clock()
+        self.retries.note_request(exchange.service.name, now_s)
+        if exchange.service.engine is not None and exchange.meta.model:
+            work_s = exchange.meta.prompt_tokens / PREFILL_TOKENS_PER_S
+            self.loads.note_arrival(exchange.meta.model, exchange.meta.adapter, work_s)
+
+    async def async_acquire(self, exchange: Exchange) -> Endpoint:
+        """Return the endpoint to send to next, waiting for a load where it pays.
+
+        Raises
+        ------
+        Refusal
+            There is none in time.
+        """
+        row = self._choose(exchange)
+        if row is not None:
+            return row
+        if not self._may_be_loaded(exchange):
+            raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
+        meta = exchange.meta
+        self.loads.begin_wait(meta.model, meta.adapter)
+        try:
+            return await self._async_wait_for_model(exchange)
+        finally:
+            self.loads.end_wait(meta.model, meta.adapter)
+
+    async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
+        asked_s = self.core.clock()
+        ask_s = asked_s + ASK_SHARE * exchange.route.objective_s
+        while True:
+            now_s = self.core.clock()
+            until_s = self._wait_until_s(exchange, ask_s, now_s)
+            if until_s <= now_s:
+                raise self._too_late(exchange, now_s)
+            await self.pending.async_wait(until_s - now_s)
+            row = self._choose(exchange)
+            if row is not None:
+                self.core.events.info(
+                    "model_waited_for",
+                    request=exchange.meta.id,
+                    model=exchange.meta.model,
+                    adapter=exchange.meta.adapter,
+                    endpoint=row.record.id,
+                    waited_s=self.core.clock() - asked_s,
+                )
+                return row
+
+    def _wait_until_s(self, exchange: Exchange, ask_s: float, now_s: float) -> float:
+        """Return how long to wait on; the time itself for not any longer."""
+        meta = exchange.meta
+        ready_s = self.pending.ready_s(meta.model, meta.adapter)
+        if ready_s is None:
+            return ask_s
+        read_s = meta.prompt_tokens / PREFILL_TOKENS_PER_S
+        answer_s = ready_s + read_s
+        in_time_s = exchange.started_s + exchange.route.objective_s
+        if answer_s <= in_time_s:
+            return in_time_s
+        if self._can_come_back(exchange, ready_s, now_s):
+            return now_s
+        if answer_s + LOAD_MARGIN_S < exchange.deadline_s:
+            return exchange.deadline_s
+        return now_s
+
+    def _can_come_back(self, exchange: Exchange, ready_s: float, now_s: float) -> bool:
+        """Return whether the caller would be back soon after the load."""
+        is_early = now_s - exchange.started_s < ASK_SHARE * exchange.route.objective_s
+        back_s = ready_s + LOAD_MARGIN_S - now_s
+        return is_early and back_s < RETRY_SHARE * exchange.left_s(now_s)
+
+    def _too_late(self, exchange: Exchange, now_s: float) -> Refusal:
+        ready_s = self.pending.ready_s(exchange.meta.model, exchange.meta.adapter)
+        if ready_s is None:
+            return unavailable("the model is not loaded", DEFAULT_RETRY_S)
+        back_s = max(DEFAULT_RETRY_S, ready_s + LOAD_MARGIN_S - now_s)
+        return unavailable("the model is being loaded", back_s)
+
+    def _may_be_loaded(self, exchange: Exchange) -> bool:
+        engine = exchange.service.engine
+        return engine is not None and exchange.meta.model in engine.models
+
+    def _choose(self, exchange: Exchange) -> Endpoint | None:
+        rows = self.table.of_service(exchange.service.name)
+        meta = exchange.meta
+        if exchange.service.engine is not None and meta.model:
+            rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
+        rows = [row for row in rows if row.record.id not in exchange.tried]
+        return self._policy.choose(rows, exchange.candidate, self.core.clock())
+
+    def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
+        """Return the request as it goes to an endpoint now."""
+        headers = CIMultiDict(exchange.headers)
+        dispatch = Dispatch(
+            endpoint=row.record.id,
+            deadline_s=exchange.left_s(self.core.clock()),
+            urgency=_urgency(exchange),
+            resume_after=exchange.resume_after,
+        )
+        self.dialect.encode_dispatch(headers, dispatch)
+        return EndpointCall(
+            exchange.method,
+            exchange.target,
+            exchange.host,
+            headers,
+            exchange.body,
+            exchange.is_repeatable,
+        )
+
+    def may_repeat(self, exchange: Exchange) -> bool:
+        """Spend one repeat of the budget; return whether it may be sent again."""
+        if len(exchange.tried) >= exchange.route.max_endpoints:
+            return False
+        now_s = self.core.clock()
+        return self.retries.take(exchange.service.name, now_s)
+
+
+def pick_service(
+    route: Route, services: dict[ServiceName, ServiceSpec], rng: random.Random
+) -> ServiceSpec | None:
+    """Return one of a route's services, by weight."""
+    weights = [weighted.weight for weighted in route.services]
+    if not any(weights):
+        return None
+    chosen = rng.choices(route.services, weights)[0]
+    return services.get(chosen.service)
+
+
+def _urgency(exchange: Exchange) -> int | None:
+    """Order by the route's rank, then by how soon an answer is due."""
+    if exchange.service.engine is None:
+        return None
+    step = 2 * exchange.route.priority
+    step += int(exchange.route.objective_s / OBJECTIVES_PER_URGENCY_S)
+    return min(LAST_URGENCY, step)
--- /dev/null
+++ b/chutelink/entry/health.py
@@ -0,0 +1,88 @@
+"""How endpoints have answered lately; nothing is asked only to find that out."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from ..ids import EndpointId
+
+AVERAGE_S = 3.0
+"""Time constant of the share of failures."""
+FAILURES_TO_CLOSE = 3
+FIRST_PAUSE_S = 0.4
+MAX_PAUSE_S = 3.0
+TYPICAL_SMOOTHING = 0.1
+DEFAULT_TYPICAL_S = 0.05
+"""Before an endpoint has answered; the sheets name 15 to 45 ms."""
+
+
+class _Health(msgspec.Struct):
+    """One endpoint's recent answers, with weights that fade."""
+
+    good: float = 1.0
+    bad: float = 0.0
+    updated_s: float = 0.0
+    in_a_row: int = 0
+    closed_until_s: float = float("-inf")
+    typical_s: float = DEFAULT_TYPICAL_S
+
+    def decay(self, now_s: float) -> None:
+        """Fade what was seen earlier."""
+        factor = math.exp(-max(0.0, now_s - self.updated_s) / AVERAGE_S)
+        self.good = max(1.0, self.good * factor)
+        self.bad *= factor
+        self.updated_s = now_s
+
+
+class HealthTable:
+    """Shares of failures by endpoint; several in a row close one for a while."""
+
+    def __init__(self) -> None:
+        self._rows: dict[EndpointId, _Health] = {}
+
+    def note_success(self, endpoint: EndpointId, now_s: float, took_s: float) -> None:
+        """Count an answer that came whole; ``took_s`` from sending it."""
+        row = self._row(endpoint, now_s)
+        row.good += 1.0
+        row.in_a_row = 0
+        row.closed_until_s = float("-inf")
+        row.typical_s += TYPICAL_SMOOTHING * (took_s - row.typical_s)
+
+    def note_failure(self, endpoint: EndpointId, now_s: float) -> None:
+        """Count a failure; after a pause one request at a time tries again."""
+        row = self._row(endpoint, now_s)
+        row.bad += 1.0
+        row.in_a_row += 1
+        if row.in_a_row >= FAILURES_TO_CLOSE:
+            doublings = min(row.in_a_row - FAILURES_TO_CLOSE, 4)
+            pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
+            row.closed_until_s = now_s + pause_s
+
+    def is_open(self, endpoint: EndpointId, now_s: float) -> bool:
+        """Return whether requests may be sent."""
+        row = self._rows.get(endpoint)
+        return row is None or now_s >= row.closed_until_s
+
+    def failure_share(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the share of recent requests that failed."""
+        row = self._rows.get(endpoint)
+        if row is None:
+            return 0.0
+        row.decay(now_s)
+        return row.bad / (row.good + row.bad)
+
+    def typical_s(self, endpoint: EndpointId) -> float:
+        """Return how long answers take."""
+        row = self._rows.get(endpoint)
+        return DEFAULT_TYPICAL_S if row is None else row.typical_s
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop an endpoint that is gone."""
+        self._rows.pop(endpoint, None)
+
+    def _row(self, endpoint: EndpointId, now_s: float) -> _Health:
+        row = self._rows.setdefault(endpoint, _Health(updated_s=now_s))
+        row.decay(now_s)
+        return row
--- /dev/null
+++ b/chutelink/entry/http.py
@@ -0,0 +1,190 @@
+"""The HTTP servers of an entry daemon: callers, addresses and readiness."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from ..core import Application
+from ..gateway.refusals import Refusal, unavailable
+from .config import CallerLimits, Route, RouteTable
+from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges, pick_service
+from .relay import Relay
+from .requestlog import RequestLog
+from .stream import CallerStream, StreamRelay
+from .upstream import WholeResponse, forwarded_headers
+
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_TIMEOUT = 408
+HTTP_TOO_LARGE = 413
+HTTP_HEADERS_TOO_LARGE = 431
+NO_CONFIG_RETRY_S = 0.5
+DEFAULT_DEADLINE_S = 60.0
+"""For requests that name none, on routes that allow as much."""
+
+
+class CallerHttp:
+    """Answers callers.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    exchanges : Exchanges
+        Tables and policies.
+    relay, streams
+        Relays for whole answers and for streams.
+    routes : callable
+        Returns the routes in force, or None.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        exchanges: Exchanges,
+        relay: Relay,
+        streams: StreamRelay,
+        routes: Callable[[], RouteTable | None],
+    ) -> None:
+        self._core = core
+        self._exchanges = exchanges
+        self._relay = relay
+        self._streams = streams
+        self._routes = routes
+        self._log = RequestLog(core)
+        self.in_flight = 0
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request, whatever it is."""
+        self.in_flight += 1
+        started_s = self._core.clock()
+        exchange: Exchange | None = None
+        status = 0
+        outcome = "cancelled"
+        try:
+            exchange = await self._async_accept(request, started_s)
+            response = await self._async_relay(request, exchange)
+            status, outcome = response.status, "answered"
+        except Refusal as refusal:
+            status, outcome = refusal.status, refusal.outcome.value
+            response = self._refuse(refusal)
+        except (ConnectionError, asyncio.CancelledError):
+            # The caller has left; nothing can be told any more.
+            outcome = "caller_gone"
+            raise
+        finally:
+            self.in_flight -= 1
+            self._log.note(request, exchange, status, outcome, started_s)
+        return response
+
+    async def _async_accept(
+        self, request: web.BaseRequest, started_s: float
+    ) -> Exchange:
+        """Check a request and read its body.
+
+        Raises
+        ------
+        Refusal
+            It can't be served; nothing was run.
+        """
+        table = self._routes()
+        if table is None:
+            raise unavailable("no configuration yet", NO_CONFIG_RETRY_S)
+        limits = table.config.limits
+        self._check_size(request, limits)
+        meta = self._exchanges.dialect.decode_request(request.headers)
+        if meta is None:
+            raise Refusal(HTTP_BAD_REQUEST, "request id missing")
+        target = request.raw_path
+        if not target.startswith("/"):
+            target = request.rel_url.raw_path_qs
+        route = table.find(request.host, target.partition("?")[0])
+        if route is None:
+            raise Refusal(HTTP_NOT_FOUND, "no route")
+        body = await self._async_body(request, limits)
+        service = pick_service(route, table.config.services, self._core.rng)
+        if service is None:
+            raise unavailable("no service for the route", DEFAULT_RETRY_S)
+        exchange = Exchange(
+            meta=meta,
+            route=route,
+            service=service,
+            method=request.method,
+            target=target,
+            host=request.headers.get("Host", ""),
+            headers=forwarded_headers(request.headers),
+            body=body,
+            started_s=started_s,
+            deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
+            candidate=self._exchanges.make_candidate(meta),
+        )
+        self._exchanges.note_arrival(exchange)
+        return exchange
+
+    def _check_size(self, request: web.BaseRequest, limits: CallerLimits) -> None:
+        header_bytes = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
+        if header_bytes > limits.max_header_bytes:
+            raise Refusal(HTTP_HEADERS_TOO_LARGE, "headers too large")
+        if (request.content_length or 0) > limits.max_body_bytes:
+            raise Refusal(HTTP_TOO_LARGE, "body too large")
+
+    async def _async_body(
+        self, request: web.BaseRequest, limits: CallerLimits
+    ) -> bytes:
+        """Return the whole body.
+
+        Each part must arrive within the idle time.
+        """
+        if not request.body_exists:
+            return b""
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            try:
+                async with asyncio.timeout(limits.idle_timeout_s):
+                    part = await request.content.readany()
+            except TimeoutError as error:
+                raise Refusal(HTTP_TIMEOUT, "body not sent in time") from error
+            if not part:
+                return b"".join(parts)
+            size += len(part)
+            if size > limits.max_body_bytes:
+                raise Refusal(HTTP_TOO_LARGE, "body too large")
+            parts.append(part)
+
+    async def _async_relay(
+        self, request: web.BaseRequest, exchange: Exchange
+    ) -> web.StreamResponse:
+        if not exchange.route.is_stream:
+            return self._respond(await self._relay.async_whole(exchange))
+        caller = CallerStream(request, self._core.is_draining)
+        result = await self._streams.async_relay(exchange, caller)
+        if isinstance(result, WholeResponse):
+            return self._respond(result)
+        return result
+
+    def _respond(self, answer: WholeResponse) -> web.Response:
+        response = web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers=forwarded_headers(answer.headers),
+        )
+        if self._core.is_draining:
+            response.force_close()
+        return response
+
+    def _refuse(self, refusal: Refusal) -> web.Response:
+        response = refusal.to_response(has_fractions=True)
+        if self._core.is_draining:
+            response.force_close()
+        return response
+
+
+def _time_limit_s(route: Route, deadline_s: float | None) -> float:
+    asked_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
+    return min(asked_s, route.timeout_s) if route.timeout_s else asked_s
--- /dev/null
+++ b/chutelink/entry/inventory.py
@@ -0,0 +1,154 @@
+"""What the placer knows that an engine endpoint holds, and orders to it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from enum import Enum
+
+import msgspec
+
+from ..ids import AdapterName, DaemonId, EndpointId, ModelName
+from .endpoints import NO_ADAPTER, Endpoint
+
+
+class OrderAction(Enum):
+    """What an order makes an engine do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """One order.
+
+    ``expected_sequence`` is how many orders the endpoint must have accepted when
+    this one takes effect, so that a late one fails by itself; ``fence`` is the
+    term of the placer's lease.
+    """
+
+    action: OrderAction
+    model: ModelName
+    adapter: AdapterName
+    expected_sequence: int
+    holder: DaemonId
+    fence: int
+
+
+class OrderAnswer(Enum):
+    """How an endpoint answered an order."""
+
+    ACCEPTED = "accepted"
+    ALREADY_HOLDS = "already_holds"
+    CONFLICT = "conflict"
+    FENCED_OFF = "fenced_off"
+    OTHER_INSTANCE = "other_instance"
+    REFUSED = "refused"
+
+
+class EndpointReport(msgspec.Struct, frozen=True):
+    """What an endpoint said of itself, some 100 ms ago.
+
+    ``coming`` are adapters on their way; they take places already.
+    """
+
+    sequence: int
+    is_busy: bool
+    models: dict[ModelName, frozenset[AdapterName]]
+    coming: tuple[tuple[ModelName, AdapterName], ...] = ()
+    in_memory: frozenset[ModelName] = frozenset()
+    on_disk: frozenset[ModelName] = frozenset()
+    queued: int = 0
+    active: int = 0
+    kv_used_tokens: int = 0
+    kv_total_tokens: int = 0
+
+
+class EngineClient(ABC):
+    """Speaks to engine endpoints about what they hold."""
+
+    @abstractmethod
+    async def async_report(self, endpoint: Endpoint) -> EndpointReport:
+        """Return the report of an endpoint.
+
+        Raises
+        ------
+        EndpointFailed
+            There was no answer in time, or it is not a report.
+        """
+
+    @abstractmethod
+    async def async_order(self, endpoint: Endpoint, order: Order) -> OrderAnswer:
+        """Send an order.
+
+        Raises
+        ------
+        EndpointUnreachable
+            Nothing was sent.
+        EndpointFailed
+            It may have been accepted, or may be later.
+        """
+
+
+class Inventory:
+    """What one endpoint holds after the orders that it is known to have accepted.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        Which one.
+    """
+
+    def __init__(self, endpoint: EndpointId) -> None:
+        self.endpoint = endpoint
+        self.sequence = -1
+        self.models: dict[ModelName, frozenset[AdapterName]] = {}
+        self.in_memory: frozenset[ModelName] = frozenset()
+        self.on_disk: frozenset[ModelName] = frozenset()
+        self.read_s = float("-inf")
+        self.is_busy = False
+        self.is_changing = False
+        self.avoid_until_s = float("-inf")
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a report was read."""
+        return self.sequence >= 0
+
+    @property
+    def adapters(self) -> int:
+        """How many adapter places are taken."""
+        return sum(len(adapters) for adapters in self.models.values())
+
+    def take_report(self, report: EndpointReport, now_s: float) -> None:
+        """Take in a report; one from before the latest known order is ignored."""
+        if report.sequence < self.sequence:
+            return
+        models = dict(report.models)
+        for model, adapter in report.coming:
+            models[model] = models.get(model, frozenset()) | {adapter}
+        self.sequence = report.sequence
+        self.models = models
+        self.in_memory = report.in_memory
+        self.on_disk = report.on_disk
+        self.is_busy = report.is_busy
+        self.read_s = now_s
+
+    def note_accepted(self, order: Order) -> None:
+        """Take in that an order was accepted."""
+        self.sequence = order.expected_sequence + 1
+        if order.adapter:
+            held = self.models.get(order.model, frozenset())
+            is_load = order.action is OrderAction.LOAD
+            change = {order.adapter}
+            self.models[order.model] = held | change if is_load else held - change
+        elif order.action is OrderAction.UNLOAD:
+            self.models.pop(order.model, None)
+            self.is_busy = True
+        else:
+            self.models.setdefault(order.model, frozenset())
+            self.is_busy = True
+
+    def has(self, model: ModelName, adapter: AdapterName = NO_ADAPTER) -> bool:
+        """Return whether it holds a model and adapter."""
+        held = self.models.get(model)
+        return held is not None and (not adapter or adapter in held)
--- /dev/null
+++ b/chutelink/entry/lease.py
@@ -0,0 +1,252 @@
+"""The placer's lease: one daemon at a time sends orders.
+
+No clocks are compared: a contender measures on its own clock how long the row
+was unchanged, the holder how long ago it sent the renewal that was accepted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+from mode import Service
+
+from ..const import TABLE_LEASES
+from ..core import Application
+from ..exceptions import (
+    LeaseNotHeld,
+    PlatformUnavailable,
+    TransactionConflict,
+    WriteOutcomeUnknown,
+)
+from ..ids import BootId, DaemonId
+from ..store import Check, WatchedTable, Write, async_commit, decode_value
+
+KEY_LEASE = f"{TABLE_LEASES}/placer"
+HOLD_S = 2.2
+"""How long after sending a renewal the holder acts: two renewals may fail."""
+EXPIRY_S = 2.5
+"""How long a contender must see no renewal: ``HOLD_S`` and a margin for clocks."""
+RENEW_S = 1.0
+TICK_S = 0.1
+SILENCE_S = 1.3
+"""Without word from the holder for so long, others look at the row.
+
+The holder speaks every 0.4 s.
+"""
+RANK_STEP_S = 0.3
+"""How much later each further daemon in rank looks: few contend at once."""
+CONTEND_READ_S = 0.6
+
+
+class PlacerRow(msgspec.Struct, frozen=True):
+    """The lease's row.
+
+    ``term`` rises with each holder and is the fence of its orders; ``counter``
+    rises with each renewal; ``idle_s`` is how long before its release the holder
+    had sent its last order.
+    """
+
+    holder: DaemonId
+    boot_id: BootId
+    term: int
+    counter: int
+    is_released: bool = False
+    idle_s: float = 0.0
+
+
+class LeasePhase(Enum):
+    """What a daemon may do."""
+
+    FOLLOWING = "following"
+    HELD = "held"
+
+
+class PlacerLease(Service):
+    """Contends for the lease when its holder is silent, and renews it.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : WatchedTable
+        Where the row is.
+    rank : callable
+        This daemon's place among the live ones.
+    holder_gap_s : float
+        The shortest time between orders of two holders.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: WatchedTable,
+        rank: Callable[[], int],
+        holder_gap_s: float,
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._table = table
+        self._rank = rank
+        self._holder_gap_s = holder_gap_s
+        self.phase = LeasePhase.FOLLOWING
+        self.term = 0
+        self.is_leaving = False
+        self._row: PlacerRow | None = None
+        self._version = 0
+        self._seen_s: float | None = None
+        self._read_s = float("-inf")
+        self._held_until_s = float("-inf")
+        self._renewed_s = float("-inf")
+        self._orders_from_s = float("inf")
+        self._last_order_s = float("-inf")
+        self._heard_s = core.clock()
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this daemon is the placer now."""
+        return self.phase is LeasePhase.HELD and self._core.clock() < self._held_until_s
+
+    @property
+    def may_order(self) -> bool:
+        """Whether orders may be sent now: the last holder's are long past."""
+        return self.is_held and self._core.clock() >= self._orders_from_s
+
+    def begin_order(self) -> int:
+        """Return the fence for an order that is sent at once.
+
+        Raises
+        ------
+        LeaseNotHeld
+            Another daemon may be the placer.
+        """
+        if not self.may_order:
+            raise LeaseNotHeld("lease not held", step="order.begin", peer=KEY_LEASE)
+        self._last_order_s = self._core.clock()
+        return self.term
+
+    def note_holder(self, daemon: DaemonId, term: int) -> None:
+        """Take in that the holder has spoken."""
+        if term >= self.term:
+            self._heard_s = self._core.clock()
+            if daemon != self._core.daemon_id and term > self.term:
+                self._lose("another_holder", term)
+
+    @Service.task
+    async def _async_loop(self) -> None:
+        while not self.should_stop:
+            await self._async_tick()
+            await self.sleep(TICK_S)
+
+    async def _async_tick(self) -> None:
+        try:
+            if self.phase is LeasePhase.HELD:
+                await self._async_keep()
+            elif not self.is_leaving and self._is_due():
+                await self._async_contend()
+        except TransactionConflict:
+            self._seen_s = None
+            self._lose("conflict", self.term)
+        except (PlatformUnavailable, WriteOutcomeUnknown) as error:
+            self._core.events.warning("lease_call_failed", error=error)
+
+    def _is_due(self) -> bool:
+        now_s = self._core.clock()
+        patience_s = SILENCE_S if self._row or self.term else 0.0
+        patience_s += RANK_STEP_S * self._rank()
+        is_silent = now_s - self._heard_s > patience_s
+        return is_silent and now_s - self._read_s > CONTEND_READ_S
+
+    async def _async_keep(self) -> None:
+        now_s = self._core.clock()
+        if now_s >= self._held_until_s:
+            self._lose("expired", self.term)
+        elif now_s - self._renewed_s >= RENEW_S:
+            self._renewed_s = now_s
+            row = msgspec.structs.replace(self._row, counter=self._row.counter + 1)
+            await self._async_write(row)
+
+    async def _async_contend(self) -> None:
+        """Look at the row, and take it when it is free or has expired."""
+        self._read_s = self._core.clock()
+        page = await self._table.async_read(KEY_LEASE)
+        found = page.get(KEY_LEASE)
+        version = found.version if found is not None else 0
+        if version != self._version or self._seen_s is None:
+            self._seen_s = self._core.clock()
+        self._version = version
+        self._row = decode_value(found, PlacerRow)
+        wait_s = self._wait_s()
+        if wait_s is not None:
+            await self._async_take(wait_s)
+
+    def _wait_s(self) -> float | None:
+        """Return how long to hold orders back after taking, or None to wait.
+
+        A daemon's own former process has ended, so that nothing of it follows.
+        """
+        row = self._row
+        if row is None or row.holder == self._core.daemon_id:
+            return 0.0
+        if row.is_released:
+            return max(0.0, self._holder_gap_s - row.idle_s)
+        unchanged_s = self._core.clock() - self._seen_s
+        if unchanged_s < EXPIRY_S:
+            return None
+        return max(0.0, HOLD_S + self._holder_gap_s - unchanged_s)
+
+    async def _async_take(self, wait_s: float) -> None:
+        term = (self._row.term if self._row is not None else 0) + 1
+        row = PlacerRow(self._core.daemon_id, self._core.boot_id, term, 1)
+        before = self._row
+        self._renewed_s = self._core.clock()
+        await self._async_write(row)
+        self.phase = LeasePhase.HELD
+        self.term = term
+        self._orders_from_s = self._core.clock() + wait_s
+        self._core.metrics.lease_held.set({}, 1)
+        self._core.events.info(
+            "lease_taken",
+            term=term,
+            before=before.holder if before is not None else "",
+            orders_in_s=wait_s,
+        )
+
+    async def _async_write(self, row: PlacerRow) -> None:
+        """Write the row; the lease counts from before the call."""
+        started_s = self._core.clock()
+        value = msgspec.to_builtins(row)
+        self._version = await async_commit(
+            self._table, [Check(KEY_LEASE, self._version)], [Write(KEY_LEASE, value)]
+        )
+        self._row = row
+        self._seen_s = self._core.clock()
+        self._held_until_s = started_s + HOLD_S
+
+    def _lose(self, reason: str, term: int) -> None:
+        if self.phase is LeasePhase.HELD:
+            self._core.events.warning("lease_lost", reason=reason, term=term)
+            self._core.metrics.lease_held.set({}, 0)
+        self.phase = LeasePhase.FOLLOWING
+        self._held_until_s = float("-inf")
+        self._orders_from_s = float("inf")
+
+    async def async_release(self) -> None:
+        """Stop ordering at once and let another daemon take over."""
+        self.is_leaving = True
+        if self.phase is not LeasePhase.HELD:
+            return
+        self._orders_from_s = float("inf")
+        idle_s = min(3600.0, self._core.clock() - self._last_order_s)
+        row = msgspec.structs.replace(
+            self._row,
+            counter=self._row.counter + 1,
+            is_released=True,
+            idle_s=idle_s,
+        )
+        try:
+            await self._async_write(row)
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
+            self._core.events.warning("lease_release_failed", error=error)
+        self._lose("released", self.term)
--- /dev/null
+++ b/chutelink/entry/loads.py
@@ -0,0 +1,81 @@
+"""What this daemon has under way and was asked for, to tell the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+
+from ..ids import AdapterName, DaemonId, EndpointId, ModelName
+from .endpoints import EndpointTable
+from .news import EndpointLoad, LoadNews, ModelUse
+
+MAX_PREFIXES = 64
+"""Most prompts told of in one message."""
+
+
+class LoadBook:
+    """Collects arrivals, waits and dispatched prompts between two messages."""
+
+    def __init__(self) -> None:
+        self._arrivals: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
+        self._work_s: dict[tuple[ModelName, AdapterName], float] = defaultdict(float)
+        self.waiting: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
+        self._prefixes: list[tuple[EndpointId, list[int]]] = []
+        self._told: list[EndpointLoad] = []
+        self.urgent = asyncio.Event()
+
+    def note_arrival(
+        self, model: ModelName, adapter: AdapterName, work_s: float
+    ) -> None:
+        """Count a request for a model."""
+        self._arrivals[model, adapter] += 1
+        self._work_s[model, adapter] += work_s
+
+    def begin_wait(self, model: ModelName, adapter: AdapterName) -> None:
+        """Count a request that waits for its model or adapter, and say so soon."""
+        self.waiting[model, adapter] += 1
+        self.urgent.set()
+
+    def end_wait(self, model: ModelName, adapter: AdapterName) -> None:
+        """Count a request that waits no longer."""
+        self.waiting[model, adapter] -= 1
+
+    def note_prompt(self, endpoint: EndpointId, chain: tuple[int, ...]) -> None:
+        """Keep which endpoint reads a prompt."""
+        if len(self._prefixes) < MAX_PREFIXES:
+            self._prefixes.append((endpoint, list(chain)))
+
+    def take(self, daemon: DaemonId, table: EndpointTable) -> LoadNews | None:
+        """Return the next message, or None when there is nothing new."""
+        loads = [
+            EndpointLoad(row.record.id, row.requests, row.prefill_tokens)
+            for row in table.rows.values()
+            if row.requests
+        ]
+        keys = self._arrivals.keys() | {k for k, n in self.waiting.items() if n}
+        uses = [
+            ModelUse(
+                model,
+                adapter,
+                self._arrivals.get((model, adapter), 0),
+                self._work_s.get((model, adapter), 0.0),
+                self.waiting.get((model, adapter), 0),
+            )
+            for model, adapter in sorted(keys)
+        ]
+        ended = [
+            ModelUse(model, adapter, 0, 0.0, 0)
+            for (model, adapter), count in self.waiting.items()
+            if not count and (model, adapter) not in keys
+        ]
+        is_new = uses or self._prefixes or ended or loads or self._told
+        if not is_new:
+            return None
+        news = LoadNews(daemon, loads, uses + ended, self._prefixes)
+        self._told = loads
+        self._prefixes = []
+        self._arrivals.clear()
+        self._work_s.clear()
+        for key in [key for key, count in self.waiting.items() if not count]:
+            del self.waiting[key]
+        return news
--- /dev/null
+++ b/chutelink/entry/membership.py
@@ -0,0 +1,84 @@
+"""Find the other daemons through a table of the store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..const import TABLE_MEMBERS
+from ..core import Application
+from ..exceptions import PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown
+from ..ids import WriteId, make_id
+from ..peers.mesh import Mesh
+from ..store import Transaction, WatchedTable, Write, decode_value
+
+RETRY_S = 0.5
+LONELY_S = 2.0
+"""A daemon without links looks again so often; links settle within a second."""
+
+
+class MemberRow(msgspec.Struct, frozen=True):
+    """Where a daemon's peers reach it."""
+
+    peer_address: str
+
+
+class Registration:
+    """Writes this daemon's row and reads those of the others.
+
+    The own row is written first: of two daemons that start together, the one
+    that writes last finds the other.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : WatchedTable
+        Where the rows are.
+    mesh : Mesh
+        Takes the addresses.
+    peer_address : str
+        This daemon's own address for peers.
+    """
+
+    def __init__(
+        self, core: Application, table: WatchedTable, mesh: Mesh, peer_address: str
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._mesh = mesh
+        self._peer_address = peer_address
+        self._is_written = False
+
+    async def async_run(self) -> None:
+        """Register, find the others, and look again while alone."""
+        while not self._core.should_stop:
+            try:
+                await self._async_register()
+                await self._async_find()
+                await self._core.sleep(LONELY_S)
+            except (
+                PlatformUnavailable,
+                WriteOutcomeUnknown,
+                TransactionConflict,
+            ) as error:
+                self._core.events.warning("registration_failed", error=error)
+                await self._core.sleep(RETRY_S * self._core.rng.uniform(1.0, 2.0))
+
+    async def _async_register(self) -> None:
+        """Write the own row; writing it twice changes nothing."""
+        if self._is_written:
+            return
+        key = f"{TABLE_MEMBERS}/{self._core.daemon_id}"
+        value = msgspec.to_builtins(MemberRow(self._peer_address))
+        transaction = Transaction(WriteId(make_id()), (), (Write(key, value),))
+        await self._table.async_transact(transaction)
+        self._is_written = True
+
+    async def _async_find(self) -> None:
+        if self._mesh.linked_members():
+            return
+        page = await self._table.async_read(f"{TABLE_MEMBERS}/")
+        rows = [decode_value(row, MemberRow) for row in page.rows]
+        found = {row.peer_address for row in rows if row is not None}
+        self._mesh.set_seeds(found - {self._peer_address})
+        self._core.events.info("peers_found", peers=len(found))
--- /dev/null
+++ b/chutelink/entry/news.py
@@ -0,0 +1,115 @@
+"""What entry daemons tell each other over the mesh, as typed messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+from ..exceptions import PeerMessageInvalid
+from ..ids import AdapterName, DaemonId, EndpointId, ModelName
+
+
+class StoredRow(msgspec.Struct, frozen=True, array_like=True):
+    """A row of the store as it was read; the value None marks a removal."""
+
+    key: str
+    version: int
+    value: Any
+
+
+class StoreNews(msgspec.Struct, frozen=True, tag="store"):
+    """The changes of one table after a version, as the sender read them.
+
+    ``after`` is 0 for the whole table; ``age_s`` is how long ago the read began.
+    """
+
+    table: str
+    after: int
+    version: int
+    age_s: float
+    rows: list[StoredRow] = []
+    is_after_outage: bool = False
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, tag="snapshot_request"):
+    """Asks for a whole table; sent by a daemon that can't reach the store."""
+
+    table: str
+
+
+class ModelUse(msgspec.Struct, frozen=True, array_like=True):
+    """Requests for a model or adapter that arrived at one daemon."""
+
+    model: ModelName
+    adapter: AdapterName
+    arrivals: int
+    work_s: float
+    waiting: int
+
+
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What one daemon has under way at an endpoint."""
+
+    endpoint: EndpointId
+    requests: int
+    prefill_tokens: int
+
+
+class LoadNews(msgspec.Struct, frozen=True, tag="load"):
+    """What one daemon has under way and was asked for since its last message."""
+
+    daemon: DaemonId
+    endpoints: list[EndpointLoad]
+    uses: list[ModelUse]
+    prefixes: list[tuple[EndpointId, list[int]]] = []
+
+
+class EndpointPlacement(msgspec.Struct, frozen=True, array_like=True):
+    """What an endpoint holds after a number of orders."""
+
+    endpoint: EndpointId
+    sequence: int
+    models: dict[ModelName, list[AdapterName]]
+
+
+class PendingLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A load that was ordered or is decided, and when it should be done."""
+
+    endpoint: EndpointId
+    model: ModelName
+    adapter: AdapterName
+    ready_in_s: float
+
+
+class PlacementNews(msgspec.Struct, frozen=True, tag="placement"):
+    """What the placer knows of endpoints, and what it is changing."""
+
+    daemon: DaemonId
+    term: int
+    endpoints: list[EndpointPlacement]
+    loads: list[PendingLoad]
+
+
+News = StoreNews | SnapshotRequest | LoadNews | PlacementNews
+_DECODE_FAILURES = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
+
+
+def encode_news(news: News) -> bytes:
+    """Return a message as CBOR."""
+    return cbor2.dumps(msgspec.to_builtins(news))
+
+
+def decode_news(body: bytes, peer: str) -> News:
+    """Return the message.
+
+    Raises
+    ------
+    PeerMessageInvalid
+        The bytes are not a message that is known.
+    """
+    try:
+        return msgspec.convert(cbor2.loads(body), News)
+    except _DECODE_FAILURES as error:
+        raise PeerMessageInvalid(str(error), step="news.decode", peer=peer) from error
--- /dev/null
+++ b/chutelink/entry/pending.py
@@ -0,0 +1,54 @@
+"""Loads on their way, as the placer last announced them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..ids import AdapterName, ModelName
+from .endpoints import NO_ADAPTER
+from .news import PendingLoad
+
+ANNOUNCEMENT_VALID_S = 1.5
+"""Announcements come every 0.4 s; without them nothing is known of loads."""
+
+
+class PendingTable:
+    """When models and adapters should be there, and a signal of every change."""
+
+    def __init__(self) -> None:
+        self._ready_s: dict[tuple[ModelName, AdapterName], float] = {}
+        self._heard_s = float("-inf")
+        self._changed = asyncio.Event()
+
+    def take(self, loads: list[PendingLoad], now_s: float) -> None:
+        """Replace what is known."""
+        self._heard_s = now_s
+        self._ready_s = {}
+        for load in loads:
+            key = (load.model, load.adapter)
+            ready_s = now_s + load.ready_in_s
+            self._ready_s[key] = min(ready_s, self._ready_s.get(key, ready_s))
+        self.signal()
+
+    def signal(self) -> None:
+        """Let everything that waits look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def has_placer(self, now_s: float) -> bool:
+        """Return whether a placer has spoken lately."""
+        return now_s - self._heard_s < ANNOUNCEMENT_VALID_S
+
+    def ready_s(self, model: ModelName, adapter: AdapterName) -> float | None:
+        """Return when a model, or an adapter of it, should be there."""
+        own = self._ready_s.get((model, adapter))
+        return own if own is not None else self._ready_s.get((model, NO_ADAPTER))
+
+    async def async_wait(self, limit_s: float) -> None:
+        """Return at the next change, or when the time is over."""
+        event = self._changed
+        try:
+            async with asyncio.timeout(limit_s):
+                await event.wait()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/chutelink/entry/placement.py
@@ -0,0 +1,289 @@
+"""Decide which models and adapters endpoints should load and give up.
+
+Pure: works on tables, with the time passed in. A policy returns changes, each
+for an endpoint that carries out nothing else.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from ..ids import AdapterName, EndpointId, ModelName
+from .config import EngineSpec, ModelSpec
+from .demand import DemandTable
+from .endpoints import NO_ADAPTER, Endpoint
+from .inventory import Inventory
+
+RECENT_S = 4.0
+"""A model asked for within this time is in use; demand moves in about 5 s."""
+ADAPTER_IDLE_S = 0.6
+"""An adapter not asked for since can give way; requests take about 0.5 s."""
+REPLICA_WORK = 0.45
+"""Engine seconds a second above which another replica is wanted.
+
+Half of an endpoint's time: above it, waiting for the engine grows quickly.
+"""
+IDLE_WORK = 0.10
+"""Below this a replica beyond the first may give way."""
+BUSY_PENALTY_S = 0.3
+"""How much a load time may differ before the less busy endpoint is taken."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Load a model or adapter at an endpoint, after unloading what is named.
+
+    ``load_s`` is how long the load should take; ``is_cold`` says that it needs
+    the weight store.
+    """
+
+    endpoint: EndpointId
+    model: ModelName
+    adapter: AdapterName = NO_ADAPTER
+    unload_models: tuple[ModelName, ...] = ()
+    unload_adapters: tuple[tuple[ModelName, AdapterName], ...] = ()
+    load_s: float = 0.0
+    is_cold: bool = False
+
+
+class Site(msgspec.Struct, frozen=True):
+    """An endpoint that a policy may change."""
+
+    endpoint: Endpoint
+    inventory: Inventory
+
+
+class PlacementView(msgspec.Struct, frozen=True):
+    """All that a policy decides by.
+
+    ``cold_loads`` is how many loads from the weight store may begin now;
+    ``sites`` has every usable endpoint of the service, ``loading`` the models and
+    adapters on their way.
+    """
+
+    engine: EngineSpec
+    sites: list[Site]
+    loading: dict[tuple[ModelName, AdapterName], int]
+    demand: DemandTable
+    cold_loads: int
+    now_s: float
+
+
+class PlacementPolicy(ABC):
+    """Decides on changes."""
+
+    @abstractmethod
+    def plan(self, view: PlacementView) -> list[Change]:
+        """Return changes to begin now."""
+
+
+class StaticPlacement(PlacementPolicy):
+    """Baseline: leaves everything as it was found."""
+
+    def plan(self, view: PlacementView) -> list[Change]:
+        """Return nothing."""
+        return []
+
+
+class DemandPlacement(PlacementPolicy):
+    """Loads what is asked for and not held, and adds replicas of busy models."""
+
+    def plan(self, view: PlacementView) -> list[Change]:
+        """Return changes, the most urgent first; one for each endpoint."""
+        round_ = _Round(view)
+        waiting = view.demand.waiting(view.now_s)
+        for model, adapter in sorted(waiting, key=lambda key: -waiting[key]):
+            round_.make_resident(model)
+            if adapter:
+                round_.make_adapter_resident(model, adapter)
+        for model in view.demand.recent(view.now_s, RECENT_S):
+            round_.make_resident(model)
+            round_.add_replica(model)
+        return round_.changes
+
+
+class _Round:
+    """One pass of a policy; endpoints that got a change are left out."""
+
+    def __init__(self, view: PlacementView) -> None:
+        self._view = view
+        self._cold_loads = view.cold_loads
+        self._free = {
+            site.inventory.endpoint: site
+            for site in view.sites
+            if site.inventory.is_known
+            and not site.inventory.is_changing
+            and not site.inventory.is_busy
+            and view.now_s >= site.inventory.avoid_until_s
+        }
+        self._loading = dict(view.loading)
+        self.changes: list[Change] = []
+
+    def make_resident(self, model: ModelName) -> None:
+        """Load a model that no endpoint holds."""
+        if self._replicas(model) == 0:
+            self._load(model, is_replica=False)
+
+    def add_replica(self, model: ModelName) -> None:
+        """Load a busy model once more."""
+        replicas = self._replicas(model)
+        work = self._view.demand.work_per_s(model, self._view.now_s)
+        if replicas and work / replicas > REPLICA_WORK:
+            self._load(model, is_replica=True)
+
+    def make_adapter_resident(self, model: ModelName, adapter: AdapterName) -> None:
+        """Load an adapter where its model is, if none is there yet."""
+        key = (model, adapter)
+        if self._loading.get(key):
+            return
+        if any(site.inventory.has(model, adapter) for site in self._view.sites):
+            return
+        options = [
+            option
+            for site in self._free.values()
+            if model in site.inventory.models and model not in site.endpoint.closing
+            for option in [self._adapter_change(site, model, adapter)]
+            if option is not None
+        ]
+        if not options:
+            return
+        best = min(options, key=self._adapter_cost)
+        self._take(best)
+
+    def _replicas(self, model: ModelName) -> int:
+        held = sum(
+            model in site.inventory.models and model not in site.endpoint.closing
+            for site in self._view.sites
+        )
+        return held + self._loading.get((model, NO_ADAPTER), 0)
+
+    def _load(self, model: ModelName, *, is_replica: bool) -> None:
+        spec = self._view.engine.models.get(model)
+        if spec is None:
+            return
+        options = []
+        for site in self._free.values():
+            if model in site.inventory.models:
+                continue
+            change = self._model_change(site, spec, is_replica=is_replica)
+            if change is not None:
+                options.append(change)
+        if options:
+            self._take(min(options, key=self._model_cost))
+
+    def _model_change(
+        self, site: Site, spec: ModelSpec, *, is_replica: bool
+    ) -> Change | None:
+        inventory = site.inventory
+        load_s, is_cold = load_time(inventory, spec)
+        if is_cold and (self._cold_loads < 1 or is_replica and self._cold_loads < 2):
+            return None
+        free_mb = self._view.engine.weights_mb - used_mb(inventory, self._view.engine)
+        victims: list[ModelName] = []
+        for victim in self._victims(site, spec.name, is_replica=is_replica):
+            if free_mb >= spec.weights_mb:
+                break
+            victims.append(victim)
+            free_mb += model_mb(inventory, victim, self._view.engine)
+        if free_mb < spec.weights_mb:
+            return None
+        return Change(
+            inventory.endpoint,
+            spec.name,
+            unload_models=tuple(victims),
+            load_s=load_s,
+            is_cold=is_cold,
+        )
+
+    def _victims(
+        self, site: Site, wanted: ModelName, *, is_replica: bool
+    ) -> list[ModelName]:
+        """Return the models that may give way, those least in use first."""
+        demand, now_s = self._view.demand, self._view.now_s
+        waiting = {model for model, _ in demand.waiting(now_s)}
+        wanted_work = demand.work_per_s(wanted, now_s)
+        ranked: list[tuple[float, float, ModelName]] = []
+        for model in site.inventory.models:
+            if model in waiting or model == wanted:
+                continue
+            work = demand.work_per_s(model, now_s)
+            replicas = self._replicas(model)
+            is_idle = now_s - demand.last_arrival_s(model) > RECENT_S
+            spare = replicas > 1 and work / (replicas - 1) < REPLICA_WORK
+            outweighed = not is_replica and replicas > 1 and work < wanted_work
+            if is_idle or spare or outweighed:
+                last_s = demand.last_arrival_s(model)
+                ranked.append((work / max(1, replicas), last_s, model))
+        return [model for _, _, model in sorted(ranked)]
+
+    def _model_cost(self, change: Change) -> float:
+        """Return the time until the model can be used, in seconds."""
+        site = self._free[change.endpoint]
+        busy_s = BUSY_PENALTY_S * site.endpoint.total_requests
+        busy_s /= max(1, self._view.engine.batch_slots)
+        demand, now_s = self._view.demand, self._view.now_s
+        lost = sum(demand.work_per_s(m, now_s) for m in change.unload_models)
+        return change.load_s + busy_s + lost + 0.05 * len(change.unload_models)
+
+    def _adapter_change(
+        self, site: Site, model: ModelName, adapter: AdapterName
+    ) -> Change | None:
+        inventory = site.inventory
+        spec = self._view.engine.models.get(model)
+        if spec is None:
+            return None
+        unload: tuple[tuple[ModelName, AdapterName], ...] = ()
+        free_mb = self._view.engine.weights_mb - used_mb(inventory, self._view.engine)
+        has_place = inventory.adapters < self._view.engine.adapter_slots
+        if not has_place or free_mb < spec.adapter_mb:
+            idle = self._idle_adapters(site)
+            if not idle:
+                return None
+            unload = (idle[0],)
+        return Change(inventory.endpoint, model, adapter, unload_adapters=unload)
+
+    def _idle_adapters(self, site: Site) -> list[tuple[ModelName, AdapterName]]:
+        demand, now_s = self._view.demand, self._view.now_s
+        idle = [
+            (demand.adapter_arrival_s(model, adapter), model, adapter)
+            for model, adapters in site.inventory.models.items()
+            for adapter in adapters
+            if now_s - demand.adapter_arrival_s(model, adapter) > ADAPTER_IDLE_S
+        ]
+        return [(model, adapter) for _, model, adapter in sorted(idle)]
+
+    def _adapter_cost(self, change: Change) -> tuple[int, int]:
+        site = self._free[change.endpoint]
+        return len(change.unload_adapters), site.endpoint.total_requests
+
+    def _take(self, change: Change) -> None:
+        self._free.pop(change.endpoint)
+        key = (change.model, change.adapter)
+        self._loading[key] = self._loading.get(key, 0) + 1
+        self._cold_loads -= change.is_cold
+        self.changes.append(change)
+
+
+def load_time(inventory: Inventory, spec: ModelSpec) -> tuple[float, bool]:
+    """Return how long a load takes at an endpoint, and whether it is a cold one."""
+    if spec.name in inventory.in_memory:
+        return spec.memory_load_s, False
+    if spec.name in inventory.on_disk:
+        return spec.disk_load_s, False
+    return spec.cold_load_s, True
+
+
+def model_mb(inventory: Inventory, model: ModelName, engine: EngineSpec) -> float:
+    """Return the memory of a resident model and its adapters."""
+    spec = engine.models.get(model)
+    if spec is None:
+        # Of an older configuration: as large as the largest that is known.
+        return max((s.weights_mb for s in engine.models.values()), default=0.0)
+    adapters = len(inventory.models.get(model, ()))
+    return spec.weights_mb + adapters * spec.adapter_mb
+
+
+def used_mb(inventory: Inventory, engine: EngineSpec) -> float:
+    """Return the memory that an endpoint's models and adapters take."""
+    return sum(model_mb(inventory, model, engine) for model in inventory.models)
--- /dev/null
+++ b/chutelink/entry/placer.py
@@ -0,0 +1,387 @@
+"""Carry out placement: read reports, plan, send orders, tell the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from mode import Service
+
+from ..core import Application
+from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
+from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from .config import EngineSpec, RoutingConfig
+from .demand import DemandTable
+from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
+from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
+from .lease import PlacerLease
+from .news import EndpointPlacement, PendingLoad, PlacementNews
+from .pace import ColdLoadPace
+from .placement import Change, PlacementPolicy, PlacementView, Site
+
+TICK_S = 0.05
+REPORT_PERIOD_S = 1.0
+"""Reports are charged for; between them orders keep the inventory up to date."""
+ANNOUNCE_PERIOD_S = 0.4
+"""The holder's sign of life; three are missed before others look at the lease."""
+CLOSE_LEAD_S = 0.03
+"""Time for the others to hear of a model that closes before it is unloaded."""
+CHECK_PERIOD_S = 0.05
+"""Pause between reports while waiting for an order's end; reports lag 0.1 s."""
+UNLOAD_LIMIT_S = 3.0
+LOAD_LIMIT_FACTOR = 4.0
+"""Loads take longer while many run."""
+FAILED_PAUSE_S = 0.3
+"""Pause before anything else is ordered where an order failed."""
+
+
+class Placer(Service):
+    """Acts while this daemon holds the lease.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    lease : PlacerLease
+        Says whether orders may be sent.
+    client : EngineClient
+        Speaks to endpoints.
+    table : EndpointTable
+        The endpoints.
+    demand : DemandTable
+        What is asked for.
+    policy : PlacementPolicy
+        Decides.
+    send : callable
+        Tells all daemons, this one included.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        lease: PlacerLease,
+        client: EngineClient,
+        table: EndpointTable,
+        demand: DemandTable,
+        policy: PlacementPolicy,
+        send: Callable[[PlacementNews], None],
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._lease = lease
+        self._client = client
+        self._table = table
+        self._demand = demand
+        self._policy = policy
+        self._send = send
+        self._inventories: dict[EndpointId, Inventory] = {}
+        self._pending: dict[EndpointId, tuple[Change, float]] = {}
+        self._paces: dict[ServiceName, ColdLoadPace] = {}
+        self._announced_s = float("-inf")
+        self._wake = asyncio.Event()
+        self._term = 0
+        self.config: RoutingConfig | None = None
+        self.cold_load_window_s = 5.0
+        self.cold_load_excess = 1.0
+
+    def wake(self) -> None:
+        """Plan at once."""
+        self._wake.set()
+
+    @Service.task
+    async def _async_loop(self) -> None:
+        while not self.should_stop:
+            if self._lease.is_held and self.config is not None:
+                await self._async_tick()
+            await self._async_wait()
+
+    async def _async_wait(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    async def _async_tick(self) -> None:
+        if self._lease.term != self._term:
+            self._start_term()
+        self._sync_inventories()
+        self._read_reports()
+        if self._lease.may_order:
+            for service, engine in self._engines():
+                self._plan(service, engine)
+        if self._core.clock() - self._announced_s >= ANNOUNCE_PERIOD_S:
+            self.announce()
+
+    def _start_term(self) -> None:
+        """Forget what an earlier term knew: others may have sent orders since."""
+        self._term = self._lease.term
+        self._inventories.clear()
+        self._pending.clear()
+        self._paces.clear()
+
+    def _engines(self) -> list[tuple[ServiceName, EngineSpec]]:
+        return [
+            (name, service.engine)
+            for name, service in self.config.services.items()
+            if service.engine is not None
+        ]
+
+    def _sync_inventories(self) -> None:
+        engines = {name for name, _ in self._engines()}
+        wanted = {
+            row.record.id
+            for row in self._table.rows.values()
+            if row.record.service in engines and row.is_ready
+        }
+        for endpoint in self._inventories.keys() - wanted:
+            del self._inventories[endpoint]
+        for endpoint in wanted - self._inventories.keys():
+            self._inventories[endpoint] = Inventory(endpoint)
+
+    def _read_reports(self) -> None:
+        """Ask the endpoints whose last report is old; each in a task of its own."""
+        now_s = self._core.clock()
+        for inventory in self._inventories.values():
+            if inventory.is_changing or now_s - inventory.read_s < REPORT_PERIOD_S:
+                continue
+            if now_s < inventory.avoid_until_s:
+                continue
+            inventory.is_changing = True
+            self.add_future(self._async_refresh(inventory))
+
+    async def _async_refresh(self, inventory: Inventory) -> None:
+        try:
+            await self._async_report(inventory)
+        except EndpointFailed as error:
+            inventory.avoid_until_s = self._core.clock() + REPORT_PERIOD_S
+            self._core.events.warning("report_failed", error=error)
+        finally:
+            inventory.is_changing = False
+        self.wake()
+
+    async def _async_report(self, inventory: Inventory) -> None:
+        row = self._table.rows.get(inventory.endpoint)
+        if row is None:
+            raise EndpointFailed("gone", step="report", peer=inventory.endpoint)
+        report = await self._client.async_report(row)
+        inventory.take_report(report, self._core.clock())
+        if not inventory.is_busy:
+            row.take_models(inventory.sequence, dict(inventory.models))
+
+    def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
+        sites = [
+            Site(row, self._inventories[row.record.id])
+            for row in self._table.of_service(service)
+            if row.record.id in self._inventories
+        ]
+        if not any(site.inventory.is_known for site in sites):
+            return
+        pace = self._pace(service, engine)
+        now_s = self._core.clock()
+        view = PlacementView(
+            engine=engine,
+            sites=sites,
+            loading=self._loading(),
+            demand=self._demand,
+            cold_loads=pace.available(now_s),
+            now_s=now_s,
+        )
+        for change in self._policy.plan(view):
+            if change.is_cold:
+                pace.take(now_s)
+            self._begin(change)
+
+    def _pace(self, service: ServiceName, engine: EngineSpec) -> ColdLoadPace:
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = ColdLoadPace(
+                engine.cold_loads_per_s,
+                self.cold_load_window_s,
+                self.cold_load_excess,
+                self._core.clock(),
+            )
+            self._paces[service] = pace
+        return pace
+
+    def _loading(self) -> dict[tuple[ModelName, AdapterName], int]:
+        counts: dict[tuple[ModelName, AdapterName], int] = {}
+        for change, _ in self._pending.values():
+            held = self._inventories.get(change.endpoint)
+            if held is not None and held.has(change.model, change.adapter):
+                continue
+            key = (change.model, change.adapter)
+            counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    def _begin(self, change: Change) -> None:
+        inventory = self._inventories[change.endpoint]
+        inventory.is_changing = True
+        unload_s = CLOSE_LEAD_S * bool(change.unload_models or change.unload_adapters)
+        ready_s = self._core.clock() + change.load_s + unload_s
+        self._pending[change.endpoint] = (change, ready_s)
+        self._core.events.info(
+            "placement_begun",
+            endpoint=change.endpoint,
+            model=change.model,
+            adapter=change.adapter,
+            unload=",".join(change.unload_models),
+            unload_adapters=len(change.unload_adapters),
+            load_s=change.load_s,
+            cold=change.is_cold,
+            sequence=inventory.sequence,
+            term=self._term,
+        )
+        self.add_future(self._async_carry_out(change, inventory))
+
+    async def _async_carry_out(self, change: Change, inventory: Inventory) -> None:
+        row = self._table.rows.get(change.endpoint)
+        try:
+            if row is not None:
+                row.closing = frozenset(change.unload_models)
+                self.announce()
+                await self._async_steps(change, inventory, row)
+        except ChutelinkError as error:
+            inventory.avoid_until_s = self._core.clock() + FAILED_PAUSE_S
+            inventory.read_s = float("-inf")
+            self._core.events.warning(
+                "placement_failed",
+                endpoint=change.endpoint,
+                model=change.model,
+                adapter=change.adapter,
+                error=error,
+            )
+        finally:
+            if row is not None:
+                row.closing = frozenset()
+            if self._pending.get(change.endpoint, (None,))[0] is change:
+                del self._pending[change.endpoint]
+            inventory.is_changing = False
+        self.announce()
+        self.wake()
+
+    async def _async_steps(
+        self, change: Change, inventory: Inventory, row: Endpoint
+    ) -> None:
+        """Unload, then load; each step ends before the next one begins."""
+        if change.unload_models or change.unload_adapters:
+            await asyncio.sleep(CLOSE_LEAD_S)
+        for model, adapter in change.unload_adapters:
+            await self._async_order(inventory, row, OrderAction.UNLOAD, model, adapter)
+        for model in change.unload_models:
+            await self._async_order(inventory, row, OrderAction.UNLOAD, model)
+            row.take_models(inventory.sequence, dict(inventory.models))
+            await self._async_until_idle(inventory, UNLOAD_LIMIT_S)
+        await self._async_order(
+            inventory, row, OrderAction.LOAD, change.model, change.adapter
+        )
+        if not change.adapter:
+            await asyncio.sleep(change.load_s)
+            limit_s = LOAD_LIMIT_FACTOR * change.load_s
+            await self._async_until_idle(inventory, limit_s)
+        if not inventory.has(change.model, change.adapter):
+            raise EndpointFailed("not loaded", step="load", peer=change.endpoint)
+        row.take_models(inventory.sequence, dict(inventory.models))
+        self._core.metrics.moves.inc({"action": "load", "result": "done"})
+
+    async def _async_order(
+        self,
+        inventory: Inventory,
+        row: Endpoint,
+        action: OrderAction,
+        model: ModelName,
+        adapter: AdapterName = NO_ADAPTER,
+    ) -> None:
+        """Send an order and find out whether it was accepted.
+
+        Raises
+        ------
+        LeaseNotHeld
+            Nothing was sent.
+        EndpointUnreachable, EndpointFailed
+            It is not known to have been accepted. It may be later, but then only
+            while nothing else was.
+        """
+        fence = self._lease.begin_order()
+        order = Order(
+            action, model, adapter, inventory.sequence, self._core.daemon_id, fence
+        )
+        try:
+            answer = await self._client.async_order(row, order)
+        except EndpointFailed as error:
+            answer = await self._async_settle(inventory, order, error)
+        self._core.events.info(
+            "order_answered",
+            endpoint=inventory.endpoint,
+            action=action.value,
+            model=model,
+            adapter=adapter,
+            sequence=order.expected_sequence,
+            fence=fence,
+            answer=answer.value,
+        )
+        is_adapter_unload = adapter and action is OrderAction.UNLOAD
+        if answer is OrderAnswer.ALREADY_HOLDS and is_adapter_unload:
+            # Unused adapters go at once, which counts as an order accepted.
+            answer = OrderAnswer.ACCEPTED
+        if answer is OrderAnswer.ACCEPTED:
+            inventory.note_accepted(order)
+            return
+        if answer is OrderAnswer.ALREADY_HOLDS:
+            await self._async_report(inventory)
+            return
+        raise EndpointFailed(answer.value, step="order", peer=inventory.endpoint)
+
+    async def _async_settle(
+        self, inventory: Inventory, order: Order, error: EndpointFailed
+    ) -> OrderAnswer:
+        """Learn from a report what became of an order without an answer."""
+        await self._async_report(inventory)
+        if inventory.sequence > order.expected_sequence:
+            return OrderAnswer.ALREADY_HOLDS
+        raise error
+
+    async def _async_until_idle(self, inventory: Inventory, limit_s: float) -> None:
+        """Wait until no order is under way."""
+        end_s = self._core.clock() + limit_s
+        while self._core.clock() < end_s:
+            await self._async_report(inventory)
+            if not inventory.is_busy:
+                return
+            await asyncio.sleep(CHECK_PERIOD_S)
+        raise EndpointUnreachable(
+            "order not done in time", step="order.wait", peer=inventory.endpoint
+        )
+
+    def announce(self) -> None:
+        """Tell all daemons what endpoints hold and what is on its way."""
+        if not self._lease.is_held:
+            return
+        now_s = self._core.clock()
+        self._announced_s = now_s
+        placements = [
+            EndpointPlacement(
+                inventory.endpoint,
+                row.sequence,
+                {
+                    model: sorted(adapters)
+                    for model, adapters in row.models.items()
+                    if model not in row.closing
+                },
+            )
+            for inventory in self._inventories.values()
+            for row in [self._table.rows.get(inventory.endpoint)]
+            if row is not None and inventory.is_known
+        ]
+        loads = [
+            PendingLoad(
+                change.endpoint,
+                change.model,
+                change.adapter,
+                max(0.0, ready_s - now_s),
+            )
+            for change, ready_s in self._pending.values()
+        ]
+        daemon = self._core.daemon_id
+        self._send(PlacementNews(daemon, self._term, placements, loads))
--- /dev/null
+++ b/chutelink/entry/requestlog.py
@@ -0,0 +1,92 @@
+"""One log line and the metrics for each request."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from ..core import Application
+from .exchange import Exchange
+
+GOOD_LINES_PER_S = 5.0
+"""Lines for requests that went well; all others are kept."""
+BURST_LINES = 20.0
+FIRST_FAILURE = 400
+
+
+class RequestLog:
+    """Logs every failed or odd request, and as many good ones as are allowed.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    """
+
+    def __init__(self, core: Application) -> None:
+        self._core = core
+        self._tokens = BURST_LINES
+        self._updated_s = core.clock()
+        self._left_out = 0
+
+    def note(
+        self,
+        request: web.BaseRequest,
+        exchange: Exchange | None,
+        status: int,
+        outcome: str,
+        started_s: float,
+    ) -> None:
+        """Count a request that has ended, and log it."""
+        now_s = self._core.clock()
+        took_s = now_s - started_s
+        route = exchange.route.name if exchange is not None else ""
+        self._core.metrics.requests.inc({"outcome": outcome, "status": str(status)})
+        self._core.metrics.request_seconds.observe({"route": route}, took_s)
+        is_late = exchange is not None and took_s > exchange.route.objective_s
+        is_good = outcome == "answered" and status < FIRST_FAILURE
+        if is_good and not is_late and not self._may_log(now_s):
+            self._left_out += 1
+            return
+        self._emit(request, exchange, status, outcome, took_s)
+
+    def _may_log(self, now_s: float) -> bool:
+        earned = (now_s - self._updated_s) * GOOD_LINES_PER_S
+        self._tokens = min(BURST_LINES, self._tokens + earned)
+        self._updated_s = now_s
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _emit(
+        self,
+        request: web.BaseRequest,
+        exchange: Exchange | None,
+        status: int,
+        outcome: str,
+        took_s: float,
+    ) -> None:
+        fields: dict[str, object] = {
+            "request": request.headers.get("X-Request-Id", ""),
+            "status": status,
+            "outcome": outcome,
+            "took_s": took_s,
+        }
+        if exchange is None:
+            fields |= {"host": request.host, "path": request.raw_path[:80]}
+        else:
+            fields |= {
+                "route": exchange.route.name,
+                "service": exchange.service.name,
+                "model": exchange.meta.model,
+                "adapter": exchange.meta.adapter,
+                "endpoints": ",".join(exchange.tried),
+                "objective_s": exchange.route.objective_s,
+                "limit_s": exchange.deadline_s - exchange.started_s,
+                "may_have_run": exchange.may_have_run,
+                "resume_after": exchange.resume_after,
+            }
+        if self._left_out:
+            fields["good_left_out"] = self._left_out
+            self._left_out = 0
+        self._core.events.record("request", **fields)
--- /dev/null
+++ b/chutelink/entry/routing.py
@@ -0,0 +1,107 @@
+"""Choose the endpoint of a request. Pure: works on tables."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from ..ids import AdapterName, EndpointId, FailureDomainName, ModelName
+from .endpoints import Endpoint
+from .health import HealthTable
+from .prefixes import PrefixTable
+
+PREFILL_TOKENS_PER_S = 38_000.0
+"""How fast engines read prompts, by the users' sheets."""
+STEP_S = 0.005
+"""How long an engine's step takes, by the users' sheets."""
+FAILURE_COST_S = 3.0
+"""What a certain failure costs: about a request's time to its deadline."""
+FAR_COST_S = 0.003
+"""Crossing to another failure domain: a round trip, and its bytes are charged."""
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """What is known of a request when its endpoint is chosen.
+
+    ``chain`` has a hash for each beginning of the prompt, ``chain_tokens`` how
+    many tokens each beginning has.
+    """
+
+    model: ModelName
+    adapter: AdapterName
+    prompt_tokens: int
+    chain: tuple[int, ...]
+    chain_tokens: tuple[int, ...]
+    failure_domain: FailureDomainName
+
+
+class RoutingPolicy(ABC):
+    """Orders endpoints for a request."""
+
+    @abstractmethod
+    def choose(
+        self, rows: list[Endpoint], request: Candidate, now_s: float
+    ) -> Endpoint | None:
+        """Return the best endpoint, or None when there is none."""
+
+
+class LeastRequests(RoutingPolicy):
+    """Baseline: fewest requests under way for the places that it has."""
+
+    def choose(
+        self, rows: list[Endpoint], request: Candidate, now_s: float
+    ) -> Endpoint | None:
+        """Return the least loaded endpoint."""
+        return min(
+            rows,
+            key=lambda row: (row.total_requests / row.record.slots, row.record.id),
+            default=None,
+        )
+
+
+class ExpectedDelay(RoutingPolicy):
+    """Least expected time to the first byte, with cached prompts and failures.
+
+    Parameters
+    ----------
+    health : HealthTable
+        How endpoints have answered lately.
+    prefixes : PrefixTable
+        Which prompts they have read lately.
+    """
+
+    def __init__(self, health: HealthTable, prefixes: PrefixTable) -> None:
+        self._health = health
+        self._prefixes = prefixes
+
+    def choose(
+        self, rows: list[Endpoint], request: Candidate, now_s: float
+    ) -> Endpoint | None:
+        """Return the endpoint with the least cost."""
+        usable = [row for row in rows if self._health.is_open(row.record.id, now_s)]
+        return min(
+            usable or rows,
+            key=lambda row: (self._cost_s(row, request, now_s), row.record.id),
+            default=None,
+        )
+
+    def _cost_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        endpoint = row.record.id
+        cost_s = FAILURE_COST_S * self._health.failure_share(endpoint, now_s)
+        if row.record.failure_domain != request.failure_domain:
+            cost_s += FAR_COST_S
+        if not request.model:
+            queued = row.total_requests / max(1, row.record.slots)
+            return cost_s + queued * self._health.typical_s(endpoint)
+        cached = self._cached_tokens(endpoint, request, now_s)
+        tokens = request.prompt_tokens - cached
+        tokens += row.prefill_tokens + row.other_prefill_tokens
+        cost_s += tokens / PREFILL_TOKENS_PER_S
+        return cost_s + STEP_S * row.total_requests / max(1, row.record.slots)
+
+    def _cached_tokens(
+        self, endpoint: EndpointId, request: Candidate, now_s: float
+    ) -> int:
+        length = self._prefixes.cached_parts(endpoint, request.chain, now_s)
+        return request.chain_tokens[length - 1] if length else 0
--- /dev/null
+++ b/chutelink/entry/state.py
@@ -0,0 +1,120 @@
+"""What an entry daemon believes: routes, endpoints, loads; kept from the tables."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ..const import KEY_ROUTING_CONFIG, TABLE_ENDPOINTS
+from ..core import Application
+from ..exceptions import ConfigInvalid, EndpointFailed
+from ..ids import EndpointId
+from .adapter import PlatformAdapter
+from .config import RouteTable
+from .endpoints import Endpoint, EndpointTable
+from .health import HealthTable
+from .prefixes import PrefixTable
+
+PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
+
+
+class EntryState:
+    """Takes rows of the store in, each decoded at this edge.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    adapter : PlatformAdapter
+        Decodes rows.
+    """
+
+    def __init__(self, core: Application, adapter: PlatformAdapter) -> None:
+        self._core = core
+        self._adapter = adapter
+        self.routes: RouteTable | None = None
+        self.endpoints = EndpointTable()
+        self.health = HealthTable()
+        self.prefixes = PrefixTable()
+        self.on_config: Callable[[], None] = lambda: None
+        self.on_endpoints: Callable[[], None] = lambda: None
+
+    def take_row(self, key: str, value: Any, is_after_outage: bool) -> None:
+        """Take in a row that has changed; None for one that was removed."""
+        if key == KEY_ROUTING_CONFIG:
+            if value is not None:
+                self._take_config(value)
+        elif key.startswith(PREFIX_ENDPOINTS):
+            name = key[len(PREFIX_ENDPOINTS) :]
+            if value is None:
+                self._lose_endpoint(EndpointId(name), is_after_outage)
+            else:
+                self._take_endpoint(name, value)
+
+    def _take_config(self, value: Any) -> None:
+        try:
+            config = self._adapter.decode_config(value)
+        except ConfigInvalid as error:
+            self._core.events.error("config_refused", error=error)
+            return
+        in_force = self.routes.config.version if self.routes is not None else None
+        if in_force is not None and config.version <= in_force:
+            self._core.events.info(
+                "config_ignored", version=config.version, in_force=in_force
+            )
+            return
+        self.routes = RouteTable(config)
+        self._core.metrics.config_version.set({}, config.version)
+        self._core.events.info(
+            "config_in_force",
+            version=config.version,
+            before=in_force,
+            routes=len(config.routes),
+            services=len(config.services),
+        )
+        self.on_config()
+
+    def _take_endpoint(self, name: str, value: Any) -> None:
+        try:
+            record = self._adapter.decode_endpoint(name, value)
+        except EndpointFailed as error:
+            self._core.events.warning("endpoint_refused", endpoint=name, error=error)
+            return
+        if self.endpoints.put(record):
+            self._core.events.record(
+                "endpoint_seen",
+                endpoint=record.id,
+                service=record.service,
+                address=record.address,
+                state=record.state.value,
+                models=",".join(record.models),
+                sequence=record.sequence,
+            )
+        self.on_endpoints()
+
+    def _lose_endpoint(self, endpoint: EndpointId, is_after_outage: bool) -> None:
+        row = self.endpoints.rows.get(endpoint)
+        if row is None:
+            return
+        if is_after_outage and row.is_ready:
+            self.endpoints.lapse(endpoint, self._core.clock())
+            self._core.events.record("endpoint_lapsed", endpoint=endpoint)
+            return
+        self.endpoints.remove(endpoint)
+        self._forget(row, "removed")
+
+    def expire(self) -> None:
+        """Drop endpoints that did not come back after an outage."""
+        for row in self.endpoints.expire(self._core.clock()):
+            self._forget(row, "lapsed")
+
+    def _forget(self, row: Endpoint, reason: str) -> None:
+        self.health.forget(row.record.id)
+        self.prefixes.forget(row.record.id)
+        self._core.events.record(
+            "endpoint_gone",
+            endpoint=row.record.id,
+            service=row.record.service,
+            reason=reason,
+        )
+        self.on_endpoints()
--- /dev/null
+++ b/chutelink/entry/stream.py
@@ -0,0 +1,326 @@
+"""Relay streams event by event, going on at another endpoint where allowed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..core import Application
+from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
+from ..gateway.refusals import Refusal
+from .dialect import AnswerKind
+from .endpoints import Endpoint
+from .events import EventSplitter, StreamEvent
+from .exchange import Exchange, Exchanges
+from .relay import AttemptResult, Relay, give_up
+from .upstream import Upstream, WholeResponse, forwarded_headers
+
+FIRST_EVENT_OBJECTIVES = 2.0
+"""How many objectives an endpoint may take to its first event."""
+MIN_FIRST_EVENT_S = 1.5
+STALL_S = 1.5
+"""Silence within a stream after which another endpoint is tried.
+
+Callers leave after 2 s; pauses of 0.4 s are the longest that are in time.
+"""
+MIN_RESUME_S = 0.2
+"""With less time left no other endpoint would get anything done."""
+FIRST_FAILURE = 300
+
+
+class CallerStream:
+    """The caller's side: its headers leave with the first event.
+
+    Parameters
+    ----------
+    request : web.BaseRequest
+        The caller's request.
+    is_last : bool
+        Whether the connection is to be closed afterwards.
+    """
+
+    def __init__(self, request: web.BaseRequest, is_last: bool) -> None:
+        self._request = request
+        self._is_last = is_last
+        self._response: web.StreamResponse | None = None
+        self.events = 0
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the status line has left."""
+        return self._response is not None
+
+    async def async_begin(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Send the status line and headers, those of the first endpoint."""
+        if self._response is not None:
+            return
+        response = web.StreamResponse(status=status, headers=headers)
+        if self._is_last:
+            response.force_close()
+        self._response = response
+        await response.prepare(self._request)
+
+    async def async_send(self, event: StreamEvent) -> None:
+        """Pass an event on."""
+        self.events += 1
+        await self._response.write(event.data)
+
+    async def async_finish(self) -> web.StreamResponse:
+        """End the answer as complete."""
+        await self._response.write_eof()
+        return self._response
+
+    def abort(self) -> web.StreamResponse:
+        """Close the connection, so that the answer can't look complete."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+        return self._response
+
+
+class StreamRelay:
+    """Relays streams.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    exchanges : Exchanges
+        Tables and policies.
+    upstream : Upstream
+        Connections to endpoints.
+    relay : Relay
+        Counts and judges attempts.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        exchanges: Exchanges,
+        upstream: Upstream,
+        relay: Relay,
+    ) -> None:
+        self._core = core
+        self._exchanges = exchanges
+        self._upstream = upstream
+        self._relay = relay
+
+    async def async_relay(
+        self, exchange: Exchange, caller: CallerStream
+    ) -> WholeResponse | web.StreamResponse:
+        """Relay a stream; an answer that is none is returned whole.
+
+        Raises
+        ------
+        Refusal
+            Nothing was sent to the caller.
+        """
+        exchange.resume_after = exchange.meta.resume_after
+        last: WholeResponse | None = None
+        while True:
+            try:
+                row = await self._relay.async_next(exchange, last)
+            except Refusal:
+                if caller.is_begun:
+                    return caller.abort()
+                raise
+            if row is None:
+                return last
+            result, answer = await self._async_attempt(exchange, row, caller)
+            if result is AttemptResult.ANSWERED:
+                if answer is None:
+                    return await caller.async_finish()
+                if answer.status < 500 or not exchange.is_repeatable:
+                    return answer if not caller.is_begun else caller.abort()
+                last = None if caller.is_begun else answer
+            if not self._may_go_on(exchange):
+                return self._end(exchange, caller, last)
+
+    def _may_go_on(self, exchange: Exchange) -> bool:
+        if exchange.may_have_run and not exchange.is_repeatable:
+            return False
+        if exchange.left_s(self._core.clock()) < MIN_RESUME_S:
+            return False
+        return self._exchanges.may_repeat(exchange)
+
+    def _end(
+        self, exchange: Exchange, caller: CallerStream, last: WholeResponse | None
+    ) -> WholeResponse | web.StreamResponse:
+        if caller.is_begun:
+            return caller.abort()
+        if last is not None:
+            return last
+        is_late = exchange.left_s(self._core.clock()) <= 0
+        raise give_up(exchange, is_late=is_late)
+
+    async def _async_attempt(
+        self, exchange: Exchange, row: Endpoint, caller: CallerStream
+    ) -> tuple[AttemptResult, WholeResponse | None]:
+        """Send to one endpoint; no answer with ANSWERED is a finished stream."""
+        sent_s = self._core.clock()
+        events_before = caller.events
+        attempt = _Attempt(self, exchange, row, caller)
+        try:
+            with self._relay.under_way(exchange, row):
+                return await attempt.async_run(sent_s)
+        except EndpointUnreachable as error:
+            self._relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
+            return AttemptResult.UNREACHABLE, None
+        except EndpointFailed as error:
+            exchange.may_have_run = True
+            self._relay.note_failure(exchange, row, AttemptResult.FAILED, error)
+            self._note_broken(exchange, row, caller.events - events_before, error)
+            return AttemptResult.FAILED, None
+        finally:
+            attempt.release()
+
+    def _note_broken(
+        self, exchange: Exchange, row: Endpoint, events: int, error: ChutelinkError
+    ) -> None:
+        self._core.events.info(
+            "stream_broken",
+            request=exchange.meta.id,
+            endpoint=row.record.id,
+            events=events,
+            resume_after=exchange.resume_after,
+            resumable=exchange.is_repeatable,
+            error=error.message,
+        )
+
+
+class _Attempt:
+    """One endpoint's part of a stream."""
+
+    def __init__(
+        self,
+        owner: StreamRelay,
+        exchange: Exchange,
+        row: Endpoint,
+        caller: CallerStream,
+    ) -> None:
+        self._owner = owner
+        self._exchange = exchange
+        self._row = row
+        self._caller = caller
+        self._reading_tokens = 0
+
+    async def async_run(
+        self, sent_s: float
+    ) -> tuple[AttemptResult, WholeResponse | None]:
+        """Send the request and pass on what comes."""
+        owner, exchange, row = self._owner, self._exchange, self._row
+        self._claim_reading()
+        call = owner._exchanges.make_call(exchange, row)
+        limit_s = max(0.0, exchange.left_s(sent_s))
+        try:
+            async with asyncio.timeout(limit_s):
+                async with owner._upstream.async_open(row, call) as response:
+                    return await self._async_take(response, sent_s)
+        except TimeoutError as error:
+            raise EndpointFailed(
+                "no end in time", step="stream", peer=row.record.id
+            ) from error
+
+    async def _async_take(
+        self, response: aiohttp.ClientResponse, sent_s: float
+    ) -> tuple[AttemptResult, WholeResponse | None]:
+        exchange, row = self._exchange, self._row
+        kind = self._owner._exchanges.dialect.classify(
+            response.status, response.headers, exchange.meta.id
+        )
+        if kind is not AnswerKind.ANSWERED or response.status >= FIRST_FAILURE:
+            body = b"" if kind is AnswerKind.FOREIGN else await response.read()
+            answer = WholeResponse(response.status, response.headers, body)
+            took_s = self._owner._core.clock() - sent_s
+            if kind is AnswerKind.FOREIGN:
+                response.close()
+            return self._owner._relay.judge(exchange, row, answer, took_s), answer
+        await self._async_pass_on(response, sent_s)
+        return AttemptResult.ANSWERED, None
+
+    async def _async_pass_on(
+        self, response: aiohttp.ClientResponse, sent_s: float
+    ) -> None:
+        """Pass whole events on until the endpoint ends its answer."""
+        caller, row = self._caller, self._row
+        splitter = EventSplitter()
+        headers = forwarded_headers(response.headers)
+        limit_s = self._first_limit_s()
+        while True:
+            chunk = await self._async_chunk(response, limit_s)
+            if not chunk:
+                break
+            for event in splitter.feed(chunk):
+                self._check_order(event)
+                await caller.async_begin(response.status, headers)
+                await caller.async_send(event)
+                self._note_first(sent_s)
+            limit_s = STALL_S if self._exchange.is_repeatable else None
+        if splitter.has_rest:
+            raise EndpointFailed(
+                "ended within an event", step="stream", peer=row.record.id
+            )
+        await caller.async_begin(response.status, headers)
+
+    async def _async_chunk(
+        self, response: aiohttp.ClientResponse, limit_s: float | None
+    ) -> bytes:
+        try:
+            async with asyncio.timeout(limit_s):
+                return await response.content.readany()
+        except TimeoutError as error:
+            raise EndpointFailed(
+                "silent within its answer", step="stream", peer=self._row.record.id
+            ) from error
+
+    def _first_limit_s(self) -> float | None:
+        exchange = self._exchange
+        has_more = len(exchange.tried) < exchange.route.max_endpoints
+        if not exchange.is_repeatable or not has_more:
+            return None
+        objective_s = exchange.route.objective_s
+        return max(MIN_FIRST_EVENT_S, FIRST_EVENT_OBJECTIVES * objective_s)
+
+    def _check_order(self, event: StreamEvent) -> None:
+        """Refuse an event that does not follow the last one that was passed on."""
+        exchange = self._exchange
+        if event.id is None:
+            return
+        last = exchange.resume_after
+        if last is not None and event.id != last + 1:
+            raise EndpointFailed(
+                f"event {event.id} after {last}",
+                step="stream",
+                peer=self._row.record.id,
+            )
+        exchange.resume_after = event.id
+
+    def _claim_reading(self) -> None:
+        """Count the prompt as being read at the endpoint."""
+        exchanges, exchange, row = self._owner._exchanges, self._exchange, self._row
+        now_s = self._owner._core.clock()
+        chain = exchange.candidate.chain
+        cached = exchanges.prefixes.cached_parts(row.record.id, chain, now_s)
+        kept = exchange.candidate.chain_tokens[cached - 1] if cached else 0
+        self._reading_tokens = max(0, exchange.meta.prompt_tokens - kept)
+        row.prefill_tokens += self._reading_tokens
+        exchanges.prefixes.note(row.record.id, chain, now_s)
+        exchanges.loads.note_prompt(row.record.id, chain)
+
+    def _note_first(self, sent_s: float) -> None:
+        """Note the first event: the prompt has been read."""
+        if not self._reading_tokens:
+            return
+        self.release()
+        core = self._owner._core
+        took_s = core.clock() - sent_s
+        self._owner._exchanges.health.note_success(
+            self._row.record.id, core.clock(), took_s
+        )
+
+    def release(self) -> None:
+        """Stop counting the prompt as being read."""
+        self._row.prefill_tokens -= self._reading_tokens
+        self._reading_tokens = 0
--- /dev/null
+++ b/chutelink/entry/watch.py
@@ -0,0 +1,213 @@
+"""Follow tables of the store together with the other daemons.
+
+Whoever reads changes tells the others, and each daemon reads by itself only when
+what it knows has grown older than a bound that rises with its rank. So one daemon
+reads for all without an election, and one that hears nothing reads for itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from mode import Service
+
+from ..core import Application
+from ..exceptions import HistoryLost, PlatformUnavailable
+from ..store import Row, RowPage, WatchedTable
+from .news import SnapshotRequest, StoredRow, StoreNews
+
+FIRST_BOUND_S = 0.7
+"""Age at which the second in rank reads for itself.
+
+With ``RANK_STEP_S`` and a call's time this keeps a change within 2 s, the
+shortest bound that operators have set.
+"""
+RANK_STEP_S = 0.12
+MAX_RANK = 4
+WAIT_S = 0.5
+"""How long the first in rank lets the store hold a call without changes."""
+MIN_PERIOD_S = 0.4
+"""Shortest time between two calls for a table that changes all the time."""
+RETRY_S = 0.25
+RECOVERED_FOR_S = 2.2
+"""Removals so soon after an outage may be undone: live endpoints are back in 2 s."""
+SNAPSHOT_PAUSE_S = 0.5
+
+
+class _TableState:
+    """What is known of one table, and how old that is."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.version = 0
+        self.fresh_s = float("-inf")
+        self.started_s = float("-inf")
+        self.rows: dict[str, StoredRow] = {}
+        self.snapshot_sent_s = float("-inf")
+
+
+class StoreWatch(Service):
+    """Keeps a copy of some tables and calls back with their changes.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : WatchedTable
+        Where the tables are.
+    names : tuple of str
+        The tables to follow.
+    rank : callable
+        This daemon's place among the live ones, 0 for the first.
+    send : callable
+        Tells the other daemons.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: WatchedTable,
+        names: tuple[str, ...],
+        rank: Callable[[], int],
+        send: Callable[[StoreNews | SnapshotRequest], None],
+    ) -> None:
+        super().__init__()
+        self._core = core
+        self._table = table
+        self._rank = rank
+        self._send = send
+        self._states = {name: _TableState(name) for name in names}
+        self._is_away = False
+        self._recovered_s = float("-inf")
+        self.on_row: Callable[[str, Any, bool], None] = lambda key, value, soon: None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether each table was read at least once."""
+        return all(state.version > 0 for state in self._states.values())
+
+    def age_s(self, name: str) -> float:
+        """Return how old the knowledge of a table is."""
+        return self._core.clock() - self._states[name].fresh_s
+
+    async def on_started(self) -> None:
+        """Follow each table in a task of its own."""
+        for state in self._states.values():
+            self.add_future(self._async_follow(state))
+
+    async def _async_follow(self, state: _TableState) -> None:
+        while not self.should_stop:
+            pause_s = self._pause_s(state)
+            if pause_s > 0:
+                await self.sleep(pause_s)
+                continue
+            try:
+                await self._async_pull(state)
+            except PlatformUnavailable as error:
+                self._note_failure(state, error)
+                await self.sleep(RETRY_S * self._core.rng.uniform(1.0, 1.5))
+
+    def _pause_s(self, state: _TableState) -> float:
+        """Return how long to wait before a call is due."""
+        rank = self._rank()
+        now_s = self._core.clock()
+        since_start_s = now_s - state.started_s
+        if rank == 0 or state.version == 0:
+            return MIN_PERIOD_S - since_start_s
+        bound_s = FIRST_BOUND_S + RANK_STEP_S * min(rank - 1, MAX_RANK)
+        return bound_s - (now_s - state.fresh_s)
+
+    async def _async_pull(self, state: _TableState) -> None:
+        state.started_s = self._core.clock()
+        page, is_whole = await self._async_read(state)
+        if self._is_away:
+            self._is_away = False
+            self._recovered_s = self._core.clock()
+            self._core.events.info("store_regained", table=state.name)
+        is_soon = self._core.clock() - self._recovered_s < RECOVERED_FOR_S
+        rows = [_to_stored(row) for row in page.rows]
+        if is_whole:
+            rows += self._missing(state, page)
+        news = StoreNews(
+            state.name,
+            0 if is_whole else state.version,
+            page.version,
+            0.0,
+            rows,
+            is_soon,
+        )
+        # Empty answers that the store held back are as fresh as their arrival.
+        self._apply(state, news, self._core.clock())
+        self._send(news)
+
+    async def _async_read(self, state: _TableState) -> tuple[RowPage, bool]:
+        """Return changes, or the whole table when history is not kept."""
+        prefix = f"{state.name}/"
+        if state.version > 0:
+            wait_s = WAIT_S if self._rank() == 0 else 0.0
+            try:
+                page = await self._table.async_watch(prefix, state.version, wait_s)
+                return page, False
+            except HistoryLost:
+                self._core.events.warning(
+                    "store_history_lost", table=state.name, after=state.version
+                )
+        return await self._table.async_read(prefix), True
+
+    def _missing(self, state: _TableState, page: RowPage) -> list[StoredRow]:
+        present = {row.key for row in page.rows}
+        return [
+            StoredRow(key, page.version, None)
+            for key in state.rows.keys() - present
+            if state.rows[key].version <= page.version
+        ]
+
+    def take_news(self, news: StoreNews) -> None:
+        """Take in what another daemon has read."""
+        state = self._states.get(news.table)
+        if state is None:
+            return
+        if news.after > state.version:
+            # A gap: the next own read fills it.
+            return
+        self._apply(state, news, self._core.clock() - news.age_s)
+
+    def take_request(self, request: SnapshotRequest) -> None:
+        """Send a whole table to a daemon that can't reach the store."""
+        state = self._states.get(request.table)
+        now_s = self._core.clock()
+        if state is None or not state.version:
+            return
+        if now_s - state.snapshot_sent_s < SNAPSHOT_PAUSE_S:
+            return
+        state.snapshot_sent_s = now_s
+        age_s = now_s - state.fresh_s
+        rows = list(state.rows.values())
+        self._send(StoreNews(state.name, 0, state.version, age_s, rows))
+
+    def _apply(self, state: _TableState, news: StoreNews, fresh_s: float) -> None:
+        state.fresh_s = max(state.fresh_s, fresh_s)
+        if news.version < state.version:
+            return
+        state.version = news.version
+        for row in news.rows:
+            known = state.rows.get(row.key)
+            if known is not None and row.version <= known.version:
+                continue
+            if row.value is None:
+                state.rows.pop(row.key, None)
+            else:
+                state.rows[row.key] = row
+            self.on_row(row.key, row.value, news.is_after_outage)
+
+    def _note_failure(self, state: _TableState, error: PlatformUnavailable) -> None:
+        if not self._is_away:
+            self._core.events.warning("store_lost", table=state.name, error=error)
+        self._is_away = True
+        if state.version == 0:
+            self._send(SnapshotRequest(state.name))
+
+
+def _to_stored(row: Row) -> StoredRow:
+    return StoredRow(row.key, row.version, row.value)
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -35,6 +35,14 @@
     """The platform did not take the call; nothing was changed by it."""
 
 
+class HistoryLost(ChutelinkError):
+    """The changes that were asked for are no longer kept."""
+
+
+class ConfigInvalid(ChutelinkError):
+    """A configuration can't be understood; the one in force stays."""
+
+
 class WriteOutcomeUnknown(ChutelinkError):
     """A write was sent but its reply was lost; it may have taken effect."""
 
--- a/chutelink/gateway/claims.py
+++ b/chutelink/gateway/claims.py
@@ -19,7 +19,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import AttemptId, BootId, DaemonId, make_id
-from ..platform import Check, TableService, Write, async_commit, decode_value
+from ..store import Check, TableService, Write, async_commit, decode_value
 from .refusals import Refusal, unavailable, unknown_outcome
 
 PLATFORM_RETRY_S = 2.0
--- a/chutelink/gateway/refusals.py
+++ b/chutelink/gateway/refusals.py
@@ -63,11 +63,16 @@
             problem["detail"] = self.detail
         return problem
 
-    def to_response(self) -> web.Response:
-        """Return the answer for the caller."""
+    def to_response(self, *, has_fractions: bool = False) -> web.Response:
+        """Return the answer for the caller.
+
+        ``has_fractions`` is for callers that take parts of a second.
+        """
         headers = {HEADER_OUTCOME: self.outcome.value}
         if self.outcome is Outcome.NOT_RUN:
-            headers[HEADER_RETRY_AFTER] = str(max(1, math.ceil(self.retry_after_s)))
+            whole_s = max(1, math.ceil(self.retry_after_s))
+            exact_s = f"{self.retry_after_s:.2f}"
+            headers[HEADER_RETRY_AFTER] = exact_s if has_fractions else str(whole_s)
         if self.status == 401:
             headers["WWW-Authenticate"] = "Bearer"
         return web.Response(
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import NewType
 
+AdapterName = NewType("AdapterName", str)
 ApplyId = NewType("ApplyId", str)
 ArtifactName = NewType("ArtifactName", str)
 AttemptId = NewType("AttemptId", str)
@@ -12,12 +13,14 @@
 CallerName = NewType("CallerName", str)
 ConfigVersion = NewType("ConfigVersion", int)
 DaemonId = NewType("DaemonId", str)
+EndpointId = NewType("EndpointId", str)
 EndpointName = NewType("EndpointName", str)
 FailureDomainName = NewType("FailureDomainName", str)
 FencingNumber = NewType("FencingNumber", int)
 Incarnation = NewType("Incarnation", str)
 ModelName = NewType("ModelName", str)
 RequestId = NewType("RequestId", str)
+RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 VmId = NewType("VmId", str)
 WriteId = NewType("WriteId", str)
--- a/chutelink/log.py
+++ b/chutelink/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import time
 from collections.abc import Callable
@@ -10,6 +11,10 @@
 
 REPEAT_PERIOD_S = 10.0
 REPEAT_LIMIT = 20
+RECORD_LIMIT = 2000
+"""Repeats of an event of which each one counts, such as a failed request."""
+MAX_BUFFERED_BYTES = 64 * 1024
+"""Lines kept for a reader that does not keep up; later ones are counted only."""
 _MAX_TRACKED_EVENTS = 512
 
 
@@ -62,35 +67,93 @@
         """Log at error level."""
         self._emit(logbook.ERROR, event, fields)
 
-    def _emit(self, level: int, event: str, fields: dict[str, object]) -> None:
-        suppressed = self._suppressed(event)
+    def record(self, event: str, **fields: object) -> None:
+        """Log a decision of which every one is wanted, up to a large bound."""
+        self._emit(logbook.INFO, event, fields, RECORD_LIMIT)
+
+    def _emit(
+        self,
+        level: int,
+        event: str,
+        fields: dict[str, object],
+        limit: int = REPEAT_LIMIT,
+    ) -> None:
+        suppressed = self._suppressed(event, limit)
         if suppressed is None:
             return
         if suppressed:
             fields = {**fields, "suppressed": suppressed}
         self._logger.log(level, "{}", format_event(event, fields))
 
-    def _suppressed(self, event: str) -> int | None:
+    def _suppressed(self, event: str, limit: int) -> int | None:
         """Return how many repeats were left out, or None to leave this out."""
         now_s = self._clock()
         start_s, count = self._seen.get(event, (now_s, 0))
         if now_s - start_s < REPEAT_PERIOD_S:
             self._seen[event] = (start_s, count + 1)
-            return None if count >= REPEAT_LIMIT else 0
+            return None if count >= limit else 0
         if len(self._seen) >= _MAX_TRACKED_EVENTS:
             self._seen.clear()
         self._seen[event] = (now_s, 1)
-        return max(0, count - REPEAT_LIMIT)
+        return max(0, count - limit)
+
+
+class NonBlockingHandler(logbook.Handler):
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Parameters
+    ----------
+    fd : int
+        Where to; it is made non-blocking.
+    level : int
+        The lowest level written.
+    format_string : str
+        How a record looks.
+    """
+
+    def __init__(self, fd: int, level: int, format_string: str) -> None:
+        super().__init__(level=level)
+        self.formatter = logbook.StringFormatter(format_string)
+        self._fd = fd
+        self._buffer = bytearray()
+        self.dropped = 0
+        os.set_blocking(fd, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a line, or keep it; count it when there is no room."""
+        line = self.format(record).encode(errors="replace") + b"\n"
+        if len(self._buffer) + len(line) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+        else:
+            self._buffer += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the reader takes."""
+        try:
+            while self._buffer:
+                written = os.write(self._fd, self._buffer)
+                del self._buffer[:written]
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader is gone for good; there is nobody left to tell.
+            self._buffer.clear()
+            return
+        self._tell_dropped()
+
+    def _tell_dropped(self) -> None:
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            self._buffer += f"event=log_lines_dropped count={dropped}\n".encode()
 
 
 def setup_logging(level_name: str) -> None:
-    """Send log lines at or above the level to standard error."""
-    handler = logbook.StreamHandler(
-        sys.stderr,
-        level=logbook.lookup_level(level_name.upper()),
-        format_string=(
-            "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
-            "channel={record.channel} {record.message}"
-        ),
+    """Send log lines at or above the level to standard output."""
+    handler = NonBlockingHandler(
+        sys.stdout.fileno(),
+        logbook.lookup_level(level_name.upper()),
+        "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+        "channel={record.channel} {record.message}",
     )
     handler.push_application()
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -1,9 +1,10 @@
 """Membership over a bounded number of links for each daemon.
 
-Each daemon links to its next few neighbours on a ring of hashed ids and to
-nobody else, so that what it sends does not grow with the number of daemons.
-News is passed on once; a neighbour that goes silent is suspected, and declared
-down unless it refutes.
+Each daemon links to a few members on a ring of hashed ids, at distances that
+grow by a constant factor, and to nobody else: what it sends does not grow with
+the number of daemons, and news crosses the ring in a few hops. News is passed
+on once; a neighbour that goes silent is suspected, and declared down unless it
+refutes.
 """
 
 from __future__ import annotations
@@ -25,7 +26,9 @@
 from ..systems.hashing import rendezvous_score
 from ..tables.members import Member, MemberState, MemberTable
 from ..tables.queues import QueueTable
+from .broadcasts import BroadcastLog
 from .messages import (
+    Broadcast,
     ConfigBody,
     ConfigRequest,
     Heartbeat,
@@ -43,6 +46,21 @@
 SPREAD = 0.3
 
 
+def ring_places(members: int, links: int) -> list[int]:
+    """Return which of the others, in ring order, to link to.
+
+    With few others these are all of them, or the next ones; the distances grow
+    by the ``links``-th root of their number.
+    """
+    if members <= links:
+        return list(range(members))
+    places: list[int] = []
+    for index in range(links):
+        place = round(members ** (index / links)) - 1
+        places.append(max(place, places[-1] + 1 if places else 0))
+    return places
+
+
 class Link:
     """One open connection to a peer, whichever side opened it."""
 
@@ -93,6 +111,8 @@
         self._retry_s: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self.queues = QueueTable()
+        self._broadcasts = BroadcastLog()
+        self.on_broadcast: Callable[[Broadcast], None] = lambda news: None
         self.config_version: Callable[[], ConfigVersion] = lambda: ConfigVersion(0)
         self.config_body: Callable[[], ConfigBody | None] = lambda: None
         self.on_config_version: Callable[[ConfigVersion], None] = lambda version: None
@@ -224,6 +244,8 @@
             self._take_members(link, message.members)
         elif isinstance(message, QueueNews):
             self._take_queue(message, link)
+        elif isinstance(message, Broadcast):
+            self._take_broadcast(message, link)
         elif isinstance(message, ConfigRequest):
             body = self.config_body()
             if body is not None:
@@ -260,19 +282,38 @@
             if link is not source and link.member is not None:
                 link.send(news)
 
+    def broadcast(self, body: bytes) -> None:
+        """Tell all daemons something; each passes it on once."""
+        own = self.table.own
+        sequence = self._broadcasts.next_sequence()
+        self._pass_on(Broadcast(own.id, own.boot_id, sequence, body), None)
+
+    def _take_broadcast(self, news: Broadcast, source: Link) -> None:
+        if news.origin == self.table.own.id or not self._broadcasts.is_new(news):
+            return
+        self._pass_on(news, source)
+        self.on_broadcast(news)
+
+    def _pass_on(self, news: Broadcast, source: Link | None) -> None:
+        for link in self._links:
+            if link is not source and link.member is not None:
+                link.send(news)
+
     def _take_version(self, link: Link, version: ConfigVersion) -> None:
         link.config_version = version
         if version > self.config_version():
             self.on_config_version(version)
 
     def _neighbours(self) -> list[Member]:
-        """Return the next members on the ring of hashed ids."""
+        """Return members at growing distances on the ring of hashed ids."""
         own_place = rendezvous_score("ring", self.table.own.id)
 
         def distance(member: Member) -> int:
             return (rendezvous_score("ring", member.id) - own_place) % 2**64
 
-        return sorted(self.table.linkable(), key=distance)[: self._settings.links]
+        ring = sorted(self.table.linkable(), key=distance)
+        places = ring_places(len(ring), self._settings.links)
+        return [ring[place] for place in places]
 
     @Service.task
     async def _async_tick_loop(self) -> None:
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -68,7 +68,22 @@
     text: str
 
 
-Message = Hello | Heartbeat | MemberNews | QueueNews | ConfigRequest | ConfigBody
+class Broadcast(msgspec.Struct, frozen=True, tag="broadcast"):
+    """What one daemon tells all others; each passes it on once.
+
+    ``sequence`` rises with each message of one process; ``body`` is decoded by
+    the program that it is for.
+    """
+
+    origin: DaemonId
+    boot_id: BootId
+    sequence: int
+    body: bytes
+
+
+Message = (
+    Hello | Heartbeat | MemberNews | QueueNews | ConfigRequest | ConfigBody | Broadcast
+)
 
 
 def encode_message(message: Message) -> bytes:
--- a/chutelink/platform/__init__.py
+++ b/chutelink/platform/__init__.py
@@ -1,34 +1,5 @@
-"""The platform: table service, object store and VM list, all run by others."""
+"""Adapter to the operators' prepared machines: translation, and nothing else.
 
-from .base import (
-    Check,
-    ObjectStore,
-    Platform,
-    Row,
-    RowPage,
-    TableService,
-    Transaction,
-    Vm,
-    VmList,
-    VmState,
-    Write,
-)
-from .http import async_setup_platform
-from .transactions import async_commit, decode_value
-
-__all__ = [
-    "Check",
-    "ObjectStore",
-    "Platform",
-    "Row",
-    "RowPage",
-    "TableService",
-    "Transaction",
-    "Vm",
-    "VmList",
-    "VmState",
-    "Write",
-    "async_commit",
-    "async_setup_platform",
-    "decode_value",
-]
+Each module turns one of their interfaces into the product's types, and no other
+package knows their names.
+"""
--- /dev/null
+++ b/chutelink/platform/adapter.py
@@ -0,0 +1,57 @@
+"""The prepared machines' platform as one adapter."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from ..entry.adapter import Handler, PlatformAdapter
+from ..entry.config import RoutingConfig
+from ..entry.dialect import Dialect
+from ..entry.directory import Directory
+from ..entry.endpoints import EndpointRecord
+from ..entry.inventory import EngineClient
+from ..settings import PlatformSection
+from ..store import WatchedTable
+from .configuration import decode_config
+from .endpoints import decode_registration
+from .engine import HttpEngineClient
+from .headers import PlatformDialect
+from .http import make_directory_handler, make_ready_handler
+from .store import async_setup_store
+
+
+class PreparedMachines(PlatformAdapter):
+    """Makes the parts that speak the prepared machines' protocols."""
+
+    def make_table(
+        self, session: aiohttp.ClientSession, settings: PlatformSection
+    ) -> WatchedTable:
+        """Return the table service."""
+        return async_setup_store(session, settings)
+
+    def make_engine_client(self, session: aiohttp.ClientSession) -> EngineClient:
+        """Return the client for reports and orders."""
+        return HttpEngineClient(session)
+
+    def make_dialect(self) -> Dialect:
+        """Return the codec of callers' and endpoints' headers."""
+        return PlatformDialect()
+
+    def decode_config(self, value: Any) -> RoutingConfig:
+        """Return a configuration from its row."""
+        return decode_config(value)
+
+    def decode_endpoint(self, name: str, value: Any) -> EndpointRecord:
+        """Return an endpoint's record from its row."""
+        return decode_registration(name, value)
+
+    def make_directory_handler(self, directory: Directory) -> Handler:
+        """Return the handler of callers' questions for addresses."""
+        return make_directory_handler(directory)
+
+    def make_ready_handler(self, is_ready: Callable[[], bool]) -> Handler:
+        """Return the handler of the readiness check."""
+        return make_ready_handler(is_ready)
--- /dev/null
+++ b/chutelink/platform/configuration.py
@@ -0,0 +1,193 @@
+"""The operators' configuration as it lies in their store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..entry.config import (
+    CallerLimits,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    RoutingConfig,
+    ServiceSpec,
+    WeightedService,
+)
+from ..exceptions import ConfigInvalid
+from ..ids import ConfigVersion, ModelName, RouteName, ServiceName
+
+MS_PER_S = 1000.0
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+
+
+class _WireBackend(msgspec.Struct):
+    """One of the services that a route is split over."""
+
+    service: str
+    weight: float
+
+
+class _WireRoute(msgspec.Struct):
+    """A route; ``attempts`` counts endpoints, the first one included.
+
+    ``sticky`` marks routes whose requests share parts of their prompts.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    backends: list[_WireBackend] = []
+    attempts: int = 1
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _WireModel(msgspec.Struct):
+    """A model; ``adapters`` is how many there are, named a1, a2 and so on.
+
+    ``load_s`` is from the weight store, ``warm_s`` from copies in memory.
+    """
+
+    name: str
+    weights_mb: float
+    load_s: float
+    warm_s: float = 0.0
+    disk_s: float = 0.0
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+
+class _WireEngine(msgspec.Struct):
+    """What each endpoint of a service of engines can hold."""
+
+    weights_mb: float
+    slots: int = 1
+    kv_capacity: int = 0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    models: list[_WireModel] = []
+
+
+class _WireService(msgspec.Struct):
+    """A service."""
+
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    engine: _WireEngine | None = None
+
+
+class _WireLimits(msgspec.Struct):
+    """What callers may send."""
+
+    header_bytes: int = CallerLimits().max_header_bytes
+    body_bytes: int = CallerLimits().max_body_bytes
+    header_timeout_ms: float = CallerLimits().header_timeout_s * MS_PER_S
+    idle_timeout_ms: float = CallerLimits().idle_timeout_s * MS_PER_S
+
+
+class _WireConfig(msgspec.Struct):
+    """A whole configuration."""
+
+    version: int
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+def decode_config(value: Any) -> RoutingConfig:
+    """Return the product's configuration.
+
+    Raises
+    ------
+    ConfigInvalid
+        Something in it is missing, malformed or names what is not there.
+    """
+    try:
+        wire = msgspec.convert(value, _WireConfig)
+    except msgspec.ValidationError as error:
+        raise ConfigInvalid(str(error), step="config.decode") from error
+    services = {ServiceName(s.name): _decode_service(s) for s in wire.services}
+    return RoutingConfig(
+        version=ConfigVersion(wire.version),
+        routes=tuple(_decode_route(route, services) for route in wire.routes),
+        services=services,
+        limits=CallerLimits(
+            wire.limits.header_bytes,
+            wire.limits.body_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _decode_route(wire: _WireRoute, services: dict[ServiceName, ServiceSpec]) -> Route:
+    kind = KINDS.get(wire.kind)
+    if kind is None:
+        raise ConfigInvalid(f"kind {wire.kind!r}", step="config.route", peer=wire.name)
+    backends = wire.backends or [_WireBackend(wire.service, 1.0)]
+    for backend in backends:
+        if backend.service not in services:
+            raise ConfigInvalid(
+                f"unknown service {backend.service!r}",
+                step="config.route",
+                peer=wire.name,
+            )
+    return Route(
+        name=RouteName(wire.name),
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=kind,
+        timeout_s=wire.timeout_ms / MS_PER_S,
+        objective_s=wire.slo_ms / MS_PER_S,
+        priority=wire.priority,
+        max_endpoints=max(1, wire.attempts),
+        services=tuple(
+            WeightedService(ServiceName(b.service), b.weight) for b in backends
+        ),
+        is_resumable=wire.resumable,
+        has_shared_prompts=wire.sticky,
+        max_pause_s=wire.gap_target_ms / MS_PER_S,
+    )
+
+
+def _decode_service(wire: _WireService) -> ServiceSpec:
+    name = ServiceName(wire.name)
+    engine = None if wire.engine is None else _decode_engine(wire.engine)
+    return ServiceSpec(name, wire.health_path, wire.max_conns, engine)
+
+
+def _decode_engine(wire: _WireEngine) -> EngineSpec:
+    models = {
+        ModelName(model.name): ModelSpec(
+            name=ModelName(model.name),
+            weights_mb=model.weights_mb,
+            cold_load_s=model.load_s,
+            memory_load_s=model.warm_s or model.load_s,
+            disk_load_s=model.disk_s or model.load_s,
+            adapters=model.adapters,
+            adapter_mb=model.adapter_mb,
+        )
+        for model in wire.models
+    }
+    return EngineSpec(
+        batch_slots=wire.slots,
+        kv_capacity_tokens=wire.kv_capacity,
+        weights_mb=wire.weights_mb,
+        adapter_slots=wire.adapter_slots,
+        cold_loads_per_s=wire.loads_per_s,
+        models=models,
+    )
--- /dev/null
+++ b/chutelink/platform/endpoints.py
@@ -0,0 +1,155 @@
+"""What endpoints register and report, and the orders that they take."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..entry.endpoints import EndpointRecord, EndpointState
+from ..entry.inventory import EndpointReport, Order, OrderAction
+from ..exceptions import EndpointFailed
+from ..ids import (
+    AdapterName,
+    EndpointId,
+    FailureDomainName,
+    ModelName,
+    ServiceName,
+)
+
+PATH_REPORT = "/api/report"
+PATH_ORDER = "/api/order"
+
+
+class _WireModel(msgspec.Struct):
+    """A resident model."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] = []
+
+
+class _WireCopies(msgspec.Struct):
+    """Models whose weights an endpoint keeps copies of."""
+
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class _WireRegistration(msgspec.Struct):
+    """A row of the endpoints' table; ``seq`` counts accepted orders."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    models: list[_WireModel] = []
+    seq: int = 0
+    at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
+
+
+class _WireReport(msgspec.Struct):
+    """Answer to a report call.
+
+    ``busy`` is true while a load or unload of a model is carried out; ``coming``
+    has adapters on their way, as MODEL/NAME@VERSION; ``kv_used`` is the memory
+    that cannot be reclaimed.
+    """
+
+    models: list[_WireModel] = []
+    busy: bool = False
+    seq: int = 0
+    queued: int = 0
+    active: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    coming: list[str] = []
+    at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
+
+
+def decode_registration(endpoint: str, value: Any) -> EndpointRecord:
+    """Return the record of an endpoint from its row.
+
+    Raises
+    ------
+    EndpointFailed
+        The row is not a registration.
+    """
+    try:
+        wire = msgspec.convert(value, _WireRegistration)
+    except msgspec.ValidationError as error:
+        raise EndpointFailed(
+            str(error), step="registration.decode", peer=endpoint
+        ) from error
+    is_ready = wire.state == "ready"
+    return EndpointRecord(
+        id=EndpointId(endpoint),
+        service=ServiceName(wire.service),
+        address=wire.address,
+        failure_domain=FailureDomainName(wire.zone),
+        state=EndpointState.READY if is_ready else EndpointState.DRAINING,
+        slots=wire.slots,
+        sequence=wire.seq,
+        models=_decode_models(wire.models),
+        in_memory=frozenset(ModelName(name) for name in wire.at_hand.in_memory),
+        on_disk=frozenset(ModelName(name) for name in wire.at_hand.on_disk),
+    )
+
+
+def decode_report(endpoint: EndpointId, body: bytes) -> EndpointReport:
+    """Return what an endpoint says of itself.
+
+    Raises
+    ------
+    EndpointFailed
+        The body is not a report.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireReport)
+    except msgspec.MsgspecError as error:
+        raise EndpointFailed(str(error), step="report.decode", peer=endpoint) from error
+    return EndpointReport(
+        sequence=wire.seq,
+        is_busy=wire.busy,
+        models=_decode_models(wire.models),
+        coming=tuple(_decode_coming(text) for text in wire.coming),
+        in_memory=frozenset(ModelName(name) for name in wire.at_hand.in_memory),
+        on_disk=frozenset(ModelName(name) for name in wire.at_hand.on_disk),
+        queued=wire.queued,
+        active=wire.active,
+        kv_used_tokens=wire.kv_used,
+        kv_total_tokens=wire.kv_total,
+    )
+
+
+def encode_order(order: Order) -> bytes:
+    """Return the body of an order.
+
+    ``expected_rev`` is the number of orders that the endpoint must have accepted
+    so far; in the store the same name holds conditions on rows.
+    """
+    body: dict[str, Any] = {
+        "op": "load" if order.action is OrderAction.LOAD else "unload",
+        "model": order.model,
+        "expected_rev": order.expected_sequence,
+        "holder": order.holder,
+        "fence": order.fence,
+    }
+    if order.adapter:
+        body["adapter"] = order.adapter
+    return msgspec.json.encode(body)
+
+
+def _decode_models(
+    models: list[_WireModel],
+) -> dict[ModelName, frozenset[AdapterName]]:
+    return {
+        ModelName(model.name): frozenset(AdapterName(name) for name in model.adapters)
+        for model in models
+    }
+
+
+def _decode_coming(text: str) -> tuple[ModelName, AdapterName]:
+    model, _, rest = text.partition("/")
+    return ModelName(model), AdapterName(rest.partition("@")[0])
--- /dev/null
+++ b/chutelink/platform/headers.py
@@ -0,0 +1,93 @@
+"""Headers of the operators' callers and endpoints."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ..entry.dialect import AnswerKind, Dialect, Dispatch, PromptPart, RequestMeta
+from ..ids import AdapterName, ModelName, RequestId
+
+HEADER_REQUEST_ID = "X-Request-Id"
+HEADER_DEADLINE_MS = "X-Deadline-Ms"
+HEADER_MODEL = "X-Model"
+HEADER_TOKEN_COUNT = "X-Token-Count"
+HEADER_PROMPT_PREFIX = "X-Prompt-Prefix"
+HEADER_LAST_EVENT = "Last-Event-Id"
+HEADER_EXPECT_INSTANCE = "X-Expect-Instance"
+HEADER_URGENCY = "X-Request-Urgency"
+HEADER_SEAL = "X-Server-Seal"
+HEADER_NOT_EXECUTED = "X-Not-Executed"
+HTTP_MISDIRECTED = 421
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
+"""Callers take these as a promise; an endpoint's own hold only with its header."""
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+
+
+def _decode_ints(text: str) -> list[int]:
+    try:
+        return [int(part) for part in text.split(",")]
+    except ValueError:
+        return []
+
+
+def _decode_prompt(text: str) -> tuple[PromptPart, ...]:
+    """Return the parts; a header that is not understood shares nothing."""
+    parts = []
+    for item in text.split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if not tokens.isdecimal():
+            return ()
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+class PlatformDialect(Dialect):
+    """The headers of the prepared machines."""
+
+    def decode_request(self, headers: CIMultiDictProxy[str]) -> RequestMeta | None:
+        """Return what a request says of itself, or None without an id."""
+        request_id = headers.get(HEADER_REQUEST_ID)
+        if not request_id:
+            return None
+        deadline_ms = headers.get(HEADER_DEADLINE_MS, "")
+        model, _, adapter = headers.get(HEADER_MODEL, "").partition("/")
+        counts = _decode_ints(headers.get(HEADER_TOKEN_COUNT, "0,0"))
+        last_event = headers.get(HEADER_LAST_EVENT, "")
+        return RequestMeta(
+            id=RequestId(request_id),
+            deadline_s=int(deadline_ms) / 1000 if deadline_ms.isdecimal() else None,
+            model=ModelName(model),
+            adapter=AdapterName(adapter),
+            prompt_tokens=counts[0] if counts else 0,
+            output_tokens=counts[1] if len(counts) > 1 else 0,
+            prompt=_decode_prompt(headers.get(HEADER_PROMPT_PREFIX, "")),
+            resume_after=int(last_event) if last_event.isdecimal() else None,
+        )
+
+    def encode_dispatch(self, headers: CIMultiDict[str], dispatch: Dispatch) -> None:
+        """Put what the relay adds into the headers for an endpoint."""
+        headers[HEADER_EXPECT_INSTANCE] = dispatch.endpoint
+        headers[HEADER_DEADLINE_MS] = str(max(1, int(dispatch.deadline_s * 1000)))
+        if dispatch.urgency is not None:
+            headers[HEADER_URGENCY] = str(dispatch.urgency)
+        if dispatch.resume_after is not None:
+            headers[HEADER_LAST_EVENT] = str(dispatch.resume_after)
+
+    def classify(
+        self, status: int, headers: CIMultiDictProxy[str], request: RequestId
+    ) -> AnswerKind:
+        """Return what an answer means, from its status line and headers."""
+        echoed = headers.get(HEADER_REQUEST_ID)
+        if echoed is not None and echoed != request:
+            return AnswerKind.FOREIGN
+        if status == HTTP_MISDIRECTED or HEADER_NOT_EXECUTED in headers:
+            return AnswerKind.NOT_RUN
+        if echoed is None or status in NOT_RUN_STATUSES:
+            return AnswerKind.FOREIGN
+        is_success = FIRST_SUCCESS <= status < FIRST_REDIRECT
+        if is_success and HEADER_SEAL not in headers:
+            return AnswerKind.FOREIGN
+        if "Content-Encoding" in headers:
+            return AnswerKind.FOREIGN
+        return AnswerKind.ANSWERED
--- a/chutelink/platform/http.py
+++ b/chutelink/platform/http.py
@@ -1,188 +1,42 @@
-"""The platform over HTTP and JSON."""
+"""The calls by which callers and the machines' owners ask about the system."""
 
 from __future__ import annotations
 
-import random
-import time
+from collections.abc import Awaitable, Callable
 
-import aiohttp
-import msgspec
+from aiohttp import web
 
-from ..exceptions import (
-    PlatformUnavailable,
-    TransactionConflict,
-    WriteOutcomeUnknown,
-)
-from ..settings import PlatformSection
-from .base import (
-    ObjectStore,
-    Platform,
-    RowPage,
-    TableService,
-    Transaction,
-    Vm,
-    VmList,
-)
-from .breaker import Breaker
+from ..entry.directory import Directory
+from ..ids import FailureDomainName
 
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
+PATH_RESOLVE = "/api/resolve"
+PATH_READY = "/api/ready"
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-class _Answer(msgspec.Struct, frozen=True):
-    """Status and body of a platform's answer."""
 
-    status: int
-    body: bytes
+def make_directory_handler(directory: Directory) -> Handler:
+    """Return the handler that tells callers where to connect."""
 
+    async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != PATH_RESOLVE:
+            return web.Response(status=404)
+        domain = FailureDomainName(request.query.get("zone", ""))
+        addresses = directory.addresses(domain)
+        if not addresses:
+            return web.Response(status=503)
+        answer = {"addresses": addresses, "ttl_s": directory.valid_s}
+        return web.json_response(answer)
 
-class _CommitAnswer(msgspec.Struct, frozen=True):
-    """What the table service says of a transaction."""
+    return async_handle
 
-    version: int = 0
-    conflict: str = ""
 
+def make_ready_handler(is_ready: Callable[[], bool]) -> Handler:
+    """Return the handler that says whether this daemon serves callers."""
 
-class HttpCaller:
-    """Calls one of the platform's services with a time limit and a breaker."""
+    async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != PATH_READY:
+            return web.Response(status=404)
+        return web.Response(status=200 if is_ready() else 503)
 
-    def __init__(
-        self, session: aiohttp.ClientSession, settings: PlatformSection, peer: str
-    ) -> None:
-        self._session = session
-        self._settings = settings
-        self.peer = peer
-        self.breaker = Breaker(
-            peer, settings.calls_per_s, time.monotonic, random.Random()
-        )
-        self._timeout = aiohttp.ClientTimeout(total=settings.timeout_s)
-        self._headers = {"Authorization": f"Bearer {settings.key}"}
-
-    async def async_call(
-        self,
-        method: str,
-        path: str,
-        *,
-        step: str,
-        body: bytes | None = None,
-        params: dict[str, str] | None = None,
-        is_conditional_write: bool = False,
-    ) -> _Answer:
-        """Send one call; classify what goes wrong by whether it can matter."""
-        self.breaker.before_call(step)
-        try:
-            async with self._session.request(
-                method,
-                self._settings.url + path,
-                params=params,
-                data=body,
-                headers=self._headers,
-                timeout=self._timeout,
-            ) as response:
-                answer = _Answer(response.status, await response.read())
-        except aiohttp.ClientConnectorError as error:
-            self.breaker.note_failure()
-            raise PlatformUnavailable(str(error), step=step, peer=self.peer) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            self.breaker.note_failure()
-            kind = WriteOutcomeUnknown if is_conditional_write else PlatformUnavailable
-            message = str(error) or type(error).__name__
-            raise kind(message, step=step, peer=self.peer) from error
-        if answer.status in (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT):
-            self.breaker.note_success()
-            return answer
-        self.breaker.note_failure()
-        raise PlatformUnavailable(f"status {answer.status}", step=step, peer=self.peer)
-
-
-class HttpTableService(TableService):
-    """The table service over HTTP."""
-
-    def __init__(self, caller: HttpCaller) -> None:
-        self._caller = caller
-        self._page_decoder = msgspec.json.Decoder(RowPage)
-
-    async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
-        """Return rows of a prefix that changed after a version."""
-        step = "table.read"
-        answer = await self._caller.async_call(
-            "GET",
-            "/v1/table/rows",
-            step=step,
-            params={"prefix": prefix, "after": str(after_version)},
-        )
-        try:
-            return self._page_decoder.decode(answer.body)
-        except msgspec.MsgspecError as error:
-            raise PlatformUnavailable(
-                str(error), step=step, peer=self._caller.peer
-            ) from error
-
-    async def async_transact(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version of its writes."""
-        step = "table.transact"
-        answer = await self._caller.async_call(
-            "POST",
-            "/v1/table/transactions",
-            step=step,
-            body=msgspec.json.encode(transaction),
-            is_conditional_write=True,
-        )
-        try:
-            result = msgspec.json.decode(answer.body, type=_CommitAnswer)
-        except msgspec.MsgspecError as error:
-            raise WriteOutcomeUnknown(
-                str(error), step=step, peer=self._caller.peer
-            ) from error
-        if answer.status == HTTP_CONFLICT:
-            raise TransactionConflict(result.conflict, step=step, peer=result.conflict)
-        return result.version
-
-
-class HttpObjectStore(ObjectStore):
-    """The object store over HTTP."""
-
-    def __init__(self, caller: HttpCaller) -> None:
-        self._caller = caller
-
-    async def async_put(self, name: str, body: bytes) -> None:
-        """Store a body under its hash."""
-        await self._caller.async_call(
-            "PUT", f"/v1/objects/{name}", step="objects.put", body=body
-        )
-
-    async def async_get(self, name: str) -> bytes | None:
-        """Return a body, or None."""
-        answer = await self._caller.async_call(
-            "GET", f"/v1/objects/{name}", step="objects.get"
-        )
-        return None if answer.status == HTTP_NOT_FOUND else answer.body
-
-
-class HttpVmList(VmList):
-    """The VM list over HTTP."""
-
-    def __init__(self, caller: HttpCaller) -> None:
-        self._caller = caller
-
-    async def async_list(self) -> list[Vm]:
-        """Return the VMs as the list has them now."""
-        answer = await self._caller.async_call("GET", "/v1/vms", step="vms.list")
-        try:
-            return msgspec.json.decode(answer.body, type=list[Vm])
-        except msgspec.MsgspecError as error:
-            raise PlatformUnavailable(
-                str(error), step="vms.list", peer=self._caller.peer
-            ) from error
-
-
-def async_setup_platform(
-    session: aiohttp.ClientSession, settings: PlatformSection
-) -> Platform:
-    """Return the platform's parts, each behind a breaker of its own."""
-    return Platform(
-        table=HttpTableService(HttpCaller(session, settings, "table")),
-        objects=HttpObjectStore(HttpCaller(session, settings, "objects")),
-        vms=HttpVmList(HttpCaller(session, settings, "vms")),
-    )
+    return async_handle
--- /dev/null
+++ b/chutelink/platform/store.py
@@ -0,0 +1,212 @@
+"""The metadata store of the prepared machines, as a watched table service."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
+from ..exceptions import (
+    HistoryLost,
+    PlatformUnavailable,
+    TransactionConflict,
+    WriteOutcomeUnknown,
+)
+from ..ids import WriteId
+from ..settings import PlatformSection
+from ..store import Row, RowPage, Transaction, WatchedTable, Write
+from ..store.http import Answer, HttpCaller
+
+HTTP_OK = 200
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+STATUSES = frozenset({HTTP_OK, HTTP_GONE, HTTP_PRECONDITION_FAILED})
+WIRE_TABLES = {TABLE_CONFIG: "op", TABLE_ENDPOINTS: "servers"}
+"""Tables that others write; their rows carry no write id of ours.
+
+``op`` has the operators' configuration, ``servers`` what endpoints register.
+"""
+PRODUCT_TABLES = {wire: name for name, wire in WIRE_TABLES.items()}
+LAST_SUFFIX = "\U0010ffff"
+"""Sorts behind every suffix of a key."""
+
+
+class _WireRow(msgspec.Struct):
+    """A row as the store spells it.
+
+    ``ver`` comes from one counter over all tables; ``tombstone`` marks a removal.
+    """
+
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    ver: int = 0
+    tombstone: bool = False
+
+
+class _WirePage(msgspec.Struct):
+    """Answer to a read; ``ver`` is the newest version that it covers."""
+
+    rows: list[_WireRow] = []
+    ver: int = 0
+    truncated: bool = False
+
+
+class _OwnValue(msgspec.Struct):
+    """What a row of ours holds: the value, and the write that put it there."""
+
+    write_id: str
+    value: Any
+
+
+def _split_key(key: str) -> tuple[str, str]:
+    table, _, name = key.partition("/")
+    return WIRE_TABLES.get(table, table), name
+
+
+def _decode_row(row: _WireRow) -> Row:
+    """Return the product's row.
+
+    Raises
+    ------
+    ValueError
+        The value is not base64, or not JSON.
+    """
+    table = PRODUCT_TABLES.get(row.table, row.table)
+    key = f"{table}/{row.key}"
+    if row.tombstone:
+        return Row(key, row.ver, WriteId(""), None)
+    data = base64.b64decode(row.value, validate=True)
+    if row.table in PRODUCT_TABLES:
+        return Row(key, row.ver, WriteId(""), msgspec.json.decode(data))
+    own = msgspec.json.decode(data, type=_OwnValue)
+    return Row(key, row.ver, WriteId(own.write_id), own.value)
+
+
+class StoreTable(WatchedTable):
+    """Rows ``TABLE/KEY`` in the store's tables, all in the empty partition."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
+        """Return the rows of a prefix; a watch returns changes alone."""
+        table, name = _split_key(prefix)
+        params = {"table": table, "part": ""}
+        if name:
+            params |= {"from": name, "to": name + LAST_SUFFIX}
+        rows: list[_WireRow] = []
+        while True:
+            answer = await self._caller.async_call(
+                "GET", "/api/rows-get", step="table.read", params=params
+            )
+            page = self._decode_page(answer, "table.read")
+            rows += page.rows
+            if not page.truncated or not page.rows:
+                break
+            params["from"] = page.rows[-1].key + "\0"
+        kept = self._decode_rows(rows, "table.read")
+        return RowPage(page.ver, [row for row in kept if row.version > after_version])
+
+    async def async_watch(
+        self, prefix: str, after_version: int, wait_s: float
+    ) -> RowPage:
+        """Return the changes of a whole table after a version."""
+        table, _ = _split_key(prefix)
+        params = {
+            "table": table,
+            "after": str(after_version),
+            "wait_ms": str(round(wait_s * 1000)),
+        }
+        answer = await self._caller.async_call(
+            "GET", "/api/rows-feed", step="table.watch", params=params, wait_s=wait_s
+        )
+        if answer.status == HTTP_GONE:
+            raise HistoryLost(
+                "changes no longer kept", step="table.watch", peer=self._caller.peer
+            )
+        page = self._decode_page(answer, "table.watch")
+        return RowPage(page.ver, self._decode_rows(page.rows, "table.watch"))
+
+    async def async_transact(self, transaction: Transaction) -> int:
+        """Commit a transaction and return the version of its writes."""
+        step = "table.transact"
+        answer = await self._caller.async_call(
+            "POST",
+            "/api/rows-tx",
+            step=step,
+            body=msgspec.json.encode(_encode_transaction(transaction)),
+            is_conditional_write=True,
+        )
+        if answer.status == HTTP_PRECONDITION_FAILED:
+            key = transaction.checks[0].key if transaction.checks else ""
+            raise TransactionConflict(key, step=step, peer=key)
+        try:
+            return msgspec.json.decode(answer.body, type=_WirePage).ver
+        except msgspec.MsgspecError as error:
+            raise WriteOutcomeUnknown(
+                str(error), step=step, peer=self._caller.peer
+            ) from error
+
+    def _decode_page(self, answer: Answer, step: str) -> _WirePage:
+        if answer.status != HTTP_OK:
+            message = f"status {answer.status}"
+            raise PlatformUnavailable(message, step=step, peer=self._caller.peer)
+        try:
+            return msgspec.json.decode(answer.body, type=_WirePage)
+        except msgspec.MsgspecError as error:
+            raise PlatformUnavailable(
+                str(error), step=step, peer=self._caller.peer
+            ) from error
+
+    def _decode_rows(self, rows: list[_WireRow], step: str) -> list[Row]:
+        try:
+            return [_decode_row(row) for row in rows]
+        except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
+            raise PlatformUnavailable(
+                str(error), step=step, peer=self._caller.peer
+            ) from error
+
+
+def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
+    """Return the store's form of a transaction.
+
+    ``expected_rev`` holds the conditions on rows here; in an order to an
+    endpoint the same name is a number of orders.
+    """
+    checks = [
+        {"table": table, "part": "", "key": key, "ver": check.version}
+        for check in transaction.checks
+        for table, key in [_split_key(check.key)]
+    ]
+    kept = [
+        _encode_write(write, transaction.id)
+        for write in transaction.writes
+        if write.value is not None
+    ]
+    removed = [
+        {"table": table, "part": "", "key": key}
+        for write in transaction.writes
+        if write.value is None
+        for table, key in [_split_key(write.key)]
+    ]
+    return {"expected_rev": checks, "set_keys": kept, "remove": removed}
+
+
+def _encode_write(write: Write, write_id: WriteId) -> dict[str, str]:
+    table, key = _split_key(write.key)
+    data = msgspec.json.encode(_OwnValue(write_id, write.value))
+    value = base64.b64encode(data).decode()
+    return {"table": table, "part": "", "key": key, "value": value}
+
+
+def async_setup_store(
+    session: aiohttp.ClientSession, settings: PlatformSection
+) -> StoreTable:
+    """Return the store behind a time limit, a breaker and a budget of calls."""
+    return StoreTable(HttpCaller(session, settings, "store", STATUSES))
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -17,6 +17,7 @@
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+Listen = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
 LogLevel = Annotated[str, Meta(pattern=r"^(debug|info|warning|error)$")]
 
@@ -44,6 +45,7 @@
     timeout_s: Seconds = 2.0
     poll_interval_s: Seconds = 1.0
     calls_per_s: Count = 200
+    max_pause_s: Seconds = 4.0
 
 
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -93,6 +95,38 @@
     loads_at_once: Count = 8
 
 
+class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``[entry]``: the entry program's addresses and the operators' bounds.
+
+    ``holder_gap_ms`` must lie between orders of two holders; ``retry_ratio`` and
+    ``retry_slack`` bound repeats over all daemons in ``retry_window_s``, and
+    ``cold_load_excess`` is how far above the weight store's rate the loads of
+    ``cold_load_window_s`` may go.
+    """
+
+    caller_listen: Listen
+    ready_listen: Listen
+    directory_listen: Listen
+    grace_s: Seconds
+    config_apply_ms: Count
+    holder_gap_ms: Count
+    retry_ratio: Annotated[float, Meta(ge=0, le=1)]
+    retry_slack: Annotated[int, Meta(ge=0)]
+    retry_window_s: Seconds
+    cold_load_window_s: Seconds
+    cold_load_excess: Annotated[float, Meta(ge=1, le=10)]
+    address_valid_s: Seconds = 1.0
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections of an entry daemon's file."""
+
+    daemon: DaemonSection
+    platform: PlatformSection
+    entry: EntrySection
+    peers: PeersSection = PeersSection()
+
+
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All sections of a gateway's file."""
 
--- /dev/null
+++ b/chutelink/store/__init__.py
@@ -0,0 +1,36 @@
+"""Where lasting state is kept: tables, objects and the VM list, run by others."""
+
+from .base import (
+    Check,
+    ObjectStore,
+    Platform,
+    Row,
+    RowPage,
+    TableService,
+    Transaction,
+    Vm,
+    VmList,
+    VmState,
+    WatchedTable,
+    Write,
+)
+from .http import async_setup_platform
+from .transactions import async_commit, decode_value
+
+__all__ = [
+    "Check",
+    "ObjectStore",
+    "Platform",
+    "Row",
+    "RowPage",
+    "TableService",
+    "Transaction",
+    "Vm",
+    "VmList",
+    "VmState",
+    "WatchedTable",
+    "Write",
+    "async_commit",
+    "async_setup_platform",
+    "decode_value",
+]
--- a/chutelink/platform/base.py
+++ b/chutelink/store/base.py
@@ -104,6 +104,27 @@
         """
 
 
+class WatchedTable(TableService):
+    """A table service that also waits for changes and may drop its history."""
+
+    @abstractmethod
+    async def async_watch(
+        self, prefix: str, after_version: int, wait_s: float
+    ) -> RowPage:
+        """Return rows that changed after a version, as soon as there is one.
+
+        A row that was removed is returned with the value None. Without a change
+        the page is empty after ``wait_s``.
+
+        Raises
+        ------
+        HistoryLost
+            The changes after this version are no longer kept: read all anew.
+        PlatformUnavailable
+            When there is no answer in time.
+        """
+
+
 class ObjectStore(ABC):
     """Bodies named by their content hash."""
 
--- a/chutelink/platform/breaker.py
+++ b/chutelink/store/breaker.py
@@ -9,7 +9,7 @@
 
 FAILURES_TO_OPEN = 3
 FIRST_PAUSE_S = 0.5
-MAX_PAUSE_S = 4.0
+DEFAULT_MAX_PAUSE_S = 4.0
 
 
 class Breaker:
@@ -27,6 +27,8 @@
         Seconds on a clock that never goes back.
     rng : random.Random
         Source of the spread.
+    max_pause_s : float, default=DEFAULT_MAX_PAUSE_S
+        The longest pause.
     """
 
     def __init__(
@@ -35,11 +37,13 @@
         calls_per_s: int,
         clock: Callable[[], float],
         rng: random.Random,
+        max_pause_s: float = DEFAULT_MAX_PAUSE_S,
     ) -> None:
         self._peer = peer
         self._calls_per_s = calls_per_s
         self._clock = clock
         self._rng = rng
+        self._max_pause_s = max_pause_s
         self._failures = 0
         self._open_until_s = float("-inf")
         self._window_start_s = float("-inf")
@@ -74,5 +78,5 @@
         if self._failures < FAILURES_TO_OPEN:
             return
         doublings = min(self._failures - FAILURES_TO_OPEN, 8)
-        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
+        pause_s = min(self._max_pause_s, FIRST_PAUSE_S * 2**doublings)
         self._open_until_s = self._clock() + pause_s * self._rng.uniform(0.5, 1.0)
--- a/chutelink/tables/state.py
+++ b/chutelink/tables/state.py
@@ -6,7 +6,7 @@
 
 from ..const import PREFIX_HEALTH, PREFIX_LEDGER
 from ..ids import EndpointName, FailureDomainName
-from ..platform import Row, decode_value
+from ..store import Row, decode_value
 from .ledger import LedgerRow
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from chutelink.platform.base import Check, Row, RowPage, Transaction, Vm
+from chutelink.store.base import Check, Row, RowPage, Transaction, Vm
 
 from .web import (
     FAULTS_PATH,
--- a/tests/director/test_leases.py
+++ b/tests/director/test_leases.py
@@ -8,8 +8,8 @@
 import pytest
 
 from chutelink.director.leases import LeaseKeeper
-from chutelink.platform import transactions
 from chutelink.settings import DirectorSection
+from chutelink.store import transactions
 
 from ..fakes import FakeTable, make_core
 
--- a/tests/director/test_ledger_machine.py
+++ b/tests/director/test_ledger_machine.py
@@ -33,7 +33,7 @@
 )
 from chutelink.fleet import ArtifactKind, parse_fleet
 from chutelink.ids import WriteId
-from chutelink.platform import Transaction, Write, transactions
+from chutelink.store import Transaction, Write, transactions
 from chutelink.systems.reconcile import Situation, next_action
 from chutelink.tables.endpoints import ArtifactState
 from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
--- a/tests/director/test_orders.py
+++ b/tests/director/test_orders.py
@@ -14,7 +14,7 @@
 from chutelink.exceptions import TransactionConflict
 from chutelink.fleet import Artifact, ArtifactKind, parse_fleet
 from chutelink.ids import BootId, FencingNumber, WriteId
-from chutelink.platform import Transaction, Write
+from chutelink.store import Transaction, Write
 from chutelink.systems.reconcile import Action, ActionKind
 from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
 from chutelink.tables.state import StateTable
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -15,7 +15,7 @@
 from chutelink.ids import BootId, DaemonId
 from chutelink.log import EventLog
 from chutelink.metrics import Metrics
-from chutelink.platform import (
+from chutelink.store import (
     ObjectStore,
     Platform,
     RowPage,
--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -10,7 +10,7 @@
 from chutelink.gateway import claims as claims_module
 from chutelink.gateway.claims import ClaimKeeper, StoredAnswer, claim_key
 from chutelink.gateway.refusals import Outcome, Refusal
-from chutelink.platform import transactions
+from chutelink.store import transactions
 
 from ..fakes import FakeTable, make_core
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -14,8 +14,8 @@
 from chutelink.fleet import hash_fleet
 from chutelink.ids import ApplyId, ConfigVersion, WriteId
 from chutelink.peers.messages import ConfigBody
-from chutelink.platform import Transaction, Write
 from chutelink.settings import PlatformSection
+from chutelink.store import Transaction, Write
 
 from .fakes import make_core, make_platform
 
