Let a holder that can't renew yield; prepare models and adapters before they are asked for

Others were adapters on endpoints busy with a load, and models evicted just before demand moved on to them along the operators' order. Ruled out: the rate of the weight store (21 loads in 46 s). Bytes between zones halved by not passing broadcasts on to peers that hear the origin themselves.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -25,6 +25,7 @@
 from .loads import LoadBook
 from .membership import Registration
 from .news import (
+    LeaseYield,
     LoadNews,
     News,
     PlacementNews,
@@ -120,7 +121,7 @@
         self.watch = StoreWatch(self, table, names, self.rank, self._send)
         self.watch.on_row = self.known.take_row
         gap_s = self.settings.entry.holder_gap_ms / 1000
-        self.lease = PlacerLease(self, table, self.rank, gap_s)
+        self.lease = PlacerLease(self, table, self.rank, gap_s, self._send)
         self._setup_placer()
         self._setup_callers()
         self.known.on_config = self._take_config
@@ -236,6 +237,8 @@
             self._take_load(news)
         elif isinstance(news, PlacementNews):
             self._take_placement(news)
+        elif isinstance(news, LeaseYield):
+            self.lease.take_yield(news)
 
     def _take_load(self, news: LoadNews) -> None:
         now_s = self.clock()
--- a/chutelink/entry/config.py
+++ b/chutelink/entry/config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..ids import ConfigVersion, ModelName, RouteName, ServiceName
+from ..ids import AdapterName, ConfigVersion, ModelName, RouteName, ServiceName
 
 
 class RouteKind(Enum):
@@ -71,12 +71,15 @@
     cold_load_s: float
     memory_load_s: float
     disk_load_s: float
-    adapters: int = 0
+    adapters: tuple[AdapterName, ...] = ()
     adapter_mb: float = 0.0
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
-    """What the engines of a service can hold, and the pace of cold loads."""
+    """What the engines of a service can hold, and the pace of cold loads.
+
+    ``models`` keeps the operators' order.
+    """
 
     batch_slots: int
     kv_capacity_tokens: int
--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -22,13 +22,16 @@
     """
 
     work_per_s: float = 0.0
+    arrivals_per_s: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
     def decay(self, now_s: float) -> None:
         """Bring the average to now."""
         elapsed_s = max(0.0, now_s - self.updated_s)
-        self.work_per_s *= math.exp(-elapsed_s / AVERAGE_S)
+        factor = math.exp(-elapsed_s / AVERAGE_S)
+        self.work_per_s *= factor
+        self.arrivals_per_s *= factor
         self.updated_s = now_s
 
 
@@ -55,6 +58,7 @@
             use = self.uses.setdefault(key, Use(updated_s=now_s))
             use.decay(now_s)
             use.work_per_s += news.work_s / AVERAGE_S
+            use.arrivals_per_s += news.arrivals / AVERAGE_S
             if news.arrivals:
                 use.last_arrival_s = now_s
             waiting = self._waiting.setdefault(key, {})
@@ -69,6 +73,15 @@
                 total += use.work_per_s
         return total
 
+    def arrivals_per_s(self, model: ModelName, now_s: float) -> float:
+        """Return how often a model and its adapters are asked for."""
+        total = 0.0
+        for (name, _), use in self.uses.items():
+            if name == model:
+                use.decay(now_s)
+                total += use.arrivals_per_s
+        return total
+
     def last_arrival_s(self, model: ModelName) -> float:
         """Return when a model or an adapter of it was last asked for."""
         return max(
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -12,7 +12,7 @@
 from .config import CallerLimits, Route, RouteTable
 from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges, pick_service
 from .relay import Relay
-from .requestlog import RequestLog
+from .requestlog import RequestLog, RequestResult
 from .stream import CallerStream, StreamRelay
 from .upstream import WholeResponse, forwarded_headers
 
@@ -64,12 +64,14 @@
         exchange: Exchange | None = None
         status = 0
         outcome = "cancelled"
+        reason = ""
         try:
             exchange = await self._async_accept(request, started_s)
             response = await self._async_relay(request, exchange)
             status, outcome = response.status, "answered"
         except Refusal as refusal:
             status, outcome = refusal.status, refusal.outcome.value
+            reason = refusal.title
             response = self._refuse(refusal)
         except (ConnectionError, asyncio.CancelledError):
             # The caller has left; nothing can be told any more.
@@ -77,7 +79,8 @@
             raise
         finally:
             self.in_flight -= 1
-            self._log.note(request, exchange, status, outcome, started_s)
+            result = RequestResult(status, outcome, reason)
+            self._log.note(request, exchange, result, started_s)
         return response
 
     async def _async_accept(
--- a/chutelink/entry/lease.py
+++ b/chutelink/entry/lease.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from enum import Enum
 
 import msgspec
@@ -20,16 +22,19 @@
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from ..ids import BootId, DaemonId
-from ..store import Check, WatchedTable, Write, async_commit, decode_value
+from ..ids import BootId, DaemonId, WriteId, make_id
+from ..store import Check, Transaction, WatchedTable, Write, decode_value
+from .news import LeaseYield
 
 KEY_LEASE = f"{TABLE_LEASES}/placer"
 HOLD_S = 2.2
 """How long after sending a renewal the holder acts: two renewals may fail."""
 EXPIRY_S = 2.5
 """How long a contender must see no renewal: ``HOLD_S`` and a margin for clocks."""
-RENEW_S = 1.0
+RENEW_S = 0.8
 TICK_S = 0.1
+CALL_LIMIT_S = 0.5
+"""A renewal without an answer for so long is looked up; slow answers take 0.5 s."""
 SILENCE_S = 1.3
 """Without word from the holder for so long, others look at the row.
 
@@ -38,6 +43,8 @@
 RANK_STEP_S = 0.3
 """How much later each further daemon in rank looks: few contend at once."""
 CONTEND_READ_S = 0.6
+MAX_IDLE_S = 3600.0
+"""Stands for never; rows and messages carry no infinities."""
 
 
 class PlacerRow(msgspec.Struct, frozen=True):
@@ -76,6 +83,8 @@
         This daemon's place among the live ones.
     holder_gap_s : float
         The shortest time between orders of two holders.
+    send : callable
+        Tells the other daemons.
     """
 
     def __init__(
@@ -84,12 +93,14 @@
         table: WatchedTable,
         rank: Callable[[], int],
         holder_gap_s: float,
+        send: Callable[[LeaseYield], None],
     ) -> None:
         super().__init__()
         self._core = core
         self._table = table
         self._rank = rank
         self._holder_gap_s = holder_gap_s
+        self._send = send
         self.phase = LeasePhase.FOLLOWING
         self.term = 0
         self.is_leaving = False
@@ -102,6 +113,9 @@
         self._orders_from_s = float("inf")
         self._last_order_s = float("-inf")
         self._heard_s = core.clock()
+        self._is_unsure = False
+        self._yielded: LeaseYield | None = None
+        self._yielded_s = float("-inf")
 
     @property
     def is_held(self) -> bool:
@@ -111,6 +125,8 @@
     @property
     def may_order(self) -> bool:
         """Whether orders may be sent now: the last holder's are long past."""
+        if self.is_leaving:
+            return False
         return self.is_held and self._core.clock() >= self._orders_from_s
 
     def begin_order(self) -> int:
@@ -133,6 +149,12 @@
             if daemon != self._core.daemon_id and term > self.term:
                 self._lose("another_holder", term)
 
+    def take_yield(self, news: LeaseYield) -> None:
+        """Take in that the holder orders nothing more."""
+        if news.term >= self.term and news.daemon != self._core.daemon_id:
+            self._yielded = news
+            self._yielded_s = self._core.clock()
+
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
@@ -150,36 +172,72 @@
             self._lose("conflict", self.term)
         except (PlatformUnavailable, WriteOutcomeUnknown) as error:
             self._core.events.warning("lease_call_failed", error=error)
+            self._doubt()
+
+    def _doubt(self) -> None:
+        """Order nothing until a renewal succeeds, and let others take over."""
+        if self.phase is not LeasePhase.HELD or self._is_unsure:
+            return
+        self._is_unsure = True
+        idle_s = min(MAX_IDLE_S, self._core.clock() - self._last_order_s)
+        self._core.events.warning("lease_yielded", term=self.term, idle_s=idle_s)
+        self._send(LeaseYield(self._core.daemon_id, self.term, idle_s))
 
     def _is_due(self) -> bool:
         now_s = self._core.clock()
+        step_s = RANK_STEP_S * self._rank()
+        if now_s - self._read_s < CONTEND_READ_S:
+            return False
+        if self._has_yielded() and now_s - self._yielded_s > step_s:
+            return True
         patience_s = SILENCE_S if self._row or self.term else 0.0
-        patience_s += RANK_STEP_S * self._rank()
-        is_silent = now_s - self._heard_s > patience_s
-        return is_silent and now_s - self._read_s > CONTEND_READ_S
+        return now_s - self._heard_s > patience_s + step_s
+
+    def _has_yielded(self) -> bool:
+        """Return whether the holder has yielded and not spoken since."""
+        return self._yielded is not None and self._yielded_s >= self._heard_s
 
     async def _async_keep(self) -> None:
         now_s = self._core.clock()
         if now_s >= self._held_until_s:
             self._lose("expired", self.term)
+        elif self._is_unsure:
+            await self._async_look_up()
         elif now_s - self._renewed_s >= RENEW_S:
-            self._renewed_s = now_s
-            row = msgspec.structs.replace(self._row, counter=self._row.counter + 1)
-            await self._async_write(row)
+            await self._async_renew()
+
+    async def _async_renew(self) -> None:
+        self._renewed_s = self._core.clock()
+        row = msgspec.structs.replace(self._row, counter=self._row.counter + 1)
+        await self._async_write(row)
+
+    async def _async_look_up(self) -> None:
+        """Read the row after a write without an answer, then renew it."""
+        await self._async_read()
+        if self._row is None or self._row.boot_id != self._core.boot_id:
+            self._lose("taken", self.term)
+            return
+        await self._async_renew()
+        self._is_unsure = False
+        self._core.events.info("lease_regained", term=self.term)
 
     async def _async_contend(self) -> None:
         """Look at the row, and take it when it is free or has expired."""
         self._read_s = self._core.clock()
-        page = await self._table.async_read(KEY_LEASE)
+        await self._async_read()
+        wait_s = self._wait_s()
+        if wait_s is not None:
+            await self._async_take(wait_s)
+
+    async def _async_read(self) -> None:
+        async with _time_limit():
+            page = await self._table.async_read(KEY_LEASE)
         found = page.get(KEY_LEASE)
         version = found.version if found is not None else 0
         if version != self._version or self._seen_s is None:
             self._seen_s = self._core.clock()
         self._version = version
         self._row = decode_value(found, PlacerRow)
-        wait_s = self._wait_s()
-        if wait_s is not None:
-            await self._async_take(wait_s)
 
     def _wait_s(self) -> float | None:
         """Return how long to hold orders back after taking, or None to wait.
@@ -191,7 +249,11 @@
             return 0.0
         if row.is_released:
             return max(0.0, self._holder_gap_s - row.idle_s)
-        unchanged_s = self._core.clock() - self._seen_s
+        now_s = self._core.clock()
+        if self._has_yielded() and self._yielded.term == row.term:
+            idle_s = self._yielded.idle_s + now_s - self._yielded_s
+            return max(0.0, self._holder_gap_s - idle_s)
+        unchanged_s = now_s - self._seen_s
         if unchanged_s < EXPIRY_S:
             return None
         return max(0.0, HOLD_S + self._holder_gap_s - unchanged_s)
@@ -204,6 +266,7 @@
         await self._async_write(row)
         self.phase = LeasePhase.HELD
         self.term = term
+        self._is_unsure = False
         self._orders_from_s = self._core.clock() + wait_s
         self._core.metrics.lease_held.set({}, 1)
         self._core.events.info(
@@ -214,12 +277,21 @@
         )
 
     async def _async_write(self, row: PlacerRow) -> None:
-        """Write the row; the lease counts from before the call."""
+        """Write the row; the lease counts from before the call.
+
+        Raises
+        ------
+        TransactionConflict
+            Another daemon has written it.
+        PlatformUnavailable, WriteOutcomeUnknown
+            It is to be read before anything else is done.
+        """
         started_s = self._core.clock()
-        value = msgspec.to_builtins(row)
-        self._version = await async_commit(
-            self._table, [Check(KEY_LEASE, self._version)], [Write(KEY_LEASE, value)]
-        )
+        check = Check(KEY_LEASE, self._version)
+        write = Write(KEY_LEASE, msgspec.to_builtins(row))
+        transaction = Transaction(WriteId(make_id()), (check,), (write,))
+        async with _time_limit():
+            self._version = await self._table.async_transact(transaction)
         self._row = row
         self._seen_s = self._core.clock()
         self._held_until_s = started_s + HOLD_S
@@ -238,7 +310,7 @@
         if self.phase is not LeasePhase.HELD:
             return
         self._orders_from_s = float("inf")
-        idle_s = min(3600.0, self._core.clock() - self._last_order_s)
+        idle_s = min(MAX_IDLE_S, self._core.clock() - self._last_order_s)
         row = msgspec.structs.replace(
             self._row,
             counter=self._row.counter + 1,
@@ -250,3 +322,15 @@
         except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
             self._core.events.warning("lease_release_failed", error=error)
         self._lose("released", self.term)
+
+
+@asynccontextmanager
+async def _time_limit() -> AsyncIterator[None]:
+    """Give a call up early: a lease is worth nothing once it is late."""
+    try:
+        async with asyncio.timeout(CALL_LIMIT_S):
+            yield
+    except TimeoutError as error:
+        raise WriteOutcomeUnknown(
+            "no answer in time", step="lease.call", peer=KEY_LEASE
+        ) from error
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -92,7 +92,18 @@
     loads: list[PendingLoad]
 
 
-News = StoreNews | SnapshotRequest | LoadNews | PlacementNews
+class LeaseYield(msgspec.Struct, frozen=True, tag="yield"):
+    """The holder can't renew and orders nothing until it has.
+
+    ``idle_s`` is how long ago it sent its last order.
+    """
+
+    daemon: DaemonId
+    term: int
+    idle_s: float
+
+
+News = LeaseYield | StoreNews | SnapshotRequest | LoadNews | PlacementNews
 _DECODE_FAILURES = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 
 
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -27,6 +27,21 @@
 """
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
+ACTIVE_SHARE = 0.03
+"""Share of all requests from which a model counts as one of the busy ones."""
+MIN_ACTIVE_PER_S = 0.4
+"""Requests a second below which no model counts as busy."""
+OUTLOOK_PLACES = 4
+"""How many models after a busy one, in the operators' order, may be next.
+
+Measured: demand moves along that order, some two places in 5 s.
+"""
+OUTLOOK_SHARE = 0.3
+"""How much of a busy model's demand counts for those that may be next."""
+LAST_REPLICA_WORK = 0.05
+"""What giving up the last replica of a model costs beside its own demand."""
+BLOCKED_SHARE = 0.1
+"""Share of the adapter requests that fail while their endpoint loads a model."""
 BUSY_PENALTY_S = 0.3
 """How much a load time may differ before the less busy endpoint is taken."""
 
@@ -100,6 +115,10 @@
         for model in view.demand.recent(view.now_s, RECENT_S):
             round_.make_resident(model)
             round_.add_replica(model)
+        for model in round_.next_models():
+            round_.make_resident(model)
+        for model in round_.active:
+            round_.add_adapters(model)
         return round_.changes
 
 
@@ -118,8 +137,45 @@
             and view.now_s >= site.inventory.avoid_until_s
         }
         self._loading = dict(view.loading)
+        self._order = list(view.engine.models)
+        self._arrivals = {
+            model: view.demand.arrivals_per_s(model, view.now_s)
+            for model in self._order
+        }
+        total = sum(self._arrivals.values())
+        self.active = [
+            model
+            for model in self._order
+            if self._arrivals[model] > max(ACTIVE_SHARE * total, MIN_ACTIVE_PER_S)
+        ]
+        self._outlook = self._make_outlook()
         self.changes: list[Change] = []
 
+    def _make_outlook(self) -> dict[ModelName, float]:
+        """Return the demand that each model may soon have, in engine time."""
+        demand, now_s = self._view.demand, self._view.now_s
+        outlook = {model: demand.work_per_s(model, now_s) for model in self._order}
+        places = len(self._order)
+        for model in self.active:
+            index = self._order.index(model)
+            share = OUTLOOK_SHARE * demand.work_per_s(model, now_s)
+            for step in range(1, min(OUTLOOK_PLACES, places - 1) + 1):
+                after = self._order[(index + step) % places]
+                outlook[after] = max(outlook[after], share)
+        return outlook
+
+    def next_models(self) -> list[ModelName]:
+        """Return the models that may be asked for next, the nearest first."""
+        places = len(self._order)
+        found: list[ModelName] = []
+        for step in range(1, min(OUTLOOK_PLACES, places - 1) + 1):
+            for model in self.active:
+                index = self._order.index(model)
+                after = self._order[(index + step) % places]
+                if after not in self.active and after not in found:
+                    found.append(after)
+        return found[:OUTLOOK_PLACES]
+
     def make_resident(self, model: ModelName) -> None:
         """Load a model that no endpoint holds."""
         if self._replicas(model) == 0:
@@ -151,6 +207,23 @@
         best = min(options, key=self._adapter_cost)
         self._take(best)
 
+    def add_adapters(self, model: ModelName) -> None:
+        """Use free places for adapters of a busy model that are nowhere yet."""
+        spec = self._view.engine.models[model]
+        missing = [
+            adapter
+            for adapter in spec.adapters
+            if not self._loading.get((model, adapter))
+            and not any(s.inventory.has(model, adapter) for s in self._view.sites)
+        ]
+        for site in list(self._free.values()):
+            if not missing or model not in site.inventory.models:
+                continue
+            change = self._adapter_change(site, model, missing[0])
+            if change is not None and not change.unload_adapters:
+                self._take(change)
+                missing.pop(0)
+
     def _replicas(self, model: ModelName) -> int:
         held = sum(
             model in site.inventory.models and model not in site.endpoint.closing
@@ -199,24 +272,31 @@
     def _victims(
         self, site: Site, wanted: ModelName, *, is_replica: bool
     ) -> list[ModelName]:
-        """Return the models that may give way, those least in use first."""
+        """Return the models that may give way, those least missed first."""
         demand, now_s = self._view.demand, self._view.now_s
         waiting = {model for model, _ in demand.waiting(now_s)}
-        wanted_work = demand.work_per_s(wanted, now_s)
+        wanted_worth = max(self._outlook.get(wanted, 0.0), LAST_REPLICA_WORK)
         ranked: list[tuple[float, float, ModelName]] = []
         for model in site.inventory.models:
             if model in waiting or model == wanted:
                 continue
-            work = demand.work_per_s(model, now_s)
-            replicas = self._replicas(model)
-            is_idle = now_s - demand.last_arrival_s(model) > RECENT_S
-            spare = replicas > 1 and work / (replicas - 1) < REPLICA_WORK
-            outweighed = not is_replica and replicas > 1 and work < wanted_work
-            if is_idle or spare or outweighed:
-                last_s = demand.last_arrival_s(model)
-                ranked.append((work / max(1, replicas), last_s, model))
+            missed = self._missed(model)
+            last_s = demand.last_arrival_s(model)
+            is_idle = now_s - last_s > RECENT_S and missed <= wanted_worth
+            is_spare = self._replicas(model) > 1 and missed < REPLICA_WORK
+            is_outweighed = not is_replica and 2 * missed < wanted_worth
+            if is_idle or is_spare or is_outweighed:
+                ranked.append((missed, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
+    def _missed(self, model: ModelName) -> float:
+        """Return what giving up one replica of a model costs, in engine time."""
+        replicas = self._replicas(model)
+        work = self._outlook.get(model, 0.0)
+        if replicas <= 1:
+            return LAST_REPLICA_WORK + work
+        return max(0.0, work / (replicas - 1) - IDLE_WORK)
+
     def _model_cost(self, change: Change) -> float:
         """Return the time until the model can be used, in seconds."""
         site = self._free[change.endpoint]
@@ -224,7 +304,16 @@
         busy_s /= max(1, self._view.engine.batch_slots)
         demand, now_s = self._view.demand, self._view.now_s
         lost = sum(demand.work_per_s(m, now_s) for m in change.unload_models)
-        return change.load_s + busy_s + lost + 0.05 * len(change.unload_models)
+        blocked = sum(
+            self._arrivals.get(model, 0.0) / max(1, self._replicas(model))
+            for model in site.inventory.models
+            if model not in change.unload_models and self._has_adapters(model)
+        )
+        return change.load_s * (1 + BLOCKED_SHARE * blocked) + busy_s + lost
+
+    def _has_adapters(self, model: ModelName) -> bool:
+        spec = self._view.engine.models.get(model)
+        return spec is not None and bool(spec.adapters)
 
     def _adapter_change(
         self, site: Site, model: ModelName, adapter: AdapterName
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from aiohttp import web
 
 from ..core import Application
@@ -11,6 +12,15 @@
 """Lines for requests that went well; all others are kept."""
 BURST_LINES = 20.0
 FIRST_FAILURE = 400
+ANSWERED = "answered"
+
+
+class RequestResult(msgspec.Struct, frozen=True):
+    """How a request ended; ``reason`` says why it was refused."""
+
+    status: int
+    outcome: str
+    reason: str
 
 
 class RequestLog:
@@ -32,22 +42,23 @@
         self,
         request: web.BaseRequest,
         exchange: Exchange | None,
-        status: int,
-        outcome: str,
+        result: RequestResult,
         started_s: float,
     ) -> None:
         """Count a request that has ended, and log it."""
         now_s = self._core.clock()
         took_s = now_s - started_s
         route = exchange.route.name if exchange is not None else ""
-        self._core.metrics.requests.inc({"outcome": outcome, "status": str(status)})
+        self._core.metrics.requests.inc(
+            {"outcome": result.outcome, "status": str(result.status)}
+        )
         self._core.metrics.request_seconds.observe({"route": route}, took_s)
         is_late = exchange is not None and took_s > exchange.route.objective_s
-        is_good = outcome == "answered" and status < FIRST_FAILURE
+        is_good = result.outcome == ANSWERED and result.status < FIRST_FAILURE
         if is_good and not is_late and not self._may_log(now_s):
             self._left_out += 1
             return
-        self._emit(request, exchange, status, outcome, took_s)
+        self._emit(request, exchange, result, took_s)
 
     def _may_log(self, now_s: float) -> bool:
         earned = (now_s - self._updated_s) * GOOD_LINES_PER_S
@@ -62,14 +73,14 @@
         self,
         request: web.BaseRequest,
         exchange: Exchange | None,
-        status: int,
-        outcome: str,
+        result: RequestResult,
         took_s: float,
     ) -> None:
         fields: dict[str, object] = {
             "request": request.headers.get("X-Request-Id", ""),
-            "status": status,
-            "outcome": outcome,
+            "status": result.status,
+            "outcome": result.outcome,
+            "reason": result.reason,
             "took_s": took_s,
         }
         if exchange is None:
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -69,6 +69,7 @@
         self.member: Member | None = None
         self.heard_s = 0.0
         self.config_version = ConfigVersion(0)
+        self.linked: frozenset[DaemonId] = frozenset()
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
 
     def send(self, message: Message) -> None:
@@ -239,6 +240,7 @@
             self._take_members(link, [message.member, *message.members])
             self._take_version(link, message.config_version)
         elif isinstance(message, Heartbeat):
+            link.linked = frozenset(message.linked)
             self._take_version(link, message.config_version)
         elif isinstance(message, MemberNews):
             self._take_members(link, message.members)
@@ -295,8 +297,13 @@
         self.on_broadcast(news)
 
     def _pass_on(self, news: Broadcast, source: Link | None) -> None:
+        """Send to each linked member once, unless it hears the origin itself."""
+        told: set[DaemonId] = {news.origin}
         for link in self._links:
-            if link is not source and link.member is not None:
+            if link is source or link.member is None or link.member.id in told:
+                continue
+            told.add(link.member.id)
+            if source is None or news.origin not in link.linked:
                 link.send(news)
 
     def _take_version(self, link: Link, version: ConfigVersion) -> None:
@@ -331,8 +338,9 @@
             self._core.events.warning("member_down", member=member.id)
             self.spread(member)
         self._dial_missing(neighbours, now_s)
+        linked_ids = sorted(self.linked_members())
         for link in self._links:
-            link.send(Heartbeat(self.config_version()))
+            link.send(Heartbeat(self.config_version(), linked_ids))
         counts: dict[str, int] = {state.value: 0 for state in MemberState}
         for member in self.table.rows.values():
             counts[member.state.value] += 1
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -30,9 +30,14 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """Sign of life, with the version in force."""
+    """Sign of life, with the version in force.
+
+    ``linked`` are the members that the sender has links with: what comes from
+    them need not be passed on to it.
+    """
 
     config_version: ConfigVersion
+    linked: list[DaemonId] = []
 
 
 class MemberNews(msgspec.Struct, frozen=True, tag="members"):
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -17,7 +17,7 @@
     WeightedService,
 )
 from ..exceptions import ConfigInvalid
-from ..ids import ConfigVersion, ModelName, RouteName, ServiceName
+from ..ids import AdapterName, ConfigVersion, ModelName, RouteName, ServiceName
 
 MS_PER_S = 1000.0
 KINDS = {
@@ -178,7 +178,9 @@
             cold_load_s=model.load_s,
             memory_load_s=model.warm_s or model.load_s,
             disk_load_s=model.disk_s or model.load_s,
-            adapters=model.adapters,
+            adapters=tuple(
+                AdapterName(f"a{number}") for number in range(1, model.adapters + 1)
+            ),
             adapter_mb=model.adapter_mb,
         )
         for model in wire.models
