--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -154,7 +154,7 @@
     async def _async_refresh(self, inventory: Inventory) -> None:
         try:
             await self._async_report(inventory)
-        except EndpointFailed as error:
+        except ChutelinkError as error:
             inventory.avoid_until_s = self._core.clock() + REPORT_PERIOD_S
             self._core.events.warning("report_failed", error=error)
         finally:
--- /dev/null
+++ b/tests/entry/test_placer.py
@@ -0,0 +1,253 @@
+"""Carrying out placement against an engine that fails in every way."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from chutelink.entry import placer as placer_module
+from chutelink.entry.demand import DemandTable
+from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
+from chutelink.entry.inventory import (
+    EndpointReport,
+    EngineClient,
+    Inventory,
+    OrderAction,
+    OrderAnswer,
+)
+from chutelink.entry.news import ModelUse
+from chutelink.entry.placement import Change, DemandPlacement
+from chutelink.entry.placer import Placer
+from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
+from chutelink.ids import ConfigVersion
+
+from ..fakes import make_core
+from .test_placement import make_engine
+
+NOBODY = "i-1"
+
+
+class ScriptedEngine(EngineClient):
+    """An engine whose answers can be lost, late or refused."""
+
+    def __init__(self, models):
+        self.models = {name: set() for name in models}
+        self.sequence = 0
+        self.is_unreachable = False
+        self.lose_answers = 0
+        self.late = []
+        self.make_late = 0
+        self.orders = []
+
+    async def async_report(self, endpoint):
+        if self.is_unreachable:
+            raise EndpointUnreachable("cut", step="test")
+        models = {name: frozenset(held) for name, held in self.models.items()}
+        return EndpointReport(self.sequence, False, models)
+
+    async def async_order(self, endpoint, order):
+        if self.is_unreachable:
+            raise EndpointUnreachable("cut", step="test")
+        if self.make_late:
+            self.make_late -= 1
+            self.late.append(order)
+            raise EndpointFailed("no answer", step="test")
+        answer = self.take(order)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise EndpointFailed("no answer", step="test")
+        return answer
+
+    def take(self, order):
+        if order.expected_sequence != self.sequence:
+            return OrderAnswer.CONFLICT
+        self.orders.append(order)
+        self.sequence += 1
+        if order.adapter:
+            held = self.models[order.model]
+            change = held.add if order.action is OrderAction.LOAD else held.discard
+            change(order.adapter)
+        elif order.action is OrderAction.LOAD:
+            self.models[order.model] = set()
+        else:
+            self.models.pop(order.model)
+        assert len(self.models) <= 2
+        return OrderAnswer.ACCEPTED
+
+
+class HeldLease:
+    """A lease that the test takes away."""
+
+    def __init__(self):
+        self.is_held = True
+        self.may_order = True
+        self.term = 1
+
+    def begin_order(self):
+        if not self.is_held:
+            raise LeaseNotHeld("lost", step="test")
+        return self.term
+
+
+class World:
+    def __init__(self, models=("m0", "m5")):
+        self.core = make_core()
+        self.engine = ScriptedEngine(models)
+        self.table = EndpointTable()
+        held = {name: frozenset() for name in models}
+        self.table.put(
+            EndpointRecord(
+                NOBODY, "llm", "1:1", "zone-a", EndpointState.READY, 8, 0, held
+            )
+        )
+        self.demand = DemandTable()
+        self.lease = HeldLease()
+        self.sent = []
+        self.placer = Placer(
+            self.core,
+            self.lease,
+            self.engine,
+            self.table,
+            self.demand,
+            DemandPlacement(),
+            self.sent.append,
+        )
+        service = SimpleNamespace(engine=make_engine())
+        self.placer.config = SimpleNamespace(
+            version=ConfigVersion(1), services={"llm": service}
+        )
+        self.tasks = []
+        self.placer.add_future = self._add
+
+    def _add(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.append(task)
+        return task
+
+    async def async_tick(self, seconds=5.0):
+        self.core.now_s += seconds
+        await self.placer._async_tick()
+        while self.tasks:
+            await self.tasks.pop(0)
+
+    def want(self, model, adapter=""):
+        use = ModelUse(model, adapter, 1, 0.2, 1)
+        self.demand.take("d1", [use], self.core.now_s)
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch):
+    async def async_sleep(seconds):
+        return None
+
+    monkeypatch.setattr(
+        placer_module,
+        "asyncio",
+        SimpleNamespace(
+            sleep=async_sleep, Event=asyncio.Event, timeout=asyncio.timeout
+        ),
+    )
+
+
+def run(test):
+    asyncio.run(test())
+
+
+def test_a_wanted_model_takes_the_place_of_an_idle_one():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        world.want("m1")
+        await world.async_tick(1.2)
+        assert set(world.engine.models) == {"m0", "m1"}
+        assert world.table.rows[NOBODY].holds("m1")
+        assert [o.fence for o in world.engine.orders] == [1, 1]
+
+    run(async_test)
+
+
+def test_others_hear_of_a_model_that_closes_before_it_is_unloaded():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        world.want("m1")
+        await world.async_tick(1.2)
+        first = next(news for news in world.sent if news.loads)
+        assert set(first.endpoints[0].models) == {"m0"}
+
+    run(async_test)
+
+
+def test_an_endpoint_that_is_cut_off_does_not_end_the_placer():
+    async def async_test():
+        world = World()
+        world.engine.is_unreachable = True
+        await world.async_tick()
+        await world.async_tick()
+        assert not world.engine.orders
+
+    run(async_test)
+
+
+def test_a_lost_answer_is_settled_by_a_report():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        world.want("m1")
+        world.engine.lose_answers = 1
+        await world.async_tick(1.2)
+        assert set(world.engine.models) == {"m0", "m1"}
+
+    run(async_test)
+
+
+def test_a_late_order_takes_no_effect_after_a_newer_one():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        world.want("m1")
+        world.engine.make_late = 1
+        await world.async_tick(1.2)
+        assert not world.engine.orders
+        world.want("m1")
+        await world.async_tick(1.0)
+        assert set(world.engine.models) == {"m0", "m1"}
+        late = world.engine.late[0]
+        assert world.engine.take(late) is OrderAnswer.CONFLICT
+
+    run(async_test)
+
+
+def test_nothing_is_sent_once_the_lease_is_lost():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        inventory = world.placer._inventories[NOBODY]
+        world.lease.is_held = False
+        change = Change(NOBODY, "m1", unload_models=("m5",))
+        await world.placer._async_carry_out(change, inventory)
+        assert not world.engine.orders
+
+    run(async_test)
+
+
+def test_a_new_term_forgets_what_the_former_one_knew():
+    async def async_test():
+        world = World()
+        await world.async_tick()
+        world.engine.models = {"m2": set()}
+        world.engine.sequence = 7
+        world.lease.term = 2
+        await world.async_tick(1.2)
+        assert world.placer._inventories[NOBODY].sequence == 7
+
+    run(async_test)
+
+
+def test_a_report_from_before_an_order_is_ignored():
+    inventory = Inventory(NOBODY)
+    inventory.take_report(EndpointReport(3, False, {"m0": frozenset()}), 0.0)
+    inventory.take_report(EndpointReport(2, False, {"m1": frozenset()}), 1.0)
+    assert set(inventory.models) == {"m0"}
