--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -132,9 +132,14 @@
         while self.tasks:
             await self.tasks.pop(0)
 
+    async def async_start(self):
+        """Read the reports, then let cold loads be earned."""
+        for _ in range(3):
+            await self.async_tick()
+
     def want(self, model, adapter=""):
-        use = ModelUse(model, adapter, 1, 0.2, 1)
-        self.demand.take("d1", [use], self.core.now_s)
+        uses = [ModelUse(model, adapter, 1, 0.2, 1), ModelUse("m0", "", 9, 0.3, 0)]
+        self.demand.take("d1", uses, self.core.now_s)
 
 
 @pytest.fixture(autouse=True)
@@ -158,9 +163,9 @@
 def test_a_wanted_model_takes_the_place_of_an_idle_one():
     async def async_test():
         world = World()
-        await world.async_tick()
+        await world.async_start()
         world.want("m1")
-        await world.async_tick(1.2)
+        await world.async_tick(0.1)
         assert set(world.engine.models) == {"m0", "m1"}
         assert world.table.rows[NOBODY].holds("m1")
         assert [o.fence for o in world.engine.orders] == [1, 1]
@@ -171,9 +176,9 @@
 def test_others_hear_of_a_model_that_closes_before_it_is_unloaded():
     async def async_test():
         world = World()
-        await world.async_tick()
+        await world.async_start()
         world.want("m1")
-        await world.async_tick(1.2)
+        await world.async_tick(0.1)
         first = next(news for news in world.sent if news.loads)
         assert set(first.endpoints[0].models) == {"m0"}
 
@@ -194,10 +199,10 @@
 def test_a_lost_answer_is_settled_by_a_report():
     async def async_test():
         world = World()
-        await world.async_tick()
+        await world.async_start()
         world.want("m1")
         world.engine.lose_answers = 1
-        await world.async_tick(1.2)
+        await world.async_tick(0.1)
         assert set(world.engine.models) == {"m0", "m1"}
 
     run(async_test)
@@ -206,10 +211,10 @@
 def test_a_late_order_takes_no_effect_after_a_newer_one():
     async def async_test():
         world = World()
-        await world.async_tick()
+        await world.async_start()
         world.want("m1")
         world.engine.make_late = 1
-        await world.async_tick(1.2)
+        await world.async_tick(0.1)
         assert not world.engine.orders
         world.want("m1")
         await world.async_tick(1.0)
@@ -240,7 +245,7 @@
         world.engine.models = {"m2": set()}
         world.engine.sequence = 7
         world.lease.term = 2
-        await world.async_tick(1.2)
+        await world.async_tick(0.1)
         assert world.placer._inventories[NOBODY].sequence == 7
 
     run(async_test)
