--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -218,6 +218,7 @@
         assert not world.engine.orders
         world.want("m1")
         await world.async_tick(1.0)
+        await world.async_tick(0.1)
         assert set(world.engine.models) == {"m0", "m1"}
         late = world.engine.late[0]
         assert world.engine.take(late) is OrderAnswer.CONFLICT
