--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 
 import msgspec
@@ -67,8 +68,10 @@
         self.sequence = record.sequence
         self.requests = 0
         self.prefill_tokens = 0
+        self.by_model: Counter[ModelName] = Counter()
         self.other_requests = 0
         self.other_prefill_tokens = 0
+        self.other_by_model: Counter[ModelName] = Counter()
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
 
@@ -82,6 +85,10 @@
         """Requests under way from all daemons."""
         return self.requests + self.other_requests
 
+    def running(self, model: ModelName) -> int:
+        """Return how many requests for a model are under way from all daemons."""
+        return self.by_model[model] + self.other_by_model[model]
+
     def holds(self, model: ModelName, adapter: AdapterName = NO_ADAPTER) -> bool:
         """Return whether a model and adapter can be asked for here."""
         adapters = self.models.get(model)
@@ -168,9 +175,11 @@
         for row in self.rows.values():
             row.other_requests = 0
             row.other_prefill_tokens = 0
+            row.other_by_model.clear()
         for shares in self._shares.values():
             for share in shares:
                 row = self.rows.get(share.endpoint)
                 if row is not None:
                     row.other_requests += share.requests
                     row.other_prefill_tokens += share.prefill_tokens
+                    row.other_by_model.update(share.by_model)
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -48,7 +48,9 @@
     def take(self, daemon: DaemonId, table: EndpointTable) -> LoadNews | None:
         """Return the next message, or None when there is nothing new."""
         loads = [
-            EndpointLoad(row.record.id, row.requests, row.prefill_tokens)
+            EndpointLoad(
+                row.record.id, row.requests, row.prefill_tokens, dict(+row.by_model)
+            )
             for row in table.rows.values()
             if row.requests
         ]
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -50,11 +50,12 @@
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one daemon has under way at an endpoint."""
+    """What one daemon has under way at an endpoint, in all and by model."""
 
     endpoint: EndpointId
     requests: int
     prefill_tokens: int
+    by_model: dict[ModelName, int] = {}
 
 
 class LoadNews(msgspec.Struct, frozen=True, tag="load"):
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -40,6 +40,10 @@
 """How much of a busy model's demand counts for those that may be next."""
 LAST_REPLICA_WORK = 0.05
 """What giving up the last replica of a model costs beside its own demand."""
+RUNNING_WORK = 0.05
+"""What each request under way adds to the cost of giving its model up."""
+RUNNING_DELAY_S = 1.0
+"""How long an unload waits for requests under way; long answers take 1 to 3 s."""
 BLOCKED_SHARE = 0.1
 """Share of the adapter requests that fail while their endpoint loads a model."""
 BUSY_PENALTY_S = 0.3
@@ -281,6 +285,7 @@
             if model in waiting or model == wanted:
                 continue
             missed = self._missed(model)
+            missed += RUNNING_WORK * site.endpoint.running(model)
             last_s = demand.last_arrival_s(model)
             is_idle = now_s - last_s > RECENT_S and missed <= wanted_worth
             is_spare = self._replicas(model) > 1 and missed < REPLICA_WORK
@@ -304,6 +309,11 @@
         busy_s /= max(1, self._view.engine.batch_slots)
         demand, now_s = self._view.demand, self._view.now_s
         lost = sum(demand.work_per_s(m, now_s) for m in change.unload_models)
+        lost += sum(
+            RUNNING_DELAY_S
+            for model in change.unload_models
+            if site.endpoint.running(model)
+        )
         blocked = sum(
             self._arrivals.get(model, 0.0) / max(1, self._replicas(model))
             for model in site.inventory.models
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -148,10 +148,12 @@
         """Count a request at an endpoint while it is there."""
         exchange.tried.append(row.record.id)
         row.requests += 1
+        row.by_model[exchange.meta.model] += 1
         try:
             yield
         finally:
             row.requests -= 1
+            row.by_model[exchange.meta.model] -= 1
 
     def note_not_run(self, exchange: Exchange, row: Endpoint, status: int) -> None:
         """Log that an endpoint did not take a request."""
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -80,6 +80,13 @@
     assert change.unload_models == ("m5",)
 
 
+def test_a_model_with_requests_under_way_gives_way_last():
+    site = make_site("i-1", {"m4": [], "m5": []})
+    site.endpoint.by_model["m4"] += 1
+    change = plan([site], [("m1", "", 1, 0.1, 1)])[0]
+    assert change.unload_models == ("m5",)
+
+
 def test_a_replica_gives_way_before_the_last_copy():
     sites = [
         make_site("i-1", {"m0": [], "m5": []}),
