Prepare models for demand that moves on; free adapters only once they are out of use

(2) The number in a registration counts heartbeats, not orders, so old models could win over what the placer said; registrations now count only where no placer has spoken for 3 s. (3) Adapter requests were refused while every endpoint of their model loaded another one, and idle adapters were kept for 0.6 s. (4) Demand moves along the operators' order by two or three places within 5 s, as long as one cold load takes; models behind the busy ones now get replicas in advance.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -262,7 +262,7 @@
                         model: frozenset(names)
                         for model, names in placement.models.items()
                     }
-                    row.take_models(placement.sequence, models)
+                    row.take_models(placement.sequence, models, self.clock())
         self.pending.take(news.loads, self.clock())
 
     def _take_members(self) -> None:
--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -11,6 +11,8 @@
 
 AVERAGE_S = 3.0
 """Time constant of averages; demand moves on within some 5 s."""
+ASKS_S = 8.0
+"""Time constant of the count by which a rare model earns a cold load."""
 WAITING_VALID_S = 1.5
 """How long a daemon's word on waiting requests counts without a newer one."""
 
@@ -18,11 +20,13 @@
 class Use(msgspec.Struct):
     """Use of one model or adapter.
 
-    ``work_per_s`` is seconds of an engine's time asked for a second.
+    ``work_per_s`` is seconds of an engine's time asked for a second; ``asks``
+    counts arrivals and fades slowly.
     """
 
     work_per_s: float = 0.0
     arrivals_per_s: float = 0.0
+    asks: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
@@ -32,6 +36,7 @@
         factor = math.exp(-elapsed_s / AVERAGE_S)
         self.work_per_s *= factor
         self.arrivals_per_s *= factor
+        self.asks *= math.exp(-elapsed_s / ASKS_S)
         self.updated_s = now_s
 
 
@@ -39,6 +44,7 @@
     """Requests that wait at one daemon, as it last said."""
 
     requests: int
+    patient: int
     heard_s: float
 
 
@@ -59,10 +65,11 @@
             use.decay(now_s)
             use.work_per_s += news.work_s / AVERAGE_S
             use.arrivals_per_s += news.arrivals / AVERAGE_S
+            use.asks += news.arrivals
             if news.arrivals:
                 use.last_arrival_s = now_s
             waiting = self._waiting.setdefault(key, {})
-            waiting[daemon] = _Waiting(news.waiting, now_s)
+            waiting[daemon] = _Waiting(news.waiting, news.patient, now_s)
 
     def work_per_s(self, model: ModelName, now_s: float) -> float:
         """Return the engine time that a model and its adapters are asked for."""
@@ -82,6 +89,24 @@
                 total += use.arrivals_per_s
         return total
 
+    def asks(self, model: ModelName, now_s: float) -> float:
+        """Return how often a model was lately asked for, fading in some 8 s."""
+        total = 0.0
+        for (name, _), use in self.uses.items():
+            if name == model:
+                use.decay(now_s)
+                total += use.asks
+        return total
+
+    def has_patient(self, model: ModelName, now_s: float) -> bool:
+        """Return whether a request waits that has time for a cold load."""
+        return any(
+            waiting.patient and now_s - waiting.heard_s < WAITING_VALID_S
+            for (name, _), by_daemon in self._waiting.items()
+            if name == model
+            for waiting in by_daemon.values()
+        )
+
     def last_arrival_s(self, model: ModelName) -> float:
         """Return when a model or an adapter of it was last asked for."""
         return max(
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -13,7 +13,9 @@
     EndpointId,
     FailureDomainName,
     ModelName,
+    ModelRef,
     ServiceName,
+    model_ref,
 )
 from .news import EndpointLoad
 
@@ -23,6 +25,10 @@
 
 Live ones are back within 2 s of the store's return.
 """
+UNKNOWN_SEQUENCE = -1
+"""Before a report was read, nothing is known of the orders accepted."""
+PLACED_VALID_S = 3.0
+"""Registrations are up to 2 s old; a placer speaks every 0.4 s."""
 SILENT_DAEMON_S = 2.0
 """What a daemon said of its load counts for so long; it speaks every 0.2 s."""
 
@@ -37,8 +43,7 @@
 class EndpointRecord(msgspec.Struct, frozen=True):
     """What an endpoint registered of itself.
 
-    ``sequence`` counts the orders that it has accepted; ``models`` holds the
-    adapters of each resident model.
+    ``models`` holds the adapters of each resident model, as of some seconds ago.
     """
 
     id: EndpointId
@@ -47,7 +52,6 @@
     failure_domain: FailureDomainName
     state: EndpointState
     slots: int
-    sequence: int
     models: dict[ModelName, frozenset[AdapterName]]
     in_memory: frozenset[ModelName] = frozenset()
     on_disk: frozenset[ModelName] = frozenset()
@@ -65,13 +69,14 @@
     def __init__(self, record: EndpointRecord) -> None:
         self.record = record
         self.models = dict(record.models)
-        self.sequence = record.sequence
+        self.sequence = UNKNOWN_SEQUENCE
+        self.placed_s = float("-inf")
         self.requests = 0
         self.prefill_tokens = 0
-        self.by_model: Counter[ModelName] = Counter()
+        self.by_ref: Counter[ModelRef] = Counter()
         self.other_requests = 0
         self.other_prefill_tokens = 0
-        self.other_by_model: Counter[ModelName] = Counter()
+        self.other_by_ref: Counter[ModelRef] = Counter()
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
 
@@ -86,8 +91,19 @@
         return self.requests + self.other_requests
 
     def running(self, model: ModelName) -> int:
-        """Return how many requests for a model are under way from all daemons."""
-        return self.by_model[model] + self.other_by_model[model]
+        """Return how many requests for a model or its adapters are under way."""
+        prefix = f"{model}/"
+        return sum(
+            count
+            for counts in (self.by_ref, self.other_by_ref)
+            for ref, count in counts.items()
+            if ref == model or ref.startswith(prefix)
+        )
+
+    def running_adapter(self, model: ModelName, adapter: AdapterName) -> int:
+        """Return how many requests for an adapter are under way."""
+        ref = model_ref(model, adapter)
+        return self.by_ref[ref] + self.other_by_ref[ref]
 
     def holds(self, model: ModelName, adapter: AdapterName = NO_ADAPTER) -> bool:
         """Return whether a model and adapter can be asked for here."""
@@ -97,12 +113,23 @@
         return not adapter or adapter in adapters
 
     def take_models(
-        self, sequence: int, models: dict[ModelName, frozenset[AdapterName]]
+        self,
+        sequence: int,
+        models: dict[ModelName, frozenset[AdapterName]],
+        now_s: float,
     ) -> None:
         """Take in what it holds after a number of orders, unless it is older."""
         if sequence >= self.sequence:
             self.sequence = sequence
             self.models = models
+            self.placed_s = now_s
+
+    def take_record(self, record: EndpointRecord, now_s: float) -> None:
+        """Take in a registration; what a placer says lately is newer."""
+        self.record = record
+        self.lapsed_until_s = None
+        if now_s - self.placed_s > PLACED_VALID_S:
+            self.models = dict(record.models)
 
 
 class EndpointTable:
@@ -121,16 +148,14 @@
             if row.record.service == service and row.is_ready
         ]
 
-    def put(self, record: EndpointRecord) -> bool:
+    def put(self, record: EndpointRecord, now_s: float) -> bool:
         """Take in a registration; return whether it changes what may be sent."""
         row = self.rows.get(record.id)
         if row is None:
             self.rows[record.id] = Endpoint(record)
             return True
         is_changed = row.record.state is not record.state
-        row.record = record
-        row.lapsed_until_s = None
-        row.take_models(record.sequence, dict(record.models))
+        row.take_record(record, now_s)
         return is_changed
 
     def remove(self, endpoint: EndpointId) -> Endpoint | None:
@@ -175,11 +200,11 @@
         for row in self.rows.values():
             row.other_requests = 0
             row.other_prefill_tokens = 0
-            row.other_by_model.clear()
+            row.other_by_ref.clear()
         for shares in self._shares.values():
             for share in shares:
                 row = self.rows.get(share.endpoint)
                 if row is not None:
                     row.other_requests += share.requests
                     row.other_prefill_tokens += share.prefill_tokens
-                    row.other_by_model.update(share.by_model)
+                    row.other_by_ref.update(share.by_ref)
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -145,11 +145,12 @@
         if not self._may_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
         meta = exchange.meta
-        self.loads.begin_wait(meta.model, meta.adapter)
+        is_patient = self._is_patient(exchange)
+        self.loads.begin_wait(meta.model, meta.adapter, is_patient=is_patient)
         try:
             return await self._async_wait_for_model(exchange)
         finally:
-            self.loads.end_wait(meta.model, meta.adapter)
+            self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
 
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         asked_s = self.core.clock()
@@ -162,7 +163,7 @@
             await self.pending.async_wait(until_s - now_s)
             row = self._choose(exchange)
             if row is not None:
-                self.core.events.info(
+                self.core.events.record(
                     "model_waited_for",
                     request=exchange.meta.id,
                     model=exchange.meta.model,
@@ -206,6 +207,11 @@
         engine = exchange.service.engine
         return engine is not None and exchange.meta.model in engine.models
 
+    def _is_patient(self, exchange: Exchange) -> bool:
+        """Return whether a load from the weight store fits the objective."""
+        spec = exchange.service.engine.models[exchange.meta.model]
+        return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
+
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         rows = self.table.of_service(exchange.service.name)
         meta = exchange.meta
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from .endpoints import EndpointTable
@@ -20,6 +20,7 @@
         self._arrivals: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
         self._work_s: dict[tuple[ModelName, AdapterName], float] = defaultdict(float)
         self.waiting: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
+        self._patient: Counter[ModelName] = Counter()
         self._prefixes: list[tuple[EndpointId, list[int]]] = []
         self._told: list[EndpointLoad] = []
         self.urgent = asyncio.Event()
@@ -31,14 +32,20 @@
         self._arrivals[model, adapter] += 1
         self._work_s[model, adapter] += work_s
 
-    def begin_wait(self, model: ModelName, adapter: AdapterName) -> None:
+    def begin_wait(
+        self, model: ModelName, adapter: AdapterName, *, is_patient: bool
+    ) -> None:
         """Count a request that waits for its model or adapter, and say so soon."""
         self.waiting[model, adapter] += 1
+        self._patient[model] += is_patient
         self.urgent.set()
 
-    def end_wait(self, model: ModelName, adapter: AdapterName) -> None:
+    def end_wait(
+        self, model: ModelName, adapter: AdapterName, *, is_patient: bool
+    ) -> None:
         """Count a request that waits no longer."""
         self.waiting[model, adapter] -= 1
+        self._patient[model] -= is_patient
 
     def note_prompt(self, endpoint: EndpointId, chain: tuple[int, ...]) -> None:
         """Keep which endpoint reads a prompt."""
@@ -49,7 +56,7 @@
         """Return the next message, or None when there is nothing new."""
         loads = [
             EndpointLoad(
-                row.record.id, row.requests, row.prefill_tokens, dict(+row.by_model)
+                row.record.id, row.requests, row.prefill_tokens, dict(+row.by_ref)
             )
             for row in table.rows.values()
             if row.requests
@@ -62,6 +69,7 @@
                 self._arrivals.get((model, adapter), 0),
                 self._work_s.get((model, adapter), 0.0),
                 self.waiting.get((model, adapter), 0),
+                self._patient[model],
             )
             for model, adapter in sorted(keys)
         ]
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..exceptions import PeerMessageInvalid
-from ..ids import AdapterName, DaemonId, EndpointId, ModelName
+from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
 
 
 class StoredRow(msgspec.Struct, frozen=True, array_like=True):
@@ -40,22 +40,27 @@
 
 
 class ModelUse(msgspec.Struct, frozen=True, array_like=True):
-    """Requests for a model or adapter that arrived at one daemon."""
+    """Requests for a model or adapter that arrived at one daemon.
+
+    ``waiting`` ask for what is not loaded; ``patient`` of them have time enough
+    for a load from the weight store.
+    """
 
     model: ModelName
     adapter: AdapterName
     arrivals: int
     work_s: float
     waiting: int
+    patient: int = 0
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one daemon has under way at an endpoint, in all and by model."""
+    """What one daemon has under way at an endpoint, in all and by what is asked."""
 
     endpoint: EndpointId
     requests: int
     prefill_tokens: int
-    by_model: dict[ModelName, int] = {}
+    by_ref: dict[ModelRef, int] = {}
 
 
 class LoadNews(msgspec.Struct, frozen=True, tag="load"):
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
+from enum import Enum
 
 import msgspec
 
@@ -18,12 +20,13 @@
 
 RECENT_S = 4.0
 """A model asked for within this time is in use; demand moves in about 5 s."""
-ADAPTER_IDLE_S = 0.6
-"""An adapter not asked for since can give way; requests take about 0.5 s."""
-REPLICA_WORK = 0.45
+ADAPTER_IDLE_S = 0.25
+"""An adapter asked for since may be in use: daemons tell theirs every 0.2 s."""
+REPLICA_WORK = 0.35
 """Engine seconds a second above which another replica is wanted.
 
-Half of an endpoint's time: above it, waiting for the engine grows quickly.
+A third of an endpoint's time, not counting what caches save: two busy models
+often share an endpoint, and waiting grows quickly above half.
 """
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
@@ -31,25 +34,50 @@
 """Share of all requests from which a model counts as one of the busy ones."""
 MIN_ACTIVE_PER_S = 0.4
 """Requests a second below which no model counts as busy."""
-OUTLOOK_PLACES = 4
-"""How many models after a busy one, in the operators' order, may be next.
+WINDOW_GAP = 3
+"""Busy models so near in the operators' order belong to one run."""
+SHIFT_PLACES = 2
+"""By how many places, in the operators' order, demand moves on at once.
 
-Measured: demand moves along that order, some two places in 5 s.
+Measured on both sites: the first of the busy models fall silent, those behind
+them take over their share, and as many new ones come in behind.
 """
-OUTLOOK_SHARE = 0.3
-"""How much of a busy model's demand counts for those that may be next."""
+MAX_PREPARED_REPLICAS = 3
+"""Replicas that are worth loading before they are asked for."""
+OUTLOOK_SHARE = 0.6
+"""How much of a busy model's demand is prepared for at the one behind it."""
 LAST_REPLICA_WORK = 0.05
 """What giving up the last replica of a model costs beside its own demand."""
+KEPT_WORK = 1.0
+"""What giving up a prepared model, or a busy one's last replica, costs besides.
+
+More than any endpoint's whole time, so that nothing but a waiting model's own
+demand of as much outweighs it.
+"""
 RUNNING_WORK = 0.05
 """What each request under way adds to the cost of giving its model up."""
 RUNNING_DELAY_S = 1.0
 """How long an unload waits for requests under way; long answers take 1 to 3 s."""
-BLOCKED_SHARE = 0.1
-"""Share of the adapter requests that fail while their endpoint loads a model."""
+BLOCKED_PENALTY_S = 2.0
+"""What it costs to load where a busy model then gets no adapters, as load time."""
+COLD_LOAD_ASKS = 1.5
+"""How often a rare model must lately have been asked for to be fetched.
+
+A cold load costs about as much as one request is worth, and takes the place of
+another model that is as likely to be asked for.
+"""
 BUSY_PENALTY_S = 0.3
 """How much a load time may differ before the less busy endpoint is taken."""
 
 
+class ChangeReason(Enum):
+    """Why a change is made."""
+
+    ASKED = "asked"
+    BUSY = "busy"
+    NEXT = "next"
+
+
 class Change(msgspec.Struct, frozen=True):
     """Load a model or adapter at an endpoint, after unloading what is named.
 
@@ -64,6 +92,7 @@
     unload_adapters: tuple[tuple[ModelName, AdapterName], ...] = ()
     load_s: float = 0.0
     is_cold: bool = False
+    reason: ChangeReason = ChangeReason.ASKED
 
 
 class Site(msgspec.Struct, frozen=True):
@@ -120,7 +149,7 @@
             round_.make_resident(model)
             round_.add_replica(model)
         for model in round_.next_models():
-            round_.make_resident(model)
+            round_.prepare(model)
         for model in round_.active:
             round_.add_adapters(model)
         return round_.changes
@@ -152,45 +181,79 @@
             for model in self._order
             if self._arrivals[model] > max(ACTIVE_SHARE * total, MIN_ACTIVE_PER_S)
         ]
+        self._next = self._find_next()
         self._outlook = self._make_outlook()
         self.changes: list[Change] = []
 
-    def _make_outlook(self) -> dict[ModelName, float]:
-        """Return the demand that each model may soon have, in engine time."""
+    def _find_window(self) -> list[ModelName]:
+        """Return the busiest run of busy models that are near one another."""
+        runs: list[list[ModelName]] = []
+        last = -WINDOW_GAP - 1
+        for index, model in enumerate(self._order):
+            if model not in self.active:
+                continue
+            if index - last > WINDOW_GAP:
+                runs.append([])
+            runs[-1].append(model)
+            last = index
+        return max(
+            runs, key=lambda run: sum(self._arrivals[m] for m in run), default=[]
+        )
+
+    def _find_next(self) -> dict[ModelName, float]:
+        """Return what each model would be asked for if demand moved on now.
+
+        That is the demand of the models some places before it.
+        """
         demand, now_s = self._view.demand, self._view.now_s
-        outlook = {model: demand.work_per_s(model, now_s) for model in self._order}
+        expected: dict[ModelName, float] = {}
         places = len(self._order)
-        for model in self.active:
+        for model in self._find_window():
             index = self._order.index(model)
-            share = OUTLOOK_SHARE * demand.work_per_s(model, now_s)
-            for step in range(1, min(OUTLOOK_PLACES, places - 1) + 1):
+            work = OUTLOOK_SHARE * demand.work_per_s(model, now_s)
+            for step in range(1, min(SHIFT_PLACES, places - 1) + 1):
                 after = self._order[(index + step) % places]
-                outlook[after] = max(outlook[after], share)
-        return outlook
+                expected[after] = max(work, expected.get(after, 0.0))
+        return expected
+
+    def _make_outlook(self) -> dict[ModelName, float]:
+        """Return the demand that each model may soon have, in engine time."""
+        demand, now_s = self._view.demand, self._view.now_s
+        return {
+            model: max(demand.work_per_s(model, now_s), self._next.get(model, 0.0))
+            for model in self._order
+        }
 
     def next_models(self) -> list[ModelName]:
-        """Return the models that may be asked for next, the nearest first."""
-        places = len(self._order)
-        found: list[ModelName] = []
-        for step in range(1, min(OUTLOOK_PLACES, places - 1) + 1):
-            for model in self.active:
-                index = self._order.index(model)
-                after = self._order[(index + step) % places]
-                if after not in self.active and after not in found:
-                    found.append(after)
-        return found[:OUTLOOK_PLACES]
+        """Return the models that may be asked for more, the busiest first."""
+        return sorted(self._next, key=lambda model: -self._next[model])
 
-    def make_resident(self, model: ModelName) -> None:
+    def make_resident(
+        self, model: ModelName, reason: ChangeReason = ChangeReason.ASKED
+    ) -> None:
         """Load a model that no endpoint holds."""
         if self._replicas(model) == 0:
-            self._load(model, is_replica=False)
+            self._load(model, reason, may_be_cold=self._earns_cold(model))
+
+    def _earns_cold(self, model: ModelName) -> bool:
+        """Return whether a load from the weight store is worth its price."""
+        demand, now_s = self._view.demand, self._view.now_s
+        is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
+        is_next = model in self._next
+        return is_asked or is_next or demand.has_patient(model, now_s)
 
     def add_replica(self, model: ModelName) -> None:
         """Load a busy model once more."""
         replicas = self._replicas(model)
         work = self._view.demand.work_per_s(model, self._view.now_s)
         if replicas and work / replicas > REPLICA_WORK:
-            self._load(model, is_replica=True)
+            self._load(model, ChangeReason.BUSY)
+
+    def prepare(self, model: ModelName) -> None:
+        """Load a model that may soon be asked for more, in advance."""
+        wanted = max(1, math.ceil(self._next[model] / REPLICA_WORK))
+        if self._replicas(model) < min(wanted, MAX_PREPARED_REPLICAS):
+            self._load(model, ChangeReason.NEXT)
 
     def make_adapter_resident(self, model: ModelName, adapter: AdapterName) -> None:
         """Load an adapter where its model is, if none is there yet."""
@@ -235,19 +298,25 @@
         )
         return held + self._loading.get((model, NO_ADAPTER), 0)
 
-    def _load(self, model: ModelName, *, is_replica: bool) -> None:
+    def _load(
+        self, model: ModelName, reason: ChangeReason, *, may_be_cold: bool = True
+    ) -> None:
         spec = self._view.engine.models.get(model)
         if spec is None:
             return
         options = []
+        is_replica = self._replicas(model) > 0
         for site in self._free.values():
             if model in site.inventory.models:
                 continue
+            if is_replica and self._blocks_adapters(site):
+                continue
             change = self._model_change(site, spec, is_replica=is_replica)
-            if change is not None:
+            if change is not None and (may_be_cold or not change.is_cold):
                 options.append(change)
         if options:
-            self._take(min(options, key=self._model_cost))
+            best = min(options, key=self._model_cost)
+            self._take(msgspec.structs.replace(best, reason=reason))
 
     def _model_change(
         self, site: Site, spec: ModelSpec, *, is_replica: bool
@@ -299,7 +368,8 @@
         replicas = self._replicas(model)
         work = self._outlook.get(model, 0.0)
         if replicas <= 1:
-            return LAST_REPLICA_WORK + work
+            is_kept = model in self.active or model in self._next
+            return LAST_REPLICA_WORK + work + KEPT_WORK * is_kept
         return max(0.0, work / (replicas - 1) - IDLE_WORK)
 
     def _model_cost(self, change: Change) -> float:
@@ -314,12 +384,21 @@
             for model in change.unload_models
             if site.endpoint.running(model)
         )
-        blocked = sum(
-            self._arrivals.get(model, 0.0) / max(1, self._replicas(model))
-            for model in site.inventory.models
-            if model not in change.unload_models and self._has_adapters(model)
+        blocked_s = BLOCKED_PENALTY_S * self._blocks_adapters(site)
+        return change.load_s + busy_s + lost + blocked_s
+
+    def _blocks_adapters(self, site: Site) -> bool:
+        """Return whether a load here leaves a busy model no place for adapters.
+
+        An endpoint takes no orders for adapters while it loads a model.
+        """
+        others = [free for free in self._free.values() if free is not site]
+        return any(
+            model in site.inventory.models
+            and self._has_adapters(model)
+            and not any(model in other.inventory.models for other in others)
+            for model in self.active
         )
-        return change.load_s * (1 + BLOCKED_SHARE * blocked) + busy_s + lost
 
     def _has_adapters(self, model: ModelName) -> bool:
         spec = self._view.engine.models.get(model)
@@ -348,7 +427,8 @@
             (demand.adapter_arrival_s(model, adapter), model, adapter)
             for model, adapters in site.inventory.models.items()
             for adapter in adapters
-            if now_s - demand.adapter_arrival_s(model, adapter) > ADAPTER_IDLE_S
+            if not site.endpoint.running_adapter(model, adapter)
+            and now_s - demand.adapter_arrival_s(model, adapter) > ADAPTER_IDLE_S
         ]
         return [(model, adapter) for _, model, adapter in sorted(idle)]
 
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -29,6 +29,8 @@
 CHECK_PERIOD_S = 0.05
 """Pause between reports while waiting for an order's end; reports lag 0.1 s."""
 UNLOAD_LIMIT_S = 3.0
+ADAPTER_LIMIT_S = 0.4
+"""How long to wait for an adapter that turned out to be in use."""
 LOAD_LIMIT_FACTOR = 4.0
 """Loads take longer while many run."""
 FAILED_PAUSE_S = 0.3
@@ -156,7 +158,7 @@
             await self._async_report(inventory)
         except ChutelinkError as error:
             inventory.avoid_until_s = self._core.clock() + REPORT_PERIOD_S
-            self._core.events.warning("report_failed", error=error)
+            self._core.events.record("report_failed", error=error)
         finally:
             inventory.is_changing = False
         self.wake()
@@ -168,7 +170,12 @@
         report = await self._client.async_report(row)
         inventory.take_report(report, self._core.clock())
         if not inventory.is_busy:
-            row.take_models(inventory.sequence, dict(inventory.models))
+            self._show(row, inventory)
+
+    def _show(self, row: Endpoint, inventory: Inventory) -> None:
+        """Let requests be sent for what the endpoint holds now."""
+        now_s = self._core.clock()
+        row.take_models(inventory.sequence, dict(inventory.models), now_s)
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         sites = [
@@ -221,11 +228,12 @@
         unload_s = CLOSE_LEAD_S * bool(change.unload_models or change.unload_adapters)
         ready_s = self._core.clock() + change.load_s + unload_s
         self._pending[change.endpoint] = (change, ready_s)
-        self._core.events.info(
+        self._core.events.record(
             "placement_begun",
             endpoint=change.endpoint,
             model=change.model,
             adapter=change.adapter,
+            reason=change.reason.value,
             unload=",".join(change.unload_models),
             unload_adapters=len(change.unload_adapters),
             load_s=change.load_s,
@@ -245,7 +253,7 @@
         except ChutelinkError as error:
             inventory.avoid_until_s = self._core.clock() + FAILED_PAUSE_S
             inventory.read_s = float("-inf")
-            self._core.events.warning(
+            self._core.events.record(
                 "placement_failed",
                 endpoint=change.endpoint,
                 model=change.model,
@@ -271,7 +279,7 @@
             await self._async_order(inventory, row, OrderAction.UNLOAD, model, adapter)
         for model in change.unload_models:
             await self._async_order(inventory, row, OrderAction.UNLOAD, model)
-            row.take_models(inventory.sequence, dict(inventory.models))
+            self._show(row, inventory)
             await self._async_until_idle(inventory, UNLOAD_LIMIT_S)
         await self._async_order(
             inventory, row, OrderAction.LOAD, change.model, change.adapter
@@ -282,7 +290,7 @@
             await self._async_until_idle(inventory, limit_s)
         if not inventory.has(change.model, change.adapter):
             raise EndpointFailed("not loaded", step="load", peer=change.endpoint)
-        row.take_models(inventory.sequence, dict(inventory.models))
+        self._show(row, inventory)
         self._core.metrics.moves.inc({"action": "load", "result": "done"})
 
     async def _async_order(
@@ -311,7 +319,7 @@
             answer = await self._client.async_order(row, order)
         except EndpointFailed as error:
             answer = await self._async_settle(inventory, order, error)
-        self._core.events.info(
+        self._core.events.record(
             "order_answered",
             endpoint=inventory.endpoint,
             action=action.value,
@@ -324,7 +332,12 @@
         is_adapter_unload = adapter and action is OrderAction.UNLOAD
         if answer is OrderAnswer.ALREADY_HOLDS and is_adapter_unload:
             # Unused adapters go at once, which counts as an order accepted.
-            answer = OrderAnswer.ACCEPTED
+            inventory.note_accepted(order)
+            return
+        if answer is OrderAnswer.ACCEPTED and is_adapter_unload:
+            # It is in use and keeps its place until it is not any more.
+            await self._async_until_gone(inventory, order)
+            return
         if answer is OrderAnswer.ACCEPTED:
             inventory.note_accepted(order)
             return
@@ -342,6 +355,19 @@
             return OrderAnswer.ALREADY_HOLDS
         raise error
 
+    async def _async_until_gone(self, inventory: Inventory, order: Order) -> None:
+        """Wait until an adapter that was in use has given up its place."""
+        inventory.sequence = order.expected_sequence + 1
+        end_s = self._core.clock() + ADAPTER_LIMIT_S
+        while self._core.clock() < end_s:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            await self._async_report(inventory)
+            if not inventory.has(order.model, order.adapter):
+                return
+        raise EndpointUnreachable(
+            "adapter still in use", step="order.wait", peer=inventory.endpoint
+        )
+
     async def _async_until_idle(self, inventory: Inventory, limit_s: float) -> None:
         """Wait until no order is under way."""
         end_s = self._core.clock() + limit_s
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -7,6 +7,7 @@
 
 from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
+from ..ids import model_ref
 from .dialect import AnswerKind
 from .endpoints import Endpoint
 from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges
@@ -148,17 +149,18 @@
         """Count a request at an endpoint while it is there."""
         exchange.tried.append(row.record.id)
         row.requests += 1
-        row.by_model[exchange.meta.model] += 1
+        ref = model_ref(exchange.meta.model, exchange.meta.adapter)
+        row.by_ref[ref] += 1
         try:
             yield
         finally:
             row.requests -= 1
-            row.by_model[exchange.meta.model] -= 1
+            row.by_ref[ref] -= 1
 
     def note_not_run(self, exchange: Exchange, row: Endpoint, status: int) -> None:
         """Log that an endpoint did not take a request."""
         self._exchanges.core.metrics.retries.inc({"reason": "not_run"})
-        self._exchanges.core.events.info(
+        self._exchanges.core.events.record(
             "attempt_not_run",
             request=exchange.meta.id,
             endpoint=row.record.id,
@@ -179,7 +181,7 @@
         core = self._exchanges.core
         self._exchanges.health.note_failure(row.record.id, core.clock())
         core.metrics.retries.inc({"reason": result.value})
-        core.events.warning(
+        core.events.record(
             "attempt_failed",
             request=exchange.meta.id,
             endpoint=row.record.id,
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -80,7 +80,7 @@
         except EndpointFailed as error:
             self._core.events.warning("endpoint_refused", endpoint=name, error=error)
             return
-        if self.endpoints.put(record):
+        if self.endpoints.put(record, self._core.clock()):
             self._core.events.record(
                 "endpoint_seen",
                 endpoint=record.id,
@@ -88,7 +88,6 @@
                 address=record.address,
                 state=record.state.value,
                 models=",".join(record.models),
-                sequence=record.sequence,
             )
         self.on_endpoints()
 
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -179,7 +179,7 @@
     def _note_broken(
         self, exchange: Exchange, row: Endpoint, events: int, error: ChutelinkError
     ) -> None:
-        self._core.events.info(
+        self._core.events.record(
             "stream_broken",
             request=exchange.meta.id,
             endpoint=row.record.id,
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -23,6 +23,8 @@
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 VmId = NewType("VmId", str)
+ModelRef = NewType("ModelRef", str)
+"""A model, or MODEL/ADAPTER, as callers name what they ask for."""
 WriteId = NewType("WriteId", str)
 
 NO_VERSION = ConfigVersion(0)
@@ -31,3 +33,8 @@
 def make_id() -> str:
     """Return a new random id of 128 bits in hex."""
     return secrets.token_hex(16)
+
+
+def model_ref(model: ModelName, adapter: AdapterName) -> ModelRef:
+    """Return the name of a model, or of an adapter of it."""
+    return ModelRef(f"{model}/{adapter}" if adapter else model)
--- a/chutelink/log.py
+++ b/chutelink/log.py
@@ -69,7 +69,8 @@
 
     def record(self, event: str, **fields: object) -> None:
         """Log a decision of which every one is wanted, up to a large bound."""
-        self._emit(logbook.INFO, event, fields, RECORD_LIMIT)
+        level = logbook.WARNING if "error" in fields else logbook.INFO
+        self._emit(level, event, fields, RECORD_LIMIT)
 
     def _emit(
         self,
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -37,7 +37,11 @@
 
 
 class _WireRegistration(msgspec.Struct):
-    """A row of the endpoints' table; ``seq`` counts accepted orders."""
+    """A row of the endpoints' table.
+
+    Its ``seq`` numbers heartbeats and is not decoded; the one of reports counts
+    accepted orders.
+    """
 
     service: str
     address: str
@@ -45,16 +49,15 @@
     slots: int = 1
     state: str = "ready"
     models: list[_WireModel] = []
-    seq: int = 0
     at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
 
 
 class _WireReport(msgspec.Struct):
     """Answer to a report call.
 
-    ``busy`` is true while a load or unload of a model is carried out; ``coming``
-    has adapters on their way, as MODEL/NAME@VERSION; ``kv_used`` is the memory
-    that cannot be reclaimed.
+    ``seq`` counts the orders accepted; ``busy`` is true while a load or unload of
+    a model is carried out; ``coming`` has adapters on their way, as
+    MODEL/NAME@VERSION; ``kv_used`` is the memory that cannot be reclaimed.
     """
 
     models: list[_WireModel] = []
@@ -90,7 +93,6 @@
         failure_domain=FailureDomainName(wire.zone),
         state=EndpointState.READY if is_ready else EndpointState.DRAINING,
         slots=wire.slots,
-        sequence=wire.seq,
         models=_decode_models(wire.models),
         in_memory=frozenset(ModelName(name) for name in wire.at_hand.in_memory),
         on_disk=frozenset(ModelName(name) for name in wire.at_hand.on_disk),
