--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -36,7 +36,7 @@
 """Requests a second below which no model counts as busy."""
 WINDOW_GAP = 3
 """Busy models so near in the operators' order belong to one run."""
-SHIFT_PLACES = 2
+SHIFT_PLACES = 3
 """By how many places, in the operators' order, demand moves on at once.
 
 Measured on both sites: the first of the busy models fall silent, those behind
