Keep what daemons tell each other from growing with the square of their number

Now seeds are dialled a few at a time, news of members is gathered, load goes to those that serve and to the placer alone over links of their own, the placer tells changes, and callers are sent to large VMs first, at most 16 for each failure domain.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -12,7 +12,7 @@
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..core import Application
 from ..exceptions import PeerMessageInvalid
-from ..ids import FailureDomainName, VmId
+from ..ids import DaemonId, FailureDomainName, VmId
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
 from ..settings import EntrySettings
@@ -46,6 +46,7 @@
 from .upstream import Upstream
 from .watch import StoreWatch
 
+MS_PER_S = 1000.0
 JOIN_POLL_S = 0.02
 LOAD_NEWS_PERIOD_S = 0.2
 """How often other daemons hear what is under way; choices are as old at most."""
@@ -91,6 +92,7 @@
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
         self.callers: CallerHttp | None = None
+        self._placer_id: DaemonId | None = None
         self._upstream: Upstream | None = None
         self._caller_server: web.Server | None = None
         self._listeners: list[asyncio.Server] = []
@@ -111,6 +113,7 @@
             daemon.peer_port,
             self.boot_id,
             incarnation,
+            capacity=self.settings.entry.cpu_share * self.settings.entry.cpu_cores,
         )
 
     async def async_setup_parts(self) -> None:
@@ -121,9 +124,11 @@
         self.mesh.on_broadcast = self._take_broadcast
         self.mesh.on_members_changed = self._take_members
         names = (TABLE_CONFIG, TABLE_ENDPOINTS)
-        self.watch = StoreWatch(self, table, names, self.rank, self._send)
+        entry = self.settings.entry
+        bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
+        self.watch = StoreWatch(self, table, names, self.rank, self._send, bound_s)
         self.watch.on_row = self.known.take_row
-        gap_s = self.settings.entry.holder_gap_ms / 1000
+        gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self._send)
         self._setup_placer()
         self._setup_callers()
@@ -210,10 +215,13 @@
         return self.is_ready() and not self.is_draining
 
     def rank(self) -> int:
-        """Return this daemon's place among the live ones, 0 for the first."""
-        own = self.members.own.id
+        """Return this daemon's place among the live ones, 0 for the first.
+
+        Large VMs come first: they read for the others and place models.
+        """
+        own = self.members.own
         return sum(
-            member.id < own
+            (-member.capacity, member.id) < (-own.capacity, own.id)
             for member in self.members.rows.values()
             if member.state is MemberState.ALIVE
         )
@@ -224,6 +232,8 @@
             self._take_placement(news)
         elif isinstance(news, LoadNews):
             self.demand.take(news.daemon, news.uses, self.clock())
+            self.mesh.send_direct(encode_news(news))
+            return
         self.mesh.broadcast(encode_news(news))
 
     def _take_broadcast(self, broadcast: Broadcast) -> None:
@@ -254,6 +264,8 @@
 
     def _take_placement(self, news: PlacementNews) -> None:
         self.lease.note_holder(news.daemon, news.term)
+        self.known.endpoints.placer_heard_s = self.clock()
+        self._set_placer(news.daemon)
         if news.daemon != self.daemon_id:
             for placement in news.endpoints:
                 row = self.known.endpoints.rows.get(placement.endpoint)
@@ -262,14 +274,25 @@
                         model: frozenset(names)
                         for model, names in placement.models.items()
                     }
-                    row.take_models(placement.sequence, models, self.clock())
+                    row.take_models(placement.sequence, models)
         self.pending.take(news.loads, self.clock())
 
     def _take_members(self) -> None:
-        alive = sum(
-            member.state is MemberState.ALIVE for member in self.members.rows.values()
-        )
-        self.retries.daemons = max(1, alive)
+        self._choose_links()
+
+    def _set_placer(self, daemon: DaemonId) -> None:
+        if daemon != self._placer_id:
+            self._placer_id = daemon
+            self._choose_links()
+
+    def _choose_links(self) -> None:
+        """Link to the daemons that serve, if this one does, and to the placer."""
+        serving = self.directory.serving()
+        self.retries.daemons = max(1, len(serving))
+        wanted = set(serving) if self.daemon_id in serving else set()
+        if self._placer_id is not None:
+            wanted.add(self._placer_id)
+        self.mesh.direct = wanted - {self.daemon_id}
 
     def _take_config(self) -> None:
         self.placer.config = self.known.routes.config
--- a/chutelink/entry/directory.py
+++ b/chutelink/entry/directory.py
@@ -1,17 +1,27 @@
-"""Which addresses callers may use."""
+"""Which daemons serve callers, and the addresses that callers are told."""
 
 from __future__ import annotations
 
-from ..ids import FailureDomainName
-from ..tables.members import MemberState, MemberTable
+from ..ids import DaemonId, FailureDomainName
+from ..systems.hashing import rendezvous_order
+from ..tables.members import Member, MemberState, MemberTable
 
-MAX_ADDRESSES = 64
-"""Callers take no more; it also bounds the answer's size."""
+MIN_SERVING = 6
+"""Fewest daemons that are named: several may be lost at once."""
+MAX_SERVING = 16
+"""Most daemons named in a failure domain.
+
+What daemons that serve tell each other grows with the square of their number.
+"""
+LARGE_SHARE = 0.5
+"""VMs with this share of the largest one's capacity count as large."""
 
 
 class Directory:
     """Addresses of the daemons that serve callers now.
 
+    Large VMs serve, and small ones only where those are too few.
+
     Parameters
     ----------
     members : MemberTable
@@ -25,11 +35,39 @@
         self.valid_s = valid_s
 
     def addresses(self, failure_domain: FailureDomainName) -> list[str]:
-        """Return addresses, those of a failure domain first."""
-        members = [
+        """Return the addresses for callers of a failure domain."""
+        members = self._for_domain(failure_domain, self._candidates())
+        return [f"{member.address}:{member.port}" for member in members]
+
+    def serving(self) -> set[DaemonId]:
+        """Return the daemons that are named to any callers."""
+        candidates = self._candidates()
+        domains = {member.failure_domain for member in self._members.rows.values()}
+        return {
+            member.id
+            for domain in domains
+            for member in self._for_domain(domain, candidates)
+        }
+
+    def _candidates(self) -> list[Member]:
+        """Return the large members, and as many others as it takes."""
+        alive = [
             member
             for member in self._members.rows.values()
             if member.state is MemberState.ALIVE
         ]
-        members.sort(key=lambda m: (m.failure_domain != failure_domain, m.id))
-        return [f"{m.address}:{m.port}" for m in members[:MAX_ADDRESSES]]
+        alive.sort(key=lambda member: (-member.capacity, member.id))
+        if not alive:
+            return []
+        least = LARGE_SHARE * alive[0].capacity
+        large = [member for member in alive if member.capacity >= least]
+        return alive[: max(MIN_SERVING, len(large))]
+
+    def _for_domain(
+        self, failure_domain: FailureDomainName, candidates: list[Member]
+    ) -> list[Member]:
+        if len(candidates) <= MAX_SERVING:
+            return candidates
+        by_id = {member.id: member for member in candidates}
+        order = rendezvous_order(failure_domain, by_id)
+        return [by_id[name] for name in order[:MAX_SERVING]]
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -70,7 +70,6 @@
         self.record = record
         self.models = dict(record.models)
         self.sequence = UNKNOWN_SEQUENCE
-        self.placed_s = float("-inf")
         self.requests = 0
         self.prefill_tokens = 0
         self.by_ref: Counter[ModelRef] = Counter()
@@ -116,19 +115,17 @@
         self,
         sequence: int,
         models: dict[ModelName, frozenset[AdapterName]],
-        now_s: float,
     ) -> None:
         """Take in what it holds after a number of orders, unless it is older."""
         if sequence >= self.sequence:
             self.sequence = sequence
             self.models = models
-            self.placed_s = now_s
 
-    def take_record(self, record: EndpointRecord, now_s: float) -> None:
-        """Take in a registration; what a placer says lately is newer."""
+    def take_record(self, record: EndpointRecord, has_placer: bool) -> None:
+        """Take in a registration; what a placer has said is newer."""
         self.record = record
         self.lapsed_until_s = None
-        if now_s - self.placed_s > PLACED_VALID_S:
+        if not has_placer or self.sequence == UNKNOWN_SEQUENCE:
             self.models = dict(record.models)
 
 
@@ -139,6 +136,7 @@
         self.rows: dict[EndpointId, Endpoint] = {}
         self._shares: dict[DaemonId, list[EndpointLoad]] = {}
         self._heard_s: dict[DaemonId, float] = {}
+        self.placer_heard_s = float("-inf")
 
     def of_service(self, service: ServiceName) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -155,7 +153,7 @@
             self.rows[record.id] = Endpoint(record)
             return True
         is_changed = row.record.state is not record.state
-        row.take_record(record, now_s)
+        row.take_record(record, now_s - self.placer_heard_s < PLACED_VALID_S)
         return is_changed
 
     def remove(self, endpoint: EndpointId) -> Endpoint | None:
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -90,7 +90,10 @@
 
 
 class PlacementNews(msgspec.Struct, frozen=True, tag="placement"):
-    """What the placer knows of endpoints, and what it is changing."""
+    """What the placer knows of endpoints, and what it is changing.
+
+    ``endpoints`` has those that changed since its last message.
+    """
 
     daemon: DaemonId
     term: int
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -24,6 +24,8 @@
 """Reports are charged for; between them orders keep the inventory up to date."""
 ANNOUNCE_PERIOD_S = 0.4
 """The holder's sign of life; three are missed before others look at the lease."""
+TELL_ALL_PERIOD_S = 5.0
+"""How often everything is told again, for daemons that have just started."""
 CLOSE_LEAD_S = 0.03
 """Time for the others to hear of a model that closes before it is unloaded."""
 CHECK_PERIOD_S = 0.05
@@ -82,6 +84,8 @@
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
         self._term = 0
+        self._told: dict[EndpointId, EndpointPlacement] = {}
+        self._told_all_s = float("-inf")
         self.config: RoutingConfig | None = None
         self.cold_load_window_s = 5.0
         self.cold_load_excess = 1.0
@@ -122,6 +126,7 @@
         self._inventories.clear()
         self._pending.clear()
         self._paces.clear()
+        self._told.clear()
 
     def _engines(self) -> list[tuple[ServiceName, EngineSpec]]:
         return [
@@ -174,8 +179,7 @@
 
     def _show(self, row: Endpoint, inventory: Inventory) -> None:
         """Let requests be sent for what the endpoint holds now."""
-        now_s = self._core.clock()
-        row.take_models(inventory.sequence, dict(inventory.models), now_s)
+        row.take_models(inventory.sequence, dict(inventory.models))
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         sites = [
@@ -386,20 +390,7 @@
             return
         now_s = self._core.clock()
         self._announced_s = now_s
-        placements = [
-            EndpointPlacement(
-                inventory.endpoint,
-                row.sequence,
-                {
-                    model: sorted(adapters)
-                    for model, adapters in row.models.items()
-                    if model not in row.closing
-                },
-            )
-            for inventory in self._inventories.values()
-            for row in [self._table.rows.get(inventory.endpoint)]
-            if row is not None and inventory.is_known
-        ]
+        placements = self._changed_placements()
         loads = [
             PendingLoad(
                 change.endpoint,
@@ -411,3 +402,25 @@
         ]
         daemon = self._core.daemon_id
         self._send(PlacementNews(daemon, self._term, placements, loads))
+
+    def _changed_placements(self) -> list[EndpointPlacement]:
+        """Return what endpoints hold, as far as it was not told lately."""
+        now_s = self._core.clock()
+        if now_s - self._told_all_s >= TELL_ALL_PERIOD_S:
+            self._told_all_s = now_s
+            self._told.clear()
+        changed = []
+        for inventory in self._inventories.values():
+            row = self._table.rows.get(inventory.endpoint)
+            if row is None or not inventory.is_known:
+                continue
+            models = {
+                model: sorted(adapters)
+                for model, adapters in row.models.items()
+                if model not in row.closing
+            }
+            placement = EndpointPlacement(inventory.endpoint, row.sequence, models)
+            if self._told.get(inventory.endpoint) != placement:
+                self._told[inventory.endpoint] = placement
+                changed.append(placement)
+        return changed
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -17,18 +17,17 @@
 from ..store import Row, RowPage, WatchedTable
 from .news import SnapshotRequest, StoredRow, StoreNews
 
-FIRST_BOUND_S = 0.7
-"""Age at which the second in rank reads for itself.
+FIRST_SHARE = 0.35
+"""Age at which the second in rank reads for itself, as a share of the bound.
 
-With ``RANK_STEP_S`` and a call's time this keeps a change within 2 s, the
-shortest bound that operators have set.
+With ``RANK_SHARE`` and the time of a slow call this stays within the bound.
 """
-RANK_STEP_S = 0.12
+RANK_SHARE = 0.06
 MAX_RANK = 4
-WAIT_S = 0.5
-"""How long the first in rank lets the store hold a call without changes."""
-MIN_PERIOD_S = 0.4
-"""Shortest time between two calls for a table that changes all the time."""
+WAIT_SHARE = 0.25
+"""How long the first in rank lets the store hold a call, as a share of the bound."""
+MIN_PERIOD_SHARE = 0.2
+"""Shortest time between two calls, as a share of the bound."""
 RETRY_S = 0.25
 RECOVERED_FOR_S = 2.2
 """Removals so soon after an outage may be undone: live endpoints are back in 2 s."""
@@ -62,6 +61,8 @@
         This daemon's place among the live ones, 0 for the first.
     send : callable
         Tells the other daemons.
+    bound_s : float
+        How soon a change must be known everywhere.
     """
 
     def __init__(
@@ -71,12 +72,14 @@
         names: tuple[str, ...],
         rank: Callable[[], int],
         send: Callable[[StoreNews | SnapshotRequest], None],
+        bound_s: float,
     ) -> None:
         super().__init__()
         self._core = core
         self._table = table
         self._rank = rank
         self._send = send
+        self._bound_s = bound_s
         self._states = {name: _TableState(name) for name in names}
         self._is_away = False
         self._recovered_s = float("-inf")
@@ -114,9 +117,9 @@
         now_s = self._core.clock()
         since_start_s = now_s - state.started_s
         if rank == 0 or state.version == 0:
-            return MIN_PERIOD_S - since_start_s
-        bound_s = FIRST_BOUND_S + RANK_STEP_S * min(rank - 1, MAX_RANK)
-        return bound_s - (now_s - state.fresh_s)
+            return MIN_PERIOD_SHARE * self._bound_s - since_start_s
+        share = FIRST_SHARE + RANK_SHARE * min(rank - 1, MAX_RANK)
+        return share * self._bound_s - (now_s - state.fresh_s)
 
     async def _async_pull(self, state: _TableState) -> None:
         state.started_s = self._core.clock()
@@ -145,7 +148,7 @@
         """Return changes, or the whole table when history is not kept."""
         prefix = f"{state.name}/"
         if state.version > 0:
-            wait_s = WAIT_S if self._rank() == 0 else 0.0
+            wait_s = WAIT_SHARE * self._bound_s if self._rank() == 0 else 0.0
             try:
                 page = await self._table.async_watch(prefix, state.version, wait_s)
                 return page, False
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -43,16 +43,23 @@
 HEADER_PEER_KEY = "Chutelink-Peer-Key"
 MAX_QUEUED_MESSAGES = 256
 LOST_MEMBER_RETRY_S = 2.0
+FULL_MESH_MEMBERS = 12
+"""Up to so many, all link to all: nothing has to be passed on."""
+SEED_DIALS = 3
+GOODBYE_S = 0.05
+MEMBER_NEWS_DELAY_S = 0.02
+"""News of members is gathered for so long: many start or end together."""
+LINKABLE = (MemberState.JOINING, MemberState.ALIVE, MemberState.SUSPECT)
 SPREAD = 0.3
 
 
 def ring_places(members: int, links: int) -> list[int]:
     """Return which of the others, in ring order, to link to.
 
-    With few others these are all of them, or the next ones; the distances grow
-    by the ``links``-th root of their number.
+    With few others these are all of them; else the distances grow by the
+    ``links``-th root of their number.
     """
-    if members <= links:
+    if members < FULL_MESH_MEMBERS or members <= links:
         return list(range(members))
     places: list[int] = []
     for index in range(links):
@@ -113,6 +120,8 @@
         self._unreachable: set[str] = set()
         self.queues = QueueTable()
         self._broadcasts = BroadcastLog()
+        self.direct: set[DaemonId] = set()
+        self._member_news: dict[DaemonId, Member] = {}
         self.on_broadcast: Callable[[Broadcast], None] = lambda news: None
         self.config_version: Callable[[], ConfigVersion] = lambda: ConfigVersion(0)
         self.config_body: Callable[[], ConfigBody | None] = lambda: None
@@ -135,7 +144,7 @@
     async def on_stop(self) -> None:
         """Say goodbye to the peers and close all links."""
         self.spread(self.table.set_own_state(MemberState.LEFT))
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(GOODBYE_S)
         for task in self._dialing.values():
             task.cancel()
         if self._server is not None:
@@ -154,13 +163,21 @@
         """Tell the peers that this daemon takes no new work soon."""
         self.spread(self.table.set_own_state(MemberState.LEAVING))
 
-    def spread(self, member: Member, source: Link | None = None) -> None:
-        """Pass news of a member on to every link but the one that it came by."""
-        for link in self._links:
-            if link is not source and link.member is not None:
-                link.send(MemberNews([member]))
+    def spread(self, member: Member) -> None:
+        """Pass news of a member on to every link, with what else there is soon."""
+        if not self._member_news:
+            loop = asyncio.get_running_loop()
+            loop.call_later(MEMBER_NEWS_DELAY_S, self._spread_now)
+        self._member_news[member.id] = member
         self.on_members_changed()
 
+    def _spread_now(self) -> None:
+        news = MemberNews(list(self._member_news.values()))
+        self._member_news.clear()
+        for link in self._links:
+            if link.member is not None:
+                link.send(news)
+
     def announce_config(self) -> None:
         """Tell the peers at once of a newer version."""
         for link in self._links:
@@ -259,8 +276,7 @@
         for member in members:
             news = self.table.merge(member, self._core.clock())
             if news is not None:
-                source = link if news is member else None
-                self.spread(news, source)
+                self.spread(news)
 
     def publish_queue(
         self, waiting: dict[str, int], callers_per_s: dict[str, float]
@@ -290,10 +306,24 @@
         sequence = self._broadcasts.next_sequence()
         self._pass_on(Broadcast(own.id, own.boot_id, sequence, body), None)
 
+    def send_direct(self, body: bytes) -> None:
+        """Tell the daemons with links of their own, and nobody else."""
+        own = self.table.own
+        sequence = self._broadcasts.next_sequence()
+        news = Broadcast(own.id, own.boot_id, sequence, body, is_direct=True)
+        told: set[DaemonId] = set()
+        for link in self._links:
+            if link.member is None or link.member.id in told:
+                continue
+            if link.member.id in self.direct:
+                told.add(link.member.id)
+                link.send(news)
+
     def _take_broadcast(self, news: Broadcast, source: Link) -> None:
         if news.origin == self.table.own.id or not self._broadcasts.is_new(news):
             return
-        self._pass_on(news, source)
+        if not news.is_direct:
+            self._pass_on(news, source)
         self.on_broadcast(news)
 
     def _pass_on(self, news: Broadcast, source: Link | None) -> None:
@@ -338,7 +368,10 @@
             self._core.events.warning("member_down", member=member.id)
             self.spread(member)
         self._dial_missing(neighbours, now_s)
-        linked_ids = sorted(self.linked_members())
+        linked = self.linked_members()
+        # Only where all link to all does this keep news from being passed on.
+        is_full = len(linked) < FULL_MESH_MEMBERS
+        linked_ids = sorted(linked) if is_full else []
         for link in self._links:
             link.send(Heartbeat(self.config_version(), linked_ids))
         counts: dict[str, int] = {state.value: 0 for state in MemberState}
@@ -363,16 +396,34 @@
             if news is not None:
                 self.spread(news)
 
+    def _direct_members(self) -> list[Member]:
+        """Return the members that links of their own are wanted to."""
+        rows = self.table.rows
+        found = [rows[name] for name in self.direct if name in rows]
+        own_id = self.table.own.id
+        return [m for m in found if m.id != own_id and m.state in LINKABLE]
+
+    def _pick_seeds(self) -> set[str]:
+        """Return seeds to dial: some while alone, else one that is not known to live.
+
+        The others are learned from whoever answers; dialling all of them would
+        make starts cost the square of the number of daemons.
+        """
+        live = {m.peer_address for m in self.table.rows.values() if m.state in LINKABLE}
+        missing = sorted(self._seeds - live - {self.table.own.peer_address})
+        if not missing:
+            return set()
+        count = 1 if self.linked_members() else SEED_DIALS
+        return set(self._core.rng.sample(missing, min(count, len(missing))))
+
     def _dial_missing(self, neighbours: list[Member], now_s: float) -> None:
         linked = self.linked_members()
-        wanted = {m.peer_address for m in neighbours if m.id not in linked}
-        known = {m.peer_address: m for m in self.table.rows.values()}
-        has_unknown = len(self.table.rows) <= 1 or not self._links
-        for seed in self._seeds:
-            member = known.get(seed)
-            is_lost = member is not None and member.state is MemberState.DOWN
-            if has_unknown or member is None or is_lost:
-                wanted.add(seed)
+        wanted = {
+            member.peer_address
+            for member in [*neighbours, *self._direct_members()]
+            if member.id not in linked
+        }
+        wanted |= self._pick_seeds()
         wanted.discard(self.table.own.peer_address)
         linked_addresses = {
             link.member.peer_address for link in self._links if link.member
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -77,13 +77,14 @@
     """What one daemon tells all others; each passes it on once.
 
     ``sequence`` rises with each message of one process; ``body`` is decoded by
-    the program that it is for.
+    the program that it is for. One that ``is_direct`` goes no further.
     """
 
     origin: DaemonId
     boot_id: BootId
     sequence: int
     body: bytes
+    is_direct: bool = False
 
 
 Message = (
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -104,7 +104,8 @@
     ``holder_gap_ms`` must lie between orders of two holders; ``retry_ratio`` and
     ``retry_slack`` bound repeats over all daemons in ``retry_window_s``, and
     ``cold_load_excess`` is how far above the weight store's rate the loads of
-    ``cold_load_window_s`` may go.
+    ``cold_load_window_s`` may go. A draining endpoint must get nothing new after
+    ``drain_ms``; ``cpu_share`` is this process's share of each core.
     """
 
     caller_listen: Listen
@@ -113,12 +114,15 @@
     directory_listen: Listen
     grace_s: Seconds
     config_apply_ms: Count
+    drain_ms: Count
     holder_gap_ms: Count
     retry_ratio: Annotated[float, Meta(ge=0, le=1)]
     retry_slack: Annotated[int, Meta(ge=0)]
     retry_window_s: Seconds
     cold_load_window_s: Seconds
     cold_load_excess: Annotated[float, Meta(ge=1, le=10)]
+    cpu_share: Annotated[float, Meta(gt=0, le=1024)] = 1.0
+    cpu_cores: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     address_valid_s: Seconds = 1.0
 
 
--- a/chutelink/tables/members.py
+++ b/chutelink/tables/members.py
@@ -32,12 +32,12 @@
 _RUNNING = (MemberState.JOINING, MemberState.ALIVE, MemberState.LEAVING)
 
 
-class Member(msgspec.Struct, frozen=True):
+class Member(msgspec.Struct, frozen=True, array_like=True):
     """A daemon at one moment of its life.
 
     ``incarnation`` is raised by the daemon alone, to refute what others say of
     it; within one incarnation the graver state wins. Incarnations of different
-    daemons are never compared.
+    daemons are never compared. ``capacity`` is the processor share of its VM.
     """
 
     id: DaemonId
@@ -50,6 +50,7 @@
     boot_id: BootId
     incarnation: int
     state: MemberState = MemberState.JOINING
+    capacity: float = 1.0
 
     @property
     def url(self) -> str:
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from chutelink.entry.news import SnapshotRequest, StoredRow, StoreNews
-from chutelink.entry.watch import FIRST_BOUND_S, MAX_RANK, RANK_STEP_S, StoreWatch
+from chutelink.entry.watch import FIRST_SHARE, MAX_RANK, RANK_SHARE, StoreWatch
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import WriteId
 from chutelink.store import Row, RowPage, WatchedTable
@@ -60,7 +60,7 @@
         self.sent = []
         self.rows = []
         self.watch = StoreWatch(
-            self.core, table, ("t",), lambda: rank, lambda news: self.sent.append(news)
+            self.core, table, ("t",), lambda: rank, self.sent.append, SHORTEST_BOUND_S
         )
         self.watch.on_row = lambda key, value, soon: self.rows.append((key, value))
         self.state = self.watch._states["t"]
@@ -86,7 +86,7 @@
 
 
 def test_a_daemon_that_hears_nothing_reads_within_the_bound(table):
-    last_rank_s = FIRST_BOUND_S + MAX_RANK * RANK_STEP_S
+    last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * SHORTEST_BOUND_S
     assert last_rank_s + CALL_S < SHORTEST_BOUND_S
     other = Watcher(table, rank=100)
     other.pull()
