Load elsewhere what a dead endpoint held; pass on only what has changed

An endpoint that takes no connection now gets nothing for a while, daemons name it to the placer, which asks for a report itself and then counts it as holding nothing.

--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -45,6 +45,10 @@
     def decode_endpoint(self, name: str, value: Any) -> EndpointRecord:
         """Return an endpoint's record from its row."""
 
+    @abstractmethod
+    def compact_row(self, key: str, value: Any) -> Any:
+        """Return a row's value without what changes with every sign of life."""
+
     @abstractmethod
     def make_directory_handler(self, directory: Directory) -> Handler:
         """Return the handler of callers' questions for addresses."""
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -128,6 +128,7 @@
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
         self.watch = StoreWatch(self, table, names, self.rank, self._send, bound_s)
         self.watch.on_row = self.known.take_row
+        self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self._send)
         self._setup_placer()
@@ -259,6 +260,10 @@
         self.known.endpoints.take_load(news.daemon, news.endpoints, now_s)
         for endpoint, chain in news.prefixes:
             self.known.prefixes.note(endpoint, chain, now_s)
+        self._wake_placer(news)
+
+    def _wake_placer(self, news: LoadNews) -> None:
+        self.placer.doubt(news.unreachable)
         if any(use.waiting for use in news.uses):
             self.placer.wake()
 
@@ -326,11 +331,11 @@
             self.loads.urgent.clear()
             self.known.expire()
             self.known.endpoints.forget_silent(self.clock())
-            news = self.loads.take(self.daemon_id, self.known.endpoints)
+            unreachable = self.known.health.unreachable()
+            news = self.loads.take(self.daemon_id, self.known.endpoints, unreachable)
             if news is not None:
                 self._send(news)
-                if any(use.waiting for use in news.uses):
-                    self.placer.wake()
+                self._wake_placer(news)
 
     async def async_drain(self) -> None:
         """Leave: out of the answers first, then no new connections, then stop."""
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -53,8 +53,6 @@
     state: EndpointState
     slots: int
     models: dict[ModelName, frozenset[AdapterName]]
-    in_memory: frozenset[ModelName] = frozenset()
-    on_disk: frozenset[ModelName] = frozenset()
 
 
 class Endpoint:
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -217,8 +217,14 @@
         meta = exchange.meta
         if exchange.service.engine is not None and meta.model:
             rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
-        rows = [row for row in rows if row.record.id not in exchange.tried]
-        return self._policy.choose(rows, exchange.candidate, self.core.clock())
+        now_s = self.core.clock()
+        rows = [
+            row
+            for row in rows
+            if row.record.id not in exchange.tried
+            and self.health.is_reachable(row.record.id, now_s)
+        ]
+        return self._policy.choose(rows, exchange.candidate, now_s)
 
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
         """Return the request as it goes to an endpoint now."""
--- a/chutelink/entry/health.py
+++ b/chutelink/entry/health.py
@@ -13,6 +13,9 @@
 FAILURES_TO_CLOSE = 3
 FIRST_PAUSE_S = 0.4
 MAX_PAUSE_S = 3.0
+UNREACHABLE_PAUSE_S = 0.3
+"""First pause after an endpoint took no connection; a crashed one stays away."""
+MAX_UNREACHABLE_PAUSE_S = 2.0
 TYPICAL_SMOOTHING = 0.1
 DEFAULT_TYPICAL_S = 0.05
 """Before an endpoint has answered; the sheets name 15 to 45 ms."""
@@ -26,6 +29,8 @@
     updated_s: float = 0.0
     in_a_row: int = 0
     closed_until_s: float = float("-inf")
+    unreachable: int = 0
+    away_until_s: float = float("-inf")
     typical_s: float = DEFAULT_TYPICAL_S
 
     def decay(self, now_s: float) -> None:
@@ -48,6 +53,8 @@
         row.good += 1.0
         row.in_a_row = 0
         row.closed_until_s = float("-inf")
+        row.unreachable = 0
+        row.away_until_s = float("-inf")
         row.typical_s += TYPICAL_SMOOTHING * (took_s - row.typical_s)
 
     def note_failure(self, endpoint: EndpointId, now_s: float) -> None:
@@ -60,6 +67,23 @@
             pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
             row.closed_until_s = now_s + pause_s
 
+    def note_unreachable(self, endpoint: EndpointId, now_s: float) -> None:
+        """Count that an endpoint took no connection; it gets nothing for a while."""
+        self.note_failure(endpoint, now_s)
+        row = self._row(endpoint, now_s)
+        pause_s = UNREACHABLE_PAUSE_S * 2 ** min(row.unreachable, 4)
+        row.unreachable += 1
+        row.away_until_s = now_s + min(MAX_UNREACHABLE_PAUSE_S, pause_s)
+
+    def is_reachable(self, endpoint: EndpointId, now_s: float) -> bool:
+        """Return whether it is worth trying to connect."""
+        row = self._rows.get(endpoint)
+        return row is None or now_s >= row.away_until_s
+
+    def unreachable(self) -> list[EndpointId]:
+        """Return the endpoints that took no connection when last tried."""
+        return [name for name, row in self._rows.items() if row.unreachable]
+
     def is_open(self, endpoint: EndpointId, now_s: float) -> bool:
         """Return whether requests may be sent."""
         row = self._rows.get(endpoint)
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -107,6 +107,7 @@
         self.read_s = float("-inf")
         self.is_busy = False
         self.is_changing = False
+        self.is_down = False
         self.avoid_until_s = float("-inf")
 
     @property
@@ -121,6 +122,7 @@
 
     def take_report(self, report: EndpointReport, now_s: float) -> None:
         """Take in a report; one from before the latest known order is ignored."""
+        self.is_down = False
         if report.sequence < self.sequence:
             return
         models = dict(report.models)
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -52,7 +52,9 @@
         if len(self._prefixes) < MAX_PREFIXES:
             self._prefixes.append((endpoint, list(chain)))
 
-    def take(self, daemon: DaemonId, table: EndpointTable) -> LoadNews | None:
+    def take(
+        self, daemon: DaemonId, table: EndpointTable, unreachable: list[EndpointId]
+    ) -> LoadNews | None:
         """Return the next message, or None when there is nothing new."""
         loads = [
             EndpointLoad(
@@ -78,10 +80,10 @@
             for (model, adapter), count in self.waiting.items()
             if not count and (model, adapter) not in keys
         ]
-        is_new = uses or self._prefixes or ended or loads or self._told
+        is_new = uses or self._prefixes or ended or loads or self._told or unreachable
         if not is_new:
             return None
-        news = LoadNews(daemon, loads, uses + ended, self._prefixes)
+        news = LoadNews(daemon, loads, uses + ended, self._prefixes, unreachable)
         self._told = loads
         self._prefixes = []
         self._arrivals.clear()
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import cbor2
 import msgspec
 
+from ..const import MAX_PEER_MESSAGE_BYTES
 from ..exceptions import PeerMessageInvalid
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
 
@@ -64,12 +66,16 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, tag="load"):
-    """What one daemon has under way and was asked for since its last message."""
+    """What one daemon has under way and was asked for since its last message.
+
+    ``unreachable`` are endpoints that took no connection from it.
+    """
 
     daemon: DaemonId
     endpoints: list[EndpointLoad]
     uses: list[ModelUse]
     prefixes: list[tuple[EndpointId, list[int]]] = []
+    unreachable: list[EndpointId] = []
 
 
 class EndpointPlacement(msgspec.Struct, frozen=True, array_like=True):
@@ -113,12 +119,26 @@
 
 
 News = LeaseYield | StoreNews | SnapshotRequest | LoadNews | PlacementNews
-_DECODE_FAILURES = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
+_DECODE_FAILURES = (
+    cbor2.CBORDecodeError,
+    ValueError,
+    TypeError,
+    LookupError,
+    zlib.error,
+)
+PLAIN = b"p"
+COMPRESSED = b"z"
+MIN_COMPRESSED_BYTES = 512
+"""Smaller messages gain little; configurations shrink to a sixth."""
+COMPRESSION_LEVEL = 1
 
 
 def encode_news(news: News) -> bytes:
-    """Return a message as CBOR."""
-    return cbor2.dumps(msgspec.to_builtins(news))
+    """Return a message as CBOR, compressed where that pays."""
+    body = cbor2.dumps(msgspec.to_builtins(news))
+    if len(body) < MIN_COMPRESSED_BYTES:
+        return PLAIN + body
+    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
 
 
 def decode_news(body: bytes, peer: str) -> News:
@@ -130,6 +150,17 @@
         The bytes are not a message that is known.
     """
     try:
-        return msgspec.convert(cbor2.loads(body), News)
+        data = _unpack(body)
+        return msgspec.convert(cbor2.loads(data), News)
     except _DECODE_FAILURES as error:
         raise PeerMessageInvalid(str(error), step="news.decode", peer=peer) from error
+
+
+def _unpack(body: bytes) -> bytes:
+    if body[:1] != COMPRESSED:
+        return body[1:]
+    inflater = zlib.decompressobj()
+    data = inflater.decompress(body[1:], MAX_PEER_MESSAGE_BYTES)
+    if inflater.unconsumed_tail:
+        raise ValueError("message too large")
+    return data
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -60,6 +60,11 @@
 """How long an unload waits for requests under way; long answers take 1 to 3 s."""
 BLOCKED_PENALTY_S = 2.0
 """What it costs to load where a busy model then gets no adapters, as load time."""
+MAX_RARE_SHARE = 0.25
+"""Share of the endpoints that may load rare models at once.
+
+An endpoint that loads takes no orders for adapters and no other model for 4 s.
+"""
 COLD_LOAD_ASKS = 1.5
 """How often a rare model must lately have been asked for to be fetched.
 
@@ -141,13 +146,18 @@
         """Return changes, the most urgent first; one for each endpoint."""
         round_ = _Round(view)
         waiting = view.demand.waiting(view.now_s)
-        for model, adapter in sorted(waiting, key=lambda key: -waiting[key]):
-            round_.make_resident(model)
-            if adapter:
-                round_.make_adapter_resident(model, adapter)
-        for model in view.demand.recent(view.now_s, RECENT_S):
-            round_.make_resident(model)
+        wanted = sorted(waiting, key=lambda key: -waiting[key])
+        busy = [key for key in wanted if key[0] in round_.active]
+        rare = [key for key in wanted if key[0] not in round_.active]
+        recent = view.demand.recent(view.now_s, RECENT_S)
+        for model, adapter in busy:
+            round_.make_wanted(model, adapter)
+        for model in recent:
             round_.add_replica(model)
+        for model, adapter in rare:
+            round_.make_wanted(model, adapter)
+        for model in recent:
+            round_.make_resident(model)
         for model in round_.next_models():
             round_.prepare(model)
         for model in round_.active:
@@ -228,6 +238,12 @@
         """Return the models that may be asked for more, the busiest first."""
         return sorted(self._next, key=lambda model: -self._next[model])
 
+    def make_wanted(self, model: ModelName, adapter: AdapterName) -> None:
+        """Load what a request waits for."""
+        self.make_resident(model)
+        if adapter:
+            self.make_adapter_resident(model, adapter)
+
     def make_resident(
         self, model: ModelName, reason: ChangeReason = ChangeReason.ASKED
     ) -> None:
@@ -238,9 +254,17 @@
     def _earns_cold(self, model: ModelName) -> bool:
         """Return whether a load from the weight store is worth its price."""
         demand, now_s = self._view.demand, self._view.now_s
+        if model in self.active or model in self._next:
+            return True
+        rare = sum(
+            count
+            for (name, adapter), count in self._loading.items()
+            if not adapter and name not in self.active and name not in self._next
+        )
+        if rare >= max(1.0, MAX_RARE_SHARE * len(self._view.sites)):
+            return False
         is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
-        is_next = model in self._next
-        return is_asked or is_next or demand.has_patient(model, now_s)
+        return is_asked or demand.has_patient(model, now_s)
 
     def add_replica(self, model: ModelName) -> None:
         """Load a busy model once more."""
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -20,6 +20,10 @@
 from .placement import Change, PlacementPolicy, PlacementView, Site
 
 TICK_S = 0.05
+DOUBT_PERIOD_S = 0.15
+"""Shortest time between two reports of an endpoint that others can't reach."""
+DOWN_RETRY_S = 0.4
+"""How often an endpoint that does not answer is asked again."""
 REPORT_PERIOD_S = 1.0
 """Reports are charged for; between them orders keep the inventory up to date."""
 ANNOUNCE_PERIOD_S = 0.4
@@ -94,6 +98,17 @@
         """Plan at once."""
         self._wake.set()
 
+    def doubt(self, endpoints: list[EndpointId]) -> None:
+        """Ask endpoints again that others can't reach, if that was not just done."""
+        now_s = self._core.clock()
+        for endpoint in endpoints:
+            inventory = self._inventories.get(endpoint)
+            if inventory is None or inventory.is_down or inventory.is_changing:
+                continue
+            if now_s - inventory.read_s > DOUBT_PERIOD_S:
+                inventory.read_s = float("-inf")
+                self.wake()
+
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
@@ -162,8 +177,11 @@
         try:
             await self._async_report(inventory)
         except ChutelinkError as error:
-            inventory.avoid_until_s = self._core.clock() + REPORT_PERIOD_S
-            self._core.events.record("report_failed", error=error)
+            inventory.is_down = True
+            inventory.avoid_until_s = self._core.clock() + DOWN_RETRY_S
+            self._core.events.record(
+                "report_failed", endpoint=inventory.endpoint, error=error
+            )
         finally:
             inventory.is_changing = False
         self.wake()
@@ -186,6 +204,7 @@
             Site(row, self._inventories[row.record.id])
             for row in self._table.of_service(service)
             if row.record.id in self._inventories
+            and not self._inventories[row.record.id].is_down
         ]
         if not any(site.inventory.is_known for site in sites):
             return
@@ -417,7 +436,7 @@
             models = {
                 model: sorted(adapters)
                 for model, adapters in row.models.items()
-                if model not in row.closing
+                if model not in row.closing and not inventory.is_down
             }
             placement = EndpointPlacement(inventory.endpoint, row.sequence, models)
             if self._told.get(inventory.endpoint) != placement:
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -179,7 +179,12 @@
     ) -> None:
         """Log a failed attempt and learn from it."""
         core = self._exchanges.core
-        self._exchanges.health.note_failure(row.record.id, core.clock())
+        health = self._exchanges.health
+        if result is AttemptResult.UNREACHABLE:
+            health.note_unreachable(row.record.id, core.clock())
+            self._exchanges.loads.urgent.set()
+        else:
+            health.note_failure(row.record.id, core.clock())
         core.metrics.retries.inc({"reason": result.value})
         core.events.record(
             "attempt_failed",
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -84,6 +84,7 @@
         self._is_away = False
         self._recovered_s = float("-inf")
         self.on_row: Callable[[str, Any, bool], None] = lambda key, value, soon: None
+        self.compact: Callable[[str, Any], Any] = lambda key, value: value
 
     @property
     def is_complete(self) -> bool:
@@ -129,7 +130,7 @@
             self._recovered_s = self._core.clock()
             self._core.events.info("store_regained", table=state.name)
         is_soon = self._core.clock() - self._recovered_s < RECOVERED_FOR_S
-        rows = [_to_stored(row) for row in page.rows]
+        rows = self._changed(state, page.rows)
         if is_whole:
             rows += self._missing(state, page)
         news = StoreNews(
@@ -158,6 +159,19 @@
                 )
         return await self._table.async_read(prefix), True
 
+    def _changed(self, state: _TableState, rows: list[Row]) -> list[StoredRow]:
+        """Return the rows whose meaning has changed, without what nobody needs.
+
+        Most writes of endpoints are signs of life alone.
+        """
+        changed = []
+        for row in rows:
+            value = None if row.value is None else self.compact(row.key, row.value)
+            known = state.rows.get(row.key)
+            if known is None or known.value != value:
+                changed.append(StoredRow(row.key, row.version, value))
+        return changed
+
     def _missing(self, state: _TableState, page: RowPage) -> list[StoredRow]:
         present = {row.key for row in page.rows}
         return [
@@ -210,7 +224,3 @@
         self._is_away = True
         if state.version == 0:
             self._send(SnapshotRequest(state.name))
-
-
-def _to_stored(row: Row) -> StoredRow:
-    return StoredRow(row.key, row.version, row.value)
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..const import TABLE_ENDPOINTS
 from ..entry.adapter import Handler, PlatformAdapter
 from ..entry.config import RoutingConfig
 from ..entry.dialect import Dialect
@@ -16,7 +17,7 @@
 from ..settings import PlatformSection
 from ..store import WatchedTable
 from .configuration import decode_config
-from .endpoints import decode_registration
+from .endpoints import compact_registration, decode_registration
 from .engine import HttpEngineClient
 from .headers import PlatformDialect
 from .http import make_directory_handler, make_ready_handler
@@ -48,6 +49,11 @@
         """Return an endpoint's record from its row."""
         return decode_registration(name, value)
 
+    def compact_row(self, key: str, value: Any) -> Any:
+        """Return a row's value without what changes with every sign of life."""
+        is_endpoint = key.startswith(f"{TABLE_ENDPOINTS}/")
+        return compact_registration(value) if is_endpoint else value
+
     def make_directory_handler(self, directory: Directory) -> Handler:
         """Return the handler of callers' questions for addresses."""
         return make_directory_handler(directory)
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -49,7 +49,11 @@
     slots: int = 1
     state: str = "ready"
     models: list[_WireModel] = []
-    at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
+
+
+REGISTRATION_FIELDS = tuple(
+    field.name for field in msgspec.structs.fields(_WireRegistration)
+)
 
 
 class _WireReport(msgspec.Struct):
@@ -71,6 +75,13 @@
     at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
 
 
+def compact_registration(value: Any) -> Any:
+    """Return the fields that are decoded; another value is left to the decoder."""
+    if not isinstance(value, dict):
+        return value
+    return {key: value[key] for key in REGISTRATION_FIELDS if key in value}
+
+
 def decode_registration(endpoint: str, value: Any) -> EndpointRecord:
     """Return the record of an endpoint from its row.
 
@@ -94,8 +105,6 @@
         state=EndpointState.READY if is_ready else EndpointState.DRAINING,
         slots=wire.slots,
         models=_decode_models(wire.models),
-        in_memory=frozenset(ModelName(name) for name in wire.at_hand.in_memory),
-        on_disk=frozenset(ModelName(name) for name in wire.at_hand.on_disk),
     )
 
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -107,6 +107,14 @@
     assert plan(sites, [("m1", "", 2, 0.1, 1)])
 
 
+def test_rare_models_take_only_a_share_of_the_endpoints():
+    sites = [make_site(f"i-{n}", {"m7": []}) for n in range(4)]
+    uses = [(f"m{n}", "", 2, 0.1, 1) for n in range(3, 6)]
+    busy = ("m7", "", 900, 0.1, 0)
+    changes = plan(sites, [*uses, busy], cold_loads=9)
+    assert sum(c.model in ("m3", "m4", "m5") for c in changes) == 1
+
+
 def test_a_busy_models_adapters_are_not_blocked_by_a_replica():
     sites = [make_site("i-1", {"m0": []}), make_site("i-2", {"m5": []})]
     changes = plan(sites, [("m0", "", 30, 0.3, 0), ("m5", "", 60, 6.0, 0)])
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -80,6 +80,19 @@
         return OrderAnswer.ACCEPTED
 
 
+class Engines(EngineClient):
+    """Several engines by the endpoint's id."""
+
+    def __init__(self):
+        self.by_id = {}
+
+    async def async_report(self, endpoint):
+        return await self.by_id[endpoint.record.id].async_report(endpoint)
+
+    async def async_order(self, endpoint, order):
+        return await self.by_id[endpoint.record.id].async_order(endpoint, order)
+
+
 class HeldLease:
     """A lease that the test takes away."""
 
@@ -98,21 +111,16 @@
     def __init__(self, models=("m0", "m7")):
         self.core = make_core()
         self.engine = ScriptedEngine(models)
+        self.engines = Engines()
         self.table = EndpointTable()
-        held = {name: frozenset() for name in models}
-        self.table.put(
-            EndpointRecord(
-                NOBODY, "llm", "1:1", "zone-a", EndpointState.READY, 8, held
-            ),
-            0.0,
-        )
+        self.add(NOBODY, self.engine)
         self.demand = DemandTable()
         self.lease = HeldLease()
         self.sent = []
         self.placer = Placer(
             self.core,
             self.lease,
-            self.engine,
+            self.engines,
             self.table,
             self.demand,
             DemandPlacement(),
@@ -125,6 +133,13 @@
         self.tasks = []
         self.placer.add_future = self._add
 
+    def add(self, name, engine):
+        self.engines.by_id[name] = engine
+        held = {model: frozenset() for model in engine.models}
+        ready = EndpointState.READY
+        record = EndpointRecord(name, "llm", "1:1", "zone-a", ready, 8, held)
+        self.table.put(record, 0.0)
+
     def _add(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self.tasks.append(task)
@@ -200,6 +215,28 @@
     run(async_test)
 
 
+def test_a_model_whose_endpoint_is_down_is_loaded_elsewhere():
+    async def async_test():
+        world = World(("m0",))
+        other = ScriptedEngine(("m7",))
+        world.add("i-2", other)
+        await world.async_start()
+        world.engine.is_unreachable = True
+        world.want("m0")
+        world.placer.doubt([NOBODY])
+        await world.async_tick(0.2)
+        for _ in range(3):
+            world.want("m0")
+            await world.async_tick(0.5)
+        assert "m0" in other.models
+        down = [
+            p for news in world.sent for p in news.endpoints if p.endpoint == NOBODY
+        ]
+        assert down[-1].models == {}
+
+    run(async_test)
+
+
 def test_a_lost_answer_is_settled_by_a_report():
     async def async_test():
         world = World()
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -128,3 +128,21 @@
             assert endpoint.cancelled == ["q1"]
 
     asyncio.run(async_test())
+
+
+def test_an_endpoint_that_takes_no_connection_gets_no_more_requests():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            first = await world.async_add("i-1", "llm", {"m0": []})
+            second = await world.async_add("i-2", "llm", {"m0": []})
+            first.address = "127.0.0.1:1"
+            world.show(first)
+            for number in range(4):
+                sent = headers()
+                async with world.request("/stream/x", f"q{number}", **sent) as answer:
+                    assert answer.status == 200
+            assert len(second.runs) == 4
+            assert world.known.health.unreachable() == ["i-1"]
+
+    asyncio.run(async_test())
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -147,3 +147,20 @@
     reader.pull()
     assert seen[-1] == (None, True)
     assert reader.sent[-1].is_after_outage
+
+
+def test_signs_of_life_are_not_passed_on(table):
+    reader, other = Watcher(table), Watcher(table, rank=2)
+    reader.watch.compact = lambda key, value: value // 10
+    reader.pull()
+    other.watch.take_news(reader.sent[0])
+    table.put("t/a", 2)
+    reader.pull()
+    assert reader.sent[1].rows == []
+    other.core.now_s += 0.6
+    other.watch.take_news(reader.sent[1])
+    assert other.state.version == 2
+    assert other.watch._pause_s(other.state) > 0
+    table.put("t/a", 20)
+    reader.pull()
+    assert [row.value for row in reader.sent[2].rows] == [2]
