Never take a late order for the one whose answer was lost; refuse what would be late

Only an order's own effect now counts, and every load checks the room again. Both new tests failed before. Also: an estimate of the delay, measured at 1.1 to 1.5 times the first event's, is logged with each request, and refuses at once what would most likely be late.

--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -31,6 +31,12 @@
 LOAD_MARGIN_S = 0.1
 """How much later than announced a load usually is there."""
 DEFAULT_RETRY_S = 0.5
+BACKLOG_MARGIN = 1.5
+"""How much longer than the objective the expected delay must be for a refusal.
+
+Measured: the first event comes after 0.65 to 0.9 of the expected time.
+"""
+MIN_BACK_S = 0.2
 LAST_URGENCY = 9
 OBJECTIVES_PER_URGENCY_S = 1.5
 """Requests whose objectives differ by this much differ by one step of urgency."""
@@ -41,7 +47,8 @@
 
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
     route's. ``tried`` has the endpoints that it was sent to; ``first_event_s`` is
-    the time from the start to a stream's first event.
+    the time from the start to a stream's first event, ``expected_s`` what was
+    expected of the endpoint chosen last.
     """
 
     meta: RequestMeta
@@ -59,6 +66,7 @@
     may_have_run: bool = False
     resume_after: int | None = None
     first_event_s: float | None = None
+    expected_s: float | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -141,6 +149,7 @@
         """
         row = self._choose(exchange)
         if row is not None:
+            self._check_backlog(exchange)
             return row
         if not self._may_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
@@ -152,6 +161,30 @@
         finally:
             self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
 
+    def _check_backlog(self, exchange: Exchange) -> None:
+        """Refuse at once what would most likely be late, while it can come back.
+
+        Under lasting overload this keeps those that are taken in time; otherwise
+        all would be late. What endpoints admit first is not held up by others.
+
+        Raises
+        ------
+        Refusal
+            The backlog is too long.
+        """
+        if exchange.tried or exchange.service.engine is None:
+            return
+        if not exchange.route.priority or exchange.resume_after is not None:
+            return
+        now_s = self.core.clock()
+        due_s = exchange.started_s + exchange.route.objective_s - now_s
+        if exchange.expected_s <= BACKLOG_MARGIN * due_s:
+            return
+        back_s = exchange.expected_s - due_s
+        if back_s > RETRY_SHARE * exchange.left_s(now_s):
+            back_s = RETRY_SHARE * exchange.left_s(now_s)
+        raise unavailable("endpoints are busy", max(MIN_BACK_S, back_s))
+
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         asked_s = self.core.clock()
         ask_s = asked_s + ASK_SHARE * exchange.route.objective_s
@@ -224,7 +257,11 @@
             if row.record.id not in exchange.tried
             and self.health.is_reachable(row.record.id, now_s)
         ]
-        return self._policy.choose(rows, exchange.candidate, now_s)
+        row = self._policy.choose(rows, exchange.candidate, now_s)
+        if row is not None:
+            expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
+            exchange.expected_s = expected_s
+        return row
 
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
         """Return the request as it goes to an endpoint now."""
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -154,3 +154,8 @@
         """Return whether it holds a model and adapter."""
         held = self.models.get(model)
         return held is not None and (not adapter or adapter in held)
+
+    def shows(self, order: Order) -> bool:
+        """Return whether what an order was to do is done."""
+        is_held = self.has(order.model, order.adapter)
+        return is_held if order.action is OrderAction.LOAD else not is_held
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -490,3 +490,18 @@
 def used_mb(inventory: Inventory, engine: EngineSpec) -> float:
     """Return the memory that an endpoint's models and adapters take."""
     return sum(model_mb(inventory, model, engine) for model in inventory.models)
+
+
+def has_room(
+    inventory: Inventory, engine: EngineSpec, model: ModelName, adapter: AdapterName
+) -> bool:
+    """Return whether an endpoint can hold a model or adapter beside what it has."""
+    spec = engine.models.get(model)
+    if spec is None:
+        return False
+    if inventory.has(model, adapter):
+        return True
+    if adapter and inventory.adapters >= engine.adapter_slots:
+        return False
+    needed_mb = spec.adapter_mb if adapter else spec.weights_mb
+    return used_mb(inventory, engine) + needed_mb <= engine.weights_mb
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -8,7 +8,12 @@
 from mode import Service
 
 from ..core import Application
-from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
+from ..exceptions import (
+    ChutelinkError,
+    EndpointFailed,
+    EndpointUnreachable,
+    InvariantViolated,
+)
 from ..ids import AdapterName, EndpointId, ModelName, ServiceName
 from .config import EngineSpec, RoutingConfig
 from .demand import DemandTable
@@ -17,7 +22,7 @@
 from .lease import PlacerLease
 from .news import EndpointPlacement, PendingLoad, PlacementNews
 from .pace import ColdLoadPace
-from .placement import Change, PlacementPolicy, PlacementView, Site
+from .placement import Change, PlacementPolicy, PlacementView, Site, has_room
 
 TICK_S = 0.05
 DOUBT_PERIOD_S = 0.15
@@ -334,6 +339,8 @@
             It is not known to have been accepted. It may be later, but then only
             while nothing else was.
         """
+        if action is OrderAction.LOAD:
+            self._check_room(inventory, row, model, adapter)
         fence = self._lease.begin_order()
         order = Order(
             action, model, adapter, inventory.sequence, self._core.daemon_id, fence
@@ -369,12 +376,41 @@
             return
         raise EndpointFailed(answer.value, step="order", peer=inventory.endpoint)
 
+    def _check_room(
+        self,
+        inventory: Inventory,
+        row: Endpoint,
+        model: ModelName,
+        adapter: AdapterName,
+    ) -> None:
+        """Refuse to order more than an endpoint holds, whatever was planned.
+
+        Raises
+        ------
+        InvariantViolated
+            There is no room.
+        """
+        engine = self.config.services[row.record.service].engine
+        if has_room(inventory, engine, model, adapter):
+            return
+        self._core.metrics.violations.inc({"step": "placement.room"})
+        raise InvariantViolated(
+            f"no room for {model} {adapter}",
+            step="placement.room",
+            peer=inventory.endpoint,
+        )
+
     async def _async_settle(
         self, inventory: Inventory, order: Order, error: EndpointFailed
     ) -> OrderAnswer:
-        """Learn from a report what became of an order without an answer."""
+        """Learn from a report what became of an order without an answer.
+
+        A higher number of orders alone proves nothing: an earlier order, late, may
+        have been accepted instead. Only the order's own effect counts.
+        """
         await self._async_report(inventory)
-        if inventory.sequence > order.expected_sequence:
+        is_done = not inventory.is_busy and inventory.shows(order)
+        if is_done and inventory.sequence > order.expected_sequence:
             return OrderAnswer.ALREADY_HOLDS
         raise error
 
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -97,6 +97,7 @@
                 "may_have_run": exchange.may_have_run,
                 "resume_after": exchange.resume_after,
                 "first_event_s": exchange.first_event_s,
+                "expected_s": exchange.expected_s,
             }
         if self._left_out:
             fields["good_left_out"] = self._left_out
--- a/chutelink/entry/routing.py
+++ b/chutelink/entry/routing.py
@@ -45,6 +45,10 @@
     ) -> Endpoint | None:
         """Return the best endpoint, or None when there is none."""
 
+    def expected_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        """Return the expected time to the first byte; 0 where it is not known."""
+        return 0.0
+
 
 class LeastRequests(RoutingPolicy):
     """Baseline: fewest requests under way for the places that it has."""
@@ -86,19 +90,23 @@
             default=None,
         )
 
+    def expected_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        """Return the expected time to the first byte, without failures."""
+        if not request.model:
+            queued = row.total_requests / max(1, row.record.slots)
+            return queued * self._health.typical_s(row.record.id)
+        tokens = request.prompt_tokens
+        tokens -= self._cached_tokens(row.record.id, request, now_s)
+        tokens += row.prefill_tokens + row.other_prefill_tokens
+        step_s = STEP_S * row.total_requests / max(1, row.record.slots)
+        return tokens / PREFILL_TOKENS_PER_S + step_s
+
     def _cost_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
         endpoint = row.record.id
         cost_s = FAILURE_COST_S * self._health.failure_share(endpoint, now_s)
         if row.record.failure_domain != request.failure_domain:
             cost_s += FAR_COST_S
-        if not request.model:
-            queued = row.total_requests / max(1, row.record.slots)
-            return cost_s + queued * self._health.typical_s(endpoint)
-        cached = self._cached_tokens(endpoint, request, now_s)
-        tokens = request.prompt_tokens - cached
-        tokens += row.prefill_tokens + row.other_prefill_tokens
-        cost_s += tokens / PREFILL_TOKENS_PER_S
-        return cost_s + STEP_S * row.total_requests / max(1, row.record.slots)
+        return cost_s + self.expected_s(row, request, now_s)
 
     def _cached_tokens(
         self, endpoint: EndpointId, request: Candidate, now_s: float
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -408,6 +408,7 @@
             "attempts": 2,
             "resumable": True,
             "sticky": True,
+            "priority": 1,
         },
         {
             **common,
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -41,8 +41,10 @@
         self.make_late = 0
         self.orders = []
         self.in_use = False
+        self.before_report = lambda: None
 
     async def async_report(self, endpoint):
+        self.before_report()
         if self.is_unreachable:
             raise EndpointUnreachable("cut", step="test")
         models = {name: frozenset(held) for name, held in self.models.items()}
@@ -267,6 +269,36 @@
     run(async_test)
 
 
+def test_a_late_order_is_not_taken_for_the_one_whose_answer_was_lost():
+    async def async_test():
+        world = World()
+        world.engine.models["m0"] = {"a2"}
+        await world.async_start()
+        inventory = world.placer._inventories[NOBODY]
+        world.engine.make_late = 2
+        first = Change(NOBODY, "m0", "a1", unload_adapters=(("m0", "a2"),))
+        await world.placer._async_carry_out(first, inventory)
+        # The second order is lost, and the first one takes effect meanwhile.
+        world.engine.before_report = lambda: world.engine.take(world.engine.late[0])
+        second = Change(NOBODY, "m1", unload_models=("m7",))
+        await world.placer._async_carry_out(second, inventory)
+        assert set(world.engine.models) == {"m0", "m7"}
+        assert len(world.engine.orders) == 1
+
+    run(async_test)
+
+
+def test_nothing_is_ordered_without_room():
+    async def async_test():
+        world = World()
+        await world.async_start()
+        inventory = world.placer._inventories[NOBODY]
+        await world.placer._async_carry_out(Change(NOBODY, "m1"), inventory)
+        assert not world.engine.orders
+
+    run(async_test)
+
+
 def test_nothing_is_sent_once_the_lease_is_lost():
     async def async_test():
         world = World()
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -146,3 +146,19 @@
             assert world.known.health.unreachable() == ["i-1"]
 
     asyncio.run(async_test())
+
+
+def test_what_would_be_late_is_refused_while_it_can_come_back():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await world.async_add("i-1", "llm", {"m0": []})
+            world.known.endpoints.rows["i-1"].other_prefill_tokens = 100_000
+            async with world.request("/stream/x", **headers()) as answer:
+                assert answer.status == 503
+                assert 0.1 < float(answer.headers["Retry-After"]) <= 1.0
+            world.known.endpoints.rows["i-1"].other_prefill_tokens = 20_000
+            async with world.request("/stream/x", "q2", **headers()) as answer:
+                assert answer.status == 200
+
+    asyncio.run(async_test())
