--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -30,6 +30,7 @@
     LoadNews,
     News,
     PlacementNews,
+    PlacerBeacon,
     SnapshotRequest,
     StoreNews,
     decode_news,
@@ -128,6 +129,7 @@
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
         self.watch = StoreWatch(self, table, names, self.rank, self._send, bound_s)
         self.watch.on_row = self.known.take_row
+        self.watch.reply = self._reply
         self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self._send)
@@ -228,14 +230,21 @@
         )
 
     def _send(self, news: News) -> None:
-        """Tell all other daemons; what this one needs too, it takes in itself."""
+        """Tell those that need it; what this daemon needs too, it takes in itself."""
         if isinstance(news, PlacementNews):
             self._take_placement(news)
         elif isinstance(news, LoadNews):
             self.demand.take(news.daemon, news.uses, self.clock())
-            self.mesh.send_direct(encode_news(news))
-            return
-        self.mesh.broadcast(encode_news(news))
+        body = encode_news(news)
+        if isinstance(news, PlacementNews | LoadNews):
+            self.mesh.send_to(self.mesh.direct, body)
+        elif isinstance(news, SnapshotRequest):
+            self.mesh.send_to(self.mesh.linked_members(), body)
+        else:
+            self.mesh.broadcast(body)
+
+    def _reply(self, daemon: DaemonId, news: StoreNews) -> None:
+        self.mesh.send_to({daemon}, encode_news(news))
 
     def _take_broadcast(self, broadcast: Broadcast) -> None:
         try:
@@ -251,6 +260,8 @@
             self._take_load(news)
         elif isinstance(news, PlacementNews):
             self._take_placement(news)
+        elif isinstance(news, PlacerBeacon):
+            self._hear_placer(news.daemon, news.term)
         elif isinstance(news, LeaseYield):
             self.lease.take_yield(news)
 
@@ -268,9 +279,7 @@
             self.placer.wake()
 
     def _take_placement(self, news: PlacementNews) -> None:
-        self.lease.note_holder(news.daemon, news.term)
-        self.known.endpoints.placer_heard_s = self.clock()
-        self._set_placer(news.daemon)
+        self._hear_placer(news.daemon, news.term)
         if news.daemon != self.daemon_id:
             for placement in news.endpoints:
                 row = self.known.endpoints.rows.get(placement.endpoint)
@@ -285,16 +294,19 @@
     def _take_members(self) -> None:
         self._choose_links()
 
-    def _set_placer(self, daemon: DaemonId) -> None:
+    def _hear_placer(self, daemon: DaemonId, term: int) -> None:
+        self.lease.note_holder(daemon, term)
+        self.known.endpoints.placer_heard_s = self.clock()
         if daemon != self._placer_id:
             self._placer_id = daemon
             self._choose_links()
 
     def _choose_links(self) -> None:
-        """Link to the daemons that serve, if this one does, and to the placer."""
+        """Link to the placer, and to those that serve if this daemon needs them."""
         serving = self.directory.serving()
         self.retries.daemons = max(1, len(serving))
-        wanted = set(serving) if self.daemon_id in serving else set()
+        is_needed = self.daemon_id in serving or self.daemon_id == self._placer_id
+        wanted = set(serving) if is_needed else set()
         if self._placer_id is not None:
             wanted.add(self._placer_id)
         self.mesh.direct = wanted - {self.daemon_id}
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -39,6 +39,14 @@
     """Asks for a whole table; sent by a daemon that can't reach the store."""
 
     table: str
+    daemon: DaemonId
+
+
+class PlacerBeacon(msgspec.Struct, frozen=True, tag="placer"):
+    """The placer's sign of life, for those that need to know no more."""
+
+    daemon: DaemonId
+    term: int
 
 
 class ModelUse(msgspec.Struct, frozen=True, array_like=True):
@@ -118,7 +126,9 @@
     idle_s: float
 
 
-News = LeaseYield | StoreNews | SnapshotRequest | LoadNews | PlacementNews
+News = (
+    LeaseYield | StoreNews | SnapshotRequest | LoadNews | PlacementNews | PlacerBeacon
+)
 _DECODE_FAILURES = (
     cbor2.CBORDecodeError,
     ValueError,
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -20,7 +20,7 @@
 from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
 from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
 from .lease import PlacerLease
-from .news import EndpointPlacement, PendingLoad, PlacementNews
+from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
 from .pace import ColdLoadPace
 from .placement import Change, PlacementPolicy, PlacementView, Site, has_room
 
@@ -77,7 +77,7 @@
         table: EndpointTable,
         demand: DemandTable,
         policy: PlacementPolicy,
-        send: Callable[[PlacementNews], None],
+        send: Callable[[PlacementNews | PlacerBeacon], None],
     ) -> None:
         super().__init__()
         self._core = core
@@ -95,6 +95,7 @@
         self._term = 0
         self._told: dict[EndpointId, EndpointPlacement] = {}
         self._told_all_s = float("-inf")
+        self._beacon_s = float("-inf")
         self.config: RoutingConfig | None = None
         self.cold_load_window_s = 5.0
         self.cold_load_excess = 1.0
@@ -457,6 +458,9 @@
         ]
         daemon = self._core.daemon_id
         self._send(PlacementNews(daemon, self._term, placements, loads))
+        if now_s - self._beacon_s >= ANNOUNCE_PERIOD_S:
+            self._beacon_s = now_s
+            self._send(PlacerBeacon(daemon, self._term))
 
     def _changed_placements(self) -> list[EndpointPlacement]:
         """Return what endpoints hold, as far as it was not told lately."""
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -14,6 +14,7 @@
 
 from ..core import Application
 from ..exceptions import HistoryLost, PlatformUnavailable
+from ..ids import DaemonId
 from ..store import Row, RowPage, WatchedTable
 from .news import SnapshotRequest, StoredRow, StoreNews
 
@@ -84,6 +85,7 @@
         self._is_away = False
         self._recovered_s = float("-inf")
         self.on_row: Callable[[str, Any, bool], None] = lambda key, value, soon: None
+        self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
 
     @property
@@ -141,9 +143,12 @@
             rows,
             is_soon,
         )
+        is_first = state.version == 0
         # Empty answers that the store held back are as fresh as their arrival.
         self._apply(state, news, self._core.clock())
-        self._send(news)
+        if not is_first:
+            # Whole tables are large, and all daemons read them when they start.
+            self._send(news)
 
     async def _async_read(self, state: _TableState) -> tuple[RowPage, bool]:
         """Return changes, or the whole table when history is not kept."""
@@ -201,7 +206,8 @@
         state.snapshot_sent_s = now_s
         age_s = now_s - state.fresh_s
         rows = list(state.rows.values())
-        self._send(StoreNews(state.name, 0, state.version, age_s, rows))
+        news = StoreNews(state.name, 0, state.version, age_s, rows)
+        self.reply(request.daemon, news)
 
     def _apply(self, state: _TableState, news: StoreNews, fresh_s: float) -> None:
         state.fresh_s = max(state.fresh_s, fresh_s)
@@ -223,4 +229,4 @@
             self._core.events.warning("store_lost", table=state.name, error=error)
         self._is_away = True
         if state.version == 0:
-            self._send(SnapshotRequest(state.name))
+            self._send(SnapshotRequest(state.name, self._core.daemon_id))
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -306,8 +306,8 @@
         sequence = self._broadcasts.next_sequence()
         self._pass_on(Broadcast(own.id, own.boot_id, sequence, body), None)
 
-    def send_direct(self, body: bytes) -> None:
-        """Tell the daemons with links of their own, and nobody else."""
+    def send_to(self, members: set[DaemonId], body: bytes) -> None:
+        """Tell some linked daemons, and nobody else."""
         own = self.table.own
         sequence = self._broadcasts.next_sequence()
         news = Broadcast(own.id, own.boot_id, sequence, body, is_direct=True)
@@ -315,7 +315,7 @@
         for link in self._links:
             if link.member is None or link.member.id in told:
                 continue
-            if link.member.id in self.direct:
+            if link.member.id in members:
                 told.add(link.member.id)
                 link.send(news)
 
