--- a/chutelink/entry/lease.py
+++ b/chutelink/entry/lease.py
@@ -43,8 +43,6 @@
 RANK_STEP_S = 0.3
 """How much later each further daemon in rank looks: few contend at once."""
 CONTEND_READ_S = 0.6
-MAX_IDLE_S = 3600.0
-"""Stands for never; rows and messages carry no infinities."""
 
 
 class PlacerRow(msgspec.Struct, frozen=True):
@@ -60,7 +58,7 @@
     term: int
     counter: int
     is_released: bool = False
-    idle_s: float = 0.0
+    held_s: float = 0.0
 
 
 class LeasePhase(Enum):
@@ -111,7 +109,7 @@
         self._held_until_s = float("-inf")
         self._renewed_s = float("-inf")
         self._orders_from_s = float("inf")
-        self._last_order_s = float("-inf")
+        self._taken_s = float("-inf")
         self._heard_s = core.clock()
         self._is_unsure = False
         self._yielded: LeaseYield | None = None
@@ -141,7 +139,6 @@
         """
         if not self.may_order:
             raise LeaseNotHeld("lease not held", step="order.begin", peer=KEY_LEASE)
-        self._last_order_s = self._core.clock()
         return self.term
 
     def note_holder(self, daemon: DaemonId, term: int) -> None:
@@ -181,9 +178,9 @@
         if self.phase is not LeasePhase.HELD or self._is_unsure:
             return
         self._is_unsure = True
-        idle_s = min(MAX_IDLE_S, self._core.clock() - self._last_order_s)
-        self._core.events.warning("lease_yielded", term=self.term, idle_s=idle_s)
-        self._send(LeaseYield(self._core.daemon_id, self.term, idle_s))
+        held_s = self._core.clock() - self._taken_s
+        self._core.events.warning("lease_yielded", term=self.term, held_s=held_s)
+        self._send(LeaseYield(self._core.daemon_id, self.term, held_s))
 
     def _is_due(self) -> bool:
         now_s = self._core.clock()
@@ -244,21 +241,21 @@
     def _wait_s(self) -> float | None:
         """Return how long to hold orders back after taking, or None to wait.
 
-        A daemon's own former process has ended, so that nothing of it follows.
+        The former holder orders nothing more, but holders must not change twice
+        within the gap. A daemon's own former process has ended, so that nothing of
+        it follows.
         """
         row = self._row
         if row is None or row.holder == self._core.daemon_id:
             return 0.0
         if row.is_released:
-            return max(0.0, self._holder_gap_s - row.idle_s)
-        now_s = self._core.clock()
+            return max(0.0, self._holder_gap_s - row.held_s)
         if self._has_yielded() and self._yielded.term == row.term:
-            idle_s = self._yielded.idle_s + now_s - self._yielded_s
-            return max(0.0, self._holder_gap_s - idle_s)
-        unchanged_s = now_s - self._seen_s
+            return max(0.0, self._holder_gap_s - self._yielded.held_s)
+        unchanged_s = self._core.clock() - self._seen_s
         if unchanged_s < EXPIRY_S:
             return None
-        return max(0.0, HOLD_S + self._holder_gap_s - unchanged_s)
+        return max(0.0, self._holder_gap_s - row.counter * RENEW_S - unchanged_s)
 
     async def _async_take(self, wait_s: float) -> None:
         term = (self._row.term if self._row is not None else 0) + 1
@@ -269,7 +266,8 @@
         self.phase = LeasePhase.HELD
         self.term = term
         self._is_unsure = False
-        self._orders_from_s = self._core.clock() + wait_s
+        self._taken_s = self._core.clock()
+        self._orders_from_s = self._taken_s + wait_s
         self._core.metrics.lease_held.set({}, 1)
         self._core.events.info(
             "lease_taken",
@@ -312,17 +310,18 @@
         if self.phase is not LeasePhase.HELD:
             return
         self._orders_from_s = float("inf")
-        idle_s = min(MAX_IDLE_S, self._core.clock() - self._last_order_s)
+        held_s = self._core.clock() - self._taken_s
         row = msgspec.structs.replace(
             self._row,
             counter=self._row.counter + 1,
             is_released=True,
-            idle_s=idle_s,
+            held_s=held_s,
         )
         try:
             await self._async_write(row)
         except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
             self._core.events.warning("lease_release_failed", error=error)
+        self._send(LeaseYield(self._core.daemon_id, self.term, held_s))
         self._lose("released", self.term)
 
 
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -116,14 +116,14 @@
 
 
 class LeaseYield(msgspec.Struct, frozen=True, tag="yield"):
-    """The holder can't renew and orders nothing until it has.
+    """The holder orders nothing more, until it has renewed the lease if it can't now.
 
-    ``idle_s`` is how long ago it sent its last order.
+    ``held_s`` is how long it has held the lease.
     """
 
     daemon: DaemonId
     term: int
-    idle_s: float
+    held_s: float
 
 
 News = (
