Keep waiting for a former placer's load; try the only endpoint of a model twice

New tests failed before. A request that ran into its time limit now says so. chutelink explain-request does the walk; logs on a pipe that nobody reads hold nothing up (test). The test of an error of every endpoint gives two errors now, as the one endpoint is asked twice.

--- a/chutelink/cli/main.py
+++ b/chutelink/cli/main.py
@@ -17,6 +17,7 @@
 from ..store import Platform, async_setup_platform
 from .apply import Applier, validate
 from .daemons import DaemonClient
+from .explain_request import explain_request
 from .inspect import (
     async_drain,
     async_explain,
@@ -67,6 +68,9 @@
     command.add_argument("--undo", action="store_true", help="let it back")
     command = add("explain", help="show where a model is and why")
     command.add_argument("name", metavar="MODEL")
+    command = add("explain-request", help="walk collected logs from a request's id")
+    command.add_argument("request", metavar="ID")
+    command.add_argument("files", metavar="FILE", type=Path, nargs="+")
     return parser
 
 
@@ -127,6 +131,9 @@
     args = make_parser().parse_args(argv)
     if args.command == "validate":
         return show(validate(args.file), is_json=args.json)
+    if args.command == "explain-request":
+        result = explain_request(args.request, args.files)
+        return show(result, is_json=args.json)
     try:
         result = asyncio.run(_async_run(args))
     except SettingsError as error:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -289,7 +289,7 @@
                         for model, names in placement.models.items()
                     }
                     row.take_models(placement.sequence, models)
-        self.pending.take(news.loads, self.clock())
+        self.pending.take(news.loads, news.term, self.clock())
 
     def _take_members(self) -> None:
         self._choose_links()
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -251,12 +251,11 @@
         if exchange.service.engine is not None and meta.model:
             rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
         now_s = self.core.clock()
-        rows = [
-            row
-            for row in rows
-            if row.record.id not in exchange.tried
-            and self.health.is_reachable(row.record.id, now_s)
-        ]
+        rows = [r for r in rows if self.health.is_reachable(r.record.id, now_s)]
+        others = [r for r in rows if r.record.id not in exchange.tried]
+        if others or not (exchange.is_repeatable and exchange.may_have_run):
+            # Where only one holds the model, it may well answer the second time.
+            rows = others
         row = self._policy.choose(rows, exchange.candidate, now_s)
         if row is not None:
             expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -11,18 +11,34 @@
 ANNOUNCEMENT_VALID_S = 1.5
 """Announcements come every 0.4 s; without them nothing is known of loads."""
 
+OVERDUE_S = 0.5
+"""How much later than announced a former placer's load is still expected."""
+
 
 class PendingTable:
     """When models and adapters should be there, and a signal of every change."""
 
     def __init__(self) -> None:
         self._ready_s: dict[tuple[ModelName, AdapterName], float] = {}
+        self._older_s: dict[tuple[ModelName, AdapterName], float] = {}
+        self._term = 0
         self._heard_s = float("-inf")
         self._changed = asyncio.Event()
 
-    def take(self, loads: list[PendingLoad], now_s: float) -> None:
-        """Replace what is known."""
+    def take(self, loads: list[PendingLoad], term: int, now_s: float) -> None:
+        """Replace what is known.
+
+        Loads that a former placer began go on and are kept until they are due.
+        """
         self._heard_s = now_s
+        if term != self._term:
+            self._term = term
+            self._older_s |= self._ready_s
+        self._older_s = {
+            key: ready_s
+            for key, ready_s in self._older_s.items()
+            if now_s < ready_s + OVERDUE_S
+        }
         self._ready_s = {}
         for load in loads:
             key = (load.model, load.adapter)
@@ -41,8 +57,11 @@
 
     def ready_s(self, model: ModelName, adapter: AdapterName) -> float | None:
         """Return when a model, or an adapter of it, should be there."""
-        own = self._ready_s.get((model, adapter))
-        return own if own is not None else self._ready_s.get((model, NO_ADAPTER))
+        for known in (self._ready_s, self._older_s):
+            for key in ((model, adapter), (model, NO_ADAPTER)):
+                if key in known:
+                    return known[key]
+        return None
 
     async def async_wait(self, limit_s: float) -> None:
         """Return at the next change, or when the time is over."""
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -200,8 +200,9 @@
 def give_up(exchange: Exchange, *, is_late: bool) -> Refusal:
     """Return the refusal of a request that no endpoint answered."""
     if exchange.may_have_run:
-        status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
-        return unknown_outcome("no endpoint answered in full", status)
+        if is_late:
+            return unknown_outcome("the time limit was reached", GATEWAY_TIMEOUT)
+        return unknown_outcome("no endpoint answered in full", BAD_GATEWAY)
     refusal = unavailable("no endpoint took the request", DEFAULT_RETRY_S)
     refusal.outcome = Outcome.NOT_RUN
     return refusal
--- /dev/null
+++ b/tests/test_log_output.py
@@ -0,0 +1,45 @@
+"""Log lines never wait for their reader, and say how many were left out."""
+
+from __future__ import annotations
+
+import os
+
+import logbook
+
+from chutelink.log import MAX_BUFFERED_BYTES, EventLog, NonBlockingHandler
+
+
+def test_a_pipe_that_nobody_reads_holds_nothing_up():
+    reader, writer = os.pipe()
+    handler = NonBlockingHandler(writer, logbook.DEBUG, "{record.message}")
+    log = EventLog("test")
+    with handler.threadbound():
+        for number in range(20_000):
+            log.record(f"event-{number % 500}", text="x" * 40)
+    assert handler.dropped > 0
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    assert 0 < len(data) <= 1 << 20
+    with handler.threadbound():
+        log.record("after")
+    dropped = os.read(reader, MAX_BUFFERED_BYTES * 2)
+    with handler.threadbound():
+        log.record("last")
+    dropped += os.read(reader, MAX_BUFFERED_BYTES * 2)
+    assert b"event=log_lines_dropped" in dropped
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_ends_nothing():
+    reader, writer = os.pipe()
+    handler = NonBlockingHandler(writer, logbook.DEBUG, "{record.message}")
+    os.close(reader)
+    with handler.threadbound():
+        EventLog("test").record("event")
+    os.close(writer)
