--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -235,6 +235,7 @@
             self._take_placement(news)
         elif isinstance(news, LoadNews):
             self.demand.take(news.daemon, news.uses, self.clock())
+            self._take_streams(news)
         body = encode_news(news)
         if isinstance(news, PlacementNews | LoadNews):
             self.mesh.send_to(self.mesh.direct, body)
@@ -269,10 +270,18 @@
         now_s = self.clock()
         self.demand.take(news.daemon, news.uses, now_s)
         self.known.endpoints.take_load(news.daemon, news.endpoints, now_s)
+        self._take_streams(news)
         for endpoint, chain in news.prefixes:
             self.known.prefixes.note(endpoint, chain, now_s)
         self._wake_placer(news)
 
+    def _take_streams(self, news: LoadNews) -> None:
+        now_s = self.clock()
+        for count in news.streams:
+            self.known.health.note_streams(
+                count.endpoint, count.streams, count.paused, now_s
+            )
+
     def _wake_placer(self, news: LoadNews) -> None:
         self.placer.doubt(news.unreachable)
         if any(use.waiting for use in news.uses):
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -48,7 +48,7 @@
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
     route's. ``tried`` has the endpoints that it was sent to; ``first_event_s`` is
     the time from the start to a stream's first event, ``expected_s`` what was
-    expected of the endpoint chosen last.
+    expected of the endpoint chosen last, ``longest_pause_s`` between two events.
     """
 
     meta: RequestMeta
@@ -67,6 +67,7 @@
     resume_after: int | None = None
     first_event_s: float | None = None
     expected_s: float | None = None
+    longest_pause_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/chutelink/entry/health.py
+++ b/chutelink/entry/health.py
@@ -16,6 +16,10 @@
 UNREACHABLE_PAUSE_S = 0.3
 """First pause after an endpoint took no connection; a crashed one stays away."""
 MAX_UNREACHABLE_PAUSE_S = 2.0
+PAUSE_AVERAGE_S = 12.0
+"""Time constant of the share of streams with long pauses; speeds do not change."""
+PAUSE_PRIOR = 3.0
+"""Streams without long pauses that every endpoint is credited with."""
 TYPICAL_SMOOTHING = 0.1
 DEFAULT_TYPICAL_S = 0.05
 """Before an endpoint has answered; the sheets name 15 to 45 ms."""
@@ -32,6 +36,9 @@
     unreachable: int = 0
     away_until_s: float = float("-inf")
     typical_s: float = DEFAULT_TYPICAL_S
+    streams: float = 0.0
+    paused: float = 0.0
+    streams_s: float = 0.0
 
     def decay(self, now_s: float) -> None:
         """Fade what was seen earlier."""
@@ -67,6 +74,22 @@
             pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
             row.closed_until_s = now_s + pause_s
 
+    def note_streams(
+        self, endpoint: EndpointId, streams: int, paused: int, now_s: float
+    ) -> None:
+        """Count streams that ended, and those of them with a pause that is too long."""
+        row = self._row(endpoint, now_s)
+        elapsed_s = max(0.0, now_s - row.streams_s)
+        factor = math.exp(-elapsed_s / PAUSE_AVERAGE_S)
+        row.streams = row.streams * factor + streams
+        row.paused = row.paused * factor + paused
+        row.streams_s = now_s
+
+    def paused_share(self, endpoint: EndpointId) -> float:
+        """Return the share of recent streams whose pauses were too long."""
+        row = self._rows.get(endpoint)
+        return 0.0 if row is None else row.paused / (row.streams + PAUSE_PRIOR)
+
     def note_unreachable(self, endpoint: EndpointId, now_s: float) -> None:
         """Count that an endpoint took no connection; it gets nothing for a while."""
         self.note_failure(endpoint, now_s)
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -7,7 +7,7 @@
 
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from .endpoints import EndpointTable
-from .news import EndpointLoad, LoadNews, ModelUse
+from .news import EndpointLoad, LoadNews, ModelUse, StreamCount
 
 MAX_PREFIXES = 64
 """Most prompts told of in one message."""
@@ -22,6 +22,8 @@
         self.waiting: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
         self._patient: Counter[ModelName] = Counter()
         self._prefixes: list[tuple[EndpointId, list[int]]] = []
+        self._streams: Counter[EndpointId] = Counter()
+        self._paused: Counter[EndpointId] = Counter()
         self._told: list[EndpointLoad] = []
         self.urgent = asyncio.Event()
 
@@ -52,6 +54,20 @@
         if len(self._prefixes) < MAX_PREFIXES:
             self._prefixes.append((endpoint, list(chain)))
 
+    def note_stream(self, endpoint: EndpointId, *, is_paused: bool) -> None:
+        """Count a stream that ended."""
+        self._streams[endpoint] += 1
+        self._paused[endpoint] += is_paused
+
+    def _take_streams(self) -> list[StreamCount]:
+        counts = [
+            StreamCount(endpoint, count, self._paused[endpoint])
+            for endpoint, count in self._streams.items()
+        ]
+        self._streams.clear()
+        self._paused.clear()
+        return counts
+
     def take(
         self, daemon: DaemonId, table: EndpointTable, unreachable: list[EndpointId]
     ) -> LoadNews | None:
@@ -83,7 +99,14 @@
         is_new = uses or self._prefixes or ended or loads or self._told or unreachable
         if not is_new:
             return None
-        news = LoadNews(daemon, loads, uses + ended, self._prefixes, unreachable)
+        news = LoadNews(
+            daemon,
+            loads,
+            uses + ended,
+            self._prefixes,
+            unreachable,
+            self._take_streams(),
+        )
         self._told = loads
         self._prefixes = []
         self._arrivals.clear()
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -73,6 +73,14 @@
     by_ref: dict[ModelRef, int] = {}
 
 
+class StreamCount(msgspec.Struct, frozen=True, array_like=True):
+    """Streams that ended at an endpoint, and those with a pause that is too long."""
+
+    endpoint: EndpointId
+    streams: int
+    paused: int
+
+
 class LoadNews(msgspec.Struct, frozen=True, tag="load"):
     """What one daemon has under way and was asked for since its last message.
 
@@ -84,6 +92,7 @@
     uses: list[ModelUse]
     prefixes: list[tuple[EndpointId, list[int]]] = []
     unreachable: list[EndpointId] = []
+    streams: list[StreamCount] = []
 
 
 class EndpointPlacement(msgspec.Struct, frozen=True, array_like=True):
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -71,8 +71,15 @@
 A cold load costs about as much as one request is worth, and takes the place of
 another model that is as likely to be asked for.
 """
-BUSY_PENALTY_S = 0.3
-"""How much a load time may differ before the less busy endpoint is taken."""
+BUSY_PENALTY_S = 3.0
+"""What an endpoint that is busy all the time costs, as load time."""
+CROWDED_WORK = 0.5
+"""Engine seconds a second from which an endpoint's streams pause too long.
+
+Measured: with prompts read without a break, events of 5 tokens come 0.45 s apart.
+"""
+CROWDED_MODEL_WORK = 0.1
+"""A model asked for less than this is not moved away from busy endpoints."""
 
 
 class ChangeReason(Enum):
@@ -267,12 +274,39 @@
         return is_asked or demand.has_patient(model, now_s)
 
     def add_replica(self, model: ModelName) -> None:
-        """Load a busy model once more."""
+        """Load a busy model once more, or one whose endpoints others keep busy."""
         replicas = self._replicas(model)
         work = self._view.demand.work_per_s(model, self._view.now_s)
-        if replicas and work / replicas > REPLICA_WORK:
+        if not replicas:
+            return
+        if work / replicas > REPLICA_WORK or self._is_crowded(model, work):
             self._load(model, ChangeReason.BUSY)
 
+    def _is_crowded(self, model: ModelName, work: float) -> bool:
+        """Return whether all endpoints of a busy model are busy, and another is not.
+
+        Models of one endpoint share its batch: a backlog of prompts of one makes the
+        others' streams pause.
+        """
+        if work < CROWDED_MODEL_WORK or self._loading.get((model, NO_ADAPTER)):
+            return False
+        holders = [s for s in self._view.sites if model in s.inventory.models]
+        if not holders or min(map(self._site_work, holders)) < CROWDED_WORK:
+            return False
+        return any(
+            self._site_work(site) < CROWDED_WORK / 2
+            for site in self._free.values()
+            if model not in site.inventory.models
+        )
+
+    def _site_work(self, site: Site) -> float:
+        """Return the engine time a second that an endpoint's models ask of it."""
+        demand, now_s = self._view.demand, self._view.now_s
+        return sum(
+            demand.work_per_s(model, now_s) / max(1, self._replicas(model))
+            for model in site.inventory.models
+        )
+
     def prepare(self, model: ModelName) -> None:
         """Load a model that may soon be asked for more, in advance."""
         wanted = max(1, math.ceil(self._next[model] / REPLICA_WORK))
@@ -399,8 +433,7 @@
     def _model_cost(self, change: Change) -> float:
         """Return the time until the model can be used, in seconds."""
         site = self._free[change.endpoint]
-        busy_s = BUSY_PENALTY_S * site.endpoint.total_requests
-        busy_s /= max(1, self._view.engine.batch_slots)
+        busy_s = BUSY_PENALTY_S * self._site_work(site)
         demand, now_s = self._view.demand, self._view.now_s
         lost = sum(demand.work_per_s(m, now_s) for m in change.unload_models)
         lost += sum(
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -98,6 +98,7 @@
                 "resume_after": exchange.resume_after,
                 "first_event_s": exchange.first_event_s,
                 "expected_s": exchange.expected_s,
+                "longest_pause_s": exchange.longest_pause_s,
             }
         if self._left_out:
             fields["good_left_out"] = self._left_out
@@ -106,6 +107,8 @@
 
 
 def _is_late(exchange: Exchange, took_s: float) -> bool:
-    """Return whether the answer, or a stream's first event, missed its objective."""
+    """Return whether an answer, a first event or a pause missed its objective."""
+    if exchange.longest_pause_s > exchange.route.max_pause_s > 0:
+        return True
     first_s = took_s if exchange.first_event_s is None else exchange.first_event_s
     return first_s > exchange.route.objective_s
--- a/chutelink/entry/routing.py
+++ b/chutelink/entry/routing.py
@@ -17,6 +17,13 @@
 """How long an engine's step takes, by the users' sheets."""
 FAILURE_COST_S = 3.0
 """What a certain failure costs: about a request's time to its deadline."""
+PAUSE_COST_S = 0.6
+"""What a pause that is too long costs: as much as a first event that late."""
+DISTURBANCE_SHARE = 0.05
+"""Share of a prompt's reading time by which each stream under way is set back.
+
+Streams wait for the pieces of prompts that are read between their tokens.
+"""
 FAR_COST_S = 0.003
 """Crossing to another failure domain: a round trip, and its bytes are charged."""
 
@@ -106,7 +113,17 @@
         cost_s = FAILURE_COST_S * self._health.failure_share(endpoint, now_s)
         if row.record.failure_domain != request.failure_domain:
             cost_s += FAR_COST_S
-        return cost_s + self.expected_s(row, request, now_s)
+        cost_s += PAUSE_COST_S * self._health.paused_share(endpoint)
+        cost_s += self.expected_s(row, request, now_s)
+        return cost_s + self._disturbance_s(row, request, now_s)
+
+    def _disturbance_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        """Return what reading the prompt costs the streams under way there."""
+        if not request.model:
+            return 0.0
+        cached = self._cached_tokens(row.record.id, request, now_s)
+        read_s = (request.prompt_tokens - cached) / PREFILL_TOKENS_PER_S
+        return DISTURBANCE_SHARE * read_s * row.total_requests
 
     def _cached_tokens(
         self, endpoint: EndpointId, request: Candidate, now_s: float
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -47,6 +47,7 @@
         self._is_last = is_last
         self._response: web.StreamResponse | None = None
         self.events = 0
+        self.last_event_s: float | None = None
 
     @property
     def is_begun(self) -> bool:
@@ -205,6 +206,7 @@
         self._row = row
         self._caller = caller
         self._reading_tokens = 0
+        self._longest_pause_s = 0.0
 
     async def async_run(
         self, sent_s: float
@@ -238,6 +240,9 @@
                 response.close()
             return self._owner._relay.judge(exchange, row, answer, took_s), answer
         await self._async_pass_on(response, sent_s)
+        limit_s = exchange.route.max_pause_s
+        is_paused = 0 < limit_s < self._longest_pause_s
+        self._owner._exchanges.loads.note_stream(row.record.id, is_paused=is_paused)
         return AttemptResult.ANSWERED, None
 
     async def _async_pass_on(
@@ -256,7 +261,7 @@
                 self._check_order(event)
                 await caller.async_begin(response.status, headers)
                 await caller.async_send(event)
-                self._note_first(sent_s)
+                self._note_event(sent_s)
             limit_s = STALL_S if self._exchange.is_repeatable else None
         if splitter.has_rest:
             raise EndpointFailed(
@@ -309,8 +314,15 @@
         exchanges.prefixes.note(row.record.id, chain, now_s)
         exchanges.loads.note_prompt(row.record.id, chain)
 
-    def _note_first(self, sent_s: float) -> None:
-        """Note the first event: the prompt has been read."""
+    def _note_event(self, sent_s: float) -> None:
+        """Note an event and the pause before it; with the first, a prompt is read."""
+        exchange, caller = self._exchange, self._caller
+        now_s = self._owner._core.clock()
+        if caller.last_event_s is not None:
+            pause_s = now_s - caller.last_event_s
+            exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        caller.last_event_s = now_s
         if not self._reading_tokens:
             return
         self.release()
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -145,6 +145,13 @@
     assert any(c.model == "m0" and c.endpoint == "i-2" for c in changes)
 
 
+def test_a_model_beside_a_busy_one_gets_a_replica_elsewhere():
+    sites = [make_site("i-1", {"m0": [], "m4": []}), make_site("i-2", {"m7": []})]
+    uses = [("m0", "", 30, 0.9, 0), ("m4", "", 30, 0.9, 0)]
+    changes = plan(sites, uses)
+    assert any(c.endpoint == "i-2" and c.model in ("m0", "m4") for c in changes)
+
+
 def test_the_model_after_a_busy_one_is_prepared():
     sites = [make_site("i-1", {"m0": []}), make_site("i-2", {"m6": []})]
     changes = plan(sites, [("m0", "", 6, 0.1, 0)])
