--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -150,6 +150,7 @@
             self._adapter.make_engine_client(self.session),
             self.known.endpoints,
             self.demand,
+            self.known.health,
             DemandPlacement(),
             self._send,
         )
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -78,6 +78,8 @@
 
 Measured: with prompts read without a break, events of 5 tokens come 0.45 s apart.
 """
+PAUSED_WORK = 1.0
+"""What it adds when all streams of an endpoint pause too long."""
 CROWDED_MODEL_WORK = 0.1
 """A model asked for less than this is not moved away from busy endpoints."""
 
@@ -108,10 +110,14 @@
 
 
 class Site(msgspec.Struct, frozen=True):
-    """An endpoint that a policy may change."""
+    """An endpoint that a policy may change.
+
+    ``paused_share`` is the share of its streams whose pauses were too long.
+    """
 
     endpoint: Endpoint
     inventory: Inventory
+    paused_share: float = 0.0
 
 
 class PlacementView(msgspec.Struct, frozen=True):
@@ -300,12 +306,16 @@
         )
 
     def _site_work(self, site: Site) -> float:
-        """Return the engine time a second that an endpoint's models ask of it."""
+        """Return the engine time a second that an endpoint's models ask of it.
+
+        One whose streams pause too long counts as busier than its work says.
+        """
         demand, now_s = self._view.demand, self._view.now_s
-        return sum(
+        work = sum(
             demand.work_per_s(model, now_s) / max(1, self._replicas(model))
             for model in site.inventory.models
         )
+        return work + PAUSED_WORK * site.paused_share
 
     def prepare(self, model: ModelName) -> None:
         """Load a model that may soon be asked for more, in advance."""
@@ -364,6 +374,9 @@
             return
         options = []
         is_replica = self._replicas(model) > 0
+        # What is only prepared leaves one cold load to what is asked for.
+        spared = 1 if reason is ChangeReason.NEXT else 0
+        may_be_cold = may_be_cold and self._cold_loads > spared
         for site in self._free.values():
             if model in site.inventory.models:
                 continue
@@ -381,8 +394,6 @@
     ) -> Change | None:
         inventory = site.inventory
         load_s, is_cold = load_time(inventory, spec)
-        if is_cold and (self._cold_loads < 1 or is_replica and self._cold_loads < 2):
-            return None
         free_mb = self._view.engine.weights_mb - used_mb(inventory, self._view.engine)
         victims: list[ModelName] = []
         for victim in self._victims(site, spec.name, is_replica=is_replica):
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -18,6 +18,7 @@
 from .config import EngineSpec, RoutingConfig
 from .demand import DemandTable
 from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
+from .health import HealthTable
 from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
 from .lease import PlacerLease
 from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
@@ -63,6 +64,8 @@
         The endpoints.
     demand : DemandTable
         What is asked for.
+    health : HealthTable
+        How endpoints have answered lately.
     policy : PlacementPolicy
         Decides.
     send : callable
@@ -76,6 +79,7 @@
         client: EngineClient,
         table: EndpointTable,
         demand: DemandTable,
+        health: HealthTable,
         policy: PlacementPolicy,
         send: Callable[[PlacementNews | PlacerBeacon], None],
     ) -> None:
@@ -85,6 +89,7 @@
         self._client = client
         self._table = table
         self._demand = demand
+        self._health = health
         self._policy = policy
         self._send = send
         self._inventories: dict[EndpointId, Inventory] = {}
@@ -207,7 +212,11 @@
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         sites = [
-            Site(row, self._inventories[row.record.id])
+            Site(
+                row,
+                self._inventories[row.record.id],
+                self._health.paused_share(row.record.id),
+            )
             for row in self._table.of_service(service)
             if row.record.id in self._inventories
             and not self._inventories[row.record.id].is_down
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -10,6 +10,7 @@
 from chutelink.entry import placer as placer_module
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
+from chutelink.entry.health import HealthTable
 from chutelink.entry.inventory import (
     EndpointReport,
     EngineClient,
@@ -125,6 +126,7 @@
             self.engines,
             self.table,
             self.demand,
+            HealthTable(),
             DemandPlacement(),
             self._keep,
         )
