Split placement into outlook, rounds, room and changes, and orders from the placer

No change of behaviour but one: an order settled by a report no longer sets the number of orders back to one more than expected, where the report had shown more.

--- /dev/null
+++ b/chutelink/entry/changes.py
@@ -0,0 +1,65 @@
+"""Changes of what endpoints hold, and what they are decided by."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from ..ids import AdapterName, EndpointId, ModelName
+from .config import EngineSpec
+from .demand import DemandTable
+from .endpoints import NO_ADAPTER, Endpoint
+from .inventory import Inventory
+
+
+class ChangeReason(Enum):
+    """Why a change is made."""
+
+    ASKED = "asked"
+    BUSY = "busy"
+    NEXT = "next"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Load a model or adapter at an endpoint, after unloading what is named.
+
+    ``load_s`` is how long the load should take; ``is_cold`` says that it needs
+    the weight store.
+    """
+
+    endpoint: EndpointId
+    model: ModelName
+    adapter: AdapterName = NO_ADAPTER
+    unload_models: tuple[ModelName, ...] = ()
+    unload_adapters: tuple[tuple[ModelName, AdapterName], ...] = ()
+    load_s: float = 0.0
+    is_cold: bool = False
+    reason: ChangeReason = ChangeReason.ASKED
+
+
+class Site(msgspec.Struct, frozen=True):
+    """An endpoint that a policy may change.
+
+    ``paused_share`` is the share of its streams whose pauses were too long.
+    """
+
+    endpoint: Endpoint
+    inventory: Inventory
+    paused_share: float = 0.0
+
+
+class PlacementView(msgspec.Struct, frozen=True):
+    """All that a policy decides by.
+
+    ``cold_loads`` is how many loads from the weight store may begin now;
+    ``sites`` has every usable endpoint of the service, ``loading`` the models and
+    adapters on their way.
+    """
+
+    engine: EngineSpec
+    sites: list[Site]
+    loading: dict[tuple[ModelName, AdapterName], int]
+    demand: DemandTable
+    cold_loads: int
+    now_s: float
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -39,6 +39,8 @@
 
     ACCEPTED = "accepted"
     ALREADY_HOLDS = "already_holds"
+    SETTLED = "settled"
+    """There was no answer; a report showed that it is done."""
     CONFLICT = "conflict"
     FENCED_OFF = "fenced_off"
     OTHER_INSTANCE = "other_instance"
--- /dev/null
+++ b/chutelink/entry/orders.py
@@ -0,0 +1,226 @@
+"""Carry changes out: orders to endpoints, and what became of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..core import Application
+from ..exceptions import EndpointFailed, EndpointUnreachable, InvariantViolated
+from ..ids import AdapterName, ModelName, ServiceName
+from .changes import Change
+from .config import EngineSpec
+from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
+from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
+from .lease import PlacerLease
+from .room import has_room
+
+CLOSE_LEAD_S = 0.03
+"""Time for the others to hear of a model that closes before it is unloaded."""
+CHECK_PERIOD_S = 0.05
+"""Pause between reports while waiting for an order's end; reports lag 0.1 s."""
+UNLOAD_LIMIT_S = 3.0
+ADAPTER_LIMIT_S = 0.4
+"""How long to wait for an adapter that turned out to be in use."""
+LOAD_LIMIT_FACTOR = 4.0
+"""Loads take longer while many run."""
+
+
+def show_models(row: Endpoint, inventory: Inventory) -> None:
+    """Let requests be sent for what an endpoint holds now."""
+    row.take_models(inventory.sequence, dict(inventory.models))
+
+
+class OrderDesk:
+    """Sends orders one after the other to an endpoint, under the lease.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    lease : PlacerLease
+        Says whether orders may be sent, and with which fence.
+    client : EngineClient
+        Speaks to endpoints.
+    table : EndpointTable
+        The endpoints.
+    engine_of : callable
+        Returns what the engines of a service can hold.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        lease: PlacerLease,
+        client: EngineClient,
+        table: EndpointTable,
+        engine_of: Callable[[ServiceName], EngineSpec | None],
+    ) -> None:
+        self._core = core
+        self._lease = lease
+        self._client = client
+        self._table = table
+        self._engine_of = engine_of
+
+    async def async_report(self, inventory: Inventory) -> None:
+        """Read an endpoint's report into its inventory.
+
+        Raises
+        ------
+        EndpointUnreachable, EndpointFailed
+            There was none.
+        """
+        row = self._table.rows.get(inventory.endpoint)
+        if row is None:
+            raise EndpointFailed("gone", step="report", peer=inventory.endpoint)
+        report = await self._client.async_report(row)
+        inventory.take_report(report, self._core.clock())
+        if not inventory.is_busy:
+            show_models(row, inventory)
+
+    async def async_carry_out(
+        self, change: Change, inventory: Inventory, row: Endpoint
+    ) -> None:
+        """Unload, then load; each step ends before the next one begins."""
+        if change.unload_models or change.unload_adapters:
+            await asyncio.sleep(CLOSE_LEAD_S)
+        for model, adapter in change.unload_adapters:
+            await self._async_order(inventory, row, OrderAction.UNLOAD, model, adapter)
+        for model in change.unload_models:
+            await self._async_order(inventory, row, OrderAction.UNLOAD, model)
+            show_models(row, inventory)
+            await self._async_until_idle(inventory, UNLOAD_LIMIT_S)
+        await self._async_order(
+            inventory, row, OrderAction.LOAD, change.model, change.adapter
+        )
+        if not change.adapter:
+            await asyncio.sleep(change.load_s)
+            limit_s = LOAD_LIMIT_FACTOR * change.load_s
+            await self._async_until_idle(inventory, limit_s)
+        if not inventory.has(change.model, change.adapter):
+            raise EndpointFailed("not loaded", step="load", peer=change.endpoint)
+        show_models(row, inventory)
+        self._core.metrics.moves.inc({"action": "load", "result": "done"})
+
+    async def _async_order(
+        self,
+        inventory: Inventory,
+        row: Endpoint,
+        action: OrderAction,
+        model: ModelName,
+        adapter: AdapterName = NO_ADAPTER,
+    ) -> None:
+        """Send an order and find out whether it was accepted.
+
+        Raises
+        ------
+        LeaseNotHeld
+            Nothing was sent.
+        EndpointUnreachable, EndpointFailed
+            It is not known to have been accepted. It may be later, but then only
+            while nothing else was.
+        """
+        if action is OrderAction.LOAD:
+            self._check_room(inventory, row, model, adapter)
+        fence = self._lease.begin_order()
+        order = Order(
+            action, model, adapter, inventory.sequence, self._core.daemon_id, fence
+        )
+        try:
+            answer = await self._client.async_order(row, order)
+        except EndpointFailed as error:
+            await self._async_settle(inventory, order, error)
+            answer = OrderAnswer.SETTLED
+        self._core.events.record(
+            "order_answered",
+            endpoint=inventory.endpoint,
+            action=action.value,
+            model=model,
+            adapter=adapter,
+            sequence=order.expected_sequence,
+            fence=fence,
+            answer=answer.value,
+        )
+        await self._async_take_answer(inventory, order, answer)
+
+    async def _async_take_answer(
+        self, inventory: Inventory, order: Order, answer: OrderAnswer
+    ) -> None:
+        """Bring the inventory in line with an answer."""
+        if answer is OrderAnswer.SETTLED:
+            return
+        is_adapter_unload = order.adapter and order.action is OrderAction.UNLOAD
+        if answer is OrderAnswer.ACCEPTED and is_adapter_unload:
+            # It is in use and keeps its place until it is not any more.
+            await self._async_until_gone(inventory, order)
+        elif answer is OrderAnswer.ACCEPTED or (
+            # Unused adapters go at once, which counts as an order accepted.
+            answer is OrderAnswer.ALREADY_HOLDS and is_adapter_unload
+        ):
+            inventory.note_accepted(order)
+        elif answer is OrderAnswer.ALREADY_HOLDS:
+            await self.async_report(inventory)
+        else:
+            raise EndpointFailed(answer.value, step="order", peer=inventory.endpoint)
+
+    def _check_room(
+        self,
+        inventory: Inventory,
+        row: Endpoint,
+        model: ModelName,
+        adapter: AdapterName,
+    ) -> None:
+        """Refuse to order more than an endpoint holds, whatever was planned.
+
+        Raises
+        ------
+        InvariantViolated
+            There is no room.
+        """
+        engine = self._engine_of(row.record.service)
+        if engine is not None and has_room(inventory, engine, model, adapter):
+            return
+        self._core.metrics.violations.inc({"step": "placement.room"})
+        raise InvariantViolated(
+            f"no room for {model} {adapter}",
+            step="placement.room",
+            peer=inventory.endpoint,
+        )
+
+    async def _async_settle(
+        self, inventory: Inventory, order: Order, error: EndpointFailed
+    ) -> None:
+        """Learn from a report what became of an order without an answer.
+
+        A higher number of orders alone proves nothing: an earlier order, late, may
+        have been accepted instead. Only the order's own effect counts.
+        """
+        await self.async_report(inventory)
+        is_newer = inventory.sequence > order.expected_sequence
+        if inventory.is_busy or not is_newer or not inventory.shows(order):
+            raise error
+
+    async def _async_until_gone(self, inventory: Inventory, order: Order) -> None:
+        """Wait until an adapter that was in use has given up its place."""
+        inventory.sequence = order.expected_sequence + 1
+        end_s = self._core.clock() + ADAPTER_LIMIT_S
+        while self._core.clock() < end_s:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            await self.async_report(inventory)
+            if not inventory.has(order.model, order.adapter):
+                return
+        raise EndpointUnreachable(
+            "adapter still in use", step="order.wait", peer=inventory.endpoint
+        )
+
+    async def _async_until_idle(self, inventory: Inventory, limit_s: float) -> None:
+        """Wait until no order is under way."""
+        end_s = self._core.clock() + limit_s
+        while self._core.clock() < end_s:
+            await self.async_report(inventory)
+            if not inventory.is_busy:
+                return
+            await asyncio.sleep(CHECK_PERIOD_S)
+        raise EndpointUnreachable(
+            "order not done in time", step="order.wait", peer=inventory.endpoint
+        )
--- /dev/null
+++ b/chutelink/entry/outlook.py
@@ -0,0 +1,85 @@
+"""Which models are busy, and which may be soon. Pure."""
+
+from __future__ import annotations
+
+from ..ids import ModelName
+from .demand import DemandTable
+
+ACTIVE_SHARE = 0.03
+"""Share of all requests from which a model counts as one of the busy ones."""
+MIN_ACTIVE_PER_S = 0.4
+"""Requests a second below which no model counts as busy."""
+WINDOW_GAP = 3
+"""Busy models so near in the operators' order belong to one run."""
+SHIFT_PLACES = 3
+"""By how many places, in the operators' order, demand moves on at once.
+
+Measured on both sites: the first of the busy models fall silent, those behind
+them take over their share, and as many new ones come in behind.
+"""
+OUTLOOK_SHARE = 0.6
+"""How much of a busy model's demand is prepared for at the one behind it."""
+
+
+class Outlook:
+    """Demand as it is, and as it would be if it moved on along an order of models.
+
+    Parameters
+    ----------
+    order : list of ModelName
+        The operators' order.
+    demand : DemandTable
+        What is asked for.
+    now_s : float
+        The time that averages are brought to.
+    """
+
+    def __init__(
+        self, order: list[ModelName], demand: DemandTable, now_s: float
+    ) -> None:
+        self._order = order
+        self._work = {model: demand.work_per_s(model, now_s) for model in order}
+        self._arrivals = {m: demand.arrivals_per_s(m, now_s) for m in order}
+        total = sum(self._arrivals.values())
+        least = max(ACTIVE_SHARE * total, MIN_ACTIVE_PER_S)
+        self.active = [m for m in order if self._arrivals[m] > least]
+        self.next = self._find_next()
+
+    def work(self, model: ModelName) -> float:
+        """Return the demand that a model has or may soon have, in engine time."""
+        return max(self._work.get(model, 0.0), self.next.get(model, 0.0))
+
+    def is_wanted(self, model: ModelName) -> bool:
+        """Return whether a model is busy or may soon be."""
+        return model in self.next or model in self.active
+
+    def _find_window(self) -> list[ModelName]:
+        """Return the busiest run of busy models that are near one another."""
+        runs: list[list[ModelName]] = []
+        last = -WINDOW_GAP - 1
+        active = set(self.active)
+        for index, model in enumerate(self._order):
+            if model not in active:
+                continue
+            if index - last > WINDOW_GAP:
+                runs.append([])
+            runs[-1].append(model)
+            last = index
+        return max(
+            runs, key=lambda run: sum(self._arrivals[m] for m in run), default=[]
+        )
+
+    def _find_next(self) -> dict[ModelName, float]:
+        """Return what each model would be asked for if demand moved on now.
+
+        That is the demand of the models some places before it.
+        """
+        expected: dict[ModelName, float] = {}
+        places = len(self._order)
+        position = {model: index for index, model in enumerate(self._order)}
+        for model in self._find_window():
+            work = OUTLOOK_SHARE * self._work[model]
+            for step in range(1, min(SHIFT_PLACES, places - 1) + 1):
+                after = self._order[(position[model] + step) % places]
+                expected[after] = max(work, expected.get(after, 0.0))
+        return expected
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -8,22 +8,19 @@
 from mode import Service
 
 from ..core import Application
-from ..exceptions import (
-    ChutelinkError,
-    EndpointFailed,
-    EndpointUnreachable,
-    InvariantViolated,
-)
+from ..exceptions import ChutelinkError
 from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from .changes import Change, PlacementView, Site
 from .config import EngineSpec, RoutingConfig
 from .demand import DemandTable
-from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
+from .endpoints import EndpointTable
 from .health import HealthTable
-from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
+from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
 from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
+from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
-from .placement import Change, PlacementPolicy, PlacementView, Site, has_room
+from .placement import PlacementPolicy
 
 TICK_S = 0.05
 DOUBT_PERIOD_S = 0.15
@@ -36,15 +33,6 @@
 """The holder's sign of life; three are missed before others look at the lease."""
 TELL_ALL_PERIOD_S = 5.0
 """How often everything is told again, for daemons that have just started."""
-CLOSE_LEAD_S = 0.03
-"""Time for the others to hear of a model that closes before it is unloaded."""
-CHECK_PERIOD_S = 0.05
-"""Pause between reports while waiting for an order's end; reports lag 0.1 s."""
-UNLOAD_LIMIT_S = 3.0
-ADAPTER_LIMIT_S = 0.4
-"""How long to wait for an adapter that turned out to be in use."""
-LOAD_LIMIT_FACTOR = 4.0
-"""Loads take longer while many run."""
 FAILED_PAUSE_S = 0.3
 """Pause before anything else is ordered where an order failed."""
 
@@ -86,7 +74,7 @@
         super().__init__()
         self._core = core
         self._lease = lease
-        self._client = client
+        self._desk = OrderDesk(core, lease, client, table, self._engine_of)
         self._table = table
         self._demand = demand
         self._health = health
@@ -154,6 +142,10 @@
         self._paces.clear()
         self._told.clear()
 
+    def _engine_of(self, service: ServiceName) -> EngineSpec | None:
+        spec = self.config.services.get(service)
+        return None if spec is None else spec.engine
+
     def _engines(self) -> list[tuple[ServiceName, EngineSpec]]:
         return [
             (name, service.engine)
@@ -186,7 +178,7 @@
 
     async def _async_refresh(self, inventory: Inventory) -> None:
         try:
-            await self._async_report(inventory)
+            await self._desk.async_report(inventory)
         except ChutelinkError as error:
             inventory.is_down = True
             inventory.avoid_until_s = self._core.clock() + DOWN_RETRY_S
@@ -197,19 +189,6 @@
             inventory.is_changing = False
         self.wake()
 
-    async def _async_report(self, inventory: Inventory) -> None:
-        row = self._table.rows.get(inventory.endpoint)
-        if row is None:
-            raise EndpointFailed("gone", step="report", peer=inventory.endpoint)
-        report = await self._client.async_report(row)
-        inventory.take_report(report, self._core.clock())
-        if not inventory.is_busy:
-            self._show(row, inventory)
-
-    def _show(self, row: Endpoint, inventory: Inventory) -> None:
-        """Let requests be sent for what the endpoint holds now."""
-        row.take_models(inventory.sequence, dict(inventory.models))
-
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         sites = [
             Site(
@@ -287,7 +266,7 @@
             if row is not None:
                 row.closing = frozenset(change.unload_models)
                 self.announce()
-                await self._async_steps(change, inventory, row)
+                await self._desk.async_carry_out(change, inventory, row)
         except ChutelinkError as error:
             inventory.avoid_until_s = self._core.clock() + FAILED_PAUSE_S
             inventory.read_s = float("-inf")
@@ -307,148 +286,6 @@
         self.announce()
         self.wake()
 
-    async def _async_steps(
-        self, change: Change, inventory: Inventory, row: Endpoint
-    ) -> None:
-        """Unload, then load; each step ends before the next one begins."""
-        if change.unload_models or change.unload_adapters:
-            await asyncio.sleep(CLOSE_LEAD_S)
-        for model, adapter in change.unload_adapters:
-            await self._async_order(inventory, row, OrderAction.UNLOAD, model, adapter)
-        for model in change.unload_models:
-            await self._async_order(inventory, row, OrderAction.UNLOAD, model)
-            self._show(row, inventory)
-            await self._async_until_idle(inventory, UNLOAD_LIMIT_S)
-        await self._async_order(
-            inventory, row, OrderAction.LOAD, change.model, change.adapter
-        )
-        if not change.adapter:
-            await asyncio.sleep(change.load_s)
-            limit_s = LOAD_LIMIT_FACTOR * change.load_s
-            await self._async_until_idle(inventory, limit_s)
-        if not inventory.has(change.model, change.adapter):
-            raise EndpointFailed("not loaded", step="load", peer=change.endpoint)
-        self._show(row, inventory)
-        self._core.metrics.moves.inc({"action": "load", "result": "done"})
-
-    async def _async_order(
-        self,
-        inventory: Inventory,
-        row: Endpoint,
-        action: OrderAction,
-        model: ModelName,
-        adapter: AdapterName = NO_ADAPTER,
-    ) -> None:
-        """Send an order and find out whether it was accepted.
-
-        Raises
-        ------
-        LeaseNotHeld
-            Nothing was sent.
-        EndpointUnreachable, EndpointFailed
-            It is not known to have been accepted. It may be later, but then only
-            while nothing else was.
-        """
-        if action is OrderAction.LOAD:
-            self._check_room(inventory, row, model, adapter)
-        fence = self._lease.begin_order()
-        order = Order(
-            action, model, adapter, inventory.sequence, self._core.daemon_id, fence
-        )
-        try:
-            answer = await self._client.async_order(row, order)
-        except EndpointFailed as error:
-            answer = await self._async_settle(inventory, order, error)
-        self._core.events.record(
-            "order_answered",
-            endpoint=inventory.endpoint,
-            action=action.value,
-            model=model,
-            adapter=adapter,
-            sequence=order.expected_sequence,
-            fence=fence,
-            answer=answer.value,
-        )
-        is_adapter_unload = adapter and action is OrderAction.UNLOAD
-        if answer is OrderAnswer.ALREADY_HOLDS and is_adapter_unload:
-            # Unused adapters go at once, which counts as an order accepted.
-            inventory.note_accepted(order)
-            return
-        if answer is OrderAnswer.ACCEPTED and is_adapter_unload:
-            # It is in use and keeps its place until it is not any more.
-            await self._async_until_gone(inventory, order)
-            return
-        if answer is OrderAnswer.ACCEPTED:
-            inventory.note_accepted(order)
-            return
-        if answer is OrderAnswer.ALREADY_HOLDS:
-            await self._async_report(inventory)
-            return
-        raise EndpointFailed(answer.value, step="order", peer=inventory.endpoint)
-
-    def _check_room(
-        self,
-        inventory: Inventory,
-        row: Endpoint,
-        model: ModelName,
-        adapter: AdapterName,
-    ) -> None:
-        """Refuse to order more than an endpoint holds, whatever was planned.
-
-        Raises
-        ------
-        InvariantViolated
-            There is no room.
-        """
-        engine = self.config.services[row.record.service].engine
-        if has_room(inventory, engine, model, adapter):
-            return
-        self._core.metrics.violations.inc({"step": "placement.room"})
-        raise InvariantViolated(
-            f"no room for {model} {adapter}",
-            step="placement.room",
-            peer=inventory.endpoint,
-        )
-
-    async def _async_settle(
-        self, inventory: Inventory, order: Order, error: EndpointFailed
-    ) -> OrderAnswer:
-        """Learn from a report what became of an order without an answer.
-
-        A higher number of orders alone proves nothing: an earlier order, late, may
-        have been accepted instead. Only the order's own effect counts.
-        """
-        await self._async_report(inventory)
-        is_done = not inventory.is_busy and inventory.shows(order)
-        if is_done and inventory.sequence > order.expected_sequence:
-            return OrderAnswer.ALREADY_HOLDS
-        raise error
-
-    async def _async_until_gone(self, inventory: Inventory, order: Order) -> None:
-        """Wait until an adapter that was in use has given up its place."""
-        inventory.sequence = order.expected_sequence + 1
-        end_s = self._core.clock() + ADAPTER_LIMIT_S
-        while self._core.clock() < end_s:
-            await asyncio.sleep(CHECK_PERIOD_S)
-            await self._async_report(inventory)
-            if not inventory.has(order.model, order.adapter):
-                return
-        raise EndpointUnreachable(
-            "adapter still in use", step="order.wait", peer=inventory.endpoint
-        )
-
-    async def _async_until_idle(self, inventory: Inventory, limit_s: float) -> None:
-        """Wait until no order is under way."""
-        end_s = self._core.clock() + limit_s
-        while self._core.clock() < end_s:
-            await self._async_report(inventory)
-            if not inventory.is_busy:
-                return
-            await asyncio.sleep(CHECK_PERIOD_S)
-        raise EndpointUnreachable(
-            "order not done in time", step="order.wait", peer=inventory.endpoint
-        )
-
     def announce(self) -> None:
         """Tell all daemons what endpoints hold and what is on its way."""
         if not self._lease.is_held:
--- /dev/null
+++ b/chutelink/entry/room.py
@@ -0,0 +1,46 @@
+"""What endpoints have room for, and how long loads take there."""
+
+from __future__ import annotations
+
+from ..ids import AdapterName, ModelName
+from .config import EngineSpec, ModelSpec
+from .inventory import Inventory
+
+
+def load_time(inventory: Inventory, spec: ModelSpec) -> tuple[float, bool]:
+    """Return how long a load takes at an endpoint, and whether it is a cold one."""
+    if spec.name in inventory.in_memory:
+        return spec.memory_load_s, False
+    if spec.name in inventory.on_disk:
+        return spec.disk_load_s, False
+    return spec.cold_load_s, True
+
+
+def model_mb(inventory: Inventory, model: ModelName, engine: EngineSpec) -> float:
+    """Return the memory of a resident model and its adapters."""
+    spec = engine.models.get(model)
+    if spec is None:
+        # Of an older configuration: as large as the largest that is known.
+        return max((s.weights_mb for s in engine.models.values()), default=0.0)
+    adapters = len(inventory.models.get(model, ()))
+    return spec.weights_mb + adapters * spec.adapter_mb
+
+
+def used_mb(inventory: Inventory, engine: EngineSpec) -> float:
+    """Return the memory that an endpoint's models and adapters take."""
+    return sum(model_mb(inventory, model, engine) for model in inventory.models)
+
+
+def has_room(
+    inventory: Inventory, engine: EngineSpec, model: ModelName, adapter: AdapterName
+) -> bool:
+    """Return whether an endpoint can hold a model or adapter beside what it has."""
+    spec = engine.models.get(model)
+    if spec is None:
+        return False
+    if inventory.has(model, adapter):
+        return True
+    if adapter and inventory.adapters >= engine.adapter_slots:
+        return False
+    needed_mb = spec.adapter_mb if adapter else spec.weights_mb
+    return used_mb(inventory, engine) + needed_mb <= engine.weights_mb
--- /dev/null
+++ b/chutelink/entry/rounds.py
@@ -0,0 +1,355 @@
+"""One pass of placement over the endpoints that may be changed now. Pure."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from ..ids import AdapterName, ModelName
+from .changes import Change, ChangeReason, PlacementView, Site
+from .config import ModelSpec
+from .endpoints import NO_ADAPTER
+from .outlook import Outlook
+from .room import load_time, model_mb, used_mb
+
+RECENT_S = 4.0
+"""A model asked for within this time is in use; demand moves in about 5 s."""
+ADAPTER_IDLE_S = 0.25
+"""An adapter asked for since may be in use: daemons tell theirs every 0.2 s."""
+REPLICA_WORK = 0.35
+"""Engine seconds a second above which another replica is wanted.
+
+A third of an endpoint's time, not counting what caches save: two busy models
+often share an endpoint, and waiting grows quickly above half.
+"""
+IDLE_WORK = 0.10
+"""Below this a replica beyond the first may give way."""
+MAX_PREPARED_REPLICAS = 3
+"""Replicas that are worth loading before they are asked for."""
+LAST_REPLICA_WORK = 0.05
+"""What giving up the last replica of a model costs beside its own demand."""
+KEPT_WORK = 1.0
+"""What giving up a prepared model, or a busy one's last replica, costs besides.
+
+More than any endpoint's whole time, so that nothing but a waiting model's own
+demand of as much outweighs it.
+"""
+RUNNING_WORK = 0.05
+"""What each request under way adds to the cost of giving its model up."""
+RUNNING_DELAY_S = 1.0
+"""How long an unload waits for requests under way; long answers take 1 to 3 s."""
+BLOCKED_PENALTY_S = 2.0
+"""What it costs to load where a busy model then gets no adapters, as load time."""
+MAX_RARE_SHARE = 0.25
+"""Share of the endpoints that may load rare models at once.
+
+An endpoint that loads takes no orders for adapters and no other model for 4 s.
+"""
+COLD_LOAD_ASKS = 1.5
+"""How often a rare model must lately have been asked for to be fetched.
+
+A cold load costs about as much as one request is worth, and takes the place of
+another model that is as likely to be asked for.
+"""
+BUSY_PENALTY_S = 3.0
+"""What an endpoint that is busy all the time costs, as load time."""
+CROWDED_WORK = 0.5
+"""Engine seconds a second from which an endpoint's streams pause too long.
+
+Measured: with prompts read without a break, events of 5 tokens come 0.45 s apart.
+"""
+PAUSED_WORK = 1.0
+"""What it adds when all streams of an endpoint pause too long."""
+CROWDED_MODEL_WORK = 0.1
+"""A model asked for less than this is not moved away from busy endpoints."""
+
+
+class PlacementRound:
+    """One pass of a policy; endpoints that got a change are left out.
+
+    Parameters
+    ----------
+    view : PlacementView
+        All that is decided by.
+    """
+
+    def __init__(self, view: PlacementView) -> None:
+        self._view = view
+        self._cold_loads = view.cold_loads
+        self._free = {
+            site.inventory.endpoint: site
+            for site in view.sites
+            if site.inventory.is_known
+            and not site.inventory.is_changing
+            and not site.inventory.is_busy
+            and view.now_s >= site.inventory.avoid_until_s
+        }
+        self._loading = dict(view.loading)
+        order = list(view.engine.models)
+        self.outlook = Outlook(order, view.demand, view.now_s)
+        self.changes: list[Change] = []
+
+    def next_models(self) -> list[ModelName]:
+        """Return the models that may be asked for more, the busiest first."""
+        expected = self.outlook.next
+        return sorted(expected, key=lambda model: -expected[model])
+
+    def make_wanted(self, model: ModelName, adapter: AdapterName) -> None:
+        """Load what a request waits for."""
+        self.make_resident(model)
+        if adapter:
+            self.make_adapter_resident(model, adapter)
+
+    def make_resident(
+        self, model: ModelName, reason: ChangeReason = ChangeReason.ASKED
+    ) -> None:
+        """Load a model that no endpoint holds."""
+        if self._replicas(model) == 0:
+            self._load(model, reason, may_be_cold=self._earns_cold(model))
+
+    def _earns_cold(self, model: ModelName) -> bool:
+        """Return whether a load from the weight store is worth its price."""
+        demand, now_s = self._view.demand, self._view.now_s
+        if self.outlook.is_wanted(model):
+            return True
+        rare = sum(
+            count
+            for (name, adapter), count in self._loading.items()
+            if not adapter and not self.outlook.is_wanted(name)
+        )
+        if rare >= max(1.0, MAX_RARE_SHARE * len(self._view.sites)):
+            return False
+        is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
+        return is_asked or demand.has_patient(model, now_s)
+
+    def add_replica(self, model: ModelName) -> None:
+        """Load a busy model once more, or one whose endpoints others keep busy."""
+        replicas = self._replicas(model)
+        work = self._view.demand.work_per_s(model, self._view.now_s)
+        if not replicas:
+            return
+        if work / replicas > REPLICA_WORK or self._is_crowded(model, work):
+            self._load(model, ChangeReason.BUSY)
+
+    def _is_crowded(self, model: ModelName, work: float) -> bool:
+        """Return whether all endpoints of a busy model are busy, and another is not.
+
+        Models of one endpoint share its batch: a backlog of prompts of one makes the
+        others' streams pause.
+        """
+        if work < CROWDED_MODEL_WORK or self._loading.get((model, NO_ADAPTER)):
+            return False
+        holders = [s for s in self._view.sites if model in s.inventory.models]
+        if not holders or min(map(self._site_work, holders)) < CROWDED_WORK:
+            return False
+        return any(
+            self._site_work(site) < CROWDED_WORK / 2
+            for site in self._free.values()
+            if model not in site.inventory.models
+        )
+
+    def _site_work(self, site: Site) -> float:
+        """Return the engine time a second that an endpoint's models ask of it.
+
+        One whose streams pause too long counts as busier than its work says.
+        """
+        demand, now_s = self._view.demand, self._view.now_s
+        work = sum(
+            demand.work_per_s(model, now_s) / max(1, self._replicas(model))
+            for model in site.inventory.models
+        )
+        return work + PAUSED_WORK * site.paused_share
+
+    def prepare(self, model: ModelName) -> None:
+        """Load a model that may soon be asked for more, in advance."""
+        wanted = max(1, math.ceil(self.outlook.next[model] / REPLICA_WORK))
+        if self._replicas(model) < min(wanted, MAX_PREPARED_REPLICAS):
+            self._load(model, ChangeReason.NEXT)
+
+    def make_adapter_resident(self, model: ModelName, adapter: AdapterName) -> None:
+        """Load an adapter where its model is, if none is there yet."""
+        key = (model, adapter)
+        if self._loading.get(key):
+            return
+        if any(site.inventory.has(model, adapter) for site in self._view.sites):
+            return
+        options = [
+            option
+            for site in self._free.values()
+            if model in site.inventory.models and model not in site.endpoint.closing
+            for option in [self._adapter_change(site, model, adapter)]
+            if option is not None
+        ]
+        if not options:
+            return
+        best = min(options, key=self._adapter_cost)
+        self._take(best)
+
+    def add_adapters(self, model: ModelName) -> None:
+        """Use free places for adapters of a busy model that are nowhere yet."""
+        spec = self._view.engine.models[model]
+        missing = [
+            adapter
+            for adapter in spec.adapters
+            if not self._loading.get((model, adapter))
+            and not any(s.inventory.has(model, adapter) for s in self._view.sites)
+        ]
+        for site in list(self._free.values()):
+            if not missing or model not in site.inventory.models:
+                continue
+            change = self._adapter_change(site, model, missing[0])
+            if change is not None and not change.unload_adapters:
+                self._take(change)
+                missing.pop(0)
+
+    def _replicas(self, model: ModelName) -> int:
+        held = sum(
+            model in site.inventory.models and model not in site.endpoint.closing
+            for site in self._view.sites
+        )
+        return held + self._loading.get((model, NO_ADAPTER), 0)
+
+    def _load(
+        self, model: ModelName, reason: ChangeReason, *, may_be_cold: bool = True
+    ) -> None:
+        spec = self._view.engine.models.get(model)
+        if spec is None:
+            return
+        options = []
+        is_replica = self._replicas(model) > 0
+        # What is only prepared leaves one cold load to what is asked for.
+        spared = 1 if reason is ChangeReason.NEXT else 0
+        may_be_cold = may_be_cold and self._cold_loads > spared
+        for site in self._free.values():
+            if model in site.inventory.models:
+                continue
+            if is_replica and self._blocks_adapters(site):
+                continue
+            change = self._model_change(site, spec, is_replica=is_replica)
+            if change is not None and (may_be_cold or not change.is_cold):
+                options.append(change)
+        if options:
+            best = min(options, key=self._model_cost)
+            self._take(msgspec.structs.replace(best, reason=reason))
+
+    def _model_change(
+        self, site: Site, spec: ModelSpec, *, is_replica: bool
+    ) -> Change | None:
+        inventory = site.inventory
+        load_s, is_cold = load_time(inventory, spec)
+        free_mb = self._view.engine.weights_mb - used_mb(inventory, self._view.engine)
+        victims: list[ModelName] = []
+        for victim in self._victims(site, spec.name, is_replica=is_replica):
+            if free_mb >= spec.weights_mb:
+                break
+            victims.append(victim)
+            free_mb += model_mb(inventory, victim, self._view.engine)
+        if free_mb < spec.weights_mb:
+            return None
+        return Change(
+            inventory.endpoint,
+            spec.name,
+            unload_models=tuple(victims),
+            load_s=load_s,
+            is_cold=is_cold,
+        )
+
+    def _victims(
+        self, site: Site, wanted: ModelName, *, is_replica: bool
+    ) -> list[ModelName]:
+        """Return the models that may give way, those least missed first."""
+        demand, now_s = self._view.demand, self._view.now_s
+        waiting = {model for model, _ in demand.waiting(now_s)}
+        wanted_worth = max(self.outlook.work(wanted), LAST_REPLICA_WORK)
+        ranked: list[tuple[float, float, ModelName]] = []
+        for model in site.inventory.models:
+            if model in waiting or model == wanted:
+                continue
+            missed = self._missed(model)
+            missed += RUNNING_WORK * site.endpoint.running(model)
+            last_s = demand.last_arrival_s(model)
+            is_idle = now_s - last_s > RECENT_S and missed <= wanted_worth
+            is_spare = self._replicas(model) > 1 and missed < REPLICA_WORK
+            is_outweighed = not is_replica and 2 * missed < wanted_worth
+            if is_idle or is_spare or is_outweighed:
+                ranked.append((missed, last_s, model))
+        return [model for _, _, model in sorted(ranked)]
+
+    def _missed(self, model: ModelName) -> float:
+        """Return what giving up one replica of a model costs, in engine time."""
+        replicas = self._replicas(model)
+        work = self.outlook.work(model)
+        if replicas <= 1:
+            return LAST_REPLICA_WORK + work + KEPT_WORK * self.outlook.is_wanted(model)
+        return max(0.0, work / (replicas - 1) - IDLE_WORK)
+
+    def _model_cost(self, change: Change) -> float:
+        """Return the time until the model can be used, in seconds."""
+        site = self._free[change.endpoint]
+        busy_s = BUSY_PENALTY_S * self._site_work(site)
+        demand, now_s = self._view.demand, self._view.now_s
+        lost = sum(demand.work_per_s(m, now_s) for m in change.unload_models)
+        lost += sum(
+            RUNNING_DELAY_S
+            for model in change.unload_models
+            if site.endpoint.running(model)
+        )
+        blocked_s = BLOCKED_PENALTY_S * self._blocks_adapters(site)
+        return change.load_s + busy_s + lost + blocked_s
+
+    def _blocks_adapters(self, site: Site) -> bool:
+        """Return whether a load here leaves a busy model no place for adapters.
+
+        An endpoint takes no orders for adapters while it loads a model.
+        """
+        others = [free for free in self._free.values() if free is not site]
+        return any(
+            model in site.inventory.models
+            and self._has_adapters(model)
+            and not any(model in other.inventory.models for other in others)
+            for model in self.outlook.active
+        )
+
+    def _has_adapters(self, model: ModelName) -> bool:
+        spec = self._view.engine.models.get(model)
+        return spec is not None and bool(spec.adapters)
+
+    def _adapter_change(
+        self, site: Site, model: ModelName, adapter: AdapterName
+    ) -> Change | None:
+        inventory = site.inventory
+        spec = self._view.engine.models.get(model)
+        if spec is None:
+            return None
+        unload: tuple[tuple[ModelName, AdapterName], ...] = ()
+        free_mb = self._view.engine.weights_mb - used_mb(inventory, self._view.engine)
+        has_place = inventory.adapters < self._view.engine.adapter_slots
+        if not has_place or free_mb < spec.adapter_mb:
+            idle = self._idle_adapters(site)
+            if not idle:
+                return None
+            unload = (idle[0],)
+        return Change(inventory.endpoint, model, adapter, unload_adapters=unload)
+
+    def _idle_adapters(self, site: Site) -> list[tuple[ModelName, AdapterName]]:
+        demand, now_s = self._view.demand, self._view.now_s
+        idle = [
+            (demand.adapter_arrival_s(model, adapter), model, adapter)
+            for model, adapters in site.inventory.models.items()
+            for adapter in adapters
+            if not site.endpoint.running_adapter(model, adapter)
+            and now_s - demand.adapter_arrival_s(model, adapter) > ADAPTER_IDLE_S
+        ]
+        return [(model, adapter) for _, model, adapter in sorted(idle)]
+
+    def _adapter_cost(self, change: Change) -> tuple[int, int]:
+        site = self._free[change.endpoint]
+        return len(change.unload_adapters), site.endpoint.total_requests
+
+    def _take(self, change: Change) -> None:
+        self._free.pop(change.endpoint)
+        key = (change.model, change.adapter)
+        self._loading[key] = self._loading.get(key, 0) + 1
+        self._cold_loads -= change.is_cold
+        self.changes.append(change)
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -5,18 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chutelink.entry.changes import PlacementView, Site
 from chutelink.entry.config import EngineSpec, ModelSpec
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
 from chutelink.entry.inventory import EndpointReport, Inventory
 from chutelink.entry.news import ModelUse
-from chutelink.entry.placement import (
-    DemandPlacement,
-    PlacementView,
-    Site,
-    StaticPlacement,
-    used_mb,
-)
+from chutelink.entry.placement import DemandPlacement, StaticPlacement
+from chutelink.entry.room import used_mb
 
 MODELS = tuple(f"m{number}" for number in range(8))
 ADAPTERS = ("a1", "a2", "a3")
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from chutelink.entry import placer as placer_module
+from chutelink.entry import orders as orders_module
+from chutelink.entry.changes import Change
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
 from chutelink.entry.health import HealthTable
@@ -19,7 +20,7 @@
     OrderAnswer,
 )
 from chutelink.entry.news import ModelUse, PlacementNews
-from chutelink.entry.placement import Change, DemandPlacement
+from chutelink.entry.placement import DemandPlacement
 from chutelink.entry.placer import Placer
 from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
 from chutelink.ids import ConfigVersion
@@ -175,11 +176,9 @@
         return None
 
     monkeypatch.setattr(
-        placer_module,
+        orders_module,
         "asyncio",
-        SimpleNamespace(
-            sleep=async_sleep, Event=asyncio.Event, timeout=asyncio.timeout
-        ),
+        SimpleNamespace(sleep=async_sleep),
     )
 
 
