--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -11,10 +11,8 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..core import Application
-from ..exceptions import PeerMessageInvalid
-from ..ids import DaemonId, FailureDomainName, VmId
+from ..ids import FailureDomainName, VmId
 from ..peers.mesh import Mesh
-from ..peers.messages import Broadcast
 from ..settings import EntrySettings
 from ..tables.members import Member, MemberState, MemberTable, Role
 from .adapter import Handler, PlatformAdapter
@@ -25,17 +23,7 @@
 from .lease import PlacerLease
 from .loads import LoadBook
 from .membership import Registration
-from .news import (
-    LeaseYield,
-    LoadNews,
-    News,
-    PlacementNews,
-    PlacerBeacon,
-    SnapshotRequest,
-    StoreNews,
-    decode_news,
-    encode_news,
-)
+from .newsdesk import NewsDesk
 from .pending import PendingTable
 from .placement import DemandPlacement
 from .placer import Placer
@@ -93,7 +81,7 @@
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
         self.callers: CallerHttp | None = None
-        self._placer_id: DaemonId | None = None
+        self.news: NewsDesk | None = None
         self._upstream: Upstream | None = None
         self._caller_server: web.Server | None = None
         self._listeners: list[asyncio.Server] = []
@@ -122,19 +110,31 @@
         table = self._adapter.make_table(self.session, self.settings.platform)
         self._upstream = Upstream()
         self.mesh = Mesh(self, self.settings.peers, self.members)
-        self.mesh.on_broadcast = self._take_broadcast
-        self.mesh.on_members_changed = self._take_members
+        self.news = NewsDesk(
+            self,
+            self.mesh,
+            self.directory,
+            self.known,
+            self.demand,
+            self.pending,
+            self.retries,
+        )
+        self.mesh.on_broadcast = self.news.take
+        self.mesh.on_members_changed = self.news.choose_links
         names = (TABLE_CONFIG, TABLE_ENDPOINTS)
         entry = self.settings.entry
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
-        self.watch = StoreWatch(self, table, names, self.rank, self._send, bound_s)
+        self.watch = StoreWatch(self, table, names, self.rank, self.news.send, bound_s)
         self.watch.on_row = self.known.take_row
-        self.watch.reply = self._reply
+        self.watch.reply = self.news.reply
         self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
-        self.lease = PlacerLease(self, table, self.rank, gap_s, self._send)
+        self.lease = PlacerLease(self, table, self.rank, gap_s, self.news.send)
         self._setup_placer()
         self._setup_callers()
+        self.news.watch = self.watch
+        self.news.lease = self.lease
+        self.news.placer = self.placer
         self.known.on_config = self._take_config
         self.known.on_endpoints = self._take_endpoints
         for part in (self.mesh, self.watch, self.lease, self.placer):
@@ -152,7 +152,7 @@
             self.demand,
             self.known.health,
             DemandPlacement(),
-            self._send,
+            self.news.send,
         )
         self.placer.cold_load_window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_excess = self.settings.entry.cold_load_excess
@@ -230,97 +230,6 @@
             if member.state is MemberState.ALIVE
         )
 
-    def _send(self, news: News) -> None:
-        """Tell those that need it; what this daemon needs too, it takes in itself."""
-        if isinstance(news, PlacementNews):
-            self._take_placement(news)
-        elif isinstance(news, LoadNews):
-            self.demand.take(news.daemon, news.uses, self.clock())
-            self._take_streams(news)
-        body = encode_news(news)
-        if isinstance(news, PlacementNews | LoadNews):
-            self.mesh.send_to(self.mesh.direct, body)
-        elif isinstance(news, SnapshotRequest):
-            self.mesh.send_to(self.mesh.linked_members(), body)
-        else:
-            self.mesh.broadcast(body)
-
-    def _reply(self, daemon: DaemonId, news: StoreNews) -> None:
-        self.mesh.send_to({daemon}, encode_news(news))
-
-    def _take_broadcast(self, broadcast: Broadcast) -> None:
-        try:
-            news = decode_news(broadcast.body, broadcast.origin)
-        except PeerMessageInvalid as error:
-            self.events.warning("news_invalid", error=error)
-            return
-        if isinstance(news, StoreNews):
-            self.watch.take_news(news)
-        elif isinstance(news, SnapshotRequest):
-            self.watch.take_request(news)
-        elif isinstance(news, LoadNews):
-            self._take_load(news)
-        elif isinstance(news, PlacementNews):
-            self._take_placement(news)
-        elif isinstance(news, PlacerBeacon):
-            self._hear_placer(news.daemon, news.term)
-        elif isinstance(news, LeaseYield):
-            self.lease.take_yield(news)
-
-    def _take_load(self, news: LoadNews) -> None:
-        now_s = self.clock()
-        self.demand.take(news.daemon, news.uses, now_s)
-        self.known.endpoints.take_load(news.daemon, news.endpoints, now_s)
-        self._take_streams(news)
-        for endpoint, chain in news.prefixes:
-            self.known.prefixes.note(endpoint, chain, now_s)
-        self._wake_placer(news)
-
-    def _take_streams(self, news: LoadNews) -> None:
-        now_s = self.clock()
-        for count in news.streams:
-            self.known.health.note_streams(
-                count.endpoint, count.streams, count.paused, now_s
-            )
-
-    def _wake_placer(self, news: LoadNews) -> None:
-        self.placer.doubt(news.unreachable)
-        if any(use.waiting for use in news.uses):
-            self.placer.wake()
-
-    def _take_placement(self, news: PlacementNews) -> None:
-        self._hear_placer(news.daemon, news.term)
-        if news.daemon != self.daemon_id:
-            for placement in news.endpoints:
-                row = self.known.endpoints.rows.get(placement.endpoint)
-                if row is not None:
-                    models = {
-                        model: frozenset(names)
-                        for model, names in placement.models.items()
-                    }
-                    row.take_models(placement.sequence, models)
-        self.pending.take(news.loads, news.term, self.clock())
-
-    def _take_members(self) -> None:
-        self._choose_links()
-
-    def _hear_placer(self, daemon: DaemonId, term: int) -> None:
-        self.lease.note_holder(daemon, term)
-        self.known.endpoints.placer_heard_s = self.clock()
-        if daemon != self._placer_id:
-            self._placer_id = daemon
-            self._choose_links()
-
-    def _choose_links(self) -> None:
-        """Link to the placer, and to those that serve if this daemon needs them."""
-        serving = self.directory.serving()
-        self.retries.daemons = max(1, len(serving))
-        is_needed = self.daemon_id in serving or self.daemon_id == self._placer_id
-        wanted = set(serving) if is_needed else set()
-        if self._placer_id is not None:
-            wanted.add(self._placer_id)
-        self.mesh.direct = wanted - {self.daemon_id}
-
     def _take_config(self) -> None:
         self.placer.config = self.known.routes.config
 
@@ -356,8 +265,7 @@
             unreachable = self.known.health.unreachable()
             news = self.loads.take(self.daemon_id, self.known.endpoints, unreachable)
             if news is not None:
-                self._send(news)
-                self._wake_placer(news)
+                self.news.send(news)
 
     async def async_drain(self) -> None:
         """Leave: out of the answers first, then no new connections, then stop."""
--- /dev/null
+++ b/chutelink/entry/newsdesk.py
@@ -0,0 +1,165 @@
+"""What an entry daemon is told by the others, and what it tells them."""
+
+from __future__ import annotations
+
+from ..core import Application
+from ..exceptions import PeerMessageInvalid
+from ..ids import DaemonId
+from ..peers.mesh import Mesh
+from ..peers.messages import Broadcast
+from .demand import DemandTable
+from .directory import Directory
+from .lease import PlacerLease
+from .news import (
+    LeaseYield,
+    LoadNews,
+    News,
+    PlacementNews,
+    PlacerBeacon,
+    SnapshotRequest,
+    StoreNews,
+    decode_news,
+    encode_news,
+)
+from .pending import PendingTable
+from .placer import Placer
+from .retries import RetryShare
+from .state import EntryState
+from .watch import StoreWatch
+
+
+class NewsDesk:
+    """Hands messages to the parts that they are for, and sends theirs out.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    mesh : Mesh
+        Links to the other daemons.
+    directory : Directory
+        Which daemons serve.
+    known : EntryState
+        What is believed of endpoints.
+    demand : DemandTable
+        What is asked for.
+    pending : PendingTable
+        Loads on their way.
+    retries : RetryShare
+        Split over the daemons that serve.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        mesh: Mesh,
+        directory: Directory,
+        known: EntryState,
+        demand: DemandTable,
+        pending: PendingTable,
+        retries: RetryShare,
+    ) -> None:
+        self._core = core
+        self._mesh = mesh
+        self._directory = directory
+        self._known = known
+        self._demand = demand
+        self._pending = pending
+        self._retries = retries
+        self._placer_id: DaemonId | None = None
+        self.watch: StoreWatch | None = None
+        self.lease: PlacerLease | None = None
+        self.placer: Placer | None = None
+
+    def send(self, news: News) -> None:
+        """Tell those that need it; what this daemon needs too, it takes in itself."""
+        if isinstance(news, PlacementNews):
+            self._take_placement(news)
+        elif isinstance(news, LoadNews):
+            self._demand.take(news.daemon, news.uses, self._core.clock())
+            self._take_streams(news)
+            self._wake_placer(news)
+        body = encode_news(news)
+        if isinstance(news, PlacementNews | LoadNews):
+            self._mesh.send_to(self._mesh.direct, body)
+        elif isinstance(news, SnapshotRequest):
+            self._mesh.send_to(self._mesh.linked_members(), body)
+        else:
+            self._mesh.broadcast(body)
+
+    def reply(self, daemon: DaemonId, news: StoreNews) -> None:
+        """Tell one daemon something."""
+        self._mesh.send_to({daemon}, encode_news(news))
+
+    def take(self, broadcast: Broadcast) -> None:
+        """Take in a message of another daemon."""
+        try:
+            news = decode_news(broadcast.body, broadcast.origin)
+        except PeerMessageInvalid as error:
+            self._core.events.warning("news_invalid", error=error)
+            return
+        if isinstance(news, StoreNews):
+            self.watch.take_news(news)
+        elif isinstance(news, SnapshotRequest):
+            self.watch.take_request(news)
+        elif isinstance(news, LoadNews):
+            self._take_load(news)
+        elif isinstance(news, PlacementNews):
+            self._take_placement(news)
+        elif isinstance(news, PlacerBeacon):
+            self._hear_placer(news.daemon, news.term)
+        elif isinstance(news, LeaseYield):
+            self.lease.take_yield(news)
+
+    def _take_load(self, news: LoadNews) -> None:
+        now_s = self._core.clock()
+        self._demand.take(news.daemon, news.uses, now_s)
+        self._known.endpoints.take_load(news.daemon, news.endpoints, now_s)
+        self._take_streams(news)
+        for endpoint, chain in news.prefixes:
+            self._known.prefixes.note(endpoint, chain, now_s)
+        self._wake_placer(news)
+
+    def _take_streams(self, news: LoadNews) -> None:
+        now_s = self._core.clock()
+        for count in news.streams:
+            self._known.health.note_streams(
+                count.endpoint, count.streams, count.paused, now_s
+            )
+
+    def _wake_placer(self, news: LoadNews) -> None:
+        self.placer.doubt(news.unreachable)
+        if any(use.waiting for use in news.uses):
+            self.placer.wake()
+
+    def _take_placement(self, news: PlacementNews) -> None:
+        self._hear_placer(news.daemon, news.term)
+        if news.daemon != self._core.daemon_id:
+            for placement in news.endpoints:
+                row = self._known.endpoints.rows.get(placement.endpoint)
+                if row is not None:
+                    models = {
+                        model: frozenset(names)
+                        for model, names in placement.models.items()
+                    }
+                    row.take_models(placement.sequence, models)
+        self._pending.take(news.loads, news.term, self._core.clock())
+
+    def _hear_placer(self, daemon: DaemonId, term: int) -> None:
+        self.lease.note_holder(daemon, term)
+        self._known.endpoints.placer_heard_s = self._core.clock()
+        if daemon != self._placer_id:
+            self._placer_id = daemon
+            self.choose_links()
+
+    def choose_links(self) -> None:
+        """Link to the placer, and to those that serve if this daemon needs them."""
+        serving = self._directory.serving()
+        self._retries.daemons = max(1, len(serving))
+        is_needed = (
+            self._core.daemon_id in serving or self._core.daemon_id == self._placer_id
+        )
+        wanted = set(serving) if is_needed else set()
+        if self._placer_id is not None:
+            wanted.add(self._placer_id)
+        self._mesh.direct = wanted - {self._core.daemon_id}
