--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -156,10 +156,9 @@
         """Link to the placer, and to those that serve if this daemon needs them."""
         serving = self._directory.serving()
         self._retries.daemons = max(1, len(serving))
-        is_needed = (
-            self._core.daemon_id in serving or self._core.daemon_id == self._placer_id
-        )
+        own_id = self._core.daemon_id
+        is_needed = own_id in serving or own_id == self._placer_id
         wanted = set(serving) if is_needed else set()
         if self._placer_id is not None:
             wanted.add(self._placer_id)
-        self._mesh.direct = wanted - {self._core.daemon_id}
+        self._mesh.direct = wanted - {own_id}
