Test what stands in the platform's folder

Decoding of configurations, registrations, reports and headers, and the store against the stand-in, with malformed input and each failure that the product tells apart.

--- /dev/null
+++ b/tests/platform/test_endpoints.py
@@ -0,0 +1,72 @@
+"""What endpoints register and report, and the orders that they take."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from chutelink.entry.endpoints import EndpointState
+from chutelink.entry.inventory import Order, OrderAction
+from chutelink.exceptions import EndpointFailed
+from chutelink.platform.endpoints import (
+    compact_registration,
+    decode_registration,
+    decode_report,
+    encode_order,
+)
+
+ROW = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "zone-a",
+    "slots": 64,
+    "state": "draining",
+    "seq": 44,
+    "cold_left_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+}
+
+
+def test_a_registration_becomes_a_record():
+    record = decode_registration("i-1", ROW)
+    assert record.state is EndpointState.DRAINING
+    assert record.models == {"m": frozenset({"a1"})}
+
+
+def test_signs_of_life_are_no_change():
+    later = ROW | {"seq": 45, "cold_left_ms": 3}
+    assert compact_registration(ROW) == compact_registration(later)
+    assert compact_registration(ROW) != compact_registration(ROW | {"state": "ready"})
+    assert decode_registration("i-1", compact_registration(ROW)).slots == 64
+
+
+@pytest.mark.parametrize("value", [None, 3, {"address": "x"}, {"service": 1}])
+def test_what_is_no_registration_is_refused(value):
+    with pytest.raises(EndpointFailed):
+        decode_registration("i-1", value)
+
+
+def test_a_report_counts_adapters_on_their_way():
+    body = {"models": [], "busy": True, "seq": 3, "coming": ["m/a2@1"]}
+    report = decode_report("i-1", json.dumps(body).encode())
+    assert report.is_busy and report.sequence == 3
+    assert report.coming == (("m", "a2"),)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"seq": "x"}', b"\xff"])
+def test_what_is_no_report_is_refused(body):
+    with pytest.raises(EndpointFailed):
+        decode_report("i-1", body)
+
+
+def test_an_order_names_how_many_were_accepted_before():
+    order = Order(OrderAction.UNLOAD, "m", "a1", 7, "vm-1", 3)
+    assert json.loads(encode_order(order)) == {
+        "op": "unload",
+        "model": "m",
+        "adapter": "a1",
+        "expected_rev": 7,
+        "holder": "vm-1",
+        "fence": 3,
+    }
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,81 @@
+"""What callers' and endpoints' headers mean."""
+
+from __future__ import annotations
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from chutelink.entry.dialect import AnswerKind, Dispatch
+from chutelink.platform.headers import PlatformDialect
+
+DIALECT = PlatformDialect()
+
+
+def headers(**values: str) -> CIMultiDictProxy[str]:
+    pairs = {name.replace("_", "-"): value for name, value in values.items()}
+    return CIMultiDictProxy(CIMultiDict(pairs))
+
+
+def test_a_request_is_decoded_once():
+    meta = DIALECT.decode_request(
+        headers(
+            X_Request_Id="q1",
+            X_Deadline_Ms="1500",
+            X_Model="m1/a2",
+            X_Token_Count="1460,80",
+            X_Prompt_Prefix="5c:800,91:410",
+            Last_Event_Id="12",
+        )
+    )
+    assert (meta.id, meta.deadline_s, meta.model, meta.adapter) == (
+        "q1",
+        1.5,
+        "m1",
+        "a2",
+    )
+    assert (meta.prompt_tokens, meta.output_tokens, meta.resume_after) == (1460, 80, 12)
+    assert [(p.id, p.tokens) for p in meta.prompt] == [("5c", 800), ("91", 410)]
+
+
+def test_a_request_without_an_id_is_none():
+    assert DIALECT.decode_request(headers(X_Model="m")) is None
+
+
+@pytest.mark.parametrize("prefix", ["", "5c", "5c:", "5c:x,91:4", ",,"])
+def test_prompts_that_are_not_understood_share_nothing(prefix):
+    meta = DIALECT.decode_request(headers(X_Request_Id="q", X_Prompt_Prefix=prefix))
+    assert meta.prompt == ()
+
+
+@pytest.mark.parametrize(
+    ("status", "values", "kind"),
+    [
+        (200, {"X_Request_Id": "q", "X_Server_Seal": "s"}, AnswerKind.ANSWERED),
+        (500, {"X_Request_Id": "q", "X_Server_Seal": "s"}, AnswerKind.ANSWERED),
+        (200, {"X_Request_Id": "q"}, AnswerKind.FOREIGN),
+        (200, {"X_Request_Id": "other", "X_Server_Seal": "s"}, AnswerKind.FOREIGN),
+        (200, {"X_Server_Seal": "s"}, AnswerKind.FOREIGN),
+        (
+            200,
+            {"X_Request_Id": "q", "X_Server_Seal": "s", "Content_Encoding": "gzip"},
+            AnswerKind.FOREIGN,
+        ),
+        (503, {"X_Not_Executed": "1"}, AnswerKind.NOT_RUN),
+        (503, {"X_Request_Id": "q", "X_Not_Executed": "1"}, AnswerKind.NOT_RUN),
+        (503, {"X_Request_Id": "other", "X_Not_Executed": "1"}, AnswerKind.FOREIGN),
+        (503, {"X_Request_Id": "q", "X_Server_Seal": "s"}, AnswerKind.FOREIGN),
+        (429, {"X_Request_Id": "q"}, AnswerKind.FOREIGN),
+        (421, {"X_Instance_Id": "i"}, AnswerKind.NOT_RUN),
+    ],
+)
+def test_only_what_is_surely_so_is_said(status, values, kind):
+    assert DIALECT.classify(status, headers(**values), "q") is kind
+
+
+def test_a_dispatch_names_the_endpoint_and_the_time_left():
+    sent = CIMultiDict({"X-Deadline-Ms": "5000", "X-Other": "kept"})
+    DIALECT.encode_dispatch(sent, Dispatch("i-1", 1.2345, 3, 7))
+    assert sent["X-Deadline-Ms"] == "1234"
+    assert sent["X-Expect-Instance"] == "i-1"
+    assert (sent["X-Request-Urgency"], sent["Last-Event-Id"]) == ("3", "7")
+    assert sent["X-Other"] == "kept"
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,126 @@
+"""The store of the machines as a watched table, against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from chutelink.exceptions import (
+    HistoryLost,
+    PlatformUnavailable,
+    TransactionConflict,
+    WriteOutcomeUnknown,
+)
+from chutelink.platform.store import async_setup_store
+from chutelink.settings import PlatformSection
+from chutelink.store import Check, Transaction, Write, async_commit, decode_value
+from standins.prepared import MetadataStore, StoreFaults
+
+KEY = "own/key"
+
+
+@asynccontextmanager
+async def async_store():
+    store = MetadataStore()
+    app = web.Application()
+    store.add_routes(app)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    settings = PlatformSection(url=f"http://127.0.0.1:{port}", key="none")
+    async with aiohttp.ClientSession() as session:
+        yield store, async_setup_store(session, settings)
+    await runner.cleanup()
+
+
+def run(test):
+    async def async_run():
+        async with async_store() as (store, table):
+            await test(store, table)
+
+    asyncio.run(async_run())
+
+
+def write(value, version=0, write_id="w1"):
+    return Transaction(write_id, (Check(KEY, version),), (Write(KEY, value),))
+
+
+def test_a_value_comes_back_with_its_write():
+    async def async_test(store, table):
+        version = await table.async_transact(write({"a": 1}))
+        row = (await table.async_read(KEY)).get(KEY)
+        assert (row.version, row.write_id, row.value) == (version, "w1", {"a": 1})
+
+    run(async_test)
+
+
+def test_a_condition_that_does_not_hold_changes_nothing():
+    async def async_test(store, table):
+        await table.async_transact(write(1))
+        with pytest.raises(TransactionConflict):
+            await table.async_transact(write(2, write_id="w2"))
+        assert (await table.async_read(KEY)).get(KEY).value == 1
+
+    run(async_test)
+
+
+def test_a_lost_reply_is_settled():
+    async def async_test(store, table):
+        store.faults = StoreFaults(lose_replies=1)
+        version = await async_commit(table, [Check(KEY, 0)], [Write(KEY, 5)])
+        assert (await table.async_read(KEY)).get(KEY).version == version
+        store.faults = StoreFaults(lose_replies=1)
+        with pytest.raises(WriteOutcomeUnknown):
+            await table.async_transact(write(6, version, "w9"))
+
+    run(async_test)
+
+
+def test_changes_and_removals_are_watched():
+    async def async_test(store, table):
+        after = store.put("servers", "i-1", {"x": 1})
+        page = await table.async_watch("endpoints/", 0, 0.0)
+        assert [(r.key, r.value) for r in page.rows] == [("endpoints/i-1", {"x": 1})]
+        waiting = asyncio.ensure_future(table.async_watch("endpoints/", after, 2.0))
+        await asyncio.sleep(0.05)
+        store.remove("servers", "i-1")
+        page = await waiting
+        assert [(r.key, r.value) for r in page.rows] == [("endpoints/i-1", None)]
+
+    run(async_test)
+
+
+def test_history_that_is_gone_is_said_so():
+    async def async_test(store, table):
+        store.put("op", "config", {})
+        store.put("op", "config", {})
+        store.forget_history()
+        with pytest.raises(HistoryLost):
+            await table.async_watch("config/", 1, 0.0)
+
+    run(async_test)
+
+
+def test_an_outage_is_one():
+    async def async_test(store, table):
+        store.faults = StoreFaults(is_out=True)
+        with pytest.raises(PlatformUnavailable):
+            await table.async_read(KEY)
+
+    run(async_test)
+
+
+def test_a_row_of_another_make_is_not_guessed_at():
+    async def async_test(store, table):
+        store.put("own", "key", "not an own value")
+        with pytest.raises(PlatformUnavailable):
+            await table.async_read(KEY)
+        assert decode_value(None, int) is None
+
+    run(async_test)
