Answer what waits for a model before a daemon ends; forget loads that are overdue

Leaving daemons are told on, overdue loads count as unknown, and what still waits 0.5 s before the end is refused as not run. Three new tests failed before (one could not run on the older interface).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -44,6 +44,8 @@
 STOP_MARGIN_S = 0.8
 """Left of the grace for closing down."""
 DRAIN_POLL_S = 0.05
+REFUSE_LEAD_S = 0.5
+"""How long before the end requests are refused that still wait for a model."""
 IDLE_MARGIN = 1.1
 MAX_HEADER_BYTES = 64 * 1024
 """What the parser takes; the configuration's limit is checked afterwards."""
@@ -280,6 +282,8 @@
             listener.close()
         self._caller_server.pre_shutdown()
         while self.callers.in_flight and self.clock() < grace_end_s:
+            if self.clock() > grace_end_s - REFUSE_LEAD_S:
+                self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
         self.events.info("drained", left=self.callers.in_flight)
 
--- a/chutelink/entry/directory.py
+++ b/chutelink/entry/directory.py
@@ -40,14 +40,19 @@
         return [f"{member.address}:{member.port}" for member in members]
 
     def serving(self) -> set[DaemonId]:
-        """Return the daemons that are named to any callers."""
+        """Return the daemons that callers may use: those named, and those leaving.
+
+        Callers keep addresses for a while, so a daemon that leaves goes on serving.
+        """
         candidates = self._candidates()
-        domains = {member.failure_domain for member in self._members.rows.values()}
-        return {
+        rows = self._members.rows.values()
+        domains = {member.failure_domain for member in rows}
+        named = {
             member.id
             for domain in domains
             for member in self._for_domain(domain, candidates)
         }
+        return named | {m.id for m in rows if m.state is MemberState.LEAVING}
 
     def _candidates(self) -> list[Member]:
         """Return the large members, and as many others as it takes."""
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -115,6 +115,12 @@
         self.loads = loads
         self.retries = retries
         self._policy = policy
+        self.is_closing = False
+
+    def stop_waiting(self) -> None:
+        """Refuse what waits for a model, now and from now on: this daemon ends."""
+        self.is_closing = True
+        self.pending.signal()
 
     def make_candidate(self, meta: RequestMeta) -> Candidate:
         """Return what the choice of endpoints needs of a request."""
@@ -210,7 +216,9 @@
     def _wait_until_s(self, exchange: Exchange, ask_s: float, now_s: float) -> float:
         """Return how long to wait on; the time itself for not any longer."""
         meta = exchange.meta
-        ready_s = self.pending.ready_s(meta.model, meta.adapter)
+        if self.is_closing:
+            return now_s
+        ready_s = self.pending.ready_s(meta.model, meta.adapter, now_s)
         if ready_s is None:
             return ask_s
         read_s = meta.prompt_tokens / PREFILL_TOKENS_PER_S
@@ -231,7 +239,8 @@
         return is_early and back_s < RETRY_SHARE * exchange.left_s(now_s)
 
     def _too_late(self, exchange: Exchange, now_s: float) -> Refusal:
-        ready_s = self.pending.ready_s(exchange.meta.model, exchange.meta.adapter)
+        meta = exchange.meta
+        ready_s = self.pending.ready_s(meta.model, meta.adapter, now_s)
         if ready_s is None:
             return unavailable("the model is not loaded", DEFAULT_RETRY_S)
         back_s = max(DEFAULT_RETRY_S, ready_s + LOAD_MARGIN_S - now_s)
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -57,6 +57,10 @@
         self._log = RequestLog(core)
         self.in_flight = 0
 
+    def stop_waiting(self) -> None:
+        """Refuse the requests that no endpoint has got yet."""
+        self._exchanges.stop_waiting()
+
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, whatever it is."""
         self.in_flight += 1
--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -12,7 +12,10 @@
 """Announcements come every 0.4 s; without them nothing is known of loads."""
 
 OVERDUE_S = 0.5
-"""How much later than announced a former placer's load is still expected."""
+"""How much later than announced a load is still expected.
+
+A placer announces a late load anew; what is not announced any more is not waited for.
+"""
 
 
 class PendingTable:
@@ -55,12 +58,18 @@
         """Return whether a placer has spoken lately."""
         return now_s - self._heard_s < ANNOUNCEMENT_VALID_S
 
-    def ready_s(self, model: ModelName, adapter: AdapterName) -> float | None:
-        """Return when a model, or an adapter of it, should be there."""
+    def ready_s(
+        self, model: ModelName, adapter: AdapterName, now_s: float
+    ) -> float | None:
+        """Return when a model, or an adapter of it, should be there.
+
+        Nothing is known of a load that is overdue: announcements may have stopped.
+        """
         for known in (self._ready_s, self._older_s):
             for key in ((model, adapter), (model, NO_ADAPTER)):
-                if key in known:
-                    return known[key]
+                ready_s = known.get(key)
+                if ready_s is not None and now_s < ready_s + OVERDUE_S:
+                    return ready_s
         return None
 
     async def async_wait(self, limit_s: float) -> None:
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -55,3 +55,8 @@
     directory = make([member(n, "ab"[n % 2]) for n in range(200)])
     assert len(directory.addresses("a")) == MAX_SERVING
     assert MAX_SERVING < len(directory.serving()) <= 2 * MAX_SERVING
+
+
+def test_a_daemon_that_leaves_is_still_told_of_loads_and_placements():
+    members = [member(0), member(1, state=MemberState.LEAVING), member(2)]
+    assert "d001" in make(members).serving()
--- a/tests/entry/test_pending.py
+++ b/tests/entry/test_pending.py
@@ -8,17 +8,27 @@
 
 def test_a_load_is_known_until_it_is_not_announced_any_more():
     table = PendingTable()
-    table.take([PendingLoad("i-1", "m1", "", 4.0)], 1, 100.0)
-    assert table.ready_s("m1", "") == 104.0
-    assert table.ready_s("m1", "a1") == 104.0
+    now_s = 100.0
+    table.take([PendingLoad("i-1", "m1", "", 4.0)], 1, now_s)
+    assert table.ready_s("m1", "", now_s) == 104.0
+    assert table.ready_s("m1", "a1", now_s) == 104.0
     table.take([], 1, 101.0)
-    assert table.ready_s("m1", "") is None
+    assert table.ready_s("m1", "", now_s) is None
 
 
 def test_a_former_placers_load_goes_on():
     table = PendingTable()
-    table.take([PendingLoad("i-1", "m1", "", 4.0)], 1, 100.0)
+    now_s = 100.0
+    table.take([PendingLoad("i-1", "m1", "", 4.0)], 1, now_s)
     table.take([], 2, 102.0)
-    assert table.ready_s("m1", "") == 104.0
-    table.take([], 2, 104.0 + OVERDUE_S)
-    assert table.ready_s("m1", "") is None
+    assert table.ready_s("m1", "", now_s) == 104.0
+    now_s = 104.0 + OVERDUE_S
+    table.take([], 2, now_s)
+    assert table.ready_s("m1", "", now_s) is None
+
+
+def test_an_overdue_load_is_not_waited_for_when_announcements_stop():
+    table = PendingTable()
+    table.take([PendingLoad("i-1", "m1", "", 4.0)], 1, 100.0)
+    assert table.ready_s("m1", "", 104.0) == 104.0
+    assert table.ready_s("m1", "", 104.0 + OVERDUE_S) is None
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -7,6 +7,8 @@
 import aiohttp
 import pytest
 
+from chutelink.entry.news import PendingLoad
+
 from .world import async_world
 
 EVENTS = 8
@@ -175,3 +177,21 @@
             assert endpoint.runs == ["q1", "q1"]
 
     asyncio.run(async_test())
+
+
+def test_a_daemon_that_ends_refuses_what_waits_for_a_model():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await world.async_add("i-1", "llm", {"m0": []})
+            load = PendingLoad("i-1", "m1", "", 0.7)
+            world.pending.take([load], 1, world.core.clock())
+            task = asyncio.ensure_future(world.request("/stream/x", **headers("m1")))
+            await world.loads.urgent.wait()
+            assert world.http.in_flight == 1
+            world.http.stop_waiting()
+            answer = await task
+            assert answer.status == 503
+            assert "Retry-After" in answer.headers
+
+    asyncio.run(async_test())
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -13,7 +13,7 @@
     reader, writer = os.pipe()
     handler = NonBlockingHandler(writer, logbook.DEBUG, "{record.message}")
     log = EventLog("test")
-    with handler.threadbound():
+    with handler:
         for number in range(20_000):
             log.record(f"event-{number % 500}", text="x" * 40)
     assert handler.dropped > 0
@@ -25,10 +25,10 @@
         except BlockingIOError:
             break
     assert 0 < len(data) <= 1 << 20
-    with handler.threadbound():
+    with handler:
         log.record("after")
     dropped = os.read(reader, MAX_BUFFERED_BYTES * 2)
-    with handler.threadbound():
+    with handler:
         log.record("last")
     dropped += os.read(reader, MAX_BUFFERED_BYTES * 2)
     assert b"event=log_lines_dropped" in dropped
@@ -40,6 +40,6 @@
     reader, writer = os.pipe()
     handler = NonBlockingHandler(writer, logbook.DEBUG, "{record.message}")
     os.close(reader)
-    with handler.threadbound():
+    with handler:
         EventLog("test").record("event")
     os.close(writer)
