--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import os
 import random
 import signal
-import sys
 import time
 from abc import abstractmethod
 from collections.abc import Callable
-from pathlib import Path
 from typing import TypeVar
 
 import aiohttp
@@ -25,13 +21,11 @@
 from .ids import BootId, DaemonId, make_id
 from .log import EventLog, setup_logging
 from .metrics import CONTENT_TYPE, Metrics
-from .settings import DaemonSection, describe_settings, load_settings
+from .settings import DaemonSection
+from .startup import EXIT_FAILED, EXIT_OK, Start, prepare_start
 from .tracing import SpanExporter, SpanQueue, make_tracer
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
 CONNECTIONS_TO_ONE_HOST = 0
 
 
@@ -192,36 +186,34 @@
     Returns
     -------
     int
-        0 after a graceful stop, 1 after a failure, 2 for bad settings.
+        0 after a graceful stop, 1 after a failure.
+
+    Raises
+    ------
+    SystemExit
+        With 2 for bad settings.
+    """
+    return run_daemon(prepare_start(program, description, kind), make_application)
+
+
+def run_daemon(
+    start: Start[SettingsT], make_application: Callable[[SettingsT], Application]
+) -> int:
+    """Run a daemon until it is told to stop.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 1 after a failure.
     """
-    parser = argparse.ArgumentParser(prog=program, description=description)
-    source = parser.add_mutually_exclusive_group(required=True)
-    source.add_argument("--settings", type=Path, help="INI file")
-    source.add_argument(
-        "--settings-env", metavar="NAME", help="variable that holds the file's path"
-    )
-    parser.add_argument(
-        "--check", action="store_true", help="print the settings in force and exit"
-    )
-    parser.add_argument("--version", action="version", version=__version__)
-    args = parser.parse_args()
-    path = args.settings or Path(os.environ.get(args.settings_env, ""))
 
     def reload(app: Application) -> None:
         try:
-            app.take_settings(load_settings(path, kind))
+            app.take_settings(start.reread())
         except SettingsError as error:
             app.events.error("settings_refused", error=error)
             return
-        app.events.info("settings_reloaded", file=path)
+        app.events.info("settings_reloaded", file=start.path)
 
-    try:
-        settings = load_settings(path, kind)
-    except SettingsError as error:
-        print(error.message, file=sys.stderr)
-        return EXIT_USAGE
-    if args.check:
-        print(describe_settings(settings))
-        return EXIT_OK
-    setup_logging(settings.daemon.log_level)
-    return asyncio.run(_async_run(lambda: make_application(settings), reload))
+    setup_logging(start.settings.daemon.log_level)
+    return asyncio.run(_async_run(lambda: make_application(start.settings), reload))
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import msgspec
@@ -21,6 +22,7 @@
 from .exchange import Exchanges
 from .http import CallerHttp
 from .lease import PlacerLease
+from .listeners import ACCEPT_QUEUE
 from .loads import LoadBook
 from .membership import Registration
 from .newsdesk import NewsDesk
@@ -60,14 +62,22 @@
         Checked settings.
     adapter : PlatformAdapter
         Speaks the platform's protocols.
+    caller_listener : socket.socket, optional
+        Queues callers' connections already.
     """
 
-    def __init__(self, settings: EntrySettings, adapter: PlatformAdapter) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        adapter: PlatformAdapter,
+        caller_listener: socket.socket | None = None,
+    ) -> None:
         peer_port = _port(settings.entry.peer_listen)
         daemon = msgspec.structs.replace(settings.daemon, peer_port=peer_port)
         super().__init__("chutelink-entry", daemon)
         self.settings = settings
         self._adapter = adapter
+        self._caller_listener = caller_listener
         self.members = MemberTable(self._make_member())
         self.known = EntryState(self, adapter)
         self.demand = DemandTable()
@@ -175,7 +185,7 @@
         relay = Relay(exchanges, self._upstream)
         streams = StreamRelay(self, exchanges, self._upstream, relay)
         self.callers = CallerHttp(
-            self, exchanges, relay, streams, lambda: self.known.routes
+            self, exchanges, relay, streams, lambda: self.known.routes, self.is_ready
         )
 
     async def _async_listen(self) -> None:
@@ -190,20 +200,29 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
-        await self._async_serve(entry.caller_listen, self._caller_server)
+        await self._async_serve(
+            entry.caller_listen, self._caller_server, self._caller_listener
+        )
         directory = self._adapter.make_directory_handler(self.directory)
         await self._async_serve(entry.directory_listen, _make_server(directory))
         ready = self._adapter.make_ready_handler(self.is_serving)
         await self._async_serve(entry.ready_listen, _make_server(ready))
 
-    async def _async_serve(self, listen: str, server: web.Server) -> None:
-        host = listen.rpartition(":")[0]
+    async def _async_serve(
+        self, listen: str, server: web.Server, opened: socket.socket | None = None
+    ) -> None:
+        """Take connections, of a socket that was opened earlier if there is one."""
         loop = asyncio.get_running_loop()
-        self._listeners.append(
-            await loop.create_server(
-                server, host, _port(listen), backlog=512, reuse_address=True
+        if opened is not None:
+            listener = await loop.create_server(
+                server, sock=opened, backlog=ACCEPT_QUEUE
             )
-        )
+        else:
+            host = listen.rpartition(":")[0]
+            listener = await loop.create_server(
+                server, host, _port(listen), backlog=ACCEPT_QUEUE, reuse_address=True
+            )
+        self._listeners.append(listener)
 
     def add_routes(self, app: web.Application) -> None:
         """Nothing beside health, readiness and metrics."""
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -22,6 +22,13 @@
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 NO_CONFIG_RETRY_S = 0.5
+START_WAIT_S = 0.3
+"""How long after a start requests wait for the configuration and the endpoints.
+
+Both take two calls of the store, some 10 ms; without an answer by then the store
+is away, and requests are refused.
+"""
+START_POLL_S = 0.005
 DEFAULT_DEADLINE_S = 60.0
 """For requests that name none, on routes that allow as much."""
 
@@ -39,6 +46,8 @@
         Relays for whole answers and for streams.
     routes : callable
         Returns the routes in force, or None.
+    is_ready : callable
+        Returns whether routes and endpoints are known.
     """
 
     def __init__(
@@ -48,12 +57,15 @@
         relay: Relay,
         streams: StreamRelay,
         routes: Callable[[], RouteTable | None],
+        is_ready: Callable[[], bool],
     ) -> None:
         self._core = core
         self._exchanges = exchanges
         self._relay = relay
         self._streams = streams
         self._routes = routes
+        self._is_ready = is_ready
+        self._first_s = core.clock()
         self._log = RequestLog(core)
         self.in_flight = 0
 
@@ -97,6 +109,7 @@
         Refusal
             It can't be served; nothing was run.
         """
+        await self._async_until_ready()
         table = self._routes()
         if table is None:
             raise unavailable("no configuration yet", NO_CONFIG_RETRY_S)
@@ -131,6 +144,12 @@
         self._exchanges.note_arrival(exchange)
         return exchange
 
+    async def _async_until_ready(self) -> None:
+        """Wait while this daemon has just started: the store answers in a moment."""
+        end_s = self._first_s + START_WAIT_S
+        while not self._is_ready() and self._core.clock() < end_s:
+            await asyncio.sleep(START_POLL_S)
+
     def _check_size(self, request: web.BaseRequest, limits: CallerLimits) -> None:
         header_bytes = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
         if header_bytes > limits.max_header_bytes:
--- a/chutelink/entry/main.py
+++ b/chutelink/entry/main.py
@@ -4,19 +4,27 @@
 
 import sys
 
-from ..core import run_program
-from ..platform.adapter import PreparedMachines
 from ..settings import EntrySettings
-from .app import EntryApp
+from ..startup import prepare_start
+from .listeners import open_listener
 
 
 def main() -> int:
     """Run an entry daemon."""
-    return run_program(
+    start = prepare_start(
         "chutelink-entry",
         "Relays callers' requests to endpoints on lent VMs.",
         EntrySettings,
-        lambda settings: EntryApp(settings, PreparedMachines()),
+    )
+    listener = open_listener(start.settings.entry.caller_listen)
+    # Imported after callers can connect: it is most of the time of a start, and
+    # until then a daemon that was restarted refuses every connection.
+    from ..core import run_daemon
+    from ..platform.adapter import PreparedMachines
+    from .app import EntryApp
+
+    return run_daemon(
+        start, lambda settings: EntryApp(settings, PreparedMachines(), listener)
     )
 
 
--- /dev/null
+++ b/tests/entry/test_listeners.py
@@ -0,0 +1,72 @@
+"""Connections of callers while a daemon starts."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import subprocess
+import sys
+
+from chutelink.entry.listeners import open_listener
+
+from .world import HOST, async_world
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def test_a_connection_waits_for_the_daemon_behind_the_listener():
+    async def async_main() -> bytes:
+        port = free_port()
+        listener = open_listener(f"{HOST}:{port}")
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"early\n")
+
+        async def async_echo(source, target) -> None:
+            target.write(await source.readline())
+            target.close()
+
+        server = await asyncio.start_server(async_echo, sock=listener)
+        async with server:
+            answer = await reader.readline()
+        writer.close()
+        return answer
+
+    assert asyncio.run(async_main()) == b"early\n"
+
+
+def test_an_address_in_use_is_left_to_the_second_try():
+    with socket.socket() as other:
+        other.bind((HOST, 0))
+        other.listen()
+        assert open_listener(f"{HOST}:{other.getsockname()[1]}") is None
+
+
+def test_little_is_imported_before_callers_can_connect():
+    code = (
+        "import sys, chutelink.entry.main\n"
+        "print([n for n in ('aiohttp', 'mode', 'websockets') if n in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
+
+
+def test_requests_wait_a_moment_while_nothing_is_known_yet():
+    async def async_main() -> tuple[int, int]:
+        async with async_world() as world:
+            await world.async_add("e1", "plain")
+            early = asyncio.ensure_future(async_status(world, "q1"))
+            await asyncio.sleep(0.02)
+            world.configure()
+            return await early, await async_status(world, "q2")
+
+    async def async_status(world, request_id: str) -> int:
+        async with world.request("/once/x", request_id) as response:
+            return response.status
+
+    assert asyncio.run(async_main()) == (200, 200)
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -65,7 +65,12 @@
         relay = Relay(exchanges, self.upstream)
         streams = StreamRelay(self.core, exchanges, self.upstream, relay)
         self.http = CallerHttp(
-            self.core, exchanges, relay, streams, lambda: known.routes
+            self.core,
+            exchanges,
+            relay,
+            streams,
+            lambda: known.routes,
+            lambda: known.routes is not None,
         )
         server = web.Server(
             self.http.async_handle, handler_cancellation=True, auto_decompress=False
