Keep two endpoints for models that many ask for, and a copy of every model's weights

(3) Cold loads tie endpoints for 4 s, so that copies kept there can't be used, which leads to more cold loads: 90 of 100 began although an endpoint kept a copy. (4) Before any demand 16 of 39 models had no copy anywhere. Ruled out: the rate of the weight store (two loads were free most of the time). Change: a second endpoint for models with 14% of the requests, now or once demand has moved on; replicas that load do not let others give way; no cold load while a copy's holder is free sooner; cold loads avoid driving out an only copy; models without a copy are fetched before demand begins; rare ones yield after 0.6 s.

--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -18,7 +18,11 @@
 
     ASKED = "asked"
     BUSY = "busy"
+    PAIR = "pair"
+    """Many ask for it, or soon may, and only one endpoint holds it."""
     NEXT = "next"
+    SPREAD = "spread"
+    """No endpoint keeps a copy of the weights, so that a load would be a cold one."""
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -41,12 +45,14 @@
 class Site(msgspec.Struct, frozen=True):
     """An endpoint that a policy may change.
 
-    ``paused_share`` is the share of its streams whose pauses were too long.
+    ``paused_share`` is the share of its streams whose pauses were too long,
+    ``free_in_s`` how long the change that it carries out should take yet.
     """
 
     endpoint: Endpoint
     inventory: Inventory
     paused_share: float = 0.0
+    free_in_s: float = 0.0
 
 
 class PlacementView(msgspec.Struct, frozen=True):
--- a/chutelink/entry/config.py
+++ b/chutelink/entry/config.py
@@ -78,7 +78,8 @@
 class EngineSpec(msgspec.Struct, frozen=True):
     """What the engines of a service can hold, and the pace of cold loads.
 
-    ``models`` keeps the operators' order.
+    ``models`` keeps the operators' order; ``disk_copies_mb`` is the room for copies
+    of weights on an endpoint's disk, 0 where it is not known.
     """
 
     batch_slots: int
@@ -87,6 +88,7 @@
     adapter_slots: int
     cold_loads_per_s: float
     models: dict[ModelName, ModelSpec]
+    disk_copies_mb: float = 0.0
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -50,7 +50,8 @@
 class EndpointReport(msgspec.Struct, frozen=True):
     """What an endpoint said of itself, some 100 ms ago.
 
-    ``coming`` are adapters on their way; they take places already.
+    ``coming`` are adapters on their way; they take places already. ``on_disk`` has
+    the copy first that gives way first.
     """
 
     sequence: int
@@ -58,7 +59,7 @@
     models: dict[ModelName, frozenset[AdapterName]]
     coming: tuple[tuple[ModelName, AdapterName], ...] = ()
     in_memory: frozenset[ModelName] = frozenset()
-    on_disk: frozenset[ModelName] = frozenset()
+    on_disk: tuple[ModelName, ...] = ()
     queued: int = 0
     active: int = 0
     kv_used_tokens: int = 0
@@ -105,7 +106,7 @@
         self.sequence = -1
         self.models: dict[ModelName, frozenset[AdapterName]] = {}
         self.in_memory: frozenset[ModelName] = frozenset()
-        self.on_disk: frozenset[ModelName] = frozenset()
+        self.on_disk: tuple[ModelName, ...] = ()
         self.read_s = float("-inf")
         self.is_busy = False
         self.is_changing = False
@@ -157,6 +158,11 @@
         held = self.models.get(model)
         return held is not None and (not adapter or adapter in held)
 
+    def keeps(self, model: ModelName) -> bool:
+        """Return whether a model is held, or a copy of its weights is kept."""
+        is_copied = model in self.in_memory or model in self.on_disk
+        return model in self.models or is_copied
+
     def shows(self, order: Order) -> bool:
         """Return whether what an order was to do is done."""
         is_held = self.has(order.model, order.adapter)
--- a/chutelink/entry/orders.py
+++ b/chutelink/entry/orders.py
@@ -74,6 +74,15 @@
         if row is None:
             raise EndpointFailed("gone", step="report", peer=inventory.endpoint)
         report = await self._client.async_report(row)
+        if not inventory.is_known:
+            self._core.events.record(
+                "endpoint_first_report",
+                endpoint=inventory.endpoint,
+                sequence=report.sequence,
+                models=",".join(report.models),
+                in_memory=",".join(report.in_memory),
+                on_disk=",".join(report.on_disk),
+            )
         inventory.take_report(report, self._core.clock())
         if not inventory.is_busy:
             show_models(row, inventory)
--- a/chutelink/entry/outlook.py
+++ b/chutelink/entry/outlook.py
@@ -45,10 +45,26 @@
         self.active = [m for m in order if self._arrivals[m] > least]
         self.next = self._find_next()
 
+    def expected(self) -> list[ModelName]:
+        """Return the models that are busy or may soon be, in the operators' order."""
+        return [model for model in self._order if self.is_wanted(model)]
+
     def work(self, model: ModelName) -> float:
         """Return the demand that a model has or may soon have, in engine time."""
         return max(self._work.get(model, 0.0), self.next.get(model, 0.0))
 
+    def share(self, model: ModelName) -> float:
+        """Return which part of all requests is for a model."""
+        total = sum(self._arrivals.values())
+        return self._arrivals[model] / total if total else 0.0
+
+    def top_share(self, model: ModelName) -> float:
+        """Return a model's share of requests now, or once demand has moved on."""
+        if model not in self.next:
+            return self.share(model)
+        place = self._order.index(model) - SHIFT_PLACES
+        return max(self.share(model), self.share(self._order[place]))
+
     def is_wanted(self, model: ModelName) -> bool:
         """Return whether a model is busy or may soon be."""
         return model in self.next or model in self.active
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -41,6 +41,8 @@
         recent = view.demand.recent(view.now_s, RECENT_S)
         for model, adapter in busy:
             round_.make_wanted(model, adapter)
+        for model in round_.outlook.expected():
+            round_.pair(model)
         for model in recent:
             round_.add_replica(model)
         for model, adapter in rare:
@@ -51,4 +53,6 @@
             round_.prepare(model)
         for model in round_.outlook.active:
             round_.add_adapters(model)
+        for model in view.engine.models:
+            round_.spread(model)
         return round_.changes
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -190,16 +190,7 @@
         self.wake()
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
-        sites = [
-            Site(
-                row,
-                self._inventories[row.record.id],
-                self._health.paused_share(row.record.id),
-            )
-            for row in self._table.of_service(service)
-            if row.record.id in self._inventories
-            and not self._inventories[row.record.id].is_down
-        ]
+        sites = self._sites(service)
         if not any(site.inventory.is_known for site in sites):
             return
         pace = self._pace(service, engine)
@@ -217,6 +208,20 @@
                 pace.take(now_s)
             self._begin(change)
 
+    def _sites(self, service: ServiceName) -> list[Site]:
+        """Return the endpoints that answer, with what is known of each."""
+        now_s = self._core.clock()
+        sites = []
+        for row in self._table.of_service(service):
+            endpoint = row.record.id
+            inventory = self._inventories.get(endpoint)
+            if inventory is None or inventory.is_down:
+                continue
+            _, ready_s = self._pending.get(endpoint, (None, now_s))
+            paused_share = self._health.paused_share(endpoint)
+            sites.append(Site(row, inventory, paused_share, max(0.0, ready_s - now_s)))
+        return sites
+
     def _pace(self, service: ServiceName, engine: EngineSpec) -> ColdLoadPace:
         pace = self._paces.get(service)
         if pace is None:
--- a/chutelink/entry/room.py
+++ b/chutelink/entry/room.py
@@ -31,6 +31,25 @@
     return sum(model_mb(inventory, model, engine) for model in inventory.models)
 
 
+def lost_copies(
+    inventory: Inventory, spec: ModelSpec, engine: EngineSpec
+) -> list[ModelName]:
+    """Return the models whose copies on disk a cold load makes give way."""
+    sizes_mb = {
+        name: engine.models[name].weights_mb
+        for name in inventory.on_disk
+        if name in engine.models
+    }
+    excess_mb = sum(sizes_mb.values()) + spec.weights_mb - engine.disk_copies_mb
+    lost = []
+    for name in inventory.on_disk:
+        if excess_mb <= 0:
+            break
+        lost.append(name)
+        excess_mb -= sizes_mb.get(name, 0.0)
+    return lost
+
+
 def has_room(
     inventory: Inventory, engine: EngineSpec, model: ModelName, adapter: AdapterName
 ) -> bool:
--- a/chutelink/entry/rounds.py
+++ b/chutelink/entry/rounds.py
@@ -6,15 +6,20 @@
 
 import msgspec
 
-from ..ids import AdapterName, ModelName
+from ..ids import AdapterName, EndpointId, ModelName
 from .changes import Change, ChangeReason, PlacementView, Site
 from .config import ModelSpec
 from .endpoints import NO_ADAPTER
 from .outlook import Outlook
-from .room import load_time, model_mb, used_mb
+from .room import load_time, lost_copies, model_mb, used_mb
 
 RECENT_S = 4.0
 """A model asked for within this time is in use; demand moves in about 5 s."""
+RARE_IDLE_S = 0.6
+"""A rare model that was not asked for since gives way to one that is.
+
+A request takes half a second, and daemons tell of theirs every 0.2 s.
+"""
 ADAPTER_IDLE_S = 0.25
 """An adapter asked for since may be in use: daemons tell theirs every 0.2 s."""
 REPLICA_WORK = 0.35
@@ -25,6 +30,11 @@
 """
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
+PAIR_SHARE = 0.14
+"""Share of all requests from which a model is held by two endpoints.
+
+The loss of one would refuse as many until a cold load is done, 4 s later.
+"""
 MAX_PREPARED_REPLICAS = 3
 """Replicas that are worth loading before they are asked for."""
 LAST_REPLICA_WORK = 0.05
@@ -39,8 +49,17 @@
 """What each request under way adds to the cost of giving its model up."""
 RUNNING_DELAY_S = 1.0
 """How long an unload waits for requests under way; long answers take 1 to 3 s."""
-BLOCKED_PENALTY_S = 2.0
-"""What it costs to load where a busy model then gets no adapters, as load time."""
+BLOCKED_SHARE = 0.5
+"""What loading where a busy model then gets no adapters costs, of the load's time."""
+LOST_COPY_S = 3.0
+"""What it costs, as load time, to lose the only copy of a model's weights.
+
+The difference between a cold load and one from an endpoint's own disk.
+"""
+WAIT_MARGIN_S = 0.3
+"""What a change usually takes longer than planned: reports, requests under way."""
+EXPECTED_FIRST = 9
+"""Models kept for the first demand: six busy ones and the three behind them."""
 MAX_RARE_SHARE = 0.25
 """Share of the endpoints that may load rare models at once.
 
@@ -88,6 +107,8 @@
         self._loading = dict(view.loading)
         order = list(view.engine.models)
         self.outlook = Outlook(order, view.demand, view.now_s)
+        self._given_up: set[tuple[EndpointId, ModelName]] = set()
+        self._expected = frozenset(self.outlook.expected() or self._expected_first())
         self.changes: list[Change] = []
 
     def next_models(self) -> list[ModelName]:
@@ -123,6 +144,11 @@
         is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
         return is_asked or demand.has_patient(model, now_s)
 
+    def pair(self, model: ModelName) -> None:
+        """Load a model a second time that many ask for, or soon may."""
+        if self._replicas(model) < 2 and self.outlook.top_share(model) >= PAIR_SHARE:
+            self._load(model, ChangeReason.PAIR)
+
     def add_replica(self, model: ModelName) -> None:
         """Load a busy model once more, or one whose endpoints others keep busy."""
         replicas = self._replicas(model)
@@ -150,13 +176,12 @@
         )
 
     def _site_work(self, site: Site) -> float:
-        """Return the engine time a second that an endpoint's models ask of it.
+        """Return the engine time a second that its models ask or may ask of it.
 
         One whose streams pause too long counts as busier than its work says.
         """
-        demand, now_s = self._view.demand, self._view.now_s
         work = sum(
-            demand.work_per_s(model, now_s) / max(1, self._replicas(model))
+            self.outlook.work(model) / max(1, self._replicas(model))
             for model in site.inventory.models
         )
         return work + PAUSED_WORK * site.paused_share
@@ -167,6 +192,21 @@
         if self._replicas(model) < min(wanted, MAX_PREPARED_REPLICAS):
             self._load(model, ChangeReason.NEXT)
 
+    def spread(self, model: ModelName) -> None:
+        """Fetch a model of whose weights no endpoint keeps a copy, before any demand.
+
+        Whoever asks for it later waits for a load from an endpoint's own copy, a
+        fifth of the time of a cold one.
+        """
+        if any(site.inventory.keeps(model) for site in self._view.sites):
+            return
+        if not all(site.inventory.is_known for site in self._view.sites):
+            return
+        if self._loading.get((model, NO_ADAPTER)):
+            return
+        if not self._view.demand.uses:
+            self._load(model, ChangeReason.SPREAD)
+
     def make_adapter_resident(self, model: ModelName, adapter: AdapterName) -> None:
         """Load an adapter where its model is, if none is there yet."""
         key = (model, adapter)
@@ -204,11 +244,17 @@
                 missing.pop(0)
 
     def _replicas(self, model: ModelName) -> int:
-        held = sum(
-            model in site.inventory.models and model not in site.endpoint.closing
+        """Return how many endpoints hold a model or are loading it."""
+        return self._held(model) + self._loading.get((model, NO_ADAPTER), 0)
+
+    def _held(self, model: ModelName) -> int:
+        """Return how many endpoints hold a model and keep it in this round."""
+        return sum(
+            model in site.inventory.models
+            and model not in site.endpoint.closing
+            and (site.inventory.endpoint, model) not in self._given_up
             for site in self._view.sites
         )
-        return held + self._loading.get((model, NO_ADAPTER), 0)
 
     def _load(
         self, model: ModelName, reason: ChangeReason, *, may_be_cold: bool = True
@@ -219,20 +265,39 @@
         options = []
         is_replica = self._replicas(model) > 0
         # What is only prepared leaves one cold load to what is asked for.
-        spared = 1 if reason is ChangeReason.NEXT else 0
+        is_spared = reason in (ChangeReason.NEXT, ChangeReason.SPREAD)
+        spared = 1 if is_spared else 0
         may_be_cold = may_be_cold and self._cold_loads > spared
         for site in self._free.values():
             if model in site.inventory.models:
                 continue
-            if is_replica and self._blocks_adapters(site):
-                continue
             change = self._model_change(site, spec, is_replica=is_replica)
-            if change is not None and (may_be_cold or not change.is_cold):
-                options.append(change)
-        if options:
-            best = min(options, key=self._model_cost)
+            if change is None or (change.is_cold and not may_be_cold):
+                continue
+            if is_replica and change.is_cold and self._blocks_adapters(site):
+                continue
+            options.append(change)
+        if not options:
+            return
+        best = min(options, key=self._model_cost)
+        if not best.is_cold or best.load_s <= self._wait_s(spec):
             self._take(msgspec.structs.replace(best, reason=reason))
 
+    def _wait_s(self, spec: ModelSpec) -> float:
+        """Return how soon an endpoint with a copy that is not free could have it.
+
+        A cold load in its place would keep another endpoint busy for seconds, so
+        that copies there can't be used either.
+        """
+        waits_s = [
+            site.free_in_s + load_time(site.inventory, spec)[0] + WAIT_MARGIN_S
+            for site in self._view.sites
+            if site.inventory.endpoint not in self._free
+            and spec.name not in site.inventory.models
+            and site.inventory.keeps(spec.name)
+        ]
+        return min(waits_s, default=math.inf)
+
     def _model_change(
         self, site: Site, spec: ModelSpec, *, is_replica: bool
     ) -> Change | None:
@@ -255,6 +320,17 @@
             is_cold=is_cold,
         )
 
+    def _expected_first(self) -> list[ModelName]:
+        """Return the models that will be asked for first, before any demand.
+
+        The busiest one is held by most endpoints, and the busy ones follow one
+        another in the operators' order.
+        """
+        order = list(self._view.engine.models)
+        busiest = max(order, key=self._replicas)
+        start = order.index(busiest)
+        return [order[(start + n) % len(order)] for n in range(EXPECTED_FIRST)]
+
     def _victims(
         self, site: Site, wanted: ModelName, *, is_replica: bool
     ) -> list[ModelName]:
@@ -269,8 +345,10 @@
             missed = self._missed(model)
             missed += RUNNING_WORK * site.endpoint.running(model)
             last_s = demand.last_arrival_s(model)
-            is_idle = now_s - last_s > RECENT_S and missed <= wanted_worth
-            is_spare = self._replicas(model) > 1 and missed < REPLICA_WORK
+            idle_s = RECENT_S if model in self._expected else RARE_IDLE_S
+            is_idle = now_s - last_s > idle_s and missed <= wanted_worth
+            is_spare = self._held(model) > 1 and missed < REPLICA_WORK
+            is_spare = is_spare and bool(demand.uses)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
             if is_idle or is_spare or is_outweighed:
                 ranked.append((missed, last_s, model))
@@ -278,10 +356,12 @@
 
     def _missed(self, model: ModelName) -> float:
         """Return what giving up one replica of a model costs, in engine time."""
-        replicas = self._replicas(model)
+        replicas = self._held(model)
         work = self.outlook.work(model)
-        if replicas <= 1:
-            return LAST_REPLICA_WORK + work + KEPT_WORK * self.outlook.is_wanted(model)
+        is_first = not self._view.demand.uses and model in self._expected
+        is_paired = replicas == 2 and self.outlook.top_share(model) >= PAIR_SHARE
+        if replicas <= 1 or is_first or is_paired:
+            return LAST_REPLICA_WORK + work + KEPT_WORK * (model in self._expected)
         return max(0.0, work / (replicas - 1) - IDLE_WORK)
 
     def _model_cost(self, change: Change) -> float:
@@ -295,8 +375,21 @@
             for model in change.unload_models
             if site.endpoint.running(model)
         )
-        blocked_s = BLOCKED_PENALTY_S * self._blocks_adapters(site)
-        return change.load_s + busy_s + lost + blocked_s
+        blocked_s = BLOCKED_SHARE * change.load_s * self._blocks_adapters(site)
+        copies_s = LOST_COPY_S * self._loses_only_copy(change)
+        return change.load_s + busy_s + lost + blocked_s + copies_s
+
+    def _loses_only_copy(self, change: Change) -> bool:
+        """Return whether a cold load drives out the last copy of a model."""
+        if not change.is_cold:
+            return False
+        site = self._free[change.endpoint]
+        others = [s.inventory for s in self._view.sites if s is not site]
+        spec = self._view.engine.models[change.model]
+        lost = lost_copies(site.inventory, spec, self._view.engine)
+        return any(
+            not any(inventory.keeps(model) for inventory in others) for model in lost
+        )
 
     def _blocks_adapters(self, site: Site) -> bool:
         """Return whether a load here leaves a busy model no place for adapters.
@@ -308,7 +401,7 @@
             model in site.inventory.models
             and self._has_adapters(model)
             and not any(model in other.inventory.models for other in others)
-            for model in self.outlook.active
+            for model in self._expected
         )
 
     def _has_adapters(self, model: ModelName) -> bool:
@@ -352,4 +445,5 @@
         key = (change.model, change.adapter)
         self._loading[key] = self._loading.get(key, 0) + 1
         self._cold_loads -= change.is_cold
+        self._given_up |= {(change.endpoint, name) for name in change.unload_models}
         self.changes.append(change)
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -71,13 +71,17 @@
 
 
 class _WireEngine(msgspec.Struct):
-    """What each endpoint of a service of engines can hold."""
+    """What each endpoint of a service of engines can hold.
+
+    ``disk_mb`` is for copies of weights on the endpoint's own disk.
+    """
 
     weights_mb: float
     slots: int = 1
     kv_capacity: int = 0
     adapter_slots: int = 0
     loads_per_s: float = 1.0
+    disk_mb: float = 0.0
     models: list[_WireModel] = []
 
 
@@ -191,5 +195,6 @@
         weights_mb=wire.weights_mb,
         adapter_slots=wire.adapter_slots,
         cold_loads_per_s=wire.loads_per_s,
+        disk_copies_mb=wire.disk_mb,
         models=models,
     )
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -30,7 +30,7 @@
 
 
 class _WireCopies(msgspec.Struct):
-    """Models whose weights an endpoint keeps copies of."""
+    """Models whose weights an endpoint keeps copies of, the least recent first."""
 
     in_memory: list[str] = []
     on_disk: list[str] = []
@@ -126,7 +126,7 @@
         models=_decode_models(wire.models),
         coming=tuple(_decode_coming(text) for text in wire.coming),
         in_memory=frozenset(ModelName(name) for name in wire.at_hand.in_memory),
-        on_disk=frozenset(ModelName(name) for name in wire.at_hand.on_disk),
+        on_disk=tuple(ModelName(name) for name in wire.at_hand.on_disk),
         queued=wire.queued,
         active=wire.active,
         kv_used_tokens=wire.kv_used,
