Learn reading speeds; let replicas that are needed stay; let patient requests wait

Ruled out: wrong routing (the expected delay orders endpoints rightly), the store's rate. Change: factors for models and endpoints learned from first events; the load that daemons tell is in seconds; replicas yield only when the others have at most 0.35 of an endpoint's time each, and what is still loading does not count as serving; requests with time for a cold load wait 0.35 of it for their turn; streams that pause weigh 2.5 times as much in routing; rare models may load at 0.45 of the endpoints at once.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -177,10 +177,11 @@
             known.endpoints,
             known.health,
             known.prefixes,
+            known.speeds,
             self.pending,
             self.loads,
             self.retries,
-            ExpectedDelay(known.health, known.prefixes),
+            ExpectedDelay(known.health, known.prefixes, known.speeds),
         )
         relay = Relay(exchanges, self._upstream)
         streams = StreamRelay(self, exchanges, self._upstream, relay)
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -69,10 +69,10 @@
         self.models = dict(record.models)
         self.sequence = UNKNOWN_SEQUENCE
         self.requests = 0
-        self.prefill_tokens = 0
+        self.reading_s = 0.0
         self.by_ref: Counter[ModelRef] = Counter()
         self.other_requests = 0
-        self.other_prefill_tokens = 0
+        self.other_reading_s = 0.0
         self.other_by_ref: Counter[ModelRef] = Counter()
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
@@ -195,12 +195,12 @@
     def _sum_shares(self) -> None:
         for row in self.rows.values():
             row.other_requests = 0
-            row.other_prefill_tokens = 0
+            row.other_reading_s = 0.0
             row.other_by_ref.clear()
         for shares in self._shares.values():
             for share in shares:
                 row = self.rows.get(share.endpoint)
                 if row is not None:
                     row.other_requests += share.requests
-                    row.other_prefill_tokens += share.prefill_tokens
+                    row.other_reading_s += share.reading_s
                     row.other_by_ref.update(share.by_ref)
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -18,7 +18,8 @@
 from .pending import PendingTable
 from .prefixes import PrefixTable, hash_chain
 from .retries import RetryShare
-from .routing import PREFILL_TOKENS_PER_S, Candidate, RoutingPolicy
+from .routing import Candidate, RoutingPolicy
+from .speeds import SpeedTable
 from .upstream import EndpointCall
 
 ASK_SHARE = 0.25
@@ -26,6 +27,8 @@
 
 A refusal within a quarter of the objective leaves the caller time to come back.
 """
+PATIENT_SHARE = 0.35
+"""Share of the time left that a request waits for its model's turn to be loaded."""
 RETRY_SHARE = 1 / 3
 """Callers come back at the latest after a third of the time they have left."""
 LOAD_MARGIN_S = 0.1
@@ -88,7 +91,7 @@
         The owner.
     dialect : Dialect
         How headers are read and written.
-    table, health, prefixes, pending, loads, retries
+    table, health, prefixes, speeds, pending, loads, retries
         What is known of endpoints, and what is told of them.
     policy : RoutingPolicy
         Chooses endpoints.
@@ -101,6 +104,7 @@
         table: EndpointTable,
         health: HealthTable,
         prefixes: PrefixTable,
+        speeds: SpeedTable,
         pending: PendingTable,
         loads: LoadBook,
         retries: RetryShare,
@@ -111,6 +115,7 @@
         self.table = table
         self.health = health
         self.prefixes = prefixes
+        self.speeds = speeds
         self.pending = pending
         self.loads = loads
         self.retries = retries
@@ -143,8 +148,9 @@
         now_s = self.core.clock()
         self.retries.note_request(exchange.service.name, now_s)
         if exchange.service.engine is not None and exchange.meta.model:
-            work_s = exchange.meta.prompt_tokens / PREFILL_TOKENS_PER_S
-            self.loads.note_arrival(exchange.meta.model, exchange.meta.adapter, work_s)
+            meta = exchange.meta
+            work_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
+            self.loads.note_arrival(meta.model, meta.adapter, work_s)
 
     async def async_acquire(self, exchange: Exchange) -> Endpoint:
         """Return the endpoint to send to next, waiting for a load where it pays.
@@ -194,7 +200,7 @@
 
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         asked_s = self.core.clock()
-        ask_s = asked_s + ASK_SHARE * exchange.route.objective_s
+        ask_s = asked_s + self._ask_limit_s(exchange, asked_s)
         while True:
             now_s = self.core.clock()
             until_s = self._wait_until_s(exchange, ask_s, now_s)
@@ -213,6 +219,16 @@
                 )
                 return row
 
+    def _ask_limit_s(self, exchange: Exchange, now_s: float) -> float:
+        """Return how long to wait for word of a load.
+
+        One with time for a cold load waits for its turn: endpoints load one model
+        after the other, and a caller that comes back would only queue anew.
+        """
+        if self._is_patient(exchange):
+            return PATIENT_SHARE * exchange.left_s(now_s)
+        return ASK_SHARE * exchange.route.objective_s
+
     def _wait_until_s(self, exchange: Exchange, ask_s: float, now_s: float) -> float:
         """Return how long to wait on; the time itself for not any longer."""
         meta = exchange.meta
@@ -221,7 +237,7 @@
         ready_s = self.pending.ready_s(meta.model, meta.adapter, now_s)
         if ready_s is None:
             return ask_s
-        read_s = meta.prompt_tokens / PREFILL_TOKENS_PER_S
+        read_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
         answer_s = ready_s + read_s
         in_time_s = exchange.started_s + exchange.route.objective_s
         if answer_s <= in_time_s:
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -73,9 +73,7 @@
     ) -> LoadNews | None:
         """Return the next message, or None when there is nothing new."""
         loads = [
-            EndpointLoad(
-                row.record.id, row.requests, row.prefill_tokens, dict(+row.by_ref)
-            )
+            EndpointLoad(row.record.id, row.requests, row.reading_s, dict(+row.by_ref))
             for row in table.rows.values()
             if row.requests
         ]
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -65,11 +65,14 @@
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one daemon has under way at an endpoint, in all and by what is asked."""
+    """What one daemon has under way at an endpoint, in all and by what is asked.
+
+    ``reading_s`` is how long an ordinary endpoint reads the prompts that wait.
+    """
 
     endpoint: EndpointId
     requests: int
-    prefill_tokens: int
+    reading_s: float
     by_ref: dict[ModelRef, int] = {}
 
 
--- a/chutelink/entry/rounds.py
+++ b/chutelink/entry/rounds.py
@@ -28,6 +28,11 @@
 A third of an endpoint's time, not counting what caches save: two busy models
 often share an endpoint, and waiting grows quickly above half.
 """
+SPARE_WORK = 0.35
+"""A replica gives way when the others would have no more than this each to do.
+
+Well below ``REPLICA_WORK``, or the same model would soon be loaded again.
+"""
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
 PAIR_SHARE = 0.14
@@ -60,7 +65,7 @@
 """What a change usually takes longer than planned: reports, requests under way."""
 EXPECTED_FIRST = 9
 """Models kept for the first demand: six busy ones and the three behind them."""
-MAX_RARE_SHARE = 0.25
+MAX_RARE_SHARE = 0.45
 """Share of the endpoints that may load rare models at once.
 
 An endpoint that loads takes no orders for adapters and no other model for 4 s.
@@ -78,7 +83,7 @@
 
 Measured: with prompts read without a break, events of 5 tokens come 0.45 s apart.
 """
-PAUSED_WORK = 1.0
+PAUSED_WORK = 2.0
 """What it adds when all streams of an endpoint pause too long."""
 CROWDED_MODEL_WORK = 0.1
 """A model asked for less than this is not moved away from busy endpoints."""
@@ -146,7 +151,7 @@
 
     def pair(self, model: ModelName) -> None:
         """Load a model a second time that many ask for, or soon may."""
-        if self._replicas(model) < 2 and self.outlook.top_share(model) >= PAIR_SHARE:
+        if self._replicas(model) < 2 and self._is_top(model):
             self._load(model, ChangeReason.PAIR)
 
     def add_replica(self, model: ModelName) -> None:
@@ -245,13 +250,21 @@
 
     def _replicas(self, model: ModelName) -> int:
         """Return how many endpoints hold a model or are loading it."""
-        return self._held(model) + self._loading.get((model, NO_ADAPTER), 0)
+        present = sum(
+            model in site.inventory.models
+            and model not in site.endpoint.closing
+            and (site.inventory.endpoint, model) not in self._given_up
+            for site in self._view.sites
+        )
+        return present + self._loading.get((model, NO_ADAPTER), 0)
 
     def _held(self, model: ModelName) -> int:
-        """Return how many endpoints hold a model and keep it in this round."""
+        """Return how many endpoints serve a model and keep it in this round.
+
+        One that is still loading it does not.
+        """
         return sum(
-            model in site.inventory.models
-            and model not in site.endpoint.closing
+            site.endpoint.holds(model)
             and (site.inventory.endpoint, model) not in self._given_up
             for site in self._view.sites
         )
@@ -347,19 +360,28 @@
             last_s = demand.last_arrival_s(model)
             idle_s = RECENT_S if model in self._expected else RARE_IDLE_S
             is_idle = now_s - last_s > idle_s and missed <= wanted_worth
-            is_spare = self._held(model) > 1 and missed < REPLICA_WORK
-            is_spare = is_spare and bool(demand.uses)
+            is_spare = bool(demand.uses) and self._is_spare(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
             if is_idle or is_spare or is_outweighed:
                 ranked.append((missed, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
+    def _is_spare(self, model: ModelName) -> bool:
+        """Return whether the other endpoints of a model can do without one."""
+        others = self._held(model) - 1
+        if others < 1 or (others == 1 and self._is_top(model)):
+            return False
+        return self.outlook.work(model) / others < SPARE_WORK
+
+    def _is_top(self, model: ModelName) -> bool:
+        return self.outlook.top_share(model) >= PAIR_SHARE
+
     def _missed(self, model: ModelName) -> float:
         """Return what giving up one replica of a model costs, in engine time."""
         replicas = self._held(model)
         work = self.outlook.work(model)
         is_first = not self._view.demand.uses and model in self._expected
-        is_paired = replicas == 2 and self.outlook.top_share(model) >= PAIR_SHARE
+        is_paired = replicas == 2 and self._is_top(model)
         if replicas <= 1 or is_first or is_paired:
             return LAST_REPLICA_WORK + work + KEPT_WORK * (model in self._expected)
         return max(0.0, work / (replicas - 1) - IDLE_WORK)
--- a/chutelink/entry/routing.py
+++ b/chutelink/entry/routing.py
@@ -6,18 +6,17 @@
 
 import msgspec
 
-from ..ids import AdapterName, EndpointId, FailureDomainName, ModelName
+from ..ids import AdapterName, FailureDomainName, ModelName
 from .endpoints import Endpoint
 from .health import HealthTable
 from .prefixes import PrefixTable
+from .speeds import SpeedTable
 
-PREFILL_TOKENS_PER_S = 38_000.0
-"""How fast engines read prompts, by the users' sheets."""
 STEP_S = 0.005
 """How long an engine's step takes, by the users' sheets."""
 FAILURE_COST_S = 3.0
 """What a certain failure costs: about a request's time to its deadline."""
-PAUSE_COST_S = 0.6
+PAUSE_COST_S = 1.5
 """What a pause that is too long costs: as much as a first event that late."""
 DISTURBANCE_SHARE = 0.05
 """Share of a prompt's reading time by which each stream under way is set back.
@@ -80,11 +79,16 @@
         How endpoints have answered lately.
     prefixes : PrefixTable
         Which prompts they have read lately.
+    speeds : SpeedTable
+        How fast they read.
     """
 
-    def __init__(self, health: HealthTable, prefixes: PrefixTable) -> None:
+    def __init__(
+        self, health: HealthTable, prefixes: PrefixTable, speeds: SpeedTable
+    ) -> None:
         self._health = health
         self._prefixes = prefixes
+        self._speeds = speeds
 
     def choose(
         self, rows: list[Endpoint], request: Candidate, now_s: float
@@ -102,11 +106,10 @@
         if not request.model:
             queued = row.total_requests / max(1, row.record.slots)
             return queued * self._health.typical_s(row.record.id)
-        tokens = request.prompt_tokens
-        tokens -= self._cached_tokens(row.record.id, request, now_s)
-        tokens += row.prefill_tokens + row.other_prefill_tokens
+        reading_s = self._own_read_s(row, request, now_s)
+        reading_s += row.reading_s + row.other_reading_s
         step_s = STEP_S * row.total_requests / max(1, row.record.slots)
-        return tokens / PREFILL_TOKENS_PER_S + step_s
+        return reading_s * self._speeds.endpoint_factor(row.record.id) + step_s
 
     def _cost_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
         endpoint = row.record.id
@@ -121,12 +124,11 @@
         """Return what reading the prompt costs the streams under way there."""
         if not request.model:
             return 0.0
-        cached = self._cached_tokens(row.record.id, request, now_s)
-        read_s = (request.prompt_tokens - cached) / PREFILL_TOKENS_PER_S
+        read_s = self._own_read_s(row, request, now_s)
         return DISTURBANCE_SHARE * read_s * row.total_requests
 
-    def _cached_tokens(
-        self, endpoint: EndpointId, request: Candidate, now_s: float
-    ) -> int:
-        length = self._prefixes.cached_parts(endpoint, request.chain, now_s)
-        return request.chain_tokens[length - 1] if length else 0
+    def _own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        """Return how long the prompt takes to read, less what is kept of it."""
+        parts = self._prefixes.cached_parts(row.record.id, request.chain, now_s)
+        cached = request.chain_tokens[parts - 1] if parts else 0
+        return self._speeds.read_s(request.model, request.prompt_tokens - cached)
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -14,6 +14,7 @@
 from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .prefixes import PrefixTable
+from .speeds import SpeedTable
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
 
@@ -36,6 +37,7 @@
         self.endpoints = EndpointTable()
         self.health = HealthTable()
         self.prefixes = PrefixTable()
+        self.speeds = SpeedTable()
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
@@ -64,6 +66,14 @@
             )
             return
         self.routes = RouteTable(config)
+        self.speeds.set_sizes(
+            {
+                name: model.weights_mb
+                for service in config.services.values()
+                if service.engine is not None
+                for name, model in service.engine.models.items()
+            }
+        )
         self._core.metrics.config_version.set({}, config.version)
         self._core.events.info(
             "config_in_force",
@@ -110,6 +120,7 @@
     def _forget(self, row: Endpoint, reason: str) -> None:
         self.health.forget(row.record.id)
         self.prefixes.forget(row.record.id)
+        self.speeds.forget(row.record.id)
         self._core.events.record(
             "endpoint_gone",
             endpoint=row.record.id,
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -29,6 +29,8 @@
 MIN_RESUME_S = 0.2
 """With less time left no other endpoint would get anything done."""
 FIRST_FAILURE = 300
+MIN_LEARNED_TOKENS = 1000
+"""Prompts that are read long enough to tell how fast an endpoint is."""
 
 
 class CallerStream:
@@ -205,7 +207,8 @@
         self._exchange = exchange
         self._row = row
         self._caller = caller
-        self._reading_tokens = 0
+        self._reading_s = 0.0
+        self._read_expected_s = 0.0
         self._longest_pause_s = 0.0
 
     async def async_run(
@@ -309,8 +312,13 @@
         chain = exchange.candidate.chain
         cached = exchanges.prefixes.cached_parts(row.record.id, chain, now_s)
         kept = exchange.candidate.chain_tokens[cached - 1] if cached else 0
-        self._reading_tokens = max(0, exchange.meta.prompt_tokens - kept)
-        row.prefill_tokens += self._reading_tokens
+        tokens = max(0, exchange.meta.prompt_tokens - kept)
+        before_s = row.reading_s + row.other_reading_s
+        self._reading_s = exchanges.speeds.read_s(exchange.meta.model, tokens)
+        row.reading_s += self._reading_s
+        if tokens >= MIN_LEARNED_TOKENS and before_s <= self._reading_s:
+            factor = exchanges.speeds.endpoint_factor(row.record.id)
+            self._read_expected_s = factor * (self._reading_s + before_s)
         exchanges.prefixes.note(row.record.id, chain, now_s)
         exchanges.loads.note_prompt(row.record.id, chain)
 
@@ -323,18 +331,21 @@
             exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         caller.last_event_s = now_s
-        if not self._reading_tokens:
+        if not self._reading_s:
             return
         self.release()
         core = self._owner._core
         if self._exchange.first_event_s is None:
             self._exchange.first_event_s = core.clock() - self._exchange.started_s
         took_s = core.clock() - sent_s
-        self._owner._exchanges.health.note_success(
-            self._row.record.id, core.clock(), took_s
+        endpoint = self._row.record.id
+        exchanges = self._owner._exchanges
+        exchanges.health.note_success(endpoint, core.clock(), took_s)
+        exchanges.speeds.note(
+            exchange.meta.model, endpoint, self._read_expected_s, took_s
         )
 
     def release(self) -> None:
         """Stop counting the prompt as being read."""
-        self._row.prefill_tokens -= self._reading_tokens
-        self._reading_tokens = 0
+        self._row.reading_s = max(0.0, self._row.reading_s - self._reading_s)
+        self._reading_s = 0.0
