--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -180,11 +180,13 @@
 
 
 def test_a_replica_that_others_need_does_not_give_way_to_a_rare_model():
+    engine = msgspec.structs.replace(make_engine(), weights_mb=100.0)
     sites = [make_site(f"i-{n}", {"m1": []}) for n in range(3)]
-    sites.append(make_site("i-3", {"m2": []}))
-    view = make_view(sites, [("m1", "", 30, 3.0, 0), ("m5", "", 2, 0.1, 1, 1)])
-    changes = DemandPlacement().plan(view)
-    assert not any("m1" in change.unload_models for change in changes)
+    uses = [("m1", "", 30, 2.4, 0), ("m5", "", 1, 0.1, 1, 1)]
+    changes = plan(sites, uses, engine=engine)
+    assert not any(change.unload_models for change in changes)
+    idle = [("m1", "", 30, 0.9, 0), ("m5", "", 1, 0.1, 1, 1)]
+    assert plan(sites, idle, engine=engine)[0].unload_models == ("m1",)
 
 
 def test_what_is_being_loaded_is_not_loaded_again():
