--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -46,15 +46,13 @@
     """An endpoint that a policy may change.
 
     ``paused_share`` is the share of its streams whose pauses were too long,
-    ``free_in_s`` how long the change that it carries out should take yet,
-    ``read_factor`` how many times longer it reads than an ordinary endpoint.
+    ``free_in_s`` how long the change that it carries out should take yet.
     """
 
     endpoint: Endpoint
     inventory: Inventory
     paused_share: float = 0.0
     free_in_s: float = 0.0
-    read_factor: float = 1.0
 
 
 class PlacementView(msgspec.Struct, frozen=True):
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -21,7 +21,6 @@
 from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
 from .placement import PlacementPolicy
-from .speeds import SpeedTable
 
 TICK_S = 0.05
 DOUBT_PERIOD_S = 0.15
@@ -55,8 +54,6 @@
         What is asked for.
     health : HealthTable
         How endpoints have answered lately.
-    speeds : SpeedTable
-        How fast they read.
     policy : PlacementPolicy
         Decides.
     send : callable
@@ -71,7 +68,6 @@
         table: EndpointTable,
         demand: DemandTable,
         health: HealthTable,
-        speeds: SpeedTable,
         policy: PlacementPolicy,
         send: Callable[[PlacementNews | PlacerBeacon], None],
     ) -> None:
@@ -82,7 +78,6 @@
         self._table = table
         self._demand = demand
         self._health = health
-        self._speeds = speeds
         self._policy = policy
         self._send = send
         self._inventories: dict[EndpointId, Inventory] = {}
@@ -223,14 +218,8 @@
             if inventory is None or inventory.is_down:
                 continue
             _, ready_s = self._pending.get(endpoint, (None, now_s))
-            site = Site(
-                row,
-                inventory,
-                self._health.paused_share(endpoint),
-                max(0.0, ready_s - now_s),
-                self._speeds.endpoint_factor(endpoint),
-            )
-            sites.append(site)
+            paused_share = self._health.paused_share(endpoint)
+            sites.append(Site(row, inventory, paused_share, max(0.0, ready_s - now_s)))
         return sites
 
     def _pace(self, service: ServiceName, engine: EngineSpec) -> ColdLoadPace:
--- a/chutelink/entry/rounds.py
+++ b/chutelink/entry/rounds.py
@@ -85,13 +85,6 @@
 """
 PAUSED_WORK = 2.0
 """What it adds when all streams of an endpoint pause too long."""
-SLOW_FACTOR = 1.1
-"""Endpoints that read up to this much slower count as ordinary ones: it is learned."""
-SLOW_WORK = 3.0
-"""What it adds for each time longer that an endpoint reads beyond that.
-
-At one that takes 1.3 times as long, streams pause too long behind one long prompt.
-"""
 CROWDED_MODEL_WORK = 0.1
 """A model asked for less than this is not moved away from busy endpoints."""
 
@@ -196,8 +189,7 @@
             self.outlook.work(model) / max(1, self._replicas(model))
             for model in site.inventory.models
         )
-        slow = max(0.0, site.read_factor - SLOW_FACTOR)
-        return work + PAUSED_WORK * site.paused_share + SLOW_WORK * slow
+        return work + PAUSED_WORK * site.paused_share
 
     def prepare(self, model: ModelName) -> None:
         """Load a model that may soon be asked for more, in advance."""
