--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -23,7 +23,7 @@
 from .http import CallerHttp
 from .lease import PlacerLease
 from .listeners import ACCEPT_QUEUE
-from .loads import SMALL_FLEET, LoadBook
+from .loads import LoadBook
 from .membership import Registration
 from .newsdesk import NewsDesk
 from .pending import PendingTable
@@ -282,8 +282,6 @@
             except TimeoutError:
                 pass
             self.loads.urgent.clear()
-            serving = len(self.directory.serving())
-            self.loads.is_small_fleet = serving <= SMALL_FLEET
             self.known.expire()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable()
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -34,7 +34,7 @@
 LOAD_MARGIN_S = 0.1
 """How much later than announced a load usually is there."""
 DEFAULT_RETRY_S = 0.5
-BACKLOG_MARGIN = 1.1
+BACKLOG_MARGIN = 1.5
 """How much longer than the objective the expected delay must be for a refusal.
 
 Measured: the first event comes after 0.65 to 0.9 of the expected time.
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -9,16 +9,6 @@
 from .endpoints import EndpointTable
 from .news import EndpointLoad, LoadNews, ModelUse, StreamCount
 
-LONG_READ_S = 0.1
-"""A prompt that is read for so long is worth a message of its own.
-
-Two that are sent to one endpoint within a period make both late.
-"""
-SMALL_FLEET = 12
-"""Most daemons that serve where each long prompt is told of by itself.
-
-Messages grow with their number, and so do the requests.
-"""
 MAX_PREFIXES = 64
 """Most prompts told of in one message."""
 
@@ -36,7 +26,6 @@
         self._paused: Counter[EndpointId] = Counter()
         self._told: list[EndpointLoad] = []
         self.urgent = asyncio.Event()
-        self.is_small_fleet = True
 
     def note_arrival(
         self, model: ModelName, adapter: AdapterName, work_s: float
@@ -60,14 +49,10 @@
         self.waiting[model, adapter] -= 1
         self._patient[model] -= is_patient
 
-    def note_prompt(
-        self, endpoint: EndpointId, chain: tuple[int, ...], read_s: float
-    ) -> None:
-        """Keep which endpoint reads a prompt; of a long one the others hear soon."""
+    def note_prompt(self, endpoint: EndpointId, chain: tuple[int, ...]) -> None:
+        """Keep which endpoint reads a prompt."""
         if len(self._prefixes) < MAX_PREFIXES:
             self._prefixes.append((endpoint, list(chain)))
-        if self.is_small_fleet and read_s >= LONG_READ_S:
-            self.urgent.set()
 
     def note_stream(self, endpoint: EndpointId, *, is_paused: bool) -> None:
         """Count a stream that ended."""
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -320,7 +320,7 @@
             factor = exchanges.speeds.endpoint_factor(row.record.id)
             self._read_expected_s = factor * (self._reading_s + before_s)
         exchanges.prefixes.note(row.record.id, chain, now_s)
-        exchanges.loads.note_prompt(row.record.id, chain, self._reading_s)
+        exchanges.loads.note_prompt(row.record.id, chain)
 
     def _note_event(self, sent_s: float) -> None:
         """Note an event and the pause before it; with the first, a prompt is read."""
