--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes capacity chaos bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans capacity chaos bench-setup
 
 setup: $(VENV)/.installed
 
@@ -43,6 +43,9 @@
 changes: setup
 	$(BIN)/chutelink-bench changes
 
+plans: setup
+	$(BIN)/chutelink-bench plans
+
 capacity: setup
 	$(BIN)/chutelink-bench capacity --csv docs/capacity.csv
 
--- a/bench/main.py
+++ b/bench/main.py
@@ -20,6 +20,7 @@
     command.add_argument("--csv", default="", help="write the plotted points")
     command.add_argument("--plot", default="", help="write the plot as PNG")
     commands.add_parser("changes", help="time until a change is in force everywhere")
+    commands.add_parser("plans", help="time of a placement plan by size")
     command = commands.add_parser("capacity", help="slopes for the capacity page")
     command.add_argument("--csv", default="", help="write the raw points")
     return parser
@@ -40,6 +41,10 @@
         from .changes import run_changes
 
         run_changes()
+    elif args.command == "plans":
+        from .plans import run_plans
+
+        run_plans()
     else:
         from .capacity import run_capacity
 
--- /dev/null
+++ b/bench/plans.py
@@ -0,0 +1,111 @@
+"""How long the entry daemon's placer takes for one plan, by endpoints and models."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import msgspec
+
+from chutelink.entry.changes import PlacementView, Site
+from chutelink.entry.config import EngineSpec, ModelSpec
+from chutelink.entry.demand import DemandTable
+from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
+from chutelink.entry.inventory import EndpointReport, Inventory
+from chutelink.entry.news import ModelUse
+from chutelink.entry.placement import DemandPlacement
+from chutelink.ids import (
+    AdapterName,
+    DaemonId,
+    EndpointId,
+    FailureDomainName,
+    ModelName,
+    ServiceName,
+)
+
+SEED = 1
+NOW_S = 100.0
+REPEATS = 5
+MODELS_HELD = 3
+COPIES_KEPT = 6
+MESSAGES = 200
+USES = 5
+DAEMONS = 16
+BUSY_MODELS = 40
+"""Four of five requests are for one of these."""
+COLD_LOADS = 3
+
+
+class PlanSize(msgspec.Struct, frozen=True):
+    """A deployment's endpoints and models."""
+
+    endpoints: int
+    models: int
+
+
+SIZES = (PlanSize(9, 39), PlanSize(30, 131), PlanSize(70, 305), PlanSize(200, 220))
+"""Both deployments of today, both grown ones, and more endpoints."""
+
+
+def _make_engine(size: PlanSize, rng: random.Random) -> EngineSpec:
+    models = {}
+    for number in range(size.models):
+        name = ModelName(f"m{number}")
+        weights_mb = rng.choice((65_100.0, 72_700.0))
+        adapters = tuple(AdapterName(f"a{n}") for n in range(rng.choice((0, 7, 11))))
+        models[name] = ModelSpec(name, weights_mb, 4.0, 0.4, 0.8, adapters, 30.0)
+    return EngineSpec(64, 250_000, 220_000.0, 8, 8.5, models, disk_copies_mb=440_000.0)
+
+
+def _make_site(number: int, models: list[ModelName], rng: random.Random) -> Site:
+    held = dict.fromkeys(rng.sample(models, MODELS_HELD), frozenset())
+    record = EndpointRecord(
+        EndpointId(f"i-{number}"),
+        ServiceName("llm"),
+        "127.0.0.1:1",
+        FailureDomainName("a"),
+        EndpointState.READY,
+        64,
+        held,
+    )
+    inventory = Inventory(record.id)
+    copies = tuple(rng.sample(models, COPIES_KEPT))
+    inventory.take_report(EndpointReport(0, False, held, on_disk=copies), NOW_S)
+    return Site(Endpoint(record), inventory)
+
+
+def make_view(size: PlanSize, rng: random.Random) -> PlacementView:
+    """Return a view in which every endpoint is free and much is asked for.
+
+    That is the longest plan there is; usually few endpoints are free.
+    """
+    engine = _make_engine(size, rng)
+    models = list(engine.models)
+    demand = DemandTable()
+    for message in range(MESSAGES):
+        uses = [
+            ModelUse(
+                rng.choice(models[:BUSY_MODELS] if rng.random() < 0.8 else models),
+                AdapterName(rng.choice(("", "a1", "a2"))),
+                arrivals=1,
+                work_s=0.2,
+                waiting=rng.choice((0, 0, 0, 1)),
+            )
+            for _ in range(USES)
+        ]
+        demand.take(DaemonId(f"d{message % DAEMONS}"), uses, NOW_S)
+    sites = [_make_site(number, models, rng) for number in range(size.endpoints)]
+    return PlacementView(engine, sites, {}, demand, COLD_LOADS, NOW_S)
+
+
+def run_plans() -> None:
+    """Measure each size and print a table."""
+    print("| endpoints | models | changes | ms a plan |")
+    print("| --- | --- | --- | --- |")
+    for size in SIZES:
+        view = make_view(size, random.Random(SEED))
+        started_s = time.perf_counter()
+        for _ in range(REPEATS):
+            changes = DemandPlacement().plan(view)
+        took_ms = (time.perf_counter() - started_s) / REPEATS * 1000
+        print(f"| {size.endpoints} | {size.models} | {len(changes)} | {took_ms:.1f} |")
