--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,147 @@
+"""Stand-in for the prepared machines' metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections import deque
+
+import msgspec
+from aiohttp import web
+
+from .web import FAULTS_PATH, json_response, merge_faults
+
+MAX_KEPT_CHANGES = 1000
+
+
+class StoreFaults(msgspec.Struct, frozen=True):
+    """Faults of the store; the counts are used up one by one."""
+
+    is_out: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+
+
+class StoredRow(msgspec.Struct):
+    """A row as it lies in the store."""
+
+    table: str
+    key: str
+    value: str
+    ver: int
+    part: str = ""
+    tombstone: bool = False
+
+
+class MetadataStore:
+    """Rows with versions from one counter, and a bounded history."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.version = 0
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._history: deque[StoredRow] = deque(maxlen=MAX_KEPT_CHANGES)
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: object) -> int:
+        """Write a row as the operators and endpoints do."""
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        return self._commit([(table, key, data)])
+
+    def remove(self, table: str, key: str) -> int:
+        """Remove a row."""
+        return self._commit([(table, key, None)])
+
+    def forget_history(self) -> None:
+        """Drop all changes so far."""
+        self._history.clear()
+        self._forgotten = self.version
+
+    def _commit(self, changes: list[tuple[str, str, str | None]]) -> int:
+        self.version += 1
+        for table, key, value in changes:
+            row = StoredRow(table, key, value or "", self.version)
+            if value is None:
+                row.tombstone = True
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = row
+            self._history.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the store's calls."""
+        app.router.add_get("/api/rows-get", self.async_get)
+        app.router.add_get("/api/rows-feed", self.async_feed)
+        app.router.add_post("/api/rows-tx", self.async_transact)
+        app.router.add_post(FAULTS_PATH, self.async_faults)
+
+    async def async_faults(self, request: web.Request) -> web.Response:
+        """Switch faults on or off."""
+        self.faults = merge_faults(self.faults, await request.read())
+        return json_response(self.faults)
+
+    async def _async_degrade(self) -> None:
+        self.calls += 1
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.is_out:
+            raise web.HTTPServiceUnavailable(text="outage")
+
+    async def async_get(self, request: web.Request) -> web.Response:
+        """Return the rows of a range of keys."""
+        await self._async_degrade()
+        table = request.query["table"]
+        first = request.query.get("from", "")
+        end = request.query.get("to", "\U0010ffff" * 4)
+        rows = [
+            row
+            for (name, key), row in sorted(self.rows.items())
+            if name == table and first <= key < end
+        ]
+        return json_response({"rows": rows, "truncated": False, "ver": self.version})
+
+    async def async_feed(self, request: web.Request) -> web.Response:
+        """Return changes of a table, waiting for the first one."""
+        await self._async_degrade()
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + int(request.query.get("wait_ms", "0")) / 1000
+        while True:
+            if after < self._forgotten:
+                return web.Response(status=410)
+            changed = [
+                row
+                for row in self._history
+                if row.ver > after and row.table == request.query["table"]
+            ]
+            left_s = end_s - loop.time()
+            if changed or left_s <= 0:
+                return json_response({"rows": changed, "ver": self.version})
+            event = self._changed
+            try:
+                await asyncio.wait_for(event.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    async def async_transact(self, request: web.Request) -> web.Response:
+        """Apply all entries or none."""
+        await self._async_degrade()
+        body = json.loads(await request.read())
+        for check in body["expected_rev"]:
+            row = self.rows.get((check["table"], check["key"]))
+            if (row.ver if row else 0) != check["ver"]:
+                return json_response({"rows": [], "ver": self.version}, status=412)
+        changes = [(e["table"], e["key"], e["value"]) for e in body["set_keys"]]
+        changes += [(e["table"], e["key"], None) for e in body["remove"]]
+        version = self._commit(changes)
+        if self.faults.lose_replies:
+            left = self.faults.lose_replies - 1
+            self.faults = msgspec.structs.replace(self.faults, lose_replies=left)
+            request.transport.abort()
+        return json_response({"ver": version, "now_ms": 0})
--- /dev/null
+++ b/standins/prepared_endpoint.py
@@ -0,0 +1,213 @@
+"""Stand-in for an endpoint of the prepared machines: an engine or a plain server."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+
+import msgspec
+from aiohttp import web
+
+from .web import json_response
+
+STEP_S = 0.005
+NOT_RUN = {"X-Not-Executed": "1"}
+
+
+def reset(request: web.BaseRequest) -> None:
+    """Reset a connection instead of closing it."""
+    sock = request.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    request.transport.abort()
+
+
+class EndpointFaults(msgspec.Struct, frozen=True):
+    """Faults of one endpoint; the counts are used up one by one."""
+
+    refuse: int = 0
+    errors: int = 0
+    foreign: int = 0
+    reset_unframed: int = 0
+    cut_after_events: int = 0
+    cuts: int = 1
+    mute: int = 0
+    cut_orders: int = 0
+
+
+class EndpointStandin:
+    """An engine, or a plain server without models.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    service : str
+        The service that it belongs to.
+    models : dict
+        Resident models with their adapters.
+    load_s : float
+        How long a load takes.
+    """
+
+    def __init__(
+        self, name: str, service: str, models: dict[str, list[str]], load_s: float
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.models = models
+        self.load_s = load_s
+        self.address = ""
+        self.sequence = 0
+        self.is_busy = False
+        self.state = "ready"
+        self.faults = EndpointFaults()
+        self.runs: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.orders: list[dict] = []
+        self.cancelled: list[str] = []
+
+    def make_server(self) -> web.Server:
+        """Return the HTTP server."""
+        return web.Server(self.async_handle, handler_cancellation=True)
+
+    def registration(self) -> dict[str, object]:
+        """Return what it registers of itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "models": self._model_list(),
+            "seq": self.sequence,
+        }
+
+    def _model_list(self) -> list[dict[str, object]]:
+        return [
+            {"name": name, "version": 1, "adapters": adapters}
+            for name, adapters in self.models.items()
+        ]
+
+    def _use_up(self, field: str) -> bool:
+        left = getattr(self.faults, field)
+        if left <= 0:
+            return False
+        self.faults = msgspec.structs.replace(self.faults, **{field: left - 1})
+        return True
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a report, an order or a request."""
+        if request.headers.get("X-Expect-Instance", self.name) != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        if request.path == "/api/report":
+            return json_response(self._report())
+        if request.path == "/api/order":
+            return await self._async_order(request)
+        return await self._async_run(request)
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "models": self._model_list(),
+            "busy": self.is_busy,
+            "seq": self.sequence,
+            "at_hand": {"in_memory": [], "on_disk": []},
+        }
+
+    async def _async_order(self, request: web.BaseRequest) -> web.Response:
+        order = json.loads(await request.read())
+        if self._use_up("cut_orders"):
+            request.transport.abort()
+            return web.Response(status=503)
+        if self.is_busy or order.get("expected_rev", self.sequence) != self.sequence:
+            return web.Response(status=409)
+        self.orders.append(order)
+        self.sequence += 1
+        if "adapter" in order:
+            held = self.models[order["model"]]
+            if order["op"] == "load":
+                held.append(order["adapter"])
+                return web.Response(status=202)
+            held.remove(order["adapter"])
+            return web.Response(status=200)
+        self.is_busy = True
+        delay_s = self.load_s if order["op"] == "load" else 0.0
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._finish, order)
+        return web.Response(status=202)
+
+    def _finish(self, order: dict) -> None:
+        self.is_busy = False
+        if order["op"] == "load":
+            self.models.setdefault(order["model"], [])
+        else:
+            self.models.pop(order["model"], None)
+
+    async def _async_run(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        request_id = request.headers.get("X-Request-Id", "")
+        self.seen.append(dict(request.headers))
+        model, _, adapter = request.headers.get("X-Model", "").partition("/")
+        if model and adapter not in ["", *self.models.get(model, [])]:
+            return web.Response(status=421)
+        if model and model not in self.models:
+            return web.Response(status=421)
+        if self._use_up("refuse"):
+            return web.Response(status=503, headers=NOT_RUN)
+        self.runs.append(request_id)
+        headers = {"X-Request-Id": request_id, "X-Server-Seal": f"seal-{self.name}"}
+        if self._use_up("foreign"):
+            headers["X-Request-Id"] = "another"
+        if self._use_up("mute"):
+            await self._async_until_cancelled(request_id)
+        if self._use_up("errors"):
+            return web.Response(status=500, body=b"own error", headers=headers)
+        if self._use_up("reset_unframed"):
+            return await self._async_reset(request, headers)
+        if model:
+            return await self._async_stream(request, headers)
+        return web.Response(body=b"done " + body, headers=headers)
+
+    async def _async_until_cancelled(self, request_id: str) -> None:
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+
+    async def _async_reset(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answer without a length, then reset the connection."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Connection: close"])
+        request.transport.write(head.encode() + b"\r\n\r\nhalf of")
+        await asyncio.sleep(0.05)
+        reset(request)
+        return web.Response()
+
+    async def _async_stream(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        total = int(request.headers.get("X-Token-Count", "0,5").partition(",")[2])
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        cut = self.faults.cut_after_events if self.faults.cuts else 0
+        try:
+            for number in range(first, total + 1):
+                await asyncio.sleep(STEP_S)
+                if cut and number > cut:
+                    self._use_up("cuts")
+                    await response.write(b"id: 9")
+                    reset(request)
+                    return response
+                await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
+        except asyncio.CancelledError:
+            self.cancelled.append(request.headers.get("X-Request-Id", ""))
+            raise
+        await response.write_eof()
+        return response
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -23,7 +23,9 @@
 from chutelink.entry.stream import StreamRelay
 from chutelink.entry.upstream import Upstream
 from chutelink.platform.adapter import PreparedMachines as Adapter
-from standins.prepared import EndpointStandin, PreparedMachines, make_config
+from standins.prepared import PreparedMachines
+from standins.prepared_config import make_config
+from standins.prepared_endpoint import EndpointStandin
 
 from ..fakes import make_core
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,7 +7,7 @@
 from chutelink.entry.config import RouteKind, RouteTable
 from chutelink.exceptions import ConfigInvalid
 from chutelink.platform.configuration import decode_config
-from standins.prepared import make_config
+from standins.prepared_config import make_config
 
 SERVICES = {"llm": "s-llm", "plain": "s-plain"}
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,7 +18,7 @@
 from chutelink.platform.store import async_setup_store
 from chutelink.settings import PlatformSection
 from chutelink.store import Check, Transaction, Write, async_commit, decode_value
-from standins.prepared import MetadataStore, StoreFaults
+from standins.metadata_store import MetadataStore, StoreFaults
 
 KEY = "own/key"
 
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from standins.prepared import make_config
+from standins.prepared_config import make_config
 
 from .deployment import FAILURES, WAIT_S, Process
 
