--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff format --check .
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PYTEST_ARGS)
 
 SEED ?= 1
 SECONDS ?= 60
