--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff format --check .
 
 test: setup
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest
 
 SEED ?= 1
 SECONDS ?= 60
