Drop what callers ask of endpoints in this system's place

A typed list in the dialect, dropped once where a request is taken in, however often and in whichever case a header is sent; the caller's urgency too. Both new tests failed before.

--- a/chutelink/entry/dialect.py
+++ b/chutelink/entry/dialect.py
@@ -65,6 +65,10 @@
     def decode_request(self, headers: CIMultiDictProxy[str]) -> RequestMeta | None:
         """Return what a request says of itself, or None without an id."""
 
+    @abstractmethod
+    def remove_reserved(self, headers: CIMultiDict[str]) -> None:
+        """Drop what only this system may ask of an endpoint, as a caller sent it."""
+
     @abstractmethod
     def encode_dispatch(self, headers: CIMultiDict[str], dispatch: Dispatch) -> None:
         """Put what the relay adds into the headers for an endpoint."""
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -128,6 +128,8 @@
         service = pick_service(route, table.config.services, self._core.rng)
         if service is None:
             raise unavailable("no service for the route", DEFAULT_RETRY_S)
+        headers = forwarded_headers(request.headers)
+        self._exchanges.dialect.remove_reserved(headers)
         exchange = Exchange(
             meta=meta,
             route=route,
@@ -135,7 +137,7 @@
             method=request.method,
             target=target,
             host=request.headers.get("Host", ""),
-            headers=forwarded_headers(request.headers),
+            headers=headers,
             body=body,
             started_s=started_s,
             deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -17,6 +17,17 @@
 HEADER_URGENCY = "X-Request-Urgency"
 HEADER_SEAL = "X-Server-Seal"
 HEADER_NOT_EXECUTED = "X-Not-Executed"
+RESERVED_HEADERS = (
+    HEADER_EXPECT_INSTANCE,
+    HEADER_URGENCY,
+    # Take a reserved slot, keep or copy the memory of a run, or read another's.
+    "X-Hold",
+    "X-Pin-Ms",
+    "X-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+)
+"""What the system alone may ask of an endpoint; callers send some of them too."""
 HTTP_MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Callers take these as a promise; an endpoint's own hold only with its header."""
@@ -65,6 +76,11 @@
             resume_after=int(last_event) if last_event.isdecimal() else None,
         )
 
+    def remove_reserved(self, headers: CIMultiDict[str]) -> None:
+        """Drop what only this system may ask of an endpoint, however often sent."""
+        for name in RESERVED_HEADERS:
+            headers.popall(name, None)
+
     def encode_dispatch(self, headers: CIMultiDict[str], dispatch: Dispatch) -> None:
         """Put what the relay adds into the headers for an endpoint."""
         headers[HEADER_EXPECT_INSTANCE] = dispatch.endpoint
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -22,6 +22,22 @@
     asyncio.run(async_test())
 
 
+def test_what_only_this_system_may_ask_of_endpoints_is_not_passed_on():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            endpoint = await world.async_add("i-1", "plain")
+            asked = {"X_Hold": "h1", "x_pin_ms": "500", "Kv_From": "10.0.0.1:80/q"}
+            asked |= {"X_Kv_Backup": "10.0.0.1:80", "X_Request_Urgency": "0"}
+            async with world.request("/once/x", **asked) as answer:
+                assert answer.status == 200
+            sent = {name.lower() for name in endpoint.seen[0]}
+            names = {name.replace("_", "-").lower() for name in asked}
+            assert not sent & names
+
+    asyncio.run(async_test())
+
+
 def test_without_a_configuration_requests_are_refused_as_not_run():
     async def async_test():
         async with async_world() as world, world.request("/once/x") as answer:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -79,3 +79,23 @@
     assert sent["X-Expect-Instance"] == "i-1"
     assert (sent["X-Request-Urgency"], sent["Last-Event-Id"]) == ("3", "7")
     assert sent["X-Other"] == "kept"
+
+
+def test_what_only_this_system_may_ask_of_endpoints_is_dropped():
+    sent = CIMultiDict(
+        [
+            ("X-Hold", "h1"),
+            ("x-hold", "h2"),
+            ("X-PIN-MS", "500"),
+            ("X-Kv-Backup", "10.0.0.1:80"),
+            ("KV-FROM", "10.0.0.1:80/h"),
+            ("Kv-Fetch", "10.0.0.1:80"),
+            ("kv-fetch", "10.0.0.2:80"),
+            ("X-Request-Urgency", "0"),
+            ("X-Expect-Instance", "i-9"),
+            ("X-Length-Hint", "40"),
+            ("X-Other", "kept"),
+        ]
+    )
+    DIALECT.remove_reserved(sent)
+    assert list(sent.items()) == [("X-Length-Hint", "40"), ("X-Other", "kept")]
