Send requests where the least is expected to be lost

A pause in a stream cost 1.5 s of delay for twelve seconds, and a full endpoint has no pauses, so all went to it. What an endpoint has under way did not count but for 5 ms, nor did the wait for a place in a full batch. Now the expected loss counts, in requests: first bytes against the objective, pauses by the part of the batch in use, failures.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -31,7 +31,7 @@
 from .placer import Placer
 from .relay import Relay
 from .retries import RetryShare
-from .routing import ExpectedDelay
+from .routing import LeastLoss
 from .state import EntryState
 from .stream import StreamRelay
 from .upstream import Upstream
@@ -178,10 +178,11 @@
             known.health,
             known.prefixes,
             known.speeds,
+            known.durations,
             self.pending,
             self.loads,
             self.retries,
-            ExpectedDelay(known.health, known.prefixes, known.speeds),
+            LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
         )
         relay = Relay(exchanges, self._upstream)
         streams = StreamRelay(self, exchanges, self._upstream, relay)
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -12,6 +12,7 @@
 from ..ids import EndpointId, FailureDomainName, ServiceName
 from .config import Route, ServiceSpec
 from .dialect import Dialect, Dispatch, RequestMeta
+from .durations import DurationTable
 from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .loads import LoadBook
@@ -91,7 +92,7 @@
         The owner.
     dialect : Dialect
         How headers are read and written.
-    table, health, prefixes, speeds, pending, loads, retries
+    table, health, prefixes, speeds, durations, pending, loads, retries
         What is known of endpoints, and what is told of them.
     policy : RoutingPolicy
         Chooses endpoints.
@@ -105,6 +106,7 @@
         health: HealthTable,
         prefixes: PrefixTable,
         speeds: SpeedTable,
+        durations: DurationTable,
         pending: PendingTable,
         loads: LoadBook,
         retries: RetryShare,
@@ -116,6 +118,7 @@
         self.health = health
         self.prefixes = prefixes
         self.speeds = speeds
+        self.durations = durations
         self.pending = pending
         self.loads = loads
         self.retries = retries
@@ -127,7 +130,7 @@
         self.is_closing = True
         self.pending.signal()
 
-    def make_candidate(self, meta: RequestMeta) -> Candidate:
+    def make_candidate(self, meta: RequestMeta, route: Route) -> Candidate:
         """Return what the choice of endpoints needs of a request."""
         tokens = 0
         totals = []
@@ -141,6 +144,7 @@
             chain=hash_chain(meta.model, meta.adapter, meta.prompt),
             chain_tokens=tuple(totals),
             failure_domain=FailureDomainName(self.core.daemon.failure_domain),
+            objective_s=route.objective_s,
         )
 
     def note_arrival(self, exchange: Exchange) -> None:
@@ -150,6 +154,7 @@
         if exchange.service.engine is not None and exchange.meta.model:
             meta = exchange.meta
             work_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
+            self.speeds.note_prompt(work_s)
             self.loads.note_arrival(meta.model, meta.adapter, work_s)
 
     async def async_acquire(self, exchange: Exchange) -> Endpoint:
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -141,7 +141,7 @@
             body=body,
             started_s=started_s,
             deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
-            candidate=self._exchanges.make_candidate(meta),
+            candidate=self._exchanges.make_candidate(meta, route),
         )
         self._exchanges.note_arrival(exchange)
         return exchange
--- a/chutelink/entry/speeds.py
+++ b/chutelink/entry/speeds.py
@@ -17,6 +17,10 @@
 MAX_ERROR = 0.7
 """Largest error, as a logarithm, that one observation counts for."""
 MAX_FACTOR = 5.0
+MIN_TYPICAL_S = 0.001
+"""Where prompts are hardly read at all, their length makes no difference."""
+TYPICAL_STEP = 0.02
+"""Share by which the typical prompt follows each one: some fifty of them."""
 MIN_READ_S = 0.03
 """Shorter reads say more about the network than about the endpoint."""
 
@@ -32,6 +36,13 @@
         self._sizes_mb: dict[ModelName, float] = {}
         self._models: dict[ModelName, float] = {}
         self._endpoints: dict[EndpointId, float] = {}
+        self.typical_read_s = MIN_READ_S
+        """How long an ordinary prompt takes to read."""
+
+    def note_prompt(self, read_s: float) -> None:
+        """Learn how long prompts take to read."""
+        self.typical_read_s += TYPICAL_STEP * (read_s - self.typical_read_s)
+        self.typical_read_s = max(self.typical_read_s, MIN_TYPICAL_S)
 
     def set_sizes(self, sizes_mb: dict[ModelName, float]) -> None:
         """Take in how large the weights of the models are."""
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -11,6 +11,7 @@
 from ..ids import EndpointId
 from .adapter import PlatformAdapter
 from .config import RouteTable
+from .durations import DurationTable
 from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .prefixes import PrefixTable
@@ -38,6 +39,7 @@
         self.health = HealthTable()
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
+        self.durations = DurationTable()
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -210,6 +210,7 @@
         self._reading_s = 0.0
         self._read_expected_s = 0.0
         self._longest_pause_s = 0.0
+        self._first_event_s: float | None = None
 
     async def async_run(
         self, sent_s: float
@@ -243,6 +244,7 @@
                 response.close()
             return self._owner._relay.judge(exchange, row, answer, took_s), answer
         await self._async_pass_on(response, sent_s)
+        self._note_duration()
         limit_s = exchange.route.max_pause_s
         is_paused = 0 < limit_s < self._longest_pause_s
         self._owner._exchanges.loads.note_stream(row.record.id, is_paused=is_paused)
@@ -331,6 +333,8 @@
             exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         caller.last_event_s = now_s
+        if self._first_event_s is None:
+            self._first_event_s = now_s
         if not self._reading_s:
             return
         self.release()
@@ -345,6 +349,13 @@
             exchange.meta.model, endpoint, self._read_expected_s, took_s
         )
 
+    def _note_duration(self) -> None:
+        """Learn how long this part of the stream held a place."""
+        if self._first_event_s is None:
+            return
+        took_s = self._owner._core.clock() - self._first_event_s
+        self._owner._exchanges.durations.note(self._exchange.meta.model, took_s)
+
     def release(self) -> None:
         """Stop counting the prompt as being read."""
         self._row.reading_s = max(0.0, self._row.reading_s - self._reading_s)
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -18,7 +18,7 @@
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.relay import Relay
 from chutelink.entry.retries import RetryShare
-from chutelink.entry.routing import ExpectedDelay
+from chutelink.entry.routing import LeastLoss
 from chutelink.entry.state import EntryState
 from chutelink.entry.stream import StreamRelay
 from chutelink.entry.upstream import Upstream
@@ -52,7 +52,7 @@
 
     async def async_start(self) -> None:
         known = self.known
-        policy = ExpectedDelay(known.health, known.prefixes, known.speeds)
+        policy = LeastLoss(known.health, known.prefixes, known.speeds, known.durations)
         exchanges = Exchanges(
             self.core,
             Adapter().make_dialect(),
@@ -60,6 +60,7 @@
             known.health,
             known.prefixes,
             known.speeds,
+            known.durations,
             self.pending,
             self.loads,
             self.retries,
