Hold requests for a model only as long as an answer can be in time

Requests for streams were held against a deadline of 12 s, though callers leave after 2 s of silence; for an adapter alone, which is there in 14 ms, they were refused after 100 ms. One pure module decides now: word of a load is awaited for an eighth of the objective, or as long as a load from a copy could begin and still be in time; an announced load until the caller would leave; a caller that is sent away is told when any load would be done, not half a second.

--- a/chutelink/entry/config.py
+++ b/chutelink/entry/config.py
@@ -30,7 +30,8 @@
     ``timeout_s`` is the longest time to the end of the answer; ``objective_s``
     the time to the answer, or to the first event of a stream; ``priority`` is 0
     for the most urgent; ``max_endpoints`` how many endpoints one request may be
-    sent to.
+    sent to; ``patience_s`` how long callers wait for a stream's first event, or
+    between two, before they leave, 0 where they wait until their deadline.
     """
 
     name: RouteName
@@ -45,6 +46,7 @@
     is_resumable: bool = False
     has_shared_prompts: bool = False
     max_pause_s: float = 0.0
+    patience_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -22,18 +22,14 @@
 from .routing import Candidate, RoutingPolicy
 from .speeds import SpeedTable
 from .upstream import EndpointCall
+from .waiting import (
+    LOAD_MARGIN_S,
+    RETRY_SHARE,
+    ModelWait,
+    back_in_s,
+    wait_until_s,
+)
 
-ASK_SHARE = 0.25
-"""Share of the objective that a request waits for word of a load.
-
-A refusal within a quarter of the objective leaves the caller time to come back.
-"""
-PATIENT_SHARE = 0.35
-"""Share of the time left that a request waits for its model's turn to be loaded."""
-RETRY_SHARE = 1 / 3
-"""Callers come back at the latest after a third of the time they have left."""
-LOAD_MARGIN_S = 0.1
-"""How much later than announced a load usually is there."""
 DEFAULT_RETRY_S = 0.5
 BACKLOG_MARGIN = 1.5
 """How much longer than the objective the expected delay must be for a refusal.
@@ -78,6 +74,14 @@
         """Whether running it twice does no harm."""
         return self.route.is_repeatable
 
+    @property
+    def first_event_by_s(self) -> float:
+        """When the caller leaves if nothing has come."""
+        patience_s = self.route.patience_s
+        if not patience_s:
+            return self.deadline_s
+        return min(self.deadline_s, self.started_s + patience_s)
+
     def left_s(self, now_s: float) -> float:
         """Return how much time is left."""
         return self.deadline_s - now_s
@@ -208,13 +212,12 @@
 
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         asked_s = self.core.clock()
-        ask_s = asked_s + self._ask_limit_s(exchange, asked_s)
         while True:
-            now_s = self.core.clock()
-            until_s = self._wait_until_s(exchange, ask_s, now_s)
-            if until_s <= now_s:
-                raise self._too_late(exchange, now_s)
-            await self.pending.async_wait(until_s - now_s)
+            wait = self._make_wait(exchange)
+            until_s = wait_until_s(wait)
+            if until_s <= wait.now_s or self.is_closing:
+                raise self._refuse_wait(wait)
+            await self.pending.async_wait(until_s - wait.now_s)
             row = self._choose(exchange)
             if row is not None:
                 self.core.events.record(
@@ -227,48 +230,28 @@
                 )
                 return row
 
-    def _ask_limit_s(self, exchange: Exchange, now_s: float) -> float:
-        """Return how long to wait for word of a load.
-
-        One with time for a cold load waits for its turn: endpoints load one model
-        after the other, and a caller that comes back would only queue anew.
-        """
-        if self._is_patient(exchange):
-            return PATIENT_SHARE * exchange.left_s(now_s)
-        return ASK_SHARE * exchange.route.objective_s
-
-    def _wait_until_s(self, exchange: Exchange, ask_s: float, now_s: float) -> float:
-        """Return how long to wait on; the time itself for not any longer."""
-        meta = exchange.meta
-        if self.is_closing:
-            return now_s
-        ready_s = self.pending.ready_s(meta.model, meta.adapter, now_s)
-        if ready_s is None:
-            return ask_s
-        read_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
-        answer_s = ready_s + read_s
-        in_time_s = exchange.started_s + exchange.route.objective_s
-        if answer_s <= in_time_s:
-            return in_time_s
-        if self._can_come_back(exchange, ready_s, now_s):
-            return now_s
-        if answer_s + LOAD_MARGIN_S < exchange.deadline_s:
-            return exchange.deadline_s
-        return now_s
-
-    def _can_come_back(self, exchange: Exchange, ready_s: float, now_s: float) -> bool:
-        """Return whether the caller would be back soon after the load."""
-        is_early = now_s - exchange.started_s < ASK_SHARE * exchange.route.objective_s
-        back_s = ready_s + LOAD_MARGIN_S - now_s
-        return is_early and back_s < RETRY_SHARE * exchange.left_s(now_s)
-
-    def _too_late(self, exchange: Exchange, now_s: float) -> Refusal:
+    def _make_wait(self, exchange: Exchange) -> ModelWait:
         meta = exchange.meta
-        ready_s = self.pending.ready_s(meta.model, meta.adapter, now_s)
-        if ready_s is None:
-            return unavailable("the model is not loaded", DEFAULT_RETRY_S)
-        back_s = max(DEFAULT_RETRY_S, ready_s + LOAD_MARGIN_S - now_s)
-        return unavailable("the model is being loaded", back_s)
+        now_s = self.core.clock()
+        spec = exchange.service.engine.models[meta.model]
+        # Only the adapter is missing then, which is there within some ms.
+        rows = self.table.of_service(exchange.service.name)
+        is_resident = any(row.holds(meta.model) for row in rows)
+        return ModelWait(
+            now_s=now_s,
+            started_s=exchange.started_s,
+            last_s=exchange.first_event_by_s,
+            objective_s=exchange.route.objective_s,
+            read_s=self.speeds.read_s(meta.model, meta.prompt_tokens),
+            copy_load_s=0.0 if is_resident else spec.disk_load_s,
+            cold_load_s=0.0 if is_resident else spec.cold_load_s,
+            ready_s=self.pending.ready_s(meta.model, meta.adapter, now_s),
+        )
+
+    def _refuse_wait(self, wait: ModelWait) -> Refusal:
+        is_loading = wait.ready_s is not None
+        reason = "is being loaded" if is_loading else "is not loaded"
+        return unavailable(f"the model {reason}", back_in_s(wait))
 
     def _may_be_loaded(self, exchange: Exchange) -> bool:
         engine = exchange.service.engine
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -26,6 +26,11 @@
     "streaming": RouteKind.STREAMING,
 }
 
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+"""Callers leave a stream that is silent for the longest of the three."""
+
 
 class _WireBackend(msgspec.Struct):
     """One of the services that a route is split over."""
@@ -150,13 +155,16 @@
                 step="config.route",
                 peer=wire.name,
             )
+    objective_s = wire.slo_ms / MS_PER_S
+    max_pause_s = wire.gap_target_ms / MS_PER_S
+    is_stream = kind is RouteKind.STREAMING
     return Route(
         name=RouteName(wire.name),
         host=wire.host,
         prefix=wire.prefix,
         kind=kind,
         timeout_s=wire.timeout_ms / MS_PER_S,
-        objective_s=wire.slo_ms / MS_PER_S,
+        objective_s=objective_s,
         priority=wire.priority,
         max_endpoints=max(1, wire.attempts),
         services=tuple(
@@ -164,7 +172,17 @@
         ),
         is_resumable=wire.resumable,
         has_shared_prompts=wire.sticky,
-        max_pause_s=wire.gap_target_ms / MS_PER_S,
+        max_pause_s=max_pause_s,
+        patience_s=_patience_s(objective_s, max_pause_s) if is_stream else 0.0,
+    )
+
+
+def _patience_s(objective_s: float, max_pause_s: float) -> float:
+    """Return how long these callers wait for the next event of a stream."""
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_OBJECTIVES * objective_s,
+        PATIENCE_PAUSES * max_pause_s,
     )
 
 
