Refuse at a stop what could not end before the grace is over

Connections now end with the stream, and a stopping daemon refuses, when it reads it, what would not end in time by what streams were seen to last; the caller goes elsewhere at once. Both tests failed before, the second for want of the method. A cut by this daemon is logged as cut_at_stop, no longer as a caller that left.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -294,6 +294,7 @@
     async def async_drain(self) -> None:
         """Leave: out of the answers first, then no new connections, then stop."""
         grace_end_s = self.clock() + self.settings.entry.grace_s - STOP_MARGIN_S
+        self.callers.end_by(grace_end_s)
         self.mesh.announce_leaving()
         await self.lease.async_release()
         kept_s = KEPT_ANSWER_FACTOR * self.settings.entry.address_valid_s
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -13,6 +13,7 @@
 from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges, pick_service
 from .relay import Relay
 from .requestlog import RequestLog, RequestResult
+from .stopping import ELSEWHERE_RETRY_S, can_end
 from .stream import CallerStream, StreamRelay
 from .upstream import WholeResponse, forwarded_headers
 
@@ -67,8 +68,13 @@
         self._is_ready = is_ready
         self._first_s = core.clock()
         self._log = RequestLog(core)
+        self._ends_s: float | None = None
         self.in_flight = 0
 
+    def end_by(self, ends_s: float) -> None:
+        """Take only what can end by then: this daemon stops."""
+        self._ends_s = ends_s
+
     def stop_waiting(self) -> None:
         """Refuse the requests that no endpoint has got yet."""
         self._exchanges.stop_waiting()
@@ -90,8 +96,8 @@
             reason = refusal.title
             response = self._refuse(refusal)
         except (ConnectionError, asyncio.CancelledError):
-            # The caller has left; nothing can be told any more.
-            outcome = "caller_gone"
+            # Nothing can be told any more.
+            outcome = "cut_at_stop" if self._is_cut(request) else "caller_gone"
             raise
         finally:
             self.in_flight -= 1
@@ -143,15 +149,37 @@
             deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
             candidate=self._exchanges.make_candidate(meta, route),
         )
+        self._check_stop(exchange)
         self._exchanges.note_arrival(exchange)
         return exchange
 
+    def _check_stop(self, exchange: Exchange) -> None:
+        """Refuse what this daemon could not see to its end before it stops.
+
+        Raises
+        ------
+        Refusal
+            Another daemon may serve it.
+        """
+        if self._ends_s is None:
+            return
+        left_s = self._ends_s - self._core.clock()
+        stream_s = self._exchanges.durations.mean_s(exchange.meta.model)
+        if not can_end(exchange.route, left_s, stream_s):
+            raise unavailable("this daemon is stopping", ELSEWHERE_RETRY_S)
+
     async def _async_until_ready(self) -> None:
         """Wait while this daemon has just started: the store answers in a moment."""
         end_s = self._first_s + START_WAIT_S
         while not self._is_ready() and self._core.clock() < end_s:
             await asyncio.sleep(START_POLL_S)
 
+    def _is_cut(self, request: web.BaseRequest) -> bool:
+        """Return whether this daemon ends while the caller still waits."""
+        if self._ends_s is None or self._core.clock() < self._ends_s:
+            return False
+        return request.transport is not None and not request.transport.is_closing()
+
     def _check_size(self, request: web.BaseRequest, limits: CallerLimits) -> None:
         header_bytes = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
         if header_bytes > limits.max_header_bytes:
@@ -190,7 +218,7 @@
     ) -> web.StreamResponse:
         if not exchange.route.is_stream:
             return self._respond(await self._relay.async_whole(exchange))
-        caller = CallerStream(request, self._core.is_draining)
+        caller = CallerStream(request, self._core)
         result = await self._streams.async_relay(exchange, caller)
         if isinstance(result, WholeResponse):
             return self._respond(result)
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -40,13 +40,13 @@
     ----------
     request : web.BaseRequest
         The caller's request.
-    is_last : bool
-        Whether the connection is to be closed afterwards.
+    core : Application
+        While it drains, connections are closed after their answers.
     """
 
-    def __init__(self, request: web.BaseRequest, is_last: bool) -> None:
+    def __init__(self, request: web.BaseRequest, core: Application) -> None:
         self._request = request
-        self._is_last = is_last
+        self._core = core
         self._response: web.StreamResponse | None = None
         self.events = 0
         self.last_event_s: float | None = None
@@ -61,7 +61,7 @@
         if self._response is not None:
             return
         response = web.StreamResponse(status=status, headers=headers)
-        if self._is_last:
+        if self._core.is_draining:
             response.force_close()
         self._response = response
         await response.prepare(self._request)
@@ -73,6 +73,9 @@
 
     async def async_finish(self) -> web.StreamResponse:
         """End the answer as complete."""
+        if self._core.is_draining:
+            # Begun before the stop: its headers have promised a kept connection.
+            self._response.force_close()
         await self._response.write_eof()
         return self._response
 
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -238,3 +238,43 @@
             assert works_s[1] > 2 * read_s
 
     asyncio.run(async_test())
+
+
+def test_a_connection_ends_with_the_stream_that_was_begun_before_a_stop():
+    """Else its caller would send another request to a daemon that ends."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await world.async_add("i-1", "llm", {"m0": []})
+            host, _, port = world.url.removeprefix("http://").partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = ["POST /stream/x HTTP/1.1", "Host: a.example", "X-Request-Id: q1"]
+            lines += ["X-Deadline-Ms: 3000", "X-Model: m0", "Content-Length: 0"]
+            lines += [f"X-Token-Count: 10,{EVENTS}", "", ""]
+            writer.write("\r\n".join(lines).encode())
+            await reader.readuntil(b"id: 1\n")
+            world.core.is_draining = True
+            async with asyncio.timeout(5):
+                rest = await reader.read()
+            assert b"id: %d\n" % EVENTS in rest and rest.endswith(b"0\r\n\r\n")
+            writer.close()
+
+    asyncio.run(async_test())
+
+
+def test_a_daemon_that_ends_refuses_what_could_not_end_before():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await world.async_add("i-1", "llm", {"m0": []})
+            world.known.durations.note("m0", 2.0)
+            world.http.end_by(world.core.clock() + 2.0)
+            async with world.request("/stream/x", **headers()) as answer:
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) < 0.1
+            world.http.end_by(world.core.clock() + 8.0)
+            async with world.request("/stream/x", "q2", **headers()) as answer:
+                assert await answer.read() == expected()
+
+    asyncio.run(async_test())
