Count loads from the weight store by window; wait for orders with fewer reports

Loads of a former holder are counted as they were announced; where nothing is known of it, its window is taken to be full. An unload that waits for streams was given up after 3 s, though its endpoint takes no order until they have ended; it is waited for.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -164,6 +164,7 @@
             self.demand,
             self.known.health,
             self.known.durations,
+            self.pending,
             ValuePlacement(),
             self.news.send,
         )
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -107,12 +107,16 @@
 
 
 class PendingLoad(msgspec.Struct, frozen=True, array_like=True):
-    """A load that was ordered or is decided, and when it should be done."""
+    """A load that was ordered or is decided, and when it should be done.
+
+    ``is_cold`` says that it comes from the weight store.
+    """
 
     endpoint: EndpointId
     model: ModelName
     adapter: AdapterName
     ready_in_s: float
+    is_cold: bool = False
 
 
 class PlacementNews(msgspec.Struct, frozen=True, tag="placement"):
--- a/chutelink/entry/orders.py
+++ b/chutelink/entry/orders.py
@@ -18,8 +18,17 @@
 CLOSE_LEAD_S = 0.03
 """Time for the others to hear of a model that closes before it is unloaded."""
 CHECK_PERIOD_S = 0.05
-"""Pause between reports while waiting for an order's end; reports lag 0.1 s."""
-UNLOAD_LIMIT_S = 3.0
+"""Shortest pause between reports while waiting for an order's end."""
+CHECK_SHARE = 0.15
+"""Pause between reports, as a share of the time waited: each is charged for."""
+MAX_LAG_S = 0.5
+LAG_STEP = 0.2
+"""Share of an error that the learned lag of reports takes over."""
+UNLOAD_LIMIT_S = 20.0
+"""An endpoint ends the streams of a model before it gives the model up.
+
+It takes no other order meanwhile, so that giving up on it gains nothing.
+"""
 ADAPTER_LIMIT_S = 0.4
 """How long to wait for an adapter that turned out to be in use."""
 LOAD_LIMIT_FACTOR = 4.0
@@ -61,6 +70,7 @@
         self._client = client
         self._table = table
         self._engine_of = engine_of
+        self._lag_s = 0.0
 
     async def async_report(self, inventory: Inventory) -> None:
         """Read an endpoint's report into its inventory.
@@ -98,7 +108,7 @@
         for model in change.unload_models:
             await self._async_order(inventory, row, OrderAction.UNLOAD, model)
             show_models(row, inventory)
-            await self._async_until_idle(inventory, UNLOAD_LIMIT_S)
+            await self._async_until_idle(inventory, UNLOAD_LIMIT_S, row.running(model))
         await self._async_order(
             inventory, row, OrderAction.LOAD, change.model, change.adapter
         )
@@ -222,14 +232,24 @@
             "adapter still in use", step="order.wait", peer=inventory.endpoint
         )
 
-    async def _async_until_idle(self, inventory: Inventory, limit_s: float) -> None:
-        """Wait until no order is under way."""
-        end_s = self._core.clock() + limit_s
-        while self._core.clock() < end_s:
+    async def _async_until_idle(
+        self, inventory: Inventory, limit_s: float, running: int = 0
+    ) -> None:
+        """Wait until no order is under way, by its time or by what is running."""
+        started_s = self._core.clock()
+        await asyncio.sleep(self._lag_s)
+        while True:
             await self.async_report(inventory)
+            waited_s = self._core.clock() - started_s
             if not inventory.is_busy:
-                return
-            await asyncio.sleep(CHECK_PERIOD_S)
-        raise EndpointUnreachable(
-            "order not done in time", step="order.wait", peer=inventory.endpoint
-        )
+                break
+            if waited_s >= limit_s:
+                raise EndpointUnreachable(
+                    "order not done in time",
+                    step="order.wait",
+                    peer=inventory.endpoint,
+                )
+            await asyncio.sleep(max(CHECK_PERIOD_S, CHECK_SHARE * waited_s))
+        if not running:
+            lag_s = min(MAX_LAG_S, max(0.0, waited_s - CHECK_PERIOD_S))
+            self._lag_s += LAG_STEP * (lag_s - self._lag_s)
--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from ..ids import AdapterName, ModelName
+from ..ids import AdapterName, EndpointId, ModelName
 from .endpoints import NO_ADAPTER
 from .news import PendingLoad
 
@@ -17,6 +17,9 @@
 A placer announces a late load anew; what is not announced any more is not waited for.
 """
 
+COLD_KEPT_S = 30.0
+"""How long the begin of a cold load is kept; operators count over some seconds."""
+
 
 class PendingTable:
     """When models and adapters should be there, and a signal of every change."""
@@ -24,6 +27,7 @@
     def __init__(self) -> None:
         self._ready_s: dict[tuple[ModelName, AdapterName], float] = {}
         self._older_s: dict[tuple[ModelName, AdapterName], float] = {}
+        self._cold_s: dict[tuple[EndpointId, ModelName], float] = {}
         self._term = 0
         self._heard_s = float("-inf")
         self._changed = asyncio.Event()
@@ -47,8 +51,23 @@
             key = (load.model, load.adapter)
             ready_s = now_s + load.ready_in_s
             self._ready_s[key] = min(ready_s, self._ready_s.get(key, ready_s))
+        self._note_cold(loads, now_s)
         self.signal()
 
+    def _note_cold(self, loads: list[PendingLoad], now_s: float) -> None:
+        self._cold_s = {
+            key: begun_s
+            for key, begun_s in self._cold_s.items()
+            if now_s - begun_s < COLD_KEPT_S
+        }
+        for load in loads:
+            if load.is_cold:
+                self._cold_s.setdefault((load.endpoint, load.model), now_s)
+
+    def cold_begun_s(self) -> list[float]:
+        """Return when loads from the weight store began, the oldest first."""
+        return sorted(self._cold_s.values())
+
     def signal(self) -> None:
         """Let everything that waits look again."""
         self._changed.set()
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -22,6 +22,7 @@
 from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
 from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
+from .pending import PendingTable
 from .placement import PlacementPolicy
 
 TICK_S = 0.05
@@ -29,8 +30,14 @@
 """Shortest time between two reports of an endpoint that others can't reach."""
 DOWN_RETRY_S = 0.4
 """How often an endpoint that does not answer is asked again."""
-REPORT_PERIOD_S = 1.0
-"""Reports are charged for; between them orders keep the inventory up to date."""
+REPORT_PERIOD_S = 4.0
+"""Reports are charged for, and orders keep the inventory up to date.
+
+An endpoint that is gone shows by requests that don't reach it, or by its
+registration, which lapses after as long.
+"""
+FIRST_TERM = 1
+"""Before it there was no holder."""
 ANNOUNCE_PERIOD_S = 0.4
 """The holder's sign of life; three are missed before others look at the lease."""
 TELL_ALL_PERIOD_S = 5.0
@@ -58,6 +65,8 @@
         How endpoints have answered lately.
     durations : DurationTable
         How long streams take.
+    pending : PendingTable
+        Loads that were announced, by former holders too.
     policy : PlacementPolicy
         Decides.
     send : callable
@@ -73,6 +82,7 @@
         demand: DemandTable,
         health: HealthTable,
         durations: DurationTable,
+        pending: PendingTable,
         policy: PlacementPolicy,
         send: Callable[[PlacementNews | PlacerBeacon], None],
     ) -> None:
@@ -85,6 +95,7 @@
         self._health = health
         self._durations = durations
         self._loss_rates: dict[ServiceName, LossRate] = {}
+        self._pending_table = pending
         self._policy = policy
         self._send = send
         self._inventories: dict[EndpointId, Inventory] = {}
@@ -92,6 +103,7 @@
         self._paces: dict[ServiceName, ColdLoadPace] = {}
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
+        self._created_s = core.clock()
         self._term = 0
         self._told: dict[EndpointId, EndpointPlacement] = {}
         self._told_all_s = float("-inf")
@@ -254,11 +266,22 @@
                 engine.cold_loads_per_s,
                 self.cold_load_window_s,
                 self.cold_load_excess,
-                self._core.clock(),
             )
+            self._count_former_loads(pace)
             self._paces[service] = pace
         return pace
 
+    def _count_former_loads(self, pace: ColdLoadPace) -> None:
+        """Count the loads that a former holder began, as far as they may matter."""
+        if self._term == FIRST_TERM:
+            return
+        is_heard = self._core.clock() - self._created_s > self.cold_load_window_s
+        if not is_heard:
+            pace.assume_full(self._created_s)
+            return
+        for begun_s in self._pending_table.cold_begun_s():
+            pace.take(begun_s)
+
     def _loading(self) -> dict[tuple[ModelName, AdapterName], int]:
         counts: dict[tuple[ModelName, AdapterName], int] = {}
         for change, _ in self._pending.values():
@@ -330,6 +353,7 @@
                 change.model,
                 change.adapter,
                 max(0.0, ready_s - now_s),
+                change.is_cold,
             )
             for change, ready_s in self._pending.values()
         ]
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -21,6 +21,7 @@
     OrderAnswer,
 )
 from chutelink.entry.news import ModelUse, PlacementNews
+from chutelink.entry.pending import PendingTable
 from chutelink.entry.placement import DemandPlacement
 from chutelink.entry.placer import Placer
 from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
@@ -130,6 +131,7 @@
             self.demand,
             HealthTable(),
             DurationTable(),
+            PendingTable(),
             DemandPlacement(),
             self._keep,
         )
