--- a/bench/main.py
+++ b/bench/main.py
@@ -21,6 +21,9 @@
     command.add_argument("--plot", default="", help="write the plot as PNG")
     commands.add_parser("changes", help="time until a change is in force everywhere")
     commands.add_parser("plans", help="time of a placement plan by size")
+    command = commands.add_parser("account", help="where requests were lost, by logs")
+    command.add_argument("logs", nargs="+", help="logs of entry daemons")
+    command.add_argument("--plot", default="", help="write the plot as PNG")
     command = commands.add_parser("capacity", help="slopes for the capacity page")
     command.add_argument("--csv", default="", help="write the raw points")
     return parser
@@ -45,6 +48,10 @@
         from .plans import run_plans
 
         run_plans()
+    elif args.command == "account":
+        from .account import run_account
+
+        run_account(args.logs, args.plot)
     else:
         from .capacity import run_capacity
 
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -216,7 +216,7 @@
             wait = self._make_wait(exchange)
             until_s = wait_until_s(wait)
             if until_s <= wait.now_s or self.is_closing:
-                raise self._refuse_wait(wait)
+                raise self._refuse_wait(exchange, wait)
             await self.pending.async_wait(until_s - wait.now_s)
             row = self._choose(exchange)
             if row is not None:
@@ -234,9 +234,7 @@
         meta = exchange.meta
         now_s = self.core.clock()
         spec = exchange.service.engine.models[meta.model]
-        # Only the adapter is missing then, which is there within some ms.
-        rows = self.table.of_service(exchange.service.name)
-        is_resident = any(row.holds(meta.model) for row in rows)
+        is_resident = self._is_resident(exchange)
         return ModelWait(
             now_s=now_s,
             started_s=exchange.started_s,
@@ -248,10 +246,16 @@
             ready_s=self.pending.ready_s(meta.model, meta.adapter, now_s),
         )
 
-    def _refuse_wait(self, wait: ModelWait) -> Refusal:
+    def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
+        what = "adapter" if self._is_resident(exchange) else "model"
         is_loading = wait.ready_s is not None
         reason = "is being loaded" if is_loading else "is not loaded"
-        return unavailable(f"the model {reason}", back_in_s(wait))
+        return unavailable(f"the {what} {reason}", back_in_s(wait))
+
+    def _is_resident(self, exchange: Exchange) -> bool:
+        """Return whether only the adapter is missing, which is there in some ms."""
+        rows = self.table.of_service(exchange.service.name)
+        return any(row.holds(exchange.meta.model) for row in rows)
 
     def _may_be_loaded(self, exchange: Exchange) -> bool:
         engine = exchange.service.engine
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -99,6 +99,7 @@
                 "first_event_s": exchange.first_event_s,
                 "expected_s": exchange.expected_s,
                 "longest_pause_s": exchange.longest_pause_s,
+                "max_pause_s": exchange.route.max_pause_s,
             }
         if self._left_out:
             fields["good_left_out"] = self._left_out
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load and experiment tool."""
