Weigh requests by how little time they leave for a load; plan with all reports

Requests now count by the part of their objective that a load from a copy takes; a plan waits for all reports; what a former holder announced is known.

--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -29,7 +29,8 @@
     """Load a model or adapter at an endpoint, after unloading what is named.
 
     ``load_s`` is how long the load should take; ``is_cold`` says that it needs
-    the weight store. ``value`` is what it is expected to gain, in requests.
+    the weight store, ``drain_s`` how long the unloads should take before it.
+    ``value`` is what it is expected to gain, in requests.
     """
 
     endpoint: EndpointId
@@ -41,6 +42,7 @@
     is_cold: bool = False
     reason: ChangeReason = ChangeReason.ASKED
     value: float = 0.0
+    drain_s: float = 0.0
 
 
 class Site(msgspec.Struct, frozen=True):
--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -20,12 +20,14 @@
 class Use(msgspec.Struct):
     """Use of one model or adapter.
 
-    ``work_per_s`` is seconds of an engine's time asked for a second; ``asks``
-    counts arrivals and fades slowly.
+    ``work_per_s`` is seconds of an engine's time asked for a second, ``urgent_per_s``
+    counts arrivals by how little time they leave for a load; ``asks`` counts
+    arrivals and fades slowly.
     """
 
     work_per_s: float = 0.0
     arrivals_per_s: float = 0.0
+    urgent_per_s: float = 0.0
     asks: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
@@ -36,6 +38,7 @@
         factor = math.exp(-elapsed_s / AVERAGE_S)
         self.work_per_s *= factor
         self.arrivals_per_s *= factor
+        self.urgent_per_s *= factor
         self.asks *= math.exp(-elapsed_s / ASKS_S)
         self.updated_s = now_s
 
@@ -45,6 +48,7 @@
 
     work_per_s: float = 0.0
     arrivals_per_s: float = 0.0
+    urgent_per_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
 
@@ -73,6 +77,7 @@
             use.decay(now_s)
             use.work_per_s += news.work_s / AVERAGE_S
             use.arrivals_per_s += news.arrivals / AVERAGE_S
+            use.urgent_per_s += news.urgent / AVERAGE_S
             use.asks += news.arrivals
             if news.arrivals:
                 use.last_arrival_s = now_s
@@ -87,6 +92,7 @@
             total = totals.setdefault(name, ModelDemand())
             total.work_per_s += use.work_per_s
             total.arrivals_per_s += use.arrivals_per_s
+            total.urgent_per_s += use.urgent_per_s
             total.last_arrival_s = max(total.last_arrival_s, use.last_arrival_s)
         return totals
 
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -14,13 +14,13 @@
 from .config import EngineSpec, RoutingConfig
 from .demand import DemandTable
 from .durations import DurationTable
-from .endpoints import EndpointTable
+from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
 from .loss import LossRate
 from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
-from .orders import CLOSE_LEAD_S, OrderDesk
+from .orders import OrderDesk
 from .pace import ColdLoadPace
 from .pending import PendingTable
 from .placement import PlacementPolicy
@@ -209,8 +209,9 @@
         self.wake()
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
-        sites = self._sites(service)
-        if not any(site.inventory.is_known for site in sites):
+        sites = self._sites(service, engine)
+        if not sites or not all(site.inventory.is_known for site in sites):
+            # What an endpoint holds that has not reported would be loaded again.
             return
         pace = self._pace(service, engine)
         now_s = self._core.clock()
@@ -229,28 +230,43 @@
                 pace.take(now_s)
             self._begin(change)
 
-    def _sites(self, service: ServiceName) -> list[Site]:
+    def _sites(self, service: ServiceName, engine: EngineSpec) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
-        now_s = self._core.clock()
         sites = []
         for row in self._table.of_service(service):
             endpoint = row.record.id
             inventory = self._inventories.get(endpoint)
             if inventory is None or inventory.is_down:
                 continue
-            change, ready_s = self._pending.get(endpoint, (None, now_s))
-            is_model = change is not None and not change.adapter
-            sites.append(
-                Site(
-                    row,
-                    inventory,
-                    paused_share=self._health.paused_share(endpoint),
-                    free_in_s=max(0.0, ready_s - now_s),
-                    loading_model=change.model if is_model else None,
-                )
-            )
+            sites.append(self._site(row, inventory, engine))
         return sites
 
+    def _site(self, row: Endpoint, inventory: Inventory, engine: EngineSpec) -> Site:
+        """Return an endpoint with what is known of the change that it carries out.
+
+        Of one that a former holder began, what that one announced is known.
+        """
+        now_s = self._core.clock()
+        endpoint = row.record.id
+        free_in_s, model = 0.0, None
+        change, ready_s = self._pending.get(endpoint, (None, now_s))
+        if change is not None:
+            free_in_s = max(0.0, ready_s - now_s)
+            model = None if change.adapter else change.model
+        elif inventory.is_busy:
+            announced = self._pending_table.model_load(endpoint)
+            model = None if announced is None else announced.model
+            ready_s = 0.0 if announced is None else announced.ready_s
+            longest_s = max((m.cold_load_s for m in engine.models.values()), default=0)
+            free_in_s = ready_s - now_s if ready_s > now_s else longest_s
+        return Site(
+            row,
+            inventory,
+            paused_share=self._health.paused_share(endpoint),
+            free_in_s=free_in_s,
+            loading_model=model,
+        )
+
     def _losses(
         self, service: ServiceName, sites: list[Site], now_s: float
     ) -> LossRate:
@@ -295,8 +311,7 @@
     def _begin(self, change: Change) -> None:
         inventory = self._inventories[change.endpoint]
         inventory.is_changing = True
-        unload_s = CLOSE_LEAD_S * bool(change.unload_models)
-        ready_s = self._core.clock() + change.load_s + unload_s
+        ready_s = self._core.clock() + change.drain_s + change.load_s
         self._pending[change.endpoint] = (change, ready_s)
         self._core.events.record(
             "placement_begun",
--- a/chutelink/entry/valuation.py
+++ b/chutelink/entry/valuation.py
@@ -32,6 +32,8 @@
 """What it costs to lose the only copy of a model: its next request is too late."""
 DRAIN_STREAMS = 2.0
 """How long an unload waits for streams under way, in mean streams: the longest."""
+UNLOAD_S = 0.2
+"""How long it takes to unload what nobody uses, and to hear of it."""
 WAIT_MARGIN_S = 0.3
 """What a change usually takes longer than planned: reports, requests under way."""
 MAX_RARE_SHARE = 0.45
@@ -182,10 +184,8 @@
 
     def _forecast(self, spec: ModelSpec) -> Forecast | None:
         work = self.outlook.likely_work(spec.name)
-        arrivals = max(
-            self.outlook.arrivals(spec.name), work / self.outlook.work_per_request
-        )
-        if arrivals <= 0:
+        arrivals = self.outlook.urgent(spec.name)
+        if work <= 0 and arrivals <= 0:
             return None
         copies = sum(site.inventory.keeps(spec.name) for site in self._view.sites)
         reload_s = spec.disk_load_s if copies > 1 else spec.cold_load_s
@@ -219,6 +219,7 @@
             load_s=load_s,
             is_cold=is_cold,
             reason=self._reason(spec.name),
+            drain_s=self._drain_s(unload, site),
         )
         value = self._value(change, site)
         if value <= 0:
@@ -234,7 +235,7 @@
         loss.remove(change.model, endpoint)
         for model in change.unload_models:
             loss.add(model, endpoint)
-        ready_s = change.load_s + self._drain_s(change, site)
+        ready_s = change.drain_s + change.load_s
         value = gain * max(0.0, self._horizon_s - ready_s) - harm * self._horizon_s
         if not is_held:
             value += self._served_waiting(change)
@@ -246,10 +247,11 @@
             return self._waiting.get(change.model, 0)
         return self._view.demand.patient(change.model, self._view.now_s)
 
-    def _drain_s(self, change: Change, site: Site) -> float:
-        """Return how long the unloads wait for requests under way."""
-        is_running = any(map(site.endpoint.running, change.unload_models))
-        return DRAIN_STREAMS * self._view.stream_s if is_running else 0.0
+    def _drain_s(self, unload: tuple[ModelName, ...], site: Site) -> float:
+        """Return how long the unloads take: each waits for requests under way."""
+        if any(map(site.endpoint.running, unload)):
+            return DRAIN_STREAMS * self._view.stream_s
+        return UNLOAD_S * len(unload)
 
     def _lost_only_copies(self, change: Change) -> int:
         """Return how many models lose the only copy of their weights."""
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -20,7 +20,7 @@
     OrderAction,
     OrderAnswer,
 )
-from chutelink.entry.news import ModelUse, PlacementNews
+from chutelink.entry.news import ModelUse, PendingLoad, PlacementNews
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.placement import DemandPlacement
 from chutelink.entry.placer import Placer
@@ -354,3 +354,37 @@
     inventory.take_report(EndpointReport(3, False, {"m0": frozenset()}), 0.0)
     inventory.take_report(EndpointReport(2, False, {"m1": frozenset()}), 1.0)
     assert set(inventory.models) == {"m0"}
+
+
+def test_nothing_is_planned_before_all_endpoints_have_reported():
+    """What one holds that has not reported yet would be loaded a second time."""
+
+    async def async_test():
+        world = World(("m7",))
+        other = ScriptedEngine(("m1",))
+        world.add("i-2", other)
+        for _ in range(2):
+            await world.async_tick(0.1)
+        world.placer._inventories["i-2"].sequence = -1
+        world.placer._inventories["i-2"].is_changing = True
+        world.want("m1")
+        await world.async_tick(0.1)
+        assert not any(order.model == "m1" for order in world.engine.orders)
+
+    run(async_test)
+
+
+def test_the_load_that_a_former_holder_began_is_known():
+    async def async_test():
+        world = World(("m0",))
+        await world.async_start()
+        load = PendingLoad(NOBODY, "m1", "", 4.0)
+        world.placer._pending_table.take([load], 1, world.core.now_s)
+        inventory = world.placer._inventories[NOBODY]
+        engine = make_engine()
+        assert world.placer._sites("llm", engine)[0].loading_model is None
+        inventory.is_busy = True
+        site = world.placer._sites("llm", engine)[0]
+        assert (site.loading_model, site.free_in_s) == ("m1", 4.0)
+
+    run(async_test)
