--- a/chutelink/entry/valuation.py
+++ b/chutelink/entry/valuation.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import heapq
-import itertools
 import math
 
 import msgspec
@@ -50,6 +49,19 @@
     change: Change
 
 
+class _Entry(msgspec.Struct, frozen=True, order=True):
+    """An option in a heap, the best first, and after how many changes it was weighed.
+
+    Each is weighed once after a change: values that differ by rounding only would
+    else be weighed in turn for ever.
+    """
+
+    negative_value: float
+    number: int
+    taken: int
+    option: _Option
+
+
 class _Victim(msgspec.Struct, frozen=True, order=True):
     """A model that may give way; ``harm`` is in requests lost a second."""
 
@@ -103,28 +115,36 @@
 
     def improve(self) -> None:
         """Make the changes that are worth most, until none is worth its cost."""
-        count = itertools.count()
         heap = [
-            (-option.value, next(count), option)
-            for spec in self._candidates()
-            for site in self._free.values()
-            if (option := self._option(spec, site)) is not None
+            _Entry(-option.value, number, 0, option)
+            for number, option in enumerate(self._options())
         ]
         heapq.heapify(heap)
+        taken = 0
         while heap:
-            _, _, option = heapq.heappop(heap)
-            site = self._free.get(option.change.endpoint)
+            entry = heapq.heappop(heap)
+            site = self._free.get(entry.option.change.endpoint)
             if site is None:
                 continue
+            if entry.taken == taken:
+                self._take(entry.option)
+                taken += 1
+                continue
             # Worth less, or more, since another change was made.
-            spec = self._view.engine.models[option.change.model]
+            spec = self._view.engine.models[entry.option.change.model]
             fresh = self._option(spec, site)
-            if fresh is None:
-                continue
-            if heap and fresh.value < -heap[0][0]:
-                heapq.heappush(heap, (-fresh.value, next(count), fresh))
-                continue
-            self._take(fresh)
+            if fresh is not None:
+                entry = _Entry(-fresh.value, entry.number, taken, fresh)
+                heapq.heappush(heap, entry)
+
+    def _options(self) -> list[_Option]:
+        """Return every change that is worth its cost by itself."""
+        return [
+            option
+            for spec in self._candidates()
+            for site in self._free.values()
+            if (option := self._option(spec, site)) is not None
+        ]
 
     def spread(self) -> None:
         """Before any demand, fetch models of whose weights no endpoint has a copy.
--- a/tests/entry/test_valuation.py
+++ b/tests/entry/test_valuation.py
@@ -9,6 +9,7 @@
 from chutelink.entry.changes import ChangeReason
 from chutelink.entry.config import EngineSpec, ModelSpec
 from chutelink.entry.placement import DemandPlacement, ValuePlacement
+from chutelink.entry.valuation import ValueRound
 
 from .test_placement import (
     WEIGHTS_MB,
@@ -155,3 +156,23 @@
 @given(view=views())
 def test_no_change_asks_for_more_than_an_endpoint_holds(policy, view):
     assert_within_bounds(policy.plan(view), view)
+
+
+def test_each_option_is_weighed_once_after_a_change(monkeypatch):
+    """Two daemons that placed weighed two equal options in turn for ever."""
+    names = tuple(f"m{n}" for n in range(6))
+    sites = [make_site(f"i-{n}", {}) for n in range(6)]
+    uses = urgent([(name, "", 7, 0.7, 0) for name in names])
+    weighed = []
+    value = ValueRound._value
+
+    def count(self, change, site):
+        weighed.append(change)
+        # Differs by rounding each time, as sums do that were taken apart and put back.
+        return value(self, change, site) - 1e-12 * len(weighed)
+
+    monkeypatch.setattr(ValueRound, "_value", count)
+    view = make_view(sites, uses, 100.0, 9, make_engine(*names))
+    changes = ValuePlacement().plan(view)
+    assert len(changes) == len(sites)
+    assert len(weighed) <= len(names) * len(sites) * (len(changes) + 1)
