--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -49,7 +49,8 @@
     """An endpoint that a policy may change.
 
     ``paused_share`` is the share of its streams whose pauses were too long,
-    ``free_in_s`` how long the change that it carries out should take yet, and
+    ``free_in_s`` how long the change that it carries out should take yet (infinite
+    where that is not known), and
     ``loading_model`` the model that this change loads.
     """
 
--- a/chutelink/entry/loss.py
+++ b/chutelink/entry/loss.py
@@ -12,11 +12,14 @@
 class Forecast(msgspec.Struct, frozen=True):
     """What is expected to be asked of a model.
 
-    ``work_per_s`` is in an endpoint's time a second; ``reload_s`` is how long it
-    takes to have the model elsewhere when the only endpoint with it is lost.
+    ``arrivals_per_s`` are those that a wait makes late, ``unserved_per_s`` those
+    that are lost while no endpoint holds it. ``work_per_s`` is in an endpoint's time
+    a second; ``reload_s`` is how long it takes to have the model elsewhere when the
+    only endpoint with it is lost.
     """
 
     arrivals_per_s: float
+    unserved_per_s: float
     work_per_s: float
     reload_s: float
 
@@ -58,7 +61,7 @@
             return 0.0
         holders = self._holders[model]
         if not holders:
-            return forecast.arrivals_per_s
+            return forecast.unserved_per_s
         late = sum(self._late_share(endpoint) for endpoint in holders) / len(holders)
         # Others at its endpoints gain too when some of its requests go elsewhere.
         others = sum(self._loss_at(endpoint) for endpoint in holders)
@@ -97,7 +100,7 @@
     def _own(self, forecast: Forecast, holders: set[EndpointId]) -> float:
         """Return what a model loses for having no endpoint, or but one."""
         if not holders:
-            return forecast.arrivals_per_s
+            return forecast.unserved_per_s
         return self._alone(forecast) if len(holders) == 1 else 0.0
 
     def _alone(self, forecast: Forecast) -> float:
--- a/chutelink/entry/outlook.py
+++ b/chutelink/entry/outlook.py
@@ -55,6 +55,10 @@
         """Return the demand that a model has now, in engine time a second."""
         return self._work.get(model, 0.0)
 
+    def arrivals(self, model: ModelName) -> float:
+        """Return how many requests a second a model has now."""
+        return self._arrivals.get(model, 0.0)
+
     def urgent(self, model: ModelName) -> float:
         """Return how many requests a second a model has, or is likely to have soon.
 
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from mode import Service
@@ -209,7 +210,7 @@
         self.wake()
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
-        sites = self._sites(service, engine)
+        sites = self._sites(service)
         if not sites or not all(site.inventory.is_known for site in sites):
             # What an endpoint holds that has not reported would be loaded again.
             return
@@ -230,7 +231,7 @@
                 pace.take(now_s)
             self._begin(change)
 
-    def _sites(self, service: ServiceName, engine: EngineSpec) -> list[Site]:
+    def _sites(self, service: ServiceName) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
         sites = []
         for row in self._table.of_service(service):
@@ -238,10 +239,10 @@
             inventory = self._inventories.get(endpoint)
             if inventory is None or inventory.is_down:
                 continue
-            sites.append(self._site(row, inventory, engine))
+            sites.append(self._site(row, inventory))
         return sites
 
-    def _site(self, row: Endpoint, inventory: Inventory, engine: EngineSpec) -> Site:
+    def _site(self, row: Endpoint, inventory: Inventory) -> Site:
         """Return an endpoint with what is known of the change that it carries out.
 
         Of one that a former holder began, what that one announced is known.
@@ -256,9 +257,9 @@
         elif inventory.is_busy:
             announced = self._pending_table.model_load(endpoint)
             model = None if announced is None else announced.model
-            ready_s = 0.0 if announced is None else announced.ready_s
-            longest_s = max((m.cold_load_s for m in engine.models.values()), default=0)
-            free_in_s = ready_s - now_s if ready_s > now_s else longest_s
+            free_in_s = math.inf
+            if announced is not None and announced.ready_s > now_s:
+                free_in_s = announced.ready_s - now_s
         return Site(
             row,
             inventory,
--- a/chutelink/entry/valuation.py
+++ b/chutelink/entry/valuation.py
@@ -209,7 +209,11 @@
             return None
         copies = sum(site.inventory.keeps(spec.name) for site in self._view.sites)
         reload_s = spec.disk_load_s if copies > 1 else spec.cold_load_s
-        return Forecast(arrivals, work, reload_s)
+        # Without a copy its requests don't wait: a load takes longer than they have.
+        unserved = (
+            arrivals if copies else max(arrivals, self.outlook.arrivals(spec.name))
+        )
+        return Forecast(arrivals, unserved, work, reload_s)
 
     def _candidates(self) -> list[ModelSpec]:
         """Return the models of which a further replica may be worth its cost."""
--- a/tests/entry/test_loss.py
+++ b/tests/entry/test_loss.py
@@ -11,8 +11,8 @@
 MODELS = ("m0", "m1", "m2")
 ENDPOINTS = ("i-1", "i-2", "i-3")
 FORECASTS = {
-    "m0": Forecast(10.0, 1.0, 4.0),
-    "m1": Forecast(4.0, 0.2, 1.0),
+    "m0": Forecast(10.0, 10.0, 1.0, 4.0),
+    "m1": Forecast(4.0, 4.0, 0.2, 1.0),
 }
 
 
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -381,10 +382,11 @@
         load = PendingLoad(NOBODY, "m1", "", 4.0)
         world.placer._pending_table.take([load], 1, world.core.now_s)
         inventory = world.placer._inventories[NOBODY]
-        engine = make_engine()
-        assert world.placer._sites("llm", engine)[0].loading_model is None
+        assert world.placer._sites("llm")[0].loading_model is None
         inventory.is_busy = True
-        site = world.placer._sites("llm", engine)[0]
+        site = world.placer._sites("llm")[0]
         assert (site.loading_model, site.free_in_s) == ("m1", 4.0)
+        world.core.now_s += 5.0
+        assert world.placer._sites("llm")[0].free_in_s == math.inf
 
     run(async_test)
--- a/tests/entry/test_valuation.py
+++ b/tests/entry/test_valuation.py
@@ -176,3 +176,15 @@
     changes = ValuePlacement().plan(view)
     assert len(changes) == len(sites)
     assert len(weighed) <= len(names) * len(sites) * (len(changes) + 1)
+
+
+def test_a_patient_models_weights_are_fetched_where_no_endpoint_has_a_copy():
+    """With a copy it is loaded when a request waits; without one that is too late."""
+    engine = make_engine("m0", "m1")
+    uses = [("m1", "", 2, 0.01, 1, 0, 2 * 0.8 / 5)]
+    bare = [make_site("i-1", {"m0": []}), make_site("i-2", {})]
+    view = make_view(bare, uses, 100.0, 2, engine)
+    assert [c.is_cold for c in ValuePlacement().plan(view)] == [True]
+    copied = [make_site("i-1", {"m0": []}, on_disk=("m1",)), make_site("i-2", {})]
+    view = make_view(copied, uses, 100.0, 2, engine)
+    assert [c.endpoint for c in ValuePlacement().plan(view)] == ["i-1"]
