Space prompts out so that streams under way do not pause too long

An engine reads prompts between tokens, so several at once, or a long one beside others, stop all its streams. Daemons now tell each other of each prompt as they send it (in fleets of up to 16), send it where less than 0.7 of the allowed pause was sent in the last such time, and wait for that while the objective leaves room. Tests of the new module; two drive the relay.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -181,11 +181,13 @@
             known.prefixes,
             known.speeds,
             known.durations,
+            known.reading,
             self.pending,
             self.loads,
             self.retries,
             LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
         )
+        exchanges.on_prompt = self.news.send
         relay = Relay(exchanges, self._upstream)
         streams = StreamRelay(self, exchanges, self._upstream, relay)
         self.callers = CallerHttp(
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -133,6 +133,7 @@
     def __init__(self) -> None:
         self.rows: dict[EndpointId, Endpoint] = {}
         self._shares: dict[DaemonId, list[EndpointLoad]] = {}
+        self._sent_since: dict[DaemonId, list[EndpointLoad]] = {}
         self._heard_s: dict[DaemonId, float] = {}
         self.placer_heard_s = float("-inf")
 
@@ -180,6 +181,7 @@
     ) -> None:
         """Replace what another daemon has under way."""
         self._shares[daemon] = loads
+        self._sent_since.pop(daemon, None)
         self._heard_s[daemon] = now_s
         self._sum_shares()
 
@@ -189,18 +191,27 @@
         for daemon in silent:
             del self._heard_s[daemon]
             del self._shares[daemon]
+            self._sent_since.pop(daemon, None)
         if silent:
             self._sum_shares()
 
+    def take_sent(self, daemon: DaemonId, load: EndpointLoad) -> None:
+        """Count a request that another daemon sent since it told of its load."""
+        self._sent_since.setdefault(daemon, []).append(load)
+        self._add_share(load)
+
     def _sum_shares(self) -> None:
         for row in self.rows.values():
             row.other_requests = 0
             row.other_reading_s = 0.0
             row.other_by_ref.clear()
-        for shares in self._shares.values():
+        for shares in (*self._shares.values(), *self._sent_since.values()):
             for share in shares:
-                row = self.rows.get(share.endpoint)
-                if row is not None:
-                    row.other_requests += share.requests
-                    row.other_reading_s += share.reading_s
-                    row.other_by_ref.update(share.by_ref)
+                self._add_share(share)
+
+    def _add_share(self, share: EndpointLoad) -> None:
+        row = self.rows.get(share.endpoint)
+        if row is not None:
+            row.other_requests += share.requests
+            row.other_reading_s += share.reading_s
+            row.other_by_ref.update(share.by_ref)
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 from multidict import CIMultiDict
 
 from ..core import Application
 from ..gateway.refusals import Refusal, unavailable
-from ..ids import EndpointId, FailureDomainName, ServiceName
+from ..ids import (
+    DaemonId,
+    EndpointId,
+    FailureDomainName,
+    ServiceName,
+    model_ref,
+)
 from .config import Route, ServiceSpec
 from .dialect import Dialect, Dispatch, RequestMeta
 from .durations import DurationTable
 from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .loads import LoadBook
+from .news import PromptNews
 from .pending import PendingTable
 from .prefixes import PrefixTable, hash_chain
+from .reading import ReadingTable
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
 from .speeds import SpeedTable
@@ -32,6 +42,8 @@
 
 DEFAULT_RETRY_S = 0.5
 MIN_BACK_S = 0.2
+SEND_MARGIN_S = 0.1
+"""What is left for the way to the endpoint and for what was told late."""
 LAST_URGENCY = 9
 OBJECTIVES_PER_URGENCY_S = 1.5
 """Requests whose objectives differ by this much differ by one step of urgency."""
@@ -91,7 +103,7 @@
         The owner.
     dialect : Dialect
         How headers are read and written.
-    table, health, prefixes, speeds, durations, pending, loads, retries
+    table, health, prefixes, speeds, durations, reading, pending, loads, retries
         What is known of endpoints, and what is told of them.
     policy : RoutingPolicy
         Chooses endpoints.
@@ -106,6 +118,7 @@
         prefixes: PrefixTable,
         speeds: SpeedTable,
         durations: DurationTable,
+        reading: ReadingTable,
         pending: PendingTable,
         loads: LoadBook,
         retries: RetryShare,
@@ -118,11 +131,13 @@
         self.prefixes = prefixes
         self.speeds = speeds
         self.durations = durations
+        self.reading = reading
         self.pending = pending
         self.loads = loads
         self.retries = retries
         self._policy = policy
         self.is_closing = False
+        self.on_prompt: Callable[[PromptNews], None] = lambda _: None
 
     def stop_waiting(self) -> None:
         """Refuse what waits for a model, now and from now on: this daemon ends."""
@@ -179,6 +194,8 @@
         row = self._choose(exchange)
         if row is not None:
             self._check_backlog(exchange)
+            row = await self._async_until_room(exchange, row)
+        if row is not None:
             return row
         if not self._may_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
@@ -190,6 +207,40 @@
         finally:
             self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
 
+    async def _async_until_room(
+        self, exchange: Exchange, row: Endpoint
+    ) -> Endpoint | None:
+        """Wait while a prompt would make streams pause, as long as it is in time.
+
+        Returns the endpoint to send to, None if there is none any more.
+        """
+        while row is not None and not exchange.tried:
+            now_s = self.core.clock()
+            room_in_s = self._room_in_s(exchange, row, now_s)
+            due_s = exchange.started_s + exchange.route.objective_s
+            latest_s = due_s - exchange.expected_s - SEND_MARGIN_S
+            if room_in_s <= 0 or now_s + room_in_s > latest_s or self.is_closing:
+                break
+            await asyncio.sleep(room_in_s)
+            row = self._choose(exchange)
+        return row
+
+    def _room_in_s(self, exchange: Exchange, row: Endpoint, now_s: float) -> float:
+        """Return after what time an endpoint could read a prompt."""
+        endpoint = row.record.id
+        read_s = self._policy.own_read_s(row, exchange.candidate, now_s)
+        read_s *= self.speeds.endpoint_factor(endpoint)
+        max_pause_s = exchange.route.max_pause_s
+        return self.reading.room_in_s(endpoint, read_s, now_s, max_pause_s)
+
+    def note_prompt(self, exchange: Exchange, row: Endpoint, read_s: float) -> None:
+        """Take in, and tell the others, that a prompt is being sent."""
+        here_s = read_s * self.speeds.endpoint_factor(row.record.id)
+        self.reading.note(row.record.id, here_s, self.core.clock())
+        ref = model_ref(exchange.meta.model, exchange.meta.adapter)
+        daemon = DaemonId(self.core.daemon.id)
+        self.on_prompt(PromptNews(daemon, row.record.id, ref, read_s))
+
     def _check_backlog(self, exchange: Exchange) -> None:
         """Refuse at once what would be late at the best endpoint there is.
 
@@ -283,6 +334,9 @@
         if others or not (exchange.is_repeatable and exchange.may_have_run):
             # Where only one holds the model, it may well answer the second time.
             rows = others
+        if len(rows) > 1:
+            free = [r for r in rows if self._room_in_s(exchange, r, now_s) <= 0]
+            rows = free or rows
         row = self._policy.choose(rows, exchange.candidate, now_s)
         if row is not None:
             expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -100,6 +100,18 @@
     streams: list[StreamCount] = []
 
 
+class PromptNews(msgspec.Struct, frozen=True, tag="prompt"):
+    """A prompt that one daemon has just sent.
+
+    ``read_s`` is how long an ordinary endpoint reads it.
+    """
+
+    daemon: DaemonId
+    endpoint: EndpointId
+    ref: ModelRef
+    read_s: float
+
+
 class EndpointPlacement(msgspec.Struct, frozen=True, array_like=True):
     """What an endpoint holds after a number of orders."""
 
@@ -145,7 +157,13 @@
 
 
 News = (
-    LeaseYield | StoreNews | SnapshotRequest | LoadNews | PlacementNews | PlacerBeacon
+    LeaseYield
+    | StoreNews
+    | SnapshotRequest
+    | LoadNews
+    | PromptNews
+    | PlacementNews
+    | PlacerBeacon
 )
 _DECODE_FAILURES = (
     cbor2.CBORDecodeError,
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -11,11 +11,13 @@
 from .directory import Directory
 from .lease import PlacerLease
 from .news import (
+    EndpointLoad,
     LeaseYield,
     LoadNews,
     News,
     PlacementNews,
     PlacerBeacon,
+    PromptNews,
     SnapshotRequest,
     StoreNews,
     decode_news,
@@ -27,6 +29,13 @@
 from .state import EntryState
 from .watch import StoreWatch
 
+PROMPT_NEWS_PEERS = 16
+"""Most daemons that are told of each prompt as it is sent.
+
+With nine prompts a second each that is 150 messages a second; in larger fleets each
+daemon has but a few of an endpoint's prompts, and the news of every 0.2 s must do.
+"""
+
 
 class NewsDesk:
     """Hands messages to the parts that they are for, and sends theirs out.
@@ -79,8 +88,10 @@
             self._demand.take(news.daemon, news.uses, self._core.clock())
             self._take_streams(news)
             self._wake_placer(news)
+        if isinstance(news, PromptNews) and len(self._mesh.direct) > PROMPT_NEWS_PEERS:
+            return
         body = encode_news(news)
-        if isinstance(news, PlacementNews | LoadNews):
+        if isinstance(news, PlacementNews | LoadNews | PromptNews):
             self._mesh.send_to(self._mesh.direct, body)
         elif isinstance(news, SnapshotRequest):
             self._mesh.send_to(self._mesh.linked_members(), body)
@@ -104,6 +115,8 @@
             self.watch.take_request(news)
         elif isinstance(news, LoadNews):
             self._take_load(news)
+        elif isinstance(news, PromptNews):
+            self._take_prompt(news)
         elif isinstance(news, PlacementNews):
             self._take_placement(news)
         elif isinstance(news, PlacerBeacon):
@@ -120,6 +133,12 @@
             self._known.prefixes.note(endpoint, chain, now_s)
         self._wake_placer(news)
 
+    def _take_prompt(self, news: PromptNews) -> None:
+        load = EndpointLoad(news.endpoint, 1, news.read_s, {news.ref: 1})
+        self._known.endpoints.take_sent(news.daemon, load)
+        read_s = news.read_s * self._known.speeds.endpoint_factor(news.endpoint)
+        self._known.reading.note(news.endpoint, read_s, self._core.clock())
+
     def _take_streams(self, news: LoadNews) -> None:
         now_s = self._core.clock()
         for count in news.streams:
--- a/chutelink/entry/routing.py
+++ b/chutelink/entry/routing.py
@@ -60,6 +60,10 @@
         """Return the expected time to the first byte; 0 where it is not known."""
         return 0.0
 
+    def own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+        """Return how long the prompt takes to read; 0 where it is not known."""
+        return 0.0
+
 
 class LeastRequests(RoutingPolicy):
     """Baseline: fewest requests under way for the places that it has."""
@@ -111,7 +115,7 @@
         if not request.model:
             queued = row.total_requests / max(1, row.record.slots)
             return queued * self._health.typical_s(row.record.id)
-        reading_s = self._own_read_s(row, request, now_s)
+        reading_s = self.own_read_s(row, request, now_s)
         reading_s += row.reading_s + row.other_reading_s
         step_s = STEP_S * row.total_requests / max(1, row.record.slots)
         return reading_s * self._speeds.endpoint_factor(row.record.id) + step_s
@@ -129,10 +133,10 @@
         """Return what reading the prompt costs the streams under way there."""
         if not request.model:
             return 0.0
-        read_s = self._own_read_s(row, request, now_s)
+        read_s = self.own_read_s(row, request, now_s)
         return DISTURBANCE_SHARE * read_s * row.total_requests
 
-    def _own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+    def own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
         """Return how long the prompt takes to read, less what is kept of it."""
         parts = self._prefixes.cached_parts(row.record.id, request.chain, now_s)
         cached = request.chain_tokens[parts - 1] if parts else 0
@@ -189,7 +193,7 @@
         if not request.model:
             queued = row.total_requests / max(1, row.record.slots)
             return queued * self._health.typical_s(row.record.id)
-        reading_s = self._own_read_s(row, request, now_s)
+        reading_s = self.own_read_s(row, request, now_s)
         reading_s += row.reading_s + row.other_reading_s
         reading_s *= self._speeds.endpoint_factor(row.record.id)
         return reading_s + self._place_wait_s(row, request.model)
@@ -211,10 +215,10 @@
             return loss + expected_s / objective_s
         loss += (expected_s / objective_s) ** 2
         occupancy = row.total_requests / max(1, row.record.slots)
-        weight = self._own_read_s(row, request, now_s) / self._speeds.typical_read_s
+        weight = self.own_read_s(row, request, now_s) / self._speeds.typical_read_s
         return loss + _pause_loss(occupancy, weight)
 
-    def _own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
+    def own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
         """Return how long the prompt takes to read, less what is kept of it."""
         parts = self._prefixes.cached_parts(row.record.id, request.chain, now_s)
         cached = request.chain_tokens[parts - 1] if parts else 0
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -15,6 +15,7 @@
 from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .prefixes import PrefixTable
+from .reading import ReadingTable
 from .speeds import SpeedTable
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
@@ -40,6 +41,7 @@
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
         self.durations = DurationTable()
+        self.reading = ReadingTable()
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
@@ -123,6 +125,7 @@
         self.health.forget(row.record.id)
         self.prefixes.forget(row.record.id)
         self.speeds.forget(row.record.id)
+        self.reading.forget(row.record.id)
         self._core.events.record(
             "endpoint_gone",
             endpoint=row.record.id,
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -324,6 +324,7 @@
         if tokens >= MIN_LEARNED_TOKENS and before_s <= self._reading_s:
             factor = exchanges.speeds.endpoint_factor(row.record.id)
             self._read_expected_s = factor * (self._reading_s + before_s)
+        exchanges.note_prompt(exchange, row, self._reading_s)
         exchanges.prefixes.note(row.record.id, chain, now_s)
         exchanges.loads.note_prompt(row.record.id, chain)
 
--- /dev/null
+++ b/tests/entry/test_reading.py
@@ -0,0 +1,85 @@
+"""Prompts are spaced out so that streams under way go on."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from chutelink.entry.news import PromptNews, decode_news, encode_news
+from chutelink.entry.reading import READ_SHARE, ReadingTable
+
+from .test_stream import expected, headers
+from .world import SERVICES, async_world, make_config
+
+PAUSE_S = 0.25
+ROOM_S = READ_SHARE * PAUSE_S
+
+
+def test_a_prompt_fits_beside_short_ones():
+    table = ReadingTable()
+    table.note("i-1", 0.02, 10.0)
+    assert table.room_in_s("i-1", 0.02, 10.0, PAUSE_S) == 0.0
+    assert table.room_in_s("i-2", 9.0, 10.0, PAUSE_S) == 0.0
+
+
+def test_a_prompt_waits_until_earlier_ones_are_a_pause_away():
+    table = ReadingTable()
+    table.note("i-1", 0.6 * ROOM_S, 10.0)
+    table.note("i-1", 0.3 * ROOM_S, 10.1)
+    wait_s = table.room_in_s("i-1", 0.5 * ROOM_S, 10.1, PAUSE_S)
+    assert wait_s == pytest.approx(PAUSE_S - 0.1)
+    assert table.room_in_s("i-1", 0.5 * ROOM_S, 10.26, PAUSE_S) == 0.0
+    both_s = table.room_in_s("i-1", 0.9 * ROOM_S, 10.1, PAUSE_S)
+    assert both_s == pytest.approx(PAUSE_S)
+
+
+def test_a_prompt_longer_than_any_room_goes_when_none_was_sent():
+    table = ReadingTable()
+    assert table.room_in_s("i-1", 2.0, 10.0, PAUSE_S) == 0.0
+    table.note("i-1", 0.01, 10.0)
+    assert table.room_in_s("i-1", 2.0, 10.0, PAUSE_S) == pytest.approx(PAUSE_S)
+
+
+def test_without_a_limit_on_pauses_nothing_waits():
+    table = ReadingTable()
+    table.note("i-1", 5.0, 10.0)
+    assert table.room_in_s("i-1", 5.0, 10.0, 0.0) == 0.0
+
+
+def test_the_news_of_a_prompt_is_the_same_after_its_way():
+    news = PromptNews("d1", "i-1", "m0/a1", 0.25)
+    assert decode_news(encode_news(news), "d1") == news
+
+
+def make_routes(max_pause_ms: float) -> list[dict]:
+    routes = make_config(1, SERVICES)["routes"]
+    routes[0]["gap_target_ms"] = max_pause_ms
+    return routes
+
+
+def test_a_request_goes_where_prompts_leave_room():
+    async def async_test():
+        async with async_world() as world:
+            world.configure(routes=make_routes(400))
+            first = await world.async_add("i-1", "llm", {"m0": []})
+            second = await world.async_add("i-2", "llm", {"m0": []})
+            world.known.endpoints.rows["i-2"].other_requests = 2
+            world.known.reading.note("i-1", 5.0, world.core.clock())
+            async with world.request("/stream/x", **headers()) as answer:
+                assert await answer.read() == expected()
+            assert (len(first.runs), len(second.runs)) == (0, 1)
+
+    asyncio.run(async_test())
+
+
+def test_a_request_is_never_held_beyond_its_objective():
+    async def async_test():
+        async with async_world() as world:
+            world.configure(routes=make_routes(60_000))
+            await world.async_add("i-1", "llm", {"m0": []})
+            world.known.reading.note("i-1", 50.0, world.core.clock())
+            async with world.request("/stream/x", **headers()) as answer:
+                assert await answer.read() == expected()
+
+    asyncio.run(async_test())
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -61,6 +61,7 @@
             known.prefixes,
             known.speeds,
             known.durations,
+            known.reading,
             self.pending,
             self.loads,
             self.retries,
