--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -8,8 +8,9 @@
 
 from ..ids import AdapterName, DaemonId, ModelName
 from .news import ModelUse
-from .rates import Rate
 
+AVERAGE_S = 3.0
+"""Time constant of averages; demand moves on within some 5 s."""
 ASKS_S = 8.0
 """Time constant of the count by which a rare model earns a cold load."""
 WAITING_VALID_S = 1.5
@@ -19,21 +20,25 @@
 class Use(msgspec.Struct):
     """Use of one model or adapter.
 
-    ``work`` is seconds of an engine's time asked for a second, ``urgent`` counts
-    arrivals by how little time they leave for a load; ``asks`` counts arrivals and
-    fades slowly.
+    ``work_per_s`` is seconds of an engine's time asked for a second, ``urgent_per_s``
+    counts arrivals by how little time they leave for a load; ``asks`` counts
+    arrivals and fades slowly.
     """
 
-    arrivals: Rate
-    work: Rate
-    urgent: Rate
+    work_per_s: float = 0.0
+    arrivals_per_s: float = 0.0
+    urgent_per_s: float = 0.0
     asks: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
     def decay(self, now_s: float) -> None:
-        """Bring the count of asks to now."""
+        """Bring the average to now."""
         elapsed_s = max(0.0, now_s - self.updated_s)
+        factor = math.exp(-elapsed_s / AVERAGE_S)
+        self.work_per_s *= factor
+        self.arrivals_per_s *= factor
+        self.urgent_per_s *= factor
         self.asks *= math.exp(-elapsed_s / ASKS_S)
         self.updated_s = now_s
 
@@ -46,14 +51,6 @@
     urgent_per_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
-    def follow(self, arrivals: Rate, now_s: float) -> None:
-        """Take in how arrivals change; what they ask for changes with them."""
-        steady = arrivals.steady(now_s)
-        self.arrivals_per_s = arrivals.expected(now_s)
-        factor = self.arrivals_per_s / steady if steady else 0.0
-        self.work_per_s *= factor
-        self.urgent_per_s *= factor
-
 
 class _Waiting(msgspec.Struct, frozen=True):
     """Requests that wait at one daemon, as it last said."""
@@ -68,7 +65,6 @@
 
     def __init__(self) -> None:
         self.uses: dict[tuple[ModelName, AdapterName], Use] = {}
-        self._first_s: float | None = None
         self._waiting: dict[
             tuple[ModelName, AdapterName], dict[DaemonId, _Waiting]
         ] = {}
@@ -77,46 +73,27 @@
         """Take in what one daemon was asked for."""
         for news in uses:
             key = (news.model, news.adapter)
-            use = self._use(key, now_s)
+            use = self.uses.setdefault(key, Use(updated_s=now_s))
             use.decay(now_s)
-            use.arrivals.add(news.arrivals, now_s)
-            use.work.add(news.work_s, now_s)
-            use.urgent.add(news.urgent, now_s)
+            use.work_per_s += news.work_s / AVERAGE_S
+            use.arrivals_per_s += news.arrivals / AVERAGE_S
+            use.urgent_per_s += news.urgent / AVERAGE_S
             use.asks += news.arrivals
             if news.arrivals:
                 use.last_arrival_s = now_s
             waiting = self._waiting.setdefault(key, {})
             waiting[daemon] = _Waiting(news.waiting, news.patient, now_s)
 
-    def _use(self, key: tuple[ModelName, AdapterName], now_s: float) -> Use:
-        """Return what is known of a model or adapter, from now on if it is new.
-
-        What was not asked for since the first request of all had a rate of 0.
-        """
-        use = self.uses.get(key)
-        if use is None:
-            if self._first_s is None:
-                self._first_s = now_s
-            since_s = self._first_s
-            rates = (Rate(since_s, now_s) for _ in range(3))
-            use = self.uses[key] = Use(*rates, updated_s=now_s)
-        return use
-
     def totals(self, now_s: float) -> dict[ModelName, ModelDemand]:
         """Return the demand of every model that was asked for, in one pass."""
         totals: dict[ModelName, ModelDemand] = {}
-        sums: dict[ModelName, Rate] = {}
         for (name, _), use in self.uses.items():
+            use.decay(now_s)
             total = totals.setdefault(name, ModelDemand())
-            total.work_per_s += use.work.steady(now_s)
-            total.urgent_per_s += use.urgent.steady(now_s)
+            total.work_per_s += use.work_per_s
+            total.arrivals_per_s += use.arrivals_per_s
+            total.urgent_per_s += use.urgent_per_s
             total.last_arrival_s = max(total.last_arrival_s, use.last_arrival_s)
-            use.arrivals.decay(now_s)
-            arrivals = sums.setdefault(name, Rate(use.arrivals.since_s, now_s))
-            arrivals.fast += use.arrivals.fast
-            arrivals.slow += use.arrivals.slow
-        for name, arrivals in sums.items():
-            totals[name].follow(arrivals, now_s)
         return totals
 
     def asks(self, model: ModelName, now_s: float) -> float:
