Let the rare model give way that was not asked for the longest; keep one that callers come back for

A model that a caller was told to come back for now counts as waited for until then, with time for a load from the weight store. Callers refused for full endpoints are told a mean stream. Both tests failed before (one is stricter: waiting ends, but only when they are back).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -27,7 +27,7 @@
 from .membership import Registration
 from .newsdesk import NewsDesk
 from .pending import PendingTable
-from .placement import ValuePlacement
+from .placement import DemandPlacement
 from .placer import Placer
 from .relay import Relay
 from .retries import RetryShare
@@ -165,7 +165,7 @@
             self.known.health,
             self.known.durations,
             self.pending,
-            ValuePlacement(),
+            DemandPlacement(),
             self.news.send,
         )
         self.placer.cold_load_window_s = self.settings.entry.cold_load_window_s
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -204,9 +204,20 @@
         self.loads.begin_wait(meta.model, meta.adapter, is_patient=is_patient)
         try:
             return await self._async_wait_for_model(exchange)
+        except Refusal as refusal:
+            self._expect_back(exchange, refusal)
+            raise
         finally:
             self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
 
+    def _expect_back(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Keep asking for a model until its caller is back, which has time for it."""
+        left_s = exchange.left_s(self.core.clock())
+        back_in_s = min(refusal.retry_after_s, RETRY_SHARE * left_s)
+        meta = exchange.meta
+        self.loads.begin_wait(meta.model, meta.adapter, is_patient=True)
+        self.loads.keep_wait(meta.model, meta.adapter, back_in_s)
+
     async def _async_until_room(
         self, exchange: Exchange, row: Endpoint
     ) -> Endpoint | None:
@@ -262,10 +273,11 @@
         due_s = exchange.started_s + exchange.route.objective_s - now_s
         if exchange.expected_s <= due_s:
             return
-        back_s = exchange.expected_s - due_s
-        if back_s > RETRY_SHARE * exchange.left_s(now_s):
-            back_s = RETRY_SHARE * exchange.left_s(now_s)
-        raise unavailable("endpoints are busy", max(MIN_BACK_S, back_s))
+        # After a mean stream those that hold the places now have most likely ended.
+        stream_s = self.durations.mean_s(exchange.meta.model)
+        back_s = max(exchange.expected_s - due_s, stream_s, MIN_BACK_S)
+        back_s = min(back_s, RETRY_SHARE * exchange.left_s(now_s))
+        raise unavailable("endpoints are busy", back_s)
 
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         asked_s = self.core.clock()
--- a/chutelink/entry/holdings.py
+++ b/chutelink/entry/holdings.py
@@ -12,9 +12,11 @@
 RECENT_S = 4.0
 """A model asked for within this time is in use; demand moves in about 5 s."""
 RARE_IDLE_S = 0.6
-"""A rare model that was not asked for since gives way to one that is.
+"""A rare model without requests that was not asked for since gives way to one that is.
 
-A request takes half a second, and daemons tell of theirs every 0.2 s.
+Daemons tell of theirs every 0.2 s. How often it is asked for counts no further: one
+request in some seconds kept a model from giving way to those that requests waited
+for, and 73 of 93 such requests were refused on a quiet day.
 """
 SPARE_WORK = 0.35
 """A replica gives way when the others would have less than this each to do.
@@ -132,12 +134,17 @@
             missed = self._missed(model)
             missed += RUNNING_WORK * site.endpoint.running(model)
             last_s = self.outlook.last_arrival_s(model)
-            idle_s = RECENT_S if model in self.expected else RARE_IDLE_S
-            is_idle = now_s - last_s > idle_s and missed <= wanted_worth
+            is_rare = model not in self.expected
+            idle_s = RARE_IDLE_S if is_rare else RECENT_S
+            is_unused = is_rare and not site.endpoint.running(model)
+            is_idle = now_s - last_s > idle_s
+            is_idle &= is_unused or missed <= wanted_worth
             is_spare = bool(demand.uses) and self._is_spare(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
             if is_idle or is_spare or is_outweighed:
-                ranked.append((missed, last_s, model))
+                # Of rare ones the one that was not asked for the longest goes first.
+                cost = 0.0 if is_unused and is_idle else missed
+                ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
     def _is_spare(self, model: ModelName) -> bool:
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections import Counter, defaultdict
 
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from .endpoints import EndpointTable
 from .news import EndpointLoad, LoadNews, ModelUse, StreamCount
 
+BACK_MARGIN_S = 0.3
+"""How much later than told callers come back: a connection, a new request."""
 MAX_PREFIXES = 64
 """Most prompts told of in one message."""
 
@@ -44,6 +47,18 @@
         self._patient[model] += is_patient
         self.urgent.set()
 
+    def keep_wait(
+        self, model: ModelName, adapter: AdapterName, back_in_s: float
+    ) -> None:
+        """Let a request go on waiting whose caller was told when to come back.
+
+        Else what it waits for would give way before it is back.
+        """
+        asyncio.get_running_loop().call_later(
+            back_in_s + BACK_MARGIN_S,
+            functools.partial(self.end_wait, model, adapter, is_patient=True),
+        )
+
     def end_wait(
         self, model: ModelName, adapter: AdapterName, *, is_patient: bool
     ) -> None:
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -282,3 +282,19 @@
         inventory.models[change.model] = held | ({change.adapter} - {""})
         assert used_mb(inventory, view.engine) <= view.engine.weights_mb
         assert inventory.adapters <= view.engine.adapter_slots
+
+
+def test_the_rare_model_that_was_not_asked_for_the_longest_gives_way():
+    """Each was asked for within seconds, so that neither's demand is nought."""
+    engine = msgspec.structs.replace(make_engine(), weights_mb=290.0)
+    models = {"m0": [], "m5": [], "m6": []}
+    site = make_site("i-1", models, now_s=102.0, on_disk=("m4",))
+    uses = [("m5", "", 2, 0.1, 0), ("m6", "", 1, 0.1, 0)]
+    view = make_view([site], uses, engine=engine)
+    for at_s, model, waiting in ((100.5, "m6", 0), (102.0, "m4", 1)):
+        busy = ModelUse("m0", "", 200, 1.0, 0)
+        uses = [busy, ModelUse(model, "", 1, 0.1, waiting)]
+        view.demand.take("d1", uses, at_s)
+    later = msgspec.structs.replace(view, now_s=102.0)
+    change = next(c for c in DemandPlacement().plan(later) if c.model == "m4")
+    assert change.unload_models == ("m5",)
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -84,7 +84,11 @@
             async with world.request("/stream/x", **headers("m3")) as answer:
                 assert answer.status == 503
                 assert float(answer.headers["Retry-After"]) > 0
-            assert world.loads.waiting[("m3", "")] == 0
+            # Asked for until its caller is back, and no longer.
+            assert world.loads.waiting[("m3", "")] == 1
+            async with asyncio.timeout(10):
+                while world.loads.waiting[("m3", "")]:
+                    await asyncio.sleep(0.05)
 
     asyncio.run(async_test())
 
