--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -25,6 +25,18 @@
     """No endpoint keeps a copy of the weights, so that a load would be a cold one."""
 
 
+class Decline(Enum):
+    """Why a model that requests wait for is not loaded now."""
+
+    NO_FREE_ENDPOINT = "no_free_endpoint"
+    NO_ROOM = "no_room"
+    """All that endpoints hold is in use."""
+    NO_COPY = "no_copy"
+    """It would need the weight store, which is not earned or not left."""
+    COPY_SOON_FREE = "copy_soon_free"
+    """An endpoint with a copy ends its change sooner than a cold load would."""
+
+
 class Change(msgspec.Struct, frozen=True):
     """Load a model or adapter at an endpoint, after unloading what is named.
 
--- a/chutelink/entry/placement.py
+++ b/chutelink/entry/placement.py
@@ -8,14 +8,18 @@
 
 from abc import ABC, abstractmethod
 
-from .changes import Change, PlacementView
+from ..ids import ModelName
+from .changes import Change, Decline, PlacementView
 from .holdings import RECENT_S
 from .rounds import PlacementRound
 from .valuation import ValueRound
 
 
 class PlacementPolicy(ABC):
-    """Decides on changes."""
+    """Decides on changes; ``declined`` says why others were not made."""
+
+    def __init__(self) -> None:
+        self.declined: dict[ModelName, Decline] = {}
 
     @abstractmethod
     def plan(self, view: PlacementView) -> list[Change]:
@@ -57,6 +61,7 @@
             round_.add_adapters(model)
         for model in view.engine.models:
             round_.spread(model)
+        self.declined = round_.declined
         return round_.changes
 
 
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -37,6 +37,8 @@
 An endpoint that is gone shows by requests that don't reach it, or by its
 registration, which lapses after as long.
 """
+DECLINED_PERIOD_S = 1.0
+"""How often it is told of one model that it is not loaded."""
 FIRST_TERM = 1
 """Before it there was no holder."""
 ANNOUNCE_PERIOD_S = 0.4
@@ -105,6 +107,7 @@
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
         self._created_s = core.clock()
+        self._declined_s: dict[ModelName, float] = {}
         self._term = 0
         self._told: dict[EndpointId, EndpointPlacement] = {}
         self._told_all_s = float("-inf")
@@ -230,6 +233,24 @@
             if change.is_cold:
                 pace.take(now_s)
             self._begin(change)
+        self._log_declined(view)
+
+    def _log_declined(self, view: PlacementView) -> None:
+        """Say now and then why a model that requests wait for is not loaded."""
+        waiting = {model for model, _ in view.demand.waiting(view.now_s)}
+        for model, reason in self._policy.declined.items():
+            last_s = self._declined_s.get(model, -math.inf)
+            if model not in waiting or view.now_s - last_s < DECLINED_PERIOD_S:
+                continue
+            self._declined_s[model] = view.now_s
+            self._core.events.record(
+                "placement_declined",
+                model=model,
+                reason=reason.value,
+                free=sum(not site.inventory.is_changing for site in view.sites),
+                endpoints=len(view.sites),
+                cold_loads=view.cold_loads,
+            )
 
     def _sites(self, service: ServiceName) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
--- a/chutelink/entry/rounds.py
+++ b/chutelink/entry/rounds.py
@@ -8,7 +8,7 @@
 
 from ..ids import AdapterName, ModelName
 from .adapters import AdapterRound
-from .changes import Change, ChangeReason, PlacementView, Site
+from .changes import Change, ChangeReason, Decline, PlacementView, Site
 from .config import ModelSpec
 from .holdings import Holdings
 from .room import load_time, lost_copies, model_mb, used_mb
@@ -78,6 +78,7 @@
         self.outlook = self._holdings.outlook
         self._adapters = AdapterRound(view, self._free, self._holdings)
         self.changes: list[Change] = []
+        self.declined: dict[ModelName, Decline] = {}
 
     def next_models(self) -> list[ModelName]:
         """Return the models that may be asked for more, the busiest first."""
@@ -176,6 +177,7 @@
         if spec is None:
             return
         options = []
+        has_room = False
         is_replica = self._holdings.replicas(model) > 0
         # What is only prepared leaves one cold load to what is asked for.
         spared = int(reason in (ChangeReason.NEXT, ChangeReason.SPREAD))
@@ -184,16 +186,25 @@
             if model in site.inventory.models:
                 continue
             change = self._model_change(site, spec, is_replica=is_replica)
+            has_room = has_room or change is not None
             if change is None or (change.is_cold and not may_be_cold):
                 continue
             if is_replica and change.is_cold and self._blocks_adapters(site):
                 continue
             options.append(change)
         if not options:
+            self.declined[model] = self._why_none(has_room=has_room)
             return
         best = min(options, key=self._model_cost)
-        if not best.is_cold or best.load_s <= self._wait_s(spec):
-            self._take(msgspec.structs.replace(best, reason=reason))
+        if best.is_cold and best.load_s > self._wait_s(spec):
+            self.declined[model] = Decline.COPY_SOON_FREE
+            return
+        self._take(msgspec.structs.replace(best, reason=reason))
+
+    def _why_none(self, *, has_room: bool) -> Decline:
+        if not self._free:
+            return Decline.NO_FREE_ENDPOINT
+        return Decline.NO_COPY if has_room else Decline.NO_ROOM
 
     def _wait_s(self, spec: ModelSpec) -> float:
         """Return how soon an endpoint with a copy that is not free could have it.
