--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -169,11 +169,8 @@
             meta = exchange.meta
             read_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
             self.speeds.note_prompt(read_s)
-            # A stream takes one place of the batch for as long as it lasts.
-            slots = max(1, exchange.service.engine.batch_slots)
-            work_s = read_s + self.durations.mean_s(meta.model) / slots
             urgency = self._urgency_of(exchange)
-            self.loads.note_arrival(meta.model, meta.adapter, work_s, urgency)
+            self.loads.note_arrival(meta.model, meta.adapter, read_s, urgency)
 
     def _urgency_of(self, exchange: Exchange) -> float:
         """Return how much of the objective a load from a copy takes, 1 at most."""
@@ -267,7 +264,7 @@
         """
         if exchange.tried or exchange.service.engine is None:
             return
-        if exchange.resume_after is not None:
+        if not exchange.route.priority or exchange.resume_after is not None:
             return
         now_s = self.core.clock()
         due_s = exchange.started_s + exchange.route.objective_s - now_s
