--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -289,7 +289,7 @@
             self.loads.urgent.clear()
             self.known.expire()
             self.known.endpoints.forget_silent(self.clock())
-            unreachable = self.known.health.unreachable()
+            unreachable = self.known.health.unreachable(self.clock())
             news = self.loads.take(self.daemon_id, self.known.endpoints, unreachable)
             if news is not None:
                 self.news.send(news)
--- a/chutelink/entry/health.py
+++ b/chutelink/entry/health.py
@@ -103,9 +103,17 @@
         row = self._rows.get(endpoint)
         return row is None or now_s >= row.away_until_s
 
-    def unreachable(self) -> list[EndpointId]:
-        """Return the endpoints that took no connection when last tried."""
-        return [name for name, row in self._rows.items() if row.unreachable]
+    def unreachable(self, now_s: float) -> list[EndpointId]:
+        """Return the endpoints that took no connection when tried just now.
+
+        Who hears of one asks it for a report, which is charged for: an endpoint that
+        is not tried any more was asked for one each 0.2 s for the rest of the day.
+        """
+        return [
+            name
+            for name, row in self._rows.items()
+            if row.unreachable and now_s < row.away_until_s
+        ]
 
     def is_open(self, endpoint: EndpointId, now_s: float) -> bool:
         """Return whether requests may be sent."""
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -105,3 +105,10 @@
         durations.note("m1", 1.0)
     assert durations.mean_s("m0") == pytest.approx(2.0)
     assert 1.0 < durations.mean_s("m2") < 2.0
+
+
+def test_an_endpoint_is_told_of_as_unreachable_only_while_it_is_left_alone():
+    health = HealthTable()
+    health.note_unreachable("i-1", NOW_S)
+    assert health.unreachable(NOW_S + 0.1) == ["i-1"]
+    assert health.unreachable(NOW_S + 60.0) == []
