--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -298,11 +298,3 @@
     later = msgspec.structs.replace(view, now_s=102.0)
     change = next(c for c in DemandPlacement().plan(later) if c.model == "m4")
     assert change.unload_models == ("m5",)
-
-
-def test_a_second_endpoint_of_what_may_come_gives_way_to_what_requests_wait_for():
-    sites = [make_site(f"i-{n}", {"m0": [], "m3": []}) for n in (1, 2)]
-    sites[1].inventory.on_disk = ("m6",)
-    uses = [("m0", "", 30, 0.3, 0), ("m6", "", 1, 0.1, 1)]
-    change = next(c for c in plan(sites, uses) if not c.adapter)
-    assert (change.model, change.unload_models) == ("m6", ("m3",))
