--- /dev/null
+++ b/chutelink/entry/announcer.py
@@ -0,0 +1,81 @@
+"""Tell all daemons what endpoints hold, and that there is a placer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from ..core import Application
+from ..ids import EndpointId
+from .endpoints import EndpointTable
+from .inventory import Inventory
+from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
+
+ANNOUNCE_PERIOD_S = 0.4
+"""The holder's sign of life; three are missed before others look at the lease."""
+TELL_ALL_PERIOD_S = 5.0
+"""How often everything is told again, for daemons that have just started."""
+
+
+class Announcer:
+    """Sends what has changed, and now and then everything.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : EndpointTable
+        The endpoints, as this daemon serves from them.
+    send : callable
+        Tells all daemons, this one included.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: EndpointTable,
+        send: Callable[[PlacementNews | PlacerBeacon], None],
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._send = send
+        self._told: dict[EndpointId, EndpointPlacement] = {}
+        self._told_all_s = float("-inf")
+        self._beacon_s = float("-inf")
+
+    def forget(self) -> None:
+        """Tell everything next: others may have told something else since."""
+        self._told.clear()
+
+    def announce(
+        self, term: int, inventories: Iterable[Inventory], loads: list[PendingLoad]
+    ) -> None:
+        """Tell of endpoints that have changed and of loads on their way."""
+        now_s = self._core.clock()
+        daemon = self._core.daemon_id
+        placements = self._changed(inventories)
+        self._send(PlacementNews(daemon, term, placements, loads))
+        if now_s - self._beacon_s >= ANNOUNCE_PERIOD_S:
+            self._beacon_s = now_s
+            self._send(PlacerBeacon(daemon, term))
+
+    def _changed(self, inventories: Iterable[Inventory]) -> list[EndpointPlacement]:
+        """Return what endpoints hold, as far as it was not told lately."""
+        now_s = self._core.clock()
+        if now_s - self._told_all_s >= TELL_ALL_PERIOD_S:
+            self._told_all_s = now_s
+            self._told.clear()
+        changed = []
+        for inventory in inventories:
+            row = self._table.rows.get(inventory.endpoint)
+            if row is None or not inventory.is_known:
+                continue
+            models = {
+                model: sorted(adapters)
+                for model, adapters in row.models.items()
+                if model not in row.closing and not inventory.is_down
+            }
+            placement = EndpointPlacement(inventory.endpoint, row.sequence, models)
+            if self._told.get(inventory.endpoint) != placement:
+                self._told[inventory.endpoint] = placement
+                changed.append(placement)
+        return changed
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -19,7 +19,7 @@
 from .adapter import Handler, PlatformAdapter
 from .demand import DemandTable
 from .directory import Directory
-from .exchange import Exchanges
+from .dispatching import Exchanges
 from .http import CallerHttp
 from .lease import PlacerLease
 from .listeners import ACCEPT_QUEUE
--- /dev/null
+++ b/chutelink/entry/declined.py
@@ -0,0 +1,43 @@
+"""Log lines for models that requests wait for and that are not loaded."""
+
+from __future__ import annotations
+
+import math
+
+from ..core import Application
+from ..ids import ModelName
+from .changes import Decline, PlacementView
+
+PERIOD_S = 1.0
+"""How often it is told of one model; plans are made up to 20 times a second."""
+
+
+class DeclineLog:
+    """Says now and then why a model is not loaded.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    """
+
+    def __init__(self, core: Application) -> None:
+        self._core = core
+        self._told_s: dict[ModelName, float] = {}
+
+    def note(self, view: PlacementView, declined: dict[ModelName, Decline]) -> None:
+        """Log the reasons of one plan for models that requests wait for."""
+        waiting = {model for model, _ in view.demand.waiting(view.now_s)}
+        for model, reason in declined.items():
+            last_s = self._told_s.get(model, -math.inf)
+            if model not in waiting or view.now_s - last_s < PERIOD_S:
+                continue
+            self._told_s[model] = view.now_s
+            self._core.events.record(
+                "placement_declined",
+                model=model,
+                reason=reason.value,
+                free=sum(not site.inventory.is_changing for site in view.sites),
+                endpoints=len(view.sites),
+                cold_loads=view.cold_loads,
+            )
--- /dev/null
+++ b/chutelink/entry/dispatching.py
@@ -0,0 +1,322 @@
+"""The choice of endpoints for requests, and what they wait for before it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from multidict import CIMultiDict
+
+from ..core import Application
+from ..gateway.refusals import Refusal, unavailable
+from ..ids import (
+    DaemonId,
+    FailureDomainName,
+    model_ref,
+)
+from .config import Route
+from .dialect import Dialect, Dispatch, RequestMeta
+from .durations import DurationTable
+from .endpoints import Endpoint, EndpointTable
+from .exchange import Exchange, urgency_of
+from .health import HealthTable
+from .loads import LoadBook
+from .news import PromptNews
+from .pending import PendingTable
+from .prefixes import PrefixTable, hash_chain
+from .reading import ReadingTable
+from .retries import RetryShare
+from .routing import Candidate, RoutingPolicy
+from .speeds import SpeedTable
+from .upstream import EndpointCall
+from .waiting import (
+    LOAD_MARGIN_S,
+    RETRY_SHARE,
+    ModelWait,
+    back_in_s,
+    wait_until_s,
+)
+
+DEFAULT_RETRY_S = 0.5
+MIN_BACK_S = 0.2
+SEND_MARGIN_S = 0.1
+"""What is left for the way to the endpoint and for what was told late."""
+LAST_URGENCY = 9
+OBJECTIVES_PER_URGENCY_S = 1.5
+"""Requests whose objectives differ by this much differ by one step of urgency."""
+
+
+class Exchanges:
+    """All that sending requests needs: tables, policies and the budget.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    dialect : Dialect
+        How headers are read and written.
+    table, health, prefixes, speeds, durations, reading, pending, loads, retries
+        What is known of endpoints, and what is told of them.
+    policy : RoutingPolicy
+        Chooses endpoints.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        dialect: Dialect,
+        table: EndpointTable,
+        health: HealthTable,
+        prefixes: PrefixTable,
+        speeds: SpeedTable,
+        durations: DurationTable,
+        reading: ReadingTable,
+        pending: PendingTable,
+        loads: LoadBook,
+        retries: RetryShare,
+        policy: RoutingPolicy,
+    ) -> None:
+        self.core = core
+        self.dialect = dialect
+        self.table = table
+        self.health = health
+        self.prefixes = prefixes
+        self.speeds = speeds
+        self.durations = durations
+        self.reading = reading
+        self.pending = pending
+        self.loads = loads
+        self.retries = retries
+        self._policy = policy
+        self.is_closing = False
+        self.on_prompt: Callable[[PromptNews], None] = lambda _: None
+
+    def stop_waiting(self) -> None:
+        """Refuse what waits for a model, now and from now on: this daemon ends."""
+        self.is_closing = True
+        self.pending.signal()
+
+    def make_candidate(self, meta: RequestMeta, route: Route) -> Candidate:
+        """Return what the choice of endpoints needs of a request."""
+        tokens = 0
+        totals = []
+        for part in meta.prompt:
+            tokens += part.tokens
+            totals.append(tokens)
+        return Candidate(
+            model=meta.model,
+            adapter=meta.adapter,
+            prompt_tokens=meta.prompt_tokens,
+            chain=hash_chain(meta.model, meta.adapter, meta.prompt),
+            chain_tokens=tuple(totals),
+            failure_domain=FailureDomainName(self.core.daemon.failure_domain),
+            objective_s=route.objective_s,
+        )
+
+    def note_arrival(self, exchange: Exchange) -> None:
+        """Count a request for the budget of repeats and for placement."""
+        now_s = self.core.clock()
+        self.retries.note_request(exchange.service.name, now_s)
+        if exchange.service.engine is not None and exchange.meta.model:
+            meta = exchange.meta
+            read_s = self.speeds.read_s(meta.model, meta.prompt_tokens)
+            self.speeds.note_prompt(read_s)
+            self.loads.note_arrival(meta.model, meta.adapter, read_s)
+
+    async def async_acquire(self, exchange: Exchange) -> Endpoint:
+        """Return the endpoint to send to next, waiting for a load where it pays.
+
+        Raises
+        ------
+        Refusal
+            There is none in time.
+        """
+        row = self._choose(exchange)
+        if row is not None:
+            self._check_backlog(exchange)
+            row = await self._async_until_room(exchange, row)
+        if row is not None:
+            return row
+        if not self._may_be_loaded(exchange):
+            raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
+        meta = exchange.meta
+        is_patient = self._is_patient(exchange)
+        self.loads.begin_wait(meta.model, meta.adapter, is_patient=is_patient)
+        try:
+            return await self._async_wait_for_model(exchange)
+        except Refusal as refusal:
+            self._expect_back(exchange, refusal)
+            raise
+        finally:
+            self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
+
+    def _expect_back(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Keep asking for a model until its caller is back, which has time for it."""
+        left_s = exchange.left_s(self.core.clock())
+        back_in_s = min(refusal.retry_after_s, RETRY_SHARE * left_s)
+        meta = exchange.meta
+        self.loads.begin_wait(meta.model, meta.adapter, is_patient=True)
+        self.loads.keep_wait(meta.model, meta.adapter, back_in_s)
+
+    async def _async_until_room(
+        self, exchange: Exchange, row: Endpoint
+    ) -> Endpoint | None:
+        """Wait while a prompt would make streams pause, as long as it is in time.
+
+        Returns the endpoint to send to, None if there is none any more.
+        """
+        while row is not None and not exchange.tried:
+            now_s = self.core.clock()
+            room_in_s = self._room_in_s(exchange, row, now_s)
+            due_s = exchange.started_s + exchange.route.objective_s
+            latest_s = due_s - exchange.expected_s - SEND_MARGIN_S
+            if room_in_s <= 0 or now_s + room_in_s > latest_s or self.is_closing:
+                break
+            await asyncio.sleep(room_in_s)
+            row = self._choose(exchange)
+        return row
+
+    def _room_in_s(self, exchange: Exchange, row: Endpoint, now_s: float) -> float:
+        """Return after what time an endpoint could read a prompt."""
+        endpoint = row.record.id
+        read_s = self._policy.own_read_s(row, exchange.candidate, now_s)
+        read_s *= self.speeds.endpoint_factor(endpoint)
+        max_pause_s = exchange.route.max_pause_s
+        return self.reading.room_in_s(endpoint, read_s, now_s, max_pause_s)
+
+    def note_prompt(self, exchange: Exchange, row: Endpoint, read_s: float) -> None:
+        """Take in, and tell the others, that a prompt is being sent."""
+        here_s = read_s * self.speeds.endpoint_factor(row.record.id)
+        self.reading.note(row.record.id, here_s, self.core.clock())
+        ref = model_ref(exchange.meta.model, exchange.meta.adapter)
+        daemon = DaemonId(self.core.daemon.id)
+        self.on_prompt(PromptNews(daemon, row.record.id, ref, read_s))
+
+    def _check_backlog(self, exchange: Exchange) -> None:
+        """Refuse at once what would be late at the best endpoint there is.
+
+        Answers the load of a model whose endpoints are full. What is sent all the
+        same makes everything behind it late too: an endpoint with 60 to 90 requests
+        for its 48 places answered 20 a second for fifteen seconds, each 1 to 2 s
+        late. Once its queue is gone as many are answered in time.
+
+        Raises
+        ------
+        Refusal
+            The backlog is too long.
+        """
+        if exchange.tried or exchange.service.engine is None:
+            return
+        if not exchange.route.priority or exchange.resume_after is not None:
+            return
+        now_s = self.core.clock()
+        due_s = exchange.started_s + exchange.route.objective_s - now_s
+        if exchange.expected_s <= due_s:
+            return
+        # After a mean stream those that hold the places now have most likely ended.
+        stream_s = self.durations.mean_s(exchange.meta.model)
+        back_s = max(exchange.expected_s - due_s, stream_s, MIN_BACK_S)
+        back_s = min(back_s, RETRY_SHARE * exchange.left_s(now_s))
+        raise unavailable("endpoints are busy", back_s)
+
+    async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
+        asked_s = self.core.clock()
+        while True:
+            wait = self._make_wait(exchange)
+            until_s = wait_until_s(wait)
+            if until_s <= wait.now_s or self.is_closing:
+                raise self._refuse_wait(exchange, wait)
+            await self.pending.async_wait(until_s - wait.now_s)
+            row = self._choose(exchange)
+            if row is not None:
+                self.core.events.record(
+                    "model_waited_for",
+                    request=exchange.meta.id,
+                    model=exchange.meta.model,
+                    adapter=exchange.meta.adapter,
+                    endpoint=row.record.id,
+                    waited_s=self.core.clock() - asked_s,
+                )
+                return row
+
+    def _make_wait(self, exchange: Exchange) -> ModelWait:
+        meta = exchange.meta
+        now_s = self.core.clock()
+        spec = exchange.service.engine.models[meta.model]
+        is_resident = self._is_resident(exchange)
+        return ModelWait(
+            now_s=now_s,
+            started_s=exchange.started_s,
+            last_s=exchange.first_event_by_s,
+            objective_s=exchange.route.objective_s,
+            read_s=self.speeds.read_s(meta.model, meta.prompt_tokens),
+            copy_load_s=0.0 if is_resident else spec.disk_load_s,
+            cold_load_s=0.0 if is_resident else spec.cold_load_s,
+            ready_s=self.pending.ready_s(meta.model, meta.adapter, now_s),
+        )
+
+    def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
+        what = "adapter" if self._is_resident(exchange) else "model"
+        is_loading = wait.ready_s is not None
+        reason = "is being loaded" if is_loading else "is not loaded"
+        return unavailable(f"the {what} {reason}", back_in_s(wait))
+
+    def _is_resident(self, exchange: Exchange) -> bool:
+        """Return whether only the adapter is missing, which is there in some ms."""
+        rows = self.table.of_service(exchange.service.name)
+        return any(row.holds(exchange.meta.model) for row in rows)
+
+    def _may_be_loaded(self, exchange: Exchange) -> bool:
+        engine = exchange.service.engine
+        return engine is not None and exchange.meta.model in engine.models
+
+    def _is_patient(self, exchange: Exchange) -> bool:
+        """Return whether a load from the weight store fits the objective."""
+        spec = exchange.service.engine.models[exchange.meta.model]
+        return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
+
+    def _choose(self, exchange: Exchange) -> Endpoint | None:
+        rows = self.table.of_service(exchange.service.name)
+        meta = exchange.meta
+        if exchange.service.engine is not None and meta.model:
+            rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
+        now_s = self.core.clock()
+        rows = [r for r in rows if self.health.is_reachable(r.record.id, now_s)]
+        others = [r for r in rows if r.record.id not in exchange.tried]
+        if others or not (exchange.is_repeatable and exchange.may_have_run):
+            # Where only one holds the model, it may well answer the second time.
+            rows = others
+        if len(rows) > 1:
+            free = [r for r in rows if self._room_in_s(exchange, r, now_s) <= 0]
+            rows = free or rows
+        row = self._policy.choose(rows, exchange.candidate, now_s)
+        if row is not None:
+            expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
+            exchange.expected_s = expected_s
+        return row
+
+    def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
+        """Return the request as it goes to an endpoint now."""
+        headers = CIMultiDict(exchange.headers)
+        dispatch = Dispatch(
+            endpoint=row.record.id,
+            deadline_s=exchange.left_s(self.core.clock()),
+            urgency=urgency_of(exchange),
+            resume_after=exchange.resume_after,
+        )
+        self.dialect.encode_dispatch(headers, dispatch)
+        return EndpointCall(
+            exchange.method,
+            exchange.target,
+            exchange.host,
+            headers,
+            exchange.body,
+            exchange.is_repeatable,
+        )
+
+    def may_repeat(self, exchange: Exchange) -> bool:
+        """Spend one repeat of the budget; return whether it may be sent again."""
+        if len(exchange.tried) >= exchange.route.max_endpoints:
+            return False
+        now_s = self.core.clock()
+        return self.retries.take(exchange.service.name, now_s)
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -9,12 +9,14 @@
 
 from ..core import Application
 from ..gateway.refusals import Refusal, unavailable
+from .caller_stream import CallerStream
 from .config import CallerLimits, Route, RouteTable
-from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges, pick_service
+from .dispatching import DEFAULT_RETRY_S, Exchanges
+from .exchange import Exchange, pick_service
 from .relay import Relay
 from .requestlog import RequestLog, RequestResult
 from .stopping import ELSEWHERE_RETRY_S, can_end
-from .stream import CallerStream, StreamRelay
+from .stream import StreamRelay
 from .upstream import WholeResponse, forwarded_headers
 
 HTTP_BAD_REQUEST = 400
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -11,14 +11,16 @@
 from ..core import Application
 from ..exceptions import ChutelinkError
 from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .changes import Change, PlacementView, Site
 from .config import EngineSpec, RoutingConfig
+from .declined import DeclineLog
 from .demand import DemandTable
 from .endpoints import EndpointTable
 from .health import HealthTable
 from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
-from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
+from .news import PendingLoad, PlacementNews, PlacerBeacon
 from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
 from .pending import PendingTable
@@ -35,14 +37,8 @@
 An endpoint that is gone shows by requests that don't reach it, or by its
 registration, which lapses after as long.
 """
-DECLINED_PERIOD_S = 1.0
-"""How often it is told of one model that it is not loaded."""
 FIRST_TERM = 1
 """Before it there was no holder."""
-ANNOUNCE_PERIOD_S = 0.4
-"""The holder's sign of life; three are missed before others look at the lease."""
-TELL_ALL_PERIOD_S = 5.0
-"""How often everything is told again, for daemons that have just started."""
 FAILED_PAUSE_S = 0.3
 """Pause before anything else is ordered where an order failed."""
 
@@ -93,18 +89,15 @@
         self._health = health
         self._pending_table = pending
         self._policy = policy
-        self._send = send
+        self._announcer = Announcer(core, table, send)
         self._inventories: dict[EndpointId, Inventory] = {}
         self._pending: dict[EndpointId, tuple[Change, float]] = {}
         self._paces: dict[ServiceName, ColdLoadPace] = {}
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
         self._created_s = core.clock()
-        self._declined_s: dict[ModelName, float] = {}
+        self._declined = DeclineLog(core)
         self._term = 0
-        self._told: dict[EndpointId, EndpointPlacement] = {}
-        self._told_all_s = float("-inf")
-        self._beacon_s = float("-inf")
         self.config: RoutingConfig | None = None
         self.cold_load_window_s = 5.0
         self.cold_load_excess = 1.0
@@ -156,7 +149,7 @@
         self._inventories.clear()
         self._pending.clear()
         self._paces.clear()
-        self._told.clear()
+        self._announcer.forget()
 
     def _engine_of(self, service: ServiceName) -> EngineSpec | None:
         spec = self.config.services.get(service)
@@ -224,24 +217,7 @@
             if change.is_cold:
                 pace.take(now_s)
             self._begin(change)
-        self._log_declined(view)
-
-    def _log_declined(self, view: PlacementView) -> None:
-        """Say now and then why a model that requests wait for is not loaded."""
-        waiting = {model for model, _ in view.demand.waiting(view.now_s)}
-        for model, reason in self._policy.declined.items():
-            last_s = self._declined_s.get(model, -math.inf)
-            if model not in waiting or view.now_s - last_s < DECLINED_PERIOD_S:
-                continue
-            self._declined_s[model] = view.now_s
-            self._core.events.record(
-                "placement_declined",
-                model=model,
-                reason=reason.value,
-                free=sum(not site.inventory.is_changing for site in view.sites),
-                endpoints=len(view.sites),
-                cold_loads=view.cold_loads,
-            )
+        self._declined.note(view, self._policy.declined)
 
     def _sites(self, service: ServiceName) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
@@ -356,7 +332,6 @@
             return
         now_s = self._core.clock()
         self._announced_s = now_s
-        placements = self._changed_placements()
         loads = [
             PendingLoad(
                 change.endpoint,
@@ -367,30 +342,4 @@
             )
             for change, ready_s in self._pending.values()
         ]
-        daemon = self._core.daemon_id
-        self._send(PlacementNews(daemon, self._term, placements, loads))
-        if now_s - self._beacon_s >= ANNOUNCE_PERIOD_S:
-            self._beacon_s = now_s
-            self._send(PlacerBeacon(daemon, self._term))
-
-    def _changed_placements(self) -> list[EndpointPlacement]:
-        """Return what endpoints hold, as far as it was not told lately."""
-        now_s = self._core.clock()
-        if now_s - self._told_all_s >= TELL_ALL_PERIOD_S:
-            self._told_all_s = now_s
-            self._told.clear()
-        changed = []
-        for inventory in self._inventories.values():
-            row = self._table.rows.get(inventory.endpoint)
-            if row is None or not inventory.is_known:
-                continue
-            models = {
-                model: sorted(adapters)
-                for model, adapters in row.models.items()
-                if model not in row.closing and not inventory.is_down
-            }
-            placement = EndpointPlacement(inventory.endpoint, row.sequence, models)
-            if self._told.get(inventory.endpoint) != placement:
-                self._told[inventory.endpoint] = placement
-                changed.append(placement)
-        return changed
+        self._announcer.announce(self._term, self._inventories.values(), loads)
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -9,8 +9,9 @@
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
 from .dialect import AnswerKind
+from .dispatching import DEFAULT_RETRY_S, Exchanges
 from .endpoints import Endpoint
-from .exchange import DEFAULT_RETRY_S, Exchange, Exchanges
+from .exchange import Exchange
 from .upstream import Upstream, WholeResponse
 
 SERVER_ERROR = 500
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -6,15 +6,16 @@
 
 import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from ..core import Application
 from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
 from ..gateway.refusals import Refusal
+from .caller_stream import CallerStream
 from .dialect import AnswerKind
+from .dispatching import Exchanges
 from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent
-from .exchange import Exchange, Exchanges
+from .exchange import Exchange
 from .relay import AttemptResult, Relay, give_up
 from .upstream import Upstream, WholeResponse, forwarded_headers
 
@@ -33,59 +34,6 @@
 """Prompts that are read long enough to tell how fast an endpoint is."""
 
 
-class CallerStream:
-    """The caller's side: its headers leave with the first event.
-
-    Parameters
-    ----------
-    request : web.BaseRequest
-        The caller's request.
-    core : Application
-        While it drains, connections are closed after their answers.
-    """
-
-    def __init__(self, request: web.BaseRequest, core: Application) -> None:
-        self._request = request
-        self._core = core
-        self._response: web.StreamResponse | None = None
-        self.events = 0
-        self.last_event_s: float | None = None
-
-    @property
-    def is_begun(self) -> bool:
-        """Whether the status line has left."""
-        return self._response is not None
-
-    async def async_begin(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Send the status line and headers, those of the first endpoint."""
-        if self._response is not None:
-            return
-        response = web.StreamResponse(status=status, headers=headers)
-        if self._core.is_draining:
-            response.force_close()
-        self._response = response
-        await response.prepare(self._request)
-
-    async def async_send(self, event: StreamEvent) -> None:
-        """Pass an event on."""
-        self.events += 1
-        await self._response.write(event.data)
-
-    async def async_finish(self) -> web.StreamResponse:
-        """End the answer as complete."""
-        if self._core.is_draining:
-            # Begun before the stop: its headers have promised a kept connection.
-            self._response.force_close()
-        await self._response.write_eof()
-        return self._response
-
-    def abort(self) -> web.StreamResponse:
-        """Close the connection, so that the answer can't look complete."""
-        if self._request.transport is not None:
-            self._request.transport.close()
-        return self._response
-
-
 class StreamRelay:
     """Relays streams.
 
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from chutelink.entry.config import RouteTable
-from chutelink.entry.exchange import Exchanges
+from chutelink.entry.dispatching import Exchanges
 from chutelink.entry.http import CallerHttp
 from chutelink.entry.loads import LoadBook
 from chutelink.entry.pending import PendingTable
