Ask endpoints soon that carry out a former holder's order

Cause: with reports every 4 s an endpoint whose order was begun by a former holder was left alone for up to 4 s after it was done. The test failed before.

--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -37,6 +37,11 @@
 An endpoint that is gone shows by requests that don't reach it, or by its
 registration, which lapses after as long.
 """
+BUSY_PERIOD_S = 0.3
+"""How often an endpoint is asked that carries out an order of a former holder.
+
+It can be changed again as soon as it is done, which only its report tells.
+"""
 FIRST_TERM = 1
 """Before it there was no holder."""
 FAILED_PAUSE_S = 0.3
@@ -178,7 +183,8 @@
         """Ask the endpoints whose last report is old; each in a task of its own."""
         now_s = self._core.clock()
         for inventory in self._inventories.values():
-            if inventory.is_changing or now_s - inventory.read_s < REPORT_PERIOD_S:
+            period_s = BUSY_PERIOD_S if inventory.is_busy else REPORT_PERIOD_S
+            if inventory.is_changing or now_s - inventory.read_s < period_s:
                 continue
             if now_s < inventory.avoid_until_s:
                 continue
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -386,3 +386,19 @@
         assert world.placer._sites("llm")[0].free_in_s == math.inf
 
     run(async_test)
+
+
+def test_an_endpoint_that_is_busy_with_a_former_holders_order_is_asked_soon():
+    async def async_test():
+        world = World(("m0",))
+        await world.async_start()
+        inventory = world.placer._inventories[NOBODY]
+        inventory.is_busy = True
+        read_s = inventory.read_s
+        await world.async_tick(0.2)
+        assert inventory.read_s == read_s
+        await world.async_tick(0.2)
+        assert inventory.read_s > read_s
+        assert not inventory.is_busy
+
+    run(async_test)
