--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans capacity chaos bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos bench-setup
 
 setup: $(VENV)/.installed
 
@@ -46,6 +46,9 @@
 plans: setup
 	$(BIN)/chutelink-bench plans
 
+pauses: setup
+	$(BIN)/chutelink-bench pauses
+
 capacity: setup
 	$(BIN)/chutelink-bench capacity --csv docs/capacity.csv
 
