Let a request that was not run ask for the version that is served now (gateway)

A refused request is given the artifacts that its model is served with now; a stream that has begun keeps its weights.

--- a/chutelink/gateway/dispatcher.py
+++ b/chutelink/gateway/dispatcher.py
@@ -50,6 +50,7 @@
         self._routing: Routing | None = None
         self._queueing: Queueing | None = None
         self._policies: tuple | None = None
+        self._fleet: FleetSpec | None = None
 
     @property
     def queue_length(self) -> int:
@@ -61,7 +62,8 @@
         return self._queue.waiting_by_model()
 
     def sync(self, fleet: FleetSpec) -> None:
-        """Take the policies of the fleet in force."""
+        """Take the fleet in force, and its policies."""
+        self._fleet = fleet
         policies = (fleet.options.routing, fleet.options.queueing)
         if policies == self._policies:
             return
@@ -87,6 +89,19 @@
                 return held
         return declared
 
+    def renew(self, request: WaitingRequest) -> None:
+        """Let a request that was not run ask for what its model is served with now.
+
+        Its version may just have been unloaded, while a newer one is loaded elsewhere.
+        """
+        if self._fleet is None:
+            return
+        artifacts = self.artifacts_for(self._fleet, request.name)
+        if not artifacts or artifacts == request.artifacts:
+            return
+        request.artifacts = artifacts
+        request.excluded = frozenset()
+
     def _is_served(
         self,
         artifacts: tuple[Artifact, ...],
