--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -11,6 +11,7 @@
 from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
 from ..gateway.refusals import Refusal
 from .caller_stream import CallerStream
+from .config import Route
 from .dialect import AnswerKind
 from .dispatching import Exchanges
 from .endpoints import Endpoint
@@ -25,7 +26,13 @@
 STALL_S = 1.5
 """Silence within a stream after which another endpoint is tried.
 
-Callers leave after 2 s; pauses of 0.4 s are the longest that are in time.
+Of callers of whom it is not known how long they wait for the next event.
+"""
+STALL_SHARE = 0.75
+"""The same, as a share of the time that callers wait for the next event.
+
+A less urgent stream may be silent for seconds while others are served first. Cut
+after 1.5 s each time, one whose caller would have waited for 20 s was never finished.
 """
 MIN_RESUME_S = 0.2
 """With less time left no other endpoint would get anything done."""
@@ -144,6 +151,13 @@
         )
 
 
+def stall_limit_s(route: Route) -> float | None:
+    """Return after what silence a stream goes on elsewhere; None where it may not."""
+    if not route.is_repeatable:
+        return None
+    return STALL_SHARE * route.patience_s if route.patience_s else STALL_S
+
+
 class _Attempt:
     """One endpoint's part of a stream."""
 
@@ -218,7 +232,7 @@
                 await caller.async_begin(response.status, headers)
                 await caller.async_send(event)
                 self._note_event(sent_s)
-            limit_s = STALL_S if self._exchange.is_repeatable else None
+            limit_s = stall_limit_s(self._exchange.route)
         if splitter.has_rest:
             raise EndpointFailed(
                 "ended within an event", step="stream", peer=row.record.id
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -8,8 +8,10 @@
 import pytest
 
 from chutelink.entry.news import PendingLoad
+from chutelink.entry.stream import stall_limit_s
+from standins.prepared_config import make_config
 
-from .world import async_world
+from .world import SERVICES, async_world
 
 EVENTS = 8
 
@@ -261,3 +263,22 @@
                 assert await answer.read() == expected()
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "max_pause_ms", "limit_s"),
+    [(400, 250, 1.5), (5000, 250, 15.0), (800, 400, 2.4)],
+)
+def test_a_silent_stream_goes_on_elsewhere_before_its_caller_leaves(
+    objective_ms, max_pause_ms, limit_s
+):
+    async def async_test():
+        async with async_world() as world:
+            routes = make_config(1, SERVICES)["routes"]
+            routes[0] |= {"slo_ms": objective_ms, "gap_target_ms": max_pause_ms}
+            world.configure(routes=routes)
+            stream, once, _ = world.route_table().config.routes
+            assert stall_limit_s(stream) == pytest.approx(limit_s)
+            assert stall_limit_s(once) is None
+
+    asyncio.run(async_test())
