Leave time for the second endpoint of a repeatable request; remove the former routing

Found by a test that lets a kept connection fall silent: the first of two endpoints got all the time that was left, since it was counted before its limit was worked out, and the request ended with 504. The test failed before. The former routing policy, unused and half the same, goes; LeastRequests stays as the baseline. The test of a full endpoint no longer shows that the former one failed there; it did when it was added.

--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -139,8 +139,9 @@
         return AttemptResult.ANSWERED
 
     def _limit_s(self, exchange: Exchange, now_s: float) -> float:
+        """Return how long the endpoint tried last may take."""
         left_s = exchange.left_s(now_s)
-        has_more = len(exchange.tried) + 1 < exchange.route.max_endpoints
+        has_more = len(exchange.tried) < exchange.route.max_endpoints
         if exchange.is_repeatable and has_more:
             return max(0.0, FIRST_TRY_SHARE * left_s)
         return max(0.0, left_s)
--- a/chutelink/entry/routing.py
+++ b/chutelink/entry/routing.py
@@ -13,17 +13,6 @@
 from .prefixes import PrefixTable
 from .speeds import SpeedTable
 
-STEP_S = 0.005
-"""How long an engine's step takes, by the users' sheets."""
-FAILURE_COST_S = 3.0
-"""What a certain failure costs: about a request's time to its deadline."""
-PAUSE_COST_S = 1.5
-"""What a pause that is too long costs: as much as a first event that late."""
-DISTURBANCE_SHARE = 0.05
-"""Share of a prompt's reading time by which each stream under way is set back.
-
-Streams wait for the pieces of prompts that are read between their tokens.
-"""
 FAR_COST_S = 0.003
 """Crossing to another failure domain: a round trip, and its bytes are charged."""
 DEFAULT_OBJECTIVE_S = 1.0
@@ -79,70 +68,6 @@
         )
 
 
-class ExpectedDelay(RoutingPolicy):
-    """Least expected time to the first byte, with cached prompts and failures.
-
-    Parameters
-    ----------
-    health : HealthTable
-        How endpoints have answered lately.
-    prefixes : PrefixTable
-        Which prompts they have read lately.
-    speeds : SpeedTable
-        How fast they read.
-    """
-
-    def __init__(
-        self, health: HealthTable, prefixes: PrefixTable, speeds: SpeedTable
-    ) -> None:
-        self._health = health
-        self._prefixes = prefixes
-        self._speeds = speeds
-
-    def choose(
-        self, rows: list[Endpoint], request: Candidate, now_s: float
-    ) -> Endpoint | None:
-        """Return the endpoint with the least cost."""
-        usable = [row for row in rows if self._health.is_open(row.record.id, now_s)]
-        return min(
-            usable or rows,
-            key=lambda row: (self._cost_s(row, request, now_s), row.record.id),
-            default=None,
-        )
-
-    def expected_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
-        """Return the expected time to the first byte, without failures."""
-        if not request.model:
-            queued = row.total_requests / max(1, row.record.slots)
-            return queued * self._health.typical_s(row.record.id)
-        reading_s = self.own_read_s(row, request, now_s)
-        reading_s += row.reading_s + row.other_reading_s
-        step_s = STEP_S * row.total_requests / max(1, row.record.slots)
-        return reading_s * self._speeds.endpoint_factor(row.record.id) + step_s
-
-    def _cost_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
-        endpoint = row.record.id
-        cost_s = FAILURE_COST_S * self._health.failure_share(endpoint, now_s)
-        if row.record.failure_domain != request.failure_domain:
-            cost_s += FAR_COST_S
-        cost_s += PAUSE_COST_S * self._health.paused_share(endpoint)
-        cost_s += self.expected_s(row, request, now_s)
-        return cost_s + self._disturbance_s(row, request, now_s)
-
-    def _disturbance_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
-        """Return what reading the prompt costs the streams under way there."""
-        if not request.model:
-            return 0.0
-        read_s = self.own_read_s(row, request, now_s)
-        return DISTURBANCE_SHARE * read_s * row.total_requests
-
-    def own_read_s(self, row: Endpoint, request: Candidate, now_s: float) -> float:
-        """Return how long the prompt takes to read, less what is kept of it."""
-        parts = self._prefixes.cached_parts(row.record.id, request.chain, now_s)
-        cached = request.chain_tokens[parts - 1] if parts else 0
-        return self._speeds.read_s(request.model, request.prompt_tokens - cached)
-
-
 class LeastLoss(RoutingPolicy):
     """Least expected loss, in requests: one's own, and what others lose by it.
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -214,3 +214,20 @@
             assert not first.runs and len(second.runs) == 5
 
     asyncio.run(async_test())
+
+
+def test_work_that_may_be_repeated_outlives_a_kept_connection_that_falls_silent():
+    """New connections work; only the time limit of the first try shows it."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            endpoint = await world.async_add("i-1", "plain")
+            async with world.request("/again/x", "q1") as answer:
+                assert answer.status == 200
+            endpoint.faults = type(endpoint.faults)(mute=1)
+            async with world.request("/again/x", "q2", X_Deadline_Ms="600") as answer:
+                assert answer.status == 200
+            assert endpoint.runs == ["q1", "q2", "q2"]
+
+    asyncio.run(async_test())
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -7,7 +7,7 @@
 from chutelink.entry.durations import DurationTable
 from chutelink.entry.health import HealthTable
 from chutelink.entry.prefixes import PrefixTable
-from chutelink.entry.routing import Candidate, ExpectedDelay, LeastLoss
+from chutelink.entry.routing import Candidate, LeastLoss
 from chutelink.entry.speeds import SpeedTable
 
 from .test_placement import make_site
@@ -42,9 +42,6 @@
     parts.rows["i-1"].other_requests = 2 * SLOTS
     parts.health.note_streams("i-2", 20, 12, NOW_S)
     assert parts.choose() == "i-2"
-    old = ExpectedDelay(parts.health, parts.prefixes, parts.speeds)
-    request = Candidate("m0", "", 800, (), (), "zone-a", 0.4)
-    assert old.choose(list(parts.rows.values()), request, NOW_S).record.id == "i-1"
 
 
 def test_a_request_goes_where_fewer_are_under_way():
--- a/tests/entry/test_speeds.py
+++ b/tests/entry/test_speeds.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from chutelink.entry.routing import Candidate, ExpectedDelay
+from chutelink.entry.durations import DurationTable
+from chutelink.entry.routing import Candidate, LeastLoss
 from chutelink.entry.speeds import FIRST_EVENT_S, SpeedTable
 from chutelink.entry.state import HealthTable, PrefixTable
 
@@ -66,7 +67,7 @@
 def test_requests_go_to_the_endpoint_that_reads_faster():
     speeds = SpeedTable()
     learn(speeds, "m0", "i-1", 2.0)
-    policy = ExpectedDelay(HealthTable(), PrefixTable(), speeds)
+    policy = LeastLoss(HealthTable(), PrefixTable(), speeds, DurationTable())
     rows = [make_site(name, {"m0": []}).endpoint for name in ("i-1", "i-2")]
     request = Candidate("m0", "", TOKENS, (), (), "zone-a")
     assert policy.choose(rows, request, 1.0).record.id == "i-2"
