--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -41,9 +41,6 @@
 MIN_BACK_S = 0.2
 SEND_MARGIN_S = 0.1
 """What is left for the way to the endpoint and for what was told late."""
-LAST_URGENCY = 9
-OBJECTIVES_PER_URGENCY_S = 1.5
-"""Requests whose objectives differ by this much differ by one step of urgency."""
 
 
 class Exchanges:
@@ -195,10 +192,10 @@
     def _check_backlog(self, exchange: Exchange) -> None:
         """Refuse at once what would be late at the best endpoint there is.
 
-        Answers the load of a model whose endpoints are full. What is sent all the
-        same makes everything behind it late too: an endpoint with 60 to 90 requests
-        for its 48 places answered 20 a second for fifteen seconds, each 1 to 2 s
-        late. Once its queue is gone as many are answered in time.
+        Answers the load of a model whose endpoints are full: what is sent all the
+        same makes everything behind it late too. The first rank is sent all the
+        same: endpoints admit it first, and refused as well it gained nothing over
+        eight days of high load, where its callers came back to be refused again.
 
         Raises
         ------
