Silence live connections to the store in a test: a change still arrives

A proxy in the tests passes nothing on any more, and no end, on what is open, while new connections work.

--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -17,6 +17,7 @@
 from standins.prepared_config import make_config
 
 from .deployment import FAILURES, WAIT_S, Process
+from .silence import SilencingProxy
 
 ROOT = Path(__file__).parent.parent.parent
 BIN = Path(os.sys.executable).parent
@@ -39,6 +40,7 @@
         self.net = f"127.{20 + os.getpid() % 9}.{100 + next(_NETS) % 150}"
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
+        self.store_proxy: SilencingProxy | None = None
 
     @property
     def store_url(self) -> str:
@@ -47,6 +49,16 @@
     def address(self, number: int) -> str:
         return f"{self.net}.{10 + number}"
 
+    @property
+    def store_host(self) -> str:
+        """Where daemons find the store: itself, or a proxy before it."""
+        return f"{self.net}.1" if self.store_proxy is None else f"{self.net}.2"
+
+    async def async_start_proxy(self) -> None:
+        """Put a proxy between the daemons and the store."""
+        self.store_proxy = SilencingProxy(f"{self.net}.2", STORE_PORT, f"{self.net}.1")
+        await self.store_proxy.async_start()
+
     def start(self, name: str, command: list[str]) -> Process:
         log = self.directory / f"{name}.log"
         self.processes[name] = Process(name, command, log)
@@ -65,7 +77,7 @@
             "ip": ip,
             "listen.control": f"{ip}:{FIRST_PORT + 9}",
             "seeds": f"{self.address(0)}:{FIRST_PORT + 9}",
-            "provider.address": f"{self.net}.1:{STORE_PORT}",
+            "provider.address": f"{self.store_host}:{STORE_PORT}",
             "listen.front": f"{ip}:{FIRST_PORT}",
             "listen.ready": f"{ip}:{FIRST_PORT + 1}",
             "listen.directory": f"{ip}:{FIRST_PORT + 2}",
@@ -152,6 +164,8 @@
 
     async def async_close(self) -> None:
         await self.session.close()
+        if self.store_proxy is not None:
+            await self.store_proxy.async_close()
         for process in self.processes.values():
             process.send(signal.SIGCONT)
             process.kill()
@@ -159,7 +173,7 @@
 
 @asynccontextmanager
 async def async_entry_deployment(
-    directory: Path, daemons: int = 3
+    directory: Path, daemons: int = 3, *, has_proxy: bool = False
 ) -> AsyncIterator[EntryDeployment]:
     deployment = EntryDeployment(directory)
     deployment.session = aiohttp.ClientSession(
@@ -167,6 +181,8 @@
     )
     try:
         deployment.start_store()
+        if has_proxy:
+            await deployment.async_start_proxy()
         for number in range(daemons):
             deployment.start_daemon(number)
         await deployment.async_until_complete(list(range(daemons)))
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -176,3 +176,31 @@
         await deployment.async_until(async_is_refused)
 
     run(async_test, tmp_path)
+
+
+def test_a_change_arrives_though_all_connections_to_the_store_fell_silent(tmp_path):
+    """Without a reset; new connections work. The placer keeps its work too."""
+
+    async def async_test():
+        async with async_entry_deployment(tmp_path, has_proxy=True) as deployment:
+            await async_until_served(deployment, 0, "m0")
+            assert deployment.store_proxy.silence() > 0
+            await deployment.async_configure(2, routes=[])
+
+            async def async_all_answer(status: int) -> bool:
+                for number in range(3):
+                    async with deployment.request(
+                        number, "/once/x", new_id()
+                    ) as answer:
+                        if answer.status != status:
+                            return False
+                return True
+
+            await deployment.async_until(lambda: async_all_answer(404))
+            assert deployment.store_proxy.silence() > 0
+            await deployment.async_configure(3)
+            await deployment.async_until(lambda: async_all_answer(200))
+            for model in ("m1", "m2", "m3"):
+                await async_until_served(deployment, 1, model)
+
+    asyncio.run(async_test())
