Believe reports that go on to show fewer orders; keep adapters that requests wait for

Reports that show fewer orders for a second are believed now, and adapters that requests wait for don't give way. All three tests failed before.

--- a/chutelink/entry/adapters.py
+++ b/chutelink/entry/adapters.py
@@ -90,13 +90,18 @@
         return Change(inventory.endpoint, model, adapter, unload_adapters=unload)
 
     def _idle(self, site: Site) -> list[tuple[ModelName, AdapterName]]:
-        """Return the adapters that may give way, the longest unused first."""
+        """Return the adapters that may give way, the longest unused first.
+
+        One that requests wait for stays: it may have been loaded just now, for them.
+        """
         demand, now_s = self._view.demand, self._view.now_s
+        waiting = demand.waiting(now_s)
         idle = [
             (demand.adapter_arrival_s(model, adapter), model, adapter)
             for model, adapters in site.inventory.models.items()
             for adapter in adapters
-            if not site.endpoint.running_adapter(model, adapter)
+            if (model, adapter) not in waiting
+            and not site.endpoint.running_adapter(model, adapter)
             and now_s - demand.adapter_arrival_s(model, adapter) > ADAPTER_IDLE_S
         ]
         return [(model, adapter) for _, model, adapter in sorted(idle)]
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -92,6 +92,10 @@
         """
 
 
+REPORT_LAG_S = 1.0
+"""Longest time by which a report may be old: they say some hundred ms."""
+
+
 class Inventory:
     """What one endpoint holds after the orders that it is known to have accepted.
 
@@ -112,6 +116,7 @@
         self.is_changing = False
         self.is_down = False
         self.avoid_until_s = float("-inf")
+        self._behind_since_s: float | None = None
 
     @property
     def is_known(self) -> bool:
@@ -124,10 +129,16 @@
         return sum(len(adapters) for adapters in self.models.values())
 
     def take_report(self, report: EndpointReport, now_s: float) -> None:
-        """Take in a report; one from before the latest known order is ignored."""
+        """Take in a report; one from before the latest known order is ignored.
+
+        Reports that go on to show fewer orders are right: an order was counted that
+        the endpoint did not count, and each further one would be refused.
+        """
         self.is_down = False
-        if report.sequence < self.sequence:
+        self.read_s = now_s
+        if report.sequence < self.sequence and self._may_lag(now_s):
             return
+        self._behind_since_s = None
         models = dict(report.models)
         for model, adapter in report.coming:
             models[model] = models.get(model, frozenset()) | {adapter}
@@ -136,11 +147,22 @@
         self.in_memory = report.in_memory
         self.on_disk = report.on_disk
         self.is_busy = report.is_busy
-        self.read_s = now_s
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the last report was from before the latest known order."""
+        return self._behind_since_s is not None
+
+    def _may_lag(self, now_s: float) -> bool:
+        """Return whether reports with fewer orders may only be late."""
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        return now_s - self._behind_since_s < REPORT_LAG_S
 
     def note_accepted(self, order: Order) -> None:
         """Take in that an order was accepted."""
         self.sequence = order.expected_sequence + 1
+        self._behind_since_s = None
         if order.adapter:
             held = self.models.get(order.model, frozenset())
             is_load = order.action is OrderAction.LOAD
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -38,9 +38,9 @@
 registration, which lapses after as long.
 """
 BUSY_PERIOD_S = 0.3
-"""How often an endpoint is asked that carries out an order of a former holder.
+"""How often an endpoint is asked whose order is not seen to be done.
 
-It can be changed again as soon as it is done, which only its report tells.
+It can be changed again as soon as that is so, which only its report tells.
 """
 FIRST_TERM = 1
 """Before it there was no holder."""
@@ -183,7 +183,8 @@
         """Ask the endpoints whose last report is old; each in a task of its own."""
         now_s = self._core.clock()
         for inventory in self._inventories.values():
-            period_s = BUSY_PERIOD_S if inventory.is_busy else REPORT_PERIOD_S
+            is_soon = inventory.is_busy or inventory.is_behind
+            period_s = BUSY_PERIOD_S if is_soon else REPORT_PERIOD_S
             if inventory.is_changing or now_s - inventory.read_s < period_s:
                 continue
             if now_s < inventory.avoid_until_s:
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -300,3 +300,12 @@
         view.demand.take("d1", uses, at_s)
     later = msgspec.structs.replace(view, now_s=102.0)
     assert Holdings(later).victims(site, "m4", is_replica=False) == ["m5", "m6"]
+
+
+def test_an_adapter_that_requests_wait_for_does_not_give_way_to_the_next_one():
+    """Loaded just now, and not yet asked for again: two took turns at one place."""
+    site = make_site("i-1", {"m0": ["a2", "a3"]})
+    uses = [("m0", "a2", 1, 0.1, 1), ("m0", "a3", 1, 0.1, 1), ("m0", "a1", 1, 0.1, 1)]
+    view = make_view([site], uses, now_s=100.0)
+    later = msgspec.structs.replace(view, now_s=100.5)
+    assert not any(change.adapter for change in DemandPlacement().plan(later))
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -402,3 +402,40 @@
         assert not inventory.is_busy
 
     run(async_test)
+
+
+def test_an_order_that_the_endpoint_did_not_count_bars_it_only_for_a_moment():
+    """It answered that an adapter on its way was gone; no further order fitted."""
+
+    async def async_test():
+        world = World(("m0",))
+        await world.async_start()
+        inventory = world.placer._inventories[NOBODY]
+        inventory.sequence += 1
+        world.want("m1")
+        await world.async_tick(0.1)
+        assert set(world.engine.models) == {"m0"}
+        for _ in range(6):
+            world.want("m1")
+            await world.async_tick(0.4)
+        assert set(world.engine.models) == {"m0", "m1"}
+
+    run(async_test)
+
+
+def test_an_endpoint_whose_reports_lag_is_not_asked_without_a_pause():
+    async def async_test():
+        world = World(("m0",))
+        await world.async_start()
+        inventory = world.placer._inventories[NOBODY]
+        inventory.sequence += 1
+        inventory.read_s = float("-inf")
+        # Something is asked for, so that nothing is fetched in advance.
+        world.demand.take("d1", [ModelUse("m0", "", 1, 0.1, 0)], world.core.now_s)
+        await world.async_tick(0.01)
+        read_s = inventory.read_s
+        assert read_s == world.core.now_s
+        await world.async_tick(0.01)
+        assert inventory.read_s == read_s
+
+    run(async_test)
