--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -34,14 +34,10 @@
 REPORT_PERIOD_S = 4.0
 """Reports are charged for, and orders keep the inventory up to date.
 
-An endpoint that is gone shows by requests that don't reach it, or by its
-registration, which lapses after as long.
+One that is gone shows by lost requests, or its registration, which lapses by then.
 """
 BUSY_PERIOD_S = 0.3
-"""How often an endpoint is asked whose order is not seen to be done.
-
-It can be changed again as soon as that is so, which only its report tells.
-"""
+"""How often an endpoint is asked whose order is not seen to be done yet."""
 FIRST_TERM = 1
 """Before it there was no holder."""
 FAILED_PAUSE_S = 0.3
