Log how recent the list of endpoints was for each request and change

Sight for the drain incident: no line told what a daemon knew when it chose an endpoint, nor from whom it had it. Requests, registrations and removals now name the version of the row, its source (own read or the peer that told) and its age; a leaving endpoint's line says how long ago the last request went there; failed and late reads of the store and news behind a gap have lines of their own; chutelink_endpoints_age_seconds counts the ages. No decision is changed.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -187,6 +187,7 @@
             LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
         )
         exchanges.on_prompt = self.news.send
+        exchanges.knowledge = lambda: self.watch.knowledge(TABLE_ENDPOINTS)
         relay = Relay(exchanges, self._upstream)
         streams = StreamRelay(self, exchanges, self._upstream, relay)
         self.callers = CallerHttp(
--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -36,6 +36,7 @@
     back_in_s,
     wait_until_s,
 )
+from .watch import Knowledge
 
 DEFAULT_RETRY_S = 0.5
 MIN_BACK_S = 0.2
@@ -87,6 +88,7 @@
         self._policy = policy
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
+        self.knowledge: Callable[[], Knowledge | None] = lambda: None
 
     def stop_waiting(self) -> None:
         """Refuse what waits for a model, now and from now on: this daemon ends."""
@@ -287,6 +289,7 @@
             free = [r for r in rows if self._room_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
         row = self._policy.choose(rows, exchange.candidate, now_s)
+        exchange.knowledge = self.knowledge()
         if row is not None:
             expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
             exchange.expected_s = expected_s
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -68,6 +68,7 @@
         self.record = record
         self.models = dict(record.models)
         self.sequence = UNKNOWN_SEQUENCE
+        self.last_sent_s = float("-inf")
         self.requests = 0
         self.reading_s = 0.0
         self.by_ref: Counter[ModelRef] = Counter()
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -11,6 +11,7 @@
 from .config import Route, ServiceSpec
 from .dialect import RequestMeta
 from .routing import Candidate
+from .watch import Knowledge
 
 LAST_URGENCY = 9
 OBJECTIVES_PER_URGENCY_S = 1.5
@@ -23,7 +24,8 @@
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
     route's. ``tried`` has the endpoints that it was sent to; ``first_event_s`` is
     the time from the start to a stream's first event, ``expected_s`` what was
-    expected of the endpoint chosen last, ``longest_pause_s`` between two events.
+    expected of the endpoint chosen last, ``longest_pause_s`` between two events;
+    ``knowledge`` is how recent the list of endpoints was that it was chosen from.
     """
 
     meta: RequestMeta
@@ -43,6 +45,7 @@
     first_event_s: float | None = None
     expected_s: float | None = None
     longest_pause_s: float = 0.0
+    knowledge: Knowledge | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -110,7 +110,7 @@
             self._core.events.warning("news_invalid", error=error)
             return
         if isinstance(news, StoreNews):
-            self.watch.take_news(news)
+            self.watch.take_news(news, broadcast.origin)
         elif isinstance(news, SnapshotRequest):
             self.watch.take_request(news)
         elif isinstance(news, LoadNews):
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -150,6 +150,7 @@
     def under_way(self, exchange: Exchange, row: Endpoint):
         """Count a request at an endpoint while it is there."""
         exchange.tried.append(row.record.id)
+        row.last_sent_s = self._exchanges.core.clock()
         row.requests += 1
         ref = model_ref(exchange.meta.model, exchange.meta.adapter)
         row.by_ref[ref] += 1
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -53,6 +53,9 @@
             {"outcome": result.outcome, "status": str(result.status)}
         )
         self._core.metrics.request_seconds.observe({"route": route}, took_s)
+        if exchange is not None and exchange.knowledge is not None:
+            age_s = exchange.knowledge.age_s
+            self._core.metrics.endpoints_age_seconds.observe({}, age_s)
         is_late = exchange is not None and _is_late(exchange, took_s)
         is_good = result.outcome == ANSWERED and result.status < FIRST_FAILURE
         if is_good and not is_late and not self._may_log(now_s):
@@ -101,6 +104,11 @@
                 "longest_pause_s": exchange.longest_pause_s,
                 "max_pause_s": exchange.route.max_pause_s,
             }
+            if exchange.knowledge is not None:
+                fields |= {
+                    "endpoints_version": exchange.knowledge.version,
+                    "endpoints_age_s": exchange.knowledge.age_s,
+                }
         if self._left_out:
             fields["good_left_out"] = self._left_out
             self._left_out = 0
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -17,6 +17,7 @@
 from .prefixes import PrefixTable
 from .reading import ReadingTable
 from .speeds import SpeedTable
+from .watch import RowChange
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
 
@@ -45,17 +46,17 @@
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
-    def take_row(self, key: str, value: Any, is_after_outage: bool) -> None:
-        """Take in a row that has changed; None for one that was removed."""
-        if key == KEY_ROUTING_CONFIG:
-            if value is not None:
-                self._take_config(value)
-        elif key.startswith(PREFIX_ENDPOINTS):
-            name = key[len(PREFIX_ENDPOINTS) :]
-            if value is None:
-                self._lose_endpoint(EndpointId(name), is_after_outage)
+    def take_row(self, change: RowChange) -> None:
+        """Take in a row that has changed."""
+        if change.key == KEY_ROUTING_CONFIG:
+            if change.value is not None:
+                self._take_config(change.value)
+        elif change.key.startswith(PREFIX_ENDPOINTS):
+            name = change.key[len(PREFIX_ENDPOINTS) :]
+            if change.value is None:
+                self._lose_endpoint(EndpointId(name), change)
             else:
-                self._take_endpoint(name, value)
+                self._take_endpoint(name, change)
 
     def _take_config(self, value: Any) -> None:
         try:
@@ -88,9 +89,9 @@
         )
         self.on_config()
 
-    def _take_endpoint(self, name: str, value: Any) -> None:
+    def _take_endpoint(self, name: str, change: RowChange) -> None:
         try:
-            record = self._adapter.decode_endpoint(name, value)
+            record = self._adapter.decode_endpoint(name, change.value)
         except EndpointFailed as error:
             self._core.events.warning("endpoint_refused", endpoint=name, error=error)
             return
@@ -102,17 +103,39 @@
                 address=record.address,
                 state=record.state.value,
                 models=",".join(record.models),
+                row_version=change.version,
+                source=change.source,
+                age_s=change.age_s,
+                last_sent_s=self._since_last_sent_s(record.id),
             )
         self.on_endpoints()
 
-    def _lose_endpoint(self, endpoint: EndpointId, is_after_outage: bool) -> None:
+    def _since_last_sent_s(self, endpoint: EndpointId) -> float:
+        """Return how long ago this daemon sent a request there, infinite if never."""
+        return self._core.clock() - self.endpoints.rows[endpoint].last_sent_s
+
+    def _lose_endpoint(self, endpoint: EndpointId, change: RowChange) -> None:
         row = self.endpoints.rows.get(endpoint)
         if row is None:
             return
-        if is_after_outage and row.is_ready:
+        if change.is_after_outage and row.is_ready:
             self.endpoints.lapse(endpoint, self._core.clock())
-            self._core.events.record("endpoint_lapsed", endpoint=endpoint)
+            self._core.events.record(
+                "endpoint_lapsed",
+                endpoint=endpoint,
+                row_version=change.version,
+                source=change.source,
+                age_s=change.age_s,
+            )
             return
+        self._core.events.record(
+            "endpoint_removed",
+            endpoint=endpoint,
+            row_version=change.version,
+            source=change.source,
+            age_s=change.age_s,
+            last_sent_s=self._since_last_sent_s(endpoint),
+        )
         self.endpoints.remove(endpoint)
         self._forget(row, "removed")
 
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from mode import Service
 
 from ..core import Application
@@ -33,6 +34,32 @@
 RECOVERED_FOR_S = 2.2
 """Removals so soon after an outage may be undone: live endpoints are back in 2 s."""
 SNAPSHOT_PAUSE_S = 0.5
+SLOW_CALL_S = 0.3
+"""Calls that take so much longer than asked for are logged; most take some 10 ms."""
+OWN_READ = "own_read"
+"""Source of what this daemon has read by itself; else it is a peer."""
+
+
+class RowChange(msgspec.Struct, frozen=True):
+    """A row that has changed, and how this daemon came to know of it.
+
+    ``value`` is None for a row that was removed; ``source`` is ``OWN_READ`` or the
+    peer that told; ``age_s`` is how old what was read is taken to be.
+    """
+
+    key: str
+    value: Any
+    version: int = 0
+    source: str = OWN_READ
+    age_s: float = 0.0
+    is_after_outage: bool = False
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """How recent the copy of a table is, for logs of what was decided by it."""
+
+    version: int
+    age_s: float
 
 
 class _TableState:
@@ -84,7 +111,7 @@
         self._states = {name: _TableState(name) for name in names}
         self._is_away = False
         self._recovered_s = float("-inf")
-        self.on_row: Callable[[str, Any, bool], None] = lambda key, value, soon: None
+        self.on_row: Callable[[RowChange], None] = lambda change: None
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
 
@@ -93,9 +120,13 @@
         """Whether each table was read at least once."""
         return all(state.version > 0 for state in self._states.values())
 
-    def age_s(self, name: str) -> float:
-        """Return how old the knowledge of a table is."""
-        return self._core.clock() - self._states[name].fresh_s
+    def knowledge(self, name: str) -> Knowledge:
+        """Return how recent the copy of a table is."""
+        state = self._states[name]
+        return Knowledge(state.version, self._age_s(state))
+
+    def _age_s(self, state: _TableState) -> float:
+        return self._core.clock() - state.fresh_s
 
     async def on_started(self) -> None:
         """Follow each table in a task of its own."""
@@ -122,11 +153,12 @@
         if rank == 0 or state.version == 0:
             return MIN_PERIOD_SHARE * self._bound_s - since_start_s
         share = FIRST_SHARE + RANK_SHARE * min(rank - 1, MAX_RANK)
-        return share * self._bound_s - (now_s - state.fresh_s)
+        return share * self._bound_s - self._age_s(state)
 
     async def _async_pull(self, state: _TableState) -> None:
         state.started_s = self._core.clock()
         page, is_whole = await self._async_read(state)
+        self._note_slow(state)
         if self._is_away:
             self._is_away = False
             self._recovered_s = self._core.clock()
@@ -145,11 +177,18 @@
         )
         is_first = state.version == 0
         # Empty answers that the store held back are as fresh as their arrival.
-        self._apply(state, news, self._core.clock())
+        self._apply(state, news, self._core.clock(), OWN_READ)
         if not is_first:
             # Whole tables are large, and all daemons read them when they start.
             self._send(news)
 
+    def _note_slow(self, state: _TableState) -> None:
+        took_s = self._core.clock() - state.started_s
+        if took_s > WAIT_SHARE * self._bound_s + SLOW_CALL_S:
+            self._core.events.record(
+                "store_answer_late", table=state.name, took_s=took_s
+            )
+
     async def _async_read(self, state: _TableState) -> tuple[RowPage, bool]:
         """Return changes, or the whole table when history is not kept."""
         prefix = f"{state.name}/"
@@ -185,15 +224,22 @@
             if state.rows[key].version <= page.version
         ]
 
-    def take_news(self, news: StoreNews) -> None:
+    def take_news(self, news: StoreNews, source: str) -> None:
         """Take in what another daemon has read."""
         state = self._states.get(news.table)
         if state is None:
             return
         if news.after > state.version:
-            # A gap: the next own read fills it.
+            # The next own read fills it.
+            self._core.events.info(
+                "store_news_gap",
+                table=news.table,
+                after=news.after,
+                version=state.version,
+                source=source,
+            )
             return
-        self._apply(state, news, self._core.clock() - news.age_s)
+        self._apply(state, news, self._core.clock() - news.age_s, source)
 
     def take_request(self, request: SnapshotRequest) -> None:
         """Send a whole table to a daemon that can't reach the store."""
@@ -209,7 +255,9 @@
         news = StoreNews(state.name, 0, state.version, age_s, rows)
         self.reply(request.daemon, news)
 
-    def _apply(self, state: _TableState, news: StoreNews, fresh_s: float) -> None:
+    def _apply(
+        self, state: _TableState, news: StoreNews, fresh_s: float, source: str
+    ) -> None:
         state.fresh_s = max(state.fresh_s, fresh_s)
         if news.version < state.version:
             return
@@ -222,11 +270,27 @@
                 state.rows.pop(row.key, None)
             else:
                 state.rows[row.key] = row
-            self.on_row(row.key, row.value, news.is_after_outage)
+            self.on_row(
+                RowChange(
+                    row.key,
+                    row.value,
+                    row.version,
+                    source,
+                    self._core.clock() - fresh_s,
+                    news.is_after_outage,
+                )
+            )
 
     def _note_failure(self, state: _TableState, error: PlatformUnavailable) -> None:
         if not self._is_away:
             self._core.events.warning("store_lost", table=state.name, error=error)
+        self._core.events.record(
+            "store_read_failed",
+            table=state.name,
+            took_s=self._core.clock() - state.started_s,
+            age_s=self._age_s(state),
+            error=error,
+        )
         self._is_away = True
         if state.version == 0:
             self._send(SnapshotRequest(state.name, self._core.daemon_id))
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -39,6 +39,13 @@
             buckets=(*LATENCY_BUCKETS_S, float("inf")),
         )
 
+        self.endpoints_age_seconds = Histogram(
+            "chutelink_endpoints_age_seconds",
+            "Age of the list of endpoints when a request's endpoint was chosen",
+            registry=self.registry,
+            buckets=(*LATENCY_BUCKETS_S, float("inf")),
+        )
+
     def render(self) -> bytes:
         """Return the metrics in Prometheus's text format."""
         content, _ = render(self.registry, [CONTENT_TYPE])
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -63,7 +63,7 @@
             self.core, table, ("t",), lambda: rank, self.sent.append, SHORTEST_BOUND_S
         )
         self.watch.reply = lambda daemon, news: self.sent.append(news)
-        self.watch.on_row = lambda key, value, soon: self.rows.append((key, value))
+        self.watch.on_row = lambda change: self.rows.append((change.key, change.value))
         self.state = self.watch._states["t"]
 
     def pull(self):
@@ -85,7 +85,7 @@
     table.put("t/b", 2)
     other.core.now_s += 0.6
     reader.pull()
-    other.watch.take_news(reader.sent[0])
+    other.watch.take_news(reader.sent[0], "d2")
     assert other.rows == [("t/a", 1), ("t/b", 2)]
     assert other.watch._pause_s(other.state) > 0
     assert table.calls == 3
@@ -104,7 +104,7 @@
     other = Watcher(table, rank=2)
     other.pull()
     other.core.now_s += 5.0
-    other.watch.take_news(StoreNews("t", 9, 10, 0.0, [StoredRow("t/b", 10, 2)]))
+    other.watch.take_news(StoreNews("t", 9, 10, 0.0, [StoredRow("t/b", 10, 2)]), "d2")
     assert other.rows == [("t/a", 1)]
     assert other.watch._pause_s(other.state) <= 0
 
@@ -124,7 +124,7 @@
     reader = Watcher(table)
     table.put("t/a", 2)
     reader.pull()
-    reader.watch.take_news(StoreNews("t", 0, 5, 0.0, [StoredRow("t/a", 1, 1)]))
+    reader.watch.take_news(StoreNews("t", 0, 5, 0.0, [StoredRow("t/a", 1, 1)]), "d2")
     assert reader.rows == [("t/a", 2)]
 
 
@@ -138,7 +138,7 @@
     request = lonely.sent[0]
     assert request == SnapshotRequest("t", "d1")
     reader.watch.take_request(request)
-    lonely.watch.take_news(reader.sent[0])
+    lonely.watch.take_news(reader.sent[0], "d2")
     assert lonely.rows == [("t/a", 1)]
     assert lonely.watch.is_complete
 
@@ -146,7 +146,9 @@
 def test_removals_right_after_an_outage_are_marked(table):
     reader = Watcher(table)
     seen = []
-    reader.watch.on_row = lambda key, value, soon: seen.append((value, soon))
+    reader.watch.on_row = lambda change: seen.append(
+        (change.value, change.is_after_outage)
+    )
     reader.pull()
     reader.watch._is_away = True
     table.put("t/a", None)
@@ -164,7 +166,7 @@
     reader.pull()
     assert reader.sent[0].rows == []
     other.core.now_s += 0.6
-    other.watch.take_news(reader.sent[0])
+    other.watch.take_news(reader.sent[0], "d2")
     assert other.state.version == 2
     assert other.watch._pause_s(other.state) > 0
     table.put("t/a", 20)
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -22,6 +22,7 @@
 from chutelink.entry.state import EntryState
 from chutelink.entry.stream import StreamRelay
 from chutelink.entry.upstream import Upstream
+from chutelink.entry.watch import RowChange
 from chutelink.platform.adapter import PreparedMachines as Adapter
 from standins.prepared import PreparedMachines
 from standins.prepared_config import make_config
@@ -96,11 +97,11 @@
     def show(self, endpoint: EndpointStandin) -> None:
         """Let the daemon see an endpoint's registration."""
         key = f"endpoints/{endpoint.name}"
-        self.known.take_row(key, endpoint.registration(), False)
+        self.known.take_row(RowChange(key, endpoint.registration()))
 
     def configure(self, version: int = 1, **changes: object) -> None:
         config = make_config(version, SERVICES, **changes)
-        self.known.take_row("config/config", config, False)
+        self.known.take_row(RowChange("config/config", config))
 
     def route_table(self) -> RouteTable:
         return self.known.routes
