Bring the drain incident about in tests, committed failing

Seven daemons follow the registrations in virtual time; whatever a daemon would still send to more than 2 s after the store's acknowledgement fails the test.

--- /dev/null
+++ b/tests/entry/test_leaving.py
@@ -0,0 +1,76 @@
+"""No request reaches an endpoint over two seconds after the store says it leaves.
+
+What callers saw: nothing; their requests were answered by an endpoint that was on
+its way out, and would have failed had it gone a little sooner. Order of events: the
+daemon that reads the store for all loses one call, though the store is well; it
+reads again; an endpoint leaves by removing its registration; the reader takes the
+removal for one of an outage, after which live endpoints come back, and says so to
+all; all keep the endpoint for 1.8 s from then on, and up to 0.2 s longer until they
+look. With the 0 to 0.4 s until the removal was read that is up to 2.4 s.
+
+Evidence: in plays where the reader alone was cut off for 0.5 to 1.2 s,
+``endpoint_lapsed`` at all seven daemons 0.18 s after the store's acknowledgement, the
+last request 2.05 to 2.13 s after it, ``endpoint_gone reason=lapsed`` after that. The
+same shape as the incident: one request, sent at once, answered whole.
+
+The other tests are of the same class: knowledge that is taken for newer, or for more
+complete, than it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..virtual_time import run_virtually
+from .watching_fleet import async_fleet
+
+
+def test_a_lost_call_of_the_reader_is_no_outage_of_the_store():
+    async def async_test():
+        for seed in range(20):
+            async with async_fleet(seed=seed) as fleet:
+                reader = fleet.followers[0]
+                reader.is_calm = False
+                reader.path.is_cut = True
+                await fleet.async_pass(1.6 + 0.02 * seed)
+                reader.path.is_cut = False
+                await fleet.async_pass(1.0)
+                fleet.registry.remove("e1")
+                await fleet.async_pass(3.0)
+
+    run_virtually(async_test())
+
+
+def test_news_that_arrive_late_are_as_old_as_they_are():
+    """A reader whose links are slow tells all in time that it has read, not what."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            reader = fleet.followers[0]
+            reader.is_calm = False
+            reader.news_late_s = lambda peer: 1.9
+            fleet.start_task(fleet.async_heartbeats())
+            await fleet.async_pass(4.0)
+            for name in ("e0", "e1", "e2"):
+                fleet.registry.register(name, "draining")
+                await fleet.async_pass(2.9)
+
+    run_virtually(async_test())
+
+
+def test_what_is_read_after_lost_history_reaches_those_that_missed_news():
+    async def async_test():
+        async with async_fleet() as fleet:
+            reader, other = fleet.followers[0], fleet.followers[5]
+            fleet.start_task(fleet.async_heartbeats())
+            never_s = float("inf")
+            reader.news_late_s = lambda peer: never_s if peer == other.name else 0.0
+            fleet.registry.register("e1", "draining")
+            while "e1" in reader.usable():
+                await asyncio.sleep(0.01)
+            reader.news_late_s = lambda peer: 0.0
+            fleet.registry.register("e2")
+            fleet.registry.forget_history()
+            await fleet.async_pass(5.0)
+
+    run_virtually(async_test())
--- /dev/null
+++ b/tests/entry/watching_fleet.py
@@ -0,0 +1,267 @@
+"""Daemons that follow the endpoints' registrations together, in virtual time.
+
+The store answers at once and keeps a history. Trouble is put between it and single
+daemons, and between daemons: calls that fail, answers and news that arrive late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+from chutelink.const import TABLE_ENDPOINTS
+from chutelink.entry.news import SnapshotRequest, StoreNews
+from chutelink.entry.state import EntryState
+from chutelink.entry.watch import StoreWatch
+from chutelink.exceptions import HistoryLost, PlatformUnavailable
+from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
+from chutelink.platform.adapter import PreparedMachines
+from chutelink.store import Row, RowPage, WatchedTable
+
+from ..fakes import make_core
+
+BOUND_S = 2.0
+"""How soon a leaving endpoint must get no request any more."""
+SERVICE = ServiceName("llm")
+CALL_S = 0.01
+NEWS_S = 0.001
+EXPIRE_S = 0.2
+"""How often a daemon looks whether endpoints came back."""
+LIMIT_S = 1.0
+"""Time limit of a call to the store, beside what it may be held back."""
+
+
+class Registry:
+    """The store's table of endpoints, with its history."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.forgotten = 0
+        self.is_out = False
+        self.left_s: dict[EndpointId, float] = {}
+        """When the store acknowledged that an endpoint leaves."""
+        self.changed = asyncio.Event()
+
+    def register(self, name: str, state: str = "ready") -> None:
+        """Write an endpoint's row."""
+        value = {
+            "service": SERVICE,
+            "address": f"{name}:1",
+            "state": state,
+            "models": [],
+        }
+        self._put(name, value)
+        if state == "draining":
+            self._note_left(name)
+
+    def remove(self, name: str, *, is_leaving: bool = True) -> None:
+        """Remove an endpoint's row."""
+        self._put(name, None)
+        if is_leaving:
+            self._note_left(name)
+
+    def forget_history(self) -> None:
+        """Keep the rows, but no changes."""
+        self.forgotten = self.version
+
+    def _note_left(self, name: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.left_s.setdefault(EndpointId(name), now_s)
+
+    def _put(self, name: str, value: dict | None) -> None:
+        self.version += 1
+        key = f"{TABLE_ENDPOINTS}/{name}"
+        self.rows[key] = Row(key, self.version, WriteId(""), value)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def page(self, after: int) -> RowPage:
+        rows = [row for row in self.rows.values() if row.version > after]
+        if not after:
+            rows = [row for row in rows if row.value is not None]
+        return RowPage(self.version, sorted(rows, key=lambda row: row.version))
+
+
+class StorePath(WatchedTable):
+    """One daemon's way to the store."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+        self.is_cut = False
+        self.answer_late_s: Callable[[], float] = lambda: 0.0
+        """How much later than usual an answer arrives."""
+        self.calls = 0
+
+    async def async_read(self, prefix, after_version=0):
+        await self._async_send(0.0)
+        return await self._async_answer(self._registry.page(0), 0.0)
+
+    async def async_watch(self, prefix, after_version, wait_s):
+        await self._async_send(wait_s)
+        registry = self._registry
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_s
+        while after_version >= registry.version and loop.time() < end_s:
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await registry.changed.wait()
+            except TimeoutError:
+                break
+        if after_version < registry.forgotten:
+            raise HistoryLost("forgotten", step="test")
+        return await self._async_answer(registry.page(after_version), wait_s)
+
+    async def async_transact(self, transaction):
+        raise NotImplementedError
+
+    async def _async_send(self, wait_s: float) -> None:
+        self.calls += 1
+        if self.is_cut or self._registry.is_out:
+            await asyncio.sleep(LIMIT_S + wait_s)
+            raise PlatformUnavailable("no answer in time", step="test")
+        await asyncio.sleep(CALL_S / 2)
+
+    async def _async_answer(self, page: RowPage, wait_s: float) -> RowPage:
+        late_s = self.answer_late_s()
+        if late_s > LIMIT_S:
+            await asyncio.sleep(LIMIT_S)
+            raise PlatformUnavailable("no answer in time", step="test")
+        await asyncio.sleep(CALL_S / 2 + late_s)
+        return page
+
+
+class Follower:
+    """One daemon: its copy of the table, and what it believes of endpoints."""
+
+    def __init__(self, fleet: WatchingFleet, rank: int, seed: int) -> None:
+        self.name = DaemonId(f"d{rank}")
+        self._fleet = fleet
+        self.core = make_core(self.name)
+        self.core.clock = asyncio.get_running_loop().time
+        self.core.rng = random.Random(f"{seed}/{rank}")
+        self.path = StorePath(fleet.registry)
+        adapter = PreparedMachines()
+        self.known = EntryState(self.core, adapter)
+        self.watch = StoreWatch(
+            self.core,
+            self.path,
+            (TABLE_ENDPOINTS,),
+            lambda: rank,
+            self._send,
+            BOUND_S,
+        )
+        self.watch.on_row = self.known.take_row
+        self.watch.compact = adapter.compact_row
+        self.watch.reply = lambda daemon, news: fleet.deliver(self, daemon, news)
+        self.news_late_s: Callable[[DaemonId], float] = lambda peer: 0.0
+        """How much later than usual its news reach a peer, infinite if never."""
+        self.is_calm = True
+
+    def _send(self, news: StoreNews | SnapshotRequest) -> None:
+        for peer in self._fleet.followers:
+            if peer is not self:
+                self._fleet.deliver(self, peer.name, news)
+
+    def take(self, news: StoreNews | SnapshotRequest, source: DaemonId) -> None:
+        if isinstance(news, SnapshotRequest):
+            self.watch.take_request(news)
+        else:
+            self.watch.take_news(news, source)
+
+    def usable(self) -> set[EndpointId]:
+        """Return the endpoints that a request may be sent to."""
+        return {row.record.id for row in self.known.endpoints.of_service(SERVICE)}
+
+    async def async_expire(self) -> None:
+        await asyncio.sleep(EXPIRE_S * self.core.rng.random())
+        while True:
+            self.known.expire()
+            await asyncio.sleep(EXPIRE_S)
+
+
+class WatchingFleet:
+    """Some daemons and their store; the first in rank reads for the others."""
+
+    def __init__(self, daemons: int, seed: int) -> None:
+        self.registry = Registry()
+        self.rng = random.Random(seed)
+        self.followers = [Follower(self, rank, seed) for rank in range(daemons)]
+        self._free_s: dict[tuple[DaemonId, DaemonId], float] = {}
+        self._tasks: list[asyncio.Task] = []
+
+    def deliver(
+        self, sender: Follower, peer: DaemonId, news: StoreNews | SnapshotRequest
+    ) -> None:
+        """Let news arrive over one link, in the order in which it was sent."""
+        loop = asyncio.get_running_loop()
+        late_s = sender.news_late_s(peer)
+        if late_s == float("inf"):
+            return
+        link = (sender.name, peer)
+        at_s = max(self._free_s.get(link, 0.0), loop.time() + NEWS_S + late_s)
+        self._free_s[link] = at_s
+        target = next(f for f in self.followers if f.name == peer)
+        loop.call_at(at_s, target.take, news, sender.name)
+
+    def late_sends(self) -> list[tuple[DaemonId, EndpointId, float]]:
+        """Return who would still send to endpoints that left over the bound ago."""
+        now_s = asyncio.get_running_loop().time()
+        return [
+            (follower.name, endpoint, now_s - left_s)
+            for follower in self.followers
+            if follower.is_calm
+            for endpoint, left_s in self.registry.left_s.items()
+            if now_s - left_s > BOUND_S and endpoint in follower.usable()
+        ]
+
+    async def async_pass(self, time_s: float) -> None:
+        """Let time pass; no calm daemon may send to what left over the bound ago."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + time_s
+        while loop.time() < end_s:
+            await asyncio.sleep(0.01)
+            late = self.late_sends()
+            assert not late, late
+
+    async def async_heartbeats(self) -> None:
+        """Let endpoints write signs of life, as they do all day."""
+        while True:
+            await asyncio.sleep(0.13)
+            if self.registry.is_out:
+                continue
+            living = [row for row in self.registry.rows.values() if row.value]
+            if living:
+                row = self.rng.choice(living)
+                name = row.key.partition("/")[2]
+                self.registry._put(name, row.value)
+
+    def start_task(self, coroutine) -> None:
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    async def async_start(self) -> None:
+        for follower in self.followers:
+            await follower.watch.start()
+            self.start_task(follower.async_expire())
+        await asyncio.sleep(0.5)
+
+    async def async_close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for follower in self.followers:
+            await follower.watch.stop()
+
+
+@asynccontextmanager
+async def async_fleet(daemons: int = 7, seed: int = 1, endpoints: int = 4):
+    """Start daemons that know some endpoints, named e0, e1 and so on."""
+    fleet = WatchingFleet(daemons, seed)
+    for number in range(endpoints):
+        fleet.registry.register(f"e{number}")
+    await fleet.async_start()
+    try:
+        yield fleet
+    finally:
+        await fleet.async_close()
