Keep vanished endpoints only after an outage that no daemon's own trouble explains

Cause: any failed call of the reader marked removals of the next 2.2 s as those of an outage, for all daemons, and each kept the endpoint for 1.8 s from when it heard, plus up to 0.2 s until its loop looked. Nothing added these up against the 2 s in which a leaving endpoint must get no request. Change: each daemon judges by the gap in its own knowledge (over the bound, which the others' reading in turn keeps it under), keeps what vanished until 2 s after the gap's end and not after it was told, and looks at each choice instead of each 0.2 s. Ruled out: dropping the grace; live endpoints would be refused for 2 s after each outage (new test). The test that removals are marked in the message is replaced by two on what is done with them (kept after a gap, final after any shorter one): the mark is gone from the message.

--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -262,7 +262,8 @@
 
     def _is_resident(self, exchange: Exchange) -> bool:
         """Return whether only the adapter is missing, which is there in some ms."""
-        rows = self.table.of_service(exchange.service.name)
+        now_s = self.core.clock()
+        rows = self.table.of_service(exchange.service.name, now_s)
         return any(row.holds(exchange.meta.model) for row in rows)
 
     def _may_be_loaded(self, exchange: Exchange) -> bool:
@@ -275,11 +276,11 @@
         return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
 
     def _choose(self, exchange: Exchange) -> Endpoint | None:
-        rows = self.table.of_service(exchange.service.name)
+        now_s = self.core.clock()
+        rows = self.table.of_service(exchange.service.name, now_s)
         meta = exchange.meta
         if exchange.service.engine is not None and meta.model:
             rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
-        now_s = self.core.clock()
         rows = [r for r in rows if self.health.is_reachable(r.record.id, now_s)]
         others = [r for r in rows if r.record.id not in exchange.tried]
         if others or not (exchange.is_repeatable and exchange.may_have_run):
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -20,11 +20,6 @@
 from .news import EndpointLoad
 
 NO_ADAPTER = AdapterName("")
-LAPSE_GRACE_S = 1.8
-"""How long an endpoint is kept that vanished while the store was away.
-
-Live ones are back within 2 s of the store's return.
-"""
 UNKNOWN_SEQUENCE = -1
 """Before a report was read, nothing is known of the orders accepted."""
 PLACED_VALID_S = 3.0
@@ -83,6 +78,12 @@
         """Whether it takes new work by its own account."""
         return self.record.state is EndpointState.READY
 
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether it may be sent new work."""
+        if self.lapsed_until_s is not None and now_s >= self.lapsed_until_s:
+            return False
+        return self.is_ready
+
     @property
     def total_requests(self) -> int:
         """Requests under way from all daemons."""
@@ -138,12 +139,12 @@
         self._heard_s: dict[DaemonId, float] = {}
         self.placer_heard_s = float("-inf")
 
-    def of_service(self, service: ServiceName) -> list[Endpoint]:
+    def of_service(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
         return [
             row
             for row in self.rows.values()
-            if row.record.service == service and row.is_ready
+            if row.record.service == service and row.is_usable(now_s)
         ]
 
     def put(self, record: EndpointRecord, now_s: float) -> bool:
@@ -160,11 +161,11 @@
         """Drop an endpoint that is gone."""
         return self.rows.pop(endpoint, None)
 
-    def lapse(self, endpoint: EndpointId, now_s: float) -> None:
+    def lapse(self, endpoint: EndpointId, until_s: float) -> None:
         """Keep an endpoint for a while that vanished while the store was away."""
         row = self.rows.get(endpoint)
         if row is not None and row.lapsed_until_s is None:
-            row.lapsed_until_s = now_s + LAPSE_GRACE_S
+            row.lapsed_until_s = until_s
 
     def expire(self, now_s: float) -> list[Endpoint]:
         """Drop the endpoints that did not come back in time; return them."""
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -32,7 +32,6 @@
     version: int
     age_s: float
     rows: list[StoredRow] = []
-    is_after_outage: bool = False
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, tag="snapshot_request"):
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -225,7 +225,7 @@
     def _sites(self, service: ServiceName) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
         sites = []
-        for row in self._table.of_service(service):
+        for row in self._table.of_service(service, self._core.clock()):
             endpoint = row.record.id
             inventory = self._inventories.get(endpoint)
             if inventory is None or inventory.is_down:
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -118,8 +118,8 @@
         row = self.endpoints.rows.get(endpoint)
         if row is None:
             return
-        if change.is_after_outage and row.is_ready:
-            self.endpoints.lapse(endpoint, self._core.clock())
+        if row.is_ready and self._core.clock() < change.back_until_s:
+            self.endpoints.lapse(endpoint, change.back_until_s)
             self._core.events.record(
                 "endpoint_lapsed",
                 endpoint=endpoint,
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -31,8 +31,11 @@
 MIN_PERIOD_SHARE = 0.2
 """Shortest time between two calls, as a share of the bound."""
 RETRY_S = 0.25
-RECOVERED_FOR_S = 2.2
-"""Removals so soon after an outage may be undone: live endpoints are back in 2 s."""
+RETURN_S = 2.0
+"""Endpoints whose rows vanished in an outage, and that live, are back so soon after it.
+
+The operators' rule for the store; what is not back by then is gone.
+"""
 SNAPSHOT_PAUSE_S = 0.5
 SLOW_CALL_S = 0.3
 """Calls that take so much longer than asked for are logged; most take some 10 ms."""
@@ -44,7 +47,8 @@
     """A row that has changed, and how this daemon came to know of it.
 
     ``value`` is None for a row that was removed; ``source`` is ``OWN_READ`` or the
-    peer that told; ``age_s`` is how old what was read is taken to be.
+    peer that told; ``age_s`` is how old what was read is taken to be. A row that
+    was removed may be back until ``back_until_s``, on this daemon's clock.
     """
 
     key: str
@@ -52,7 +56,7 @@
     version: int = 0
     source: str = OWN_READ
     age_s: float = 0.0
-    is_after_outage: bool = False
+    back_until_s: float = float("-inf")
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -69,6 +73,7 @@
         self.name = name
         self.version = 0
         self.fresh_s = float("-inf")
+        self.returned_s = float("-inf")
         self.started_s = float("-inf")
         self.rows: dict[str, StoredRow] = {}
         self.snapshot_sent_s = float("-inf")
@@ -110,7 +115,6 @@
         self._bound_s = bound_s
         self._states = {name: _TableState(name) for name in names}
         self._is_away = False
-        self._recovered_s = float("-inf")
         self.on_row: Callable[[RowChange], None] = lambda change: None
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
@@ -161,9 +165,7 @@
         self._note_slow(state)
         if self._is_away:
             self._is_away = False
-            self._recovered_s = self._core.clock()
             self._core.events.info("store_regained", table=state.name)
-        is_soon = self._core.clock() - self._recovered_s < RECOVERED_FOR_S
         rows = self._changed(state, page.rows)
         if is_whole:
             rows += self._missing(state, page)
@@ -173,7 +175,6 @@
             page.version,
             0.0,
             rows,
-            is_soon,
         )
         is_first = state.version == 0
         # Empty answers that the store held back are as fresh as their arrival.
@@ -258,6 +259,7 @@
     def _apply(
         self, state: _TableState, news: StoreNews, fresh_s: float, source: str
     ) -> None:
+        self._note_return(state, fresh_s)
         state.fresh_s = max(state.fresh_s, fresh_s)
         if news.version < state.version:
             return
@@ -277,10 +279,22 @@
                     row.version,
                     source,
                     self._core.clock() - fresh_s,
-                    news.is_after_outage,
+                    state.returned_s + RETURN_S,
                 )
             )
 
+    def _note_return(self, state: _TableState, fresh_s: float) -> None:
+        """Take a gap that no daemon's trouble explains for an outage of the store.
+
+        The others read in turn, so that knowledge grows older than the bound only
+        when nobody, or not this daemon itself, reaches the store. Guards against
+        keeping endpoints that have left: when any failed call counted as an
+        outage, seven daemons sent to an endpoint up to 2.13 s after it had left,
+        3 requests on 2 of 10 days with a reader that was cut off now and then.
+        """
+        if state.version and fresh_s - state.fresh_s > self._bound_s:
+            state.returned_s = fresh_s
+
     def _note_failure(self, state: _TableState, error: PlatformUnavailable) -> None:
         if not self._is_away:
             self._core.events.warning("store_lost", table=state.name, error=error)
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -74,3 +74,24 @@
             await fleet.async_pass(5.0)
 
     run_virtually(async_test())
+
+
+def test_live_endpoints_that_vanish_in_an_outage_stay_in_use_until_they_are_back():
+    async def async_test():
+        for seed in range(10):
+            async with async_fleet(seed=seed) as fleet:
+                registry = fleet.registry
+                registry.is_out = True
+                await fleet.async_pass(4.0)
+                registry.remove("e1", is_leaving=False)
+                registry.remove("e2", is_leaving=False)
+                registry.is_out = False
+                for _ in range(190):
+                    await asyncio.sleep(0.01)
+                    assert all("e1" in f.usable() for f in fleet.followers)
+                registry.register("e1")
+                await asyncio.sleep(2.2)
+                assert all("e1" in f.usable() for f in fleet.followers)
+                assert not any("e2" in f.usable() for f in fleet.followers)
+
+    run_virtually(async_test())
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -7,7 +7,13 @@
 import pytest
 
 from chutelink.entry.news import SnapshotRequest, StoredRow, StoreNews
-from chutelink.entry.watch import FIRST_SHARE, MAX_RANK, RANK_SHARE, StoreWatch
+from chutelink.entry.watch import (
+    FIRST_SHARE,
+    MAX_RANK,
+    RANK_SHARE,
+    RETURN_S,
+    StoreWatch,
+)
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import WriteId
 from chutelink.store import Row, RowPage, WatchedTable
@@ -143,18 +149,34 @@
     assert lonely.watch.is_complete
 
 
-def test_removals_right_after_an_outage_are_marked(table):
+def test_removals_within_two_seconds_of_an_outages_end_may_be_undone(table):
+    reader, other = Watcher(table), Watcher(table, rank=3)
+    seen = []
+    for watcher in (reader, other):
+        watcher.watch.on_row = lambda change: seen.append(
+            (change.value, change.back_until_s)
+        )
+        watcher.pull()
+        watcher.core.now_s += SHORTEST_BOUND_S + 0.1
+    seen.clear()
+    table.put("t/a", None)
+    reader.pull()
+    other.watch.take_news(reader.sent[-1], "d2")
+    assert seen == [(None, reader.core.now_s + RETURN_S)] * 2
+
+
+def test_after_a_shorter_gap_removals_are_final(table):
     reader = Watcher(table)
+    reader.pull()
+    reader.core.now_s += SHORTEST_BOUND_S - 0.1
+    reader.watch._note_failure(reader.state, PlatformUnavailable("x", step="test"))
     seen = []
     reader.watch.on_row = lambda change: seen.append(
-        (change.value, change.is_after_outage)
+        reader.core.clock() < change.back_until_s
     )
-    reader.pull()
-    reader.watch._is_away = True
     table.put("t/a", None)
     reader.pull()
-    assert seen[-1] == (None, True)
-    assert reader.sent[-1].is_after_outage
+    assert seen == [False]
 
 
 def test_signs_of_life_are_not_passed_on(table):
--- a/tests/entry/watching_fleet.py
+++ b/tests/entry/watching_fleet.py
@@ -173,7 +173,8 @@
 
     def usable(self) -> set[EndpointId]:
         """Return the endpoints that a request may be sent to."""
-        return {row.record.id for row in self.known.endpoints.of_service(SERVICE)}
+        rows = self.known.endpoints.of_service(SERVICE, self.core.clock())
+        return {row.record.id for row in rows}
 
     async def async_expire(self) -> None:
         await asyncio.sleep(EXPIRE_S * self.core.rng.random())
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 from typing import Any
 
-
 STEP_S = 1e-6
 """What each turn of the loop takes, so that waits too short to count end too."""
 
