Compare what rows of a table mean, not the versions that they bear

Cause: a row that is written anew with the same meaning keeps its version in a copy, so a whole table sent from there bore an older version than the row that it was to replace, and was left out. Change: what a copy takes is never of an earlier version than itself, so rows are taken by meaning. New test for the found case, failed before, passes now. test_old_rows_never_come_back had news that can't be told from this case (a later table with an older row); it is replaced by one that sends earlier changes and earlier whole tables, and that also checks that they don't count as recent.

--- a/chutelink/entry/tablecopy.py
+++ b/chutelink/entry/tablecopy.py
@@ -43,7 +43,7 @@
     version : int
         What is known is complete up to here; 0 before the first read.
     changed_version : int
-        The last version at which a row changed here.
+        A version since which no row has changed.
     answered_s : float
         What the store's clock showed when this version was the newest one.
     rows : dict
@@ -102,14 +102,20 @@
                 del self.rows[row.key]
             else:
                 self.rows[row.key] = row
-            self.changed_version = max(self.changed_version, row.version)
+        if changed:
+            self.changed_version = news.version
         return changed
 
     def _is_changed(self, row: StoredRow) -> bool:
+        """Return whether a row means something else than the known one.
+
+        Whatever is taken is of no earlier version than the copy. The row's own version
+        does not tell: it stays when the row is written anew with the same meaning.
+        """
         known = self.rows.get(row.key)
         if known is None:
             return row.value is not None
-        return row.version > known.version and row.value != known.value
+        return row.value != known.value
 
     def _missing(self, news: StoreNews) -> list[StoredRow]:
         present = {row.key for row in news.rows}
--- a/tests/entry/test_tablecopy.py
+++ b/tests/entry/test_tablecopy.py
@@ -56,6 +56,14 @@
     assert copy.rows["a"].value == "x"
 
 
+def test_a_whole_table_tells_of_rows_that_were_written_anew():
+    """Its sender did not see the change there and back, so the row's version is old."""
+    copy = make_copy(5, StoredRow("a", 4, "x"))
+    copy.take_read(news(5, 7, StoredRow("a", 6, "y")))
+    copy.take_news(news(0, 9, StoredRow("a", 4, "x")))
+    assert copy.rows["a"].value == "x"
+
+
 class CopiesMachine(RuleBasedStateMachine):
     """A table with a history; copies read it and tell each other in any order."""
 
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -132,11 +132,17 @@
 
 
 def test_old_rows_never_come_back(table):
+    """Neither as changes nor with a whole table of an earlier version."""
     reader = Watcher(table)
     table.put("t/a", 2)
+    table.put("t/b", 1)
     reader.pull()
-    reader.watch.take_news(StoreNews("t", 0, 5, 1000.0, [StoredRow("t/a", 1, 1)]), "d2")
-    assert reader.rows == [("t/a", 2)]
+    rows = list(reader.rows)
+    old = [StoredRow("t/a", 1, 1)]
+    for after in (0, 1):
+        reader.watch.take_news(StoreNews("t", after, 2, 2000.0, old), "d2")
+    assert reader.rows == rows
+    assert reader.state.copy.answered_s == table.now_s
 
 
 def test_a_daemon_without_the_store_asks_the_others(table):
