Send an unanswered read of the store a second time, and fit all its times into the bound

The last in rank read for itself at 1.18 s of 2 s; a kept connection that had fallen silent cost the time limit of 1.0 s and a pause of 0.25 to 0.375 s more: 2.4 to 2.6 s. The test of the bound took 0.5 s for the longest call. Change: a read without an answer after 0.4 of the time limit is sent again on a new connection, and whichever try is answered counts; a step in rank is 0.04 of the bound instead of 0.06. Ruled out: a shorter time limit, which would end every call of a slow store (0.5 s); a second try of writes, which could take effect twice.

--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -25,9 +25,12 @@
 
     @abstractmethod
     def make_table(
-        self, session: aiohttp.ClientSession, settings: PlatformSection
+        self,
+        session: aiohttp.ClientSession,
+        settings: PlatformSection,
+        fresh_session: aiohttp.ClientSession,
     ) -> WatchedTable:
-        """Return the table service."""
+        """Return the table service; reads are sent a second time when unanswered."""
 
     @abstractmethod
     def make_engine_client(self, session: aiohttp.ClientSession) -> EngineClient:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -119,7 +119,9 @@
 
     async def async_setup_parts(self) -> None:
         """Create the parts, then start them."""
-        table = self._adapter.make_table(self.session, self.settings.platform)
+        table = self._adapter.make_table(
+            self.session, self.settings.platform, self.fresh_session
+        )
         self._upstream = Upstream()
         self.mesh = Mesh(self, self.settings.peers, self.members)
         self.news = NewsDesk(
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -23,17 +23,24 @@
 from .tablecopy import NewsFit, TableCopy
 
 FIRST_SHARE = 0.35
-"""Age at which the second in rank reads for itself, as a share of the bound.
+"""Age at which the second in rank reads for itself, as a share of the bound."""
+RANK_SHARE = 0.04
+"""How much later each further one reads, as a share of the bound.
 
-With ``RANK_SHARE`` and the time of a slow call this stays within the bound.
+All shares keep the last in rank within the bound though its first try is not answered and
+the second one slowly, or its first call fails: 1.02 + 0.4 + 0.5 s and 1.02 + 0.375 + 0.4 +
+0.1 s of 2 s. At 0.06, and without a second try, it was up to 2.6 s.
 """
-RANK_SHARE = 0.06
 MAX_RANK = 4
+"""Those behind it read together with the one in this place behind the second."""
 WAIT_SHARE = 0.25
 """How long the first in rank lets the store hold a call, as a share of the bound."""
 MIN_PERIOD_SHARE = 0.2
 """Shortest time between two calls, as a share of the bound."""
 RETRY_S = 0.25
+"""Shortest pause after a failed call."""
+RETRY_SPREAD = 1.5
+"""Longest pause after a failed call, over the shortest."""
 RETURN_S = 2.0
 """Endpoints whose rows vanished in an outage, and that live, are back so soon after it.
 
@@ -151,7 +158,7 @@
                 await self._async_pull(followed)
             except PlatformUnavailable as error:
                 self._note_failure(followed, error)
-                await self.sleep(RETRY_S * self._core.rng.uniform(1.0, 1.5))
+                await self.sleep(RETRY_S * self._core.rng.uniform(1.0, RETRY_SPREAD))
 
     async def _async_pause(self, followed: _Followed, pause_s: float) -> None:
         """Wait, unless this daemon hears meanwhile that it is behind."""
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -28,10 +28,13 @@
     """Makes the parts that speak the prepared machines' protocols."""
 
     def make_table(
-        self, session: aiohttp.ClientSession, settings: PlatformSection
+        self,
+        session: aiohttp.ClientSession,
+        settings: PlatformSection,
+        fresh_session: aiohttp.ClientSession,
     ) -> WatchedTable:
         """Return the table service."""
-        return async_setup_store(session, settings)
+        return async_setup_store(session, settings, fresh_session)
 
     def make_engine_client(self, session: aiohttp.ClientSession) -> EngineClient:
         """Return the client for reports and orders."""
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -109,7 +109,7 @@
         first: _WirePage | None = None
         while True:
             answer = await self._caller.async_call(
-                "GET", "/api/rows-get", step="table.read", params=params
+                "GET", "/api/rows-get", step="table.read", params=params, is_read=True
             )
             page = self._decode_page(answer, "table.read")
             # Each page is of a moment of its own; what changed between them in the
@@ -134,7 +134,12 @@
             "wait_ms": str(round(wait_s * MS_PER_S)),
         }
         answer = await self._caller.async_call(
-            "GET", "/api/rows-feed", step="table.watch", params=params, wait_s=wait_s
+            "GET",
+            "/api/rows-feed",
+            step="table.watch",
+            params=params,
+            is_read=True,
+            wait_s=wait_s,
         )
         if answer.status == HTTP_GONE:
             raise HistoryLost(
@@ -217,7 +222,9 @@
 
 
 def async_setup_store(
-    session: aiohttp.ClientSession, settings: PlatformSection
+    session: aiohttp.ClientSession,
+    settings: PlatformSection,
+    fresh_session: aiohttp.ClientSession | None = None,
 ) -> StoreTable:
     """Return the store behind a time limit, a breaker and a budget of calls."""
-    return StoreTable(HttpCaller(session, settings, "store", STATUSES))
+    return StoreTable(HttpCaller(session, settings, "store", STATUSES, fresh_session))
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
@@ -34,6 +36,14 @@
 """What the services of the project's own protocol answer when they are well."""
 
 
+SECOND_TRY_SHARE = 0.4
+"""Share of the time limit after which a read is sent anew, on a new connection.
+
+Guards against a kept connection that has fallen silent, which only a time limit shows.
+Most answers take some 10 ms; slow ones take half of the limit and are waited for.
+"""
+
+
 class Answer(msgspec.Struct, frozen=True):
     """Status and body of a platform's answer."""
 
@@ -49,7 +59,21 @@
 
 
 class HttpCaller:
-    """Calls one of the platform's services with a time limit and a breaker."""
+    """Calls one of the platform's services with a time limit and a breaker.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Keeps connections.
+    settings : PlatformSection
+        Where the service is, and the limits.
+    peer : str
+        Its name, for errors.
+    statuses : frozenset of int
+        What it answers when it is well.
+    fresh_session : aiohttp.ClientSession, optional
+        Opens a connection for each call; for the second try of reads.
+    """
 
     def __init__(
         self,
@@ -57,8 +81,10 @@
         settings: PlatformSection,
         peer: str,
         statuses: frozenset[int] = OWN_DIALECT_STATUSES,
+        fresh_session: aiohttp.ClientSession | None = None,
     ) -> None:
         self._session = session
+        self._fresh_session = fresh_session
         self._settings = settings
         self.peer = peer
         self._statuses = statuses
@@ -80,23 +106,32 @@
         body: bytes | None = None,
         params: dict[str, str] | None = None,
         is_conditional_write: bool = False,
+        is_read: bool = False,
         wait_s: float = 0.0,
     ) -> Answer:
         """Send one call; classify what goes wrong by whether it can matter.
 
-        ``wait_s`` is how much longer the answer may be held back by the service.
+        ``wait_s`` is how much longer the answer may be held back by the service. A
+        read is sent a second time when there is no answer for long.
         """
-        self.breaker.before_call(step)
-        try:
-            async with self._session.request(
+
+        async def async_send(session: aiohttp.ClientSession) -> Answer:
+            self.breaker.before_call(step)
+            async with session.request(
                 method,
                 self._settings.url + path,
                 params=params,
                 data=body,
                 headers=self._headers,
-                timeout=aiohttp.ClientTimeout(total=self._settings.timeout_s + wait_s),
             ) as response:
-                answer = Answer(response.status, await response.read())
+                return Answer(response.status, await response.read())
+
+        try:
+            async with asyncio.timeout(self._settings.timeout_s + wait_s):
+                if is_read and self._fresh_session is not None:
+                    answer = await self._async_twice(async_send, wait_s)
+                else:
+                    answer = await async_send(self._session)
         except aiohttp.ClientConnectorError as error:
             self.breaker.note_failure()
             raise PlatformUnavailable(str(error), step=step, peer=self.peer) from error
@@ -111,6 +146,39 @@
         self.breaker.note_failure()
         raise PlatformUnavailable(f"status {answer.status}", step=step, peer=self.peer)
 
+    async def _async_twice(
+        self,
+        async_send: Callable[[aiohttp.ClientSession], Awaitable[Answer]],
+        wait_s: float,
+    ) -> Answer:
+        """Return the answer of whichever try is answered first."""
+        first = asyncio.ensure_future(async_send(self._session))
+        tries = {first}
+        patience_s = wait_s + SECOND_TRY_SHARE * self._settings.timeout_s
+        try:
+            await asyncio.wait(tries, timeout=patience_s)
+            if first.done():
+                return first.result()
+            tries.add(asyncio.ensure_future(async_send(self._fresh_session)))
+            return await _async_first_answer(tries)
+        finally:
+            for task in tries:
+                task.cancel()
+
+
+async def _async_first_answer(tries: set[asyncio.Future[Answer]]) -> Answer:
+    """Return the first answer, or raise the last error when no try is answered."""
+    open_tries = set(tries)
+    while True:
+        done, open_tries = await asyncio.wait(
+            open_tries, return_when=asyncio.FIRST_COMPLETED
+        )
+        answers = [task.result() for task in done if task.exception() is None]
+        if answers:
+            return answers[0]
+        if not open_tries:
+            return done.pop().result()
+
 
 class HttpTableService(TableService):
     """The table service over HTTP."""
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import configparser
+from pathlib import Path
 
 import pytest
 
@@ -11,12 +13,15 @@
     FIRST_SHARE,
     MAX_RANK,
     RANK_SHARE,
+    RETRY_S,
+    RETRY_SPREAD,
     RETURN_S,
     StoreWatch,
 )
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import WriteId
 from chutelink.store import Row, RowPage, WatchedTable
+from chutelink.store.http import SECOND_TRY_SHARE
 
 from ..fakes import make_core
 
@@ -24,6 +29,9 @@
 """The shortest time in which a change must be in force anywhere."""
 CALL_S = 0.5
 """How long a slow store takes to answer."""
+QUICK_CALL_S = 0.1
+"""How long one in good order takes at most."""
+DEPLOYED_SETTINGS = Path(__file__).parents[2] / "deploy" / "entry.ini"
 
 
 class ScriptedTable(WatchedTable):
@@ -100,6 +108,20 @@
     assert table.calls == 3
 
 
+def test_the_last_in_rank_knows_within_the_bound_though_its_first_call_fails():
+    """Whether nobody answers the first try of the call, or the whole call fails."""
+    parser = configparser.ConfigParser()
+    parser.read(DEPLOYED_SETTINGS)
+    limit_s = parser.getfloat("platform", "timeout_s")
+    last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * SHORTEST_BOUND_S
+    second_try_s = SECOND_TRY_SHARE * limit_s
+    assert last_rank_s + second_try_s + CALL_S <= SHORTEST_BOUND_S
+    assert (
+        last_rank_s + RETRY_S * RETRY_SPREAD + second_try_s + QUICK_CALL_S
+        <= SHORTEST_BOUND_S
+    )
+
+
 def test_a_daemon_that_hears_nothing_reads_within_the_bound(table):
     last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * SHORTEST_BOUND_S
     assert last_rank_s + CALL_S < SHORTEST_BOUND_S
--- /dev/null
+++ b/tests/store/test_http.py
@@ -0,0 +1,110 @@
+"""Calls to the platform over connections that fall silent.
+
+What was seen: a daemon that seldom reads the store by itself keeps a connection for
+long. If that fell silent without a reset, its first own read ran into the time limit,
+and with the pause before the next one the daemon knew of a leaving endpoint 2.4 to
+2.6 s after the store's acknowledgement, where 2 s are allowed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from chutelink.exceptions import PlatformUnavailable
+from chutelink.settings import PlatformSection
+from chutelink.store.http import HttpCaller
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+LIMIT_S = 0.5
+
+
+class SilentServer:
+    """Answers one call on its first connections and then nothing there."""
+
+    def __init__(self, silent: int) -> None:
+        self.silent = silent
+        self.connections = 0
+        self.calls = 0
+
+    async def async_serve(self, reader, writer):
+        self.connections += 1
+        is_silent = self.connections <= self.silent
+        answered = 0
+        while await self._async_request(reader):
+            if is_silent and answered:
+                await asyncio.Event().wait()
+            writer.write(ANSWER)
+            answered += 1
+
+    async def _async_request(self, reader) -> bool:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return False
+        self.calls += 1
+        return True
+
+
+@asynccontextmanager
+async def async_caller(server):
+    listener = await asyncio.start_server(server.async_serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    url = f"http://127.0.0.1:{port}"
+    settings = PlatformSection(url=url, key="none", timeout_s=LIMIT_S)
+    fresh = aiohttp.TCPConnector(force_close=True)
+    async with (
+        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(connector=fresh) as fresh_session,
+    ):
+        yield HttpCaller(session, settings, "store", fresh_session=fresh_session)
+    listener.close()
+
+
+def run(server, test):
+    async def async_run():
+        async with async_caller(server) as caller:
+            await test(caller)
+
+    asyncio.run(async_run())
+
+
+def test_a_read_on_a_silent_connection_is_sent_anew_on_a_new_one():
+    server = SilentServer(silent=1)
+
+    async def async_test(caller):
+        await caller.async_call("GET", "/x", step="x", is_read=True)
+        answer = await caller.async_call("GET", "/x", step="x", is_read=True)
+        assert answer.body == b"ok"
+        assert (server.connections, server.calls) == (2, 3)
+        await caller.async_call("GET", "/x", step="x", is_read=True)
+        assert caller.breaker.calls == 4
+
+    run(server, async_test)
+
+
+def test_a_write_is_sent_once():
+    server = SilentServer(silent=1)
+
+    async def async_test(caller):
+        await caller.async_call("POST", "/x", step="x")
+        with pytest.raises(PlatformUnavailable):
+            await caller.async_call("POST", "/x", step="x")
+        assert server.calls == 2
+
+    run(server, async_test)
+
+
+def test_a_read_that_nobody_answers_ends_at_its_limit():
+    class Mute(SilentServer):
+        async def async_serve(self, reader, writer):
+            await asyncio.Event().wait()
+
+    async def async_test(caller):
+        with pytest.raises(PlatformUnavailable):
+            await caller.async_call("GET", "/x", step="x", is_read=True)
+
+    run(Mute(silent=9), async_test)
