Soak of daemons that follow leaving endpoints, in virtual time and seeded

Daemons are cut off, told late or not at all, get late answers or hold a silent connection; the store forgets history and is away with lapses. Those in good order for 3 s must send nothing to what left over 2 s ago.

--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -22,15 +22,20 @@
 import asyncio
 
 from ..virtual_time import run_virtually
+from .leaving_soak import async_soak
 from .watching_fleet import async_fleet
 
+ALWAYS_S = float("inf")
+SOAK_SEEDS = range(1, 21)
+SOAK_S = 40.0
+
 
 def test_a_lost_call_of_the_reader_is_no_outage_of_the_store():
     async def async_test():
         for seed in range(20):
             async with async_fleet(seed=seed) as fleet:
                 reader = fleet.followers[0]
-                reader.is_calm = False
+                reader.calm_from_s = ALWAYS_S
                 reader.path.is_cut = True
                 await fleet.async_pass(1.6 + 0.02 * seed)
                 reader.path.is_cut = False
@@ -47,7 +52,7 @@
     async def async_test():
         async with async_fleet() as fleet:
             reader = fleet.followers[0]
-            reader.is_calm = False
+            reader.calm_from_s = ALWAYS_S
             reader.news_late_s = lambda peer: 1.9
             fleet.start_task(fleet.async_heartbeats())
             await fleet.async_pass(4.0)
@@ -97,6 +102,12 @@
     run_virtually(async_test())
 
 
+def test_whatever_troubles_others_calm_daemons_leave_leaving_endpoints_alone():
+    """Longer runs: python -m tests.entry.leaving_soak --first 1 --seeds 1000."""
+    for seed in SOAK_SEEDS:
+        run_virtually(async_soak(seed, SOAK_S))
+
+
 def test_calm_daemons_leave_the_reading_to_the_first():
     """Calls to the store are charged for: one reads for all while nothing fails."""
 
--- a/tests/entry/watching_fleet.py
+++ b/tests/entry/watching_fleet.py
@@ -19,6 +19,7 @@
 from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.store import Row, RowPage, WatchedTable
+from chutelink.store.http import SECOND_TRY_SHARE
 
 from ..fakes import make_core
 
@@ -27,6 +28,8 @@
 SERVICE = ServiceName("llm")
 CALL_S = 0.01
 NEWS_S = 0.001
+CONTACT_S = 3.0
+"""After trouble of its own, or of the store, a daemon is not held to the bound."""
 EXPIRE_S = 0.2
 """How often a daemon looks whether endpoints came back."""
 CLOCK_OFFSET_S = 5000.0
@@ -43,8 +46,10 @@
         self.version = 0
         self.forgotten = 0
         self.is_out = False
+        self.calm_from_s = 0.0
+        """When its last outage ended."""
         self.left_s: dict[EndpointId, float] = {}
-        """When the store acknowledged that an endpoint leaves."""
+        """When the store, in good order, acknowledged that an endpoint leaves."""
         self.changed = asyncio.Event()
 
     def register(self, name: str, state: str = "ready") -> None:
@@ -71,7 +76,14 @@
 
     def _note_left(self, name: str) -> None:
         now_s = asyncio.get_running_loop().time()
-        self.left_s.setdefault(EndpointId(name), now_s)
+        if self.is_calm:
+            self.left_s.setdefault(EndpointId(name), now_s)
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether the bound holds for what it acknowledges now."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s >= self.calm_from_s + CONTACT_S
 
     def _put(self, name: str, value: dict | None) -> None:
         self.version += 1
@@ -97,6 +109,8 @@
         self.is_cut = False
         self.answer_late_s: Callable[[], float] = lambda: 0.0
         """How much later than usual an answer arrives."""
+        self.is_silent = False
+        """The kept connection is silent, which the next call finds out."""
         self.calls = 0
 
     async def async_read(self, prefix, after_version=0):
@@ -126,6 +140,9 @@
         if self.is_cut or self._registry.is_out:
             await asyncio.sleep(LIMIT_S + wait_s)
             raise PlatformUnavailable("no answer in time", step="test")
+        if self.is_silent:
+            self.is_silent = False
+            await asyncio.sleep(wait_s + SECOND_TRY_SHARE * LIMIT_S)
         await asyncio.sleep(CALL_S / 2)
 
     async def _async_answer(self, page: RowPage, wait_s: float) -> RowPage:
@@ -162,7 +179,13 @@
         self.watch.reply = lambda daemon, news: fleet.deliver(self, daemon, news)
         self.news_late_s: Callable[[DaemonId], float] = lambda peer: 0.0
         """How much later than usual its news reach a peer, infinite if never."""
-        self.is_calm = True
+        self.calm_from_s = 0.0
+        """When its last trouble ended."""
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether it was in good order for long enough to be held to the bound."""
+        return self.core.clock() >= self.calm_from_s + CONTACT_S
 
     def _send(self, news: StoreNews | SnapshotRequest) -> None:
         for peer in self._fleet.followers:
@@ -214,6 +237,8 @@
     def late_sends(self) -> list[tuple[DaemonId, EndpointId, float]]:
         """Return who would still send to endpoints that left over the bound ago."""
         now_s = asyncio.get_running_loop().time()
+        if not self.registry.is_calm:
+            return []
         return [
             (follower.name, endpoint, now_s - left_s)
             for follower in self.followers
