Ignore late news of a former placer

Change: news of a lower term count only when the latest placer has been silent for longer than any lease lasts. The new test failed before (the load is forgotten); 22 tests of placer, pending loads and news pass.

--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -9,6 +9,7 @@
 from ..peers.messages import Broadcast
 from .demand import DemandTable
 from .directory import Directory
+from .endpoints import PLACED_VALID_S
 from .lease import PlacerLease
 from .news import (
     EndpointLoad,
@@ -76,6 +77,7 @@
         self._pending = pending
         self._retries = retries
         self._placer_id: DaemonId | None = None
+        self._term = 0
         self.watch: StoreWatch | None = None
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
@@ -152,7 +154,8 @@
             self.placer.wake()
 
     def _take_placement(self, news: PlacementNews) -> None:
-        self._hear_placer(news.daemon, news.term)
+        if not self._hear_placer(news.daemon, news.term):
+            return
         if news.daemon != self._core.daemon_id:
             for placement in news.endpoints:
                 row = self._known.endpoints.rows.get(placement.endpoint)
@@ -164,12 +167,23 @@
                     row.take_models(placement.sequence, models)
         self._pending.take(news.loads, news.term, self._core.clock())
 
-    def _hear_placer(self, daemon: DaemonId, term: int) -> None:
+    def _hear_placer(self, daemon: DaemonId, term: int) -> bool:
+        """Take in that a placer has spoken; return whether it is the latest one.
+
+        News of a former one may arrive late. One of a lower term counts when the
+        latest has been silent for longer than any lease lasts.
+        """
+        silent_s = self._core.clock() - self._known.endpoints.placer_heard_s
+        if term < self._term and silent_s < PLACED_VALID_S:
+            self._core.events.info("placer_outdated", placer=daemon, term=term)
+            return False
+        self._term = term
         self.lease.note_holder(daemon, term)
         self._known.endpoints.placer_heard_s = self._core.clock()
         if daemon != self._placer_id:
             self._placer_id = daemon
             self.choose_links()
+        return True
 
     def choose_links(self) -> None:
         """Link to the placer, and to those that serve if this daemon needs them."""
