Take only news that continue a copy's own version; judge outages by all answers heard of

(1) The copies' state machine, 6,000 examples: news from within what a copy had taken at once were taken as fitting, though a row may have changed there and back unseen; a copy takes news of its own version now, and of no other, or reads in its turn. New test, fails on the code before. All answers heard of count now, whether they fit or not.

--- a/chutelink/entry/tablecopy.py
+++ b/chutelink/entry/tablecopy.py
@@ -2,8 +2,8 @@
 
 A copy at version V holds what the table held at V. Own reads have every row that
 changed after the version that they began from. News of others leave out what did not
-change for their sender, so they fit only a copy that holds the same as the sender's
-did; any other copy leaves them and asks the store itself.
+change for their sender, so they fit only a copy of the version that the sender's was
+of; any other copy leaves them and asks the store itself.
 """
 
 from __future__ import annotations
@@ -22,11 +22,11 @@
     GAP = "gap"
     """Changes between the copy and the news are not known."""
     OVERLAP = "overlap"
-    """The copy has changed since the version that the news are told from.
+    """The copy is of a version within the changes that the news tell of.
 
-    A row that changed there and back is left out by a sender that saw neither. The
-    rows alone are not taken either: a copy with rows that are newer than its version
-    would leave them out of what it tells the others.
+    A row that changed there and back is left out by a sender that saw neither, and
+    one of the two may be in this copy. The rows alone are not taken either: a copy
+    with rows that are newer than its version would not tell others of them.
     """
 
 
@@ -42,8 +42,6 @@
     ----------
     version : int
         What is known is complete up to here; 0 before the first read.
-    changed_version : int
-        A version since which no row has changed.
     answered_s : float
         What the store's clock showed when this version was the newest one.
     rows : dict
@@ -53,7 +51,6 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.version = 0
-        self.changed_version = 0
         self.answered_s = float("-inf")
         self.rows: dict[str, StoredRow] = {}
 
@@ -80,11 +77,11 @@
         """Return whether this copy may take the version of news."""
         if news.version < self.version:
             return NewsFit.OLD
-        if news.is_whole:
+        if news.is_whole or news.version == self.version:
             return NewsFit.FITS
         if news.after > self.version:
             return NewsFit.GAP
-        if news.after < self.changed_version:
+        if news.after < self.version:
             return NewsFit.OVERLAP
         return NewsFit.FITS
 
@@ -102,8 +99,6 @@
                 del self.rows[row.key]
             else:
                 self.rows[row.key] = row
-        if changed:
-            self.changed_version = news.version
         return changed
 
     def _is_changed(self, row: StoredRow) -> bool:
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -77,11 +77,16 @@
 
 
 class _Followed:
-    """A table that is followed: its copy, and when it was read and told."""
+    """A table that is followed: its copy, and when it was read and told.
+
+    ``heard_s`` and ``returned_s`` are times of the store's clock: of the latest answer
+    that this daemon knows of, and of the first one after an outage.
+    """
 
     def __init__(self, name: str) -> None:
         self.copy = TableCopy(name)
         self.started_s = float("-inf")
+        self.heard_s: float | None = None
         self.returned_s = float("-inf")
         self.snapshot_sent_s = float("-inf")
         self.behind_version = 0
@@ -269,8 +274,7 @@
                 version=copy.version,
                 source=source,
             )
-        if fit is NewsFit.FITS:
-            self._note_return(followed, news.answered_s)
+        self._note_return(followed, news.answered_s)
         changed = copy.take_news(news)
         self._tell_rows(followed, changed, news.answered_s, source)
 
@@ -311,15 +315,17 @@
     def _note_return(self, followed: _Followed, answered_s: float) -> None:
         """Take a gap that no daemon's trouble explains for an outage of the store.
 
-        The others read in turn, so that knowledge grows older than the bound only
-        when nobody, or not this daemon itself, reaches the store. Guards against
+        The others read in turn and tell, so that answers of the store lie further
+        apart than the bound only when it answered nobody, or when this daemon heard
+        nothing; news that don't fit the copy are answers too. Guards against
         keeping endpoints that have left: when any failed call counted as an
         outage, seven daemons sent to an endpoint up to 2.13 s after it had left,
         3 requests on 2 of 10 days with a reader that was cut off now and then.
         """
-        copy = followed.copy
-        if copy.version and answered_s - copy.answered_s > self._bound_s:
+        heard_s = answered_s if followed.heard_s is None else followed.heard_s
+        if answered_s - heard_s > self._bound_s:
             followed.returned_s = answered_s
+        followed.heard_s = max(heard_s, answered_s)
 
     def _note_failure(self, followed: _Followed, error: PlatformUnavailable) -> None:
         copy = followed.copy
--- a/tests/entry/test_tablecopy.py
+++ b/tests/entry/test_tablecopy.py
@@ -56,6 +56,14 @@
     assert copy.rows["a"].value == "x"
 
 
+def test_news_from_within_what_this_copy_has_taken_at_once_are_left():
+    """Neither this copy nor the sender saw both changes of the row."""
+    copy = make_copy(1, StoredRow("a", 1, "x"))
+    copy.take_read(news(1, 3, StoredRow("a", 3, "x")))
+    assert copy.fit(news(2, 4)) is NewsFit.OVERLAP
+    assert copy.fit(news(2, 3)) is NewsFit.FITS
+
+
 def test_a_whole_table_tells_of_rows_that_were_written_anew():
     """Its sender did not see the change there and back, so the row's version is old."""
     copy = make_copy(5, StoredRow("a", 4, "x"))
