--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -204,6 +204,8 @@
         before = copy.version
         self._note_return(followed, read.answered_s)
         changed = copy.take_read(read)
+        # Also if others have told of a later version: they will tell of more.
+        followed.behind_version = 0
         self._tell_rows(followed, changed, read.answered_s, OWN_READ)
         # Whole tables are large, and all daemons read them when they start.
         if not before or read.version < before:
