--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from types import SimpleNamespace
 
@@ -10,167 +9,15 @@
 
 from chutelink.entry import orders as orders_module
 from chutelink.entry.changes import Change
-from chutelink.entry.demand import DemandTable
-from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
-from chutelink.entry.health import HealthTable
 from chutelink.entry.inventory import (
     EndpointReport,
-    EngineClient,
     Inventory,
     OrderAction,
     OrderAnswer,
 )
-from chutelink.entry.news import ModelUse, PendingLoad, PlacementNews
-from chutelink.entry.pending import PendingTable
-from chutelink.entry.placement import DemandPlacement
-from chutelink.entry.placer import Placer
-from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
-from chutelink.ids import ConfigVersion
-
-from ..fakes import make_core
-from .test_placement import make_engine
-
-NOBODY = "i-1"
-
-
-class ScriptedEngine(EngineClient):
-    """An engine whose answers can be lost, late or refused."""
-
-    def __init__(self, models):
-        self.models = {name: set() for name in models}
-        self.sequence = 0
-        self.is_unreachable = False
-        self.lose_answers = 0
-        self.late = []
-        self.make_late = 0
-        self.orders = []
-        self.in_use = False
-        self.before_report = lambda: None
-
-    async def async_report(self, endpoint):
-        self.before_report()
-        if self.is_unreachable:
-            raise EndpointUnreachable("cut", step="test")
-        models = {name: frozenset(held) for name, held in self.models.items()}
-        return EndpointReport(self.sequence, False, models)
-
-    async def async_order(self, endpoint, order):
-        if self.is_unreachable:
-            raise EndpointUnreachable("cut", step="test")
-        if self.make_late:
-            self.make_late -= 1
-            self.late.append(order)
-            raise EndpointFailed("no answer", step="test")
-        answer = self.take(order)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise EndpointFailed("no answer", step="test")
-        return answer
-
-    def take(self, order):
-        if order.expected_sequence != self.sequence:
-            return OrderAnswer.CONFLICT
-        self.orders.append(order)
-        self.sequence += 1
-        if order.adapter and order.action is OrderAction.UNLOAD and self.in_use:
-            return OrderAnswer.ACCEPTED
-        if order.adapter:
-            held = self.models[order.model]
-            change = held.add if order.action is OrderAction.LOAD else held.discard
-            change(order.adapter)
-        elif order.action is OrderAction.LOAD:
-            self.models[order.model] = set()
-        else:
-            self.models.pop(order.model)
-        assert len(self.models) <= 2
-        return OrderAnswer.ACCEPTED
-
-
-class Engines(EngineClient):
-    """Several engines by the endpoint's id."""
-
-    def __init__(self):
-        self.by_id = {}
-
-    async def async_report(self, endpoint):
-        return await self.by_id[endpoint.record.id].async_report(endpoint)
-
-    async def async_order(self, endpoint, order):
-        return await self.by_id[endpoint.record.id].async_order(endpoint, order)
-
-
-class HeldLease:
-    """A lease that the test takes away."""
-
-    def __init__(self):
-        self.is_held = True
-        self.may_order = True
-        self.term = 1
-
-    def begin_order(self):
-        if not self.is_held:
-            raise LeaseNotHeld("lost", step="test")
-        return self.term
-
-
-class World:
-    def __init__(self, models=("m0", "m7")):
-        self.core = make_core()
-        self.engine = ScriptedEngine(models)
-        self.engines = Engines()
-        self.table = EndpointTable()
-        self.add(NOBODY, self.engine)
-        self.demand = DemandTable()
-        self.lease = HeldLease()
-        self.sent = []
-        self.placer = Placer(
-            self.core,
-            self.lease,
-            self.engines,
-            self.table,
-            self.demand,
-            HealthTable(),
-            PendingTable(),
-            DemandPlacement(),
-            self._keep,
-        )
-        service = SimpleNamespace(engine=make_engine())
-        self.placer.config = SimpleNamespace(
-            version=ConfigVersion(1), services={"llm": service}
-        )
-        self.tasks = []
-        self.placer.add_future = self._add
-
-    def add(self, name, engine):
-        self.engines.by_id[name] = engine
-        held = {model: frozenset() for model in engine.models}
-        ready = EndpointState.READY
-        record = EndpointRecord(name, "llm", "1:1", "zone-a", ready, 8, held)
-        self.table.put(record, 0.0)
-
-    def _keep(self, news):
-        if isinstance(news, PlacementNews):
-            self.sent.append(news)
-
-    def _add(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.append(task)
-        return task
-
-    async def async_tick(self, seconds=5.0):
-        self.core.now_s += seconds
-        await self.placer._async_tick()
-        while self.tasks:
-            await self.tasks.pop(0)
-
-    async def async_start(self):
-        """Read the reports, then let cold loads be earned."""
-        for _ in range(3):
-            await self.async_tick()
+from chutelink.entry.news import ModelUse, PendingLoad
 
-    def want(self, model, adapter=""):
-        uses = [ModelUse(model, adapter, 2, 0.2, 1), ModelUse("m0", "", 9, 0.3, 0)]
-        self.demand.take("d1", uses, self.core.now_s)
+from .placing_world import NOBODY, ScriptedEngine, World, run
 
 
 @pytest.fixture(autouse=True)
@@ -185,10 +32,6 @@
     )
 
 
-def run(test):
-    asyncio.run(test())
-
-
 def test_a_wanted_model_takes_the_place_of_an_idle_one():
     async def async_test():
         world = World()
--- /dev/null
+++ b/tests/processes/scenarios.py
@@ -0,0 +1,48 @@
+"""Scenarios around one deployment, and what they ask of it."""
+
+from __future__ import annotations
+
+from .deployment import async_deploy, async_start_all
+
+ONE_MODEL = {"m": {"memory_mb": 40}}
+
+
+async def async_with_service(directory, async_scenario, **options):
+    async with async_deploy(directory) as deployment:
+        deployment.start_engine(1)
+        deployment.start_engine(2, "b")
+        deployment.start_service(1)
+        await async_start_all(deployment, **options)
+        fleet = deployment.fleet_text(ONE_MODEL | {"n": {"memory_mb": 20}})
+        code, _ = await deployment.async_apply(fleet, 0, "--wait")
+        assert code == 0
+        await deployment.async_until_served("m", "n")
+        for number in range(1, options.get("gateways", 2) + 1):
+            await deployment.async_until_served("m", gateway=number)
+            await async_until_service(deployment, number)
+        await async_scenario(deployment)
+        await deployment.async_assert_memory_kept()
+
+
+async def async_until_service(deployment, gateway):
+    async def async_is_up():
+        status, _, _ = await deployment.async_call_service(
+            "GET", "lookup/1", gateway=gateway
+        )
+        return status == 200
+
+    await deployment.async_until(async_is_up)
+
+
+async def async_executions(deployment, key=None):
+    url = deployment.services["service-1"]
+    found = await deployment.async_get(f"{url}/standin/executions")
+    return [e for e in found if key is None or e["idempotency_key"] == key]
+
+
+async def async_until_replicas(deployment, model, count):
+    async def async_has():
+        _, status = await deployment.async_cli("status")
+        return status["replicas"].get(model, 0) >= count
+
+    await deployment.async_until(async_has)
--- /dev/null
+++ b/tests/processes/test_answers.py
@@ -0,0 +1,170 @@
+"""Whole answers and honest refusals, judged by callers and endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from standins.text import expected_text
+
+from .deployment import FAILURES, KEY, async_deploy, async_start_all
+from .scenarios import async_executions, async_until_replicas, async_with_service
+
+
+def test_a_call_that_may_not_be_repeated_is_sent_once(tmp_path):
+    async def async_scenario(deployment):
+        url = deployment.services["service-1"]
+        for fault in ({"cut_answers": 1}, {"cut_before_run": 1}, {"wrong_ids": 1}):
+            before = len(await async_executions(deployment))
+            await deployment.async_fault(url, **fault)
+            status, headers, _ = await deployment.async_call_service(
+                "POST", "permits", body="x"
+            )
+            assert (status, headers["Chutelink-Outcome"]) == (502, "unknown")
+            assert len(await async_executions(deployment)) - before <= 1
+        deployment.processes["service-1"].kill()
+        status, headers, _ = await deployment.async_call_service(
+            "POST", "permits", body="x"
+        )
+        assert (status, headers["Chutelink-Outcome"]) == (503, "not-run")
+
+    asyncio.run(async_with_service(tmp_path, async_scenario))
+
+
+async def async_stream(deployment, model, prompt, max_tokens, gateway=1):
+    """Return the text and whether the stream had its end mark."""
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+    text, has_end = "", False
+    async with deployment.session.post(
+        f"{deployment.gateway_url(gateway)}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {KEY}"},
+    ) as response:
+        if response.status != 200:
+            return response.status, "", False
+        async for line in response.content:
+            line = line.strip()
+            if line == b"data: [DONE]":
+                has_end = True
+            elif line.startswith(b"data: {") and b"choices" in line:
+                choice = msgspec.json.decode(line[6:])["choices"][0]
+                text += choice["delta"]["content"]
+        return response.status, text, has_end
+
+
+def test_answers_are_whole_and_the_callers_own(tmp_path):
+    async def async_scenario(deployment):
+        stop = asyncio.Event()
+
+        async def async_inject():
+            faults = [
+                {"cut_answers": 2},
+                {"wrong_ids": 2},
+                {"late_answers": 2, "late_answer_s": 0.3},
+                {"errors": 1},
+            ]
+            for turn in range(10_000):
+                if stop.is_set():
+                    return
+                for values in deployment.engines.values():
+                    await deployment.async_fault(values["url"], **faults[turn % 4])
+                await asyncio.sleep(0.1)
+
+        counts = {"whole": 0, "refused": 0, "no end": 0}
+
+        async def async_ask(number):
+            model, prompt = ("m", "n")[number % 2], f"prompt {number}"
+            gateway = 1 + number % 2
+            wanted = expected_text(model, prompt, 5)
+            if number % 3 == 0:
+                status, text, has_end = await async_stream(
+                    deployment, model, prompt, 5, gateway
+                )
+                if status == 200 and not has_end:
+                    assert wanted.startswith(text)
+                    counts["no end"] += 1
+                    return
+            else:
+                status, _, body = await deployment.async_complete(
+                    model, prompt, gateway=gateway, max_tokens=5
+                )
+                text = body["choices"][0]["message"]["content"] if status == 200 else ""
+            if status != 200:
+                counts["refused"] += 1
+                return
+            assert text == wanted
+            counts["whole"] += 1
+
+        injector = asyncio.ensure_future(async_inject())
+        for start in range(0, 600, 40):
+            await asyncio.gather(*(async_ask(n) for n in range(start, start + 40)))
+        stop.set()
+        await injector
+        assert counts["whole"] > 300, counts
+
+    asyncio.run(async_with_service(tmp_path, async_scenario))
+
+
+def test_a_cut_stream_goes_on_elsewhere(tmp_path):
+    async def async_scenario():
+        async with async_deploy(tmp_path) as deployment:
+            deployment.start_engine(1)
+            deployment.start_engine(2, "b")
+            await async_start_all(deployment, gateways=1)
+            fleet = deployment.fleet_text({"m": {"memory_mb": 40, "replicas": 2}})
+            await deployment.async_apply(fleet, 0, "--wait")
+            await deployment.async_until_served("m")
+            await async_until_replicas(deployment, "m", 2)
+            for number in range(4):
+                for values in deployment.engines.values():
+                    await deployment.async_fault(values["url"], cut_answers=0)
+                name = f"engine-{1 + number % 2}"
+                url = deployment.engines[name]["url"]
+                await deployment.async_fault(url, cut_answers=1)
+                for turn in range(4):
+                    prompt = f"{number} {turn}"
+                    found = await async_stream(deployment, "m", prompt, 8)
+                    assert found == (200, expected_text("m", prompt, 8), True)
+
+    asyncio.run(async_scenario())
+
+
+def test_not_run_was_not_run(tmp_path):
+    async def async_scenario(deployment):
+        refused: list[str] = []
+
+        async def async_ask(number):
+            try:
+                status, headers, _ = await deployment.async_complete(
+                    "m", f"p{number}", gateway=1 + number % 2
+                )
+            except FAILURES:
+                return
+            if headers.get("Chutelink-Outcome") == "not-run":
+                refused.append(headers["X-Request-Id"])
+
+        for round_number in range(6):
+            victim = deployment.processes[f"engine-{1 + round_number % 2}"]
+            asks = [async_ask(round_number * 100 + n) for n in range(100)]
+            running = asyncio.gather(*asks)
+            await asyncio.sleep(0.05)
+            victim.freeze()
+            await asyncio.sleep(1.2)
+            victim.wake()
+            await running
+        reached = set(await deployment.async_reached_ids())
+        assert not reached & set(refused)
+
+    asyncio.run(
+        async_with_service(
+            tmp_path,
+            async_scenario,
+            gateway_extra="valid_s = 1.0\nidle_timeout_s = 1.0\nmax_queue = 20\n",
+        )
+    )
