--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -130,16 +130,22 @@
     assert first.lease.term == 1
 
 
-def test_a_yielded_lease_is_taken_before_it_expires(clock, table):
-    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+def make_yield(clock, table, first, second):
+    """Let the holder of a while lose a renewal; return what it tells the others."""
     take(clock, first)
     advance(clock, [first], GAP_S)
     second.tick()
     table.is_out = True
     advance(clock, [first], 1.0)
-    yielded_s = clock[0]
     table.is_out = False
-    second.lease.take_yield(first.sent[0])
+    return first.sent[0]
+
+
+def test_a_yielded_lease_is_taken_before_it_expires(clock, table):
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    news = make_yield(clock, table, first, second)
+    yielded_s = clock[0]
+    second.lease.take_yield(news)
     advance(clock, [second], 0.8)
     assert second.may_order()
     assert clock[0] - yielded_s < EXPIRY_S
@@ -150,16 +156,11 @@
 def test_a_yield_that_arrives_late_does_not_depose_a_holder_that_goes_on(clock, table):
     """Seen in no play: two daemons would order in turns, as the rules forbid."""
     first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
-    take(clock, first)
-    advance(clock, [first], GAP_S)
-    second.tick()
-    table.is_out = True
-    advance(clock, [first], 1.0)
-    table.is_out = False
+    news = make_yield(clock, table, first, second)
     advance(clock, [first], 0.3)
     assert first.may_order()
     second.lease.note_holder("d1", first.lease.term)
-    second.lease.take_yield(first.sent[0])
+    second.lease.take_yield(news)
     for _ in range(10):
         advance(clock, [first, second], 0.1)
         assert not second.may_order()
--- a/tests/processes/test_reachability.py
+++ b/tests/processes/test_reachability.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from .deployment import OTHER_KEY, async_deploy, async_start_all, key_hash
-from .test_failures import async_until_replicas, async_with_service
+from .scenarios import async_until_replicas, async_with_service
 
 
 class Probe:
