Keep the reading of a stream with the scenarios

The soak of the gateways (make chaos) imported it from the test file that was split, and could not start.

--- a/tests/processes/chaos.py
+++ b/tests/processes/chaos.py
@@ -17,7 +17,7 @@
 from standins.text import expected_text
 
 from .deployment import FAILURES, Deployment, async_deploy, async_start_all
-from .test_failures import async_stream
+from .scenarios import async_stream
 
 SETTLE_S = 90.0
 FIRST = {"m": {"memory_mb": 40}, "n": {"memory_mb": 30}, "o": {"memory_mb": 55}}
--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -46,3 +46,29 @@
         return status["replicas"].get(model, 0) >= count
 
     await deployment.async_until(async_has)
+
+
+async def async_stream(deployment, model, prompt, max_tokens, gateway=1):
+    """Return the text and whether the stream had its end mark."""
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+    text, has_end = "", False
+    async with deployment.session.post(
+        f"{deployment.gateway_url(gateway)}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {KEY}"},
+    ) as response:
+        if response.status != 200:
+            return response.status, "", False
+        async for line in response.content:
+            line = line.strip()
+            if line == b"data: [DONE]":
+                has_end = True
+            elif line.startswith(b"data: {") and b"choices" in line:
+                choice = msgspec.json.decode(line[6:])["choices"][0]
+                text += choice["delta"]["content"]
+        return response.status, text, has_end
--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -4,12 +4,15 @@
 
 import asyncio
 
-import msgspec
-
 from standins.text import expected_text
 
-from .deployment import FAILURES, KEY, async_deploy, async_start_all
-from .scenarios import async_executions, async_until_replicas, async_with_service
+from .deployment import FAILURES, async_deploy, async_start_all
+from .scenarios import (
+    async_executions,
+    async_stream,
+    async_until_replicas,
+    async_with_service,
+)
 
 
 def test_a_call_that_may_not_be_repeated_is_sent_once(tmp_path):
@@ -32,32 +35,6 @@
     asyncio.run(async_with_service(tmp_path, async_scenario))
 
 
-async def async_stream(deployment, model, prompt, max_tokens, gateway=1):
-    """Return the text and whether the stream had its end mark."""
-    body = {
-        "model": model,
-        "messages": [{"role": "user", "content": prompt}],
-        "max_tokens": max_tokens,
-        "stream": True,
-    }
-    text, has_end = "", False
-    async with deployment.session.post(
-        f"{deployment.gateway_url(gateway)}/v1/chat/completions",
-        json=body,
-        headers={"Authorization": f"Bearer {KEY}"},
-    ) as response:
-        if response.status != 200:
-            return response.status, "", False
-        async for line in response.content:
-            line = line.strip()
-            if line == b"data: [DONE]":
-                has_end = True
-            elif line.startswith(b"data: {") and b"choices" in line:
-                choice = msgspec.json.decode(line[6:])["choices"][0]
-                text += choice["delta"]["content"]
-        return response.status, text, has_end
-
-
 def test_answers_are_whole_and_the_callers_own(tmp_path):
     async def async_scenario(deployment):
         stop = asyncio.Event()
