--- a/tests/processes/scenarios.py
+++ b/tests/processes/scenarios.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from .deployment import async_deploy, async_start_all
+import msgspec
+
+from .deployment import KEY, async_deploy, async_start_all
 
 ONE_MODEL = {"m": {"memory_mb": 40}}
 
