--- /dev/null
+++ b/bench/capacity_mesh.py
@@ -0,0 +1,98 @@
+"""Bytes, processor time and memory of membership, by daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from types import SimpleNamespace
+
+import psutil
+
+from chutelink.ids import BootId, DaemonId
+from chutelink.log import EventLog
+from chutelink.metrics import Metrics
+from chutelink.peers.mesh import Link, Mesh
+from chutelink.settings import PeersSection
+from chutelink.tables.members import Member, MemberState, MemberTable, Role
+
+from .slopes import Point
+
+MESH_SIZES = (8, 16, 32, 64)
+WINDOW_S = 6.0
+
+
+async def _async_mesh(size: int) -> tuple[float, float, float]:
+    """Return bytes a second, processor share in % and KB for each daemon."""
+    sent = 0
+    plain_send = Link.send
+
+    def counting_send(link: Link, message) -> None:
+        nonlocal sent
+        before = link._queue.qsize()
+        plain_send(link, message)
+        if link._queue.qsize() > before:
+            sent += len(link._queue._queue[-1]) + 6
+
+    Link.send = counting_send
+    process = psutil.Process()
+    memory_before = process.memory_info().rss
+    meshes = [_make_mesh(number) for number in range(size)]
+    try:
+        for mesh in meshes:
+            await mesh.start()
+        async with asyncio.timeout(120):
+            while any(len(m.table.live()) < size for m in meshes):
+                await asyncio.sleep(0.2)
+        await asyncio.sleep(2)
+        sent, cpu_before = 0, process.cpu_times()
+        started_s = time.perf_counter()
+        await asyncio.sleep(WINDOW_S)
+        elapsed_s = time.perf_counter() - started_s
+        cpu = process.cpu_times()
+        used_s = cpu.user + cpu.system - cpu_before.user - cpu_before.system
+        kept_kb = (process.memory_info().rss - memory_before) / 1000 / size
+        return sent / elapsed_s / size, 100 * used_s / elapsed_s / size, kept_kb
+    finally:
+        Link.send = plain_send
+        for mesh in meshes:
+            await mesh.stop()
+
+
+def _make_mesh(number: int) -> Mesh:
+    address = f"127.0.{80 + number // 250}.{1 + number % 250}"
+    daemon = SimpleNamespace(
+        id=f"d{number}", address=address, peer_port=7101, peer_key="bench"
+    )
+    core = SimpleNamespace(
+        daemon=daemon,
+        rng=random.Random(number),
+        events=EventLog("bench"),
+        metrics=Metrics(),
+        clock=time.monotonic,
+    )
+    own = Member(
+        DaemonId(daemon.id),
+        Role.GATEWAY,
+        f"v{number}",
+        f"d{number % 5}",
+        address,
+        7100,
+        7101,
+        BootId(f"b{number}"),
+        1,
+        MemberState.ALIVE,
+    )
+    seeds = ("127.0.80.1:7101", "127.0.80.2:7101")
+    return Mesh(core, PeersSection(seeds=seeds), MemberTable(own))
+
+
+def measure_mesh() -> list[Point]:
+    """Messages, processor and memory of membership, by daemons."""
+    points = []
+    for size in MESH_SIZES:
+        sent, cpu, kept_kb = asyncio.run(_async_mesh(size))
+        points.append(Point("peer links, bytes/s sent by daemons", size, sent))
+        points.append(Point("peer links, % of a core by daemons", size, cpu))
+        points.append(Point("membership, KB by daemons", size, kept_kb))
+    return points
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -5,27 +5,20 @@
 import heapq
 import itertools
 import random
-from collections import OrderedDict
 from collections.abc import Callable
 
 import msgspec
 
-from chutelink.fleet import Artifact, ArtifactKind, EndpointSpec, FleetSpec
-from chutelink.ids import BootId, FencingNumber
+from chutelink.fleet import Artifact, ArtifactKind, FleetSpec
+from chutelink.ids import FencingNumber
 from chutelink.systems.ledger import choose_accelerators
 from chutelink.systems.packing import pack_minimum
 from chutelink.systems.placement import PlacementInput, make_placement
-from chutelink.systems.queueing import make_queueing
-from chutelink.systems.routing import make_routing, usable
-from chutelink.tables.endpoints import (
-    ArtifactState,
-    EndpointReport,
-    EndpointTable,
-    HeldArtifact,
-)
-from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
-from chutelink.tables.requests import RequestQueue, WaitingRequest
+from chutelink.systems.routing import usable
+from chutelink.tables.ledger import Claim, ClaimState
+from chutelink.tables.requests import WaitingRequest
 
+from .virtual_parts import Engine, Flight, Gateway
 from .workload import Arrival
 
 REPORT_INTERVAL_S = 0.5
@@ -33,8 +26,6 @@
 PLACEMENT_INTERVAL_S = 1.0
 DEMAND_SMOOTHING = 0.2
 PREFILL_TOKENS_PER_S = 8000.0
-STEP_S = 0.02
-CACHED_PREFIXES = 96
 LOADS_PER_S = 2.0
 LOADS_AT_ONCE = 8
 LOAD_BASE_S = 3.0
@@ -75,78 +66,6 @@
         return min(a / max(1, n) for a, n in self.by_class.values())
 
 
-class _Engine:
-    """A fake engine: slots, batches that slow down, and a prefix cache."""
-
-    def __init__(self, spec: EndpointSpec) -> None:
-        self.spec = spec
-        self.row = LedgerRow(spec.name, spec.accelerators, spec.memory_mb)
-        self.running = 0
-        self.waiting: list = []
-        self.by_model: dict[str, int] = {}
-        self.cache: OrderedDict[str, None] = OrderedDict()
-        self.reports: list[tuple[float, EndpointReport]] = []
-
-    def step_s(self) -> float:
-        return STEP_S * (1 + self.running / self.spec.slots)
-
-    def prefill_s(self, arrival: Arrival) -> float:
-        cached = sum(prefix in self.cache for prefix in arrival.prefixes)
-        share = 1.0 - cached / (len(arrival.prefixes) + 1)
-        for prefix in arrival.prefixes:
-            self.cache[prefix] = None
-            self.cache.move_to_end(prefix)
-        while len(self.cache) > CACHED_PREFIXES:
-            self.cache.popitem(last=False)
-        return arrival.prompt_tokens * share / PREFILL_TOKENS_PER_S
-
-    def report(self) -> EndpointReport:
-        states = {
-            ClaimState.LOADING: ArtifactState.LOADING,
-            ClaimState.LOADED: ArtifactState.LOADED,
-            ClaimState.UNLOADING: ArtifactState.DRAINING,
-        }
-        held = tuple(
-            HeldArtifact(
-                claim.artifact.name,
-                claim.artifact.version,
-                states[claim.state],
-                claim.accelerators,
-                claim.memory_mb,
-                FencingNumber(1),
-            )
-            for claim in self.row.claims
-        )
-        return EndpointReport(
-            BootId("b"),
-            running=self.running,
-            waiting=len(self.waiting),
-            prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
-            step_s=STEP_S,
-            artifacts=held,
-            cached_prefixes=tuple(self.cache),
-        )
-
-
-class _Gateway:
-    """The tables and systems of one gateway."""
-
-    def __init__(self, fleet: FleetSpec, domain: str, rng: random.Random) -> None:
-        self.table = EndpointTable()
-        self.table.sync(fleet)
-        self.queue = RequestQueue()
-        self.routing = make_routing(fleet.options.routing, domain, rng)
-        self.queueing = make_queueing(fleet.options.queueing)
-
-
-class _Flight(msgspec.Struct, eq=False):
-    """A request with where it came from."""
-
-    arrival: Arrival
-    waiting: WaitingRequest
-    gateway: _Gateway
-
-
 class VirtualRun:
     """One run of a fleet against arrivals.
 
@@ -165,10 +84,10 @@
         self._arrivals = arrivals
         rng = random.Random(seed)
         self._rng = rng
-        self._engines = {spec.name: _Engine(spec) for spec in fleet.engines()}
+        self._engines = {spec.name: Engine(spec) for spec in fleet.engines()}
         domains = sorted(fleet.failure_domains)
         self._gateways = [
-            _Gateway(fleet, domains[i % len(domains)], rng) for i in range(GATEWAYS)
+            Gateway(fleet, domains[i % len(domains)], rng) for i in range(GATEWAYS)
         ]
         self._placement = make_placement(fleet.options)
         self._demand: dict[str, float] = {}
@@ -202,7 +121,7 @@
             for model in sorted(models):
                 self._claim(self._engines[name], model, ClaimState.LOADED)
 
-    def _claim(self, engine: _Engine, name: str, state: ClaimState) -> bool:
+    def _claim(self, engine: Engine, name: str, state: ClaimState) -> bool:
         model = self._fleet.models[name]
         adapters = self._fleet.adapters_of(name)
         size_mb = model.memory_mb + sum(a.memory_mb for a in adapters)
@@ -217,7 +136,7 @@
         )
         return True
 
-    def _set_claim(self, engine: _Engine, artifact: Artifact, state: ClaimState | None):
+    def _set_claim(self, engine: Engine, artifact: Artifact, state: ClaimState | None):
         claims = []
         for claim in engine.row.claims:
             if claim.artifact == artifact and state is None:
@@ -263,7 +182,7 @@
             prefixes=arrival.prefixes,
             dispatched=None,
         )
-        flight = _Flight(arrival, waiting, gateway)
+        flight = Flight(arrival, waiting, gateway)
         waiting.dispatched = flight
         gateway.queue.add(waiting)
         if not waiting.may_be_late:
@@ -271,11 +190,11 @@
             self._at(self._now_s + limit_s, self._expire, flight)
         self._tick(gateway, waiting.artifacts)
 
-    def _expire(self, flight: _Flight) -> None:
+    def _expire(self, flight: Flight) -> None:
         if flight.gateway.queue.remove(flight.waiting):
             self.outcome.refused += 1
 
-    def _tick(self, gateway: _Gateway, artifacts: tuple[Artifact, ...]) -> None:
+    def _tick(self, gateway: Gateway, artifacts: tuple[Artifact, ...]) -> None:
         holders = gateway.table.holders(artifacts)
         while group := gateway.queue.group(artifacts):
             request = gateway.queueing.select(group, self._now_s)
@@ -287,7 +206,7 @@
             row.inflight += 1
             self._accept(self._engines[row.name], request.dispatched)
 
-    def _accept(self, engine: _Engine, flight: _Flight) -> None:
+    def _accept(self, engine: Engine, flight: Flight) -> None:
         model = flight.arrival.name
         engine.by_model[model] = engine.by_model.get(model, 0) + 1
         if engine.running < engine.spec.slots:
@@ -296,7 +215,7 @@
         priority = -flight.waiting.request_class.priority
         heapq.heappush(engine.waiting, (priority, next(self._ticket), flight))
 
-    def _start(self, engine: _Engine, flight: _Flight) -> None:
+    def _start(self, engine: Engine, flight: Flight) -> None:
         engine.running += 1
         first_s = self._now_s + engine.prefill_s(flight.arrival) + engine.step_s()
         if first_s <= flight.waiting.deadline_s:
@@ -306,7 +225,7 @@
         done_s = first_s + flight.arrival.output_tokens * engine.step_s()
         self._at(done_s, self._finish, engine, flight)
 
-    def _finish(self, engine: _Engine, flight: _Flight) -> None:
+    def _finish(self, engine: Engine, flight: Flight) -> None:
         engine.running -= 1
         engine.by_model[flight.arrival.name] -= 1
         if engine.waiting:
@@ -336,7 +255,7 @@
         for name, models in sorted(plan.assignment.items()):
             self._reconcile(self._engines[name], models)
 
-    def _reconcile(self, engine: _Engine, models: set[str]) -> None:
+    def _reconcile(self, engine: Engine, models: set[str]) -> None:
         for claim in engine.row.claims:
             is_wanted = claim.artifact.name in models
             if is_wanted or claim.state is not ClaimState.LOADED:
@@ -359,7 +278,7 @@
             done_s = self._now_s + LOAD_BASE_S + size_mb / LOAD_MB_PER_S
             self._at(done_s, self._loaded, engine, model)
 
-    def _loaded(self, engine: _Engine, model: str) -> None:
+    def _loaded(self, engine: Engine, model: str) -> None:
         self._loading -= 1
         artifact = self._fleet.models[model].artifact
         self._set_claim(engine, artifact, ClaimState.LOADED)
