Tell what is read so that it fits every copy of a version in between

Cause: news fitted a copy of one version alone. With hundreds of endpoints they would never have met. Change: a reader tells from where its read began, with every row that changed at any time since, also there and back; reading at once when behind is taken out, age alone decides.

--- a/chutelink/entry/tablecopy.py
+++ b/chutelink/entry/tablecopy.py
@@ -1,9 +1,8 @@
 """A daemon's copy of one of the store's tables. Pure.
 
-A copy at version V holds what the table held at V. Own reads have every row that
-changed after the version that they began from. News of others leave out what did not
-change for their sender, so they fit only a copy of the version that the sender's was
-of; any other copy leaves them and asks the store itself.
+A copy at version V holds what the table held at V. A read has every change after the
+version that it began from, in order. What others are told of it leaves out the rows
+that meant the same all the while, so that it fits every copy of a version in between.
 """
 
 from __future__ import annotations
@@ -21,13 +20,6 @@
     """The copy is of a later version."""
     GAP = "gap"
     """Changes between the copy and the news are not known."""
-    OVERLAP = "overlap"
-    """The copy is of a version within the changes that the news tell of.
-
-    A row that changed there and back is left out by a sender that saw neither, and
-    one of the two may be in this copy. The rows alone are not taken either: a copy
-    with rows that are newer than its version would not tell others of them.
-    """
 
 
 class TableCopy:
@@ -79,11 +71,24 @@
             return NewsFit.OLD
         if news.is_whole or news.version == self.version:
             return NewsFit.FITS
-        if news.after > self.version:
-            return NewsFit.GAP
-        if news.after < self.version:
-            return NewsFit.OVERLAP
-        return NewsFit.FITS
+        return NewsFit.GAP if news.after > self.version else NewsFit.FITS
+
+    def make_news(self, read: StoreNews, before: dict[str, StoredRow]) -> StoreNews:
+        """Return what to tell others of an own read that was taken in.
+
+        ``before`` are the rows as they were when the read began. A row that changed
+        there and back is told too: a copy of a version in between has the other state.
+        """
+        if read.is_whole:
+            return self.as_news()
+        values = {key: row.value for key, row in before.items()}
+        changed: dict[str, StoredRow] = {}
+        for row in read.rows:
+            if row.key in changed or values.get(row.key) != row.value:
+                changed[row.key] = row
+            values[row.key] = row.value
+        rows = list(changed.values())
+        return StoreNews(self.name, read.after, read.version, read.answered_s, rows)
 
     def as_news(self) -> StoreNews:
         """Return the whole table."""
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -89,9 +88,6 @@
         self.heard_s: float | None = None
         self.returned_s = float("-inf")
         self.snapshot_sent_s = float("-inf")
-        self.behind_version = 0
-        self.behind_since_s = float("inf")
-        self.is_behind = asyncio.Event()
 
 
 class StoreWatch(Service):
@@ -157,7 +153,7 @@
         while not self.should_stop:
             pause_s = self._pause_s(followed)
             if pause_s > 0:
-                await self._async_pause(followed, pause_s)
+                await self.sleep(pause_s)
                 continue
             try:
                 await self._async_pull(followed)
@@ -165,31 +161,8 @@
                 self._note_failure(followed, error)
                 await self.sleep(RETRY_S * self._core.rng.uniform(1.0, RETRY_SPREAD))
 
-    async def _async_pause(self, followed: _Followed, pause_s: float) -> None:
-        """Wait, unless this daemon hears meanwhile that it is behind."""
-        followed.is_behind.clear()
-        try:
-            async with asyncio.timeout(pause_s):
-                await followed.is_behind.wait()
-        except TimeoutError:
-            return
-
     def _pause_s(self, followed: _Followed) -> float:
-        """Return how long to wait before a call is due.
-
-        A daemon that knows to be behind reads in its turn; what the first one reads
-        brings all others up to it.
-        """
-        now_s = self._core.clock()
-        due_s = now_s + self._patience_s(followed)
-        if followed.behind_version > followed.copy.version:
-            steps = min(self._rank(), MAX_RANK)
-            turn_s = steps * RANK_SHARE * self._bound_s
-            due_s = min(due_s, followed.behind_since_s + turn_s)
-        return due_s - now_s
-
-    def _patience_s(self, followed: _Followed) -> float:
-        """Return how long what is known is good for."""
+        """Return how long to wait before a call is due."""
         rank = self._rank()
         since_start_s = self._core.clock() - followed.started_s
         if rank == 0 or followed.copy.version == 0:
@@ -199,22 +172,19 @@
 
     async def _async_pull(self, followed: _Followed) -> None:
         copy = followed.copy
+        is_first = not copy.version
+        before = dict(copy.rows)
         read = await self._async_read(followed)
         self._note_call(followed, read)
-        before = copy.version
         self._note_return(followed, read.answered_s)
+        if read.version < copy.version:
+            # Others have told of more meanwhile.
+            return
         changed = copy.take_read(read)
-        # Also if others have told of a later version: they will tell of more.
-        followed.behind_version = 0
         self._tell_rows(followed, changed, read.answered_s, OWN_READ)
         # Whole tables are large, and all daemons read them when they start.
-        if not before or read.version < before:
-            return
-        if read.is_whole:
-            self._send(copy.as_news())
-        else:
-            news = StoreNews(copy.name, before, read.version, read.answered_s, changed)
-            self._send(news)
+        if not is_first:
+            self._send(copy.make_news(read, before))
 
     def _note_call(self, followed: _Followed, read: StoreNews) -> None:
         """Learn from a call that was answered, and log an odd one."""
@@ -265,14 +235,12 @@
             return
         copy = followed.copy
         fit = copy.fit(news)
-        if fit in (NewsFit.GAP, NewsFit.OVERLAP):
-            self._note_behind(followed, news.version)
+        if fit is NewsFit.GAP:
+            # The next own read fills it.
             self._core.events.info(
-                "store_news_unfit",
+                "store_news_gap",
                 table=news.table,
-                fit=fit.value,
                 after=news.after,
-                news_version=news.version,
                 version=copy.version,
                 source=source,
             )
@@ -280,13 +248,6 @@
         changed = copy.take_news(news)
         self._tell_rows(followed, changed, news.answered_s, source)
 
-    def _note_behind(self, followed: _Followed, version: int) -> None:
-        """Take in that others know of a version that this daemon can't have of them."""
-        if followed.behind_version <= followed.copy.version:
-            followed.behind_since_s = self._core.clock()
-        followed.behind_version = max(followed.behind_version, version)
-        followed.is_behind.set()
-
     def take_request(self, request: SnapshotRequest) -> None:
         """Send a whole table to a daemon that can't reach the store."""
         followed = self._tables.get(request.table)
