--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -14,6 +14,7 @@
 from ..core import Application
 from ..ids import FailureDomainName, VmId
 from ..peers.mesh import Mesh
+from ..quarantine.service import Quarantine
 from ..settings import EntrySettings
 from ..tables.members import Member, MemberState, MemberTable, Role
 from .adapter import Handler, PlatformAdapter
@@ -87,6 +88,7 @@
         self.retries = RetryShare(
             entry.retry_ratio, entry.retry_slack, entry.retry_window_s
         )
+        self.quarantine = Quarantine(self)
         self.directory = Directory(self.members, entry.address_valid_s)
         self.mesh: Mesh | None = None
         self.watch: StoreWatch | None = None
@@ -187,6 +189,7 @@
             self.loads,
             self.retries,
             LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
+            self.quarantine,
         )
         exchanges.on_prompt = self.news.send
         exchanges.knowledge = lambda: self.watch.knowledge(TABLE_ENDPOINTS)
--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -14,6 +14,7 @@
     FailureDomainName,
     model_ref,
 )
+from ..quarantine.service import Quarantine
 from .config import Route
 from .dialect import Dialect, Dispatch, RequestMeta
 from .durations import DurationTable
@@ -57,6 +58,8 @@
         What is known of endpoints, and what is told of them.
     policy : RoutingPolicy
         Chooses endpoints.
+    quarantine : Quarantine
+        Knows requests by their content, and which ended their endpoints.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         loads: LoadBook,
         retries: RetryShare,
         policy: RoutingPolicy,
+        quarantine: Quarantine,
     ) -> None:
         self.core = core
         self.dialect = dialect
@@ -86,6 +90,7 @@
         self.loads = loads
         self.retries = retries
         self._policy = policy
+        self.quarantine = quarantine
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
         self.knowledge: Callable[[], Knowledge | None] = lambda: None
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -7,7 +7,7 @@
 import msgspec
 from multidict import CIMultiDict
 
-from ..ids import EndpointId, ServiceName
+from ..ids import EndpointId, Fingerprint, ServiceName
 from .config import Route, ServiceSpec
 from .dialect import RequestMeta
 from .routing import Candidate
@@ -22,9 +22,11 @@
     """A request with its body, its route, and what became of it so far.
 
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
-    route's. ``tried`` has the endpoints that it was sent to; ``first_event_s`` is
-    the time from the start to a stream's first event, ``expected_s`` what was
-    expected of the endpoint chosen last, ``longest_pause_s`` between two events;
+    route's. ``fingerprint`` is the same for all attempts that ask for the same with
+    the same content; ``caller`` is the address that it came from. ``tried`` has the
+    endpoints that it was sent to; ``first_event_s`` is the time from the start to a
+    stream's first event, ``expected_s`` what was expected of the endpoint chosen
+    last, ``longest_pause_s`` between two events;
     ``knowledge`` is how recent the list of endpoints was that it was chosen from.
     """
 
@@ -39,6 +41,8 @@
     started_s: float
     deadline_s: float
     candidate: Candidate
+    fingerprint: Fingerprint = Fingerprint("")
+    caller: str = ""
     tried: list[EndpointId] = []
     may_have_run: bool = False
     resume_after: int | None = None
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -9,6 +9,7 @@
 
 from ..core import Application
 from ..gateway.refusals import Refusal, unavailable
+from ..quarantine.fingerprint import RequestContent
 from .caller_stream import CallerStream
 from .config import CallerLimits, Route, RouteTable
 from .dispatching import DEFAULT_RETRY_S, Exchanges
@@ -138,18 +139,22 @@
             raise unavailable("no service for the route", DEFAULT_RETRY_S)
         headers = forwarded_headers(request.headers)
         self._exchanges.dialect.remove_reserved(headers)
+        host = request.headers.get("Host", "")
+        content = RequestContent(request.method, host, target, body)
         exchange = Exchange(
             meta=meta,
             route=route,
             service=service,
             method=request.method,
             target=target,
-            host=request.headers.get("Host", ""),
+            host=host,
             headers=headers,
             body=body,
             started_s=started_s,
             deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
             candidate=self._exchanges.make_candidate(meta, route),
+            fingerprint=self._exchanges.quarantine.fingerprint(content),
+            caller=request.remote or "",
         )
         self._check_stop(exchange)
         self._exchanges.note_arrival(exchange)
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -110,6 +110,7 @@
         except EndpointFailed as error:
             exchange.may_have_run = True
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
+            await self.async_note_broken(exchange, row)
             return AttemptResult.FAILED, None
         return self.judge(exchange, row, answer, clock() - sent_s), answer
 
@@ -173,6 +174,13 @@
             sequence=row.sequence,
         )
 
+    async def async_note_broken(self, exchange: Exchange, row: Endpoint) -> None:
+        """Find out whether a run was broken off because its endpoint ended."""
+        record = row.record
+        await self._exchanges.quarantine.async_note_broken(
+            exchange.fingerprint, record.id, record.address
+        )
+
     def note_failure(
         self,
         exchange: Exchange,
@@ -192,6 +200,7 @@
         core.events.record(
             "attempt_failed",
             request=exchange.meta.id,
+            fingerprint=exchange.fingerprint,
             endpoint=row.record.id,
             result=result.value,
             tried=len(exchange.tried),
--- a/chutelink/entry/requestlog.py
+++ b/chutelink/entry/requestlog.py
@@ -90,6 +90,8 @@
             fields |= {"host": request.host, "path": request.raw_path[:80]}
         else:
             fields |= {
+                "fingerprint": exchange.fingerprint,
+                "caller": exchange.caller,
                 "route": exchange.route.name,
                 "service": exchange.service.name,
                 "model": exchange.meta.model,
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -17,6 +17,8 @@
 EndpointName = NewType("EndpointName", str)
 FailureDomainName = NewType("FailureDomainName", str)
 FencingNumber = NewType("FencingNumber", int)
+Fingerprint = NewType("Fingerprint", str)
+"""What requests have in common that ask for the same with the same content."""
 Incarnation = NewType("Incarnation", str)
 ModelName = NewType("ModelName", str)
 RequestId = NewType("RequestId", str)
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -23,25 +23,57 @@
     def __init__(self) -> None:
         self.store = MetadataStore()
         self.endpoints: dict[str, EndpointStandin] = {}
-        self._servers: list[asyncio.Server] = []
+        self._servers: dict[str, asyncio.Server] = {}
+        self._handlers: dict[str, web.Server] = {}
+        self._restarts: set[asyncio.Task[None]] = set()
+        self.away_s = 0.3
+        """How long an endpoint is away that a request has ended."""
 
     async def async_add(self, endpoint: EndpointStandin, host: str) -> None:
         """Start an endpoint at a free port and register it."""
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(endpoint.make_server(), host, 0)
-        self._servers.append(server)
+        server = await self._async_listen(endpoint, host, 0)
         port = server.sockets[0].getsockname()[1]
         endpoint.address = f"{host}:{port}"
+        endpoint.on_deadly = self.end
         self.endpoints[endpoint.name] = endpoint
         self.register(endpoint.name)
 
+    async def _async_listen(
+        self, endpoint: EndpointStandin, host: str, port: int
+    ) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+        make = endpoint.make_server()
+        server = await loop.create_server(make, host, port, reuse_address=True)
+        self._servers[endpoint.name] = server
+        self._handlers[endpoint.name] = make
+        return server
+
+    def end(self, endpoint: EndpointStandin) -> None:
+        """End an endpoint with all its connections; it is back after a while."""
+        self._servers[endpoint.name].close()
+        for handler in self._handlers[endpoint.name].connections:
+            if handler.transport is not None:
+                handler.transport.abort()
+        endpoint.restart()
+        task = asyncio.ensure_future(self._async_restart(endpoint))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _async_restart(self, endpoint: EndpointStandin) -> None:
+        await asyncio.sleep(self.away_s)
+        host, _, port = endpoint.address.rpartition(":")
+        await self._async_listen(endpoint, host, int(port))
+        self.register(endpoint.name)
+
     def register(self, name: str) -> None:
         """Write an endpoint's registration."""
         self.store.put("servers", name, self.endpoints[name].registration())
 
     async def async_close(self) -> None:
         """Stop all endpoints."""
-        for server in self._servers:
+        for task in self._restarts:
+            task.cancel()
+        for server in self._servers.values():
             server.close()
 
 
@@ -83,6 +115,7 @@
                     "orders": e.orders,
                     "models": e.models,
                     "cancelled": e.cancelled,
+                    "ends": e.ends,
                 }
                 for name, e in self._machines.endpoints.items()
             }
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -6,6 +6,8 @@
 import json
 import socket
 import struct
+import time
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -13,6 +15,10 @@
 from .web import json_response
 
 STEP_S = 0.005
+DEADLY = b"deadly"
+"""A body that ends each endpoint that begins to run it."""
+END_DELAY_S = 0.02
+"""How long such a request runs before it ends its endpoint."""
 NOT_RUN = {"X-Not-Executed": "1"}
 
 
@@ -67,6 +73,10 @@
         self.seen: list[dict[str, str]] = []
         self.orders: list[dict] = []
         self.cancelled: list[str] = []
+        self.ends = 0
+        self.born_ms: int | None = None
+        self.on_deadly: Callable[[EndpointStandin], None] = lambda endpoint: None
+        """Called when a request that ends its endpoint has run for a moment."""
 
     def make_server(self) -> web.Server:
         """Return the HTTP server."""
@@ -83,7 +93,18 @@
             "state": self.state,
             "models": self._model_list(),
             "seq": self.sequence,
-        }
+        } | self._born()
+
+    def restart(self) -> None:
+        """Forget everything: a new process begins, under the same id."""
+        self.ends += 1
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.is_busy = False
+        self.models = {name: [] for name in self.models}
+
+    def _born(self) -> dict[str, int]:
+        return {} if self.born_ms is None else {"born": self.born_ms}
 
     def _model_list(self) -> list[dict[str, object]]:
         return [
@@ -114,7 +135,7 @@
             "busy": self.is_busy,
             "seq": self.sequence,
             "at_hand": {"in_memory": [], "on_disk": []},
-        }
+        } | self._born()
 
     async def _async_order(self, request: web.BaseRequest) -> web.Response:
         order = json.loads(await request.read())
@@ -157,6 +178,9 @@
         if self._use_up("refuse"):
             return web.Response(status=503, headers=NOT_RUN)
         self.runs.append(request_id)
+        if body == DEADLY:
+            await asyncio.sleep(END_DELAY_S)
+            self.on_deadly(self)
         headers = {"X-Request-Id": request_id, "X-Server-Seal": f"seal-{self.name}"}
         if self._use_up("foreign"):
             headers["X-Request-Id"] = "another"
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -24,6 +24,7 @@
 from chutelink.entry.upstream import Upstream
 from chutelink.entry.watch import RowChange
 from chutelink.platform.adapter import PreparedMachines as Adapter
+from chutelink.quarantine.service import Quarantine
 from standins.prepared import PreparedMachines
 from standins.prepared_config import make_config
 from standins.prepared_endpoint import EndpointStandin
@@ -41,7 +42,10 @@
         self.machines = PreparedMachines()
         self.core = make_core()
         self.core.clock = time.monotonic
-        self.core.daemon = SimpleNamespace(id="d1", failure_domain="zone-a")
+        self.core.daemon = SimpleNamespace(
+            id="d1", failure_domain="zone-a", peer_key="key"
+        )
+        self.quarantine = Quarantine(self.core)
         self.known = EntryState(self.core, Adapter())
         self.pending = PendingTable()
         self.loads = LoadBook()
@@ -67,6 +71,7 @@
             self.loads,
             self.retries,
             policy,
+            self.quarantine,
         )
         relay = Relay(exchanges, self.upstream)
         streams = StreamRelay(self.core, exchanges, self.upstream, relay)
@@ -106,11 +111,13 @@
     def route_table(self) -> RouteTable:
         return self.known.routes
 
-    def request(self, path: str, request_id: str = "q1", **headers: str):
+    def request(
+        self, path: str, request_id: str = "q1", body: bytes = b"body", **headers: str
+    ):
         sent = {"Host": "a.example", "X-Request-Id": request_id}
         sent |= {"X-Deadline-Ms": "3000"}
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-        return self.session.post(self.url + path, data=b"body", headers=sent)
+        return self.session.post(self.url + path, data=body, headers=sent)
 
     async def async_close(self) -> None:
         self._server.close()
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -134,12 +134,19 @@
 
         await self.async_until(async_check)
 
-    def request(self, number: int, path: str, request_id: str, **headers: str):
+    def request(
+        self,
+        number: int,
+        path: str,
+        request_id: str,
+        body: bytes = b"body",
+        **headers: str,
+    ):
         sent = {"Host": "a.example", "X-Request-Id": request_id}
         sent |= {"X-Deadline-Ms": "3000"}
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"http://{self.address(number)}:{FIRST_PORT}{path}"
-        return self.session.post(url, data=b"body", headers=sent)
+        return self.session.post(url, data=body, headers=sent)
 
     async def async_configure(self, version: int, **changes: object) -> None:
         config = make_config(version, SERVICES) | changes
--- /dev/null
+++ b/tests/quarantine/test_fingerprint.py
@@ -0,0 +1,26 @@
+"""Requests that ask for the same are known again, and no others."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chutelink.quarantine.fingerprint import RequestContent, make_fingerprint
+
+TEXTS = st.text(max_size=6)
+CONTENTS = st.builds(RequestContent, TEXTS, TEXTS, TEXTS, st.binary(max_size=6))
+
+
+@given(CONTENTS, CONTENTS)
+def test_contents_are_told_apart_wherever_they_differ(one, other):
+    is_same = msgspec.structs.replace(one, host=one.host.lower()) == (
+        msgspec.structs.replace(other, host=other.host.lower())
+    )
+    prints = {make_fingerprint("k", content) for content in (one, other)}
+    assert len(prints) == (1 if is_same else 2)
+
+
+@given(CONTENTS)
+def test_a_fingerprint_can_not_be_made_without_the_key(content):
+    assert make_fingerprint("k", content) != make_fingerprint("other", content)
