Keep requests away that end the endpoints that run them

Cause: failures were counted by endpoint alone, so that a request that ends endpoints was repeated by the relay, by its caller under a new id, at any daemon, and wherever the placer loaded its model. Change: an end is counted against the content of each request that was running there, by process of the endpoint, over all daemons (told over the mesh in one message); after two ends a request is refused as not run, also where it has waited for its model meanwhile; a run that ends well clears it. A broken connection is an end only where the port refuses a connection at once, the endpoint registers as another process, or a silent one's registration lapses. Ruled out: counting broken connections alone (an answer lost or cut by a grey endpoint or a link looks the same); holding after one end (all streams of an endpoint end with it, and their repeats would be refused).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -134,7 +134,9 @@
             self.demand,
             self.pending,
             self.retries,
+            self.quarantine,
         )
+        self.quarantine.send = self.news.send
         self.mesh.on_broadcast = self.news.take
         self.mesh.on_members_changed = self.news.choose_links
         names = (TABLE_CONFIG, TABLE_ENDPOINTS)
--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -14,6 +14,7 @@
     FailureDomainName,
     model_ref,
 )
+from ..quarantine.model import Verdict
 from ..quarantine.service import Quarantine
 from .config import Route
 from .dialect import Dialect, Dispatch, RequestMeta
@@ -127,14 +128,46 @@
             self.speeds.note_prompt(read_s)
             self.loads.note_arrival(meta.model, meta.adapter, read_s)
 
+    async def async_admit(self, exchange: Exchange) -> None:
+        """Refuse at once what has ended the endpoints that ran it.
+
+        Raises
+        ------
+        Refusal
+            It is kept away.
+        """
+        verdict = self.quarantine.verdict(exchange.fingerprint)
+        if verdict is Verdict.TRIAL:
+            claim = self.quarantine.async_claim_trial
+            exchange.is_trial = await claim(exchange.fingerprint)
+        self._check_held(exchange)
+
+    def _check_held(self, exchange: Exchange) -> None:
+        """Refuse what is kept away, whenever that became known."""
+        if not self._is_held(exchange):
+            return
+        left_s = self.quarantine.hold_left_s(exchange.fingerprint)
+        raise unavailable("endpoints ended that ran this request", left_s)
+
+    def _is_held(self, exchange: Exchange) -> bool:
+        if exchange.is_trial:
+            return False
+        return self.quarantine.verdict(exchange.fingerprint) is not Verdict.FREE
+
     async def async_acquire(self, exchange: Exchange) -> Endpoint:
         """Return the endpoint to send to next, waiting for a load where it pays.
 
         Raises
         ------
         Refusal
-            There is none in time.
+            There is none in time, or the request is kept away.
         """
+        row = await self._async_find(exchange)
+        # It may have waited for seconds, and others may have run it meanwhile.
+        self._check_held(exchange)
+        return row
+
+    async def _async_find(self, exchange: Exchange) -> Endpoint:
         row = self._choose(exchange)
         if row is not None:
             self._check_backlog(exchange)
@@ -324,5 +357,7 @@
         """Spend one repeat of the budget; return whether it may be sent again."""
         if len(exchange.tried) >= exchange.route.max_endpoints:
             return False
+        if exchange.is_trial or self._is_held(exchange):
+            return False
         now_s = self.core.clock()
         return self.retries.take(exchange.service.name, now_s)
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -12,6 +12,7 @@
     DaemonId,
     EndpointId,
     FailureDomainName,
+    Incarnation,
     ModelName,
     ModelRef,
     ServiceName,
@@ -38,7 +39,9 @@
 class EndpointRecord(msgspec.Struct, frozen=True):
     """What an endpoint registered of itself.
 
-    ``models`` holds the adapters of each resident model, as of some seconds ago.
+    ``models`` holds the adapters of each resident model, as of some seconds ago;
+    ``born_ms`` is the Unix time of its process's start, 0 where it says none: an
+    endpoint may start again under its id, and knows nothing of before.
     """
 
     id: EndpointId
@@ -48,6 +51,12 @@
     state: EndpointState
     slots: int
     models: dict[ModelName, frozenset[AdapterName]]
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The name of this process of the endpoint."""
+        return Incarnation(f"{self.id}@{self.born_ms}")
 
 
 class Endpoint:
@@ -157,6 +166,16 @@
         row.take_record(record, now_s - self.placer_heard_s < PLACED_VALID_S)
         return is_changed
 
+    def is_registered(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint is still there and has not said that it leaves.
+
+        True too where its process has been replaced by another one since.
+        """
+        row = self.rows.get(record.id)
+        if row is None or row.lapsed_until_s is not None:
+            return False
+        return row.is_ready
+
     def remove(self, endpoint: EndpointId) -> Endpoint | None:
         """Drop an endpoint that is gone."""
         return self.rows.pop(endpoint, None)
--- a/chutelink/entry/exchange.py
+++ b/chutelink/entry/exchange.py
@@ -23,7 +23,8 @@
 
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
     route's. ``fingerprint`` is the same for all attempts that ask for the same with
-    the same content; ``caller`` is the address that it came from. ``tried`` has the
+    the same content; ``caller`` is the address that it came from, and ``is_trial``
+    says that it may run once though it has ended endpoints. ``tried`` has the
     endpoints that it was sent to; ``first_event_s`` is the time from the start to a
     stream's first event, ``expected_s`` what was expected of the endpoint chosen
     last, ``longest_pause_s`` between two events;
@@ -43,6 +44,7 @@
     candidate: Candidate
     fingerprint: Fingerprint = Fingerprint("")
     caller: str = ""
+    is_trial: bool = False
     tried: list[EndpointId] = []
     may_have_run: bool = False
     resume_after: int | None = None
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -11,6 +11,7 @@
 from ..const import MAX_PEER_MESSAGE_BYTES
 from ..exceptions import PeerMessageInvalid
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
+from ..quarantine.news import ClearedNews, EndingNews
 
 
 class StoredRow(msgspec.Struct, frozen=True, array_like=True):
@@ -169,6 +170,8 @@
     | PromptNews
     | PlacementNews
     | PlacerBeacon
+    | EndingNews
+    | ClearedNews
 )
 _DECODE_FAILURES = (
     cbor2.CBORDecodeError,
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -7,6 +7,8 @@
 from ..ids import DaemonId
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
+from ..quarantine.news import ClearedNews, EndingNews
+from ..quarantine.service import Quarantine
 from .demand import DemandTable
 from .directory import Directory
 from .endpoints import PLACED_VALID_S
@@ -57,6 +59,8 @@
         Loads on their way.
     retries : RetryShare
         Split over the daemons that serve.
+    quarantine : Quarantine
+        Requests that end endpoints.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         demand: DemandTable,
         pending: PendingTable,
         retries: RetryShare,
+        quarantine: Quarantine,
     ) -> None:
         self._core = core
         self._mesh = mesh
@@ -76,6 +81,7 @@
         self._demand = demand
         self._pending = pending
         self._retries = retries
+        self._quarantine = quarantine
         self._placer_id: DaemonId | None = None
         self._term = 0
         self.watch: StoreWatch | None = None
@@ -125,6 +131,10 @@
             self._hear_placer(news.daemon, news.term)
         elif isinstance(news, LeaseYield):
             self.lease.take_yield(news)
+        elif isinstance(news, EndingNews):
+            self._quarantine.take_endings(news, broadcast.origin)
+        elif isinstance(news, ClearedNews):
+            self._quarantine.clear(news.fingerprint, "told")
 
     def _take_load(self, news: LoadNews) -> None:
         now_s = self._core.clock()
--- a/chutelink/entry/relay.py
+++ b/chutelink/entry/relay.py
@@ -5,9 +5,15 @@
 from contextlib import contextmanager
 from enum import Enum
 
-from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
+from ..exceptions import (
+    ChutelinkError,
+    ConnectionBroken,
+    EndpointFailed,
+    EndpointUnreachable,
+)
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
+from ..quarantine.model import BrokenRun
 from .dialect import AnswerKind
 from .dispatching import DEFAULT_RETRY_S, Exchanges
 from .endpoints import Endpoint
@@ -110,7 +116,7 @@
         except EndpointFailed as error:
             exchange.may_have_run = True
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
-            await self.async_note_broken(exchange, row)
+            await self.async_note_broken(exchange, row, error)
             return AttemptResult.FAILED, None
         return self.judge(exchange, row, answer, clock() - sent_s), answer
 
@@ -137,6 +143,7 @@
         else:
             now_s = self._exchanges.core.clock()
             self._exchanges.health.note_success(endpoint, now_s, took_s)
+            self.note_good_run(exchange)
         return AttemptResult.ANSWERED
 
     def _limit_s(self, exchange: Exchange, now_s: float) -> float:
@@ -174,12 +181,32 @@
             sequence=row.sequence,
         )
 
-    async def async_note_broken(self, exchange: Exchange, row: Endpoint) -> None:
-        """Find out whether a run was broken off because its endpoint ended."""
+    async def async_note_broken(
+        self, exchange: Exchange, row: Endpoint, error: EndpointFailed
+    ) -> None:
+        """Find out whether a run was broken off because its endpoint ended.
+
+        Before another endpoint is tried: of two that end one after the other under
+        one request the second is spared where the first end was not the first.
+        """
         record = row.record
-        await self._exchanges.quarantine.async_note_broken(
-            exchange.fingerprint, record.id, record.address
+        if not isinstance(error, ConnectionBroken):
+            return
+        if not self._exchanges.table.is_registered(record):
+            # It has said that it leaves, or its registration was removed.
+            return
+        run = BrokenRun(
+            exchange.fingerprint,
+            f"{exchange.method} {exchange.host}{exchange.target}",
+            record.id,
+            record.incarnation,
+            record.address,
         )
+        await self._exchanges.quarantine.async_note_broken(run)
+
+    def note_good_run(self, exchange: Exchange) -> None:
+        """Take in that an endpoint has run a request to its end."""
+        self._exchanges.quarantine.note_success(exchange.fingerprint)
 
     def note_failure(
         self,
--- a/chutelink/entry/stream.py
+++ b/chutelink/entry/stream.py
@@ -8,7 +8,12 @@
 from aiohttp import web
 
 from ..core import Application
-from ..exceptions import ChutelinkError, EndpointFailed, EndpointUnreachable
+from ..exceptions import (
+    ChutelinkError,
+    ConnectionBroken,
+    EndpointFailed,
+    EndpointUnreachable,
+)
 from ..gateway.refusals import Refusal
 from .caller_stream import CallerStream
 from .config import Route
@@ -133,7 +138,7 @@
             exchange.may_have_run = True
             self._relay.note_failure(exchange, row, AttemptResult.FAILED, error)
             self._note_broken(exchange, row, caller.events - events_before, error)
-            await self._relay.async_note_broken(exchange, row)
+            await self._relay.async_note_broken(exchange, row, error)
             return AttemptResult.FAILED, None
         finally:
             attempt.release()
@@ -210,6 +215,7 @@
                 response.close()
             return self._owner._relay.judge(exchange, row, answer, took_s), answer
         await self._async_pass_on(response, sent_s)
+        self._owner._relay.note_good_run(exchange)
         self._note_duration()
         limit_s = exchange.route.max_pause_s
         is_paused = 0 < limit_s < self._longest_pause_s
@@ -235,7 +241,7 @@
                 self._note_event(sent_s)
             limit_s = stall_limit_s(self._exchange.route)
         if splitter.has_rest:
-            raise EndpointFailed(
+            raise ConnectionBroken(
                 "ended within an event", step="stream", peer=row.record.id
             )
         await caller.async_begin(response.status, headers)
--- a/chutelink/entry/upstream.py
+++ b/chutelink/entry/upstream.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from ..exceptions import EndpointFailed, EndpointUnreachable
+from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
 from .endpoints import Endpoint
 
 CONNECT_TIMEOUT_S = 0.6
@@ -115,7 +115,7 @@
         ------
         EndpointUnreachable
             Nothing was sent.
-        EndpointFailed
+        ConnectionBroken
             The call may have been run.
         """
         session = self._pooled if call.is_repeatable else self._single
@@ -143,7 +143,7 @@
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             message = str(error) or type(error).__name__
-            raise EndpointFailed(
+            raise ConnectionBroken(
                 message, step="endpoint.exchange", peer=peer
             ) from error
 
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -75,5 +75,9 @@
     """The exchange broke off after the request may have been sent."""
 
 
+class ConnectionBroken(EndpointFailed):
+    """The endpoint's side of a connection ended within an exchange."""
+
+
 class PeerMessageInvalid(ChutelinkError):
     """A message from a peer could not be understood."""
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -21,6 +21,12 @@
             "invariant_violations_total", "Invariants that did not hold, by step"
         )
         self.spans_dropped = self._counter("spans_dropped_total", "Spans not exported")
+        self.endings = self._counter(
+            "runs_ended_with_endpoint_total", "Runs that ended with their endpoint"
+        )
+        self.held_requests = self._gauge(
+            "requests_held", "Requests kept away that end their endpoints"
+        )
         self.queue_length = self._gauge("queue_length", "Requests waiting")
         self.inflight = self._gauge("requests_in_flight", "Requests being served")
         self.lease_held = self._gauge("lease_held", "1 for each lease held")
--- /dev/null
+++ b/chutelink/quarantine/news.py
@@ -0,0 +1,30 @@
+"""What daemons tell each other of requests that end endpoints."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import Fingerprint, Incarnation
+
+
+class EndedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was running where an endpoint ended."""
+
+    fingerprint: Fingerprint
+    about: str
+    incarnation: Incarnation
+
+
+class EndingNews(msgspec.Struct, frozen=True, tag="endings"):
+    """Endpoints have ended, and what one daemon had running there."""
+
+    runs: list[EndedRun]
+
+
+class ClearedNews(msgspec.Struct, frozen=True, tag="cleared"):
+    """A request has run well, or operators have freed it."""
+
+    fingerprint: Fingerprint
+
+
+QuarantineNews = EndingNews | ClearedNews
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -1,17 +1,35 @@
-"""What requests were doing to endpoints: the quarantine's one face to the relays."""
+"""Keep requests away that end the endpoints that run them.
+
+An endpoint's end is counted against each request that was running there, by content
+and by process of the endpoint, over all daemons. What ended too many is refused; one
+run that ends well clears it.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Awaitable, Callable
 
 from ..core import Application
-from ..ids import EndpointId, Fingerprint
+from ..ids import Fingerprint, Incarnation
+from .const import MAX_ABOUT_CHARS, TELL_DELAY_S
 from .fingerprint import RequestContent, make_fingerprint
+from .judge import EndingCount, Judge
+from .model import BrokenRun, Evidence, Hold, Verdict
+from .news import ClearedNews, EndedRun, EndingNews, QuarantineNews
 from .probe import ConnectProbe, EndingProbe
+from .proof import EndingProof
+from .table import SuspectTable
+
+
+async def _async_no_trial(fingerprint: Fingerprint) -> bool:
+    """Allow no trial: without the store two daemons might try at once."""
+    return False
 
 
 class Quarantine:
-    """Finds out which requests were running where an endpoint has ended.
+    """Says of each request whether it may run, and learns what runs have done.
 
     Parameters
     ----------
@@ -19,30 +37,145 @@
         The owner.
     probe : EndingProbe, optional
         Tells an ending from a broken connection.
+    judge : Judge, optional
+        Says what endings mean.
+    unix_clock : callable, default=time.time
+        Time of day in seconds, for holds that outlast daemons.
+
+    Attributes
+    ----------
+    send : callable
+        Tells the other daemons.
+    on_held, on_cleared : callable
+        Called with what this daemon itself has found, to be kept in the store.
+    async_claim_trial : callable
+        Returns whether this daemon alone may try a request whose hold has run out.
     """
 
-    def __init__(self, core: Application, probe: EndingProbe | None = None) -> None:
+    def __init__(
+        self,
+        core: Application,
+        probe: EndingProbe | None = None,
+        judge: Judge | None = None,
+        unix_clock: Callable[[], float] = time.time,
+    ) -> None:
         self._core = core
-        self._probe = probe or ConnectProbe()
-        self._probes: dict[EndpointId, asyncio.Task[bool]] = {}
+        self._proof = EndingProof(core, probe or ConnectProbe(), self._note_ended)
+        self._untold: list[EndedRun] = []
+        self.judge = judge or EndingCount()
+        self.unix_clock = unix_clock
+        self.table = SuspectTable(self.judge)
+        self.send: Callable[[QuarantineNews], None] = lambda news: None
+        self.on_held: Callable[[Fingerprint], None] = lambda fingerprint: None
+        self.on_cleared: Callable[[Fingerprint], None] = lambda fingerprint: None
+        self.async_claim_trial: Callable[[Fingerprint], Awaitable[bool]] = (
+            _async_no_trial
+        )
 
     def fingerprint(self, content: RequestContent) -> Fingerprint:
         """Return what a request has in common with its repetitions."""
         return make_fingerprint(self._core.daemon.peer_key, content)
 
-    async def async_note_broken(
-        self, fingerprint: Fingerprint, endpoint: EndpointId, address: str
-    ) -> None:
-        """Take in that a run was broken off, and find out whether its endpoint ended.
-
-        Many runs break at once; one connection tells for all of them.
-        """
-        task = self._probes.get(endpoint)
-        if task is None:
-            task = asyncio.ensure_future(self._probe.async_is_refused(address))
-            self._probes[endpoint] = task
-            task.add_done_callback(lambda _: self._probes.pop(endpoint, None))
-        if await asyncio.shield(task):
-            self._core.events.record(
-                "ended_under", fingerprint=fingerprint, endpoint=endpoint
-            )
+    def verdict(self, fingerprint: Fingerprint) -> Verdict:
+        """Return whether a request may run."""
+        return self.table.verdict(fingerprint, self.unix_clock())
+
+    def hold_left_s(self, fingerprint: Fingerprint) -> float:
+        """Return how long a request is still kept away, at least."""
+        row = self.table.get(fingerprint)
+        if row is None or row.hold is None:
+            return 0.0
+        return max(0.0, row.hold.until_unix_s - self.unix_clock())
+
+    async def async_note_broken(self, run: BrokenRun) -> None:
+        """Take in that a run was broken off; return when it was looked into."""
+        await self._proof.async_check(run)
+
+    def note_restarted(self, incarnation: Incarnation) -> None:
+        """Take in that an endpoint is back as another process."""
+        self._proof.note_restarted(incarnation)
+
+    def note_vanished(self, incarnation: Incarnation) -> None:
+        """Take in that the registration of a ready endpoint has lapsed."""
+        self._proof.note_vanished(incarnation)
+
+    def note_success(self, fingerprint: Fingerprint) -> None:
+        """Take in that a run ended well: it is not what ends endpoints."""
+        if self.clear(fingerprint, "ran_well"):
+            self.on_cleared(fingerprint)
+            self.send(ClearedNews(fingerprint))
+
+    def clear(self, fingerprint: Fingerprint, reason: str) -> bool:
+        """Let a request run again; return whether anything was held against it."""
+        row = self.table.get(fingerprint)
+        if row is None:
+            return False
+        self.table.clear(fingerprint)
+        self._core.events.info(
+            "suspect_cleared",
+            fingerprint=fingerprint,
+            reason=reason,
+            endings=len(row.endings),
+            was_held=row.hold is not None,
+        )
+        self._show_holds()
+        return True
+
+    def take_hold(self, fingerprint: Fingerprint, hold: Hold) -> None:
+        """Take over a hold that lies in the store."""
+        if self.table.put_hold(fingerprint, hold, self._core.clock()):
+            self._log_hold(fingerprint, hold, "store")
+
+    def take_endings(self, news: EndingNews, source: str) -> None:
+        """Take in what another daemon had running where endpoints ended."""
+        for run in news.runs:
+            self._add(run, source)
+
+    def _note_ended(self, run: BrokenRun, evidence: Evidence) -> None:
+        self._core.metrics.endings.inc({"evidence": evidence.value})
+        self._core.events.record(
+            "ended_under",
+            fingerprint=run.fingerprint,
+            endpoint=run.endpoint,
+            incarnation=run.incarnation,
+            evidence=evidence.value,
+        )
+        about = run.about[:MAX_ABOUT_CHARS]
+        ended = EndedRun(run.fingerprint, about, run.incarnation)
+        if self._add(ended, "own_run"):
+            self.on_held(run.fingerprint)
+        if not self._untold:
+            asyncio.get_running_loop().call_later(TELL_DELAY_S, self._tell)
+        self._untold.append(ended)
+
+    def _tell(self) -> None:
+        runs, self._untold = self._untold, []
+        self.send(EndingNews(runs))
+
+    def _add(self, run: EndedRun, source: str) -> bool:
+        is_held = self.table.add_ending(
+            run.fingerprint,
+            run.about,
+            run.incarnation,
+            self._core.clock(),
+            self.unix_clock(),
+        )
+        if is_held:
+            hold = self.table.get(run.fingerprint).hold
+            self._log_hold(run.fingerprint, hold, source)
+        return is_held
+
+    def _log_hold(self, fingerprint: Fingerprint, hold: Hold, source: str) -> None:
+        self._core.events.warning(
+            "suspect_held",
+            fingerprint=fingerprint,
+            about=hold.about,
+            endings=",".join(hold.endings),
+            trials=hold.trials,
+            left_s=hold.until_unix_s - self.unix_clock(),
+            source=source,
+        )
+        self._show_holds()
+
+    def _show_holds(self) -> None:
+        self._core.metrics.held_requests.set({}, len(self.table.holds()))
--- a/tests/entry/test_newsdesk.py
+++ b/tests/entry/test_newsdesk.py
@@ -18,6 +18,7 @@
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.retries import RetryShare
 from chutelink.peers.messages import Broadcast
+from chutelink.quarantine.service import Quarantine
 
 from ..fakes import make_core
 
@@ -39,6 +40,7 @@
             DemandTable(),
             self.pending,
             RetryShare(0.2, 50, 10.0),
+            Quarantine(self.core),
         )
         self.heard = []
         self.desk.lease = SimpleNamespace(
--- /dev/null
+++ b/tests/quarantine/test_service.py
@@ -0,0 +1,158 @@
+"""What counts as an endpoint's end, and what clears a request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from chutelink.ids import EndpointId, Fingerprint, Incarnation
+from chutelink.quarantine.const import LATE_PROOF_S
+from chutelink.quarantine.model import BrokenRun, Verdict
+from chutelink.quarantine.news import ClearedNews, EndingNews
+from chutelink.quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
+from chutelink.quarantine.service import Quarantine
+
+from ..fakes import make_core
+
+BAD = Fingerprint("bad")
+
+
+class FixedProbe(EndingProbe):
+    def __init__(self, result: ProbeResult) -> None:
+        self.result = result
+        self.calls = 0
+
+    async def async_probe(self, address: str) -> ProbeResult:
+        self.calls += 1
+        await asyncio.sleep(0)
+        return self.result
+
+
+def broken_run(number: int, fingerprint: Fingerprint = BAD) -> BrokenRun:
+    name = f"i-{number}"
+    incarnation = Incarnation(f"{name}@1")
+    return BrokenRun(fingerprint, "GET a/b", EndpointId(name), incarnation, "x:1")
+
+
+def run(test, result: ProbeResult = ProbeResult.REFUSED) -> None:
+    async def async_run():
+        core = make_core()
+        core.daemon.peer_key = "key"
+        probe = FixedProbe(result)
+        await test(Quarantine(core, probe), core, probe)
+
+    asyncio.run(async_run())
+
+
+def test_two_ends_under_one_request_keep_it_away():
+    async def async_test(quarantine, core, probe):
+        for number in range(2):
+            assert quarantine.verdict(BAD) is Verdict.FREE
+            await quarantine.async_note_broken(broken_run(number))
+        assert quarantine.verdict(BAD) is Verdict.HELD
+
+    run(async_test)
+
+
+def test_connections_that_break_while_the_endpoint_lives_prove_nothing():
+    async def async_test(quarantine, core, probe):
+        for number in range(10):
+            await quarantine.async_note_broken(broken_run(number))
+        assert quarantine.verdict(BAD) is Verdict.FREE
+        assert not len(quarantine.table)
+
+    run(async_test, ProbeResult.ACCEPTED)
+
+
+def test_a_restart_under_the_same_id_proves_the_end_later():
+    async def async_test(quarantine, core, probe):
+        for number in range(2):
+            await quarantine.async_note_broken(broken_run(number))
+        quarantine.note_restarted(Incarnation("i-0@1"))
+        assert quarantine.verdict(BAD) is Verdict.FREE
+        quarantine.note_restarted(Incarnation("i-1@1"))
+        assert quarantine.verdict(BAD) is Verdict.HELD
+
+    run(async_test, ProbeResult.ACCEPTED)
+
+
+def test_a_restart_long_after_is_not_the_requests():
+    async def async_test(quarantine, core, probe):
+        for number in range(2):
+            await quarantine.async_note_broken(broken_run(number))
+        core.now_s += LATE_PROOF_S + 1
+        for number in range(2):
+            quarantine.note_restarted(Incarnation(f"i-{number}@1"))
+        assert quarantine.verdict(BAD) is Verdict.FREE
+
+    run(async_test, ProbeResult.ACCEPTED)
+
+
+def test_a_registration_that_lapses_proves_the_end_of_a_silent_endpoint_only():
+    async def async_test(quarantine, core, probe):
+        for number, result in enumerate((ProbeResult.ACCEPTED, ProbeResult.SILENT)):
+            probe.result = result
+            await quarantine.async_note_broken(broken_run(number))
+            quarantine.note_vanished(Incarnation(f"i-{number}@1"))
+        assert quarantine.table.get(BAD).endings == (Incarnation("i-1@1"),)
+
+    run(async_test)
+
+
+def test_many_runs_that_break_at_once_cost_one_connection_and_one_message():
+    async def async_test(quarantine, core, probe):
+        sent = []
+        quarantine.send = sent.append
+        runs = [broken_run(1, Fingerprint(f"r{n}")) for n in range(64)]
+        await asyncio.gather(*(quarantine.async_note_broken(r) for r in runs))
+        await asyncio.sleep(0.05)
+        assert probe.calls == 1
+        assert [len(news.runs) for news in sent] == [64]
+
+    run(async_test)
+
+
+def test_what_others_saw_counts_once():
+    async def async_test(quarantine, core, probe):
+        sent = []
+        quarantine.send = sent.append
+        await quarantine.async_note_broken(broken_run(1))
+        await asyncio.sleep(0.05)
+        quarantine.take_endings(sent[0], "d2")
+        assert quarantine.verdict(BAD) is Verdict.FREE
+        other = broken_run(2)
+        ended = sent[0].runs[0].__class__(BAD, other.about, other.incarnation)
+        quarantine.take_endings(EndingNews([ended]), "d2")
+        assert quarantine.verdict(BAD) is Verdict.HELD
+
+    run(async_test)
+
+
+def test_a_run_that_ends_well_clears_a_request_everywhere():
+    """Many callers may send the same content; it was only there when they ended."""
+
+    async def async_test(quarantine, core, probe):
+        sent = []
+        quarantine.send = sent.append
+        quarantine.note_success(BAD)
+        assert not sent
+        for number in range(2):
+            await quarantine.async_note_broken(broken_run(number))
+        quarantine.note_success(BAD)
+        assert quarantine.verdict(BAD) is Verdict.FREE
+        assert ClearedNews(BAD) in sent
+
+    run(async_test)
+
+
+def test_a_port_without_a_listener_is_told_from_one_that_lives():
+    async def async_test():
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        probe = ConnectProbe()
+        assert await probe.async_probe(f"127.0.0.1:{port}") is ProbeResult.ACCEPTED
+        server.close()
+        await server.wait_closed()
+        assert await probe.async_probe(f"127.0.0.1:{port}") is ProbeResult.REFUSED
+        assert await probe.async_probe("nonsense") is ProbeResult.SILENT
+
+    asyncio.run(async_test())
