Keep holds in the store, and let one daemon try them when they have run out

Cause: what daemons knew of requests that end endpoints ended with their processes, and did not reach those cut off from the others. Change: a hold is a row of the store, written when it begins by the daemon that found it (by others after a while if it did not), read by each daemon as it follows the table, within the time after which the operators' bounds hold for it. Ruled out: writing each end (an end has up to 64 streams; only settled ones are written).

--- a/chutelink/const.py
+++ b/chutelink/const.py
@@ -31,6 +31,7 @@
 TABLE_ENDPOINTS: Final = "endpoints"
 TABLE_MEMBERS: Final = "chutelink-members"
 TABLE_LEASES: Final = "chutelink-leases"
+TABLE_QUARANTINE: Final = "chutelink-quarantine"
 KEY_ROUTING_CONFIG: Final = "config/config"
 
 STREAM_END: Final = b"data: [DONE]\n\n"
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -10,10 +10,11 @@
 from aiohttp import web
 from mode import Service
 
-from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
+from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
 from ..ids import FailureDomainName, VmId
 from ..peers.mesh import Mesh
+from ..quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from ..quarantine.service import Quarantine
 from ..settings import EntrySettings
 from ..tables.members import Member, MemberState, MemberTable, Role
@@ -36,7 +37,7 @@
 from .state import EntryState
 from .stream import StreamRelay
 from .upstream import Upstream
-from .watch import StoreWatch
+from .watch import RowChange, StoreWatch
 
 MS_PER_S = 1000.0
 JOIN_POLL_S = 0.02
@@ -92,6 +93,7 @@
         self.directory = Directory(self.members, entry.address_valid_s)
         self.mesh: Mesh | None = None
         self.watch: StoreWatch | None = None
+        self.keeper: QuarantineKeeper | None = None
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
         self.callers: CallerHttp | None = None
@@ -139,11 +141,16 @@
         self.quarantine.send = self.news.send
         self.mesh.on_broadcast = self.news.take
         self.mesh.on_members_changed = self.news.choose_links
-        names = (TABLE_CONFIG, TABLE_ENDPOINTS)
         entry = self.settings.entry
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
-        self.watch = StoreWatch(self, table, names, self.rank, self.news.send, bound_s)
-        self.watch.on_row = self.known.take_row
+        bounds_s = {
+            TABLE_CONFIG: bound_s,
+            TABLE_ENDPOINTS: bound_s,
+            TABLE_QUARANTINE: entry.quarantine_apply_ms / MS_PER_S,
+        }
+        self.watch = StoreWatch(self, table, bounds_s, self.rank, self.news.send)
+        self.keeper = QuarantineKeeper(self, table, self.quarantine, self.rank)
+        self.watch.on_row = self._take_row
         self.watch.reply = self.news.reply
         self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
@@ -155,7 +162,13 @@
         self.news.placer = self.placer
         self.known.on_config = self._take_config
         self.known.on_endpoints = self._take_endpoints
-        for part in (self.mesh, self.watch, self.lease, self.placer):
+        for part in (
+            self.mesh,
+            self.watch,
+            self.keeper,
+            self.lease,
+            self.placer,
+        ):
             await self.add_runtime_dependency(part)
         peer_address = self.members.own.peer_address
         registration = Registration(self, table, self.mesh, peer_address)
@@ -264,6 +277,12 @@
             if member.state is MemberState.ALIVE
         )
 
+    def _take_row(self, change: RowChange) -> None:
+        if change.key.startswith(PREFIX_HOLDS):
+            self.keeper.take_row(change.key, change.value)
+            return
+        self.known.take_row(change)
+
     def _take_config(self) -> None:
         self.placer.config = self.known.routes.config
 
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -78,12 +78,14 @@
 class _Followed:
     """A table that is followed: its copy, and when it was read and told.
 
+    ``bound_s`` is how soon a change must be known everywhere;
     ``heard_s`` and ``returned_s`` are times of the store's clock: of the latest answer
     that this daemon knows of, and of the first one after an outage.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, bound_s: float) -> None:
         self.copy = TableCopy(name)
+        self.bound_s = bound_s
         self.started_s = float("-inf")
         self.heard_s: float | None = None
         self.returned_s = float("-inf")
@@ -99,32 +101,30 @@
         The owner.
     table : WatchedTable
         Where the tables are.
-    names : tuple of str
-        The tables to follow.
+    bounds_s : dict
+        The tables to follow, each with how soon a change must be known everywhere.
     rank : callable
         This daemon's place among the live ones, 0 for the first.
     send : callable
         Tells the other daemons.
-    bound_s : float
-        How soon a change must be known everywhere.
     """
 
     def __init__(
         self,
         core: Application,
         table: WatchedTable,
-        names: tuple[str, ...],
+        bounds_s: dict[str, float],
         rank: Callable[[], int],
         send: Callable[[StoreNews | SnapshotRequest], None],
-        bound_s: float,
     ) -> None:
         super().__init__()
         self._core = core
         self._table = table
         self._rank = rank
         self._send = send
-        self._bound_s = bound_s
-        self._tables = {name: _Followed(name) for name in names}
+        self._tables = {
+            name: _Followed(name, bound_s) for name, bound_s in bounds_s.items()
+        }
         self._clock = StoreClock()
         self._is_away = False
         self.on_row: Callable[[RowChange], None] = lambda change: None
@@ -166,9 +166,9 @@
         rank = self._rank()
         since_start_s = self._core.clock() - followed.started_s
         if rank == 0 or followed.copy.version == 0:
-            return MIN_PERIOD_SHARE * self._bound_s - since_start_s
+            return MIN_PERIOD_SHARE * followed.bound_s - since_start_s
         share = FIRST_SHARE + RANK_SHARE * min(rank - 1, MAX_RANK)
-        return share * self._bound_s - self._age_s(followed.copy.answered_s)
+        return share * followed.bound_s - self._age_s(followed.copy.answered_s)
 
     async def _async_pull(self, followed: _Followed) -> None:
         copy = followed.copy
@@ -194,7 +194,7 @@
             self._is_away = False
             self._core.events.info("store_regained", table=read.table)
         took_s = now_s - followed.started_s
-        if took_s > WAIT_SHARE * self._bound_s + SLOW_CALL_S:
+        if took_s > WAIT_SHARE * followed.bound_s + SLOW_CALL_S:
             self._core.events.record(
                 "store_answer_late",
                 table=read.table,
@@ -212,7 +212,7 @@
         followed.started_s = self._core.clock()
         page: RowPage | None = None
         if after:
-            wait_s = WAIT_SHARE * self._bound_s if self._rank() == 0 else 0.0
+            wait_s = WAIT_SHARE * followed.bound_s if self._rank() == 0 else 0.0
             try:
                 page = await self._table.async_watch(prefix, after, wait_s)
             except HistoryLost:
@@ -286,7 +286,7 @@
         3 requests on 2 of 10 days with a reader that was cut off now and then.
         """
         heard_s = answered_s if followed.heard_s is None else followed.heard_s
-        if answered_s - heard_s > self._bound_s:
+        if answered_s - heard_s > followed.bound_s:
             followed.returned_s = answered_s
         followed.heard_s = max(heard_s, answered_s)
 
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -105,7 +105,8 @@
     ``retry_slack`` bound repeats over all daemons in ``retry_window_s``, and
     ``cold_load_excess`` is how far above the weight store's rate the loads of
     ``cold_load_window_s`` may go. A draining endpoint must get nothing new after
-    ``drain_ms``; ``cpu_share`` is this process's share of each core.
+    ``drain_ms``, and a request that is kept away must be refused by every daemon after
+    ``quarantine_apply_ms``; ``cpu_share`` is this process's share of each core.
     """
 
     caller_listen: Listen
@@ -115,6 +116,7 @@
     grace_s: Seconds
     config_apply_ms: Count
     drain_ms: Count
+    quarantine_apply_ms: Count
     holder_gap_ms: Count
     retry_ratio: Annotated[float, Meta(ge=0, le=1)]
     retry_slack: Annotated[int, Meta(ge=0)]
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -77,7 +77,7 @@
         self.sent = []
         self.rows = []
         self.watch = StoreWatch(
-            self.core, table, ("t",), lambda: rank, self.sent.append, SHORTEST_BOUND_S
+            self.core, table, {"t": SHORTEST_BOUND_S}, lambda: rank, self.sent.append
         )
         self.watch.reply = lambda daemon, news: self.sent.append(news)
         self.watch.on_row = lambda change: self.rows.append((change.key, change.value))
--- a/tests/entry/watching_fleet.py
+++ b/tests/entry/watching_fleet.py
@@ -183,10 +183,9 @@
         self.watch = StoreWatch(
             self.core,
             self.path,
-            (TABLE_ENDPOINTS,),
+            {TABLE_ENDPOINTS: BOUND_S},
             lambda: rank,
             self._send,
-            BOUND_S,
         )
         self.watch.on_row = self.known.take_row
         self.watch.compact = adapter.compact_row
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -85,6 +85,7 @@
             "limits.cpu_share": "1.0",
             "limits.cores": "2",
             "bounds.drain_ms": "2000",
+            "bounds.contact_ms": "3000",
             "bounds.config_apply_ms": "2000",
             "bounds.lease_ms": "3000",
             "bounds.retry_ratio": "0.2",
--- /dev/null
+++ b/tests/quarantine/test_keeper.py
@@ -0,0 +1,147 @@
+"""Holds in the store: they outlast daemons, and a trial is one daemon's alone."""
+
+from __future__ import annotations
+
+import asyncio
+
+from chutelink.ids import Fingerprint, Incarnation
+from chutelink.quarantine import const
+from chutelink.quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
+from chutelink.quarantine.model import BrokenRun, Verdict
+from chutelink.quarantine.probe import ProbeResult
+from chutelink.quarantine.service import Quarantine
+
+from ..fakes import FakeTable, make_core
+from .test_service import FixedProbe
+
+BAD = Fingerprint("bad")
+KEY = PREFIX_HOLDS + BAD
+
+
+class Daemon:
+    """A daemon's quarantine, behind a store that others share."""
+
+    def __init__(self, table: FakeTable, rank: int = 0) -> None:
+        self.table = table
+        self.core = make_core(f"d{rank}")
+        self.core.daemon.peer_key = "key"
+        self.unix_s = 0.0
+        self.quarantine = Quarantine(
+            self.core, FixedProbe(ProbeResult.REFUSED), unix_clock=lambda: self.unix_s
+        )
+        self.keeper = QuarantineKeeper(self.core, table, self.quarantine, lambda: rank)
+
+    @property
+    def verdict(self) -> Verdict:
+        return self.quarantine.verdict(BAD)
+
+    async def async_end(self, *processes: str) -> None:
+        for process in processes:
+            run = BrokenRun(BAD, "GET a/b", "i", Incarnation(process), "x:1")
+            await self.quarantine.async_note_broken(run)
+
+    async def async_follow(self) -> None:
+        """Read the table as the watch does."""
+        rows = (await self.table.async_read(PREFIX_HOLDS)).rows
+        for row in rows:
+            self.keeper.take_row(row.key, row.value)
+
+
+def test_a_hold_is_written_and_known_to_a_daemon_that_starts_later():
+    async def async_test():
+        table = FakeTable()
+        first, later = Daemon(table), Daemon(table)
+        await first.async_end("i-1@1", "i-2@1")
+        await first.keeper.async_save()
+        await later.async_follow()
+        assert later.verdict is Verdict.HELD
+
+    asyncio.run(async_test())
+
+
+def test_what_its_finder_could_not_save_another_daemon_saves():
+    async def async_test():
+        table = FakeTable()
+        finder, other = Daemon(table), Daemon(table, rank=2)
+        sent = []
+        finder.quarantine.send = sent.append
+        await finder.async_end("i-1@1", "i-2@1")
+        await asyncio.sleep(0.05)
+        other.quarantine.take_endings(sent[0], "d0")
+        await other.keeper.async_save()
+        assert not (await table.async_read(PREFIX_HOLDS)).rows
+        other.core.now_s += const.SAVE_STEP_S * 3
+        await other.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
+
+    asyncio.run(async_test())
+
+
+def test_a_hold_outlasts_an_outage_of_the_store():
+    async def async_test():
+        table = FakeTable()
+        daemon = Daemon(table)
+        await daemon.async_end("i-1@1", "i-2@1")
+        table.is_out = True
+        task = asyncio.ensure_future(daemon.keeper._async_loop.fun(daemon.keeper))
+        await asyncio.sleep(0.05)
+        assert daemon.verdict is Verdict.HELD
+        table.is_out = False
+        async with asyncio.timeout(10):
+            while not (await table.async_read(PREFIX_HOLDS)).rows:
+                await asyncio.sleep(0.05)
+        task.cancel()
+
+    asyncio.run(async_test())
+
+
+def test_a_run_that_ends_well_removes_the_row_and_frees_all_daemons():
+    async def async_test():
+        table = FakeTable()
+        daemon, other = Daemon(table), Daemon(table)
+        await daemon.async_end("i-1@1", "i-2@1")
+        await daemon.keeper.async_save()
+        await other.async_follow()
+        daemon.quarantine.note_success(BAD)
+        await daemon.keeper.async_save()
+        assert not [r for r in (await table.async_read(PREFIX_HOLDS)).rows if r.value]
+        other.keeper.take_row(KEY, None)
+        assert other.verdict is Verdict.FREE
+
+    asyncio.run(async_test())
+
+
+def test_after_the_hold_one_daemon_alone_tries_it_once():
+    async def async_test():
+        table = FakeTable()
+        daemons = [Daemon(table, rank) for rank in range(3)]
+        await daemons[0].async_end("i-1@1", "i-2@1")
+        await daemons[0].keeper.async_save()
+        for daemon in daemons:
+            await daemon.async_follow()
+            daemon.unix_s = const.HOLD_S + 1
+            assert daemon.verdict is Verdict.TRIAL
+        claims = [d.keeper.async_claim_trial(BAD) for d in daemons]
+        assert sum(await asyncio.gather(*claims)) == 1
+        assert daemons[1].verdict is Verdict.HELD
+
+    asyncio.run(async_test())
+
+
+def test_without_the_store_nothing_is_tried():
+    async def async_test():
+        table = FakeTable()
+        daemon = Daemon(table)
+        await daemon.async_end("i-1@1", "i-2@1")
+        daemon.unix_s = const.HOLD_S + 1
+        table.is_out = True
+        assert not await daemon.keeper.async_claim_trial(BAD)
+
+    asyncio.run(async_test())
+
+
+def test_a_row_that_is_no_hold_holds_nothing():
+    daemon = Daemon(FakeTable())
+    for value in (7, "x", {"until_unix_s": "soon"}, [], {"endings": 3}):
+        daemon.keeper.take_row(KEY, value)
+    assert daemon.verdict is Verdict.FREE
