Let rows of other writers hide nothing, and know an endpoint that starts again under its id

And an endpoint's id stood for its process everywhere. Change: a row that can't be read stands as such and is refused by whoever takes it in; registrations are checked in all fields; a refused one takes its endpoint out until it is sound again. Processes are told by their start: what was learned of the one before (models, count of orders, health, prompts) is forgotten, its late rows, reports and announcements change nothing, and orders that were planned for it are not sent.

--- a/chutelink/entry/announcer.py
+++ b/chutelink/entry/announcer.py
@@ -74,7 +74,9 @@
                 for model, adapters in row.models.items()
                 if model not in row.closing and not inventory.is_down
             }
-            placement = EndpointPlacement(inventory.endpoint, row.sequence, models)
+            placement = EndpointPlacement(
+                inventory.endpoint, row.sequence, models, row.record.born_ms
+            )
             if self._told.get(inventory.endpoint) != placement:
                 self._told[inventory.endpoint] = placement
                 changed.append(placement)
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -81,7 +81,8 @@
         self._adapter = adapter
         self._caller_listener = caller_listener
         self.members = MemberTable(self._make_member())
-        self.known = EntryState(self, adapter)
+        self.quarantine = Quarantine(self)
+        self.known = EntryState(self, adapter, self.quarantine)
         self.demand = DemandTable()
         self.pending = PendingTable()
         self.loads = LoadBook()
@@ -89,7 +90,6 @@
         self.retries = RetryShare(
             entry.retry_ratio, entry.retry_slack, entry.retry_window_s
         )
-        self.quarantine = Quarantine(self)
         self.directory = Directory(self.members, entry.address_valid_s)
         self.mesh: Mesh | None = None
         self.watch: StoreWatch | None = None
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -36,6 +36,18 @@
     DRAINING = "draining"
 
 
+class Registered(Enum):
+    """What a registration meant for what is known."""
+
+    SAME = "same"
+    CHANGED = "changed"
+    """It changes what may be sent."""
+    RESTARTED = "restarted"
+    """It is of another process, that knows nothing of before."""
+    OUTDATED = "outdated"
+    """It is of a process that has ended."""
+
+
 class EndpointRecord(msgspec.Struct, frozen=True):
     """What an endpoint registered of itself.
 
@@ -156,15 +168,39 @@
             if row.record.service == service and row.is_usable(now_s)
         ]
 
-    def put(self, record: EndpointRecord, now_s: float) -> bool:
-        """Take in a registration; return whether it changes what may be sent."""
+    def put(self, record: EndpointRecord, now_s: float) -> Registered:
+        """Take in a registration; return what it meant."""
         row = self.rows.get(record.id)
         if row is None:
             self.rows[record.id] = Endpoint(record)
-            return True
+            return Registered.CHANGED
+        if record.born_ms > row.record.born_ms:
+            self.rows[record.id] = Endpoint(record)
+            return Registered.RESTARTED
+        if record.born_ms < row.record.born_ms:
+            return Registered.OUTDATED
         is_changed = row.record.state is not record.state
         row.take_record(record, now_s - self.placer_heard_s < PLACED_VALID_S)
-        return is_changed
+        return Registered.CHANGED if is_changed else Registered.SAME
+
+    def take_models(
+        self,
+        endpoint: EndpointId,
+        born_ms: int,
+        sequence: int,
+        models: dict[ModelName, frozenset[AdapterName]],
+    ) -> None:
+        """Take in what a process of an endpoint holds after a number of orders.
+
+        Who says so may know of a restart before the registration does.
+        """
+        row = self.rows.get(endpoint)
+        if row is None or born_ms < row.record.born_ms:
+            return
+        if born_ms > row.record.born_ms:
+            record = msgspec.structs.replace(row.record, born_ms=born_ms, models={})
+            row = self.rows[endpoint] = Endpoint(record)
+        row.take_models(sequence, models)
 
     def is_registered(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint is still there and has not said that it leaves.
--- a/chutelink/entry/inventory.py
+++ b/chutelink/entry/inventory.py
@@ -51,7 +51,8 @@
     """What an endpoint said of itself, some 100 ms ago.
 
     ``coming`` are adapters on their way; they take places already. ``on_disk`` has
-    the copy first that gives way first.
+    the copy first that gives way first; ``born_ms`` is the Unix time of its process's
+    start, 0 where it says none: ``sequence`` counts from there.
     """
 
     sequence: int
@@ -64,6 +65,7 @@
     active: int = 0
     kv_used_tokens: int = 0
     kv_total_tokens: int = 0
+    born_ms: int = 0
 
 
 class EngineClient(ABC):
@@ -103,10 +105,13 @@
     ----------
     endpoint : EndpointId
         Which one.
+    born_ms : int, default=0
+        Which process of it, 0 where it says none.
     """
 
-    def __init__(self, endpoint: EndpointId) -> None:
+    def __init__(self, endpoint: EndpointId, born_ms: int = 0) -> None:
         self.endpoint = endpoint
+        self.born_ms = born_ms
         self.sequence = -1
         self.models: dict[ModelName, frozenset[AdapterName]] = {}
         self.in_memory: frozenset[ModelName] = frozenset()
@@ -131,11 +136,18 @@
     def take_report(self, report: EndpointReport, now_s: float) -> None:
         """Take in a report; one from before the latest known order is ignored.
 
-        Reports that go on to show fewer orders are right: an order was counted that
-        the endpoint did not count, and each further one would be refused.
+        So is one of the process before. Reports that go on to show fewer orders are
+        right: an order was counted that the endpoint did not count, and each further
+        one would be refused.
         """
         self.is_down = False
         self.read_s = now_s
+        if report.born_ms < self.born_ms:
+            return
+        if report.born_ms > self.born_ms:
+            # Another process: fewer orders are no sign that its report is late.
+            self.born_ms = report.born_ms
+            self.sequence = -1
         if report.sequence < self.sequence and self._may_lag(now_s):
             return
         self._behind_since_s = None
--- a/chutelink/entry/lease.py
+++ b/chutelink/entry/lease.py
@@ -23,7 +23,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import BootId, DaemonId, WriteId, make_id
-from ..store import Check, Transaction, WatchedTable, Write, decode_value
+from ..store import Check, Row, Transaction, WatchedTable, Write, decode_value
 from .news import LeaseYield
 
 KEY_LEASE = f"{TABLE_LEASES}/placer"
@@ -113,6 +113,7 @@
         self._orders_from_s = float("inf")
         self._taken_s = float("-inf")
         self._heard_s = core.clock()
+        self._heard_term = 0
         self._is_unsure = False
         self._yields = 0
         self._yielded: LeaseYield | None = None
@@ -146,6 +147,7 @@
 
     def note_holder(self, daemon: DaemonId, term: int) -> None:
         """Take in that the holder has spoken."""
+        self._heard_term = max(self._heard_term, term)
         if term >= self.term:
             self._heard_s = self._core.clock()
             if daemon != self._core.daemon_id and term > self.term:
@@ -243,7 +245,19 @@
         if version != self._version or self._seen_s is None:
             self._seen_s = self._core.clock()
         self._version = version
-        self._row = decode_value(found, PlacerRow)
+        self._row = self._decode(found)
+
+    def _decode(self, row: Row | None) -> PlacerRow | None:
+        """Return what the row says.
+
+        One of another writer names no holder, but there may be one: it is waited for
+        as for one that fell silent, and fences go on above all that were heard of.
+        """
+        try:
+            return decode_value(row, PlacerRow)
+        except PlatformUnavailable as error:
+            self._core.events.warning("lease_row_invalid", error=error)
+            return PlacerRow(DaemonId(""), BootId(""), self._heard_term, 0)
 
     def _wait_s(self) -> float | None:
         """Return how long to hold orders back after taking, or None to wait.
@@ -280,6 +294,7 @@
         await self._async_write(row)
         self.phase = LeasePhase.HELD
         self.term = term
+        self._heard_term = max(self._heard_term, term)
         self._is_unsure = False
         self._yields = 0
         self._taken_s = self._core.clock()
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -9,7 +9,7 @@
 from ..exceptions import PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown
 from ..ids import WriteId, make_id
 from ..peers.mesh import Mesh
-from ..store import Transaction, WatchedTable, Write, decode_value
+from ..store import Row, Transaction, WatchedTable, Write, decode_value
 
 RETRY_S = 0.5
 LONELY_S = 2.0
@@ -74,11 +74,19 @@
         await self._table.async_transact(transaction)
         self._is_written = True
 
+    def _decode(self, row: Row) -> MemberRow | None:
+        """Return what a row says, None for one of another writer: the others hold."""
+        try:
+            return decode_value(row, MemberRow)
+        except PlatformUnavailable as error:
+            self._core.events.warning("member_refused", key=row.key, error=error)
+            return None
+
     async def _async_find(self) -> None:
         if self._mesh.linked_members():
             return
         page = await self._table.async_read(f"{TABLE_MEMBERS}/")
-        rows = [decode_value(row, MemberRow) for row in page.rows]
+        rows = [self._decode(row) for row in page.rows]
         found = {row.peer_address for row in rows if row is not None}
         self._mesh.set_seeds(found - {self._peer_address})
         self._core.events.info("peers_found", peers=len(found))
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -117,11 +117,12 @@
 
 
 class EndpointPlacement(msgspec.Struct, frozen=True, array_like=True):
-    """What an endpoint holds after a number of orders."""
+    """What an endpoint holds after a number of orders to one of its processes."""
 
     endpoint: EndpointId
     sequence: int
     models: dict[ModelName, list[AdapterName]]
+    born_ms: int = 0
 
 
 class PendingLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -168,13 +168,12 @@
             return
         if news.daemon != self._core.daemon_id:
             for placement in news.endpoints:
-                row = self._known.endpoints.rows.get(placement.endpoint)
-                if row is not None:
-                    models = {
-                        model: frozenset(names)
-                        for model, names in placement.models.items()
-                    }
-                    row.take_models(placement.sequence, models)
+                models = {
+                    model: frozenset(names) for model, names in placement.models.items()
+                }
+                self._known.endpoints.take_models(
+                    placement.endpoint, placement.born_ms, placement.sequence, models
+                )
         self._pending.take(news.loads, news.term, self._core.clock())
 
     def _hear_placer(self, daemon: DaemonId, term: int) -> bool:
--- a/chutelink/entry/orders.py
+++ b/chutelink/entry/orders.py
@@ -35,9 +35,14 @@
 """Loads take longer while many run."""
 
 
-def show_models(row: Endpoint, inventory: Inventory) -> None:
+def show_models(table: EndpointTable, inventory: Inventory) -> None:
     """Let requests be sent for what an endpoint holds now."""
-    row.take_models(inventory.sequence, dict(inventory.models))
+    table.take_models(
+        inventory.endpoint,
+        inventory.born_ms,
+        inventory.sequence,
+        dict(inventory.models),
+    )
 
 
 class OrderDesk:
@@ -95,7 +100,7 @@
             )
         inventory.take_report(report, self._core.clock())
         if not inventory.is_busy:
-            show_models(row, inventory)
+            show_models(self._table, inventory)
 
     async def async_carry_out(
         self, change: Change, inventory: Inventory, row: Endpoint
@@ -107,7 +112,7 @@
             await self._async_order(inventory, row, OrderAction.UNLOAD, model, adapter)
         for model in change.unload_models:
             await self._async_order(inventory, row, OrderAction.UNLOAD, model)
-            show_models(row, inventory)
+            show_models(self._table, inventory)
             await self._async_until_idle(inventory, UNLOAD_LIMIT_S, row.running(model))
         await self._async_order(
             inventory, row, OrderAction.LOAD, change.model, change.adapter
@@ -118,7 +123,7 @@
             await self._async_until_idle(inventory, limit_s)
         if not inventory.has(change.model, change.adapter):
             raise EndpointFailed("not loaded", step="load", peer=change.endpoint)
-        show_models(row, inventory)
+        show_models(self._table, inventory)
         self._core.metrics.moves.inc({"action": "load", "result": "done"})
 
     async def _async_order(
@@ -139,6 +144,11 @@
             It is not known to have been accepted. It may be later, but then only
             while nothing else was.
         """
+        if self._table.rows.get(inventory.endpoint) is not row:
+            # What was planned is of a process that has ended.
+            raise EndpointUnreachable(
+                "gone or restarted", step="order", peer=inventory.endpoint
+            )
         if action is OrderAction.LOAD:
             self._check_room(inventory, row, model, adapter)
         fence = self._lease.begin_order()
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -166,14 +166,16 @@
     def _sync_inventories(self) -> None:
         engines = {name for name, _ in self._engines()}
         wanted = {
-            row.record.id
+            row.record.id: row.record.born_ms
             for row in self._table.rows.values()
             if row.record.service in engines and row.is_ready
         }
-        for endpoint in self._inventories.keys() - wanted:
+        for endpoint, born_ms in wanted.items():
+            known = self._inventories.get(endpoint)
+            if known is None or known.born_ms < born_ms:
+                self._inventories[endpoint] = Inventory(endpoint, born_ms)
+        for endpoint in self._inventories.keys() - wanted.keys():
             del self._inventories[endpoint]
-        for endpoint in wanted - self._inventories.keys():
-            self._inventories[endpoint] = Inventory(endpoint)
 
     def _read_reports(self) -> None:
         """Ask the endpoints whose last report is old; each in a task of its own."""
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -9,10 +9,11 @@
 from ..core import Application
 from ..exceptions import ConfigInvalid, EndpointFailed
 from ..ids import EndpointId
+from ..quarantine.service import Quarantine
 from .adapter import PlatformAdapter
 from .config import RouteTable
 from .durations import DurationTable
-from .endpoints import Endpoint, EndpointTable
+from .endpoints import Endpoint, EndpointRecord, EndpointTable, Registered
 from .health import HealthTable
 from .prefixes import PrefixTable
 from .reading import ReadingTable
@@ -31,10 +32,15 @@
         The owner.
     adapter : PlatformAdapter
         Decodes rows.
+    quarantine : Quarantine
+        Is told of processes of endpoints that have ended.
     """
 
-    def __init__(self, core: Application, adapter: PlatformAdapter) -> None:
+    def __init__(
+        self, core: Application, adapter: PlatformAdapter, quarantine: Quarantine
+    ) -> None:
         self._core = core
+        self._quarantine = quarantine
         self._adapter = adapter
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
@@ -93,9 +99,15 @@
         try:
             record = self._adapter.decode_endpoint(name, change.value)
         except EndpointFailed as error:
-            self._core.events.warning("endpoint_refused", endpoint=name, error=error)
+            self._refuse_endpoint(EndpointId(name), error)
             return
-        if self.endpoints.put(record, self._core.clock()):
+        before = self.endpoints.rows.get(record.id)
+        meant = self.endpoints.put(record, self._core.clock())
+        if meant is Registered.OUTDATED:
+            return
+        if meant is Registered.RESTARTED:
+            self._note_restart(before, record)
+        if meant is not Registered.SAME:
             self._core.events.record(
                 "endpoint_seen",
                 endpoint=record.id,
@@ -110,6 +122,26 @@
             )
         self.on_endpoints()
 
+    def _refuse_endpoint(self, endpoint: EndpointId, error: EndpointFailed) -> None:
+        """Send nothing to what a row named before that now names no endpoint."""
+        self._core.events.warning("endpoint_refused", endpoint=endpoint, error=error)
+        row = self.endpoints.remove(endpoint)
+        if row is not None:
+            self._forget(row, "refused")
+
+    def _note_restart(self, before: Endpoint, record: EndpointRecord) -> None:
+        """Forget what was learned of the process before; its speed is the VM's."""
+        self._core.events.record(
+            "endpoint_restarted",
+            endpoint=record.id,
+            born_ms=record.born_ms,
+            before_ms=before.record.born_ms,
+        )
+        self.health.forget(record.id)
+        self.prefixes.forget(record.id)
+        self.reading.forget(record.id)
+        self._quarantine.note_restarted(before.record.incarnation)
+
     def _since_last_sent_s(self, endpoint: EndpointId) -> float:
         """Return how long ago this daemon sent a request there, infinite if never."""
         return self._core.clock() - self.endpoints.rows[endpoint].last_sent_s
@@ -137,6 +169,8 @@
             last_sent_s=self._since_last_sent_s(endpoint),
         )
         self.endpoints.remove(endpoint)
+        if row.is_ready:
+            self._quarantine.note_vanished(row.record.incarnation)
         self._forget(row, "removed")
 
     def expire(self) -> None:
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+from enum import Enum
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from ..entry.endpoints import EndpointRecord, EndpointState
 from ..entry.inventory import EndpointReport, Order, OrderAction
@@ -21,6 +23,16 @@
 PATH_ORDER = "/api/order"
 
 
+ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+
+
+class _WireState(Enum):
+    """The states that endpoints report; any other is not theirs."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _WireModel(msgspec.Struct):
     """A resident model."""
 
@@ -40,17 +52,21 @@
     """A row of the endpoints' table.
 
     Its ``seq`` numbers heartbeats and is not decoded; the one of reports counts
-    accepted orders.
+    accepted orders. ``version`` is that of the endpoint's software; ``born`` is the
+    Unix time of its process's start in ms.
     """
 
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    service: Annotated[str, Meta(min_length=1)]
+    address: Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
+    zone: str
+    version: str
+    slots: Annotated[int, Meta(ge=1)]
+    state: _WireState
     models: list[_WireModel] = []
+    born: Annotated[int, Meta(ge=0)] = 0
 
 
+MAX_PORT = 65535
 REGISTRATION_FIELDS = tuple(
     field.name for field in msgspec.structs.fields(_WireRegistration)
 )
@@ -61,7 +77,8 @@
 
     ``seq`` counts the orders accepted; ``busy`` is true while a load or unload of
     a model is carried out; ``coming`` has adapters on their way, as
-    MODEL/NAME@VERSION; ``kv_used`` is the memory that cannot be reclaimed.
+    MODEL/NAME@VERSION; ``kv_used`` is the memory that cannot be reclaimed; ``born`` is
+    the Unix time of its process's start in ms, with which ``seq`` begins anew.
     """
 
     models: list[_WireModel] = []
@@ -73,6 +90,7 @@
     kv_total: int = 0
     coming: list[str] = []
     at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
+    born: int = 0
 
 
 def compact_registration(value: Any) -> Any:
@@ -96,15 +114,17 @@
         raise EndpointFailed(
             str(error), step="registration.decode", peer=endpoint
         ) from error
-    is_ready = wire.state == "ready"
+    if int(wire.address.rpartition(":")[2]) > MAX_PORT:
+        raise EndpointFailed("no such port", step="registration.decode", peer=endpoint)
     return EndpointRecord(
         id=EndpointId(endpoint),
         service=ServiceName(wire.service),
         address=wire.address,
         failure_domain=FailureDomainName(wire.zone),
-        state=EndpointState.READY if is_ready else EndpointState.DRAINING,
+        state=EndpointState(wire.state.value),
         slots=wire.slots,
         models=_decode_models(wire.models),
+        born_ms=wire.born,
     )
 
 
@@ -131,6 +151,7 @@
         active=wire.active,
         kv_used_tokens=wire.kv_used,
         kv_total_tokens=wire.kv_total,
+        born_ms=wire.born,
     )
 
 
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -18,7 +18,7 @@
 )
 from ..ids import WriteId
 from ..settings import PlatformSection
-from ..store import Row, RowPage, Transaction, WatchedTable, Write
+from ..store import UNREADABLE, Row, RowPage, Transaction, WatchedTable, Write
 from ..store.http import Answer, HttpCaller
 
 MS_PER_S = 1000
@@ -75,21 +75,23 @@
 
 
 def _decode_row(row: _WireRow) -> Row:
-    """Return the product's row.
+    """Return the product's row; one that can't be read stands there as unreadable.
 
-    Raises
-    ------
-    ValueError
-        The value is not base64, or not JSON.
+    A row of another writer may hold anything. Were it an error, each read of its table
+    would fail at every daemon, and no other row could be read as long as it is there.
     """
     table = PRODUCT_TABLES.get(row.table, row.table)
     key = f"{table}/{row.key}"
     if row.tombstone:
         return Row(key, row.ver, WriteId(""), None)
-    data = base64.b64decode(row.value, validate=True)
-    if row.table in PRODUCT_TABLES:
-        return Row(key, row.ver, WriteId(""), msgspec.json.decode(data))
-    own = msgspec.json.decode(data, type=_OwnValue)
+    try:
+        data = base64.b64decode(row.value, validate=True)
+        if row.table in PRODUCT_TABLES:
+            return Row(key, row.ver, WriteId(""), msgspec.json.decode(data))
+        own = msgspec.json.decode(data, type=_OwnValue)
+    except (msgspec.MsgspecError, binascii.Error, ValueError):
+        # Whoever takes the row in logs that it is refused.
+        return Row(key, row.ver, WriteId(""), UNREADABLE)
     return Row(key, row.ver, WriteId(own.write_id), own.value)
 
 
@@ -119,7 +121,7 @@
             if not page.truncated or not page.rows:
                 break
             params["from"] = page.rows[-1].key + "\0"
-        kept = self._decode_rows(rows, "table.read")
+        kept = [_decode_row(row) for row in rows]
         changed = [row for row in kept if row.version > after_version]
         return RowPage(first.ver, changed, first.now_ms / MS_PER_S)
 
@@ -146,7 +148,7 @@
                 "changes no longer kept", step="table.watch", peer=self._caller.peer
             )
         page = self._decode_page(answer, "table.watch")
-        rows = self._decode_rows(page.rows, "table.watch")
+        rows = [_decode_row(row) for row in page.rows]
         return RowPage(page.ver, rows, page.now_ms / MS_PER_S)
 
     async def async_transact(self, transaction: Transaction) -> int:
@@ -180,14 +182,6 @@
                 str(error), step=step, peer=self._caller.peer
             ) from error
 
-    def _decode_rows(self, rows: list[_WireRow], step: str) -> list[Row]:
-        try:
-            return [_decode_row(row) for row in rows]
-        except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
-            raise PlatformUnavailable(
-                str(error), step=step, peer=self._caller.peer
-            ) from error
-
 
 def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
     """Return the store's form of a transaction.
--- a/chutelink/store/__init__.py
+++ b/chutelink/store/__init__.py
@@ -1,6 +1,7 @@
 """Where lasting state is kept: tables, objects and the VM list, run by others."""
 
 from .base import (
+    UNREADABLE,
     Check,
     ObjectStore,
     Platform,
@@ -18,6 +19,7 @@
 from .transactions import async_commit, decode_value
 
 __all__ = [
+    "UNREADABLE",
     "Check",
     "ObjectStore",
     "Platform",
--- a/chutelink/store/base.py
+++ b/chutelink/store/base.py
@@ -11,6 +11,11 @@
 from ..ids import FailureDomainName, VmId, WriteId
 
 ABSENT_VERSION = 0
+UNREADABLE = {"unreadable": True}
+"""Value of a row whose bytes no program of ours wrote, and nobody can read.
+
+The row is there, and means nothing; the others of its table hold.
+"""
 
 
 class Row(msgspec.Struct, frozen=True):
--- a/tests/entry/placing_world.py
+++ b/tests/entry/placing_world.py
@@ -33,6 +33,7 @@
     def __init__(self, models):
         self.models = {name: set() for name in models}
         self.sequence = 0
+        self.born_ms = 0
         self.is_unreachable = False
         self.lose_answers = 0
         self.late = []
@@ -46,7 +47,7 @@
         if self.is_unreachable:
             raise EndpointUnreachable("cut", step="test")
         models = {name: frozenset(held) for name, held in self.models.items()}
-        return EndpointReport(self.sequence, False, models)
+        return EndpointReport(self.sequence, False, models, born_ms=self.born_ms)
 
     async def async_order(self, endpoint, order):
         if self.is_unreachable:
--- a/tests/entry/test_lease.py
+++ b/tests/entry/test_lease.py
@@ -6,9 +6,16 @@
 
 import pytest
 
-from chutelink.entry.lease import EXPIRY_S, HOLD_S, RENEW_S, PlacerLease
+from chutelink.entry.lease import (
+    EXPIRY_S,
+    HOLD_S,
+    KEY_LEASE,
+    RENEW_S,
+    PlacerLease,
+)
 from chutelink.exceptions import LeaseNotHeld
-from chutelink.store import RowPage, WatchedTable
+from chutelink.ids import DaemonId
+from chutelink.store import UNREADABLE, RowPage, Transaction, WatchedTable, Write
 
 from ..fakes import FakeTable, make_core
 
@@ -107,6 +114,22 @@
     assert second.may_order()
 
 
+def test_a_lease_row_of_another_writer_stops_placement_for_a_while_only(clock, table):
+    """Nobody could take the lease as long as the row was there."""
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    take(clock, first)
+    second.lease.note_holder(DaemonId("d1"), first.lease.term)
+    first.lease.is_leaving = True
+    table.table.commit(Transaction("w", (), (Write(KEY_LEASE, UNREADABLE),)))
+    last_order_s = clock[0] + HOLD_S
+    while not second.may_order():
+        assert clock[0] < last_order_s + 3 * EXPIRY_S + GAP_S
+        advance(clock, [second], 0.1)
+    assert clock[0] >= last_order_s
+    # Its fence is above all that were heard of.
+    assert second.lease.term > first.lease.term
+
+
 def test_holders_do_not_change_twice_within_the_gap(clock, table):
     first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
     take(clock, first)
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -5,6 +5,7 @@
 import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from chutelink.entry import orders as orders_module
@@ -282,3 +283,36 @@
         assert inventory.read_s == read_s
 
     run(async_test)
+
+
+def test_an_endpoint_that_restarts_under_its_id_is_planned_for_anew():
+    """Its reports count fewer orders than before and were held for late ones."""
+
+    async def async_test():
+        world = World()
+        await world.async_start()
+        world.engine.sequence = 57
+        await world.async_tick()
+        record = world.table.rows[NOBODY].record
+        world.table.put(msgspec.structs.replace(record, born_ms=2000, models={}), 0.0)
+        world.engine.models = {"m1": set()}
+        world.engine.sequence = 0
+        world.engine.born_ms = 2000
+        await world.async_tick(0.1)
+        assert set(world.placer._inventories[NOBODY].models) == {"m1"}
+        assert world.table.rows[NOBODY].holds("m1")
+
+    run(async_test)
+
+
+def make_report(sequence, models, born_ms):
+    return EndpointReport(sequence, False, models, born_ms=born_ms)
+
+
+def test_a_report_of_another_process_replaces_what_is_known_at_once():
+    inventory = Inventory(NOBODY, 1000)
+    inventory.take_report(make_report(57, {"m0": frozenset()}, 1000), 0.0)
+    inventory.take_report(make_report(1, {"m1": frozenset()}, 2000), 0.1)
+    assert inventory.sequence == 1 and set(inventory.models) == {"m1"}
+    inventory.take_report(make_report(58, {"m0": frozenset()}, 1000), 0.2)
+    assert inventory.sequence == 1 and set(inventory.models) == {"m1"}
--- a/tests/entry/watching_fleet.py
+++ b/tests/entry/watching_fleet.py
@@ -18,6 +18,7 @@
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
 from chutelink.platform.adapter import PreparedMachines
+from chutelink.quarantine.service import Quarantine
 from chutelink.store import Row, RowPage, WatchedTable
 from chutelink.store.http import SECOND_TRY_SHARE
 
@@ -179,7 +180,7 @@
         self.core.rng = random.Random(f"{seed}/{rank}")
         self.path = StorePath(fleet.registry)
         adapter = PreparedMachines()
-        self.known = EntryState(self.core, adapter)
+        self.known = EntryState(self.core, adapter, Quarantine(self.core))
         self.watch = StoreWatch(
             self.core,
             self.path,
--- a/tests/entry/world.py
+++ b/tests/entry/world.py
@@ -46,7 +46,7 @@
             id="d1", failure_domain="zone-a", peer_key="key"
         )
         self.quarantine = Quarantine(self.core)
-        self.known = EntryState(self.core, Adapter())
+        self.known = EntryState(self.core, Adapter(), self.quarantine)
         self.pending = PendingTable()
         self.loads = LoadBook()
         self.retries = RetryShare(0.2, 50, 10.0)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -20,6 +20,7 @@
     "service": "s",
     "address": "10.0.0.1:80",
     "zone": "zone-a",
+    "version": "v1",
     "slots": 64,
     "state": "draining",
     "seq": 44,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -17,7 +18,14 @@
 )
 from chutelink.platform.store import async_setup_store
 from chutelink.settings import PlatformSection
-from chutelink.store import Check, Transaction, Write, async_commit, decode_value
+from chutelink.store import (
+    UNREADABLE,
+    Check,
+    Transaction,
+    Write,
+    async_commit,
+    decode_value,
+)
 from standins.metadata_store import MetadataStore, StoreFaults
 
 KEY = "own/key"
@@ -146,8 +154,40 @@
 def test_a_row_of_another_make_is_not_guessed_at():
     async def async_test(store, table):
         store.put("own", "key", "not an own value")
+        row = (await table.async_read(KEY)).get(KEY)
+        assert row.value == UNREADABLE
         with pytest.raises(PlatformUnavailable):
-            await table.async_read(KEY)
+            decode_value(row, str)
         assert decode_value(None, int) is None
 
     run(async_test)
+
+
+UNREADABLE_VALUES = ["", "!!!", base64.b64encode(b"\xff{").decode(), "e30"]
+"""Empty, not base64, not JSON, and base64 that was cut."""
+
+
+def put_bytes(store, table, key, text):
+    """Write what no program of the protocol would have written."""
+    store._commit([(table, key, text)])
+
+
+@pytest.mark.parametrize("text", UNREADABLE_VALUES)
+@pytest.mark.parametrize("prefix", ["endpoints/", "own/"])
+def test_a_row_that_can_not_be_read_hides_no_other(text, prefix):
+    """Every read of the table failed, at every daemon, as long as the row was there."""
+
+    async def async_test(store, table):
+        sound = {"write_id": "w", "value": {"a": 1}}
+        wire = "servers" if prefix == "endpoints/" else "own"
+        after = store.put(wire, "a", sound)
+        put_bytes(store, wire, "b", text)
+        store.put(wire, "c", sound)
+        page = await table.async_read(prefix)
+        changes = await table.async_watch(prefix, after, 0.0)
+        assert [row.key for row in page.rows] == [f"{prefix}{key}" for key in "abc"]
+        assert [row.key for row in changes.rows] == [f"{prefix}{key}" for key in "bc"]
+        assert page.rows[1].value == UNREADABLE
+        assert page.rows[0].value == page.rows[2].value != UNREADABLE
+
+    run(async_test)
