Measure time by a clock that counts suspensions

Cause: a suspended VM's monotonic clock stands still, so that leases, deadlines and the age of what was read lasted longer by as much; a placer woke with a lease that another one had taken. Change: one clock (CLOCK_BOOTTIME) for all daemons and for the loop's timers; a request whose time is over is not sent any more, wherever it waited.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-import time
 from abc import abstractmethod
 from collections.abc import Callable
 from typing import TypeVar
@@ -16,6 +15,7 @@
 from mode import Service
 
 from . import __version__
+from .clock import BoottimeLoop, now_s
 from .const import MAX_HEADER_BYTES
 from .exceptions import ChutelinkError, SettingsError
 from .ids import BootId, DaemonId, make_id
@@ -51,7 +51,7 @@
         self.daemon = daemon
         self.daemon_id = DaemonId(daemon.id)
         self.boot_id = BootId(make_id())
-        self.clock: Callable[[], float] = time.monotonic
+        self.clock: Callable[[], float] = now_s
         self.rng = random.Random()
         self.events = EventLog(program)
         self.metrics = Metrics()
@@ -224,4 +224,5 @@
         app.events.info("settings_reloaded", file=start.path)
 
     setup_logging(start.settings.daemon.log_level)
-    return asyncio.run(_async_run(lambda: make_application(start.settings), reload))
+    with asyncio.Runner(loop_factory=BoottimeLoop) as runner:
+        return runner.run(_async_run(lambda: make_application(start.settings), reload))
--- a/chutelink/entry/dispatching.py
+++ b/chutelink/entry/dispatching.py
@@ -165,6 +165,9 @@
         row = await self._async_find(exchange)
         # It may have waited for seconds, and others may have run it meanwhile.
         self._check_held(exchange)
+        if exchange.left_s(self.core.clock()) <= 0:
+            # After a suspension of the VM too: nobody waits for an answer any more.
+            raise unavailable("the time limit was reached", DEFAULT_RETRY_S)
         return row
 
     async def _async_find(self, exchange: Exchange) -> Endpoint:
--- a/chutelink/log.py
+++ b/chutelink/log.py
@@ -4,11 +4,12 @@
 
 import os
 import sys
-import time
 from collections.abc import Callable
 
 import logbook
 
+from .clock import now_s
+
 REPEAT_PERIOD_S = 10.0
 REPEAT_LIMIT = 20
 RECORD_LIMIT = 2000
@@ -40,13 +41,11 @@
     ----------
     name : str
         Channel name, usually the program.
-    clock : callable, default=time.monotonic
+    clock : callable, default=now_s
         Seconds on a clock that never goes back.
     """
 
-    def __init__(
-        self, name: str, *, clock: Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, name: str, *, clock: Callable[[], float] = now_s) -> None:
         self._logger = logbook.Logger(name)
         self._clock = clock
         self._seen: dict[str, tuple[float, int]] = {}
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
 
+from ..clock import now_s
 from ..exceptions import (
     PlatformUnavailable,
     TransactionConflict,
@@ -91,7 +91,7 @@
         self.breaker = Breaker(
             peer,
             settings.calls_per_s,
-            time.monotonic,
+            now_s,
             random.Random(),
             settings.max_pause_s,
         )
--- a/tests/entry/test_stream.py
+++ b/tests/entry/test_stream.py
@@ -282,3 +282,24 @@
             assert stall_limit_s(once) is None
 
     asyncio.run(async_test())
+
+
+def test_a_request_whose_time_is_over_is_not_sent_any_more():
+    """The VM was suspended while it waited for its model, and its caller has left."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            endpoint = await world.async_add("i-1", "llm", {"m0": []})
+            task = asyncio.ensure_future(world.request("/stream/x", **headers("m1")))
+            await world.loads.urgent.wait()
+            clock = world.core.clock
+            world.core.clock = lambda: clock() + 60.0
+            endpoint.models["m1"] = []
+            world.show(endpoint)
+            world.pending.signal()
+            answer = await task
+            assert answer.status == 503
+            assert not endpoint.runs
+
+    asyncio.run(async_test())
