--- a/chutelink/cli/explain_request.py
+++ b/chutelink/cli/explain_request.py
@@ -24,6 +24,8 @@
         "config_refused",
         "endpoint_gone",
         "endpoint_lapsed",
+        "endpoint_refused",
+        "endpoint_restarted",
         "endpoint_seen",
         "lease_lost",
         "lease_taken",
@@ -31,6 +33,9 @@
         "placement_begun",
         "placement_failed",
         "report_failed",
+        "suspect_cleared",
+        "suspect_held",
+        "suspect_trial",
     }
 )
 """Events that change what daemons believe of endpoints and models."""
@@ -116,6 +121,7 @@
         is_named = names & {
             line.fields.get("endpoint", ""),
             line.fields.get("model", ""),
+            line.fields.get("fingerprint", ""),
             *line.fields.get("unload", "").split(","),
         }
         is_belief = line.event in BELIEFS and (is_named or "lease" in line.event)
@@ -129,6 +135,7 @@
     for line in own:
         names |= {line.fields.get("model", ""), line.fields.get("endpoint", "")}
         names |= set(line.fields.get("endpoints", "").split(","))
+        names.add(line.fields.get("fingerprint", ""))
     return names - {""}
 
 
--- a/chutelink/cli/main.py
+++ b/chutelink/cli/main.py
@@ -18,6 +18,7 @@
 from .apply import Applier, validate
 from .daemons import DaemonClient
 from .explain_request import explain_request
+from .held import async_held
 from .inspect import (
     async_drain,
     async_explain,
@@ -68,6 +69,9 @@
     command.add_argument("--undo", action="store_true", help="let it back")
     command = add("explain", help="show where a model is and why")
     command.add_argument("name", metavar="MODEL")
+    command = add("held", help="list requests kept away that end their endpoints")
+    command.add_argument("daemon", metavar="HOST:PORT")
+    command.add_argument("--free", metavar="FINGERPRINT", help="let one run again")
     command = add("explain-request", help="walk collected logs from a request's id")
     command.add_argument("request", metavar="ID")
     command.add_argument("files", metavar="FILE", type=Path, nargs="+")
@@ -111,6 +115,8 @@
 async def _async_run(args: argparse.Namespace) -> Result:
     settings = load_settings(args.settings, OperatorSettings)
     async with aiohttp.ClientSession() as session:
+        if args.command == "held":
+            return await async_held(session, settings.platform, args.daemon, args.free)
         platform = async_setup_platform(session, settings.platform)
         daemons = DaemonClient(session, platform, settings.platform)
         if args.command == "apply":
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -16,6 +16,7 @@
 from ..peers.mesh import Mesh
 from ..quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from ..quarantine.service import Quarantine
+from ..quarantine.web import QuarantineHandlers
 from ..settings import EntrySettings
 from ..tables.members import Member, MemberState, MemberTable, Role
 from .adapter import Handler, PlatformAdapter
@@ -251,7 +252,9 @@
         self._listeners.append(listener)
 
     def add_routes(self, app: web.Application) -> None:
-        """Nothing beside health, readiness and metrics."""
+        """Add the routes for operators."""
+        key = self.settings.platform.key
+        QuarantineHandlers(self.quarantine, key).add_routes(app)
 
     def is_ready(self) -> bool:
         """Return whether routes and endpoints are known."""
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -101,12 +101,18 @@
 
     def note_success(self, fingerprint: Fingerprint) -> None:
         """Take in that a run ended well: it is not what ends endpoints."""
-        if self.clear(fingerprint, "ran_well"):
-            self.on_cleared(fingerprint)
-            self.send(ClearedNews(fingerprint))
+        self.free(fingerprint, "ran_well")
+
+    def free(self, fingerprint: Fingerprint, reason: str) -> bool:
+        """Let a request run again at all daemons; return whether it was known."""
+        if not self.clear(fingerprint, reason):
+            return False
+        self.on_cleared(fingerprint)
+        self.send(ClearedNews(fingerprint))
+        return True
 
     def clear(self, fingerprint: Fingerprint, reason: str) -> bool:
-        """Let a request run again; return whether anything was held against it."""
+        """Let a request run again here; return whether it was known."""
         row = self.table.get(fingerprint)
         if row is None:
             return False
--- /dev/null
+++ b/chutelink/quarantine/web.py
@@ -0,0 +1,81 @@
+"""What operators see of held requests, and how they free one."""
+
+from __future__ import annotations
+
+import secrets
+
+import msgspec
+from aiohttp import web
+
+from ..ids import Fingerprint, Incarnation
+from .service import Quarantine
+
+PATH_HELD = "/held"
+
+
+class HeldRequest(msgspec.Struct, frozen=True):
+    """A request that is kept away; ``left_s`` until it may be tried again."""
+
+    fingerprint: Fingerprint
+    about: str
+    endings: tuple[Incarnation, ...]
+    left_s: float
+    trials: int
+
+
+class HeldRequests(msgspec.Struct, frozen=True):
+    """All requests that are kept away."""
+
+    held: list[HeldRequest]
+
+
+class QuarantineHandlers:
+    """HTTP handlers for operators.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        What they look at.
+    operator_key : str
+        Who has it may look and free.
+    """
+
+    def __init__(self, quarantine: Quarantine, operator_key: str) -> None:
+        self._quarantine = quarantine
+        self._expected = f"Bearer {operator_key}".encode()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes."""
+        app.router.add_get(PATH_HELD, self.async_list)
+        app.router.add_delete(PATH_HELD + "/{fingerprint}", self.async_free)
+
+    def _check(self, request: web.Request) -> None:
+        given = request.headers.get("Authorization", "")
+        if not secrets.compare_digest(given.encode(), self._expected):
+            raise web.HTTPUnauthorized(text="operator key missing or wrong")
+
+    async def async_list(self, request: web.Request) -> web.Response:
+        """Return what is held, and why."""
+        self._check(request)
+        held = [
+            HeldRequest(
+                fingerprint,
+                hold.about,
+                hold.endings,
+                self._quarantine.hold_left_s(fingerprint),
+                hold.trials,
+            )
+            for fingerprint, hold in self._quarantine.table.holds().items()
+        ]
+        return web.Response(
+            body=msgspec.json.encode(HeldRequests(held)),
+            content_type="application/json",
+        )
+
+    async def async_free(self, request: web.Request) -> web.Response:
+        """Let a request run again, at all daemons."""
+        self._check(request)
+        fingerprint = Fingerprint(request.match_info["fingerprint"])
+        if not self._quarantine.free(fingerprint, "operator"):
+            raise web.HTTPNotFound(text="nothing is held against it here")
+        return web.Response(status=204)
--- /dev/null
+++ b/tests/quarantine/test_web.py
@@ -0,0 +1,55 @@
+"""Operators see why a request is kept away, and free it, with the command line."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from chutelink.cli.held import async_held
+from chutelink.cli.output import ExitCode
+from chutelink.ids import Fingerprint, Incarnation
+from chutelink.quarantine.model import Verdict
+from chutelink.quarantine.news import ClearedNews, EndedRun, EndingNews
+from chutelink.quarantine.service import Quarantine
+from chutelink.quarantine.web import QuarantineHandlers
+from chutelink.settings import PlatformSection
+
+from ..fakes import make_core
+
+BAD = Fingerprint("bad")
+
+
+def test_what_is_held_is_listed_with_its_reason_and_freed():
+    async def async_test():
+        core = make_core()
+        quarantine = Quarantine(core)
+        sent = []
+        quarantine.send = sent.append
+        runs = [EndedRun(BAD, "GET a/b", Incarnation(f"i-{n}@1")) for n in range(2)]
+        quarantine.take_endings(EndingNews(runs), "d2")
+        app = web.Application()
+        QuarantineHandlers(quarantine, "key").add_routes(app)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        daemon = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+        async with aiohttp.ClientSession() as session:
+            settings = PlatformSection(url="http://x", key="key")
+            stranger = PlatformSection(url="http://x", key="other")
+            refused = await async_held(session, stranger, daemon, BAD)
+            assert refused.code is ExitCode.INVALID
+            assert quarantine.verdict(BAD) is Verdict.HELD
+            shown = await async_held(session, settings, daemon, None)
+            assert "GET a/b" in shown.lines[1] and "i-0@1,i-1@1" in shown.lines[1]
+            freed = await async_held(session, settings, daemon, BAD)
+            assert freed.code is ExitCode.OK
+            assert quarantine.verdict(BAD) is Verdict.FREE
+            assert sent == [ClearedNews(BAD)]
+            again = await async_held(session, settings, daemon, BAD)
+            assert again.code is ExitCode.INVALID
+        await runner.cleanup()
+
+    asyncio.run(async_test())
