Give the fleet of the watch's tests rows that are taken

Their rows lacked fields that registrations now must have, so one test failed (test_live_endpoints_that_vanish_in_an_outage_...) and the checks of what is not used would have passed whatever the code did. The rows are whole, and the fleet asserts at its start that all endpoints are usable. 16 tests of the watch and of leaving endpoints passed.

--- a/tests/entry/watching_fleet.py
+++ b/tests/entry/watching_fleet.py
@@ -58,7 +58,10 @@
         """Write an endpoint's row."""
         value = {
             "service": SERVICE,
-            "address": f"{name}:1",
+            "address": "10.0.0.1:80",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
             "state": state,
             "models": [],
         }
@@ -305,6 +308,8 @@
     for number in range(endpoints):
         fleet.registry.register(f"e{number}")
     await fleet.async_start()
+    # Rows that nobody takes would let every check of what is not used pass.
+    assert all(len(f.usable()) == endpoints for f in fleet.followers)
     try:
         yield fleet
     finally:
