Pause loads of a model under which engines keep ending

Now the second end in a row puts the next load off by 2 s, doubled up to a minute, until one succeeds; other models go on. A model's requests are refused meanwhile as before; it stays reachable, as it is tried again.

--- a/chutelink/entry/changes.py
+++ b/chutelink/entry/changes.py
@@ -35,6 +35,8 @@
     """It would need the weight store, which is not earned or not left."""
     COPY_SOON_FREE = "copy_soon_free"
     """An endpoint with a copy ends its change sooner than a cold load would."""
+    ENDS_ENDPOINTS = "ends_endpoints"
+    """Endpoints ended that loaded it; it is tried again after a pause."""
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -73,7 +75,7 @@
 
     ``cold_loads`` is how many loads from the weight store may begin now;
     ``sites`` has every usable endpoint of the service, ``loading`` the models and
-    adapters on their way.
+    adapters on their way; ``paused`` models are not to be loaded now.
     """
 
     engine: EngineSpec
@@ -82,3 +84,4 @@
     demand: DemandTable
     cold_loads: int
     now_s: float
+    paused: frozenset[ModelName] = frozenset()
--- a/chutelink/entry/placer.py
+++ b/chutelink/entry/placer.py
@@ -11,15 +11,17 @@
 from ..core import Application
 from ..exceptions import ChutelinkError
 from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .changes import Change, PlacementView, Site
 from .config import EngineSpec, RoutingConfig
 from .declined import DeclineLog
 from .demand import DemandTable
-from .endpoints import EndpointTable
+from .endpoints import Endpoint, EndpointTable
 from .health import HealthTable
 from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
+from .loadpause import LoadPauses
 from .news import PendingLoad, PlacementNews, PlacerBeacon
 from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
@@ -98,6 +100,8 @@
         self._wake = asyncio.Event()
         self._created_s = core.clock()
         self._declined = DeclineLog(core)
+        self._pauses = LoadPauses()
+        self.probe: EndingProbe = ConnectProbe()
         self._term = 0
         self.config: RoutingConfig | None = None
         self.cold_load_window_s = 5.0
@@ -217,6 +221,7 @@
             demand=self._demand,
             cold_loads=pace.available(now_s),
             now_s=now_s,
+            paused=self._pauses.paused(now_s),
         )
         for change in self._policy.plan(view):
             if change.is_cold:
@@ -312,14 +317,19 @@
                 row.closing = frozenset(change.unload_models)
                 self.announce()
                 await self._desk.async_carry_out(change, inventory, row)
+                self._pauses.note_loaded(change.model)
         except ChutelinkError as error:
             inventory.avoid_until_s = self._core.clock() + FAILED_PAUSE_S
             inventory.read_s = float("-inf")
+            has_ended = await self._async_has_ended(row)
+            if has_ended:
+                self._pauses.note_ended(change.model, self._core.clock())
             self._core.events.record(
                 "placement_failed",
                 endpoint=change.endpoint,
                 model=change.model,
                 adapter=change.adapter,
+                has_ended=has_ended,
                 error=error,
             )
         finally:
@@ -331,6 +341,13 @@
         self.announce()
         self.wake()
 
+    async def _async_has_ended(self, row: Endpoint) -> bool:
+        """Return whether the process is gone that was to carry out a change."""
+        if self._table.rows.get(row.record.id) is not row:
+            return True
+        result = await self.probe.async_probe(row.record.address)
+        return result is ProbeResult.REFUSED
+
     def announce(self) -> None:
         """Tell all daemons what endpoints hold and what is on its way."""
         if not self._lease.is_held:
--- a/chutelink/entry/rounds.py
+++ b/chutelink/entry/rounds.py
@@ -176,6 +176,9 @@
         spec = self._view.engine.models.get(model)
         if spec is None:
             return
+        if model in self._view.paused:
+            self.declined[model] = Decline.ENDS_ENDPOINTS
+            return
         options = []
         has_room = False
         is_replica = self._holdings.replicas(model) > 0
--- a/tests/entry/placing_world.py
+++ b/tests/entry/placing_world.py
@@ -20,6 +20,7 @@
 from chutelink.entry.placer import Placer
 from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
 from chutelink.ids import ConfigVersion
+from chutelink.quarantine.probe import EndingProbe, ProbeResult
 
 from ..fakes import make_core
 from .test_placement import make_engine
@@ -94,6 +95,13 @@
         return await self.by_id[endpoint.record.id].async_order(endpoint, order)
 
 
+class LivingProbe(EndingProbe):
+    """Finds each endpoint alive: those of these tests have no address."""
+
+    async def async_probe(self, address):
+        return ProbeResult.ACCEPTED
+
+
 class HeldLease:
     """A lease that the test takes away."""
 
@@ -129,6 +137,7 @@
             DemandPlacement(),
             self._keep,
         )
+        self.placer.probe = LivingProbe()
         service = SimpleNamespace(engine=make_engine())
         self.placer.config = SimpleNamespace(
             version=ConfigVersion(1), services={"llm": service}
