Let the tests of load pauses skip the pauses of orders

test_a_model_that_ends_its_engines_is_not_loaded_on_and_on took 44 s of waiting for reports; it takes under a second now, with the same checks.

--- a/tests/entry/placing_world.py
+++ b/tests/entry/placing_world.py
@@ -5,6 +5,7 @@
 import asyncio
 from types import SimpleNamespace
 
+from chutelink.entry import orders as orders_module
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
 from chutelink.entry.health import HealthTable
@@ -177,5 +178,18 @@
         self.demand.take("d1", uses, self.core.now_s)
 
 
+def skip_pauses(monkeypatch) -> None:
+    """Let no time pass between an order and the look at what became of it."""
+
+    async def async_sleep(seconds):
+        return None
+
+    monkeypatch.setattr(
+        orders_module,
+        "asyncio",
+        SimpleNamespace(sleep=async_sleep),
+    )
+
+
 def run(test):
     asyncio.run(test())
--- a/tests/entry/test_loadpause.py
+++ b/tests/entry/test_loadpause.py
@@ -9,12 +9,17 @@
 from chutelink.entry.loadpause import FREE_ENDINGS, MAX_PAUSE_S, LoadPauses
 from chutelink.exceptions import EndpointFailed
 
-from .placing_world import ScriptedEngine, World, run
+from .placing_world import ScriptedEngine, World, run, skip_pauses
 
 DEADLY = "m1"
 SECONDS = 30
 
 
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch):
+    skip_pauses(monkeypatch)
+
+
 class MortalEngine(ScriptedEngine):
     """Ends when it is ordered to load one of the models, and starts again empty."""
 
--- a/tests/entry/test_placer.py
+++ b/tests/entry/test_placer.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import math
-from types import SimpleNamespace
 
 import msgspec
 import pytest
 
-from chutelink.entry import orders as orders_module
 from chutelink.entry.changes import Change
 from chutelink.entry.inventory import (
     EndpointReport,
@@ -18,19 +16,12 @@
 )
 from chutelink.entry.news import ModelUse, PendingLoad
 
-from .placing_world import NOBODY, ScriptedEngine, World, run
+from .placing_world import NOBODY, ScriptedEngine, World, run, skip_pauses
 
 
 @pytest.fixture(autouse=True)
 def no_pauses(monkeypatch):
-    async def async_sleep(seconds):
-        return None
-
-    monkeypatch.setattr(
-        orders_module,
-        "asyncio",
-        SimpleNamespace(sleep=async_sleep),
-    )
+    skip_pauses(monkeypatch)
 
 
 def test_a_wanted_model_takes_the_place_of_an_idle_one():
