Shorten a time limit that does not fit the bound, at the start

An open point of the incident of leaving endpoints: the sum of times fits a bound of 2 s with the time limit as deployed, and nothing checked another. The limit is derived from the bound now and a longer one is shortened with a warning (timeout_shortened).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -17,7 +17,7 @@
 from ..quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from ..quarantine.service import Quarantine
 from ..quarantine.web import QuarantineHandlers
-from ..settings import EntrySettings
+from ..settings import EntrySettings, PlatformSection
 from ..tables.members import Member, MemberState, MemberTable, Role
 from .adapter import Handler, PlatformAdapter
 from .demand import DemandTable
@@ -38,7 +38,7 @@
 from .state import EntryState
 from .stream import StreamRelay
 from .upstream import Upstream
-from .watch import RowChange, StoreWatch
+from .watch import RowChange, StoreWatch, longest_timeout_s
 
 MS_PER_S = 1000.0
 JOIN_POLL_S = 0.02
@@ -124,8 +124,10 @@
 
     async def async_setup_parts(self) -> None:
         """Create the parts, then start them."""
+        entry = self.settings.entry
+        bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
         table = self._adapter.make_table(
-            self.session, self.settings.platform, self.fresh_session
+            self.session, self._fit_platform(bound_s), self.fresh_session
         )
         self._upstream = Upstream()
         self.mesh = Mesh(self, self.settings.peers, self.members)
@@ -142,8 +144,6 @@
         self.quarantine.send = self.news.send
         self.mesh.on_broadcast = self.news.take
         self.mesh.on_members_changed = self.news.choose_links
-        entry = self.settings.entry
-        bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
         bounds_s = {
             TABLE_CONFIG: bound_s,
             TABLE_ENDPOINTS: bound_s,
@@ -175,6 +175,17 @@
         registration = Registration(self, table, self.mesh, peer_address)
         self.add_future(registration.async_run())
 
+    def _fit_platform(self, bound_s: float) -> PlatformSection:
+        """Return the platform's settings, with a time limit that fits the bound."""
+        platform = self.settings.platform
+        fitting_s = longest_timeout_s(bound_s)
+        if platform.timeout_s <= fitting_s:
+            return platform
+        self.events.warning(
+            "timeout_shortened", set_s=platform.timeout_s, used_s=fitting_s
+        )
+        return msgspec.structs.replace(platform, timeout_s=fitting_s)
+
     def _setup_placer(self) -> None:
         self.placer = Placer(
             self,
--- a/chutelink/entry/watch.py
+++ b/chutelink/entry/watch.py
@@ -17,6 +17,7 @@
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId
 from ..store import Row, RowPage, WatchedTable
+from ..store.http import SECOND_TRY_SHARE
 from .news import SnapshotRequest, StoredRow, StoreNews
 from .storeclock import StoreClock
 from .tablecopy import NewsFit, TableCopy
@@ -45,6 +46,10 @@
 
 The operators' rule for the store; what is not back by then is gone.
 """
+SLOW_ANSWER_S = 0.5
+"""What a slow store takes; most answers take some 10 ms."""
+QUICK_ANSWER_S = 0.1
+MIN_TIMEOUT_S = 0.1
 SNAPSHOT_PAUSE_S = 0.5
 SLOW_CALL_S = 0.3
 """Calls that take so much longer than asked for are logged; most take some 10 ms."""
@@ -52,6 +57,20 @@
 """Source of what this daemon has read by itself; else it is a peer."""
 
 
+def longest_timeout_s(bound_s: float) -> float:
+    """Return the longest time limit of a call that fits a bound.
+
+    With it the last in rank still knows of a change within the bound though its first
+    try is not answered and the second one slowly, or its first call fails.
+    """
+    last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * bound_s
+    after_slow_s = bound_s - last_rank_s - SLOW_ANSWER_S
+    pause_s = RETRY_S * RETRY_SPREAD
+    after_failed_s = bound_s - last_rank_s - pause_s - QUICK_ANSWER_S
+    fitting_s = min(after_slow_s, after_failed_s) / SECOND_TRY_SHARE
+    return max(MIN_TIMEOUT_S, fitting_s)
+
+
 class RowChange(msgspec.Struct, frozen=True):
     """A row that has changed, and how this daemon came to know of it.
 
--- a/tests/entry/test_watch.py
+++ b/tests/entry/test_watch.py
@@ -17,6 +17,7 @@
     RETRY_SPREAD,
     RETURN_S,
     StoreWatch,
+    longest_timeout_s,
 )
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import WriteId
@@ -113,6 +114,7 @@
     parser = configparser.ConfigParser()
     parser.read(DEPLOYED_SETTINGS)
     limit_s = parser.getfloat("platform", "timeout_s")
+    assert limit_s <= longest_timeout_s(SHORTEST_BOUND_S)
     last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * SHORTEST_BOUND_S
     second_try_s = SECOND_TRY_SHARE * limit_s
     assert last_rank_s + second_try_s + CALL_S <= SHORTEST_BOUND_S
@@ -122,6 +124,16 @@
     )
 
 
+@pytest.mark.parametrize("bound_s", [1.5, 2.0, 3.0, 10.0])
+def test_a_time_limit_that_fits_keeps_the_last_in_rank_within_any_bound(bound_s):
+    limit_s = longest_timeout_s(bound_s)
+    last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * bound_s
+    second_try_s = SECOND_TRY_SHARE * limit_s
+    slow_s = last_rank_s + second_try_s + CALL_S
+    failed_s = last_rank_s + RETRY_S * RETRY_SPREAD + second_try_s + QUICK_CALL_S
+    assert max(slow_s, failed_s) <= bound_s + 1e-9
+
+
 def test_a_daemon_that_hears_nothing_reads_within_the_bound(table):
     last_rank_s = (FIRST_SHARE + MAX_RANK * RANK_SHARE) * SHORTEST_BOUND_S
     assert last_rank_s + CALL_S < SHORTEST_BOUND_S
