--- a/bench/pauses.py
+++ b/bench/pauses.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from chutelink.entry.reading import ReadingTable
 from chutelink.ids import EndpointId
+from chutelink.learning.reading import ReadingTable
 
 ENGINE = EndpointId("engine")
 CHUNK_TOKENS = 2048
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -7,13 +7,10 @@
 
 import msgspec
 
-from chutelink.entry.changes import PlacementView, Site
 from chutelink.entry.config import EngineSpec, ModelSpec
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
-from chutelink.entry.inventory import EndpointReport, Inventory
 from chutelink.entry.news import ModelUse
-from chutelink.entry.placement import DemandPlacement
 from chutelink.ids import (
     AdapterName,
     DaemonId,
@@ -22,6 +19,9 @@
     ModelName,
     ServiceName,
 )
+from chutelink.placing.changes import PlacementView, Site
+from chutelink.placing.inventory import EndpointReport, Inventory
+from chutelink.placing.placement import DemandPlacement
 
 SEED = 1
 NOW_S = 100.0
--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -9,13 +9,13 @@
 import aiohttp
 from aiohttp import web
 
+from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchedTable
 from .config import RoutingConfig
 from .dialect import Dialect
 from .directory import Directory
 from .endpoints import EndpointRecord
-from .inventory import EngineClient
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -14,31 +14,31 @@
 from ..core import Application
 from ..ids import FailureDomainName, VmId
 from ..peers.mesh import Mesh
+from ..placing.lease import PlacerLease
+from ..placing.placement import DemandPlacement
+from ..placing.placer import Placer
 from ..quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from ..quarantine.service import Quarantine
 from ..quarantine.web import QuarantineHandlers
+from ..relaying.dispatching import Exchanges
+from ..relaying.relay import Relay
+from ..relaying.retries import RetryShare
+from ..relaying.routing import LeastLoss
+from ..relaying.stream import StreamRelay
+from ..relaying.upstream import Upstream
 from ..settings import EntrySettings, PlatformSection
 from ..tables.members import Member, MemberState, MemberTable, Role
+from ..watching.watch import RowChange, StoreWatch, longest_timeout_s
 from .adapter import Handler, PlatformAdapter
 from .demand import DemandTable
 from .directory import Directory
-from .dispatching import Exchanges
 from .http import CallerHttp
-from .lease import PlacerLease
 from .listeners import ACCEPT_QUEUE
 from .loads import LoadBook
 from .membership import Registration
 from .newsdesk import NewsDesk
 from .pending import PendingTable
-from .placement import DemandPlacement
-from .placer import Placer
-from .relay import Relay
-from .retries import RetryShare
-from .routing import LeastLoss
 from .state import EntryState
-from .stream import StreamRelay
-from .upstream import Upstream
-from .watch import RowChange, StoreWatch, longest_timeout_s
 
 MS_PER_S = 1000.0
 JOIN_POLL_S = 0.02
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -10,15 +10,15 @@
 from ..core import Application
 from ..gateway.refusals import Refusal, unavailable
 from ..quarantine.fingerprint import RequestContent
-from .caller_stream import CallerStream
+from ..relaying.caller_stream import CallerStream
+from ..relaying.dispatching import DEFAULT_RETRY_S, Exchanges
+from ..relaying.exchange import Exchange, pick_service
+from ..relaying.relay import Relay
+from ..relaying.requestlog import RequestLog, RequestResult
+from ..relaying.stream import StreamRelay
+from ..relaying.upstream import WholeResponse, forwarded_headers
 from .config import CallerLimits, Route, RouteTable
-from .dispatching import DEFAULT_RETRY_S, Exchanges
-from .exchange import Exchange, pick_service
-from .relay import Relay
-from .requestlog import RequestLog, RequestResult
 from .stopping import ELSEWHERE_RETRY_S, can_end
-from .stream import StreamRelay
-from .upstream import WholeResponse, forwarded_headers
 
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -7,12 +7,15 @@
 from ..ids import DaemonId
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
+from ..placing.lease import PlacerLease
+from ..placing.placer import Placer
 from ..quarantine.news import ClearedNews, EndingNews
 from ..quarantine.service import Quarantine
+from ..relaying.retries import RetryShare
+from ..watching.watch import StoreWatch
 from .demand import DemandTable
 from .directory import Directory
 from .endpoints import PLACED_VALID_S
-from .lease import PlacerLease
 from .news import (
     EndpointLoad,
     LeaseYield,
@@ -27,10 +30,7 @@
     encode_news,
 )
 from .pending import PendingTable
-from .placer import Placer
-from .retries import RetryShare
 from .state import EntryState
-from .watch import StoreWatch
 
 PROMPT_NEWS_PEERS = 16
 """Most daemons that are told of each prompt as it is sent.
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -9,16 +9,16 @@
 from ..core import Application
 from ..exceptions import ConfigInvalid, EndpointFailed
 from ..ids import EndpointId
+from ..learning.durations import DurationTable
+from ..learning.health import HealthTable
+from ..learning.prefixes import PrefixTable
+from ..learning.reading import ReadingTable
+from ..learning.speeds import SpeedTable
 from ..quarantine.service import Quarantine
+from ..watching.watch import RowChange
 from .adapter import PlatformAdapter
 from .config import RouteTable
-from .durations import DurationTable
 from .endpoints import Endpoint, EndpointRecord, EndpointTable, Registered
-from .health import HealthTable
-from .prefixes import PrefixTable
-from .reading import ReadingTable
-from .speeds import SpeedTable
-from .watch import RowChange
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
 
--- a/chutelink/entry/prefixes.py
+++ b/chutelink/learning/prefixes.py
@@ -5,8 +5,8 @@
 import zlib
 from collections import OrderedDict
 
+from ..entry.dialect import PromptPart
 from ..ids import AdapterName, EndpointId, ModelName
-from .dialect import PromptPart
 
 MAX_BEGINNINGS = 400
 """Kept for each endpoint; its memory holds some 40 prompts with their parts."""
--- /dev/null
+++ b/chutelink/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Which models endpoints hold: the lease, the plan and the orders of one daemon."""
--- a/chutelink/entry/announcer.py
+++ b/chutelink/placing/announcer.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterable
 
 from ..core import Application
+from ..entry.endpoints import EndpointTable
+from ..entry.news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
 from ..ids import EndpointId
-from .endpoints import EndpointTable
 from .inventory import Inventory
-from .news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
 
 ANNOUNCE_PERIOD_S = 0.4
 """The holder's sign of life; three are missed before others look at the lease."""
--- a/chutelink/entry/changes.py
+++ b/chutelink/placing/changes.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from ..entry.config import EngineSpec
+from ..entry.demand import DemandTable
+from ..entry.endpoints import NO_ADAPTER, Endpoint
 from ..ids import AdapterName, EndpointId, ModelName
-from .config import EngineSpec
-from .demand import DemandTable
-from .endpoints import NO_ADAPTER, Endpoint
 from .inventory import Inventory
 
 
--- a/chutelink/entry/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -4,9 +4,9 @@
 
 from collections import Counter
 
+from ..entry.endpoints import NO_ADAPTER
 from ..ids import AdapterName, ModelName
 from .changes import Change, PlacementView, Site
-from .endpoints import NO_ADAPTER
 from .outlook import Outlook
 
 RECENT_S = 4.0
--- a/chutelink/entry/inventory.py
+++ b/chutelink/placing/inventory.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from ..entry.endpoints import NO_ADAPTER, Endpoint
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
-from .endpoints import NO_ADAPTER, Endpoint
 
 
 class OrderAction(Enum):
--- a/chutelink/entry/lease.py
+++ b/chutelink/placing/lease.py
@@ -16,6 +16,7 @@
 
 from ..const import TABLE_LEASES
 from ..core import Application
+from ..entry.news import LeaseYield
 from ..exceptions import (
     LeaseNotHeld,
     PlatformUnavailable,
@@ -24,7 +25,6 @@
 )
 from ..ids import BootId, DaemonId, WriteId, make_id
 from ..store import Check, Row, Transaction, WatchedTable, Write, decode_value
-from .news import LeaseYield
 
 KEY_LEASE = f"{TABLE_LEASES}/placer"
 HOLD_S = 2.2
--- a/chutelink/entry/orders.py
+++ b/chutelink/placing/orders.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 
 from ..core import Application
+from ..entry.config import EngineSpec
+from ..entry.endpoints import NO_ADAPTER, Endpoint, EndpointTable
 from ..exceptions import EndpointFailed, EndpointUnreachable, InvariantViolated
 from ..ids import AdapterName, ModelName, ServiceName
 from .changes import Change
-from .config import EngineSpec
-from .endpoints import NO_ADAPTER, Endpoint, EndpointTable
 from .inventory import EngineClient, Inventory, Order, OrderAction, OrderAnswer
 from .lease import PlacerLease
 from .room import has_room
--- a/chutelink/entry/outlook.py
+++ b/chutelink/placing/outlook.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ..entry.demand import DemandTable, ModelDemand
 from ..ids import ModelName
-from .demand import DemandTable, ModelDemand
 
 ACTIVE_SHARE = 0.03
 """Share of all requests from which a model counts as one of the busy ones."""
--- a/chutelink/entry/placer.py
+++ b/chutelink/placing/placer.py
@@ -9,23 +9,23 @@
 from mode import Service
 
 from ..core import Application
+from ..entry.config import EngineSpec, RoutingConfig
+from ..entry.demand import DemandTable
+from ..entry.endpoints import Endpoint, EndpointTable
+from ..entry.news import PendingLoad, PlacementNews, PlacerBeacon
+from ..entry.pending import PendingTable
 from ..exceptions import ChutelinkError
 from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from ..learning.health import HealthTable
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .changes import Change, PlacementView, Site
-from .config import EngineSpec, RoutingConfig
 from .declined import DeclineLog
-from .demand import DemandTable
-from .endpoints import Endpoint, EndpointTable
-from .health import HealthTable
 from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
 from .loadpause import LoadPauses
-from .news import PendingLoad, PlacementNews, PlacerBeacon
 from .orders import CLOSE_LEAD_S, OrderDesk
 from .pace import ColdLoadPace
-from .pending import PendingTable
 from .placement import PlacementPolicy
 
 TICK_S = 0.05
--- a/chutelink/entry/room.py
+++ b/chutelink/placing/room.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ..entry.config import EngineSpec, ModelSpec
 from ..ids import AdapterName, ModelName
-from .config import EngineSpec, ModelSpec
 from .inventory import Inventory
 
 
--- a/chutelink/entry/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from ..entry.config import ModelSpec
 from ..ids import AdapterName, ModelName
 from .adapters import AdapterRound
 from .changes import Change, ChangeReason, Decline, PlacementView, Site
-from .config import ModelSpec
 from .holdings import Holdings
 from .room import load_time, lost_copies, model_mb, used_mb
 
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -13,7 +13,7 @@
 from ..entry.dialect import Dialect
 from ..entry.directory import Directory
 from ..entry.endpoints import EndpointRecord
-from ..entry.inventory import EngineClient
+from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchedTable
 from .configuration import decode_config
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -9,7 +9,6 @@
 from msgspec import Meta
 
 from ..entry.endpoints import EndpointRecord, EndpointState
-from ..entry.inventory import EndpointReport, Order, OrderAction
 from ..exceptions import EndpointFailed
 from ..ids import (
     AdapterName,
@@ -18,6 +17,7 @@
     ModelName,
     ServiceName,
 )
+from ..placing.inventory import EndpointReport, Order, OrderAction
 
 PATH_REPORT = "/api/report"
 PATH_ORDER = "/api/order"
--- a/chutelink/platform/engine.py
+++ b/chutelink/platform/engine.py
@@ -5,8 +5,8 @@
 import aiohttp
 
 from ..entry.endpoints import Endpoint
-from ..entry.inventory import EndpointReport, EngineClient, Order, OrderAnswer
 from ..exceptions import EndpointFailed, EndpointUnreachable
+from ..placing.inventory import EndpointReport, EngineClient, Order, OrderAnswer
 from .endpoints import PATH_ORDER, PATH_REPORT, decode_report, encode_order
 from .headers import HEADER_EXPECT_INSTANCE
 
--- a/chutelink/entry/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -8,28 +8,29 @@
 from multidict import CIMultiDict
 
 from ..core import Application
+from ..entry.config import Route
+from ..entry.dialect import Dialect, Dispatch, RequestMeta
+from ..entry.endpoints import Endpoint, EndpointTable
+from ..entry.loads import LoadBook
+from ..entry.news import PromptNews
+from ..entry.pending import PendingTable
 from ..gateway.refusals import Refusal, unavailable
 from ..ids import (
     DaemonId,
     FailureDomainName,
     model_ref,
 )
+from ..learning.durations import DurationTable
+from ..learning.health import HealthTable
+from ..learning.prefixes import PrefixTable, hash_chain
+from ..learning.reading import ReadingTable
+from ..learning.speeds import SpeedTable
 from ..quarantine.model import Verdict
 from ..quarantine.service import Quarantine
-from .config import Route
-from .dialect import Dialect, Dispatch, RequestMeta
-from .durations import DurationTable
-from .endpoints import Endpoint, EndpointTable
+from ..watching.watch import Knowledge
 from .exchange import Exchange, urgency_of
-from .health import HealthTable
-from .loads import LoadBook
-from .news import PromptNews
-from .pending import PendingTable
-from .prefixes import PrefixTable, hash_chain
-from .reading import ReadingTable
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
-from .speeds import SpeedTable
 from .upstream import EndpointCall
 from .waiting import (
     LOAD_MARGIN_S,
@@ -38,7 +39,6 @@
     back_in_s,
     wait_until_s,
 )
-from .watch import Knowledge
 
 DEFAULT_RETRY_S = 0.5
 MIN_BACK_S = 0.2
--- a/chutelink/entry/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -7,11 +7,11 @@
 import msgspec
 from multidict import CIMultiDict
 
+from ..entry.config import Route, ServiceSpec
+from ..entry.dialect import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName
-from .config import Route, ServiceSpec
-from .dialect import RequestMeta
+from ..watching.watch import Knowledge
 from .routing import Candidate
-from .watch import Knowledge
 
 LAST_URGENCY = 9
 OBJECTIVES_PER_URGENCY_S = 1.5
--- a/chutelink/entry/relay.py
+++ b/chutelink/relaying/relay.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from enum import Enum
 
+from ..entry.dialect import AnswerKind
+from ..entry.endpoints import Endpoint
 from ..exceptions import (
     ChutelinkError,
     ConnectionBroken,
@@ -14,9 +16,7 @@
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
 from ..quarantine.model import BrokenRun
-from .dialect import AnswerKind
 from .dispatching import DEFAULT_RETRY_S, Exchanges
-from .endpoints import Endpoint
 from .exchange import Exchange
 from .upstream import Upstream, WholeResponse
 
--- a/chutelink/entry/routing.py
+++ b/chutelink/relaying/routing.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
+from ..entry.endpoints import Endpoint
 from ..ids import AdapterName, FailureDomainName, ModelName
-from .durations import DurationTable
-from .endpoints import Endpoint
-from .health import HealthTable
-from .prefixes import PrefixTable
-from .speeds import SpeedTable
+from ..learning.durations import DurationTable
+from ..learning.health import HealthTable
+from ..learning.prefixes import PrefixTable
+from ..learning.speeds import SpeedTable
 
 FAR_COST_S = 0.003
 """Crossing to another failure domain: a round trip, and its bytes are charged."""
--- a/chutelink/entry/stream.py
+++ b/chutelink/relaying/stream.py
@@ -8,6 +8,9 @@
 from aiohttp import web
 
 from ..core import Application
+from ..entry.config import Route
+from ..entry.dialect import AnswerKind
+from ..entry.endpoints import Endpoint
 from ..exceptions import (
     ChutelinkError,
     ConnectionBroken,
@@ -16,10 +19,7 @@
 )
 from ..gateway.refusals import Refusal
 from .caller_stream import CallerStream
-from .config import Route
-from .dialect import AnswerKind
 from .dispatching import Exchanges
-from .endpoints import Endpoint
 from .events import EventSplitter, StreamEvent
 from .exchange import Exchange
 from .relay import AttemptResult, Relay, give_up
--- a/chutelink/entry/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -13,8 +13,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
-from .endpoints import Endpoint
 
 CONNECT_TIMEOUT_S = 0.6
 """Endpoints are a few ms away; one that is cut off does not answer at all."""
--- /dev/null
+++ b/chutelink/watching/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the store that daemons follow together."""
--- a/chutelink/entry/tablecopy.py
+++ b/chutelink/watching/tablecopy.py
@@ -9,7 +9,7 @@
 
 from enum import Enum
 
-from .news import StoredRow, StoreNews
+from ..entry.news import StoredRow, StoreNews
 
 
 class NewsFit(Enum):
--- a/chutelink/entry/watch.py
+++ b/chutelink/watching/watch.py
@@ -14,11 +14,11 @@
 from mode import Service
 
 from ..core import Application
+from ..entry.news import SnapshotRequest, StoredRow, StoreNews
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId
 from ..store import Row, RowPage, WatchedTable
 from ..store.http import SECOND_TRY_SHARE
-from .news import SnapshotRequest, StoredRow, StoreNews
 from .storeclock import StoreClock
 from .tablecopy import NewsFit, TableCopy
 
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -9,7 +9,7 @@
 
 from chutelink.entry.listeners import open_listener
 
-from .world import HOST, async_world
+from ..relaying.world import HOST, async_world
 
 
 def free_port() -> int:
--- a/tests/entry/test_newsdesk.py
+++ b/tests/entry/test_newsdesk.py
@@ -16,9 +16,9 @@
 )
 from chutelink.entry.newsdesk import NewsDesk
 from chutelink.entry.pending import PendingTable
-from chutelink.entry.retries import RetryShare
 from chutelink.peers.messages import Broadcast
 from chutelink.quarantine.service import Quarantine
+from chutelink.relaying.retries import RetryShare
 
 from ..fakes import make_core
 
--- a/tests/entry/test_reading.py
+++ b/tests/learning/test_reading.py
@@ -7,10 +7,10 @@
 import pytest
 
 from chutelink.entry.news import PromptNews, decode_news, encode_news
-from chutelink.entry.reading import READ_SHARE, ReadingTable
+from chutelink.learning.reading import READ_SHARE, ReadingTable
 
-from .test_stream import expected, headers
-from .world import SERVICES, async_world, make_config
+from ..relaying.test_stream import expected, headers
+from ..relaying.world import SERVICES, async_world, make_config
 
 PAUSE_S = 0.25
 ROOM_S = READ_SHARE * PAUSE_S
--- a/tests/entry/test_speeds.py
+++ b/tests/learning/test_speeds.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from chutelink.entry.durations import DurationTable
-from chutelink.entry.routing import Candidate, LeastLoss
-from chutelink.entry.speeds import FIRST_EVENT_S, SpeedTable
 from chutelink.entry.state import HealthTable, PrefixTable
+from chutelink.learning.durations import DurationTable
+from chutelink.learning.speeds import FIRST_EVENT_S, SpeedTable
+from chutelink.relaying.routing import Candidate, LeastLoss
 
-from .test_placement import make_site
+from ..placing.test_placement import make_site
 
 TOKENS = 7600
 """Read in 0.2 s at factor 1."""
--- a/tests/entry/placing_world.py
+++ b/tests/placing/placing_world.py
@@ -5,22 +5,22 @@
 import asyncio
 from types import SimpleNamespace
 
-from chutelink.entry import orders as orders_module
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
-from chutelink.entry.health import HealthTable
-from chutelink.entry.inventory import (
+from chutelink.entry.news import ModelUse, PlacementNews
+from chutelink.entry.pending import PendingTable
+from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
+from chutelink.ids import ConfigVersion
+from chutelink.learning.health import HealthTable
+from chutelink.placing import orders as orders_module
+from chutelink.placing.inventory import (
     EndpointReport,
     EngineClient,
     OrderAction,
     OrderAnswer,
 )
-from chutelink.entry.news import ModelUse, PlacementNews
-from chutelink.entry.pending import PendingTable
-from chutelink.entry.placement import DemandPlacement
-from chutelink.entry.placer import Placer
-from chutelink.exceptions import EndpointFailed, EndpointUnreachable, LeaseNotHeld
-from chutelink.ids import ConfigVersion
+from chutelink.placing.placement import DemandPlacement
+from chutelink.placing.placer import Placer
 from chutelink.quarantine.probe import EndingProbe, ProbeResult
 
 from ..fakes import make_core
--- a/tests/entry/test_lease.py
+++ b/tests/placing/test_lease.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from chutelink.entry.lease import (
+from chutelink.exceptions import LeaseNotHeld
+from chutelink.ids import DaemonId
+from chutelink.placing.lease import (
     EXPIRY_S,
     HOLD_S,
     KEY_LEASE,
     RENEW_S,
     PlacerLease,
 )
-from chutelink.exceptions import LeaseNotHeld
-from chutelink.ids import DaemonId
 from chutelink.store import UNREADABLE, RowPage, Transaction, WatchedTable, Write
 
 from ..fakes import FakeTable, make_core
--- a/tests/entry/test_loadpause.py
+++ b/tests/placing/test_loadpause.py
@@ -5,9 +5,9 @@
 import msgspec
 import pytest
 
-from chutelink.entry.inventory import OrderAction
-from chutelink.entry.loadpause import FREE_ENDINGS, MAX_PAUSE_S, LoadPauses
 from chutelink.exceptions import EndpointFailed
+from chutelink.placing.inventory import OrderAction
+from chutelink.placing.loadpause import FREE_ENDINGS, MAX_PAUSE_S, LoadPauses
 
 from .placing_world import ScriptedEngine, World, run, skip_pauses
 
--- a/tests/entry/test_pace.py
+++ b/tests/placing/test_pace.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.entry.pace import ColdLoadPace
+from chutelink.placing.pace import ColdLoadPace
 
 RATE = 1.6
 WINDOW_S = 5.0
--- a/tests/entry/test_placement.py
+++ b/tests/placing/test_placement.py
@@ -6,15 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.entry.changes import ChangeReason, PlacementView, Site
 from chutelink.entry.config import EngineSpec, ModelSpec
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
-from chutelink.entry.holdings import Holdings
-from chutelink.entry.inventory import EndpointReport, Inventory
 from chutelink.entry.news import ModelUse
-from chutelink.entry.placement import DemandPlacement, StaticPlacement
-from chutelink.entry.room import used_mb
+from chutelink.placing.changes import ChangeReason, PlacementView, Site
+from chutelink.placing.holdings import Holdings
+from chutelink.placing.inventory import EndpointReport, Inventory
+from chutelink.placing.placement import DemandPlacement, StaticPlacement
+from chutelink.placing.room import used_mb
 
 MODELS = tuple(f"m{number}" for number in range(8))
 ADAPTERS = ("a1", "a2", "a3")
--- a/tests/entry/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -7,14 +7,14 @@
 import msgspec
 import pytest
 
-from chutelink.entry.changes import Change
-from chutelink.entry.inventory import (
+from chutelink.entry.news import ModelUse, PendingLoad
+from chutelink.placing.changes import Change
+from chutelink.placing.inventory import (
     EndpointReport,
     Inventory,
     OrderAction,
     OrderAnswer,
 )
-from chutelink.entry.news import ModelUse, PendingLoad
 
 from .placing_world import NOBODY, ScriptedEngine, World, run, skip_pauses
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -7,8 +7,8 @@
 import pytest
 
 from chutelink.entry.endpoints import EndpointState
-from chutelink.entry.inventory import Order, OrderAction
 from chutelink.exceptions import EndpointFailed
+from chutelink.placing.inventory import Order, OrderAction
 from chutelink.platform.endpoints import (
     compact_registration,
     decode_registration,
--- a/tests/processes/test_deadly_requests.py
+++ b/tests/processes/test_deadly_requests.py
@@ -1,6 +1,7 @@
 """A request that ends its endpoints, sent to one daemon after the other.
 
-See tests/entry/test_deadly_requests.py for the failure that these tests guard against.
+The failure that these tests guard against is told in
+tests/relaying/test_deadly_requests.py.
 Here daemons are processes of their own: what one has seen, the others must know, also
 one that is started afterwards.
 """
--- a/tests/entry/test_routing.py
+++ b/tests/relaying/test_routing.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from chutelink.entry.durations import DurationTable
-from chutelink.entry.health import HealthTable
-from chutelink.entry.prefixes import PrefixTable
-from chutelink.entry.routing import Candidate, LeastLoss
-from chutelink.entry.speeds import SpeedTable
+from chutelink.learning.durations import DurationTable
+from chutelink.learning.health import HealthTable
+from chutelink.learning.prefixes import PrefixTable
+from chutelink.learning.speeds import SpeedTable
+from chutelink.relaying.routing import Candidate, LeastLoss
 
-from .test_placement import make_site
+from ..placing.test_placement import make_site
 
 NOW_S = 10.0
 SLOTS = 8
--- a/tests/entry/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chutelink.entry.news import PendingLoad
-from chutelink.entry.stream import stall_limit_s
+from chutelink.relaying.stream import stall_limit_s
 from standins.prepared_config import make_config
 
 from .world import SERVICES, async_world
--- a/tests/entry/test_waiting.py
+++ b/tests/relaying/test_waiting.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.entry.waiting import ASK_SHARE, ModelWait, back_in_s, wait_until_s
+from chutelink.relaying.waiting import ASK_SHARE, ModelWait, back_in_s, wait_until_s
 
 URGENT = ModelWait(
     now_s=100.0,
--- a/tests/entry/world.py
+++ b/tests/relaying/world.py
@@ -12,19 +12,19 @@
 from aiohttp import web
 
 from chutelink.entry.config import RouteTable
-from chutelink.entry.dispatching import Exchanges
 from chutelink.entry.http import CallerHttp
 from chutelink.entry.loads import LoadBook
 from chutelink.entry.pending import PendingTable
-from chutelink.entry.relay import Relay
-from chutelink.entry.retries import RetryShare
-from chutelink.entry.routing import LeastLoss
 from chutelink.entry.state import EntryState
-from chutelink.entry.stream import StreamRelay
-from chutelink.entry.upstream import Upstream
-from chutelink.entry.watch import RowChange
 from chutelink.platform.adapter import PreparedMachines as Adapter
 from chutelink.quarantine.service import Quarantine
+from chutelink.relaying.dispatching import Exchanges
+from chutelink.relaying.relay import Relay
+from chutelink.relaying.retries import RetryShare
+from chutelink.relaying.routing import LeastLoss
+from chutelink.relaying.stream import StreamRelay
+from chutelink.relaying.upstream import Upstream
+from chutelink.watching.watch import RowChange
 from standins.prepared import PreparedMachines
 from standins.prepared_config import make_config
 from standins.prepared_endpoint import EndpointStandin
--- a/tests/entry/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -104,7 +104,7 @@
 
 
 def test_whatever_troubles_others_calm_daemons_leave_leaving_endpoints_alone():
-    """Longer runs: python -m tests.entry.leaving_soak --first 1 --seeds 1000."""
+    """Longer runs: python -m tests.watching.leaving_soak --first 1 --seeds 1000."""
     for seed in SOAK_SEEDS:
         run_virtually(async_soak(seed, SOAK_S))
 
--- a/tests/entry/test_storeclock.py
+++ b/tests/watching/test_storeclock.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.entry.storeclock import DRIFT, StoreClock
+from chutelink.watching.storeclock import DRIFT, StoreClock
 
 DELAY = st.floats(0.0, 2.0)
 
--- a/tests/entry/test_tablecopy.py
+++ b/tests/watching/test_tablecopy.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from chutelink.entry.news import StoredRow, StoreNews
-from chutelink.entry.tablecopy import NewsFit, TableCopy
+from chutelink.watching.tablecopy import NewsFit, TableCopy
 
 TABLE = "t"
 COPIES = 3
--- a/tests/entry/test_watch.py
+++ b/tests/watching/test_watch.py
@@ -9,7 +9,11 @@
 import pytest
 
 from chutelink.entry.news import SnapshotRequest, StoredRow, StoreNews
-from chutelink.entry.watch import (
+from chutelink.exceptions import HistoryLost, PlatformUnavailable
+from chutelink.ids import WriteId
+from chutelink.store import Row, RowPage, WatchedTable
+from chutelink.store.http import SECOND_TRY_SHARE
+from chutelink.watching.watch import (
     FIRST_SHARE,
     MAX_RANK,
     RANK_SHARE,
@@ -19,10 +23,6 @@
     StoreWatch,
     longest_timeout_s,
 )
-from chutelink.exceptions import HistoryLost, PlatformUnavailable
-from chutelink.ids import WriteId
-from chutelink.store import Row, RowPage, WatchedTable
-from chutelink.store.http import SECOND_TRY_SHARE
 
 from ..fakes import make_core
 
--- a/tests/entry/watching_fleet.py
+++ b/tests/watching/watching_fleet.py
@@ -14,13 +14,13 @@
 from chutelink.const import TABLE_ENDPOINTS
 from chutelink.entry.news import SnapshotRequest, StoreNews
 from chutelink.entry.state import EntryState
-from chutelink.entry.watch import StoreWatch
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.quarantine.service import Quarantine
 from chutelink.store import Row, RowPage, WatchedTable
 from chutelink.store.http import SECOND_TRY_SHARE
+from chutelink.watching.watch import StoreWatch
 
 from ..fakes import make_core
 
