--- a/bench/capacity_mesh.py
+++ b/bench/capacity_mesh.py
@@ -12,7 +12,8 @@
 from chutelink.ids import BootId, DaemonId
 from chutelink.log import EventLog
 from chutelink.metrics import Metrics
-from chutelink.peers.mesh import Link, Mesh
+from chutelink.peers.link import Link
+from chutelink.peers.mesh import Mesh
 from chutelink.settings import PeersSection
 from chutelink.tables.members import Member, MemberState, MemberTable, Role
 
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import time
 
 import msgspec
 from aiohttp import web
@@ -12,7 +11,6 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
-from ..ids import FailureDomainName, VmId
 from ..peers.mesh import Mesh
 from ..placing.lease import PlacerLease
 from ..placing.placement import DemandPlacement
@@ -26,16 +24,16 @@
 from ..relaying.routing import LeastLoss
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import Upstream
-from ..settings import EntrySettings, PlatformSection
-from ..tables.members import Member, MemberState, MemberTable, Role
-from ..watching.watch import RowChange, StoreWatch, longest_timeout_s
+from ..settings import EntrySettings
+from ..tables.members import MemberState, MemberTable
+from ..watching.watch import RowChange, StoreWatch, fit_time_limit
 from .adapter import Handler, PlatformAdapter
 from .demand import DemandTable
 from .directory import Directory
 from .http import CallerHttp
 from .listeners import ACCEPT_QUEUE
 from .loads import LoadBook
-from .membership import Registration
+from .membership import Registration, make_member, port_of
 from .newsdesk import NewsDesk
 from .pending import PendingTable
 from .state import EntryState
@@ -75,13 +73,13 @@
         adapter: PlatformAdapter,
         caller_listener: socket.socket | None = None,
     ) -> None:
-        peer_port = _port(settings.entry.peer_listen)
+        peer_port = port_of(settings.entry.peer_listen)
         daemon = msgspec.structs.replace(settings.daemon, peer_port=peer_port)
         super().__init__("chutelink-entry", daemon)
         self.settings = settings
         self._adapter = adapter
         self._caller_listener = caller_listener
-        self.members = MemberTable(self._make_member())
+        self.members = MemberTable(make_member(self, settings.entry))
         self.quarantine = Quarantine(self)
         self.known = EntryState(self, adapter, self.quarantine)
         self.demand = DemandTable()
@@ -103,31 +101,14 @@
         self._caller_server: web.Server | None = None
         self._listeners: list[asyncio.Server] = []
 
-    def _make_member(self) -> Member:
-        daemon = self.daemon
-        port = _port(self.settings.entry.caller_listen)
-        # Compared only with what peers remember of this same daemon; if a
-        # clock went back, the mesh raises it above that.
-        incarnation = time.time_ns() // 1_000_000
-        return Member(
-            self.daemon_id,
-            Role.GATEWAY,
-            VmId(daemon.vm),
-            FailureDomainName(daemon.failure_domain),
-            daemon.address,
-            port,
-            daemon.peer_port,
-            self.boot_id,
-            incarnation,
-            capacity=self.settings.entry.cpu_share * self.settings.entry.cpu_cores,
-        )
-
     async def async_setup_parts(self) -> None:
         """Create the parts, then start them."""
         entry = self.settings.entry
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
         table = self._adapter.make_table(
-            self.session, self._fit_platform(bound_s), self.fresh_session
+            self.session,
+            fit_time_limit(self, self.settings.platform, bound_s),
+            self.fresh_session,
         )
         self._upstream = Upstream()
         self.mesh = Mesh(self, self.settings.peers, self.members)
@@ -175,17 +156,6 @@
         registration = Registration(self, table, self.mesh, peer_address)
         self.add_future(registration.async_run())
 
-    def _fit_platform(self, bound_s: float) -> PlatformSection:
-        """Return the platform's settings, with a time limit that fits the bound."""
-        platform = self.settings.platform
-        fitting_s = longest_timeout_s(bound_s)
-        if platform.timeout_s <= fitting_s:
-            return platform
-        self.events.warning(
-            "timeout_shortened", set_s=platform.timeout_s, used_s=fitting_s
-        )
-        return msgspec.structs.replace(platform, timeout_s=fitting_s)
-
     def _setup_placer(self) -> None:
         self.placer = Placer(
             self,
@@ -198,8 +168,8 @@
             DemandPlacement(),
             self.news.send,
         )
-        self.placer.cold_load_window_s = self.settings.entry.cold_load_window_s
-        self.placer.cold_load_excess = self.settings.entry.cold_load_excess
+        self.placer.paces.window_s = self.settings.entry.cold_load_window_s
+        self.placer.paces.excess = self.settings.entry.cold_load_excess
 
     def _setup_callers(self) -> None:
         known = self.known
@@ -258,7 +228,7 @@
         else:
             host = listen.rpartition(":")[0]
             listener = await loop.create_server(
-                server, host, _port(listen), backlog=ACCEPT_QUEUE, reuse_address=True
+                server, host, port_of(listen), backlog=ACCEPT_QUEUE, reuse_address=True
             )
         self._listeners.append(listener)
 
@@ -362,9 +332,5 @@
         await super().on_shutdown()
 
 
-def _port(listen: str) -> int:
-    return int(listen.rpartition(":")[2])
-
-
 def _make_server(handler: Handler) -> web.Server:
     return web.Server(handler, access_log=None)
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -92,7 +92,7 @@
         reason = ""
         try:
             exchange = await self._async_accept(request, started_s)
-            await self._exchanges.async_admit(exchange)
+            await self._exchanges.gate.async_admit(exchange)
             response = await self._async_relay(request, exchange)
             status, outcome = response.status, "answered"
         except Refusal as refusal:
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import time
+
 import msgspec
 
 from ..const import TABLE_MEMBERS
 from ..core import Application
 from ..exceptions import PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown
-from ..ids import WriteId, make_id
+from ..ids import FailureDomainName, VmId, WriteId, make_id
 from ..peers.mesh import Mesh
+from ..settings import EntrySection
 from ..store import Row, Transaction, WatchedTable, Write, decode_value
+from ..tables.members import Member, Role
 
+NS_PER_MS = 1_000_000
 RETRY_S = 0.5
 LONELY_S = 2.0
 """A daemon without links looks again so often; links settle within a second."""
@@ -22,6 +27,31 @@
     peer_address: str
 
 
+def make_member(core: Application, entry: EntrySection) -> Member:
+    """Return what this daemon tells its peers of itself."""
+    daemon = core.daemon
+    # Compared only with what peers remember of this same daemon; if a
+    # clock went back, the mesh raises it above that.
+    incarnation = time.time_ns() // NS_PER_MS
+    return Member(
+        core.daemon_id,
+        Role.GATEWAY,
+        VmId(daemon.vm),
+        FailureDomainName(daemon.failure_domain),
+        daemon.address,
+        port_of(entry.caller_listen),
+        daemon.peer_port,
+        core.boot_id,
+        incarnation,
+        capacity=entry.cpu_share * entry.cpu_cores,
+    )
+
+
+def port_of(listen: str) -> int:
+    """Return the port of HOST:PORT."""
+    return int(listen.rpartition(":")[2])
+
+
 class Registration:
     """Writes this daemon's row and reads those of the others.
 
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -15,7 +15,6 @@
 import websockets
 from mode import Service
 from websockets.asyncio.client import connect
-from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from ..const import MAX_PEER_MESSAGE_BYTES
@@ -27,6 +26,7 @@
 from ..tables.members import Member, MemberState, MemberTable
 from ..tables.queues import QueueTable
 from .broadcasts import BroadcastLog
+from .link import Link
 from .messages import (
     Broadcast,
     ConfigBody,
@@ -37,14 +37,11 @@
     Message,
     QueueNews,
     decode_message,
-    encode_message,
 )
+from .ring import FULL_MESH_MEMBERS, ring_places
 
 HEADER_PEER_KEY = "Chutelink-Peer-Key"
-MAX_QUEUED_MESSAGES = 256
 LOST_MEMBER_RETRY_S = 2.0
-FULL_MESH_MEMBERS = 12
-"""Up to so many, all link to all: nothing has to be passed on."""
 SEED_DIALS = 3
 GOODBYE_S = 0.05
 MEMBER_NEWS_DELAY_S = 0.02
@@ -53,45 +50,6 @@
 SPREAD = 0.3
 
 
-def ring_places(members: int, links: int) -> list[int]:
-    """Return which of the others, in ring order, to link to.
-
-    With few others these are all of them; else the distances grow by the
-    ``links``-th root of their number.
-    """
-    if members < FULL_MESH_MEMBERS or members <= links:
-        return list(range(members))
-    places: list[int] = []
-    for index in range(links):
-        place = round(members ** (index / links)) - 1
-        places.append(max(place, places[-1] + 1 if places else 0))
-    return places
-
-
-class Link:
-    """One open connection to a peer, whichever side opened it."""
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-        self.member: Member | None = None
-        self.heard_s = 0.0
-        self.config_version = ConfigVersion(0)
-        self.linked: frozenset[DaemonId] = frozenset()
-        self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
-
-    def send(self, message: Message) -> None:
-        """Queue a message; a peer that does not keep up loses the link."""
-        try:
-            self._queue.put_nowait(encode_message(message))
-        except asyncio.QueueFull:
-            self.connection.transport.abort()
-
-    async def async_write_loop(self) -> None:
-        """Send queued messages until the link ends."""
-        while True:
-            await self.connection.send(await self._queue.get())
-
-
 class Mesh(Service):
     """Keeps links, membership and the spread of configuration versions.
 
--- a/chutelink/placing/lease.py
+++ b/chutelink/placing/lease.py
@@ -6,15 +6,11 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from enum import Enum
+from collections.abc import Callable
 
 import msgspec
 from mode import Service
 
-from ..const import TABLE_LEASES
 from ..core import Application
 from ..entry.news import LeaseYield
 from ..exceptions import (
@@ -25,16 +21,14 @@
 )
 from ..ids import BootId, DaemonId, WriteId, make_id
 from ..store import Check, Row, Transaction, WatchedTable, Write, decode_value
+from .leaserow import KEY_LEASE, LeasePhase, PlacerRow, time_limit
 
-KEY_LEASE = f"{TABLE_LEASES}/placer"
 HOLD_S = 2.2
 """How long after sending a renewal the holder acts: two renewals may fail."""
 EXPIRY_S = 2.5
 """How long a contender must see no renewal: ``HOLD_S`` and a margin for clocks."""
 RENEW_S = 0.8
 TICK_S = 0.1
-CALL_LIMIT_S = 0.5
-"""A renewal without an answer for so long is looked up; slow answers take 0.5 s."""
 SILENCE_S = 1.3
 """Without word from the holder for so long, others look at the row.
 
@@ -45,31 +39,6 @@
 CONTEND_READ_S = 0.6
 
 
-class PlacerRow(msgspec.Struct, frozen=True):
-    """The lease's row.
-
-    ``term`` rises with each holder and is the fence of its orders; ``counter``
-    rises with each renewal; ``held_s`` is how long a lease that was released had
-    been held. ``yields`` is how often the holder had yielded and gone on when it
-    wrote this.
-    """
-
-    holder: DaemonId
-    boot_id: BootId
-    term: int
-    counter: int
-    is_released: bool = False
-    held_s: float = 0.0
-    yields: int = 0
-
-
-class LeasePhase(Enum):
-    """What a daemon may do."""
-
-    FOLLOWING = "following"
-    HELD = "held"
-
-
 class PlacerLease(Service):
     """Contends for the lease when its holder is silent, and renews it.
 
@@ -238,7 +207,7 @@
             await self._async_take(wait_s)
 
     async def _async_read(self) -> None:
-        async with _time_limit():
+        async with time_limit():
             page = await self._table.async_read(KEY_LEASE)
         found = page.get(KEY_LEASE)
         version = found.version if found is not None else 0
@@ -321,7 +290,7 @@
         check = Check(KEY_LEASE, self._version)
         write = Write(KEY_LEASE, msgspec.to_builtins(row))
         transaction = Transaction(WriteId(make_id()), (check,), (write,))
-        async with _time_limit():
+        async with time_limit():
             self._version = await self._table.async_transact(transaction)
         self._row = row
         self._seen_s = self._core.clock()
@@ -355,15 +324,3 @@
         daemon = self._core.daemon_id
         self._send(LeaseYield(daemon, self.term, held_s, self._yields + 1))
         self._lose("released", self.term)
-
-
-@asynccontextmanager
-async def _time_limit() -> AsyncIterator[None]:
-    """Give a call up early: a lease is worth nothing once it is late."""
-    try:
-        async with asyncio.timeout(CALL_LIMIT_S):
-            yield
-    except TimeoutError as error:
-        raise WriteOutcomeUnknown(
-            "no answer in time", step="lease.call", peer=KEY_LEASE
-        ) from error
--- a/chutelink/placing/pace.py
+++ b/chutelink/placing/pace.py
@@ -4,6 +4,10 @@
 
 from collections import deque
 
+from ..core import Application
+from ..entry.pending import PendingTable
+from ..ids import ServiceName
+
 WINDOW_SLACK = 3.0
 """Loads in a window that the operators allow beyond the rate."""
 RESERVE = 1
@@ -47,3 +51,53 @@
     def take(self, now_s: float) -> None:
         """Count one that begins, or began; the oldest first."""
         self._begun_s.append(now_s)
+
+
+class ColdLoadPaces:
+    """One pace for each service, over the terms of placers.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    pending : PendingTable
+        Loads that former holders announced.
+
+    Attributes
+    ----------
+    window_s, excess : float
+        The time over which the operators count, and how far they tolerate more.
+    """
+
+    def __init__(self, core: Application, pending: PendingTable) -> None:
+        self._core = core
+        self._pending = pending
+        self._created_s = core.clock()
+        self._by_service: dict[ServiceName, ColdLoadPace] = {}
+        self.window_s = 5.0
+        self.excess = 1.0
+
+    def clear(self) -> None:
+        """Forget all paces: others may have sent orders since."""
+        self._by_service.clear()
+
+    def get(
+        self, service: ServiceName, loads_per_s: float, *, is_first_term: bool
+    ) -> ColdLoadPace:
+        """Return a service's pace; before the first term there was no holder."""
+        pace = self._by_service.get(service)
+        if pace is None:
+            pace = ColdLoadPace(loads_per_s, self.window_s, self.excess)
+            if not is_first_term:
+                self._count_former_loads(pace)
+            self._by_service[service] = pace
+        return pace
+
+    def _count_former_loads(self, pace: ColdLoadPace) -> None:
+        """Count the loads that a former holder began, as far as they may matter."""
+        is_heard = self._core.clock() - self._created_s > self.window_s
+        if not is_heard:
+            pace.assume_full(self._created_s)
+            return
+        for begun_s in self._pending.cold_begun_s():
+            pace.take(begun_s)
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -25,7 +25,7 @@
 from .lease import PlacerLease
 from .loadpause import LoadPauses
 from .orders import CLOSE_LEAD_S, OrderDesk
-from .pace import ColdLoadPace
+from .pace import ColdLoadPaces
 from .placement import PlacementPolicy
 
 TICK_S = 0.05
@@ -95,17 +95,14 @@
         self._announcer = Announcer(core, table, send)
         self._inventories: dict[EndpointId, Inventory] = {}
         self._pending: dict[EndpointId, tuple[Change, float]] = {}
-        self._paces: dict[ServiceName, ColdLoadPace] = {}
+        self.paces = ColdLoadPaces(core, pending)
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
-        self._created_s = core.clock()
         self._declined = DeclineLog(core)
         self._pauses = LoadPauses()
         self.probe: EndingProbe = ConnectProbe()
         self._term = 0
         self.config: RoutingConfig | None = None
-        self.cold_load_window_s = 5.0
-        self.cold_load_excess = 1.0
 
     def wake(self) -> None:
         """Plan at once."""
@@ -153,7 +150,7 @@
         self._term = self._lease.term
         self._inventories.clear()
         self._pending.clear()
-        self._paces.clear()
+        self.paces.clear()
         self._announcer.forget()
 
     def _engine_of(self, service: ServiceName) -> EngineSpec | None:
@@ -212,7 +209,11 @@
         if not sites or not all(site.inventory.is_known for site in sites):
             # What an endpoint holds that has not reported would be loaded again.
             return
-        pace = self._pace(service, engine)
+        pace = self.paces.get(
+            service,
+            engine.cold_loads_per_s,
+            is_first_term=self._term == FIRST_TERM,
+        )
         now_s = self._core.clock()
         view = PlacementView(
             engine=engine,
@@ -256,29 +257,6 @@
         ready_s = self._pending_table.endpoint_ready_s(endpoint)
         return ready_s - now_s if ready_s > now_s else math.inf
 
-    def _pace(self, service: ServiceName, engine: EngineSpec) -> ColdLoadPace:
-        pace = self._paces.get(service)
-        if pace is None:
-            pace = ColdLoadPace(
-                engine.cold_loads_per_s,
-                self.cold_load_window_s,
-                self.cold_load_excess,
-            )
-            self._count_former_loads(pace)
-            self._paces[service] = pace
-        return pace
-
-    def _count_former_loads(self, pace: ColdLoadPace) -> None:
-        """Count the loads that a former holder began, as far as they may matter."""
-        if self._term == FIRST_TERM:
-            return
-        is_heard = self._core.clock() - self._created_s > self.cold_load_window_s
-        if not is_heard:
-            pace.assume_full(self._created_s)
-            return
-        for begun_s in self._pending_table.cold_begun_s():
-            pace.take(begun_s)
-
     def _loading(self) -> dict[tuple[ModelName, AdapterName], int]:
         counts: dict[tuple[ModelName, AdapterName], int] = {}
         for change, _ in self._pending.values():
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -25,10 +25,10 @@
 from ..learning.prefixes import PrefixTable, hash_chain
 from ..learning.reading import ReadingTable
 from ..learning.speeds import SpeedTable
-from ..quarantine.model import Verdict
 from ..quarantine.service import Quarantine
 from ..watching.watch import Knowledge
 from .exchange import Exchange, urgency_of
+from .gate import QuarantineGate
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
 from .upstream import EndpointCall
@@ -92,6 +92,7 @@
         self.retries = retries
         self._policy = policy
         self.quarantine = quarantine
+        self.gate = QuarantineGate(quarantine)
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
         self.knowledge: Callable[[], Knowledge | None] = lambda: None
@@ -128,32 +129,6 @@
             self.speeds.note_prompt(read_s)
             self.loads.note_arrival(meta.model, meta.adapter, read_s)
 
-    async def async_admit(self, exchange: Exchange) -> None:
-        """Refuse at once what has ended the endpoints that ran it.
-
-        Raises
-        ------
-        Refusal
-            It is kept away.
-        """
-        verdict = self.quarantine.verdict(exchange.fingerprint)
-        if verdict is Verdict.TRIAL:
-            claim = self.quarantine.async_claim_trial
-            exchange.is_trial = await claim(exchange.fingerprint)
-        self._check_held(exchange)
-
-    def _check_held(self, exchange: Exchange) -> None:
-        """Refuse what is kept away, whenever that became known."""
-        if not self._is_held(exchange):
-            return
-        back_in_s = self.quarantine.back_in_s(exchange.fingerprint)
-        raise unavailable("endpoints ended that ran this request", back_in_s)
-
-    def _is_held(self, exchange: Exchange) -> bool:
-        if exchange.is_trial:
-            return False
-        return self.quarantine.verdict(exchange.fingerprint) is not Verdict.FREE
-
     async def async_acquire(self, exchange: Exchange) -> Endpoint:
         """Return the endpoint to send to next, waiting for a load where it pays.
 
@@ -164,7 +139,7 @@
         """
         row = await self._async_find(exchange)
         # It may have waited for seconds, and others may have run it meanwhile.
-        self._check_held(exchange)
+        self.gate.check(exchange)
         if exchange.left_s(self.core.clock()) <= 0:
             # After a suspension of the VM too: nobody waits for an answer any more.
             raise unavailable("the time limit was reached", DEFAULT_RETRY_S)
@@ -360,7 +335,7 @@
         """Spend one repeat of the budget; return whether it may be sent again."""
         if len(exchange.tried) >= exchange.route.max_endpoints:
             return False
-        if exchange.is_trial or self._is_held(exchange):
+        if exchange.is_trial or self.gate.is_held(exchange):
             return False
         now_s = self.core.clock()
         return self.retries.take(exchange.service.name, now_s)
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -17,6 +17,7 @@
 from ..entry.news import SnapshotRequest, StoredRow, StoreNews
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId
+from ..settings import PlatformSection
 from ..store import Row, RowPage, WatchedTable
 from ..store.http import SECOND_TRY_SHARE
 from .storeclock import StoreClock
@@ -71,6 +72,17 @@
     return max(MIN_TIMEOUT_S, fitting_s)
 
 
+def fit_time_limit(
+    core: Application, platform: PlatformSection, bound_s: float
+) -> PlatformSection:
+    """Return the platform's settings, with a time limit that fits the bound."""
+    fitting_s = longest_timeout_s(bound_s)
+    if platform.timeout_s <= fitting_s:
+        return platform
+    core.events.warning("timeout_shortened", set_s=platform.timeout_s, used_s=fitting_s)
+    return msgspec.structs.replace(platform, timeout_s=fitting_s)
+
+
 class RowChange(msgspec.Struct, frozen=True):
     """A row that has changed, and how this daemon came to know of it.
 
--- a/tests/peers/test_broadcasts.py
+++ b/tests/peers/test_broadcasts.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from chutelink.peers.broadcasts import WINDOW, BroadcastLog
-from chutelink.peers.mesh import FULL_MESH_MEMBERS, ring_places
 from chutelink.peers.messages import Broadcast
+from chutelink.peers.ring import FULL_MESH_MEMBERS, ring_places
 
 
 def news(sequence, boot="b1", origin="d1") -> Broadcast:
