Count each end of an endpoint, also before its restart is known

Change: an end is named by the endpoint, the registered start and a number; a run that was sent after an end was known is of a later process; ends within 0.25 s are one, under whatever names daemons tell them.

--- a/bench/holds.py
+++ b/bench/holds.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from chutelink.ids import Fingerprint, Incarnation
+from chutelink.ids import EndpointId, Fingerprint
 from chutelink.quarantine.judge import EndingCount
-from chutelink.quarantine.model import Suspect, Verdict
+from chutelink.quarantine.model import Ending, Suspect, Verdict
 from chutelink.quarantine.table import SuspectTable
 
 ENGINES = 9
@@ -169,13 +169,13 @@
         """End an engine; all that ran there goes on elsewhere if it may."""
         streams = self._running[engine]
         self._running[engine] = set()
-        process = Incarnation(f"{engine}@{self._births[engine]}")
+        ending = Ending(EndpointId(str(engine)), self._births[engine])
         self._births[engine] += 1
         self._away_until_s[engine] = self._now_s + AWAY_S
         self.losses.ends += 1
         ordered = sorted(streams, key=lambda s: (s.begun_s, s.fingerprint))
         for stream in ordered:
-            self._table.add_ending(stream.fingerprint, "", process, self._now_s, 0.0)
+            self._table.add_ending(stream.fingerprint, "", ending, self._now_s, 0.0)
         for stream in ordered:
             stream.left_s -= self._now_s - stream.begun_s
             if stream.fingerprint == DEADLY:
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -16,6 +16,7 @@
     ModelName,
     ModelRef,
     ServiceName,
+    incarnation_of,
     model_ref,
 )
 from .news import EndpointLoad
@@ -68,7 +69,7 @@
     @property
     def incarnation(self) -> Incarnation:
         """The name of this process of the endpoint."""
-        return Incarnation(f"{self.id}@{self.born_ms}")
+        return incarnation_of(self.id, self.born_ms)
 
 
 class Endpoint:
@@ -212,6 +213,11 @@
             return False
         return row.is_ready
 
+    def is_replaced(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint's process was followed by another one."""
+        row = self.rows.get(record.id)
+        return row is not None and row.record.born_ms > record.born_ms
+
     def remove(self, endpoint: EndpointId) -> Endpoint | None:
         """Drop an endpoint that is gone."""
         return self.rows.pop(endpoint, None)
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -183,6 +183,7 @@
         self.prefixes.forget(row.record.id)
         self.speeds.forget(row.record.id)
         self.reading.forget(row.record.id)
+        self._quarantine.forget_endpoint(row.record.id)
         self._core.events.record(
             "endpoint_gone",
             endpoint=row.record.id,
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -37,6 +37,11 @@
     return secrets.token_hex(16)
 
 
+def incarnation_of(endpoint: EndpointId, born_ms: int) -> Incarnation:
+    """Return the name of one process of an endpoint."""
+    return Incarnation(f"{endpoint}@{born_ms}")
+
+
 def model_ref(model: ModelName, adapter: AdapterName) -> ModelRef:
     """Return the name of a model, or of an adapter of it."""
     return ModelRef(f"{model}/{adapter}" if adapter else model)
--- a/chutelink/quarantine/model.py
+++ b/chutelink/quarantine/model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..ids import EndpointId, Fingerprint, Incarnation
+from ..ids import EndpointId, Fingerprint, Incarnation, incarnation_of
 
 
 class Evidence(Enum):
@@ -26,28 +26,57 @@
     """Its hold has run out: it may run once, if no other daemon tries it too."""
 
 
+class Ending(msgspec.Struct, frozen=True, array_like=True):
+    """One end of an endpoint.
+
+    ``born_ms`` is the start of the process that was registered then; ``number`` counts
+    the ends since, as the next process may end before it has registered.
+    """
+
+    endpoint: EndpointId
+    born_ms: int
+    number: int = 1
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Which of an endpoint's ends is the later one."""
+        return self.born_ms, self.number
+
+    @property
+    def label(self) -> str:
+        """The name for logs and operators."""
+        return f"{self.endpoint}@{self.born_ms}+{self.number}"
+
+
 class BrokenRun(msgspec.Struct, frozen=True):
     """A run that was broken off, and the process of the endpoint that had it.
 
-    ``about`` shows operators which request it was.
+    ``about`` shows operators which request it was; ``sent_s`` is on this daemon's
+    clock.
     """
 
     fingerprint: Fingerprint
     about: str
     endpoint: EndpointId
-    incarnation: Incarnation
+    born_ms: int
     address: str
+    sent_s: float
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The name of the process that was registered."""
+        return incarnation_of(self.endpoint, self.born_ms)
 
 
 class Hold(msgspec.Struct, frozen=True):
     """A request that is kept away, as it lies in the store.
 
-    ``until_unix_s`` is time of day, which outlasts daemons; ``endings`` are the
-    processes of endpoints that ended under it, ``trials`` how often it ran since.
+    ``until_unix_s`` is time of day, which outlasts daemons; ``endings`` are
+    the ends of endpoints under it, ``trials`` how often it ran since.
     """
 
     about: str
-    endings: tuple[Incarnation, ...]
+    endings: tuple[Ending, ...]
     until_unix_s: float
     trials: int = 0
 
@@ -60,7 +89,7 @@
     """
 
     about: str
-    endings: tuple[Incarnation, ...] = ()
+    endings: tuple[Ending, ...] = ()
     seen_s: float = 0.0
     hold: Hold | None = None
     held_s: float = 0.0
--- a/chutelink/quarantine/news.py
+++ b/chutelink/quarantine/news.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from ..ids import Fingerprint, Incarnation
+from ..ids import Fingerprint
+from .model import Ending
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -12,7 +13,7 @@
 
     fingerprint: Fingerprint
     about: str
-    incarnation: Incarnation
+    ending: Ending
 
 
 class EndingNews(msgspec.Struct, frozen=True, tag="endings"):
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..core import Application
-from ..ids import Fingerprint, Incarnation
+from ..ids import EndpointId, Fingerprint, Incarnation
 from .const import (
     HOLD_S,
     MAX_ABOUT_CHARS,
@@ -20,6 +20,7 @@
     MIN_BACK_S,
     TELL_DELAY_S,
 )
+from .ends import EndLog
 from .fingerprint import RequestContent, make_fingerprint
 from .judge import EndingCount, Judge
 from .model import BrokenRun, Evidence, Hold, Verdict
@@ -71,7 +72,8 @@
         unix_clock: Callable[[], float] = time.time,
     ) -> None:
         self._core = core
-        self._proof = EndingProof(core, probe or ConnectProbe(), self._note_ended)
+        self._proof = EndingProof(core, probe or ConnectProbe(), self.note_ended)
+        self._ends = EndLog()
         self._untold: list[EndedRun] = []
         self.judge = judge or EndingCount()
         self.unix_clock = unix_clock
@@ -112,6 +114,10 @@
         """Take in that the registration of a ready endpoint has lapsed."""
         self._proof.note_vanished(incarnation)
 
+    def forget_endpoint(self, endpoint: EndpointId) -> None:
+        """Drop what is only known of an endpoint that is gone."""
+        self._ends.forget(endpoint)
+
     def note_success(self, fingerprint: Fingerprint) -> None:
         """Take in that a run ended well: it is not what ends endpoints."""
         self.free(fingerprint, "ran_well")
@@ -147,20 +153,26 @@
 
     def take_endings(self, news: EndingNews, source: str) -> None:
         """Take in what another daemon had running where endpoints ended."""
+        now_s = self._core.clock()
         for run in news.runs:
-            self._add(run, source)
+            ending = self._ends.take(run.ending, now_s)
+            self._add(EndedRun(run.fingerprint, run.about, ending), source)
 
-    def _note_ended(self, run: BrokenRun, evidence: Evidence) -> None:
+    def note_ended(self, run: BrokenRun, evidence: Evidence) -> None:
+        """Take in that an endpoint is proved to have ended under a run."""
+        ending = self._ends.name(
+            run.endpoint, run.born_ms, run.sent_s, self._core.clock()
+        )
         self._core.metrics.endings.inc({"evidence": evidence.value})
         self._core.events.record(
             "ended_under",
             fingerprint=run.fingerprint,
             endpoint=run.endpoint,
-            incarnation=run.incarnation,
+            ending=ending.label,
             evidence=evidence.value,
         )
         about = _printable(run.about)
-        ended = EndedRun(run.fingerprint, about, run.incarnation)
+        ended = EndedRun(run.fingerprint, about, ending)
         if self._add(ended, "own_run"):
             self.on_held(run.fingerprint)
         if not self._untold:
@@ -175,7 +187,7 @@
         is_held = self.table.add_ending(
             run.fingerprint,
             run.about,
-            run.incarnation,
+            run.ending,
             self._core.clock(),
             self.unix_clock(),
         )
@@ -189,7 +201,7 @@
             "suspect_held",
             fingerprint=fingerprint,
             about=hold.about,
-            endings=",".join(hold.endings),
+            endings=",".join(ending.label for ending in hold.endings),
             trials=hold.trials,
             left_s=hold.until_unix_s - self.unix_clock(),
             source=source,
--- a/chutelink/quarantine/table.py
+++ b/chutelink/quarantine/table.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from ..ids import Fingerprint, Incarnation
+from ..ids import Fingerprint
 from .const import MAX_HOLDS, MAX_SUSPECTS, SUSPECT_KEPT_S
 from .judge import Judge
-from .model import Hold, Suspect, Verdict
+from .model import Ending, Hold, Suspect, Verdict
 
 
 class SuspectTable:
@@ -48,19 +48,19 @@
         self,
         fingerprint: Fingerprint,
         about: str,
-        incarnation: Incarnation,
+        ending: Ending,
         now_s: float,
         unix_s: float,
     ) -> bool:
         """Take in that an endpoint ended under a request.
 
-        Returns whether it is kept away from now on. One process of an endpoint ends
-        once, whoever tells of it.
+        Returns whether it is kept away from now on. One end counts once, whoever
+        tells of it.
         """
         row = self._touch(fingerprint, about, now_s)
-        if incarnation in row.endings:
+        if ending in row.endings:
             return False
-        row.endings += (incarnation,)
+        row.endings += (ending,)
         is_new = row.hold is None and self._judge.is_guilty(row)
         if is_new:
             row.hold = self._judge.begin_hold(row, unix_s)
--- a/chutelink/quarantine/web.py
+++ b/chutelink/quarantine/web.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from ..ids import Fingerprint, Incarnation
+from ..ids import Fingerprint
 from .service import Quarantine
 
 PATH_HELD = "/held"
@@ -18,7 +18,7 @@
 
     fingerprint: Fingerprint
     about: str
-    endings: tuple[Incarnation, ...]
+    endings: tuple[str, ...]
     left_s: float
     trials: int
 
@@ -61,7 +61,7 @@
             HeldRequest(
                 fingerprint,
                 hold.about,
-                hold.endings,
+                tuple(ending.label for ending in hold.endings),
                 self._quarantine.back_in_s(fingerprint),
                 hold.trials,
             )
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -15,7 +15,7 @@
 )
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
-from ..quarantine.model import BrokenRun
+from ..quarantine.model import BrokenRun, Evidence
 from .dispatching import DEFAULT_RETRY_S, Exchanges
 from .exchange import Exchange
 from .upstream import Upstream, WholeResponse
@@ -116,7 +116,7 @@
         except EndpointFailed as error:
             exchange.may_have_run = True
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
-            await self.async_note_broken(exchange, row, error)
+            await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
         return self.judge(exchange, row, answer, clock() - sent_s), answer
 
@@ -182,7 +182,11 @@
         )
 
     async def async_note_broken(
-        self, exchange: Exchange, row: Endpoint, error: EndpointFailed
+        self,
+        exchange: Exchange,
+        row: Endpoint,
+        error: EndpointFailed,
+        sent_s: float,
     ) -> None:
         """Find out whether a run was broken off because its endpoint ended.
 
@@ -199,10 +203,15 @@
             exchange.fingerprint,
             f"{exchange.method} {exchange.host}{exchange.target}",
             record.id,
-            record.incarnation,
+            record.born_ms,
             record.address,
+            sent_s,
         )
-        await self._exchanges.quarantine.async_note_broken(run)
+        quarantine = self._exchanges.quarantine
+        if self._exchanges.table.is_replaced(record):
+            quarantine.note_ended(run, Evidence.RESTARTED)
+            return
+        await quarantine.async_note_broken(run)
 
     def note_good_run(self, exchange: Exchange) -> None:
         """Take in that an endpoint has run a request to its end."""
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -138,7 +138,7 @@
             exchange.may_have_run = True
             self._relay.note_failure(exchange, row, AttemptResult.FAILED, error)
             self._note_broken(exchange, row, caller.events - events_before, error)
-            await self._relay.async_note_broken(exchange, row, error)
+            await self._relay.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
         finally:
             attempt.release()
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -35,6 +35,7 @@
         self.name = name
         self.log = log
         with log.open("ab") as stream:
+            self._log_from = stream.tell()
             self._popen = subprocess.Popen(command, stdout=stream, stderr=stream)
 
     def send(self, number: signal.Signals) -> None:
@@ -54,6 +55,11 @@
     def wake(self) -> None:
         self.send(signal.SIGCONT)
 
+    @property
+    def has_started(self) -> bool:
+        """Whether it has said that it takes signals and requests."""
+        return b"event=started" in self.log.read_bytes()[self._log_from :]
+
     @property
     def is_running(self) -> bool:
         return self._popen.poll() is None
--- a/tests/relaying/test_deadly_requests.py
+++ b/tests/relaying/test_deadly_requests.py
@@ -18,7 +18,9 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
+from chutelink.exceptions import ConnectionBroken
 from standins.prepared_endpoint import DEADLY
 
 from .world import async_world
@@ -83,3 +85,23 @@
         assert all(1 <= count <= MAX_ENDS for count in ends.values()), ends
 
     asyncio.run(async_test())
+
+
+def test_an_endpoint_that_is_back_before_the_break_is_noticed_has_ended():
+    """Its address takes connections again; only its start tells."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            endpoint = await world.async_add("i-1", "plain")
+            row = world.known.endpoints.rows["i-1"]
+            exchange = SimpleNamespace(
+                fingerprint="f", method="GET", host="a", target="/x"
+            )
+            endpoint.born_ms = 2000
+            world.show(endpoint)
+            error = ConnectionBroken("silent", step="test")
+            await world.relay.async_note_broken(exchange, row, error, 0.0)
+            assert len(world.quarantine.table.get("f").endings) == 1
+
+    asyncio.run(async_test())
