--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos deadly bench-setup
 
 setup: $(VENV)/.installed
 
@@ -30,6 +30,7 @@
 
 SEED ?= 1
 SECONDS ?= 60
+SEEDS ?= 10
 
 bench-setup: setup
 	$(BIN)/pip install -q --disable-pip-version-check -e '.[bench]'
@@ -52,5 +53,8 @@
 capacity: setup
 	$(BIN)/chutelink-bench capacity --csv docs/capacity.csv
 
+deadly: setup
+	$(BIN)/python -m tests.processes.deadly_soak --first $(SEED) --seeds $(SEEDS)
+
 chaos: setup
 	$(BIN)/python -m tests.processes.chaos --seed $(SEED) --seconds $(SECONDS)
