Let the oldest suspects give way without a look at all of them

Each run that ended with an endpoint looked through all that is remembered, up to 2,500 requests for each of some hundred runs of one end, on the loop that serves. Held requests and others are in tables of their own, the latest last; one row is looked at. The new test counts looks; it was not run on the code before.

--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -209,4 +209,4 @@
         self._show_holds()
 
     def _show_holds(self) -> None:
-        self._core.metrics.held_requests.set({}, len(self.table.holds()))
+        self._core.metrics.held_requests.set({}, self.table.held)
--- a/tests/quarantine/test_machine.py
+++ b/tests/quarantine/test_machine.py
@@ -114,3 +114,26 @@
     add(table, "a", "i-1@1")
     add(table, "b", "i-2@1", const.SUSPECT_KEPT_S + 1)
     assert Fingerprint("a") not in table
+
+
+def test_a_full_table_takes_in_the_runs_of_one_end_without_a_look_at_all():
+    """Each run that is taken in costs the same, however much is remembered."""
+    table = SuspectTable(EndingCount())
+    for number in range(const.MAX_SUSPECTS):
+        add(table, f"s{number}", "i-1@1")
+    looks = []
+
+    class Counting(dict):
+        def __iter__(self):
+            looks.append(1)
+            return super().__iter__()
+
+        def items(self):
+            looks.extend([1] * len(self))
+            return super().items()
+
+    table._free = Counting(table._free)
+    for number in range(100):
+        add(table, f"n{number}", "i-2@1")
+    assert len(table) == const.MAX_SUSPECTS
+    assert len(looks) <= 3 * 100
