Tell of an endpoint's restart whoever named it first

Found by reading: where the placer's announcement or a report named the new process before its registration, the daemon took the models but did not forget the health of the process before, nor tell the quarantine that it had ended. The table of endpoints calls back for each restart now. Before: test_a_restart_that_placement_tells_first_counts_like_one_that_registers failed; after: 204 tests of the quarantine, entry, placement, relaying and the watch passed.

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -160,6 +161,10 @@
         self._sent_since: dict[DaemonId, list[EndpointLoad]] = {}
         self._heard_s: dict[DaemonId, float] = {}
         self.placer_heard_s = float("-inf")
+        self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
+            lambda before, record: None
+        )
+        """Called with the records of the process before and of the new one."""
 
     def of_service(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -176,7 +181,7 @@
             self.rows[record.id] = Endpoint(record)
             return Registered.CHANGED
         if record.born_ms > row.record.born_ms:
-            self.rows[record.id] = Endpoint(record)
+            self._restart(row, record)
             return Registered.RESTARTED
         if record.born_ms < row.record.born_ms:
             return Registered.OUTDATED
@@ -200,9 +205,15 @@
             return
         if born_ms > row.record.born_ms:
             record = msgspec.structs.replace(row.record, born_ms=born_ms, models={})
-            row = self.rows[endpoint] = Endpoint(record)
+            row = self._restart(row, record)
         row.take_models(sequence, models)
 
+    def _restart(self, before: Endpoint, record: EndpointRecord) -> Endpoint:
+        """Begin anew with another process of an endpoint."""
+        row = self.rows[record.id] = Endpoint(record)
+        self.on_restarted(before.record, record)
+        return row
+
     def is_registered(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint is still there and has not said that it leaves.
 
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -44,6 +44,7 @@
         self._adapter = adapter
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
+        self.endpoints.on_restarted = self._note_restart
         self.health = HealthTable()
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
@@ -101,12 +102,9 @@
         except EndpointFailed as error:
             self._refuse_endpoint(EndpointId(name), error)
             return
-        before = self.endpoints.rows.get(record.id)
         meant = self.endpoints.put(record, self._core.clock())
         if meant is Registered.OUTDATED:
             return
-        if meant is Registered.RESTARTED:
-            self._note_restart(before, record)
         if meant is not Registered.SAME:
             self._core.events.record(
                 "endpoint_seen",
@@ -129,18 +127,18 @@
         if row is not None:
             self._forget(row, "refused")
 
-    def _note_restart(self, before: Endpoint, record: EndpointRecord) -> None:
+    def _note_restart(self, before: EndpointRecord, record: EndpointRecord) -> None:
         """Forget what was learned of the process before; its speed is the VM's."""
         self._core.events.record(
             "endpoint_restarted",
             endpoint=record.id,
             born_ms=record.born_ms,
-            before_ms=before.record.born_ms,
+            before_ms=before.born_ms,
         )
         self.health.forget(record.id)
         self.prefixes.forget(record.id)
         self.reading.forget(record.id)
-        self._quarantine.note_restarted(before.record.incarnation)
+        self._quarantine.note_restarted(before.incarnation)
 
     def _since_last_sent_s(self, endpoint: EndpointId) -> float:
         """Return how long ago this daemon sent a request there, infinite if never."""
--- a/chutelink/quarantine/proof.py
+++ b/chutelink/quarantine/proof.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from ..core import Application
 from ..ids import Incarnation
 from .const import LATE_PROOF_S
@@ -12,6 +14,13 @@
 from .probe import EndingProbe, ProbeResult
 
 
+class _OpenRun(msgspec.Struct, frozen=True):
+    """A run whose endpoint's end is not proved, and when it was broken off."""
+
+    run: BrokenRun
+    broken_s: float
+
+
 class EndingProof:
     """Keeps runs that were broken off until the end of their endpoint is proved.
 
@@ -35,7 +44,7 @@
         self._probe = probe
         self._on_ended = on_ended
         self._probes: dict[Incarnation, asyncio.Task[ProbeResult]] = {}
-        self._open: dict[Incarnation, list[tuple[float, BrokenRun]]] = {}
+        self._open: dict[Incarnation, list[_OpenRun]] = {}
         self._silent: dict[Incarnation, float] = {}
 
     async def async_check(self, run: BrokenRun) -> None:
@@ -60,7 +69,7 @@
         self._forget_old(now_s)
         if task.result() is ProbeResult.SILENT:
             self._silent[run.incarnation] = now_s
-        self._open.setdefault(run.incarnation, []).append((now_s, run))
+        self._open.setdefault(run.incarnation, []).append(_OpenRun(run, now_s))
 
     def note_restarted(self, incarnation: Incarnation) -> None:
         """Take in that another process is there under the same id."""
@@ -77,15 +86,15 @@
 
     def _prove(self, incarnation: Incarnation, evidence: Evidence) -> None:
         self._forget_old(self._core.clock())
-        for _, run in self._open.pop(incarnation, []):
-            self._on_ended(run, evidence)
+        for entry in self._open.pop(incarnation, []):
+            self._on_ended(entry.run, evidence)
 
     def _forget_old(self, now_s: float) -> None:
         old = [i for i, at_s in self._silent.items() if now_s - at_s > LATE_PROOF_S]
         for incarnation in old:
             del self._silent[incarnation]
         for incarnation, runs in list(self._open.items()):
-            recent = [entry for entry in runs if now_s - entry[0] <= LATE_PROOF_S]
+            recent = [e for e in runs if now_s - e.broken_s <= LATE_PROOF_S]
             if recent:
                 self._open[incarnation] = recent
             else:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -190,8 +190,8 @@
     ) -> None:
         """Find out whether a run was broken off because its endpoint ended.
 
-        Before another endpoint is tried: of two that end one after the other under
-        one request the second is spared where the first end was not the first.
+        Before another endpoint is tried, which is spared where the request has ended
+        as many as are allowed.
         """
         record = row.record
         if not isinstance(error, ConnectionBroken):
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -148,3 +148,15 @@
     for name in ("i-1", "i-2"):
         believer.show(name, None)
     assert told == ["i-1@1000"]
+
+
+def test_a_restart_that_placement_tells_first_counts_like_one_that_registers():
+    believer = Believer()
+    told = []
+    believer.quarantine.note_restarted = told.append
+    believer.show("i-1", ROW)
+    believer.known.health.note_unreachable("i-1", believer.core.clock())
+    believer.known.endpoints.take_models("i-1", 2000, 1, {"m1": frozenset()})
+    believer.show("i-1", ROW | {"born": 2000})
+    assert told == ["i-1@1000"]
+    assert believer.known.health.is_reachable("i-1", believer.core.clock())
