Serve though holds can't be read, and count no engine that leaves as ended

Found by reading. (1) A daemon became ready only once it had read the table of holds; the store may be away in part, and a daemon that started then served nobody. It waits 1.5 s for that table now. (2) An engine that left while it was ordered to load counted as ended under that model's load; two such in a row put the model's next load off by 2 s. Only a process that was followed by another, or whose port refuses connections and that did not say that it leaves, counts. Before: test_daemons_serve_though_the_table_of_holds_can_not_be_read (not ready within its time limit) and test_an_engine_that_leaves_while_it_loads_is_no_end_of_it failed; after: both pass, and the tests of load pauses, the placer, deadly requests as processes, the watch, entry and the quarantine.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -50,6 +50,11 @@
 REFUSE_LEAD_S = 0.5
 """How long before the end requests are refused that still wait for a model."""
 IDLE_MARGIN = 1.1
+HOLDS_WAIT_S = 1.5
+"""How long after a start requests wait for what is kept away: two tries of a read.
+
+The store may be away in part, and serving does not need that table.
+"""
 MAX_HEADER_BYTES = 64 * 1024
 """What the parser takes; the configuration's limit is checked afterwards."""
 
@@ -77,6 +82,7 @@
         daemon = msgspec.structs.replace(settings.daemon, peer_port=peer_port)
         super().__init__("chutelink-entry", daemon)
         self.settings = settings
+        self._created_s = self.clock()
         self._adapter = adapter
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
@@ -238,12 +244,13 @@
         QuarantineHandlers(self.quarantine, key).add_routes(app)
 
     def is_ready(self) -> bool:
-        """Return whether routes and endpoints are known."""
-        return (
-            self.watch is not None
-            and self.watch.is_complete
-            and self.known.routes is not None
-        )
+        """Return whether routes and endpoints are known, and holds as far as may be."""
+        if self.watch is None or self.known.routes is None:
+            return False
+        if not self.watch.has_read(TABLE_CONFIG, TABLE_ENDPOINTS):
+            return False
+        is_late = self.clock() - self._created_s > HOLDS_WAIT_S
+        return is_late or self.watch.has_read(TABLE_QUARANTINE)
 
     def is_serving(self) -> bool:
         """Return whether callers may be sent here."""
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -320,9 +320,14 @@
         self.wake()
 
     async def _async_has_ended(self, row: Endpoint) -> bool:
-        """Return whether the process is gone that was to carry out a change."""
-        if self._table.rows.get(row.record.id) is not row:
+        """Return whether the process has ended that was to carry out a change.
+
+        One that has said that it leaves, or vanished and lives, has ended nothing.
+        """
+        if self._table.is_replaced(row.record):
             return True
+        if not row.is_ready:
+            return False
         result = await self.probe.async_probe(row.record.address)
         return result is ProbeResult.REFUSED
 
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -162,10 +162,9 @@
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether each table was read at least once."""
-        return all(followed.copy.version > 0 for followed in self._tables.values())
+    def has_read(self, *names: str) -> bool:
+        """Return whether each of some tables was read at least once."""
+        return all(self._tables[name].copy.version > 0 for name in names)
 
     def knowledge(self, name: str) -> Knowledge:
         """Return how recent the copy of a table is."""
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -22,6 +22,7 @@
     """Faults of the store; the counts are used up one by one."""
 
     is_out: bool = False
+    out_tables: tuple[str, ...] = ()
     delay_s: float = 0.0
     lose_replies: int = 0
 
@@ -96,16 +97,16 @@
         self.faults = merge_faults(self.faults, await request.read())
         return json_response(self.faults)
 
-    async def _async_degrade(self) -> None:
+    async def _async_degrade(self, table: str = "") -> None:
         self.calls += 1
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
-        if self.faults.is_out:
+        if self.faults.is_out or table in self.faults.out_tables:
             raise web.HTTPServiceUnavailable(text="outage")
 
     async def async_get(self, request: web.Request) -> web.Response:
         """Return the rows of a range of keys."""
-        await self._async_degrade()
+        await self._async_degrade(request.query["table"])
         table = request.query["table"]
         first = request.query.get("from", "")
         end = request.query.get("to", "\U0010ffff" * 4)
@@ -122,7 +123,7 @@
 
     async def async_feed(self, request: web.Request) -> web.Response:
         """Return changes of a table, waiting for the first one."""
-        await self._async_degrade()
+        await self._async_degrade(request.query["table"])
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(request.query.get("wait_ms", "0")) / 1000
--- a/tests/placing/test_loadpause.py
+++ b/tests/placing/test_loadpause.py
@@ -5,11 +5,12 @@
 import msgspec
 import pytest
 
+from chutelink.entry.endpoints import EndpointState
 from chutelink.exceptions import EndpointFailed
 from chutelink.placing.inventory import OrderAction
 from chutelink.placing.loadpause import FREE_ENDINGS, MAX_PAUSE_S, LoadPauses
 
-from .placing_world import ScriptedEngine, World, run, skip_pauses
+from .placing_world import NOBODY, ScriptedEngine, World, run, skip_pauses
 
 DEADLY = "m1"
 SECONDS = 30
@@ -83,3 +84,26 @@
     pauses.note_ended(DEADLY, now_s)
     pauses.note_loaded(DEADLY)
     assert not pauses.paused(now_s)
+
+
+def test_an_engine_that_leaves_while_it_loads_is_no_end_of_it():
+    async def async_test():
+        world = World()
+        row = world.table.rows[NOBODY]
+        draining = EndpointState.DRAINING
+        world.table.put(msgspec.structs.replace(row.record, state=draining), 0.0)
+        assert not await world.placer._async_has_ended(row)
+        world.table.remove(NOBODY)
+        assert not await world.placer._async_has_ended(row)
+
+    run(async_test)
+
+
+def test_an_engine_that_is_another_process_now_has_ended():
+    async def async_test():
+        world = World()
+        row = world.table.rows[NOBODY]
+        world.table.put(msgspec.structs.replace(row.record, born_ms=5), 0.0)
+        assert await world.placer._async_has_ended(row)
+
+    run(async_test)
--- a/tests/processes/test_deadly_requests.py
+++ b/tests/processes/test_deadly_requests.py
@@ -59,3 +59,18 @@
             assert await async_ends(deployment) == before
 
     asyncio.run(async_test())
+
+
+def test_daemons_serve_though_the_table_of_holds_can_not_be_read(tmp_path):
+    """The store may be away in part; what it holds besides is enough to serve."""
+
+    async def async_test():
+        async with async_entry_deployment(tmp_path, 1) as deployment:
+            await deployment.async_store_faults(out_tables=["chutelink-quarantine"])
+            deployment.processes["vm-0"].kill()
+            deployment.start_daemon(0)
+            await deployment.async_until_complete([0])
+            async with deployment.request(0, "/again/x", "good") as answer:
+                assert answer.status == 200
+
+    asyncio.run(async_test())
