--- a/chutelink/placing/declined.py
+++ b/chutelink/placing/declined.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 from ..core import Application
 from ..ids import ModelName
 from .changes import Decline, PlacementView
+from .holdings import Kept
 
 PERIOD_S = 1.0
 """How often it is told of one model; plans are made up to 20 times a second."""
@@ -25,7 +27,12 @@
         self._core = core
         self._told_s: dict[ModelName, float] = {}
 
-    def note(self, view: PlacementView, declined: dict[ModelName, Decline]) -> None:
+    def note(
+        self,
+        view: PlacementView,
+        declined: dict[ModelName, Decline],
+        kept: Counter[Kept],
+    ) -> None:
         """Log the reasons of one plan for models that requests wait for."""
         waiting = {model for model, _ in view.demand.waiting(view.now_s)}
         for model, reason in declined.items():
@@ -40,4 +47,6 @@
                 free=sum(not site.inventory.is_changing for site in view.sites),
                 endpoints=len(view.sites),
                 cold_loads=view.cold_loads,
+                asks=view.demand.asks(model, view.now_s),
+                kept=",".join(f"{why.value}:{count}" for why, count in kept.items()),
             )
--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from enum import Enum
 
 from ..entry.endpoints import NO_ADAPTER
 from ..ids import AdapterName, ModelName
@@ -46,6 +47,19 @@
 """What it adds when all streams of an endpoint pause too long."""
 
 
+class Kept(Enum):
+    """Why a model keeps its place where another is wanted."""
+
+    WAITED_FOR = "waited_for"
+    """Requests wait for it too, though it is here: its places are taken."""
+    RUNNING = "running"
+    """Requests for it run here."""
+    ASKED_FOR = "asked_for"
+    """It was asked for a moment ago."""
+    EXPECTED = "expected"
+    """It is busy, or may soon be."""
+
+
 class Holdings:
     """What endpoints hold in one round, with the changes that it has decided.
 
@@ -162,6 +176,14 @@
                 ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
+    def why_kept(self, site: Site, model: ModelName) -> Kept:
+        """Return why a model of an endpoint does not give way, for logs."""
+        if model in self._waiting:
+            return Kept.WAITED_FOR
+        if model in self.expected:
+            return Kept.EXPECTED
+        return Kept.RUNNING if site.endpoint.running(model) else Kept.ASKED_FOR
+
     def _is_spare(self, model: ModelName) -> bool:
         """Return whether the other endpoints of a model can do without one."""
         others = self.held(model) - 1
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -7,18 +7,24 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import Counter
 
 from ..ids import ModelName
 from .changes import Change, Decline, PlacementView
-from .holdings import RECENT_S
+from .holdings import RECENT_S, Kept
 from .rounds import PlacementRound
 
 
 class PlacementPolicy(ABC):
-    """Decides on changes; ``declined`` says why others were not made."""
+    """Decides on changes.
+
+    ``declined`` says why others were not made, ``kept`` for what reasons how many
+    models kept their places at the endpoints that got no change.
+    """
 
     def __init__(self) -> None:
         self.declined: dict[ModelName, Decline] = {}
+        self.kept: Counter[Kept] = Counter()
 
     @abstractmethod
     def plan(self, view: PlacementView) -> list[Change]:
@@ -65,4 +71,5 @@
             for model in view.engine.models:
                 round_.spread(model)
         self.declined = round_.declined
+        self.kept = round_.kept() if round_.declined else Counter()
         return round_.changes
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -228,7 +228,7 @@
             if change.is_cold:
                 pace.take(now_s)
             self._begin(change)
-        self._declined.note(view, self._policy.declined)
+        self._declined.note(view, self._policy.declined, self._policy.kept)
 
     def _sites(self, service: ServiceName) -> list[Site]:
         """Return the endpoints that answer, with what is known of each."""
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 import msgspec
 
@@ -10,7 +11,7 @@
 from ..ids import AdapterName, ModelName
 from .adapters import AdapterRound
 from .changes import Change, ChangeReason, Decline, PlacementView, Site
-from .holdings import Holdings
+from .holdings import Holdings, Kept
 from .room import load_time, lost_copies, model_mb, used_mb
 
 REPLICA_WORK = 0.35
@@ -207,6 +208,14 @@
             return
         self._take(msgspec.structs.replace(best, reason=reason))
 
+    def kept(self) -> Counter[Kept]:
+        """Return why the models of the free endpoints keep their places, for logs."""
+        return Counter(
+            self._holdings.why_kept(site, model)
+            for site in self._free.values()
+            for model in site.inventory.models
+        )
+
     def _why_none(self, *, has_room: bool) -> Decline:
         if not self._free:
             return Decline.NO_FREE_ENDPOINT
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -316,8 +316,12 @@
         3 requests on 2 of 10 days with a reader that was cut off now and then.
         """
         heard_s = answered_s if followed.heard_s is None else followed.heard_s
-        if answered_s - heard_s > followed.bound_s:
+        gap_s = answered_s - heard_s
+        if gap_s > followed.bound_s:
             followed.returned_s = answered_s
+            self._core.events.info(
+                "store_returned", table=followed.copy.name, gap_s=gap_s
+            )
         followed.heard_s = max(heard_s, answered_s)
 
     def _note_failure(self, followed: _Followed, error: PlatformUnavailable) -> None:
