--- /dev/null
+++ b/tests/placing/rare_world.py
@@ -0,0 +1,299 @@
+"""A day of placement in virtual time: few busy models, many that are asked for rarely.
+
+Requests wait and are refused by the rules of the real programs; endpoints carry one
+change out at a time, keep what runs until it has ended, and their copies on disk.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+import msgspec
+
+from chutelink.entry.config import EngineSpec, ModelSpec
+from chutelink.entry.demand import DemandTable
+from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
+from chutelink.entry.news import ModelUse
+from chutelink.placing.changes import Change, PlacementView, Site
+from chutelink.placing.inventory import EndpointReport, Inventory
+from chutelink.placing.pace import ColdLoadPace
+from chutelink.placing.placement import PlacementPolicy
+from chutelink.relaying.waiting import ModelWait, wait_until_s
+
+TICK_S = 0.05
+NEWS_S = 0.2
+"""How often a daemon tells of its demand."""
+WEIGHTS_MB = 70.0
+CAPACITY_MB = 230.0
+COLD_S = 6.0
+DISK_S = 1.2
+MEMORY_S = 0.6
+COPIES = 8
+"""Copies of weights that an endpoint keeps on its disk."""
+CLOSE_LEAD_S = 0.03
+READ_S = 0.03
+STREAM_S = 1.5
+BUSY_OBJECTIVE_S = 0.4
+RARE_OBJECTIVE_S = 5.0
+RARE_DEADLINE_S = 20.0
+LOADS_PER_S = 1.6
+LOADS_WINDOW_S = 5.0
+LOADS_EXCESS = 1.1
+BUSY_SHARES = (0.53, 0.2, 0.15, 0.12)
+
+
+class _Waiting(msgspec.Struct):
+    """A request that waits for its model."""
+
+    model: str
+    started_s: float
+
+
+class Denial(msgspec.Struct):
+    """How often a model was asked for and answered, and how long it was not held.
+
+    ``since_s`` is when the first request came that nothing was held for, None while
+    it is held or not asked for; ``longest_s`` counts requests that are still waiting.
+    """
+
+    asked: int = 0
+    served: int = 0
+    first_s: float = 0.0
+    last_s: float = 0.0
+    since_s: float | None = None
+    longest_s: float = 0.0
+
+
+class RareWorld:
+    """Endpoints and requests under one policy.
+
+    Parameters
+    ----------
+    policy : PlacementPolicy
+        Decides what is loaded.
+    models : int
+        How many models there are.
+    endpoints : int
+        How many endpoints.
+    rare_per_s : float
+        Requests a second for models that are not busy.
+    busy_per_s : float
+        Requests a second for those that are.
+    seed : int
+        Of all that is random.
+    """
+
+    def __init__(
+        self,
+        policy: PlacementPolicy,
+        *,
+        models: int = 26,
+        endpoints: int = 6,
+        rare_per_s: float = 5.0,
+        busy_per_s: float = 60.0,
+        seed: int = 1,
+    ) -> None:
+        self._policy = policy
+        self._rng = random.Random(seed)
+        names = [f"m{number:02}" for number in range(models)]
+        spec = {
+            name: ModelSpec(name, WEIGHTS_MB, COLD_S, MEMORY_S, DISK_S, (), 0.0)
+            for name in names
+        }
+        self._engine = EngineSpec(
+            8, COPIES * WEIGHTS_MB, CAPACITY_MB, 8, LOADS_PER_S, spec
+        )
+        self._names = names
+        self._busy_per_s = busy_per_s
+        self._rare_per_s = rare_per_s
+        self._demand = DemandTable()
+        self._pace = ColdLoadPace(LOADS_PER_S, LOADS_WINDOW_S, LOADS_EXCESS)
+        self._sites = [self._make_site(number) for number in range(endpoints)]
+        self._changes: dict[str, tuple[Change, float | None]] = {}
+        self._running: list[tuple[float, Endpoint, str]] = []
+        self._waiting: list[_Waiting] = []
+        self._arrivals: dict[str, int] = defaultdict(int)
+        self._next_news_s = 0.0
+        self.now_s = 0.0
+        self.loads = 0
+        self.denials: dict[str, Denial] = {}
+
+    def _make_site(self, number: int) -> Site:
+        name = f"i-{number}"
+        first = (0, 1, 2) if number < 2 else (3 * number - 3, 3 * number - 2, 0)
+        held = {self._names[place % len(self._names)]: frozenset() for place in first}
+        record = EndpointRecord(name, "llm", "1:1", "a", EndpointState.READY, 48, held)
+        inventory = Inventory(name)
+        report = EndpointReport(0, False, dict(held), on_disk=tuple(held))
+        inventory.take_report(report, 0.0)
+        return Site(Endpoint(record), inventory)
+
+    def run(self, time_s: float) -> None:
+        """Let time pass."""
+        while self.now_s < time_s:
+            self.now_s += TICK_S
+            self._end_streams()
+            self._carry_out()
+            self._ask()
+            self._serve_waiting()
+            if self.now_s >= self._next_news_s:
+                self._tell()
+            self._plan()
+
+    def asked_all_day(self) -> dict[str, Denial]:
+        """Return the models asked for four times or more, over 8 s or more."""
+        return {
+            name: denial
+            for name, denial in self.denials.items()
+            if denial.asked >= 4 and denial.last_s - denial.first_s > 8.0
+        }
+
+    def never_served(self) -> list[str]:
+        """Return those of them that were never served."""
+        return [name for name, d in self.asked_all_day().items() if not d.served]
+
+    def _ask(self) -> None:
+        busy = self._names[: len(BUSY_SHARES)]
+        rare = self._names[len(BUSY_SHARES) :]
+        for _ in range(self._count(self._busy_per_s)):
+            self._arrive(self._rng.choices(busy, BUSY_SHARES)[0])
+        for _ in range(self._count(self._rare_per_s)):
+            self._arrive(self._rng.choice(rare))
+
+    def _count(self, per_s: float) -> int:
+        mean = per_s * TICK_S
+        return int(mean) + (self._rng.random() < mean - int(mean))
+
+    def _arrive(self, name: str) -> None:
+        self._arrivals[name] += 1
+        denial = self.denials.setdefault(name, Denial(first_s=self.now_s))
+        denial.asked += 1
+        denial.last_s = self.now_s
+        if not self._send(name):
+            if denial.since_s is None:
+                denial.since_s = self.now_s
+            self._waiting.append(_Waiting(name, self.now_s))
+
+    def _send(self, name: str) -> bool:
+        rows = [s.endpoint for s in self._sites if s.endpoint.holds(name)]
+        if not rows:
+            return False
+        row = min(rows, key=lambda row: row.requests)
+        row.requests += 1
+        row.by_ref[name] += 1
+        self._running.append((self.now_s + STREAM_S, row, name))
+        denial = self.denials[name]
+        denial.served += 1
+        if denial.since_s is not None:
+            denial.longest_s = max(denial.longest_s, self.now_s - denial.since_s)
+            denial.since_s = None
+        return True
+
+    def _end_streams(self) -> None:
+        ended = [run for run in self._running if run[0] <= self.now_s]
+        self._running = [run for run in self._running if run[0] > self.now_s]
+        for _, row, name in ended:
+            row.requests -= 1
+            row.by_ref[name] -= 1
+
+    def _serve_waiting(self) -> None:
+        for denial in self.denials.values():
+            if denial.since_s is not None:
+                denial.longest_s = max(denial.longest_s, self.now_s - denial.since_s)
+        self._waiting = [
+            waiting
+            for waiting in self._waiting
+            if not self._send(waiting.model) and self._waits_on(waiting)
+        ]
+
+    def _waits_on(self, waiting: _Waiting) -> bool:
+        is_busy = waiting.model in self._names[: len(BUSY_SHARES)]
+        objective_s = BUSY_OBJECTIVE_S if is_busy else RARE_OBJECTIVE_S
+        wait = ModelWait(
+            now_s=self.now_s,
+            started_s=waiting.started_s,
+            last_s=waiting.started_s + RARE_DEADLINE_S,
+            objective_s=objective_s,
+            read_s=READ_S,
+            copy_load_s=DISK_S,
+            cold_load_s=COLD_S,
+            ready_s=self._ready_s(waiting.model),
+        )
+        return wait_until_s(wait) > self.now_s
+
+    def _ready_s(self, name: str) -> float | None:
+        due = [
+            due_s if due_s is not None else self.now_s + change.load_s
+            for change, due_s in self._changes.values()
+            if change.model == name
+        ]
+        return min(due, default=None)
+
+    def _tell(self) -> None:
+        self._next_news_s = self.now_s + NEWS_S
+        busy = self._names[: len(BUSY_SHARES)]
+        counts: dict[str, int] = defaultdict(int)
+        for waiting in self._waiting:
+            counts[waiting.model] += 1
+        uses = [
+            ModelUse(
+                name,
+                "",
+                self._arrivals[name],
+                READ_S * self._arrivals[name],
+                counts[name],
+                0 if name in busy else counts[name],
+            )
+            for name in self.denials
+        ]
+        self._arrivals.clear()
+        self._demand.take("d1", uses, self.now_s)
+
+    def _plan(self) -> None:
+        loading: dict[tuple[str, str], int] = defaultdict(int)
+        for change, _ in self._changes.values():
+            loading[change.model, ""] += 1
+        view = PlacementView(
+            self._engine,
+            self._sites,
+            dict(loading),
+            self._demand,
+            self._pace.available(self.now_s),
+            self.now_s,
+        )
+        for change in self._policy.plan(view):
+            site = self._site(change.endpoint)
+            site.inventory.is_changing = True
+            site.endpoint.closing = frozenset(change.unload_models)
+            self._changes[change.endpoint] = (change, None)
+            self.loads += 1
+            if change.is_cold:
+                self._pace.take(self.now_s)
+
+    def _site(self, name: str) -> Site:
+        return next(s for s in self._sites if s.inventory.endpoint == name)
+
+    def _carry_out(self) -> None:
+        for name, (change, due_s) in list(self._changes.items()):
+            site = self._site(name)
+            if due_s is None:
+                if any(site.endpoint.running(m) for m in change.unload_models):
+                    continue
+                for model in change.unload_models:
+                    site.inventory.models.pop(model, None)
+                site.endpoint.models = dict(site.inventory.models)
+                due_s = self.now_s + CLOSE_LEAD_S + change.load_s
+                self._changes[name] = (change, due_s)
+            elif self.now_s >= due_s:
+                self._finish(site, change)
+
+    def _finish(self, site: Site, change: Change) -> None:
+        inventory = site.inventory
+        inventory.models[change.model] = frozenset()
+        copies = [m for m in inventory.on_disk if m != change.model] + [change.model]
+        inventory.on_disk = tuple(copies[-COPIES:])
+        inventory.is_changing = False
+        site.endpoint.models = dict(inventory.models)
+        site.endpoint.closing = frozenset()
+        del self._changes[change.endpoint]
--- a/tests/watching/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -119,3 +119,33 @@
             assert [follower.path.calls for follower in fleet.followers[1:]] == [1] * 6
 
     run_virtually(async_test())
+
+
+def test_a_daemon_that_was_cut_off_takes_its_own_silence_for_no_outage():
+    """A daemon that had heard nothing kept an endpoint that was gone 0.1 s too long.
+
+    What callers saw: a request reached an endpoint 2.11 s after the store had
+    acknowledged that it leaves, 4 ms after it was taken; it was answered whole.
+    Order of events: a daemon is cut off from the store and from the others for some
+    seconds; the cut heals, but its calls to the store pause for up to a second more
+    and its links are not back yet; an endpoint leaves by removing its registration;
+    then the daemon reads the store.
+    """
+
+    async def async_test():
+        for seed in range(20):
+            async with async_fleet(seed=seed) as fleet:
+                follower = fleet.followers[5]
+                fleet.start_task(fleet.async_heartbeats())
+                follower.calm_from_s = ALWAYS_S
+                follower.path.is_cut = follower.is_unlinked = True
+                await fleet.async_pass(4.0 + 0.1 * seed)
+                follower.path.is_cut = False
+                follower.calm_from_s = asyncio.get_running_loop().time()
+                await fleet.async_pass(0.9)
+                fleet.registry.remove("e1")
+                await fleet.async_pass(0.4 + 0.02 * seed)
+                follower.is_unlinked = False
+                await fleet.async_pass(4.0)
+
+    run_virtually(async_test())
--- a/tests/watching/watching_fleet.py
+++ b/tests/watching/watching_fleet.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 from chutelink.const import TABLE_ENDPOINTS
 from chutelink.entry.news import SnapshotRequest, StoreNews
@@ -19,6 +19,7 @@
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.quarantine.service import Quarantine
 from chutelink.store import Row, RowPage, WatchedTable
+from chutelink.store.breaker import Breaker
 from chutelink.store.http import SECOND_TRY_SHARE
 from chutelink.watching.watch import StoreWatch
 
@@ -37,6 +38,10 @@
 """The store's steady clock less that of the daemons."""
 LIMIT_S = 1.0
 """Time limit of a call to the store, beside what it may be held back."""
+MAX_PAUSE_S = 1.0
+"""Longest pause of calls after several failures, as deployed."""
+CALLS_PER_S = 1000
+"""No test is about the budget of calls."""
 
 
 class Registry:
@@ -110,8 +115,10 @@
 class StorePath(WatchedTable):
     """One daemon's way to the store."""
 
-    def __init__(self, registry: Registry) -> None:
+    def __init__(self, registry: Registry, rng: random.Random) -> None:
         self._registry = registry
+        clock = asyncio.get_running_loop().time
+        self._breaker = Breaker("store", CALLS_PER_S, clock, rng, MAX_PAUSE_S)
         self.is_cut = False
         self.answer_late_s: Callable[[], float] = lambda: 0.0
         """How much later than usual an answer arrives."""
@@ -120,10 +127,26 @@
         self.calls = 0
 
     async def async_read(self, prefix, after_version=0):
-        await self._async_send(0.0)
-        return await self._async_answer(self._registry.page(0), 0.0)
+        with self._counting():
+            await self._async_send(0.0)
+            return await self._async_answer(self._registry.page(0), 0.0)
 
     async def async_watch(self, prefix, after_version, wait_s):
+        with self._counting():
+            return await self._async_watch(after_version, wait_s)
+
+    @contextmanager
+    def _counting(self):
+        """Refuse a call while the breaker is open; count what becomes of it."""
+        self._breaker.before_call("test")
+        try:
+            yield
+        except PlatformUnavailable:
+            self._breaker.note_failure()
+            raise
+        self._breaker.note_success()
+
+    async def _async_watch(self, after_version: int, wait_s: float) -> RowPage:
         await self._async_send(wait_s)
         registry = self._registry
         loop = asyncio.get_running_loop()
@@ -181,7 +204,7 @@
         self.core = make_core(self.name)
         self.core.clock = asyncio.get_running_loop().time
         self.core.rng = random.Random(f"{seed}/{rank}")
-        self.path = StorePath(fleet.registry)
+        self.path = StorePath(fleet.registry, random.Random(f"{seed}/{rank}/path"))
         adapter = PreparedMachines()
         self.known = EntryState(self.core, adapter, Quarantine(self.core))
         self.watch = StoreWatch(
@@ -198,6 +221,8 @@
         """How much later than usual its news reach a peer, infinite if never."""
         self.calm_from_s = 0.0
         """When its last trouble ended."""
+        self.is_unlinked = False
+        """No daemon hears it, and it hears none."""
 
     @property
     def is_calm(self) -> bool:
@@ -243,12 +268,13 @@
         """Let news arrive over one link, in the order in which it was sent."""
         loop = asyncio.get_running_loop()
         late_s = sender.news_late_s(peer)
-        if late_s == float("inf"):
+        target = next(f for f in self.followers if f.name == peer)
+        is_lost = sender.is_unlinked or target.is_unlinked
+        if late_s == float("inf") or is_lost:
             return
         link = (sender.name, peer)
         at_s = max(self._free_s.get(link, 0.0), loop.time() + NEWS_S + late_s)
         self._free_s[link] = at_s
-        target = next(f for f in self.followers if f.name == peer)
         loop.call_at(at_s, target.take, news, sender.name)
 
     def late_sends(self) -> list[tuple[DaemonId, EndpointId, float]]:
