Take a daemon's own silence, and gaps too short for any lapse, for no outage of the store

What callers saw: a request reached an endpoint 2.111 s after it had left; 2 s are allowed. Cause: a daemon that had heard no answer of the store for over 2 s took that for an outage, after which endpoints that vanish are kept for 2 s, counted from its own first answer. Cut off itself, its calls pause for up to 1 s more and its links take as long, so that the sum was up to 3.4 s after the cut, where the bound holds again after 3 s. Nothing had added the breaker's pause to the grace; the soak of leaving endpoints had no breaker. Mend: a gap counts as an outage only if some peer was heard all through it, and if it is at least two heartbeats of the endpoints long: no registration lapses sooner. So what keeps a vanished endpoint no longer depends on when a daemon's own trouble ends, which it can't know. Weighed: a shorter pause of calls (0.125 s would be needed for the sum, which leaves no breaker), the earliest possible end of the outage (takes live endpoints out too early), the peers' word for it (their links may come back later than the store).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -59,6 +59,12 @@
 
 The store may be away in part, and serving does not need that table.
 """
+LAPSING_HEARTBEATS = 2
+"""Heartbeats that an endpoint misses at least before its registration lapses.
+
+It lapses after three intervals, and the last heartbeat that arrived may have been up to
+one before the store went away.
+"""
 MAX_HEADER_BYTES = 64 * 1024
 """What the parser takes; the configuration's limit is checked afterwards."""
 
@@ -147,7 +153,11 @@
             TABLE_ENDPOINTS: bound_s,
             TABLE_QUARANTINE: entry.quarantine_apply_ms / MS_PER_S,
         }
-        self.watch = StoreWatch(self, table, bounds_s, self.rank, self.news.send)
+        outage_s = LAPSING_HEARTBEATS * entry.endpoint_heartbeat_ms / MS_PER_S
+        self.watch = StoreWatch(
+            self, table, bounds_s, self.rank, self.news.send, outage_s
+        )
+        self.watch.alone_until_s = self.mesh.alone_until_s
         self.keeper = QuarantineKeeper(self, table, self.quarantine, self.rank)
         self.watch.on_row = self._take_row
         self.watch.reply = self.news.reply
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -38,6 +38,7 @@
     decode_message,
 )
 from .ring import FULL_MESH_MEMBERS, ring_places
+from .silence import PeerSilence
 from .spreading import Spreader
 
 GOODBYE_S = 0.05
@@ -76,6 +77,7 @@
         own_address = table.own.peer_address
         self._dialer = Dialer(core, settings, own_address, self._async_run_link)
         self.direct: set[DaemonId] = set()
+        self._silence = PeerSilence(settings.peer_timeout_s)
         self._member_news: dict[DaemonId, Member] = {}
         self.on_broadcast: Callable[[Broadcast], None] = lambda news: None
         self.config_version: Callable[[], ConfigVersion] = lambda: ConfigVersion(0)
@@ -145,6 +147,10 @@
                 link.send(ConfigRequest())
                 return
 
+    def alone_until_s(self) -> float:
+        """Return when this daemon last heard none of the others for long."""
+        return self._silence.alone_until_s(self._core.clock())
+
     def linked_members(self) -> set[DaemonId]:
         """Return the members that this daemon has a link with."""
         return {link.member.id for link in self._links if link.member is not None}
@@ -171,6 +177,7 @@
         try:
             async for data in link.connection:
                 link.heard_s = self._core.clock()
+                self._silence.note_heard(link.heard_s)
                 self._take(link, decode_message(data, self._peer_name(link)))
         except PeerMessageInvalid as error:
             self._core.events.warning("peer_message_invalid", error=error)
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -108,7 +108,8 @@
     ``cold_load_excess`` is how far above the weight store's rate the loads of
     ``cold_load_window_s`` may go. A draining endpoint must get nothing new after
     ``drain_ms``, and a request that is kept away must be refused by every daemon after
-    ``quarantine_apply_ms``; ``cpu_share`` is this process's share of each core.
+    ``quarantine_apply_ms``. Endpoints write each ``endpoint_heartbeat_ms`` that they
+    live; ``cpu_share`` is this process's share of each core.
     In any ``quota_window_s`` a customer may get up to its quota and
     ``quota_excess_share`` of it and ``quota_slack`` more, in the unit of its quota;
     with ``quota_lending`` daemons lend each other parts of their shares.
@@ -128,6 +129,7 @@
     retry_window_s: Seconds
     cold_load_window_s: Seconds
     cold_load_excess: Annotated[float, Meta(ge=1, le=10)]
+    endpoint_heartbeat_ms: Millis = 1000
     quota_window_s: Seconds = 10.0
     quota_excess_share: Annotated[float, Meta(ge=0, le=10)] = 0.0
     quota_slack: NotNegative = 0.0
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -138,6 +138,8 @@
         This daemon's place among the live ones, 0 for the first.
     send : callable
         Tells the other daemons.
+    outage_s : float, default=0.0
+        The shortest outage of the store in which registrations of live endpoints lapse.
     """
 
     def __init__(
@@ -147,6 +149,7 @@
         bounds_s: dict[str, float],
         rank: Callable[[], int],
         send: Callable[[StoreNews | SnapshotRequest], None],
+        outage_s: float = 0.0,
     ) -> None:
         super().__init__()
         self._core = core
@@ -156,11 +159,14 @@
         self._tables = {
             name: _Followed(name, bound_s) for name, bound_s in bounds_s.items()
         }
+        self._outage_s = outage_s
         self._clock = StoreClock()
         self._is_away = False
         self.on_row: Callable[[RowChange], None] = lambda change: None
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
+        self.alone_until_s: Callable[[], float] = lambda: float("-inf")
+        """When this daemon last heard none of the others, on its own clock."""
 
     def has_read(self, *names: str) -> bool:
         """Return whether each of some tables was read at least once."""
@@ -310,20 +316,29 @@
 
         The others read in turn and tell, so that answers of the store lie further
         apart than the bound only when it answered nobody, or when this daemon heard
-        nothing; news that don't fit the copy are answers too. Guards against
-        keeping endpoints that have left: when any failed call counted as an
-        outage, seven daemons sent to an endpoint up to 2.13 s after it had left,
-        3 requests on 2 of 10 days with a reader that was cut off now and then.
+        nothing; news that don't fit the copy are answers too.
         """
         heard_s = answered_s if followed.heard_s is None else followed.heard_s
         gap_s = answered_s - heard_s
-        if gap_s > followed.bound_s:
-            followed.returned_s = answered_s
-            self._core.events.info(
-                "store_returned", table=followed.copy.name, gap_s=gap_s
-            )
+        if gap_s > max(followed.bound_s, self._outage_s):
+            self._note_gap(followed, answered_s, gap_s)
         followed.heard_s = max(heard_s, answered_s)
 
+    def _note_gap(self, followed: _Followed, answered_s: float, gap_s: float) -> None:
+        """Judge a gap between answers of the store, now that there is one again.
+
+        A daemon that heard no peer either was cut off itself. Guards against keeping
+        endpoints that left meanwhile, or just then, as if the store had been away:
+        with the pause of calls before the first answer, for longer than it may.
+        """
+        began_s = self._core.clock() - self._age_s(answered_s) - gap_s
+        is_outage = self.alone_until_s() < began_s
+        if is_outage:
+            followed.returned_s = answered_s
+        self._core.events.info(
+            "store_gap", table=followed.copy.name, gap_s=gap_s, is_outage=is_outage
+        )
+
     def _note_failure(self, followed: _Followed, error: PlatformUnavailable) -> None:
         copy = followed.copy
         if not self._is_away:
--- a/tests/watching/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -149,3 +149,27 @@
                 await fleet.async_pass(4.0)
 
     run_virtually(async_test())
+
+
+def test_calls_that_hang_for_a_second_are_no_outage_of_the_store():
+    """The first reader is away, the others read in turn, and their calls hang once.
+
+    The answers that daemons know of lie over two seconds apart then, though no
+    registration can lapse in so short a time.
+    """
+
+    async def async_test():
+        for seed in range(30):
+            async with async_fleet(seed=seed) as fleet:
+                registry = fleet.registry
+                fleet.start_task(fleet.async_heartbeats())
+                fleet.followers[0].calm_from_s = ALWAYS_S
+                fleet.followers[0].path.is_cut = True
+                await fleet.async_pass(3.0 + 0.03 * seed)
+                registry.is_out = True
+                registry.remove("e1")
+                await fleet.async_pass(1.1)
+                registry.is_out = False
+                await fleet.async_pass(4.0)
+
+    run_virtually(async_test())
--- a/tests/watching/watching_fleet.py
+++ b/tests/watching/watching_fleet.py
@@ -16,6 +16,7 @@
 from chutelink.entry.state import EntryState
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
+from chutelink.peers.silence import PeerSilence
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.quarantine.service import Quarantine
 from chutelink.store import Row, RowPage, WatchedTable
@@ -40,6 +41,11 @@
 """Time limit of a call to the store, beside what it may be held back."""
 MAX_PAUSE_S = 1.0
 """Longest pause of calls after several failures, as deployed."""
+PEER_TIMEOUT_S = 1.5
+"""How long peers in good order are silent at most, as deployed."""
+PEER_BEAT_S = 0.4
+OUTAGE_S = 2.4
+"""Endpoints beat each 1.2 s, and their rows lapse after three beats."""
 CALLS_PER_S = 1000
 """No test is about the budget of calls."""
 
@@ -213,7 +219,10 @@
             {TABLE_ENDPOINTS: BOUND_S},
             lambda: rank,
             self._send,
+            OUTAGE_S,
         )
+        self.silence = PeerSilence(PEER_TIMEOUT_S)
+        self.watch.alone_until_s = lambda: self.silence.alone_until_s(self.core.clock())
         self.watch.on_row = self.known.take_row
         self.watch.compact = adapter.compact_row
         self.watch.reply = lambda daemon, news: fleet.deliver(self, daemon, news)
@@ -229,12 +238,22 @@
         """Whether it was in good order for long enough to be held to the bound."""
         return self.core.clock() >= self.calm_from_s + CONTACT_S
 
-    def _send(self, news: StoreNews | SnapshotRequest) -> None:
+    async def async_beat(self) -> None:
+        """Send the heartbeats of links."""
+        await asyncio.sleep(PEER_BEAT_S * self.core.rng.random())
+        while True:
+            self._send(None)
+            await asyncio.sleep(PEER_BEAT_S)
+
+    def _send(self, news: StoreNews | SnapshotRequest | None) -> None:
         for peer in self._fleet.followers:
             if peer is not self:
                 self._fleet.deliver(self, peer.name, news)
 
-    def take(self, news: StoreNews | SnapshotRequest, source: DaemonId) -> None:
+    def take(self, news: StoreNews | SnapshotRequest | None, source: DaemonId) -> None:
+        self.silence.note_heard(self.core.clock())
+        if news is None:
+            return
         if isinstance(news, SnapshotRequest):
             self.watch.take_request(news)
         else:
@@ -263,7 +282,10 @@
         self._tasks: list[asyncio.Task] = []
 
     def deliver(
-        self, sender: Follower, peer: DaemonId, news: StoreNews | SnapshotRequest
+        self,
+        sender: Follower,
+        peer: DaemonId,
+        news: StoreNews | SnapshotRequest | None,
     ) -> None:
         """Let news arrive over one link, in the order in which it was sent."""
         loop = asyncio.get_running_loop()
@@ -318,6 +340,7 @@
         for follower in self.followers:
             await follower.watch.start()
             self.start_task(follower.async_expire())
+            self.start_task(follower.async_beat())
         await asyncio.sleep(0.5)
 
     async def async_close(self) -> None:
