Let a daemon that the store turns away ask its peers for what it missed

Cause: news that continue from changes which a copy does not have can't be taken; the next own read was to fill the gap. Where the store turns that daemon away and serves the others, there is none, for as long as that lasts, and only a daemon that knew nothing at all asked its peers. Weighed: numbered news with repeats (a second mechanism beside the copies' versions).

--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -111,7 +111,8 @@
 
     ``bound_s`` is how soon a change must be known everywhere;
     ``heard_s`` and ``returned_s`` are times of the store's clock: of the latest answer
-    that this daemon knows of, and of the first one after an outage.
+    that this daemon knows of, and of the first one after an outage. A copy is behind
+    when others told of changes that continue from what it does not have.
     """
 
     def __init__(self, name: str, bound_s: float) -> None:
@@ -120,6 +121,7 @@
         self.started_s = float("-inf")
         self.heard_s: float | None = None
         self.returned_s = float("-inf")
+        self.is_behind = False
         self.snapshot_sent_s = float("-inf")
 
 
@@ -217,6 +219,7 @@
             # Others have told of more meanwhile.
             return
         changed = copy.take_read(read)
+        followed.is_behind = False
         self._tell_rows(followed, changed, read.answered_s, OWN_READ)
         # Whole tables are large, and all daemons read them when they start.
         if not is_first:
@@ -272,7 +275,8 @@
         copy = followed.copy
         fit = copy.fit(news)
         if fit is NewsFit.GAP:
-            # The next own read fills it.
+            # The next own read fills it, or a peer where the store turns this one away.
+            followed.is_behind = True
             self._core.events.info(
                 "store_news_gap",
                 table=news.table,
@@ -281,6 +285,8 @@
                 source=source,
             )
         self._note_return(followed, news.answered_s)
+        if fit is NewsFit.FITS:
+            followed.is_behind = False
         changed = copy.take_news(news)
         self._tell_rows(followed, changed, news.answered_s, source)
 
@@ -351,5 +357,5 @@
             error=error,
         )
         self._is_away = True
-        if copy.version == 0:
+        if copy.version == 0 or followed.is_behind:
             self._send(SnapshotRequest(copy.name, self._core.daemon_id))
--- a/tests/watching/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -173,3 +173,30 @@
                 await fleet.async_pass(4.0)
 
     run_virtually(async_test())
+
+
+def test_a_daemon_that_the_store_turns_away_catches_up_with_what_it_missed():
+    """What others tell from then on continues from what it never heard.
+
+    Its own calls are refused for as long as the store likes, so that it can't fill the
+    gap; the bound holds for it all the same, as its links are in order.
+    """
+
+    async def async_test():
+        for seed in range(10):
+            async with async_fleet(seed=seed) as fleet:
+                follower = fleet.followers[4]
+                fleet.start_task(fleet.async_heartbeats())
+                follower.path.is_refused = True
+                await fleet.async_pass(1.0)
+                follower.is_unlinked = True
+                follower.calm_from_s = ALWAYS_S
+                fleet.registry.register("e7")
+                await fleet.async_pass(1.0)
+                follower.is_unlinked = False
+                follower.calm_from_s = asyncio.get_running_loop().time()
+                await fleet.async_pass(2.0)
+                fleet.registry.register("e1", "draining")
+                await fleet.async_pass(6.0)
+
+    run_virtually(async_test())
--- a/tests/watching/watching_fleet.py
+++ b/tests/watching/watching_fleet.py
@@ -126,6 +126,8 @@
         clock = asyncio.get_running_loop().time
         self._breaker = Breaker("store", CALLS_PER_S, clock, rng, MAX_PAUSE_S)
         self.is_cut = False
+        self.is_refused = False
+        """The store turns this daemon away, and serves the others."""
         self.answer_late_s: Callable[[], float] = lambda: 0.0
         """How much later than usual an answer arrives."""
         self.is_silent = False
@@ -172,6 +174,9 @@
 
     async def _async_send(self, wait_s: float) -> None:
         self.calls += 1
+        if self.is_refused:
+            await asyncio.sleep(CALL_S)
+            raise PlatformUnavailable("status 429", step="test")
         if self._is_unreachable:
             # The second try has a connection of its own.
             await self._async_second_try(wait_s)
