Count an end whose restart is registered while the endpoint's address is asked

Test: an end counts whose restart is registered while its address is asked; fails on the code before.

--- a/chutelink/quarantine/proof.py
+++ b/chutelink/quarantine/proof.py
@@ -46,6 +46,7 @@
         self._probes: dict[Incarnation, asyncio.Task[ProbeResult]] = {}
         self._open: dict[Incarnation, list[_OpenRun]] = {}
         self._silent: dict[Incarnation, float] = {}
+        self._restarted: dict[Incarnation, float] = {}
 
     async def async_check(self, run: BrokenRun) -> None:
         """Ask once for all runs that break with one process."""
@@ -67,12 +68,17 @@
             return
         now_s = self._core.clock()
         self._forget_old(now_s)
+        if run.incarnation in self._restarted:
+            # The new process was registered while the old one was still asked for.
+            self._on_ended(run, Evidence.RESTARTED)
+            return
         if task.result() is ProbeResult.SILENT:
             self._silent[run.incarnation] = now_s
         self._open.setdefault(run.incarnation, []).append(_OpenRun(run, now_s))
 
     def note_restarted(self, incarnation: Incarnation) -> None:
         """Take in that another process is there under the same id."""
+        self._restarted[incarnation] = self._core.clock()
         self._prove(incarnation, Evidence.RESTARTED)
 
     def note_vanished(self, incarnation: Incarnation) -> None:
@@ -93,6 +99,9 @@
         old = [i for i, at_s in self._silent.items() if now_s - at_s > LATE_PROOF_S]
         for incarnation in old:
             del self._silent[incarnation]
+        old = [i for i, at_s in self._restarted.items() if now_s - at_s > LATE_PROOF_S]
+        for incarnation in old:
+            del self._restarted[incarnation]
         for incarnation, runs in list(self._open.items()):
             recent = [e for e in runs if now_s - e.broken_s <= LATE_PROOF_S]
             if recent:
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -200,3 +200,23 @@
         assert await probe.async_probe("nonsense") is ProbeResult.SILENT
 
     asyncio.run(async_test())
+
+
+def test_an_end_counts_whose_restart_is_registered_while_its_address_is_asked():
+    """The new process takes the connection, and its registration was taken before.
+
+    A loaded daemon was slow to ask: a request ended 20 endpoints, where three keep it
+    away, though each restart was registered at once.
+    """
+
+    async def async_test(quarantine, core, probe):
+        for number in range(ENDINGS_TO_HOLD):
+            assert quarantine.verdict(BAD) is Verdict.FREE
+            broken = broken_run(number)
+            task = asyncio.ensure_future(quarantine.async_note_broken(broken))
+            await asyncio.sleep(0)
+            quarantine.note_restarted(broken.incarnation)
+            await task
+        assert quarantine.verdict(BAD) is Verdict.HELD
+
+    run(async_test, ProbeResult.ACCEPTED)
