--- a/chutelink/customers/buckets.py
+++ b/chutelink/customers/buckets.py
@@ -154,8 +154,7 @@
         While the customer is at its limit, other requests wait for the level that its
         largest ones need: else the level would never rise so far, and those would be
         refused for as long as it is at its limit. Such as cost next to nothing don't
-        wait: on a day with a customer at 3.5 to 5 times its usual, 1,115 of 1,729
-        requests that were refused were of kinds that take an eighth of all tokens.
+        wait: they are most of what would be refused, and hardly lower the level.
         """
         needed = cost
         large = min(self._peak_cost, self.capacity / 2)
--- a/chutelink/customers/holders.py
+++ b/chutelink/customers/holders.py
@@ -20,8 +20,7 @@
     """The holders as one daemon knows them; it counts at least ``least`` of them.
 
     Each customer's quota is held by so few of them that one share is larger than most
-    requests: over 64 daemons 0.08 of what was within quotas was refused in calm, as a
-    request that was larger than a share met too few that could lend.
+    requests: else a request that is larger than a share meets too few that can lend.
     """
 
     own: DaemonId
--- a/chutelink/entry/main.py
+++ b/chutelink/entry/main.py
@@ -18,8 +18,7 @@
         EntrySettings,
     )
     listener = open_listener(start.settings.entry.caller_listen)
-    # Imports leave no garbage: looking for it was a seventh of their processor time,
-    # 0.44 s before and 0.38 s after (mean of five starts).
+    # Imports leave no garbage, and looking for it takes a good part of their time.
     gc.disable()
     # Imported after callers can connect: it is most of the time of a start, and
     # until then a daemon that was restarted refuses every connection.
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -37,8 +37,8 @@
 PROMPT_NEWS_PEERS = 16
 """Most daemons that are told of each prompt as it is sent.
 
-With nine prompts a second each that is 150 messages a second; in larger fleets each
-daemon has but a few of an endpoint's prompts, and the news of every 0.2 s must do.
+In larger fleets each daemon has but a few of an endpoint's prompts, and the periodic
+news of loads must do.
 """
 
 
--- a/chutelink/learning/health.py
+++ b/chutelink/learning/health.py
@@ -22,7 +22,7 @@
 """Streams without long pauses that every endpoint is credited with."""
 TYPICAL_SMOOTHING = 0.1
 DEFAULT_TYPICAL_S = 0.05
-"""Before an endpoint has answered; the sheets name 15 to 45 ms."""
+"""Before an endpoint has answered: the usual time of a plain service."""
 
 
 class _Health(msgspec.Struct):
@@ -106,8 +106,8 @@
     def unreachable(self, now_s: float) -> list[EndpointId]:
         """Return the endpoints that took no connection when tried just now.
 
-        Who hears of one asks it for a report, which is charged for: an endpoint that
-        is not tried any more was asked for one each 0.2 s for the rest of the day.
+        Who hears of one asks it for a report, which is charged for: so one that is
+        not tried any more is not told of again and again.
         """
         return [
             name
--- a/chutelink/learning/reading.py
+++ b/chutelink/learning/reading.py
@@ -16,9 +16,8 @@
 READ_SHARE = 0.7
 """Share of the longest allowed pause in which an engine may read prompts.
 
-The rest is for the tokens of the event that is waited for. In ``bench/pauses.py``, 8
-drafts and 2 long prompts a second at one engine, mean of three seeds, 0.306 of the
-drafts are lost without a limit, 0.175 at this share, 0.210 at 0.5, 0.268 at 0.9.
+The rest is for the tokens of the event that is waited for. More makes streams pause,
+less makes prompts wait for nothing.
 """
 KEPT_S = 2.0
 """Longest pause that any route allows; what was sent before that is forgotten."""
--- a/chutelink/learning/speeds.py
+++ b/chutelink/learning/speeds.py
@@ -7,9 +7,9 @@
 from ..ids import EndpointId, ModelName
 
 READ_TOKENS_PER_S = 38_000.0
-"""How fast prompts are read at factor 1, by the users' sheets."""
+"""How fast prompts are read at factor 1; the factors are learned."""
 FIRST_EVENT_S = 0.03
-"""From the end of reading to the first event; measured for short prompts."""
+"""From the end of reading to the first event."""
 MODEL_STEP = 0.25
 """Share of an error that a model's factor takes over; single times vary by half."""
 ENDPOINT_STEP = 0.08
@@ -26,7 +26,7 @@
 
 
 class SpeedTable:
-    """Factors by which models and endpoints take longer than the sheets say.
+    """Factors by which models and endpoints take longer than factor 1 says.
 
     A model that was not seen yet is taken to be like others with weights of the
     same size.
--- a/chutelink/placing/outlook.py
+++ b/chutelink/placing/outlook.py
@@ -14,8 +14,8 @@
 SHIFT_PLACES = 3
 """By how many places, in the operators' order, demand moves on at once.
 
-Measured on both sites: the first of the busy models fall silent, those behind
-them take over their share, and as many new ones come in behind.
+The first of the busy models fall silent, those behind them take over their share, and
+as many new ones come in behind.
 """
 OUTLOOK_SHARE = 0.6
 """How much of a busy model's demand is prepared for at the one behind it."""
--- a/chutelink/quarantine/const.py
+++ b/chutelink/quarantine/const.py
@@ -7,16 +7,14 @@
 ENDINGS_TO_HOLD: Final = 3
 """Endpoints that end under one request before it is kept away.
 
-An endpoint's end takes all its streams down, so that each looks like the cause. In
-requests that callers lose a day, by ``chutelink-bench holds``: engines that crash in
-groups for other reasons cost 63.7, 13.3, 0.8 and 0.2 when held after 1 to 4 ends, a
-deadly request 5.4, 0.1, 0.0 and 0.0 (442.2 when never held). The operators allow 3.
+An endpoint's end takes all its streams down, so that each looks like the cause: after
+fewer ends, requests are kept away that only ran beside it. The operators allow 3.
 """
 HOLD_S: Final = 300.0
 """How long a request is kept away at first.
 
-An end costs an endpoint some 5 s and its models some 4 s each to load: with one trial
-in 300 s a wrong guess costs one endpoint some 5 % of its time.
+An end costs an endpoint some seconds and its models as much each to load, so that a
+wrong guess costs one endpoint a small part of its time.
 """
 HOLD_FACTOR: Final = 4.0
 """How much longer each next time."""
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -214,8 +214,8 @@
 
         Answers the load of a model whose endpoints are full: what is sent all the
         same makes everything behind it late too. The first rank is sent all the
-        same: endpoints admit it first, and refused as well it gained nothing over
-        eight days of high load, where its callers came back to be refused again.
+        same: endpoints admit it first, and its callers would come back to be refused
+        again.
 
         Raises
         ------
--- a/chutelink/relaying/routing.py
+++ b/chutelink/relaying/routing.py
@@ -74,9 +74,7 @@
     A request loses by a late first byte, by a failure, and by pauses in its stream;
     the more an endpoint has under way, the more streams pause, its own and those
     that are there already. Guards against sending everything to the one endpoint
-    that has not paused lately: on days of high load one endpoint had 90 requests
-    for 48 places while others with the same model had under ten, and every first
-    event there was late.
+    that has not paused lately, while others with the same model have places.
 
     Parameters
     ----------
@@ -154,8 +152,7 @@
     """Return how many streams pause too long by one more at an endpoint.
 
     The share that does grows with the part of the batch in use like the share of
-    calls that find a single line busy (Erlang's loss formula): measured over 5,000
-    streams, 0.07 at 2 of 48 places, 0.21 at 14, 0.36 at 26. The first term is the
+    calls that find a single line busy (Erlang's loss formula). The first term is the
     new stream's own, the second what the others lose, which grows with the length
     of the prompt that is read between their tokens.
     """
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -29,8 +29,7 @@
 """How much later each further one reads, as a share of the bound.
 
 All shares keep the last in rank within the bound though its first try is not answered
-and the second one slowly, or its first call fails: 1.02 + 0.4 + 0.5 s and 1.02 + 0.375
-+ 0.4 + 0.1 s of 2 s. At 0.06, and without a second try, it was up to 2.6 s.
+and the second one slowly, or its first call fails; ``longest_timeout_s`` adds them up.
 """
 MAX_RANK = 4
 """Those behind it read together with the one in this place behind the second."""
