Take back: overdue models take any place that is not asked for now

What is prepared for the next move of demand earns more in the worst seconds than the models that take its place.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -41,12 +41,6 @@
 """
 RUNNING_WORK = 0.05
 """What each request under way adds to the cost of giving its model up."""
-COLD_LOAD_ASKS = 1.5
-"""How often a rare model must lately have been asked for to be fetched.
-
-A cold load costs about as much as one request is worth, and takes the place of
-another model that is as likely to be asked for.
-"""
 EXPECTED_FIRST = 9
 """Models kept for the first demand: six busy ones and the three behind them."""
 PAUSED_WORK = 2.0
@@ -84,14 +78,6 @@
         self.outlook = Outlook(order, view.demand, view.now_s)
         waiting = view.demand.waiting(view.now_s)
         self._waiting = frozenset(model for model, _ in waiting)
-        self.denied_s = view.demand.denied_s(view.now_s)
-        self._overdue = frozenset(
-            model
-            for (model, _), denied_s in self.denied_s.items()
-            if model in self._waiting
-            and model in view.engine.models
-            and denied_s > view.engine.models[model].cold_load_s
-        )
         self._kept: frozenset[ModelName] | None = None
         self._present: Counter[ModelName] = Counter()
         self._serving: Counter[ModelName] = Counter()
@@ -184,24 +170,12 @@
             is_spare = bool(demand.uses) and self._is_spare(model)
             is_spare |= wanted in self._waiting and self._is_prepared_twice(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
-            is_due = not is_replica and self._gives_turn(site, model, wanted)
-            if is_idle or is_spare or is_outweighed or is_due:
+            if is_idle or is_spare or is_outweighed:
                 # Of rare ones the one that was not asked for the longest goes first.
                 cost = 0.0 if is_unused and is_idle else missed
                 ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
-    def is_overdue(self, model: ModelName) -> bool:
-        """Return whether a model was denied for longer than a load of it takes."""
-        return model in self._overdue
-
-    def _gives_turn(self, site: Site, model: ModelName, wanted: ModelName) -> bool:
-        """Return whether a model that nobody asks for now makes room for an overdue one.
-
-        Its weights stay on the endpoint's disk, so that it is back soon.
-        """
-        return self.is_overdue(wanted) and model not in self.outlook.active
-
     def why_kept(self, site: Site, model: ModelName) -> Kept:
         """Return why a model of an endpoint does not give way, for logs."""
         if model in self._waiting:
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -11,7 +11,7 @@
 from ..ids import AdapterName, ModelName
 from .adapters import AdapterRound
 from .changes import Change, ChangeReason, Decline, PlacementView, Site
-from .holdings import COLD_LOAD_ASKS, Holdings, Kept
+from .holdings import Holdings, Kept
 from .room import load_time, lost_copies, model_mb, used_mb
 
 REPLICA_WORK = 0.35
@@ -38,6 +38,12 @@
 
 An endpoint that loads takes no orders for adapters and no other model for 4 s.
 """
+COLD_LOAD_ASKS = 1.5
+"""How often a rare model must lately have been asked for to be fetched.
+
+A cold load costs about as much as one request is worth, and takes the place of
+another model that is as likely to be asked for.
+"""
 BUSY_PENALTY_S = 3.0
 """What an endpoint that is busy all the time costs, as load time."""
 CROWDED_WORK = 0.5
@@ -75,11 +81,6 @@
         self.changes: list[Change] = []
         self.declined: dict[ModelName, Decline] = {}
 
-    @property
-    def denied_s(self) -> dict[tuple[ModelName, AdapterName], float]:
-        """How long each model and adapter has been waited for."""
-        return self._holdings.denied_s
-
     def next_models(self) -> list[ModelName]:
         """Return the models that may be asked for more, the busiest first."""
         expected = self.outlook.next
@@ -101,7 +102,7 @@
     def _earns_cold(self, model: ModelName) -> bool:
         """Return whether a load from the weight store is worth its price."""
         demand, now_s = self._view.demand, self._view.now_s
-        if self.outlook.is_wanted(model) or self._holdings.is_overdue(model):
+        if self.outlook.is_wanted(model):
             return True
         if self._holdings.rare_loads() >= max(
             1.0, MAX_RARE_SHARE * len(self._view.sites)
