A soak of entry daemons as processes, from plans that can be played again and cut down

Owed for long: real daemons, store and endpoints on loopback, twenty kinds of faults from outside them that overlap (killed, stopped, frozen, reloaded; a store that is out, slow, loses replies, forgets its history; connections to it that are reset, silent, slow, cut one way; configurations in a row; endpoints that err, refuse, cut streams, fall mute, spoil answers, lose orders, leave), drawn from one seed as a plan; callers keep their connections all the while. Links between daemons, and memory and descriptors, are not disturbed or checked yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos deadly bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos deadly soak bench-setup
 
 setup: $(VENV)/.installed
 
@@ -53,6 +53,9 @@
 capacity: setup
 	$(BIN)/chutelink-bench capacity --csv docs/capacity.csv
 
+soak: setup
+	$(BIN)/python -m soak.main --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 deadly: setup
 	$(BIN)/python -m tests.processes.deadly_soak --first $(SEED) --seeds $(SEEDS)
 
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,117 @@
+"""Callers that keep their connections, and what became of each of their requests."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from enum import Enum
+
+import aiohttp
+import msgspec
+
+from tests.processes.entry_deployment import (
+    FAILURES,
+    FIRST_PORT,
+    EntryDeployment,
+)
+
+DEADLINE_S = 3.0
+EVENTS = 20
+MODELS = ("m0", "m1", "m2", "m3")
+MIN_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.25
+
+
+class RequestKind(Enum):
+    """What a request allows: how often it may run, and how it is answered."""
+
+    ONCE = "once"
+    AGAIN = "again"
+    STREAM = "stream"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """One request as its caller saw it; status 0 where no answer came.
+
+    ``is_whole`` says that the answer ended as complete answers do.
+    """
+
+    id: str
+    kind: RequestKind
+    daemon: int
+    began_s: float
+    ended_s: float
+    status: int = 0
+    body: bytes = b""
+    is_whole: bool = False
+
+
+class Caller:
+    """Sends requests of one kind to daemons at random, one after the other.
+
+    Parameters
+    ----------
+    deployment : EntryDeployment
+        Where the daemons are.
+    daemons : int
+        How many there are.
+    kind : RequestKind
+        What it sends.
+    seed : int
+        Of its choices.
+    """
+
+    _ids = itertools.count()
+
+    def __init__(
+        self, deployment: EntryDeployment, daemons: int, kind: RequestKind, seed: int
+    ) -> None:
+        self._deployment = deployment
+        self._daemons = daemons
+        self._kind = kind
+        self._rng = random.Random(seed)
+        self.outcomes: list[Outcome] = []
+        self.is_over = False
+
+    async def async_run(self) -> None:
+        """Send until told to stop, over connections that are kept."""
+        async with aiohttp.ClientSession() as session:
+            while not self.is_over:
+                daemon = self._rng.randrange(self._daemons)
+                self.outcomes.append(await self.async_send(session, daemon))
+                await asyncio.sleep(self._rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+
+    async def async_send(self, session: aiohttp.ClientSession, daemon: int) -> Outcome:
+        """Send one request and read its answer to the end."""
+        name = f"{self._kind.value}-{next(self._ids)}"
+        loop = asyncio.get_running_loop()
+        outcome = Outcome(name, self._kind, daemon, loop.time(), 0.0)
+        address = self._deployment.address(daemon)
+        url = f"http://{address}:{FIRST_PORT}/{self._kind.value}/{name}"
+        headers = {
+            "Host": "a.example",
+            "X-Request-Id": name,
+            "X-Deadline-Ms": str(round(DEADLINE_S * 1000)),
+        }
+        if self._kind is RequestKind.STREAM:
+            headers["X-Model"] = self._rng.choice(MODELS)
+            headers["X-Token-Count"] = f"10,{EVENTS}"
+        status, body, is_whole = 0, b"", False
+        try:
+            async with session.post(url, data=name.encode(), headers=headers) as answer:
+                status = answer.status
+                async for chunk in answer.content.iter_any():
+                    body += chunk
+                is_whole = True
+        except FAILURES:
+            pass
+        return msgspec.structs.replace(
+            outcome, ended_s=loop.time(), status=status, body=body, is_whole=is_whole
+        )
+
+
+def count_statuses(outcomes: list[Outcome]) -> Counter[str]:
+    """Return how often each kind of request got each status."""
+    return Counter(f"{outcome.kind.value} {outcome.status}" for outcome in outcomes)
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,105 @@
+"""What happens to a deployment and when, drawn from a seed. Pure.
+
+A plan can be written down, played again, and cut down to the faults that are needed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import msgspec
+
+GAP_S = 0.35
+"""Mean time between two faults; each lasts longer, so that they overlap."""
+MIN_FOR_S = 0.2
+MAX_FOR_S = 2.5
+CALM_END_S = 1.0
+"""No fault begins so shortly before the end."""
+
+
+class FaultKind(Enum):
+    """What is done to a deployment from outside."""
+
+    KILL = "kill"
+    STOP = "stop"
+    FREEZE = "freeze"
+    RELOAD = "reload"
+    STORE_OUT = "store_out"
+    STORE_SLOW = "store_slow"
+    STORE_LOSES_REPLIES = "store_loses_replies"
+    STORE_FORGETS = "store_forgets"
+    LINKS_RESET = "links_reset"
+    LINKS_SILENT = "links_silent"
+    LINKS_SLOW = "links_slow"
+    LINKS_ONE_WAY = "links_one_way"
+    CONFIGURE = "configure"
+    ENDPOINT_ERRS = "endpoint_errs"
+    ENDPOINT_REFUSES = "endpoint_refuses"
+    ENDPOINT_CUTS = "endpoint_cuts"
+    ENDPOINT_MUTE = "endpoint_mute"
+    ENDPOINT_SPOILS = "endpoint_spoils"
+    ENDPOINT_LOSES_ORDERS = "endpoint_loses_orders"
+    ENDPOINT_LEAVES = "endpoint_leaves"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault, at a time from the start of the plan.
+
+    ``target`` numbers a daemon or an endpoint, whichever the kind is about;
+    ``strength`` lies between 0 and 1.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: int
+    for_s: float
+    strength: float
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """All faults of one run, in the order in which they begin."""
+
+    seed: int
+    time_s: float
+    faults: tuple[Fault, ...]
+
+
+def make_plan(seed: int, time_s: float, targets: int) -> Plan:
+    """Return the plan of a seed."""
+    rng = random.Random(seed)
+    faults = []
+    at_s = rng.expovariate(1 / GAP_S)
+    while at_s < time_s - CALM_END_S:
+        fault = Fault(
+            at_s=round(at_s, 3),
+            kind=rng.choice(list(FaultKind)),
+            target=rng.randrange(targets),
+            for_s=round(rng.uniform(MIN_FOR_S, MAX_FOR_S), 3),
+            strength=round(rng.random(), 3),
+        )
+        faults.append(fault)
+        at_s += rng.expovariate(1 / GAP_S)
+    return Plan(seed, time_s, tuple(faults))
+
+
+async def async_shrink(
+    plan: Plan, async_fails: Callable[[Plan], Awaitable[bool]]
+) -> Plan:
+    """Return a plan with fewer faults that still fails.
+
+    Leaves out runs of faults, long ones first, as long as what is left fails.
+    """
+    size = len(plan.faults) // 2
+    while size:
+        start = 0
+        while start < len(plan.faults):
+            left = plan.faults[:start] + plan.faults[start + size :]
+            smaller = msgspec.structs.replace(plan, faults=left)
+            if await async_fails(smaller):
+                plan = smaller
+            else:
+                start += size
+        size //= 2
+    return plan
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -65,9 +65,9 @@
         """Where daemons find the store: itself, or a proxy before it."""
         return f"{self.net}.1" if self.store_proxy is None else f"{self.net}.2"
 
-    async def async_start_proxy(self) -> None:
+    async def async_start_proxy(self, make_proxy: type[SilencingProxy]) -> None:
         """Put a proxy between the daemons and the store."""
-        self.store_proxy = SilencingProxy(f"{self.net}.2", STORE_PORT, f"{self.net}.1")
+        self.store_proxy = make_proxy(f"{self.net}.2", STORE_PORT, f"{self.net}.1")
         await self.store_proxy.async_start()
 
     def start(self, name: str, command: list[str]) -> Process:
@@ -195,7 +195,10 @@
 
 @asynccontextmanager
 async def async_entry_deployment(
-    directory: Path, daemons: int = 3, *, has_proxy: bool = False
+    directory: Path,
+    daemons: int = 3,
+    *,
+    make_proxy: type[SilencingProxy] | None = None,
 ) -> AsyncIterator[EntryDeployment]:
     deployment = EntryDeployment(directory)
     deployment.session = aiohttp.ClientSession(
@@ -203,8 +206,8 @@
     )
     try:
         deployment.start_store()
-        if has_proxy:
-            await deployment.async_start_proxy()
+        if make_proxy is not None:
+            await deployment.async_start_proxy(make_proxy)
         for number in range(daemons):
             deployment.start_daemon(number)
         await deployment.async_until_complete(list(range(daemons)))
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -6,6 +6,7 @@
 import itertools
 
 from .entry_deployment import FAILURES, async_entry_deployment
+from .silence import SilencingProxy
 
 EVENTS = 6
 _IDS = itertools.count()
@@ -193,7 +194,9 @@
     """Without a reset; new connections work. The placer keeps its work too."""
 
     async def async_test():
-        async with async_entry_deployment(tmp_path, has_proxy=True) as deployment:
+        async with async_entry_deployment(
+            tmp_path, make_proxy=SilencingProxy
+        ) as deployment:
             await async_until_served(deployment, 0, "m0")
             await async_silence_store(deployment)
             await deployment.async_configure(2, routes=[])
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
