--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -61,4 +61,8 @@
             if is_answer and self.is_one_way:
                 continue
             writer.write(data)
-            await writer.drain()
+            try:
+                await writer.drain()
+            except ConnectionError:
+                # The other side of a connection that was reset.
+                return
