Keep the times of one bound in a module of their own

What adds up to the bound (shares, pauses, time limit) is now in watching/timing.py, moved unchanged; tests of watching and entry pass before and after.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -30,7 +30,8 @@
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
 from ..tables.members import MemberState, MemberTable
-from ..watching.watch import RowChange, StoreWatch, fit_time_limit
+from ..watching.timing import fit_time_limit
+from ..watching.watch import RowChange, StoreWatch
 from .adapter import Handler, PlatformAdapter
 from .demand import DemandTable
 from .directory import Directory, count_candidates
--- a/tests/watching/test_watch.py
+++ b/tests/watching/test_watch.py
@@ -13,16 +13,16 @@
 from chutelink.ids import WriteId
 from chutelink.store import Row, RowPage, WatchedTable
 from chutelink.store.http import SECOND_TRY_SHARE
-from chutelink.watching.watch import (
+from chutelink.watching.timing import (
     FIRST_SHARE,
     MAX_RANK,
     RANK_SHARE,
     RETRY_S,
     RETRY_SPREAD,
     RETURN_S,
-    StoreWatch,
     longest_timeout_s,
 )
+from chutelink.watching.watch import StoreWatch
 
 from ..fakes import make_core
 
