Let models that were denied the longest come first, and take turns among rare models

Cause: a plan knew what a model lacks now, not how long it had been denied; ties went to what was first asked for, and a rare model kept its place as long as any request for it ran. A claim ended with the request that made it. Change: demand remembers since when each model and adapter is denied (until one request is served, or nobody asks for 20 s), over all daemons, so that a new placer knows it; rare models are loaded in that order; one that was denied for longer than a cold load takes gets the place of another rare model, whose requests end first. Places of busy and prepared models are untouched. Daemons tell how many requests were served since (one number more for each model in the news of loads).

--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -13,6 +13,11 @@
 """Time constant of averages; demand moves on within some 5 s."""
 ASKS_S = 8.0
 """Time constant of the count by which a rare model earns a cold load."""
+CLAIM_VALID_S = 20.0
+"""How long a model that is not asked for again keeps its turn.
+
+The longest that callers wait for an answer: who is told to come back does so by then.
+"""
 WAITING_VALID_S = 1.5
 """How long a daemon's word on waiting requests counts without a newer one."""
 
@@ -21,7 +26,8 @@
     """Use of one model or adapter.
 
     ``work_per_s`` is seconds of an engine's time asked for a second; ``asks``
-    counts arrivals and fades slowly.
+    counts arrivals and fades slowly. ``denied_since_s`` is when a request first waited
+    that came after the last one that was served; None where none has waited since.
     """
 
     work_per_s: float = 0.0
@@ -29,6 +35,14 @@
     asks: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
+    denied_since_s: float | None = None
+
+    def note_outcome(self, *, is_served: bool, is_waiting: bool, now_s: float) -> None:
+        """Take in whether requests were served, and whether some wait."""
+        if is_served or now_s - self.last_arrival_s > CLAIM_VALID_S:
+            self.denied_since_s = None
+        if is_waiting and self.denied_since_s is None:
+            self.denied_since_s = now_s
 
     def decay(self, now_s: float) -> None:
         """Bring the average to now."""
@@ -76,6 +90,9 @@
             use.asks += news.arrivals
             if news.arrivals:
                 use.last_arrival_s = now_s
+            use.note_outcome(
+                is_served=news.served > 0, is_waiting=news.waiting > 0, now_s=now_s
+            )
             waiting = self._waiting.setdefault(key, {})
             waiting[daemon] = _Waiting(news.waiting, news.patient, now_s)
 
@@ -108,6 +125,19 @@
             for waiting in by_daemon.values()
         )
 
+    def denied_s(self, now_s: float) -> dict[tuple[ModelName, AdapterName], float]:
+        """Return how long models and adapters have been waited for, refusals included.
+
+        Since the first request for each that came after the last one that was served.
+        A turn is so not lost with the request that asked for it.
+        """
+        return {
+            key: now_s - use.denied_since_s
+            for key, use in self.uses.items()
+            if use.denied_since_s is not None
+            and now_s - use.last_arrival_s < CLAIM_VALID_S
+        }
+
     def adapter_arrival_s(self, model: ModelName, adapter: AdapterName) -> float:
         """Return when an adapter was last asked for."""
         use = self.uses.get((model, adapter))
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -21,6 +21,7 @@
 
     def __init__(self) -> None:
         self._arrivals: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
+        self._served: Counter[tuple[ModelName, AdapterName]] = Counter()
         self._work_s: dict[tuple[ModelName, AdapterName], float] = defaultdict(float)
         self.waiting: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
         self._patient: Counter[ModelName] = Counter()
@@ -64,6 +65,10 @@
         self.waiting[model, adapter] -= 1
         self._patient[model] -= is_patient
 
+    def note_served(self, model: ModelName, adapter: AdapterName) -> None:
+        """Count a request that an endpoint has answered."""
+        self._served[model, adapter] += 1
+
     def note_prompt(self, endpoint: EndpointId, chain: tuple[int, ...]) -> None:
         """Keep which endpoint reads a prompt."""
         if len(self._prefixes) < MAX_PREFIXES:
@@ -92,7 +97,8 @@
             for row in table.rows.values()
             if row.requests
         ]
-        keys = self._arrivals.keys() | {k for k, n in self.waiting.items() if n}
+        keys = self._arrivals.keys() | self._served.keys()
+        keys |= {key for key, count in self.waiting.items() if count}
         uses = [
             ModelUse(
                 model,
@@ -101,6 +107,7 @@
                 self._work_s.get((model, adapter), 0.0),
                 self.waiting.get((model, adapter), 0),
                 self._patient[model],
+                self._served[model, adapter],
             )
             for model, adapter in sorted(keys)
         ]
@@ -123,6 +130,7 @@
         self._told = loads
         self._prefixes = []
         self._arrivals.clear()
+        self._served.clear()
         self._work_s.clear()
         for key in [key for key, count in self.waiting.items() if not count]:
             del self.waiting[key]
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -60,7 +60,7 @@
     """Requests for a model or adapter that arrived at one daemon.
 
     ``waiting`` ask for what is not loaded; ``patient`` of them have time enough
-    for a load from the weight store.
+    for a load from the weight store. ``served`` have been answered since.
     """
 
     model: ModelName
@@ -69,6 +69,7 @@
     work_s: float
     waiting: int
     patient: int = 0
+    served: int = 0
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -15,14 +15,14 @@
 RARE_IDLE_S = 0.6
 """A rare model without requests that was not asked for since gives way to one that is.
 
-Daemons tell of theirs every 0.2 s. How often it is asked for counts no further: one
-request in some seconds kept a model from giving way to those that requests waited
-for, and 73 of 93 such requests were refused on a quiet day.
+Daemons tell of theirs every 0.2 s. How often it is asked for counts no further: else
+one request in some seconds keeps a model from giving way to those that requests wait
+for.
 """
 SPARE_WORK = 0.35
 """A replica gives way when the others would have less than this each to do.
 
-Measured: at 0.2 rare models find no place, and more of them are refused.
+With less, rare models find no place.
 """
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
@@ -78,6 +78,14 @@
         self.outlook = Outlook(order, view.demand, view.now_s)
         waiting = view.demand.waiting(view.now_s)
         self._waiting = frozenset(model for model, _ in waiting)
+        self.denied_s = view.demand.denied_s(view.now_s)
+        self._overdue = frozenset(
+            model
+            for (model, _), denied_s in self.denied_s.items()
+            if model in self._waiting
+            and model in view.engine.models
+            and denied_s > view.engine.models[model].cold_load_s
+        )
         self._kept: frozenset[ModelName] | None = None
         self._present: Counter[ModelName] = Counter()
         self._serving: Counter[ModelName] = Counter()
@@ -101,9 +109,8 @@
     def is_kept(self, model: ModelName) -> bool:
         """Return whether some endpoint holds a model or keeps a copy of its weights.
 
-        Gathered once for all models. Asked of each endpoint for each model, a plan
-        without demand took 4.1 ms of processor time over 45 endpoints and 166 models,
-        20 times a second; so it takes 0.8 ms (`make plans`).
+        Gathered once for all models: asking each endpoint for each model takes most of
+        the time of a plan.
         """
         if self._kept is None:
             self._kept = frozenset(
@@ -170,12 +177,26 @@
             is_spare = bool(demand.uses) and self._is_spare(model)
             is_spare |= wanted in self._waiting and self._is_prepared_twice(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
-            if is_idle or is_spare or is_outweighed:
+            is_due = not is_replica and self._gives_turn(site, model, wanted)
+            if is_idle or is_spare or is_outweighed or is_due:
                 # Of rare ones the one that was not asked for the longest goes first.
                 cost = 0.0 if is_unused and is_idle else missed
                 ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
+    def is_overdue(self, model: ModelName) -> bool:
+        """Return whether a model was denied for longer than a load of it takes."""
+        return model in self._overdue
+
+    def _gives_turn(self, site: Site, model: ModelName, wanted: ModelName) -> bool:
+        """Return whether a model that few ask for makes room for an overdue one.
+
+        Also while requests run, which end first: else those that came first keep the
+        places, and some models are never served. Its weights stay on the endpoint's
+        disk, so that it is back soon.
+        """
+        return self.is_overdue(wanted) and model not in self.expected
+
     def why_kept(self, site: Site, model: ModelName) -> Kept:
         """Return why a model of an endpoint does not give way, for logs."""
         if model in self._waiting:
@@ -194,9 +215,7 @@
     def _is_prepared_twice(self, model: ModelName) -> bool:
         """Return whether two endpoints hold a model that is not asked for yet.
 
-        Such pairs left rarely used models no room: with them, 0.362 of what the kind
-        of request that asks for those is worth was earned on eight days of high load,
-        0.396 where they give way, and as much in all (0.384 and 0.382).
+        Such pairs leave rarely used models no room, and gain nothing while nobody asks.
         """
         return model not in self.outlook.active and self.held(model) > 1
 
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -46,9 +46,11 @@
         """Return changes, the most urgent first; one for each endpoint."""
         round_ = PlacementRound(view)
         waiting = view.demand.waiting(view.now_s)
+        denied_s = round_.denied_s
         wanted = sorted(waiting, key=lambda key: -waiting[key])
         busy = [key for key in wanted if key[0] in round_.outlook.active]
         rare = [key for key in wanted if key[0] not in round_.outlook.active]
+        rare.sort(key=lambda key: -denied_s.get(key, 0.0))
         recent = view.demand.recent(view.now_s, RECENT_S)
         for model, adapter in busy:
             round_.make_wanted(model, adapter)
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -49,7 +49,7 @@
 CROWDED_WORK = 0.5
 """Engine seconds a second from which an endpoint's streams pause too long.
 
-Measured: with prompts read without a break, events of 5 tokens come 0.45 s apart.
+Prompts are then read without a break between the tokens of other requests.
 """
 CROWDED_MODEL_WORK = 0.1
 """A model asked for less than this is not moved away from busy endpoints."""
@@ -81,6 +81,11 @@
         self.changes: list[Change] = []
         self.declined: dict[ModelName, Decline] = {}
 
+    @property
+    def denied_s(self) -> dict[tuple[ModelName, AdapterName], float]:
+        """How long each model and adapter has been waited for."""
+        return self._holdings.denied_s
+
     def next_models(self) -> list[ModelName]:
         """Return the models that may be asked for more, the busiest first."""
         expected = self.outlook.next
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -216,6 +216,10 @@
     def note_good_run(self, exchange: Exchange) -> None:
         """Take in that an endpoint has run a request to its end."""
         self._exchanges.quarantine.note_success(exchange.fingerprint)
+        if exchange.meta.model:
+            self._exchanges.loads.note_served(
+                exchange.meta.model, exchange.meta.adapter
+            )
 
     def note_failure(
         self,
--- a/tests/placing/rare_world.py
+++ b/tests/placing/rare_world.py
@@ -19,7 +19,12 @@
 from chutelink.placing.inventory import EndpointReport, Inventory
 from chutelink.placing.pace import ColdLoadPace
 from chutelink.placing.placement import PlacementPolicy
-from chutelink.relaying.waiting import ModelWait, wait_until_s
+from chutelink.relaying.waiting import (
+    RETRY_SHARE,
+    ModelWait,
+    back_in_s,
+    wait_until_s,
+)
 
 TICK_S = 0.05
 NEWS_S = 0.2
@@ -37,6 +42,8 @@
 BUSY_OBJECTIVE_S = 0.4
 RARE_OBJECTIVE_S = 5.0
 RARE_DEADLINE_S = 20.0
+LEAD_S = 12.0
+"""How long endpoints run before the first request."""
 LOADS_PER_S = 1.6
 LOADS_WINDOW_S = 5.0
 LOADS_EXCESS = 1.1
@@ -44,10 +51,13 @@
 
 
 class _Waiting(msgspec.Struct):
-    """A request that waits for its model."""
+    """A request that waits for its model, or whose caller is back at ``back_s``."""
 
     model: str
     started_s: float
+    asked_s: float
+    back_s: float | None = None
+    is_back: bool = False
 
 
 class Denial(msgspec.Struct):
@@ -114,6 +124,7 @@
         self._running: list[tuple[float, Endpoint, str]] = []
         self._waiting: list[_Waiting] = []
         self._arrivals: dict[str, int] = defaultdict(int)
+        self._served: dict[str, int] = defaultdict(int)
         self._next_news_s = 0.0
         self.now_s = 0.0
         self.loads = 0
@@ -130,12 +141,13 @@
         return Site(Endpoint(record), inventory)
 
     def run(self, time_s: float) -> None:
-        """Let time pass."""
-        while self.now_s < time_s:
+        """Let time pass, from the first request on."""
+        while self.now_s < LEAD_S + time_s:
             self.now_s += TICK_S
             self._end_streams()
             self._carry_out()
-            self._ask()
+            if self.now_s > LEAD_S:
+                self._ask()
             self._serve_waiting()
             if self.now_s >= self._next_news_s:
                 self._tell()
@@ -173,7 +185,7 @@
         if not self._send(name):
             if denial.since_s is None:
                 denial.since_s = self.now_s
-            self._waiting.append(_Waiting(name, self.now_s))
+            self._waiting.append(_Waiting(name, self.now_s, self.now_s))
 
     def _send(self, name: str) -> bool:
         rows = [s.endpoint for s in self._sites if s.endpoint.holds(name)]
@@ -196,31 +208,45 @@
         for _, row, name in ended:
             row.requests -= 1
             row.by_ref[name] -= 1
+            self._served[name] += 1
 
     def _serve_waiting(self) -> None:
         for denial in self.denials.values():
             if denial.since_s is not None:
                 denial.longest_s = max(denial.longest_s, self.now_s - denial.since_s)
-        self._waiting = [
-            waiting
-            for waiting in self._waiting
-            if not self._send(waiting.model) and self._waits_on(waiting)
-        ]
-
-    def _waits_on(self, waiting: _Waiting) -> bool:
+        self._waiting = [w for w in self._waiting if not self._is_over(w)]
+
+    def _is_over(self, waiting: _Waiting) -> bool:
+        """Return whether a request was served, or refused for good."""
+        if waiting.back_s is not None:
+            if self.now_s < waiting.back_s:
+                return False
+            waiting.started_s, waiting.back_s = self.now_s, None
+        if self._send(waiting.model):
+            return True
+        wait = self._make_wait(waiting)
+        if wait_until_s(wait) > self.now_s:
+            return False
+        if waiting.is_back or waiting.model in self._names[: len(BUSY_SHARES)]:
+            return True
+        left_s = waiting.asked_s + RARE_DEADLINE_S - self.now_s
+        waiting.back_s = self.now_s + min(back_in_s(wait), RETRY_SHARE * left_s)
+        waiting.is_back = True
+        return False
+
+    def _make_wait(self, waiting: _Waiting) -> ModelWait:
         is_busy = waiting.model in self._names[: len(BUSY_SHARES)]
         objective_s = BUSY_OBJECTIVE_S if is_busy else RARE_OBJECTIVE_S
-        wait = ModelWait(
+        return ModelWait(
             now_s=self.now_s,
             started_s=waiting.started_s,
-            last_s=waiting.started_s + RARE_DEADLINE_S,
+            last_s=waiting.asked_s + RARE_DEADLINE_S,
             objective_s=objective_s,
             read_s=READ_S,
             copy_load_s=DISK_S,
             cold_load_s=COLD_S,
             ready_s=self._ready_s(waiting.model),
         )
-        return wait_until_s(wait) > self.now_s
 
     def _ready_s(self, name: str) -> float | None:
         due = [
@@ -236,6 +262,8 @@
         counts: dict[str, int] = defaultdict(int)
         for waiting in self._waiting:
             counts[waiting.model] += 1
+        if self.now_s <= LEAD_S:
+            return
         uses = [
             ModelUse(
                 name,
@@ -244,10 +272,12 @@
                 READ_S * self._arrivals[name],
                 counts[name],
                 0 if name in busy else counts[name],
+                self._served[name],
             )
             for name in self.denials
         ]
         self._arrivals.clear()
+        self._served.clear()
         self._demand.take("d1", uses, self.now_s)
 
     def _plan(self) -> None:
--- a/tests/placing/test_placement.py
+++ b/tests/placing/test_placement.py
@@ -22,19 +22,21 @@
 ADAPTER_MB = 5.0
 
 
-def make_engine(adapter_slots: int = 2) -> EngineSpec:
+def make_engine(adapter_slots: int = 2, cold_load_s: float = 4.0) -> EngineSpec:
     models = {
-        name: ModelSpec(name, WEIGHTS_MB, 4.0, 0.4, 0.8, ADAPTERS, ADAPTER_MB)
+        name: ModelSpec(name, WEIGHTS_MB, cold_load_s, 0.4, 0.8, ADAPTERS, ADAPTER_MB)
         for name in MODELS
     }
     return EngineSpec(8, 1000, 200.0, adapter_slots, 2.0, models)
 
 
-def make_site(name: str, models: dict, now_s: float = 100.0, **report) -> Site:
+def make_site(
+    name: str, models: dict, now_s: float = 100.0, is_busy: bool = False, **report
+) -> Site:
     held = {model: frozenset(adapters) for model, adapters in models.items()}
     record = EndpointRecord(name, "llm", "1:1", "zone-a", EndpointState.READY, 8, held)
     inventory = Inventory(name)
-    inventory.take_report(EndpointReport(0, False, held, **report), now_s)
+    inventory.take_report(EndpointReport(0, is_busy, held, **report), now_s)
     return Site(Endpoint(record), inventory)
 
 
