--- a/chutelink/placing/pace.py
+++ b/chutelink/placing/pace.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 
 from ..core import Application
-from ..entry.config import EngineSpec
 from ..entry.pending import PendingTable
 from ..ids import ServiceName
-from .changes import Site
 
 WINDOW_SLACK = 3.0
 """Loads in a window that the operators allow beyond the rate."""
@@ -17,21 +14,6 @@
 """Loads that are left to doubt: one may begin later than it was sent."""
 WINDOW_MARGIN_S = 0.5
 """How much later than it was sent a load may begin."""
-GONE_SHARE = 1 / 3
-"""Endpoints that ended with their loads, and are not seen, of those that are there."""
-
-
-def unseen_loads(sites: list[Site], engine: EngineSpec, window_s: float) -> int:
-    """Return how many cold loads may have begun in a window that nobody tells of.
-
-    An endpoint carries out one order at a time, so that in the time of a cold load it
-    can't have begun two; one that is not busy has ended all that it began.
-    """
-    shortest_s = min((m.cold_load_s for m in engine.models.values()), default=0.0)
-    ended = int(window_s // shortest_s) if shortest_s > 0 else math.inf
-    seen = sum(ended + site.inventory.is_busy for site in sites)
-    gone = math.ceil(GONE_SHARE * len(sites))
-    return seen + gone * (ended + 1)
 
 
 class ColdLoadPace:
@@ -56,9 +38,9 @@
         self._window_s = window_s + WINDOW_MARGIN_S
         self._begun_s: deque[float] = deque()
 
-    def assume(self, loads: float, at_s: float) -> None:
-        """Count loads that a former holder may have begun, of whom nothing is known."""
-        self._begun_s.extend([at_s] * int(min(loads, self._limit)))
+    def assume_full(self, at_s: float) -> None:
+        """Take it that a former holder, of whom nothing is known, used it all."""
+        self._begun_s.extend([at_s] * self._limit)
 
     def available(self, now_s: float) -> int:
         """Return how many loads may begin now."""
@@ -100,38 +82,22 @@
         self._by_service.clear()
 
     def get(
-        self,
-        service: ServiceName,
-        engine: EngineSpec,
-        sites: list[Site],
-        *,
-        is_first_term: bool,
+        self, service: ServiceName, loads_per_s: float, *, is_first_term: bool
     ) -> ColdLoadPace:
-        """Return a service's pace; before the first term there was no holder.
-
-        Asked for when all sites have reported under this term.
-        """
+        """Return a service's pace; before the first term there was no holder."""
         pace = self._by_service.get(service)
         if pace is None:
-            rate = engine.cold_loads_per_s
-            pace = ColdLoadPace(rate, self.window_s, self.excess)
+            pace = ColdLoadPace(loads_per_s, self.window_s, self.excess)
             if not is_first_term:
-                self._count_former_loads(pace, sites, engine)
+                self._count_former_loads(pace)
             self._by_service[service] = pace
         return pace
 
-    def _count_former_loads(
-        self, pace: ColdLoadPace, sites: list[Site], engine: EngineSpec
-    ) -> None:
-        """Count the loads that a former holder began, as far as they may matter.
-
-        Guards against a fleet that starts anew and loads nothing for a whole window
-        while endpoints are free.
-        """
+    def _count_former_loads(self, pace: ColdLoadPace) -> None:
+        """Count the loads that a former holder began, as far as they may matter."""
         is_heard = self._core.clock() - self._created_s > self.window_s
         if not is_heard:
-            window_s = self.window_s + WINDOW_MARGIN_S
-            pace.assume(unseen_loads(sites, engine, window_s), self._created_s)
+            pace.assume_full(self._created_s)
             return
         for begun_s in self._pending.cold_begun_s():
             pace.take(begun_s)
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -210,7 +210,9 @@
             # What an endpoint holds that has not reported would be loaded again.
             return
         pace = self.paces.get(
-            service, engine, sites, is_first_term=self._term == FIRST_TERM
+            service,
+            engine.cold_loads_per_s,
+            is_first_term=self._term == FIRST_TERM,
         )
         now_s = self._core.clock()
         view = PlacementView(
