--- a/soak/main.py
+++ b/soak/main.py
@@ -42,7 +42,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
-    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--plan", type=Path, help="play this plan instead")
     parser.add_argument("--shrink", action="store_true")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,8 +15,12 @@
 """Mean time between two faults; each lasts longer, so that they overlap."""
 MIN_FOR_S = 0.2
 MAX_FOR_S = 2.5
-CALM_END_S = 1.0
-"""No fault begins so shortly before the end."""
+BURST_S = 6.0
+"""Faults begin in stretches of this time, each followed by one without any."""
+CALM_S = 9.0
+"""Long enough for the last fault to end and for all bounds to hold again."""
+CALM_CHANGE_S = 6.0
+"""When in a calm stretch the configuration changes, which must then be in force."""
 
 
 class FaultKind(Enum):
@@ -70,8 +74,21 @@
     """Return the plan of a seed."""
     rng = random.Random(seed)
     faults = []
-    at_s = rng.expovariate(1 / GAP_S)
-    while at_s < time_s - CALM_END_S:
+    start_s = 0.0
+    while start_s < time_s:
+        faults += _make_burst(rng, start_s, targets)
+        change_s = start_s + BURST_S + CALM_CHANGE_S
+        faults.append(Fault(change_s, FaultKind.CONFIGURE, 0, 0.0, 0.0))
+        start_s += BURST_S + CALM_S
+    kept = [fault for fault in faults if fault.at_s < time_s]
+    return Plan(seed, time_s, tuple(kept))
+
+
+def _make_burst(rng: random.Random, start_s: float, targets: int) -> list[Fault]:
+    """Return the faults of one stretch."""
+    faults = []
+    at_s = start_s + rng.expovariate(1 / GAP_S)
+    while at_s < start_s + BURST_S:
         fault = Fault(
             at_s=round(at_s, 3),
             kind=rng.choice(list(FaultKind)),
@@ -81,7 +98,7 @@
         )
         faults.append(fault)
         at_s += rng.expovariate(1 / GAP_S)
-    return Plan(seed, time_s, tuple(faults))
+    return faults
 
 
 async def async_shrink(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 from soak.plan import make_plan
 from soak.run import async_play
 
-SECONDS = 12.0
+SECONDS = 15.0
 DAEMONS = 3
 
 
