One passing-on of bytes for both proxies of the process tests

The soak's proxy repeated the loop of the silencing one to delay and to lose bytes; it now overrides what happens to each piece. tests/soak and the test of silent connections pass.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,8 +6,6 @@
 
 from tests.processes.silence import SilencingProxy
 
-CHUNK_BYTES = 65_536
-
 
 class StoreProxy(SilencingProxy):
     """Delays what it passes on, loses one direction, or resets what is open.
@@ -40,29 +38,8 @@
         finally:
             self._open.discard(writer)
 
-    async def _async_pass(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        generation: int,
-    ) -> None:
+    async def _async_forward(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(self.delay_s)
         is_answer = writer in self._open
-        while True:
-            try:
-                data = await reader.read(CHUNK_BYTES)
-            except ConnectionError:
-                data = b""
-            if generation != self._generation:
-                await asyncio.Event().wait()
-            await asyncio.sleep(self.delay_s)
-            if not data:
-                writer.close()
-                return
-            if is_answer and self.is_one_way:
-                continue
-            writer.write(data)
-            try:
-                await writer.drain()
-            except ConnectionError:
-                # The other side of a connection that was reset.
-                return
+        if not (is_answer and self.is_one_way):
+            await super()._async_forward(data, writer)
--- a/tests/processes/silence.py
+++ b/tests/processes/silence.py
@@ -90,5 +90,12 @@
             if not data:
                 writer.close()
                 return
-            writer.write(data)
-            await writer.drain()
+            try:
+                await self._async_forward(data, writer)
+            except ConnectionError:
+                # The other side of a connection that was reset.
+                return
+
+    async def _async_forward(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
