--- a/soak/run.py
+++ b/soak/run.py
@@ -160,6 +160,6 @@
 async def async_play(directory: Path, plan: Plan, daemons: int) -> Verdict:
     """Start a deployment, play a plan against it, and end it."""
     async with async_entry_deployment(
-        directory, daemons, make_proxy=StoreProxy
+        directory, daemons, has_proxy=True, make_proxy=StoreProxy
     ) as deployment:
         return await SoakRun(deployment, daemons, plan).async_run()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import pytest
 from hypothesis import HealthCheck, settings
 
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+from .known_red import LIST_PATH, find_errors, parse_known_failures
 
 settings.register_profile(
     "ci",
@@ -18,19 +16,27 @@
 )
 settings.load_profile("ci")
 
-
-def _known_red() -> dict[str, str]:
-    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
-    return {line.split()[0].rstrip(":,"): line for line in lines if line}
+_KNOWN = parse_known_failures(LIST_PATH.read_text())
+_RESULTS = {"xpassed": "passes", "xfailed": "fails"}
 
 
-def pytest_collection_modifyitems(items):
-    known = _known_red()
+def pytest_collection_modifyitems(config, items):
+    is_whole = config.args_source is config.ArgsSource.TESTPATHS
+    errors = find_errors(_KNOWN, {i.nodeid for i in items} if is_whole else None)
+    if errors:
+        raise pytest.UsageError(f"{LIST_PATH.name}: " + "; ".join(errors))
+    known = {entry.name: entry.line for entry in _KNOWN}
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=False))
 
 
 def pytest_terminal_summary(terminalreporter):
-    for line in _known_red().values():
-        terminalreporter.write_line(f"KNOWN RED: {line}")
+    results = {
+        report.nodeid: result
+        for outcome, result in _RESULTS.items()
+        for report in terminalreporter.getreports(outcome)
+    }
+    for entry in _KNOWN:
+        result = results.get(entry.name, "not run")
+        terminalreporter.write_line(f"KNOWN RED ({result}): {entry.line}")
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -198,7 +198,8 @@
     directory: Path,
     daemons: int = 3,
     *,
-    make_proxy: type[SilencingProxy] | None = None,
+    has_proxy: bool = False,
+    make_proxy: type[SilencingProxy] = SilencingProxy,
 ) -> AsyncIterator[EntryDeployment]:
     deployment = EntryDeployment(directory)
     deployment.session = aiohttp.ClientSession(
@@ -206,7 +207,7 @@
     )
     try:
         deployment.start_store()
-        if make_proxy is not None:
+        if has_proxy:
             await deployment.async_start_proxy(make_proxy)
         for number in range(daemons):
             deployment.start_daemon(number)
--- a/tests/processes/test_entry.py
+++ b/tests/processes/test_entry.py
@@ -6,7 +6,6 @@
 import itertools
 
 from .entry_deployment import FAILURES, async_entry_deployment
-from .silence import SilencingProxy
 
 EVENTS = 6
 _IDS = itertools.count()
@@ -44,17 +43,6 @@
     return body
 
 
-async def async_silence_store(deployment) -> None:
-    """Silence all connections to the store, of which there are some."""
-
-    async def async_is_connected() -> bool:
-        return deployment.store_proxy.connections > 0
-
-    # The second try of a call closes its own, so that none may be open for a moment.
-    await deployment.async_until(async_is_connected)
-    assert deployment.store_proxy.silence() > 0
-
-
 def run(test, tmp_path, daemons: int = 3) -> None:
     async def async_run():
         async with async_entry_deployment(tmp_path, daemons) as deployment:
@@ -194,11 +182,9 @@
     """Without a reset; new connections work. The placer keeps its work too."""
 
     async def async_test():
-        async with async_entry_deployment(
-            tmp_path, make_proxy=SilencingProxy
-        ) as deployment:
+        async with async_entry_deployment(tmp_path, has_proxy=True) as deployment:
             await async_until_served(deployment, 0, "m0")
-            await async_silence_store(deployment)
+            assert deployment.store_proxy.silence() > 0
             await deployment.async_configure(2, routes=[])
 
             async def async_all_answer(status: int) -> bool:
@@ -211,7 +197,7 @@
                 return True
 
             await deployment.async_until(lambda: async_all_answer(404))
-            await async_silence_store(deployment)
+            assert deployment.store_proxy.silence() > 0
             await deployment.async_configure(3)
             await deployment.async_until(lambda: async_all_answer(200))
             for model in ("m1", "m2", "m3"):
--- a/tests/relaying/test_deadly_requests.py
+++ b/tests/relaying/test_deadly_requests.py
@@ -21,14 +21,11 @@
 from types import SimpleNamespace
 
 from chutelink.exceptions import ConnectionBroken
-from chutelink.quarantine.const import SAME_END_S
 from standins.prepared_endpoint import DEADLY
 
 from .world import async_world
 
 ATTEMPTS = 10
-AWAY_S = 1.2 * SAME_END_S
-"""How soon an endpoint is back; ends nearer to one another count as one."""
 MAX_ENDS = 3
 """What the operators allow before repeats are counted."""
 
@@ -60,7 +57,7 @@
 async def async_count_ends(path: str, service: str, **headers: str) -> int:
     """Return how many endpoints a request ends that its caller repeats."""
     async with async_world() as world:
-        world.machines.away_s = AWAY_S
+        world.machines.away_s = 0.1
         world.configure()
         models = {"m0": []} if service == "llm" else {}
         endpoints = await async_add_endpoints(world, service, models)
