Tell ends of an endpoint apart by the runs that they broke off, not by the time between them

What callers saw: a request that ends its endpoints ended four to nine of them where three ends keep it away, and broke all other streams there. Cause: two ends of one endpoint within 0.25 s were taken for one, whatever else was known. No end lacked its proof (ruled out). Fix: an end lies in the span in which its runs were under way. A run that was sent on a new connection after an earlier break was noticed belongs to another end; a kept connection may have been broken before. Daemons number the ends that they know, so that a higher number is another end, and tell how long ago they noticed it.

--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -76,7 +76,15 @@
 
 
 class ConnectionBroken(EndpointFailed):
-    """The endpoint's side of a connection ended within an exchange."""
+    """The endpoint's side of a connection ended within an exchange.
+
+    Attributes
+    ----------
+    is_new_connection : bool
+        Whether the connection was opened for this exchange.
+    """
+
+    is_new_connection = False
 
 
 class PeerMessageInvalid(ChutelinkError):
--- a/chutelink/quarantine/const.py
+++ b/chutelink/quarantine/const.py
@@ -30,8 +30,8 @@
 SUSPECT_KEPT_S: Final = 3600.0
 """How long an end is held against a request that does not come again."""
 SAME_END_S: Final = 0.25
-"""Ends of one endpoint within this are one: no process starts and ends so soon, and
-daemons hear of each other within some ms.
+"""How far apart daemons may notice one end of an endpoint, each by its own connections;
+so long may a kept connection be broken before that is noticed.
 """
 MIN_BACK_S: Final = 0.5
 """When a caller may come back while another daemon tries its request: it is then known
--- a/chutelink/quarantine/model.py
+++ b/chutelink/quarantine/model.py
@@ -30,7 +30,8 @@
     """One end of an endpoint.
 
     ``born_ms`` is the start of the process that was registered then; ``number`` counts
-    the ends since, as the next process may end before it has registered.
+    the endpoint's ends that were known by then, as the next process may end before it
+    has registered.
     """
 
     endpoint: EndpointId
@@ -52,7 +53,8 @@
     """A run that was broken off, and the process of the endpoint that had it.
 
     ``about`` shows operators which request it was; ``sent_s`` is on this daemon's
-    clock.
+    clock. ``is_new_connection`` says that no other request was sent before on the
+    connection.
     """
 
     fingerprint: Fingerprint
@@ -61,6 +63,7 @@
     born_ms: int
     address: str
     sent_s: float
+    is_new_connection: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/chutelink/quarantine/news.py
+++ b/chutelink/quarantine/news.py
@@ -9,11 +9,15 @@
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was running where an endpoint ended."""
+    """A request that was running where an endpoint ended.
+
+    ``noticed_ago_s`` is how long before this was told the run broke off.
+    """
 
     fingerprint: Fingerprint
     about: str
     ending: Ending
+    noticed_ago_s: float = 0.0
 
 
 class EndingNews(msgspec.Struct, frozen=True, tag="endings"):
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -155,14 +155,15 @@
         """Take in what another daemon had running where endpoints ended."""
         now_s = self._core.clock()
         for run in news.runs:
-            ending = self._ends.take(run.ending, now_s)
+            ending = self._ends.take(run.ending, now_s - run.noticed_ago_s, now_s)
             self._add(EndedRun(run.fingerprint, run.about, ending), source)
 
-    def note_ended(self, run: BrokenRun, evidence: Evidence) -> None:
-        """Take in that an endpoint is proved to have ended under a run."""
-        ending = self._ends.name(
-            run.endpoint, run.born_ms, run.sent_s, self._core.clock()
-        )
+    def note_ended(self, run: BrokenRun, evidence: Evidence, broken_s: float) -> None:
+        """Take in that an endpoint is proved to have ended under a run.
+
+        ``broken_s`` is when the run was broken off, on this daemon's clock.
+        """
+        ending = self._ends.name(run, broken_s)
         self._core.metrics.endings.inc({"evidence": evidence.value})
         self._core.events.record(
             "ended_under",
@@ -172,7 +173,8 @@
             evidence=evidence.value,
         )
         about = _printable(run.about)
-        ended = EndedRun(run.fingerprint, about, ending)
+        ago_s = max(0.0, self._core.clock() - broken_s)
+        ended = EndedRun(run.fingerprint, about, ending, ago_s)
         if self._add(ended, "own_run"):
             self.on_held(run.fingerprint)
         if not self._untold:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -206,10 +206,12 @@
             record.born_ms,
             record.address,
             sent_s,
+            error.is_new_connection,
         )
         quarantine = self._exchanges.quarantine
         if self._exchanges.table.is_replaced(record):
-            quarantine.note_ended(run, Evidence.RESTARTED)
+            now_s = self._exchanges.core.clock()
+            quarantine.note_ended(run, Evidence.RESTARTED, now_s)
             return
         await quarantine.async_note_broken(run)
 
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from contextvars import ContextVar
 
 import aiohttp
 import msgspec
@@ -38,6 +38,16 @@
 NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+class _Opening(msgspec.Struct):
+    """Whether a call opened a connection, instead of using a kept one."""
+
+    is_new: bool = False
+
+
+_OPENING: ContextVar[_Opening | None] = ContextVar("opening", default=None)
+"""What the connector notes for the call of the task that it runs in."""
+
+
 class _StrictResponseHandler(ResponseHandler):
     """Treats a body that ends with a reset as broken off.
 
@@ -64,7 +74,14 @@
             force_close=not is_pooled,
             **({"keepalive_timeout": KEEPALIVE_S} if is_pooled else {}),
         )
-        self._factory = functools.partial(_StrictResponseHandler, loop=self._loop)
+        self._factory = self._make_handler
+
+    def _make_handler(self) -> _StrictResponseHandler:
+        """Return the handler of a new connection, and note that there is one."""
+        opening = _OPENING.get()
+        if opening is not None:
+            opening.is_new = True
+        return _StrictResponseHandler(loop=self._loop)
 
 
 class EndpointCall(msgspec.Struct, frozen=True):
@@ -122,6 +139,8 @@
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
         peer = endpoint.record.id
+        opening = _Opening()
+        _OPENING.set(opening)
         try:
             async with session.request(
                 call.method,
@@ -143,9 +162,13 @@
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             message = str(error) or type(error).__name__
-            raise ConnectionBroken(
-                message, step="endpoint.exchange", peer=peer
-            ) from error
+            broken = ConnectionBroken(message, step="endpoint.exchange", peer=peer)
+            broken.is_new_connection = opening.is_new
+            raise broken from error
+        except ConnectionBroken as error:
+            # Of whoever reads the answer.
+            error.is_new_connection = opening.is_new
+            raise
 
     async def async_exchange(
         self, endpoint: Endpoint, call: EndpointCall, limit_s: float
