Give up all idle connections to the store when one has fallen silent, and keep the one that works

What callers saw: after connections fell silent without a reset, each further kept one cost a daemon's read 0.4 s more or a write its whole time limit (the placer's lease among them), and the daemon held no connection between its calls. Cause: a silent connection was taken for a matter of its own call, and the second try of a read used a connection that was closed behind it. The session that opened a connection for each call is gone; the fixture of tests/store takes the new argument, its checks are as they were. New test: three kept connections fall silent at once; it failed with the idle ones left open (the write ran into its limit).

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -59,8 +59,6 @@
         self.is_draining = False
         self.drain_requested = asyncio.Event()
         self.session: aiohttp.ClientSession | None = None
-        self.fresh_session: aiohttp.ClientSession | None = None
-        """Opens a new connection for each call."""
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
@@ -70,12 +68,6 @@
         )
         no_limit = aiohttp.ClientTimeout(total=None)
         self.session = aiohttp.ClientSession(connector=connector, timeout=no_limit)
-        fresh_connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, use_dns_cache=False
-        )
-        self.fresh_session = aiohttp.ClientSession(
-            connector=fresh_connector, timeout=no_limit
-        )
         if self.daemon.trace_url:
             await self._async_export_spans()
         await self.async_setup_parts()
@@ -97,9 +89,8 @@
         """Close the server and the session, after the parts have stopped."""
         if self._runner is not None:
             await self._runner.cleanup()
-        for session in (self.session, self.fresh_session):
-            if session is not None:
-                await session.close()
+        if self.session is not None:
+            await self.session.close()
         self.events.info("stopped", daemon=self.daemon.id)
 
     @abstractmethod
--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -12,6 +12,7 @@
 from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchedTable
+from ..store.http import ReadRetry
 from .config import RoutingConfig
 from .dialect import Dialect
 from .directory import Directory
@@ -28,7 +29,7 @@
         self,
         session: aiohttp.ClientSession,
         settings: PlatformSection,
-        fresh_session: aiohttp.ClientSession,
+        on_retry: Callable[[ReadRetry], None],
     ) -> WatchedTable:
         """Return the table service; reads are sent a second time when unanswered."""
 
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -129,7 +129,9 @@
         table = self._adapter.make_table(
             self.session,
             fit_time_limit(self, self.settings.platform, bound_s),
-            self.fresh_session,
+            lambda retry: self.events.record(
+                "store_read_retried", **msgspec.structs.asdict(retry)
+            ),
         )
         self._upstream = Upstream()
         self.mesh = Mesh(self, self.settings.peers, self.members)
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -16,6 +16,7 @@
 from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchedTable
+from ..store.http import ReadRetry
 from .configuration import decode_config
 from .customers import hash_keys
 from .endpoints import compact_registration, decode_registration
@@ -32,10 +33,10 @@
         self,
         session: aiohttp.ClientSession,
         settings: PlatformSection,
-        fresh_session: aiohttp.ClientSession,
+        on_retry: Callable[[ReadRetry], None],
     ) -> WatchedTable:
         """Return the table service."""
-        return async_setup_store(session, settings, fresh_session)
+        return async_setup_store(session, settings, on_retry)
 
     def make_engine_client(self, session: aiohttp.ClientSession) -> EngineClient:
         """Return the client for reports and orders."""
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -19,7 +20,7 @@
 from ..ids import WriteId
 from ..settings import PlatformSection
 from ..store import UNREADABLE, Row, RowPage, Transaction, WatchedTable, Write
-from ..store.http import Answer, HttpCaller
+from ..store.http import Answer, HttpCaller, ReadRetry
 
 MS_PER_S = 1000
 HTTP_OK = 200
@@ -218,7 +219,7 @@
 def async_setup_store(
     session: aiohttp.ClientSession,
     settings: PlatformSection,
-    fresh_session: aiohttp.ClientSession | None = None,
+    on_retry: Callable[[ReadRetry], None] | None = None,
 ) -> StoreTable:
     """Return the store behind a time limit, a breaker and a budget of calls."""
-    return StoreTable(HttpCaller(session, settings, "store", STATUSES, fresh_session))
+    return StoreTable(HttpCaller(session, settings, "store", STATUSES, on_retry))
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -26,6 +26,7 @@
     VmList,
 )
 from .breaker import Breaker
+from .connections import close_idle_connections
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -37,7 +38,7 @@
 
 
 SECOND_TRY_SHARE = 0.4
-"""Share of the time limit after which a read is sent anew, on a new connection.
+"""Share of the time limit after which a read is sent again, on a new connection.
 
 Guards against a kept connection that has fallen silent, which only a time limit shows.
 Most answers take some 10 ms; slow ones take half of the limit and are waited for.
@@ -51,6 +52,22 @@
     body: bytes
 
 
+_Send = Callable[[], Awaitable[Answer]]
+
+
+class ReadRetry(msgspec.Struct, frozen=True):
+    """A read that is sent a second time because there was no answer.
+
+    ``waited_s`` is how long, ``lag_s`` how much of it the event loop was blocked;
+    ``closed`` is how many kept connections are not used again.
+    """
+
+    step: str
+    waited_s: float
+    lag_s: float
+    closed: int
+
+
 class _CommitAnswer(msgspec.Struct, frozen=True):
     """What the table service says of a transaction."""
 
@@ -71,8 +88,8 @@
         Its name, for errors.
     statuses : frozenset of int
         What it answers when it is well.
-    fresh_session : aiohttp.ClientSession, optional
-        Opens a connection for each call; for the second try of reads.
+    on_retry : callable, optional
+        Called with each second try of a read. Without it reads are sent once.
     """
 
     def __init__(
@@ -81,10 +98,10 @@
         settings: PlatformSection,
         peer: str,
         statuses: frozenset[int] = OWN_DIALECT_STATUSES,
-        fresh_session: aiohttp.ClientSession | None = None,
+        on_retry: Callable[[ReadRetry], None] | None = None,
     ) -> None:
         self._session = session
-        self._fresh_session = fresh_session
+        self._on_retry = on_retry
         self._settings = settings
         self.peer = peer
         self._statuses = statuses
@@ -115,9 +132,9 @@
         read is sent a second time when there is no answer for long.
         """
 
-        async def async_send(session: aiohttp.ClientSession) -> Answer:
+        async def async_send() -> Answer:
             self.breaker.before_call(step)
-            async with session.request(
+            async with self._session.request(
                 method,
                 self._settings.url + path,
                 params=params,
@@ -128,10 +145,10 @@
 
         try:
             async with asyncio.timeout(self._settings.timeout_s + wait_s):
-                if is_read and self._fresh_session is not None:
-                    answer = await self._async_twice(async_send, wait_s)
+                if is_read and self._on_retry is not None:
+                    answer = await self._async_twice(async_send, step, wait_s)
                 else:
-                    answer = await async_send(self._session)
+                    answer = await async_send()
         except aiohttp.ClientConnectorError as error:
             self.breaker.note_failure()
             raise PlatformUnavailable(str(error), step=step, peer=self.peer) from error
@@ -148,18 +165,23 @@
 
     async def _async_twice(
         self,
-        async_send: Callable[[aiohttp.ClientSession], Awaitable[Answer]],
+        async_send: _Send,
+        step: str,
         wait_s: float,
     ) -> Answer:
         """Return the answer of whichever try is answered first."""
-        first = asyncio.ensure_future(async_send(self._session))
+        started_s = now_s()
+        first = asyncio.ensure_future(async_send())
         tries = {first}
         patience_s = wait_s + SECOND_TRY_SHARE * self._settings.timeout_s
         try:
             await asyncio.wait(tries, timeout=patience_s)
+            lag_s = now_s() - started_s - patience_s
             if first.done():
                 return first.result()
-            tries.add(asyncio.ensure_future(async_send(self._fresh_session)))
+            closed = close_idle_connections(self._session, self._settings.url)
+            tries.add(asyncio.ensure_future(async_send()))
+            self._on_retry(ReadRetry(step, now_s() - started_s, lag_s, closed))
             return await _async_first_answer(tries)
         finally:
             for task in tries:
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -16,7 +16,7 @@
 
 from chutelink.exceptions import PlatformUnavailable
 from chutelink.settings import PlatformSection
-from chutelink.store.http import HttpCaller
+from chutelink.store.http import HttpCaller, ReadRetry
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 LIMIT_S = 0.5
@@ -29,6 +29,7 @@
         self.silent = silent
         self.connections = 0
         self.calls = 0
+        self.retries: list[ReadRetry] = []
 
     async def async_serve(self, reader, writer):
         self.connections += 1
@@ -55,12 +56,8 @@
     port = listener.sockets[0].getsockname()[1]
     url = f"http://127.0.0.1:{port}"
     settings = PlatformSection(url=url, key="none", timeout_s=LIMIT_S)
-    fresh = aiohttp.TCPConnector(force_close=True)
-    async with (
-        aiohttp.ClientSession() as session,
-        aiohttp.ClientSession(connector=fresh) as fresh_session,
-    ):
-        yield HttpCaller(session, settings, "store", fresh_session=fresh_session)
+    async with aiohttp.ClientSession() as session:
+        yield HttpCaller(session, settings, "store", on_retry=server.retries.append)
     listener.close()
 
 
@@ -108,3 +105,26 @@
             await caller.async_call("GET", "/x", step="x", is_read=True)
 
     run(Mute(silent=9), async_test)
+
+
+def test_one_silent_connection_costs_no_later_call_its_time_limit():
+    """Three connections are kept, and all of them fall silent at once.
+
+    What was seen: each of them cost one more read a second try, or a write its time
+    limit; and a daemon whose second tries each closed their connection held none.
+    """
+    server = SilentServer(silent=3)
+
+    async def async_test(caller):
+        reads = [
+            caller.async_call("GET", "/x", step="x", is_read=True) for _ in range(3)
+        ]
+        await asyncio.gather(*reads)
+        assert server.connections == 3
+        await caller.async_call("GET", "/x", step="x", is_read=True)
+        await caller.async_call("POST", "/x", step="x")
+        await caller.async_call("GET", "/x", step="x", is_read=True)
+        assert len(server.retries) == 1
+        assert server.connections == 4
+
+    run(server, async_test)
