Load overdue models at more endpoints at once

Cause, one of three: at most 0.45 of the endpoints loaded rare models at once (three of six), each for 6 s where the weights come from the store; free endpoints stood by. Change: a model that is missing for longer than a cold load takes is held to 0.7 of the endpoints instead, so that one stays free; others as before. Only a model that no endpoint holds counts as overdue now, not one whose adapter is missing. Tests failed before.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -79,13 +79,6 @@
         waiting = view.demand.waiting(view.now_s)
         self._waiting = frozenset(model for model, _ in waiting)
         self.denied_s = view.demand.denied_s(view.now_s)
-        self._overdue = frozenset(
-            model
-            for (model, _), denied_s in self.denied_s.items()
-            if model in self._waiting
-            and model in view.engine.models
-            and denied_s > view.engine.models[model].cold_load_s
-        )
         self._kept: frozenset[ModelName] | None = None
         self._present: Counter[ModelName] = Counter()
         self._serving: Counter[ModelName] = Counter()
@@ -94,6 +87,16 @@
             self._present.update(m for m in site.inventory.models if m not in closing)
             self._serving.update(m for m in site.endpoint.models if m not in closing)
         self.expected = frozenset(self.outlook.expected() or self._expected_first())
+        missing_s: dict[ModelName, float] = {}
+        for (model, _), denied_s in self.denied_s.items():
+            if model in view.engine.models and not self.replicas(model):
+                missing_s[model] = max(denied_s, missing_s.get(model, 0.0))
+        self._overdue = frozenset(
+            model
+            for model, denied_s in missing_s.items()
+            if model in self._waiting
+            and denied_s > view.engine.models[model].cold_load_s
+        )
 
     def take(self, change: Change, site: Site) -> None:
         """Take in a change that was decided."""
@@ -185,7 +188,7 @@
         return [model for _, _, model in sorted(ranked)]
 
     def is_overdue(self, model: ModelName) -> bool:
-        """Return whether a model was denied for longer than a load of it takes."""
+        """Return whether a model is missing for longer than a load of it takes."""
         return model in self._overdue
 
     def _gives_turn(self, site: Site, model: ModelName, wanted: ModelName) -> bool:
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -38,6 +38,11 @@
 
 An endpoint that loads takes no orders for adapters and no other model for 4 s.
 """
+MAX_OVERDUE_SHARE = 0.7
+"""Share of the endpoints that may load rare models at once when some are overdue.
+
+The others stay free for adapters and replicas of busy models.
+"""
 COLD_LOAD_ASKS = 1.5
 """How often a rare model must lately have been asked for to be fetched.
 
@@ -109,9 +114,9 @@
         demand, now_s = self._view.demand, self._view.now_s
         if self.outlook.is_wanted(model):
             return True
-        if self._holdings.rare_loads() >= max(
-            1.0, MAX_RARE_SHARE * len(self._view.sites)
-        ):
+        is_overdue = self._holdings.is_overdue(model)
+        share = MAX_OVERDUE_SHARE if is_overdue else MAX_RARE_SHARE
+        if self._holdings.rare_loads() >= max(1.0, share * len(self._view.sites)):
             return False
         is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
         return is_asked or demand.has_patient(model, now_s)
--- /dev/null
+++ b/tests/placing/test_starvation.py
@@ -0,0 +1,47 @@
+"""Rarely requested models are loaded in the end, however busy the others are."""
+
+from __future__ import annotations
+
+from chutelink.entry.demand import DemandTable
+from chutelink.entry.news import ModelUse
+from chutelink.placing.changes import PlacementView
+from chutelink.placing.placement import DemandPlacement
+
+from .test_placement import make_engine, make_site
+
+NOW_S = 100.0
+COLD_LOAD_S = 4.0
+
+
+def make_view(sites, busy, denied, *, denied_s=10.0, is_waiting=True, cold_loads=9):
+    """Return a view in which some models were rejected for a while."""
+    demand = DemandTable()
+    refused = [ModelUse(model, "", 1, 0.01, 1, 1) for model in denied]
+    demand.take("d1", refused, NOW_S - denied_s)
+    waiting = int(is_waiting)
+    again = [ModelUse(model, "", 1, 0.01, waiting, waiting) for model in denied]
+    uses = [ModelUse(model, "", count, work_s, 0) for model, count, work_s in busy]
+    demand.take("d1", again + uses, NOW_S)
+    engine = make_engine(cold_load_s=COLD_LOAD_S)
+    return PlacementView(engine, sites, {}, demand, cold_loads, NOW_S)
+
+
+def plan(*args, **kwargs):
+    return DemandPlacement().plan(make_view(*args, **kwargs))
+
+
+def test_overdue_models_are_loaded_by_more_endpoints_at_once():
+    """Three loads at a time were too few: callers saw models rejected all day."""
+    sites = [make_site(f"i-{n}", {"m7": []}) for n in range(5)]
+    rare = ["m3", "m4", "m5", "m6"]
+    changes = plan(sites, [("m7", 900, 0.1)], rare)
+    assert {change.model for change in changes} >= set(rare)
+    recent = plan(sites, [("m7", 900, 0.1)], rare, denied_s=COLD_LOAD_S / 2)
+    assert sum(change.model in rare for change in recent) == 3
+
+
+def test_an_overdue_model_leaves_an_endpoint_free_for_busy_ones():
+    sites = [make_site(f"i-{n}", {"m7": []}) for n in range(4)]
+    rare = ["m3", "m4", "m5", "m6"]
+    changes = plan(sites, [("m7", 900, 0.1)], rare)
+    assert sum(change.model in rare for change in changes) == 3
