Load no replica in reserve while requests for another model are rejected

Cause, two of three: a model that is only expected to be busy soon was loaded a second time as soon as an endpoint was idle; that evicted a rare model which had just been loaded, blocked the endpoint for 1.2 to 6 s, and was evicted by the next rare model. Change: a reserve is loaded only while no requested model is missing. Models that are busy now are paired as before. Test failed before.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -63,7 +63,8 @@
 class Holdings:
     """What endpoints hold in one round, with the changes that it has decided.
 
-    ``expected`` are the models that are asked for, or soon may be.
+    ``expected`` are the models that are asked for, or soon may be; ``has_missing`` says
+    that requests for some model are rejected because no endpoint holds it.
 
     Parameters
     ----------
@@ -91,6 +92,7 @@
         for (model, _), denied_s in self.denied_s.items():
             if model in view.engine.models and not self.replicas(model):
                 missing_s[model] = max(denied_s, missing_s.get(model, 0.0))
+        self.has_missing = bool(missing_s)
         self._overdue = frozenset(
             model
             for model, denied_s in missing_s.items()
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -64,7 +64,7 @@
             round_.make_resident(model)
         # What may be asked for comes after what requests wait for.
         for model in round_.outlook.expected():
-            round_.pair(model)
+            round_.reserve(model)
         for model in round_.next_models():
             round_.prepare(model)
         for model in round_.outlook.active:
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -126,6 +126,14 @@
         if self._holdings.replicas(model) < 2 and self._holdings.is_top(model):
             self._load(model, ChangeReason.PAIR)
 
+    def reserve(self, model: ModelName) -> None:
+        """Load a model a second time that may soon be requested by many.
+
+        Not while another is missing: the replica would evict one that is requested.
+        """
+        if not self._holdings.has_missing:
+            self.pair(model)
+
     def add_replica(self, model: ModelName) -> None:
         """Load a busy model once more, or one whose endpoints others keep busy."""
         replicas = self._holdings.replicas(model)
--- a/tests/placing/test_starvation.py
+++ b/tests/placing/test_starvation.py
@@ -4,7 +4,7 @@
 
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.news import ModelUse
-from chutelink.placing.changes import PlacementView
+from chutelink.placing.changes import ChangeReason, PlacementView
 from chutelink.placing.placement import DemandPlacement
 
 from .test_placement import make_engine, make_site
@@ -45,3 +45,16 @@
     rare = ["m3", "m4", "m5", "m6"]
     changes = plan(sites, [("m7", 900, 0.1)], rare)
     assert sum(change.model in rare for change in changes) == 3
+
+
+def test_no_replica_in_reserve_is_loaded_while_a_model_is_rejected():
+    """It evicted a rare model, blocked its endpoint and was evicted by the next one."""
+    sites = [
+        make_site("i-1", {"m0": [], "m3": []}),
+        make_site("i-2", {"m0": [], "m6": []}),
+    ]
+    busy = [("m0", 100, 0.1)]
+    reserve = plan(sites, busy, [])
+    assert any(c.reason is ChangeReason.PAIR and c.model == "m3" for c in reserve)
+    changes = plan(sites, busy, ["m5"], is_waiting=False)
+    assert not any(change.reason is ChangeReason.PAIR for change in changes)
