Let an overdue model evict a replica that the model's other endpoints can do without

Change: a model that is missing for longer than a cold load takes may evict a replica whose other replicas can serve the present demand; no second replica is loaded meanwhile.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -181,6 +181,7 @@
             is_idle &= is_unused or missed <= wanted_worth
             is_spare = bool(demand.uses) and self._is_spare(model)
             is_spare |= wanted in self._waiting and self._is_prepared_twice(model)
+            is_spare |= self.is_overdue(wanted) and self._is_redundant(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
             is_due = not is_replica and self._gives_turn(site, model, wanted)
             if is_idle or is_spare or is_outweighed or is_due:
@@ -189,6 +190,11 @@
                 ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
+    @property
+    def has_overdue(self) -> bool:
+        """Whether some model is overdue."""
+        return bool(self._overdue)
+
     def is_overdue(self, model: ModelName) -> bool:
         """Return whether a model is missing for longer than a load of it takes."""
         return model in self._overdue
@@ -217,6 +223,11 @@
             return False
         return self.outlook.work(model) / others < SPARE_WORK
 
+    def _is_redundant(self, model: ModelName) -> bool:
+        """Return whether the other replicas of a model can serve its present demand."""
+        others = self.held(model) - 1
+        return others >= 1 and self.outlook.demand(model) / others < SPARE_WORK
+
     def _is_prepared_twice(self, model: ModelName) -> bool:
         """Return whether two endpoints hold a model that is not asked for yet.
 
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -122,7 +122,12 @@
         return is_asked or demand.has_patient(model, now_s)
 
     def pair(self, model: ModelName) -> None:
-        """Load a model a second time that many ask for, or soon may."""
+        """Load a model a second time that many ask for, or soon may.
+
+        Not while a rare model is overdue, which would evict the replica again.
+        """
+        if self._holdings.has_overdue:
+            return
         if self._holdings.replicas(model) < 2 and self._holdings.is_top(model):
             self._load(model, ChangeReason.PAIR)
 
--- a/tests/placing/test_starvation.py
+++ b/tests/placing/test_starvation.py
@@ -58,3 +58,32 @@
     assert any(c.reason is ChangeReason.PAIR and c.model == "m3" for c in reserve)
     changes = plan(sites, busy, ["m5"], is_waiting=False)
     assert not any(change.reason is ChangeReason.PAIR for change in changes)
+
+
+def test_an_overdue_model_evicts_a_replica_that_the_others_can_do_without():
+    """Endpoints with three busy models were idle while rare models were rejected."""
+    sites = [make_site(f"i-{n}", {"m0": [], "m1": []}) for n in range(2)]
+    busy = [("m0", 100, 0.1), ("m1", 100, 0.1)]
+    change = plan(sites, busy, ["m5"])[0]
+    assert change.model == "m5"
+    assert change.unload_models[0] in ("m0", "m1")
+    recent = plan(sites, busy, ["m5"], denied_s=COLD_LOAD_S / 2)
+    assert not any(change.model == "m5" for change in recent)
+
+
+def test_an_overdue_model_evicts_no_replica_that_is_needed():
+    sites = [make_site(f"i-{n}", {"m0": [], "m1": []}) for n in range(2)]
+    busy = [("m0", 100, 9.0), ("m1", 100, 9.0)]
+    assert not any(c.model == "m5" for c in plan(sites, busy, ["m5"]))
+
+
+def test_no_second_replica_is_loaded_while_a_model_is_overdue():
+    sites = [
+        make_site("i-1", {"m0": [], "m1": []}),
+        make_site("i-2", {"m1": []}, on_disk=("m0",)),
+    ]
+    busy = [("m0", 100, 0.1), ("m1", 100, 0.1)]
+    pairs = plan(sites, busy, [])
+    assert any(c.reason is ChangeReason.PAIR and c.model == "m0" for c in pairs)
+    changes = plan(sites, busy, ["m5"], cold_loads=0)
+    assert not any(change.reason is ChangeReason.PAIR for change in changes)
