--- a/tests/placing/rare_world.py
+++ b/tests/placing/rare_world.py
@@ -92,6 +92,10 @@
         Requests a second for those that are.
     seed : int
         Of all that is random.
+    callers_retry : bool
+        Whether callers come back once when they are told to; else they give up.
+    lead_s : float
+        How long endpoints run before the first request.
     """
 
     def __init__(
@@ -103,8 +107,12 @@
         rare_per_s: float = 5.0,
         busy_per_s: float = 60.0,
         seed: int = 1,
+        callers_retry: bool = True,
+        lead_s: float = LEAD_S,
     ) -> None:
         self._policy = policy
+        self._callers_retry = callers_retry
+        self._lead_s = lead_s
         self._rng = random.Random(seed)
         names = [f"m{number:02}" for number in range(models)]
         spec = {
@@ -142,11 +150,11 @@
 
     def run(self, time_s: float) -> None:
         """Let time pass, from the first request on."""
-        while self.now_s < LEAD_S + time_s:
+        while self.now_s < self._lead_s + time_s:
             self.now_s += TICK_S
             self._end_streams()
             self._carry_out()
-            if self.now_s > LEAD_S:
+            if self.now_s > self._lead_s:
                 self._ask()
             self._serve_waiting()
             if self.now_s >= self._next_news_s:
@@ -227,7 +235,8 @@
         wait = self._make_wait(waiting)
         if wait_until_s(wait) > self.now_s:
             return False
-        if waiting.is_back or waiting.model in self._names[: len(BUSY_SHARES)]:
+        is_busy = waiting.model in self._names[: len(BUSY_SHARES)]
+        if waiting.is_back or is_busy or not self._callers_retry:
             return True
         left_s = waiting.asked_s + RARE_DEADLINE_S - self.now_s
         waiting.back_s = self.now_s + min(back_in_s(wait), RETRY_SHARE * left_s)
@@ -262,7 +271,7 @@
         counts: dict[str, int] = defaultdict(int)
         for waiting in self._waiting:
             counts[waiting.model] += 1
-        if self.now_s <= LEAD_S:
+        if self.now_s <= self._lead_s:
             return
         uses = [
             ModelUse(
--- a/tests/placing/test_rare_models.py
+++ b/tests/placing/test_rare_models.py
@@ -33,6 +33,16 @@
 """What the operators allow beyond one, of models asked for all day."""
 
 
+def make_impatient_world(rare_per_s: float, seed: int) -> RareWorld:
+    return RareWorld(
+        DemandPlacement(),
+        rare_per_s=rare_per_s,
+        seed=seed,
+        callers_retry=False,
+        lead_s=0.0,
+    )
+
+
 @pytest.mark.parametrize("rare_per_s", [2.0, 5.0])
 def test_no_model_that_is_asked_for_all_day_is_never_served(rare_per_s):
     never = {}
@@ -43,6 +53,25 @@
     assert not any(never.values()), never
 
 
+@pytest.mark.parametrize("rare_per_s", [2.0, 5.0])
+def test_none_is_never_served_where_callers_give_up_and_come_at_once(rare_per_s):
+    """Callers that are rejected don't retry, and there is no time before the first."""
+    never = {}
+    for seed in SEEDS:
+        world = make_impatient_world(rare_per_s, seed)
+        world.run(DAY_S)
+        never[seed] = world.never_served()
+    assert not any(never.values()), never
+
+
+def test_few_are_never_served_where_callers_give_up_and_come_at_once():
+    for seed in range(12):
+        world = make_impatient_world(5.0, seed)
+        world.run(DAY_S)
+        asked = world.asked_all_day()
+        assert len(world.never_served()) <= 1 + MAX_NEVER_SHARE * len(asked), seed
+
+
 def test_with_more_demand_than_places_few_are_never_served():
     """Each of 22 rare models is asked for once in some 4 s, six endpoints hold 18.
 
