Give test runs at the same time networks of their own

Two runs of the process tests whose process ids were equal modulo 9 used one loopback network: one could not bind its address or found the other's store, and failed by its time limit (three of 56 runs of a provocation; its log showed a configuration that the other run had written). Ids now have 6,250 networks.

--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -48,7 +48,9 @@
 
     def __init__(self, directory: Path) -> None:
         self.directory = directory
-        self.net = f"127.{20 + os.getpid() % 9}.{100 + next(_NETS) % 150}"
+        # Test runs at the same time have other process ids, and so other networks.
+        second, third = 230 + os.getpid() % 25, os.getpid() // 25 + next(_NETS)
+        self.net = f"127.{second}.{third % 250}"
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store_proxy: SilencingProxy | None = None
