--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -24,6 +24,11 @@
 
 With less, rare models find no place.
 """
+REDUNDANT_WORK = 0.25
+"""Engine seconds a second up to which the other replicas of a model can serve it alone.
+
+Demand is an average: with more, a burst that comes after the eviction waits too long.
+"""
 IDLE_WORK = 0.10
 """Below this a replica beyond the first may give way."""
 PAIR_SHARE = 0.14
@@ -226,7 +231,7 @@
     def _is_redundant(self, model: ModelName) -> bool:
         """Return whether the other replicas of a model can serve its present demand."""
         others = self.held(model) - 1
-        return others >= 1 and self.outlook.demand(model) / others < SPARE_WORK
+        return others >= 1 and self.outlook.demand(model) / others < REDUNDANT_WORK
 
     def _is_prepared_twice(self, model: ModelName) -> bool:
         """Return whether two endpoints hold a model that is not asked for yet.
--- a/tests/placing/test_starvation.py
+++ b/tests/placing/test_starvation.py
@@ -73,7 +73,7 @@
 
 def test_an_overdue_model_evicts_no_replica_that_is_needed():
     sites = [make_site(f"i-{n}", {"m0": [], "m1": []}) for n in range(2)]
-    busy = [("m0", 100, 9.0), ("m1", 100, 9.0)]
+    busy = [("m0", 100, 0.9), ("m1", 100, 0.9)]
     assert not any(c.model == "m5" for c in plan(sites, busy, ["m5"]))
 
 
--- a/tests/processes/deadly_soak.py
+++ b/tests/processes/deadly_soak.py
@@ -35,6 +35,7 @@
 """What the operators allow: three retries, later than that after the third end."""
 FREE_ENDS = 3
 SETTLE_S = 20.0
+MAX_STALL_S = 0.15
 NOT_RUN = frozenset({429, 503})
 FOREIGN = ("!!!", "", "eyJzZXJ2aWNlIjogMX0=", "Nw==", "bnVsbA==")
 
@@ -42,8 +43,18 @@
 class DeadlySoak:
     """One run with one seed."""
 
-    def __init__(self, deployment: EntryDeployment, seed: int, seconds: float) -> None:
+    def __init__(
+        self,
+        deployment: EntryDeployment,
+        seed: int,
+        seconds: float,
+        *,
+        has_stalls: bool = False,
+    ) -> None:
         self._deployment = deployment
+        self._has_stalls = has_stalls
+        # Of its own, so that a seed draws the same other faults with and without.
+        self._stall_rng = random.Random(f"stalls {seed}")
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._ids = itertools.count()
@@ -58,6 +69,8 @@
             asyncio.ensure_future(self._async_send_until(end_s, kind))
             for kind in ("deadly", "deadly", "again", "once", "once")
         ]
+        if self._has_stalls:
+            senders.append(asyncio.ensure_future(self._async_stall_until(end_s)))
         while loop.time() < end_s:
             await self._async_fault()
             await asyncio.sleep(self._rng.uniform(0.1, 1.0))
@@ -123,6 +136,16 @@
         await asyncio.sleep(for_s)
         process.send(signal.SIGCONT)
 
+    async def _async_stall_until(self, end_s: float) -> None:
+        """Pause one daemon after the other, each for less than any time limit."""
+        rng = self._stall_rng
+        while asyncio.get_running_loop().time() < end_s:
+            process = self._deployment.processes[f"vm-{rng.randrange(DAEMONS)}"]
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(0.0, MAX_STALL_S))
+            process.send(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(0.0, MAX_STALL_S))
+
     async def _async_store_out(self, number: int, for_s: float) -> None:
         await self._deployment.async_store_faults(is_out=True)
         await asyncio.sleep(for_s)
@@ -175,10 +198,12 @@
         ]
 
 
-async def async_soak(directory: Path, seed: int, seconds: float) -> DeadlySoak:
+async def async_soak(
+    directory: Path, seed: int, seconds: float, *, has_stalls: bool = False
+) -> DeadlySoak:
     """Run one seed to its end."""
     async with async_entry_deployment(directory, DAEMONS) as deployment:
-        soak = DeadlySoak(deployment, seed, seconds)
+        soak = DeadlySoak(deployment, seed, seconds, has_stalls=has_stalls)
         await soak.async_run()
         return soak
 
@@ -189,11 +214,14 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--stalls", action="store_true", help="pause daemons briefly")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"deadly-soak-{seed}-"))
-        soak = asyncio.run(async_soak(directory, seed, args.seconds))
+        soak = asyncio.run(
+            async_soak(directory, seed, args.seconds, has_stalls=args.stalls)
+        )
         print(seed, dict(sorted(soak.statuses.items())), soak.violations, flush=True)
         if soak.violations:
             print(f"logs in {directory}", flush=True)
