Spread the calls of a fleet over an outage of the store

Cause: during an outage each daemon reads each of its three tables by itself, as all copies grow old, and each read is tried twice.

Change: after a second failure daemons behind the first ranks pause for longer, the further behind the longer, at most for the bound within which changes must be known (watching/probing.py); whoever reaches the store tells the others. One table is read for all while the store is away, and without a long poll. A daemon that hears no peer, knows nothing yet or is behind goes on as before, so that the bound holds for it.

--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId
 from ..store import Row, RowPage, WatchedTable
+from .probing import ProbePacer
 from .storeclock import StoreClock
 from .tablecopy import NewsFit, TableCopy
 from .timing import (
@@ -25,8 +27,6 @@
     MAX_RANK,
     MIN_PERIOD_SHARE,
     RANK_SHARE,
-    RETRY_S,
-    RETRY_SPREAD,
     RETURN_S,
     WAIT_SHARE,
 )
@@ -119,6 +119,9 @@
         self._outage_s = outage_s
         self._clock = StoreClock()
         self._is_away = False
+        self._pacer = ProbePacer(min(bounds_s.values()), core.rng)
+        self._probe = asyncio.Lock()
+        """Held by the read of one table for all, as long as the store is away."""
         self.on_row: Callable[[RowChange], None] = lambda change: None
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
@@ -144,15 +147,28 @@
 
     async def _async_follow(self, followed: _Followed) -> None:
         while not self.should_stop:
-            pause_s = self._pause_s(followed)
+            probe_s = self._pacer.pause_s(self._core.clock())
+            pause_s = max(self._pause_s(followed), probe_s)
             if pause_s > 0:
                 await self.sleep(pause_s)
-                continue
-            try:
-                await self._async_pull(followed)
-            except PlatformUnavailable as error:
-                self._note_failure(followed, error)
-                await self.sleep(RETRY_S * self._core.rng.uniform(1.0, RETRY_SPREAD))
+            elif self._pacer.is_away:
+                await self._async_probe(followed)
+            else:
+                await self._async_try_pull(followed)
+
+    async def _async_probe(self, followed: _Followed) -> None:
+        """Read a table of a store that did not answer, while no other table is read."""
+        if self._probe.locked():
+            async with self._probe:
+                return
+        async with self._probe:
+            await self._async_try_pull(followed)
+
+    async def _async_try_pull(self, followed: _Followed) -> None:
+        try:
+            await self._async_pull(followed)
+        except PlatformUnavailable as error:
+            self._note_failure(followed, error)
 
     def _pause_s(self, followed: _Followed) -> float:
         """Return how long to wait before a call is due."""
@@ -184,6 +200,7 @@
         """Learn from a call that was answered, and log an odd one."""
         now_s = self._core.clock()
         self._clock.note(followed.started_s, now_s, read.answered_s)
+        self._pacer.note_success()
         if self._is_away:
             self._is_away = False
             self._core.events.info("store_regained", table=read.table)
@@ -206,7 +223,9 @@
         followed.started_s = self._core.clock()
         page: RowPage | None = None
         if after:
-            wait_s = WAIT_SHARE * followed.bound_s if self._rank() == 0 else 0.0
+            # A store that is back answers at once.
+            may_wait = self._rank() == 0 and not self._pacer.is_away
+            wait_s = WAIT_SHARE * followed.bound_s if may_wait else 0.0
             try:
                 page = await self._table.async_watch(prefix, after, wait_s)
             except HistoryLost:
@@ -312,5 +331,9 @@
             error=error,
         )
         self._is_away = True
+        now_s = self._core.clock()
+        is_urgent = copy.version == 0 or followed.is_behind
+        is_urgent |= self.alone_until_s() >= now_s
+        self._pacer.note_failure(now_s, self._rank(), is_urgent=is_urgent)
         if copy.version == 0 or followed.is_behind:
             self._send(SnapshotRequest(copy.name, self._core.daemon_id))
