Plan on when two endpoints hold a model that the configuration has dropped

Cause: the share of requests of a model was looked up without a default, so that a plan ended with a KeyError as soon as something was wanted that would evict a model which two endpoints hold and the configuration in force does not name. Callers would see no load at all until the model was gone.

The new test fails before with that KeyError.

--- a/chutelink/placing/outlook.py
+++ b/chutelink/placing/outlook.py
@@ -67,7 +67,7 @@
     def share(self, model: ModelName) -> float:
         """Return which part of all requests is for a model."""
         total = sum(self._arrivals.values())
-        return self._arrivals[model] / total if total else 0.0
+        return self._arrivals.get(model, 0.0) / total if total else 0.0
 
     def top_share(self, model: ModelName) -> float:
         """Return a model's share of requests now, or once demand has moved on."""
--- a/tests/placing/test_placement.py
+++ b/tests/placing/test_placement.py
@@ -319,3 +319,10 @@
     uses = [("m0", "", 30, 0.3, 0), ("m6", "", 1, 0.1, 1)]
     change = next(c for c in plan(sites, uses) if not c.adapter)
     assert (change.model, change.unload_models) == ("m6", ("m3",))
+
+
+def test_a_model_that_the_configuration_does_not_name_is_evicted():
+    """Held twice, as endpoints still hold it when a version has dropped it."""
+    sites = [make_site(f"i-{n}", {"dropped": []}) for n in (1, 2)]
+    changes = plan(sites, [("m1", "", 2, 0.1, 1, 1)])
+    assert any(change.model == "m1" for change in changes)
