Send a read of the store once while the store answers nobody

Cause: a read that has no answer is sent again on a new connection, as only that shows that a kept one has fallen silent.

The new test fails before: 8 calls instead of 7. The tests of silent connections pass unchanged.

--- a/chutelink/store/breaker.py
+++ b/chutelink/store/breaker.py
@@ -55,6 +55,11 @@
         """Whether calls are refused now."""
         return self._clock() < self._open_until_s
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether several calls in a row have failed, up to the latest."""
+        return self._failures >= FAILURES_TO_OPEN
+
     def before_call(self, step: str) -> None:
         """Count a call, or refuse it."""
         if self.is_open:
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -134,7 +134,8 @@
 
         ``wait_s`` is how much longer the answer may be held back by the service. A
         read is sent a second time when there is no answer for long, then with
-        ``retry_params``: what is left of the time limit allows no wait.
+        ``retry_params``: what is left of the time limit allows no wait. While calls
+        fail it is sent once: the connections that fell silent are closed by then.
         """
 
         async def async_send(query: dict[str, str] | None) -> Answer:
@@ -150,7 +151,8 @@
 
         try:
             async with asyncio.timeout(self._settings.timeout_s + wait_s):
-                if is_read and self._on_retry is not None:
+                may_repeat = is_read and self._on_retry is not None
+                if may_repeat and not self.breaker.is_failing:
                     tries = (
                         functools.partial(async_send, params),
                         functools.partial(async_send, retry_params or params),
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -17,6 +17,7 @@
 
 from chutelink.exceptions import PlatformUnavailable
 from chutelink.settings import PlatformSection
+from chutelink.store.breaker import FAILURES_TO_OPEN
 from chutelink.store.http import SECOND_TRY_SHARE, HttpCaller, ReadRetry
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -184,3 +185,27 @@
         assert answer.body == b"ok"
 
     run(LongPolls(silent=0), async_test)
+
+
+def test_reads_are_sent_once_while_the_service_answers_nobody():
+    """Each try is charged, and a new connection tells no more than another one."""
+
+    class Mute(SilentServer):
+        async def async_serve(self, reader, writer):
+            while await self._async_request(reader):
+                pass
+
+    server = Mute(silent=9)
+
+    async def async_test(caller):
+        for _ in range(FAILURES_TO_OPEN):
+            with pytest.raises(PlatformUnavailable):
+                await caller.async_call("GET", "/x", step="x", is_read=True)
+        assert server.calls == 2 * FAILURES_TO_OPEN
+        while caller.breaker.is_open:
+            await asyncio.sleep(0.02)
+        with pytest.raises(PlatformUnavailable):
+            await caller.async_call("GET", "/x", step="x", is_read=True)
+        assert server.calls == 2 * FAILURES_TO_OPEN + 1
+
+    run(server, async_test)
