Derive neighbours and addresses once for each change of members

Cause: each tick of the mesh, two to three a second, went through all members four times: neighbours, addresses that are known, counts by state.

--- a/chutelink/peers/dialing.py
+++ b/chutelink/peers/dialing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from ..core import Application
 from ..settings import PeersSection
@@ -61,13 +62,13 @@
             self._unreachable.discard(address)
             self._retry_s.pop(address, None)
 
-    def pick_seeds(self, live: set[str], *, is_linked: bool) -> set[str]:
+    def pick_seeds(self, live: Collection[str], *, is_linked: bool) -> set[str]:
         """Return seeds to dial: some while alone, else one that is not known to live.
 
         The others are learned from whoever answers; dialling all of them would
         make starts cost the square of the number of daemons.
         """
-        missing = sorted(self._seeds - live - {self._own_address})
+        missing = sorted(self._seeds.difference(live, {self._own_address}))
         if not missing:
             return set()
         count = 1 if is_linked else SEED_DIALS
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from mode import Service
@@ -73,6 +74,7 @@
         self._links: set[Link] = set()
         self.queues = QueueTable()
         self._traffic = TrafficMeter()
+        self._counted_changes = -1
         self._spreader = Spreader(
             table,
             self._links,
@@ -274,11 +276,14 @@
         self._send_heartbeats()
         self._traffic.export(self._core.metrics)
         self._traffic.log(self._core.events, now_s)
-        counts: dict[str, int] = {state.value: 0 for state in MemberState}
-        for member in self.table.rows.values():
-            counts[member.state.value] += 1
-        for state, count in counts.items():
-            self._core.metrics.members.set({"state": state}, count)
+        if self._counted_changes != self.table.changes:
+            self._counted_changes = self.table.changes
+            self._count_members()
+
+    def _count_members(self) -> None:
+        counts = Counter(member.state for member in self.table.rows.values())
+        for state in MemberState:
+            self._core.metrics.members.set({"state": state.value}, counts[state])
 
     def _send_heartbeats(self) -> None:
         # Only where all link to all does this keep news from being forwarded.
--- a/chutelink/peers/topology.py
+++ b/chutelink/peers/topology.py
@@ -48,6 +48,12 @@
         self._plane: dict[DaemonId, int] = {}
         if not self.is_full_mesh:
             self._choose_hubs()
+        self.neighbours = self._find_neighbours()
+        """The members that this daemon keeps links with."""
+        self.addresses = frozenset(
+            member.peer_address for member in self._others.values()
+        )
+        """Where the others are reached."""
 
     def _choose_hubs(self) -> None:
         by_domain: dict[FailureDomainName, list[Member]] = defaultdict(list)
@@ -61,8 +67,7 @@
         """Return whether a daemon forwards for its failure domain."""
         return daemon in self._plane
 
-    def neighbours(self) -> list[Member]:
-        """Return the members that this daemon keeps links with."""
+    def _find_neighbours(self) -> list[Member]:
         if self.is_full_mesh:
             return list(self._others.values())
         return [m for m in self._others.values() if self._is_neighbour(m)]
--- a/chutelink/peers/upkeep.py
+++ b/chutelink/peers/upkeep.py
@@ -75,7 +75,7 @@
         self._close_unwanted(neighbours, now_s)
 
     def _neighbours(self) -> list[Member]:
-        return self._spreader.topology.neighbours()
+        return self._spreader.topology.neighbours
 
     def _drop_silent(self, now_s: float) -> None:
         for link in list(self._links):
@@ -115,9 +115,8 @@
             if member.id not in linked
         }
         wanted |= self._due_neighbours(neighbours, linked, now_s)
-        rows = self._table.rows.values()
-        live = {m.peer_address for m in rows if m.state in LINKABLE}
-        wanted |= self._dialer.pick_seeds(live, is_linked=bool(linked))
+        known = self._spreader.topology.addresses
+        wanted |= self._dialer.pick_seeds(known, is_linked=bool(linked))
         linked_addresses = {
             link.member.peer_address for link in self._links if link.member
         }
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -49,7 +49,7 @@
         self.links = {name: {} for name in self.by_id}
         self.dials = Counter()
         for name, view in self.views.items():
-            for peer in view.neighbours():
+            for peer in view.neighbours:
                 if name in dead or peer.id in dead:
                     continue
                 self.dials[frozenset((name, peer.id))] += view.is_dialler(peer)
