Open few links while a fleet starts, and compress lists of members

Ordinary daemons that are ready before those on large VMs were all taken to serve, up to 16 in each failure domain, and those that serve link to one another.

Change: large VMs whose daemons are joining count when it is decided how many serve; links to those that serve are opened 0.6 s after a daemon was last heard of for the first time; lists of members are compressed, by the same code as other messages (peers/packing.py).

Both new tests failed before.

Ruled out: the settling time alone, which leaves 33 dials where all are known but not ready yet.

--- a/chutelink/entry/directory.py
+++ b/chutelink/entry/directory.py
@@ -17,6 +17,7 @@
 """
 LARGE_SHARE = 0.5
 """VMs with this share of the largest one's capacity count as large."""
+PRESENT = (MemberState.JOINING, MemberState.ALIVE)
 
 
 def count_candidates(capacities: Iterable[float]) -> int:
@@ -64,14 +65,16 @@
         return named | {m.id for m in rows if m.state is MemberState.LEAVING}
 
     def _candidates(self) -> list[Member]:
-        """Return the large members, and as many others as it takes."""
-        alive = [
-            member
-            for member in self._members.rows.values()
-            if member.state is MemberState.ALIVE
-        ]
+        """Return the large members, and as many others as it takes.
+
+        Large ones that are about to join count: else all others that are ready before
+        them would serve while a fleet starts, and link to one another.
+        """
+        rows = self._members.rows.values()
+        alive = [member for member in rows if member.state is MemberState.ALIVE]
         alive.sort(key=lambda member: (-member.capacity, member.id))
-        return alive[: count_candidates(member.capacity for member in alive)]
+        present = [member.capacity for member in rows if member.state in PRESENT]
+        return alive[: count_candidates(present)] if alive else []
 
     def _for_domain(
         self, failure_domain: FailureDomainName, candidates: list[Member]
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import zlib
 from typing import Any
 
 import cbor2
 import msgspec
 
-from ..const import MAX_PEER_MESSAGE_BYTES
 from ..customers.news import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
+from ..peers.packing import UNPACK_FAILURES, pack, unpack
 from ..quarantine.news import ClearedNews, EndingNews
 
 
@@ -142,16 +141,25 @@
     is_cold: bool = False
 
 
+class QueuedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A model that requests wait for, and when it should be there at the earliest."""
+
+    model: ModelName
+    ready_in_s: float
+
+
 class PlacementNews(msgspec.Struct, frozen=True, array_like=True, tag="placement"):
     """What the placer knows of endpoints, and what it is changing.
 
-    ``endpoints`` has those that changed since its last message.
+    ``endpoints`` has those that changed since its last message, ``queued`` the models
+    that wait for an endpoint to load them.
     """
 
     daemon: DaemonId
     term: int
     endpoints: list[EndpointPlacement]
     loads: list[PendingLoad]
+    queued: list[QueuedLoad] = []
 
 
 class LeaseYield(msgspec.Struct, frozen=True, array_like=True, tag="yield"):
@@ -185,13 +193,8 @@
     ValueError,
     TypeError,
     LookupError,
-    zlib.error,
+    *UNPACK_FAILURES,
 )
-PLAIN = b"p"
-COMPRESSED = b"z"
-MIN_COMPRESSED_BYTES = 512
-"""Smaller messages gain little; configurations shrink to a sixth."""
-COMPRESSION_LEVEL = 1
 
 
 def topic_of(news: News) -> str:
@@ -201,10 +204,7 @@
 
 def encode_news(news: News) -> bytes:
     """Return a message as CBOR, compressed where that pays."""
-    body = cbor2.dumps(msgspec.to_builtins(news))
-    if len(body) < MIN_COMPRESSED_BYTES:
-        return PLAIN + body
-    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
+    return pack(cbor2.dumps(msgspec.to_builtins(news)))
 
 
 def decode_news(body: bytes, peer: str) -> News:
@@ -216,17 +216,6 @@
         The bytes are not a message that is known.
     """
     try:
-        data = _unpack(body)
-        return msgspec.convert(cbor2.loads(data), News)
+        return msgspec.convert(cbor2.loads(unpack(body)), News)
     except _DECODE_FAILURES as error:
         raise PeerMessageInvalid(str(error), step="news.decode", peer=peer) from error
-
-
-def _unpack(body: bytes) -> bytes:
-    if body[:1] != COMPRESSED:
-        return body[1:]
-    inflater = zlib.decompressobj()
-    data = inflater.decompress(body[1:], MAX_PEER_MESSAGE_BYTES)
-    if inflater.unconsumed_tail:
-        raise ValueError("message too large")
-    return data
--- a/chutelink/peers/messages.py
+++ b/chutelink/peers/messages.py
@@ -9,6 +9,7 @@
 from ..exceptions import PeerMessageInvalid
 from ..ids import BootId, ConfigVersion, DaemonId, FailureDomainName
 from ..tables.members import Member
+from .packing import PLAIN, UNPACK_FAILURES, pack, unpack
 
 _CBOR_FAILURES = (
     cbor2.CBORDecodeError,
@@ -18,6 +19,7 @@
     RecursionError,
     MemoryError,
     LookupError,
+    *UNPACK_FAILURES,
 )
 
 
@@ -115,8 +117,10 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Return a message as CBOR."""
-    return cbor2.dumps(msgspec.to_builtins(message))
+    """Return a message as CBOR, compressed where that pays."""
+    data = cbor2.dumps(msgspec.to_builtins(message))
+    # Bodies of the others are compressed already, or too small.
+    return pack(data) if isinstance(message, Hello | MemberNews) else PLAIN + data
 
 
 def decode_message(data: bytes | str, peer: str) -> Message:
@@ -131,6 +135,6 @@
     if isinstance(data, str) or len(data) > MAX_PEER_MESSAGE_BYTES:
         raise PeerMessageInvalid("not a binary message in size", step=step, peer=peer)
     try:
-        return msgspec.convert(cbor2.loads(data), Message)
+        return msgspec.convert(cbor2.loads(unpack(data)), Message)
     except _CBOR_FAILURES as error:
         raise PeerMessageInvalid(str(error), step=step, peer=peer) from error
--- a/chutelink/peers/upkeep.py
+++ b/chutelink/peers/upkeep.py
@@ -14,6 +14,8 @@
 """How long a link is kept at least: membership settles within some seconds."""
 LATE_DIAL_S = 1.0
 """How long a daemon waits for a neighbour that should open their link itself."""
+SETTLE_S = 0.6
+"""How long after a daemon was first heard of links to those that serve are opened."""
 LINKABLE = (MemberState.JOINING, MemberState.ALIVE, MemberState.SUSPECT)
 
 
@@ -109,11 +111,12 @@
     def _dial_missing(
         self, neighbours: list[Member], linked: set[DaemonId], now_s: float
     ) -> None:
-        wanted = {
-            member.peer_address
-            for member in self._direct_members()
-            if member.id not in linked
-        }
+        wanted: set[str] = set()
+        # Of the first members that a daemon finds when a fleet starts it would take
+        # most to serve, and link to all of them.
+        if now_s - self._table.grew_s > SETTLE_S:
+            direct = self._direct_members()
+            wanted |= {m.peer_address for m in direct if m.id not in linked}
         wanted |= self._due_neighbours(neighbours, linked, now_s)
         known = self._spreader.topology.addresses
         wanted |= self._dialer.pick_seeds(known, is_linked=bool(linked))
--- a/chutelink/tables/members.py
+++ b/chutelink/tables/members.py
@@ -78,6 +78,8 @@
         self._suspected_s: dict[DaemonId, float] = {}
         self.changes = 0
         """How often a row has changed, for what is derived from the rows."""
+        self.grew_s = float("-inf")
+        """When a daemon was heard of that was not known at all."""
 
     def merge(self, news: Member, now_s: float) -> Member | None:
         """Take in news of a member.
@@ -150,6 +152,8 @@
         return known.state in (MemberState.DOWN, MemberState.LEFT)
 
     def _put(self, news: Member, now_s: float) -> None:
+        if news.id not in self.rows:
+            self.grew_s = now_s
         self.rows[news.id] = news
         self.changes += 1
         if news.state is MemberState.SUSPECT:
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -60,3 +60,10 @@
 def test_a_daemon_that_leaves_is_still_told_of_loads_and_placements():
     members = [member(0), member(1, state=MemberState.LEAVING), member(2)]
     assert "d001" in make(members).serving()
+
+
+def test_small_vms_that_are_ready_first_don_t_all_serve_while_a_fleet_starts():
+    joining = MemberState.JOINING
+    large = [member(n, capacity=2.0, state=joining) for n in range(8)]
+    small = [member(n, capacity=0.5) for n in range(8, 40)]
+    assert len(make(small + large).serving()) == len(large)
--- a/tests/peers/test_virtual_fleet.py
+++ b/tests/peers/test_virtual_fleet.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from chutelink.tables.members import MemberState
 from tests.virtual_time import run_virtually
 
 from .virtual_fleet import LARGE_PER_DOMAIN, VirtualFleet
@@ -58,6 +59,25 @@
         await fleet.async_stop()
 
 
+@in_virtual_time
+async def test_daemons_that_are_ready_first_don_t_link_to_all_others():
+    """Those on large VMs are ready last, so that for a while only others can serve."""
+    fleet = VirtualFleet(80)
+    try:
+        await fleet.async_start(state=MemberState.JOINING)
+        for name in reversed(fleet.names):
+            fleet.meshes[name].announce_alive()
+            await asyncio.sleep(0.02)
+        await fleet.async_until_agreed(AGREE_S)
+        await asyncio.sleep(4.0)
+        ordinary = fleet.names[6 * LARGE_PER_DOMAIN :]
+        dials = sorted(fleet.network.dials[f"{name}:1"] for name in ordinary)
+        assert dials[len(dials) // 2] < 16
+        assert sum(dials) < 24 * len(dials)
+    finally:
+        await fleet.async_stop()
+
+
 @pytest.mark.parametrize("count", [19, 60, 195])
 @in_virtual_time
 async def test_the_loss_of_all_hubs_of_a_failure_domain_is_made_up_for(count):
--- a/tests/peers/virtual_fleet.py
+++ b/tests/peers/virtual_fleet.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+from chutelink.entry.directory import Directory
 from chutelink.ids import BootId, DaemonId
 from chutelink.metrics import Metrics
 from chutelink.peers.mesh import Mesh
@@ -94,6 +95,7 @@
 
     async def async_dial(self, address: str, handler: ConnectionHandler) -> None:
         await asyncio.sleep(FAR_S)
+        self._network.dials[self._address] += 1
         if not self._network.is_joined(self._address, address):
             await asyncio.sleep(SETTINGS.peer_timeout_s)
             raise TimeoutError("no answer")
@@ -124,6 +126,7 @@
         self.dead: set[str] = set()
         self.cut_off: set[str] = set()
         """Daemons that reach each other, and none of the others."""
+        self.dials = Counter()
         self.reset_counts()
 
     def reset_counts(self) -> None:
@@ -166,12 +169,12 @@
     def domain(self, name: str) -> str:
         return f"domain-{int(name[1:]) % self.domains}"
 
-    async def async_start(self, names=None) -> None:
+    async def async_start(self, names=None, state=MemberState.ALIVE) -> None:
         for name in names or self.names:
-            self.meshes[name] = self._make_mesh(name)
+            self.meshes[name] = self._make_mesh(name, state)
             await self.meshes[name].start()
 
-    def _make_mesh(self, name: str) -> Mesh:
+    def _make_mesh(self, name: str, state: MemberState) -> Mesh:
         loop = asyncio.get_running_loop()
         address = f"{name}:1"
         self.network.dead.discard(address)
@@ -195,12 +198,19 @@
             1,
             BootId(f"b{self._boots}"),
             self._boots,
-            MemberState.ALIVE,
+            state,
             capacity=2.0 if is_large else 0.5,
         )
         transport = VirtualTransport(self.network, address)
         mesh = Mesh(core, SETTINGS, MemberTable(own), transport)
         self.heard[name] = []
+        directory = Directory(mesh.table, 1.0)
+
+        def choose_links() -> None:
+            serving = directory.serving()
+            mesh.direct = serving - {name} if name in serving else set()
+
+        mesh.on_members_changed = choose_links
         mesh.on_broadcast = lambda news: self.heard[name].append(
             (loop.time(), news.body)
         )
