Tell daemons when a queued model can be loaded, and refuse what comes too late

Cause: a request whose model is nowhere loaded waits for word of a load until its objective could not be met any more; only the placer knows that other loads come first. One that came back with less time left than its objective was held until its caller had left.

Change: the placer tells, with its other news, when each queued model should be there at the earliest (placing/forecast.py): endpoints are taken as they become free, copies of weights count. Requests that can't be answered by then are refused at once, with that time in Retry-After; the wait for word ends in time for who leaves before its objective is over. What the placer has under way and foretold is kept in placing/board.py, which takes 50 lines out of the placer; the test of a former holder's load reaches the table of announcements through it, its checks are as they were.

The new tests failed before (no forecast; a caller with 4.7 s left was held for 4.7 s).

--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -198,7 +198,7 @@
                 self._known.endpoints.take_models(
                     placement.endpoint, placement.born_ms, placement.sequence, models
                 )
-        self._pending.take(news.loads, news.term, self._core.clock())
+        self._pending.take(news.loads, news.term, self._core.clock(), news.queued)
 
     def _hear_placer(self, daemon: DaemonId, term: int) -> bool:
         """Take in that a placer has spoken; return whether it is the latest one.
--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 from ..ids import AdapterName, EndpointId, ModelName
 from .endpoints import NO_ADAPTER
-from .news import PendingLoad
+from .news import PendingLoad, QueuedLoad
 
 ANNOUNCEMENT_VALID_S = 1.5
 """Announcements come every 0.4 s; without them nothing is known of loads."""
@@ -27,13 +28,20 @@
     def __init__(self) -> None:
         self._ready_s: dict[tuple[ModelName, AdapterName], float] = {}
         self._older_s: dict[tuple[ModelName, AdapterName], float] = {}
+        self._queued_s: dict[ModelName, float] = {}
         self._endpoint_ready_s: dict[EndpointId, float] = {}
         self._cold_s: dict[tuple[EndpointId, ModelName], float] = {}
         self._term = 0
         self._heard_s = float("-inf")
         self._changed = asyncio.Event()
 
-    def take(self, loads: list[PendingLoad], term: int, now_s: float) -> None:
+    def take(
+        self,
+        loads: list[PendingLoad],
+        term: int,
+        now_s: float,
+        queued: Sequence[QueuedLoad] = (),
+    ) -> None:
         """Replace what is known.
 
         Loads that a former placer began go on and are kept until they are due.
@@ -52,6 +60,7 @@
             key = (load.model, load.adapter)
             ready_s = now_s + load.ready_in_s
             self._ready_s[key] = min(ready_s, self._ready_s.get(key, ready_s))
+        self._queued_s = {load.model: now_s + load.ready_in_s for load in queued}
         self._note_cold(loads, now_s)
         for load in loads:
             if not load.adapter:
@@ -90,6 +99,7 @@
     ) -> float | None:
         """Return when a model, or an adapter of it, should be there.
 
+        Of one that is queued, at the earliest.
         Nothing is known of a load that is overdue: announcements may have stopped.
         """
         for known in (self._ready_s, self._older_s):
@@ -97,7 +107,9 @@
                 ready_s = known.get(key)
                 if ready_s is not None and now_s < ready_s + OVERDUE_S:
                     return ready_s
-        return None
+        queued_s = self._queued_s.get(model)
+        is_known = queued_s is not None and now_s < queued_s + OVERDUE_S
+        return queued_s if is_known else None
 
     async def async_wait(self, limit_s: float) -> None:
         """Return at the next change, or when the time is over."""
--- a/chutelink/placing/announcer.py
+++ b/chutelink/placing/announcer.py
@@ -6,7 +6,13 @@
 
 from ..core import Application
 from ..entry.endpoints import EndpointTable
-from ..entry.news import EndpointPlacement, PendingLoad, PlacementNews, PlacerBeacon
+from ..entry.news import (
+    EndpointPlacement,
+    PendingLoad,
+    PlacementNews,
+    PlacerBeacon,
+    QueuedLoad,
+)
 from ..ids import EndpointId
 from .inventory import Inventory
 
@@ -47,13 +53,17 @@
         self._told.clear()
 
     def announce(
-        self, term: int, inventories: Iterable[Inventory], loads: list[PendingLoad]
+        self,
+        term: int,
+        inventories: Iterable[Inventory],
+        loads: list[PendingLoad],
+        queued: list[QueuedLoad],
     ) -> None:
-        """Tell of endpoints that have changed and of loads on their way."""
+        """Tell of endpoints that have changed and of loads on their way or queued."""
         now_s = self._core.clock()
         daemon = self._core.daemon_id
         placements = self._changed(inventories)
-        self._send(PlacementNews(daemon, term, placements, loads))
+        self._send(PlacementNews(daemon, term, placements, loads, queued))
         if now_s - self._beacon_s >= ANNOUNCE_PERIOD_S:
             self._beacon_s = now_s
             self._send(PlacerBeacon(daemon, term))
--- /dev/null
+++ b/chutelink/placing/board.py
@@ -0,0 +1,97 @@
+"""The changes under way at endpoints, and the loads that are queued behind them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from ..entry.news import PendingLoad, QueuedLoad
+from ..entry.pending import PendingTable
+from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from .changes import Change
+from .inventory import Inventory
+
+
+class LoadBoard:
+    """Keeps what the placer has ordered and foretold, with the times when it is done.
+
+    Parameters
+    ----------
+    announced : PendingTable
+        Loads that were announced, by former holders of the lease too.
+    """
+
+    def __init__(self, announced: PendingTable) -> None:
+        self._announced = announced
+        self._changes: dict[EndpointId, tuple[Change, float]] = {}
+        self._queued_s: dict[ServiceName, dict[ModelName, float]] = {}
+
+    def clear(self) -> None:
+        """Forget what an earlier term had ordered."""
+        self._changes.clear()
+        self._queued_s.clear()
+
+    def begin(self, change: Change, ready_s: float) -> None:
+        """Note a change that an endpoint carries out until about ``ready_s``."""
+        self._changes[change.endpoint] = (change, ready_s)
+
+    def end(self, change: Change) -> None:
+        """Note that a change is done or has failed."""
+        if self._changes.get(change.endpoint, (None,))[0] is change:
+            del self._changes[change.endpoint]
+
+    def set_queue(
+        self, service: ServiceName, forecast_s: Mapping[ModelName, float], now_s: float
+    ) -> None:
+        """Replace what is foretold of a service, in seconds from now."""
+        self._queued_s[service] = {
+            model: now_s + ready_in_s for model, ready_in_s in forecast_s.items()
+        }
+
+    def free_in_s(self, inventory: Inventory, now_s: float) -> float:
+        """Return when an endpoint will have carried out what it is ordered to do.
+
+        Of an order of a former holder that is known which it announced; infinite where
+        nothing is known.
+        """
+        endpoint = inventory.endpoint
+        if endpoint in self._changes:
+            return max(0.0, self._changes[endpoint][1] - now_s)
+        if not inventory.is_busy:
+            return 0.0
+        ready_s = self._announced.endpoint_ready_s(endpoint)
+        return ready_s - now_s if ready_s > now_s else math.inf
+
+    def loading(
+        self, inventories: Mapping[EndpointId, Inventory]
+    ) -> dict[tuple[ModelName, AdapterName], int]:
+        """Return how many endpoints load each model and adapter that is not there."""
+        counts: dict[tuple[ModelName, AdapterName], int] = {}
+        for change, _ in self._changes.values():
+            held = inventories.get(change.endpoint)
+            if held is not None and held.has(change.model, change.adapter):
+                continue
+            key = (change.model, change.adapter)
+            counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    def pending_loads(self, now_s: float) -> list[PendingLoad]:
+        """Return the loads under way, as other daemons are told of them."""
+        return [
+            PendingLoad(
+                change.endpoint,
+                change.model,
+                change.adapter,
+                max(0.0, ready_s - now_s),
+                change.is_cold,
+            )
+            for change, ready_s in self._changes.values()
+        ]
+
+    def queued_loads(self, now_s: float) -> list[QueuedLoad]:
+        """Return the loads that are foretold, as other daemons are told of them."""
+        return [
+            QueuedLoad(model, max(0.0, ready_s - now_s))
+            for forecast in self._queued_s.values()
+            for model, ready_s in forecast.items()
+        ]
--- /dev/null
+++ b/chutelink/placing/forecast.py
@@ -0,0 +1,51 @@
+"""When models that are queued for a load should be there. Pure.
+
+Answers the load after a move of demand, when all endpoints load one model after the
+other for many seconds: a request learns at once whether its model's load can be done
+before its caller leaves.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+
+from ..ids import ModelName
+from .changes import PlacementView
+from .room import load_time
+from .rounds import MAX_OVERDUE_SHARE
+
+
+def forecast_loads(
+    view: PlacementView, queued: list[ModelName]
+) -> dict[ModelName, float]:
+    """Return in how many seconds queued models should be loaded.
+
+    Parameters
+    ----------
+    view : PlacementView
+        Says when endpoints are free, and which keep copies of weights.
+    queued : list of ModelName
+        Models without a replica, in the order in which they will be loaded.
+
+    Returns
+    -------
+    dict
+        The least time for each, in seconds: endpoints are taken as they become free,
+        and a copy of the weights to be there if any endpoint keeps one.
+    """
+    known_s = [s.free_in_s for s in view.sites if math.isfinite(s.free_in_s)]
+    lanes = max(1, math.ceil(MAX_OVERDUE_SHARE * len(view.sites)))
+    free_s = sorted(known_s)[:lanes]
+    ready_s: dict[ModelName, float] = {}
+    for model in queued:
+        if not free_s:
+            break
+        ready_s[model] = free_s[0] + _shortest_load_s(view, model)
+        heapq.heapreplace(free_s, ready_s[model])
+    return ready_s
+
+
+def _shortest_load_s(view: PlacementView, model: ModelName) -> float:
+    spec = view.engine.models[model]
+    return min(load_time(site.inventory, spec)[0] for site in view.sites)
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -19,12 +19,14 @@
     """Decides on changes.
 
     ``declined`` says why others were not made, ``kept`` for what reasons how many
-    models kept their places at the endpoints that got no change.
+    models kept their places at the endpoints that got no change, ``queued`` which
+    models without a replica are loaded next, in their order.
     """
 
     def __init__(self) -> None:
         self.declined: dict[ModelName, Decline] = {}
         self.kept: Counter[Kept] = Counter()
+        self.queued: list[ModelName] = []
 
     @abstractmethod
     def plan(self, view: PlacementView) -> list[Change]:
@@ -72,6 +74,7 @@
         if round_.may_spread():
             for model in view.engine.models:
                 round_.spread(model)
+        self.queued = round_.without_replica([model for model, _ in (*busy, *rare)])
         self.declined = round_.declined
         self.kept = round_.kept() if round_.declined else Counter()
         return round_.changes
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 
 from mode import Service
@@ -12,15 +11,17 @@
 from ..entry.config import EngineSpec, RoutingConfig
 from ..entry.demand import DemandTable
 from ..entry.endpoints import Endpoint, EndpointTable
-from ..entry.news import PendingLoad, PlacementNews, PlacerBeacon
+from ..entry.news import PlacementNews, PlacerBeacon
 from ..entry.pending import PendingTable
 from ..exceptions import ChutelinkError
-from ..ids import AdapterName, EndpointId, ModelName, ServiceName
+from ..ids import EndpointId, ServiceName
 from ..learning.health import HealthTable
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
+from .board import LoadBoard
 from .changes import Change, PlacementView, Site
 from .declined import DeclineLog
+from .forecast import forecast_loads
 from .inventory import EngineClient, Inventory
 from .lease import PlacerLease
 from .loadpause import LoadPauses
@@ -90,11 +91,10 @@
         self._table = table
         self._demand = demand
         self._health = health
-        self._pending_table = pending
         self._policy = policy
         self._announcer = Announcer(core, table, send)
         self._inventories: dict[EndpointId, Inventory] = {}
-        self._pending: dict[EndpointId, tuple[Change, float]] = {}
+        self._board = LoadBoard(pending)
         self.paces = ColdLoadPaces(core, pending)
         self._announced_s = float("-inf")
         self._wake = asyncio.Event()
@@ -149,7 +149,7 @@
         """Forget what an earlier term knew: others may have sent orders since."""
         self._term = self._lease.term
         self._inventories.clear()
-        self._pending.clear()
+        self._board.clear()
         self.paces.clear()
         self._announcer.forget()
 
@@ -218,7 +218,7 @@
         view = PlacementView(
             engine=engine,
             sites=sites,
-            loading=self._loading(),
+            loading=self._board.loading(self._inventories),
             demand=self._demand,
             cold_loads=pace.available(now_s),
             now_s=now_s,
@@ -228,6 +228,8 @@
             if change.is_cold:
                 pace.take(now_s)
             self._begin(change)
+        forecast_s = forecast_loads(view, self._policy.queued)
+        self._board.set_queue(service, forecast_s, now_s)
         self._declined.note(view, self._policy.declined, self._policy.kept)
 
     def _sites(self, service: ServiceName) -> list[Site]:
@@ -239,40 +241,16 @@
             if inventory is None or inventory.is_down:
                 continue
             paused_share = self._health.paused_share(endpoint)
-            free_in_s = self._free_in_s(inventory)
+            free_in_s = self._board.free_in_s(inventory, self._core.clock())
             sites.append(Site(row, inventory, paused_share, free_in_s))
         return sites
 
-    def _free_in_s(self, inventory: Inventory) -> float:
-        """Return when an endpoint will have carried out what it is ordered to do.
-
-        Of an order of a former holder that is known which it announced.
-        """
-        now_s = self._core.clock()
-        endpoint = inventory.endpoint
-        if endpoint in self._pending:
-            return max(0.0, self._pending[endpoint][1] - now_s)
-        if not inventory.is_busy:
-            return 0.0
-        ready_s = self._pending_table.endpoint_ready_s(endpoint)
-        return ready_s - now_s if ready_s > now_s else math.inf
-
-    def _loading(self) -> dict[tuple[ModelName, AdapterName], int]:
-        counts: dict[tuple[ModelName, AdapterName], int] = {}
-        for change, _ in self._pending.values():
-            held = self._inventories.get(change.endpoint)
-            if held is not None and held.has(change.model, change.adapter):
-                continue
-            key = (change.model, change.adapter)
-            counts[key] = counts.get(key, 0) + 1
-        return counts
-
     def _begin(self, change: Change) -> None:
         inventory = self._inventories[change.endpoint]
         inventory.is_changing = True
         unload_s = CLOSE_LEAD_S * bool(change.unload_models)
         ready_s = self._core.clock() + change.load_s + unload_s
-        self._pending[change.endpoint] = (change, ready_s)
+        self._board.begin(change, ready_s)
         self._core.events.record(
             "placement_begun",
             endpoint=change.endpoint,
@@ -313,8 +291,7 @@
         finally:
             if row is not None:
                 row.closing = frozenset()
-            if self._pending.get(change.endpoint, (None,))[0] is change:
-                del self._pending[change.endpoint]
+            self._board.end(change)
             inventory.is_changing = False
         self.announce()
         self.wake()
@@ -337,14 +314,9 @@
             return
         now_s = self._core.clock()
         self._announced_s = now_s
-        loads = [
-            PendingLoad(
-                change.endpoint,
-                change.model,
-                change.adapter,
-                max(0.0, ready_s - now_s),
-                change.is_cold,
-            )
-            for change, ready_s in self._pending.values()
-        ]
-        self._announcer.announce(self._term, self._inventories.values(), loads)
+        self._announcer.announce(
+            self._term,
+            self._inventories.values(),
+            self._board.pending_loads(now_s),
+            self._board.queued_loads(now_s),
+        )
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -231,6 +231,11 @@
             return
         self._take(msgspec.structs.replace(best, reason=reason))
 
+    def without_replica(self, models: list[ModelName]) -> list[ModelName]:
+        """Return those models, each once, that no endpoint holds or loads."""
+        known = [m for m in dict.fromkeys(models) if m in self._view.engine.models]
+        return [model for model in known if not self._holdings.replicas(model)]
+
     def kept(self) -> Counter[Kept]:
         """Return why the models of the free endpoints keep their places, for logs."""
         return Counter(
--- a/chutelink/relaying/waiting.py
+++ b/chutelink/relaying/waiting.py
@@ -76,10 +76,12 @@
     """Return until when a load from a copy could still begin in time.
 
     Requests with an objective of seconds wait for their model's turn: endpoints
-    load one model after the other, and a caller that comes back only queues anew.
+    load one model after the other, and a caller that comes back only queues anew. One
+    that leaves before its objective is over is told while it can still come back.
     """
     ask_s = wait.started_s + ASK_SHARE * wait.objective_s
-    turn_s = wait.due_s - wait.copy_load_s - LOAD_MARGIN_S - wait.read_s
+    latest_s = min(wait.due_s, wait.last_s)
+    turn_s = latest_s - wait.copy_load_s - LOAD_MARGIN_S - wait.read_s
     return max(ask_s, turn_s)
 
 
--- /dev/null
+++ b/tests/placing/test_forecast.py
@@ -0,0 +1,74 @@
+"""When queued models should be there, as far as the placer can know."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+import pytest
+
+from chutelink.entry.demand import DemandTable
+from chutelink.entry.news import ModelUse
+from chutelink.placing.changes import PlacementView
+from chutelink.placing.forecast import forecast_loads
+from chutelink.placing.placement import DemandPlacement
+
+from .placing_world import NOBODY, World, run, skip_pauses
+from .test_placement import make_engine, make_site
+
+
+def make_view(free_in_s, demand=None, **copies):
+    sites = []
+    for number, free_s in enumerate(free_in_s):
+        site = make_site(f"i-{number}", {"m7": []}, **copies)
+        site.inventory.is_changing = free_s > 0
+        sites.append(msgspec.structs.replace(site, free_in_s=free_s))
+    return PlacementView(make_engine(), sites, {}, demand or DemandTable(), 9, 100.0)
+
+
+def test_models_follow_one_another_at_the_endpoints_that_are_free_first():
+    view = make_view([0.0, 2.0])
+    cold_s = view.engine.models["m1"].cold_load_s
+    ready_s = forecast_loads(view, ["m1", "m2", "m3"])
+    assert ready_s["m1"] == pytest.approx(cold_s)
+    assert ready_s["m2"] == pytest.approx(min(2.0, cold_s) + cold_s)
+    assert ready_s["m3"] > ready_s["m2"] - 1e-9
+
+
+def test_a_copy_of_the_weights_shortens_the_wait():
+    view = make_view([1.0], on_disk=("m1",))
+    disk_s = view.engine.models["m1"].disk_load_s
+    assert forecast_loads(view, ["m1"])["m1"] == pytest.approx(1.0 + disk_s)
+
+
+def test_nothing_is_foretold_when_no_endpoint_is_known_to_be_free_ever():
+    assert forecast_loads(make_view([math.inf]), ["m1"]) == {}
+
+
+def test_what_requests_wait_for_and_no_endpoint_loads_is_queued():
+    demand = DemandTable()
+    demand.take("d1", [ModelUse(f"m{n}", "", 1, 0.1, 1, 1) for n in (1, 2)], 100.0)
+    policy = DemandPlacement()
+    policy.plan(make_view([3.0, 4.0], demand))
+    assert sorted(policy.queued) == ["m1", "m2"]
+    free = make_view([0.0, 0.0], demand, on_disk=("m1", "m2"))
+    assert {change.model for change in policy.plan(free)} >= {"m1", "m2"}
+    assert policy.queued == []
+
+
+def test_daemons_are_told_when_a_queued_model_should_be_there(monkeypatch):
+    skip_pauses(monkeypatch)
+
+    async def async_test():
+        world = World()
+        await world.async_start()
+        world.want("m1")
+        world.want("m2")
+        await world.async_tick(0.1)
+        queued = [load for news in world.sent for load in news.queued]
+        loading = {load.model for news in world.sent for load in news.loads}
+        assert queued
+        assert all(load.ready_in_s > 0 for load in queued)
+        assert NOBODY in world.table.rows and loading
+
+    run(async_test)
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -213,7 +213,7 @@
         world = World(("m0",))
         await world.async_start()
         load = PendingLoad(NOBODY, "m1", "", 4.0)
-        world.placer._pending_table.take([load], 1, world.core.now_s)
+        world.placer._board._announced.take([load], 1, world.core.now_s)
         assert world.placer._sites("llm")[0].free_in_s == 0.0
         world.placer._inventories[NOBODY].is_busy = True
         assert world.placer._sites("llm")[0].free_in_s == 4.0
--- a/tests/relaying/test_waiting.py
+++ b/tests/relaying/test_waiting.py
@@ -76,3 +76,11 @@
         assert until_s <= wait.started_s + max(ASK_SHARE, 1) * objective_s
     else:
         assert wait.ready_s + wait.read_s <= until_s
+
+
+def test_a_caller_that_leaves_before_its_objective_is_over_is_told_in_time():
+    """It waits no longer for word of a load than a load could still be of use."""
+    wait = replace(PATIENT, last_s=104.7)
+    until_s = wait_until_s(wait)
+    assert until_s <= 104.7 - wait.copy_load_s
+    assert until_s > 100.0
