Use the field's terms in the new code of links and forecasts

Names and doc text only: forecast for what was called foretold, members served by others, changes that a topology was derived from.

--- a/chutelink/peers/spreading.py
+++ b/chutelink/peers/spreading.py
@@ -44,15 +44,15 @@
         self._on_members_changed = on_members_changed
         self._log = BroadcastLog()
         self._topology: Topology | None = None
-        self._topology_of = -1
+        self._topology_changes = -1
         self._member_news: dict[DaemonId, Member] = {}
         self._found_here: set[DaemonId] = set()
 
     @property
     def topology(self) -> Topology:
         """The links between the members known now."""
-        if self._topology_of != self._table.changes:
-            self._topology_of = self._table.changes
+        if self._topology_changes != self._table.changes:
+            self._topology_changes = self._table.changes
             self._topology = Topology(
                 self._table.own, self._table.linkable(), self._hubs_per_domain
             )
@@ -69,23 +69,23 @@
         self._send(Direct(body, topic), members)
 
     def take(self, news: Broadcast, source: Link) -> bool:
-        """Forward news; return whether this daemon hears them for the first time."""
+        """Forward a broadcast; return whether it is received for the first time."""
         if news.origin == self._table.own.id or not self._log.is_new(news):
             return False
         self.forward_from(news.origin, news, source)
         return True
 
     def forward_from(self, origin: DaemonId, message: Message, source: Link) -> None:
-        """Forward a message that another daemon told all, heard for the first time."""
+        """Forward a message from another daemon that is received for the first time."""
         targets = self._broadcast_targets(origin)
-        hears_itself = {
+        served_by_others = {
             link.member.id
             for link in self._links
             if link.member is not None and origin in link.linked
         }
         if source.member is not None:
-            hears_itself.add(source.member.id)
-        self._send(message, targets - hears_itself - {origin})
+            served_by_others.add(source.member.id)
+        self._send(message, targets - served_by_others - {origin})
 
     def send_own(self, message: Message) -> None:
         """Send a message that hubs forward to all daemons."""
--- a/chutelink/placing/board.py
+++ b/chutelink/placing/board.py
@@ -13,7 +13,7 @@
 
 
 class LoadBoard:
-    """Keeps what the placer has ordered and foretold, with the times when it is done.
+    """Keeps the changes and the forecast of the placer, with their expected times.
 
     Parameters
     ----------
@@ -43,7 +43,7 @@
     def set_queue(
         self, service: ServiceName, forecast_s: Mapping[ModelName, float], now_s: float
     ) -> None:
-        """Replace what is foretold of a service, in seconds from now."""
+        """Replace the forecast for a service, in seconds from now."""
         self._queued_s[service] = {
             model: now_s + ready_in_s for model, ready_in_s in forecast_s.items()
         }
@@ -76,7 +76,7 @@
         return counts
 
     def pending_loads(self, now_s: float) -> list[PendingLoad]:
-        """Return the loads under way, as other daemons are told of them."""
+        """Return the loads under way, as they are announced."""
         return [
             PendingLoad(
                 change.endpoint,
@@ -89,7 +89,7 @@
         ]
 
     def queued_loads(self, now_s: float) -> list[QueuedLoad]:
-        """Return the loads that are foretold, as other daemons are told of them."""
+        """Return the forecast of queued loads, as it is announced."""
         return [
             QueuedLoad(model, max(0.0, ready_s - now_s))
             for forecast in self._queued_s.values()
--- a/tests/placing/test_forecast.py
+++ b/tests/placing/test_forecast.py
@@ -41,7 +41,7 @@
     assert forecast_loads(view, ["m1"])["m1"] == pytest.approx(1.0 + disk_s)
 
 
-def test_nothing_is_foretold_when_no_endpoint_is_known_to_be_free_ever():
+def test_there_is_no_forecast_without_an_endpoint_that_becomes_free():
     assert forecast_loads(make_view([math.inf]), ["m1"]) == {}
 
 
