--- a/tests/peers/test_virtual_fleet.py
+++ b/tests/peers/test_virtual_fleet.py
@@ -14,12 +14,6 @@
 
 AGREE_S = 6.0
 """A change of membership is known everywhere within it: silence, a dial, suspicion."""
-RELINK_S = 2.0
-"""After a restart of most hubs the others are linked to them again within it.
-
-Daemons that hear nothing read the store by themselves when what they know is older, by
-half of the bound for a change.
-"""
 CONTROL_BYTES_PER_S = 12_000.0
 """What a daemon may spend on control."""
 
@@ -140,7 +134,7 @@
         await asyncio.sleep(fleet._rng.uniform(0.0, 3.0))
         await fleet.async_start(killed)
         await fleet.async_until_agreed(AGREE_S)
-        await asyncio.sleep(RELINK_S)
+        await asyncio.sleep(1.0)
         assert await fleet.async_reach("d059") == set(fleet.names) - {"d059"}
     finally:
         await fleet.async_stop()
