Read and log the limits that endpoints name in their answers

Nothing depends on them yet. Callers saw: engines that had named a limit got more requests than it allows; the logs could not tell a limit that nobody reads from one that each daemon keeps by itself. Now endpoint_limit says when a daemon learns of a limit and when it is lifted, and limited_sends_total counts what it sends all the same. A limit is a daemon's own knowledge of one process of an endpoint; a header that can't be read changes nothing and is logged.

--- a/chutelink/entry/dialect.py
+++ b/chutelink/entry/dialect.py
@@ -63,6 +63,18 @@
     """An answer to something else, or spoilt: nothing is known of the request."""
 
 
+class EndpointSignals(msgspec.Struct, frozen=True):
+    """What an endpoint's answer says of the endpoint itself.
+
+    ``limit_per_s`` is the number of requests a second that it takes from all daemons
+    together, None where it names no limit; ``unreadable`` names the headers whose
+    values were ignored.
+    """
+
+    limit_per_s: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
 class Dialect(ABC):
     """Reads and writes the headers of one family of callers and endpoints."""
 
@@ -83,3 +95,7 @@
         self, status: int, headers: CIMultiDictProxy[str], request: RequestId
     ) -> AnswerKind:
         """Return what an answer means, from its status line and headers."""
+
+    @abstractmethod
+    def decode_signals(self, headers: CIMultiDictProxy[str]) -> EndpointSignals:
+        """Return what an endpoint's answer says of the endpoint."""
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -95,6 +95,8 @@
         self.other_by_ref: Counter[ModelRef] = Counter()
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
+        self.limit_per_s: float | None = None
+        self._limit_known_s = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -107,6 +109,24 @@
             return False
         return self.is_ready
 
+    def note_limit(self, limit_per_s: float, now_s: float) -> bool:
+        """Take in the limit that it names; return whether that changes anything."""
+        is_changed = limit_per_s != self.limit_per_s
+        self.limit_per_s = limit_per_s
+        self._limit_known_s = now_s
+        return is_changed
+
+    def lift_limit(self, sent_s: float) -> bool:
+        """Take in an answer without a limit; return whether that changes anything.
+
+        Only the answer to a request that was sent after the limit was known lifts it:
+        an earlier one may have been written before the limit was named.
+        """
+        if self.limit_per_s is None or sent_s <= self._limit_known_s:
+            return False
+        self.limit_per_s = None
+        return True
+
     @property
     def total_requests(self) -> int:
         """Requests under way from all daemons."""
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -30,6 +30,9 @@
         self.quota_loans_late = self._counter(
             "quota_loans_late_total", "Loans of quota that did not all come in time"
         )
+        self.limited_sends = self._counter(
+            "limited_sends_total", "Requests sent to endpoints that name a limit"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import math
+
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from ..customers.keys import HEADER_KEY
-from ..entry.dialect import AnswerKind, Dialect, Dispatch, PromptPart, RequestMeta
+from ..entry.dialect import (
+    AnswerKind,
+    Dialect,
+    Dispatch,
+    EndpointSignals,
+    PromptPart,
+    RequestMeta,
+)
 from ..ids import AdapterName, ModelName, RequestId
 
 HEADER_REQUEST_ID = "X-Request-Id"
@@ -18,6 +27,8 @@
 HEADER_URGENCY = "X-Request-Urgency"
 HEADER_SEAL = "X-Server-Seal"
 HEADER_NOT_EXECUTED = "X-Not-Executed"
+HEADER_LIMIT = "Server-Limit"
+"""Requests a second that an endpoint takes from all daemons together."""
 HEADER_CUSTOMER = "X-Tenant"
 """Names the customer to endpoints; callers may send it, and it says nothing then."""
 RESERVED_HEADERS = (
@@ -59,6 +70,15 @@
     return tuple(parts)
 
 
+def _decode_amount(text: str) -> float | None:
+    """Return a decimal number that is not negative, None for anything else."""
+    try:
+        amount = float(text)
+    except ValueError:
+        return None
+    return amount if math.isfinite(amount) and amount >= 0 else None
+
+
 class PlatformDialect(Dialect):
     """The headers of the prepared machines."""
 
@@ -116,3 +136,12 @@
         if "Content-Encoding" in headers:
             return AnswerKind.FOREIGN
         return AnswerKind.ANSWERED
+
+    def decode_signals(self, headers: CIMultiDictProxy[str]) -> EndpointSignals:
+        """Return what an endpoint's answer says of the endpoint."""
+        named = headers.get(HEADER_LIMIT)
+        if named is None:
+            return EndpointSignals()
+        limit_per_s = _decode_amount(named)
+        unreadable = (HEADER_LIMIT,) if limit_per_s is None else ()
+        return EndpointSignals(limit_per_s, unreadable)
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -31,6 +31,7 @@
 from .gate import QuarantineGate
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
+from .signals import SignalReader
 from .upstream import EndpointCall
 from .waiting import (
     LOAD_MARGIN_S,
@@ -93,6 +94,7 @@
         self._policy = policy
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
+        self.signals = SignalReader(core, dialect, table)
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
         self.on_second_run: Callable[[Exchange], None] = lambda _: None
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -118,6 +118,9 @@
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
             await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
+        self._exchanges.signals.note(
+            exchange, row, answer.status, answer.headers, sent_s
+        )
         return self.judge(exchange, row, answer, clock() - sent_s), answer
 
     def judge(
@@ -159,6 +162,8 @@
         """Count a request at an endpoint while it is there."""
         exchange.tried.append(row.record.id)
         row.last_sent_s = self._exchanges.core.clock()
+        if row.limit_per_s is not None:
+            self._exchanges.core.metrics.limited_sends.inc({})
         row.requests += 1
         ref = model_ref(exchange.meta.model, exchange.meta.adapter)
         row.by_ref[ref] += 1
--- /dev/null
+++ b/chutelink/relaying/signals.py
@@ -0,0 +1,81 @@
+"""Take in what endpoints' answers say of the endpoints."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDictProxy
+
+from ..core import Application
+from ..entry.dialect import AnswerKind, Dialect
+from ..entry.endpoints import Endpoint, EndpointTable
+from .exchange import Exchange
+
+
+class SignalReader:
+    """Reads signals off answers, and logs those that change something.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    dialect : Dialect
+        Reads headers.
+    table : EndpointTable
+        The endpoints.
+    """
+
+    def __init__(
+        self, core: Application, dialect: Dialect, table: EndpointTable
+    ) -> None:
+        self._core = core
+        self._dialect = dialect
+        self._table = table
+
+    def note(
+        self,
+        exchange: Exchange,
+        row: Endpoint,
+        status: int,
+        headers: CIMultiDictProxy[str],
+        sent_s: float,
+    ) -> None:
+        """Take in the answer to a request that was sent at ``sent_s``."""
+        if self._table.rows.get(row.record.id) is not row:
+            # Its process has ended since.
+            return
+        signals = self._dialect.decode_signals(headers)
+        for name in signals.unreadable:
+            self._core.events.warning(
+                "endpoint_header_unreadable",
+                endpoint=row.record.id,
+                header=name,
+                value=headers[name][:80],
+            )
+        if signals.unreadable:
+            # Whether it has a limit is not known, so what was known stands.
+            return
+        kind = self._dialect.classify(status, headers, exchange.meta.id)
+        self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
+
+    def _note_limit(
+        self,
+        exchange: Exchange,
+        row: Endpoint,
+        kind: AnswerKind,
+        limit_per_s: float | None,
+        sent_s: float,
+    ) -> None:
+        before = row.limit_per_s
+        if limit_per_s is not None:
+            is_changed = row.note_limit(limit_per_s, self._core.clock())
+        else:
+            # Other answers may be of another endpoint, at an address used again.
+            is_answered = kind is AnswerKind.ANSWERED
+            is_changed = is_answered and row.lift_limit(sent_s)
+        if is_changed:
+            self._core.events.record(
+                "endpoint_limit",
+                endpoint=row.record.id,
+                limit_per_s=limit_per_s,
+                before_per_s=before,
+                request=exchange.meta.id,
+            )
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -204,6 +204,9 @@
         self, response: aiohttp.ClientResponse, sent_s: float
     ) -> tuple[AttemptResult, WholeResponse | None]:
         exchange, row = self._exchange, self._row
+        self._owner._exchanges.signals.note(
+            exchange, row, response.status, response.headers, sent_s
+        )
         kind = self._owner._exchanges.dialect.classify(
             response.status, response.headers, exchange.meta.id
         )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -119,3 +119,8 @@
     """Return a daemon's shares, with bounds that are easy to reckon with."""
     bounds = QuotaBounds(window_s=8.0, excess_share=0.1, slack=0.0)
     return QuotaKeeper(core, bounds, is_lending=is_lending)
+
+
+def make_exchange(request_id: str) -> SimpleNamespace:
+    """Return what parts use of a request that has an id and nothing else."""
+    return SimpleNamespace(meta=SimpleNamespace(id=request_id))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -99,3 +99,17 @@
     )
     DIALECT.remove_reserved(sent)
     assert list(sent.items()) == [("X-Length-Hint", "40"), ("X-Other", "kept")]
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"), [("1", 1.0), ("0", 0.0), ("2.5", 2.5), (" 3 ", 3.0)]
+)
+def test_a_limit_is_a_decimal_number(value, limit_per_s):
+    signals = DIALECT.decode_signals(headers(Server_Limit=value))
+    assert (signals.limit_per_s, signals.unreadable) == (limit_per_s, ())
+
+
+@pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "1;2"])
+def test_a_limit_that_is_no_number_is_ignored_and_named(value):
+    signals = DIALECT.decode_signals(headers(Server_Limit=value))
+    assert (signals.limit_per_s, signals.unreadable) == (None, ("Server-Limit",))
