--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -119,6 +119,7 @@
                     "cancelled": e.cancelled,
                     "ends": e.ends,
                     "deadly_s": e.deadly_s,
+                    "arrived_s": e.arrived_s,
                 }
                 for name, e in self._machines.endpoints.items()
             }
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -30,7 +30,10 @@
 
 
 class EndpointFaults(msgspec.Struct, frozen=True):
-    """Faults of one endpoint; the counts are used up one by one."""
+    """Faults of one endpoint; the counts are used up one by one.
+
+    ``limit_per_s`` is named in all answers; 0 names no limit.
+    """
 
     refuse: int = 0
     errors: int = 0
@@ -40,6 +43,7 @@
     cuts: int = 1
     mute: int = 0
     cut_orders: int = 0
+    limit_per_s: float = 0.0
 
 
 class EndpointStandin:
@@ -71,6 +75,8 @@
         self.faults = EndpointFaults()
         self.runs: list[str] = []
         self.seen: list[dict[str, str]] = []
+        self.arrived_s: list[float] = []
+        """When requests arrived, on the clock of the process."""
         self.orders: list[dict] = []
         self.cancelled: list[str] = []
         self.ends = 0
@@ -129,8 +135,14 @@
             return json_response(self._report())
         if request.path == "/api/order":
             return await self._async_order(request)
+        self.arrived_s.append(time.monotonic())
         return await self._async_run(request)
 
+    def _signals(self) -> dict[str, str]:
+        """Return the headers by which all answers speak of the endpoint."""
+        limit_per_s = self.faults.limit_per_s
+        return {"Server-Limit": str(limit_per_s)} if limit_per_s else {}
+
     def _report(self) -> dict[str, object]:
         return {
             "models": self._model_list(),
@@ -178,13 +190,14 @@
         if model and model not in self.models:
             return web.Response(status=421)
         if self._use_up("refuse"):
-            return web.Response(status=503, headers=NOT_RUN)
+            return web.Response(status=503, headers=NOT_RUN | self._signals())
         self.runs.append(request_id)
         if body == DEADLY:
             self.deadly_s.append(time.monotonic())
             await asyncio.sleep(END_DELAY_S)
             self.on_deadly(self)
         headers = {"X-Request-Id": request_id, "X-Server-Seal": f"seal-{self.name}"}
+        headers |= self._signals()
         if self._use_up("foreign"):
             headers["X-Request-Id"] = "another"
         if self._use_up("mute"):
--- /dev/null
+++ b/tests/processes/test_limits.py
@@ -0,0 +1,47 @@
+"""Endpoints that name a limit, behind daemons that are processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
+from .entry_deployment import async_entry_deployment
+
+DAEMONS = 3
+LIMIT_PER_S = 2.0
+FLOOD_S = 4.5
+PAUSE_S = 0.05
+PLAIN = ("i-plain0", "i-plain1")
+
+
+async def async_flood(deployment, number: int, statuses: list[int]) -> None:
+    """Send to one daemon, one request after the other."""
+    end_s = asyncio.get_running_loop().time() + FLOOD_S
+    for count in itertools.count():
+        if asyncio.get_running_loop().time() > end_s:
+            return
+        name = f"q{number}-{count}"
+        async with deployment.request(number, "/once/x", name) as answer:
+            await answer.read()
+            statuses.append(answer.status)
+        await asyncio.sleep(PAUSE_S)
+
+
+def test_daemons_together_send_no_more_than_the_limit_that_an_endpoint_names(tmp_path):
+    async def async_test():
+        async with async_entry_deployment(tmp_path, DAEMONS) as deployment:
+            for name in PLAIN:
+                await deployment.async_endpoint(name, limit_per_s=LIMIT_PER_S)
+            statuses: list[int] = []
+            floods = (async_flood(deployment, n, statuses) for n in range(DAEMONS))
+            await asyncio.gather(*floods)
+            assert set(statuses) <= {200, 503}
+            assert 200 in statuses
+            endpoints = await deployment.async_endpoints()
+            for name in PLAIN:
+                arrived_s = endpoints[name]["arrived_s"]
+                got = most_in_window(arrived_s, LIMIT_WINDOW_S)
+                assert got <= allowed_in_window(LIMIT_PER_S), name
+
+    asyncio.run(async_test())
--- /dev/null
+++ b/tests/rates.py
@@ -0,0 +1,24 @@
+"""How many events fall into any window of a length."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+LIMIT_WINDOW_S = 4.0
+"""The window over which the operators count requests against a limit."""
+
+
+def most_in_window(times_s: Iterable[float], window_s: float) -> int:
+    """Return the largest number of events in any window."""
+    ordered = sorted(times_s)
+    first = most = 0
+    for last, time_s in enumerate(ordered):
+        while time_s - ordered[first] > window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def allowed_in_window(limit_per_s: float) -> float:
+    """Return how many requests the operators allow an endpoint that names a limit."""
+    return 1.5 * limit_per_s * LIMIT_WINDOW_S + 5
