--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -12,7 +12,6 @@
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
 from ..customers.buckets import QuotaBounds
-from ..customers.gate import CustomerGate
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
 from ..peers.mesh import Mesh
@@ -22,17 +21,14 @@
 from ..quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from ..quarantine.service import Quarantine
 from ..quarantine.web import QuarantineHandlers
-from ..relaying.dispatching import Exchanges
-from ..relaying.relay import Relay
 from ..relaying.retries import RetryShare
-from ..relaying.routing import LeastLoss
-from ..relaying.stream import StreamRelay
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
 from ..tables.members import MemberState, MemberTable
 from ..watching.timing import fit_time_limit
 from ..watching.watch import RowChange, StoreWatch
 from .adapter import Handler, PlatformAdapter
+from .callers import make_callers
 from .demand import DemandTable
 from .directory import Directory, count_candidates
 from .http import CallerHttp
@@ -169,7 +165,7 @@
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.news.send)
         self._setup_placer()
-        self._setup_callers()
+        self.callers = make_callers(self, self._adapter.make_dialect(), self._upstream)
         self.news.watch = self.watch
         self.news.lease = self.lease
         self.news.placer = self.placer
@@ -211,45 +207,6 @@
         self.placer.paces.window_s = self.settings.entry.cold_load_window_s
         self.placer.paces.excess = self.settings.entry.cold_load_excess
 
-    def _setup_callers(self) -> None:
-        known = self.known
-        exchanges = Exchanges(
-            self,
-            self._adapter.make_dialect(),
-            known.endpoints,
-            known.health,
-            known.prefixes,
-            known.speeds,
-            known.durations,
-            known.reading,
-            self.pending,
-            self.loads,
-            self.retries,
-            LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
-            self.quarantine,
-        )
-        exchanges.on_prompt = self.news.send
-        customers = CustomerGate(
-            self.quotas.keeper,
-            lambda: self.watch.knowledge(TABLE_CONFIG),
-            self.settings.entry.config_apply_ms / MS_PER_S,
-        )
-        exchanges.on_second_run = lambda exchange: customers.charge_again(
-            exchange.admission
-        )
-        exchanges.knowledge = lambda: self.watch.knowledge(TABLE_ENDPOINTS)
-        relay = Relay(exchanges, self._upstream)
-        streams = StreamRelay(self, exchanges, self._upstream, relay)
-        self.callers = CallerHttp(
-            self,
-            exchanges,
-            relay,
-            streams,
-            customers,
-            lambda: self.known.routes,
-            self.is_ready,
-        )
-
     async def _async_listen(self) -> None:
         """Listen for operators, then for callers and their questions."""
         await super()._async_listen()
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -14,12 +14,8 @@
 from ..entry.loads import LoadBook
 from ..entry.news import PromptNews
 from ..entry.pending import PendingTable
-from ..gateway.refusals import Refusal, unavailable
-from ..ids import (
-    DaemonId,
-    FailureDomainName,
-    model_ref,
-)
+from ..gateway.refusals import unavailable
+from ..ids import DaemonId, FailureDomainName, model_ref
 from ..learning.durations import DurationTable
 from ..learning.health import HealthTable
 from ..learning.prefixes import PrefixTable, hash_chain
@@ -29,17 +25,12 @@
 from ..watching.watch import Knowledge
 from .exchange import Exchange, urgency_of
 from .gate import QuarantineGate
+from .modelwait import ModelWaiter, may_be_loaded
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
 from .signals import SignalReader
 from .upstream import EndpointCall
-from .waiting import (
-    LOAD_MARGIN_S,
-    RETRY_SHARE,
-    ModelWait,
-    back_in_s,
-    wait_until_s,
-)
+from .waiting import RETRY_SHARE
 
 DEFAULT_RETRY_S = 0.5
 MIN_BACK_S = 0.2
@@ -94,6 +85,7 @@
         self._policy = policy
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
+        self._waiter = ModelWaiter(core, table, speeds, pending, loads)
         self.signals = SignalReader(core, dialect, table)
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
@@ -103,7 +95,7 @@
 
     def stop_waiting(self) -> None:
         """Refuse what waits for a model, now and from now on: this daemon ends."""
-        self.is_closing = True
+        self.is_closing = self._waiter.is_closing = True
         self.pending.signal()
 
     def make_candidate(self, meta: RequestMeta, route: Route) -> Candidate:
@@ -156,26 +148,9 @@
             row = await self._async_until_room(exchange, row)
         if row is not None:
             return row
-        if not self._may_be_loaded(exchange):
+        if not may_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
-        meta = exchange.meta
-        is_patient = self._is_patient(exchange)
-        self.loads.begin_wait(meta.model, meta.adapter, is_patient=is_patient)
-        try:
-            return await self._async_wait_for_model(exchange)
-        except Refusal as refusal:
-            self._expect_back(exchange, refusal)
-            raise
-        finally:
-            self.loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
-
-    def _expect_back(self, exchange: Exchange, refusal: Refusal) -> None:
-        """Keep asking for a model until its caller is back, which has time for it."""
-        left_s = exchange.left_s(self.core.clock())
-        back_in_s = min(refusal.retry_after_s, RETRY_SHARE * left_s)
-        meta = exchange.meta
-        self.loads.begin_wait(meta.model, meta.adapter, is_patient=True)
-        self.loads.keep_wait(meta.model, meta.adapter, back_in_s)
+        return await self._waiter.async_wait(exchange, self._choose)
 
     async def _async_until_room(
         self, exchange: Exchange, row: Endpoint
@@ -238,63 +213,6 @@
         back_s = min(back_s, RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", back_s)
 
-    async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
-        asked_s = self.core.clock()
-        while True:
-            wait = self._make_wait(exchange)
-            until_s = wait_until_s(wait)
-            if until_s <= wait.now_s or self.is_closing:
-                raise self._refuse_wait(exchange, wait)
-            await self.pending.async_wait(until_s - wait.now_s)
-            row = self._choose(exchange)
-            if row is not None:
-                self.core.events.record(
-                    "model_waited_for",
-                    request=exchange.meta.id,
-                    model=exchange.meta.model,
-                    adapter=exchange.meta.adapter,
-                    endpoint=row.record.id,
-                    waited_s=self.core.clock() - asked_s,
-                )
-                return row
-
-    def _make_wait(self, exchange: Exchange) -> ModelWait:
-        meta = exchange.meta
-        now_s = self.core.clock()
-        spec = exchange.service.engine.models[meta.model]
-        is_resident = self._is_resident(exchange)
-        return ModelWait(
-            now_s=now_s,
-            started_s=exchange.started_s,
-            last_s=exchange.first_event_by_s,
-            objective_s=exchange.route.objective_s,
-            read_s=self.speeds.read_s(meta.model, meta.prompt_tokens),
-            copy_load_s=0.0 if is_resident else spec.disk_load_s,
-            cold_load_s=0.0 if is_resident else spec.cold_load_s,
-            ready_s=self.pending.ready_s(meta.model, meta.adapter, now_s),
-        )
-
-    def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
-        what = "adapter" if self._is_resident(exchange) else "model"
-        is_loading = wait.ready_s is not None
-        reason = "is being loaded" if is_loading else "is not loaded"
-        return unavailable(f"the {what} {reason}", back_in_s(wait))
-
-    def _is_resident(self, exchange: Exchange) -> bool:
-        """Return whether only the adapter is missing, which is there in some ms."""
-        now_s = self.core.clock()
-        rows = self.table.of_service(exchange.service.name, now_s)
-        return any(row.holds(exchange.meta.model) for row in rows)
-
-    def _may_be_loaded(self, exchange: Exchange) -> bool:
-        engine = exchange.service.engine
-        return engine is not None and exchange.meta.model in engine.models
-
-    def _is_patient(self, exchange: Exchange) -> bool:
-        """Return whether a load from the weight store fits the objective."""
-        spec = exchange.service.engine.models[exchange.meta.model]
-        return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
-
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
--- /dev/null
+++ b/chutelink/relaying/modelwait.py
@@ -0,0 +1,144 @@
+"""Let requests wait for a model that no endpoint has."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..core import Application
+from ..entry.endpoints import Endpoint, EndpointTable
+from ..entry.loads import LoadBook
+from ..entry.pending import PendingTable
+from ..gateway.refusals import Refusal, unavailable
+from ..learning.speeds import SpeedTable
+from .exchange import Exchange
+from .waiting import (
+    LOAD_MARGIN_S,
+    RETRY_SHARE,
+    ModelWait,
+    back_in_s,
+    wait_until_s,
+)
+
+
+class ModelWaiter:
+    """Tells the placer what requests wait for, and lets them wait.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : EndpointTable
+        The endpoints.
+    speeds : SpeedTable
+        How long prompts take to read.
+    pending : PendingTable
+        Loads on their way.
+    loads : LoadBook
+        What the placer is told.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: EndpointTable,
+        speeds: SpeedTable,
+        pending: PendingTable,
+        loads: LoadBook,
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._speeds = speeds
+        self._pending = pending
+        self._loads = loads
+        self.is_closing = False
+
+    async def async_wait(
+        self, exchange: Exchange, choose: Callable[[Exchange], Endpoint | None]
+    ) -> Endpoint:
+        """Return an endpoint once ``choose`` finds one.
+
+        Raises
+        ------
+        Refusal
+            There is none in time.
+        """
+        meta = exchange.meta
+        is_patient = _is_patient(exchange)
+        self._loads.begin_wait(meta.model, meta.adapter, is_patient=is_patient)
+        try:
+            return await self._async_wait_for_model(exchange, choose)
+        except Refusal as refusal:
+            self._expect_back(exchange, refusal)
+            raise
+        finally:
+            self._loads.end_wait(meta.model, meta.adapter, is_patient=is_patient)
+
+    async def _async_wait_for_model(
+        self, exchange: Exchange, choose: Callable[[Exchange], Endpoint | None]
+    ) -> Endpoint:
+        asked_s = self._core.clock()
+        while True:
+            wait = self._make_wait(exchange)
+            until_s = wait_until_s(wait)
+            if until_s <= wait.now_s or self.is_closing:
+                raise self._refuse_wait(exchange, wait)
+            await self._pending.async_wait(until_s - wait.now_s)
+            row = choose(exchange)
+            if row is not None:
+                self._core.events.record(
+                    "model_waited_for",
+                    request=exchange.meta.id,
+                    model=exchange.meta.model,
+                    adapter=exchange.meta.adapter,
+                    endpoint=row.record.id,
+                    waited_s=self._core.clock() - asked_s,
+                )
+                return row
+
+    def _make_wait(self, exchange: Exchange) -> ModelWait:
+        meta = exchange.meta
+        now_s = self._core.clock()
+        spec = exchange.service.engine.models[meta.model]
+        is_resident = self._is_resident(exchange)
+        return ModelWait(
+            now_s=now_s,
+            started_s=exchange.started_s,
+            last_s=exchange.first_event_by_s,
+            objective_s=exchange.route.objective_s,
+            read_s=self._speeds.read_s(meta.model, meta.prompt_tokens),
+            copy_load_s=0.0 if is_resident else spec.disk_load_s,
+            cold_load_s=0.0 if is_resident else spec.cold_load_s,
+            ready_s=self._pending.ready_s(meta.model, meta.adapter, now_s),
+        )
+
+    def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
+        what = "adapter" if self._is_resident(exchange) else "model"
+        is_loading = wait.ready_s is not None
+        reason = "is being loaded" if is_loading else "is not loaded"
+        return unavailable(f"the {what} {reason}", back_in_s(wait))
+
+    def _is_resident(self, exchange: Exchange) -> bool:
+        """Return whether only the adapter is missing, which is there in some ms."""
+        now_s = self._core.clock()
+        rows = self._table.of_service(exchange.service.name, now_s)
+        return any(row.holds(exchange.meta.model) for row in rows)
+
+    def _expect_back(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Keep asking for a model until its caller is back, which has time for it."""
+        left_s = exchange.left_s(self._core.clock())
+        back_in_s = min(refusal.retry_after_s, RETRY_SHARE * left_s)
+        meta = exchange.meta
+        self._loads.begin_wait(meta.model, meta.adapter, is_patient=True)
+        self._loads.keep_wait(meta.model, meta.adapter, back_in_s)
+
+
+def may_be_loaded(exchange: Exchange) -> bool:
+    """Return whether an endpoint of the service could load what is requested."""
+    engine = exchange.service.engine
+    return engine is not None and exchange.meta.model in engine.models
+
+
+def _is_patient(exchange: Exchange) -> bool:
+    """Return whether a load from the weight store fits the objective."""
+    spec = exchange.service.engine.models[exchange.meta.model]
+    return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
