Keep to the limits that endpoints name, over all daemons together

Now what an answer says of a limit is known to all daemons that serve, and one daemon, the first by rendezvous hashing, gives out the turns at each endpoint, so that the sum does not depend on how many daemons there are, and each turn goes to whoever has a request for it. Ruled out: a fixed share for each daemon (at one a second and eight daemons each may send every 8 s, whoever has the requests; with more daemons than the limit the first requests of all are over it), and shares lent as quotas are (eight parts of a turn for one request). Endpoints without a limit are chosen first. What no endpoint can take in time is refused at once, with the next turn in Retry-After.

Seen failing: without the turn after a wait for a model, 29 requests go at once (a test).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -14,6 +14,7 @@
 from ..customers.buckets import QuotaBounds
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
+from ..limits.permits import PermitDesk
 from ..peers.mesh import Mesh
 from ..placing.lease import PlacerLease
 from ..placing.placement import DemandPlacement
@@ -106,6 +107,7 @@
         bounds = QuotaBounds(
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
+        self.permits = PermitDesk(self)
         self.quotas = QuotaSharing(self, bounds, is_lending=entry.quota_lending)
         self.mesh: Mesh | None = None
         self.watch: StoreWatch | None = None
@@ -145,6 +147,7 @@
         self.quarantine.send = self.news.send
         self.quotas.keeper.send = self.news.reply
         self.quotas.keeper.linked = self.mesh.linked_members
+        self._setup_permits()
         self.mesh.on_broadcast = self.news.take
         self.mesh.on_direct = self.news.take_direct
         self.mesh.on_members_changed = self.news.choose_links
@@ -192,6 +195,12 @@
         registration.on_former = self._take_former
         self.add_future(registration.async_run())
 
+    def _setup_permits(self) -> None:
+        self.news.permits = self.permits
+        self.permits.send = self.news.reply
+        self.permits.linked = self.mesh.linked_members
+        self.permits.serving = lambda: self.news.serving
+
     def _setup_placer(self) -> None:
         self.placer = Placer(
             self,
--- a/chutelink/entry/callers.py
+++ b/chutelink/entry/callers.py
@@ -60,6 +60,7 @@
         app.retries,
         LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
         app.quarantine,
+        app.permits,
     )
     exchanges.on_prompt = app.news.send
     exchanges.knowledge = lambda: app.watch.knowledge(TABLE_ENDPOINTS)
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -20,6 +20,8 @@
     incarnation_of,
     model_ref,
 )
+from ..limits.model import LimitState
+from ..limits.news import EndpointLimit
 from .news import EndpointLoad
 
 NO_ADAPTER = AdapterName("")
@@ -95,8 +97,7 @@
         self.other_by_ref: Counter[ModelRef] = Counter()
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
-        self.limit_per_s: float | None = None
-        self._limit_known_s = float("-inf")
+        self.limit = LimitState()
 
     @property
     def is_ready(self) -> bool:
@@ -109,24 +110,6 @@
             return False
         return self.is_ready
 
-    def note_limit(self, limit_per_s: float, now_s: float) -> bool:
-        """Take in the limit that it names; return whether that changes anything."""
-        is_changed = limit_per_s != self.limit_per_s
-        self.limit_per_s = limit_per_s
-        self._limit_known_s = now_s
-        return is_changed
-
-    def lift_limit(self, sent_s: float) -> bool:
-        """Take in an answer without a limit; return whether that changes anything.
-
-        Only the answer to a request that was sent after the limit was known lifts it:
-        an earlier one may have been written before the limit was named.
-        """
-        if self.limit_per_s is None or sent_s <= self._limit_known_s:
-            return False
-        self.limit_per_s = None
-        return True
-
     @property
     def total_requests(self) -> int:
         """Requests under way from all daemons."""
@@ -228,6 +211,16 @@
             row = self._restart(row, record)
         row.take_models(sequence, models)
 
+    def take_limit(self, news: EndpointLimit, now_s: float) -> None:
+        """Take in what another daemon has learned of an endpoint's limit."""
+        row = self.rows.get(news.endpoint)
+        if row is None or news.born_ms != row.record.born_ms:
+            return
+        if news.limit_per_s is None:
+            row.limit.lift()
+        else:
+            row.limit.note(news.limit_per_s, now_s)
+
     def _restart(self, before: Endpoint, record: EndpointRecord) -> Endpoint:
         """Begin anew with another process of an endpoint."""
         row = self.rows[record.id] = Endpoint(record)
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
+from ..limits.news import EndpointLimit
 from .endpoints import EndpointTable
 from .news import EndpointLoad, LoadNews, ModelUse, StreamCount
 
@@ -28,6 +29,7 @@
         self._prefixes: list[tuple[EndpointId, list[int]]] = []
         self._streams: Counter[EndpointId] = Counter()
         self._paused: Counter[EndpointId] = Counter()
+        self._limits: dict[EndpointId, EndpointLimit] = {}
         self._told: list[EndpointLoad] = []
         self.urgent = asyncio.Event()
 
@@ -79,6 +81,17 @@
         self._streams[endpoint] += 1
         self._paused[endpoint] += is_paused
 
+    def note_limit(self, limit: EndpointLimit, *, is_changed: bool) -> None:
+        """Keep what an answer said of its endpoint's limit; a change is told soon."""
+        self._limits[limit.endpoint] = limit
+        if is_changed:
+            self.urgent.set()
+
+    def _take_limits(self) -> list[EndpointLimit]:
+        limits = list(self._limits.values())
+        self._limits.clear()
+        return limits
+
     def _take_streams(self) -> list[StreamCount]:
         counts = [
             StreamCount(endpoint, count, self._paused[endpoint])
@@ -117,7 +130,7 @@
             if not count and (model, adapter) not in keys
         ]
         is_new = uses or self._prefixes or ended or loads or self._told or unreachable
-        if not is_new:
+        if not is_new and not self._limits:
             return None
         news = LoadNews(
             daemon,
@@ -126,6 +139,7 @@
             self._prefixes,
             unreachable,
             self._take_streams(),
+            self._take_limits(),
         )
         self._told = loads
         self._prefixes = []
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -10,6 +10,7 @@
 from ..customers.news import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
+from ..limits.news import EndpointLimit, PermitAnswer, PermitRequest
 from ..peers.packing import UNPACK_FAILURES, pack, unpack
 from ..quarantine.news import ClearedNews, EndingNews
 
@@ -96,7 +97,8 @@
 class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """What one daemon has under way and was asked for since its last message.
 
-    ``unreachable`` are endpoints that took no connection from it.
+    ``unreachable`` are endpoints that took no connection from it, ``limits`` what
+    answers said since then of the limits of endpoints.
     """
 
     daemon: DaemonId
@@ -105,6 +107,7 @@
     prefixes: list[tuple[EndpointId, list[int]]] = []
     unreachable: list[EndpointId] = []
     streams: list[StreamCount] = []
+    limits: list[EndpointLimit] = []
 
 
 class PromptNews(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
@@ -187,6 +190,8 @@
     | ClearedNews
     | LoanRequest
     | Loan
+    | PermitRequest
+    | PermitAnswer
 )
 _DECODE_FAILURES = (
     cbor2.CBORDecodeError,
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -7,6 +7,8 @@
 from ..customers.quotas import QuotaKeeper
 from ..exceptions import PeerMessageInvalid
 from ..ids import DaemonId
+from ..limits.news import PermitAnswer, PermitRequest
+from ..limits.permits import PermitDesk
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
 from ..placing.lease import PlacerLease
@@ -98,6 +100,7 @@
         self.watch: StoreWatch | None = None
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
+        self.permits: PermitDesk | None = None
 
     def send(self, news: News) -> None:
         """Tell those that need it; what this daemon needs too, it takes in itself."""
@@ -159,6 +162,10 @@
             self._quotas.take_request(news)
         elif isinstance(news, Loan):
             self._quotas.take_loan(news)
+        elif isinstance(news, PermitRequest):
+            self.permits.take_request(news)
+        elif isinstance(news, PermitAnswer):
+            self.permits.take_answer(news)
 
     def _take_load(self, news: LoadNews) -> None:
         now_s = self._core.clock()
@@ -167,6 +174,8 @@
         self._take_streams(news)
         for endpoint, chain in news.prefixes:
             self._known.prefixes.note(endpoint, chain, now_s)
+        for limit in news.limits:
+            self._known.endpoints.take_limit(limit, now_s)
         self._wake_placer(news)
 
     def _take_prompt(self, news: PromptNews) -> None:
--- /dev/null
+++ b/chutelink/limits/news.py
@@ -0,0 +1,38 @@
+"""What daemons tell each other of the limits of endpoints."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import DaemonId, EndpointId
+
+
+class EndpointLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The limit that one process of an endpoint has named, None when it names none."""
+
+    endpoint: EndpointId
+    born_ms: int
+    limit_per_s: float | None
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag="permit_request"):
+    """Asks for a turn at an endpoint; ``number`` names the question.
+
+    ``limit_per_s`` is the limit that the asking daemon knows.
+    """
+
+    daemon: DaemonId
+    number: int
+    endpoint: EndpointId
+    born_ms: int
+    limit_per_s: float
+    max_delay_s: float
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, array_like=True, tag="permit"):
+    """A turn at an endpoint, or when the next one is; see ``Permit``."""
+
+    daemon: DaemonId
+    number: int
+    is_granted: bool
+    delay_s: float
--- /dev/null
+++ b/chutelink/limits/permits.py
@@ -0,0 +1,115 @@
+"""One daemon gives out the turns at an endpoint, and the others ask it for theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from ..core import Application
+from ..ids import DaemonId, EndpointId, Incarnation, incarnation_of
+from ..systems.hashing import rendezvous_order
+from .const import PERMIT_WAIT_S, SILENT_PAUSE_S
+from .model import Permit
+from .news import PermitAnswer, PermitRequest
+from .pacer import Pacer
+
+
+class PermitDesk:
+    """Gives out the turns at the endpoints that are this daemon's to pace.
+
+    Each endpoint is paced by one daemon of those that serve, whichever daemon its
+    requests come through. While daemons disagree on who serves, two may pace it.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    """
+
+    def __init__(self, core: Application) -> None:
+        self._core = core
+        self._pacers: dict[EndpointId, tuple[Incarnation, Pacer]] = {}
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, asyncio.Future[Permit]] = {}
+        self.serving: Callable[[], set[DaemonId]] = set
+        """Returns the daemons that callers may use."""
+        self.linked: Callable[[], set[DaemonId]] = set
+        """Returns the daemons that can be asked."""
+        self.send: Callable[[DaemonId, PermitRequest | PermitAnswer], None] = (
+            lambda to, news: None
+        )
+
+    async def async_ask(
+        self,
+        endpoint: EndpointId,
+        born_ms: int,
+        limit_per_s: float,
+        max_delay_s: float,
+    ) -> Permit:
+        """Return a turn at an endpoint, no later than after ``max_delay_s``."""
+        own = self._core.daemon_id
+        request = PermitRequest(
+            own, next(self._numbers), endpoint, born_ms, limit_per_s, max_delay_s
+        )
+        pacing = self.pacing_daemon(endpoint)
+        if pacing == own:
+            permit = self._reserve(request)
+        elif pacing in self.linked():
+            permit = await self._async_ask_peer(pacing, request)
+        else:
+            permit = Permit(is_granted=False, delay_s=max_delay_s + SILENT_PAUSE_S)
+        verdict = "granted" if permit.is_granted else "denied"
+        self._core.metrics.permits.inc({"verdict": verdict})
+        return permit
+
+    def pacing_daemon(self, endpoint: EndpointId) -> DaemonId:
+        """Return who gives out the turns at an endpoint."""
+        serving = self.serving() or {self._core.daemon_id}
+        return DaemonId(rendezvous_order(endpoint, serving)[0])
+
+    def take_request(self, request: PermitRequest) -> None:
+        """Answer another daemon that asks for a turn."""
+        permit = self._reserve(request)
+        answer = PermitAnswer(
+            self._core.daemon_id, request.number, permit.is_granted, permit.delay_s
+        )
+        self.send(request.daemon, answer)
+
+    def take_answer(self, answer: PermitAnswer) -> None:
+        """Take in a turn; one that comes late is lost."""
+        question = self._questions.get(answer.number)
+        if question is not None and not question.done():
+            question.set_result(Permit(answer.is_granted, answer.delay_s))
+
+    def _reserve(self, request: PermitRequest) -> Permit:
+        now_s = self._core.clock()
+        incarnation = incarnation_of(request.endpoint, request.born_ms)
+        known, pacer = self._pacers.get(request.endpoint, (None, None))
+        if known != incarnation:
+            self._drop_idle(now_s)
+            pacer = Pacer(request.limit_per_s, now_s)
+            self._pacers[request.endpoint] = (incarnation, pacer)
+        return pacer.reserve(request.limit_per_s, request.max_delay_s, now_s)
+
+    def _drop_idle(self, now_s: float) -> None:
+        """Drop what nobody sends to; most of these endpoints are gone."""
+        for endpoint, (_, pacer) in list(self._pacers.items()):
+            if pacer.is_idle(now_s):
+                del self._pacers[endpoint]
+
+    async def _async_ask_peer(self, peer: DaemonId, request: PermitRequest) -> Permit:
+        question = asyncio.get_running_loop().create_future()
+        self._questions[request.number] = question
+        self.send(peer, request)
+        try:
+            async with asyncio.timeout(PERMIT_WAIT_S):
+                return await question
+        except TimeoutError:
+            self._core.events.warning(
+                "permit_late", endpoint=request.endpoint, peer=peer
+            )
+            delay_s = request.max_delay_s + SILENT_PAUSE_S
+            return Permit(is_granted=False, delay_s=delay_s)
+        finally:
+            del self._questions[request.number]
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -33,6 +33,9 @@
         self.limited_sends = self._counter(
             "limited_sends_total", "Requests sent to endpoints that name a limit"
         )
+        self.permits = self._counter(
+            "permits_total", "Turns asked for at endpoints that name a limit"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -21,10 +21,12 @@
 from ..learning.prefixes import PrefixTable, hash_chain
 from ..learning.reading import ReadingTable
 from ..learning.speeds import SpeedTable
+from ..limits.permits import PermitDesk
 from ..quarantine.service import Quarantine
 from ..watching.watch import Knowledge
 from .exchange import Exchange, urgency_of
 from .gate import QuarantineGate
+from .limiting import SEND_MARGIN_S, LimitGate
 from .modelwait import ModelWaiter, may_be_loaded
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
@@ -34,8 +36,6 @@
 
 DEFAULT_RETRY_S = 0.5
 MIN_BACK_S = 0.2
-SEND_MARGIN_S = 0.1
-"""What is left for the way to the endpoint and for what was told late."""
 
 
 class Exchanges:
@@ -53,6 +53,8 @@
         Chooses endpoints.
     quarantine : Quarantine
         Knows requests by their content, and which ended their endpoints.
+    permits : PermitDesk
+        Gives out the turns at endpoints that name a limit.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         retries: RetryShare,
         policy: RoutingPolicy,
         quarantine: Quarantine,
+        permits: PermitDesk,
     ) -> None:
         self.core = core
         self.dialect = dialect
@@ -86,7 +89,8 @@
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
         self._waiter = ModelWaiter(core, table, speeds, pending, loads)
-        self.signals = SignalReader(core, dialect, table)
+        self.signals = SignalReader(core, dialect, table, loads)
+        self._limits = LimitGate(core, table, permits)
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
         self.on_second_run: Callable[[Exchange], None] = lambda _: None
@@ -142,15 +146,39 @@
         return row
 
     async def _async_find(self, exchange: Exchange) -> Endpoint:
-        row = self._choose(exchange)
-        if row is not None:
-            self._check_backlog(exchange)
-            row = await self._async_until_room(exchange, row)
+        row = await self._async_find_open(exchange)
         if row is not None:
             return row
+        self._check_limits(exchange)
         if not may_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
-        return await self._waiter.async_wait(exchange, self._choose)
+        row = await self._waiter.async_wait(exchange, self._choose)
+        if not await self._limits.async_admit(exchange, row):
+            self._check_limits(exchange)
+            raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
+        return row
+
+    def _check_limits(self, exchange: Exchange) -> None:
+        """Refuse what only endpoints without a turn for it could serve.
+
+        Raises
+        ------
+        Refusal
+            All endpoints that could serve it are at their limits.
+        """
+        back_s = self._limits.back_in_s(self._holders(exchange))
+        if back_s is not None:
+            raise unavailable("endpoints are at their limits", back_s)
+
+    async def _async_find_open(self, exchange: Exchange) -> Endpoint | None:
+        """Return an endpoint that may be sent to now, None if there is none in time."""
+        while True:
+            row = self._choose(exchange)
+            if row is not None:
+                self._check_backlog(exchange)
+                row = await self._async_until_room(exchange, row)
+            if row is None or await self._limits.async_admit(exchange, row):
+                return row
 
     async def _async_until_room(
         self, exchange: Exchange, row: Endpoint
@@ -213,7 +241,8 @@
         back_s = min(back_s, RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", back_s)
 
-    def _choose(self, exchange: Exchange) -> Endpoint | None:
+    def _holders(self, exchange: Exchange) -> list[Endpoint]:
+        """Return the endpoints that could serve a request, but for their limits."""
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
         meta = exchange.meta
@@ -224,6 +253,11 @@
         if others or not (exchange.is_repeatable and exchange.may_have_run):
             # Where only one holds the model, it may well answer the second time.
             rows = others
+        return rows
+
+    def _choose(self, exchange: Exchange) -> Endpoint | None:
+        now_s = self.core.clock()
+        rows = self._limits.open_rows(self._holders(exchange), exchange)
         if len(rows) > 1:
             free = [r for r in rows if self._room_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
--- /dev/null
+++ b/chutelink/relaying/limiting.py
@@ -0,0 +1,94 @@
+"""Keep requests to the limits that endpoints name."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..core import Application
+from ..entry.endpoints import Endpoint, EndpointTable
+from ..limits.const import MAX_DELAY_S, MIN_BACK_S
+from ..limits.permits import PermitDesk
+from .exchange import Exchange
+
+SEND_MARGIN_S = 0.1
+"""What is left for the way to the endpoint and for what was told late."""
+
+
+class LimitGate:
+    """Lets a request through to an endpoint with a limit when it is its turn.
+
+    Parameters
+    ----------
+    core : Application
+        The owner.
+    table : EndpointTable
+        The endpoints.
+    permits : PermitDesk
+        Gives out the turns.
+    """
+
+    def __init__(
+        self, core: Application, table: EndpointTable, permits: PermitDesk
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._permits = permits
+
+    def open_rows(self, rows: list[Endpoint], exchange: Exchange) -> list[Endpoint]:
+        """Return the endpoints that may take a request in time.
+
+        Those without a limit first: the others' turns are for requests that only they
+        can serve.
+        """
+        unlimited = [row for row in rows if not row.limit.is_limited]
+        if unlimited:
+            return unlimited
+        now_s = self._core.clock()
+        latest_s = now_s + self._max_delay_s(exchange, now_s)
+        return [row for row in rows if row.limit.turn_s <= latest_s]
+
+    async def async_admit(self, exchange: Exchange, row: Endpoint) -> bool:
+        """Wait for a turn at an endpoint; return whether it may be sent to now.
+
+        If not, another endpoint is to be chosen.
+        """
+        limit = row.limit
+        if not limit.is_limited:
+            return True
+        record = row.record
+        max_delay_s = self._max_delay_s(exchange, self._core.clock())
+        permit = await self._permits.async_ask(
+            record.id, record.born_ms, limit.rate_per_s, max_delay_s
+        )
+        limit.turn_s = self._core.clock() + permit.delay_s
+        if not permit.is_granted:
+            return False
+        await asyncio.sleep(permit.delay_s)
+        return self._may_send(exchange, row)
+
+    def back_in_s(self, rows: list[Endpoint]) -> float | None:
+        """Return when to come back, None if it is not limits that keep a request away.
+
+        Spread, so that those who are told at the same time don't come at once.
+        """
+        if not rows or not all(row.limit.is_limited for row in rows):
+            return None
+        turn_s = min(row.limit.turn_s for row in rows)
+        wait_s = max(MIN_BACK_S, turn_s - self._core.clock())
+        return self._core.rng.uniform(wait_s, 2 * wait_s)
+
+    def _max_delay_s(self, exchange: Exchange, now_s: float) -> float:
+        """Return how long a request may wait and still be answered in time."""
+        due_s = exchange.started_s + exchange.route.objective_s
+        latest_s = due_s - (exchange.expected_s or 0.0) - SEND_MARGIN_S
+        return min(MAX_DELAY_S, max(0.0, latest_s - now_s))
+
+    def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
+        """Return whether an endpoint still serves what is asked for."""
+        if self._table.rows.get(row.record.id) is not row:
+            return False
+        if not row.is_usable(self._core.clock()):
+            return False
+        meta = exchange.meta
+        is_engine = exchange.service.engine is not None and bool(meta.model)
+        return not is_engine or row.holds(meta.model, meta.adapter)
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -162,7 +162,7 @@
         """Count a request at an endpoint while it is there."""
         exchange.tried.append(row.record.id)
         row.last_sent_s = self._exchanges.core.clock()
-        if row.limit_per_s is not None:
+        if row.limit.is_limited:
             self._exchanges.core.metrics.limited_sends.inc({})
         row.requests += 1
         ref = model_ref(exchange.meta.model, exchange.meta.adapter)
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -7,6 +7,8 @@
 from ..core import Application
 from ..entry.dialect import AnswerKind, Dialect
 from ..entry.endpoints import Endpoint, EndpointTable
+from ..entry.loads import LoadBook
+from ..limits.news import EndpointLimit
 from .exchange import Exchange
 
 
@@ -21,14 +23,21 @@
         Reads headers.
     table : EndpointTable
         The endpoints.
+    loads : LoadBook
+        What other daemons are told.
     """
 
     def __init__(
-        self, core: Application, dialect: Dialect, table: EndpointTable
+        self,
+        core: Application,
+        dialect: Dialect,
+        table: EndpointTable,
+        loads: LoadBook,
     ) -> None:
         self._core = core
         self._dialect = dialect
         self._table = table
+        self._loads = loads
 
     def note(
         self,
@@ -64,13 +73,17 @@
         limit_per_s: float | None,
         sent_s: float,
     ) -> None:
-        before = row.limit_per_s
+        before = row.limit.rate_per_s
         if limit_per_s is not None:
-            is_changed = row.note_limit(limit_per_s, self._core.clock())
+            is_changed = row.limit.note(limit_per_s, self._core.clock())
         else:
             # Other answers may be of another endpoint, at an address used again.
             is_answered = kind is AnswerKind.ANSWERED
-            is_changed = is_answered and row.lift_limit(sent_s)
+            is_changed = is_answered and row.limit.note_none(sent_s)
+        if is_changed or limit_per_s is not None:
+            record = row.record
+            limit = EndpointLimit(record.id, record.born_ms, limit_per_s)
+            self._loads.note_limit(limit, is_changed=is_changed)
         if is_changed:
             self._core.events.record(
                 "endpoint_limit",
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endpoints' limits."""
--- /dev/null
+++ b/tests/limits/test_permits.py
@@ -0,0 +1,168 @@
+"""Turns that daemons ask each other for, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from chutelink.ids import DaemonId
+from chutelink.limits.const import BURST_S, PERMIT_WAIT_S, SILENT_PAUSE_S
+from chutelink.limits.news import PermitRequest
+from chutelink.limits.permits import PermitDesk
+
+from ..fakes import make_core
+from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
+from ..virtual_time import run_virtually
+
+DELAY_S = 0.002
+
+
+class Fleet:
+    """Desks of some daemons, with links that take a moment."""
+
+    def __init__(self, size: int) -> None:
+        self.names = {DaemonId(f"d{number}") for number in range(size)}
+        self.gone: set[DaemonId] = set()
+        self.desks = {name: self._make_desk(name) for name in sorted(self.names)}
+        self.sent_s: list[float] = []
+
+    def _make_desk(self, name: DaemonId) -> PermitDesk:
+        core = make_core(name)
+        core.clock = asyncio.get_running_loop().time
+        desk = PermitDesk(core)
+        desk.serving = lambda: self.names
+        desk.linked = lambda: self.names - {name}
+        desk.send = self._send
+        return desk
+
+    def restart(self, name: DaemonId) -> None:
+        self.desks[name] = self._make_desk(name)
+
+    def _send(self, to: DaemonId, news) -> None:
+        if to in self.gone:
+            return
+        desk = self.desks[to]
+        is_request = isinstance(news, PermitRequest)
+        take = desk.take_request if is_request else desk.take_answer
+        asyncio.get_running_loop().call_later(DELAY_S, take, news)
+
+    async def async_flood(self, name, limit_per_s, end_s, rng, max_delay_s=0.3):
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_s:
+            await asyncio.sleep(rng.expovariate(20.0))
+            permit = await self.desks[name].async_ask(
+                "i-1", 1, limit_per_s, max_delay_s
+            )
+            if permit.is_granted:
+                loop.call_later(permit.delay_s, self._note_sent)
+
+    def _note_sent(self) -> None:
+        self.sent_s.append(asyncio.get_running_loop().time())
+
+
+async def async_flood_all(fleet, limit_per_s, length_s, seed):
+    end_s = asyncio.get_running_loop().time() + length_s
+    floods = (
+        fleet.async_flood(name, limit_per_s, end_s, random.Random(f"{seed} {name}"))
+        for name in sorted(fleet.names)
+    )
+    await asyncio.gather(*floods)
+
+
+@pytest.mark.parametrize("size", [1, 2, 8, 64])
+@pytest.mark.parametrize("limit_per_s", [0.5, 1.0, 7.5, 40.0])
+def test_all_daemons_together_keep_to_a_limit_and_use_it(size, limit_per_s):
+    async def async_test():
+        fleet = Fleet(size)
+        await async_flood_all(fleet, limit_per_s, 12.0, seed=size)
+        got = most_in_window(fleet.sent_s, LIMIT_WINDOW_S)
+        burst = 1 + max(0.0, BURST_S * limit_per_s - 1)
+        assert got <= limit_per_s * LIMIT_WINDOW_S + burst + 1
+        offered = min(limit_per_s, 15.0 * size)
+        assert len(fleet.sent_s) >= 0.8 * offered * 12.0 - 2
+
+    run_virtually(async_test())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_daemons_that_disagree_on_who_serves_stay_within_what_is_allowed(seed):
+    """Half of the fleet has not heard of a daemon that has just joined."""
+
+    async def async_test():
+        fleet = Fleet(8)
+        joined = fleet.desks["d0"].pacing_daemon("i-1")
+        for name in sorted(fleet.names)[:4]:
+            fleet.desks[name].serving = lambda: fleet.names - {joined}
+        await async_flood_all(fleet, 1.0, 12.0, seed)
+        got = most_in_window(fleet.sent_s, LIMIT_WINDOW_S)
+        assert got <= allowed_in_window(1.0)
+
+    run_virtually(async_test())
+
+
+def test_a_restart_of_the_pacing_daemon_gives_no_burst():
+    async def async_test():
+        fleet = Fleet(8)
+        pacing = fleet.desks["d0"].pacing_daemon("i-1")
+        loop = asyncio.get_running_loop()
+        for number in range(6):
+            loop.call_later(1.5 + number, fleet.restart, pacing)
+        await async_flood_all(fleet, 1.0, 12.0, seed=1)
+        got = most_in_window(fleet.sent_s, LIMIT_WINDOW_S)
+        assert got <= allowed_in_window(1.0)
+
+    run_virtually(async_test())
+
+
+def test_nothing_is_sent_while_the_pacing_daemon_is_silent():
+    async def async_test():
+        fleet = Fleet(3)
+        pacing = fleet.desks["d0"].pacing_daemon("i-1")
+        asking = min(fleet.names - {pacing})
+        fleet.gone.add(pacing)
+        began_s = asyncio.get_running_loop().time()
+        permit = await fleet.desks[asking].async_ask("i-1", 1, 5.0, 0.3)
+        assert not permit.is_granted
+        assert permit.delay_s == pytest.approx(0.3 + SILENT_PAUSE_S)
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert took_s == pytest.approx(PERMIT_WAIT_S, abs=0.001)
+
+    run_virtually(async_test())
+
+
+def test_a_daemon_that_is_not_linked_to_the_pacing_one_sends_nothing():
+    async def async_test():
+        fleet = Fleet(3)
+        pacing = fleet.desks["d0"].pacing_daemon("i-1")
+        asking = min(fleet.names - {pacing})
+        fleet.desks[asking].linked = set
+        permit = await fleet.desks[asking].async_ask("i-1", 1, 5.0, 0.3)
+        assert not permit.is_granted
+
+    run_virtually(async_test())
+
+
+def test_a_daemon_that_knows_of_no_other_paces_by_itself():
+    async def async_test():
+        fleet = Fleet(1)
+        desk = fleet.desks["d0"]
+        desk.serving = set
+        assert not (await desk.async_ask("i-1", 1, 5.0, 0.0)).is_granted
+        await asyncio.sleep(1.0)
+        assert (await desk.async_ask("i-1", 1, 5.0, 0.0)).is_granted
+
+    run_virtually(async_test())
+
+
+def test_another_process_of_an_endpoint_is_paced_anew():
+    async def async_test():
+        fleet = Fleet(1)
+        desk = fleet.desks["d0"]
+        for _ in range(3):
+            assert (await desk.async_ask("i-1", 1, 5.0, 1.0)).is_granted
+        permit = await desk.async_ask("i-1", 2, 5.0, 1.0)
+        assert permit.delay_s == pytest.approx(0.2, abs=0.001)
+
+    run_virtually(async_test())
--- a/tests/relaying/test_limits.py
+++ b/tests/relaying/test_limits.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from chutelink.limits.news import EndpointLimit
+
 from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
 from .world import async_world
 
@@ -67,3 +69,58 @@
             assert got <= allowed_in_window(1.0)
 
     asyncio.run(async_test())
+
+
+def test_a_limit_that_another_daemon_heard_of_is_kept_too():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            told = await world.async_add("i-1", "plain")
+            other = await world.async_add("i-2", "plain")
+            news = EndpointLimit("i-1", 0, 1.0)
+            world.known.endpoints.take_limit(news, world.core.clock())
+            assert set(await async_send(world, "/once/x", 10)) == {200}
+            assert not told.runs and len(other.runs) == 10
+
+    asyncio.run(async_test())
+
+
+def test_an_endpoint_that_names_no_limit_any_more_is_used_as_before():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            limited = await async_add_limited(world, "i-1", "plain", None, 20.0)
+            await async_send(world, "/once/x", 3)
+            limited.faults = type(limited.faults)()
+            assert set(await async_send(world, "/once/x", 20, first=3)) == {200}
+            assert len(limited.arrived_s) == 23
+
+    asyncio.run(async_test())
+
+
+def test_a_model_that_was_waited_for_is_requested_within_its_endpoints_limit():
+    """The wait for a load ends for all that waited at the same moment."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            endpoint = await async_add_limited(world, "i-1", "llm", {"m0": []})
+            await async_send(world, "/stream/x", 1, **STREAM)
+            waiting = [
+                asyncio.ensure_future(
+                    async_send(world, "/stream/x", 1, n, **STREAM | {"X_Model": "m1"})
+                )
+                for n in range(1, 30)
+            ]
+            while world.loads.waiting[("m1", "")] < len(waiting):
+                await asyncio.sleep(0.001)
+            endpoint.models["m1"] = []
+            endpoint.sequence += 1
+            world.show(endpoint)
+            world.pending.signal()
+            statuses = [status for done in waiting for status in await done]
+            assert set(statuses) <= {200, 503}
+            got = most_in_window(endpoint.arrived_s, LIMIT_WINDOW_S)
+            assert got <= allowed_in_window(1.0)
+
+    asyncio.run(async_test())
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
+from chutelink.entry.loads import LoadBook
 from chutelink.platform.headers import PlatformDialect
 from chutelink.relaying.signals import SignalReader
 
@@ -21,7 +22,7 @@
         self.core = make_core()
         self.table = EndpointTable()
         self.put(born_ms=1)
-        self.reader = SignalReader(self.core, PlatformDialect(), self.table)
+        self.reader = SignalReader(self.core, PlatformDialect(), self.table, LoadBook())
 
     def put(self, born_ms):
         ready = EndpointState.READY
@@ -46,38 +47,38 @@
 
 def test_a_limit_is_known_once_an_answer_names_it(answers):
     answers.take(99.9, Server_Limit="1.5")
-    assert answers.row.limit_per_s == 1.5
+    assert answers.row.limit.rate_per_s == 1.5
 
 
 def test_an_answer_without_a_limit_lifts_it(answers):
     answers.take(99.9, Server_Limit="1.5")
     answers.take(100.1)
-    assert answers.row.limit_per_s is None
+    assert answers.row.limit.rate_per_s is None
 
 
 def test_an_answer_to_an_earlier_request_does_not_lift_a_limit(answers):
     """Both were under way when the endpoint began to name its limit."""
     answers.take(99.9, Server_Limit="1.5")
     answers.take(99.8)
-    assert answers.row.limit_per_s == 1.5
+    assert answers.row.limit.rate_per_s == 1.5
 
 
 def test_an_address_that_is_used_again_does_not_lift_a_limit(answers):
     answers.take(99.9, Server_Limit="1.5")
     answers.take(100.1, status=421)
-    assert answers.row.limit_per_s == 1.5
+    assert answers.row.limit.rate_per_s == 1.5
 
 
 def test_a_process_that_was_started_again_has_no_limit(answers):
     former = answers.row
     answers.take(99.9, Server_Limit="1.5")
     answers.put(born_ms=2)
-    assert answers.row.limit_per_s is None
+    assert answers.row.limit.rate_per_s is None
     answers.take(99.9, row=former, Server_Limit="2")
-    assert answers.row.limit_per_s is None
+    assert answers.row.limit.rate_per_s is None
 
 
 def test_a_limit_that_can_not_be_read_changes_nothing(answers):
     answers.take(99.9, Server_Limit="1.5")
     answers.take(100.1, Server_Limit="soon")
-    assert answers.row.limit_per_s == 1.5
+    assert answers.row.limit.rate_per_s == 1.5
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -18,6 +18,7 @@
 from chutelink.entry.loads import LoadBook
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.state import EntryState
+from chutelink.limits.permits import PermitDesk
 from chutelink.platform.adapter import PreparedMachines as Adapter
 from chutelink.quarantine.service import Quarantine
 from chutelink.relaying.dispatching import Exchanges
@@ -80,6 +81,7 @@
             self.retries,
             policy,
             self.quarantine,
+            PermitDesk(self.core),
         )
         self.exchanges = exchanges
         self.relay = relay = Relay(exchanges, self.upstream)
