Load elsewhere what endpoints hold that name a limit below its demand

Cause: the placer counts the endpoint as a holder. Now it counts as one that is down, for as long as its limit is below what its models are asked for, and at least half of the endpoints are left; what waits at a limit is told to the placer, and waits for a load that comes in time. A request whose turn is later than its objective is refused after an eighth of it, with the turn in Retry-After.

--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -26,6 +26,7 @@
 from .lease import PlacerLease
 from .loadpause import LoadPauses
 from .orders import CLOSE_LEAD_S, OrderDesk
+from .overload import without_overloaded
 from .pace import ColdLoadPaces
 from .placement import PlacementPolicy
 
@@ -205,7 +206,8 @@
         self.wake()
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
-        sites = self._sites(service)
+        now_s = self._core.clock()
+        sites = without_overloaded(self._sites(service), self._demand, now_s)
         if not sites or not all(site.inventory.is_known for site in sites):
             # What an endpoint holds that has not reported would be loaded again.
             return
@@ -214,7 +216,6 @@
             engine.cold_loads_per_s,
             is_first_term=self._term == FIRST_TERM,
         )
-        now_s = self._core.clock()
         view = PlacementView(
             engine=engine,
             sites=sites,
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -14,7 +14,7 @@
 from ..entry.loads import LoadBook
 from ..entry.news import PromptNews
 from ..entry.pending import PendingTable
-from ..gateway.refusals import unavailable
+from ..gateway.refusals import Refusal, unavailable
 from ..ids import DaemonId, FailureDomainName, model_ref
 from ..learning.durations import DurationTable
 from ..learning.health import HealthTable
@@ -149,15 +149,21 @@
         row = await self._async_find_open(exchange)
         if row is not None:
             return row
-        self._check_limits(exchange)
-        if not may_be_loaded(exchange):
-            raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
-        row = await self._waiter.async_wait(exchange, self._choose)
+        try:
+            row = await self._async_wait_for_model(exchange)
+        except Refusal:
+            self._check_limits(exchange)
+            raise
         if not await self._limits.async_admit(exchange, row):
             self._check_limits(exchange)
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
         return row
 
+    async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
+        if not may_be_loaded(exchange):
+            raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
+        return await self._waiter.async_wait(exchange, self._choose)
+
     def _check_limits(self, exchange: Exchange) -> None:
         """Refuse what only endpoints without a turn for it could serve.
 
--- a/chutelink/relaying/modelwait.py
+++ b/chutelink/relaying/modelwait.py
@@ -109,6 +109,7 @@
             copy_load_s=0.0 if is_resident else spec.disk_load_s,
             cold_load_s=0.0 if is_resident else spec.cold_load_s,
             ready_s=self._pending.ready_s(meta.model, meta.adapter, now_s),
+            is_at_limit=self._is_at_limit(exchange),
         )
 
     def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
@@ -117,6 +118,14 @@
         reason = "is being loaded" if is_loading else "is not loaded"
         return unavailable(f"the {what} {reason}", back_in_s(wait))
 
+    def _is_at_limit(self, exchange: Exchange) -> bool:
+        """Return whether an endpoint with a limit holds what is asked for."""
+        meta = exchange.meta
+        rows = self._table.of_service(exchange.service.name, self._core.clock())
+        return any(
+            row.limit.is_limited and row.holds(meta.model, meta.adapter) for row in rows
+        )
+
     def _is_resident(self, exchange: Exchange) -> bool:
         """Return whether only the adapter is missing, which is there in some ms."""
         now_s = self._core.clock()
--- a/tests/relaying/test_limits.py
+++ b/tests/relaying/test_limits.py
@@ -124,3 +124,24 @@
             assert got <= allowed_in_window(1.0)
 
     asyncio.run(async_test())
+
+
+def test_a_request_waits_for_a_load_where_its_only_endpoint_is_at_its_limit():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await async_add_limited(world, "i-1", "llm", {"m0": []}, 0.1)
+            other = await world.async_add("i-2", "llm", {"m1": []})
+            await async_send(world, "/stream/x", 1, **STREAM)
+            task = asyncio.ensure_future(async_send(world, "/stream/x", 1, 1, **STREAM))
+            async with asyncio.timeout(5):
+                while not world.loads.waiting[("m0", "")]:
+                    await asyncio.sleep(0.001)
+            other.models["m0"] = []
+            other.sequence += 1
+            world.show(other)
+            world.pending.signal()
+            assert await task == [200]
+            assert other.runs == ["q1"]
+
+    asyncio.run(async_test())
--- a/tests/relaying/test_waiting.py
+++ b/tests/relaying/test_waiting.py
@@ -84,3 +84,9 @@
     until_s = wait_until_s(wait)
     assert until_s <= 104.7 - wait.copy_load_s
     assert until_s > 100.0
+
+
+def test_a_request_that_only_limits_keep_away_waits_for_word_of_a_load_alone():
+    wait = replace(PATIENT, is_at_limit=True)
+    assert wait_until_s(wait) == pytest.approx(100.0 + 5.0 / 8)
+    assert wait_until_s(replace(wait, ready_s=100.4)) == 105.0
