Keep rare models where a limit covers them, and move only the busy ones

An endpoint at its limit counted as down with all its models, so that up to a third of the places were lost to rare models too. Its limit now goes to its rarest models first; what is left over counts as held nowhere. Its free time and copies are no reason any more to put off a load elsewhere.

--- a/chutelink/placing/changes.py
+++ b/chutelink/placing/changes.py
@@ -61,13 +61,15 @@
 
     ``paused_share`` is the share of its streams whose pauses were too long,
     ``free_in_s`` how long the change that it carries out should take yet (infinite
-    where that is not known).
+    where that is not known). ``overloaded`` are models that it holds and has no turns
+    for: they count as held nowhere, and nothing is loaded here.
     """
 
     endpoint: Endpoint
     inventory: Inventory
     paused_share: float = 0.0
     free_in_s: float = 0.0
+    overloaded: frozenset[ModelName] = frozenset()
 
 
 class PlacementView(msgspec.Struct, frozen=True):
--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -89,9 +89,9 @@
         self._present: Counter[ModelName] = Counter()
         self._serving: Counter[ModelName] = Counter()
         for site in view.sites:
-            closing = site.endpoint.closing
-            self._present.update(m for m in site.inventory.models if m not in closing)
-            self._serving.update(m for m in site.endpoint.models if m not in closing)
+            lost = site.endpoint.closing | site.overloaded
+            self._present.update(m for m in site.inventory.models if m not in lost)
+            self._serving.update(m for m in site.endpoint.models if m not in lost)
         self.expected = frozenset(self.outlook.expected() or self._expected_first())
         missing_s: dict[ModelName, float] = {}
         for (model, _), denied_s in self.denied_s.items():
--- a/chutelink/placing/overload.py
+++ b/chutelink/placing/overload.py
@@ -1,8 +1,11 @@
-"""Which endpoints can't serve what is requested of their models. Pure."""
+"""Which models endpoints hold that they can't serve because of their limits. Pure."""
 
 from __future__ import annotations
 
-from ..entry.demand import DemandTable
+import msgspec
+
+from ..entry.demand import DemandTable, ModelDemand
+from ..ids import ModelName
 from .changes import Site
 
 MIN_REMAINING_SHARE = 0.5
@@ -12,29 +15,42 @@
 """
 
 
-def without_overloaded(
-    sites: list[Site], demand: DemandTable, now_s: float
-) -> list[Site]:
-    """Leave out the endpoints whose limits are below what their models are asked for.
+def mark_overloaded(sites: list[Site], demand: DemandTable, now_s: float) -> list[Site]:
+    """Return the endpoints with the models that their limits leave no requests for.
 
-    Their models are then loaded elsewhere, as those of an endpoint that is down. A
-    model counts with all its requests, also where others hold it: else an endpoint
-    would count again as soon as its models are loaded elsewhere.
+    Those are then loaded elsewhere, as those of an endpoint that is down.
     """
     if not any(site.endpoint.limit.is_limited for site in sites):
         return sites
     totals = demand.totals(now_s)
-    remaining = [
-        site
+    marked = [
+        msgspec.structs.replace(site, overloaded=_overloaded(site, totals))
         for site in sites
-        if not site.endpoint.limit.is_limited
-        or site.endpoint.limit.rate_per_s
-        >= sum(
-            totals[model].arrivals_per_s
-            for model in site.inventory.models
-            if model in totals
-        )
     ]
-    if len(remaining) < MIN_REMAINING_SHARE * len(sites):
-        return sites
-    return remaining
+    remaining = sum(not site.overloaded for site in marked)
+    return sites if remaining < MIN_REMAINING_SHARE * len(sites) else marked
+
+
+def _overloaded(
+    site: Site, totals: dict[ModelName, ModelDemand]
+) -> frozenset[ModelName]:
+    """Return what is left over when the limit is given to the rarest models first.
+
+    So the fewest models move, and those that do are worth a load. A model counts with
+    all its requests, also where others hold it: else it would count as held here
+    again as soon as it is loaded elsewhere.
+    """
+    rate_per_s = site.endpoint.limit.rate_per_s
+    if rate_per_s is None:
+        return frozenset()
+    left_per_s = rate_per_s
+    overloaded = set()
+    arrivals = {
+        model: totals[model].arrivals_per_s if model in totals else 0.0
+        for model in site.inventory.models
+    }
+    for model in sorted(arrivals, key=lambda name: (arrivals[name], name)):
+        left_per_s -= arrivals[model]
+        if left_per_s < 0:
+            overloaded.add(model)
+    return frozenset(overloaded)
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -26,7 +26,7 @@
 from .lease import PlacerLease
 from .loadpause import LoadPauses
 from .orders import CLOSE_LEAD_S, OrderDesk
-from .overload import without_overloaded
+from .overload import mark_overloaded
 from .pace import ColdLoadPaces
 from .placement import PlacementPolicy
 
@@ -207,7 +207,7 @@
 
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         now_s = self._core.clock()
-        sites = without_overloaded(self._sites(service), self._demand, now_s)
+        sites = mark_overloaded(self._sites(service), self._demand, now_s)
         if not sites or not all(site.inventory.is_known for site in sites):
             # What an endpoint holds that has not reported would be loaded again.
             return
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -78,6 +78,7 @@
             if site.inventory.is_known
             and not site.inventory.is_changing
             and not site.inventory.is_busy
+            and not site.overloaded
             and view.now_s >= site.inventory.avoid_until_s
         }
         self._holdings = Holdings(view)
@@ -259,6 +260,7 @@
             site.free_in_s + load_time(site.inventory, spec)[0] + WAIT_MARGIN_S
             for site in self._view.sites
             if site.inventory.endpoint not in self._free
+            and not site.overloaded
             and spec.name not in site.inventory.models
             and site.inventory.keeps(spec.name)
         ]
