Read and log answers that say that their endpoint leaves

Nothing depends on it yet. Callers saw nothing: requests were sent to an engine for seconds after its answers had said that it leaves, and the logs could not tell a header that nobody reads from one that a row of the store takes back.

--- a/chutelink/entry/dialect.py
+++ b/chutelink/entry/dialect.py
@@ -67,11 +67,12 @@
     """What an endpoint's answer says of the endpoint itself.
 
     ``limit_per_s`` is the number of requests a second that it takes from all daemons
-    together, None where it names no limit; ``unreadable`` names the headers whose
-    values were ignored.
+    together, None where it names no limit; ``is_leaving`` says that it will end soon;
+    ``unreadable`` names the headers whose values were ignored.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -98,6 +98,8 @@
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
         self.limit = LimitState()
+        self.is_leaving = False
+        """Whether an answer of it said so; its registration may not say so yet."""
 
     @property
     def is_ready(self) -> bool:
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -45,6 +45,8 @@
     "Kv-Fetch",
 )
 """What the system alone may say to an endpoint; callers send some of them too."""
+HEADER_LEAVING = "Server-Leaving"
+LEAVING = "1"
 HTTP_MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Callers take these as a promise; an endpoint's own hold only with its header."""
@@ -79,6 +81,19 @@
     return amount if math.isfinite(amount) and amount >= 0 else None
 
 
+def _decode_header(
+    headers: CIMultiDictProxy[str], name: str, unreadable: list[str]
+) -> float | None:
+    """Return a header's amount; one that can't be read is added to ``unreadable``."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    amount = _decode_amount(text)
+    if amount is None:
+        unreadable.append(name)
+    return amount
+
+
 class PlatformDialect(Dialect):
     """The headers of the prepared machines."""
 
@@ -139,9 +154,9 @@
 
     def decode_signals(self, headers: CIMultiDictProxy[str]) -> EndpointSignals:
         """Return what an endpoint's answer says of the endpoint."""
-        named = headers.get(HEADER_LIMIT)
-        if named is None:
-            return EndpointSignals()
-        limit_per_s = _decode_amount(named)
-        unreadable = (HEADER_LIMIT,) if limit_per_s is None else ()
-        return EndpointSignals(limit_per_s, unreadable)
+        unreadable: list[str] = []
+        return EndpointSignals(
+            limit_per_s=_decode_header(headers, HEADER_LIMIT, unreadable),
+            is_leaving=headers.get(HEADER_LEAVING, "").strip() == LEAVING,
+            unreadable=tuple(unreadable),
+        )
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -59,11 +59,20 @@
                 header=name,
                 value=headers[name][:80],
             )
-        if signals.unreadable:
-            # Whether it has a limit is not known, so what was known stands.
-            return
         kind = self._dialect.classify(status, headers, exchange.meta.id)
-        self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
+        if signals.limit_per_s is not None or not signals.unreadable:
+            self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
+        if signals.is_leaving and not row.is_leaving:
+            self._note_leaving(exchange, row)
+
+    def _note_leaving(self, exchange: Exchange, row: Endpoint) -> None:
+        row.is_leaving = True
+        self._core.events.record(
+            "endpoint_leaving",
+            endpoint=row.record.id,
+            state=row.record.state.value,
+            request=exchange.meta.id,
+        )
 
     def _note_limit(
         self,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -113,3 +113,12 @@
 def test_a_limit_that_is_no_number_is_ignored_and_named(value):
     signals = DIALECT.decode_signals(headers(Server_Limit=value))
     assert (signals.limit_per_s, signals.unreadable) == (None, ("Server-Limit",))
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"), [("1", True), (" 1 ", True), ("0", False), ("", False)]
+)
+def test_an_endpoint_leaves_when_its_answer_says_so(value, is_leaving):
+    assert (
+        DIALECT.decode_signals(headers(Server_Leaving=value)).is_leaving is is_leaving
+    )
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -82,3 +82,9 @@
     answers.take(99.9, Server_Limit="1.5")
     answers.take(100.1, Server_Limit="soon")
     assert answers.row.limit.rate_per_s == 1.5
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_any_answer_may_say_that_its_endpoint_leaves(answers, status):
+    answers.take(99.9, status=status, Server_Leaving="1")
+    assert answers.row.is_leaving
