--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -32,7 +32,8 @@
 class EndpointFaults(msgspec.Struct, frozen=True):
     """Faults of one endpoint; the counts are used up one by one.
 
-    ``limit_per_s`` is named in all answers; 0 names no limit.
+    ``limit_per_s`` is named in all answers; 0 names no limit. ``says_leaving`` lets all
+    answers say that the endpoint leaves, whatever its registration says.
     """
 
     refuse: int = 0
@@ -44,6 +45,7 @@
     mute: int = 0
     cut_orders: int = 0
     limit_per_s: float = 0.0
+    says_leaving: bool = False
 
 
 class EndpointStandin:
@@ -141,7 +143,10 @@
     def _signals(self) -> dict[str, str]:
         """Return the headers by which all answers speak of the endpoint."""
         limit_per_s = self.faults.limit_per_s
-        return {"Server-Limit": str(limit_per_s)} if limit_per_s else {}
+        signals = {"Server-Limit": str(limit_per_s)} if limit_per_s else {}
+        if self.faults.says_leaving:
+            signals["Server-Leaving"] = "1"
+        return signals
 
     def _report(self) -> dict[str, object]:
         return {
