Send nothing more to an endpoint whose answer has said that it leaves

Cause: an endpoint left only when its row in the store said so, and the store was away for 13 s.

What a process of an endpoint has said holds until another process registers: no row takes it back, also when it was lapsed or removed meanwhile. Daemons tell each other, so that the placer moves its models at once and one answer is enough. Ruled out: to take the newer of answer and row (an answer has no version, and the row of an endpoint that leaves in an outage is older and arrives later).

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -33,6 +33,10 @@
 """What a daemon said of its load counts for so long; it speaks every 0.2 s."""
 
 
+MAX_LEAVING = 1000
+"""Most endpoints kept that have said that they leave; their rows are soon removed."""
+
+
 class EndpointState(Enum):
     """Whether an endpoint takes new work."""
 
@@ -104,7 +108,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether it takes new work by its own account."""
-        return self.record.state is EndpointState.READY
+        return self.record.state is EndpointState.READY and not self.is_leaving
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether it may be sent new work."""
@@ -165,11 +169,15 @@
         self._shares: dict[DaemonId, list[EndpointLoad]] = {}
         self._sent_since: dict[DaemonId, list[EndpointLoad]] = {}
         self._heard_s: dict[DaemonId, float] = {}
+        self._leaving: dict[EndpointId, int] = {}
+        """When the processes began whose answers said that they leave."""
         self.placer_heard_s = float("-inf")
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
         )
         """Called with the records of the process before and of the new one."""
+        self.on_leaving: Callable[[EndpointRecord], None] = lambda record: None
+        """Called when a process has said that it leaves."""
 
     def of_service(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -183,7 +191,9 @@
         """Take in a registration; return what it meant."""
         row = self.rows.get(record.id)
         if row is None:
-            self.rows[record.id] = Endpoint(record)
+            row = self.rows[record.id] = Endpoint(record)
+            # Its row may have been away while the store was.
+            row.is_leaving = self._leaving.get(record.id) == record.born_ms
             return Registered.CHANGED
         if record.born_ms > row.record.born_ms:
             self._restart(row, record)
@@ -213,6 +223,22 @@
             row = self._restart(row, record)
         row.take_models(sequence, models)
 
+    def note_leaving(self, endpoint: EndpointId, born_ms: int) -> bool:
+        """Take in that a process has said that it leaves; return whether that is new.
+
+        No registration of the same process takes it back: that of an endpoint that
+        leaves while the store is away says ``ready`` until the store is back.
+        """
+        row = self.rows.get(endpoint)
+        if row is None or row.is_leaving or born_ms != row.record.born_ms:
+            return False
+        row.is_leaving = True
+        self._leaving[endpoint] = born_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self.on_leaving(row.record)
+        return True
+
     def take_limit(self, news: EndpointLimit, now_s: float) -> None:
         """Take in what another daemon has learned of an endpoint's limit."""
         row = self.rows.get(news.endpoint)
@@ -226,6 +252,7 @@
     def _restart(self, before: Endpoint, record: EndpointRecord) -> Endpoint:
         """Begin anew with another process of an endpoint."""
         row = self.rows[record.id] = Endpoint(record)
+        self._leaving.pop(record.id, None)
         self.on_restarted(before.record, record)
         return row
 
--- a/chutelink/entry/loads.py
+++ b/chutelink/entry/loads.py
@@ -9,7 +9,7 @@
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from ..limits.news import EndpointLimit
 from .endpoints import EndpointTable
-from .news import EndpointLoad, LoadNews, ModelUse, StreamCount
+from .news import EndpointLoad, LeavingEndpoint, LoadNews, ModelUse, StreamCount
 
 BACK_MARGIN_S = 0.3
 """How much later than told callers come back: a connection, a new request."""
@@ -29,6 +29,7 @@
         self._prefixes: list[tuple[EndpointId, list[int]]] = []
         self._streams: Counter[EndpointId] = Counter()
         self._paused: Counter[EndpointId] = Counter()
+        self._leaving: list[LeavingEndpoint] = []
         self._limits: dict[EndpointId, EndpointLimit] = {}
         self._told: list[EndpointLoad] = []
         self.urgent = asyncio.Event()
@@ -87,6 +88,15 @@
         if is_changed:
             self.urgent.set()
 
+    def note_leaving(self, leaving: LeavingEndpoint) -> None:
+        """Keep that an answer said that its endpoint leaves, and tell it soon."""
+        self._leaving.append(leaving)
+        self.urgent.set()
+
+    def _take_leaving(self) -> list[LeavingEndpoint]:
+        leaving, self._leaving = self._leaving, []
+        return leaving
+
     def _take_limits(self) -> list[EndpointLimit]:
         limits = list(self._limits.values())
         self._limits.clear()
@@ -130,7 +140,7 @@
             if not count and (model, adapter) not in keys
         ]
         is_new = uses or self._prefixes or ended or loads or self._told or unreachable
-        if not is_new and not self._limits:
+        if not is_new and not self._limits and not self._leaving:
             return None
         news = LoadNews(
             daemon,
@@ -140,6 +150,7 @@
             unreachable,
             self._take_streams(),
             self._take_limits(),
+            self._take_leaving(),
         )
         self._told = loads
         self._prefixes = []
--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -94,11 +94,19 @@
     paused: int
 
 
+class LeavingEndpoint(msgspec.Struct, frozen=True, array_like=True):
+    """A process of an endpoint whose answer said that it leaves."""
+
+    endpoint: EndpointId
+    born_ms: int
+
+
 class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """What one daemon has under way and was asked for since its last message.
 
     ``unreachable`` are endpoints that took no connection from it, ``limits`` what
-    answers said since then of the limits of endpoints.
+    answers said since then of the limits of endpoints, ``leaving`` the endpoints whose
+    answers said since then that they leave.
     """
 
     daemon: DaemonId
@@ -108,6 +116,7 @@
     unreachable: list[EndpointId] = []
     streams: list[StreamCount] = []
     limits: list[EndpointLimit] = []
+    leaving: list[LeavingEndpoint] = []
 
 
 class PromptNews(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
--- a/chutelink/entry/newsdesk.py
+++ b/chutelink/entry/newsdesk.py
@@ -176,6 +176,8 @@
             self._known.prefixes.note(endpoint, chain, now_s)
         for limit in news.limits:
             self._known.endpoints.take_limit(limit, now_s)
+        for leaving in news.leaving:
+            self._known.endpoints.note_leaving(leaving.endpoint, leaving.born_ms)
         self._wake_placer(news)
 
     def _take_prompt(self, news: PromptNews) -> None:
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -45,6 +45,7 @@
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
         self.endpoints.on_restarted = self._note_restart
+        self.endpoints.on_leaving = lambda record: self.on_endpoints()
         self.health = HealthTable()
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -8,6 +8,7 @@
 from ..entry.dialect import AnswerKind, Dialect
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.loads import LoadBook
+from ..entry.news import LeavingEndpoint
 from ..limits.news import EndpointLimit
 from .exchange import Exchange
 
@@ -62,15 +63,18 @@
         kind = self._dialect.classify(status, headers, exchange.meta.id)
         if signals.limit_per_s is not None or not signals.unreadable:
             self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
-        if signals.is_leaving and not row.is_leaving:
+        if signals.is_leaving:
             self._note_leaving(exchange, row)
 
     def _note_leaving(self, exchange: Exchange, row: Endpoint) -> None:
-        row.is_leaving = True
+        record = row.record
+        if not self._table.note_leaving(record.id, record.born_ms):
+            return
+        self._loads.note_leaving(LeavingEndpoint(record.id, record.born_ms))
         self._core.events.record(
             "endpoint_leaving",
-            endpoint=row.record.id,
-            state=row.record.state.value,
+            endpoint=record.id,
+            state=record.state.value,
             request=exchange.meta.id,
         )
 
--- a/tests/relaying/test_leaving_answers.py
+++ b/tests/relaying/test_leaving_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chutelink.entry.news import LeavingEndpoint, decode_news, encode_news
 from chutelink.watching.watch import RowChange
 
 from .test_limits import ROUTES, async_send
@@ -79,3 +80,24 @@
             assert await async_send(world, "/once/x", 3, first=1) == [200] * 3
 
     asyncio.run(async_test())
+
+
+def test_others_are_told_once_and_use_it_no_more():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            await async_add_leaving(world, "plain", None)
+            await async_send(world, "/once/x", 1)
+            news = world.loads.take("d1", world.known.endpoints, [])
+            told = decode_news(encode_news(news), "d1").leaving
+            assert told == [LeavingEndpoint("i-1", 0)]
+            again = world.loads.take("d1", world.known.endpoints, [])
+            assert again is None or not again.leaving
+        async with async_world() as other:
+            other.configure()
+            endpoint = await async_add_leaving(other, "plain", None)
+            other.known.endpoints.note_leaving(told[0].endpoint, told[0].born_ms)
+            assert await async_send(other, "/once/x", 1) == [503]
+            assert not endpoint.runs
+
+    asyncio.run(async_test())
--- a/tests/relaying/test_limits.py
+++ b/tests/relaying/test_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chutelink.entry.news import decode_news, encode_news
 from chutelink.limits.news import EndpointLimit
 
 from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
@@ -145,3 +146,20 @@
             assert other.runs == ["q1"]
 
     asyncio.run(async_test())
+
+
+def test_others_are_told_of_a_limit_and_of_its_end():
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            limited = await async_add_limited(world, "i-1", "plain", None, 20.0)
+            await async_send(world, "/once/x", 1)
+            news = world.loads.take("d1", world.known.endpoints, [])
+            told = decode_news(encode_news(news), "d1").limits
+            assert told == [EndpointLimit("i-1", 0, 20.0)]
+            limited.faults = type(limited.faults)()
+            await async_send(world, "/once/x", 1, first=1)
+            news = world.loads.take("d1", world.known.endpoints, [])
+            assert news.limits == [EndpointLimit("i-1", 0, None)]
+
+    asyncio.run(async_test())
