Read and log the pauses that endpoints ask for

Nothing depends on them yet. Callers were refused by engines that had asked for a pause, again and again; the logs could not tell a header that nobody reads from a pause that ends too early. A pause is this daemon's alone, of one process of an endpoint. One test of headers is wrapped as the linter wants it.

--- a/chutelink/entry/dialect.py
+++ b/chutelink/entry/dialect.py
@@ -68,11 +68,13 @@
 
     ``limit_per_s`` is the number of requests a second that it takes from all daemons
     together, None where it names no limit; ``is_leaving`` says that it will end soon;
-    ``unreadable`` names the headers whose values were ignored.
+    ``pause_s`` for how long it wants nothing more from this daemon, None where it does
+    not say; ``unreadable`` names the headers whose values were ignored.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
@@ -98,5 +100,7 @@
         """Return what an answer means, from its status line and headers."""
 
     @abstractmethod
-    def decode_signals(self, headers: CIMultiDictProxy[str]) -> EndpointSignals:
+    def decode_signals(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> EndpointSignals:
         """Return what an endpoint's answer says of the endpoint."""
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -102,6 +102,8 @@
         self.closing: frozenset[ModelName] = frozenset()
         self.lapsed_until_s: float | None = None
         self.limit = LimitState()
+        self.paused_until_s = float("-inf")
+        """Until when it wants nothing more from this daemon."""
         self.is_leaving = False
         """Whether an answer of it said so; its registration may not say so yet."""
 
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -33,6 +33,9 @@
         self.limited_sends = self._counter(
             "limited_sends_total", "Requests sent to endpoints that name a limit"
         )
+        self.pauses = self._counter(
+            "endpoint_pauses_total", "Answers that ask for a pause"
+        )
         self.permits = self._counter(
             "permits_total", "Turns asked for at endpoints that name a limit"
         )
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from ..const import HEADER_RETRY_AFTER
 from ..customers.keys import HEADER_KEY
 from ..entry.dialect import (
     AnswerKind,
@@ -48,6 +49,7 @@
 HEADER_LEAVING = "Server-Leaving"
 LEAVING = "1"
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 """Callers take these as a promise; an endpoint's own hold only with its header."""
 FIRST_SUCCESS = 200
@@ -152,11 +154,17 @@
             return AnswerKind.FOREIGN
         return AnswerKind.ANSWERED
 
-    def decode_signals(self, headers: CIMultiDictProxy[str]) -> EndpointSignals:
+    def decode_signals(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> EndpointSignals:
         """Return what an endpoint's answer says of the endpoint."""
         unreadable: list[str] = []
+        pause_s = None
+        if status == HTTP_UNAVAILABLE:
+            pause_s = _decode_header(headers, HEADER_RETRY_AFTER, unreadable)
         return EndpointSignals(
             limit_per_s=_decode_header(headers, HEADER_LIMIT, unreadable),
             is_leaving=headers.get(HEADER_LEAVING, "").strip() == LEAVING,
+            pause_s=pause_s,
             unreadable=tuple(unreadable),
         )
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -52,7 +52,7 @@
         if self._table.rows.get(row.record.id) is not row:
             # Its process has ended since.
             return
-        signals = self._dialect.decode_signals(headers)
+        signals = self._dialect.decode_signals(status, headers)
         for name in signals.unreadable:
             self._core.events.warning(
                 "endpoint_header_unreadable",
@@ -65,6 +65,21 @@
             self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
         if signals.is_leaving:
             self._note_leaving(exchange, row)
+        if signals.pause_s:
+            self._note_pause(exchange, row, signals.pause_s)
+
+    def _note_pause(self, exchange: Exchange, row: Endpoint, pause_s: float) -> None:
+        now_s = self._core.clock()
+        left_s = max(0.0, row.paused_until_s - now_s)
+        row.paused_until_s = max(row.paused_until_s, now_s + pause_s)
+        self._core.metrics.pauses.inc({})
+        self._core.events.record(
+            "endpoint_pause",
+            endpoint=row.record.id,
+            pause_s=pause_s,
+            left_s=left_s,
+            request=exchange.meta.id,
+        )
 
     def _note_leaving(self, exchange: Exchange, row: Endpoint) -> None:
         record = row.record
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -105,13 +105,13 @@
     ("value", "limit_per_s"), [("1", 1.0), ("0", 0.0), ("2.5", 2.5), (" 3 ", 3.0)]
 )
 def test_a_limit_is_a_decimal_number(value, limit_per_s):
-    signals = DIALECT.decode_signals(headers(Server_Limit=value))
+    signals = DIALECT.decode_signals(200, headers(Server_Limit=value))
     assert (signals.limit_per_s, signals.unreadable) == (limit_per_s, ())
 
 
 @pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "1;2"])
 def test_a_limit_that_is_no_number_is_ignored_and_named(value):
-    signals = DIALECT.decode_signals(headers(Server_Limit=value))
+    signals = DIALECT.decode_signals(200, headers(Server_Limit=value))
     assert (signals.limit_per_s, signals.unreadable) == (None, ("Server-Limit",))
 
 
@@ -120,5 +120,21 @@
 )
 def test_an_endpoint_leaves_when_its_answer_says_so(value, is_leaving):
     assert (
-        DIALECT.decode_signals(headers(Server_Leaving=value)).is_leaving is is_leaving
+        DIALECT.decode_signals(200, headers(Server_Leaving=value)).is_leaving
+        is is_leaving
     )
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [(503, "3", 3.0), (503, "0.25", 0.25), (200, "3", None), (429, "3", None)],
+)
+def test_a_503_may_ask_for_a_pause(status, value, pause_s):
+    signals = DIALECT.decode_signals(status, headers(Retry_After=value))
+    assert (signals.pause_s, signals.unreadable) == (pause_s, ())
+
+
+@pytest.mark.parametrize("value", ["", "Fri, 31 Dec 1999 23:59:59 GMT", "-1", "inf"])
+def test_a_pause_that_is_no_number_of_seconds_is_ignored_and_named(value):
+    signals = DIALECT.decode_signals(503, headers(Retry_After=value))
+    assert (signals.pause_s, signals.unreadable) == (None, ("Retry-After",))
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -88,3 +88,15 @@
 def test_any_answer_may_say_that_its_endpoint_leaves(answers, status):
     answers.take(99.9, status=status, Server_Leaving="1")
     assert answers.row.is_leaving
+
+
+def test_a_shorter_pause_does_not_end_a_longer_one(answers):
+    answers.take(99.9, status=503, Retry_After="3")
+    answers.take(99.9, status=503, Retry_After="0.5")
+    assert answers.row.paused_until_s == 103.0
+
+
+def test_a_success_does_not_end_a_pause(answers):
+    answers.take(99.9, status=503, Retry_After="3")
+    answers.take(100.1)
+    assert answers.row.paused_until_s == 103.0
