--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -33,7 +33,8 @@
     """Faults of one endpoint; the counts are used up one by one.
 
     ``limit_per_s`` is named in all answers; 0 names no limit. ``says_leaving`` lets all
-    answers say that the endpoint leaves, whatever its registration says.
+    answers say that the endpoint leaves, whatever its registration says. ``pause_s``
+    turns all requests away and asks for a pause; 0 turns none away.
     """
 
     refuse: int = 0
@@ -46,6 +47,7 @@
     cut_orders: int = 0
     limit_per_s: float = 0.0
     says_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class EndpointStandin:
@@ -196,6 +198,8 @@
             return web.Response(status=421)
         if self._use_up("refuse"):
             return web.Response(status=503, headers=NOT_RUN | self._signals())
+        if self.faults.pause_s:
+            return self._ask_for_pause()
         self.runs.append(request_id)
         if body == DEADLY:
             self.deadly_s.append(time.monotonic())
@@ -215,6 +219,10 @@
             return await self._async_stream(request, headers)
         return web.Response(body=b"done " + body, headers=headers)
 
+    def _ask_for_pause(self) -> web.Response:
+        pause = {"Retry-After": str(self.faults.pause_s)}
+        return web.Response(status=503, headers=NOT_RUN | pause | self._signals())
+
     async def _async_until_cancelled(self, request_id: str) -> None:
         try:
             await asyncio.sleep(3600)
