Send nothing to an endpoint in the pause that it asked for

Cause: Retry-After of an endpoint's 503 was not read; what was not run counted neither as a failure nor as anything else.

Now a process of an endpoint gets nothing from the daemon that it turned away until its pause is over; nothing but another process ends a pause sooner. The caller is told when the first of the endpoints takes requests again, also where a request was turned away by as many as its route allows (0.5 s before, which led to a second refusal). Ruled out: to tell other daemons (the pause is asked of one VM), and to count a 503 as a failure (an endpoint that is full for a moment would be closed).

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -118,6 +118,16 @@
             return False
         return self.is_ready
 
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether it has asked this daemon to send nothing for now."""
+        return now_s < self.paused_until_s
+
+    def open_from_s(self, now_s: float) -> float | None:
+        """Return when it takes requests again, None where nothing keeps them away."""
+        if self.limit.is_limited:
+            return max(self.limit.turn_s, self.paused_until_s)
+        return self.paused_until_s if self.is_paused(now_s) else None
+
     @property
     def total_requests(self) -> int:
         """Requests under way from all daemons."""
--- a/chutelink/relaying/limiting.py
+++ b/chutelink/relaying/backpressure.py
@@ -1,4 +1,4 @@
-"""Keep requests to the limits that endpoints name."""
+"""Keep requests to the limits and the pauses that endpoints ask for."""
 
 from __future__ import annotations
 
@@ -14,8 +14,11 @@
 """What is left for the way to the endpoint and for what was told late."""
 
 
-class LimitGate:
-    """Lets a request through to an endpoint with a limit when it is its turn.
+class BackPressureGate:
+    """Lets a request through to an endpoint when that takes it.
+
+    One with a limit when it is the request's turn, one that asked for a pause when that
+    is over.
 
     Parameters
     ----------
@@ -40,10 +43,11 @@
         Those without a limit first: the others' turns are for requests that only they
         can serve.
         """
+        now_s = self._core.clock()
+        rows = [row for row in rows if not row.is_paused(now_s)]
         unlimited = [row for row in rows if not row.limit.is_limited]
         if unlimited:
             return unlimited
-        now_s = self._core.clock()
         latest_s = now_s + self._max_delay_s(exchange, now_s)
         return [row for row in rows if row.limit.turn_s <= latest_s]
 
@@ -67,14 +71,15 @@
         return self._may_send(exchange, row)
 
     def back_in_s(self, rows: list[Endpoint]) -> float | None:
-        """Return when to come back, None if it is not limits that keep a request away.
+        """Return when to come back, None if it is not endpoints that ask for that.
 
         Spread, so that those who are told at the same time don't come at once.
         """
-        if not rows or not all(row.limit.is_limited for row in rows):
+        now_s = self._core.clock()
+        open_s = [row.open_from_s(now_s) for row in rows]
+        if not open_s or None in open_s:
             return None
-        turn_s = min(row.limit.turn_s for row in rows)
-        wait_s = max(MIN_BACK_S, turn_s - self._core.clock())
+        wait_s = max(MIN_BACK_S, min(open_s) - now_s)
         return self._core.rng.uniform(wait_s, 2 * wait_s)
 
     def _max_delay_s(self, exchange: Exchange, now_s: float) -> float:
@@ -87,7 +92,8 @@
         """Return whether an endpoint still serves what is asked for."""
         if self._table.rows.get(row.record.id) is not row:
             return False
-        if not row.is_usable(self._core.clock()):
+        now_s = self._core.clock()
+        if not row.is_usable(now_s) or row.is_paused(now_s):
             return False
         meta = exchange.meta
         is_engine = exchange.service.engine is not None and bool(meta.model)
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -24,9 +24,9 @@
 from ..limits.permits import PermitDesk
 from ..quarantine.service import Quarantine
 from ..watching.watch import Knowledge
+from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .exchange import Exchange, urgency_of
 from .gate import QuarantineGate
-from .limiting import SEND_MARGIN_S, LimitGate
 from .modelwait import ModelWaiter, may_be_loaded
 from .retries import RetryShare
 from .routing import Candidate, RoutingPolicy
@@ -90,7 +90,7 @@
         self.gate = QuarantineGate(quarantine)
         self._waiter = ModelWaiter(core, table, speeds, pending, loads)
         self.signals = SignalReader(core, dialect, table, loads)
-        self._limits = LimitGate(core, table, permits)
+        self._back_pressure = BackPressureGate(core, table, permits)
         self.is_closing = False
         self.on_prompt: Callable[[PromptNews], None] = lambda _: None
         self.on_second_run: Callable[[Exchange], None] = lambda _: None
@@ -152,10 +152,10 @@
         try:
             row = await self._async_wait_for_model(exchange)
         except Refusal:
-            self._check_limits(exchange)
+            self._check_back_pressure(exchange)
             raise
-        if not await self._limits.async_admit(exchange, row):
-            self._check_limits(exchange)
+        if not await self._back_pressure.async_admit(exchange, row):
+            self._check_back_pressure(exchange)
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
         return row
 
@@ -164,17 +164,23 @@
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_S)
         return await self._waiter.async_wait(exchange, self._choose)
 
-    def _check_limits(self, exchange: Exchange) -> None:
-        """Refuse what only endpoints without a turn for it could serve.
+    def _check_back_pressure(self, exchange: Exchange) -> None:
+        """Refuse what only endpoints could serve that take nothing for now.
 
         Raises
         ------
         Refusal
-            All endpoints that could serve it are at their limits.
+            All endpoints that could serve it are at their limits, or have asked for a
+            pause.
         """
-        back_s = self._limits.back_in_s(self._holders(exchange))
+        back_s = self._back_pressure.back_in_s(self._reachable(exchange))
         if back_s is not None:
-            raise unavailable("endpoints are at their limits", back_s)
+            raise unavailable("endpoints take no more for now", back_s)
+
+    def retry_after_s(self, exchange: Exchange) -> float:
+        """Return when the caller of a request that was not run should come back."""
+        back_s = self._back_pressure.back_in_s(self._reachable(exchange))
+        return DEFAULT_RETRY_S if back_s is None else back_s
 
     async def _async_find_open(self, exchange: Exchange) -> Endpoint | None:
         """Return an endpoint that may be sent to now, None if there is none in time."""
@@ -183,7 +189,7 @@
             if row is not None:
                 self._check_backlog(exchange)
                 row = await self._async_until_room(exchange, row)
-            if row is None or await self._limits.async_admit(exchange, row):
+            if row is None or await self._back_pressure.async_admit(exchange, row):
                 return row
 
     async def _async_until_room(
@@ -247,23 +253,27 @@
         back_s = min(back_s, RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", back_s)
 
-    def _holders(self, exchange: Exchange) -> list[Endpoint]:
-        """Return the endpoints that could serve a request, but for their limits."""
+    def _reachable(self, exchange: Exchange) -> list[Endpoint]:
+        """Return the endpoints that hold what is requested and can be reached."""
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
         meta = exchange.meta
         if exchange.service.engine is not None and meta.model:
             rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
-        rows = [r for r in rows if self.health.is_reachable(r.record.id, now_s)]
+        return [r for r in rows if self.health.is_reachable(r.record.id, now_s)]
+
+    def _untried(self, exchange: Exchange) -> list[Endpoint]:
+        """Return the endpoints that a request may be sent to."""
+        rows = self._reachable(exchange)
         others = [r for r in rows if r.record.id not in exchange.tried]
         if others or not (exchange.is_repeatable and exchange.may_have_run):
             # Where only one holds the model, it may well answer the second time.
-            rows = others
+            return others
         return rows
 
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         now_s = self.core.clock()
-        rows = self._limits.open_rows(self._holders(exchange), exchange)
+        rows = self._back_pressure.open_rows(self._untried(exchange), exchange)
         if len(rows) > 1:
             free = [r for r in rows if self._room_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
--- a/chutelink/relaying/modelwait.py
+++ b/chutelink/relaying/modelwait.py
@@ -109,7 +109,7 @@
             copy_load_s=0.0 if is_resident else spec.disk_load_s,
             cold_load_s=0.0 if is_resident else spec.cold_load_s,
             ready_s=self._pending.ready_s(meta.model, meta.adapter, now_s),
-            is_at_limit=self._is_at_limit(exchange),
+            is_held_off=self._is_held_off(exchange),
         )
 
     def _refuse_wait(self, exchange: Exchange, wait: ModelWait) -> Refusal:
@@ -118,12 +118,14 @@
         reason = "is being loaded" if is_loading else "is not loaded"
         return unavailable(f"the {what} {reason}", back_in_s(wait))
 
-    def _is_at_limit(self, exchange: Exchange) -> bool:
-        """Return whether an endpoint with a limit holds what is asked for."""
+    def _is_held_off(self, exchange: Exchange) -> bool:
+        """Return whether an endpoint holds what is asked for, and takes nothing."""
         meta = exchange.meta
-        rows = self._table.of_service(exchange.service.name, self._core.clock())
+        now_s = self._core.clock()
+        rows = self._table.of_service(exchange.service.name, now_s)
         return any(
-            row.limit.is_limited and row.holds(meta.model, meta.adapter) for row in rows
+            row.open_from_s(now_s) is not None and row.holds(meta.model, meta.adapter)
+            for row in rows
         )
 
     def _is_resident(self, exchange: Exchange) -> bool:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -16,7 +16,7 @@
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
 from ..quarantine.model import BrokenRun, Evidence
-from .dispatching import DEFAULT_RETRY_S, Exchanges
+from .dispatching import Exchanges
 from .exchange import Exchange
 from .upstream import Upstream, WholeResponse
 
@@ -92,7 +92,8 @@
         if last is not None:
             return last
         is_late = exchange.left_s(self._exchanges.core.clock()) <= 0
-        raise give_up(exchange, is_late=is_late)
+        back_s = self._exchanges.retry_after_s(exchange)
+        raise give_up(exchange, back_s, is_late=is_late)
 
     def _may_go_on(self, exchange: Exchange, result: AttemptResult) -> bool:
         is_safe = exchange.is_repeatable or not exchange.may_have_run
@@ -256,12 +257,15 @@
         )
 
 
-def give_up(exchange: Exchange, *, is_late: bool) -> Refusal:
-    """Return the refusal of a request that no endpoint answered."""
+def give_up(exchange: Exchange, back_s: float, *, is_late: bool) -> Refusal:
+    """Return the refusal of a request that no endpoint answered.
+
+    ``back_s`` is when its caller should come back if it was not run.
+    """
     if exchange.may_have_run:
         if is_late:
             return unknown_outcome("the time limit was reached", GATEWAY_TIMEOUT)
         return unknown_outcome("no endpoint answered in full", BAD_GATEWAY)
-    refusal = unavailable("no endpoint took the request", DEFAULT_RETRY_S)
+    refusal = unavailable("no endpoint took the request", back_s)
     refusal.outcome = Outcome.NOT_RUN
     return refusal
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -119,7 +119,8 @@
         if last is not None:
             return last
         is_late = exchange.left_s(self._core.clock()) <= 0
-        raise give_up(exchange, is_late=is_late)
+        back_s = self._exchanges.retry_after_s(exchange)
+        raise give_up(exchange, back_s, is_late=is_late)
 
     async def _async_attempt(
         self, exchange: Exchange, row: Endpoint, caller: CallerStream
--- a/chutelink/relaying/waiting.py
+++ b/chutelink/relaying/waiting.py
@@ -28,7 +28,7 @@
     ``last_s`` is when its caller leaves if nothing has come, ``read_s`` how long
     its prompt takes. ``copy_load_s`` and ``cold_load_s`` are the times of loads
     from an endpoint's disk and from the weight store; ``ready_s`` is when the model
-    was announced, None where no load is on its way. ``is_at_limit`` says that an
+    was announced, None where no load is on its way. ``is_held_off`` says that an
     endpoint has it that takes no more requests for now.
     """
 
@@ -40,7 +40,7 @@
     copy_load_s: float
     cold_load_s: float
     ready_s: float | None
-    is_at_limit: bool = False
+    is_held_off: bool = False
 
     @property
     def due_s(self) -> float:
@@ -80,10 +80,10 @@
     Requests with an objective of seconds wait for their model's turn: endpoints
     load one model after the other, and a caller that comes back only queues anew. One
     that leaves before its objective is over is told while it can still come back. Where
-    only limits keep a request away, its next turn may come before a load.
+    an endpoint has the model, it may take requests again before a load is done.
     """
     ask_s = wait.started_s + ASK_SHARE * wait.objective_s
-    if wait.is_at_limit:
+    if wait.is_held_off:
         return ask_s
     latest_s = min(wait.due_s, wait.last_s)
     turn_s = latest_s - wait.copy_load_s - LOAD_MARGIN_S - wait.read_s
--- a/tests/relaying/test_pauses.py
+++ b/tests/relaying/test_pauses.py
@@ -73,3 +73,22 @@
                 assert 0.8 * PAUSE_S <= back_s <= 2 * PAUSE_S
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_a_caller_that_all_endpoints_turned_away_is_told_of_the_pause(count):
+    """The route allows two of them for each request."""
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            for number in range(count):
+                endpoint = await world.async_add(f"i-{number}", "plain")
+                endpoint.faults = type(endpoint.faults)(pause_s=PAUSE_S)
+            for number in range(3):
+                async with world.request("/once/x", f"q{number}") as answer:
+                    assert answer.status == 503
+                    back_s = float(answer.headers["Retry-After"])
+            assert back_s >= 0.8 * PAUSE_S
+
+    asyncio.run(async_test())
--- a/tests/relaying/test_waiting.py
+++ b/tests/relaying/test_waiting.py
@@ -86,7 +86,7 @@
     assert until_s > 100.0
 
 
-def test_a_request_that_only_limits_keep_away_waits_for_word_of_a_load_alone():
-    wait = replace(PATIENT, is_at_limit=True)
+def test_a_request_that_an_endpoint_holds_off_waits_for_word_of_a_load_alone():
+    wait = replace(PATIENT, is_held_off=True)
     assert wait_until_s(wait) == pytest.approx(100.0 + 5.0 / 8)
     assert wait_until_s(replace(wait, ready_s=100.4)) == 105.0
