Send again to an endpoint whose limit was not confirmed for some seconds

Callers lost the endpoint for good: while others serve all that is asked for, no answer of a limited one says that its limit is lifted, and the placer loads nothing there. Such a limit now keeps neither requests nor loads away after 3 s without a confirmation; requests still need a turn.

--- a/chutelink/limits/const.py
+++ b/chutelink/limits/const.py
@@ -16,6 +16,11 @@
 """
 IDLE_S: Final = 60.0
 """How long the turns of an endpoint are kept that nobody sends to."""
+DOUBTFUL_S: Final = 3.0
+"""How long a limit keeps requests and loads away that others can take.
+
+Then some are sent there again, at the rate of the limit: only an answer can lift it.
+"""
 MAX_DELAY_S: Final = 1.0
 """Longest time that a request waits for its turn at an endpoint."""
 PERMIT_WAIT_S: Final = 0.08
--- a/chutelink/limits/model.py
+++ b/chutelink/limits/model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .const import DOUBTFUL_S
+
 
 class LimitState(msgspec.Struct):
     """The limit of one process of an endpoint, as far as a daemon knows it.
@@ -21,6 +23,10 @@
         """Whether it names a limit."""
         return self.rate_per_s is not None
 
+    def is_doubtful(self, now_s: float) -> bool:
+        """Return whether no answer has confirmed the limit for some time."""
+        return self.is_limited and now_s - self.known_s > DOUBTFUL_S
+
     def note(self, rate_per_s: float, now_s: float) -> bool:
         """Take in the limit that it names; return whether that changes anything."""
         is_changed = rate_per_s != self.rate_per_s
--- a/chutelink/placing/overload.py
+++ b/chutelink/placing/overload.py
@@ -24,7 +24,7 @@
         return sites
     totals = demand.totals(now_s)
     marked = [
-        msgspec.structs.replace(site, overloaded=_overloaded(site, totals))
+        msgspec.structs.replace(site, overloaded=_overloaded(site, totals, now_s))
         for site in sites
     ]
     remaining = sum(not site.overloaded for site in marked)
@@ -32,7 +32,7 @@
 
 
 def _overloaded(
-    site: Site, totals: dict[ModelName, ModelDemand]
+    site: Site, totals: dict[ModelName, ModelDemand], now_s: float
 ) -> frozenset[ModelName]:
     """Return what is left over when the limit is given to the rarest models first.
 
@@ -40,10 +40,10 @@
     all its requests, also where others hold it: else it would count as held here
     again as soon as it is loaded elsewhere.
     """
-    rate_per_s = site.endpoint.limit.rate_per_s
-    if rate_per_s is None:
+    limit = site.endpoint.limit
+    if not limit.is_limited or limit.is_doubtful(now_s):
         return frozenset()
-    left_per_s = rate_per_s
+    left_per_s = limit.rate_per_s
     overloaded = set()
     arrivals = {
         model: totals[model].arrivals_per_s if model in totals else 0.0
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -40,16 +40,22 @@
     def open_rows(self, rows: list[Endpoint], exchange: Exchange) -> list[Endpoint]:
         """Return the endpoints that may take a request in time.
 
-        Those without a limit first: the others' turns are for requests that only they
-        can serve.
+        Those without a limit first, and those whose limit may have been lifted: the
+        others' turns are for requests that only they can serve.
         """
         now_s = self._core.clock()
-        rows = [row for row in rows if not row.is_paused(now_s)]
-        unlimited = [row for row in rows if not row.limit.is_limited]
-        if unlimited:
-            return unlimited
         latest_s = now_s + self._max_delay_s(exchange, now_s)
-        return [row for row in rows if row.limit.turn_s <= latest_s]
+        rows = [
+            row
+            for row in rows
+            if not row.is_paused(now_s) and row.limit.turn_s <= latest_s
+        ]
+        first = [
+            row
+            for row in rows
+            if not row.limit.is_limited or row.limit.is_doubtful(now_s)
+        ]
+        return first or rows
 
     async def async_admit(self, exchange: Exchange, row: Endpoint) -> bool:
         """Wait for a turn at an endpoint; return whether it may be sent to now.
--- a/tests/placing/test_overload.py
+++ b/tests/placing/test_overload.py
@@ -6,6 +6,7 @@
 
 from chutelink.entry.demand import DemandTable
 from chutelink.entry.news import ModelUse
+from chutelink.limits.const import DOUBTFUL_S
 from chutelink.placing.overload import mark_overloaded
 
 from .placing_world import NOBODY, ScriptedEngine, World, run, skip_pauses
@@ -56,6 +57,14 @@
     assert overloaded(sites, make_demand("m0")) == [{"m0"}, set()]
 
 
+def test_models_are_held_again_where_a_limit_was_not_confirmed_for_long():
+    """Else an endpoint without requests would keep its limit for ever."""
+    sites = [make_limited("i-1", {"m0": []}, 1.0), make_site("i-2", {"m1": []})]
+    later_s = 100.0 + DOUBTFUL_S + 0.1
+    marked = mark_overloaded(sites, make_demand("m0"), later_s)
+    assert [set(site.overloaded) for site in marked] == [set(), set()]
+
+
 def test_all_models_are_held_where_most_endpoints_are_limited():
     sites = [make_limited(f"i-{n}", {"m0": []}, 1.0) for n in range(3)]
     sites.append(make_site("i-3", {"m1": []}))
@@ -69,8 +78,8 @@
         for number, engine in enumerate(others):
             world.add(f"i-{number + 2}", engine)
         await world.async_start()
-        world.table.rows[NOBODY].limit.note(0.5, world.core.now_s)
         for _ in range(6):
+            world.table.rows[NOBODY].limit.note(0.5, world.core.now_s)
             uses = [ModelUse("m5", "", 1, 0.05, 1), ModelUse("m0", "", 20, 0.3, 0)]
             world.demand.take("d1", uses, world.core.now_s)
             await world.async_tick(0.5)
--- a/tests/relaying/test_limits.py
+++ b/tests/relaying/test_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chutelink.entry.news import decode_news, encode_news
+from chutelink.limits import model
 from chutelink.limits.news import EndpointLimit
 
 from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
@@ -163,3 +164,22 @@
             assert news.limits == [EndpointLimit("i-1", 0, None)]
 
     asyncio.run(async_test())
+
+
+def test_an_endpoint_whose_limit_was_lifted_meanwhile_is_used_again(monkeypatch):
+    """While others can serve everything, no answer of it says so."""
+    monkeypatch.setattr(model, "DOUBTFUL_S", 0.2)
+
+    async def async_test():
+        async with async_world() as world:
+            world.configure()
+            limited = await async_add_limited(world, "i-1", "plain", None, 20.0)
+            await world.async_add("i-2", "plain")
+            await async_send(world, "/once/x", 10)
+            limited.faults = type(limited.faults)()
+            before = len(limited.runs)
+            await asyncio.sleep(0.3)
+            await async_send(world, "/once/x", 20, first=10)
+            assert len(limited.runs) > before + 5
+
+    asyncio.run(async_test())
