Read pauses that are given as a date, and bound absurd ones

Retry-After may be a date too; it counts from the Date of the same answer, so that no clock of a VM matters. A pause beyond five minutes is kept for five minutes, one that can't be read changes nothing and is logged.

--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from email.utils import parsedate_to_datetime
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -48,6 +49,9 @@
 """What the system alone may say to an endpoint; callers send some of them too."""
 HEADER_LEAVING = "Server-Leaving"
 LEAVING = "1"
+HEADER_DATE = "Date"
+MAX_PAUSE_S = 300.0
+"""Longest pause that is kept; an endpoint that wants more is asked again then."""
 HTTP_MISDIRECTED = 421
 HTTP_UNAVAILABLE = 503
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
@@ -83,17 +87,26 @@
     return amount if math.isfinite(amount) and amount >= 0 else None
 
 
-def _decode_header(
-    headers: CIMultiDictProxy[str], name: str, unreadable: list[str]
-) -> float | None:
-    """Return a header's amount; one that can't be read is added to ``unreadable``."""
-    text = headers.get(name)
-    if text is None:
-        return None
-    amount = _decode_amount(text)
+def _decode_limit(headers: CIMultiDictProxy[str]) -> float | None:
+    return _decode_amount(headers[HEADER_LIMIT])
+
+
+def _decode_pause(headers: CIMultiDictProxy[str]) -> float | None:
+    """Return the pause in seconds; a date counts from the answer's own."""
+    amount = _decode_amount(headers[HEADER_RETRY_AFTER])
     if amount is None:
-        unreadable.append(name)
-    return amount
+        amount = _decode_date_pause(headers)
+    return None if amount is None else min(MAX_PAUSE_S, amount)
+
+
+def _decode_date_pause(headers: CIMultiDictProxy[str]) -> float | None:
+    try:
+        until = parsedate_to_datetime(headers[HEADER_RETRY_AFTER])
+        answered = parsedate_to_datetime(headers[HEADER_DATE])
+        return max(0.0, (until - answered).total_seconds())
+    except (LookupError, ValueError, TypeError):
+        # The caller names the header, and logs it.
+        return None
 
 
 class PlatformDialect(Dialect):
@@ -158,13 +171,17 @@
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> EndpointSignals:
         """Return what an endpoint's answer says of the endpoint."""
-        unreadable: list[str] = []
-        pause_s = None
+        decoders = {HEADER_LIMIT: _decode_limit}
         if status == HTTP_UNAVAILABLE:
-            pause_s = _decode_header(headers, HEADER_RETRY_AFTER, unreadable)
+            decoders[HEADER_RETRY_AFTER] = _decode_pause
+        amounts = {
+            name: decode(headers)
+            for name, decode in decoders.items()
+            if name in headers
+        }
         return EndpointSignals(
-            limit_per_s=_decode_header(headers, HEADER_LIMIT, unreadable),
+            limit_per_s=amounts.get(HEADER_LIMIT),
             is_leaving=headers.get(HEADER_LEAVING, "").strip() == LEAVING,
-            pause_s=pause_s,
-            unreadable=tuple(unreadable),
+            pause_s=amounts.get(HEADER_RETRY_AFTER),
+            unreadable=tuple(name for name, value in amounts.items() if value is None),
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -138,3 +138,19 @@
 def test_a_pause_that_is_no_number_of_seconds_is_ignored_and_named(value):
     signals = DIALECT.decode_signals(503, headers(Retry_After=value))
     assert (signals.pause_s, signals.unreadable) == (None, ("Retry-After",))
+
+
+@pytest.mark.parametrize(
+    ("until", "pause_s"), [("08:49:40", 3.0), ("08:49:30", 0.0), ("23:00:00", 300.0)]
+)
+def test_a_pause_until_a_date_counts_from_the_answers_own(until, pause_s):
+    """The clocks of endpoints and daemons differ."""
+    values = {
+        "Date": "Sun, 06 Nov 1994 08:49:37 GMT",
+        "Retry_After": f"Sun, 06 Nov 1994 {until} GMT",
+    }
+    assert DIALECT.decode_signals(503, headers(**values)).pause_s == pause_s
+
+
+def test_an_absurd_pause_is_bounded():
+    assert DIALECT.decode_signals(503, headers(Retry_After="1e9")).pause_s == 300.0
