Lift an endpoint's limit by a success alone

An error may come of what stands before an endpoint and lack the header; each such answer would have let the daemon send as if there were no limit until the next answer that names it.

--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -12,6 +12,8 @@
 from ..limits.news import EndpointLimit
 from .exchange import Exchange
 
+FIRST_FAILURE = 300
+
 
 class SignalReader:
     """Reads signals off answers, and logs those that change something.
@@ -61,8 +63,11 @@
                 value=headers[name][:80],
             )
         kind = self._dialect.classify(status, headers, exchange.meta.id)
-        if signals.limit_per_s is not None or not signals.unreadable:
-            self._note_limit(exchange, row, kind, signals.limit_per_s, sent_s)
+        # A refusal may be of another endpoint, at an address used again, and an error
+        # of what stands before the endpoint: only a success lifts a limit.
+        is_good = kind is AnswerKind.ANSWERED and status < FIRST_FAILURE
+        if signals.limit_per_s is not None or (is_good and not signals.unreadable):
+            self._note_limit(exchange, row, signals.limit_per_s, sent_s)
         if signals.is_leaving:
             self._note_leaving(exchange, row)
         if signals.pause_s:
@@ -97,7 +102,6 @@
         self,
         exchange: Exchange,
         row: Endpoint,
-        kind: AnswerKind,
         limit_per_s: float | None,
         sent_s: float,
     ) -> None:
@@ -105,9 +109,7 @@
         if limit_per_s is not None:
             is_changed = row.limit.note(limit_per_s, self._core.clock())
         else:
-            # Other answers may be of another endpoint, at an address used again.
-            is_answered = kind is AnswerKind.ANSWERED
-            is_changed = is_answered and row.limit.note_none(sent_s)
+            is_changed = row.limit.note_none(sent_s)
         if is_changed or limit_per_s is not None:
             record = row.record
             limit = EndpointLimit(record.id, record.born_ms, limit_per_s)
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -63,9 +63,11 @@
     assert answers.row.limit.rate_per_s == 1.5
 
 
-def test_an_address_that_is_used_again_does_not_lift_a_limit(answers):
+@pytest.mark.parametrize("status", [404, 421, 500, 503])
+def test_only_a_success_lifts_a_limit(answers, status):
+    """A 421 may be of another endpoint, whose address is used again."""
     answers.take(99.9, Server_Limit="1.5")
-    answers.take(100.1, status=421)
+    answers.take(100.1, status=status)
     assert answers.row.limit.rate_per_s == 1.5
 
 
