Hold daemons to an endpoint's limit while they are killed and started again

It guards what the tests in virtual time show of the pacing daemon alone: a new process knows of no limit until its first answer.

--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -6,12 +6,13 @@
 import itertools
 
 from ..rates import LIMIT_WINDOW_S, allowed_in_window, most_in_window
-from .entry_deployment import async_entry_deployment
+from .entry_deployment import FAILURES, async_entry_deployment
 
 DAEMONS = 3
 LIMIT_PER_S = 2.0
 FLOOD_S = 4.5
 PAUSE_S = 0.05
+NO_ANSWER = 0
 PLAIN = ("i-plain0", "i-plain1")
 
 
@@ -22,9 +23,12 @@
         if asyncio.get_running_loop().time() > end_s:
             return
         name = f"q{number}-{count}"
-        async with deployment.request(number, "/once/x", name) as answer:
-            await answer.read()
-            statuses.append(answer.status)
+        try:
+            async with deployment.request(number, "/once/x", name) as answer:
+                await answer.read()
+                statuses.append(answer.status)
+        except FAILURES:
+            statuses.append(NO_ANSWER)
         await asyncio.sleep(PAUSE_S)
 
 
@@ -45,3 +49,28 @@
                 assert got <= allowed_in_window(LIMIT_PER_S), name
 
     asyncio.run(async_test())
+
+
+def test_a_limit_is_kept_while_daemons_are_killed_and_started_again(tmp_path):
+    """One of them gives out the turns; a new process knows of no limit."""
+
+    async def async_test():
+        async with async_entry_deployment(tmp_path, DAEMONS) as deployment:
+            for name in PLAIN:
+                await deployment.async_endpoint(name, limit_per_s=LIMIT_PER_S)
+            statuses: list[int] = []
+            floods = [
+                asyncio.ensure_future(async_flood(deployment, n, statuses))
+                for n in range(DAEMONS)
+            ]
+            for number in range(DAEMONS):
+                await asyncio.sleep(FLOOD_S / DAEMONS)
+                deployment.processes[f"vm-{number}"].kill()
+                deployment.start_daemon(number)
+            await asyncio.gather(*floods)
+            assert 200 in statuses
+            for name, endpoint in (await deployment.async_endpoints()).items():
+                got = most_in_window(endpoint["arrived_s"], LIMIT_WINDOW_S)
+                assert got <= allowed_in_window(LIMIT_PER_S), name
+
+    asyncio.run(async_test())
