Pace each process of an endpoint by itself

While daemons disagree on whether an endpoint was started again, each question of the other kind began its turns anew, and gave one out: 200 questions in 4 s got 200 turns where two processes at two a second may have 20. Found by reading; the test failed before.

--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -29,7 +29,7 @@
 
     def __init__(self, core: Application) -> None:
         self._core = core
-        self._pacers: dict[EndpointId, tuple[Incarnation, Pacer]] = {}
+        self._pacers: dict[Incarnation, Pacer] = {}
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[Permit]] = {}
         self.serving: Callable[[], set[DaemonId]] = set
@@ -85,18 +85,17 @@
     def _reserve(self, request: PermitRequest) -> Permit:
         now_s = self._core.clock()
         incarnation = incarnation_of(request.endpoint, request.born_ms)
-        known, pacer = self._pacers.get(request.endpoint, (None, None))
-        if known != incarnation:
+        pacer = self._pacers.get(incarnation)
+        if pacer is None:
             self._drop_idle(now_s)
-            pacer = Pacer(request.limit_per_s, now_s)
-            self._pacers[request.endpoint] = (incarnation, pacer)
+            pacer = self._pacers[incarnation] = Pacer(request.limit_per_s, now_s)
         return pacer.reserve(request.limit_per_s, request.max_delay_s, now_s)
 
     def _drop_idle(self, now_s: float) -> None:
         """Drop what nobody sends to; most of these endpoints are gone."""
-        for endpoint, (_, pacer) in list(self._pacers.items()):
+        for incarnation, pacer in list(self._pacers.items()):
             if pacer.is_idle(now_s):
-                del self._pacers[endpoint]
+                del self._pacers[incarnation]
 
     async def _async_ask_peer(self, peer: DaemonId, request: PermitRequest) -> Permit:
         question = asyncio.get_running_loop().create_future()
--- a/tests/limits/test_permits.py
+++ b/tests/limits/test_permits.py
@@ -166,3 +166,17 @@
         assert permit.delay_s == pytest.approx(0.2, abs=0.001)
 
     run_virtually(async_test())
+
+
+def test_daemons_that_know_of_a_restart_and_others_get_no_more_turns_together():
+    async def async_test():
+        fleet = Fleet(1)
+        desk = fleet.desks["d0"]
+        granted = 0
+        for number in range(200):
+            await asyncio.sleep(0.02)
+            permit = await desk.async_ask("i-1", number % 2, 2.0, 0.7)
+            granted += permit.is_granted
+        assert granted <= 2 * (2.0 * 4.0 + 2)
+
+    run_virtually(async_test())
