Give out no turns at an endpoint that another daemon paces

While daemons disagree on who serves, the turns of two of them add up; above a limit of two a second that is more than is allowed. A daemon that takes another for the one that paces now refuses, and who asked asks again once it knows who serves. Found by reading; the test failed before. What is left are moments in which two daemons each take themselves for it.

--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -19,7 +19,8 @@
     """Gives out the turns at the endpoints that are this daemon's to pace.
 
     Each endpoint is paced by one daemon of those that serve, whichever daemon its
-    requests come through. While daemons disagree on who serves, two may pace it.
+    requests come through. While daemons disagree on who serves, two may take it for
+    theirs.
 
     Parameters
     ----------
@@ -58,7 +59,7 @@
         elif pacing in self.linked():
             permit = await self._async_ask_peer(pacing, request)
         else:
-            permit = Permit(is_granted=False, delay_s=max_delay_s + SILENT_PAUSE_S)
+            permit = _refuse(request)
         verdict = "granted" if permit.is_granted else "denied"
         self._core.metrics.permits.inc({"verdict": verdict})
         return permit
@@ -69,8 +70,15 @@
         return DaemonId(rendezvous_order(endpoint, serving)[0])
 
     def take_request(self, request: PermitRequest) -> None:
-        """Answer another daemon that asks for a turn."""
-        permit = self._reserve(request)
+        """Answer another daemon that asks for a turn.
+
+        None is given at an endpoint that is another daemon's to pace: who asks does not
+        know yet who serves, and turns of two daemons would add up.
+        """
+        if self.pacing_daemon(request.endpoint) == self._core.daemon_id:
+            permit = self._reserve(request)
+        else:
+            permit = _refuse(request)
         answer = PermitAnswer(
             self._core.daemon_id, request.number, permit.is_granted, permit.delay_s
         )
@@ -108,7 +116,12 @@
             self._core.events.warning(
                 "permit_late", endpoint=request.endpoint, peer=peer
             )
-            delay_s = request.max_delay_s + SILENT_PAUSE_S
-            return Permit(is_granted=False, delay_s=delay_s)
+            return _refuse(request)
         finally:
             del self._questions[request.number]
+
+
+def _refuse(request: PermitRequest) -> Permit:
+    """Return no turn, and when to ask again: nobody can say when the next one is."""
+    delay_s = request.max_delay_s + SILENT_PAUSE_S
+    return Permit(is_granted=False, delay_s=delay_s)
--- a/tests/limits/test_permits.py
+++ b/tests/limits/test_permits.py
@@ -180,3 +180,19 @@
         assert granted <= 2 * (2.0 * 4.0 + 2)
 
     run_virtually(async_test())
+
+
+def test_a_daemon_gives_out_no_turns_at_an_endpoint_that_another_paces():
+    """Who asks has not heard yet of a daemon that has just joined."""
+
+    async def async_test():
+        fleet = Fleet(3)
+        pacing = fleet.desks["d0"].pacing_daemon("i-1")
+        asking, other = sorted(fleet.names - {pacing})
+        fleet.desks[asking].serving = lambda: {other}
+        for _ in range(20):
+            permit = await fleet.desks[asking].async_ask("i-1", 1, 5.0, 0.3)
+            assert not permit.is_granted
+            await asyncio.sleep(0.1)
+
+    run_virtually(async_test())
