Speak of permits, as rate limiting does, in the code of endpoints' limits

Names and doc text only: permit, request and Retry-After for what was called turn, ask and come back. Tests of limits, pauses and placement pass (91).

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -125,7 +125,7 @@
     def open_from_s(self, now_s: float) -> float | None:
         """Return when it takes requests again, None where nothing keeps them away."""
         if self.limit.is_limited:
-            return max(self.limit.turn_s, self.paused_until_s)
+            return max(self.limit.next_send_s, self.paused_until_s)
         return self.paused_until_s if self.is_paused(now_s) else None
 
     @property
--- a/chutelink/limits/model.py
+++ b/chutelink/limits/model.py
@@ -11,12 +11,12 @@
     """The limit of one process of an endpoint, as far as a daemon knows it.
 
     ``rate_per_s`` is None where it names no limit, ``known_s`` when that was last
-    heard, ``turn_s`` the earliest time at which another request may be sent there.
+    heard, ``next_send_s`` the earliest time at which another request may be sent there.
     """
 
     rate_per_s: float | None = None
     known_s: float = float("-inf")
-    turn_s: float = float("-inf")
+    next_send_s: float = float("-inf")
 
     @property
     def is_limited(self) -> bool:
@@ -48,7 +48,7 @@
     def lift(self) -> None:
         """Forget the limit."""
         self.rate_per_s = None
-        self.turn_s = float("-inf")
+        self.next_send_s = float("-inf")
 
 
 class Permit(msgspec.Struct, frozen=True):
--- a/chutelink/limits/news.py
+++ b/chutelink/limits/news.py
@@ -16,9 +16,9 @@
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag="permit_request"):
-    """Asks for a turn at an endpoint; ``number`` names the question.
+    """Requests a permit to send to an endpoint; ``number`` identifies the request.
 
-    ``limit_per_s`` is the limit that the asking daemon knows.
+    ``limit_per_s`` is the limit that the requesting daemon knows.
     """
 
     daemon: DaemonId
@@ -30,7 +30,7 @@
 
 
 class PermitAnswer(msgspec.Struct, frozen=True, array_like=True, tag="permit"):
-    """A turn at an endpoint, or when the next one is; see ``Permit``."""
+    """The answer to a permit request; see ``Permit``."""
 
     daemon: DaemonId
     number: int
--- a/chutelink/limits/pacer.py
+++ b/chutelink/limits/pacer.py
@@ -7,7 +7,7 @@
 
 
 class Pacer:
-    """Gives each request its turn, by the generic cell rate algorithm.
+    """Spaces requests by the generic cell rate algorithm.
 
     It begins without any burst: what was sent before is not known.
 
@@ -29,7 +29,7 @@
         return max(0.0, BURST_S - self._interval_s)
 
     def reserve(self, limit_per_s: float, max_delay_s: float, now_s: float) -> Permit:
-        """Return the next turn, and take it if it comes soon enough."""
+        """Return when the next request may be sent, and count it if that is in time."""
         self._set_limit(limit_per_s, now_s)
         delay_s = max(0.0, self._due_s - self._tolerance_s - now_s)
         if delay_s > max_delay_s:
@@ -38,7 +38,7 @@
         return Permit(is_granted=True, delay_s=delay_s)
 
     def _set_limit(self, limit_per_s: float, now_s: float) -> None:
-        """Take a new limit; as many turns as before are given in advance."""
+        """Take a new limit; as many requests as before are reserved in advance."""
         ahead = (self._due_s - self._tolerance_s - now_s) / self._interval_s
         self._interval_s = 1.0 / max(MIN_LIMIT_PER_S, limit_per_s)
         self._due_s = now_s + self._tolerance_s + ahead * self._interval_s
--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -1,4 +1,4 @@
-"""One daemon gives out the turns at an endpoint, and the others ask it for theirs."""
+"""Permits to send to endpoints that name a limit, granted by one daemon for each."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class PermitDesk:
-    """Gives out the turns at the endpoints that are this daemon's to pace.
+    """Grants permits for the endpoints that this daemon paces.
 
     Each endpoint is paced by one daemon of those that serve, whichever daemon its
     requests come through. While daemons disagree on who serves, two may take it for
@@ -48,7 +48,7 @@
         limit_per_s: float,
         max_delay_s: float,
     ) -> Permit:
-        """Return a turn at an endpoint, no later than after ``max_delay_s``."""
+        """Return a permit that is valid after ``max_delay_s`` at the latest."""
         own = self._core.daemon_id
         request = PermitRequest(
             own, next(self._numbers), endpoint, born_ms, limit_per_s, max_delay_s
@@ -65,15 +65,15 @@
         return permit
 
     def pacing_daemon(self, endpoint: EndpointId) -> DaemonId:
-        """Return who gives out the turns at an endpoint."""
+        """Return the daemon that grants permits for an endpoint."""
         serving = self.serving() or {self._core.daemon_id}
         return DaemonId(rendezvous_order(endpoint, serving)[0])
 
     def take_request(self, request: PermitRequest) -> None:
-        """Answer another daemon that asks for a turn.
+        """Answer another daemon's request for a permit.
 
-        None is given at an endpoint that is another daemon's to pace: who asks does not
-        know yet who serves, and turns of two daemons would add up.
+        Refuses for endpoints that another daemon paces: the requesting daemon does not
+        know yet which daemons serve, and the permits of two would add up.
         """
         if self.pacing_daemon(request.endpoint) == self._core.daemon_id:
             permit = self._reserve(request)
@@ -85,7 +85,7 @@
         self.send(request.daemon, answer)
 
     def take_answer(self, answer: PermitAnswer) -> None:
-        """Take in a turn; one that comes late is lost."""
+        """Take in an answer; a permit that comes late is lost."""
         question = self._questions.get(answer.number)
         if question is not None and not question.done():
             question.set_result(Permit(answer.is_granted, answer.delay_s))
@@ -122,6 +122,6 @@
 
 
 def _refuse(request: PermitRequest) -> Permit:
-    """Return no turn, and when to ask again: nobody can say when the next one is."""
+    """Return a refusal for when the time of the next permit is not known."""
     delay_s = request.max_delay_s + SILENT_PAUSE_S
     return Permit(is_granted=False, delay_s=delay_s)
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -37,7 +37,7 @@
             "endpoint_pauses_total", "Answers that ask for a pause"
         )
         self.permits = self._counter(
-            "permits_total", "Turns asked for at endpoints that name a limit"
+            "permits_total", "Permits requested for endpoints that name a limit"
         )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
--- a/chutelink/placing/changes.py
+++ b/chutelink/placing/changes.py
@@ -61,8 +61,8 @@
 
     ``paused_share`` is the share of its streams whose pauses were too long,
     ``free_in_s`` how long the change that it carries out should take yet (infinite
-    where that is not known). ``overloaded`` are models that it holds and has no turns
-    for: they count as held nowhere, and nothing is loaded here.
+    where that is not known). ``overloaded`` are resident models whose requests exceed
+    its limit: they count as held nowhere, and nothing is loaded here.
     """
 
     endpoint: Endpoint
--- a/chutelink/placing/overload.py
+++ b/chutelink/placing/overload.py
@@ -1,4 +1,4 @@
-"""Which models endpoints hold that they can't serve because of their limits. Pure."""
+"""Which resident models exceed the limits of their endpoints. Pure."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def mark_overloaded(sites: list[Site], demand: DemandTable, now_s: float) -> list[Site]:
-    """Return the endpoints with the models that their limits leave no requests for.
+    """Return the endpoints, with the models marked whose requests exceed their limits.
 
     Those are then loaded elsewhere, as those of an endpoint that is down.
     """
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -1,4 +1,4 @@
-"""Keep requests to the limits and the pauses that endpoints ask for."""
+"""Keep requests to the limits and the pauses that endpoints request."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 class BackPressureGate:
     """Lets a request through to an endpoint when that takes it.
 
-    One with a limit when it is the request's turn, one that asked for a pause when that
-    is over.
+    Endpoints with a limit need a permit, and those that requested a pause get nothing
+    until it is over.
 
     Parameters
     ----------
@@ -27,7 +27,7 @@
     table : EndpointTable
         The endpoints.
     permits : PermitDesk
-        Gives out the turns.
+        Grants permits.
     """
 
     def __init__(
@@ -41,14 +41,14 @@
         """Return the endpoints that may take a request in time.
 
         Those without a limit first, and those whose limit may have been lifted: the
-        others' turns are for requests that only they can serve.
+        permits of the others are for requests that only they can serve.
         """
         now_s = self._core.clock()
         latest_s = now_s + self._max_delay_s(exchange, now_s)
         rows = [
             row
             for row in rows
-            if not row.is_paused(now_s) and row.limit.turn_s <= latest_s
+            if not row.is_paused(now_s) and row.limit.next_send_s <= latest_s
         ]
         first = [
             row
@@ -58,7 +58,7 @@
         return first or rows
 
     async def async_admit(self, exchange: Exchange, row: Endpoint) -> bool:
-        """Wait for a turn at an endpoint; return whether it may be sent to now.
+        """Wait for a permit if needed; return whether the endpoint may be sent to now.
 
         If not, another endpoint is to be chosen.
         """
@@ -70,16 +70,16 @@
         permit = await self._permits.async_ask(
             record.id, record.born_ms, limit.rate_per_s, max_delay_s
         )
-        limit.turn_s = self._core.clock() + permit.delay_s
+        limit.next_send_s = self._core.clock() + permit.delay_s
         if not permit.is_granted:
             return False
         await asyncio.sleep(permit.delay_s)
         return self._may_send(exchange, row)
 
     def back_in_s(self, rows: list[Endpoint]) -> float | None:
-        """Return when to come back, None if it is not endpoints that ask for that.
+        """Return the Retry-After, None if no endpoint applies back pressure.
 
-        Spread, so that those who are told at the same time don't come at once.
+        Spread, so that callers that are refused together don't retry together.
         """
         now_s = self._core.clock()
         open_s = [row.open_from_s(now_s) for row in rows]
@@ -95,7 +95,7 @@
         return min(MAX_DELAY_S, max(0.0, latest_s - now_s))
 
     def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
-        """Return whether an endpoint still serves what is asked for."""
+        """Return whether an endpoint still serves what is requested."""
         if self._table.rows.get(row.record.id) is not row:
             return False
         now_s = self._core.clock()
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -54,7 +54,7 @@
     quarantine : Quarantine
         Knows requests by their content, and which ended their endpoints.
     permits : PermitDesk
-        Gives out the turns at endpoints that name a limit.
+        Grants permits for endpoints that name a limit.
     """
 
     def __init__(
@@ -170,8 +170,8 @@
         Raises
         ------
         Refusal
-            All endpoints that could serve it are at their limits, or have asked for a
-            pause.
+            All endpoints that could serve it are at their limits, or have requested
+            a pause.
         """
         back_s = self._back_pressure.back_in_s(self._reachable(exchange))
         if back_s is not None:
--- a/chutelink/relaying/modelwait.py
+++ b/chutelink/relaying/modelwait.py
@@ -119,7 +119,7 @@
         return unavailable(f"the {what} {reason}", back_in_s(wait))
 
     def _is_held_off(self, exchange: Exchange) -> bool:
-        """Return whether an endpoint holds what is asked for, and takes nothing."""
+        """Return whether an endpoint holds what is requested, and takes nothing."""
         meta = exchange.meta
         now_s = self._core.clock()
         rows = self._table.of_service(exchange.service.name, now_s)
--- a/tests/limits/test_pacer.py
+++ b/tests/limits/test_pacer.py
@@ -1,4 +1,4 @@
-"""Turns at one endpoint."""
+"""Spacing of the requests to one endpoint."""
 
 from __future__ import annotations
 
--- a/tests/limits/test_permits.py
+++ b/tests/limits/test_permits.py
@@ -1,4 +1,4 @@
-"""Turns that daemons ask each other for, in virtual time."""
+"""Permits that daemons request of each other, in virtual time."""
 
 from __future__ import annotations
 
@@ -168,7 +168,7 @@
     run_virtually(async_test())
 
 
-def test_daemons_that_know_of_a_restart_and_others_get_no_more_turns_together():
+def test_daemons_that_know_of_a_restart_and_others_get_no_more_permits_together():
     async def async_test():
         fleet = Fleet(1)
         desk = fleet.desks["d0"]
@@ -182,7 +182,7 @@
     run_virtually(async_test())
 
 
-def test_a_daemon_gives_out_no_turns_at_an_endpoint_that_another_paces():
+def test_a_daemon_grants_no_permits_for_an_endpoint_that_another_paces():
     """Who asks has not heard yet of a daemon that has just joined."""
 
     async def async_test():
