--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -1,4 +1,4 @@
-"""One daemon gives out the turns at an endpoint, and the others ask it for theirs."""
+"""Permits to send to endpoints that name a limit, granted by one daemon for each."""
 
 from __future__ import annotations
 
@@ -16,10 +16,11 @@
 
 
 class PermitDesk:
-    """Gives out the turns at the endpoints that are this daemon's to pace.
+    """Grants permits for the endpoints that this daemon paces.
 
     Each endpoint is paced by one daemon of those that serve, whichever daemon its
-    requests come through. While daemons disagree on who serves, two may pace it.
+    requests come through. While daemons disagree on who serves, two may take it for
+    theirs.
 
     Parameters
     ----------
@@ -29,7 +30,7 @@
 
     def __init__(self, core: Application) -> None:
         self._core = core
-        self._pacers: dict[EndpointId, tuple[Incarnation, Pacer]] = {}
+        self._pacers: dict[Incarnation, Pacer] = {}
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[Permit]] = {}
         self.serving: Callable[[], set[DaemonId]] = set
@@ -47,7 +48,7 @@
         limit_per_s: float,
         max_delay_s: float,
     ) -> Permit:
-        """Return a turn at an endpoint, no later than after ``max_delay_s``."""
+        """Return a permit that is valid after ``max_delay_s`` at the latest."""
         own = self._core.daemon_id
         request = PermitRequest(
             own, next(self._numbers), endpoint, born_ms, limit_per_s, max_delay_s
@@ -58,26 +59,33 @@
         elif pacing in self.linked():
             permit = await self._async_ask_peer(pacing, request)
         else:
-            permit = Permit(is_granted=False, delay_s=max_delay_s + SILENT_PAUSE_S)
+            permit = _refuse(request)
         verdict = "granted" if permit.is_granted else "denied"
         self._core.metrics.permits.inc({"verdict": verdict})
         return permit
 
     def pacing_daemon(self, endpoint: EndpointId) -> DaemonId:
-        """Return who gives out the turns at an endpoint."""
+        """Return the daemon that grants permits for an endpoint."""
         serving = self.serving() or {self._core.daemon_id}
         return DaemonId(rendezvous_order(endpoint, serving)[0])
 
     def take_request(self, request: PermitRequest) -> None:
-        """Answer another daemon that asks for a turn."""
-        permit = self._reserve(request)
+        """Answer another daemon's request for a permit.
+
+        Refuses for endpoints that another daemon paces: the requesting daemon does not
+        know yet which daemons serve, and the permits of two would add up.
+        """
+        if self.pacing_daemon(request.endpoint) == self._core.daemon_id:
+            permit = self._reserve(request)
+        else:
+            permit = _refuse(request)
         answer = PermitAnswer(
             self._core.daemon_id, request.number, permit.is_granted, permit.delay_s
         )
         self.send(request.daemon, answer)
 
     def take_answer(self, answer: PermitAnswer) -> None:
-        """Take in a turn; one that comes late is lost."""
+        """Take in an answer; a permit that comes late is lost."""
         question = self._questions.get(answer.number)
         if question is not None and not question.done():
             question.set_result(Permit(answer.is_granted, answer.delay_s))
@@ -85,18 +93,17 @@
     def _reserve(self, request: PermitRequest) -> Permit:
         now_s = self._core.clock()
         incarnation = incarnation_of(request.endpoint, request.born_ms)
-        known, pacer = self._pacers.get(request.endpoint, (None, None))
-        if known != incarnation:
+        pacer = self._pacers.get(incarnation)
+        if pacer is None:
             self._drop_idle(now_s)
-            pacer = Pacer(request.limit_per_s, now_s)
-            self._pacers[request.endpoint] = (incarnation, pacer)
+            pacer = self._pacers[incarnation] = Pacer(request.limit_per_s, now_s)
         return pacer.reserve(request.limit_per_s, request.max_delay_s, now_s)
 
     def _drop_idle(self, now_s: float) -> None:
         """Drop what nobody sends to; most of these endpoints are gone."""
-        for endpoint, (_, pacer) in list(self._pacers.items()):
+        for incarnation, pacer in list(self._pacers.items()):
             if pacer.is_idle(now_s):
-                del self._pacers[endpoint]
+                del self._pacers[incarnation]
 
     async def _async_ask_peer(self, peer: DaemonId, request: PermitRequest) -> Permit:
         question = asyncio.get_running_loop().create_future()
@@ -109,7 +116,12 @@
             self._core.events.warning(
                 "permit_late", endpoint=request.endpoint, peer=peer
             )
-            delay_s = request.max_delay_s + SILENT_PAUSE_S
-            return Permit(is_granted=False, delay_s=delay_s)
+            return _refuse(request)
         finally:
             del self._questions[request.number]
+
+
+def _refuse(request: PermitRequest) -> Permit:
+    """Return a refusal for when the time of the next permit is not known."""
+    delay_s = request.max_delay_s + SILENT_PAUSE_S
+    return Permit(is_granted=False, delay_s=delay_s)
--- a/tests/limits/test_permits.py
+++ b/tests/limits/test_permits.py
@@ -1,4 +1,4 @@
-"""Turns that daemons ask each other for, in virtual time."""
+"""Permits that daemons request of each other, in virtual time."""
 
 from __future__ import annotations
 
@@ -166,3 +166,33 @@
         assert permit.delay_s == pytest.approx(0.2, abs=0.001)
 
     run_virtually(async_test())
+
+
+def test_daemons_that_know_of_a_restart_and_others_get_no_more_permits_together():
+    async def async_test():
+        fleet = Fleet(1)
+        desk = fleet.desks["d0"]
+        granted = 0
+        for number in range(200):
+            await asyncio.sleep(0.02)
+            permit = await desk.async_ask("i-1", number % 2, 2.0, 0.7)
+            granted += permit.is_granted
+        assert granted <= 2 * (2.0 * 4.0 + 2)
+
+    run_virtually(async_test())
+
+
+def test_a_daemon_grants_no_permits_for_an_endpoint_that_another_paces():
+    """Who asks has not heard yet of a daemon that has just joined."""
+
+    async def async_test():
+        fleet = Fleet(3)
+        pacing = fleet.desks["d0"].pacing_daemon("i-1")
+        asking, other = sorted(fleet.names - {pacing})
+        fleet.desks[asking].serving = lambda: {other}
+        for _ in range(20):
+            permit = await fleet.desks[asking].async_ask("i-1", 1, 5.0, 0.3)
+            assert not permit.is_granted
+            await asyncio.sleep(0.1)
+
+    run_virtually(async_test())
