Close idle connections of a daemon that stops, instead of leaving them open and deaf

Evidence: two of three new tests failed before; on a server alone an idle connection is open 0.8 s after it, and a request on it gets no answer in 1 s. Now a daemon closes what is idle itself and lets what is being answered end. Tests of entry, relays and the entry processes pass.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -346,11 +346,12 @@
             await asyncio.sleep(DRAIN_POLL_S)
         for listener in self._listeners:
             listener.close()
-        self._caller_server.pre_shutdown()
+        self.callers.close_idle(self._caller_server)
         while self.callers.in_flight and self.clock() < grace_end_s:
             if self.clock() > grace_end_s - REFUSE_LEAD_S:
                 self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
+            self.callers.close_idle(self._caller_server)
         self.events.info("drained", left=self.callers.in_flight)
 
     async def on_shutdown(self) -> None:
