--- a/tests/rates.py
+++ b/tests/rates.py
@@ -20,5 +20,5 @@
 
 
 def allowed_in_window(limit_per_s: float) -> float:
-    """Return how many requests the operators allow an endpoint that names a limit."""
+    """Return the most requests that an endpoint with a limit may get in a window."""
     return 1.5 * limit_per_s * LIMIT_WINDOW_S + 5
