Answer requests that a stopping daemon has read but not yet handled

Callers lost such requests: a daemon that stops closes idle connections, and took one for idle whose request had been read while its handler had not begun, two turns of the loop later (more where the loop is blocked). A non-idempotent request may not be sent again after that. Whether a connection is idle is asked of the library's own state, which knows of a request from its arrival on, so the daemon's count of requests being answered goes; the daemon also ends only when no connection has a request left, so that an answer that is still being written is not cut.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -30,6 +30,7 @@
 from ..watching.watch import RowChange, StoreWatch
 from .adapter import Handler, PlatformAdapter
 from .callers import make_callers
+from .connections import close_idle
 from .demand import DemandTable
 from .directory import Directory, count_candidates
 from .http import CallerHttp
@@ -346,12 +347,12 @@
             await asyncio.sleep(DRAIN_POLL_S)
         for listener in self._listeners:
             listener.close()
-        self.callers.close_idle(self._caller_server)
-        while self.callers.in_flight and self.clock() < grace_end_s:
+        # What was accepted a moment ago becomes a connection in the next turns.
+        await asyncio.sleep(DRAIN_POLL_S)
+        while close_idle(self._caller_server) and self.clock() < grace_end_s:
             if self.clock() > grace_end_s - REFUSE_LEAD_S:
                 self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
-            self.callers.close_idle(self._caller_server)
         self.events.info("drained", left=self.callers.in_flight)
 
     async def on_shutdown(self) -> None:
--- a/chutelink/entry/connections.py
+++ b/chutelink/entry/connections.py
@@ -2,38 +2,38 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+
+def close_idle(server: web.Server) -> int:
+    """Close the connections that wait for a request.
+
+    The server's own ``pre_shutdown`` leaves them open and drops what arrives on any
+    connection, also the rest of a body.
+
+    Parameters
+    ----------
+    server : web.Server
+        Owner of the connections.
+
+    Returns
+    -------
+    int
+        How many connections are left: a request was read on each of them.
+    """
+    connections = server.connections
+    idle = [connection for connection in connections if _is_idle(connection)]
+    for connection in idle:
+        connection.force_close()
+    return len(connections) - len(idle)
+
 
+def _is_idle(connection: RequestHandler) -> bool:
+    """Return whether no request was read that is still to be answered.
 
-class CallerConnections:
-    """The connections on which requests are being answered."""
-
-    def __init__(self) -> None:
-        self.busy: Counter[asyncio.Transport] = Counter()
-
-    @contextmanager
-    def answering(self, request: web.BaseRequest) -> Iterator[None]:
-        """Count a request while it is being answered."""
-        transport = request.transport
-        self.busy[transport] += 1
-        try:
-            yield
-        finally:
-            self.busy[transport] -= 1
-            if not self.busy[transport]:
-                del self.busy[transport]
-
-    def close_idle(self, server: web.Server) -> None:
-        """Close the connections on which no request is being answered.
-
-        The server's own ``pre_shutdown`` leaves idle connections open and drops what
-        arrives on any of them, also the rest of a body.
-        """
-        for connection in server.connections:
-            if connection.transport not in self.busy:
-                connection.force_close()
+    Between the arrival of a request and its handler there are turns of the loop, in
+    which only the library's own state tells; its keep-alive timer goes by the same.
+    """
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -19,7 +19,6 @@
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import WholeResponse, forwarded_headers
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
-from .connections import CallerConnections
 from .dialect import RequestMeta
 from .stopping import ELSEWHERE_RETRY_S, can_end
 
@@ -80,7 +79,6 @@
         self._log = RequestLog(core)
         self._ends_s: float | None = None
         self.in_flight = 0
-        self._connections = CallerConnections()
 
     def end_by(self, ends_s: float) -> None:
         """Take only what can end by then: this daemon stops."""
@@ -90,16 +88,8 @@
         """Refuse the requests that no endpoint has got yet."""
         self._exchanges.stop_waiting()
 
-    def close_idle(self, server: web.Server) -> None:
-        """Close the connections on which no request is being answered."""
-        self._connections.close_idle(server)
-
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, whatever it is."""
-        with self._connections.answering(request):
-            return await self._async_answer(request)
-
-    async def _async_answer(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
         started_s = self._core.clock()
         exchange: Exchange | None = None
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -5,9 +5,10 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+import pytest
 from aiohttp import web
 
-from chutelink.entry.connections import CallerConnections
+from chutelink.entry.connections import close_idle
 
 HEAD = b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
 SOON_S = 2.0
@@ -17,20 +18,20 @@
     """A server whose answers wait for the test, and one connection to it."""
 
     def __init__(self) -> None:
-        self.connections = CallerConnections()
+        self.is_reading = False
         self.may_answer = asyncio.Event()
         self.server = web.Server(self._async_handle, handler_cancellation=True)
 
     async def _async_handle(self, request: web.BaseRequest) -> web.Response:
-        with self.connections.answering(request):
-            body = await request.read()
-            await self.may_answer.wait()
-            response = web.Response(body=b"done " + body)
-            response.force_close()
-            return response
+        self.is_reading = True
+        body = await request.read()
+        await self.may_answer.wait()
+        response = web.Response(body=b"done " + body)
+        response.force_close()
+        return response
 
-    def close_idle(self) -> None:
-        self.connections.close_idle(self.server)
+    def close_idle(self) -> int:
+        return close_idle(self.server)
 
 
 @asynccontextmanager
@@ -64,7 +65,7 @@
     async def async_test():
         async with async_served() as served:
             served.writer.write(HEAD + b"bo")
-            while not served.connections.busy:
+            while not served.is_reading:
                 await asyncio.sleep(0.001)
             served.close_idle()
             served.writer.write(b"dy")
@@ -80,7 +81,7 @@
     async def async_test():
         async with async_served() as served:
             served.writer.write(HEAD + b"body")
-            while not served.connections.busy:
+            while not served.is_reading:
                 await asyncio.sleep(0.001)
             served.close_idle()
             await asyncio.sleep(0.01)
@@ -91,3 +92,23 @@
             assert answer.endswith(b"done body")
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("loop_turns", range(4))
+def test_a_request_that_was_read_but_not_yet_handled_is_answered(loop_turns):
+    """A daemon that stops closed connections between a request and its handler."""
+
+    async def async_test():
+        async with async_served() as served:
+            served.may_answer.set()
+            await asyncio.sleep(0.01)
+            [connection] = served.server.connections
+            connection.data_received(HEAD + b"body")
+            for _ in range(loop_turns):
+                await asyncio.sleep(0)
+            served.close_idle()
+            async with asyncio.timeout(SOON_S):
+                answer = await served.reader.read()
+            assert answer.endswith(b"done body")
+
+    asyncio.run(async_test())
