Ask for newer reports before a request for a moved model is refused

Cause: a gateway learns of loads by polling each endpoint by itself, and took what it had read last for what is; in the seconds between, an endpoint's refusal contradicted it and nothing was read anew. Now a request that an endpoint refused, or whose model no report shows, requests reports of all endpoints first; calls share a round, rounds begin an interval apart, so that polls keep to twice their budget. A request that waits for a slot follows its model, too, instead of being refused when the last old holder drops it.

--- a/chutelink/endpoints/monitor.py
+++ b/chutelink/endpoints/monitor.py
@@ -61,6 +61,8 @@
         self._mean_bytes = float(INITIAL_REPORT_BYTES)
         self._leaving_vms: frozenset[str] = frozenset()
         self._drained: frozenset[str] = frozenset()
+        self._round: asyncio.Future | None = None
+        self._round_asked_s = float("-inf")
         self.on_change: Callable[[EndpointName], None] = lambda name: None
         self.on_vms: Callable[[list[Vm]], None] = lambda vms: None
 
@@ -121,6 +123,34 @@
         self.on_change(name)
         return row.report_failures == 0
 
+    async def async_refresh(self, limit_s: float) -> None:
+        """Return when all endpoints were asked for reports after this call.
+
+        Concurrent calls share a round of polls. Rounds begin an interval apart, so
+        that all polls together keep to twice the budget.
+
+        Parameters
+        ----------
+        limit_s : float
+            Returns at once where a round could only begin later than this.
+        """
+        called_s = self._core.clock()
+        while self._round_asked_s < called_s:
+            if self._round is None or self._round.done():
+                next_s = self._round_asked_s + self.interval_s()
+                pause_s = max(0.0, next_s - self._core.clock())
+                if pause_s > limit_s:
+                    return
+                await asyncio.sleep(pause_s)
+                if self._round is None or self._round.done():
+                    self._begin_round()
+            await asyncio.shield(self._round)
+
+    def _begin_round(self) -> None:
+        self._round_asked_s = self._core.clock()
+        self._round = asyncio.gather(*map(self.async_poll, self._pollers))
+        self._core.events.debug("reports_requested", endpoints=len(self._pollers))
+
     @Service.task
     async def _async_vm_loop(self) -> None:
         while not self.should_stop:
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -48,6 +48,7 @@
         )
         self.http = GatewayHttp(self.parts, self.keeper)
         self.monitor.on_change = self.parts.dispatcher.tick
+        self.parts.dispatcher.async_refresh = self.monitor.async_refresh
         self.mesh.on_members_changed = self._share_limits
         await self.add_runtime_dependency(claims)
 
--- a/chutelink/gateway/dispatcher.py
+++ b/chutelink/gateway/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from ..core import Application
 from ..fleet.model import Artifact, FleetSpec
@@ -16,6 +17,11 @@
 
 TYPICAL_RELOAD_S = 5.0
 MIN_WAIT_S = 0.001
+REPORT_WAIT_S = 0.1
+"""How long a request for a model that is not known to be loaded waits for reports."""
+CONTRADICTED_WAIT_S = 1.0
+"""How long one does that an endpoint refused: then the reports are known to be old."""
+REPORT_POLL_S = 0.02
 NOT_LOADED = "the model is not loaded now"
 
 
@@ -51,6 +57,7 @@
         self._queueing: Queueing | None = None
         self._policies: tuple | None = None
         self._fleet: FleetSpec | None = None
+        self.async_refresh: Callable[[float], Awaitable[None]] = _async_keep_reports
 
     @property
     def queue_length(self) -> int:
@@ -102,6 +109,34 @@
         request.artifacts = artifacts
         request.excluded = frozenset()
 
+    async def async_renew(
+        self, request: WaitingRequest, limit_s: float = CONTRADICTED_WAIT_S
+    ) -> None:
+        """Renew a request that was not run, with newer reports if it takes them.
+
+        A model that has moved is loaded at an endpoint whose last report may be older.
+
+        Parameters
+        ----------
+        request : WaitingRequest
+            What no endpoint has begun.
+        limit_s : float
+            How long newer reports may be waited for.
+        """
+        self.renew(request)
+        if self._is_served(request.artifacts, request.excluded):
+            return
+        end_s = self._core.clock() + limit_s
+        refresh = asyncio.ensure_future(self.async_refresh(limit_s))
+        try:
+            while not refresh.done() and self._core.clock() < end_s:
+                await asyncio.wait({refresh}, timeout=REPORT_POLL_S)
+                self.renew(request)
+                if self._is_served(request.artifacts, request.excluded):
+                    return
+        finally:
+            refresh.cancel()
+
     def _is_served(
         self,
         artifacts: tuple[Artifact, ...],
@@ -121,6 +156,16 @@
             No endpoint holds the model, the queue is full, or the target can't
             be met and the class says to refuse.
         """
+        while True:
+            name = await self._async_dispatch(request)
+            if name is not None:
+                return self._table.rows[name]
+            request.dispatched = asyncio.get_running_loop().create_future()
+
+    async def _async_dispatch(self, request: WaitingRequest) -> EndpointName | None:
+        """Return an endpoint, or None if its last holder dropped the model."""
+        if not request.excluded and not self._is_served(request.artifacts):
+            await self.async_renew(request, REPORT_WAIT_S)
         now_s = self._core.clock()
         if not self._is_served(request.artifacts, request.excluded):
             title = "no other endpoint" if request.excluded else NOT_LOADED
@@ -133,7 +178,7 @@
         self._tick_group(request.artifacts)
         if not request.dispatched.done():
             await self._async_wait(request, now_s)
-        return self._table.rows[request.dispatched.result()]
+        return request.dispatched.result()
 
     async def _async_wait(self, request: WaitingRequest, now_s: float) -> None:
         limit_s = self._request_timeout_s - (now_s - request.arrived_s)
@@ -159,7 +204,9 @@
         """Free a slot that a caller who has gone away was just given."""
         dispatched = request.dispatched
         if dispatched.done() and not dispatched.cancelled():
-            self.release(dispatched.result())
+            name = dispatched.result()
+            if name is not None:
+                self.release(name)
 
     def release(self, name: EndpointName) -> None:
         """Give a slot back and let the next request have it."""
@@ -177,18 +224,16 @@
         for artifacts in self._queue.groups():
             if row.loaded.issuperset(artifacts):
                 self._tick_group(artifacts)
-        self._refuse_unserved()
+        self._return_unserved()
 
-    def _refuse_unserved(self) -> None:
-        """End at once what waits for a model that no endpoint serves any more."""
+    def _return_unserved(self) -> None:
+        """Wake at once what waits for a model that no endpoint serves any more."""
         for artifacts in self._queue.groups():
             for request in list(self._queue.group(artifacts)):
                 if self._is_served(artifacts, request.excluded):
                     continue
                 self._queue.remove(request)
-                request.dispatched.set_exception(
-                    unavailable(NOT_LOADED, TYPICAL_RELOAD_S)
-                )
+                request.dispatched.set_result(None)
 
     def _tick_group(self, artifacts: tuple[Artifact, ...]) -> None:
         now_s = self._core.clock()
@@ -216,6 +261,10 @@
         self._core.metrics.queue_length.set({}, self._queue.size)
 
 
+async def _async_keep_reports(limit_s: float) -> None:
+    """Leave the reports as they are: none can be requested."""
+
+
 def _held_by_name(row: Endpoint, wanted: Artifact) -> Artifact | None:
     """Return any loaded version of an artifact's name."""
     found = [a for a in row.loaded if a.name == wanted.name]
--- a/chutelink/gateway/relay.py
+++ b/chutelink/gateway/relay.py
@@ -106,7 +106,7 @@
                 may_have_run |= isinstance(error, EndpointFailed)
                 self._note_failure(exchange, row, error)
                 if isinstance(error, EndpointRefused):
-                    self._dispatcher.renew(exchange.waiting)
+                    await self._dispatcher.async_renew(exchange.waiting)
                 self._check_retry(exchange, error, may_have_run)
         raise self._give_up(may_have_run)
 
@@ -160,7 +160,7 @@
                 self._note_failure(exchange, row, error)
                 if isinstance(error, EndpointRefused) and not stream.events:
                     # What was begun goes on with the weights that it began with.
-                    self._dispatcher.renew(exchange.waiting)
+                    await self._dispatcher.async_renew(exchange.waiting)
                 refusal = self._retry_refusal(exchange, error, may_have_run)
             except Refusal as error:
                 refusal = error
--- a/chutelink/tables/requests.py
+++ b/chutelink/tables/requests.py
@@ -13,7 +13,8 @@
 class WaitingRequest(msgspec.Struct, eq=False):
     """A request between admission and dispatch; times are on the loop's clock.
 
-    ``prompt_tokens`` is an estimate; ``dispatched`` gets the endpoint chosen.
+    ``prompt_tokens`` is an estimate; ``dispatched`` gets the endpoint chosen, or None
+    when none holds the artifacts any more.
     """
 
     request_id: RequestId
@@ -26,7 +27,7 @@
     expected_s: float
     prompt_tokens: int
     prefixes: tuple[str, ...]
-    dispatched: asyncio.Future[EndpointName]
+    dispatched: asyncio.Future[EndpointName | None]
     excluded: frozenset[EndpointName] = frozenset()
 
     @property
--- a/tests/endpoints/test_monitor.py
+++ b/tests/endpoints/test_monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
@@ -11,6 +12,7 @@
 from chutelink.tables.endpoints import EndpointTable
 
 from ..fakes import make_core
+from ..virtual_time import run_virtually
 
 LEAVING_BOUND_S = 3.0
 OPA_ENGINES = 9
@@ -46,3 +48,27 @@
     monitor = make_monitor(endpoints)
     sent = endpoints * monitor._mean_bytes / monitor.interval_s()
     assert sent <= EndpointsSection().poll_budget_bytes_s * 1.0001
+
+
+def test_requests_that_need_newer_reports_share_a_round_of_polls():
+    async def async_test():
+        monitor = make_monitor(3)
+        loop = asyncio.get_running_loop()
+        monitor._core.clock = loop.time
+        polled_s = []
+
+        async def async_poll(name):
+            polled_s.append(loop.time())
+            await asyncio.sleep(0.01)
+
+        monitor.async_poll = async_poll
+        calls = [monitor.async_refresh(1.0) for _ in range(20)]
+        await asyncio.gather(*calls)
+        assert len(polled_s) == 3
+        await monitor.async_refresh(0.0)
+        assert len(polled_s) == 3
+        await monitor.async_refresh(1.0)
+        assert len(polled_s) == 6
+        assert polled_s[3] - polled_s[0] >= monitor.interval_s()
+
+    run_virtually(async_test())
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -87,3 +87,70 @@
         assert [a.version for a in request.artifacts] == ["2"]
 
     asyncio.run(async_test())
+
+
+class MovedModel:
+    """A model whose old version is at one endpoint, and then a new one at another.
+
+    The gateway is told of neither change until it asks.
+    """
+
+    def __init__(self) -> None:
+        self.older, self.newer = (parse_fleet(text).unwrap() for text in (FLEET, NEWER))
+        self.table = EndpointTable()
+        self.table.sync(self.older)
+        self.table.note_report("e", report("1"), 100.0, 100.0)
+        self.table.note_report("f", report(), 100.0, 100.0)
+        self.dispatcher = Dispatcher(make_core(), self.table, 10, 5.0)
+        self.dispatcher.async_refresh = self.async_refresh
+        self.dispatcher.sync(self.newer)
+
+    async def async_refresh(self, limit_s: float) -> None:
+        await asyncio.sleep(0)
+        self.table.note_report("e", report(), 101.0, 101.0)
+        self.table.note_report("f", report("2"), 101.0, 101.0)
+
+
+def test_a_request_for_a_model_that_has_moved_finds_it():
+    """It was refused where the model was known to be unloaded, not where it was."""
+
+    async def async_test():
+        moved = MovedModel()
+        moved.table.note_report("e", report(), 100.5, 100.5)
+        request = make_request(moved.dispatcher, moved.newer)
+        assert (await moved.dispatcher.async_acquire(request)).name == "f"
+
+    asyncio.run(async_test())
+
+
+def test_a_request_that_an_old_holder_refused_finds_the_new_one():
+    async def async_test():
+        moved = MovedModel()
+        request = make_request(moved.dispatcher, moved.newer)
+        assert (await moved.dispatcher.async_acquire(request)).name == "e"
+        moved.dispatcher.release("e")
+        request.excluded = frozenset({"e"})
+        request.dispatched = asyncio.get_running_loop().create_future()
+        await moved.dispatcher.async_renew(request)
+        assert (await moved.dispatcher.async_acquire(request)).name == "f"
+
+    asyncio.run(async_test())
+
+
+def test_a_request_that_waits_for_a_slot_follows_its_model():
+    async def async_test():
+        moved = MovedModel()
+        slots = moved.table.rows["e"].spec.slots
+        for _ in range(slots):
+            await moved.dispatcher.async_acquire(
+                make_request(moved.dispatcher, moved.newer)
+            )
+        request = make_request(moved.dispatcher, moved.newer)
+        waiting = asyncio.ensure_future(moved.dispatcher.async_acquire(request))
+        await asyncio.sleep(0.01)
+        assert not waiting.done()
+        moved.table.note_report("e", report(), 100.5, 100.5)
+        moved.dispatcher.tick("e")
+        assert (await waiting).name == "f"
+
+    asyncio.run(async_test())
--- a/tests/processes/test_reachability.py
+++ b/tests/processes/test_reachability.py
@@ -157,3 +157,42 @@
             assert status == 403
 
     asyncio.run(async_scenario())
+
+
+def test_a_new_version_comes_in_without_a_gap_where_reports_are_old(tmp_path):
+    """A gateway refused requests for a model that was loaded, as it did not know."""
+
+    async def async_scenario():
+        async with async_deploy(tmp_path) as deployment:
+            settings_of = deployment._daemon_settings
+
+            def slow_settings(name, *arguments):
+                text = settings_of(name, *arguments)
+                return text + "poll_interval_s = 2.0\n" * name.startswith("gateway")
+
+            deployment._daemon_settings = slow_settings
+            deployment.start_engine(1)
+            deployment.start_engine(2, "b")
+            await async_start_all(deployment, gateways=1)
+            models = {"m": {"memory_mb": 60}}
+            await deployment.async_apply(deployment.fleet_text(models), 0, "--wait")
+            await deployment.async_until_served("m")
+            probe = Probe(deployment, "m")
+            models["m"]["version"] = 2
+            await deployment.async_apply(deployment.fleet_text(models), 1, "--wait")
+
+            async def async_has_moved():
+                claims = await async_claims(deployment, "m")
+                return [(v, s) for _, v, s in claims] == [("2", "loaded")]
+
+            await deployment.async_until(async_has_moved)
+            answered = probe.answered
+
+            async def async_is_served_after_it():
+                return probe.answered > answered + 100
+
+            await deployment.async_until(async_is_served_after_it)
+            await probe.async_stop()
+            assert probe.failures == []
+
+    asyncio.run(async_scenario())
