Tell gateways what an endpoint has loaded before another unloads it

Cause: a round of polls may begin an interval after the last one only, so a second move within it found the gateway blind again. The director, which watches the load, now tells all gateways of it before it writes the row that lets the unload follow; they read that endpoint's report at once, in place of its next poll.

--- a/chutelink/director/app.py
+++ b/chutelink/director/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..daemon import Daemon, DaemonStatus
+from ..endpoints.news import TOPIC_LOADED, EndpointLoaded, encode_loaded
 from ..ids import EndpointName, FailureDomainName
 from ..settings import DirectorSettings
 from ..tables.members import MemberState, Role
@@ -44,6 +45,7 @@
             settings,
             self.mesh.queues.waiting,
         )
+        desk.on_loaded = self._tell_loaded
         self.leases.on_change = self._watch_held
         self.leases.has_director = self._has_director
         for part in (self.leases, self.placer):
@@ -58,6 +60,10 @@
         """Contend for the failure domains of the fleet in force."""
         self.leases.sync(sorted(self.keeper.fleet.failure_domains))
 
+    def _tell_loaded(self, name: EndpointName) -> None:
+        """Let gateways read an endpoint's report before another is unloaded."""
+        self.mesh.broadcast(encode_loaded(EndpointLoaded(name)), TOPIC_LOADED)
+
     def _has_director(self, failure_domain: FailureDomainName) -> bool:
         """Return whether a failure domain has a live director of its own."""
         return any(
--- a/chutelink/director/orders.py
+++ b/chutelink/director/orders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 from returns.result import Failure, Result
 
@@ -16,7 +18,7 @@
     OrderNotPossible,
 )
 from ..fleet.model import EndpointSpec
-from ..ids import BootId, FailureDomainName, FencingNumber
+from ..ids import BootId, EndpointName, FailureDomainName, FencingNumber
 from ..store import Check, TableService, Write, async_commit
 from ..systems.ledger import (
     allot_fence,
@@ -31,7 +33,7 @@
 )
 from ..systems.reconcile import Action, ActionKind, order_action
 from ..tables.endpoints import ArtifactState, EndpointReport
-from ..tables.ledger import Claim, LedgerRow, OrderAction
+from ..tables.ledger import Claim, ClaimState, LedgerRow, OrderAction
 from ..tables.state import StateTable, VersionedRow
 from .leases import LeaseKeeper
 
@@ -70,6 +72,7 @@
         self._leases = leases
         self._state = state
         self._order_timeout_s = order_timeout_s
+        self.on_loaded: Callable[[EndpointName], None] = lambda name: None
 
     async def async_create_row(self, spec: EndpointSpec) -> None:
         """Write the first row of an endpoint."""
@@ -96,6 +99,8 @@
             if held.state is ArtifactState.LOADED
         ]
         row = note_report(kept.row, loaded)
+        if _has_loaded_more(kept.row, row):
+            self.on_loaded(spec.name)
         row = retire_unloaded(row, [held.artifact for held in report.artifacts])
         if row != kept.row:
             await self._async_write(spec.failure_domain, row, kept.version)
@@ -214,6 +219,14 @@
         self._core.metrics.moves.inc({"action": action.value, "result": result})
 
 
+def _has_loaded_more(before: LedgerRow, after: LedgerRow) -> bool:
+    """Return whether an artifact is held now that was not before."""
+    return any(
+        claim.state is ClaimState.LOADED and not before.holds(claim.artifact)
+        for claim in after.claims
+    )
+
+
 def _claim(row: LedgerRow, action: Action) -> tuple[LedgerRow, Order]:
     """Return the row with the claim of a step, and the order that it allots."""
     artifact = action.artifact
--- a/chutelink/endpoints/monitor.py
+++ b/chutelink/endpoints/monitor.py
@@ -58,6 +58,7 @@
         self._settings = settings
         self._is_watched = is_watched
         self._pollers: dict[EndpointName, asyncio.Task] = {}
+        self._requested: dict[EndpointName, asyncio.Event] = {}
         self._mean_bytes = float(INITIAL_REPORT_BYTES)
         self._leaving_vms: frozenset[str] = frozenset()
         self._drained: frozenset[str] = frozenset()
@@ -73,7 +74,9 @@
         watched = {name for name in self._table.rows if self._is_watched(name)}
         for name in self._pollers.keys() - watched:
             self._pollers.pop(name).cancel()
+            self._requested.pop(name, None)
         for name in watched - self._pollers.keys():
+            self._requested[name] = asyncio.Event()
             poller = asyncio.ensure_future(self._async_poll_loop(name))
             self._pollers[name] = poller
 
@@ -95,7 +98,24 @@
         await asyncio.sleep(self.interval_s() * self._core.rng.random())
         while not self.should_stop:
             await self.async_poll(name)
-            await asyncio.sleep(self.interval_s() * self._core.rng.uniform(0.8, 1.0))
+            pause_s = self.interval_s() * self._core.rng.uniform(0.8, 1.0)
+            await self._async_pause(name, pause_s)
+
+    async def _async_pause(self, name: EndpointName, pause_s: float) -> None:
+        """Let the time between polls pass, or less if a report is requested."""
+        requested = self._requested[name]
+        try:
+            async with asyncio.timeout(pause_s):
+                await requested.wait()
+        except TimeoutError:
+            return
+        requested.clear()
+
+    def request_report(self, name: EndpointName) -> None:
+        """Bring the next poll of an endpoint forward: it has changed."""
+        requested = self._requested.get(name)
+        if requested is not None:
+            requested.set()
 
     async def async_poll(self, name: EndpointName) -> bool:
         """Ask one endpoint for its report now; return whether it answered."""
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -8,6 +8,9 @@
 from mode import Service
 
 from ..daemon import Daemon
+from ..endpoints.news import TOPIC_LOADED, decode_loaded
+from ..exceptions import PeerMessageInvalid
+from ..peers.messages import Broadcast
 from ..settings import GatewaySettings
 from ..tables.members import Role
 from .claims import ClaimKeeper
@@ -50,6 +53,7 @@
         self.monitor.on_change = self.parts.dispatcher.tick
         self.parts.dispatcher.async_refresh = self.monitor.async_refresh
         self.mesh.on_members_changed = self._share_limits
+        self.mesh.on_broadcast = self._take_broadcast
         await self.add_runtime_dependency(claims)
 
     def add_routes(self, app: web.Application) -> None:
@@ -70,6 +74,17 @@
         self.parts.dispatcher.sync(fleet)
         self._share_limits()
 
+    def _take_broadcast(self, broadcast: Broadcast) -> None:
+        """Read the report of an endpoint that has loaded something."""
+        if broadcast.topic != TOPIC_LOADED:
+            return
+        try:
+            news = decode_loaded(broadcast.body, broadcast.origin)
+        except PeerMessageInvalid as error:
+            self.events.warning("news_invalid", error=error)
+            return
+        self.monitor.request_report(news.endpoint)
+
     def _share_limits(self) -> None:
         fleet = self.keeper.fleet
         if fleet is None:
--- a/tests/director/test_orders.py
+++ b/tests/director/test_orders.py
@@ -16,6 +16,7 @@
 from chutelink.ids import BootId, FencingNumber, WriteId
 from chutelink.store import Transaction, Write
 from chutelink.systems.reconcile import Action, ActionKind
+from chutelink.tables.endpoints import ArtifactState, EndpointReport, HeldArtifact
 from chutelink.tables.ledger import Claim, ClaimState, LedgerRow
 from chutelink.tables.state import StateTable
 
@@ -42,10 +43,8 @@
 MODEL = Artifact("m", "1")
 
 
-def put_rows(table):
-    claim = Claim(
-        MODEL, ArtifactKind.MODEL, (0,), 60, ClaimState.LOADED, FencingNumber(1)
-    )
+def put_rows(table, state=ClaimState.LOADED):
+    claim = Claim(MODEL, ArtifactKind.MODEL, (0,), 60, state, FencingNumber(1))
     writes = [
         Write(
             PREFIX_LEDGER + name,
@@ -92,3 +91,24 @@
 
     asyncio.run(async_scenario())
     assert sent == [("e1", "unload")]
+
+
+def test_what_an_endpoint_has_loaded_is_told_before_the_row_is_written():
+    """The unload of what it replaces follows the row."""
+    table = FakeTable()
+    put_rows(table, ClaimState.LOADING)
+    term_version = table.table.version
+    desk = make_desk(table, [])
+    desk._leases = SimpleNamespace(check_held=lambda name, step: term_version)
+    row = desk._state.ledger["e1"].row
+    told = []
+
+    def note_told(name):
+        told.append((name, desk._state.ledger["e1"].row.holds(MODEL)))
+
+    desk.on_loaded = note_told
+    held = HeldArtifact("m", "1", ArtifactState.LOADED, (0,), 60, FencingNumber(1))
+    report = EndpointReport(row.boot_id, artifacts=(held,))
+    asyncio.run(desk.async_note_report(FLEET.endpoints["e1"], report))
+    assert told == [("e1", False)]
+    assert desk._state.ledger["e1"].row.holds(MODEL)
--- a/tests/endpoints/test_monitor.py
+++ b/tests/endpoints/test_monitor.py
@@ -72,3 +72,28 @@
         assert polled_s[3] - polled_s[0] >= monitor.interval_s()
 
     run_virtually(async_test())
+
+
+def test_a_requested_report_is_read_at_once():
+    async def async_test():
+        monitor = make_monitor(0)
+        loop = asyncio.get_running_loop()
+        monitor._core.clock = loop.time
+        polled_s = []
+
+        async def async_poll(name):
+            polled_s.append(loop.time())
+
+        monitor.async_poll = async_poll
+        monitor._table.rows["e"] = None
+        monitor.interval_s = lambda: 60.0
+        monitor._table.note_departures = lambda leaving, drained: None
+        monitor.sync(frozenset())
+        await asyncio.sleep(61.0)
+        read = len(polled_s)
+        monitor.request_report("e")
+        await asyncio.sleep(0.01)
+        assert len(polled_s) == read + 1
+        await monitor.on_stop()
+
+    run_virtually(async_test())
