Close a stopping gateway's connections as they become idle

Callers lost requests that the gateway had read: its server was closed by the runner's clean-up, which makes idle connections deaf and closes them up to a second later. Now the gateway stops listening when callers no longer keep its address, closes each connection when nothing is left on it, and ends after the last; the function that the entry daemon has for this moves out of its package.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -17,6 +17,7 @@
 
 from . import __version__
 from .clock import BoottimeLoop, now_s
+from .connections import close_idle
 from .const import MAX_HEADER_BYTES
 from .exceptions import ChutelinkError, SettingsError
 from .ids import BootId, DaemonId, make_id
@@ -27,6 +28,7 @@
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 CONNECTIONS_TO_ONE_HOST = 0
+CLOSE_POLL_S = 0.05
 
 
 class Application(Service):
@@ -60,6 +62,7 @@
         self.drain_requested = asyncio.Event()
         self.session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def on_start(self) -> None:
         """Open the session and the parts, then listen."""
@@ -131,10 +134,18 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner, self.daemon.address, self.daemon.port, reuse_address=True
         )
-        await site.start()
+        await self._site.start()
+
+    async def async_close_server(self) -> None:
+        """Take no more connections, and close each when nothing is left on it."""
+        await self._site.stop()
+        # What was accepted a moment ago becomes a connection in the next turns.
+        await asyncio.sleep(CLOSE_POLL_S)
+        while close_idle(self._runner.server):
+            await asyncio.sleep(CLOSE_POLL_S)
 
     async def _async_health(self, request: web.Request) -> web.Response:
         return web.json_response({"status": "ok", "daemon": self.daemon.id})
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..connections import close_idle
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
 from ..customers.buckets import QuotaBounds
@@ -30,7 +31,6 @@
 from ..watching.watch import RowChange, StoreWatch
 from .adapter import Handler, PlatformAdapter
 from .callers import make_callers
-from .connections import close_idle
 from .demand import DemandTable
 from .directory import Directory, count_candidates
 from .http import CallerHttp
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -117,10 +117,11 @@
         """Leave: out of the answers at once, out of service when nobody calls.
 
         Callers may keep an address for ``valid_s``, so requests are taken for
-        that long and a margin; then everything in flight is finished.
+        that long and a margin; then no more, and everything in flight is finished.
         """
         self.mesh.announce_leaving()
         daemon = self.settings.daemon
         await asyncio.sleep(self.settings.gateway.valid_s + daemon.drain_margin_s)
-        while self.http.inflight or self.parts.running_tasks:
+        await self.async_close_server()
+        while self.parts.running_tasks:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/chutelink/gateway/http.py
+++ b/chutelink/gateway/http.py
@@ -56,7 +56,6 @@
     def __init__(self, parts: GatewayParts, keeper: ConfigKeeper) -> None:
         self._parts = parts
         self._keeper = keeper
-        self.inflight = 0
 
     def add_routes(self, app: web.Application) -> None:
         """Add all routes for callers."""
@@ -71,12 +70,8 @@
 
     def _wrap(self, handler: Handler):
         async def async_handle(request: web.Request) -> web.StreamResponse:
-            self.inflight += 1
             started_s = self._parts.core.clock()
-            try:
-                return await self._async_serve(handler, request, started_s)
-            finally:
-                self.inflight -= 1
+            return await self._async_serve(handler, request, started_s)
 
         return async_handle
 
--- /dev/null
+++ b/tests/processes/test_stops.py
@@ -0,0 +1,110 @@
+"""Requests that arrive while a daemon stops are answered, or left unread.
+
+What callers saw: a request on a connection that they had kept, or on a new one, got no
+answer though the daemon had read it; it was closed with the process, up to a second
+later. A non-idempotent request may not be sent again then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import pytest
+
+from .deployment import FAILURES, GATEWAY_PORT, KEY, async_deploy, async_start_all
+from .entry_deployment import FIRST_PORT, async_entry_deployment
+from .stop_walk import StopWalk
+
+STREAM_EVENTS = 500
+"""So many take some 3 s."""
+STREAM_GAP_S = 0.9
+
+
+def make_entry_request(request_id: str) -> bytes:
+    return (
+        f"POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {request_id}\r\n"
+        "X-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody"
+    ).encode()
+
+
+async def async_stream_on(deployment) -> int:
+    """Keep a daemon from ending by streams, as long as it takes them."""
+    headers = {"X_Model": "m0", "X_Token_Count": f"10,{STREAM_EVENTS}"}
+    bodies = []
+
+    async def async_read(answer):
+        async with answer:
+            body = await answer.read()
+        assert body.count(b"id: ") == STREAM_EVENTS
+
+    for number in itertools.count():
+        sent = deployment.request(0, "/stream/x", f"long{number}", **headers)
+        try:
+            answer = await sent.__aenter__()
+        except FAILURES:
+            break
+        if answer.status == 200:
+            bodies.append(asyncio.ensure_future(async_read(answer)))
+        await asyncio.sleep(STREAM_GAP_S)
+    await asyncio.gather(*bodies)
+    return len(bodies)
+
+
+@pytest.mark.parametrize("has_stalls", [False, True])
+def test_no_request_is_lost_at_any_moment_of_an_entry_daemons_stop(
+    tmp_path, has_stalls
+):
+    async def async_test():
+        async with async_entry_deployment(tmp_path, 2) as deployment:
+            walk = StopWalk(
+                deployment.processes["vm-0"],
+                deployment.address(0),
+                FIRST_PORT,
+                make_entry_request,
+                has_stalls=has_stalls,
+            )
+            streams = asyncio.ensure_future(async_stream_on(deployment))
+            await walk.async_run("q")
+            assert await streams > 2
+            endpoints = await deployment.async_endpoints()
+            run_ids = {run for row in endpoints.values() for run in row["runs"]}
+            assert walk.lost(run_ids) == []
+            assert sum(a.status == 200 for a in walk.arrivals) > 50
+
+    asyncio.run(async_test())
+
+
+def make_gateway_request(request_id: str) -> bytes:
+    body = request_id.encode()
+    head = (
+        "POST /services/permits/x HTTP/1.1\r\nHost: gateway\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+@pytest.mark.parametrize("has_stalls", [False, True])
+def test_no_request_is_lost_at_any_moment_of_a_gateways_stop(tmp_path, has_stalls):
+    async def async_test():
+        async with async_deploy(tmp_path) as deployment:
+            deployment.start_engine(1)
+            deployment.start_service(1)
+            await async_start_all(deployment)
+            fleet = deployment.fleet_text({"m": {"memory_mb": 40}})
+            await deployment.async_apply(fleet, 0, "--wait")
+            await deployment.async_until_served("m")
+            walk = StopWalk(
+                deployment.processes["gateway-1"],
+                f"{deployment.net}.11",
+                GATEWAY_PORT,
+                make_gateway_request,
+                has_stalls=has_stalls,
+            )
+            await walk.async_run("q")
+            url = deployment.services["service-1"]
+            runs = await deployment.async_get(f"{url}/standin/executions")
+            assert walk.lost({run["body"] for run in runs}) == []
+            assert sum(a.status == 200 for a in walk.arrivals) > 20
+
+    asyncio.run(async_test())
--- a/tests/entry/test_connections.py
+++ b/tests/test_connections.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import web
 
-from chutelink.entry.connections import close_idle
+from chutelink.connections import close_idle
 
 HEAD = b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
 SOON_S = 2.0
