Keep models for callers that were denied them, and load them between their requests

Now a rejected model stays in demand until it is served once; it is not evicted before that but by one that was denied for longer; one that a copy could have brought by now takes the place of a rare model, one that is denied for the time of two cold loads that of a model that is only prepared.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
+from ..entry.config import ModelSpec
 from ..entry.endpoints import NO_ADAPTER
 from ..ids import AdapterName, ModelName
 from .changes import Change, PlacementView, Site
@@ -48,6 +50,12 @@
 """What each request under way adds to the cost of giving its model up."""
 EXPECTED_FIRST = 9
 """Models kept for the first demand: six busy ones and the three behind them."""
+STARVED_LOADS = 2.0
+"""Time of how many cold loads makes a model that is denied a starved one.
+
+Only then does it evict a model that is prepared for: demand that moves on asks for that
+one at once and by many.
+"""
 PAUSED_WORK = 2.0
 """What it adds when all streams of an endpoint pause too long."""
 
@@ -69,7 +77,8 @@
     """What endpoints hold in one round, with the changes that it has decided.
 
     ``expected`` are the models that are asked for, or soon may be; ``has_missing`` says
-    that requests for some model are rejected because no endpoint holds it.
+    that requests for some model are rejected because no endpoint holds it, and
+    ``has_overdue`` that one of them is overdue.
 
     Parameters
     ----------
@@ -93,17 +102,13 @@
             self._present.update(m for m in site.inventory.models if m not in lost)
             self._serving.update(m for m in site.endpoint.models if m not in lost)
         self.expected = frozenset(self.outlook.expected() or self._expected_first())
-        missing_s: dict[ModelName, float] = {}
+        self._missing_s: dict[ModelName, float] = {}
         for (model, _), denied_s in self.denied_s.items():
             if model in view.engine.models and not self.replicas(model):
-                missing_s[model] = max(denied_s, missing_s.get(model, 0.0))
-        self.has_missing = bool(missing_s)
-        self._overdue = frozenset(
-            model
-            for model, denied_s in missing_s.items()
-            if model in self._waiting
-            and denied_s > view.engine.models[model].cold_load_s
-        )
+                longest_s = max(denied_s, self._missing_s.get(model, 0.0))
+                self._missing_s[model] = longest_s
+        self.has_missing = bool(self._missing_s)
+        self.has_overdue = any(map(self.is_overdue, self._missing_s))
 
     def take(self, change: Change, site: Site) -> None:
         """Take in a change that was decided."""
@@ -176,6 +181,8 @@
         for model in site.inventory.models:
             if model in self._waiting or model == wanted:
                 continue
+            if self._is_owed(model, wanted):
+                continue
             missed = self._missed(model)
             missed += RUNNING_WORK * site.endpoint.running(model)
             last_s = self.outlook.last_arrival_s(model)
@@ -188,30 +195,57 @@
             is_spare |= wanted in self._waiting and self._is_prepared_twice(model)
             is_spare |= self.is_overdue(wanted) and self._is_redundant(model)
             is_outweighed = not is_replica and 2 * missed < wanted_worth
-            is_due = not is_replica and self._gives_turn(site, model, wanted)
+            is_due = self._may_evict(model, wanted)
             if is_idle or is_spare or is_outweighed or is_due:
                 # Of rare ones the one that was not asked for the longest goes first.
                 cost = 0.0 if is_unused and is_idle else missed
                 ranked.append((cost, last_s, model))
         return [model for _, _, model in sorted(ranked)]
 
-    @property
-    def has_overdue(self) -> bool:
-        """Whether some model is overdue."""
-        return bool(self._overdue)
+    def is_delayed(self, model: ModelName) -> bool:
+        """Return whether a model is missing that a copy could have brought by now."""
+        return self._is_missing_for(model, lambda spec: spec.disk_load_s)
 
     def is_overdue(self, model: ModelName) -> bool:
-        """Return whether a model is missing for longer than a load of it takes."""
-        return model in self._overdue
+        """Return whether a model is missing for longer than a cold load of it takes."""
+        return self._is_missing_for(model, lambda spec: spec.cold_load_s)
+
+    def _is_starved(self, model: ModelName) -> bool:
+        """Return whether a model is missing for the time of several cold loads."""
+        return self._is_missing_for(model, lambda s: STARVED_LOADS * s.cold_load_s)
+
+    def _is_missing_for(
+        self, model: ModelName, limit_s: Callable[[ModelSpec], float]
+    ) -> bool:
+        """Return whether requests were denied a model for longer than a limit."""
+        denied_s = self._missing_s.get(model)
+        return denied_s is not None and denied_s > limit_s(
+            self._view.engine.models[model]
+        )
 
-    def _gives_turn(self, site: Site, model: ModelName, wanted: ModelName) -> bool:
-        """Return whether a model that few ask for makes room for an overdue one.
+    def _may_evict(self, model: ModelName, wanted: ModelName) -> bool:
+        """Return whether a missing model may take the place of another.
 
         Also while requests run, which end first: else those that came first keep the
         places, and some models are never served. Its weights stay on the endpoint's
         disk, so that it is back soon.
         """
-        return self.is_overdue(wanted) and model not in self.expected
+        if self._is_starved(wanted):
+            return model not in self.outlook.active
+        return self.is_delayed(wanted) and model not in self.expected
+
+    def _is_owed(self, model: ModelName, wanted: ModelName) -> bool:
+        """Return whether a rare model has yet to serve those that were denied it.
+
+        Its callers may have given up while it was loading. Only one that was denied for
+        longer, or a busy one without any replica, may evict it before the next of them
+        comes.
+        """
+        is_busy_missing = wanted in self.outlook.active and not self.replicas(wanted)
+        if model in self.expected or is_busy_missing:
+            return False
+        denied_s = self.denied_s.get((model, NO_ADAPTER), 0.0)
+        return denied_s > self.denied_s.get((wanted, NO_ADAPTER), 0.0)
 
     def why_kept(self, site: Site, model: ModelName) -> Kept:
         """Return why a model of an endpoint does not give way, for logs."""
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -53,6 +53,8 @@
         busy = [key for key in wanted if key[0] in round_.outlook.active]
         rare = [key for key in wanted if key[0] not in round_.outlook.active]
         rare.sort(key=lambda key: -denied_s.get(key, 0.0))
+        rejected = [key for key in denied_s if key not in waiting]
+        rejected.sort(key=lambda key: -denied_s[key])
         recent = view.demand.recent(view.now_s, RECENT_S)
         for model, adapter in busy:
             round_.make_wanted(model, adapter)
@@ -62,6 +64,9 @@
             round_.add_replica(model)
         for model, adapter in rare:
             round_.make_wanted(model, adapter)
+        # Callers that were rejected come back, or others do.
+        for model, _ in rejected:
+            round_.make_resident(model)
         for model in recent:
             round_.make_resident(model)
         # What may be asked for comes after what requests wait for.
--- a/chutelink/placing/rounds.py
+++ b/chutelink/placing/rounds.py
@@ -119,6 +119,8 @@
         share = MAX_OVERDUE_SHARE if is_overdue else MAX_RARE_SHARE
         if self._holdings.rare_loads() >= max(1.0, share * len(self._view.sites)):
             return False
+        if self._holdings.is_delayed(model):
+            return True
         is_asked = demand.asks(model, now_s) >= COLD_LOAD_ASKS
         return is_asked or demand.has_patient(model, now_s)
 
--- a/tests/placing/test_starvation.py
+++ b/tests/placing/test_starvation.py
@@ -87,3 +87,60 @@
     assert any(c.reason is ChangeReason.PAIR and c.model == "m0" for c in pairs)
     changes = plan(sites, busy, ["m5"], cold_loads=0)
     assert not any(change.reason is ChangeReason.PAIR for change in changes)
+
+
+def test_a_model_whose_callers_gave_up_is_loaded_for_the_next_ones():
+    """Nothing counted it as wanted between its requests, so it was never loaded."""
+    sites = [make_site("i-1", {"m7": []})]
+    busy = [("m7", 900, 0.1)]
+    changes = plan(sites, busy, ["m5"], is_waiting=False)
+    assert [change.model for change in changes] == ["m5"]
+
+
+def test_a_model_that_others_wait_for_comes_before_one_whose_callers_gave_up():
+    demand = DemandTable()
+    demand.take("d1", [ModelUse("m5", "", 2, 0.01, 1, 1)], NOW_S - 10.0)
+    demand.take("d1", [ModelUse("m5", "", 0, 0.0, 0)], NOW_S - 6.0)
+    demand.take("d1", [ModelUse("m4", "", 2, 0.01, 1, 1)], NOW_S)
+    sites = [make_site("i-1", {"m7": []})]
+    view = PlacementView(make_engine(), sites, {}, demand, 9, NOW_S)
+    assert [change.model for change in DemandPlacement().plan(view)] == ["m4"]
+
+
+def make_owed_view(denied_s: float) -> PlacementView:
+    """Return a view in which a model was loaded when its callers had given up.
+
+    Another one is waited for that was denied for as long as is given.
+    """
+    demand = DemandTable()
+    demand.take("d1", [ModelUse("m5", "", 2, 0.01, 1, 1)], NOW_S - 8.0)
+    demand.take("d1", [ModelUse("m5", "", 0, 0.0, 0)], NOW_S - 4.0)
+    demand.take("d1", [ModelUse("m4", "", 2, 0.01, 1, 1)], NOW_S - denied_s)
+    demand.take("d1", [ModelUse("m4", "", 1, 0.01, 1, 1)], NOW_S)
+    demand.take("d1", [ModelUse("m7", "", 900, 0.1, 0)], NOW_S)
+    sites = [make_site("i-1", {"m7": [], "m5": []})]
+    return PlacementView(make_engine(), sites, {}, demand, 9, NOW_S)
+
+
+def test_a_model_that_was_loaded_too_late_is_kept_for_its_next_request():
+    """It was evicted unused, so that its next caller found it missing again."""
+    kept = DemandPlacement().plan(make_owed_view(6.0))
+    assert not any(change.unload_models for change in kept)
+    changes = DemandPlacement().plan(make_owed_view(9.0))
+    assert ("m4", ("m5",)) in [(c.model, c.unload_models) for c in changes]
+
+
+def test_a_starved_model_takes_the_place_of_one_that_is_only_prepared():
+    """Prepared models kept their places though nobody had asked for them."""
+    sites = [make_site("i-1", {"m0": [], "m1": []})]
+    busy = [("m0", 100, 0.9)]
+    starved = plan(sites, busy, ["m5"], denied_s=3 * COLD_LOAD_S)
+    assert [(c.model, c.unload_models) for c in starved] == [("m5", ("m1",))]
+    overdue = plan(sites, busy, ["m5"], denied_s=1.5 * COLD_LOAD_S)
+    assert not any(change.model == "m5" for change in overdue)
+
+
+def test_a_model_that_is_declared_no_more_starves_nothing():
+    sites = [make_site("i-1", {"m7": []})]
+    changes = plan(sites, [("m7", 900, 0.1)], ["gone"], is_waiting=False)
+    assert not any(change.model == "gone" for change in changes)
