--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -60,6 +60,7 @@
         self.tracer: Tracer = NoOpTracer()
         self.is_draining = False
         self.drain_requested = asyncio.Event()
+        self.drain_requested_s = float("inf")
         self.session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
@@ -88,6 +89,14 @@
         exporter = SpanExporter(queue, self.session, self.daemon.trace_url, self.events)
         await self.add_runtime_dependency(exporter)
 
+    def request_drain(self) -> None:
+        """Stop gracefully; the grace counts from the first request on.
+
+        That may come while the parts are still being started.
+        """
+        self.drain_requested_s = min(self.drain_requested_s, self.clock())
+        self.drain_requested.set()
+
     async def on_shutdown(self) -> None:
         """Close the server and the session, after the parts have stopped."""
         if self._runner is not None:
@@ -167,7 +176,7 @@
     app = make_application()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, app.drain_requested.set)
+        loop.add_signal_handler(number, app.request_drain)
     loop.add_signal_handler(signal.SIGHUP, reload, app)
     try:
         await app.start()
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -337,7 +337,8 @@
 
     async def async_drain(self) -> None:
         """Leave: out of the answers first, then no new connections, then stop."""
-        grace_end_s = self.clock() + self.settings.entry.grace_s - STOP_MARGIN_S
+        grace_end_s = self.drain_requested_s + self.settings.entry.grace_s
+        grace_end_s -= STOP_MARGIN_S
         self.callers.end_by(grace_end_s)
         self.mesh.announce_leaving()
         await self.lease.async_release()
