--- a/tests/placing/test_rare_models.py
+++ b/tests/placing/test_rare_models.py
@@ -27,6 +27,7 @@
 
 DAY_S = 34.0
 SEEDS = range(6)
+MORE_SEEDS = range(6, 24)
 
 
 MAX_NEVER_SHARE = 0.1
@@ -64,6 +65,17 @@
     assert not any(never.values()), never
 
 
+@pytest.mark.parametrize("rare_per_s", [2.0, 5.0])
+def test_none_is_never_served_where_callers_give_up_on_other_days(rare_per_s):
+    """The same on other days: what is clean on six of them may be so by chance."""
+    never = {}
+    for seed in MORE_SEEDS:
+        world = make_impatient_world(rare_per_s, seed)
+        world.run(DAY_S)
+        never[seed] = world.never_served()
+    assert not any(never.values()), never
+
+
 def test_few_are_never_served_where_callers_give_up_and_come_at_once():
     for seed in range(12):
         world = make_impatient_world(5.0, seed)
