Log which models are kept for requests that were denied, and say so in names

No decision changes: a reason of its own in placement_declined's kept, a clearer name, and the wording of a test and of the list.

--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -69,6 +69,8 @@
     """Requests for it run here."""
     ASKED_FOR = "asked_for"
     """It was asked for a moment ago."""
+    UNSERVED = "unserved"
+    """Requests were denied it, and it has served none since."""
     EXPECTED = "expected"
     """It is busy, or may soon be."""
 
@@ -181,7 +183,7 @@
         for model in site.inventory.models:
             if model in self._waiting or model == wanted:
                 continue
-            if self._is_owed(model, wanted):
+            if self._keeps_place(model, wanted):
                 continue
             missed = self._missed(model)
             missed += RUNNING_WORK * site.endpoint.running(model)
@@ -234,12 +236,11 @@
             return model not in self.outlook.active
         return self.is_delayed(wanted) and model not in self.expected
 
-    def _is_owed(self, model: ModelName, wanted: ModelName) -> bool:
-        """Return whether a rare model has yet to serve those that were denied it.
+    def _keeps_place(self, model: ModelName, wanted: ModelName) -> bool:
+        """Return whether a rare model stays for the next request after denied ones.
 
-        Its callers may have given up while it was loading. Only one that was denied for
-        longer, or a busy one without any replica, may evict it before the next of them
-        comes.
+        Its callers may have given up while it was loading. Only a model that was denied
+        for longer, or a busy one without any replica, may evict it before it serves one.
         """
         is_busy_missing = wanted in self.outlook.active and not self.replicas(wanted)
         if model in self.expected or is_busy_missing:
@@ -253,6 +254,8 @@
             return Kept.WAITED_FOR
         if model in self.expected:
             return Kept.EXPECTED
+        if (model, NO_ADAPTER) in self.denied_s:
+            return Kept.UNSERVED
         return Kept.RUNNING if site.endpoint.running(model) else Kept.ASKED_FOR
 
     def _is_spare(self, model: ModelName) -> bool:
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -92,7 +92,7 @@
 class MovedModel:
     """A model whose old version is at one endpoint, and then a new one at another.
 
-    The gateway is told of neither change until it asks.
+    The gateway learns of neither change until it polls.
     """
 
     def __init__(self) -> None:
--- a/tests/placing/test_starvation.py
+++ b/tests/placing/test_starvation.py
@@ -107,7 +107,7 @@
     assert [change.model for change in DemandPlacement().plan(view)] == ["m4"]
 
 
-def make_owed_view(denied_s: float) -> PlacementView:
+def make_unserved_view(denied_s: float) -> PlacementView:
     """Return a view in which a model was loaded when its callers had given up.
 
     Another one is waited for that was denied for as long as is given.
@@ -124,9 +124,9 @@
 
 def test_a_model_that_was_loaded_too_late_is_kept_for_its_next_request():
     """It was evicted unused, so that its next caller found it missing again."""
-    kept = DemandPlacement().plan(make_owed_view(6.0))
+    kept = DemandPlacement().plan(make_unserved_view(6.0))
     assert not any(change.unload_models for change in kept)
-    changes = DemandPlacement().plan(make_owed_view(9.0))
+    changes = DemandPlacement().plan(make_unserved_view(9.0))
     assert ("m4", ("m5",)) in [(c.model, c.unload_models) for c in changes]
 
 
