--- a/chutelink/placing/holdings.py
+++ b/chutelink/placing/holdings.py
@@ -240,7 +240,7 @@
         """Return whether a rare model stays for the next request after denied ones.
 
         Its callers may have given up while it was loading. Only a model that was denied
-        for longer, or a busy one without any replica, may evict it before it serves one.
+        for longer, or a busy one without any replica, evicts it before it serves one.
         """
         is_busy_missing = wanted in self.outlook.active and not self.replicas(wanted)
         if model in self.expected or is_busy_missing:
