--- a/tests/peers/test_virtual_fleet.py
+++ b/tests/peers/test_virtual_fleet.py
@@ -59,6 +59,23 @@
         await fleet.async_stop()
 
 
+@in_virtual_time
+async def test_an_idle_second_of_a_daemon_costs_no_more_in_a_larger_fleet():
+    """Large fleets were given up for the time that daemons spend on each other."""
+    mean_bytes_per_s = {}
+    for count in (8, 32, 64):
+        fleet = await async_started(count)
+        try:
+            fleet.network.reset_counts()
+            await asyncio.sleep(4.0)
+            per_s = [sent / 4.0 for sent in fleet.network.sent_bytes.values()]
+        finally:
+            await fleet.async_stop()
+        assert max(per_s) < CONTROL_BYTES_PER_S
+        mean_bytes_per_s[count] = sum(per_s) / count
+    assert mean_bytes_per_s[8] >= mean_bytes_per_s[32] >= mean_bytes_per_s[64]
+
+
 @in_virtual_time
 async def test_daemons_that_are_ready_first_don_t_link_to_all_others():
     """Those on large VMs are ready last, so that for a while only others can serve."""
