Let the store's stand-in come back from an older copy, and show what daemons miss

Callers saw requests reach an endpoint 2.8 s after it had said that it leaves, and requests handled by a configuration that was replaced over 2 s before.

Four daemons follow the stand-in over HTTP.

--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -14,6 +14,7 @@
 
 from .web import FAULTS_PATH, json_response, merge_faults
 
+HEADER_ERA = "Store-Era"
 MAX_KEPT_CHANGES = 1000
 MAX_PAGE_ROWS = 500
 
@@ -38,12 +39,24 @@
     tombstone: bool = False
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """What the store held at one moment."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    history: tuple[StoredRow, ...]
+    version: int
+
+
 class MetadataStore:
-    """Rows with versions from one counter, and a bounded history."""
+    """Rows with versions from one counter, and a bounded history.
+
+    ``era`` is in all answers, and rises when the store comes back from a copy.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
+        self.era = 1
         self.faults = StoreFaults()
         self.calls = 0
         self.max_page_rows = MAX_PAGE_ROWS
@@ -71,6 +84,20 @@
         self._history.clear()
         self._forgotten = self.version
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        return StoreCopy(dict(self.rows), tuple(self._history), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self._history.clear()
+        self._history.extend(copy.history)
+        self._forgotten = min(self._forgotten, copy.version)
+        self.era += 1
+        self._signal()
+
     def _commit(self, changes: list[tuple[str, str, str | None]]) -> int:
         self.version += 1
         for table, key, value in changes:
@@ -81,9 +108,12 @@
             else:
                 self.rows[table, key] = row
             self._history.append(row)
+        self._signal()
+        return self.version
+
+    def _signal(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return self.version
 
     def add_routes(self, app: web.Application) -> None:
         """Add the store's calls."""
@@ -91,6 +121,10 @@
         app.router.add_get("/api/rows-feed", self.async_feed)
         app.router.add_post("/api/rows-tx", self.async_transact)
         app.router.add_post(FAULTS_PATH, self.async_faults)
+        app.on_response_prepare.append(self._async_sign)
+
+    async def _async_sign(self, request: web.Request, answer: web.Response) -> None:
+        answer.headers[HEADER_ERA] = str(self.era)
 
     async def async_faults(self, request: web.Request) -> web.Response:
         """Switch faults on or off."""
@@ -128,7 +162,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(request.query.get("wait_ms", "0")) / 1000
         while True:
-            if after < self._forgotten:
+            if after < self._forgotten or after > self.version:
                 return web.Response(status=410)
             changed = [
                 row
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from .metadata_store import MetadataStore
+from .metadata_store import MetadataStore, StoreCopy
 from .prepared_config import make_config
 from .prepared_endpoint import EndpointStandin
 from .web import json_response, make_parser, merge_faults, serve
@@ -82,6 +82,7 @@
 
     def __init__(self, machines: PreparedMachines) -> None:
         self._machines = machines
+        self._copy: StoreCopy | None = None
 
     def add_routes(self, app: web.Application) -> None:
         """Add the calls."""
@@ -89,6 +90,8 @@
         app.router.add_post("/standin/endpoints/{name}", self.async_endpoint)
         app.router.add_get("/standin/endpoints", self.async_list)
         app.router.add_post("/standin/forget", self.async_forget)
+        app.router.add_post("/standin/store/copy", self.async_copy)
+        app.router.add_post("/standin/store/restore", self.async_restore)
         app.router.add_put("/standin/rows/{table}/{key}", self.async_put_row)
         app.router.add_delete("/standin/rows/{table}/{key}", self.async_remove_row)
 
@@ -136,6 +139,18 @@
         table, key = request.match_info["table"], request.match_info["key"]
         return json_response({"ver": self._machines.store.remove(table, key)})
 
+    async def async_copy(self, request: web.Request) -> web.Response:
+        """Keep what the store holds now."""
+        self._copy = self._machines.store.copy()
+        return json_response({"ver": self._copy.version})
+
+    async def async_restore(self, request: web.Request) -> web.Response:
+        """Let the store come back from the copy that was kept."""
+        if self._copy is None:
+            return json_response({"error": "no copy was kept"}, status=409)
+        self._machines.store.restore(self._copy)
+        return json_response({"era": self._machines.store.era})
+
     async def async_forget(self, request: web.Request) -> web.Response:
         """Drop the store's history."""
         self._machines.store.forget_history()
--- /dev/null
+++ b/tests/watching/test_restored_store.py
@@ -0,0 +1,166 @@
+"""A store that comes back from an older copy, followed over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from chutelink.const import TABLE_ENDPOINTS
+from chutelink.platform.store import async_setup_store
+from chutelink.settings import PlatformSection
+from chutelink.watching.timing import MIN_PERIOD_SHARE
+from chutelink.watching.watch import StoreWatch
+from standins.metadata_store import MetadataStore
+
+from ..fakes import make_core
+
+WIRE_TABLE = "servers"
+BOUND_S = 2.0
+"""How soon a change must be known everywhere."""
+GIVE_UP_S = 8.0
+"""Busy machines are slow; a change that is not known by then never is."""
+DAEMONS = 4
+NEWS_S = 0.01
+
+
+class Watcher:
+    """A daemon that follows the endpoints' table, and what it knows of it."""
+
+    def __init__(self, rank, table, tell) -> None:
+        self.core = make_core(f"d{rank}")
+        self.core.clock = asyncio.get_running_loop().time
+        self.rows = {}
+        self.watch = StoreWatch(
+            self.core,
+            table,
+            {TABLE_ENDPOINTS: BOUND_S},
+            lambda: rank,
+            lambda news: tell(self, news),
+        )
+        self.watch.on_row = self._take_row
+
+    def _take_row(self, change) -> None:
+        name = change.key.partition("/")[2]
+        if change.value is None:
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = change.value["state"]
+
+
+class Fleet:
+    """A store and the daemons that follow it."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        self.store = store
+        self.watchers: list[Watcher] = []
+
+    def tell(self, sender, news) -> None:
+        loop = asyncio.get_running_loop()
+        for watcher in self.watchers:
+            if watcher is not sender:
+                take = watcher.watch.take_news
+                loop.call_later(NEWS_S, take, news, sender.core.daemon_id)
+
+    def put(self, name, state) -> None:
+        self.store.put(WIRE_TABLE, name, {"state": state})
+
+    def expected(self):
+        return {key: row for (_, key), row in self.store.rows.items()}
+
+    async def async_until(self, check) -> None:
+        async with asyncio.timeout(GIVE_UP_S):
+            while not all(check(watcher.rows) for watcher in self.watchers):
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def async_fleet():
+    store = MetadataStore()
+    app = web.Application()
+    store.add_routes(app)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    settings = PlatformSection(url=f"http://127.0.0.1:{port}", key="none")
+    fleet = Fleet(store)
+    async with aiohttp.ClientSession() as session:
+        for rank in range(DAEMONS):
+            table = async_setup_store(session, settings)
+            fleet.watchers.append(Watcher(rank, table, fleet.tell))
+        fleet.put("e0", "ready")
+        for watcher in fleet.watchers:
+            await watcher.watch.start()
+        await fleet.async_until(lambda rows: rows == {"e0": "ready"})
+        try:
+            yield fleet
+        finally:
+            for watcher in fleet.watchers:
+                await watcher.watch.stop()
+            await runner.cleanup()
+
+
+async def async_lose(fleet: Fleet, lost: int) -> None:
+    """Take a copy, write on, and let the store come back from the copy."""
+    copy = fleet.store.copy()
+    for number in range(lost):
+        fleet.put(f"lost{number}", "ready")
+    names = {"e0", *(f"lost{number}" for number in range(lost))}
+    await fleet.async_until(lambda rows: names <= rows.keys())
+    fleet.store.restore(copy)
+
+
+@pytest.mark.parametrize("lost", [2, 20])
+def test_a_change_after_the_return_of_an_older_store_is_known(lost):
+    """Reads of the older store were dropped until it had given out as many versions."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            await async_lose(fleet, lost)
+            await asyncio.sleep(0.3)
+            fleet.put("e0", "draining")
+            await fleet.async_until(lambda rows: rows == {"e0": "draining"})
+
+    asyncio.run(async_test())
+
+
+def test_changes_below_a_version_that_is_given_out_again_are_known():
+    """Changes after a known version left out those before it in the older store."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            copy = fleet.store.copy()
+            fleet.put("e1", "ready")
+            fleet.put("e2", "ready")
+            await fleet.async_until(lambda rows: len(rows) == 3)
+            fleet.store.restore(copy)
+            # All before any daemon reads: the versions are there again.
+            fleet.put("e0", "draining")
+            fleet.put("e1", "draining")
+            fleet.put("e3", "ready")
+            expected = {"e0": "draining", "e1": "draining", "e3": "ready"}
+            await fleet.async_until(lambda rows: rows == expected)
+
+    asyncio.run(async_test())
+
+
+def test_an_older_store_is_not_read_without_a_pause():
+    """A read that was dropped was followed by the next one at once."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            await async_lose(fleet, 20)
+            calls = fleet.store.calls
+            began_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(1.0)
+            took_s = asyncio.get_running_loop().time() - began_s
+            # Lost history takes two calls.
+            periods = 1 + took_s / (MIN_PERIOD_SHARE * BOUND_S)
+            assert fleet.store.calls - calls <= 2 * DAEMONS * periods
+
+    asyncio.run(async_test())
