Take in tables of a store that came back older, by the era of their versions

Cause: versions were taken for names of contents that only rise. A whole read of an earlier version than the copy's was dropped, at once followed by the next one, until the store had given out as many versions as it had lost (logs: no table taken in from 18.5 to 25.0 and 26.0 s, 100 calls a second from seven daemons). Ruled out: slow news (the reader itself was behind), an outage that lasts (calls succeed).

Answers name the store's era. A copy, its news and its reads carry it; versions are compared within an era only, a copy goes on to a later one with the whole table, and changes after a version of another era are not asked for or taken. Registrations that are missing after a return may be back for 2 s, however short the outage. A read that can't be taken is logged and no longer followed by another one at once. A transaction returns the era in which it took effect.

The machine of copies now has a store that comes back older: it fails when versions alone decide what is old; that changes of another era are no continuation is caught by a test of its own only. tests/platform/test_store.py reads the version from what a transaction returns now.

--- a/chutelink/entry/news.py
+++ b/chutelink/entry/news.py
@@ -9,7 +9,15 @@
 
 from ..customers.news import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
-from ..ids import AdapterName, DaemonId, EndpointId, ModelName, ModelRef
+from ..ids import (
+    NO_ERA,
+    AdapterName,
+    DaemonId,
+    EndpointId,
+    ModelName,
+    ModelRef,
+    StoreEra,
+)
 from ..limits.news import EndpointLimit, PermitAnswer, PermitRequest
 from ..peers.packing import UNPACK_FAILURES, pack, unpack
 from ..quarantine.news import ClearedNews, EndingNews
@@ -27,7 +35,8 @@
     """The changes of one table after a version, as the sender read them.
 
     ``after`` is 0 for the whole table: rows that it does not have are gone.
-    ``answered_s`` is what the store's clock showed when it answered.
+    ``answered_s`` is what the store's clock showed when it answered; both versions
+    are of one ``era`` of the store.
     """
 
     table: str
@@ -35,6 +44,7 @@
     version: int
     answered_s: float
     rows: list[StoredRow] = []
+    era: StoreEra = NO_ERA
 
     @property
     def is_whole(self) -> bool:
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -30,8 +30,15 @@
 VmId = NewType("VmId", str)
 ModelRef = NewType("ModelRef", str)
 """A model, or MODEL/ADAPTER, as callers name what they ask for."""
+StoreEra = NewType("StoreEra", int)
+"""Rises when the table service comes back from an older copy of itself.
+
+It then has lost writes, and gives out their versions again.
+"""
 WriteId = NewType("WriteId", str)
 
+NO_ERA = StoreEra(0)
+"""Of a table service that names none: it loses nothing that it acknowledged."""
 NO_VERSION = ConfigVersion(0)
 
 
--- a/chutelink/placing/lease.py
+++ b/chutelink/placing/lease.py
@@ -291,7 +291,8 @@
         write = Write(KEY_LEASE, msgspec.to_builtins(row))
         transaction = Transaction(WriteId(make_id()), (check,), (write,))
         async with time_limit():
-            self._version = await self._table.async_transact(transaction)
+            commit = await self._table.async_transact(transaction)
+        self._version = commit.version
         self._row = row
         self._seen_s = self._core.clock()
         self._held_until_s = started_s + HOLD_S
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -17,12 +17,13 @@
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from ..ids import WriteId
+from ..ids import NO_ERA, StoreEra, WriteId
 from ..settings import PlatformSection
-from ..store import UNREADABLE, Row, RowPage, Transaction, WatchedTable, Write
+from ..store import UNREADABLE, Commit, Row, RowPage, Transaction, WatchedTable, Write
 from ..store.http import Answer, HttpCaller, ReadRetry
 
 MS_PER_S = 1000
+HEADER_ERA = "Store-Era"
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
@@ -70,6 +71,11 @@
     value: Any
 
 
+def _decode_era(answer: Answer) -> StoreEra:
+    """Return the era of an answer; one that is no number is a ValueError."""
+    return StoreEra(int(answer.headers.get(HEADER_ERA, NO_ERA)))
+
+
 def _split_key(key: str) -> tuple[str, str]:
     table, _, name = key.partition("/")
     return WIRE_TABLES.get(table, table), name
@@ -109,22 +115,26 @@
         if name:
             params |= {"from": name, "to": name + LAST_SUFFIX}
         rows: list[_WireRow] = []
-        first: _WirePage | None = None
+        first: RowPage | None = None
         while True:
             answer = await self._caller.async_call(
                 "GET", "/api/rows-get", step="table.read", params=params, is_read=True
             )
-            page = self._decode_page(answer, "table.read")
+            page, wire = self._decode_page(answer, "table.read")
             # Each page is of a moment of its own; what changed between them in the
             # rows of the first is among the changes after the first's version.
             first = first or page
-            rows += page.rows
-            if not page.truncated or not page.rows:
+            if page.era != first.era:
+                raise PlatformUnavailable(
+                    "restored between pages", step="table.read", peer=self._caller.peer
+                )
+            rows += wire.rows
+            if not wire.truncated or not wire.rows:
                 break
-            params["from"] = page.rows[-1].key + "\0"
+            params["from"] = wire.rows[-1].key + "\0"
         kept = [_decode_row(row) for row in rows]
         changed = [row for row in kept if row.version > after_version]
-        return RowPage(first.ver, changed, first.now_ms / MS_PER_S)
+        return msgspec.structs.replace(first, rows=changed)
 
     async def async_watch(
         self, prefix: str, after_version: int, wait_s: float
@@ -149,12 +159,12 @@
             raise HistoryLost(
                 "changes no longer kept", step="table.watch", peer=self._caller.peer
             )
-        page = self._decode_page(answer, "table.watch")
-        rows = [_decode_row(row) for row in page.rows]
-        return RowPage(page.ver, rows, page.now_ms / MS_PER_S)
+        page, wire = self._decode_page(answer, "table.watch")
+        rows = [_decode_row(row) for row in wire.rows]
+        return msgspec.structs.replace(page, rows=rows)
 
-    async def async_transact(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version of its writes."""
+    async def async_transact(self, transaction: Transaction) -> Commit:
+        """Commit a transaction."""
         step = "table.transact"
         answer = await self._caller.async_call(
             "POST",
@@ -167,22 +177,26 @@
             key = transaction.checks[0].key if transaction.checks else ""
             raise TransactionConflict(key, step=step, peer=key)
         try:
-            return msgspec.json.decode(answer.body, type=_WirePage).ver
-        except msgspec.MsgspecError as error:
+            version = msgspec.json.decode(answer.body, type=_WirePage).ver
+            return Commit(version, _decode_era(answer))
+        except (msgspec.MsgspecError, ValueError) as error:
             raise WriteOutcomeUnknown(
                 str(error), step=step, peer=self._caller.peer
             ) from error
 
-    def _decode_page(self, answer: Answer, step: str) -> _WirePage:
+    def _decode_page(self, answer: Answer, step: str) -> tuple[RowPage, _WirePage]:
+        """Return what an answer says of itself, and its rows as they were spelled."""
         if answer.status != HTTP_OK:
             message = f"status {answer.status}"
             raise PlatformUnavailable(message, step=step, peer=self._caller.peer)
         try:
-            return msgspec.json.decode(answer.body, type=_WirePage)
-        except msgspec.MsgspecError as error:
+            wire = msgspec.json.decode(answer.body, type=_WirePage)
+            era = _decode_era(answer)
+        except (msgspec.MsgspecError, ValueError) as error:
             raise PlatformUnavailable(
                 str(error), step=step, peer=self._caller.peer
             ) from error
+        return RowPage(wire.ver, [], wire.now_ms / MS_PER_S, era), wire
 
 
 def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
--- a/chutelink/store/__init__.py
+++ b/chutelink/store/__init__.py
@@ -3,6 +3,7 @@
 from .base import (
     UNREADABLE,
     Check,
+    Commit,
     ObjectStore,
     Platform,
     Row,
@@ -21,6 +22,7 @@
 __all__ = [
     "UNREADABLE",
     "Check",
+    "Commit",
     "ObjectStore",
     "Platform",
     "Row",
--- a/chutelink/store/base.py
+++ b/chutelink/store/base.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..ids import FailureDomainName, VmId, WriteId
+from ..ids import NO_ERA, FailureDomainName, StoreEra, VmId, WriteId
 
 ABSENT_VERSION = 0
 UNREADABLE = {"unreadable": True}
@@ -35,11 +35,13 @@
     """Rows of a prefix, and the highest version that the answer covers.
 
     ``answered_s`` is what the service's steady clock showed then, 0 where it has none.
+    Versions can be compared within one ``era`` only.
     """
 
     version: int
     rows: list[Row]
     answered_s: float = 0.0
+    era: StoreEra = NO_ERA
 
     def get(self, key: str) -> Row | None:
         """Return the row of a key, if it is in the page."""
@@ -68,6 +70,17 @@
     writes: tuple[Write, ...]
 
 
+class Commit(msgspec.Struct, frozen=True):
+    """A transaction that took effect: the version of its writes, and their era.
+
+    Conditions on versions of an earlier era held by chance, or because the rows had
+    not changed since the copy that the service came back from.
+    """
+
+    version: int
+    era: StoreEra = NO_ERA
+
+
 class VmState(Enum):
     """What the VM list says of a VM."""
 
@@ -99,8 +112,8 @@
         """
 
     @abstractmethod
-    async def async_transact(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version of its writes.
+    async def async_transact(self, transaction: Transaction) -> Commit:
+        """Commit a transaction.
 
         Raises
         ------
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 import msgspec
@@ -18,6 +18,7 @@
 )
 from ..settings import PlatformSection
 from .base import (
+    Commit,
     ObjectStore,
     Platform,
     RowPage,
@@ -49,10 +50,11 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Status and body of a platform's answer."""
+    """Status, body and headers of a platform's answer."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = {}
 
 
 _Send = Callable[[], Awaitable[Answer]]
@@ -147,7 +149,8 @@
                 data=body,
                 headers=self._headers,
             ) as response:
-                return Answer(response.status, await response.read())
+                received = await response.read()
+                return Answer(response.status, received, response.headers)
 
         try:
             async with asyncio.timeout(self._settings.timeout_s + wait_s):
@@ -240,8 +243,8 @@
                 str(error), step=step, peer=self._caller.peer
             ) from error
 
-    async def async_transact(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version of its writes."""
+    async def async_transact(self, transaction: Transaction) -> Commit:
+        """Commit a transaction."""
         step = "table.transact"
         answer = await self._caller.async_call(
             "POST",
@@ -258,7 +261,7 @@
             ) from error
         if answer.status == HTTP_CONFLICT:
             raise TransactionConflict(result.conflict, step=step, peer=result.conflict)
-        return result.version
+        return Commit(result.version)
 
 
 class HttpObjectStore(ObjectStore):
--- a/chutelink/store/transactions.py
+++ b/chutelink/store/transactions.py
@@ -75,7 +75,7 @@
     """
     transaction = Transaction(WriteId(make_id()), tuple(checks), tuple(writes))
     try:
-        return await table.async_transact(transaction)
+        return (await table.async_transact(transaction)).version
     except WriteOutcomeUnknown as lost:
         return await _async_settle(table, transaction, lost)
 
--- a/chutelink/watching/tablecopy.py
+++ b/chutelink/watching/tablecopy.py
@@ -3,13 +3,20 @@
 A copy at version V holds what the table held at V. A read has every change after the
 version that it began from, in order. What others are told of it leaves out the rows
 that meant the same all the while, so that it fits every copy of a version in between.
+
+A store that comes back older begins another era, in which it gives out versions again.
+Versions of two eras are never compared: a copy goes on to a later era with the whole
+table alone.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
+import msgspec
+
 from ..entry.news import StoredRow, StoreNews
+from ..ids import NO_ERA
 
 
 class NewsFit(Enum):
@@ -17,7 +24,7 @@
 
     FITS = "fits"
     OLD = "old"
-    """The copy is of a later version."""
+    """The copy is of a later version, or of a later era."""
     GAP = "gap"
     """Changes between the copy and the news are not known."""
 
@@ -32,6 +39,8 @@
 
     Attributes
     ----------
+    era : StoreEra
+        The era of the store that ``version`` is of.
     version : int
         What is known is complete up to here; 0 before the first read.
     answered_s : float
@@ -42,6 +51,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.era = NO_ERA
         self.version = 0
         self.answered_s = float("-inf")
         self.rows: dict[str, StoredRow] = {}
@@ -51,11 +61,7 @@
 
         News that arrived meanwhile may be of a later version; then nothing is taken.
         """
-        if read.version < self.version:
-            return []
-        changed = self._put(read)
-        self._advance(read)
-        return changed
+        return self.take_news(read)
 
     def take_news(self, news: StoreNews) -> list[StoredRow]:
         """Take in what another daemon read; return the rows that changed."""
@@ -67,8 +73,10 @@
 
     def fit(self, news: StoreNews) -> NewsFit:
         """Return whether this copy may take the version of news."""
-        if news.version < self.version:
+        if (news.era, news.version) < (self.era, self.version):
             return NewsFit.OLD
+        if news.era > self.era:
+            return NewsFit.FITS if news.is_whole else NewsFit.GAP
         if news.is_whole or news.version == self.version:
             return NewsFit.FITS
         return NewsFit.GAP if news.after > self.version else NewsFit.FITS
@@ -87,13 +95,12 @@
             if row.key in changed or values.get(row.key) != row.value:
                 changed[row.key] = row
             values[row.key] = row.value
-        rows = list(changed.values())
-        return StoreNews(self.name, read.after, read.version, read.answered_s, rows)
+        return msgspec.structs.replace(read, rows=list(changed.values()))
 
     def as_news(self) -> StoreNews:
         """Return the whole table."""
         rows = list(self.rows.values())
-        return StoreNews(self.name, 0, self.version, self.answered_s, rows)
+        return StoreNews(self.name, 0, self.version, self.answered_s, rows, self.era)
 
     def _put(self, news: StoreNews) -> list[StoredRow]:
         # A read has every change in order; of a row that changed twice the last counts.
@@ -111,8 +118,9 @@
     def _is_changed(self, row: StoredRow) -> bool:
         """Return whether a row means something else than the known one.
 
-        Whatever is taken is of no earlier version than the copy. The row's own version
-        does not tell: it stays when the row is written anew with the same meaning.
+        Whatever is taken is of no earlier version than the copy, or of a later era.
+        The row's own version does not tell: it stays when the row is written anew with
+        the same meaning.
         """
         known = self.rows.get(row.key)
         if known is None:
@@ -126,5 +134,9 @@
         ]
 
     def _advance(self, news: StoreNews) -> None:
+        if news.era > self.era:
+            # The store's clock may have begun anew too.
+            self.answered_s = news.answered_s
+        self.era = news.era
         self.version = news.version
         self.answered_s = max(self.answered_s, news.answered_s)
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -17,7 +17,7 @@
 from ..core import Application
 from ..entry.news import SnapshotRequest, StoredRow, StoreNews
 from ..exceptions import HistoryLost, PlatformUnavailable
-from ..ids import DaemonId
+from ..ids import NO_ERA, DaemonId, StoreEra
 from ..store import Row, RowPage, WatchedTable
 from .probing import ProbePacer
 from .storeclock import StoreClock
@@ -44,6 +44,8 @@
     ``value`` is None for a row that was removed; ``source`` is ``OWN_READ`` or the
     peer that told; ``age_s`` is how old what was read is taken to be. A row that
     was removed may be back until ``back_until_s``, on this daemon's clock.
+    ``is_restored`` says that the store has come back from a copy: what it shows may be
+    of before the row as it was known, and no change that anybody made.
     """
 
     key: str
@@ -52,6 +54,7 @@
     source: str = OWN_READ
     age_s: float = 0.0
     back_until_s: float = float("-inf")
+    is_restored: bool = False
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -66,8 +69,9 @@
 
     ``bound_s`` is how soon a change must be known everywhere;
     ``heard_s`` and ``returned_s`` are times of the store's clock: of the latest answer
-    that this daemon knows of, and of the first one after an outage. A copy is behind
-    when others told of changes that continue from what it does not have.
+    that this daemon knows of, and of the first one after an outage; ``heard_era`` is
+    the era of that latest answer. A copy is behind when others told of changes that
+    continue from what it does not have.
     """
 
     def __init__(self, name: str, bound_s: float) -> None:
@@ -75,6 +79,7 @@
         self.bound_s = bound_s
         self.started_s = float("-inf")
         self.heard_s: float | None = None
+        self.heard_era = NO_ERA
         self.returned_s = float("-inf")
         self.is_behind = False
         self.snapshot_sent_s = float("-inf")
@@ -123,11 +128,18 @@
         self._probe = asyncio.Lock()
         """Held by the read of one table for all, as long as the store is away."""
         self.on_row: Callable[[RowChange], None] = lambda change: None
+        self.on_restored: Callable[[str, set[str]], None] = lambda table, keys: None
+        """Called with a table that was read in another era, and with its keys there."""
         self.reply: Callable[[DaemonId, StoreNews], None] = lambda daemon, news: None
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
         self.alone_until_s: Callable[[], float] = lambda: float("-inf")
         """When this daemon last heard none of the others, on its own clock."""
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest era of the store that this daemon has heard of."""
+        return max(followed.heard_era for followed in self._tables.values())
+
     def has_read(self, *names: str) -> bool:
         """Return whether each of some tables was read at least once."""
         return all(self._tables[name].copy.version > 0 for name in names)
@@ -174,10 +186,13 @@
         """Return how long to wait before a call is due."""
         rank = self._rank()
         since_start_s = self._core.clock() - followed.started_s
+        least_s = MIN_PERIOD_SHARE * followed.bound_s - since_start_s
         if rank == 0 or followed.copy.version == 0:
-            return MIN_PERIOD_SHARE * followed.bound_s - since_start_s
+            return least_s
         share = FIRST_SHARE + RANK_SHARE * min(rank - 1, MAX_RANK)
-        return share * followed.bound_s - self._age_s(followed.copy.answered_s)
+        due_s = share * followed.bound_s - self._age_s(followed.copy.answered_s)
+        # A read that could not be taken leaves the copy as old as it was.
+        return due_s if self._pacer.is_away else max(least_s, due_s)
 
     async def _async_pull(self, followed: _Followed) -> None:
         copy = followed.copy
@@ -185,13 +200,19 @@
         before = dict(copy.rows)
         read = await self._async_read(followed)
         self._note_call(followed, read)
-        self._note_return(followed, read.answered_s)
-        if read.version < copy.version:
+        self._note_return(followed, read)
+        if copy.fit(read) is not NewsFit.FITS:
             # Others have told of more meanwhile.
+            self._core.events.info(
+                "store_read_outdated",
+                table=copy.name,
+                version=read.version,
+                era=read.era,
+                known=copy.version,
+                known_era=copy.era,
+            )
             return
-        changed = copy.take_read(read)
-        followed.is_behind = False
-        self._tell_rows(followed, changed, read.answered_s, OWN_READ)
+        self._take(followed, read, OWN_READ)
         # Whole tables are large, and all daemons read them when they start.
         if not is_first:
             self._send(copy.make_news(read, before))
@@ -218,7 +239,8 @@
 
         Endpoints write mostly signs of life; what they mean is compared without these.
         """
-        name, after = followed.copy.name, followed.copy.version
+        copy = followed.copy
+        name, after, era = copy.name, copy.version, copy.era
         prefix = f"{name}/"
         followed.started_s = self._core.clock()
         page: RowPage | None = None
@@ -230,12 +252,13 @@
                 page = await self._table.async_watch(prefix, after, wait_s)
             except HistoryLost:
                 self._core.events.warning("store_history_lost", table=name, after=after)
-                after = 0
-                followed.started_s = self._core.clock()
-        if page is None:
+        if page is None or page.era != era:
+            # Changes after a version of another era leave out those before it.
+            after = 0
+            followed.started_s = self._core.clock()
             page = await self._table.async_read(prefix)
         rows = [self._make_row(row) for row in page.rows]
-        return StoreNews(name, after, page.version, page.answered_s, rows)
+        return StoreNews(name, after, page.version, page.answered_s, rows, page.era)
 
     def _make_row(self, row: Row) -> StoredRow:
         value = None if row.value is None else self.compact(row.key, row.value)
@@ -256,13 +279,23 @@
                 table=news.table,
                 after=news.after,
                 version=copy.version,
+                era=news.era,
+                known_era=copy.era,
                 source=source,
             )
-        self._note_return(followed, news.answered_s)
+        self._note_return(followed, news)
         if fit is NewsFit.FITS:
-            followed.is_behind = False
+            self._take(followed, news, source)
+
+    def _take(self, followed: _Followed, news: StoreNews, source: str) -> None:
+        """Take in news that fit the copy, and call back with what has changed."""
+        copy = followed.copy
+        is_restored = copy.version > 0 and news.era > copy.era
+        followed.is_behind = False
         changed = copy.take_news(news)
-        self._tell_rows(followed, changed, news.answered_s, source)
+        if is_restored:
+            self.on_restored(copy.name, set(copy.rows))
+        self._tell_rows(followed, changed, news.answered_s, source, is_restored)
 
     def take_request(self, request: SnapshotRequest) -> None:
         """Send a whole table to a daemon that can't reach the store."""
@@ -281,17 +314,49 @@
         changed: list[StoredRow],
         answered_s: float,
         source: str,
+        is_restored: bool,
     ) -> None:
         age_s = self._age_s(answered_s)
         back_in_s = followed.returned_s + RETURN_S - answered_s
         back_until_s = self._core.clock() - age_s + back_in_s
         for row in changed:
             change = RowChange(
-                row.key, row.value, row.version, source, age_s, back_until_s
+                row.key,
+                row.value,
+                row.version,
+                source,
+                age_s,
+                back_until_s,
+                is_restored,
             )
             self.on_row(change)
 
-    def _note_return(self, followed: _Followed, answered_s: float) -> None:
+    def _note_return(self, followed: _Followed, news: StoreNews) -> None:
+        """Take in that the store has answered, this daemon or another one."""
+        if news.era < followed.heard_era:
+            return
+        if news.era > followed.heard_era and followed.copy.version:
+            self._note_restored(followed, news)
+        else:
+            self._note_outage(followed, news.answered_s)
+        followed.heard_era = news.era
+
+    def _note_restored(self, followed: _Followed, news: StoreNews) -> None:
+        """Take in that the store has come back from a copy, after whatever time.
+
+        What was written since then is gone and is written again, as after an outage.
+        """
+        followed.returned_s = followed.heard_s = news.answered_s
+        self._core.events.warning(
+            "store_restored",
+            table=news.table,
+            era=news.era,
+            before=followed.heard_era,
+            version=news.version,
+            known=followed.copy.version,
+        )
+
+    def _note_outage(self, followed: _Followed, answered_s: float) -> None:
         """Take a gap that no daemon's trouble explains for an outage of the store.
 
         The others read in turn and tell, so that answers of the store lie further
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -18,6 +18,7 @@
 from chutelink.log import EventLog
 from chutelink.metrics import Metrics
 from chutelink.store import (
+    Commit,
     ObjectStore,
     Platform,
     RowPage,
@@ -44,7 +45,7 @@
             raise PlatformUnavailable("outage", step="table.read")
         return self.table.read(prefix, after_version)
 
-    async def async_transact(self, transaction: Transaction) -> int:
+    async def async_transact(self, transaction: Transaction) -> Commit:
         if self.is_out:
             raise PlatformUnavailable("outage", step="table.transact")
         if self.late_writes:
@@ -58,7 +59,7 @@
         if self.lose_replies:
             self.lose_replies -= 1
             raise WriteOutcomeUnknown("lost", step="table.transact")
-        return version
+        return Commit(version)
 
     def deliver_late(self) -> None:
         """Let writes that were on their way take effect, if they still may."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -61,7 +61,7 @@
 
 def test_a_value_comes_back_with_its_write():
     async def async_test(store, table):
-        version = await table.async_transact(write({"a": 1}))
+        version = (await table.async_transact(write({"a": 1}))).version
         row = (await table.async_read(KEY)).get(KEY)
         assert (row.version, row.write_id, row.value) == (version, "w1", {"a": 1})
 
@@ -131,6 +131,44 @@
     run(async_test)
 
 
+def test_a_read_whose_store_is_restored_between_pages_fails():
+    """Its pages would be of two tables with versions that can't be compared."""
+
+    async def async_test(store, table):
+        for name in ("i-1", "i-2"):
+            store.put("servers", name, {"x": 1})
+        store.max_page_rows = 1
+        store.after_page = lambda: store.restore(store.copy())
+        with pytest.raises(PlatformUnavailable):
+            await table.async_read("endpoints/")
+
+    run(async_test)
+
+
+def test_answers_bear_the_era_of_the_store():
+    async def async_test(store, table):
+        copy = store.copy()
+        first = await table.async_transact(write(1))
+        store.restore(copy)
+        second = await table.async_transact(write(1, write_id="w2"))
+        assert (first.version, first.era + 1) == (second.version, second.era)
+        page = await table.async_watch("own/", 0, 0.0)
+        assert page.era == (await table.async_read("own/")).era == second.era
+
+    run(async_test)
+
+
+def test_changes_after_a_version_that_the_store_no_longer_has_are_refused():
+    async def async_test(store, table):
+        copy = store.copy()
+        after = store.put("servers", "i-1", {"x": 1})
+        store.restore(copy)
+        with pytest.raises(HistoryLost):
+            await table.async_watch("endpoints/", after, 0.0)
+
+    run(async_test)
+
+
 def test_history_that_is_gone_is_said_so():
     async def async_test(store, table):
         store.put("op", "config", {})
--- a/tests/watching/test_tablecopy.py
+++ b/tests/watching/test_tablecopy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -92,16 +93,37 @@
     assert copy.rows["a"].value == "draining"
 
 
+def test_a_table_of_an_older_store_replaces_what_it_had_lost():
+    copy = make_copy(5, StoredRow("a", 2, "x"), StoredRow("b", 5, "y"))
+    older = StoreNews(TABLE, 0, 3, 1.0, [StoredRow("a", 3, "z")], 1)
+    assert copy.take_news(older) == [StoredRow("a", 3, "z"), StoredRow("b", 3, None)]
+    assert (copy.era, copy.version, copy.answered_s) == (1, 3, 1.0)
+
+
+def test_changes_of_another_era_do_not_continue_a_copy():
+    """Versions are given out again: the same number names another state."""
+    copy = make_copy(5, StoredRow("a", 5, "x"))
+    later = StoreNews(TABLE, 5, 6, 6.0, [StoredRow("b", 6, "y")], 1)
+    assert copy.fit(later) is NewsFit.GAP
+    copy.take_news(StoreNews(TABLE, 0, 2, 7.0, [StoredRow("a", 2, "z")], 1))
+    assert copy.fit(news(0, 9)) is NewsFit.OLD
+
+
 class CopiesMachine(RuleBasedStateMachine):
-    """A table with a history; copies read it and tell each other in any order."""
+    """A table with a history; copies read it and tell each other in any order.
+
+    It comes back older, and gives out versions again, in a later era.
+    """
 
     @initialize()
     def begin(self):
+        self.era = 1
         self.version = 1
         self.rows = {"a": StoredRow("a", 1, "x")}
         self.changes = [self.rows["a"]]
-        self.history = {1: {"a": "x"}}
+        self.history = {(1, 1): dict(self.rows)}
         self.copies = [TableCopy(TABLE) for _ in range(COPIES)]
+        self.latest = [(0, 0)] * COPIES
         self.begun = []
         self.on_way = []
 
@@ -115,15 +137,31 @@
         else:
             self.rows[key] = row
         self.changes.append(row)
-        self.history[self.version] = {k: r.value for k, r in self.rows.items()}
+        self.history[self.era, self.version] = dict(self.rows)
+
+    @rule(lost=st.integers(0, 4))
+    def restore(self, lost):
+        version = max(1, self.version - lost)
+        lasting = {
+            number: rows
+            for (era, number), rows in self.history.items()
+            if era == self.era and number <= version
+        }
+        self.era += 1
+        self.version = version
+        self.rows = dict(lasting[version])
+        self.changes = [row for row in self.changes if row.version <= version]
+        self.history |= {(self.era, number): rows for number, rows in lasting.items()}
 
     @rule(who=WHO, is_whole=st.booleans())
     def begin_read(self, who, is_whole):
-        after = 0 if is_whole else self.copies[who].version
+        copy = self.copies[who]
+        after = 0 if is_whole or copy.era != self.era else copy.version
         changes = self.changes if after else self.rows.values()
         read = [row for row in changes if row.version > after]
-        before = dict(self.copies[who].rows)
-        self.begun.append((who, news(after, self.version, *read), before))
+        answer = news(after, self.version, *read)
+        answer = msgspec.structs.replace(answer, era=self.era)
+        self.begun.append((who, answer, dict(copy.rows)))
 
     @rule(index=st.integers(0, 5))
     def end_read(self, index):
@@ -132,12 +170,22 @@
         who, read, before = self.begun.pop(index)
         copy = self.copies[who]
         is_first = not copy.version
-        if read.version < copy.version:
+        if copy.fit(read) is not NewsFit.FITS:
             return
         copy.take_read(read)
         if not is_first:
             self.on_way.append(copy.make_news(read, before))
 
+    @rule(who=WHO, key=KEY, is_told=st.booleans())
+    def write_and_read(self, who, key, is_told):
+        """The usual course, in one step; what the reader tells may get lost."""
+        self.write(key, f"v{self.era}.{self.version}")
+        self.begin_read(who, is_whole=False)
+        told = len(self.on_way)
+        self.end_read(len(self.begun) - 1)
+        if not is_told:
+            del self.on_way[told:]
+
     @rule(index=st.integers(0, 5), who=WHO, is_lost=st.booleans())
     def deliver(self, index, who, is_lost):
         if index >= len(self.on_way):
@@ -146,12 +194,19 @@
         if is_lost:
             self.on_way.pop(index)
 
+    @invariant()
+    def copies_never_go_back(self):
+        for who, copy in enumerate(getattr(self, "copies", ())):
+            assert (copy.era, copy.version) >= self.latest[who]
+            self.latest[who] = (copy.era, copy.version)
+
     @invariant()
     def copies_hold_what_the_table_held(self):
         for copy in getattr(self, "copies", ()):
             if copy.version:
                 known = {key: row.value for key, row in copy.rows.items()}
-                assert known == self.history[copy.version]
+                held = self.history[copy.era, copy.version]
+                assert known == {key: row.value for key, row in held.items()}
 
 
 CopiesMachine.TestCase.settings = settings(max_examples=500, stateful_step_count=40)
