Keep endpoints that left out of use when an older store shows them as ready

Callers' requests reached endpoints that had said that they leave. A store that comes back from a copy shows a registration as it was before; the endpoint that leaves writes it again up to a heartbeat later, and one that was removed is shown until its row has lapsed once more.

Cause: a registration was believed whatever had been known of the same process. Now a process that has said that it leaves never takes it back, also if its row was removed meanwhile, and one that was removed and is in the older copy again is used only once the row of a dead one would have lapsed. Ruled out: that live endpoints are lost with it (those that the older copy lacks stay in use until they are back, those that it brings back are used again once they have outlived the lapse).

The stand-in of endpoints begins a new process when one that was leaving is ready again, as endpoints do. The loads that others tell moved to a module of their own.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -64,6 +64,8 @@
 It lapses after three intervals, and the last heartbeat that arrived may have been up to
 one before the store went away.
 """
+LAPSE_HEARTBEATS = 4
+"""Heartbeats after which the registration of an ended endpoint has lapsed."""
 MAX_HEADER_BYTES = 64 * 1024
 """What the parser takes; the configuration's limit is checked afterwards."""
 
@@ -96,7 +98,8 @@
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
         self.quarantine = Quarantine(self)
-        self.known = EntryState(self, adapter, self.quarantine)
+        lapse_s = LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
+        self.known = EntryState(self, adapter, self.quarantine, lapse_s)
         self.demand = DemandTable()
         self.pending = PendingTable()
         self.loads = LoadBook()
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -20,6 +20,8 @@
     incarnation_of,
     model_ref,
 )
+from ..learning.otherloads import OtherLoads
+from ..learning.processes import ProcessMemory
 from ..limits.model import LimitState
 from ..limits.news import EndpointLimit
 from .news import EndpointLoad
@@ -29,12 +31,6 @@
 """Before a report was read, nothing is known of the orders accepted."""
 PLACED_VALID_S = 3.0
 """Registrations are up to 2 s old; a placer speaks every 0.4 s."""
-SILENT_DAEMON_S = 2.0
-"""What a daemon said of its load counts for so long; it speaks every 0.2 s."""
-
-
-MAX_LEAVING = 1000
-"""Most endpoints kept that have said that they leave; their rows are soon removed."""
 
 
 class EndpointState(Enum):
@@ -53,7 +49,7 @@
     RESTARTED = "restarted"
     """It is of another process, that knows nothing of before."""
     OUTDATED = "outdated"
-    """It is of a process that has ended."""
+    """It is of a process that has ended, or of before it said that it leaves."""
 
 
 class EndpointRecord(msgspec.Struct, frozen=True):
@@ -104,8 +100,10 @@
         self.limit = LimitState()
         self.paused_until_s = float("-inf")
         """Until when it wants nothing more from this daemon."""
+        self.unproved_until_s = float("-inf")
+        """Until when its row may be one that lapses, of a process that has ended."""
         self.is_leaving = False
-        """Whether an answer of it said so; its registration may not say so yet."""
+        """Whether it has said so, in an answer or in a registration."""
 
     @property
     def is_ready(self) -> bool:
@@ -116,7 +114,7 @@
         """Return whether it may be sent new work."""
         if self.lapsed_until_s is not None and now_s >= self.lapsed_until_s:
             return False
-        return self.is_ready
+        return self.is_ready and now_s >= self.unproved_until_s
 
     def is_paused(self, now_s: float) -> bool:
         """Return whether it has asked this daemon to send nothing for now."""
@@ -173,16 +171,20 @@
             self.models = dict(record.models)
 
 
+def _goes_back(known: EndpointRecord, record: EndpointRecord) -> bool:
+    """Return whether a record of the same process is of before it began to leave."""
+    is_leaving = known.state is EndpointState.DRAINING
+    return is_leaving and record.state is EndpointState.READY
+
+
 class EndpointTable:
     """Endpoints by id, and by the service that they belong to."""
 
     def __init__(self) -> None:
         self.rows: dict[EndpointId, Endpoint] = {}
-        self._shares: dict[DaemonId, list[EndpointLoad]] = {}
-        self._sent_since: dict[DaemonId, list[EndpointLoad]] = {}
-        self._heard_s: dict[DaemonId, float] = {}
-        self._leaving: dict[EndpointId, int] = {}
-        """When the processes began whose answers said that they leave."""
+        self._others = OtherLoads()
+        self._leaving = ProcessMemory()
+        self._removed = ProcessMemory()
         self.placer_heard_s = float("-inf")
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
@@ -205,17 +207,38 @@
         if row is None:
             row = self.rows[record.id] = Endpoint(record)
             # Its row may have been away while the store was.
-            row.is_leaving = self._leaving.get(record.id) == record.born_ms
+            row.is_leaving = self._leaving.has(record.id, record.born_ms)
+            self._note_draining(row)
             return Registered.CHANGED
         if record.born_ms > row.record.born_ms:
-            self._restart(row, record)
+            self._note_draining(self._restart(row, record))
             return Registered.RESTARTED
-        if record.born_ms < row.record.born_ms:
+        if record.born_ms < row.record.born_ms or _goes_back(row.record, record):
             return Registered.OUTDATED
         is_changed = row.record.state is not record.state
         row.take_record(record, now_s - self.placer_heard_s < PLACED_VALID_S)
+        self._note_draining(row)
         return Registered.CHANGED if is_changed else Registered.SAME
 
+    def put_restored(
+        self, record: EndpointRecord, now_s: float, lapse_s: float
+    ) -> Registered:
+        """Take in a registration that came back with an older copy of the store.
+
+        One that had been removed before is not used until that of a process that has
+        ended would have lapsed, which takes ``lapse_s`` without a sign of life.
+        """
+        is_known = record.id in self.rows
+        meant = self.put(record, now_s)
+        if not is_known and self._removed.has(record.id, record.born_ms):
+            self.rows[record.id].unproved_until_s = now_s + lapse_s
+        return meant
+
+    def _note_draining(self, row: Endpoint) -> None:
+        if row.record.state is EndpointState.DRAINING:
+            row.is_leaving = True
+            self._leaving.note(row.record.id, row.record.born_ms)
+
     def take_models(
         self,
         endpoint: EndpointId,
@@ -245,9 +268,7 @@
         if row is None or row.is_leaving or born_ms != row.record.born_ms:
             return False
         row.is_leaving = True
-        self._leaving[endpoint] = born_ms
-        if len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+        self._leaving.note(endpoint, born_ms)
         self.on_leaving(row.record)
         return True
 
@@ -264,7 +285,7 @@
     def _restart(self, before: Endpoint, record: EndpointRecord) -> Endpoint:
         """Begin anew with another process of an endpoint."""
         row = self.rows[record.id] = Endpoint(record)
-        self._leaving.pop(record.id, None)
+        self._leaving.forget(record.id)
         self.on_restarted(before.record, record)
         return row
 
@@ -285,7 +306,10 @@
 
     def remove(self, endpoint: EndpointId) -> Endpoint | None:
         """Drop an endpoint that is gone."""
-        return self.rows.pop(endpoint, None)
+        row = self.rows.pop(endpoint, None)
+        if row is not None:
+            self._removed.note(endpoint, row.record.born_ms)
+        return row
 
     def lapse(self, endpoint: EndpointId, until_s: float) -> None:
         """Keep an endpoint for a while that vanished while the store was away."""
@@ -308,38 +332,30 @@
         self, daemon: DaemonId, loads: list[EndpointLoad], now_s: float
     ) -> None:
         """Replace what another daemon has under way."""
-        self._shares[daemon] = loads
-        self._sent_since.pop(daemon, None)
-        self._heard_s[daemon] = now_s
-        self._sum_shares()
+        self._others.take(daemon, loads, now_s)
+        self._sum_others()
 
     def forget_silent(self, now_s: float) -> None:
         """Stop counting the load of daemons that have fallen silent."""
-        silent = [d for d, t in self._heard_s.items() if now_s - t > SILENT_DAEMON_S]
-        for daemon in silent:
-            del self._heard_s[daemon]
-            del self._shares[daemon]
-            self._sent_since.pop(daemon, None)
-        if silent:
-            self._sum_shares()
+        if self._others.forget_silent(now_s):
+            self._sum_others()
 
     def take_sent(self, daemon: DaemonId, load: EndpointLoad) -> None:
         """Count a request that another daemon sent since it told of its load."""
-        self._sent_since.setdefault(daemon, []).append(load)
-        self._add_share(load)
+        self._others.take_sent(daemon, load)
+        self._add_other(load)
 
-    def _sum_shares(self) -> None:
+    def _sum_others(self) -> None:
         for row in self.rows.values():
             row.other_requests = 0
             row.other_reading_s = 0.0
             row.other_by_ref.clear()
-        for shares in (*self._shares.values(), *self._sent_since.values()):
-            for share in shares:
-                self._add_share(share)
+        for load in self._others.loads():
+            self._add_other(load)
 
-    def _add_share(self, share: EndpointLoad) -> None:
-        row = self.rows.get(share.endpoint)
+    def _add_other(self, load: EndpointLoad) -> None:
+        row = self.rows.get(load.endpoint)
         if row is not None:
-            row.other_requests += share.requests
-            row.other_reading_s += share.reading_s
-            row.other_by_ref.update(share.by_ref)
+            row.other_requests += load.requests
+            row.other_reading_s += load.reading_s
+            row.other_by_ref.update(load.by_ref)
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -21,6 +21,8 @@
 from .endpoints import Endpoint, EndpointRecord, EndpointTable, Registered
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
+DEFAULT_LAPSE_S = 4.0
+"""Three heartbeats of a second, and one for when the last of them was written."""
 
 
 class EntryState:
@@ -34,13 +36,20 @@
         Decodes rows.
     quarantine : Quarantine
         Is told of processes of endpoints that have ended.
+    lapse_s : float, default=DEFAULT_LAPSE_S
+        How long a registration stays in the store without signs of life.
     """
 
     def __init__(
-        self, core: Application, adapter: PlatformAdapter, quarantine: Quarantine
+        self,
+        core: Application,
+        adapter: PlatformAdapter,
+        quarantine: Quarantine,
+        lapse_s: float = DEFAULT_LAPSE_S,
     ) -> None:
         self._core = core
         self._quarantine = quarantine
+        self._lapse_s = lapse_s
         self._adapter = adapter
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
@@ -103,7 +112,11 @@
         except EndpointFailed as error:
             self._refuse_endpoint(EndpointId(name), error)
             return
-        meant = self.endpoints.put(record, self._core.clock())
+        now_s = self._core.clock()
+        if change.is_restored:
+            meant = self.endpoints.put_restored(record, now_s, self._lapse_s)
+        else:
+            meant = self.endpoints.put(record, now_s)
         if meant is Registered.OUTDATED:
             return
         if meant is not Registered.SAME:
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -106,7 +106,7 @@
         endpoint = self._machines.endpoints[request.match_info["name"]]
         state = request.query.get("state")
         if state is not None:
-            endpoint.state = state
+            endpoint.change_state(state)
             self._machines.register(endpoint.name)
         endpoint.faults = merge_faults(endpoint.faults, await request.read() or b"{}")
         return json_response(endpoint.faults)
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -107,10 +107,19 @@
             "seq": self.sequence,
         } | self._born()
 
+    def change_state(self, state: str) -> None:
+        """Register another state; a process that was leaving never takes it back."""
+        if self.state == "draining" and state == "ready":
+            self._begin_process()
+        self.state = state
+
+    def _begin_process(self) -> None:
+        self.born_ms = time.time_ns() // 1_000_000
+
     def restart(self) -> None:
         """Forget everything: a new process begins, under the same id."""
         self.ends += 1
-        self.born_ms = time.time_ns() // 1_000_000
+        self._begin_process()
         self.sequence = 0
         self.is_busy = False
         self.models = {name: [] for name in self.models}
--- a/tests/watching/leaving_soak.py
+++ b/tests/watching/leaving_soak.py
@@ -1,18 +1,23 @@
 """Random trouble around leaving endpoints, in virtual time: the same for each seed.
 
 Daemons lose the store, hear late, get late answers or none; the store forgets its
-history and is away now and then. Daemons in good order must never send to an endpoint
-that left longer ago than the bound.
+history, is away now and then, and comes back from an older copy. Daemons in good order
+must never send to an endpoint that left longer ago than the bound, and no daemon to one
+that it knew to leave.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import functools
 import sys
 import time
 from collections.abc import Callable
 
+from chutelink.ids import EndpointId
+from chutelink.store import Row
+
 from ..virtual_time import run_virtually
 from .watching_fleet import Follower, WatchingFleet, async_fleet
 
@@ -21,6 +26,10 @@
 MAX_TROUBLE_S = 4.0
 MAX_LATE_S = 2.5
 MIN_ENDPOINTS = 3
+MAX_COPY_AGE_S = 6.0
+"""How much may be lost when the store comes back from a copy."""
+MAX_AWAY_S = 3.0
+WRITE_RETRY_S = 0.2
 RETURN_S = 1.9
 """When live endpoints that lapsed in an outage are back at the latest."""
 
@@ -43,8 +52,9 @@
             self._trouble,
             self._forget_history,
             self._outage,
+            self._restoration,
         ]
-        self._weights = [1, 1, 1, 1, 1, 1, 1, 1, 0.5, 0.15]
+        self._weights = [1, 1, 1, 1, 1, 1, 1, 1, 0.5, 0.15, 0.15]
 
     async def async_run(self, time_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -140,6 +150,53 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self._rng.uniform(0.3, MAX_TROUBLE_S), self._end_outage)
 
+    def _restoration(self) -> None:
+        """Let the store be away for a moment and come back from a copy."""
+        registry = self._fleet.registry
+        if registry.is_out:
+            return
+        copy = registry.copy()
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._rng.uniform(0.1, MAX_COPY_AGE_S), self._restore, copy)
+
+    def _restore(self, copy: tuple[dict[str, Row], int]) -> None:
+        registry = self._fleet.registry
+        if registry.is_out:
+            return
+        registry.is_out = True
+        registry.calm_from_s = float("inf")
+        loop = asyncio.get_running_loop()
+        away_s = self._rng.uniform(0.0, MAX_AWAY_S)
+        loop.call_later(away_s, self._end_restoration, copy)
+
+    def _end_restoration(self, copy: tuple[dict[str, Row], int]) -> None:
+        """Come back older; endpoints write what they had written again, in a while."""
+        registry = self._fleet.registry
+        held = dict(registry.rows)
+        registry.restore(copy)
+        registry.is_out = False
+        loop = asyncio.get_running_loop()
+        registry.calm_from_s = loop.time()
+        for key, row in held.items():
+            name = key.partition("/")[2]
+            again = functools.partial(self._write_again, name, row)
+            loop.call_later(self._rng.uniform(0.0, RETURN_S), again)
+
+    def _write_again(self, name: str, row: Row) -> None:
+        """Write a row as it was, unless its endpoint has begun to leave since."""
+        registry = self._fleet.registry
+        if registry.is_out:
+            again = functools.partial(self._write_again, name, row)
+            asyncio.get_running_loop().call_later(WRITE_RETRY_S, again)
+            return
+        found = registry.rows.get(row.key)
+        is_gone = EndpointId(name) in registry.left_s
+        if row.value is None:
+            if found is not None and found.value is not None:
+                registry.remove(name, is_leaving=False)
+        elif not is_gone or row.value["state"] == "draining":
+            registry.register(name, row.value["state"])
+
     def _end_outage(self) -> None:
         registry = self._fleet.registry
         loop = asyncio.get_running_loop()
--- a/tests/watching/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -103,6 +103,76 @@
     run_virtually(async_test())
 
 
+def test_an_endpoint_that_left_is_not_used_again_when_an_older_store_is_back():
+    """The older copy shows it as ready until it writes again that it leaves."""
+
+    async def async_test():
+        for leave in ("drain", "remove"):
+            async with async_fleet() as fleet:
+                registry = fleet.registry
+                await fleet.async_pass(4.0)
+                copy = registry.copy()
+                _leave(registry, leave)
+                await fleet.async_pass(1.5)
+                registry.restore(copy)
+                registry.calm_from_s = asyncio.get_running_loop().time()
+                await fleet.async_pass(1.8)
+                _leave(registry, leave)
+                await fleet.async_pass(6.0)
+
+    run_virtually(async_test())
+
+
+def _leave(registry, how):
+    if how == "drain":
+        registry.register("e1", "draining")
+    else:
+        registry.remove("e1")
+
+
+def test_live_endpoints_that_an_older_store_lacks_stay_in_use_until_they_are_back():
+    """Also after an outage that is too short for registrations to lapse."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            registry = fleet.registry
+            copy = registry.copy()
+            registry.register("e8")
+            await fleet.async_pass(1.5)
+            assert all("e8" in f.usable() for f in fleet.followers)
+            registry.restore(copy)
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                assert all("e8" in f.usable() for f in fleet.followers)
+            registry.register("e8")
+            await asyncio.sleep(4.0)
+            assert all("e8" in f.usable() for f in fleet.followers)
+
+    run_virtually(async_test())
+
+
+def test_an_endpoint_that_an_older_store_brings_back_is_used_again_if_it_lives():
+    """Its row had lapsed, and the older copy shows it; dead ones lapse once more."""
+
+    async def async_test():
+        async with async_fleet() as fleet:
+            registry = fleet.registry
+            copy = registry.copy()
+            registry.remove("e1", is_leaving=False)
+            registry.remove("e2", is_leaving=False)
+            await fleet.async_pass(1.5)
+            registry.restore(copy)
+            for _ in range(350):
+                await asyncio.sleep(0.01)
+                assert not any("e1" in f.usable() for f in fleet.followers)
+            registry.remove("e2", is_leaving=False)
+            await asyncio.sleep(3.0)
+            assert all("e1" in f.usable() for f in fleet.followers)
+            assert not any("e2" in f.usable() for f in fleet.followers)
+
+    run_virtually(async_test())
+
+
 def test_whatever_troubles_others_calm_daemons_leave_leaving_endpoints_alone():
     """Longer runs: python -m tests.watching.leaving_soak --first 1 --seeds 1000."""
     for seed in SOAK_SEEDS:
--- a/tests/watching/test_tablecopy.py
+++ b/tests/watching/test_tablecopy.py
@@ -178,7 +178,7 @@
 
     @rule(who=WHO, key=KEY, is_told=st.booleans())
     def write_and_read(self, who, key, is_told):
-        """The usual course, in one step; what the reader tells may get lost."""
+        """Do the usual in one step; what the reader tells may get lost."""
         self.write(key, f"v{self.era}.{self.version}")
         self.begin_read(who, is_whole=False)
         told = len(self.on_way)
--- a/tests/watching/watching_fleet.py
+++ b/tests/watching/watching_fleet.py
@@ -15,7 +15,7 @@
 from chutelink.entry.news import SnapshotRequest, StoreNews
 from chutelink.entry.state import EntryState
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
-from chutelink.ids import DaemonId, EndpointId, ServiceName, WriteId
+from chutelink.ids import DaemonId, EndpointId, ServiceName, StoreEra, WriteId
 from chutelink.peers.silence import PeerSilence
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.quarantine.service import Quarantine
@@ -46,6 +46,8 @@
 PEER_BEAT_S = 0.4
 OUTAGE_S = 2.4
 """Endpoints beat each 1.2 s, and their rows lapse after three beats."""
+LAPSE_S = 4.8
+"""When the row of an endpoint that has ended has lapsed, on the same beats."""
 CALLS_PER_S = 1000
 """No test is about the budget of calls."""
 
@@ -57,6 +59,7 @@
         self.rows: dict[str, Row] = {}
         self.changes: list[Row] = []
         self.version = 0
+        self.era = 1
         self.forgotten = 0
         self.is_out = False
         self.calm_from_s = 0.0
@@ -90,6 +93,20 @@
         """Keep the rows, but no changes."""
         self.forgotten = self.version
 
+    def copy(self) -> tuple[dict[str, Row], int]:
+        """Return what the store holds now."""
+        return dict(self.rows), self.version
+
+    def restore(self, copy: tuple[dict[str, Row], int]) -> None:
+        """Come back from a copy: what was written since is gone."""
+        rows, self.version = copy
+        self.rows = dict(rows)
+        self.changes = [row for row in self.changes if row.version <= self.version]
+        self.forgotten = min(self.forgotten, self.version)
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _note_left(self, name: str) -> None:
         now_s = asyncio.get_running_loop().time()
         if self.is_calm:
@@ -115,7 +132,7 @@
         if not after:
             rows = [row for row in self.rows.values() if row.value is not None]
         now_s = asyncio.get_running_loop().time() + CLOCK_OFFSET_S
-        return RowPage(self.version, rows, now_s)
+        return RowPage(self.version, rows, now_s, StoreEra(self.era))
 
 
 class StorePath(WatchedTable):
@@ -159,13 +176,13 @@
         registry = self._registry
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_s
-        while after_version >= registry.version and loop.time() < end_s:
+        while after_version == registry.version and loop.time() < end_s:
             try:
                 async with asyncio.timeout_at(end_s):
                     await registry.changed.wait()
             except TimeoutError:
                 break
-        if after_version < registry.forgotten:
+        if not registry.forgotten <= after_version <= registry.version:
             raise HistoryLost("forgotten", step="test")
         return await self._async_answer(registry.page(after_version), wait_s)
 
@@ -217,7 +234,7 @@
         self.core.rng = random.Random(f"{seed}/{rank}")
         self.path = StorePath(fleet.registry, random.Random(f"{seed}/{rank}/path"))
         adapter = PreparedMachines()
-        self.known = EntryState(self.core, adapter, Quarantine(self.core))
+        self.known = EntryState(self.core, adapter, Quarantine(self.core), LAPSE_S)
         self.watch = StoreWatch(
             self.core,
             self.path,
@@ -237,6 +254,10 @@
         """When its last trouble ended."""
         self.is_unlinked = False
         """No daemon hears it, and it hears none."""
+        self.used: set[EndpointId] = set()
+        """Endpoints that it has used at any time."""
+        self.left_behind: set[EndpointId] = set()
+        """Those of which it knew that they leave."""
 
     @property
     def is_calm(self) -> bool:
@@ -269,6 +290,13 @@
         rows = self.known.endpoints.of_service(SERVICE, self.core.clock())
         return {row.record.id for row in rows}
 
+    def note_left(self, left: set[EndpointId]) -> set[EndpointId]:
+        """Return endpoints that it uses again after it knew that they leave."""
+        usable = self.usable()
+        self.left_behind |= (left & self.used) - usable
+        self.used |= usable
+        return self.left_behind & usable
+
     async def async_expire(self) -> None:
         await asyncio.sleep(EXPIRE_S * self.core.rng.random())
         while True:
@@ -325,6 +353,9 @@
             await asyncio.sleep(0.01)
             late = self.late_sends()
             assert not late, late
+            for follower in self.followers:
+                again = follower.note_left(self.registry.left_s.keys())
+                assert not again, (follower.name, again)
 
     async def async_heartbeats(self) -> None:
         """Let endpoints write signs of life, as they do all day."""
