Let no one order beside a holder whose row an older store has lost

Cause: the row of the lease was taken for the last one written. One that came back older names an earlier holder, whose term is given out a second time, says that it was released, or is not there; and a renewal's condition on its version can hold by chance, as versions are given out again. Now the row bears the era in which it was written. Of an older era's row nobody knows who followed: others wait until any holder's time is over, and that holder itself goes on at once. Terms are made of the era and a version of the store, which never repeat. A write that was taken in another era than the row was read in is no lease.

Four tests that fail without each of the four changes (two placers that may order at the same time, a term given out twice); the machine of three daemons copies and restores the store and finds the terms. Terms without eras stay as they were.

--- a/chutelink/placing/lease.py
+++ b/chutelink/placing/lease.py
@@ -2,6 +2,9 @@
 
 No clocks are compared: a contender measures on its own clock how long the row
 was unchanged, the holder how long ago it sent the renewal that was accepted.
+
+A store that comes back older may have lost a later holder's row. Nobody but that holder
+takes the lease in the new era before that holder's time is over.
 """
 
 from __future__ import annotations
@@ -19,9 +22,16 @@
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from ..ids import BootId, DaemonId, WriteId, make_id
+from ..ids import NO_ERA, BootId, DaemonId, WriteId, make_id
 from ..store import Check, Row, Transaction, WatchedTable, Write, decode_value
-from .leaserow import KEY_LEASE, LeasePhase, PlacerRow, time_limit
+from .leaserow import (
+    KEY_LEASE,
+    LeasePhase,
+    PlacerRow,
+    may_hide_holder,
+    next_term,
+    time_limit,
+)
 
 HOLD_S = 2.2
 """How long after sending a renewal the holder acts: two renewals may fail."""
@@ -75,6 +85,8 @@
         self.is_leaving = False
         self._row: PlacerRow | None = None
         self._version = 0
+        self._era = NO_ERA
+        self._store_version = 0
         self._seen_s: float | None = None
         self._read_s = float("-inf")
         self._held_until_s = float("-inf")
@@ -141,8 +153,9 @@
             elif not self.is_leaving and self._is_due():
                 await self._async_contend()
         except TransactionConflict:
+            # The row was taken, or is of an older copy of the store.
             self._seen_s = None
-            self._lose("conflict", self.term)
+            self._is_unsure = True
         except (PlatformUnavailable, WriteOutcomeUnknown) as error:
             self._core.events.warning("lease_call_failed", error=error)
             self._doubt()
@@ -184,14 +197,25 @@
     async def _async_renew(self) -> None:
         self._renewed_s = self._core.clock()
         row = msgspec.structs.replace(
-            self._row, counter=self._row.counter + 1, yields=self._yields
+            self._row,
+            counter=self._row.counter + 1,
+            yields=self._yields,
+            era=self._era,
         )
         await self._async_write(row)
 
     async def _async_look_up(self) -> None:
-        """Read the row after a write without an answer, then renew it."""
+        """Read the row after a write that may have failed, then renew it."""
         await self._async_read()
-        if self._row is None or self._row.boot_id != self._core.boot_id:
+        if self._core.clock() >= self._held_until_s:
+            self._lose("expired", self.term)
+            return
+        is_own = self._row is not None and self._row.boot_id == self._core.boot_id
+        if not is_own and may_hide_holder(self._row, self._era):
+            # That of an older copy: the holder whose row it lost is this daemon.
+            await self._async_take(0.0)
+            return
+        if not is_own:
             self._lose("taken", self.term)
             return
         await self._async_renew()
@@ -211,9 +235,11 @@
             page = await self._table.async_read(KEY_LEASE)
         found = page.get(KEY_LEASE)
         version = found.version if found is not None else 0
-        if version != self._version or self._seen_s is None:
+        is_same = (page.era, version) == (self._era, self._version)
+        if not is_same or self._seen_s is None:
             self._seen_s = self._core.clock()
-        self._version = version
+        self._era, self._version = page.era, version
+        self._store_version = page.version
         self._row = self._decode(found)
 
     def _decode(self, row: Row | None) -> PlacerRow | None:
@@ -236,13 +262,17 @@
         it follows.
         """
         row = self._row
+        unchanged_s = self._core.clock() - self._seen_s
+        if may_hide_holder(row, self._era):
+            if unchanged_s < EXPIRY_S:
+                return None
+            return max(0.0, self._holder_gap_s - unchanged_s)
         if row is None or row.holder == self._core.daemon_id:
             return 0.0
         if row.is_released:
             return max(0.0, self._holder_gap_s - row.held_s)
         if self._has_yielded() and self._is_still_yielded(row):
             return max(0.0, self._holder_gap_s - self._yielded.held_s)
-        unchanged_s = self._core.clock() - self._seen_s
         if unchanged_s < EXPIRY_S:
             return None
         return max(0.0, self._holder_gap_s - row.counter * RENEW_S - unchanged_s)
@@ -256,8 +286,10 @@
         return self._yielded.term == row.term and row.yields < self._yielded.number
 
     async def _async_take(self, wait_s: float) -> None:
-        term = (self._row.term if self._row is not None else 0) + 1
-        row = PlacerRow(self._core.daemon_id, self._core.boot_id, term, 1)
+        term = next_term(self._row, self._era, self._store_version)
+        row = PlacerRow(
+            self._core.daemon_id, self._core.boot_id, term, 1, era=self._era
+        )
         before = self._row
         self._renewed_s = self._core.clock()
         await self._async_write(row)
@@ -282,7 +314,8 @@
         Raises
         ------
         TransactionConflict
-            Another daemon has written it.
+            Another daemon has written it, or the store has come back older: then its
+            version holds by chance, and what was written is no lease.
         PlatformUnavailable, WriteOutcomeUnknown
             It is to be read before anything else is done.
         """
@@ -292,6 +325,8 @@
         transaction = Transaction(WriteId(make_id()), (check,), (write,))
         async with time_limit():
             commit = await self._table.async_transact(transaction)
+        if commit.era != self._era:
+            raise TransactionConflict("another era", step="lease.write", peer=KEY_LEASE)
         self._version = commit.version
         self._row = row
         self._seen_s = self._core.clock()
--- a/chutelink/placing/leaserow.py
+++ b/chutelink/placing/leaserow.py
@@ -11,9 +11,13 @@
 
 from ..const import TABLE_LEASES
 from ..exceptions import WriteOutcomeUnknown
-from ..ids import BootId, DaemonId
+from ..ids import NO_ERA, BootId, DaemonId, StoreEra
 
 KEY_LEASE = f"{TABLE_LEASES}/placer"
+FIRST_ERA = StoreEra(1)
+"""A store that has lost nothing yet: what it does not have was never written."""
+VERSIONS_PER_ERA = 2**32
+"""Far more than any store gives out before it is restored."""
 CALL_LIMIT_S = 0.5
 """A renewal without an answer for so long is looked up; slow answers take 0.5 s."""
 
@@ -24,7 +28,7 @@
     ``term`` rises with each holder and is the fence of its orders; ``counter``
     rises with each renewal; ``held_s`` is how long a lease that was released had
     been held. ``yields`` is how often the holder had yielded and gone on when it
-    wrote this.
+    wrote this, ``era`` the store's era that it knew of then.
     """
 
     holder: DaemonId
@@ -34,6 +38,7 @@
     is_released: bool = False
     held_s: float = 0.0
     yields: int = 0
+    era: StoreEra = NO_ERA
 
 
 class LeasePhase(Enum):
@@ -43,6 +48,25 @@
     HELD = "held"
 
 
+def next_term(row: PlacerRow | None, era: StoreEra, version: int) -> int:
+    """Return the term of whoever takes the lease next.
+
+    A row that came back older names a term that was followed by others. Versions
+    rise within an era, and eras rise, so that terms made of both never repeat.
+    """
+    if era == NO_ERA:
+        return (row.term if row is not None else 0) + 1
+    return era * VERSIONS_PER_ERA + version + 1
+
+
+def may_hide_holder(row: PlacerRow | None, era: StoreEra) -> bool:
+    """Return whether the store may have lost the row of a later holder.
+
+    True of a row, or of none, that lies in the store since an earlier era.
+    """
+    return (FIRST_ERA if row is None else row.era) < era
+
+
 @asynccontextmanager
 async def time_limit() -> AsyncIterator[None]:
     """Give a call up early: a lease is worth nothing once it is late."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,7 @@
 import random
 from types import SimpleNamespace
 
+import msgspec
 from opentelemetry.trace import NoOpTracer
 
 from chutelink.customers.buckets import QuotaBounds
@@ -14,13 +15,14 @@
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from chutelink.ids import BootId, DaemonId
+from chutelink.ids import NO_ERA, BootId, DaemonId
 from chutelink.log import EventLog
 from chutelink.metrics import Metrics
 from chutelink.store import (
     Commit,
     ObjectStore,
     Platform,
+    Row,
     RowPage,
     TableService,
     Transaction,
@@ -35,6 +37,7 @@
 
     def __init__(self) -> None:
         self.table = Table()
+        self.era = NO_ERA
         self.is_out = False
         self.lose_replies = 0
         self.late: list[Transaction] = []
@@ -43,7 +46,8 @@
     async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
         if self.is_out:
             raise PlatformUnavailable("outage", step="table.read")
-        return self.table.read(prefix, after_version)
+        page = self.table.read(prefix, after_version)
+        return msgspec.structs.replace(page, era=self.era)
 
     async def async_transact(self, transaction: Transaction) -> Commit:
         if self.is_out:
@@ -59,7 +63,17 @@
         if self.lose_replies:
             self.lose_replies -= 1
             raise WriteOutcomeUnknown("lost", step="table.transact")
-        return Commit(version)
+        return Commit(version, self.era)
+
+    def copy(self) -> tuple[dict[str, Row], int]:
+        """Return what the table holds now."""
+        return dict(self.table.rows), self.table.version
+
+    def restore(self, copy: tuple[dict[str, Row], int]) -> None:
+        """Come back from a copy: what was written since is gone."""
+        rows, version = copy
+        self.table.rows, self.table.version = dict(rows), version
+        self.era += 1
 
     def deliver_late(self) -> None:
         """Let writes that were on their way take effect, if they still may."""
--- a/tests/placing/test_lease.py
+++ b/tests/placing/test_lease.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from chutelink.exceptions import LeaseNotHeld
+from chutelink.exceptions import LeaseNotHeld, TransactionConflict
 from chutelink.ids import DaemonId
 from chutelink.placing.lease import (
     EXPIRY_S,
@@ -15,6 +16,7 @@
     RENEW_S,
     PlacerLease,
 )
+from chutelink.placing.leaserow import FIRST_ERA
 from chutelink.store import UNREADABLE, RowPage, Transaction, WatchedTable, Write
 
 from ..fakes import FakeTable, make_core
@@ -213,6 +215,78 @@
     assert not first.may_order()
 
 
+def restore_older(clock, table, first, second):
+    """Let the lease change hands, and the store come back with it released."""
+    table.era = FIRST_ERA
+    take(clock, first)
+    advance(clock, [first], GAP_S)
+    asyncio.run(first.lease.async_release())
+    copy = table.copy()
+    second.lease.take_yield(first.sent[0])
+    advance(clock, [second], GAP_S + 1.0)
+    assert second.may_order()
+    table.restore(copy)
+
+
+def test_a_holder_goes_on_when_an_older_store_shows_another_one(clock, table):
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    restore_older(clock, table, first, second)
+    term = second.lease.term
+    again = Contender("d1", table, clock)
+    for _ in range(40):
+        advance(clock, [again, second], 0.1)
+        assert not again.may_order()
+    assert second.may_order()
+    assert second.lease.term > term
+
+
+def test_nobody_orders_beside_a_holder_that_an_older_store_does_not_show(clock, table):
+    """The row of the older store names a holder that has long released the lease."""
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    restore_older(clock, table, first, second)
+    term = second.lease.term
+    third = Contender("d3", table, clock)
+    while not third.may_order():
+        assert clock[0] < 120.0
+        advance(clock, [third], 0.1)
+        assert not (second.may_order() and third.may_order())
+    assert third.lease.term > term
+
+
+def test_terms_are_not_given_out_again_by_an_older_store(clock, table):
+    """Endpoints refuse orders with a lower fence than one that they have seen."""
+    table.era = FIRST_ERA
+    copy = table.copy()
+    terms = []
+    for name in ("d1", "d2", "d3"):
+        contender = Contender(name, table, clock)
+        advance(clock, [contender], EXPIRY_S + GAP_S + 1.0)
+        assert contender.may_order()
+        terms.append(contender.lease.term)
+        table.restore(copy)
+    assert terms == sorted(set(terms))
+
+
+def test_a_renewal_that_an_older_store_takes_by_chance_is_no_lease(clock, table):
+    """Its condition holds once the row's version was given out again."""
+    table.era = FIRST_ERA
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    copy = table.copy()
+    take(clock, first)
+    version = first.lease._version
+    table.restore(copy)
+    clock[0] += HOLD_S + 0.2
+    advance(clock, [second], EXPIRY_S + GAP_S)
+    assert second.may_order()
+    row = table.table.rows[KEY_LEASE]
+    table.table.rows[KEY_LEASE] = msgspec.structs.replace(row, version=version)
+    asyncio.run(first.lease._async_tick())
+    first.lease._held_until_s = clock[0] + HOLD_S
+    with pytest.raises(TransactionConflict):
+        asyncio.run(first.lease._async_renew())
+    assert not first.may_order()
+
+
 def test_a_frozen_holder_orders_nothing_when_it_wakes(clock, table):
     first = Contender("d1", table, clock)
     take(clock, first)
--- a/tests/placing/test_lease_machine.py
+++ b/tests/placing/test_lease_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from chutelink.ids import make_id
+from chutelink.placing.leaserow import FIRST_ERA
 
 from .test_lease import GAP_S, Contender, SharedTable
 
@@ -25,6 +26,8 @@
     def begin(self):
         self.clock = [100.0]
         self.table = SharedTable()
+        self.table.era = FIRST_ERA
+        self.copy = self.table.copy()
         self.contenders = {name: self._start(name) for name in NAMES}
         self.frozen = set()
         self.cut = set()
@@ -87,6 +90,15 @@
     def lose_the_store(self):
         self.table.is_out = not self.table.is_out
 
+    @rule()
+    def copy_the_store(self):
+        self.copy = self.table.copy()
+
+    @rule()
+    def restore_the_store(self):
+        """Lose what was written since the copy, and give its versions out again."""
+        self.table.restore(self.copy)
+
     @rule(replies=st.integers(0, 2), late=st.integers(0, 2))
     def lose_writes(self, replies, late):
         self.table.lose_replies = replies
