Write holds again that an older store has lost, and keep them meanwhile

Callers saw nothing yet: found by looking for the cause of the late draining elsewhere. A request that ends its endpoints would be let through again, at the price of three endpoints, when the store comes back from before its hold was written.

Cause: a row that an older store lacks was taken for one that was removed, and one that it has again for a new one. Holds that are known stay and are written again, staggered by rank as for a hold that its finder could not save; one that has ended is removed again; of a hold with fewer trials than are known the known one is kept. A trial whose claim took effect in another era than its row was read in is not granted: its condition may have held by chance.

Four tests that failed before (held requests free, an ended hold in force, two trials).

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -167,6 +167,7 @@
         self.watch.alone_until_s = self.mesh.alone_until_s
         self.keeper = QuarantineKeeper(self, table, self.quarantine, self.rank)
         self.watch.on_row = self._take_row
+        self.watch.on_restored = self._note_restored
         self.watch.reply = self.news.reply
         self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
@@ -195,6 +196,7 @@
             peer_address,
             self.members.own.capacity,
             looks_back=has_quotas,
+            era=lambda: self.watch.era,
         )
         registration.on_former = self._take_former
         self.add_future(registration.async_run())
@@ -289,10 +291,16 @@
 
     def _take_row(self, change: RowChange) -> None:
         if change.key.startswith(PREFIX_HOLDS):
-            self.keeper.take_row(change.key, change.value)
+            self.keeper.take_row(
+                change.key, change.value, is_restored=change.is_restored
+            )
             return
         self.known.take_row(change)
 
+    def _note_restored(self, table: str, keys: set[str]) -> None:
+        if table == TABLE_QUARANTINE:
+            self.keeper.note_restored(keys)
+
     def _take_config(self) -> None:
         config = self.known.routes.config
         self.placer.config = config
--- a/chutelink/quarantine/keeper.py
+++ b/chutelink/quarantine/keeper.py
@@ -61,6 +61,9 @@
         self._own: set[Fingerprint] = set()
         self._saved: set[Fingerprint] = set()
         self._to_remove: set[Fingerprint] = set()
+        self._cleared: dict[Fingerprint, None] = {}
+        """Holds that have ended, the latest last; an older store has them again."""
+        self._restored_s = float("-inf")
         self._wake = asyncio.Event()
         quarantine.on_held = self._note_held
         quarantine.on_cleared = self._note_cleared
@@ -68,22 +71,41 @@
 
     def _note_held(self, fingerprint: Fingerprint) -> None:
         self._own.add(fingerprint)
+        self._cleared.pop(fingerprint, None)
         self._to_remove.discard(fingerprint)
         self._wake.set()
 
     def _note_cleared(self, fingerprint: Fingerprint) -> None:
         self._own.discard(fingerprint)
+        self._remember_cleared(fingerprint)
         if fingerprint in self._saved:
             self._to_remove.add(fingerprint)
             self._wake.set()
 
-    def take_row(self, key: str, value: Any) -> None:
-        """Take in a row of the table; None is one that was removed."""
+    def _remember_cleared(self, fingerprint: Fingerprint) -> None:
+        self._cleared[fingerprint] = None
+        if len(self._cleared) > MAX_HOLDS:
+            del self._cleared[next(iter(self._cleared))]
+
+    def note_restored(self, keys: set[str]) -> None:
+        """Take in that the store came back older, and which rows it has."""
+        self._restored_s = self._core.clock()
+        self._saved = {Fingerprint(key.removeprefix(PREFIX_HOLDS)) for key in keys}
+        self._wake.set()
+
+    def take_row(self, key: str, value: Any, *, is_restored: bool = False) -> None:
+        """Take in a row of the table; None is one that was removed.
+
+        A row of an older store that came back says nothing against what was known: that
+        is written again.
+        """
         fingerprint = Fingerprint(key.removeprefix(PREFIX_HOLDS))
-        if value is None:
+        if value is None and not is_restored:
             self._saved.discard(fingerprint)
             self._to_remove.discard(fingerprint)
+            self._remember_cleared(fingerprint)
             self._quarantine.clear(fingerprint, "removed_from_store")
+        if value is None:
             return
         try:
             hold = msgspec.convert(value, Hold)
@@ -91,9 +113,23 @@
             # Another program's row holds nothing against any request.
             self._core.events.warning("hold_invalid", key=key, error=str(error))
             return
+        if is_restored and self._is_outdated(fingerprint, hold):
+            self._core.events.info("hold_outdated", fingerprint=fingerprint)
+            return
         self._saved.add(fingerprint)
         self._quarantine.take_hold(fingerprint, hold)
 
+    def _is_outdated(self, fingerprint: Fingerprint, hold: Hold) -> bool:
+        """Return whether a hold of an older store is of before what is known here."""
+        if fingerprint in self._cleared:
+            self._to_remove.add(fingerprint)
+            return True
+        known = self._quarantine.table.holds().get(fingerprint)
+        if known is None or hold.trials >= known.trials:
+            return False
+        self._saved.discard(fingerprint)
+        return True
+
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
@@ -142,7 +178,11 @@
         if not writes:
             return
         transaction = Transaction(WriteId(make_id()), (), tuple(writes))
+        restored_s = self._restored_s
         await self._table.async_transact(transaction)
+        if restored_s != self._restored_s:
+            # What was written may have been lost meanwhile; it is written again.
+            return
         self._to_remove.difference_update(removed)
         self._saved.difference_update(removed)
         self._saved.update(unsaved)
@@ -162,7 +202,8 @@
         for fingerprint in self._quarantine.table.holds():
             if fingerprint in self._saved:
                 continue
-            waited_s = now_s - self._quarantine.table.get(fingerprint).held_s
+            held_s = self._quarantine.table.get(fingerprint).held_s
+            waited_s = now_s - max(held_s, self._restored_s)
             if fingerprint in self._own or waited_s >= late_s:
                 found.append(fingerprint)
         return found
@@ -181,7 +222,8 @@
 
     async def _async_claim(self, fingerprint: Fingerprint) -> bool:
         key = PREFIX_HOLDS + fingerprint
-        row = (await self._table.async_read(key)).get(key)
+        page = await self._table.async_read(key)
+        row = page.get(key)
         hold = decode_value(row, Hold)
         if hold is None:
             return False
@@ -193,7 +235,11 @@
         write = Write(key, msgspec.to_builtins(following))
         check = Check(key, row.version)
         transaction = Transaction(WriteId(make_id()), (check,), (write,))
-        await self._table.async_transact(transaction)
+        commit = await self._table.async_transact(transaction)
+        if commit.era != page.era:
+            # Another daemon may have been granted the trial in the older store.
+            self._log_trial(fingerprint, is_granted=False)
+            return False
         self._quarantine.take_hold(fingerprint, following)
         self._log_trial(fingerprint, is_granted=True)
         return True
--- a/tests/quarantine/test_keeper.py
+++ b/tests/quarantine/test_keeper.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chutelink.entry.news import decode_news, encode_news
-from chutelink.ids import EndpointId, Fingerprint, WriteId
+from chutelink.ids import FIRST_ERA, EndpointId, Fingerprint, WriteId
 from chutelink.quarantine import const
 from chutelink.quarantine.keeper import PREFIX_HOLDS, QuarantineKeeper
 from chutelink.quarantine.model import BrokenRun, Hold, Verdict
@@ -200,3 +200,101 @@
             assert daemon.quarantine.back_in_s(BAD) >= const.MIN_BACK_S
 
     asyncio.run(async_test())
+
+
+class RestoredTable(FakeTable):
+    """A table that can come back older, and its followers with it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.era = FIRST_ERA
+
+    def restore_for(self, copy, *daemons: Daemon) -> None:
+        before = {key for key in self.table.rows if key.startswith(PREFIX_HOLDS)}
+        self.restore(copy)
+        rows = {k: r for k, r in self.table.rows.items() if k.startswith(PREFIX_HOLDS)}
+        for daemon in daemons:
+            daemon.keeper.note_restored(set(rows))
+            for key in before - rows.keys():
+                daemon.keeper.take_row(key, None, is_restored=True)
+            for key, row in rows.items():
+                daemon.keeper.take_row(key, row.value, is_restored=True)
+
+
+def test_a_hold_that_an_older_store_lacks_stays_and_is_written_again():
+    """Its removal would have let the request end three endpoints more."""
+
+    async def async_test():
+        table = RestoredTable()
+        finder, other = Daemon(table), Daemon(table, rank=1)
+        copy = table.copy()
+        await finder.async_end(*PROCESSES)
+        await finder.keeper.async_save()
+        await other.async_follow()
+        table.restore_for(copy, other)
+        assert other.verdict is Verdict.HELD
+        await other.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is None
+        other.core.now_s += const.SAVE_STEP_S * 2
+        await other.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
+
+    asyncio.run(async_test())
+
+
+def test_a_hold_that_ended_does_not_come_back_with_an_older_store():
+    async def async_test():
+        table = RestoredTable()
+        daemon = Daemon(table)
+        await daemon.async_end(*PROCESSES)
+        await daemon.keeper.async_save()
+        copy = table.copy()
+        daemon.quarantine.note_success(BAD)
+        await daemon.keeper.async_save()
+        table.restore_for(copy, daemon)
+        assert daemon.verdict is Verdict.FREE
+        await daemon.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is None
+
+    asyncio.run(async_test())
+
+
+def test_a_trial_that_an_older_store_has_lost_is_not_granted_again():
+    async def async_test():
+        table = RestoredTable()
+        daemon, other = Daemon(table), Daemon(table, rank=1)
+        await daemon.async_end(*PROCESSES)
+        await daemon.keeper.async_save()
+        copy = table.copy()
+        daemon.unix_s = other.unix_s = const.HOLD_S + 1.0
+        assert await daemon.keeper.async_claim_trial(BAD)
+        await other.async_follow()
+        table.restore_for(copy, daemon, other)
+        assert other.verdict is Verdict.HELD
+        await daemon.keeper.async_save()
+        other.core.now_s += const.SAVE_STEP_S * 2
+        await other.keeper.async_save()
+        row = (await table.async_read(PREFIX_HOLDS)).get(KEY)
+        assert msgspec.convert(row.value, Hold).trials == 1
+
+    asyncio.run(async_test())
+
+
+def test_a_trial_whose_claim_an_older_store_takes_by_chance_is_not_granted():
+    async def async_test():
+        table = RestoredTable()
+        daemon = Daemon(table)
+        await daemon.async_end(*PROCESSES)
+        await daemon.keeper.async_save()
+        daemon.unix_s = const.HOLD_S + 1.0
+        read = table.async_read
+
+        async def async_read(prefix, after_version=0):
+            page = await read(prefix, after_version)
+            table.restore(table.copy())
+            return page
+
+        table.async_read = async_read
+        assert not await daemon.keeper.async_claim_trial(BAD)
+
+    asyncio.run(async_test())
