Register again with a store that has lost a daemon's row

Callers saw nothing yet; found by looking for the same cause elsewhere. A daemon whose row was written after the copy that the store came back from was never found by daemons that start later, also after a start of all, and one that was restarted within a quota's window began with a full share, as the row that would show its former process was lost.

Cause: the row was written once and taken to last.

Two tests that failed before: the row absent after a restore, no former process known.

--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -10,7 +10,15 @@
 from ..const import TABLE_MEMBERS
 from ..core import Application
 from ..exceptions import PlatformUnavailable, TransactionConflict, WriteOutcomeUnknown
-from ..ids import FailureDomainName, VmId, WriteId, make_id
+from ..ids import (
+    FIRST_ERA,
+    NO_ERA,
+    FailureDomainName,
+    StoreEra,
+    VmId,
+    WriteId,
+    make_id,
+)
 from ..peers.mesh import Mesh
 from ..settings import EntrySection
 from ..store import Row, Transaction, WatchedTable, Write, decode_value
@@ -26,19 +34,22 @@
     """Where a daemon's peers reach it.
 
     ``capacity`` is the processor share of its VM, ``started_s`` when its process
-    registered, on the store's clock; 0 where that was not asked for.
+    registered, on the store's clock; 0 where that was not asked for. ``era`` is the
+    store's era that it knew of when it wrote this.
     """
 
     peer_address: str
     capacity: float = 0.0
     started_s: float = 0.0
+    era: StoreEra = NO_ERA
 
 
 class FormerFleet(msgspec.Struct, frozen=True):
     """What the store lists when a daemon starts.
 
     ``own_began_ago_s`` is how long ago the process before this one registered, None
-    if there was none; ``capacities`` are those of all VMs that ever registered.
+    if there was none, 0 if the store may have lost its row; ``capacities`` are those of
+    all VMs that ever registered.
     """
 
     own_began_ago_s: float | None
@@ -90,6 +101,8 @@
         The processor share of its VM.
     looks_back : bool
         Whether to find out first what the store lists from before.
+    era : callable
+        The latest era of the store that is known: the row is written in each.
     """
 
     def __init__(
@@ -101,15 +114,18 @@
         capacity: float = 0.0,
         *,
         looks_back: bool = False,
+        era: Callable[[], StoreEra] = lambda: NO_ERA,
     ) -> None:
         self._core = core
+        self._era = era
         self._table = table
         self._mesh = mesh
         self._peer_address = peer_address
         self._capacity = capacity
         self._looks_back = looks_back
         self._started_s = 0.0
-        self._is_written = False
+        self._read_era = NO_ERA
+        self._written_era: StoreEra | None = None
         self.on_former: Callable[[FormerFleet], None] = lambda former: None
 
     async def async_run(self) -> None:
@@ -129,25 +145,33 @@
 
     async def _async_register(self) -> None:
         """Write the own row; writing it twice changes nothing."""
-        if self._is_written:
+        if self._written_era is not None and self._written_era >= self._era():
             return
         key = f"{TABLE_MEMBERS}/{self._core.daemon_id}"
         if self._looks_back:
             await self._async_look_back(key)
-        row = MemberRow(self._peer_address, self._capacity, self._started_s)
+        row = MemberRow(
+            self._peer_address,
+            self._capacity,
+            self._started_s,
+            max(self._read_era, self._era()),
+        )
         value = msgspec.to_builtins(row)
         transaction = Transaction(WriteId(make_id()), (), (Write(key, value),))
-        await self._table.async_transact(transaction)
-        self._is_written = True
+        commit = await self._table.async_transact(transaction)
+        self._written_era = commit.era
 
     async def _async_look_back(self, own_key: str) -> None:
         """Tell, once, what the store lists of before."""
         page = await self._table.async_read(f"{TABLE_MEMBERS}/")
         self._looks_back = False
-        self._started_s = page.answered_s
+        self._started_s, self._read_era = page.answered_s, page.era
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
         began_ago_s = None if own is None else page.answered_s - own.started_s
+        written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
+        if written_era < page.era:
+            began_ago_s = 0.0
         capacities = [row.capacity for row in rows.values() if row is not None]
         if own is None:
             capacities.append(self._capacity)
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -39,6 +39,8 @@
 
 NO_ERA = StoreEra(0)
 """Of a table service that names none: it loses nothing that it acknowledged."""
+FIRST_ERA = StoreEra(1)
+"""Of a table service that has lost nothing yet: what it lacks was never written."""
 NO_VERSION = ConfigVersion(0)
 
 
--- a/chutelink/placing/leaserow.py
+++ b/chutelink/placing/leaserow.py
@@ -11,11 +11,9 @@
 
 from ..const import TABLE_LEASES
 from ..exceptions import WriteOutcomeUnknown
-from ..ids import NO_ERA, BootId, DaemonId, StoreEra
+from ..ids import FIRST_ERA, NO_ERA, BootId, DaemonId, StoreEra
 
 KEY_LEASE = f"{TABLE_LEASES}/placer"
-FIRST_ERA = StoreEra(1)
-"""A store that has lost nothing yet: what it does not have was never written."""
 VERSIONS_PER_ERA = 2**32
 """Far more than any store gives out before it is restored."""
 CALL_LIMIT_S = 0.5
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -9,6 +9,7 @@
 
 from chutelink.entry.directory import count_candidates
 from chutelink.entry.membership import FormerFleet, Registration
+from chutelink.ids import FIRST_ERA
 
 from ..fakes import FakeTable, make_core
 
@@ -44,3 +45,39 @@
 def test_large_vms_serve_and_small_ones_where_those_are_too_few(capacities, count):
     assert count_candidates(capacities) == count
     assert count_candidates([2.0, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5]) == 6
+
+
+def test_a_daemon_writes_its_row_again_when_an_older_store_has_lost_it():
+    """Daemons that start later would not find it."""
+    table = FakeTable()
+    table.era = FIRST_ERA
+    copy = table.copy()
+    mesh = SimpleNamespace(linked_members=set, set_seeds=lambda seeds: None)
+    registration = Registration(
+        make_core("d1"), table, mesh, "d1:1", era=lambda: table.era
+    )
+    asyncio.run(registration._async_register())
+    written = set(table.table.rows)
+    assert written
+    table.restore(copy)
+    assert not table.table.rows
+    asyncio.run(registration._async_register())
+    assert set(table.table.rows) == written
+    version = table.table.version
+    asyncio.run(registration._async_register())
+    assert table.table.version == version
+
+
+def test_a_row_that_an_older_store_may_have_lost_is_no_proof_of_a_first_start():
+    """One that began within a quota's window must not begin with a share."""
+    table = FakeTable()
+    table.era = FIRST_ERA
+    register(table, "d1", 2.0)
+    copy = table.copy()
+    register(table, "d2", 2.0)
+    table.restore(copy)
+    assert register(table, "d1", 2.0).own_began_ago_s == 0.0
+    assert register(table, "d2", 2.0).own_began_ago_s == 0.0
+    table.table.rows.clear()
+    table.era = FIRST_ERA
+    assert register(table, "d1", 2.0).own_began_ago_s is None
--- a/tests/placing/test_lease.py
+++ b/tests/placing/test_lease.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chutelink.exceptions import LeaseNotHeld, TransactionConflict
-from chutelink.ids import DaemonId
+from chutelink.ids import FIRST_ERA, DaemonId
 from chutelink.placing.lease import (
     EXPIRY_S,
     HOLD_S,
@@ -16,7 +16,6 @@
     RENEW_S,
     PlacerLease,
 )
-from chutelink.placing.leaserow import FIRST_ERA
 from chutelink.store import UNREADABLE, RowPage, Transaction, WatchedTable, Write
 
 from ..fakes import FakeTable, make_core
--- a/tests/placing/test_lease_machine.py
+++ b/tests/placing/test_lease_machine.py
@@ -8,8 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from chutelink.ids import make_id
-from chutelink.placing.leaserow import FIRST_ERA
+from chutelink.ids import FIRST_ERA, make_id
 
 from .test_lease import GAP_S, Contender, SharedTable
 
