Play a store that comes back older in the soak and before real processes

The stand-in takes a copy and comes back from it; operators and endpoints write again what it has lost half a second later. Tests with three processes: changes are in force after the return, and all lose power while the store comes back older, from before or after the daemons' start.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,8 @@
 ENDPOINTS = ("i-llm0", "i-llm1", "i-plain0", "i-plain1")
 MAX_DELAY_S = 0.6
 """What a slow store or link takes; the time limit of a call is longer."""
+MAX_AWAY_S = 3.0
+"""How long the store is away at most before it comes back older."""
 MAX_COUNT = 4
 """Answers that an endpoint or the store spoils at a time."""
 
@@ -82,6 +84,7 @@
             FaultKind.STORE_SLOW: self._async_store,
             FaultKind.STORE_LOSES_REPLIES: self._async_store,
             FaultKind.STORE_FORGETS: self._async_forget,
+            FaultKind.STORE_RESTORED: self._async_restore,
             FaultKind.LINKS_RESET: self._async_links,
             FaultKind.LINKS_SILENT: self._async_links,
             FaultKind.LINKS_SLOW: self._async_links,
@@ -193,9 +196,19 @@
         await self._deployment.async_store_faults(**off)
 
     async def _async_forget(self, fault: Fault) -> None:
-        url = f"{self._deployment.store_url}/standin/forget"
-        async with self._deployment.session.post(url) as answer:
-            assert answer.status == 200
+        await self._deployment.async_control_store("forget")
+
+    async def _async_restore(self, fault: Fault) -> None:
+        """Let the store be away for a moment and come back from a copy."""
+        await self._deployment.async_control_store("store/copy")
+        await asyncio.sleep(fault.for_s)
+        await self._deployment.async_store_faults(is_out=True)
+        await asyncio.sleep(MAX_AWAY_S * fault.strength)
+        restored = asyncio.create_task(
+            self._deployment.async_control_store("store/restore")
+        )
+        await self._deployment.async_store_faults(is_out=False)
+        await restored
 
     async def _async_links(self, fault: Fault) -> None:
         if fault.kind is FaultKind.LINKS_RESET:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -34,6 +34,7 @@
     STORE_SLOW = "store_slow"
     STORE_LOSES_REPLIES = "store_loses_replies"
     STORE_FORGETS = "store_forgets"
+    STORE_RESTORED = "store_restored"
     LINKS_RESET = "links_reset"
     LINKS_SILENT = "links_silent"
     LINKS_SLOW = "links_slow"
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -16,6 +16,9 @@
 from .prepared_endpoint import EndpointStandin
 from .web import json_response, make_parser, merge_faults, serve
 
+WRITE_AGAIN_S = 0.5
+"""How soon operators and endpoints write again what the store has lost."""
+
 
 class PreparedMachines:
     """The store and its endpoints in one process."""
@@ -28,6 +31,8 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.away_s = 0.3
         """How long an endpoint is away that a request has ended."""
+        self.config: dict | None = None
+        """What the operators wrote last."""
 
     async def async_add(self, endpoint: EndpointStandin, host: str) -> None:
         """Start an endpoint at a free port and register it."""
@@ -69,6 +74,20 @@
         """Write an endpoint's registration."""
         self.store.put("servers", name, self.endpoints[name].registration())
 
+    def configure(self, config: dict) -> int:
+        """Write a configuration as the operators do."""
+        self.config = config
+        return self.store.put("op", "config", config)
+
+    async def async_restore(self, copy: StoreCopy) -> None:
+        """Let the store come back from a copy; others write again what is lost."""
+        self.store.restore(copy)
+        await asyncio.sleep(WRITE_AGAIN_S)
+        if self.config is not None:
+            self.configure(self.config)
+        for name in self.endpoints:
+            self.register(name)
+
     async def async_close(self) -> None:
         """Stop all endpoints."""
         for task in self._restarts:
@@ -98,7 +117,7 @@
     async def async_config(self, request: web.Request) -> web.Response:
         """Write a configuration."""
         config = json.loads(await request.read())
-        version = self._machines.store.put("op", "config", config)
+        version = self._machines.configure(config)
         return json_response({"ver": version})
 
     async def async_endpoint(self, request: web.Request) -> web.Response:
@@ -145,10 +164,10 @@
         return json_response({"ver": self._copy.version})
 
     async def async_restore(self, request: web.Request) -> web.Response:
-        """Let the store come back from the copy that was kept."""
+        """Let the store come back from the copy that was kept; return when all is."""
         if self._copy is None:
             return json_response({"error": "no copy was kept"}, status=409)
-        self._machines.store.restore(self._copy)
+        await self._machines.async_restore(self._copy)
         return json_response({"era": self._machines.store.era})
 
     async def async_forget(self, request: web.Request) -> web.Response:
@@ -171,7 +190,7 @@
             plain = EndpointStandin(f"i-plain{number}", "plain", {}, 0.1)
             await machines.async_add(plain, address)
         services = {"llm": "llm", "plain": "plain"}
-        machines.store.put("op", "config", make_config(1, services))
+        machines.configure(make_config(1, services))
 
     app.on_startup.append(async_start)
     return app
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -177,6 +177,11 @@
         async with self.session.post(url, json=faults) as answer:
             assert answer.status == 200
 
+    async def async_control_store(self, action: str) -> None:
+        url = f"{self.store_url}/standin/{action}"
+        async with self.session.post(url) as answer:
+            assert answer.status == 200
+
     async def async_endpoint(self, name: str, state: str = "ready", **faults) -> None:
         url = f"{self.store_url}/standin/endpoints/{name}?state={state}"
         async with self.session.post(url, json=faults) as answer:
--- /dev/null
+++ b/tests/processes/test_restored_store.py
@@ -0,0 +1,94 @@
+"""A store that comes back older, before daemons in separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from .entry_deployment import FAILURES, async_entry_deployment
+
+DAEMONS = 3
+LOST = 12
+"""Configurations that are lost; few enough versions are given out again."""
+
+
+async def async_statuses(deployment, path: str) -> list[int]:
+    statuses = []
+    for number in range(DAEMONS):
+        try:
+            async with deployment.request(number, path, f"{path}-{number}") as answer:
+                statuses.append(answer.status)
+        except FAILURES:
+            statuses.append(0)
+    return statuses
+
+
+async def async_until_all(deployment, path: str, status: int) -> None:
+    async def async_check() -> bool:
+        return await async_statuses(deployment, path) == [status] * DAEMONS
+
+    await deployment.async_until(async_check)
+
+
+async def async_lose(deployment) -> None:
+    """Let configurations be in force that the store will lose."""
+    await deployment.async_control_store("store/copy")
+    for version in range(2, 2 + LOST):
+        await deployment.async_configure(version)
+    await deployment.async_configure(2 + LOST, routes=[])
+    await async_until_all(deployment, "/again/x", 404)
+
+
+def run(test, tmp_path) -> None:
+    async def async_run():
+        async with async_entry_deployment(tmp_path, DAEMONS) as deployment:
+            await test(deployment)
+
+    asyncio.run(async_run())
+
+
+def test_changes_are_in_force_after_the_store_came_back_older(tmp_path):
+    """No daemon took in anything until as many versions were given out again."""
+
+    async def async_test(deployment):
+        await async_lose(deployment)
+        await deployment.async_control_store("store/restore")
+        # What was in force never goes back, though the older store shows it.
+        for _ in range(10):
+            assert await async_statuses(deployment, "/again/x") == [404] * DAEMONS
+        await deployment.async_configure(3 + LOST)
+        await async_until_all(deployment, "/again/x", 200)
+        await deployment.async_endpoint("i-plain0", state="draining")
+        await deployment.async_endpoint("i-plain1", state="draining")
+        await async_until_all(deployment, "/once/x", 503)
+
+    run(async_test, tmp_path)
+
+
+@pytest.mark.parametrize("is_restored_first", [True, False])
+def test_all_lose_power_while_the_store_comes_back_older(tmp_path, is_restored_first):
+    """Nobody is left who knows what was lost."""
+
+    async def async_test(deployment):
+        await async_lose(deployment)
+        for number in range(DAEMONS):
+            deployment.processes[f"vm-{number}"].kill()
+        restored = asyncio.create_task(deployment.async_control_store("store/restore"))
+        if is_restored_first:
+            await restored
+        for number in range(DAEMONS):
+            deployment.start_daemon(number)
+        await restored
+        await deployment.async_until_complete(list(range(DAEMONS)))
+        await async_until_all(deployment, "/again/x", 404)
+        await deployment.async_configure(3 + LOST)
+        await async_until_all(deployment, "/again/x", 200)
+        logs = [deployment.directory / f"vm-{n}.log" for n in range(DAEMONS)]
+
+        async def async_has_placer() -> bool:
+            return any("lease_taken" in log.read_text() for log in logs)
+
+        await deployment.async_until(async_has_placer)
+
+    run(async_test, tmp_path)
