Let the soak's endpoints name limits, ask for pauses and say that they leave

The soak did not inject what endpoints say of themselves in their answers, so that nothing showed that a daemon that heeds none of it would be found. Three faults and a check: after the bound nothing reaches an endpoint that said that it leaves, a limit holds in any window, and a pause is kept, but for signals beside stops, kills and freezes, which excuse. The stand-in records when its answers spoke.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,8 +12,15 @@
 
 from .plan import Fault, FaultKind, Plan
 from .proxy import StoreProxy
+from .signals import Signal
 
 ENDPOINTS = ("i-llm0", "i-llm1", "i-plain0", "i-plain1")
+PLAIN = ("i-plain0", "i-plain1")
+"""Those whose requests need no model."""
+SIGNAL_FACTOR = 4.0
+"""How much longer than other faults answers speak of the endpoint."""
+MAX_LIMIT_PER_S = 5.0
+MAX_PAUSE_S = 3.0
 MAX_DELAY_S = 0.6
 """What a slow store or link takes; the time limit of a call is longer."""
 MAX_AWAY_S = 3.0
@@ -74,6 +81,12 @@
         self.configured_s = -math.inf
         self.starts = [0] * daemons
         """How often each daemon was started again."""
+        self._endpoint_locks = {name: asyncio.Lock() for name in ENDPOINTS}
+        """Held while an endpoint says something: another process would not know."""
+        self.signals: list[Signal] = []
+        """What endpoints said in their answers."""
+        self.disturbed_s: list[tuple[float, float]] = []
+        """From when to when a daemon was stopped, started or frozen."""
         self._play: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.KILL: self._async_kill,
             FaultKind.STOP: self._async_stop,
@@ -90,6 +103,9 @@
             FaultKind.LINKS_SLOW: self._async_links,
             FaultKind.LINKS_ONE_WAY: self._async_links,
             FaultKind.ENDPOINT_LEAVES: self._async_leave,
+            FaultKind.ENDPOINT_SAYS_LEAVING: self._async_say_leaving,
+            FaultKind.ENDPOINT_LIMITS: self._async_limit,
+            FaultKind.ENDPOINT_PAUSES: self._async_pause,
         }
 
     async def async_play(self, plan: Plan) -> None:
@@ -117,8 +133,10 @@
         if fault.kind in _PROCESS_KINDS:
             async with self._locks[daemon]:
                 self._disturbed_s[daemon] = math.inf
+                began_s = asyncio.get_running_loop().time()
                 await play(fault)
                 self._disturbed_s[daemon] = asyncio.get_running_loop().time()
+                self.disturbed_s.append((began_s, self._disturbed_s[daemon]))
         elif fault.kind in _STORE_KINDS:
             await self._async_disturb_store(play, fault)
         else:
@@ -226,9 +244,43 @@
 
     async def _async_leave(self, fault: Fault) -> None:
         name = ENDPOINTS[fault.target % len(ENDPOINTS)]
-        await self._deployment.async_endpoint(name, "draining")
-        await asyncio.sleep(fault.for_s)
-        await self._deployment.async_endpoint(name)
+        async with self._endpoint_locks[name]:
+            await self._deployment.async_endpoint(name, "draining")
+            await asyncio.sleep(fault.for_s)
+            await self._deployment.async_endpoint(name)
+
+    async def _async_say_leaving(self, fault: Fault) -> None:
+        """Let answers say that an endpoint leaves; another process follows on it."""
+        name = _plain_endpoint(fault)
+        async with self._endpoint_locks[name]:
+            await self._async_signal(fault, name, 0.0, says_leaving=True)
+            await self._deployment.async_endpoint(name, "draining", says_leaving=False)
+            await self._deployment.async_endpoint(name)
+
+    async def _async_limit(self, fault: Fault) -> None:
+        limit_per_s = 1.0 + (MAX_LIMIT_PER_S - 1.0) * fault.strength
+        name = _plain_endpoint(fault)
+        async with self._endpoint_locks[name]:
+            said = {"limit_per_s": limit_per_s}
+            await self._async_signal(fault, name, limit_per_s, **said)
+            await self._deployment.async_endpoint(name, limit_per_s=0.0)
+
+    async def _async_pause(self, fault: Fault) -> None:
+        pause_s = 1.0 + (MAX_PAUSE_S - 1.0) * fault.strength
+        name = _plain_endpoint(fault)
+        async with self._endpoint_locks[name]:
+            await self._async_signal(fault, name, pause_s, pause_s=pause_s)
+            await self._deployment.async_endpoint(name, pause_s=0.0)
+
+    async def _async_signal(
+        self, fault: Fault, name: str, value: float, **said: object
+    ) -> None:
+        """Let an endpoint's answers say something for a while."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await self._deployment.async_endpoint(name, **said)
+        await asyncio.sleep(SIGNAL_FACTOR * fault.for_s)
+        self.signals.append(Signal(fault.kind, name, began_s, loop.time(), value))
 
     async def _async_endpoint(self, fault: Fault) -> None:
         name = ENDPOINTS[fault.target % len(ENDPOINTS)]
@@ -245,5 +297,9 @@
         await self._deployment.async_endpoint(name, **changes)
 
 
+def _plain_endpoint(fault: Fault) -> str:
+    return PLAIN[fault.target % len(PLAIN)]
+
+
 def _count(fault: Fault) -> int:
     return 1 + int((MAX_COUNT - 1) * fault.strength)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -47,6 +47,9 @@
     ENDPOINT_SPOILS = "endpoint_spoils"
     ENDPOINT_LOSES_ORDERS = "endpoint_loses_orders"
     ENDPOINT_LEAVES = "endpoint_leaves"
+    ENDPOINT_SAYS_LEAVING = "endpoint_says_leaving"
+    ENDPOINT_LIMITS = "endpoint_limits"
+    ENDPOINT_PAUSES = "endpoint_pauses"
 
 
 class Fault(msgspec.Struct, frozen=True):
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from .plan import FaultKind, Plan
 from .promises import OK, check_answers, check_ends, check_runs
 from .proxy import StoreProxy
+from .signals import check_signals
 
 CONTACT_S = 3.0
 """After trouble a daemon has so long until bounds hold for it again."""
@@ -138,12 +139,19 @@
 
     async def _async_judge(self) -> Verdict:
         outcomes = [o for caller in self._callers for o in caller.outcomes]
-        endpoints = (await self._deployment.async_endpoints()).values()
-        runs = Counter(name for endpoint in endpoints for name in endpoint["runs"])
+        endpoints = await self._deployment.async_endpoints()
+        runs = Counter(name for e in endpoints.values() for name in e["runs"])
         self._violations += self._player.violations
         self._violations += check_runs(outcomes, runs)
         self._violations += check_answers(outcomes)
         self._violations += check_ends(self._unfrozen(outcomes), DEADLINE_S)
+        self._violations += check_signals(
+            self._player.signals,
+            endpoints,
+            self._player.disturbed_s,
+            self._daemons,
+            len(self._callers),
+        )
         faults = Counter(fault.kind.value for fault in self._plan.faults)
         return Verdict(self._plan, count_statuses(outcomes), faults, self._violations)
 
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -142,6 +142,7 @@
                     "ends": e.ends,
                     "deadly_s": e.deadly_s,
                     "arrived_s": e.arrived_s,
+                    "told_s": e.told_s,
                 }
                 for name, e in self._machines.endpoints.items()
             }
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -81,6 +81,8 @@
         self.seen: list[dict[str, str]] = []
         self.arrived_s: list[float] = []
         """When requests arrived, on the clock of the process."""
+        self.told_s: list[float] = []
+        """When whole answers spoke of the endpoint, on the same clock."""
         self.orders: list[dict] = []
         self.cancelled: list[str] = []
         self.ends = 0
@@ -226,9 +228,12 @@
             return await self._async_reset(request, headers)
         if model:
             return await self._async_stream(request, headers)
+        if self._signals():
+            self.told_s.append(time.monotonic())
         return web.Response(body=b"done " + body, headers=headers)
 
     def _ask_for_pause(self) -> web.Response:
+        self.told_s.append(time.monotonic())
         pause = {"Retry-After": str(self.faults.pause_s)}
         return web.Response(status=503, headers=NOT_RUN | pause | self._signals())
 
