Take no late answer of a daemon that was cut off for the return of a store

Cause: the first answer in another era began the two seconds for which missing endpoints are kept, though a daemon that heard nobody gets that answer late. The same judgement as of any other gap now decides: only one during which peers were heard counts.

What is followed of a table stands in a module of its own.

--- a/chutelink/customers/gate.py
+++ b/chutelink/customers/gate.py
@@ -9,7 +9,7 @@
 
 from ..gateway.refusals import over_quota, unauthorized, unavailable
 from ..ids import ConfigVersion
-from ..watching.watch import Knowledge
+from ..watching.followed import Knowledge
 from .keys import KeyIndex
 from .model import Customer
 from .quotas import UNLIMITED, QuotaDecision, QuotaKeeper, QuotaVerdict
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -27,8 +27,9 @@
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
 from ..tables.members import MemberState, MemberTable
+from ..watching.followed import RowChange
 from ..watching.timing import fit_time_limit
-from ..watching.watch import RowChange, StoreWatch
+from ..watching.watch import StoreWatch
 from .adapter import Handler, PlatformAdapter
 from .callers import make_callers
 from .demand import DemandTable
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -15,7 +15,7 @@
 from ..learning.reading import ReadingTable
 from ..learning.speeds import SpeedTable
 from ..quarantine.service import Quarantine
-from ..watching.watch import RowChange
+from ..watching.followed import RowChange
 from .adapter import PlatformAdapter
 from .config import RouteTable
 from .endpoints import Endpoint, EndpointRecord, EndpointTable, Registered
--- a/chutelink/relaying/dispatching.py
+++ b/chutelink/relaying/dispatching.py
@@ -23,7 +23,7 @@
 from ..learning.speeds import SpeedTable
 from ..limits.permits import PermitDesk
 from ..quarantine.service import Quarantine
-from ..watching.watch import Knowledge
+from ..watching.followed import Knowledge
 from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .exchange import Exchange, urgency_of
 from .gate import QuarantineGate
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -11,7 +11,7 @@
 from ..entry.config import Route, ServiceSpec
 from ..entry.dialect import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName
-from ..watching.watch import Knowledge
+from ..watching.followed import Knowledge
 from .routing import Candidate
 
 LAST_URGENCY = 9
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -11,17 +11,17 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from mode import Service
 
 from ..core import Application
 from ..entry.news import SnapshotRequest, StoredRow, StoreNews
 from ..exceptions import HistoryLost, PlatformUnavailable
-from ..ids import NO_ERA, DaemonId, StoreEra
+from ..ids import DaemonId, StoreEra
 from ..store import Row, RowPage, WatchedTable
+from .followed import OWN_READ, Followed, Knowledge, RowChange
 from .probing import ProbePacer
 from .storeclock import StoreClock
-from .tablecopy import NewsFit, TableCopy
+from .tablecopy import NewsFit
 from .timing import (
     FIRST_SHARE,
     MAX_RANK,
@@ -34,55 +34,6 @@
 SNAPSHOT_PAUSE_S = 0.5
 SLOW_CALL_S = 0.3
 """Calls that take so much longer than asked for are logged; most take some 10 ms."""
-OWN_READ = "own_read"
-"""Source of what this daemon has read by itself; else it is a peer."""
-
-
-class RowChange(msgspec.Struct, frozen=True):
-    """A row that has changed, and how this daemon came to know of it.
-
-    ``value`` is None for a row that was removed; ``source`` is ``OWN_READ`` or the
-    peer that told; ``age_s`` is how old what was read is taken to be. A row that
-    was removed may be back until ``back_until_s``, on this daemon's clock.
-    ``is_restored`` says that the store has come back from a copy: what it shows may be
-    of before the row as it was known, and no change that anybody made.
-    """
-
-    key: str
-    value: Any
-    version: int = 0
-    source: str = OWN_READ
-    age_s: float = 0.0
-    back_until_s: float = float("-inf")
-    is_restored: bool = False
-
-
-class Knowledge(msgspec.Struct, frozen=True):
-    """How recent the copy of a table is, for logs of what was decided by it."""
-
-    version: int
-    age_s: float
-
-
-class _Followed:
-    """A table that is followed: its copy, and when it was read and told.
-
-    ``bound_s`` is how soon a change must be known everywhere;
-    ``heard_s`` and ``returned_s`` are times of the store's clock: of the latest answer
-    that this daemon knows of, and of the first one after an outage; ``heard_era`` is
-    the era of that latest answer. A copy is behind when others told of changes that
-    continue from what it does not have.
-    """
-
-    def __init__(self, name: str, bound_s: float) -> None:
-        self.copy = TableCopy(name)
-        self.bound_s = bound_s
-        self.started_s = float("-inf")
-        self.heard_s: float | None = None
-        self.heard_era = NO_ERA
-        self.returned_s = float("-inf")
-        self.is_behind = False
-        self.snapshot_sent_s = float("-inf")
 
 
 class StoreWatch(Service):
@@ -119,7 +70,7 @@
         self._rank = rank
         self._send = send
         self._tables = {
-            name: _Followed(name, bound_s) for name, bound_s in bounds_s.items()
+            name: Followed(name, bound_s) for name, bound_s in bounds_s.items()
         }
         self._outage_s = outage_s
         self._clock = StoreClock()
@@ -157,7 +108,7 @@
         for followed in self._tables.values():
             self.add_future(self._async_follow(followed))
 
-    async def _async_follow(self, followed: _Followed) -> None:
+    async def _async_follow(self, followed: Followed) -> None:
         while not self.should_stop:
             probe_s = self._pacer.pause_s(self._core.clock())
             pause_s = max(self._pause_s(followed), probe_s)
@@ -168,7 +119,7 @@
             else:
                 await self._async_try_pull(followed)
 
-    async def _async_probe(self, followed: _Followed) -> None:
+    async def _async_probe(self, followed: Followed) -> None:
         """Read a table of a store that did not answer, while no other table is read."""
         if self._probe.locked():
             async with self._probe:
@@ -176,13 +127,13 @@
         async with self._probe:
             await self._async_try_pull(followed)
 
-    async def _async_try_pull(self, followed: _Followed) -> None:
+    async def _async_try_pull(self, followed: Followed) -> None:
         try:
             await self._async_pull(followed)
         except PlatformUnavailable as error:
             self._note_failure(followed, error)
 
-    def _pause_s(self, followed: _Followed) -> float:
+    def _pause_s(self, followed: Followed) -> float:
         """Return how long to wait before a call is due."""
         rank = self._rank()
         since_start_s = self._core.clock() - followed.started_s
@@ -194,7 +145,7 @@
         # A read that could not be taken leaves the copy as old as it was.
         return due_s if self._pacer.is_away else max(least_s, due_s)
 
-    async def _async_pull(self, followed: _Followed) -> None:
+    async def _async_pull(self, followed: Followed) -> None:
         copy = followed.copy
         is_first = not copy.version
         before = dict(copy.rows)
@@ -217,7 +168,7 @@
         if not is_first:
             self._send(copy.make_news(read, before))
 
-    def _note_call(self, followed: _Followed, read: StoreNews) -> None:
+    def _note_call(self, followed: Followed, read: StoreNews) -> None:
         """Learn from a call that was answered, and log an odd one."""
         now_s = self._core.clock()
         self._clock.note(followed.started_s, now_s, read.answered_s)
@@ -234,7 +185,7 @@
                 age_s=self._age_s(read.answered_s),
             )
 
-    async def _async_read(self, followed: _Followed) -> StoreNews:
+    async def _async_read(self, followed: Followed) -> StoreNews:
         """Return all changes, or the whole table when history is not kept.
 
         Endpoints write mostly signs of life; what they mean is compared without these.
@@ -287,7 +238,7 @@
         if fit is NewsFit.FITS:
             self._take(followed, news, source)
 
-    def _take(self, followed: _Followed, news: StoreNews, source: str) -> None:
+    def _take(self, followed: Followed, news: StoreNews, source: str) -> None:
         """Take in news that fit the copy, and call back with what has changed."""
         copy = followed.copy
         is_restored = copy.version > 0 and news.era > copy.era
@@ -310,7 +261,7 @@
 
     def _tell_rows(
         self,
-        followed: _Followed,
+        followed: Followed,
         changed: list[StoredRow],
         answered_s: float,
         source: str,
@@ -331,22 +282,28 @@
             )
             self.on_row(change)
 
-    def _note_return(self, followed: _Followed, news: StoreNews) -> None:
-        """Take in that the store has answered, this daemon or another one."""
+    def _note_return(self, followed: Followed, news: StoreNews) -> None:
+        """Take a gap that no daemon's trouble explains for an outage of the store.
+
+        The others read in turn and tell, so that answers of the store lie further
+        apart than the bound only when it answered nobody, or when this daemon heard
+        nothing; news that don't fit the copy are answers too. A store that has come
+        back from a copy was away, for however short a time.
+        """
         if news.era < followed.heard_era:
             return
-        if news.era > followed.heard_era and followed.copy.version:
-            self._note_restored(followed, news)
-        else:
-            self._note_outage(followed, news.answered_s)
+        answered_s = news.answered_s
+        heard_s = answered_s if followed.heard_s is None else followed.heard_s
+        gap_s = answered_s - heard_s
+        is_restored = news.era > followed.heard_era and followed.copy.version > 0
+        if is_restored:
+            self._log_restored(followed, news)
+        if is_restored or gap_s > max(followed.bound_s, self._outage_s):
+            self._note_gap(followed, answered_s, gap_s)
+        followed.heard_s = answered_s if is_restored else max(heard_s, answered_s)
         followed.heard_era = news.era
 
-    def _note_restored(self, followed: _Followed, news: StoreNews) -> None:
-        """Take in that the store has come back from a copy, after whatever time.
-
-        What was written since then is gone and is written again, as after an outage.
-        """
-        followed.returned_s = followed.heard_s = news.answered_s
+    def _log_restored(self, followed: Followed, news: StoreNews) -> None:
         self._core.events.warning(
             "store_restored",
             table=news.table,
@@ -356,20 +313,7 @@
             known=followed.copy.version,
         )
 
-    def _note_outage(self, followed: _Followed, answered_s: float) -> None:
-        """Take a gap that no daemon's trouble explains for an outage of the store.
-
-        The others read in turn and tell, so that answers of the store lie further
-        apart than the bound only when it answered nobody, or when this daemon heard
-        nothing; news that don't fit the copy are answers too.
-        """
-        heard_s = answered_s if followed.heard_s is None else followed.heard_s
-        gap_s = answered_s - heard_s
-        if gap_s > max(followed.bound_s, self._outage_s):
-            self._note_gap(followed, answered_s, gap_s)
-        followed.heard_s = max(heard_s, answered_s)
-
-    def _note_gap(self, followed: _Followed, answered_s: float, gap_s: float) -> None:
+    def _note_gap(self, followed: Followed, answered_s: float, gap_s: float) -> None:
         """Judge a gap between answers of the store, now that there is one again.
 
         A daemon that heard no peer either was cut off itself. Guards against keeping
@@ -384,7 +328,7 @@
             "store_gap", table=followed.copy.name, gap_s=gap_s, is_outage=is_outage
         )
 
-    def _note_failure(self, followed: _Followed, error: PlatformUnavailable) -> None:
+    def _note_failure(self, followed: Followed, error: PlatformUnavailable) -> None:
         copy = followed.copy
         if not self._is_away:
             self._core.events.warning("store_lost", table=copy.name, error=error)
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -10,7 +10,7 @@
 from chutelink.entry.state import EntryState
 from chutelink.platform.adapter import PreparedMachines
 from chutelink.quarantine.service import Quarantine
-from chutelink.watching.watch import RowChange
+from chutelink.watching.followed import RowChange
 
 from ..fakes import make_core
 from .test_newsdesk import Desk
--- a/tests/relaying/test_customers.py
+++ b/tests/relaying/test_customers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from chutelink.watching.watch import Knowledge
+from chutelink.watching.followed import Knowledge
 
 from .world import async_world
 
--- a/tests/relaying/test_leaving_answers.py
+++ b/tests/relaying/test_leaving_answers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from chutelink.entry.news import LeavingEndpoint, decode_news, encode_news
-from chutelink.watching.watch import RowChange
+from chutelink.watching.followed import RowChange
 
 from .test_limits import ROUTES, async_send
 from .world import async_world
--- a/tests/relaying/world.py
+++ b/tests/relaying/world.py
@@ -27,7 +27,7 @@
 from chutelink.relaying.routing import LeastLoss
 from chutelink.relaying.stream import StreamRelay
 from chutelink.relaying.upstream import Upstream
-from chutelink.watching.watch import Knowledge, RowChange
+from chutelink.watching.followed import Knowledge, RowChange
 from standins.prepared import PreparedMachines
 from standins.prepared_config import make_config
 from standins.prepared_endpoint import EndpointStandin
--- a/tests/watching/test_leaving.py
+++ b/tests/watching/test_leaving.py
@@ -221,6 +221,29 @@
     run_virtually(async_test())
 
 
+def test_a_daemon_that_was_cut_off_takes_no_late_answer_for_the_return_of_a_store():
+    """The store came back older while it was cut off, and all is written again."""
+
+    async def async_test():
+        for seed in range(20):
+            async with async_fleet(seed=seed) as fleet:
+                follower, registry = fleet.followers[5], fleet.registry
+                fleet.start_task(fleet.async_heartbeats())
+                follower.calm_from_s = ALWAYS_S
+                follower.path.is_cut = follower.is_unlinked = True
+                registry.restore(registry.copy())
+                await fleet.async_pass(4.0 + 0.1 * seed)
+                follower.path.is_cut = False
+                follower.calm_from_s = asyncio.get_running_loop().time()
+                await fleet.async_pass(0.9)
+                registry.remove("e1")
+                await fleet.async_pass(0.4 + 0.02 * seed)
+                follower.is_unlinked = False
+                await fleet.async_pass(4.0)
+
+    run_virtually(async_test())
+
+
 def test_calls_that_hang_for_a_second_are_no_outage_of_the_store():
     """The first reader is away, the others read in turn, and their calls hang once.
 
