Keep a request that is held again held when an older store is back

By reading: a request whose hold had once ended and that is held anew would be let through, and its hold removed, when the store comes back older. Cause: that an earlier hold had ended was remembered against the present one. A hold that is known now is compared by its trials alone. The new test failed before (the row was removed). The shortest and the longest time of a lapse have names that tell them apart.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -59,14 +59,14 @@
 
 The store may be away in part, and serving does not need that table.
 """
-LAPSING_HEARTBEATS = 2
+MIN_LAPSE_HEARTBEATS = 2
 """Heartbeats that an endpoint misses at least before its registration lapses.
 
 It lapses after three intervals, and the last heartbeat that arrived may have been up to
 one before the store went away.
 """
-LAPSE_HEARTBEATS = 4
-"""Heartbeats after which the registration of an ended endpoint has lapsed."""
+MAX_LAPSE_HEARTBEATS = 4
+"""Heartbeats after which the registration of an endpoint that ended has lapsed."""
 MAX_HEADER_BYTES = 64 * 1024
 """What the parser takes; the configuration's limit is checked afterwards."""
 
@@ -99,7 +99,7 @@
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
         self.quarantine = Quarantine(self)
-        lapse_s = LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
+        lapse_s = MAX_LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
         self.known = EntryState(self, adapter, self.quarantine, lapse_s)
         self.demand = DemandTable()
         self.pending = PendingTable()
@@ -161,7 +161,7 @@
             TABLE_ENDPOINTS: bound_s,
             TABLE_QUARANTINE: entry.quarantine_apply_ms / MS_PER_S,
         }
-        outage_s = LAPSING_HEARTBEATS * entry.endpoint_heartbeat_ms / MS_PER_S
+        outage_s = MIN_LAPSE_HEARTBEATS * entry.endpoint_heartbeat_ms / MS_PER_S
         self.watch = StoreWatch(
             self, table, bounds_s, self.rank, self.news.send, outage_s
         )
--- a/chutelink/quarantine/keeper.py
+++ b/chutelink/quarantine/keeper.py
@@ -121,10 +121,10 @@
 
     def _is_outdated(self, fingerprint: Fingerprint, hold: Hold) -> bool:
         """Return whether a hold of an older store is of before what is known here."""
-        if fingerprint in self._cleared:
+        known = self._quarantine.table.holds().get(fingerprint)
+        if known is None and fingerprint in self._cleared:
             self._to_remove.add(fingerprint)
             return True
-        known = self._quarantine.table.holds().get(fingerprint)
         if known is None or hold.trials >= known.trials:
             return False
         self._saved.discard(fingerprint)
--- a/tests/quarantine/test_keeper.py
+++ b/tests/quarantine/test_keeper.py
@@ -298,3 +298,27 @@
         assert not await daemon.keeper.async_claim_trial(BAD)
 
     asyncio.run(async_test())
+
+
+def test_a_request_that_is_held_again_stays_held_when_an_older_store_is_back():
+    """That its former hold had ended says nothing against the present one."""
+
+    async def async_test():
+        table = RestoredTable()
+        finder, other = Daemon(table), Daemon(table, rank=1)
+        await finder.async_end(*PROCESSES)
+        await finder.keeper.async_save()
+        await other.async_follow()
+        row = (await table.async_read(PREFIX_HOLDS)).get(KEY)
+        other.quarantine.note_success(BAD)
+        await other.keeper.async_save()
+        assert other.verdict is Verdict.FREE
+        table.table.commit(Transaction(WriteId("w"), (), (Write(KEY, row.value),)))
+        await other.async_follow()
+        assert other.verdict is Verdict.HELD
+        table.restore_for(table.copy(), other)
+        assert other.verdict is Verdict.HELD
+        await other.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
+
+    asyncio.run(async_test())
