--- a/tests/quarantine/test_keeper.py
+++ b/tests/quarantine/test_keeper.py
@@ -322,3 +322,29 @@
         assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
 
     asyncio.run(async_test())
+
+
+def test_a_hold_that_was_lost_while_it_was_saved_is_written_again():
+    """The answer to the write may arrive after the older store was read."""
+
+    async def async_test():
+        table = RestoredTable()
+        daemon = Daemon(table)
+        copy = table.copy()
+        await daemon.async_end(*PROCESSES)
+        transact = table.async_transact
+
+        async def async_transact(transaction):
+            commit = await transact(transaction)
+            daemon.core.now_s += 1.0
+            table.restore_for(copy, daemon)
+            return commit
+
+        table.async_transact = async_transact
+        await daemon.keeper.async_save()
+        table.async_transact = transact
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is None
+        await daemon.keeper.async_save()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
+
+    asyncio.run(async_test())
