--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -84,7 +84,8 @@
         options = ["--address", f"{self.subnet}.1", "--port", str(STORE_PORT)]
         self.start("store", [program, *options])
 
-    def start_daemon(self, number: int) -> Process:
+    def write_settings(self, number: int) -> Path:
+        """Write a daemon's settings file."""
         ip = self.address(number)
         fields = {
             "node": f"vm-{number}",
@@ -115,6 +116,10 @@
         template = (ROOT / "deploy" / "entry.ini").read_text()
         path = self.directory / f"vm-{number}.ini"
         path.write_text(render(template, fields))
+        return path
+
+    def start_daemon(self, number: int) -> Process:
+        path = self.write_settings(number)
         program = str(BIN / "chutelink-entry")
         return self.start(f"vm-{number}", [program, "--settings", str(path)])
 
