--- a/tests/entry/test_endpoint_partition.py
+++ b/tests/entry/test_endpoint_partition.py
@@ -18,7 +18,7 @@
 MIN_SERVED_SHARE = 2 / 3
 """Share of the other daemons' service that the operators demand of it."""
 ROUNDS = 8
-PATHS = ("/again/x", "/once/x", "/stream/x")
+PATHS = ("/again/x", "/once/x", "/once/y", "/stream/x")
 STREAM_HEADERS = {"X_Model": "m0", "X_Token_Count": "10,5"}
 
 
@@ -42,9 +42,7 @@
     for number in range(ROUNDS):
         results = await asyncio.gather(
             *(
-                async_send(
-                    fleet, daemon, path, f"{label}-{daemon}-{number}-{path[1:3]}"
-                )
+                async_send(fleet, daemon, path, f"{label}-{daemon}-{number}-{path[1:]}")
                 for path in paths
             )
         )
