--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -21,8 +21,10 @@
 from ..placing.placement import DemandPlacement
 from ..placing.placer import Placer
 from ..quarantine.persistence import PREFIX_HOLDS, QuarantinePersistence
+from ..quarantine.probe import ConnectProbe
 from ..quarantine.service import Quarantine
 from ..quarantine.web import QuarantineHandlers
+from ..reachability.monitor import PartitionMonitor
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
@@ -103,6 +105,9 @@
         self.quarantine = Quarantine(self)
         lapse_s = MAX_LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
         self.known = EntryState(self, adapter, self.quarantine, lapse_s)
+        self.partition = PartitionMonitor(
+            self, self.known.endpoints, self.known.health, ConnectProbe()
+        )
         self.demand = DemandTable()
         self.pending = PendingTable()
         self.loads = LoadTracker()
@@ -383,6 +388,7 @@
         """Close listeners and connections after the components have stopped."""
         for listener in self._listeners:
             listener.close()
+        await self.partition.async_close()
         if self._upstream is not None:
             await self._upstream.async_close()
         await super().on_shutdown()
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -63,5 +63,6 @@
         app.permits,
     )
     dispatcher.on_prompt = app.router.send
+    dispatcher.on_path_failure = app.partition.note_failure
     dispatcher.knowledge = lambda: app.watch.knowledge(TABLE_ENDPOINTS)
     return dispatcher
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -47,6 +47,9 @@
         self.lease_held = self._gauge("lease_held", "1 for each lease held")
         self.quarantined = self._gauge("endpoints_quarantined", "No loads sent there")
         self.unplaced = self._gauge("models_unplaced", "Models that found no place")
+        self.partitioned = self._gauge(
+            "endpoints_partitioned", "1 if this daemon reaches no endpoint"
+        )
         self.peer_links = self._gauge("peer_links", "Open links to peers")
         self.peer_messages = self._counter(
             "peer_messages_total", "Messages of links by kind, direction and scope"
--- /dev/null
+++ b/chutelink/reachability/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of, and recovery from, lost network paths to endpoints."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -97,6 +97,8 @@
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
         """Called when a request that may have run is sent again."""
+        self.on_path_failure: Callable[[str], None] = lambda _: None
+        """Called with the address of an endpoint that did not respond."""
         self.knowledge: Callable[[], TableFreshness | None] = lambda: None
 
     def stop_waiting(self) -> None:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -253,6 +253,8 @@
             self._dispatcher.loads.urgent.set()
         else:
             health.note_failure(row.record.id, core.clock())
+        if result is not AttemptResult.ANSWERED:
+            self._dispatcher.on_path_failure(row.record.address)
         core.metrics.retries.inc({"reason": result.value})
         core.events.record(
             "attempt_failed",
--- a/tests/entry/test_endpoint_partition.py
+++ b/tests/entry/test_endpoint_partition.py
@@ -104,7 +104,10 @@
     async def async_test():
         async with async_partitioned_fleet(tmp_path) as fleet:
             cut = next(n for n in fleet.apps if n != fleet.placer())
-            await async_partition_for(fleet, cut, PartitionKind.RESET)
+            headers = {"X_Model": "m0", "X_Token_Count": "10,400"}
+            async with fleet.request(cut, "/stream/x", "long", **headers) as answer:
+                assert b"id: 1" in await answer.content.readany()
+                await async_partition_for(fleet, cut, PartitionKind.RESET)
             suspects = {n: len(app.quarantine.table) for n, app in fleet.apps.items()}
             assert not any(suspects.values()), suspects
 
