Don't count a partition from the endpoints as their crash

Callers saw requests held for 300 s that had done nothing: when the links of five daemons to the endpoints were reset, 32 runs counted as ended with their endpoint, as new connections were refused.

A refused connection is evidence of a crash only if another endpoint accepts one. Otherwise it counts as no answer, so that a restart or a lapsed registration may still confirm the crash. The placer's probe after a failed load is verified alike.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -25,6 +25,7 @@
 from ..quarantine.service import Quarantine
 from ..quarantine.web import QuarantineHandlers
 from ..reachability.monitor import PartitionMonitor
+from ..reachability.probe import VerifiedProbe
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
@@ -102,7 +103,10 @@
         self._adapter = adapter
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
-        self.quarantine = Quarantine(self)
+        self._probe = VerifiedProbe(
+            ConnectProbe(), lambda address: self.partition.async_check(address)
+        )
+        self.quarantine = Quarantine(self, self._probe)
         lapse_s = MAX_LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
         self.known = EntryState(self, adapter, self.quarantine, lapse_s)
         self.partition = PartitionMonitor(
@@ -231,6 +235,7 @@
             DemandPlacement(),
             self.router.send,
         )
+        self.placer.probe = self._probe
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
