Let a placer that is partitioned from the endpoints hand over its lease

It took each endpoint whose report failed for down, announced it without models, and kept the lease, which only a lost store made it yield.

A failed report no longer marks an endpoint as down while no endpoint responds, and nothing is planned. Daemons tell each other in load reports that they are partitioned; a partitioned holder releases the lease, and does not contend for it, as long as another daemon is not partitioned.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -112,6 +112,7 @@
         self.partition = PartitionMonitor(
             self, self.known.endpoints, self.known.health, ConnectProbe()
         )
+        self.partition.on_changed = lambda: self.loads.urgent.set()
         self.demand = DemandTable()
         self.pending = PendingTable()
         self.loads = LoadTracker()
@@ -186,6 +187,7 @@
         self.watch.compact = self._adapter.compact_row
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
+        self.lease.is_deferring = self._is_deferring_placement
         self._setup_placer()
         self.callers = make_caller_server(
             self, self._adapter.make_header_codec(), self._upstream
@@ -236,6 +238,7 @@
             self.router.send,
         )
         self.placer.probe = self._probe
+        self.placer.partition = self.partition
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
@@ -311,6 +314,22 @@
             if member.state is MemberState.ALIVE
         )
 
+    def _is_deferring_placement(self) -> bool:
+        """Return whether another daemon should place models.
+
+        This is the case if it reaches endpoints and this daemon reaches none.
+        """
+        if not self.partition.is_partitioned:
+            return False
+        now_s = self.clock()
+        peers = self.router.partitioned_peers
+        return any(
+            member.state is MemberState.ALIVE
+            and member.id != self.daemon_id
+            and not peers.is_partitioned(member.id, now_s)
+            for member in self.members.rows.values()
+        )
+
     def _apply_row(self, change: RowChange) -> None:
         if change.key.startswith(PREFIX_HOLDS):
             self.quarantine_persistence.apply_row(
@@ -364,7 +383,12 @@
             self.known.expire()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable(self.clock())
-            report = self.loads.take(self.daemon_id, self.known.endpoints, unreachable)
+            report = self.loads.take(
+                self.daemon_id,
+                self.known.endpoints,
+                unreachable,
+                is_partitioned=self.partition.is_partitioned,
+            )
             if report is not None:
                 self.router.send(report)
 
--- a/chutelink/entry/load_tracker.py
+++ b/chutelink/entry/load_tracker.py
@@ -32,6 +32,7 @@
         self._leaving: list[LeavingEndpoint] = []
         self._limits: dict[EndpointId, EndpointLimit] = {}
         self._reported: list[EndpointLoad] = []
+        self._was_partitioned = False
         self.urgent = asyncio.Event()
 
     def note_arrival(
@@ -112,9 +113,17 @@
         return counts
 
     def take(
-        self, daemon: DaemonId, table: EndpointTable, unreachable: list[EndpointId]
+        self,
+        daemon: DaemonId,
+        table: EndpointTable,
+        unreachable: list[EndpointId],
+        *,
+        is_partitioned: bool = False,
     ) -> LoadReport | None:
-        """Return the next report, or None if there is nothing new."""
+        """Return the next report, or None if there is nothing new.
+
+        While the daemon is partitioned, and once it no longer is, there always is one.
+        """
         loads = [
             EndpointLoad(row.record.id, row.requests, row.reading_s, dict(+row.by_ref))
             for row in table.rows.values()
@@ -142,8 +151,10 @@
         is_new = (
             uses or self._prefixes or ended or loads or self._reported or unreachable
         )
+        is_new = is_new or is_partitioned or self._was_partitioned
         if not is_new and not self._limits and not self._leaving:
             return None
+        self._was_partitioned = is_partitioned
         report = LoadReport(
             daemon,
             loads,
@@ -153,6 +164,7 @@
             self._drain_streams(),
             self._drain_limits(),
             self._drain_leaving(),
+            is_partitioned,
         )
         self._reported = loads
         self._prefixes = []
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -15,6 +15,7 @@
 from ..placing.placer import Placer
 from ..quarantine.messages import ClearedMessage, EndingsMessage
 from ..quarantine.service import Quarantine
+from ..reachability.peers import PartitionedPeers
 from ..relaying.retry_budget import RetryBudgetShare
 from ..watching.watch import StoreWatch
 from .demand import DemandTable
@@ -100,6 +101,7 @@
         self.watch: StoreWatch | None = None
         self.lease: PlacerLease | None = None
         self.placer: Placer | None = None
+        self.partitioned_peers = PartitionedPeers()
         self.permits: PermitManager | None = None
 
     def send(self, message: EntryMessage) -> None:
@@ -179,6 +181,9 @@
             self._known.prefixes.note(endpoint, chain, now_s)
         for limit in message.limits:
             self._known.endpoints.update_limit(limit, now_s)
+        self.partitioned_peers.note(
+            message.daemon, is_partitioned=message.is_partitioned, now_s=now_s
+        )
         for leaving in message.leaving:
             self._known.endpoints.note_leaving(leaving.endpoint, leaving.born_ms)
         self._wake_placer(message)
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -117,7 +117,8 @@
 
     ``unreachable`` lists endpoints that did not accept connections from it, ``limits``
     the endpoint limits received since the last message, and ``leaving`` the endpoints
-    that announced their shutdown since then.
+    that announced their shutdown since then. ``is_partitioned`` says that it reaches no
+    endpoint at all.
     """
 
     daemon: DaemonId
@@ -128,6 +129,7 @@
     streams: list[StreamCount] = []
     limits: list[EndpointLimit] = []
     leaving: list[LeavingEndpoint] = []
+    is_partitioned: bool = False
 
 
 class PromptNotice(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
--- a/chutelink/placing/lease.py
+++ b/chutelink/placing/lease.py
@@ -87,6 +87,8 @@
         self.phase = LeasePhase.FOLLOWING
         self.term = 0
         self.is_leaving = False
+        self.is_deferring: Callable[[], bool] = lambda: False
+        """Returns whether another daemon should hold the lease."""
         self._row: PlacerRow | None = None
         self._version = 0
         self._era = NO_ERA
@@ -155,7 +157,9 @@
 
     async def _async_tick(self) -> None:
         try:
-            if self.phase is LeasePhase.HELD:
+            if self._should_hand_over():
+                await self._async_hand_over()
+            elif self.phase is LeasePhase.HELD:
                 await self._async_maintain()
             elif not self.is_leaving and self._should_contend():
                 await self._async_contend()
@@ -178,10 +182,18 @@
         daemon = self._core.daemon_id
         self._send(LeaseYield(daemon, self.term, held_s, self._yields))
 
+    def _should_hand_over(self) -> bool:
+        """Return whether to release the lease for another daemon.
+
+        An unconfirmed holder must read the row first, as it may no longer be its own.
+        """
+        is_confirmed = self.phase is LeasePhase.HELD and not self._is_unconfirmed
+        return is_confirmed and self.is_deferring()
+
     def _should_contend(self) -> bool:
         now_s = self._core.clock()
         rank_delay_s = RANK_DELAY_S * self._rank()
-        if now_s - self._read_s < CONTEND_PERIOD_S:
+        if now_s - self._read_s < CONTEND_PERIOD_S or self.is_deferring():
             return False
         if self._has_yielded() and now_s - self._yielded_s > rank_delay_s:
             return True
@@ -351,8 +363,11 @@
     async def async_release(self) -> None:
         """Stop sending orders immediately and let another daemon take over."""
         self.is_leaving = True
-        if self.phase is not LeasePhase.HELD:
-            return
+        if self.phase is LeasePhase.HELD:
+            await self._async_hand_over()
+
+    async def _async_hand_over(self) -> None:
+        """Release the lease, and tell the other daemons."""
         self._orders_from_s = float("inf")
         held_s = self._core.clock() - self._taken_s
         row = msgspec.structs.replace(
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -17,6 +17,7 @@
 from ..ids import EndpointId, ServiceName
 from ..learning.health import HealthTable
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
+from ..reachability.monitor import PartitionMonitor
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .change_tracker import ChangeTracker
 from .changes import Change, PlacementView, Site
@@ -103,6 +104,7 @@
         self._decline_log = DeclineLog(core)
         self._load_backoff = LoadBackoff()
         self.probe: EndingProbe = ConnectProbe()
+        self.partition: PartitionMonitor | None = None
         self._term = 0
         self.config: RoutingConfig | None = None
 
@@ -141,7 +143,7 @@
             self._start_term()
         self._sync_inventories()
         self._read_reports()
-        if self._lease.may_order:
+        if self._lease.may_order and not self._is_partitioned():
             for service, engine in self._engines():
                 self._plan(service, engine)
         if self._core.clock() - self._announced_s >= ANNOUNCE_PERIOD_S:
@@ -197,7 +199,8 @@
         try:
             await self._order_sender.async_report(inventory)
         except ChutelinkError as error:
-            inventory.is_down = True
+            if not await self._async_is_partitioned(inventory.endpoint):
+                inventory.is_down = True
             inventory.retry_after_s = self._core.clock() + DOWN_RETRY_S
             self._core.events.record(
                 "report_failed", endpoint=inventory.endpoint, error=error
@@ -206,6 +209,16 @@
             inventory.is_changing = False
         self.wake()
 
+    def _is_partitioned(self) -> bool:
+        return self.partition is not None and self.partition.is_partitioned
+
+    async def _async_is_partitioned(self, endpoint: EndpointId) -> bool:
+        """Return whether no endpoint is reachable, after a failed call to one."""
+        row = self._table.rows.get(endpoint)
+        if self.partition is None or row is None:
+            return False
+        return await self.partition.async_check(row.record.address)
+
     def _plan(self, service: ServiceName, engine: EngineSpec) -> None:
         now_s = self._core.clock()
         sites = mark_overloaded(self._sites(service), self._demand, now_s)
--- a/chutelink/reachability/const.py
+++ b/chutelink/reachability/const.py
@@ -13,3 +13,5 @@
 """
 RECOVERY_PROBE_PERIOD_S: Final = 0.25
 """Interval at which a partitioned daemon probes endpoints."""
+PEER_REPORT_VALIDITY_S: Final = 2.0
+"""How long a daemon's report of its partition is valid; one is sent every 0.2 s."""
--- a/tests/placing/test_lease.py
+++ b/tests/placing/test_lease.py
@@ -298,3 +298,29 @@
     take(clock, first)
     clock[0] += VALIDITY_S + 0.1
     assert not first.may_order()
+
+
+def test_deferring_holder_hands_the_lease_over(clock, table):
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    take(clock, first)
+    advance(clock, [first], GAP_S)
+    first.lease.is_deferring = lambda: True
+    first.tick()
+    assert not first.may_order()
+    second.lease.note_yield(first.sent[0])
+    advance(clock, [first, second], 0.8)
+    assert second.may_order() and not first.lease.is_held
+
+
+def test_deferring_contender_leaves_the_lease_to_others(clock, table):
+    first, second = (Contender(n, table, clock) for n in ("d1", "d2"))
+    first.lease.is_deferring = lambda: True
+    advance(clock, [first], 1.0)
+    assert not first.lease.is_held
+    take(clock, second)
+    second.lease.is_deferring = lambda: True
+    first.lease.is_deferring = lambda: False
+    second.tick()
+    first.lease.note_yield(second.sent[0])
+    advance(clock, [first, second], GAP_S)
+    assert first.may_order()
--- a/tests/placing/test_lease_machine.py
+++ b/tests/placing/test_lease_machine.py
@@ -27,9 +27,10 @@
         self.table = SharedTable()
         self.table.era = FIRST_ERA
         self.copy = self.table.copy()
-        self.contenders = {name: self._start(name) for name in NAMES}
         self.frozen = set()
         self.cut = set()
+        self.partitioned = set()
+        self.contenders = {name: self._start(name) for name in NAMES}
         self.orders = []
         self.are_yields_delayed = False
         self.undelivered = []
@@ -46,6 +47,9 @@
     def _start(self, name):
         contender = Contender(name, self.table, self.clock)
         contender.core.boot_id = make_id()
+        contender.lease.is_deferring = lambda: (
+            name in self.partitioned and len(self.partitioned) < len(NAMES)
+        )
         return contender
 
     def _tick(self, name):
@@ -91,6 +95,11 @@
         name = self._resolve(name)
         self.cut ^= {name}
 
+    @rule(name=WHO)
+    def partition_from_endpoints(self, name):
+        name = self._resolve(name)
+        self.partitioned ^= {name}
+
     @rule()
     def lose_the_store(self):
         self.table.is_out = not self.table.is_out
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -19,6 +19,15 @@
 from .placer_harness import ENDPOINT_ID, PlacerHarness, ScriptedEngine, run, skip_pauses
 
 
+class FakePartition:
+    """A partition from all endpoints."""
+
+    is_partitioned = True
+
+    async def async_check(self, address):
+        return True
+
+
 @pytest.fixture(autouse=True)
 def no_pauses(monkeypatch):
     skip_pauses(monkeypatch)
@@ -85,6 +94,23 @@
     run(async_test)
 
 
+def test_partitioned_placer_neither_plans_nor_unlists_models():
+    async def async_test():
+        harness = PlacerHarness()
+        await harness.async_start()
+        harness.engine.is_unreachable = True
+        harness.placer.partition = FakePartition()
+        harness.request_model("m1")
+        for _ in range(3):
+            await harness.async_tick()
+        announced = [p.models for message in harness.sent for p in message.endpoints]
+        assert announced and all(models for models in announced)
+        assert not harness.engine.orders
+        assert not any(message.loads for message in harness.sent)
+
+    run(async_test)
+
+
 def test_lost_answer_is_resolved_by_a_report():
     async def async_test():
         harness = PlacerHarness()
