Relay calls to endpoints through peers while a daemon can't reach them

Callers of a daemon that was partitioned from the endpoints were refused everything, although its peers reached them: a daemon had no way to an endpoint but its own links.

The daemon still decides everything about a request (quota, quarantine, limits, endpoint, retries, resumption). Only the transport of a call changes: a peer that does not report a partition, of the same failure domain first, sends it once and passes the response on as it arrives. A ticket signed for the peer's process names the endpoint's process. A peer that sends nothing says so and another one is asked; a call lost on the way has an unknown outcome. New connections of the daemon itself, probed in the background, end the detour. A single endpoint that refuses only this daemon is called through a peer as well.

Events call_relayed, call_not_relayed, call_handled_for_peer; metric relayed_calls_total.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -26,6 +26,7 @@
 from ..quarantine.web import QuarantineHandlers
 from ..reachability.monitor import PartitionMonitor
 from ..reachability.probe import VerifiedProbe
+from ..reachability.relay_client import RelayClient
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
@@ -165,6 +166,13 @@
         self.quotas.manager.send = self.router.reply
         self.quotas.manager.linked = self.mesh.linked_members
         self._setup_permits()
+        self._upstream.relays = RelayClient(
+            self,
+            self.partition,
+            self.members,
+            self.router.partitioned_peers,
+            self.mesh.linked_members,
+        )
         self.mesh.on_broadcast = self.router.handle_broadcast
         self.mesh.on_direct = self.router.handle_direct
         self.mesh.on_members_changed = self.router.choose_links
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -6,6 +6,7 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..customers.access import CustomerAccess
+from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
 from ..relaying.relay import Relay
 from ..relaying.routing import LeastLoss
@@ -41,6 +42,14 @@
         customers,
         lambda: app.known.routes,
         app.is_ready,
+        _make_relay_handler(app, upstream),
+    )
+
+
+def _make_relay_handler(app: EntryApp, upstream: Upstream) -> RelayHandler:
+    known = app.known
+    return RelayHandler(
+        app, known.endpoints, known.health, app.partition, app.quarantine, upstream
     )
 
 
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -11,6 +11,7 @@
 from ..customers.access import Admission, CustomerAccess
 from ..gateway.refusals import Outcome, Refusal, unavailable
 from ..quarantine.fingerprint import RequestContent
+from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
 from ..relaying.exchange import Exchange, pick_service
 from ..relaying.exchange_dispatcher import DEFAULT_RETRY_DELAY_S, ExchangeDispatcher
@@ -56,6 +57,8 @@
         Returns the active routes, or None.
     is_ready : callable
         Returns whether routes and endpoints are known.
+    relay_handler : RelayHandler, optional
+        Relays the calls of other daemons.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         customers: CustomerAccess,
         routes: Callable[[], RouteTable | None],
         is_ready: Callable[[], bool],
+        relay_handler: RelayHandler | None = None,
     ) -> None:
         self._core = core
         self._dispatcher = dispatcher
@@ -75,6 +79,7 @@
         self._customers = customers
         self._routes = routes
         self._is_ready = is_ready
+        self._relay_handler = relay_handler
         self._created_s = core.clock()
         self._log = RequestLog(core)
         self._shutdown_deadline_s: float | None = None
@@ -90,6 +95,8 @@
 
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request, including invalid ones."""
+        if self._relay_handler is not None and self._relay_handler.handles(request):
+            return await self._relay_handler.async_handle(request)
         self.in_flight += 1
         started_s = self._core.clock()
         exchange: Exchange | None = None
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -64,7 +64,15 @@
 
 
 class EndpointUnreachable(ChutelinkError):
-    """No byte of the request reached the endpoint."""
+    """No byte of the request reached the endpoint.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether a connection was refused, rather than not answered.
+    """
+
+    is_refused = False
 
 
 class EndpointRefused(ChutelinkError):
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -50,6 +50,9 @@
         self.partitioned = self._gauge(
             "endpoints_partitioned", "1 if this daemon reaches no endpoint"
         )
+        self.relayed_calls = self._counter(
+            "relayed_calls_total", "Calls to endpoints through peers, by role"
+        )
         self.peer_links = self._gauge("peer_links", "Open links to peers")
         self.peer_messages = self._counter(
             "peer_messages_total", "Messages of links by kind, direction and scope"
--- a/chutelink/reachability/const.py
+++ b/chutelink/reachability/const.py
@@ -15,3 +15,11 @@
 """Interval at which a partitioned daemon probes endpoints."""
 PEER_REPORT_VALIDITY_S: Final = 2.0
 """How long a daemon's report of its partition is valid; one is sent every 0.2 s."""
+MAX_RELAY_PEERS: Final = 3
+"""Number of peers that are asked to relay a call, one after the other."""
+MAX_RELAYED_CALLS: Final = 256
+"""Number of calls that a daemon relays for its peers at the same time."""
+HEADER_RELAY_TICKET: Final = "Chutelink-Relay-Ticket"
+"""Names the endpoint of a call that a peer is asked to relay."""
+HEADER_RELAY_RESULT: Final = "Chutelink-Relay-Result"
+"""Tells an endpoint's response from that of the daemon that relays the call."""
--- a/chutelink/reachability/monitor.py
+++ b/chutelink/reachability/monitor.py
@@ -17,7 +17,8 @@
 
     After a failed connection to one endpoint, others are probed. If none accepts a
     connection, this daemon is partitioned from the endpoints until one does. New
-    connections decide, since established ones may outlive the path.
+    connections decide, since established ones may outlive the path. The paths to single
+    endpoints that peers reach are lost until these accept a connection.
 
     Parameters
     ----------
@@ -44,6 +45,7 @@
         self._probe = probe
         self._check: asyncio.Task[bool] | None = None
         self._recovery: asyncio.Task[None] | None = None
+        self._lost_paths: set[str] = set()
         self.is_partitioned = False
         self.on_changed: Callable[[], None] = lambda: None
         """Called when a partition begins or ends."""
@@ -54,14 +56,23 @@
             self._start_check(address)
 
     async def async_check(self, address: str) -> bool:
-        """Return whether this daemon is partitioned, after a failure at ``address``.
+        """Return whether a failure at ``address`` is due to a lost path.
 
         Concurrent callers share a check.
         """
-        if self.is_partitioned:
+        if self.is_lost(address):
             return True
         return await asyncio.shield(self._check or self._start_check(address))
 
+    def is_lost(self, address: str) -> bool:
+        """Return whether this daemon can't reach an address."""
+        return self.is_partitioned or address in self._lost_paths
+
+    def note_lost_path(self, address: str) -> None:
+        """Record that a peer reaches an endpoint that this daemon can't reach."""
+        self._lost_paths.add(address)
+        self._start_recovery()
+
     async def async_close(self) -> None:
         """Cancel the running probes."""
         tasks = [task for task in (self._check, self._recovery) if task is not None]
@@ -115,19 +126,40 @@
         self.is_partitioned = True
         self._core.events.warning("endpoints_partitioned", probed=probed)
         self._core.metrics.partitioned.set({}, 1)
-        self._recovery = asyncio.ensure_future(self._async_recover())
+        self._start_recovery()
         self.on_changed()
 
+    def _start_recovery(self) -> None:
+        if self._recovery is None or self._recovery.done():
+            self._recovery = asyncio.ensure_future(self._async_recover())
+
     async def _async_recover(self) -> None:
-        """Probe endpoints until one accepts a connection, or none is left."""
-        began_s = self._core.clock()
-        while True:
+        """Probe endpoints until all lost paths work again."""
+        while self.is_partitioned or self._lost_paths:
             await asyncio.sleep(RECOVERY_PROBE_PERIOD_S)
-            addresses = self._addresses_to_probe()[:PROBE_BATCH_SIZE]
-            if not addresses or await self._async_any_accepts(addresses):
-                break
+            if self.is_partitioned:
+                await self._async_recheck_partition()
+            else:
+                await self._async_recheck_lost_paths()
+
+    async def _async_recheck_partition(self) -> None:
+        """End the partition if an endpoint accepts a connection, or if none is left."""
+        addresses = self._addresses_to_probe()[:PROBE_BATCH_SIZE]
+        if addresses and not await self._async_any_accepts(addresses):
+            return
         self.is_partitioned = False
-        lasted_s = self._core.clock() - began_s
-        self._core.events.info("endpoints_reachable", lasted_s=lasted_s)
+        self._lost_paths.clear()
+        self._core.events.info("endpoints_reachable")
         self._core.metrics.partitioned.set({}, 0)
         self.on_changed()
+
+    async def _async_recheck_lost_paths(self) -> None:
+        """Probe some of the lost paths, and forget those of removed endpoints."""
+        known = {row.record.address for row in self._table.rows.values()}
+        self._lost_paths &= known
+        count = min(PROBE_BATCH_SIZE, len(self._lost_paths))
+        batch = self._core.rng.sample(sorted(self._lost_paths), count)
+        results = await asyncio.gather(*map(self._probe.async_probe, batch))
+        for address, result in zip(batch, results, strict=True):
+            if result is ProbeResult.ACCEPTED:
+                self._lost_paths.discard(address)
--- /dev/null
+++ b/chutelink/reachability/relay_handler.py
@@ -0,0 +1,191 @@
+"""Relays the calls of peers that can't reach an endpoint themselves."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+
+import aiohttp
+from aiohttp import web
+
+from ..const import HEADER_REQUEST_ID
+from ..core import Application
+from ..entry.endpoints import Endpoint, EndpointTable
+from ..exceptions import ConnectionBroken, EndpointUnreachable
+from ..learning.health import HealthTable
+from ..quarantine.fingerprint import RequestContent
+from ..quarantine.model import BrokenRun
+from ..quarantine.service import Quarantine
+from ..relaying.upstream import EndpointCall, Upstream, forwarded_headers
+from .const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET, MAX_RELAYED_CALLS
+from .monitor import PartitionMonitor
+from .ticket import RelayResult, RelayTicket, TicketSigner
+
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+
+
+class RelayHandler:
+    """Sends the calls of peers to endpoints, directly and once.
+
+    The peer has chosen the endpoint, and has checked quotas, limits and the quarantine.
+    Responses are passed on as they arrive.
+
+    Parameters
+    ----------
+    core : Application
+        The daemon's shared services.
+    table : EndpointTable
+        The endpoints.
+    health : HealthTable
+        Recent failures of endpoints.
+    partition : PartitionMonitor
+        Whether this daemon reaches endpoints.
+    quarantine : Quarantine
+        Notified of runs that break.
+    upstream : Upstream
+        Connections to endpoints.
+    """
+
+    def __init__(
+        self,
+        core: Application,
+        table: EndpointTable,
+        health: HealthTable,
+        partition: PartitionMonitor,
+        quarantine: Quarantine,
+        upstream: Upstream,
+    ) -> None:
+        self._core = core
+        self._table = table
+        self._health = health
+        self._partition = partition
+        self._quarantine = quarantine
+        self._upstream = upstream
+        self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
+        self._in_flight = 0
+
+    @staticmethod
+    def handles(request: web.BaseRequest) -> bool:
+        """Return whether a request is a peer's call."""
+        return HEADER_RELAY_TICKET in request.headers
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Relay a call, or respond that it was not sent."""
+        target = request.raw_path
+        ticket = self._signer.decode(
+            request.headers[HEADER_RELAY_TICKET], request.method, target
+        )
+        row = None if ticket is None else self._find_endpoint(ticket)
+        if row is None or not self._has_capacity():
+            return self._end(request, RelayResult.NOT_SENT)
+        call = EndpointCall(
+            request.method,
+            target,
+            request.headers.get("Host", ""),
+            forwarded_headers(request.headers),
+            await request.content.read(),
+            ticket.is_repeatable,
+        )
+        with self._count_in_flight():
+            return await self._async_relay(request, row, call)
+
+    def _find_endpoint(self, ticket: RelayTicket) -> Endpoint | None:
+        """Return the endpoint, if it is the process that the peer has chosen."""
+        row = self._table.rows.get(ticket.endpoint)
+        if row is None or row.record.born_ms != ticket.born_ms:
+            return None
+        now_s = self._core.clock()
+        is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
+        return row if is_reachable and row.is_usable(now_s) else None
+
+    def _has_capacity(self) -> bool:
+        if self._core.is_draining or self._partition.is_partitioned:
+            return False
+        return self._in_flight < MAX_RELAYED_CALLS
+
+    @contextmanager
+    def _count_in_flight(self):
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+
+    async def _async_relay(
+        self, request: web.BaseRequest, row: Endpoint, call: EndpointCall
+    ) -> web.StreamResponse:
+        sent_s = self._core.clock()
+        response: web.StreamResponse | None = None
+        try:
+            async with self._upstream.async_open_direct(row, call) as answer:
+                response = _make_response(answer)
+                await response.prepare(request)
+                while chunk := await answer.content.readany():
+                    await response.write(chunk)
+        except EndpointUnreachable:
+            self._health.note_unreachable(row.record.id, self._core.clock())
+            self._partition.note_failure(row.record.address)
+            return self._end(request, RelayResult.NOT_SENT)
+        except ConnectionBroken as error:
+            if request.transport is None or request.transport.is_closing():
+                # The peer has closed its connection, not the endpoint.
+                return response
+            await self._async_note_broken(row, call, error, sent_s)
+            if response is None:
+                return self._end(request, RelayResult.BROKEN)
+            # The response must not appear complete.
+            request.transport.abort()
+            return response
+        self._note_result(request, RelayResult.RELAYED)
+        await response.write_eof()
+        return response
+
+    async def _async_note_broken(
+        self,
+        row: Endpoint,
+        call: EndpointCall,
+        error: ConnectionBroken,
+        sent_s: float,
+    ) -> None:
+        """Report a broken run to the quarantine; the peer can't probe the endpoint."""
+        record = row.record
+        if not self._table.is_registered(record):
+            return
+        content = RequestContent(call.method, call.host, call.target, call.body)
+        run = BrokenRun(
+            self._quarantine.fingerprint(content),
+            f"{call.method} {call.host}{call.target}",
+            record.id,
+            record.born_ms,
+            record.address,
+            sent_s,
+            error.is_new_connection,
+        )
+        await self._quarantine.async_note_broken(run)
+
+    def _end(self, request: web.BaseRequest, result: RelayResult) -> web.StreamResponse:
+        """Return this daemon's own response."""
+        self._note_result(request, result)
+        is_not_sent = result is RelayResult.NOT_SENT
+        return web.Response(
+            status=HTTP_UNAVAILABLE if is_not_sent else HTTP_BAD_GATEWAY,
+            headers={HEADER_RELAY_RESULT: result.value},
+        )
+
+    def _note_result(self, request: web.BaseRequest, result: RelayResult) -> None:
+        self._core.metrics.relayed_calls.inc({"role": "relay", "result": result.value})
+        self._core.events.record(
+            "call_handled_for_peer",
+            request=request.headers.get(HEADER_REQUEST_ID, ""),
+            peer=request.remote,
+            result=result.value,
+        )
+
+
+def _make_response(answer: aiohttp.ClientResponse) -> web.StreamResponse:
+    """Return a response with the status and headers of the endpoint's."""
+    headers = forwarded_headers(answer.headers)
+    headers[HEADER_RELAY_RESULT] = RelayResult.RELAYED.value
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    response.content_length = answer.content_length
+    return response
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -4,7 +4,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 from contextvars import ContextVar
 
 import aiohttp
@@ -13,8 +17,14 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from ..const import HEADER_REQUEST_ID
 from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
+from ..ids import EndpointId
+from ..reachability.const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET
+from ..reachability.relay_client import RelayClient
+from ..reachability.ticket import RelayResult
+from ..tables.members import Member
 
 CONNECT_TIMEOUT_S = 0.6
 """Endpoints are a few ms away; an unreachable one does not answer at all."""
@@ -32,6 +42,8 @@
         "host",
         "content-length",
         "expect",
+        HEADER_RELAY_TICKET.lower(),
+        HEADER_RELAY_RESULT.lower(),
     }
 )
 """Hop-by-hop headers, and those that the client library sets."""
@@ -110,7 +122,7 @@
 
 
 class Upstream:
-    """Connections to endpoints.
+    """Connections to endpoints, and to the peers that relay calls to them.
 
     Pooled connections are used for repeatable calls; each other call opens its own.
     """
@@ -118,6 +130,7 @@
     def __init__(self) -> None:
         self._pooled = _make_session(is_pooled=True)
         self._unpooled = _make_session(is_pooled=False)
+        self.relays: RelayClient | None = None
 
     async def async_close(self) -> None:
         """Close all connections."""
@@ -130,6 +143,8 @@
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a call and yield the response once its headers have arrived.
 
+        The call is relayed by a peer if this daemon can't reach the endpoint.
+
         Raises
         ------
         EndpointUnreachable
@@ -137,16 +152,80 @@
         ConnectionBroken
             The call may have run.
         """
+        async with AsyncExitStack() as stack:
+            yield await self._async_enter(stack, endpoint, call)
+
+    async def _async_enter(
+        self, stack: AsyncExitStack, endpoint: Endpoint, call: EndpointCall
+    ) -> aiohttp.ClientResponse:
+        failure: EndpointUnreachable | None = None
+        if self.relays is None or self.relays.is_direct(endpoint):
+            try:
+                return await stack.enter_async_context(
+                    self.async_open_direct(endpoint, call)
+                )
+            except EndpointUnreachable as error:
+                if self.relays is None:
+                    raise
+                failure = error
+        for peer in await self.relays.async_peers(endpoint, failure):
+            try:
+                return await stack.enter_async_context(
+                    self._async_open_relayed(endpoint, call, peer)
+                )
+            except EndpointUnreachable as error:
+                self.relays.note_not_relayed(endpoint, peer, error)
+                failure = failure or error
+        raise failure or EndpointUnreachable(
+            "no peer relays calls", step="endpoint.relay", peer=endpoint.record.id
+        )
+
+    def async_open_direct(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Send a call over a connection to the endpoint; see ``async_open``."""
+        record = endpoint.record
+        return self._async_send(record.address, record.id, call)
+
+    @asynccontextmanager
+    async def _async_open_relayed(
+        self, endpoint: Endpoint, call: EndpointCall, peer: Member
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a call through a peer; see ``async_open``."""
+        name = endpoint.record.id
+        headers = CIMultiDict(call.headers)
+        headers[HEADER_RELAY_TICKET] = self.relays.make_ticket(
+            endpoint, peer, call.method, call.target, is_repeatable=call.is_repeatable
+        )
+        relayed = msgspec.structs.replace(call, headers=headers)
+        address = f"{peer.address}:{peer.port}"
+        async with self._async_send(address, name, relayed) as response:
+            result = response.headers.get(HEADER_RELAY_RESULT)
+            if result == RelayResult.NOT_SENT.value:
+                raise EndpointUnreachable(
+                    f"{peer.id} did not relay it", step="endpoint.relay", peer=name
+                )
+            if result != RelayResult.RELAYED.value:
+                raise ConnectionBroken(
+                    f"lost at {peer.id}", step="endpoint.relay", peer=name
+                )
+            request_id = call.headers.get(HEADER_REQUEST_ID, "")
+            self.relays.note_relayed(endpoint, peer, request_id)
+            yield response
+
+    @asynccontextmanager
+    async def _async_send(
+        self, address: str, peer: EndpointId, call: EndpointCall
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
         session = self._pooled if call.is_repeatable else self._unpooled
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
-        peer = endpoint.record.id
         tracker = _ConnectionTracker()
         _CONNECTION_TRACKER.set(tracker)
         try:
             async with session.request(
                 call.method,
-                URL(f"http://{endpoint.record.address}{call.target}", encoded=True),
+                URL(f"http://{address}{call.target}", encoded=True),
                 headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
@@ -154,9 +233,11 @@
             ) as response:
                 yield response
         except aiohttp.ClientConnectorError as error:
-            raise EndpointUnreachable(
+            unreachable = EndpointUnreachable(
                 str(error), step="endpoint.connect", peer=peer
-            ) from error
+            )
+            unreachable.is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise unreachable from error
         except aiohttp.ServerTimeoutError as error:
             # Only connecting has a timeout in this session.
             raise EndpointUnreachable(
--- /dev/null
+++ b/tests/reachability/test_ticket.py
@@ -0,0 +1,29 @@
+"""Authentication of relayed calls."""
+
+from __future__ import annotations
+
+from chutelink.ids import BootId, EndpointId
+from chutelink.reachability.ticket import RelayTicket, TicketSigner
+
+TICKET = RelayTicket(EndpointId("i 1/ä"), 17, True)
+SIGNER = TicketSigner("key", BootId("boot"))
+
+
+def test_ticket_is_valid_for_its_request_line_only():
+    value = SIGNER.encode(TICKET, "POST", "/a?b=%2F")
+    assert SIGNER.decode(value, "POST", "/a?b=%2F") == TICKET
+    assert SIGNER.decode(value, "GET", "/a?b=%2F") is None
+    assert SIGNER.decode(value, "POST", "/a") is None
+
+
+def test_ticket_of_another_process_or_key_is_invalid():
+    value = SIGNER.encode(TICKET, "POST", "/a")
+    assert TicketSigner("key", BootId("next")).decode(value, "POST", "/a") is None
+    assert TicketSigner("other", BootId("boot")).decode(value, "POST", "/a") is None
+
+
+def test_changed_or_malformed_ticket_is_invalid():
+    value = SIGNER.encode(TICKET, "POST", "/a")
+    changed = value.replace(" 17 ", " 18 ")
+    for text in (changed, "", "a b", "a b c d", "ä 1 1 ä", value + " x"):
+        assert SIGNER.decode(text, "POST", "/a") is None
