Leave partitioned daemons out of the directory while half of it remains

Callers kept being sent to daemons that could serve them only through a peer. They are left out of responses as long as at least half of the daemons of the failure domain remain listed; callers cache addresses for seconds, so relaying stays necessary.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -15,6 +15,7 @@
 from ..customers.buckets import QuotaBounds
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
+from ..ids import DaemonId
 from ..limits.permits import PermitManager
 from ..peers.mesh import Mesh
 from ..placing.lease import PlacerLease
@@ -196,6 +197,7 @@
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
         self.lease.is_deferring = self._is_deferring_placement
+        self.directory.is_partitioned = self._is_partitioned
         self._setup_placer()
         self.callers = make_caller_server(
             self, self._adapter.make_header_codec(), self._upstream
@@ -327,17 +329,17 @@
 
         This is the case if it reaches endpoints and this daemon reaches none.
         """
-        if not self.partition.is_partitioned:
-            return False
-        now_s = self.clock()
-        peers = self.router.partitioned_peers
-        return any(
-            member.state is MemberState.ALIVE
-            and member.id != self.daemon_id
-            and not peers.is_partitioned(member.id, now_s)
+        return self.partition.is_partitioned and any(
+            member.state is MemberState.ALIVE and not self._is_partitioned(member.id)
             for member in self.members.rows.values()
         )
 
+    def _is_partitioned(self, daemon: DaemonId) -> bool:
+        """Return whether a daemon is known to reach no endpoint."""
+        if daemon == self.daemon_id:
+            return self.partition.is_partitioned
+        return self.router.partitioned_peers.is_partitioned(daemon, self.clock())
+
     def _apply_row(self, change: RowChange) -> None:
         if change.key.startswith(PREFIX_HOLDS):
             self.quarantine_persistence.apply_row(
--- a/chutelink/entry/directory.py
+++ b/chutelink/entry/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..ids import DaemonId, FailureDomainName
 from ..systems.hashing import rendezvous_order
@@ -17,6 +17,11 @@
 """
 LARGE_CAPACITY_SHARE = 0.5
 """Minimum share of the largest VM's capacity for a VM to count as large."""
+MIN_LISTED_SHARE = 0.5
+"""Minimum share of the daemons of a failure domain that stay listed.
+
+The others could not take the callers of more daemons.
+"""
 PRESENT_STATES = (MemberState.JOINING, MemberState.ALIVE)
 
 
@@ -43,11 +48,19 @@
     def __init__(self, members: MemberTable, valid_s: float) -> None:
         self._members = members
         self.valid_s = valid_s
+        self.is_partitioned: Callable[[DaemonId], bool] = lambda daemon: False
+        """Returns whether a daemon can serve callers only through its peers."""
 
     def addresses(self, failure_domain: FailureDomainName) -> list[str]:
-        """Return the addresses for callers in a failure domain."""
+        """Return the addresses for callers in a failure domain.
+
+        Partitioned daemons are left out while enough others remain.
+        """
         members = self._for_domain(failure_domain, self._candidates())
-        return [f"{member.address}:{member.port}" for member in members]
+        listed = [member for member in members if not self.is_partitioned(member.id)]
+        if len(listed) < MIN_LISTED_SHARE * len(members):
+            listed = members
+        return [f"{member.address}:{member.port}" for member in listed]
 
     def serving(self) -> set[DaemonId]:
         """Return the daemons that callers may use: the listed and the leaving ones.
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -76,3 +76,14 @@
     large = [make_member(n, capacity=2.0, state=joining) for n in range(8)]
     small = [make_member(n, capacity=0.5) for n in range(8, 40)]
     assert len(make_directory(small + large).serving()) == len(large)
+
+
+def test_partitioned_daemons_are_left_out_while_enough_others_remain():
+    members = [make_member(number) for number in range(8)]
+    directory = make_directory(members)
+    partitioned = set()
+    directory.is_partitioned = lambda daemon: daemon in partitioned
+    for count, listed in ((0, 8), (1, 7), (4, 4), (5, 8), (8, 8)):
+        partitioned |= {member.id for member in members[:count]}
+        assert len(directory.addresses("a")) == listed
+    assert len(directory.serving()) == 8
