Log the prompt parts of runs that ended with their endpoint

The logs could not show whether requests that crash endpoints share a part of their prompts: they name whole contents only, and no two of these requests share one. ended_under names a keyed hash of each part but the last, which is the request's own.

--- a/chutelink/entry/headers.py
+++ b/chutelink/entry/headers.py
@@ -36,6 +36,11 @@
     resume_after: int | None = None
     counted_tokens: int | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may share: all but the last."""
+        return tuple(part.id for part in self.prompt[:-1])
+
 
 class Dispatch(msgspec.Struct, frozen=True):
     """Metadata that the relay adds to a request for one endpoint.
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -187,6 +187,7 @@
         self._dispatcher.header_codec.remove_reserved(headers)
         host = request.headers.get("Host", "")
         content = RequestContent(request.method, host, target, body)
+        quarantine = self._dispatcher.quarantine
         return Exchange(
             meta=meta,
             route=route,
@@ -199,7 +200,8 @@
             started_s=started_s,
             deadline_s=started_s + _time_limit_s(route, meta.deadline_s),
             candidate=self._dispatcher.make_routing_request(meta, route),
-            fingerprint=self._dispatcher.quarantine.fingerprint(content),
+            fingerprint=quarantine.fingerprint(content),
+            prompt_parts=quarantine.part_fingerprints(meta.shared_parts),
             caller=request.remote or "",
             admission=admission,
         )
--- a/chutelink/quarantine/fingerprint.py
+++ b/chutelink/quarantine/fingerprint.py
@@ -13,6 +13,8 @@
 
 The probability of a collision among a million different requests is 1e-17.
 """
+PART_PREFIX = "part-"
+PART_PERSONALIZATION = b"prompt part"
 LENGTH_PREFIX_BYTES = 8
 """Size of the length prefix that separates the hashed fields."""
 
@@ -45,6 +47,17 @@
     return Fingerprint(digest.hexdigest())
 
 
+def make_part_fingerprint(key: str, part: str) -> Fingerprint:
+    """Return the keyed hash of a prompt part's id, which differs from any request's."""
+    digest = hashlib.blake2b(
+        part.encode("utf-8", "surrogateescape"),
+        digest_size=FINGERPRINT_BYTES,
+        key=_hash_key(key),
+        person=PART_PERSONALIZATION,
+    )
+    return Fingerprint(PART_PREFIX + digest.hexdigest())
+
+
 def _hash_key(key: str) -> bytes:
     """Return a key of any length hashed to a size that blake2b accepts as a key."""
     return hashlib.blake2b(key.encode()).digest()
--- a/chutelink/quarantine/model.py
+++ b/chutelink/quarantine/model.py
@@ -54,7 +54,7 @@
 
     ``about`` describes the request to operators; ``sent_s`` is on this daemon's
     clock. ``is_new_connection`` is true if this was the first request on the
-    connection.
+    connection. ``parts`` are the prompt parts that other requests may share.
     """
 
     fingerprint: Fingerprint
@@ -64,6 +64,7 @@
     address: str
     sent_s: float
     is_new_connection: bool = False
+    parts: tuple[Fingerprint, ...] = ()
 
     @property
     def incarnation(self) -> Incarnation:
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from ..core import Application
 from ..ids import EndpointId, Fingerprint, Incarnation
@@ -21,7 +21,7 @@
     MIN_RETRY_AFTER_S,
 )
 from .endinglog import EndingLog
-from .fingerprint import RequestContent, make_fingerprint
+from .fingerprint import RequestContent, make_fingerprint, make_part_fingerprint
 from .messages import ClearedMessage, EndedRun, EndingsMessage, QuarantineMessage
 from .model import BrokenRun, Evidence, Hold, Verdict
 from .policy import EndingCountPolicy, QuarantinePolicy
@@ -89,6 +89,14 @@
         """Return the fingerprint that a request shares with its repetitions."""
         return make_fingerprint(self._core.daemon.peer_key, content)
 
+    def part_fingerprints(self, parts: Iterable[str]) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of prompt parts, given by their ids, without repeats.
+
+        A part has the same fingerprint whatever model and position it is sent to.
+        """
+        key = self._core.daemon.peer_key
+        return tuple(dict.fromkeys(make_part_fingerprint(key, p) for p in parts))
+
     def verdict(self, fingerprint: Fingerprint) -> Verdict:
         """Return whether a request may run."""
         return self.table.verdict(fingerprint, self.unix_clock())
@@ -173,6 +181,7 @@
             endpoint=run.endpoint,
             ending=ending.label,
             evidence=evidence.value,
+            parts=",".join(run.parts),
         )
         about = _sanitize_text(run.about)
         broken_ago_s = max(0.0, self._core.clock() - broken_s)
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -24,12 +24,13 @@
 
     ``deadline_s`` is on this daemon's clock: the earlier of the caller's and the
     route's. ``fingerprint`` is the same for all requests with the same content.
-    ``caller`` is the address that the request came from. ``is_trial`` allows one run
-    of a request that has crashed endpoints. ``tried`` lists the endpoints that it was
-    sent to. ``first_event_s`` is the time from the start to a stream's first event,
-    ``expected_s`` the expected time to the first byte at the endpoint chosen last,
-    ``longest_pause_s`` the longest time between two events. ``admission`` has the
-    customer and the quota decision. ``knowledge`` is the version and age of the list
+    ``prompt_parts`` are the fingerprints of the prompt's parts except the last, which
+    no other request shares. ``caller`` is the address that the request came from.
+    ``is_trial`` allows one run of a request that has crashed endpoints. ``tried`` lists
+    the endpoints that it was sent to. ``first_event_s`` is the time from the start to a
+    stream's first event, ``expected_s`` the expected time to the first byte at the
+    endpoint chosen last, ``longest_pause_s`` the longest time between two events.
+    ``admission`` has the customer and the quota decision. ``knowledge`` is the version and age of the list
     of endpoints at the last choice.
     """
 
@@ -45,6 +46,7 @@
     deadline_s: float
     candidate: RoutingRequest
     fingerprint: Fingerprint = Fingerprint("")
+    prompt_parts: tuple[Fingerprint, ...] = ()
     caller: str = ""
     admission: Admission = msgspec.field(default_factory=Admission)
     is_trial: bool = False
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -222,6 +222,7 @@
             record.address,
             sent_s,
             error.is_new_connection,
+            exchange.prompt_parts,
         )
         quarantine = self._dispatcher.quarantine
         if self._dispatcher.table.is_replaced(record):
--- a/tests/relaying/test_crashing_requests.py
+++ b/tests/relaying/test_crashing_requests.py
@@ -93,7 +93,7 @@
             endpoint = await harness.async_add("i-1", "plain")
             row = harness.state.endpoints.rows["i-1"]
             exchange = SimpleNamespace(
-                fingerprint="f", method="GET", host="a", target="/x"
+                fingerprint="f", prompt_parts=(), method="GET", host="a", target="/x"
             )
             endpoint.born_ms = 2000
             harness.register(endpoint)
