--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -30,8 +30,8 @@
     the endpoints that it was sent to. ``first_event_s`` is the time from the start to a
     stream's first event, ``expected_s`` the expected time to the first byte at the
     endpoint chosen last, ``longest_pause_s`` the longest time between two events.
-    ``admission`` has the customer and the quota decision. ``knowledge`` is the version and age of the list
-    of endpoints at the last choice.
+    ``admission`` has the customer and the quota decision. ``knowledge`` is the version
+    and age of the list of endpoints at the last choice.
     """
 
     meta: RequestMeta
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -17,6 +17,8 @@
 TOKEN_INTERVAL_S = 0.005
 CRASH_BODY = b"deadly"
 """A request body that crashes every endpoint that runs it."""
+CRASH_PARTS = frozenset({"dead1", "dead2"})
+"""Ids of prompt parts that crash every endpoint that begins to answer on them."""
 CRASH_DELAY_S = 0.02
 """How long such a request runs before it crashes the endpoint."""
 NOT_RUN_HEADERS = {"X-Not-Executed": "1"}
@@ -29,6 +31,12 @@
     request.transport.abort()
 
 
+def _has_crash_part(request: web.BaseRequest) -> bool:
+    """Return whether a part of the prompt other than the last crashes endpoints."""
+    prompt = request.headers.get("X-Prompt-Prefix", "").split(",")
+    return not CRASH_PARTS.isdisjoint(part.partition(":")[0] for part in prompt[:-1])
+
+
 class EndpointFaults(msgspec.Struct, frozen=True):
     """Injected faults of one endpoint; each affected call decrements the count.
 
@@ -266,6 +274,10 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        if _has_crash_part(request):
+            self.crash_runs_s.append(time.monotonic())
+            await asyncio.sleep(CRASH_DELAY_S)
+            self.on_crash(self)
         total = int(request.headers.get("X-Token-Count", "0,5").partition(",")[2])
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         cut_after = self.faults.cut_after_events if self.faults.cuts else 0
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -10,13 +10,16 @@
 
 import asyncio
 
-from standins.prepared_endpoint import CRASH_BODY
+from standins.prepared_endpoint import CRASH_BODY, CRASH_PARTS
 
 from .entry_deployment import async_entry_deployment
 
 ATTEMPTS = 12
 MAX_CRASHES = 3
 """Crashes that operators allow before repeats are counted."""
+MAX_PART_CRASHES = 5 + 3
+"""Crashes that operators allow for a part of a prompt, repeats included."""
+PART_ATTEMPTS = 16
 PROPAGATION_S = 0.3
 """Pause between attempts; daemons on one machine inform each other within ms."""
 
@@ -61,6 +64,41 @@
     asyncio.run(async_test())
 
 
+async def async_send_with_part(deployment, number: int, request_id: str) -> None:
+    """Send a request of its own content, with a part that crashes endpoints."""
+    part = min(CRASH_PARTS)
+    headers = {
+        "X_Model": f"m{number % 4}",
+        "X_Token_Count": "900,8",
+        "X_Prompt_Prefix": f"first:800,{part}:50,{request_id}:50",
+    }
+    body = request_id.encode()
+    async with deployment.request(
+        number % 3, "/stream/x", request_id, body, **headers
+    ) as answer:
+        await answer.read()
+
+
+def test_daemons_share_crashing_prompt_parts_across_restarts(tmp_path):
+    async def async_test():
+        async with async_entry_deployment(tmp_path, 3) as deployment:
+            for number in range(PART_ATTEMPTS):
+                await async_send_with_part(deployment, number, f"bad-{number}")
+                await asyncio.sleep(PROPAGATION_S)
+            before = await async_count_crashes(deployment)
+            for number in range(3):
+                deployment.processes[f"vm-{number}"].kill()
+            for number in range(3):
+                deployment.start_daemon(number)
+            await deployment.async_until_all_listed([0, 1, 2])
+            for number in range(PART_ATTEMPTS):
+                await async_send_with_part(deployment, number, f"again-{number}")
+            assert 1 <= before <= MAX_PART_CRASHES
+            assert await async_count_crashes(deployment) == before
+
+    asyncio.run(async_test())
+
+
 def test_daemons_serve_while_quarantine_table_is_unreadable(tmp_path):
     """In a partial outage of the store, its other tables are enough to serve."""
 
