Quarantine prompt parts that crash the endpoints which answer on them

Terminations are now counted for each part but the last too, unless endpoints are known to answer on it: a run with three events, or complete, shows all its parts to be sound, at all daemons. A part is held after three terminations during two different requests, as contents are: in the store, with trials, listed and released by operators. Parts that came together at least twice are rivals: their holds bind no request without another suspect, until a run shows which one is the cause. Terminations whose cause is certain no longer count against others.

Not distinguished: a part that only ever runs beside crashing parts of several kinds.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -42,14 +42,22 @@
         customers,
         lambda: app.known.routes,
         app.is_ready,
-        _make_relay_handler(app, upstream),
+        _make_relay_handler(app, header_codec, upstream),
     )
 
 
-def _make_relay_handler(app: EntryApp, upstream: Upstream) -> RelayHandler:
+def _make_relay_handler(
+    app: EntryApp, header_codec: HeaderCodec, upstream: Upstream
+) -> RelayHandler:
     known = app.known
     return RelayHandler(
-        app, known.endpoints, known.health, app.partition, app.quarantine, upstream
+        app,
+        known.endpoints,
+        known.health,
+        app.partition,
+        app.quarantine,
+        header_codec,
+        upstream,
     )
 
 
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -13,7 +13,11 @@
 from ..peers.messages import Broadcast
 from ..placing.lease import PlacerLease
 from ..placing.placer import Placer
-from ..quarantine.messages import ClearedMessage, EndingsMessage
+from ..quarantine.messages import (
+    ClearedMessage,
+    EndingsMessage,
+    SoundPartsMessage,
+)
 from ..quarantine.service import Quarantine
 from ..reachability.peers import PartitionedPeers
 from ..relaying.retry_budget import RetryBudgetShare
@@ -163,6 +167,8 @@
             self._quarantine.apply_endings(message, origin)
         elif isinstance(message, ClearedMessage):
             self._quarantine.clear(message.fingerprint, "told")
+        elif isinstance(message, SoundPartsMessage):
+            self._quarantine.apply_sound_parts(message)
         elif isinstance(message, LoanRequest):
             self._quotas.handle_request(message)
         elif isinstance(message, Loan):
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -20,7 +20,11 @@
 )
 from ..limits.messages import EndpointLimit, PermitAnswer, PermitRequest
 from ..peers.packing import UNPACK_ERRORS, pack, unpack
-from ..quarantine.messages import ClearedMessage, EndingsMessage
+from ..quarantine.messages import (
+    ClearedMessage,
+    EndingsMessage,
+    SoundPartsMessage,
+)
 
 
 class StoredRow(msgspec.Struct, frozen=True, array_like=True):
@@ -211,6 +215,7 @@
     | PlacerHeartbeat
     | EndingsMessage
     | ClearedMessage
+    | SoundPartsMessage
     | LoanRequest
     | Loan
     | PermitRequest
--- a/chutelink/quarantine/const.py
+++ b/chutelink/quarantine/const.py
@@ -11,6 +11,17 @@
 cause: a lower threshold would hold requests that merely ran at the same time. The
 operators allow 3.
 """
+MIN_CONTENTS_TO_HOLD: Final = 2
+"""Different requests that must end endpoints before a part that they share is held.
+
+With fewer, the request may be the cause instead.
+"""
+MIN_RIVAL_RUNS: Final = 2
+"""Runs that two parts must share before either may have caused the terminations."""
+RUNS_TO_CONFIRM: Final = 2
+"""Terminations beside parts that are new before a held part is taken for the cause."""
+MAX_COMPANIONS: Final = 32
+"""Maximum number of parts that are recorded as having run with a suspect."""
 FIRST_HOLD_S: Final = 300.0
 """Duration of a request's first hold.
 
@@ -33,6 +44,8 @@
 Each hold takes three endpoint terminations, so hundreds of holds take a thousand
 terminations.
 """
+MAX_SOUND_PARTS: Final = 8192
+"""Maximum number of prompt parts that are remembered as sound."""
 SUSPECT_RETENTION_S: Final = 3600.0
 """How long a suspect is kept if its request does not recur."""
 SAME_ENDING_TOLERANCE_S: Final = 0.25
--- a/chutelink/quarantine/messages.py
+++ b/chutelink/quarantine/messages.py
@@ -11,13 +11,16 @@
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
     """A request that was running when an endpoint terminated.
 
-    ``noticed_ago_s`` is the time from the break of the run to this message.
+    ``noticed_ago_s`` is the time from the break of the run to this message. ``parts``
+    are the parts of its prompt that the sender does not know to be sound, in the order
+    of the prompt.
     """
 
     fingerprint: Fingerprint
     about: str
     ending: Ending
     noticed_ago_s: float = 0.0
+    parts: tuple[Fingerprint, ...] = ()
 
 
 class EndingsMessage(msgspec.Struct, frozen=True, array_like=True, tag="endings"):
@@ -32,4 +35,10 @@
     fingerprint: Fingerprint
 
 
-QuarantineMessage = EndingsMessage | ClearedMessage
+class SoundPartsMessage(msgspec.Struct, frozen=True, array_like=True, tag="sound"):
+    """Reports prompt parts that endpoints answer on without terminating."""
+
+    parts: list[Fingerprint]
+
+
+QuarantineMessage = EndingsMessage | ClearedMessage | SoundPartsMessage
--- a/chutelink/quarantine/model.py
+++ b/chutelink/quarantine/model.py
@@ -77,24 +77,31 @@
 
     ``until_unix_s`` is in Unix time, which stays valid across daemon restarts;
     ``endings`` are the endpoint terminations during its runs, ``trials`` the number of
-    trials since.
+    trials since. ``rivals`` are prompt parts that may have caused the terminations of a
+    part instead; there are none once the cause is certain.
     """
 
     about: str
     endings: tuple[Ending, ...]
     until_unix_s: float
     trials: int = 0
+    rivals: tuple[Fingerprint, ...] = ()
 
 
 class Suspect(msgspec.Struct):
-    """A request that was running when an endpoint terminated.
+    """A request, or a part of prompts, that was running when an endpoint terminated.
 
     ``seen_s`` is when this was last reported, on this daemon's clock; ``held_s`` is
-    when its hold began.
+    when its hold began. ``contents`` are some of the requests that shared a part, none
+    for a request; ``companions`` counts the runs that it shared with other parts.
+    ``tests`` counts the terminations since its hold, in runs without other suspects.
     """
 
     about: str
     endings: tuple[Ending, ...] = ()
+    contents: tuple[Fingerprint, ...] = ()
+    companions: dict[Fingerprint, int] = {}
+    tests: int = 0
     seen_s: float = 0.0
     hold: Hold | None = None
     held_s: float = 0.0
--- a/chutelink/quarantine/persistence.py
+++ b/chutelink/quarantine/persistence.py
@@ -74,6 +74,7 @@
 
     def _note_held(self, fingerprint: Fingerprint) -> None:
         self._locally_held.add(fingerprint)
+        self._saved.discard(fingerprint)
         self._cleared.pop(fingerprint, None)
         self._pending_removals.discard(fingerprint)
         self._changed.set()
--- a/chutelink/quarantine/policy.py
+++ b/chutelink/quarantine/policy.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from .const import ENDINGS_TO_HOLD, FIRST_HOLD_S, HOLD_BACKOFF_FACTOR, MAX_TRIALS
+from .const import (
+    ENDINGS_TO_HOLD,
+    FIRST_HOLD_S,
+    HOLD_BACKOFF_FACTOR,
+    MAX_TRIALS,
+    MIN_CONTENTS_TO_HOLD,
+)
 from .model import Hold, Suspect, Verdict
 
 
@@ -31,7 +37,7 @@
 
 
 class EndingCountPolicy(QuarantinePolicy):
-    """Holds a request after several endpoints terminated during its runs.
+    """Holds a request, or a prompt part, after several endpoints terminated.
 
     A successful run clears a request, so that content that many callers send isn't
     held merely because it was running when endpoints terminated.
@@ -39,6 +45,8 @@
 
     def should_hold(self, suspect: Suspect) -> bool:
         """Return whether the suspect has reached the threshold of endings."""
+        if suspect.contents and len(suspect.contents) < MIN_CONTENTS_TO_HOLD:
+            return False
         return len(suspect.endings) >= ENDINGS_TO_HOLD
 
     def begin_hold(self, suspect: Suspect, unix_s: float) -> Hold:
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -3,13 +3,19 @@
 An endpoint termination is counted for each request that was running on the endpoint,
 by request content and endpoint process, across all daemons. A request with too many of
 them is refused; one successful run clears it.
+
+It is also counted for the parts of a request's prompt that other requests may share,
+except for those that endpoints are known to answer on. Requests with a part that has
+too many terminations, during different requests, are refused.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
+
+import msgspec
 
 from ..core import Application
 from ..ids import EndpointId, Fingerprint, Incarnation
@@ -22,10 +28,17 @@
 )
 from .endinglog import EndingLog
 from .fingerprint import RequestContent, make_fingerprint, make_part_fingerprint
-from .messages import ClearedMessage, EndedRun, EndingsMessage, QuarantineMessage
+from .messages import (
+    ClearedMessage,
+    EndedRun,
+    EndingsMessage,
+    QuarantineMessage,
+    SoundPartsMessage,
+)
 from .model import BrokenRun, Evidence, Hold, Verdict
 from .policy import EndingCountPolicy, QuarantinePolicy
 from .probe import ConnectProbe, EndingProbe
+from .sound_parts import SoundParts
 from .table import SuspectTable
 from .verifier import EndingVerifier
 
@@ -40,6 +53,10 @@
     return text.encode("ascii", "backslashreplace").decode()[:MAX_ABOUT_CHARS]
 
 
+OWN_RUN = "own_run"
+"""Source of terminations that this daemon has observed itself."""
+
+
 class Quarantine:
     """Decides whether each request may run, and tracks the outcomes of runs.
 
@@ -75,6 +92,7 @@
         self._verifier = EndingVerifier(core, probe or ConnectProbe(), self.note_ended)
         self._endings = EndingLog()
         self._unsent: list[EndedRun] = []
+        self._sound = SoundParts()
         self.policy = policy or EndingCountPolicy()
         self.unix_clock = unix_clock
         self.table = SuspectTable(self.policy)
@@ -101,6 +119,10 @@
         """Return whether a request may run."""
         return self.table.verdict(fingerprint, self.unix_clock())
 
+    def binding(self, keys: Collection[Fingerprint]) -> list[Fingerprint]:
+        """Return those of a request's keys that are held or due for a trial."""
+        return self.table.binding(keys, self.unix_clock())
+
     def back_in_s(self, fingerprint: Fingerprint) -> float:
         """Return after how many seconds a caller should retry a held request."""
         row = self.table.get(fingerprint)
@@ -132,6 +154,20 @@
         """Clear a request that ran successfully, since it doesn't end endpoints."""
         self.release(fingerprint, "ran_well")
 
+    def note_sound(self, parts: Iterable[Fingerprint]) -> None:
+        """Record prompt parts that an endpoint answers on."""
+        for part in parts:
+            self._sound.add(part)
+            if self.clear(part, "ran_well"):
+                self.on_cleared(part)
+                self.send(SoundPartsMessage([part]))
+
+    def apply_sound_parts(self, message: SoundPartsMessage) -> None:
+        """Apply another daemon's report of sound prompt parts."""
+        for part in message.parts:
+            self._sound.add(part)
+            self.clear(part, "told")
+
     def release(self, fingerprint: Fingerprint, reason: str) -> bool:
         """Clear a request at all daemons; return whether it was known."""
         if not self.clear(fingerprint, reason):
@@ -158,6 +194,10 @@
 
     def apply_stored_hold(self, fingerprint: Fingerprint, hold: Hold) -> None:
         """Apply a hold that was read from the store."""
+        if fingerprint in self._sound:
+            # Written by a daemon that had not learned that the part is sound.
+            self.on_cleared(fingerprint)
+            return
         if self.table.put_hold(fingerprint, hold, self._core.clock()):
             self._log_hold(fingerprint, hold, "store")
 
@@ -166,7 +206,11 @@
         now_s = self._core.clock()
         for run in message.runs:
             ending = self._endings.resolve(run.ending, now_s - run.noticed_ago_s, now_s)
-            self._add_ending(EndedRun(run.fingerprint, run.about, ending), source)
+            self._add_ending(msgspec.structs.replace(run, ending=ending), source)
+        parts = {part for run in message.runs for part in run.parts}
+        sound = sorted(part for part in parts if part in self._sound)
+        if sound:
+            self.send(SoundPartsMessage(sound))
 
     def note_ended(self, run: BrokenRun, evidence: Evidence, broken_s: float) -> None:
         """Record that an endpoint is confirmed to have terminated during a run.
@@ -185,9 +229,10 @@
         )
         about = _sanitize_text(run.about)
         broken_ago_s = max(0.0, self._core.clock() - broken_s)
-        ended = EndedRun(run.fingerprint, about, ending, broken_ago_s)
-        if self._add_ending(ended, "own_run"):
-            self.on_held(run.fingerprint)
+        parts = tuple(part for part in run.parts if part not in self._sound)
+        ended = EndedRun(run.fingerprint, about, ending, broken_ago_s, parts)
+        for fingerprint in self._add_ending(ended, OWN_RUN):
+            self.on_held(fingerprint)
         if not self._unsent:
             asyncio.get_running_loop().call_later(
                 ENDING_BATCH_DELAY_S, self._send_endings
@@ -198,17 +243,65 @@
         runs, self._unsent = self._unsent, []
         self.send(EndingsMessage(runs))
 
-    def _add_ending(self, run: EndedRun, source: str) -> bool:
+    def _add_ending(self, run: EndedRun, source: str) -> list[Fingerprint]:
+        """Count a termination, and return what is held from now on."""
+        held = []
+        if self._add_to_table(run.fingerprint, run, source):
+            held.append(run.fingerprint)
+        return held + self._add_part_endings(run, source)
+
+    def _add_part_endings(self, run: EndedRun, source: str) -> list[Fingerprint]:
+        """Count a termination for the parts of a prompt, unless its cause is certain.
+
+        Returns the parts whose holds are new or changed.
+        """
+        suspects = [part for part in run.parts if part not in self._sound]
+        tested = self.table.find_tested(suspects)
+        certain = [part for part in suspects if self.table.is_certain(part)]
+        held = [
+            part
+            for part in certain or suspects
+            if self._add_to_table(part, run, source, suspects)
+        ]
+        is_conclusive = len(suspects) == 1
+        if tested and self.table.note_test(tested, is_conclusive=is_conclusive):
+            held.append(tested)
+        for part in held:
+            if self.table.is_certain(part):
+                self._discharge(part, source)
+        return held
+
+    def _discharge(self, part: Fingerprint, source: str) -> None:
+        """Clear what is suspected only of the terminations that a part has caused."""
+        for fingerprint in self.table.discharge(part):
+            if source == OWN_RUN:
+                self.release(fingerprint, "other_cause")
+            else:
+                self.clear(fingerprint, "other_cause")
+
+    def _add_to_table(
+        self,
+        fingerprint: Fingerprint,
+        run: EndedRun,
+        source: str,
+        parts: Collection[Fingerprint] = (),
+    ) -> bool:
+        """Count a termination; ``parts`` are those of the run that may have caused it.
+
+        Returns whether the fingerprint is held from now on.
+        """
+        is_part = fingerprint != run.fingerprint
         is_held = self.table.add_ending(
-            run.fingerprint,
-            run.about,
+            fingerprint,
+            f"prompt part of {run.about}" if is_part else run.about,
             run.ending,
             self._core.clock(),
             self.unix_clock(),
+            run.fingerprint if is_part else None,
+            [part for part in parts if part != fingerprint],
         )
         if is_held:
-            hold = self.table.get(run.fingerprint).hold
-            self._log_hold(run.fingerprint, hold, source)
+            self._log_hold(fingerprint, self.table.get(fingerprint).hold, source)
         return is_held
 
     def _log_hold(self, fingerprint: Fingerprint, hold: Hold, source: str) -> None:
@@ -217,6 +310,7 @@
             fingerprint=fingerprint,
             about=hold.about,
             endings=",".join(ending.label for ending in hold.endings),
+            rivals=",".join(hold.rivals),
             trials=hold.trials,
             left_s=hold.until_unix_s - self.unix_clock(),
             source=source,
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -6,10 +6,12 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDictProxy
 
 from ..const import HEADER_REQUEST_ID
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
+from ..entry.headers import HeaderCodec
 from ..exceptions import ConnectionBroken, EndpointUnreachable
 from ..learning.health import HealthTable
 from ..quarantine.fingerprint import RequestContent
@@ -42,6 +44,8 @@
         Whether this daemon reaches endpoints.
     quarantine : Quarantine
         Notified of runs that break.
+    header_codec : HeaderCodec
+        Decodes the headers of calls.
     upstream : Upstream
         Connections to endpoints.
     """
@@ -53,6 +57,7 @@
         health: HealthTable,
         partition: PartitionMonitor,
         quarantine: Quarantine,
+        header_codec: HeaderCodec,
         upstream: Upstream,
     ) -> None:
         self._core = core
@@ -60,6 +65,7 @@
         self._health = health
         self._partition = partition
         self._quarantine = quarantine
+        self._header_codec = header_codec
         self._upstream = upstream
         self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
         self._in_flight = 0
@@ -160,9 +166,14 @@
             record.address,
             sent_s,
             error.is_new_connection,
+            self._quarantine.part_fingerprints(self._shared_parts(call)),
         )
         await self._quarantine.async_note_broken(run)
 
+    def _shared_parts(self, call: EndpointCall) -> tuple[str, ...]:
+        meta = self._header_codec.decode_request(CIMultiDictProxy(call.headers))
+        return () if meta is None else meta.shared_parts
+
     def _end(self, request: web.BaseRequest, result: RelayResult) -> web.StreamResponse:
         """Return this daemon's own response."""
         self._note_result(request, result)
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -26,7 +26,8 @@
     route's. ``fingerprint`` is the same for all requests with the same content.
     ``prompt_parts`` are the fingerprints of the prompt's parts except the last, which
     no other request shares. ``caller`` is the address that the request came from.
-    ``is_trial`` allows one run of a request that has crashed endpoints. ``tried`` lists
+    ``is_trial`` allows one run of a request that has crashed endpoints; ``held_by`` is
+    the fingerprint for which it was refused as quarantined. ``tried`` lists
     the endpoints that it was sent to. ``first_event_s`` is the time from the start to a
     stream's first event, ``expected_s`` the expected time to the first byte at the
     endpoint chosen last, ``longest_pause_s`` the longest time between two events.
@@ -50,6 +51,7 @@
     caller: str = ""
     admission: Admission = msgspec.field(default_factory=Admission)
     is_trial: bool = False
+    held_by: Fingerprint = Fingerprint("")
     tried: list[EndpointId] = []
     may_have_run: bool = False
     resume_after: int | None = None
@@ -58,6 +60,11 @@
     longest_pause_s: float = 0.0
     knowledge: TableFreshness | None = None
 
+    @property
+    def quarantine_keys(self) -> tuple[Fingerprint, ...]:
+        """What the request may be quarantined for: its content and its prompt parts."""
+        return (self.fingerprint, *self.prompt_parts)
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/chutelink/relaying/quarantine_gate.py
+++ b/chutelink/relaying/quarantine_gate.py
@@ -30,10 +30,11 @@
         Refusal
             The request is quarantined.
         """
-        verdict = self._quarantine.verdict(exchange.fingerprint)
-        if verdict is Verdict.TRIAL:
+        held = self._quarantine.binding(exchange.quarantine_keys)
+        verdicts = {self._quarantine.verdict(key) for key in held}
+        if verdicts == {Verdict.TRIAL}:
             claim = self._quarantine.async_claim_trial
-            exchange.is_trial = await claim(exchange.fingerprint)
+            exchange.is_trial = all([await claim(key) for key in held])
         self.check(exchange)
 
     def check(self, exchange: Exchange) -> None:
@@ -44,13 +45,17 @@
         Refusal
             The request is quarantined.
         """
-        if not self.is_quarantined(exchange):
+        if exchange.is_trial:
+            return
+        held = self._quarantine.binding(exchange.quarantine_keys)
+        if not held:
             return
-        back_in_s = self._quarantine.back_in_s(exchange.fingerprint)
+        exchange.held_by = held[0]
+        back_in_s = max(self._quarantine.back_in_s(key) for key in held)
         raise unavailable("endpoints ended that ran this request", back_in_s)
 
     def is_quarantined(self, exchange: Exchange) -> bool:
         """Return whether the request is quarantined and is not a trial run."""
         if exchange.is_trial:
             return False
-        return self._quarantine.verdict(exchange.fingerprint) is not Verdict.FREE
+        return bool(self._quarantine.binding(exchange.quarantine_keys))
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -234,6 +234,7 @@
     def note_completed_run(self, exchange: Exchange) -> None:
         """Record that an endpoint ran a request to completion."""
         self._dispatcher.quarantine.note_success(exchange.fingerprint)
+        self._dispatcher.quarantine.note_sound(exchange.prompt_parts)
         if exchange.meta.model:
             self._dispatcher.loads.note_served(
                 exchange.meta.model, exchange.meta.adapter
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -102,6 +102,7 @@
         else:
             fields |= {
                 "fingerprint": exchange.fingerprint,
+                "held_by": exchange.held_by,
                 "caller": exchange.caller,
                 "route": exchange.route.name,
                 "service": exchange.service.name,
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -41,6 +41,8 @@
 """
 MIN_RESUME_S = 0.2
 """With less time left, resuming at another endpoint is of no use."""
+SOUND_EVENTS = 3
+"""Events after which a prompt does not crash endpoints that begin to answer on it."""
 FIRST_NON_SUCCESS_STATUS = 300
 MIN_LEARNED_TOKENS = 1000
 """Shorter prompts take too little time to measure an endpoint's prefill speed."""
@@ -187,6 +189,7 @@
         self._expected_prefill_s = 0.0
         self._longest_pause_s = 0.0
         self._first_event_s: float | None = None
+        self._events = 0
 
     async def async_run(
         self, sent_s: float
@@ -327,6 +330,10 @@
             exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         caller.last_event_s = now_s
+        self._events += 1
+        if self._events == SOUND_EVENTS:
+            quarantine = self._stream_relay._dispatcher.quarantine
+            quarantine.note_sound(exchange.prompt_parts)
         if self._first_event_s is None:
             self._first_event_s = now_s
         if not self._pending_prefill_s:
