Don't take an unframed stream without events for a complete one

An endpoint may respond with neither a length nor chunks, and end the response with its connection. One that terminates before its first event looks alike if its connection is closed rather than reset: callers got an empty stream with status 200, and the run counted as sound.

Such a response without any event, unless a stream was resumed, is broken off now, so that another endpoint is tried. test_unframed_stream_that_ends_without_an_event_is_not_complete failed before (an empty body) and passes.

--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -44,6 +44,7 @@
 SOUND_EVENTS = 3
 """Events after which a prompt does not crash endpoints that begin to answer on it."""
 FIRST_NON_SUCCESS_STATUS = 300
+FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 MIN_LEARNED_TOKENS = 1000
 """Shorter prompts take too little time to measure an endpoint's prefill speed."""
 
@@ -262,8 +263,22 @@
             raise ConnectionBroken(
                 "ended within an event", step="stream", peer=row.record.id
             )
+        if self._ended_without_event(response):
+            raise ConnectionBroken(
+                "ended before its first event", step="stream", peer=row.record.id
+            )
         await caller.async_send_headers(response.status, headers)
 
+    def _ended_without_event(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether only the end of the connection says that a stream is complete.
+
+        An endpoint that terminates ends it too. A stream that is resumed after its last
+        event has none.
+        """
+        is_framed = not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
+        is_resumed = self._exchange.resume_after is not None
+        return not self._events and not is_resumed and not is_framed
+
     async def _async_read_chunk(
         self, response: aiohttp.ClientResponse, limit_s: float | None
     ) -> bytes:
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -31,6 +31,13 @@
     request.transport.abort()
 
 
+def _unframed_head(headers: dict[str, str]) -> bytes:
+    """Return the head of an answer whose body ends with its connection."""
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    lines = ["HTTP/1.1 200 OK", *lines, "Connection: close"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
 def _has_crash_part(request: web.BaseRequest) -> bool:
     """Return whether a part of the prompt other than the last crashes endpoints."""
     prompt = request.headers.get("X-Prompt-Prefix", "").split(",")
@@ -50,6 +57,7 @@
     errors: int = 0
     foreign: int = 0
     reset_unframed: int = 0
+    end_unframed: int = 0
     cut_after_events: int = 0
     cuts: int = 1
     mute: int = 0
@@ -237,6 +245,8 @@
             return web.Response(status=500, body=b"own error", headers=headers)
         if self._consume_fault("reset_unframed"):
             return await self._async_reset_unframed(request, headers)
+        if self._consume_fault("end_unframed"):
+            return self._end_unframed(request, headers)
         if model:
             return await self._async_stream(request, headers)
         if self._signal_headers():
@@ -261,13 +271,19 @@
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
         """Send part of an answer without a length, then reset the connection."""
-        lines = [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Connection: close"])
-        request.transport.write(head.encode() + b"\r\n\r\nhalf of")
+        request.transport.write(_unframed_head(headers) + b"half of")
         await asyncio.sleep(0.05)
         reset_connection(request)
         return web.Response()
 
+    def _end_unframed(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.Response:
+        """Send the head of an answer without a length, then close the connection."""
+        request.transport.write(_unframed_head(headers))
+        request.transport.close()
+        return web.Response()
+
     async def _async_stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -52,6 +52,21 @@
     asyncio.run(async_test())
 
 
+def test_unframed_stream_that_ends_without_an_event_is_not_complete():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            first.faults = type(first.faults)(end_unframed=1)
+            async with harness.request("/stream/x", **headers()) as answer:
+                assert answer.status == 200
+                assert await answer.read() == expected()
+            assert second.runs == ["q1"]
+
+    asyncio.run(async_test())
+
+
 def test_stream_that_can_not_resume_does_not_appear_complete():
     async def async_test():
         async with async_relay_harness() as harness:
