Answer only once that a suspected prompt part is sound

By reading: every daemon that knew a suspected part to be sound broadcast it at once, in a fleet of 350 daemons up to 350 broadcasts for each such part of a crash. They wait for up to 0.1 s, and stay silent if another daemon answers first. With six daemons, five of which know the part, one answers.

--- a/chutelink/quarantine/const.py
+++ b/chutelink/quarantine/const.py
@@ -44,6 +44,11 @@
 Each hold takes three endpoint terminations, so hundreds of holds take a thousand
 terminations.
 """
+SOUND_REPLY_SPREAD_S: Final = 0.1
+"""Maximum delay before a daemon tells the others that a suspected part is sound.
+
+All of a large fleet may know it; most have heard it from another daemon by then.
+"""
 MAX_SOUND_PARTS: Final = 8192
 """Maximum number of prompt parts that are remembered as sound."""
 SUSPECT_RETENTION_S: Final = 3600.0
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -25,6 +25,7 @@
     MAX_ABOUT_CHARS,
     MAX_TRIALS,
     MIN_RETRY_AFTER_S,
+    SOUND_REPLY_SPREAD_S,
 )
 from .endinglog import EndingLog
 from .fingerprint import RequestContent, make_fingerprint, make_part_fingerprint
@@ -93,6 +94,7 @@
         self._endings = EndingLog()
         self._unsent: list[EndedRun] = []
         self._sound = SoundParts()
+        self._sound_replies: dict[Fingerprint, asyncio.TimerHandle] = {}
         self.policy = policy or EndingCountPolicy()
         self.unix_clock = unix_clock
         self.table = SuspectTable(self.policy)
@@ -165,6 +167,9 @@
     def apply_sound_parts(self, message: SoundPartsMessage) -> None:
         """Apply another daemon's report of sound prompt parts."""
         for part in message.parts:
+            reply = self._sound_replies.pop(part, None)
+            if reply is not None:
+                reply.cancel()
             self._sound.add(part)
             self.clear(part, "told")
 
@@ -207,10 +212,20 @@
         for run in message.runs:
             ending = self._endings.resolve(run.ending, now_s - run.noticed_ago_s, now_s)
             self._add_ending(msgspec.structs.replace(run, ending=ending), source)
-        parts = {part for run in message.runs for part in run.parts}
-        sound = sorted(part for part in parts if part in self._sound)
-        if sound:
-            self.send(SoundPartsMessage(sound))
+        for part in {part for run in message.runs for part in run.parts}:
+            if part in self._sound and part not in self._sound_replies:
+                self._schedule_sound_reply(part)
+
+    def _schedule_sound_reply(self, part: Fingerprint) -> None:
+        """Tell the other daemons that a part is sound, unless one of them does."""
+        delay_s = self._core.rng.uniform(0.0, SOUND_REPLY_SPREAD_S)
+        self._sound_replies[part] = asyncio.get_running_loop().call_later(
+            delay_s, self._send_sound_reply, part
+        )
+
+    def _send_sound_reply(self, part: Fingerprint) -> None:
+        del self._sound_replies[part]
+        self.send(SoundPartsMessage([part]))
 
     def note_ended(self, run: BrokenRun, evidence: Evidence, broken_s: float) -> None:
         """Record that an endpoint is confirmed to have terminated during a run.
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from chutelink.ids import EndpointId, Fingerprint
-from chutelink.quarantine.const import ENDINGS_TO_HOLD
+from chutelink.quarantine.const import ENDINGS_TO_HOLD, SOUND_REPLY_SPREAD_S
 from chutelink.quarantine.messages import (
     ClearedMessage,
     EndingsMessage,
@@ -34,6 +34,7 @@
         self.now_s = 100.0
         self.daemons = [self._make_daemon(n) for n in range(daemons)]
         self.processes = Counter()
+        self.sent: list[str] = []
 
     def _make_daemon(self, number: int) -> Quarantine:
         core = make_core(f"d{number}")
@@ -44,6 +45,7 @@
         return quarantine
 
     def _deliver(self, sender: int, message: object) -> None:
+        self.sent.append(type(message).__name__)
         for number, other in enumerate(self.daemons):
             if number == sender:
                 continue
@@ -83,8 +85,11 @@
         return {name for name in holds if name.startswith("part-")}
 
 
-def run(async_test) -> None:
-    asyncio.run(async_test(SharedQuarantine()))
+def run(async_test, daemons: int = 2) -> None:
+    async def async_run():
+        await async_test(SharedQuarantine(daemons))
+
+    asyncio.run(async_run())
 
 
 def test_part_is_held_at_all_daemons_though_no_request_is_repeated():
@@ -111,12 +116,15 @@
 
 def test_part_known_as_sound_at_another_daemon_is_not_held():
     async def async_test(shared):
-        shared.daemons[1].note_sound([FIRST])
+        for daemon in shared.daemons[1:]:
+            daemon.note_sound([FIRST])
         for number in range(ENDINGS_TO_HOLD):
             await shared.async_crash(f"i-{number}", [(0, f"r{number}", [FIRST])])
+        await asyncio.sleep(SOUND_REPLY_SPREAD_S)
         assert shared.held_parts(0) == shared.held_parts(1) == set()
+        assert shared.sent.count("SoundPartsMessage") == 1
 
-    run(async_test)
+    run(async_test, daemons=6)
 
 
 def test_inseparable_parts_are_held_only_together_until_one_is_sound():
