Show holds of prompt parts and partitions in explain-request

explain-request looked for the hold of a request's whole content only; a request refused for a prompt part names the part's hash in held_by, and the hold is shown. Begin and end of a partition may affect any request. A relayed call whose peer has closed its connection no longer ends without a response object (by reading).

--- a/chutelink/cli/explain_request.py
+++ b/chutelink/cli/explain_request.py
@@ -40,7 +40,14 @@
 )
 """Events that change a daemon's view of endpoints and models."""
 DEPENDENCY_EVENTS = frozenset(
-    {"store_lost", "store_regained", "member_down", "draining"}
+    {
+        "draining",
+        "endpoints_partitioned",
+        "endpoints_reachable",
+        "member_down",
+        "store_lost",
+        "store_regained",
+    }
 )
 """Events of the store and the daemons, which may affect any request."""
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
@@ -142,7 +149,7 @@
     for line in own:
         names |= {line.fields.get("model", ""), line.fields.get("endpoint", "")}
         names |= set(line.fields.get("endpoints", "").split(","))
-        names.add(line.fields.get("fingerprint", ""))
+        names |= {line.fields.get(key, "") for key in ("fingerprint", "held_by")}
     return names - {""}
 
 
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -133,14 +133,14 @@
             self._partition.note_failure(row.record.address)
             return self._end(request, RelayResult.NOT_SENT)
         except ConnectionBroken as error:
-            if request.transport is None or request.transport.is_closing():
-                # The peer has closed its connection, not the endpoint.
-                return response
-            await self._async_note_broken(row, call, error, sent_s)
+            if _is_connected(request):
+                # Otherwise the peer has closed its connection, not the endpoint.
+                await self._async_note_broken(row, call, error, sent_s)
             if response is None:
                 return self._end(request, RelayResult.BROKEN)
-            # The response must not appear complete.
-            request.transport.abort()
+            if _is_connected(request):
+                # The response must not appear complete.
+                request.transport.abort()
             return response
         self._note_result(request, RelayResult.RELAYED)
         await response.write_eof()
@@ -193,6 +193,10 @@
         )
 
 
+def _is_connected(request: web.BaseRequest) -> bool:
+    return request.transport is not None and not request.transport.is_closing()
+
+
 def _make_response(answer: aiohttp.ClientResponse) -> web.StreamResponse:
     """Return a response with the status and headers of the endpoint's."""
     headers = forwarded_headers(answer.headers)
--- a/tests/cli/test_explain_request.py
+++ b/tests/cli/test_explain_request.py
@@ -49,3 +49,15 @@
 def test_quoted_value_keeps_its_spaces():
     line = parse_line('time=2026-01-01T00:00:01Z event=x reason="a \\"b\\" c"')
     assert line.fields["reason"].startswith("a ")
+
+
+def test_hold_of_a_prompt_part_is_shown_with_the_request_that_it_refused(tmp_path):
+    path = tmp_path / "a.log"
+    path.write_text(
+        f"time=2026-01-01T00:00:01Z {HEAD} event=suspect_held fingerprint=part-1\n"
+        f"time=2026-01-01T00:00:01Z {HEAD} event=suspect_held fingerprint=part-2\n"
+        f"time=2026-01-01T00:00:02Z {HEAD} event=request request=q1 status=503 "
+        "fingerprint=f held_by=part-1\n"
+    )
+    around = explain_request("q1", [path]).data["around"]
+    assert [line["fingerprint"] for line in around] == ["part-1"]
