Don't fill endpoints that crash if they reject too many requests

Endpoints may state in their responses how many rejections a second for want of room they survive (Server-Brittle); nothing read it, so that a burst sent one of them 120 requests in a second that it had no room for, and repeated refusals 100 in 2.5 s.

Such an endpoint gets no request while all its slots are taken, the load that other daemons report included. After a rejection, a daemon sends it nothing until its share of the stated rate allows for another rejection. A success without the header lifts this.

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -105,6 +105,8 @@
         self.limit = LimitState()
         self.paused_until_s = float("-inf")
         """End of the pause that it requested from this daemon."""
+        self.max_rejections_per_s: float | None = None
+        """How many rejections for want of room it survives, if it states that."""
         self.unconfirmed_until_s = float("-inf")
         """End of the period in which its row may be left over from an ended process."""
         self.is_leaving = False
@@ -125,11 +127,19 @@
         """Return whether it has asked this daemon to pause requests."""
         return now_s < self.paused_until_s
 
+    @property
+    def is_full(self) -> bool:
+        """Whether another request might have to be rejected, which may crash it."""
+        is_brittle = self.max_rejections_per_s is not None
+        return is_brittle and self.total_requests >= self.record.slots
+
     def accepts_from_s(self, now_s: float) -> float | None:
         """Return when it accepts requests again, None if it is unrestricted."""
         if self.limit.is_limited:
             return max(self.limit.next_send_s, self.paused_until_s)
-        return self.paused_until_s if self.is_paused(now_s) else None
+        if self.is_paused(now_s):
+            return self.paused_until_s
+        return now_s if self.is_full else None
 
     @property
     def total_requests(self) -> int:
--- a/chutelink/entry/headers.py
+++ b/chutelink/entry/headers.py
@@ -73,13 +73,15 @@
     ``limit_per_s`` is the number of requests per second that it accepts from all
     daemons together, None if it sets no limit; ``is_leaving`` says that it will
     terminate soon; ``pause_s`` how long this daemon should send it no requests, None if
-    it does not ask for a pause; ``unreadable`` names the headers whose values were
-    ignored as invalid.
+    it does not ask for a pause; ``max_rejections_per_s`` is how many requests it can
+    reject for want of room without crashing, None if it states nothing; ``unreadable``
+    names the headers whose values were ignored as invalid.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    max_rejections_per_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -31,6 +31,8 @@
 HEADER_NOT_EXECUTED = "X-Not-Executed"
 HEADER_LIMIT = "Server-Limit"
 """Maximum requests per second to an endpoint, summed over all daemons."""
+HEADER_BRITTLE = "Server-Brittle"
+"""Maximum rejections per second, for all daemons, that an endpoint survives."""
 HEADER_CUSTOMER = "X-Tenant"
 """Tells endpoints the customer; a value sent by a caller is discarded."""
 RESERVED_HEADERS = (
@@ -94,6 +96,10 @@
     return _decode_amount(headers[HEADER_LIMIT])
 
 
+def _decode_brittle(headers: CIMultiDictProxy[str]) -> float | None:
+    return _decode_amount(headers[HEADER_BRITTLE])
+
+
 def _decode_pause(headers: CIMultiDictProxy[str]) -> float | None:
     """Return the pause in seconds; a date is relative to the answer's Date header."""
     amount = _decode_amount(headers[HEADER_RETRY_AFTER])
@@ -174,7 +180,7 @@
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> EndpointSignals:
         """Return what an answer signals about its endpoint's load and state."""
-        decoders = {HEADER_LIMIT: _decode_limit}
+        decoders = {HEADER_LIMIT: _decode_limit, HEADER_BRITTLE: _decode_brittle}
         if status == HTTP_UNAVAILABLE:
             decoders[HEADER_RETRY_AFTER] = _decode_pause
         values = {
@@ -186,5 +192,6 @@
             limit_per_s=values.get(HEADER_LIMIT),
             is_leaving=headers.get(HEADER_LEAVING, "").strip() == LEAVING,
             pause_s=values.get(HEADER_RETRY_AFTER),
+            max_rejections_per_s=values.get(HEADER_BRITTLE),
             unreadable=tuple(name for name, value in values.items() if value is None),
         )
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -18,7 +18,8 @@
     """Admits a request to an endpoint when the endpoint accepts requests.
 
     Requests to an endpoint with a rate limit need a permit. An endpoint that requested
-    a pause gets no requests until the pause is over.
+    a pause gets no requests until the pause is over, and one that may crash if it
+    rejects requests none while all its slots are taken.
 
     Parameters
     ----------
@@ -51,7 +52,9 @@
         rows = [
             row
             for row in rows
-            if not row.is_paused(now_s) and row.limit.next_send_s <= latest_s
+            if not row.is_paused(now_s)
+            and not row.is_full
+            and row.limit.next_send_s <= latest_s
         ]
         preferred = [
             row
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -91,7 +91,9 @@
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
         self._model_waiter = ModelWaiter(core, table, speeds, pending, loads)
-        self.signals = SignalReader(core, header_codec, table, loads)
+        self.signals = SignalReader(
+            core, header_codec, table, loads, lambda: retry_budget.daemons
+        )
         self._back_pressure = BackPressureGate(core, table, permits)
         self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from multidict import CIMultiDictProxy
 
 from ..core import Application
@@ -13,6 +15,9 @@
 from .exchange import Exchange
 
 FIRST_NON_SUCCESS_STATUS = 300
+UNAVAILABLE_STATUS = 503
+MIN_REJECTIONS_PER_S = 1.0
+"""Assumed for endpoints that state less, which would otherwise be paused for long."""
 
 
 class SignalReader:
@@ -28,6 +33,8 @@
         The endpoints.
     loads : LoadTracker
         Collects updates for other daemons.
+    count_daemons : callable
+        Returns how many daemons send requests.
     """
 
     def __init__(
@@ -36,11 +43,13 @@
         header_codec: HeaderCodec,
         table: EndpointTable,
         loads: LoadTracker,
+        count_daemons: Callable[[], int],
     ) -> None:
         self._core = core
         self._header_codec = header_codec
         self._table = table
         self._loads = loads
+        self._count_daemons = count_daemons
 
     def note(
         self,
@@ -72,6 +81,16 @@
             self._note_leaving(exchange, row)
         if signals.pause_s:
             self._note_pause(exchange, row, signals.pause_s)
+        if signals.max_rejections_per_s is not None or is_success:
+            row.max_rejections_per_s = signals.max_rejections_per_s
+        is_rejected = kind is AnswerKind.NOT_RUN and status == UNAVAILABLE_STATUS
+        if is_rejected and row.max_rejections_per_s is not None:
+            self._note_rejection(exchange, row)
+
+    def _note_rejection(self, exchange: Exchange, row: Endpoint) -> None:
+        """Pause until this daemon's share of rejections allows for another one."""
+        rate_per_s = max(MIN_REJECTIONS_PER_S, row.max_rejections_per_s)
+        self._note_pause(exchange, row, self._count_daemons() / rate_per_s)
 
     def _note_pause(self, exchange: Exchange, row: Endpoint, pause_s: float) -> None:
         now_s = self._core.clock()
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -50,7 +50,9 @@
     ``limit_per_s`` is announced in all answers; 0 announces no limit.
     ``says_leaving`` makes all answers announce that the endpoint is leaving, whatever
     its registration says. ``pause_s`` rejects all requests and asks for a pause of
-    this length; 0 rejects none.
+    this length; 0 rejects none. ``brittle_per_s`` announces that more rejections a
+    second than this crash it, 0 announces nothing; ``room`` is the number of requests
+    that it takes at the same time, 0 for any; each request runs for ``work_s``.
     """
 
     refuse: int = 0
@@ -65,6 +67,9 @@
     limit_per_s: float = 0.0
     says_leaving: bool = False
     pause_s: float = 0.0
+    brittle_per_s: float = 0.0
+    room: int = 0
+    work_s: float = 0.0
 
 
 class EndpointStandin:
@@ -98,6 +103,9 @@
         self.received_headers: list[dict[str, str]] = []
         self.arrived_s: list[float] = []
         """Arrival times of requests, on the monotonic clock of the process."""
+        self._active = 0
+        self.rejected_s: list[float] = []
+        """When requests were rejected for want of room, on the same clock."""
         self.signaled_s: list[float] = []
         """When answers other than streams carried signals, on the same clock."""
         self.orders: list[dict] = []
@@ -176,6 +184,8 @@
         signals = {"Server-Limit": str(limit_per_s)} if limit_per_s else {}
         if self.faults.says_leaving:
             signals["Server-Leaving"] = "1"
+        if self.faults.brittle_per_s:
+            signals["Server-Brittle"] = str(self.faults.brittle_per_s)
         return signals
 
     def _report(self) -> dict[str, object]:
@@ -224,13 +234,19 @@
             return web.Response(status=421)
         if model and model not in self.models:
             return web.Response(status=421)
-        if self._consume_fault("refuse"):
+        if self._consume_fault("refuse") or 0 < self.faults.room <= self._active:
+            self.rejected_s.append(time.monotonic())
             return web.Response(
                 status=503, headers=NOT_RUN_HEADERS | self._signal_headers()
             )
         if self.faults.pause_s:
             return self._reject_with_pause()
         self.runs.append(request_id)
+        self._active += 1
+        try:
+            await asyncio.sleep(self.faults.work_s)
+        finally:
+            self._active -= 1
         if body == CRASH_BODY:
             self.crash_runs_s.append(time.monotonic())
             await asyncio.sleep(CRASH_DELAY_S)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -155,3 +155,15 @@
 
 def test_pause_is_capped():
     assert CODEC.decode_signals(503, headers(Retry_After="1e9")).pause_s == 300.0
+
+
+@pytest.mark.parametrize(
+    ("value", "rate_per_s", "unreadable"),
+    [("3", 3.0, ()), ("0", 0.0, ()), ("-1", None, ("Server-Brittle",))],
+)
+def test_brittle_endpoint_states_how_many_rejections_it_survives(
+    value, rate_per_s, unreadable
+):
+    signals = CODEC.decode_signals(200, headers(**{"Server-Brittle": value}))
+    assert signals.max_rejections_per_s == rate_per_s
+    assert signals.unreadable == unreadable
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -23,7 +23,11 @@
         self.table = EndpointTable()
         self.put(born_ms=1)
         self.reader = SignalReader(
-            self.core, PlatformHeaderCodec(), self.table, LoadTracker()
+            self.core,
+            PlatformHeaderCodec(),
+            self.table,
+            LoadTracker(),
+            lambda: 1,
         )
 
     def put(self, born_ms):
