--- a/tests/entry/partitioned_fleet.py
+++ b/tests/entry/partitioned_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -125,7 +126,9 @@
         self.loop.partitions[daemon] = kind
         for sock in self.loop.open_connections(daemon):
             if kind is PartitionKind.RESET:
-                sock.shutdown(socket.SHUT_RDWR)
+                with contextlib.suppress(OSError):
+                    # The endpoint may have closed the connection already.
+                    sock.shutdown(socket.SHUT_RDWR)
             elif kind is PartitionKind.HANG:
                 self._blackhole(sock)
 
