Log the software version of endpoints, and which stream a request resumes

Registrations' version is kept in EndpointRecord and logged with endpoint_seen; the header Resumes is decoded; stream_resumed names the request, the attempt that it resumes, by whom (caller or daemon), the endpoint and its version; explain-request shows resumptions with the request that they resume. No decision uses any of these yet.

--- a/chutelink/cli/explain_request.py
+++ b/chutelink/cli/explain_request.py
@@ -96,12 +96,16 @@
 
 
 def explain_request(request_id: str, paths: list[Path]) -> Result:
-    """Return the request's own lines and the related state events."""
+    """Return the lines of the request and of its resumptions, and state events."""
     try:
         lines = read_logs(paths)
     except OSError as error:
         return make_failure(ExitCode.INVALID, str(error), "check the files' names")
-    own = [line for line in lines if line.fields.get("request") == request_id]
+    own = [
+        line
+        for line in lines
+        if request_id in (line.fields.get("request"), line.fields.get("resumes"))
+    ]
     if not own:
         message = f"no line names request {request_id}"
         advice = "good requests are thinned: see good_left_out in the log"
@@ -110,7 +114,7 @@
     shown = ["its own lines:", *(line.text for line in own)]
     shown += ["what daemons believed of its model and endpoints:"]
     shown += [line.text for line in related]
-    shown += ["", _summary(own)]
+    shown += ["", _summary(own, request_id)]
     data = {
         "request": request_id,
         "own": [line.fields for line in own],
@@ -153,12 +157,16 @@
     return names - {""}
 
 
-def _summary(own: list[LogLine]) -> str:
+def _summary(own: list[LogLine], request_id: str) -> str:
     """Summarize the request's final line in a sentence."""
-    last = next((line for line in reversed(own) if line.event == "request"), None)
-    if last is None:
+    final = [
+        line
+        for line in own
+        if line.event == "request" and line.fields.get("request") == request_id
+    ]
+    if not final:
         return "it has no final line: still under way, or its daemon was killed"
-    fields = last.fields
+    fields = final[-1].fields
     tried = fields.get("endpoints") or "none"
     return (
         f"ended {fields.get('outcome')} with status {fields.get('status')} after "
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -17,6 +17,7 @@
     ModelName,
     ModelRef,
     ServiceName,
+    SoftwareVersion,
     incarnation_of,
     model_ref,
 )
@@ -27,6 +28,8 @@
 from .messages import EndpointLoad
 
 NO_ADAPTER = AdapterName("")
+UNKNOWN_SOFTWARE = SoftwareVersion("")
+"""Software version of a process whose registration has not been read."""
 UNKNOWN_SEQUENCE = -1
 """Order sequence before the first report of an endpoint has been read."""
 PLACER_TIMEOUT_S = 3.0
@@ -60,7 +63,8 @@
 
     ``models`` maps each resident model to its adapters, as of some seconds ago;
     ``born_ms`` is the Unix time at which the process started, 0 if unknown: an
-    endpoint may restart under the same id, without its previous state.
+    endpoint may restart under the same id, without its previous state, and with another
+    ``software_version``.
     """
 
     id: EndpointId
@@ -71,6 +75,7 @@
     slots: int
     models: dict[ModelName, frozenset[AdapterName]]
     born_ms: int = 0
+    software_version: SoftwareVersion = UNKNOWN_SOFTWARE
 
     @property
     def incarnation(self) -> Incarnation:
--- a/chutelink/entry/headers.py
+++ b/chutelink/entry/headers.py
@@ -22,7 +22,8 @@
     """Metadata from the headers of a request.
 
     ``deadline_s`` is how long the caller waits from now on; ``resume_after`` the last
-    event that it received; ``prompt`` the parts of the prompt in order;
+    event that it received; ``resumes`` the attempt that brought the first event of a
+    stream that it resumes; ``prompt`` the parts of the prompt in order;
     ``counted_tokens`` the tokens charged to a quota, None if the request states none.
     """
 
@@ -34,6 +35,7 @@
     output_tokens: int = 0
     prompt: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumes: RequestId | None = None
     counted_tokens: int | None = None
 
     @property
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -126,6 +126,7 @@
                 service=record.service,
                 address=record.address,
                 state=record.state.value,
+                software_version=record.software_version,
                 models=",".join(record.models),
                 row_version=change.version,
                 source=change.source,
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -27,6 +27,8 @@
 RequestId = NewType("RequestId", str)
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software that an endpoint runs, not of its models' weights."""
 VmId = NewType("VmId", str)
 ModelRef = NewType("ModelRef", str)
 """MODEL or MODEL/ADAPTER, as named by callers in requests."""
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -16,6 +16,7 @@
     FailureDomainName,
     ModelName,
     ServiceName,
+    SoftwareVersion,
 )
 from ..placing.inventory import EndpointReport, Order, OrderAction
 
@@ -128,6 +129,7 @@
         slots=wire.slots,
         models=_decode_models(wire.models),
         born_ms=wire.born,
+        software_version=SoftwareVersion(wire.version),
     )
 
 
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -25,6 +25,10 @@
 HEADER_TOKEN_COUNT = "X-Token-Count"
 HEADER_PROMPT_PREFIX = "X-Prompt-Prefix"
 HEADER_LAST_EVENT = "Last-Event-Id"
+HEADER_RESUMES = "Resumes"
+"""Names the attempt that brought the first event of the stream to be resumed."""
+MAX_REQUEST_ID_CHARS = 200
+"""Longer ids in ``Resumes`` are ignored; no daemon remembers them."""
 HEADER_EXPECT_INSTANCE = "X-Expect-Instance"
 HEADER_URGENCY = "X-Request-Urgency"
 HEADER_SEAL = "X-Server-Seal"
@@ -83,6 +87,12 @@
     return tuple(parts)
 
 
+def _decode_resumes(headers: CIMultiDictProxy[str]) -> RequestId | None:
+    """Return the attempt that began the stream, None if there is no valid id."""
+    value = headers.get(HEADER_RESUMES, "").strip()
+    return RequestId(value) if 0 < len(value) <= MAX_REQUEST_ID_CHARS else None
+
+
 def _decode_amount(text: str) -> float | None:
     """Return a finite, non-negative decimal number, or None for anything else."""
     try:
@@ -139,6 +149,7 @@
             output_tokens=counts[1] if len(counts) > 1 else 0,
             prompt=_decode_prompt(headers.get(HEADER_PROMPT_PREFIX, "")),
             resume_after=int(last_event) if last_event.isdecimal() else None,
+            resumes=_decode_resumes(headers),
             counted_tokens=sum(counts) if counts else None,
         )
 
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -130,6 +130,8 @@
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         """Send to one endpoint; ANSWERED without a response is a finished stream."""
         sent_s = self._core.clock()
+        if exchange.resume_after:
+            self._log_resumed_stream(exchange, row)
         events_before = caller.events
         attempt = _Attempt(self, exchange, row, caller)
         try:
@@ -147,6 +149,18 @@
         finally:
             attempt.stop_prefill()
 
+    def _log_resumed_stream(self, exchange: Exchange, row: Endpoint) -> None:
+        meta = exchange.meta
+        self._core.events.record(
+            "stream_resumed",
+            request=meta.id,
+            resumes=meta.resumes or "",
+            resume_after=exchange.resume_after,
+            by="caller" if exchange.resume_after == meta.resume_after else "daemon",
+            endpoint=row.record.id,
+            software_version=row.record.software_version,
+        )
+
     def _log_broken_stream(
         self, exchange: Exchange, row: Endpoint, events: int, error: ChutelinkError
     ) -> None:
@@ -154,6 +168,7 @@
             "stream_broken",
             request=exchange.meta.id,
             endpoint=row.record.id,
+            software_version=row.record.software_version,
             events=events,
             resume_after=exchange.resume_after,
             resumable=exchange.is_repeatable,
--- a/tests/cli/test_explain_request.py
+++ b/tests/cli/test_explain_request.py
@@ -38,6 +38,21 @@
     assert "ended unknown with status 502" in result.lines[-1]
 
 
+def test_resumption_is_shown_with_the_request_that_it_resumes(tmp_path):
+    path = tmp_path / "a.log"
+    path.write_text(
+        f"time=2026-01-01T00:00:01Z {HEAD} event=request request=q1 status=200 "
+        "outcome=answered\n"
+        f"time=2026-01-01T00:00:02Z {HEAD} event=stream_resumed request=q2 "
+        "resumes=q1 software_version=v1\n"
+        f"time=2026-01-01T00:00:03Z {HEAD} event=request request=q2 status=503 "
+        "outcome=not-run resumes=q1\n"
+    )
+    result = explain_request("q1", [path])
+    assert [line["request"] for line in result.data["own"]] == ["q1", "q2", "q2"]
+    assert "ended answered with status 200" in result.lines[-1]
+
+
 def test_unknown_request_fails(tmp_path):
     assert explain_request("q9", write(tmp_path)).code is ExitCode.FAILED
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -33,6 +33,7 @@
     record = decode_registration("i-1", ROW)
     assert record.state is EndpointState.DRAINING
     assert record.models == {"m": frozenset({"a1"})}
+    assert record.software_version == "v1"
 
 
 def test_heartbeat_fields_are_not_a_change():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -37,6 +37,16 @@
     assert [(p.id, p.tokens) for p in meta.prompt] == [("5c", 800), ("91", 410)]
 
 
+@pytest.mark.parametrize(
+    ("value", "resumes"),
+    [("q0", "q0"), (" q0 ", "q0"), ("", None), ("q" * 200, "q" * 200)]
+    + [("q" * 201, None)],
+)
+def test_resumed_attempt_is_decoded_unless_overlong(value, resumes):
+    meta = CODEC.decode_request(headers(X_Request_Id="q1", Resumes=value))
+    assert meta.resumes == resumes
+
+
 def test_request_without_an_id_is_none():
     assert CODEC.decode_request(headers(X_Model="m")) is None
 
