--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -114,6 +114,8 @@
         self.crash_runs_s: list[float] = []
         """Start times of runs that crashed it, on the clock of the process."""
         self.born_ms: int | None = None
+        self.software_version: str | None = None
+        """Version of its software; if set, each event of a stream names it."""
         self.on_crash: Callable[[EndpointStandin], None] = lambda endpoint: None
         """Called when a request crashes the endpoint."""
 
@@ -127,7 +129,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.software_version or "v1",
             "slots": 8,
             "state": self.state,
             "models": self._model_list(),
@@ -151,6 +153,15 @@
         self.is_busy = False
         self.models = {name: [] for name in self.models}
 
+    def upgrade(self, software_version: str) -> None:
+        """Replace the process by one of another software version, without models."""
+        self._start_new_process()
+        self.software_version = software_version
+        self.sequence = 0
+        self.is_busy = False
+        self.models = {}
+        self.state = "ready"
+
     def _start_time_fields(self) -> dict[str, int]:
         return {} if self.born_ms is None else {"born": self.born_ms}
 
@@ -300,6 +311,12 @@
         request.transport.close()
         return web.Response()
 
+    def _event(self, number: int) -> bytes:
+        event = f"id: {number}\ndata: t{number}\n"
+        if self.software_version is not None:
+            event += f"event: {self.software_version}\n"
+        return f"{event}\n".encode()
+
     async def _async_stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -321,7 +338,7 @@
                     await response.write(b"id: 9")
                     reset_connection(request)
                     return response
-                await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
+                await response.write(self._event(number))
         except asyncio.CancelledError:
             self.cancelled.append(request.headers.get("X-Request-Id", ""))
             raise
--- a/tests/entry/partitioned_fleet.py
+++ b/tests/entry/partitioned_fleet.py
@@ -16,16 +16,13 @@
 from pathlib import Path
 
 import aiohttp
-from aiohttp import web
 
 from chutelink.entry.app import EntryApp
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.settings import EntrySettings, load_settings
-from standins.prepared import PreparedMachines
-from standins.prepared_config import make_config
 from standins.prepared_endpoint import EndpointStandin
 
-from ..processes.entry_deployment import SERVICES, STORE_PORT, EntryDeployment
+from ..processes.platform_in_loop import PlatformInLoop
 
 MODELS = ({"m0": [], "m1": []}, {"m2": [], "m3": []})
 _DAEMON: ContextVar[int | None] = ContextVar("daemon", default=None)
@@ -75,34 +72,29 @@
         self._remove_reader(sock.fileno())
 
 
-class PartitionedFleet(EntryDeployment):
+class PartitionedFleet(PlatformInLoop):
     """A store with endpoints, and daemons that run in this event loop."""
 
     def __init__(self, directory: Path) -> None:
         super().__init__(directory)
         self.loop: PartitionLoop = asyncio.get_running_loop()
-        self.machines = PreparedMachines()
         self.apps: dict[int, EntryApp] = {}
-        self._runner: web.AppRunner | None = None
 
     async def async_start_store(self) -> None:
         """Start the store and the endpoints."""
-        app = web.Application()
-        self.machines.store.add_routes(app)
-        self._runner = web.AppRunner(app)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, f"{self.subnet}.1", STORE_PORT).start()
-        for number, models in enumerate(MODELS):
-            await self.async_add(EndpointStandin(f"i-llm{number}", "llm", models, 0.1))
-            await self.async_add(EndpointStandin(f"i-plain{number}", "plain", {}, 0.1))
-        self.machines.configure(make_config(1, SERVICES))
+        endpoints = [
+            endpoint
+            for number, models in enumerate(MODELS)
+            for endpoint in (
+                EndpointStandin(f"i-llm{number}", "llm", models, 0.1),
+                EndpointStandin(f"i-plain{number}", "plain", {}, 0.1),
+            )
+        ]
+        await self.async_start_platform(endpoints)
 
     async def async_add(self, endpoint: EndpointStandin) -> None:
         """Start an endpoint."""
-        endpoint.models = {
-            model: list(names) for model, names in endpoint.models.items()
-        }
-        await self.machines.async_add(endpoint, f"{self.subnet}.1")
+        await super().async_add(endpoint)
         self.loop.endpoint_ports.add(int(endpoint.address.rpartition(":")[2]))
 
     async def async_start_app(self, number: int) -> None:
@@ -149,9 +141,7 @@
     async def async_close(self) -> None:
         """Stop the daemons, the endpoints and the store."""
         await asyncio.gather(*(app.stop() for app in self.apps.values()))
-        await self.session.close()
-        await self.machines.async_close()
-        await self._runner.cleanup()
+        await super().async_close()
 
 
 @asynccontextmanager
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -119,6 +119,10 @@
         key = f"endpoints/{endpoint.name}"
         self.state.apply_row(RowChange(key, endpoint.registration()))
 
+    def remove(self, endpoint: EndpointStandin) -> None:
+        """Pass the removal of an endpoint's registration to the daemon."""
+        self.state.apply_row(RowChange(f"endpoints/{endpoint.name}", None))
+
     def configure(self, version: int = 1, **changes: object) -> None:
         config = make_config(version, SERVICES, **changes)
         kept = PreparedMachinesAdapter().compact_row("config/config", config)
