Resume streams only at the software version that began them

The version of an endpoint was decoded from its registration and dropped, and no daemon knew which version had begun a stream that a caller resumed, once the response was over or its daemon had ended.

A stream is now bound to the version of the endpoint that brings its first event. Each daemon remembers the version of each attempt that it sends (bounded: 120 s, 20,000 records); while a service has several versions, it sends the record, before the request, to three daemons that rendezvous hashing of the request id gives, those of different failure domains first, and once a second version appears the records it has. A resumption is looked up by the attempt that Resumes names, here and at up to five daemons, within 0.3 s. An unknown stream goes on while only one version can have begun it, and is refused at once as not run, without Retry-After, while several can. A daemon whose knowledge of the processes is over 1 s old resumes nothing, and records unknown versions: endpoints restart under the same id. A model that only other versions have is not waited for.

Sending every record to all daemons was ruled out: at 350 daemons and 2,900 streams a second it is over the 12 KB/s of a daemon; nothing is sent while one version serves.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -15,8 +15,9 @@
 from ..customers.buckets import QuotaBounds
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
-from ..ids import DaemonId
+from ..ids import DaemonId, FailureDomainName
 from ..limits.permits import PermitManager
+from ..origins.manager import OriginManager
 from ..peers.mesh import Mesh
 from ..placing.lease import PlacerLease
 from ..placing.placement import DemandPlacement
@@ -127,6 +128,7 @@
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
+        self.origins = OriginManager(self, self.known.endpoints.versions)
         self.quotas = QuotaSharing(self, bounds, is_lending=entry.quota_lending)
         self.mesh: Mesh | None = None
         self.watch: StoreWatch | None = None
@@ -167,6 +169,7 @@
         self.quotas.manager.send = self.router.reply
         self.quotas.manager.linked = self.mesh.linked_members
         self._setup_permits()
+        self._setup_origins()
         self._upstream.relays = RelayClient(
             self,
             self.partition,
@@ -235,6 +238,18 @@
         self.permits.linked = self.mesh.linked_members
         self.permits.serving = lambda: self.router.serving
 
+    def _setup_origins(self) -> None:
+        self.router.origins = self.origins
+        self.origins.send = self.router.reply
+        self.origins.linked = self.mesh.linked_members
+        self.origins.is_alone = self.mesh.is_alone
+        self.origins.domains = self._serving_domains
+
+    def _serving_domains(self) -> dict[DaemonId, FailureDomainName]:
+        """Return the daemons that serve callers, with their failure domains."""
+        rows = self.members.rows
+        return {id: rows[id].failure_domain for id in self.router.serving & rows.keys()}
+
     def _setup_placer(self) -> None:
         self.placer = Placer(
             self,
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -78,6 +78,7 @@
         LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
         app.quarantine,
         app.permits,
+        app.origins,
     )
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -25,11 +25,10 @@
 from ..learning.peer_loads import PeerLoads
 from ..limits.messages import EndpointLimit
 from ..limits.model import LimitState
+from ..origins.versions import VersionHistory
 from .messages import EndpointLoad
 
 NO_ADAPTER = AdapterName("")
-UNKNOWN_SOFTWARE = SoftwareVersion("")
-"""Software version of a process whose registration has not been read."""
 UNKNOWN_SEQUENCE = -1
 """Order sequence before the first report of an endpoint has been read."""
 PLACER_TIMEOUT_S = 3.0
@@ -64,7 +63,7 @@
     ``models`` maps each resident model to its adapters, as of some seconds ago;
     ``born_ms`` is the Unix time at which the process started, 0 if unknown: an
     endpoint may restart under the same id, without its previous state, and with another
-    ``software_version``.
+    ``software_version``, which is None until the registration of the process is read.
     """
 
     id: EndpointId
@@ -75,7 +74,7 @@
     slots: int
     models: dict[ModelName, frozenset[AdapterName]]
     born_ms: int = 0
-    software_version: SoftwareVersion = UNKNOWN_SOFTWARE
+    software_version: SoftwareVersion | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -205,6 +204,8 @@
         self._others = PeerLoads()
         self._leaving = EndpointProcessCache()
         self._removed = EndpointProcessCache()
+        self.versions = VersionHistory()
+        """Software versions that the endpoints run, by service."""
         self.last_placer_message_s = float("-inf")
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
@@ -226,6 +227,7 @@
         row = self.rows.get(record.id)
         if row is None:
             row = self.rows[record.id] = Endpoint(record)
+            self.versions.add(record.service, record.software_version)
             # Its row may have been missing during a store outage.
             row.is_leaving = self._leaving.has(record.id, record.born_ms)
             self._record_draining(row)
@@ -236,6 +238,7 @@
         if record.born_ms < row.record.born_ms or _is_older_state(row.record, record):
             return RegistrationResult.OUTDATED
         is_changed = row.record.state is not record.state
+        self._replace_version(row.record, record)
         row.update_record(record, now_s - self.last_placer_message_s < PLACER_TIMEOUT_S)
         self._record_draining(row)
         return RegistrationResult.CHANGED if is_changed else RegistrationResult.SAME
@@ -275,7 +278,9 @@
         if row is None or born_ms < row.record.born_ms:
             return
         if born_ms > row.record.born_ms:
-            record = msgspec.structs.replace(row.record, born_ms=born_ms, models={})
+            record = msgspec.structs.replace(
+                row.record, born_ms=born_ms, models={}, software_version=None
+            )
             row = self._restart(row, record)
         row.update_models(sequence, models)
 
@@ -306,10 +311,19 @@
     def _restart(self, before: Endpoint, record: EndpointRecord) -> Endpoint:
         """Replace the state of an endpoint after its process restarted."""
         row = self.rows[record.id] = Endpoint(record)
+        self._replace_version(before.record, record)
         self._leaving.forget(record.id)
         self.on_restarted(before.record, record)
         return row
 
+    def _replace_version(self, before: EndpointRecord, record: EndpointRecord) -> None:
+        key = (record.service, record.software_version)
+        if key == (before.service, before.software_version):
+            return
+        # Added first: the version of a process may only now become known.
+        self.versions.add(record.service, record.software_version)
+        self.versions.remove(before.service, before.software_version)
+
     def is_registered(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint is registered and not shutting down.
 
@@ -330,6 +344,7 @@
         row = self.rows.pop(endpoint, None)
         if row is not None:
             self._removed.note(endpoint, row.record.born_ms)
+            self.versions.remove(row.record.service, row.record.software_version)
         return row
 
     def lapse(self, endpoint: EndpointId, until_s: float) -> None:
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -9,6 +9,8 @@
 from ..ids import DaemonId
 from ..limits.messages import PermitAnswer, PermitRequest
 from ..limits.permits import PermitManager
+from ..origins.manager import OriginManager
+from ..origins.messages import OriginAnswer, OriginQuery, OriginUpdate
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
 from ..placing.lease import PlacerLease
@@ -107,6 +109,7 @@
         self.placer: Placer | None = None
         self.partitioned_peers = PartitionedPeers()
         self.permits: PermitManager | None = None
+        self.origins: OriginManager | None = None
 
     def send(self, message: EntryMessage) -> None:
         """Send a message to the daemons that need it, and apply it here if needed."""
@@ -177,6 +180,12 @@
             self.permits.handle_request(message)
         elif isinstance(message, PermitAnswer):
             self.permits.handle_answer(message)
+        elif isinstance(message, OriginUpdate):
+            self.origins.handle_update(message)
+        elif isinstance(message, OriginQuery):
+            self.origins.handle_query(message)
+        elif isinstance(message, OriginAnswer):
+            self.origins.handle_answer(message)
 
     def _handle_load(self, message: LoadReport) -> None:
         now_s = self._core.clock()
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -19,6 +19,7 @@
     StoreEra,
 )
 from ..limits.messages import EndpointLimit, PermitAnswer, PermitRequest
+from ..origins.messages import OriginAnswer, OriginQuery, OriginUpdate
 from ..peers.packing import UNPACK_ERRORS, pack, unpack
 from ..quarantine.messages import (
     ClearedMessage,
@@ -220,6 +221,9 @@
     | Loan
     | PermitRequest
     | PermitAnswer
+    | OriginUpdate
+    | OriginQuery
+    | OriginAnswer
 )
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
--- a/chutelink/gateway/refusals.py
+++ b/chutelink/gateway/refusals.py
@@ -29,8 +29,8 @@
         Human-readable reason.
     outcome : Outcome
         Whether any part of the request may have been run.
-    retry_after_s : float, default=1.0
-        Value of ``Retry-After``; sent only with NOT_RUN.
+    retry_after_s : float or None, default=1.0
+        Value of ``Retry-After``; sent only with NOT_RUN, and not if it is None.
     detail : str, default=""
         Further information, such as the position of an error in the body.
     """
@@ -41,7 +41,7 @@
         title: str,
         *,
         outcome: Outcome = Outcome.NOT_RUN,
-        retry_after_s: float = 1.0,
+        retry_after_s: float | None = 1.0,
         detail: str = "",
     ) -> None:
         super().__init__(title)
@@ -72,7 +72,7 @@
         fractions of a second.
         """
         headers = {HEADER_OUTCOME: self.outcome.value}
-        if self.outcome is Outcome.NOT_RUN:
+        if self.outcome is Outcome.NOT_RUN and self.retry_after_s is not None:
             whole_s = max(1, math.ceil(self.retry_after_s))
             exact_s = f"{self.retry_after_s:.2f}"
             headers[HEADER_RETRY_AFTER] = (
@@ -123,6 +123,14 @@
     return Refusal(503, title, retry_after_s=retry_after_s)
 
 
+def unresumable(reason: str) -> Refusal:
+    """Return the refusal of a stream that can't be resumed, also not later."""
+    detail = f"{reason}; request the stream again from its beginning"
+    return Refusal(
+        503, "the stream can't be resumed", retry_after_s=None, detail=detail
+    )
+
+
 def unknown_outcome(title: str, status: int = 502) -> Refusal:
     """Return the error for a request that may have been run."""
     return Refusal(status, title, outcome=Outcome.UNKNOWN)
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -36,6 +36,9 @@
         self.pauses = self._counter(
             "endpoint_pauses_total", "Answers that ask for a pause"
         )
+        self.stream_resumptions = self._counter(
+            "stream_resumptions_total", "Streams resumed by callers, by decision"
+        )
         self.permits = self._counter(
             "permits_total", "Permits requested for endpoints that name a limit"
         )
--- /dev/null
+++ b/chutelink/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of the endpoints that began streams, kept for their resumption."""
--- /dev/null
+++ b/chutelink/origins/const.py
@@ -0,0 +1,31 @@
+"""Constants for the records of which software version began a stream."""
+
+from __future__ import annotations
+
+from typing import Final
+
+OWNERS: Final = 3
+"""Number of other daemons that keep each record.
+
+Several daemons may fail at once, among them the one that relayed the stream.
+"""
+LOOKUP_PEERS: Final = 5
+"""Number of daemons asked: the owners, and those that replace lost ones."""
+LOOKUP_TIMEOUT_S: Final = 0.3
+"""How long a request waits for the answers; callers wait for seconds for an event."""
+LOOKUP_POLL_S: Final = 0.02
+"""How often a daemon that has just started looks for new links during a lookup."""
+LINKING_S: Final = 2.0
+"""Time after a start in which links to other daemons may still be missing."""
+RETENTION_S: Final = 120.0
+"""How long a stream can be resumed: twice the default deadline of a request."""
+MAX_ORIGINS: Final = 20_000
+"""Number of records kept; more than a daemon and its peers begin within RETENTION_S."""
+MAX_ORIGINS_PER_MESSAGE: Final = 200
+"""Bounds the size of a message, some 10 KB."""
+MAX_KNOWLEDGE_AGE_S: Final = 1.0
+"""Age up to which a daemon knows the processes that serve.
+
+A new process of an endpoint has no models. Until the placer has found it and a model is
+loaded, it serves no streams.
+"""
--- /dev/null
+++ b/chutelink/origins/manager.py
@@ -0,0 +1,199 @@
+"""Keeps records of which software version began a stream, and finds them again.
+
+While a service's endpoints run several software versions, each daemon sends the records
+of its streams to a few other daemons, and asks those for the record of a stream that
+began elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+
+import msgspec
+
+from ..core import Application
+from ..ids import DaemonId, FailureDomainName, RequestId, ServiceName, SoftwareVersion
+from .const import (
+    LINKING_S,
+    LOOKUP_PEERS,
+    LOOKUP_POLL_S,
+    LOOKUP_TIMEOUT_S,
+    MAX_ORIGINS_PER_MESSAGE,
+    OWNERS,
+    RETENTION_S,
+)
+from .messages import OriginAnswer, OriginQuery, OriginUpdate, StreamOrigin
+from .owners import order_owners
+from .table import OriginTable
+from .versions import VersionHistory
+
+
+class Lookup(msgspec.Struct):
+    """Search for a record, and its result.
+
+    ``versions`` are those that this daemon and the peers that answered have seen;
+    ``changed`` is set by each answer.
+    """
+
+    origin: StreamOrigin | None
+    versions: set[SoftwareVersion | None]
+    asked: set[DaemonId] = msgspec.field(default_factory=set)
+    answered: set[DaemonId] = msgspec.field(default_factory=set)
+    changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
+
+
+class OriginManager:
+    """Records the software versions that begin streams.
+
+    Parameters
+    ----------
+    core : Application
+        The daemon's shared services.
+    versions : VersionHistory
+        Versions of the endpoints.
+    """
+
+    def __init__(self, core: Application, versions: VersionHistory) -> None:
+        self._core = core
+        self.versions = versions
+        versions.on_mixed = self._share_all
+        self._table = OriginTable()
+        self._created_s = core.clock()
+        self._query_numbers = itertools.count(1)
+        self._lookups: dict[int, Lookup] = {}
+        self.domains: Callable[[], dict[DaemonId, FailureDomainName]] = dict
+        """Returns the daemons that serve callers, with their failure domains."""
+        self.linked: Callable[[], set[DaemonId]] = set
+        """Returns the daemons to which there is a link."""
+        self.is_alone: Callable[[], bool] = lambda: True
+        """Returns whether there are no other daemons, also none out of reach."""
+        self.send: Callable[
+            [DaemonId, OriginUpdate | OriginQuery | OriginAnswer], None
+        ] = lambda to, message: None
+
+    @property
+    def has_full_history(self) -> bool:
+        """Whether this daemon has run for as long as a stream can be resumed."""
+        return self._core.clock() - self._created_s > RETENTION_S
+
+    def knows_all_versions(self, lookup: Lookup) -> bool:
+        """Return whether a search has shown all versions that streams may have.
+
+        A daemon that has just started doesn't know the versions that left before.
+        """
+        return self.has_full_history or bool(lookup.answered) or self.is_alone()
+
+    def note(self, origin: StreamOrigin) -> None:
+        """Record the version of an endpoint before a request is sent to it."""
+        now_s = self._core.clock()
+        self._table.put(origin, now_s, is_own=True)
+        if self.versions.is_mixed(origin.service, now_s):
+            for owner in self._owners(origin.request):
+                self.send(owner, OriginUpdate([origin]))
+
+    def _owners(self, request: RequestId) -> list[DaemonId]:
+        """Return the linked owners of a record."""
+        linked = self.linked()
+        peers = [peer for peer in self._candidates(request) if peer in linked]
+        return peers[:OWNERS]
+
+    def _candidates(self, request: RequestId) -> list[DaemonId]:
+        domains = dict(self.domains())
+        domains.pop(self._core.daemon_id, None)
+        return order_owners(request, domains)
+
+    def _share_all(self, service: ServiceName) -> None:
+        """Send all records to their owners, once a service gets another version."""
+        by_owner: dict[DaemonId, list[StreamOrigin]] = defaultdict(list)
+        for origin in self._table.own(service):
+            for owner in self._owners(origin.request):
+                by_owner[owner].append(origin)
+        for owner, origins in by_owner.items():
+            for start in range(0, len(origins), MAX_ORIGINS_PER_MESSAGE):
+                batch = origins[start : start + MAX_ORIGINS_PER_MESSAGE]
+                self.send(owner, OriginUpdate(batch))
+
+    def handle_update(self, update: OriginUpdate) -> None:
+        """Keep the records of another daemon."""
+        now_s = self._core.clock()
+        for origin in update.origins:
+            self._table.put(origin, now_s, is_own=False)
+
+    def handle_query(self, query: OriginQuery) -> None:
+        """Answer another daemon's search."""
+        now_s = self._core.clock()
+        answer = OriginAnswer(
+            self._core.daemon_id,
+            query.number,
+            self._table.get(query.request, query.service, now_s),
+            list(self.versions.versions(query.service, now_s)),
+        )
+        self.send(query.daemon, answer)
+
+    def handle_answer(self, answer: OriginAnswer) -> None:
+        """Handle an answer; a late one is discarded."""
+        lookup = self._lookups.get(answer.number)
+        if lookup is None:
+            return
+        lookup.answered.add(answer.daemon)
+        lookup.versions |= set(answer.versions)
+        if _is_newer(answer.origin, lookup.origin):
+            lookup.origin = answer.origin
+        lookup.changed.set()
+
+    async def async_find(
+        self, request: RequestId | None, service: ServiceName
+    ) -> Lookup:
+        """Search for the record of an attempt, here and at its owners.
+
+        Without an attempt, only the versions that the owners have seen are collected.
+        """
+        request = RequestId("") if request is None else request
+        now_s = self._core.clock()
+        own = self._table.get(request, service, now_s)
+        lookup = Lookup(own, self.versions.versions(service, now_s))
+        if own is not None:
+            return lookup
+        number = next(self._query_numbers)
+        self._lookups[number] = lookup
+        query = OriginQuery(self._core.daemon_id, number, request, service)
+        try:
+            async with asyncio.timeout(LOOKUP_TIMEOUT_S):
+                await self._async_ask(query, lookup)
+        except TimeoutError:
+            self._core.events.info(
+                "origin_lookup_late",
+                request=request,
+                asked=len(lookup.asked),
+                answered=len(lookup.answered),
+            )
+        finally:
+            del self._lookups[number]
+        return lookup
+
+    async def _async_ask(self, query: OriginQuery, lookup: Lookup) -> None:
+        """Ask the owners, and wait until one has the record or all have answered."""
+        while lookup.origin is None:
+            peers = set(self._candidates(query.request)[:LOOKUP_PEERS])
+            for peer in peers & self.linked() - lookup.asked:
+                lookup.asked.add(peer)
+                self.send(peer, query)
+            may_link = self._core.clock() - self._created_s < LINKING_S
+            expected = peers if may_link else lookup.asked
+            if lookup.answered >= expected and (peers or not may_link):
+                return
+            lookup.changed.clear()
+            try:
+                async with asyncio.timeout(LOOKUP_POLL_S):
+                    await lookup.changed.wait()
+            except TimeoutError:
+                continue
+
+
+def _is_newer(origin: StreamOrigin | None, known: StreamOrigin | None) -> bool:
+    if origin is None:
+        return False
+    return known is None or origin.sends > known.sends
--- /dev/null
+++ b/chutelink/origins/messages.py
@@ -0,0 +1,49 @@
+"""Messages between daemons about the software versions that began streams."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import DaemonId, RequestId, ServiceName, SoftwareVersion
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """The software version of the endpoint that an attempt of a caller was sent to.
+
+    ``version`` is None if it is unknown. ``sends`` counts the endpoints that the
+    attempt was sent to: before the first event of its stream, each one replaces the
+    previous one.
+    """
+
+    request: RequestId
+    service: ServiceName
+    version: SoftwareVersion | None
+    sends: int = 1
+
+
+class OriginUpdate(msgspec.Struct, frozen=True, array_like=True, tag="origins"):
+    """Records for one of their owners."""
+
+    origins: list[StreamOrigin]
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag="origin_query"):
+    """Asks for a record; ``number`` identifies the query."""
+
+    daemon: DaemonId
+    number: int
+    request: RequestId
+    service: ServiceName
+
+
+class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_answer"):
+    """Answer to a query.
+
+    ``origin`` is None if the daemon has no record; ``versions`` are those that the
+    service's endpoints ran recently, as far as the daemon knows.
+    """
+
+    daemon: DaemonId
+    number: int
+    origin: StreamOrigin | None
+    versions: list[SoftwareVersion | None]
--- /dev/null
+++ b/chutelink/origins/versions.py
@@ -0,0 +1,71 @@
+"""Software versions that the endpoints of each service run or ran recently."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+
+import msgspec
+
+from ..ids import ServiceName, SoftwareVersion
+from .const import RETENTION_S
+
+
+class _Usage(msgspec.Struct):
+    """Number of endpoints that run a version, and since when there has been none.
+
+    The time is that of the first check after the last endpoint left.
+    """
+
+    endpoints: int = 0
+    unused_since_s: float | None = None
+
+
+class VersionHistory:
+    """Counts the endpoints of each version, and keeps versions that have left.
+
+    The version of an endpoint is None while its registration has not been read.
+    """
+
+    def __init__(self) -> None:
+        self._usages: dict[ServiceName, dict[SoftwareVersion | None, _Usage]] = (
+            defaultdict(dict)
+        )
+        self.on_mixed: Callable[[ServiceName], None] = lambda service: None
+        """Called when a service gets another version beside those it had."""
+
+    def add(self, service: ServiceName, version: SoftwareVersion | None) -> None:
+        """Count an endpoint."""
+        usages = self._usages[service]
+        is_new = version is not None and version not in usages
+        usage = usages.setdefault(version, _Usage())
+        usage.endpoints += 1
+        usage.unused_since_s = None
+        if is_new and len(usages.keys() - {None}) > 1:
+            self.on_mixed(service)
+
+    def remove(self, service: ServiceName, version: SoftwareVersion | None) -> None:
+        """Stop counting an endpoint."""
+        usage = self._usages[service][version]
+        usage.endpoints -= 1
+        if version is None and not usage.endpoints:
+            # The registration has been read, and its version is counted instead.
+            del self._usages[service][version]
+
+    def versions(
+        self, service: ServiceName, now_s: float
+    ) -> set[SoftwareVersion | None]:
+        """Return the versions that may have begun a stream that can be resumed now."""
+        usages = self._usages.get(service, {})
+        for version, usage in list(usages.items()):
+            if usage.endpoints:
+                continue
+            if usage.unused_since_s is None:
+                usage.unused_since_s = now_s
+            if now_s - usage.unused_since_s > RETENTION_S:
+                del usages[version]
+        return set(usages)
+
+    def is_mixed(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether a service has, or recently had, more than one version."""
+        return len(self.versions(service, now_s) - {None}) > 1
--- a/chutelink/peers/dialing.py
+++ b/chutelink/peers/dialing.py
@@ -53,6 +53,11 @@
         """Set the seeds from the VM list, in addition to the configured ones."""
         self._seeds = set(self._settings.seeds) | addresses
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether other daemons are known, reachable or not."""
+        return bool(self._seeds - {self._own_address})
+
     def is_reachable(self, address: str) -> bool:
         """Return False if the last dial of an address failed, True otherwise."""
         return address not in self._unreachable
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -159,6 +159,10 @@
         """Return when the last silence of all peers ended; now if it still lasts."""
         return self._isolation.isolated_until_s(self._core.clock())
 
+    def is_alone(self) -> bool:
+        """Return whether no other daemon is known, reachable or not."""
+        return len(self.table.rows) == 1 and not self._dialer.has_seeds
+
     def linked_members(self) -> set[DaemonId]:
         """Return the ids of the members that this daemon has links to."""
         return {link.member.id for link in self._links if link.member is not None}
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -10,7 +10,7 @@
 from ..customers.access import Admission
 from ..entry.config import Route, ServiceSpec
 from ..entry.headers import RequestMeta
-from ..ids import EndpointId, Fingerprint, ServiceName
+from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
 from ..watching.table_state import TableFreshness
 from .routing import RoutingRequest
 
@@ -32,7 +32,9 @@
     stream's first event, ``expected_s`` the expected time to the first byte at the
     endpoint chosen last, ``longest_pause_s`` the longest time between two events.
     ``admission`` has the customer and the quota decision. ``knowledge`` is the version
-    and age of the list of endpoints at the last choice.
+    and age of the list of endpoints at the last choice. ``software_version`` is that of
+    the endpoint that began its stream, None if it is unknown; other endpoints don't
+    continue the stream once ``is_version_bound`` is set.
     """
 
     meta: RequestMeta
@@ -59,6 +61,13 @@
     expected_s: float | None = None
     longest_pause_s: float = 0.0
     knowledge: TableFreshness | None = None
+    software_version: SoftwareVersion | None = None
+    is_version_bound: bool = False
+
+    def bind_version(self, version: SoftwareVersion | None) -> None:
+        """Set the software version that has begun the stream."""
+        self.software_version = version
+        self.is_version_bound = True
 
     @property
     def quarantine_keys(self) -> tuple[Fingerprint, ...]:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -22,6 +22,7 @@
 from ..learning.prefixes import PrefixTable, hash_chain
 from ..learning.speeds import SpeedTable
 from ..limits.permits import PermitManager
+from ..origins.manager import OriginManager
 from ..quarantine.service import Quarantine
 from ..watching.table_state import TableFreshness
 from .backpressure import SEND_MARGIN_S, BackPressureGate
@@ -33,6 +34,7 @@
 from .routing import RoutingPolicy, RoutingRequest
 from .signals import SignalReader
 from .upstream import EndpointCall
+from .version_gate import VersionGate
 
 DEFAULT_RETRY_DELAY_S = 0.5
 MIN_RETRY_DELAY_S = 0.2
@@ -57,6 +59,8 @@
         Identifies requests by content, and tracks those that crash endpoints.
     permits : PermitManager
         Grants permits for endpoints with a rate limit.
+    origins : OriginManager
+        Records of which software version began a stream.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         policy: RoutingPolicy,
         quarantine: Quarantine,
         permits: PermitManager,
+        origins: OriginManager,
     ) -> None:
         self.core = core
         self.header_codec = header_codec
@@ -102,6 +107,7 @@
         self.on_path_failure: Callable[[str], None] = lambda _: None
         """Called with the address of an endpoint that did not respond."""
         self.knowledge: Callable[[], TableFreshness | None] = lambda: None
+        self.versions = VersionGate(core, table, origins, lambda: self.knowledge())
 
     def stop_waiting(self) -> None:
         """Refuse requests that wait for a model now or later; used on shutdown."""
@@ -155,6 +161,7 @@
         row = await self._async_find_available(exchange)
         if row is not None:
             return row
+        self._check_version(exchange)
         try:
             row = await self._async_wait_for_model(exchange)
         except Refusal:
@@ -168,7 +175,7 @@
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         if not can_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_DELAY_S)
-        return await self._model_waiter.async_wait(exchange, self._choose)
+        return await self._model_waiter.async_wait(exchange, self._choose_or_refuse)
 
     def _check_back_pressure(self, exchange: Exchange) -> None:
         """Refuse a request if all endpoints that could serve it apply back pressure.
@@ -271,6 +278,7 @@
         """Return the reachable endpoints that have the requested model and adapter."""
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
+        rows = self.versions.matching_rows(exchange, rows)
         meta = exchange.meta
         if exchange.service.engine is not None and meta.model:
             rows = [row for row in rows if row.holds(meta.model, meta.adapter)]
@@ -300,6 +308,18 @@
             exchange.expected_s = expected_s
         return row
 
+    def _choose_or_refuse(self, exchange: Exchange) -> Endpoint | None:
+        row = self._choose(exchange)
+        if row is None:
+            self._check_version(exchange)
+        return row
+
+    def _check_version(self, exchange: Exchange) -> None:
+        """Refuse a stream that no endpoint of its software version can continue."""
+        now_s = self.core.clock()
+        rows = self.table.of_service(exchange.service.name, now_s)
+        self.versions.check(exchange, rows)
+
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
         """Return the call to an endpoint, with the headers of this dispatch."""
         headers = CIMultiDict(exchange.headers)
--- a/chutelink/relaying/model_waiter.py
+++ b/chutelink/relaying/model_waiter.py
@@ -139,10 +139,12 @@
         return any(row.holds(exchange.meta.model) for row in rows)
 
     def _keep_demand_until_retry(self, exchange: Exchange, refusal: Refusal) -> None:
-        """Keep reporting the demand until the caller retries.
+        """Keep reporting the demand until the caller retries, if it is to retry.
 
         It counts as patient: by then there is time for a load.
         """
+        if refusal.retry_after_s is None:
+            return
         left_s = exchange.left_s(self._core.clock())
         retry_delay_s = min(refusal.retry_after_s, MAX_RETRY_DELAY_SHARE * left_s)
         meta = exchange.meta
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -87,6 +87,7 @@
             No endpoint served the request, and nothing was sent to the caller.
         """
         exchange.resume_after = exchange.meta.resume_after
+        await self._dispatcher.versions.async_admit(exchange)
         last: BufferedResponse | None = None
         while True:
             try:
@@ -136,6 +137,7 @@
         attempt = _Attempt(self, exchange, row, caller)
         try:
             with self._relay.track_in_flight(exchange, row):
+                self._dispatcher.versions.note_send(exchange, row)
                 return await attempt.async_run(sent_s)
         except EndpointUnreachable as error:
             self._relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
@@ -261,6 +263,7 @@
     ) -> None:
         """Forward complete events until the endpoint ends its response."""
         caller, row = self._caller, self._row
+        dispatcher = self._stream_relay._dispatcher
         splitter = EventSplitter()
         headers = forwarded_headers(response.headers)
         limit_s = self._first_event_timeout_s()
@@ -270,6 +273,7 @@
                 break
             for event in splitter.feed(chunk):
                 self._check_event_id(event)
+                dispatcher.versions.note_first_event(self._exchange, row)
                 await caller.async_send_headers(response.status, headers)
                 await caller.async_send(event)
                 self._note_event(sent_s)
--- /dev/null
+++ b/tests/origins/test_resumption.py
@@ -0,0 +1,172 @@
+"""Streams that go on at any daemon, while versions, daemons and links change."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from chutelink.origins.const import RETENTION_S
+
+from ..virtual_time import VirtualTimeLoop, run_in_virtual_time
+from .version_world import World
+
+DAEMONS = 8
+daemons = st.integers(0, DAEMONS - 1).map(lambda number: f"d{number}")
+endpoints = st.integers(0, 3).map(lambda number: f"i-{number}")
+versions = st.sampled_from(["v1", "v2", "v3"])
+
+
+class Resumptions(RuleBasedStateMachine):
+    """Streams are begun and resumed at any daemon while everything changes."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed):
+        self.loop = VirtualTimeLoop()
+        self.world = World(self.loop, DAEMONS, seed)
+        self._run(asyncio.sleep(1.0))
+
+    def teardown(self):
+        if hasattr(self, "loop"):
+            self._run(asyncio.sleep(10.0))
+            self.loop.close()
+
+    def _run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    @rule(name=daemons)
+    def begin(self, name):
+        self._run(self.world.async_begin(name))
+
+    @rule(name=daemons, number=st.integers(0, 50))
+    def resume(self, name, number):
+        streams = self.world.streams
+        if streams:
+            stream = streams[number % len(streams)]
+            self._run(self.world.async_resume(name, stream))
+
+    @rule(endpoint=endpoints, version=versions)
+    def upgrade(self, endpoint, version):
+        self.world.start_process(endpoint, version)
+
+    @rule(endpoint=endpoints)
+    def leave(self, endpoint):
+        self.world.stop_process(endpoint)
+
+    @rule(name=daemons)
+    def kill(self, name):
+        self.world.kill(name)
+
+    @rule(name=daemons)
+    def cut_or_heal(self, name):
+        daemon = self.world.daemons[name]
+        daemon.is_cut = not daemon.is_cut
+        daemon.read_endpoints()
+
+    @rule(delay_s=st.floats(0.0, 3.0))
+    def wait(self, delay_s):
+        self._run(asyncio.sleep(delay_s))
+
+    @invariant()
+    def no_stream_holds_two_versions(self):
+        if hasattr(self, "world"):
+            assert all(len(stream.versions) == 1 for stream in self.world.streams)
+
+
+TestResumptions = Resumptions.TestCase
+
+
+@pytest.mark.parametrize("lost", range(1, 4))
+def test_streams_go_on_after_daemons_were_lost_together(lost):
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=lost)
+        streams = [await world.async_begin(f"d{n % DAEMONS}") for n in range(200)]
+        for number in range(lost):
+            world.kill(f"d{number}")
+        for number, stream in enumerate(streams):
+            assert await world.async_resume(f"d{number % DAEMONS}", stream)
+        assert all(len(stream.versions) == 1 for stream in streams)
+
+    run_in_virtual_time(async_test())
+
+
+def test_streams_that_began_before_an_upgrade_go_on_after_their_daemon_is_lost():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=5)
+        for endpoint in world.processes:
+            world.start_process(endpoint, "v1")
+        await world.async_settle()
+        streams = [await world.async_begin("d0") for _ in range(50)]
+        world.start_process("i-3", "v2")
+        await world.async_settle()
+        world.kill("d0")
+        assert all([await world.async_resume("d0", stream) for stream in streams])
+        assert all(stream.versions == {"v1"} for stream in streams)
+
+    run_in_virtual_time(async_test())
+
+
+def test_no_stream_is_resumed_when_all_daemons_have_started_anew():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=6)
+        streams = [await world.async_begin(f"d{n % DAEMONS}") for n in range(40)]
+        for name in list(world.daemons):
+            world.kill(name)
+        for stream, name in zip(streams, itertools.cycle(world.daemons)):
+            assert not await world.async_resume(name, stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_daemon_that_is_cut_off_resumes_nothing_once_its_knowledge_is_old():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=7)
+        stream = await world.async_begin("d0")
+        world.daemons["d0"].is_cut = True
+        assert await world.async_resume("d0", stream)
+        await world.async_settle()
+        assert not await world.async_resume("d0", stream)
+        world.daemons["d0"].is_cut = False
+        world.daemons["d0"].read_endpoints()
+        assert await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_daemon_that_started_anew_without_links_resumes_no_unknown_stream():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=2)
+        stream = await world.async_begin("d0")
+        for endpoint, process in list(world.processes.items()):
+            if process.version in stream.versions:
+                world.stop_process(endpoint)
+        await world.async_settle()
+        world.kill("d0")
+        world.daemons["d0"].is_cut = True
+        assert not await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_streams_are_not_shared_while_one_version_serves():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=8)
+        for endpoint in world.processes:
+            world.start_process(endpoint, "v1")
+        await world.async_settle()
+        for daemon in world.daemons:
+            await world.async_begin(daemon)
+        await asyncio.sleep(RETENTION_S + 1.0)
+        world.read_all()
+        sent = []
+        for daemon in world.daemons.values():
+            daemon.origins.send = lambda to, message: sent.append(message)
+        for number in range(20):
+            stream = await world.async_begin(f"d{number % DAEMONS}")
+            assert await world.async_resume(f"d{(number + 1) % DAEMONS}", stream)
+        assert not sent
+
+    run_in_virtual_time(async_test())
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -19,6 +19,7 @@
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.state import EntryState
 from chutelink.limits.permits import PermitManager
+from chutelink.origins.manager import OriginManager
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.quarantine.service import Quarantine
 from chutelink.relaying.exchange_dispatcher import ExchangeDispatcher
@@ -82,6 +83,7 @@
             policy,
             self.quarantine,
             PermitManager(self.core),
+            OriginManager(self.core, state.endpoints.versions),
         )
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
--- a/tests/relaying/test_software_versions.py
+++ b/tests/relaying/test_software_versions.py
@@ -71,15 +71,21 @@
         async with async_relay_harness() as harness:
             harness.configure()
             first = await async_add(harness, "i-1", "v1", end_unframed=1)
-            await async_add(harness, "i-2", "v2", end_unframed=1)
+            await async_add(harness, "i-2", "v2")
             async with harness.request("/stream/x", "q0", **STREAM) as answer:
-                events, versions = await async_events(answer)
-                assert events == EVENTS
-            began = versions.pop()
+                assert await async_events(answer) == (EVENTS, {b"v2"})
             assert first.runs == ["q0"]
+            for name in ("i-3", "i-4", "i-5"):
+                await async_add(harness, name, "v1")
             resume = STREAM | {"Last_Event_Id": "3", "Resumes": "q0"}
-            async with harness.request("/stream/x", "q1", **resume) as answer:
-                assert await async_events(answer) == (EVENTS - 3, {began})
+
+            async def async_resume(name: str) -> tuple[int, set[bytes]]:
+                async with harness.request("/stream/x", name, **resume) as answer:
+                    return await async_events(answer)
+
+            names = [f"q{number}" for number in range(1, 7)]
+            results = await asyncio.gather(*(async_resume(name) for name in names))
+            assert results == [(EVENTS - 3, {b"v2"})] * len(names)
 
     asyncio.run(async_test())
 
