Learn at a start which software versions served before

A daemon now asks up to eight peers for the versions that served, as soon as it has links, and then knows them itself: it needs no peer for a stream that is unknown while one version serves, and sends nothing for it. Messages: two small ones with each peer, once a start.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -406,6 +406,7 @@
             self.loads.urgent.clear()
             self.quotas.update(self.router.serving, self.members)
             self.known.expire()
+            self.origins.request_history()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable(self.clock())
             report = self.loads.take(
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -10,7 +10,7 @@
 from ..limits.messages import PermitAnswer, PermitRequest
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
-from ..origins.messages import OriginAnswer, OriginQuery, OriginUpdate
+from ..origins.messages import OriginMessage
 from ..peers.mesh import Mesh
 from ..peers.messages import Broadcast
 from ..placing.lease import PlacerLease
@@ -180,12 +180,8 @@
             self.permits.handle_request(message)
         elif isinstance(message, PermitAnswer):
             self.permits.handle_answer(message)
-        elif isinstance(message, OriginUpdate):
-            self.origins.handle_update(message)
-        elif isinstance(message, OriginQuery):
-            self.origins.handle_query(message)
-        elif isinstance(message, OriginAnswer):
-            self.origins.handle_answer(message)
+        elif isinstance(message, OriginMessage):
+            self.origins.handle_message(message)
 
     def _handle_load(self, message: LoadReport) -> None:
         now_s = self._core.clock()
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -19,7 +19,7 @@
     StoreEra,
 )
 from ..limits.messages import EndpointLimit, PermitAnswer, PermitRequest
-from ..origins.messages import OriginAnswer, OriginQuery, OriginUpdate
+from ..origins.messages import OriginMessage
 from ..peers.packing import UNPACK_ERRORS, pack, unpack
 from ..quarantine.messages import (
     ClearedMessage,
@@ -221,9 +221,7 @@
     | Loan
     | PermitRequest
     | PermitAnswer
-    | OriginUpdate
-    | OriginQuery
-    | OriginAnswer
+    | OriginMessage
 )
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -11,6 +11,8 @@
 """
 LOOKUP_PEERS: Final = 5
 """Number of daemons asked: the owners, and those that replace lost ones."""
+HISTORY_PEERS: Final = 8
+"""Number of daemons that a daemon asks after its start for the versions that served."""
 LOOKUP_TIMEOUT_S: Final = 0.3
 """How long a request waits for the answers; callers wait for seconds for an event."""
 LOOKUP_POLL_S: Final = 0.02
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -17,6 +17,7 @@
 from ..core import Application
 from ..ids import DaemonId, FailureDomainName, RequestId, ServiceName, SoftwareVersion
 from .const import (
+    HISTORY_PEERS,
     LINKING_S,
     LOOKUP_PEERS,
     LOOKUP_POLL_S,
@@ -25,7 +26,15 @@
     OWNERS,
     RETENTION_S,
 )
-from .messages import OriginAnswer, OriginQuery, OriginUpdate, StreamOrigin
+from .messages import (
+    HistoryAnswer,
+    HistoryRequest,
+    OriginAnswer,
+    OriginMessage,
+    OriginQuery,
+    OriginUpdate,
+    StreamOrigin,
+)
 from .owners import order_owners
 from .table import OriginTable
 from .versions import VersionHistory
@@ -64,27 +73,50 @@
         self._created_s = core.clock()
         self._query_numbers = itertools.count(1)
         self._lookups: dict[int, Lookup] = {}
+        self._has_history = False
+        self._history_asked: set[DaemonId] = set()
+        self._history_answered: set[DaemonId] = set()
         self.domains: Callable[[], dict[DaemonId, FailureDomainName]] = dict
         """Returns the daemons that serve callers, with their failure domains."""
         self.linked: Callable[[], set[DaemonId]] = set
         """Returns the daemons to which there is a link."""
         self.is_alone: Callable[[], bool] = lambda: True
         """Returns whether there are no other daemons, also none out of reach."""
-        self.send: Callable[
-            [DaemonId, OriginUpdate | OriginQuery | OriginAnswer], None
-        ] = lambda to, message: None
+        self.send: Callable[[DaemonId, OriginMessage], None] = lambda to, message: None
 
     @property
     def has_full_history(self) -> bool:
-        """Whether this daemon has run for as long as a stream can be resumed."""
-        return self._core.clock() - self._created_s > RETENTION_S
-
-    def knows_all_versions(self, lookup: Lookup) -> bool:
-        """Return whether a search has shown all versions that streams may have.
+        """Whether this daemon knows the versions that left before its start."""
+        is_old = self._core.clock() - self._created_s > RETENTION_S
+        return self._has_history or is_old or self.is_alone()
 
-        A daemon that has just started doesn't know the versions that left before.
+    def request_history(self) -> None:
+        """Ask peers for the versions that served before this daemon's start."""
+        if self.has_full_history:
+            return
+        missing = sorted(self.linked() - self._history_asked)
+        for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
+            self._history_asked.add(peer)
+            self.send(peer, HistoryRequest(self._core.daemon_id))
+
+    def _handle_history_request(self, request: HistoryRequest) -> None:
+        """Answer a daemon that has started."""
+        versions = self.versions.all_versions(self._core.clock())
+        answer = HistoryAnswer(self._core.daemon_id, versions, self.has_full_history)
+        self.send(request.daemon, answer)
+
+    def _handle_history(self, answer: HistoryAnswer) -> None:
+        """Keep the versions that another daemon has seen.
+
+        When all daemons have started together, none has a complete history, and what
+        they know together has to do.
         """
-        return self.has_full_history or bool(lookup.answered) or self.is_alone()
+        for service, versions in answer.versions.items():
+            for version in versions:
+                self.versions.add_recent(service, version)
+        self._history_answered.add(answer.daemon)
+        is_last = self._history_answered >= self._history_asked & self.linked()
+        self._has_history |= answer.is_complete or is_last
 
     def note(self, origin: StreamOrigin) -> None:
         """Record the version of an endpoint before a request is sent to it."""
@@ -116,13 +148,26 @@
                 batch = origins[start : start + MAX_ORIGINS_PER_MESSAGE]
                 self.send(owner, OriginUpdate(batch))
 
-    def handle_update(self, update: OriginUpdate) -> None:
+    def handle_message(self, message: OriginMessage) -> None:
+        """Handle a message of another daemon."""
+        if isinstance(message, OriginUpdate):
+            self._handle_update(message)
+        elif isinstance(message, OriginQuery):
+            self._handle_query(message)
+        elif isinstance(message, OriginAnswer):
+            self._handle_answer(message)
+        elif isinstance(message, HistoryRequest):
+            self._handle_history_request(message)
+        elif isinstance(message, HistoryAnswer):
+            self._handle_history(message)
+
+    def _handle_update(self, update: OriginUpdate) -> None:
         """Keep the records of another daemon."""
         now_s = self._core.clock()
         for origin in update.origins:
             self._table.put(origin, now_s, is_own=False)
 
-    def handle_query(self, query: OriginQuery) -> None:
+    def _handle_query(self, query: OriginQuery) -> None:
         """Answer another daemon's search."""
         now_s = self._core.clock()
         answer = OriginAnswer(
@@ -133,7 +178,7 @@
         )
         self.send(query.daemon, answer)
 
-    def handle_answer(self, answer: OriginAnswer) -> None:
+    def _handle_answer(self, answer: OriginAnswer) -> None:
         """Handle an answer; a late one is discarded."""
         lookup = self._lookups.get(answer.number)
         if lookup is None:
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -47,3 +47,27 @@
     number: int
     origin: StreamOrigin | None
     versions: list[SoftwareVersion | None]
+
+
+class HistoryRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="versions_query"
+):
+    """Asks for the versions that served recently; sent by a daemon that has started."""
+
+    daemon: DaemonId
+
+
+class HistoryAnswer(msgspec.Struct, frozen=True, array_like=True, tag="versions"):
+    """Versions that the endpoints of each service run or ran recently.
+
+    ``is_complete`` is unset if the sender has just started, too.
+    """
+
+    daemon: DaemonId
+    versions: dict[ServiceName, list[SoftwareVersion]]
+    is_complete: bool
+
+
+OriginMessage = (
+    OriginUpdate | OriginQuery | OriginAnswer | HistoryRequest | HistoryAnswer
+)
--- a/chutelink/origins/versions.py
+++ b/chutelink/origins/versions.py
@@ -19,6 +19,7 @@
 
     endpoints: int = 0
     unused_since_s: float | None = None
+    was_seen: bool = False
 
 
 class VersionHistory:
@@ -36,12 +37,22 @@
 
     def add(self, service: ServiceName, version: SoftwareVersion | None) -> None:
         """Count an endpoint."""
-        usages = self._usages[service]
-        is_new = version is not None and version not in usages
-        usage = usages.setdefault(version, _Usage())
+        usage = self._usages[service].setdefault(version, _Usage())
         usage.endpoints += 1
         usage.unused_since_s = None
-        if is_new and len(usages.keys() - {None}) > 1:
+        self._note_mixed(service, version, usage)
+
+    def add_recent(self, service: ServiceName, version: SoftwareVersion) -> None:
+        """Keep a version that another daemon has seen."""
+        usage = self._usages[service].setdefault(version, _Usage())
+        self._note_mixed(service, version, usage)
+
+    def _note_mixed(
+        self, service: ServiceName, version: SoftwareVersion | None, usage: _Usage
+    ) -> None:
+        is_new = version is not None and not usage.was_seen
+        usage.was_seen = True
+        if is_new and len(self._usages[service].keys() - {None}) > 1:
             self.on_mixed(service)
 
     def remove(self, service: ServiceName, version: SoftwareVersion | None) -> None:
@@ -66,6 +77,13 @@
                 del usages[version]
         return set(usages)
 
+    def all_versions(self, now_s: float) -> dict[ServiceName, list[SoftwareVersion]]:
+        """Return the known versions of all services."""
+        return {
+            service: sorted(self.versions(service, now_s) - {None})
+            for service in list(self._usages)
+        }
+
     def is_mixed(self, service: ServiceName, now_s: float) -> bool:
         """Return whether a service has, or recently had, more than one version."""
         return len(self.versions(service, now_s) - {None}) > 1
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -107,7 +107,7 @@
         decision = decide_resumption(
             lookup.origin,
             lookup.versions,
-            is_complete=self._origins.knows_all_versions(lookup),
+            is_complete=self._origins.has_full_history or bool(lookup.answered),
             is_informed=self._is_informed(),
         )
         self._note_decision(exchange, lookup, decision)
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -9,12 +9,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from chutelink.origins.const import RETENTION_S
-
 from ..virtual_time import VirtualTimeLoop, run_in_virtual_time
-from .version_world import World
+from .version_world import Stream, World
 
 DAEMONS = 8
+ONE_VERSION = ("v1",) * 4
 daemons = st.integers(0, DAEMONS - 1).map(lambda number: f"d{number}")
 endpoints = st.integers(0, 3).map(lambda number: f"i-{number}")
 versions = st.sampled_from(["v1", "v2", "v3"])
@@ -95,10 +94,7 @@
 
 def test_streams_that_began_before_an_upgrade_go_on_after_their_daemon_is_lost():
     async def async_test():
-        world = World(asyncio.get_running_loop(), DAEMONS, seed=5)
-        for endpoint in world.processes:
-            world.start_process(endpoint, "v1")
-        await world.async_settle()
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
         streams = [await world.async_begin("d0") for _ in range(50)]
         world.start_process("i-3", "v2")
         await world.async_settle()
@@ -109,6 +105,32 @@
     run_in_virtual_time(async_test())
 
 
+def test_daemon_that_lost_its_links_resumes_streams_of_the_only_version():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        await world.async_settle()
+        stream = await world.async_begin("d1")
+        world.daemons["d0"].origins.linked = set
+        assert await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_daemon_that_started_anew_learns_which_versions_left_before():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=2)
+        stream = Stream("unknown", {"v1"})
+        world.stop_process("i-0")
+        world.stop_process("i-2")
+        await world.async_settle()
+        world.kill("d0")
+        await world.async_settle()
+        world.daemons["d0"].origins.linked = set
+        assert not await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
 def test_no_stream_is_resumed_when_all_daemons_have_started_anew():
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, seed=6)
@@ -151,16 +173,10 @@
     run_in_virtual_time(async_test())
 
 
-def test_streams_are_not_shared_while_one_version_serves():
+def test_nothing_is_sent_for_streams_while_one_version_serves():
     async def async_test():
-        world = World(asyncio.get_running_loop(), DAEMONS, seed=8)
-        for endpoint in world.processes:
-            world.start_process(endpoint, "v1")
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
         await world.async_settle()
-        for daemon in world.daemons:
-            await world.async_begin(daemon)
-        await asyncio.sleep(RETENTION_S + 1.0)
-        world.read_all()
         sent = []
         for daemon in world.daemons.values():
             daemon.origins.send = lambda to, message: sent.append(message)
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -20,7 +20,6 @@
 from chutelink.ids import DaemonId
 from chutelink.origins.const import LINKING_S, MAX_KNOWLEDGE_AGE_S
 from chutelink.origins.manager import OriginManager
-from chutelink.origins.messages import OriginAnswer, OriginQuery
 from chutelink.relaying.exchange import Exchange
 from chutelink.relaying.version_gate import VersionGate
 from chutelink.watching.table_state import TableFreshness
@@ -32,6 +31,8 @@
 """Time until the daemons know of a new process."""
 LOAD_S = MAX_KNOWLEDGE_AGE_S
 """Minimum time from the start of a process until it serves streams."""
+HISTORY_DELAY_S = 0.1
+"""Time until a daemon that has started asks for the versions that served."""
 SERVICE = "llm"
 
 
@@ -89,7 +90,11 @@
     """All daemons, endpoints and streams."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, daemons: int = 8, seed: int = 0
+        self,
+        loop: asyncio.AbstractEventLoop,
+        daemons: int = 8,
+        seed: int = 0,
+        versions: tuple[str, ...] = ("v1", "v2", "v1", "v2"),
     ) -> None:
         self.loop = loop
         self.rng = random.Random(seed)
@@ -100,12 +105,14 @@
         self.went_on = 0
         self._attempts = 0
         self._born_ms = 0
-        for number, version in enumerate(("v1", "v2", "v1", "v2")):
+        for number, version in enumerate(versions):
             self._born_ms += 1
             process = Process(version, self._born_ms, self.loop.time())
             self.processes[f"i-{number}"] = process
         self.daemons = {name: Daemon(self, name) for name in self.domains}
         self.read_all()
+        for daemon in self.daemons.values():
+            daemon.origins.request_history()
 
     def read_all(self) -> None:
         """Let the daemons read the registrations."""
@@ -126,8 +133,9 @@
 
     def kill(self, name: str) -> None:
         """Replace a daemon by a new process, which knows nothing."""
-        self.daemons[name] = Daemon(self, name)
-        self.daemons[name].read_endpoints()
+        daemon = self.daemons[name] = Daemon(self, name)
+        daemon.read_endpoints()
+        self.loop.call_later(HISTORY_DELAY_S, daemon.origins.request_history)
 
     def linked(self, daemon: Daemon) -> set[DaemonId]:
         """Return the daemons that a daemon has links to."""
@@ -148,12 +156,7 @@
                 return
             if self.daemons[to] is not receiver:
                 return
-            if isinstance(message, OriginQuery):
-                receiver.origins.handle_query(message)
-            elif isinstance(message, OriginAnswer):
-                receiver.origins.handle_answer(message)
-            else:
-                receiver.origins.handle_update(message)
+            receiver.origins.handle_message(message)
 
         self.loop.call_later(LINK_DELAY_S, deliver)
 
