Add a soak of streams that are resumed during upgrades

Daemons as processes are killed (up to all at once), terminated and frozen while four endpoints restart with one of three software versions, announced or not, and callers resume what breaks at any daemon.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly soak bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak bench-setup
 
 setup: $(VENV)/.installed
 
@@ -62,5 +62,8 @@
 deadly: setup
 	$(BIN)/python -m tests.processes.deadly_soak --first $(SEED) --seeds $(SEEDS)
 
+upgrades: setup
+	$(BIN)/python -m soak.upgrades --first $(SEED) --seeds $(SEEDS)
+
 chaos: setup
 	$(BIN)/python -m tests.processes.chaos --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/soak/upgrades.py
@@ -0,0 +1,245 @@
+"""Soak test of streams that are resumed while endpoints are upgraded.
+
+``python -m soak.upgrades --first 1 --seeds 50`` runs new seeds; the same seed selects
+the same faults. Endpoints restart one after the other with another software version,
+announced or not; daemons are killed, terminated, frozen and started again, in series
+and overlapping, up to all of them at once; streams break. Callers resume their streams
+at any daemon.
+
+Checked from outside:
+
+- No stream holds events of two software versions, and none has a gap.
+- A resumption that was refused as not run did not run.
+- Resumptions go on, and streams are complete again after the last fault.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+from collections import defaultdict
+from pathlib import Path
+
+import msgspec
+
+from standins.prepared_endpoint import EndpointFaults, EndpointStandin
+from tests.processes.platform_in_loop import (
+    PlatformInLoop,
+    async_platform_in_loop,
+    make_engine,
+)
+from tests.processes.resuming_caller import EVENTS, ResumingCaller, StreamOutcome, mixed
+
+DAEMONS = 4
+ENGINES = 4
+CALLERS = 8
+FAULT_SECONDS = 12.0
+MAX_PAUSE_S = 1.0
+MAX_DOWN_S = 1.5
+MAX_DRAIN_S = 0.8
+VERSIONS = ("v1", "v2", "v3")
+RESTART_S = 0.6
+"""Time in which an upgraded endpoint has started again."""
+RECOVERY_TIMEOUT_S = 20.0
+
+
+class UpgradeResult(msgspec.Struct):
+    """Result of a run."""
+
+    violations: list[str]
+    streams: int = 0
+    resumptions: int = 0
+    went_on: int = 0
+
+
+class UpgradeSoak:
+    """A soak run with one seed."""
+
+    def __init__(self, fleet: PlatformInLoop, seed: int) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._caller = ResumingCaller(fleet, random.Random(seed + 1))
+        self._caller.daemons = list(range(DAEMONS))
+        self._streams: list[StreamOutcome] = []
+        self._restarts: set[asyncio.Task[None]] = set()
+        self._endpoint_locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._faults = (
+            self._upgrade,
+            self._upgrade,
+            self._kill,
+            self._kill_all,
+            self._terminate,
+            self._freeze,
+            self._cut_streams,
+        )
+
+    async def async_run(self) -> UpgradeResult:
+        """Inject the faults, wait for recovery and check the streams."""
+        callers = [asyncio.ensure_future(self._async_call()) for _ in range(CALLERS)]
+        await self._async_inject_faults()
+        recovered = await self._async_wait_for_recovery()
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        result = UpgradeResult(self._check_streams())
+        if not recovered:
+            result.violations.append("streams not complete again after the last fault")
+        result.streams = len(self._streams)
+        result.resumptions = sum(s.resumptions for s in self._streams)
+        result.went_on = sum(s.went_on for s in self._streams)
+        return result
+
+    async def _async_call(self) -> None:
+        while True:
+            stream = self._caller.begin("soak")
+            self._streams.append(stream)
+            closes = tuple(self._rng.randint(1, EVENTS) for _ in range(2))
+            await self._caller.async_run(stream, close_after=closes)
+            await asyncio.sleep(0.02)
+
+    async def _async_inject_faults(self) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FAULT_SECONDS
+        while loop.time() < end_s:
+            self._rng.choice(self._faults)()
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+        await asyncio.gather(*self._restarts)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    def _endpoint(self) -> EndpointStandin:
+        return self._rng.choice(list(self._fleet.machines.endpoints.values()))
+
+    def _upgrade(self) -> None:
+        drain_s = self._rng.choice((0.0, self._rng.uniform(0.0, MAX_DRAIN_S)))
+        version = self._rng.choice(VERSIONS)
+        self._spawn(self._async_upgrade(self._endpoint(), version, drain_s))
+
+    async def _async_upgrade(
+        self, endpoint: EndpointStandin, version: str, drain_s: float
+    ) -> None:
+        async with self._endpoint_locks[endpoint.name]:
+            if drain_s:
+                endpoint.change_state("draining")
+                self._fleet.machines.register(endpoint.name)
+                await asyncio.sleep(drain_s)
+            self._fleet.machines.upgrade(endpoint, version)
+            await asyncio.sleep(RESTART_S)
+
+    def _kill(self) -> None:
+        number = self._rng.randrange(DAEMONS)
+        self._spawn(self._async_kill(number, self._rng.uniform(0.0, MAX_DOWN_S)))
+
+    def _kill_all(self) -> None:
+        for number in range(DAEMONS):
+            self._spawn(self._async_kill(number, self._rng.uniform(0.0, MAX_DOWN_S)))
+
+    async def _async_kill(self, number: int, down_s: float) -> None:
+        process = self._fleet.processes[f"vm-{number}"]
+        process.kill()
+        await asyncio.sleep(down_s)
+        self._start(number)
+
+    def _start(self, number: int) -> None:
+        if not self._fleet.processes[f"vm-{number}"].is_running:
+            self._fleet.start_daemon(number)
+
+    def _terminate(self) -> None:
+        self._spawn(self._async_terminate(self._rng.randrange(DAEMONS)))
+
+    async def _async_terminate(self, number: int) -> None:
+        process = self._fleet.processes[f"vm-{number}"]
+        process.terminate()
+        await process.async_wait()
+        self._start(number)
+
+    def _freeze(self) -> None:
+        number = self._rng.randrange(DAEMONS)
+        self._spawn(self._async_freeze(number, self._rng.uniform(0.0, MAX_DOWN_S)))
+
+    async def _async_freeze(self, number: int, for_s: float) -> None:
+        process = self._fleet.processes[f"vm-{number}"]
+        process.freeze()
+        await asyncio.sleep(for_s)
+        process.resume()
+
+    def _cut_streams(self) -> None:
+        endpoint = self._endpoint()
+        events, cuts = self._rng.randint(1, EVENTS), self._rng.randint(1, 8)
+        endpoint.faults = EndpointFaults(cut_after_events=events, cuts=cuts)
+
+    async def _async_wait_for_recovery(self) -> bool:
+        for endpoint in self._fleet.machines.endpoints.values():
+            endpoint.faults = EndpointFaults()
+
+        async def async_is_served() -> bool:
+            streams = [self._caller.begin("recovery") for _ in range(DAEMONS)]
+            await asyncio.gather(
+                *(
+                    self._caller.async_attempt(stream, number)
+                    for number, stream in enumerate(streams)
+                )
+            )
+            return all(stream.is_complete for stream in streams)
+
+        try:
+            await self._fleet.async_until(async_is_served, RECOVERY_TIMEOUT_S)
+        except TimeoutError:
+            return False
+        return True
+
+    def _check_streams(self) -> list[str]:
+        violations = [f"{name}: two software versions" for name in mixed(self._streams)]
+        violations += [f"{s.id}: gaps {s.gaps}" for s in self._streams if s.gaps]
+        runs = {
+            run
+            for endpoint in self._fleet.machines.endpoints.values()
+            for run in endpoint.runs
+        }
+        refused = {name for stream in self._streams for name in stream.refused}
+        ran = sorted(refused & runs)
+        violations += [f"{name}: refused as not run, but ran" for name in ran]
+        return violations
+
+
+def run_seed(seed: int, directory: Path) -> UpgradeResult:
+    """Run one seed."""
+
+    async def async_run() -> UpgradeResult:
+        engines = [
+            make_engine(f"i-{number}", VERSIONS[number % 2])
+            for number in range(ENGINES)
+        ]
+        async with async_platform_in_loop(directory, engines, DAEMONS) as fleet:
+            return await UpgradeSoak(fleet, seed).async_run()
+
+    return asyncio.run(async_run())
+
+
+def main() -> int:
+    """Run seeds one after the other, and print the violations."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=10)
+    args = parser.parse_args()
+    failed = 0
+    for seed in range(args.first, args.first + args.seeds):
+        with tempfile.TemporaryDirectory() as directory:
+            result = run_seed(seed, Path(directory))
+        failed += bool(result.violations)
+        print(
+            f"seed {seed}: {result.streams} streams, {result.went_on} of "
+            f"{result.resumptions} resumptions went on; {result.violations or 'ok'}",
+            flush=True,
+        )
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -55,11 +55,23 @@
 
     def crash(self, endpoint: EndpointStandin) -> None:
         """Crash an endpoint with all its connections and schedule its restart."""
+        self._end_process(endpoint)
+        endpoint.restart()
+        self._schedule_restart(endpoint)
+
+    def upgrade(self, endpoint: EndpointStandin, software_version: str) -> None:
+        """Replace an endpoint's process by one of another software version."""
+        self._end_process(endpoint)
+        endpoint.upgrade(software_version)
+        self._schedule_restart(endpoint)
+
+    def _end_process(self, endpoint: EndpointStandin) -> None:
         self._servers[endpoint.name].close()
         for handler in self._handlers[endpoint.name].connections:
             if handler.transport is not None:
                 handler.transport.abort()
-        endpoint.restart()
+
+    def _schedule_restart(self, endpoint: EndpointStandin) -> None:
         task = asyncio.ensure_future(self._async_restart(endpoint))
         self._restart_tasks.add(task)
         task.add_done_callback(self._restart_tasks.discard)
