Don't count an announced departure as a crash

While endpoints were upgraded one after the other, a request whose streams had broken there three times was refused for 300 s, though it had crashed nothing: a run that broke waits for evidence, and the next process under the id counted as such, also if the previous one had announced its shutdown after the run broke. An announcement shows that no run so far has ended the process: the runs that wait are dropped, and the restart is no evidence. A run that breaks after it was never counted.

--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -18,7 +18,13 @@
 from ..watching.table_state import RowChange
 from .adapter import PlatformAdapter
 from .config import RouteTable
-from .endpoints import Endpoint, EndpointRecord, EndpointTable, RegistrationResult
+from .endpoints import (
+    Endpoint,
+    EndpointRecord,
+    EndpointState,
+    EndpointTable,
+    RegistrationResult,
+)
 
 PREFIX_ENDPOINTS = f"{TABLE_ENDPOINTS}/"
 DEFAULT_LAPSE_S = 4.0
@@ -54,7 +60,7 @@
         self.routes: RouteTable | None = None
         self.endpoints = EndpointTable()
         self.endpoints.on_restarted = self._handle_restart
-        self.endpoints.on_leaving = lambda record: self.on_endpoints()
+        self.endpoints.on_leaving = self._handle_leaving
         self.health = HealthTable()
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
@@ -119,6 +125,8 @@
             result = self.endpoints.put(record, now_s)
         if result is RegistrationResult.OUTDATED:
             return
+        if record.state is EndpointState.DRAINING:
+            self._quarantine.note_leaving(record.incarnation)
         if result is not RegistrationResult.SAME:
             self._core.events.record(
                 "endpoint_seen",
@@ -155,6 +163,10 @@
         self.prefill_table.forget(record.id)
         self._quarantine.note_restarted(before.incarnation)
 
+    def _handle_leaving(self, record: EndpointRecord) -> None:
+        self._quarantine.note_leaving(record.incarnation)
+        self.on_endpoints()
+
     def _since_last_sent_s(self, endpoint: EndpointId) -> float:
         """Return the time since this daemon's last request there, infinite if none."""
         return self._core.clock() - self.endpoints.rows[endpoint].last_sent_s
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -140,6 +140,10 @@
         """Handle a broken run; return once its endpoint has been probed."""
         await self._verifier.async_check(run)
 
+    def note_leaving(self, incarnation: Incarnation) -> None:
+        """Handle an endpoint's announcement that it shuts down."""
+        self._verifier.note_leaving(incarnation)
+
     def note_restarted(self, incarnation: Incarnation) -> None:
         """Handle the registration of a new process of an endpoint."""
         self._verifier.note_restarted(incarnation)
