Bound what is read of responses that never end

An endpoint may send bytes without end in a head or a body, until the caller closes the connection. Bodies of answers, reports, answers to orders, health checks and of the store were read whole, however long; interim responses and chunk extensions were consumed until the deadline; data that no request asked for was queued on idle connections; and the end of an event was searched anew in the whole buffer for each piece of it.

All limits are in chutelink/responses.py: 256 KB without a final head or a body byte (heads, interim responses, extensions, trailers), 1 MB for control calls, 16 MB for the store; answers to callers have the setting max_answer_bytes (8 MB), events 1 MB as before. Past a limit the connection is closed and the attempt has failed, with an unknown outcome as after any response that breaks off: repeatable requests go to another endpoint, others get 502. Such an end is not counted as a crash of the endpoint. Unrequested data closes an idle connection.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -23,6 +23,7 @@
 from .ids import BootId, DaemonId, make_id
 from .log import EventLog, setup_logging
 from .metrics import CONTENT_TYPE, Metrics
+from .responses import BoundedConnector
 from .settings import DaemonSection
 from .startup import EXIT_FAILED, EXIT_OK, StartupContext, prepare_startup
 
@@ -68,9 +69,7 @@
 
     async def on_start(self) -> None:
         """Open the HTTP session, start the services, then listen."""
-        connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=MAX_CONNECTIONS_PER_HOST, use_dns_cache=False
-        )
+        connector = BoundedConnector(limit=0, limit_per_host=MAX_CONNECTIONS_PER_HOST)
         no_limit = aiohttp.ClientTimeout(total=None)
         self.session = aiohttp.ClientSession(connector=connector, timeout=no_limit)
         if self.daemon.trace_url:
--- a/chutelink/endpoints/client.py
+++ b/chutelink/endpoints/client.py
@@ -14,6 +14,7 @@
 from ..const import HEADER_ORDER_KEY, HEADER_REQUEST_ID, MAX_HEADER_BYTES
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet.model import EndpointKind, EndpointSpec
+from ..responses import MAX_CONTROL_BYTES, BoundedConnector, async_read_body
 from ..settings import EndpointsSection
 from ..tables.endpoints import EndpointReport
 from .messages import (
@@ -80,9 +81,7 @@
         # is unknown whether the call was run. Calls that must not be repeated
         # therefore open a new connection.
         self._unpooled_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, force_close=True, use_dns_cache=False
-            ),
+            connector=BoundedConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=None),
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -151,7 +150,10 @@
         """
         async with self.async_open(spec, request) as response:
             try:
-                content = await asyncio.wait_for(response.read(), request.timeout_s)
+                content = await asyncio.wait_for(
+                    async_read_body(response, self._settings.max_answer_bytes),
+                    request.timeout_s,
+                )
             except _TRANSPORT_ERRORS as error:
                 raise _make_error(error, "endpoint.read", spec) from error
             return EndpointResponse(response.status, response.headers, content)
@@ -191,7 +193,7 @@
                 headers={HEADER_ORDER_KEY: self._settings.order_key},
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                content = await response.read()
+                content = await async_read_body(response, MAX_CONTROL_BYTES)
                 if response.status != 200:
                     message = f"status {response.status}"
                     raise EndpointFailed(message, step=step, peer=spec.name)
@@ -207,7 +209,7 @@
         timeout = aiohttp.ClientTimeout(total=self._settings.report_timeout_s)
         try:
             async with self._session.get(spec.url + path, timeout=timeout) as response:
-                content = await response.read()
+                content = await async_read_body(response, MAX_CONTROL_BYTES)
         except _TRANSPORT_ERRORS as error:
             raise _make_error(error, step, spec) from error
         if response.status != 200:
@@ -256,13 +258,15 @@
     """
     step = "endpoint.stream"
     buffer = b""
+    searched = 0
     try:
         async for chunk in response.content.iter_any():
             buffer += chunk
-            while (end := buffer.find(EVENT_SEPARATOR)) >= 0:
+            while (end := buffer.find(EVENT_SEPARATOR, searched)) >= 0:
                 end += len(EVENT_SEPARATOR)
                 yield buffer[:end]
-                buffer = buffer[end:]
+                buffer, searched = buffer[end:], 0
+            searched = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
             if len(buffer) > MAX_EVENT_BYTES:
                 raise EndpointFailed("event too large", step=step, peer=spec.name)
     except _TRANSPORT_ERRORS as error:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -152,7 +152,7 @@
                 "store_read_retried", **msgspec.structs.asdict(retry)
             ),
         )
-        self._upstream = Upstream()
+        self._upstream = Upstream(entry.max_answer_bytes)
         self.mesh = Mesh(self, self.settings.peers, self.members)
         self.router = MessageRouter(
             self,
--- a/chutelink/platform/engine.py
+++ b/chutelink/platform/engine.py
@@ -7,6 +7,7 @@
 from ..entry.endpoints import Endpoint
 from ..exceptions import EndpointFailed, EndpointUnreachable
 from ..placing.inventory import EndpointReport, EngineClient, Order, OrderAnswer
+from ..responses import MAX_CONTROL_BYTES, async_read_body
 from .endpoints import PATH_ORDER, PATH_REPORT, decode_report, encode_order
 from .headers import HEADER_EXPECT_INSTANCE
 
@@ -70,7 +71,9 @@
                 headers=headers,
                 timeout=self._timeout,
             ) as response:
-                return response.status, await response.read()
+                return response.status, await async_read_body(
+                    response, MAX_CONTROL_BYTES
+                )
         except aiohttp.ClientConnectorError as error:
             raise EndpointUnreachable(
                 str(error), step="engine.connect", peer=peer
--- a/chutelink/relaying/sse.py
+++ b/chutelink/relaying/sse.py
@@ -6,8 +6,12 @@
 
 import msgspec
 
+from ..responses import ResponseTooLarge
+
 MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 3
+"""Part of an event's end that may be at the end of the buffer."""
 _EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 
 
@@ -23,6 +27,8 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._searched = 0
+        """Number of buffered bytes in which no event ends."""
 
     @property
     def has_partial_event(self) -> bool:
@@ -34,16 +40,18 @@
 
         Raises
         ------
-        ValueError
+        ResponseTooLarge
             An event exceeds MAX_EVENT_BYTES.
         """
         self._buffer += chunk
         events = []
-        while (end := _EVENT_END.search(self._buffer)) is not None:
+        while (end := _EVENT_END.search(self._buffer, self._searched)) is not None:
             data = self._buffer[: end.end()]
             self._buffer = self._buffer[end.end() :]
+            self._searched = 0
             found = _EVENT_ID.search(data)
             events.append(StreamEvent(int(found[1]) if found else None, data))
+        self._searched = max(0, len(self._buffer) - _MAX_END_BYTES)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("event too large")
+            raise ResponseTooLarge(f"event has more than {MAX_EVENT_BYTES} bytes")
         return events
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -18,6 +18,7 @@
     EndpointUnreachable,
 )
 from ..gateway.refusals import Refusal
+from ..responses import async_read_body
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
@@ -240,7 +241,7 @@
             kind is not AnswerKind.ANSWERED
             or response.status >= FIRST_NON_SUCCESS_STATUS
         ):
-            body = b"" if kind is AnswerKind.FOREIGN else await response.read()
+            body = await self._async_read_body(response, kind)
             buffered = BufferedResponse(response.status, response.headers, body)
             took_s = self._stream_relay._core.clock() - sent_s
             if kind is AnswerKind.FOREIGN:
@@ -258,6 +259,15 @@
         )
         return AttemptResult.ANSWERED, None
 
+    async def _async_read_body(
+        self, response: aiohttp.ClientResponse, kind: AnswerKind
+    ) -> bytes:
+        """Return the body of a response that is no stream; a foreign one has none."""
+        if kind is AnswerKind.FOREIGN:
+            return b""
+        max_bytes = self._stream_relay._upstream.max_answer_bytes
+        return await async_read_body(response, max_bytes)
+
     async def _async_forward_events(
         self, response: aiohttp.ClientResponse, sent_s: float
     ) -> None:
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -13,7 +13,6 @@
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
@@ -24,6 +23,13 @@
 from ..reachability.const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET
 from ..reachability.relay_client import RelayClient
 from ..reachability.ticket import RelayResult
+from ..responses import (
+    BoundedConnector,
+    BoundedResponseHandler,
+    ResponseTooLarge,
+    async_read_body,
+)
+from ..settings import DEFAULT_MAX_ANSWER_BYTES
 from ..tables.members import Member
 
 CONNECT_TIMEOUT_S = 0.6
@@ -62,7 +68,7 @@
 """The tracker of the current task's call, which the connector updates."""
 
 
-class _StrictResponseHandler(ResponseHandler):
+class _StrictResponseHandler(BoundedResponseHandler):
     """Treats a body that ends with a connection reset as incomplete.
 
     The library treats a body without a length as complete, however its connection
@@ -77,20 +83,18 @@
         super().connection_lost(exc)
 
 
-class _StrictConnector(aiohttp.TCPConnector):
+class _StrictConnector(BoundedConnector):
     """Connector that uses the strict response handler."""
 
     def __init__(self, *, is_pooled: bool) -> None:
         super().__init__(
             limit=0,
             limit_per_host=0,
-            use_dns_cache=False,
             force_close=not is_pooled,
             **({"keepalive_timeout": KEEPALIVE_TIMEOUT_S} if is_pooled else {}),
         )
-        self._factory = self._make_handler
 
-    def _make_handler(self) -> _StrictResponseHandler:
+    def make_handler(self) -> _StrictResponseHandler:
         """Return the handler of a new connection, and record that it is new."""
         tracker = _CONNECTION_TRACKER.get()
         if tracker is not None:
@@ -125,9 +129,15 @@
     """Connections to endpoints, and to the peers that relay calls to them.
 
     Pooled connections are used for repeatable calls; each other call opens its own.
+
+    Parameters
+    ----------
+    max_answer_bytes : int, default=DEFAULT_MAX_ANSWER_BYTES
+        Limit of a response's body, except for a stream's.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES) -> None:
+        self.max_answer_bytes = max_answer_bytes
         self._pooled = _make_session(is_pooled=True)
         self._unpooled = _make_session(is_pooled=False)
         self.relays: RelayClient | None = None
@@ -238,6 +248,10 @@
             )
             unreachable.is_refused = isinstance(error.os_error, ConnectionRefusedError)
             raise unreachable from error
+        except ResponseTooLarge as error:
+            raise EndpointFailed(
+                str(error), step="endpoint.exchange", peer=peer
+            ) from error
         except aiohttp.ServerTimeoutError as error:
             # Only connecting has a timeout in this session.
             raise EndpointUnreachable(
@@ -270,7 +284,7 @@
                 asyncio.timeout(limit_s),
                 self.async_open(endpoint, call) as response,
             ):
-                body = await response.read()
+                body = await async_read_body(response, self.max_answer_bytes)
                 return BufferedResponse(response.status, response.headers, body)
         except TimeoutError as error:
             raise EndpointFailed(
--- /dev/null
+++ b/chutelink/responses.py
@@ -0,0 +1,117 @@
+"""Limits on what is read of HTTP responses, whose senders may never stop.
+
+Past a limit the connection is closed. The call counts as failed, with an unknown
+outcome, as after any response that breaks off.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+MAX_OVERHEAD_BYTES: Final = 256 * 1024
+"""Limit of a head with its interim responses, and of what is sent without a body byte.
+
+The library limits each header to 8 KB and their number to 128.
+"""
+MAX_CONTROL_BYTES: Final = 1024 * 1024
+"""Limit of reports, answers to orders and health checks, which take some KB."""
+MAX_STORE_BYTES: Final = 16 * 1024 * 1024
+"""Limit of the table and object services' responses, whose pages take up to 1.4 MB."""
+FIRST_FINAL_STATUS: Final = 200
+
+
+class ResponseTooLarge(aiohttp.ClientPayloadError):
+    """A response exceeds its limit."""
+
+
+async def async_read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the body of a response.
+
+    Raises
+    ------
+    ResponseTooLarge
+        The body has more than ``max_bytes``.
+    """
+    parts: list[bytes] = []
+    size_bytes = 0
+    while part := await response.content.readany():
+        size_bytes += len(part)
+        if size_bytes > max_bytes:
+            response.close()
+            raise ResponseTooLarge(f"body has more than {max_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Closes a connection whose peer sends data, but no response.
+
+    This covers endless heads, interim responses, chunk extensions and trailers, and
+    data that no request asked for. Bodies are limited where they are read: the library
+    stops receiving while nobody reads them.
+    """
+
+    _awaits_head = False
+    _overhead_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the response to a request."""
+        self._awaits_head = True
+        self._overhead_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of a response."""
+        message, _ = data
+        if message.code >= FIRST_FINAL_STATUS:
+            self._awaits_head = False
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data."""
+        if self._is_idle():
+            self._fail("data without a request")
+            return
+        before = self._progress()
+        super().data_received(data)
+        if self._progress() != before:
+            self._overhead_bytes = 0
+            return
+        self._overhead_bytes += len(data)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail("head or chunk framing too large")
+
+    def _is_idle(self) -> bool:
+        """Return whether the response to the last request is complete."""
+        if self._awaits_head:
+            return False
+        return self._payload is None or self._payload.is_eof()
+
+    def _progress(self) -> tuple[bool, int]:
+        """Return what changes with each final head and body byte."""
+        payload = self._payload
+        return self._awaits_head, 0 if payload is None else payload.total_bytes
+
+    def _fail(self, message: str) -> None:
+        error = ResponseTooLarge(message)
+        payload, transport = self._payload, self.transport
+        self.set_exception(error)
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections are closed if their peers send without end."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(use_dns_cache=False, **options)
+        self._factory = self.make_handler
+
+    def make_handler(self) -> ResponseHandler:
+        """Return the handler of a new connection."""
+        return BoundedResponseHandler(loop=self._loop)
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -15,6 +15,7 @@
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
+Bytes = Annotated[int, Meta(ge=1024, le=1024**3)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Milliseconds = Annotated[float, Meta(gt=0, le=86_400_000)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -62,8 +63,14 @@
     suspicion_s: Seconds = 2.0
 
 
+DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
 class EndpointsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[endpoints]``: polling of endpoints and requests to them."""
+    """``[endpoints]``: polling of endpoints and requests to them.
+
+    ``max_answer_bytes`` limits the body of an answer, except for a stream's.
+    """
 
     order_key: str = ""
     poll_interval_s: Seconds = 0.25
@@ -71,6 +78,7 @@
     report_timeout_s: Seconds = 1.0
     stale_after_s: Seconds = 3.0
     connect_timeout_s: Seconds = 1.0
+    max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
 
 
 class GatewaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -112,6 +120,7 @@
     In any ``quota_window_s``, a customer may exceed its quota by
     ``quota_excess_share`` of it plus ``quota_slack``, in the unit of its quota. With
     ``quota_lending``, daemons lend each other parts of their shares.
+    ``max_answer_bytes`` limits the body of an endpoint's answer, except for a stream's.
     """
 
     caller_listen: Listen
@@ -136,6 +145,7 @@
     cpu_share: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     cpu_cores: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     address_valid_s: Seconds = 1.0
+    max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -16,6 +16,7 @@
     TransactionConflict,
     WriteOutcomeUnknown,
 )
+from ..responses import MAX_STORE_BYTES, async_read_body
 from ..settings import PlatformSection
 from .base import (
     Commit,
@@ -158,7 +159,7 @@
                 data=body,
                 headers=self._headers,
             ) as response:
-                received = await response.read()
+                received = await async_read_body(response, MAX_STORE_BYTES)
                 return ServiceResponse(response.status, received, response.headers)
 
         try:
--- a/chutelink/trace_export.py
+++ b/chutelink/trace_export.py
@@ -18,6 +18,7 @@
 
 from .log import EventLog
 from .metrics import Metrics
+from .responses import MAX_CONTROL_BYTES, async_read_body
 
 MAX_QUEUED_SPANS = 4096
 EXPORT_INTERVAL_S = 1.0
@@ -74,7 +75,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=aiohttp.ClientTimeout(total=EXPORT_TIMEOUT_S),
             ) as response:
-                await response.read()
+                await async_read_body(response, MAX_CONTROL_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             self._event_log.warning("span_export_failed", spans=len(spans), error=error)
 
--- /dev/null
+++ b/tests/endpoints/test_endless_responses.py
@@ -0,0 +1,85 @@
+"""Engines and services that respond to a gateway without end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from chutelink.endpoints.client import (
+    MAX_EVENT_BYTES,
+    EndpointClient,
+    EndpointRequest,
+    async_iter_events,
+)
+from chutelink.exceptions import EndpointFailed
+from chutelink.fleet.model import EndpointKind, EndpointSpec
+from chutelink.responses import BoundedConnector
+from chutelink.settings import DEFAULT_MAX_ANSWER_BYTES, EndpointsSection
+from standins.endless import EndlessPart, EndlessServer
+
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+"""What the buffers of both sockets may take besides what is read."""
+TIMEOUT_S = 30.0
+"""Long enough for the limits to apply first."""
+PARTS = [
+    EndlessPart.HEADERS,
+    EndlessPart.INTERIM,
+    EndlessPart.CHUNKS,
+    EndlessPart.CHUNK_EXTENSION,
+    EndlessPart.TRAILERS,
+]
+
+
+def make_request() -> EndpointRequest:
+    headers = {"X-Request-Id": "q1"}
+    return EndpointRequest("POST", "/x", headers, b"", TIMEOUT_S, False)
+
+
+async def async_with_client(part: EndlessPart, async_call) -> None:
+    server = EndlessServer(part, DEFAULT_MAX_ANSWER_BYTES + MAX_BUFFERED_BYTES)
+    await server.async_start()
+    spec = EndpointSpec(
+        name="e",
+        kind=EndpointKind.ENGINE,
+        url=f"http://{server.address}",
+        failure_domain="a",
+        vm="vm",
+    )
+    settings = EndpointsSection(report_timeout_s=TIMEOUT_S)
+    async with aiohttp.ClientSession(connector=BoundedConnector()) as session:
+        client = EndpointClient(session, settings)
+        with pytest.raises(EndpointFailed):
+            await async_call(client, spec)
+        await client.async_close()
+    await asyncio.sleep(0.1)
+    assert server.requests
+    assert not server.is_exhausted
+    await server.async_close()
+
+
+@pytest.mark.parametrize("part", PARTS, ids=lambda part: part.value)
+def test_answer_fails_at_the_limit(part):
+    asyncio.run(
+        async_with_client(
+            part, lambda client, spec: client.async_exchange(spec, make_request())
+        )
+    )
+
+
+@pytest.mark.parametrize("part", PARTS, ids=lambda part: part.value)
+def test_report_fails_at_the_limit(part):
+    asyncio.run(async_with_client(part, lambda client, spec: client.async_report(spec)))
+
+
+def test_stream_fails_at_the_limit_of_an_event():
+    async def async_call(client, spec):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(spec.url) as response,
+        ):
+            async for event in async_iter_events(response, spec):
+                assert len(event) <= MAX_EVENT_BYTES
+
+    asyncio.run(async_with_client(EndlessPart.EVENT_LINES, async_call))
