--- a/bench/account.py
+++ b/bench/account.py
@@ -32,6 +32,7 @@
     ADAPTER_NOT_LOADED = "adapter not loaded"
     ENDPOINTS_BUSY = "endpoints busy"
     NOT_ACCEPTED = "no endpoint took it"
+    NOT_RESUMABLE = "stream not resumable"
     DAEMON_STOPPING = "daemon stopping or starting"
     CALLER_LEFT_WHILE_HELD = "caller left while held"
     CALLER_LEFT_AT_ENDPOINT = "caller left while at an endpoint"
@@ -48,6 +49,7 @@
     "endpoints are busy": FailureReason.ENDPOINTS_BUSY,
     "no endpoint took the request": FailureReason.NOT_ACCEPTED,
     "no endpoint is ready": FailureReason.NOT_ACCEPTED,
+    "the stream cannot be resumed": FailureReason.NOT_RESUMABLE,
     "this daemon is stopping": FailureReason.DAEMON_STOPPING,
     "no configuration yet": FailureReason.DAEMON_STOPPING,
 }
--- a/chutelink/gateway/refusals.py
+++ b/chutelink/gateway/refusals.py
@@ -127,7 +127,7 @@
     """Return the refusal of a stream that can't be resumed, also not later."""
     detail = f"{reason}; request the stream again from its beginning"
     return Refusal(
-        503, "the stream can't be resumed", retry_after_s=None, detail=detail
+        503, "the stream cannot be resumed", retry_after_s=None, detail=detail
     )
 
 
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -44,11 +44,13 @@
     """Search for a record, and its result.
 
     ``versions`` are those that this daemon and the peers that answered have seen;
-    ``changed`` is set by each answer.
+    ``is_complete`` says that streams may have no others. ``changed`` is set by each
+    answer.
     """
 
     origin: StreamOrigin | None
     versions: set[SoftwareVersion | None]
+    is_complete: bool
     asked: set[DaemonId] = msgspec.field(default_factory=set)
     answered: set[DaemonId] = msgspec.field(default_factory=set)
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
@@ -90,10 +92,22 @@
         is_old = self._core.clock() - self._created_s > RETENTION_S
         return self._has_history or is_old or self.is_alone()
 
+    @property
+    def _may_link(self) -> bool:
+        """Whether this daemon has just started, and may still get links."""
+        return self._core.clock() - self._created_s < LINKING_S
+
     def request_history(self) -> None:
-        """Ask peers for the versions that served before this daemon's start."""
+        """Ask peers for the versions that served before this daemon's start.
+
+        When all daemons have started together, none has a complete history, and what
+        they know together has to do.
+        """
         if self.has_full_history:
             return
+        expected = self._history_asked & self.linked()
+        if expected and expected <= self._history_answered and not self._may_link:
+            self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
         for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
             self._history_asked.add(peer)
@@ -106,17 +120,12 @@
         self.send(request.daemon, answer)
 
     def _handle_history(self, answer: HistoryAnswer) -> None:
-        """Keep the versions that another daemon has seen.
-
-        When all daemons have started together, none has a complete history, and what
-        they know together has to do.
-        """
+        """Keep the versions that another daemon has seen."""
         for service, versions in answer.versions.items():
             for version in versions:
                 self.versions.add_recent(service, version)
         self._history_answered.add(answer.daemon)
-        is_last = self._history_answered >= self._history_asked & self.linked()
-        self._has_history |= answer.is_complete or is_last
+        self._has_history |= answer.is_complete
 
     def note(self, origin: StreamOrigin) -> None:
         """Record the version of an endpoint before a request is sent to it."""
@@ -175,6 +184,7 @@
             query.number,
             self._table.get(query.request, query.service, now_s),
             list(self.versions.versions(query.service, now_s)),
+            self.has_full_history,
         )
         self.send(query.daemon, answer)
 
@@ -185,6 +195,7 @@
             return
         lookup.answered.add(answer.daemon)
         lookup.versions |= set(answer.versions)
+        lookup.is_complete |= answer.is_complete
         if _is_newer(answer.origin, lookup.origin):
             lookup.origin = answer.origin
         lookup.changed.set()
@@ -199,7 +210,8 @@
         request = RequestId("") if request is None else request
         now_s = self._core.clock()
         own = self._table.get(request, service, now_s)
-        lookup = Lookup(own, self.versions.versions(service, now_s))
+        versions = self.versions.versions(service, now_s)
+        lookup = Lookup(own, versions, self.has_full_history)
         if own is not None:
             return lookup
         number = next(self._query_numbers)
@@ -226,9 +238,11 @@
             for peer in peers & self.linked() - lookup.asked:
                 lookup.asked.add(peer)
                 self.send(peer, query)
-            may_link = self._core.clock() - self._created_s < LINKING_S
-            expected = peers if may_link else lookup.asked
-            if lookup.answered >= expected and (peers or not may_link):
+            if peers and lookup.answered >= peers:
+                # If all of them have just started, most likely all daemons have.
+                lookup.is_complete = True
+                return
+            if not self._may_link and lookup.answered >= lookup.asked:
                 return
             lookup.changed.clear()
             try:
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -40,13 +40,15 @@
     """Answer to a query.
 
     ``origin`` is None if the daemon has no record; ``versions`` are those that the
-    service's endpoints ran recently, as far as the daemon knows.
+    service's endpoints ran recently. ``is_complete`` is unset if the daemon may not
+    know all of them, as it has just started.
     """
 
     daemon: DaemonId
     number: int
     origin: StreamOrigin | None
     versions: list[SoftwareVersion | None]
+    is_complete: bool
 
 
 class HistoryRequest(
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -283,7 +283,7 @@
                 break
             for event in splitter.feed(chunk):
                 self._check_event_id(event)
-                dispatcher.versions.note_first_event(self._exchange, row)
+                dispatcher.versions.note_event(self._exchange, row)
                 await caller.async_send_headers(response.status, headers)
                 await caller.async_send(event)
                 self._note_event(sent_s)
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -107,7 +107,7 @@
         decision = decide_resumption(
             lookup.origin,
             lookup.versions,
-            is_complete=self._origins.has_full_history or bool(lookup.answered),
+            is_complete=lookup.is_complete,
             is_informed=self._is_informed(),
         )
         self._note_decision(exchange, lookup, decision)
@@ -124,7 +124,7 @@
         resumes = exchange.meta.resumes
         versions = self._origins.versions.versions(service, self._core.clock())
         if len(versions) == 1 and self._origins.has_full_history:
-            return Lookup(None, versions)
+            return Lookup(None, versions, is_complete=True)
         return await self._origins.async_find(resumes, service)
 
     def _is_informed(self) -> bool:
@@ -159,12 +159,12 @@
 
     def note_send(self, exchange: Exchange, row: Endpoint) -> None:
         """Record the version of an endpoint before a stream is requested from it."""
-        if exchange.is_version_bound or not exchange.route.is_stream:
+        if exchange.is_version_bound or not exchange.is_repeatable:
             return
         self._origins.note(self._make_origin(exchange, self._version_of(row)))
 
-    def note_first_event(self, exchange: Exchange, row: Endpoint) -> None:
-        """Bind a stream to the version of the endpoint that brought its first event."""
+    def note_event(self, exchange: Exchange, row: Endpoint) -> None:
+        """Bind a stream to the version of the endpoint that brings its first event."""
         if exchange.is_version_bound:
             return
         version = self._version_of(row)
--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -15,11 +15,9 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import random
 import sys
-import tempfile
 from collections import defaultdict
 from pathlib import Path
 
@@ -33,6 +31,8 @@
 )
 from tests.processes.resuming_caller import EVENTS, ResumingCaller, StreamOutcome, mixed
 
+from .seeds import SeedReport, run_seeds
+
 DAEMONS = 4
 ENGINES = 4
 CALLERS = 8
@@ -222,24 +222,14 @@
     return asyncio.run(async_run())
 
 
-def main() -> int:
-    """Run seeds one after the other, and print the violations."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=10)
-    args = parser.parse_args()
-    failed = 0
-    for seed in range(args.first, args.first + args.seeds):
-        with tempfile.TemporaryDirectory() as directory:
-            result = run_seed(seed, Path(directory))
-        failed += bool(result.violations)
-        print(
-            f"seed {seed}: {result.streams} streams, {result.went_on} of "
-            f"{result.resumptions} resumptions went on; {result.violations or 'ok'}",
-            flush=True,
-        )
-    return 1 if failed else 0
+def _report_seed(seed: int, directory: Path) -> SeedReport:
+    result = run_seed(seed, directory)
+    summary = (
+        f"{result.streams} streams, {result.went_on} of {result.resumptions} "
+        "resumptions went on; "
+    )
+    return SeedReport(result.violations, summary)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(__doc__, _report_seed))
--- a/tests/bench/test_account.py
+++ b/tests/bench/test_account.py
@@ -42,6 +42,10 @@
         ({"outcome": "cut_at_stop"}, FailureReason.CUT_OFF),
         ({"outcome": "unknown", "status": 504}, FailureReason.CUT_OFF),
         ({"status": 500}, FailureReason.ENDPOINT_ERROR),
+        (
+            {"outcome": "not-run", "reason": '"the stream cannot be resumed"'},
+            FailureReason.NOT_RESUMABLE,
+        ),
         (
             {"outcome": "not-run", "reason": '"the adapter is not loaded"'},
             FailureReason.ADAPTER_NOT_LOADED,
--- a/tests/entry/partition_soak.py
+++ b/tests/entry/partition_soak.py
@@ -16,16 +16,16 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import itertools
 import random
 import sys
-import tempfile
 from pathlib import Path
 
 import aiohttp
 
+from soak.seeds import SeedReport, run_seeds
+
 from ..processes.deployment import CONNECTION_ERRORS
 from .partitioned_fleet import (
     PartitionedFleet,
@@ -148,20 +148,9 @@
     return failures
 
 
-def main() -> int:
-    """Run seeds one after the other, and print the violations."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=10)
-    args = parser.parse_args()
-    failed = 0
-    for seed in range(args.first, args.first + args.seeds):
-        with tempfile.TemporaryDirectory() as directory:
-            failures = run_seed(seed, Path(directory))
-        failed += bool(failures)
-        print(f"seed {seed}: {failures or 'ok'}", flush=True)
-    return 1 if failed else 0
+def _report_seed(seed: int, directory: Path) -> SeedReport:
+    return SeedReport(run_seed(seed, directory))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(__doc__, _report_seed))
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -173,6 +173,36 @@
     run_in_virtual_time(async_test())
 
 
+def test_peer_that_started_at_the_same_time_does_not_know_all_versions():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=3)
+        stream = Stream("unknown", {"v1"})
+        world.stop_process("i-0")
+        world.stop_process("i-2")
+        await world.async_settle()
+        world.kill("d0")
+        world.kill("d1")
+        world.daemons["d0"].origins.linked = lambda: {"d1"}
+        world.daemons["d1"].origins.linked = lambda: {"d0"}
+        assert not await world.async_resume("d0", stream)
+        await asyncio.sleep(0.5)
+        assert not await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_streams_of_the_only_version_go_on_after_all_daemons_have_started_anew():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        streams = [await world.async_begin(f"d{n % DAEMONS}") for n in range(40)]
+        for name in list(world.daemons):
+            world.kill(name)
+        for stream, name in zip(streams, itertools.cycle(world.daemons)):
+            assert await world.async_resume(name, stream)
+
+    run_in_virtual_time(async_test())
+
+
 def test_nothing_is_sent_for_streams_while_one_version_serves():
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -74,6 +74,11 @@
         now_s = self.world.loop.time()
         return TableFreshness(1, now_s - self.updated_s if self.is_cut else 0.0)
 
+    def start(self) -> None:
+        """Ask for the versions that served before, and again once links are settled."""
+        for delay_s in (HISTORY_DELAY_S, LINKING_S + HISTORY_DELAY_S):
+            self.world.loop.call_later(delay_s, self.origins.request_history)
+
     def read_endpoints(self) -> None:
         """Read all registrations, unless the daemon is cut off."""
         if self.is_cut:
@@ -112,7 +117,7 @@
         self.daemons = {name: Daemon(self, name) for name in self.domains}
         self.read_all()
         for daemon in self.daemons.values():
-            daemon.origins.request_history()
+            daemon.start()
 
     def read_all(self) -> None:
         """Let the daemons read the registrations."""
@@ -135,7 +140,7 @@
         """Replace a daemon by a new process, which knows nothing."""
         daemon = self.daemons[name] = Daemon(self, name)
         daemon.read_endpoints()
-        self.loop.call_later(HISTORY_DELAY_S, daemon.origins.request_history)
+        daemon.start()
 
     def linked(self, daemon: Daemon) -> set[DaemonId]:
         """Return the daemons that a daemon has links to."""
@@ -163,7 +168,7 @@
     def _make_exchange(self, meta: RequestMeta) -> Exchange:
         return Exchange(
             meta=meta,
-            route=SimpleNamespace(is_stream=True),
+            route=SimpleNamespace(is_repeatable=True),
             service=SimpleNamespace(name=SERVICE),
             method="POST",
             target="/",
@@ -219,7 +224,7 @@
             process = self.processes.get(row.record.id)
             if process is None or self.loop.time() < process.serves_from_s:
                 continue
-            daemon.gate.note_first_event(exchange, row)
+            daemon.gate.note_event(exchange, row)
             return process.version
         return None
 
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -123,6 +123,12 @@
         program = str(BIN / "chutelink-entry")
         return self.start(f"vm-{number}", [program, "--settings", str(path)])
 
+    async def async_start_daemons(self, count: int) -> None:
+        """Start daemons, and wait until each lists all of them."""
+        for number in range(count):
+            self.start_daemon(number)
+        await self.async_until_all_listed(list(range(count)))
+
     async def async_get(self, url: str) -> tuple[int, bytes]:
         async with self.session.get(url) as answer:
             return answer.status, await answer.read()
@@ -225,9 +231,7 @@
         deployment.start_store()
         if has_proxy:
             await deployment.async_start_proxy(make_proxy)
-        for number in range(daemons):
-            deployment.start_daemon(number)
-        await deployment.async_until_all_listed(list(range(daemons)))
+        await deployment.async_start_daemons(daemons)
         yield deployment
     finally:
         await deployment.async_close()
--- a/tests/processes/platform_in_loop.py
+++ b/tests/processes/platform_in_loop.py
@@ -69,9 +69,7 @@
     )
     try:
         await deployment.async_start_platform(endpoints)
-        for number in range(daemons):
-            deployment.start_daemon(number)
-        await deployment.async_until_all_listed(list(range(daemons)))
+        await deployment.async_start_daemons(daemons)
         yield deployment
     finally:
         await deployment.async_close()
