Name the reason why a bound stream can't be continued

A stream whose version is unknown, or whose daemon has no news of the processes, was refused with the reason that no endpoint runs its version, which misleads in the logs.

--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -112,7 +112,7 @@
         )
         self._note_decision(exchange, lookup, decision)
         if decision.is_refused:
-            raise unresumable("the software version of the stream is unknown")
+            raise unresumable("its software version is unknown")
         if decision is Resumption.KNOWN:
             exchange.bind_version(lookup.origin.version)
             self._origins.note(lookup.origin)
@@ -192,11 +192,15 @@
         """Return the endpoints that may continue the stream of a request."""
         if not exchange.is_version_bound:
             return rows
-        version = exchange.software_version
-        if version is None or not self._is_informed():
+        if not self._knows_version(exchange):
             return []
+        version = exchange.software_version
         return [row for row in rows if row.record.software_version == version]
 
+    def _knows_version(self, exchange: Exchange) -> bool:
+        """Return whether the version of a bound stream and the processes are known."""
+        return exchange.software_version is not None and self._is_informed()
+
     def check(self, exchange: Exchange, rows: list[Endpoint]) -> None:
         """Refuse a stream that no endpoint of its version can continue soon.
 
@@ -218,6 +222,8 @@
         matching = self.matching_rows(exchange, rows)
         if len(matching) == len(rows):
             return
+        if not self._knows_version(exchange):
+            raise self._refuse(exchange, "its software version is unknown")
         if not matching:
             raise self._refuse(exchange, "no endpoint runs its software version")
         meta = exchange.meta
