Probe an endpoint again once a partition is ruled out

A refused connection counts as a crash if another endpoint accepts one; a partition that ends between the two looks the same. The refused address is now probed again after the others: while the endpoint is down it refuses again; otherwise its restart, if there was one, is found by its registration. Two tests bring the end of a partition about during the check: both fail before (one suspect at the daemon), both pass now.

--- a/chutelink/reachability/probe.py
+++ b/chutelink/reachability/probe.py
@@ -29,6 +29,9 @@
     async def async_probe(self, address: str) -> ProbeResult:
         """Return the result of a connection attempt to an address."""
         result = await self._probe.async_probe(address)
-        if result is ProbeResult.REFUSED and await self._async_is_partitioned(address):
+        if result is not ProbeResult.REFUSED:
+            return result
+        if await self._async_is_partitioned(address):
             return ProbeResult.SILENT
-        return result
+        # A partition may have ended between the probe and the check.
+        return await self._probe.async_probe(address)
--- a/tests/entry/test_endpoint_partition.py
+++ b/tests/entry/test_endpoint_partition.py
@@ -112,3 +112,27 @@
             assert not any(suspects.values()), suspects
 
     run_in_partition_loop(async_test)
+
+
+def test_partition_that_ends_while_it_is_checked_is_not_counted_as_crash(tmp_path):
+    async def async_test():
+        async with async_partitioned_fleet(tmp_path) as fleet:
+            cut = next(n for n in fleet.apps if n != fleet.placer())
+            monitor = fleet.apps[cut].partition
+            async_check = monitor.async_check
+
+            async def async_heal_and_check(address: str) -> bool:
+                fleet.loop.partitions.pop(cut, None)
+                return await async_check(address)
+
+            monitor.async_check = async_heal_and_check
+            monitor.note_failure = lambda address: None
+            headers = {"X_Model": "m0", "X_Token_Count": "10,400"}
+            async with fleet.request(cut, "/stream/x", "long", **headers) as answer:
+                assert b"id: 1" in await answer.content.readany()
+                fleet.partition(cut, PartitionKind.RESET)
+                await asyncio.sleep(1.0)
+            suspects = {n: len(app.quarantine.table) for n, app in fleet.apps.items()}
+            assert not any(suspects.values()), suspects
+
+    run_in_partition_loop(async_test)
--- a/tests/reachability/test_probe.py
+++ b/tests/reachability/test_probe.py
@@ -32,3 +32,17 @@
     expected = ProbeResult.SILENT if is_refused and is_partitioned else result
     assert asyncio.run(probe.async_probe("a:1")) is expected
     assert bool(checked) is is_refused
+
+
+def test_refusal_before_the_end_of_a_partition_is_not_counted():
+    class HealedProbe(EndingProbe):
+        results = iter([ProbeResult.REFUSED, ProbeResult.ACCEPTED])
+
+        async def async_probe(self, address: str) -> ProbeResult:
+            return next(self.results)
+
+    async def async_is_partitioned(address: str) -> bool:
+        return False
+
+    probe = VerifiedProbe(HealedProbe(), async_is_partitioned)
+    assert asyncio.run(probe.async_probe("a:1")) is ProbeResult.ACCEPTED
