Move an attempt to stream into a module of its own

The attempt, with its timeouts, is moved to stream_attempt.py; the relay's collaborators that it uses are public. No statement changes but for these names, one import of a test, and one docstring.

--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -2,52 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
-
-import aiohttp
 from aiohttp import web
 
 from ..core import Application
-from ..entry.config import Route
 from ..entry.endpoints import Endpoint
-from ..entry.headers import AnswerKind
 from ..exceptions import (
     ChutelinkError,
-    ConnectionBroken,
     EndpointFailed,
     EndpointUnreachable,
 )
 from ..gateway.refusals import Refusal
-from ..responses import async_read_body
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
 from .relay import AttemptResult, Relay, make_refusal
-from .sse import EventSplitter, StreamEvent
-from .upstream import BufferedResponse, Upstream, forwarded_headers
-
-FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.0
-"""Timeout of the first event, as a multiple of the route's objective."""
-MIN_FIRST_EVENT_TIMEOUT_S = 1.5
-DEFAULT_STALL_TIMEOUT_S = 1.5
-"""Time without an event after which another endpoint is tried.
-
-Used where it is unknown how long callers wait for the next event.
-"""
-STALL_TIMEOUT_SHARE = 0.75
-"""Stall timeout as a share of the time that callers wait for the next event.
+from .stream_attempt import StreamAttempt
+from .upstream import BufferedResponse, Upstream
 
-A less urgent stream may be silent for seconds while others are served first. With a
-fixed timeout of 1.5 s, a stream whose caller would have waited for 20 s never finished.
-"""
 MIN_RESUME_S = 0.2
 """With less time left, resuming at another endpoint is of no use."""
-SOUND_EVENTS = 3
-"""Events after which a prompt does not crash endpoints that begin to answer on it."""
-FIRST_NON_SUCCESS_STATUS = 300
-FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
-MIN_LEARNED_TOKENS = 1000
-"""Shorter prompts take too little time to measure an endpoint's prefill speed."""
 
 
 class StreamRelay:
@@ -72,10 +45,10 @@
         upstream: Upstream,
         relay: Relay,
     ) -> None:
-        self._core = core
-        self._dispatcher = dispatcher
-        self._upstream = upstream
-        self._relay = relay
+        self.core = core
+        self.dispatcher = dispatcher
+        self.upstream = upstream
+        self.relay = relay
 
     async def async_relay(
         self, exchange: Exchange, caller: CallerStream
@@ -88,11 +61,11 @@
             No endpoint served the request, and nothing was sent to the caller.
         """
         exchange.resume_after = exchange.meta.resume_after
-        await self._dispatcher.versions.async_admit(exchange)
+        await self.dispatcher.versions.async_admit(exchange)
         last: BufferedResponse | None = None
         while True:
             try:
-                row = await self._relay.async_next_endpoint(exchange, last)
+                row = await self.relay.async_next_endpoint(exchange, last)
             except Refusal:
                 if caller.has_sent_headers:
                     return caller.abort()
@@ -112,9 +85,9 @@
     def _can_retry(self, exchange: Exchange) -> bool:
         if exchange.may_have_run and not exchange.is_repeatable:
             return False
-        if exchange.left_s(self._core.clock()) < MIN_RESUME_S:
+        if exchange.left_s(self.core.clock()) < MIN_RESUME_S:
             return False
-        return self._dispatcher.take_retry(exchange)
+        return self.dispatcher.take_retry(exchange)
 
     def _finish_failed(
         self, exchange: Exchange, caller: CallerStream, last: BufferedResponse | None
@@ -123,38 +96,38 @@
             return caller.abort()
         if last is not None:
             return last
-        is_late = exchange.left_s(self._core.clock()) <= 0
-        retry_delay_s = self._dispatcher.retry_after_s(exchange)
+        is_late = exchange.left_s(self.core.clock()) <= 0
+        retry_delay_s = self.dispatcher.retry_after_s(exchange)
         raise make_refusal(exchange, retry_delay_s, is_late=is_late)
 
     async def _async_attempt(
         self, exchange: Exchange, row: Endpoint, caller: CallerStream
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         """Send to one endpoint; ANSWERED without a response is a finished stream."""
-        sent_s = self._core.clock()
+        sent_s = self.core.clock()
         if exchange.resume_after:
             self._log_resumed_stream(exchange, row)
         events_before = caller.events
-        attempt = _Attempt(self, exchange, row, caller)
+        attempt = StreamAttempt(self, exchange, row, caller)
         try:
-            with self._relay.track_in_flight(exchange, row):
-                self._dispatcher.versions.note_send(exchange, row)
+            with self.relay.track_in_flight(exchange, row):
+                self.dispatcher.versions.note_send(exchange, row)
                 return await attempt.async_run(sent_s)
         except EndpointUnreachable as error:
-            self._relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
+            self.relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
             return AttemptResult.UNREACHABLE, None
         except EndpointFailed as error:
             exchange.may_have_run = True
-            self._relay.note_failure(exchange, row, AttemptResult.FAILED, error)
+            self.relay.note_failure(exchange, row, AttemptResult.FAILED, error)
             self._log_broken_stream(exchange, row, caller.events - events_before, error)
-            await self._relay.async_note_broken(exchange, row, error, sent_s)
+            await self.relay.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
         finally:
             attempt.stop_prefill()
 
     def _log_resumed_stream(self, exchange: Exchange, row: Endpoint) -> None:
         meta = exchange.meta
-        self._core.events.record(
+        self.core.events.record(
             "stream_resumed",
             request=meta.id,
             resumes=meta.resumes or "",
@@ -167,7 +140,7 @@
     def _log_broken_stream(
         self, exchange: Exchange, row: Endpoint, events: int, error: ChutelinkError
     ) -> None:
-        self._core.events.record(
+        self.core.events.record(
             "stream_broken",
             request=exchange.meta.id,
             endpoint=row.record.id,
@@ -177,231 +150,3 @@
             resumable=exchange.is_repeatable,
             error=error.message,
         )
-
-
-def stall_timeout_s(route: Route) -> float | None:
-    """Return the stall timeout; None where a stream may not resume elsewhere."""
-    if not route.is_repeatable:
-        return None
-    return (
-        STALL_TIMEOUT_SHARE * route.patience_s
-        if route.patience_s
-        else DEFAULT_STALL_TIMEOUT_S
-    )
-
-
-class _Attempt:
-    """One attempt to stream from an endpoint."""
-
-    def __init__(
-        self,
-        stream_relay: StreamRelay,
-        exchange: Exchange,
-        row: Endpoint,
-        caller: CallerStream,
-    ) -> None:
-        self._stream_relay = stream_relay
-        self._exchange = exchange
-        self._row = row
-        self._caller = caller
-        self._pending_prefill_s = 0.0
-        self._expected_prefill_s = 0.0
-        self._longest_pause_s = 0.0
-        self._first_event_s: float | None = None
-        self._events = 0
-
-    async def async_run(
-        self, sent_s: float
-    ) -> tuple[AttemptResult, BufferedResponse | None]:
-        """Send the request and forward the response."""
-        stream_relay, exchange, row = self._stream_relay, self._exchange, self._row
-        self._start_prefill()
-        call = stream_relay._dispatcher.make_call(exchange, row)
-        limit_s = max(0.0, exchange.left_s(sent_s))
-        try:
-            async with asyncio.timeout(limit_s):
-                async with stream_relay._upstream.async_open(row, call) as response:
-                    return await self._async_handle_response(response, sent_s)
-        except TimeoutError as error:
-            raise EndpointFailed(
-                "no end in time", step="stream", peer=row.record.id
-            ) from error
-
-    async def _async_handle_response(
-        self, response: aiohttp.ClientResponse, sent_s: float
-    ) -> tuple[AttemptResult, BufferedResponse | None]:
-        exchange, row = self._exchange, self._row
-        self._stream_relay._dispatcher.signals.note(
-            exchange, row, response.status, response.headers, sent_s
-        )
-        kind = self._stream_relay._dispatcher.header_codec.classify(
-            response.status, response.headers, exchange.meta.id
-        )
-        if (
-            kind is not AnswerKind.ANSWERED
-            or response.status >= FIRST_NON_SUCCESS_STATUS
-        ):
-            body = await self._async_read_body(response, kind)
-            buffered = BufferedResponse(response.status, response.headers, body)
-            took_s = self._stream_relay._core.clock() - sent_s
-            if kind is AnswerKind.FOREIGN:
-                response.close()
-            return self._stream_relay._relay.classify_response(
-                exchange, row, buffered, took_s
-            ), buffered
-        await self._async_forward_events(response, sent_s)
-        self._stream_relay._relay.note_completed_run(exchange)
-        self._note_duration()
-        limit_s = exchange.route.max_pause_s
-        is_paused = 0 < limit_s < self._longest_pause_s
-        self._stream_relay._dispatcher.loads.note_stream(
-            row.record.id, is_paused=is_paused
-        )
-        return AttemptResult.ANSWERED, None
-
-    async def _async_read_body(
-        self, response: aiohttp.ClientResponse, kind: AnswerKind
-    ) -> bytes:
-        """Return the body of a response that is no stream; a foreign one has none."""
-        if kind is AnswerKind.FOREIGN:
-            return b""
-        max_bytes = self._stream_relay._upstream.max_answer_bytes
-        return await async_read_body(response, max_bytes)
-
-    async def _async_forward_events(
-        self, response: aiohttp.ClientResponse, sent_s: float
-    ) -> None:
-        """Forward complete events until the endpoint ends its response."""
-        caller, row = self._caller, self._row
-        dispatcher = self._stream_relay._dispatcher
-        splitter = EventSplitter()
-        headers = forwarded_headers(response.headers)
-        limit_s = self._first_event_timeout_s()
-        while True:
-            chunk = await self._async_read_chunk(response, limit_s)
-            if not chunk:
-                break
-            for event in splitter.feed(chunk):
-                self._check_event_id(event)
-                dispatcher.versions.note_event(self._exchange, row)
-                await caller.async_send_headers(response.status, headers)
-                await caller.async_send(event)
-                self._note_event(sent_s)
-            limit_s = stall_timeout_s(self._exchange.route)
-        if splitter.has_partial_event:
-            raise ConnectionBroken(
-                "ended within an event", step="stream", peer=row.record.id
-            )
-        if self._ended_without_event(response):
-            raise ConnectionBroken(
-                "ended before its first event", step="stream", peer=row.record.id
-            )
-        await caller.async_send_headers(response.status, headers)
-
-    def _ended_without_event(self, response: aiohttp.ClientResponse) -> bool:
-        """Return whether only the end of the connection says that a stream is complete.
-
-        An endpoint that terminates ends it too. A stream that is resumed after its last
-        event has none.
-        """
-        is_framed = not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
-        is_resumed = self._exchange.resume_after is not None
-        return not self._events and not is_resumed and not is_framed
-
-    async def _async_read_chunk(
-        self, response: aiohttp.ClientResponse, limit_s: float | None
-    ) -> bytes:
-        try:
-            async with asyncio.timeout(limit_s):
-                return await response.content.readany()
-        except TimeoutError as error:
-            raise EndpointFailed(
-                "silent within its answer", step="stream", peer=self._row.record.id
-            ) from error
-
-    def _first_event_timeout_s(self) -> float | None:
-        exchange = self._exchange
-        has_more_attempts = len(exchange.tried) < exchange.route.max_endpoints
-        if not exchange.is_repeatable or not has_more_attempts:
-            return None
-        objective_s = exchange.route.objective_s
-        return max(
-            MIN_FIRST_EVENT_TIMEOUT_S, FIRST_EVENT_TIMEOUT_OBJECTIVES * objective_s
-        )
-
-    def _check_event_id(self, event: StreamEvent) -> None:
-        """Raise if an event does not directly follow the last one forwarded."""
-        exchange = self._exchange
-        if event.id is None:
-            return
-        last = exchange.resume_after
-        if last is not None and event.id != last + 1:
-            raise EndpointFailed(
-                f"event {event.id} after {last}",
-                step="stream",
-                peer=self._row.record.id,
-            )
-        exchange.resume_after = event.id
-
-    def _start_prefill(self) -> None:
-        """Count the prompt as in prefill at the endpoint."""
-        dispatcher, exchange, row = (
-            self._stream_relay._dispatcher,
-            self._exchange,
-            self._row,
-        )
-        now_s = self._stream_relay._core.clock()
-        chain = exchange.candidate.chain
-        cached = dispatcher.prefixes.cached_parts(row.record.id, chain, now_s)
-        cached_tokens = exchange.candidate.chain_tokens[cached - 1] if cached else 0
-        tokens = max(0, exchange.meta.prompt_tokens - cached_tokens)
-        before_s = row.reading_s + row.other_reading_s
-        self._pending_prefill_s = dispatcher.speeds.read_s(exchange.meta.model, tokens)
-        row.reading_s += self._pending_prefill_s
-        if tokens >= MIN_LEARNED_TOKENS and before_s <= self._pending_prefill_s:
-            factor = dispatcher.speeds.endpoint_factor(row.record.id)
-            self._expected_prefill_s = factor * (self._pending_prefill_s + before_s)
-        dispatcher.note_prompt(exchange, row, self._pending_prefill_s)
-        dispatcher.prefixes.note(row.record.id, chain, now_s)
-        dispatcher.loads.note_prompt(row.record.id, chain)
-
-    def _note_event(self, sent_s: float) -> None:
-        """Record an event and the pause before it; the first one ends prefill."""
-        exchange, caller = self._exchange, self._caller
-        now_s = self._stream_relay._core.clock()
-        if caller.last_event_s is not None:
-            pause_s = now_s - caller.last_event_s
-            exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
-            self._longest_pause_s = max(self._longest_pause_s, pause_s)
-        caller.last_event_s = now_s
-        self._events += 1
-        if self._events == SOUND_EVENTS:
-            quarantine = self._stream_relay._dispatcher.quarantine
-            quarantine.note_sound(exchange.prompt_parts)
-        if self._first_event_s is None:
-            self._first_event_s = now_s
-        if not self._pending_prefill_s:
-            return
-        self.stop_prefill()
-        core = self._stream_relay._core
-        if self._exchange.first_event_s is None:
-            self._exchange.first_event_s = core.clock() - self._exchange.started_s
-        took_s = core.clock() - sent_s
-        endpoint = self._row.record.id
-        dispatcher = self._stream_relay._dispatcher
-        dispatcher.health.note_success(endpoint, core.clock(), took_s)
-        dispatcher.speeds.note(
-            exchange.meta.model, endpoint, self._expected_prefill_s, took_s
-        )
-
-    def _note_duration(self) -> None:
-        """Record how long this attempt occupied a batch slot."""
-        if self._first_event_s is None:
-            return
-        took_s = self._stream_relay._core.clock() - self._first_event_s
-        self._stream_relay._dispatcher.durations.note(self._exchange.meta.model, took_s)
-
-    def stop_prefill(self) -> None:
-        """Stop counting the prompt as in prefill."""
-        self._row.reading_s = max(0.0, self._row.reading_s - self._pending_prefill_s)
-        self._pending_prefill_s = 0.0
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -175,7 +175,7 @@
     def _version_of(self, row: Endpoint) -> SoftwareVersion | None:
         """Return the version of the process that a request is sent to, if it is known.
 
-        A process that has been replaced meanwhile may not be the one that answers.
+        Once the process has been replaced, the new one may answer.
         """
         if self._table.is_replaced(row.record) or not self._is_informed():
             return None
--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chutelink.entry.messages import PendingLoad
-from chutelink.relaying.stream import stall_timeout_s
+from chutelink.relaying.stream_attempt import stall_timeout_s
 from standins.prepared_config import make_config
 
 from .relay_harness import SERVICES, async_relay_harness
