Wait longer for answers to a lookup, and for a closed connection in a test

A record that arrives after 0.3 s was of no use, though callers wait for an event for seconds: on a slow machine a stream would be refused that could go on. A lookup ends with the first record, so 0.5 s are only used up when a peer doesn't answer. The test of slow endless answers compared two samples 0.1 s apart once; it now waits until nothing more is taken, and fails if that never happens.

--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -13,7 +13,7 @@
 """Number of daemons asked: the owners, and those that replace lost ones."""
 HISTORY_PEERS: Final = 8
 """Number of daemons that a daemon asks after its start for the versions that served."""
-LOOKUP_TIMEOUT_S: Final = 0.3
+LOOKUP_TIMEOUT_S: Final = 0.5
 """How long a request waits for the answers; callers wait for seconds for an event."""
 LOOKUP_POLL_S: Final = 0.02
 """How often a daemon that has just started looks for new links during a lookup."""
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -141,10 +141,8 @@
             ):
                 assert answer.status in (502, 504)
                 assert answer.headers["Chutelink-Outcome"] == "unknown"
-            await asyncio.sleep(0.1)
-            before = server.sent_bytes
-            await asyncio.sleep(0.1)
-            assert server.sent_bytes == before
+            async with asyncio.timeout(20.0):
+                await async_wait_until_closed(server)
 
     asyncio.run(async_test())
 
