Don't wait for versions from peers of an older release

With three daemons of this release and one of the landing before, all started together, 31 of 131 resumptions of streams that the old one had begun were refused as unknown, though one version served: it can't read the question for the versions that served, so the others took their own list for incomplete for 120 s. A peer that keeps its link and hasn't answered 5 s after the start is not awaited any more. The test fails before. Streams that a daemon of the older release begins or resumes while several versions serve may still be joined (16 of 60 in that run): it keeps no records.

--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -13,6 +13,11 @@
 """Number of daemons asked: the owners, and those that replace lost ones."""
 HISTORY_PEERS: Final = 8
 """Number of daemons that a daemon asks after its start for the versions that served."""
+HISTORY_TIMEOUT_S: Final = 5.0
+"""Time after a start from which answers that are missing are not awaited any more.
+
+A peer that has a link and doesn't answer runs a release that can't read the question.
+"""
 LOOKUP_TIMEOUT_S: Final = 0.5
 """How long a request waits for the answers; callers wait for seconds for an event."""
 LOOKUP_POLL_S: Final = 0.02
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -18,6 +18,7 @@
 from ..ids import DaemonId, FailureDomainName, RequestId, ServiceName, SoftwareVersion
 from .const import (
     HISTORY_PEERS,
+    HISTORY_TIMEOUT_S,
     LINKING_S,
     LOOKUP_PEERS,
     LOOKUP_POLL_S,
@@ -106,7 +107,9 @@
         if self.has_full_history:
             return
         expected = self._history_asked & self.linked()
-        if expected and expected <= self._history_answered and not self._may_link:
+        uptime_s = self._core.clock() - self._created_s
+        has_all_answers = expected <= self._history_answered and not self._may_link
+        if expected and (has_all_answers or uptime_s > HISTORY_TIMEOUT_S):
             self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
         for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from chutelink.origins.const import HISTORY_TIMEOUT_S
+
 from ..virtual_time import VirtualTimeLoop, run_in_virtual_time
 from .version_world import Stream, World
 
@@ -203,6 +205,19 @@
     run_in_virtual_time(async_test())
 
 
+def test_peers_of_an_older_release_do_not_keep_unknown_streams_from_going_on():
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        for name in ("d1", "d2", "d3", "d4", "d5", "d6", "d7"):
+            world.daemons[name].origins.handle_message = lambda message: None
+        world.kill("d0")
+        await asyncio.sleep(HISTORY_TIMEOUT_S)
+        world.daemons["d0"].origins.request_history()
+        assert await world.async_resume("d0", Stream("unknown", {"v1"}))
+
+    run_in_virtual_time(async_test())
+
+
 def test_nothing_is_sent_for_streams_while_one_version_serves():
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
