Keep connections to endpoints after complete answers

The library calls data_received without data to resume its parser, and that was taken for data that no request asked for. Both tests fail before.

--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -71,7 +71,10 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data."""
+        """Parse received data; without any, the parser resumes with what it has."""
+        if not data:
+            super().data_received(data)
+            return
         if self._is_idle():
             self._fail("data without a request")
             return
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -191,6 +191,33 @@
     asyncio.run(async_test())
 
 
+@pytest.mark.parametrize("path", ["/again/x", "/stream/x"])
+def test_connection_is_kept_after_a_complete_answer(path):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            models = {"m0": []} if path == "/stream/x" else {}
+            service = "llm" if models else "plain"
+            await harness.async_add("i-1", service, models)
+            callers = []
+            handler = harness.machines.endpoints["i-1"].async_handle
+
+            async def async_note(request):
+                callers.append(request.transport.get_extra_info("peername"))
+                return await handler(request)
+
+            harness.machines._handlers["i-1"].request_handler = async_note
+            for number in range(5):
+                headers = STREAM if models else {}
+                async with harness.request(path, f"q{number}", **headers) as answer:
+                    assert answer.status == 200
+                    await answer.read()
+            assert len(callers) == 5
+            assert len(set(callers)) == 1
+
+    asyncio.run(async_test())
+
+
 def test_event_up_to_the_limit_is_split_at_its_end():
     splitter = EventSplitter()
     piece = b"data: " + b"a" * 1000 + b"\n"
