Add a shared check of which endpoints a request may be sent to

Routing, waiting for a model, the check before sending, relayed calls and the placer ask one object, so that a rule added by one part can't be missed at one of them. There are no rules yet, so nothing changes.

--- /dev/null
+++ b/chutelink/eligibility/checker.py
@@ -0,0 +1,75 @@
+"""Checks endpoints against all eligibility rules. No I/O."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from ..entry.endpoints import Endpoint
+from .model import IneligibleReason, Requirements
+
+
+class EligibilityRule(ABC):
+    """A reason for which an endpoint may not get a request."""
+
+    @property
+    @abstractmethod
+    def is_active(self) -> bool:
+        """Whether the rule can currently apply to any endpoint."""
+
+    @abstractmethod
+    def check(
+        self, row: Endpoint, requirements: Requirements, now_s: float
+    ) -> IneligibleReason | None:
+        """Return why the endpoint may not get the request, None if it may."""
+
+
+class EligibilityChecker:
+    """Applies the same rules wherever an endpoint is chosen, checked or loaded.
+
+    Routing, waiting for a model, relayed calls and the placer all ask this object, so
+    that none of them can miss a rule.
+
+    Parameters
+    ----------
+    rules : tuple of EligibilityRule, default=()
+        The rules, in the order in which they are checked.
+    """
+
+    def __init__(self, rules: tuple[EligibilityRule, ...] = ()) -> None:
+        self._rules = rules
+        self.on_ineligible: Callable[[IneligibleReason], None] = lambda reason: None
+        """Called for each endpoint that is left out of a selection."""
+
+    def reason(
+        self, row: Endpoint, requirements: Requirements, now_s: float
+    ) -> IneligibleReason | None:
+        """Return why an endpoint may not get a request, None if it may."""
+        for rule in self._rules:
+            if rule.is_active:
+                reason = rule.check(row, requirements, now_s)
+                if reason is not None:
+                    return reason
+        return None
+
+    def eligible(
+        self, rows: list[Endpoint], requirements: Requirements, now_s: float
+    ) -> list[Endpoint]:
+        """Return the endpoints that may get a request."""
+        if not any(rule.is_active for rule in self._rules):
+            return rows
+        eligible = []
+        for row in rows:
+            reason = self.reason(row, requirements, now_s)
+            if reason is None:
+                eligible.append(row)
+            else:
+                self.on_ineligible(reason)
+        return eligible
+
+    def common_reason(
+        self, rows: list[Endpoint], requirements: Requirements, now_s: float
+    ) -> IneligibleReason | None:
+        """Return why no endpoint may get a request, None if one may or none exists."""
+        reasons = [self.reason(row, requirements, now_s) for row in rows]
+        return None if None in reasons else next(iter(reasons), None)
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -15,6 +15,7 @@
 from ..customers.buckets import QuotaBounds
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
+from ..eligibility.checker import EligibilityChecker
 from ..ids import DaemonId, FailureDomainName
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
@@ -128,6 +129,10 @@
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
+        self.eligibility = EligibilityChecker()
+        self.eligibility.on_ineligible = lambda reason: (
+            self.metrics.ineligible_endpoints.inc({"reason": reason.value})
+        )
         self.origins = OriginManager(self, self.known.endpoints.versions)
         self.quotas = QuotaSharing(self, bounds, is_lending=entry.quota_lending)
         self.mesh: Mesh | None = None
@@ -264,6 +269,7 @@
         )
         self.placer.probe = self._probe
         self.placer.partition = self.partition
+        self.placer.eligibility = self.eligibility
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -58,6 +58,7 @@
         app.quarantine,
         header_codec,
         upstream,
+        app.eligibility,
     )
 
 
@@ -79,6 +80,7 @@
         app.quarantine,
         app.permits,
         app.origins,
+        app.eligibility,
     )
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
--- a/chutelink/ids.py
+++ b/chutelink/ids.py
@@ -24,6 +24,8 @@
 KeyHash = NewType("KeyHash", str)
 """SHA-256 of a caller's key, in hex."""
 ModelName = NewType("ModelName", str)
+RegionName = NewType("RegionName", str)
+"""A region, which contains one or more failure domains."""
 RequestId = NewType("RequestId", str)
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -42,6 +42,9 @@
         self.permits = self._counter(
             "permits_total", "Permits requested for endpoints that name a limit"
         )
+        self.ineligible_endpoints = self._counter(
+            "ineligible_endpoints_total", "Endpoints left out of selections by reason"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -8,6 +8,8 @@
 from mode import Service
 
 from ..core import Application
+from ..eligibility.checker import EligibilityChecker
+from ..eligibility.model import NO_REQUIREMENTS
 from ..entry.config import EngineSpec, RoutingConfig
 from ..entry.demand import DemandTable
 from ..entry.endpoints import Endpoint, EndpointTable
@@ -105,6 +107,9 @@
         self._load_backoff = LoadBackoff()
         self.probe: EndingProbe = ConnectProbe()
         self.partition: PartitionMonitor | None = None
+        self.eligibility = EligibilityChecker()
+        """Endpoints that it excludes get no orders, and their models are loaded
+        elsewhere."""
         self._term = 0
         self.config: RoutingConfig | None = None
 
@@ -250,13 +255,15 @@
     def _sites(self, service: ServiceName) -> list[Site]:
         """Return the service's responsive endpoints with their known state."""
         sites = []
-        for row in self._table.of_service(service, self._core.clock()):
+        now_s = self._core.clock()
+        rows = self._table.of_service(service, now_s)
+        for row in self.eligibility.eligible(rows, NO_REQUIREMENTS, now_s):
             endpoint = row.record.id
             inventory = self._inventories.get(endpoint)
             if inventory is None or inventory.is_down:
                 continue
             paused_share = self._health.paused_share(endpoint)
-            free_in_s = self._tracker.free_in_s(inventory, self._core.clock())
+            free_in_s = self._tracker.free_in_s(inventory, now_s)
             sites.append(Site(row, inventory, paused_share, free_in_s))
         return sites
 
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -10,6 +10,8 @@
 
 from ..const import HEADER_REQUEST_ID
 from ..core import Application
+from ..eligibility.checker import EligibilityChecker
+from ..eligibility.model import NO_REQUIREMENTS
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
 from ..exceptions import ConnectionBroken, EndpointUnreachable
@@ -48,6 +50,8 @@
         Decodes the headers of calls.
     upstream : Upstream
         Connections to endpoints.
+    eligibility : EligibilityChecker
+        Decides which endpoints may get calls.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         quarantine: Quarantine,
         header_codec: HeaderCodec,
         upstream: Upstream,
+        eligibility: EligibilityChecker | None = None,
     ) -> None:
         self._core = core
         self._table = table
@@ -67,6 +72,7 @@
         self._quarantine = quarantine
         self._header_codec = header_codec
         self._upstream = upstream
+        self._eligibility = eligibility or EligibilityChecker()
         self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
         self._in_flight = 0
 
@@ -101,6 +107,8 @@
         if row is None or row.record.born_ms != ticket.born_ms:
             return None
         now_s = self._core.clock()
+        if self._eligibility.reason(row, NO_REQUIREMENTS, now_s) is not None:
+            return None
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
 
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ..core import Application
+from ..eligibility.checker import EligibilityChecker
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..limits.const import MAX_DELAY_S, MIN_RETRY_AFTER_S
 from ..limits.permits import PermitManager
@@ -29,14 +30,21 @@
         The endpoints.
     permits : PermitManager
         Grants permits.
+    eligibility : EligibilityChecker
+        Decides which endpoints a request may be sent to.
     """
 
     def __init__(
-        self, core: Application, table: EndpointTable, permits: PermitManager
+        self,
+        core: Application,
+        table: EndpointTable,
+        permits: PermitManager,
+        eligibility: EligibilityChecker,
     ) -> None:
         self._core = core
         self._table = table
         self._permits = permits
+        self._eligibility = eligibility
 
     def available_rows(
         self, rows: list[Endpoint], exchange: Exchange
@@ -108,6 +116,8 @@
         now_s = self._core.clock()
         if not row.is_usable(now_s) or row.is_paused(now_s):
             return False
+        if self._eligibility.reason(row, exchange.requirements, now_s) is not None:
+            return False
         meta = exchange.meta
         is_engine = exchange.service.engine is not None and bool(meta.model)
         return not is_engine or row.holds(meta.model, meta.adapter)
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from ..customers.access import Admission
+from ..eligibility.model import NO_REQUIREMENTS, Requirements
 from ..entry.config import Route, ServiceSpec
 from ..entry.headers import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
@@ -87,6 +88,11 @@
             return self.route.priority
         return customer.priority
 
+    @property
+    def requirements(self) -> Requirements:
+        """What the request requires of endpoints."""
+        return NO_REQUIREMENTS
+
     @property
     def first_event_deadline_s(self) -> float:
         """When the caller gives up without a first event."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -8,6 +8,8 @@
 from multidict import CIMultiDict
 
 from ..core import Application
+from ..eligibility.checker import EligibilityChecker
+from ..eligibility.model import IneligibleReason
 from ..entry.config import Route
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import Dispatch, HeaderCodec, RequestMeta
@@ -38,6 +40,15 @@
 
 DEFAULT_RETRY_DELAY_S = 0.5
 MIN_RETRY_DELAY_S = 0.2
+REFUSAL_TITLES = {
+    IneligibleReason.EVACUATED: "all endpoints are in evacuated failure domains",
+    IneligibleReason.OUTSIDE_HOME_REGIONS: "no endpoint is in the home regions",
+}
+RETRY_DELAYS_S = {
+    IneligibleReason.EVACUATED: 1.0,
+    IneligibleReason.OUTSIDE_HOME_REGIONS: 1.0,
+}
+"""Retry-After delays: operators end an evacuation or change homes within seconds."""
 
 
 class ExchangeDispatcher:
@@ -61,6 +72,8 @@
         Grants permits for endpoints with a rate limit.
     origins : OriginManager
         Records of which software version began a stream.
+    eligibility : EligibilityChecker
+        Decides which endpoints a request may be sent to.
     """
 
     def __init__(
@@ -80,6 +93,7 @@
         quarantine: Quarantine,
         permits: PermitManager,
         origins: OriginManager,
+        eligibility: EligibilityChecker | None = None,
     ) -> None:
         self.core = core
         self.header_codec = header_codec
@@ -95,11 +109,14 @@
         self._policy = policy
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
-        self._model_waiter = ModelWaiter(core, table, speeds, pending, loads)
+        self._eligibility = eligibility or EligibilityChecker()
+        self._model_waiter = ModelWaiter(
+            core, table, speeds, pending, loads, self._eligibility
+        )
         self.signals = SignalReader(
             core, header_codec, table, loads, lambda: retry_budget.daemons
         )
-        self._back_pressure = BackPressureGate(core, table, permits)
+        self._back_pressure = BackPressureGate(core, table, permits, self._eligibility)
         self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
@@ -162,6 +179,7 @@
         if row is not None:
             return row
         self._check_version(exchange)
+        self._check_eligibility(exchange)
         try:
             row = await self._async_wait_for_model(exchange)
         except Refusal:
@@ -172,6 +190,24 @@
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_DELAY_S)
         return row
 
+    def _check_eligibility(self, exchange: Exchange) -> None:
+        """Refuse a request at once that no endpoint of its service may get.
+
+        Raises
+        ------
+        Refusal
+            All endpoints of the service are ineligible.
+        """
+        now_s = self.core.clock()
+        rows = self.table.of_service(exchange.service.name, now_s)
+        reason = self._eligibility.common_reason(rows, exchange.requirements, now_s)
+        if reason is None:
+            return
+        self.core.events.record(
+            "request_ineligible", request=exchange.meta.id, reason=reason.value
+        )
+        raise unavailable(REFUSAL_TITLES[reason], RETRY_DELAYS_S[reason])
+
     async def _async_wait_for_model(self, exchange: Exchange) -> Endpoint:
         if not can_be_loaded(exchange):
             raise unavailable("no endpoint is ready", DEFAULT_RETRY_DELAY_S)
@@ -278,6 +314,7 @@
         """Return the reachable endpoints that have the requested model and adapter."""
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
+        rows = self._eligibility.eligible(rows, exchange.requirements, now_s)
         rows = self.versions.matching_rows(exchange, rows)
         meta = exchange.meta
         if exchange.service.engine is not None and meta.model:
--- a/chutelink/relaying/model_waiter.py
+++ b/chutelink/relaying/model_waiter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..core import Application
+from ..eligibility.checker import EligibilityChecker
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.load_tracker import LoadTracker
 from ..entry.pending import PendingTable
@@ -35,6 +36,8 @@
         Loads in progress.
     loads : LoadTracker
         Collects the demand that is reported to the placer.
+    eligibility : EligibilityChecker
+        Decides which endpoints a request may be sent to.
     """
 
     def __init__(
@@ -44,12 +47,14 @@
         speeds: SpeedTable,
         pending: PendingTable,
         loads: LoadTracker,
+        eligibility: EligibilityChecker,
     ) -> None:
         self._core = core
         self._table = table
         self._speeds = speeds
         self._pending = pending
         self._loads = loads
+        self._eligibility = eligibility
         self.is_stopping = False
 
     async def async_wait(
@@ -122,11 +127,10 @@
         """Return whether an endpoint with the model and adapter accepts nothing now."""
         meta = exchange.meta
         now_s = self._core.clock()
-        rows = self._table.of_service(exchange.service.name, now_s)
         return any(
             row.accepts_from_s(now_s) is not None
             and row.holds(meta.model, meta.adapter)
-            for row in rows
+            for row in self._eligible_rows(exchange, now_s)
         )
 
     def _is_base_model_loaded(self, exchange: Exchange) -> bool:
@@ -134,10 +138,13 @@
 
         An adapter loads within some ms.
         """
-        now_s = self._core.clock()
-        rows = self._table.of_service(exchange.service.name, now_s)
+        rows = self._eligible_rows(exchange, self._core.clock())
         return any(row.holds(exchange.meta.model) for row in rows)
 
+    def _eligible_rows(self, exchange: Exchange, now_s: float) -> list[Endpoint]:
+        rows = self._table.of_service(exchange.service.name, now_s)
+        return self._eligibility.eligible(rows, exchange.requirements, now_s)
+
     def _keep_demand_until_retry(self, exchange: Exchange, refusal: Refusal) -> None:
         """Keep reporting the demand until the caller retries, if it is to retry.
 
