End the join loop of daemons that are stopped before they are ready

A daemon that got SIGTERM before it had read a configuration never exited and used a whole core. Its join loop sleeps with mode's sleep, which returns at once while the service stops, so the loop neither ended nor yielded. It now also ends when the service stops.

--- a/chutelink/daemon.py
+++ b/chutelink/daemon.py
@@ -165,9 +165,9 @@
     @Service.task
     async def _async_join(self) -> None:
         """Announce this daemon as alive to members once it is ready."""
-        while not self.is_ready():
+        while not self.is_ready() and not self.should_stop:
             await self.sleep(JOIN_POLL_S)
-        if not self.is_draining:
+        if self.is_ready() and not self.is_draining:
             self.mesh.announce_alive()
 
     async def _async_register(self) -> None:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -394,9 +394,9 @@
     @Service.task
     async def _async_join(self) -> None:
         """Announce this daemon to callers once it can serve them."""
-        while not self.is_ready():
+        while not self.is_ready() and not self.should_stop:
             await self.sleep(JOIN_POLL_S)
-        if not self.is_draining:
+        if self.is_ready() and not self.is_draining:
             self.mesh.announce_alive()
             self.events.info("ready", version=self.known.routes.config.version)
 
