Exclude endpoints of failure domains that operators evacuate

The operators ask for an evacuation with a row of the configuration table, which the store watch already copies to every daemon. A table of evacuated failure domains and an eligibility rule use it. The row's key alone evacuates, so a value of JSON null, which looked like a removed row, is now an unreadable value. The bound evacuate_ms also limits the age of the configuration table.

--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from ..ids import FailureDomainName
 from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchableTable
@@ -49,6 +50,10 @@
     def decode_endpoint(self, name: str, value: Any) -> EndpointRecord:
         """Return the endpoint record decoded from its row."""
 
+    @abstractmethod
+    def decode_evacuated_domain(self, key: str) -> FailureDomainName | None:
+        """Return the failure domain that a row of this key evacuates, if any."""
+
     @abstractmethod
     def compact_row(self, key: str, value: Any) -> Any:
         """Return the form of a row's value that daemons store and exchange.
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -16,6 +16,9 @@
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
 from ..eligibility.checker import EligibilityChecker
+from ..evacuation.const import freshness_bound_s
+from ..evacuation.rule import EvacuationRule
+from ..evacuation.table import EvacuationTable
 from ..ids import DaemonId, FailureDomainName
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
@@ -129,7 +132,9 @@
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
-        self.eligibility = EligibilityChecker()
+        self.evacuations = EvacuationTable(self)
+        self.evacuations.on_changed = self._handle_endpoints_changed
+        self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
         )
@@ -150,9 +155,10 @@
         """Create and connect the components, then start them."""
         entry = self.settings.entry
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
+        config_bound_s = min(bound_s, freshness_bound_s(entry.evacuate_ms / MS_PER_S))
         table = self._adapter.make_table(
             self.session,
-            cap_timeout(self, self.settings.platform, bound_s),
+            cap_timeout(self, self.settings.platform, config_bound_s),
             lambda retry: self.events.record(
                 "store_read_retried", **msgspec.structs.asdict(retry)
             ),
@@ -186,7 +192,7 @@
         self.mesh.on_direct = self.router.handle_direct
         self.mesh.on_members_changed = self.router.choose_links
         bounds_s = {
-            TABLE_CONFIG: bound_s,
+            TABLE_CONFIG: config_bound_s,
             TABLE_ENDPOINTS: bound_s,
             TABLE_QUARANTINE: entry.quarantine_apply_ms / MS_PER_S,
         }
@@ -367,6 +373,10 @@
                 change.key, change.value, is_restored=change.is_restored
             )
             return
+        evacuated = self._adapter.decode_evacuated_domain(change.key)
+        if evacuated is not None:
+            self.evacuations.apply_row(evacuated, change)
+            return
         self.known.apply_row(change)
 
     def _handle_restored(self, table: str, keys: set[str]) -> None:
--- /dev/null
+++ b/chutelink/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated failure domains, whose endpoints get no requests and no orders."""
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -45,6 +45,9 @@
         self.ineligible_endpoints = self._counter(
             "ineligible_endpoints_total", "Endpoints left out of selections by reason"
         )
+        self.evacuated = self._gauge(
+            "failure_domains_evacuated", "Failure domains that operators evacuated"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -13,6 +13,7 @@
 from ..entry.directory import Directory
 from ..entry.endpoints import EndpointRecord
 from ..entry.headers import HeaderCodec
+from ..ids import FailureDomainName
 from ..placing.inventory import EngineClient
 from ..settings import PlatformSection
 from ..store import WatchableTable
@@ -21,6 +22,7 @@
 from .customers import hash_keys
 from .endpoints import compact_registration, decode_registration
 from .engine import HttpEngineClient
+from .evacuation import compact_evacuation, decode_evacuated_domain
 from .headers import PlatformHeaderCodec
 from .http import make_directory_handler, make_ready_handler
 from .store import async_setup_store
@@ -54,10 +56,16 @@
         """Decode an endpoint record from its row value."""
         return decode_registration(name, value)
 
+    def decode_evacuated_domain(self, key: str) -> FailureDomainName | None:
+        """Return the failure domain that a row of this key evacuates, if any."""
+        return decode_evacuated_domain(key)
+
     def compact_row(self, key: str, value: Any) -> Any:
         """Return a row value without heartbeat fields and plaintext keys."""
         if key == KEY_ROUTING_CONFIG:
             return hash_keys(value)
+        if decode_evacuated_domain(key) is not None:
+            return compact_evacuation(value)
         is_endpoint = key.startswith(f"{TABLE_ENDPOINTS}/")
         return compact_registration(value) if is_endpoint else value
 
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -95,7 +95,10 @@
     try:
         data = base64.b64decode(row.value, validate=True)
         if row.table in TABLES_BY_WIRE_NAME:
-            return Row(key, row.ver, WriteId(""), msgspec.json.decode(data))
+            value = msgspec.json.decode(data)
+            # None stands for a removed row.
+            value = UNREADABLE if value is None else value
+            return Row(key, row.ver, WriteId(""), value)
         own = msgspec.json.decode(data, type=_OwnValue)
     except (msgspec.MsgspecError, binascii.Error, ValueError):
         # Consumers of the row log that they reject it.
--- /dev/null
+++ b/tests/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of evacuated failure domains."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -201,8 +201,8 @@
     run(async_test)
 
 
-UNREADABLE_VALUES = ["", "!!!", base64.b64encode(b"\xff{").decode(), "e30"]
-"""Empty, not base64, not JSON, and truncated base64."""
+UNREADABLE_VALUES = ["", "!!!", base64.b64encode(b"\xff{").decode(), "e30", "bnVsbA=="]
+"""Empty, not base64, not JSON, truncated base64, and null."""
 
 
 @pytest.mark.parametrize("text", UNREADABLE_VALUES)
