Keep evacuations that a restored store has lost

A store that was restored from a backup lacks the rows that were written since, and an evacuation must not end because of that. The copy of the table keeps such rows until their removal is read, for 600 s at most: a removal that nobody read looks the same. Updates carry them to daemons that never read them.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -208,6 +208,9 @@
         self.watch.on_restored = self._handle_restored
         self.watch.reply = self.router.reply
         self.watch.compact = self._adapter.compact_row
+        self.watch.outlasts_restore = lambda key: (
+            self._adapter.decode_evacuated_domain(key) is not None
+        )
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
         self.lease.is_deferring = self._is_deferring_placement
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -41,7 +41,8 @@
 
     ``after`` is 0 for the complete table: rows that are not included have been removed.
     ``answered_s`` is the store's clock time of the response; both versions belong to
-    the same ``era`` of the store.
+    the same ``era`` of the store. ``kept`` names the rows that the store lost when it
+    was restored and that stay in force, with the time of its clock until which they do.
     """
 
     table: str
@@ -50,6 +51,7 @@
     answered_s: float
     rows: list[StoredRow] = []
     era: StoreEra = NO_ERA
+    kept: dict[str, float] = {}
 
     @property
     def is_whole(self) -> bool:
--- a/chutelink/watching/table_state.py
+++ b/chutelink/watching/table_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -47,11 +48,16 @@
     latest answer that this daemon knows of, its own or a peer's, and of the first one
     after an outage. ``latest_era`` is the era of the latest answer. ``has_gap`` is set
     when an update from a peer could not be applied because the copy lacks changes
-    that precede it.
+    that precede it. ``outlasts_restore`` is passed on to the copy.
     """
 
-    def __init__(self, name: str, staleness_bound_s: float) -> None:
-        self.copy = TableCopy(name)
+    def __init__(
+        self,
+        name: str,
+        staleness_bound_s: float,
+        outlasts_restore: Callable[[str], bool] = lambda key: False,
+    ) -> None:
+        self.copy = TableCopy(name, outlasts_restore)
         self.staleness_bound_s = staleness_bound_s
         self.call_started_s = float("-inf")
         self.latest_answer_s: float | None = None
@@ -59,3 +65,4 @@
         self.recovered_s = float("-inf")
         self.has_gap = False
         self.snapshot_sent_s = float("-inf")
+        self.kept_sent_s = float("-inf")
--- a/chutelink/watching/tablecopy.py
+++ b/chutelink/watching/tablecopy.py
@@ -7,10 +7,16 @@
 A store that is restored from a backup begins a new era, in which it assigns version
 numbers again. Versions of two eras are never compared: only a full table moves a copy
 to a later era.
+
+The backup may lack rows that were written after it was made. Some rows must not end
+because of that: they are kept until their removal is read, or for ``KEPT_ROW_S`` after
+the restoration. Updates for other daemons contain them, also for those that never read
+them in the earlier era.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -18,6 +24,13 @@
 from ..entry.messages import StoredRow, StoreUpdate
 from ..ids import NO_ERA
 
+KEPT_ROW_S = 600.0
+"""How long a row stays in force that a restored store lacks.
+
+Operators write again what the store has lost. A row that was removed while no daemon
+reached the store can't be told from a lost one, and must not stay in force forever.
+"""
+
 
 class UpdateStatus(Enum):
     """Whether an update can be applied to a copy."""
@@ -36,6 +49,8 @@
     ----------
     name : str
         Name of the table.
+    outlasts_restore : callable, optional
+        Returns whether a row with a given key is kept if a restored store lacks it.
 
     Attributes
     ----------
@@ -47,11 +62,18 @@
         Latest time, on the store's clock, at which this version was known to be the
         newest one.
     rows : dict
-        Rows by key.
+        Rows by key, including those that are kept.
+    kept_until_s : dict
+        Keys of the kept rows, with times of the store's clock until which they are
+        kept.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, outlasts_restore: Callable[[str], bool] = lambda key: False
+    ) -> None:
         self.name = name
+        self._outlasts_restore = outlasts_restore
+        self.kept_until_s: dict[str, float] = {}
         self.era = NO_ERA
         self.version = 0
         self.answered_s = float("-inf")
@@ -98,22 +120,46 @@
         values = {key: row.value for key, row in before.items()}
         changed: dict[str, StoredRow] = {}
         for row in read.rows:
-            if row.key in changed or values.get(row.key) != row.value:
+            is_changed = row.key in changed or values.get(row.key) != row.value
+            # A row that is kept elsewhere may have been written again, or removed.
+            if is_changed or self._outlasts_restore(row.key):
                 changed[row.key] = row
             values[row.key] = row.value
-        return msgspec.structs.replace(read, rows=list(changed.values()))
+        for key in self.kept_until_s:
+            changed[key] = self.rows[key]
+        return msgspec.structs.replace(
+            read, rows=list(changed.values()), kept=dict(self.kept_until_s)
+        )
 
     def to_snapshot(self) -> StoreUpdate:
         """Return an update that contains the full table."""
-        rows = list(self.rows.values())
-        return StoreUpdate(self.name, 0, self.version, self.answered_s, rows, self.era)
+        return self._make_update(0, list(self.rows.values()))
+
+    def to_kept_update(self) -> StoreUpdate:
+        """Return an update that contains the kept rows, for copies of this version."""
+        return self._make_update(
+            self.version, [self.rows[key] for key in self.kept_until_s]
+        )
+
+    def _make_update(self, after: int, rows: list[StoredRow]) -> StoreUpdate:
+        return StoreUpdate(
+            self.name,
+            after,
+            self.version,
+            self.answered_s,
+            rows,
+            self.era,
+            dict(self.kept_until_s),
+        )
 
     def _apply_rows(self, update: StoreUpdate) -> list[StoredRow]:
         # A read has every change in order: the last change of a row counts.
         latest = {row.key: row for row in update.rows}
         changed = [row for row in latest.values() if self._is_changed(row)]
+        self._update_kept(update, latest)
         if update.is_whole:
             changed += self._removed_rows(update)
+        changed += self._expired_rows(update)
         for row in changed:
             if row.value is None:
                 del self.rows[row.key]
@@ -135,8 +181,35 @@
 
     def _removed_rows(self, update: StoreUpdate) -> list[StoredRow]:
         present = {row.key for row in update.rows}
+        missing = self.rows.keys() - present - self.kept_until_s.keys()
+        return [StoredRow(key, update.version, None) for key in missing]
+
+    def _update_kept(self, update: StoreUpdate, latest: dict[str, StoredRow]) -> None:
+        """Determine which rows are kept although the store lacks them."""
+        kept = self.kept_until_s
+        if update.era > self.era:
+            # Times of an earlier era's clock have no meaning in this one.
+            end_s = update.answered_s + KEPT_ROW_S
+            lost = filter(self._outlasts_restore, self.rows.keys() - latest.keys())
+            kept = dict.fromkeys(lost, end_s)
+        kept = {key: end_s for key, end_s in kept.items() if key not in latest}
+        self.kept_until_s = kept | {
+            key: end_s
+            for key, end_s in update.kept.items()
+            if key in latest and latest[key].value is not None
+        }
+
+    def _expired_rows(self, update: StoreUpdate) -> list[StoredRow]:
+        """Return the removals of rows that have been kept for long enough."""
+        expired = [
+            key
+            for key, end_s in self.kept_until_s.items()
+            if update.answered_s >= end_s
+        ]
+        for key in expired:
+            del self.kept_until_s[key]
         return [
-            StoredRow(key, update.version, None) for key in self.rows.keys() - present
+            StoredRow(key, update.version, None) for key in expired if key in self.rows
         ]
 
     def _advance(self, update: StoreUpdate) -> None:
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -74,7 +74,9 @@
         self._rank = rank
         self._send = send
         self._tables = {
-            name: TableState(name, staleness_bound_s)
+            name: TableState(
+                name, staleness_bound_s, lambda key: self.outlasts_restore(key)
+            )
             for name, staleness_bound_s in staleness_bounds_s.items()
         }
         self._outage_s = outage_s
@@ -90,6 +92,8 @@
             None
         )
         self.compact: Callable[[str, Any], Any] = lambda key, value: value
+        self.outlasts_restore: Callable[[str], bool] = lambda key: False
+        """Returns whether a row stays in force if a restored store lacks it."""
         self.isolated_until_s: Callable[[], float] = lambda: float("-inf")
         """End of the last silence of all peers, or now if it still lasts.
 
@@ -250,13 +254,34 @@
         self._detect_outage(state, update)
         if status is UpdateStatus.APPLICABLE:
             self._apply(state, update, source)
+            self._send_kept_rows(state, update, source)
+
+    def _send_kept_rows(
+        self, state: TableState, update: StoreUpdate, source: str
+    ) -> None:
+        """Send the kept rows to a daemon that doesn't know them.
+
+        It may have started after the restoration, or not have read them before.
+        """
+        now_s = self._core.clock()
+        if not state.copy.kept_until_s.keys() - update.kept.keys():
+            return
+        if now_s - state.kept_sent_s < MIN_SNAPSHOT_INTERVAL_S:
+            return
+        state.kept_sent_s = now_s
+        self.reply(DaemonId(source), state.copy.to_kept_update())
 
     def _apply(self, state: TableState, update: StoreUpdate, source: str) -> None:
         """Apply an applicable update, and report the changed rows."""
         copy = state.copy
         is_restored = copy.version > 0 and update.era > copy.era
         state.has_gap = False
+        kept_before = set(copy.kept_until_s)
         changed = copy.apply(update)
+        for key in copy.kept_until_s.keys() - kept_before:
+            self._core.events.warning(
+                "store_row_kept", key=key, version=update.version, source=source
+            )
         if is_restored:
             self.on_restored(copy.name, set(copy.rows))
         self._notify_rows(state, changed, update.answered_s, source, is_restored)
