Stop calls, permits and orders to endpoints that became ineligible

Connecting to an endpoint, waiting for a peer that relays, and the steps of a placement change take up to seconds after an endpoint was chosen, in which an evacuation may begin. Calls are checked again once they have a connection, directly or to a peer, and orders before each one. Loads in progress at such endpoints count as no replicas and are not waited for, and their permits are refused. A request that waits for a model is refused at once when no endpoint of its service is left.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -16,10 +16,11 @@
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
 from ..eligibility.checker import EligibilityChecker
+from ..eligibility.model import NO_REQUIREMENTS
 from ..evacuation.const import freshness_bound_s
 from ..evacuation.rule import EvacuationRule
 from ..evacuation.table import EvacuationTable
-from ..ids import DaemonId, FailureDomainName
+from ..ids import DaemonId, EndpointId, FailureDomainName
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
 from ..peers.mesh import Mesh
@@ -251,6 +252,14 @@
         self.permits.send = self.router.reply
         self.permits.linked = self.mesh.linked_members
         self.permits.serving = lambda: self.router.serving
+        self.permits.is_eligible = self._is_eligible
+        self.pending.is_eligible = self._is_eligible
+
+    def _is_eligible(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint may get any requests."""
+        row = self.known.endpoints.rows.get(endpoint)
+        now_s = self.clock()
+        return row is None or not self.eligibility.reason(row, NO_REQUIREMENTS, now_s)
 
     def _setup_origins(self) -> None:
         self.router.origins = self.origins
--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ..ids import AdapterName, EndpointId, ModelName
 from .endpoints import NO_ADAPTER
@@ -38,6 +38,8 @@
         self._term = 0
         self._heard_s = float("-inf")
         self._changed = asyncio.Event()
+        self.is_eligible: Callable[[EndpointId], bool] = lambda endpoint: True
+        """Returns whether an endpoint may get requests; no others are waited for."""
 
     def take(
         self,
@@ -61,6 +63,8 @@
         }
         self._ready_s = {}
         for load in loads:
+            if not self.is_eligible(load.endpoint):
+                continue
             key = (load.model, load.adapter)
             ready_s = now_s + load.ready_in_s
             self._ready_s[key] = min(ready_s, self._ready_s.get(key, ready_s))
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -75,6 +75,10 @@
     is_refused = False
 
 
+class EndpointIneligible(EndpointUnreachable):
+    """The endpoint may not get the request any more; no byte was sent to it."""
+
+
 class EndpointRefused(ChutelinkError):
     """The endpoint answered that it did not run the request."""
 
--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -40,6 +40,8 @@
         """Returns the daemons that serve callers."""
         self.linked: Callable[[], set[DaemonId]] = set
         """Returns the daemons to which there is a link."""
+        self.is_eligible: Callable[[EndpointId], bool] = lambda endpoint: True
+        """Returns whether an endpoint may get requests; others get no permits."""
         self.send: Callable[[DaemonId, PermitRequest | PermitAnswer], None] = (
             lambda to, message: None
         )
@@ -100,6 +102,8 @@
             pending.set_result(Permit(answer.is_granted, answer.delay_s))
 
     def _reserve(self, request: PermitRequest) -> Permit:
+        if not self.is_eligible(request.endpoint):
+            return _refuse(request)
         now_s = self._core.clock()
         incarnation = incarnation_of(request.endpoint, request.born_ms)
         pacer = self._pacers.get(incarnation)
--- a/chutelink/placing/change_tracker.py
+++ b/chutelink/placing/change_tracker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from ..entry.messages import PendingLoad, QueuedLoad
 from ..entry.pending import PendingTable
@@ -63,14 +63,19 @@
         return ready_s - now_s if ready_s > now_s else math.inf
 
     def loading(
-        self, inventories: Mapping[EndpointId, Inventory]
+        self,
+        inventories: Mapping[EndpointId, Inventory],
+        is_eligible: Callable[[EndpointId], bool] = lambda endpoint: True,
     ) -> dict[tuple[ModelName, AdapterName], int]:
         """Return how many endpoints are loading each model and adapter.
 
-        Loads whose result the endpoint already holds are not counted.
+        Loads whose result the endpoint already holds are not counted, nor those at
+        endpoints that may get no requests.
         """
         counts: dict[tuple[ModelName, AdapterName], int] = {}
         for change, _ in self._changes.values():
+            if not is_eligible(change.endpoint):
+                continue
             held = inventories.get(change.endpoint)
             if held is not None and held.has(change.model, change.adapter):
                 continue
--- a/chutelink/placing/orders.py
+++ b/chutelink/placing/orders.py
@@ -8,7 +8,12 @@
 from ..core import Application
 from ..entry.config import EngineSpec
 from ..entry.endpoints import NO_ADAPTER, Endpoint, EndpointTable
-from ..exceptions import EndpointFailed, EndpointUnreachable, InvariantViolated
+from ..exceptions import (
+    EndpointFailed,
+    EndpointIneligible,
+    EndpointUnreachable,
+    InvariantViolated,
+)
 from ..ids import AdapterName, ModelName, ServiceName
 from .capacity import fits
 from .changes import Change
@@ -61,6 +66,8 @@
         The endpoints.
     engine_of : callable
         Returns the engine specification of a service, None if it has none.
+    is_eligible : callable
+        Returns whether an endpoint may get orders.
     """
 
     def __init__(
@@ -70,12 +77,14 @@
         client: EngineClient,
         table: EndpointTable,
         engine_of: Callable[[ServiceName], EngineSpec | None],
+        is_eligible: Callable[[Endpoint], bool] = lambda row: True,
     ) -> None:
         self._core = core
         self._lease = lease
         self._client = client
         self._table = table
         self._engine_of = engine_of
+        self._is_eligible = is_eligible
         self._report_lag_s = 0.0
 
     async def async_report(self, inventory: Inventory) -> None:
@@ -159,6 +168,8 @@
         ------
         LeaseNotHeld
             The order was not sent.
+        EndpointIneligible
+            The endpoint may get no more orders; the order was not sent.
         EndpointUnreachable, EndpointFailed
             The order is not known to have been accepted. It may still be accepted
             later, but only if the endpoint accepts no other order before.
@@ -170,6 +181,11 @@
                 step="order",
                 peer=inventory.endpoint,
             )
+        if not self._is_eligible(row):
+            # Also between the orders of one change, which may take seconds.
+            raise EndpointIneligible(
+                "may get no more orders", step="order", peer=inventory.endpoint
+            )
         if action is OrderAction.LOAD:
             self._check_capacity(inventory, row, model, adapter)
         fence = self._lease.begin_order()
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -92,7 +92,9 @@
         super().__init__()
         self._core = core
         self._lease = lease
-        self._order_sender = OrderSender(core, lease, client, table, self._engine_of)
+        self._order_sender = OrderSender(
+            core, lease, client, table, self._engine_of, self._is_eligible
+        )
         self._table = table
         self._demand = demand
         self._health = health
@@ -238,7 +240,9 @@
         view = PlacementView(
             engine=engine,
             sites=sites,
-            loading=self._tracker.loading(self._inventories),
+            loading=self._tracker.loading(
+                self._inventories, self._is_eligible_endpoint
+            ),
             demand=self._demand,
             cold_loads=limiter.available(now_s),
             now_s=now_s,
@@ -267,6 +271,15 @@
             sites.append(Site(row, inventory, paused_share, free_in_s))
         return sites
 
+    def _is_eligible(self, row: Endpoint) -> bool:
+        """Return whether an endpoint may get orders."""
+        now_s = self._core.clock()
+        return self.eligibility.reason(row, NO_REQUIREMENTS, now_s) is None
+
+    def _is_eligible_endpoint(self, endpoint: EndpointId) -> bool:
+        row = self._table.rows.get(endpoint)
+        return row is None or self._is_eligible(row)
+
     def _start_change(self, change: Change) -> None:
         inventory = self._inventories[change.endpoint]
         inventory.is_changing = True
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -14,7 +14,11 @@
 from ..eligibility.model import NO_REQUIREMENTS
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
-from ..exceptions import ConnectionBroken, EndpointUnreachable
+from ..exceptions import (
+    ConnectionBroken,
+    EndpointIneligible,
+    EndpointUnreachable,
+)
 from ..learning.health import HealthTable
 from ..quarantine.fingerprint import RequestContent
 from ..quarantine.model import BrokenRun
@@ -97,6 +101,7 @@
             forwarded_headers(request.headers),
             await request.content.read(),
             ticket.is_repeatable,
+            lambda: self._is_eligible(row),
         )
         with self._count_in_flight():
             return await self._async_relay(request, row, call)
@@ -107,11 +112,15 @@
         if row is None or row.record.born_ms != ticket.born_ms:
             return None
         now_s = self._core.clock()
-        if self._eligibility.reason(row, NO_REQUIREMENTS, now_s) is not None:
+        if not self._is_eligible(row):
             return None
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
 
+    def _is_eligible(self, row: Endpoint) -> bool:
+        now_s = self._core.clock()
+        return self._eligibility.reason(row, NO_REQUIREMENTS, now_s) is None
+
     def _has_capacity(self) -> bool:
         if self._core.is_draining or self._partition.is_partitioned:
             return False
@@ -136,6 +145,8 @@
                 await response.prepare(request)
                 while chunk := await answer.content.readany():
                     await response.write(chunk)
+        except EndpointIneligible:
+            return self._end(request, RelayResult.NOT_SENT)
         except EndpointUnreachable:
             self._health.note_unreachable(row.record.id, self._core.clock())
             self._partition.note_failure(row.record.address)
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -349,12 +349,14 @@
         row = self._choose(exchange)
         if row is None:
             self._check_version(exchange)
+            self._check_eligibility(exchange)
         return row
 
     def _check_version(self, exchange: Exchange) -> None:
         """Refuse a stream that no endpoint of its software version can continue."""
         now_s = self.core.clock()
         rows = self.table.of_service(exchange.service.name, now_s)
+        rows = self._eligibility.eligible(rows, exchange.requirements, now_s)
         self.versions.check(exchange, rows)
 
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
@@ -376,8 +378,14 @@
             headers,
             exchange.body,
             exchange.is_repeatable,
+            lambda: self._is_eligible(exchange, row),
         )
 
+    def _is_eligible(self, exchange: Exchange, row: Endpoint) -> bool:
+        now_s = self.core.clock()
+        reason = self._eligibility.reason(row, exchange.requirements, now_s)
+        return reason is None
+
     def take_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be retried; if so, take one from the budget."""
         if len(exchange.tried) >= exchange.route.max_endpoints:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -11,6 +11,7 @@
     ChutelinkError,
     ConnectionBroken,
     EndpointFailed,
+    EndpointIneligible,
     EndpointUnreachable,
 )
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
@@ -250,6 +251,15 @@
         """Log a failed attempt and update the endpoint's health."""
         core = self._dispatcher.core
         health = self._dispatcher.health
+        if isinstance(error, EndpointIneligible):
+            # Says nothing about the endpoint's health.
+            core.metrics.retries.inc({"reason": "ineligible"})
+            core.events.record(
+                "attempt_ineligible",
+                request=exchange.meta.id,
+                endpoint=row.record.id,
+            )
+            return
         if result is AttemptResult.UNREACHABLE:
             health.note_unreachable(row.record.id, core.clock())
             self._dispatcher.loads.urgent.set()
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
@@ -18,7 +18,12 @@
 
 from ..const import HEADER_REQUEST_ID
 from ..entry.endpoints import Endpoint
-from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
+from ..exceptions import (
+    ConnectionBroken,
+    EndpointFailed,
+    EndpointIneligible,
+    EndpointUnreachable,
+)
 from ..ids import EndpointId
 from ..reachability.const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET
 from ..reachability.relay_client import RelayClient
@@ -56,10 +61,18 @@
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+def _always() -> bool:
+    return True
+
+
 class _ConnectionTracker(msgspec.Struct):
-    """Records whether a call opened a connection or reused a pooled one."""
+    """Records whether a call opened a connection or reused a pooled one.
+
+    ``may_send`` says whether the call may still be sent once it has a connection.
+    """
 
     is_new: bool = False
+    may_send: Callable[[], bool] = _always
 
 
 _CONNECTION_TRACKER: ContextVar[_ConnectionTracker | None] = ContextVar(
@@ -94,6 +107,24 @@
             **({"keepalive_timeout": KEEPALIVE_TIMEOUT_S} if is_pooled else {}),
         )
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection, unless the call may not be sent any more.
+
+        The request is written without a further wait. Connecting takes up to 0.6 s, in
+        which an evacuation may begin.
+        """
+        connection = await super().connect(req, traces, timeout)
+        tracker = _CONNECTION_TRACKER.get()
+        if tracker is None or tracker.may_send():
+            return connection
+        connection.release()
+        raise EndpointIneligible("may get no more requests", step="endpoint.connect")
+
     def make_handler(self) -> _StrictResponseHandler:
         """Return the handler of a new connection, and record that it is new."""
         tracker = _CONNECTION_TRACKER.get()
@@ -106,7 +137,8 @@
     """A request to an endpoint; ``target`` is the raw path and query.
 
     ``is_repeatable`` allows the use of a pooled connection, which the endpoint may
-    just have closed.
+    just have closed. ``may_send`` is asked right before the call is sent, directly or
+    to a peer: whether the endpoint may still get it.
     """
 
     method: str
@@ -115,6 +147,7 @@
     headers: CIMultiDict[str]
     body: bytes
     is_repeatable: bool
+    may_send: Callable[[], bool] = _always
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -159,6 +192,8 @@
         ------
         EndpointUnreachable
             The connection failed; nothing was sent.
+        EndpointIneligible
+            The endpoint may not get the call any more; nothing was sent.
         ConnectionBroken
             The call may have run.
         """
@@ -174,6 +209,8 @@
                 return await stack.enter_async_context(
                     self.async_open_direct(endpoint, call)
                 )
+            except EndpointIneligible:
+                raise
             except EndpointUnreachable as error:
                 if self.relays is None:
                     raise
@@ -183,6 +220,8 @@
                 return await stack.enter_async_context(
                     self._async_open_relayed(endpoint, call, peer)
                 )
+            except EndpointIneligible:
+                raise
             except EndpointUnreachable as error:
                 self.relays.note_not_relayed(endpoint, peer, error)
                 failure = failure or error
@@ -230,7 +269,7 @@
         session = self._pooled if call.is_repeatable else self._unpooled
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
-        tracker = _ConnectionTracker()
+        tracker = _ConnectionTracker(may_send=call.may_send)
         _CONNECTION_TRACKER.set(tracker)
         try:
             async with session.request(
--- a/tests/placing/placer_harness.py
+++ b/tests/placing/placer_harness.py
@@ -150,11 +150,11 @@
         self.tasks = []
         self.placer.add_future = self._add
 
-    def add(self, name, engine):
+    def add(self, name, engine, domain="zone-a"):
         self.engines.by_id[name] = engine
         held = {model: frozenset() for model in engine.models}
         ready = EndpointState.READY
-        record = EndpointRecord(name, "llm", "1:1", "zone-a", ready, 8, held)
+        record = EndpointRecord(name, "llm", "1:1", domain, ready, 8, held)
         self.table.put(record, 0.0)
 
     def _record_sent(self, message):
