Hold requests after a suspension until the store has been read

Requests that arrived while a daemon was suspended are processed before its first read of the store is answered, so they could reach a domain that was evacuated meanwhile.

--- a/chutelink/eligibility/checker.py
+++ b/chutelink/eligibility/checker.py
@@ -40,6 +40,14 @@
         self._rules = rules
         self.on_ineligible: Callable[[IneligibleReason], None] = lambda reason: None
         """Called for each endpoint that is left out of a selection."""
+        self.is_outdated: Callable[[], bool] = lambda: False
+        """Returns whether requests must wait until the rules' data is current."""
+
+    def may_send(self, row: Endpoint, requirements: Requirements, now_s: float) -> bool:
+        """Return whether a request may be sent to an endpoint right now."""
+        if self.is_outdated():
+            return False
+        return self.reason(row, requirements, now_s) is None
 
     def reason(
         self, row: Endpoint, requirements: Requirements, now_s: float
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -19,6 +19,7 @@
 from ..eligibility.model import NO_REQUIREMENTS
 from ..evacuation.const import freshness_bound_s
 from ..evacuation.rule import EvacuationRule
+from ..evacuation.suspension import SuspensionGate
 from ..evacuation.table import EvacuationTable
 from ..ids import DaemonId, EndpointId, FailureDomainName
 from ..limits.permits import PermitManager
@@ -202,6 +203,12 @@
             self, table, bounds_s, self.rank, self.router.send, outage_s
         )
         self.watch.isolated_until_s = self.mesh.isolated_until_s
+        self.eligibility.is_outdated = SuspensionGate(
+            self,
+            lambda: self.watch.knowledge(TABLE_CONFIG),
+            lambda: self.watch.is_store_failing,
+            freshness_bound_s(entry.evacuate_ms / MS_PER_S),
+        ).is_outdated
         self.quarantine_persistence = QuarantinePersistence(
             self, table, self.quarantine, self.rank
         )
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -119,7 +119,7 @@
 
     def _is_eligible(self, row: Endpoint) -> bool:
         now_s = self._core.clock()
-        return self._eligibility.reason(row, NO_REQUIREMENTS, now_s) is None
+        return self._eligibility.may_send(row, NO_REQUIREMENTS, now_s)
 
     def _has_capacity(self) -> bool:
         if self._core.is_draining or self._partition.is_partitioned:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -40,6 +40,7 @@
 
 DEFAULT_RETRY_DELAY_S = 0.5
 MIN_RETRY_DELAY_S = 0.2
+OUTDATED_POLL_S = 0.02
 REFUSAL_TITLES = {
     IneligibleReason.EVACUATED: "all endpoints are in evacuated failure domains",
     IneligibleReason.OUTSIDE_HOME_REGIONS: "no endpoint is in the home regions",
@@ -166,6 +167,8 @@
         Refusal
             No endpoint is available in time, or the request is quarantined.
         """
+        while self._eligibility.is_outdated():
+            await asyncio.sleep(OUTDATED_POLL_S)
         row = await self._async_find_endpoint(exchange)
         # The wait may have taken seconds, in which other daemons may have run it.
         self.gate.check(exchange)
@@ -378,13 +381,12 @@
             headers,
             exchange.body,
             exchange.is_repeatable,
-            lambda: self._is_eligible(exchange, row),
+            lambda: self._may_send(exchange, row),
         )
 
-    def _is_eligible(self, exchange: Exchange, row: Endpoint) -> bool:
+    def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
         now_s = self.core.clock()
-        reason = self._eligibility.reason(row, exchange.requirements, now_s)
-        return reason is None
+        return self._eligibility.may_send(row, exchange.requirements, now_s)
 
     def take_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be retried; if so, take one from the budget."""
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -105,6 +105,11 @@
         """The latest era of the store that is known to this daemon."""
         return max(state.latest_era for state in self._tables.values())
 
+    @property
+    def is_store_failing(self) -> bool:
+        """Whether this daemon's latest call to the store failed."""
+        return self._backoff.is_failing
+
     def has_read(self, *names: str) -> bool:
         """Return whether each of the named tables has been read at least once."""
         return all(self._tables[name].copy.version > 0 for name in names)
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -13,11 +13,14 @@
 
 from chutelink.customers.access import CustomerAccess
 from chutelink.customers.holders import HolderView
+from chutelink.eligibility.checker import EligibilityChecker
 from chutelink.entry.config import RouteTable
 from chutelink.entry.http import CallerServer
 from chutelink.entry.load_tracker import LoadTracker
 from chutelink.entry.pending import PendingTable
 from chutelink.entry.state import EntryState
+from chutelink.evacuation.rule import EvacuationRule
+from chutelink.evacuation.table import EvacuationTable
 from chutelink.limits.permits import PermitManager
 from chutelink.origins.manager import OriginManager
 from chutelink.platform.adapter import PreparedMachinesAdapter
@@ -52,6 +55,9 @@
         self.quarantine = Quarantine(self.core)
         self.state = EntryState(self.core, PreparedMachinesAdapter(), self.quarantine)
         self.pending = PendingTable()
+        self.evacuations = EvacuationTable(self.core)
+        self.evacuations.on_changed = self.pending.signal
+        self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
         self.loads = LoadTracker()
         self.retry_budget = RetryBudgetShare(0.2, 50, 10.0)
         self.quotas = make_quota_manager(self.core)
@@ -84,6 +90,7 @@
             self.quarantine,
             PermitManager(self.core),
             OriginManager(self.core, state.endpoints.versions),
+            self.eligibility,
         )
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
@@ -125,6 +132,11 @@
         """Pass the removal of an endpoint's registration to the daemon."""
         self.state.apply_row(RowChange(f"endpoints/{endpoint.name}", None))
 
+    def evacuate(self, domain: str, value: object) -> None:
+        """Pass an evacuation to the daemon; None ends it."""
+        key = f"config/evacuate/{domain}"
+        self.evacuations.apply_row(domain, RowChange(key, value))
+
     def configure(self, version: int = 1, **changes: object) -> None:
         config = make_config(version, SERVICES, **changes)
         kept = PreparedMachinesAdapter().compact_row("config/config", config)
