--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -103,6 +103,7 @@
             "bounds.drain_ms": "2000",
             "bounds.contact_ms": "3000",
             "bounds.config_apply_ms": "2000",
+            "bounds.evacuate_ms": "5000",
             "bounds.lease_ms": "3000",
             "bounds.retry_ratio": "0.2",
             "bounds.retry_slack": "50",
