--- a/tests/relaying/test_evacuation.py
+++ b/tests/relaying/test_evacuation.py
@@ -8,8 +8,9 @@
 
 from chutelink.entry.messages import PendingLoad
 from chutelink.watching.table_state import RowChange
+from standins.prepared_config import make_config
 
-from .relay_harness import async_relay_harness
+from .relay_harness import SERVICES, async_relay_harness
 
 STREAM = {"X_Model": "m0", "X_Token_Count": "10,8"}
 ROUTES = {
@@ -83,9 +84,13 @@
     """Guards against a wait for a load that nobody can use."""
 
     async def async_test(harness):
+        routes = make_config(2, SERVICES)["routes"]
+        for route in routes:
+            route |= {"slo_ms": 60_000, "timeout_ms": 90_000}
+        harness.configure(2, routes=routes)
         await async_add(harness, "i-1", "llm", {"m1": []}, "zone-a")
         now_s = harness.core.clock()
-        harness.pending.take([PendingLoad("i-1", "m0", "", 60.0)], 1, now_s)
+        harness.pending.take([PendingLoad("i-1", "m0", "", 50.0)], 1, now_s)
         headers = STREAM | {"X_Deadline_Ms": "90000"}
         waiting = asyncio.ensure_future(async_send(harness, "/stream/x", **headers))
         async with asyncio.timeout(5):
@@ -94,6 +99,7 @@
             harness.evacuate("zone-a", {})
             answer = await waiting
         assert answer.status == 503
+        assert "evacuated" in (await answer.json(content_type=None))["title"]
 
     run(async_test)
 
