--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -134,8 +134,7 @@
 
     def evacuate(self, domain: str, value: object) -> None:
         """Pass an evacuation to the daemon; None ends it."""
-        key = f"config/evacuate/{domain}"
-        self.evacuations.apply_row(domain, RowChange(key, value))
+        self.evacuations.apply_row(domain, RowChange("config/evacuate/x", value))
 
     def configure(self, version: int = 1, **changes: object) -> None:
         config = make_config(version, SERVICES, **changes)
--- a/tests/watching/test_watch.py
+++ b/tests/watching/test_watch.py
@@ -10,7 +10,7 @@
 
 from chutelink.entry.messages import SnapshotRequest, StoredRow, StoreUpdate
 from chutelink.exceptions import HistoryLost, PlatformUnavailable
-from chutelink.ids import WriteId
+from chutelink.ids import NO_ERA, WriteId
 from chutelink.store import Row, RowPage, WatchableTable
 from chutelink.store.http import READ_RETRY_FRACTION
 from chutelink.watching.timing import (
@@ -45,6 +45,7 @@
         self.keeps_history = True
         self.calls = 0
         self.now_s = 1000.0
+        self.era = NO_ERA
 
     def put(self, key, value):
         self.version += 1
@@ -53,14 +54,14 @@
     async def async_read(self, prefix, after_version=0):
         self._call()
         rows = [r for r in self.rows.values() if r.value]
-        return RowPage(self.version, rows, self.now_s)
+        return RowPage(self.version, rows, self.now_s, self.era)
 
     async def async_watch(self, prefix, after_version, wait_s):
         self._call()
         if not self.keeps_history:
             raise HistoryLost("gone", step="test")
         rows = [r for r in self.rows.values() if r.version > after_version]
-        return RowPage(self.version, rows, self.now_s)
+        return RowPage(self.version, rows, self.now_s, self.era)
 
     async def async_transact(self, transaction):
         raise NotImplementedError
