--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -16,7 +16,12 @@
 from ..customers.sharing import QuotaSharing
 from ..customers.web import CustomerHandlers
 from ..eligibility.checker import EligibilityChecker
-from ..ids import DaemonId, FailureDomainName
+from ..eligibility.model import NO_REQUIREMENTS
+from ..evacuation.const import freshness_bound_s
+from ..evacuation.rule import EvacuationRule
+from ..evacuation.suspension import SuspensionGate
+from ..evacuation.table import EvacuationTable
+from ..ids import DaemonId, EndpointId, FailureDomainName
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
 from ..peers.mesh import Mesh
@@ -129,7 +134,9 @@
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
-        self.eligibility = EligibilityChecker()
+        self.evacuations = EvacuationTable(self)
+        self.evacuations.on_changed = self._handle_endpoints_changed
+        self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
         )
@@ -150,9 +157,10 @@
         """Create and connect the components, then start them."""
         entry = self.settings.entry
         bound_s = min(entry.config_apply_ms, entry.drain_ms) / MS_PER_S
+        config_bound_s = min(bound_s, freshness_bound_s(entry.evacuate_ms / MS_PER_S))
         table = self._adapter.make_table(
             self.session,
-            cap_timeout(self, self.settings.platform, bound_s),
+            cap_timeout(self, self.settings.platform, config_bound_s),
             lambda retry: self.events.record(
                 "store_read_retried", **msgspec.structs.asdict(retry)
             ),
@@ -186,7 +194,7 @@
         self.mesh.on_direct = self.router.handle_direct
         self.mesh.on_members_changed = self.router.choose_links
         bounds_s = {
-            TABLE_CONFIG: bound_s,
+            TABLE_CONFIG: config_bound_s,
             TABLE_ENDPOINTS: bound_s,
             TABLE_QUARANTINE: entry.quarantine_apply_ms / MS_PER_S,
         }
@@ -195,6 +203,12 @@
             self, table, bounds_s, self.rank, self.router.send, outage_s
         )
         self.watch.isolated_until_s = self.mesh.isolated_until_s
+        self.eligibility.is_outdated = SuspensionGate(
+            self,
+            lambda: self.watch.knowledge(TABLE_CONFIG),
+            lambda: self.watch.is_store_failing,
+            freshness_bound_s(entry.evacuate_ms / MS_PER_S),
+        ).is_outdated
         self.quarantine_persistence = QuarantinePersistence(
             self, table, self.quarantine, self.rank
         )
@@ -202,6 +216,9 @@
         self.watch.on_restored = self._handle_restored
         self.watch.reply = self.router.reply
         self.watch.compact = self._adapter.compact_row
+        self.watch.outlasts_restore = lambda key: (
+            self._adapter.decode_evacuated_domain(key) is not None
+        )
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
         self.lease.is_deferring = self._is_deferring_placement
@@ -242,6 +259,14 @@
         self.permits.send = self.router.reply
         self.permits.linked = self.mesh.linked_members
         self.permits.serving = lambda: self.router.serving
+        self.permits.is_eligible = self._is_eligible
+        self.pending.is_eligible = self._is_eligible
+
+    def _is_eligible(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint may get any requests."""
+        row = self.known.endpoints.rows.get(endpoint)
+        now_s = self.clock()
+        return row is None or not self.eligibility.reason(row, NO_REQUIREMENTS, now_s)
 
     def _setup_origins(self) -> None:
         self.router.origins = self.origins
@@ -367,6 +392,10 @@
                 change.key, change.value, is_restored=change.is_restored
             )
             return
+        evacuated = self._adapter.decode_evacuated_domain(change.key)
+        if evacuated is not None:
+            self.evacuations.apply_row(evacuated, change)
+            return
         self.known.apply_row(change)
 
     def _handle_restored(self, table: str, keys: set[str]) -> None:
