--- a/chutelink/entry/load_tracker.py
+++ b/chutelink/entry/load_tracker.py
@@ -9,7 +9,14 @@
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from ..limits.messages import EndpointLimit
 from .endpoints import EndpointTable
-from .messages import EndpointLoad, LeavingEndpoint, LoadReport, ModelUsage, StreamCount
+from .messages import (
+    EndpointLoad,
+    LeavingEndpoint,
+    LoadReport,
+    ModelUsage,
+    PromptSizes,
+    StreamCount,
+)
 
 RETURN_DELAY_MARGIN_S = 0.3
 """Allowance for the time that callers take to connect and send a retry."""
@@ -27,6 +34,7 @@
         self.waiting: dict[tuple[ModelName, AdapterName], int] = defaultdict(int)
         self._patient: Counter[ModelName] = Counter()
         self._prefixes: list[tuple[EndpointId, list[int]]] = []
+        self._prompt_sizes: list[PromptSizes] = []
         self._streams: Counter[EndpointId] = Counter()
         self._paused: Counter[EndpointId] = Counter()
         self._leaving: list[LeavingEndpoint] = []
@@ -73,10 +81,17 @@
         """Count a request that an endpoint has answered."""
         self._served[model, adapter] += 1
 
-    def note_prompt(self, endpoint: EndpointId, chain: tuple[int, ...]) -> None:
-        """Record which endpoint processes a prompt."""
+    def note_prompt(
+        self,
+        endpoint: EndpointId,
+        chain: tuple[int, ...],
+        sizes: PromptSizes | None = None,
+    ) -> None:
+        """Record which endpoint processes a prompt, and its sizes if they are used."""
         if len(self._prefixes) < MAX_PREFIXES:
             self._prefixes.append((endpoint, list(chain)))
+            if sizes is not None:
+                self._prompt_sizes.append(sizes)
 
     def note_stream(self, endpoint: EndpointId, *, is_paused: bool) -> None:
         """Count a completed stream, and whether it had a long pause."""
@@ -165,9 +180,11 @@
             self._drain_limits(),
             self._drain_leaving(),
             is_partitioned,
+            self._prompt_sizes,
         )
         self._reported = loads
         self._prefixes = []
+        self._prompt_sizes = []
         self._arrivals.clear()
         self._served.clear()
         self._work_s.clear()
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import chain, repeat
+
 from ..core import Application
 from ..customers.messages import Loan, LoanRequest
 from ..customers.quotas import QuotaManager
@@ -188,8 +190,9 @@
         self._demand.take(message.daemon, message.uses, now_s)
         self._known.endpoints.set_other_load(message.daemon, message.endpoints, now_s)
         self._apply_streams(message)
-        for endpoint, chain in message.prefixes:
-            self._known.prefixes.note(endpoint, chain, now_s)
+        all_sizes = chain(message.prompt_sizes, repeat(None))
+        for (endpoint, hashes), sizes in zip(message.prefixes, all_sizes, strict=False):
+            self._known.prefixes.note(endpoint, hashes, now_s, sizes)
         for limit in message.limits:
             self._known.endpoints.update_limit(limit, now_s)
         self.partitioned_peers.note(
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -117,13 +117,25 @@
     born_ms: int
 
 
+class PromptSizes(msgspec.Struct, frozen=True, array_like=True):
+    """Token counts of a prompt: of its parts in order, and of all else.
+
+    ``others`` counts tokens of the prompt outside of its parts and of the output.
+    """
+
+    ref: ModelRef
+    parts: list[int]
+    others: int = 0
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """Load of one daemon, and its demand since the last message.
 
     ``unreachable`` lists endpoints that did not accept connections from it, ``limits``
     the endpoint limits received since the last message, and ``leaving`` the endpoints
     that announced their shutdown since then. ``is_partitioned`` says that it reaches no
-    endpoint at all.
+    endpoint at all. ``prompt_sizes`` belongs to ``prefixes``, item by item; it is empty
+    if the sender doesn't weigh prefixes.
     """
 
     daemon: DaemonId
@@ -135,6 +147,7 @@
     limits: list[EndpointLimit] = []
     leaving: list[LeavingEndpoint] = []
     is_partitioned: bool = False
+    prompt_sizes: list[PromptSizes] = []
 
 
 class PromptNotice(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
--- a/chutelink/learning/prefixes.py
+++ b/chutelink/learning/prefixes.py
@@ -4,10 +4,17 @@
 
 import zlib
 from collections import OrderedDict
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from ..entry.headers import PromptPart
+from ..entry.messages import PromptSizes
 from ..ids import AdapterName, EndpointId, ModelName
 
+if TYPE_CHECKING:
+    from ..entry.endpoints import Endpoint
+    from ..relaying.routing import RoutingRequest
+
 MAX_PREFIXES = 400
 """Prefixes kept per endpoint, whose cache holds some 40 prompts with their parts."""
 PREFIX_TTL_S = 20.0
@@ -32,8 +39,16 @@
     def __init__(self) -> None:
         self._seen: dict[EndpointId, OrderedDict[int, float]] = {}
 
+    def sizes(self, request: RoutingRequest) -> PromptSizes | None:
+        """Return the token counts to note and report; None if they aren't used."""
+        return None
+
     def note(
-        self, endpoint: EndpointId, chain: tuple[int, ...] | list[int], now_s: float
+        self,
+        endpoint: EndpointId,
+        chain: tuple[int, ...] | list[int],
+        now_s: float,
+        sizes: PromptSizes | None = None,
     ) -> None:
         """Record that a prompt was sent to an endpoint."""
         seen = self._seen.setdefault(endpoint, OrderedDict())
@@ -55,6 +70,18 @@
                 return index
         return len(chain)
 
+    def lost_tokens(self, endpoint: EndpointId, new_tokens: int) -> float:
+        """Return how many tokens must be read again if an endpoint keeps new ones."""
+        return 0.0
+
+    def note_alive(self, now_s: float) -> None:
+        """Record that this daemon runs; called every 0.2 s."""
+        return
+
+    def forget_unloaded(self, rows: Iterable[Endpoint]) -> None:
+        """Remove the parts of models that endpoints have unloaded."""
+        return
+
     def forget(self, endpoint: EndpointId) -> None:
         """Remove an endpoint that no longer exists."""
         self._seen.pop(endpoint, None)
