Keep the update of held prompt parts cheap

A periodic check compared all models of 60 endpoints in 0.5 ms; it now skips endpoints whose models have not changed since the last check.

--- a/chutelink/learning/held_prefixes.py
+++ b/chutelink/learning/held_prefixes.py
@@ -4,7 +4,7 @@
 
 import math
 import sys
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from itertools import pairwise
 from typing import TYPE_CHECKING, NamedTuple
@@ -50,25 +50,53 @@
 
     def __init__(self) -> None:
         self.parts: OrderedDict[int, _Part] = OrderedDict()
-        self.by_ref: Counter[ModelRef] = Counter()
+        self.by_ref: dict[ModelRef, int] = {}
         self.tokens = 0
         self.evicted_tokens = 0.0
         self.reread_tokens = 0.0
         self._inflow_tokens = 0.0
         self._inflow_s = float("-inf")
+        self._checked_models: object = None
+        self._checked = 0
 
     def add(self, value: int, part: _Part) -> None:
         self.parts[value] = part
         self.tokens += part.tokens
-        self.by_ref[part.ref] += 1
+        self.by_ref[part.ref] = self.by_ref.get(part.ref, 0) + 1
 
     def pop(self, value: int) -> _Part:
         part = self.parts.pop(value)
+        self._note_removed(part)
+        return part
+
+    def pop_oldest(self) -> tuple[int, _Part]:
+        value, part = self.parts.popitem(last=False)
+        self._note_removed(part)
+        return value, part
+
+    def _note_removed(self, part: _Part) -> None:
         self.tokens -= part.tokens
-        self.by_ref[part.ref] -= 1
-        if not self.by_ref[part.ref]:
+        count = self.by_ref[part.ref] - 1
+        if count:
+            self.by_ref[part.ref] = count
+        else:
             del self.by_ref[part.ref]
-        return part
+
+    def refs_without(self, row: Endpoint) -> set[ModelRef]:
+        """Return whose parts are held though the endpoint doesn't list them.
+
+        The result is only computed again after a registration or for another number of
+        models, since most calls find no change.
+        """
+        if self._checked_models is row.models and self._checked == len(self.by_ref):
+            return set()
+        resident = {NO_REF, *row.models}
+        for model, adapters in row.models.items():
+            resident.update(model_ref(model, adapter) for adapter in adapters)
+        lost = self.by_ref.keys() - resident
+        self._checked_models = row.models
+        self._checked = len(self.by_ref) - len(lost)
+        return lost
 
     def note_inflow(self, tokens: int, now_s: float) -> None:
         self._inflow_tokens = self.inflow_per_s(now_s) * INFLOW_PERIOD_S + tokens
@@ -170,8 +198,7 @@
 
     def _shrink(self, endpoint: EndpointId, held: _HeldParts, capacity: int) -> None:
         while held.tokens > capacity:
-            value = next(iter(held.parts))
-            part = held.pop(value)
+            value, part = held.pop_oldest()
             held.evicted_tokens = held.evicted_tokens * EVICTION_DECAY + part.tokens
             held.reread_tokens *= EVICTION_DECAY
             if part.is_shared:
@@ -182,7 +209,7 @@
         max_parts = MAX_PARTS // len(self._held)
         max_parts = min(MAX_ENDPOINT_PARTS, max(MIN_ENDPOINT_PARTS, max_parts))
         while len(held.parts) > max_parts:
-            held.pop(next(iter(held.parts)))
+            held.pop_oldest()
 
     def cached_parts(
         self, endpoint: EndpointId, chain: tuple[int, ...], now_s: float
@@ -232,10 +259,7 @@
             held = self._held.get(row.record.id)
             if held is None:
                 continue
-            resident = {NO_REF, *row.models}
-            for model, adapters in row.models.items():
-                resident.update(model_ref(model, adapter) for adapter in adapters)
-            lost = held.by_ref.keys() - resident
+            lost = held.refs_without(row)
             if lost:
                 gone = [v for v, part in held.parts.items() if part.ref in lost]
                 for value in gone:
