Weigh held prompt prefixes in endpoint selection

With prefix_weighing in [entry], the choice adds to the expected loss the prefill time that it takes from others: of the tokens to read, and of the evicted ones that must be read again. What a full endpoint holds does not count while another has a free slot. Counters and the request log show the tokens read, saved and read in vain. Off, LeastLoss and the previous table are in use.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -112,7 +112,13 @@
         )
         self.quarantine = Quarantine(self, self._probe)
         lapse_s = MAX_LAPSE_HEARTBEATS * settings.entry.endpoint_heartbeat_ms / MS_PER_S
-        self.known = EntryState(self, adapter, self.quarantine, lapse_s)
+        self.known = EntryState(
+            self,
+            adapter,
+            self.quarantine,
+            lapse_s,
+            is_weighing_prefixes=settings.entry.prefix_weighing,
+        )
         self.partition = PartitionMonitor(
             self, self.known.endpoints, self.known.health, ConnectProbe()
         )
@@ -412,6 +418,7 @@
             self.loads.urgent.clear()
             self.quotas.update(self.router.serving, self.members)
             self.known.expire()
+            self.known.update_prefixes()
             self.origins.request_history()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable(self.clock())
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -8,8 +8,8 @@
 from ..customers.access import CustomerAccess
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
+from ..relaying.prefix_weighing import make_routing_policy
 from ..relaying.relay import Relay
-from ..relaying.routing import LeastLoss
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import Upstream
 from .headers import HeaderCodec
@@ -76,7 +76,13 @@
         app.pending,
         app.loads,
         app.retry_budget,
-        LeastLoss(known.health, known.prefixes, known.speeds, known.durations),
+        make_routing_policy(
+            known.health,
+            known.prefixes,
+            known.speeds,
+            known.durations,
+            is_weighing=app.settings.entry.prefix_weighing,
+        ),
         app.quarantine,
         app.permits,
         app.origins,
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -11,6 +11,7 @@
 from ..ids import EndpointId
 from ..learning.durations import DurationTable
 from ..learning.health import HealthTable
+from ..learning.held_prefixes import HeldPrefixTable
 from ..learning.prefill import PrefillTable
 from ..learning.prefixes import PrefixTable
 from ..learning.speeds import SpeedTable
@@ -44,6 +45,8 @@
         Notified when endpoint processes restart or their registrations lapse.
     lapse_s : float, default=DEFAULT_LAPSE_S
         How long a registration stays in the store without heartbeats.
+    is_weighing_prefixes : bool, default=False
+        Whether to estimate what engines hold from the size of their memory.
     """
 
     def __init__(
@@ -52,6 +55,8 @@
         adapter: PlatformAdapter,
         quarantine: Quarantine,
         lapse_s: float = DEFAULT_LAPSE_S,
+        *,
+        is_weighing_prefixes: bool = False,
     ) -> None:
         self._core = core
         self._quarantine = quarantine
@@ -62,7 +67,11 @@
         self.endpoints.on_restarted = self._handle_restart
         self.endpoints.on_leaving = self._handle_leaving
         self.health = HealthTable()
-        self.prefixes = PrefixTable()
+        self.prefixes = (
+            HeldPrefixTable(self._kv_capacity_tokens)
+            if is_weighing_prefixes
+            else PrefixTable()
+        )
         self.speeds = SpeedTable()
         self.durations = DurationTable()
         self.prefill_table = PrefillTable()
@@ -198,6 +207,22 @@
             self._quarantine.note_registration_lapsed(row.record.incarnation)
         self._forget(row, "removed")
 
+    def _kv_capacity_tokens(self, endpoint: EndpointId) -> int | None:
+        """Return the memory of an endpoint; 0 if unknown, None if it doesn't exist."""
+        row = self.endpoints.rows.get(endpoint)
+        if row is None:
+            return None
+        services = self.routes.config.services if self.routes is not None else {}
+        service = services.get(row.record.service)
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.kv_capacity_tokens
+
+    def update_prefixes(self) -> None:
+        """Remove from the estimate what unloads and a freeze make obsolete."""
+        self.prefixes.note_alive(self._core.clock())
+        self.prefixes.forget_unloaded(self.endpoints.rows.values())
+
     def expire(self) -> None:
         """Remove endpoints that did not register again after an outage."""
         for row in self.endpoints.expire(self._core.clock()):
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -45,6 +45,9 @@
         self.ineligible_endpoints = self._counter(
             "ineligible_endpoints_total", "Endpoints left out of selections by reason"
         )
+        self.prompt_tokens = self._counter(
+            "prompt_tokens_total", "Prompt tokens sent, by whether endpoints hold them"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -13,7 +13,7 @@
 from ..entry.headers import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
 from ..watching.table_state import TableFreshness
-from .routing import RoutingRequest
+from .routing import PrefixChoice, RoutingRequest
 
 LEAST_URGENT_STEP = 9
 OBJECTIVE_S_PER_URGENCY_STEP = 1.5
@@ -31,11 +31,12 @@
     the fingerprint for which it was refused as quarantined. ``tried`` lists
     the endpoints that it was sent to. ``first_event_s`` is the time from the start to a
     stream's first event, ``expected_s`` the expected time to the first byte at the
-    endpoint chosen last, ``longest_pause_s`` the longest time between two events.
-    ``admission`` has the customer and the quota decision. ``knowledge`` is the version
-    and age of the list of endpoints at the last choice. ``software_version`` is that of
-    the endpoint that began its stream, None if it is unknown; other endpoints don't
-    continue the stream once ``is_version_bound`` is set.
+    endpoint chosen last, ``prefix_choice`` what it and the others hold of the prompt,
+    None if prefixes aren't weighed, ``longest_pause_s`` the longest time between two
+    events. ``admission`` has the customer and the quota decision. ``knowledge`` is the
+    version and age of the list of endpoints at the last choice. ``software_version`` is
+    that of the endpoint that began its stream, None if it is unknown; other endpoints
+    don't continue the stream once ``is_version_bound`` is set.
     """
 
     meta: RequestMeta
@@ -60,6 +61,7 @@
     resume_after: int | None = None
     first_event_s: float | None = None
     expected_s: float | None = None
+    prefix_choice: PrefixChoice | None = None
     longest_pause_s: float = 0.0
     knowledge: TableFreshness | None = None
     software_version: SoftwareVersion | None = None
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -33,7 +33,7 @@
 from .model_waiter import ModelWaiter, can_be_loaded
 from .quarantine_gate import QuarantineGate
 from .retry_budget import RetryBudgetShare
-from .routing import RoutingPolicy, RoutingRequest
+from .routing import PrefixChoice, RoutingPolicy, RoutingRequest
 from .signals import SignalReader
 from .upstream import EndpointCall
 from .version_gate import VersionGate
@@ -146,6 +146,7 @@
             chain_tokens=tuple(totals),
             failure_domain=FailureDomainName(self.core.daemon.failure_domain),
             objective_s=route.objective_s,
+            output_tokens=meta.output_tokens,
         )
 
     def note_arrival(self, exchange: Exchange) -> None:
@@ -276,12 +277,25 @@
 
     def note_prompt(self, exchange: Exchange, row: Endpoint, read_s: float) -> None:
         """Record that a prompt is sent, and announce it to the other daemons."""
+        self._count_prompt_tokens(exchange.prefix_choice)
+        candidate = exchange.candidate
+        sizes = self.prefixes.sizes(candidate)
+        self.prefixes.note(row.record.id, candidate.chain, self.core.clock(), sizes)
+        self.loads.note_prompt(row.record.id, candidate.chain, sizes)
         endpoint_read_s = read_s * self.speeds.endpoint_factor(row.record.id)
         self.prefill_table.note(row.record.id, endpoint_read_s, self.core.clock())
         ref = model_ref(exchange.meta.model, exchange.meta.adapter)
         daemon = DaemonId(self.core.daemon.id)
         self.on_prompt(PromptNotice(daemon, row.record.id, ref, read_s))
 
+    def _count_prompt_tokens(self, choice: PrefixChoice | None) -> None:
+        if choice is None:
+            return
+        counter = self.core.metrics.prompt_tokens
+        counter.add({"kind": "read"}, choice.read_tokens)
+        counter.add({"kind": "read_in_vain"}, choice.read_in_vain_tokens)
+        counter.add({"kind": "saved"}, choice.held_tokens)
+
     def _check_backlog(self, exchange: Exchange) -> None:
         """Refuse a request that would be late even at the best endpoint.
 
@@ -332,9 +346,8 @@
 
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         now_s = self.core.clock()
-        rows = self._back_pressure.available_rows(
-            self._eligible_rows(exchange), exchange
-        )
+        eligible = self._eligible_rows(exchange)
+        rows = self._back_pressure.available_rows(eligible, exchange)
         if len(rows) > 1:
             free = [r for r in rows if self._capacity_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
@@ -343,6 +356,9 @@
         if row is not None:
             expected_s = self._policy.expected_s(row, exchange.candidate, now_s)
             exchange.expected_s = expected_s
+            exchange.prefix_choice = self._policy.prefix_choice(
+                row, eligible, exchange.candidate, now_s
+            )
         return row
 
     def _choose_or_refuse(self, exchange: Exchange) -> Endpoint | None:
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -119,6 +119,11 @@
                 "longest_pause_s": exchange.longest_pause_s,
                 "max_pause_s": exchange.route.max_pause_s,
             }
+            if exchange.prefix_choice is not None:
+                fields |= {
+                    "held_tokens": exchange.prefix_choice.held_tokens,
+                    "best_other_tokens": exchange.prefix_choice.best_other_tokens,
+                }
             if exchange.knowledge is not None:
                 fields |= {
                     "endpoints_version": exchange.knowledge.version,
--- a/chutelink/relaying/routing.py
+++ b/chutelink/relaying/routing.py
@@ -34,6 +34,23 @@
     chain_tokens: tuple[int, ...]
     failure_domain: FailureDomainName
     objective_s: float = 0.0
+    output_tokens: int = 0
+
+
+class PrefixChoice(msgspec.Struct, frozen=True):
+    """Prompt tokens that the chosen endpoint is expected to read, and to hold.
+
+    ``best_other_tokens`` is the largest number held at another eligible endpoint.
+    """
+
+    read_tokens: int
+    held_tokens: int
+    best_other_tokens: int
+
+    @property
+    def read_in_vain_tokens(self) -> int:
+        """Tokens to read although another eligible endpoint holds them."""
+        return max(0, self.best_other_tokens - self.held_tokens)
 
 
 class RoutingPolicy(ABC):
@@ -55,6 +72,16 @@
         """Return the expected prefill time of the prompt; 0 where it is unknown."""
         return 0.0
 
+    def prefix_choice(
+        self,
+        row: Endpoint,
+        rows: list[Endpoint],
+        request: RoutingRequest,
+        now_s: float,
+    ) -> PrefixChoice | None:
+        """Return what the chosen and the other ``rows`` hold; None if not weighed."""
+        return None
+
 
 class LeastRequests(RoutingPolicy):
     """Baseline policy: fewest requests in flight per batch slot."""
@@ -107,15 +134,19 @@
         self, rows: list[Endpoint], request: RoutingRequest, now_s: float
     ) -> Endpoint | None:
         """Return the endpoint with the least expected loss."""
-        usable = [
-            row for row in rows if self._health.is_available(row.record.id, now_s)
-        ]
         return min(
-            usable or rows,
+            self._usable(rows, now_s),
             key=lambda row: (self._loss(row, request, now_s), row.record.id),
             default=None,
         )
 
+    def _usable(self, rows: list[Endpoint], now_s: float) -> list[Endpoint]:
+        """Return the endpoints without recent failures, or all if there are none."""
+        usable = [
+            row for row in rows if self._health.is_available(row.record.id, now_s)
+        ]
+        return usable or rows
+
     def expected_s(self, row: Endpoint, request: RoutingRequest, now_s: float) -> float:
         """Return the expected time to the first byte if the request doesn't fail."""
         if not request.model:
@@ -150,9 +181,13 @@
         self, row: Endpoint, request: RoutingRequest, now_s: float
     ) -> float:
         """Return the prefill time of the part of the prompt that is not cached."""
+        held = self.held_tokens(row, request, now_s)
+        return self._speeds.read_s(request.model, request.prompt_tokens - held)
+
+    def held_tokens(self, row: Endpoint, request: RoutingRequest, now_s: float) -> int:
+        """Return how many leading tokens of the prompt are most likely cached."""
         parts = self._prefixes.cached_parts(row.record.id, request.chain, now_s)
-        cached = request.chain_tokens[parts - 1] if parts else 0
-        return self._speeds.read_s(request.model, request.prompt_tokens - cached)
+        return request.chain_tokens[parts - 1] if parts else 0
 
 
 def _pause_loss(occupancy: float, weight: float) -> float:
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -226,8 +226,6 @@
             factor = dispatcher.speeds.endpoint_factor(row.record.id)
             self._expected_prefill_s = factor * (self._pending_prefill_s + before_s)
         dispatcher.note_prompt(exchange, row, self._pending_prefill_s)
-        dispatcher.prefixes.note(row.record.id, chain, now_s)
-        dispatcher.loads.note_prompt(row.record.id, chain)
 
     def _note_event(self, sent_s: float) -> None:
         """Record an event and the pause before it; the first one ends prefill."""
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -121,6 +121,8 @@
     ``quota_excess_share`` of it plus ``quota_slack``, in the unit of its quota. With
     ``quota_lending``, daemons lend each other parts of their shares.
     ``max_answer_bytes`` limits the body of an endpoint's answer, except for a stream's.
+    With ``prefix_weighing``, endpoint selection weighs held prompt prefixes against
+    waits and against the memory that they take from other prompts.
     """
 
     caller_listen: Listen
@@ -146,6 +148,7 @@
     cpu_cores: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     address_valid_s: Seconds = 1.0
     max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
+    prefix_weighing: bool = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -23,9 +23,9 @@
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.quarantine.service import Quarantine
 from chutelink.relaying.exchange_dispatcher import ExchangeDispatcher
+from chutelink.relaying.prefix_weighing import make_routing_policy
 from chutelink.relaying.relay import Relay
 from chutelink.relaying.retry_budget import RetryBudgetShare
-from chutelink.relaying.routing import LeastLoss
 from chutelink.relaying.stream import StreamRelay
 from chutelink.relaying.upstream import Upstream
 from chutelink.watching.table_state import RowChange, TableFreshness
@@ -42,7 +42,8 @@
 class RelayHarness:
     """Stand-in endpoints behind the HTTP interface of an entry daemon."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_weighing_prefixes: bool = False) -> None:
+        self.is_weighing_prefixes = is_weighing_prefixes
         self.machines = PreparedMachines()
         self.core = make_core()
         self.core.clock = time.monotonic
@@ -50,7 +51,12 @@
             id="d1", failure_domain="zone-a", peer_key="key"
         )
         self.quarantine = Quarantine(self.core)
-        self.state = EntryState(self.core, PreparedMachinesAdapter(), self.quarantine)
+        self.state = EntryState(
+            self.core,
+            PreparedMachinesAdapter(),
+            self.quarantine,
+            is_weighing_prefixes=is_weighing_prefixes,
+        )
         self.pending = PendingTable()
         self.loads = LoadTracker()
         self.retry_budget = RetryBudgetShare(0.2, 50, 10.0)
@@ -67,7 +73,13 @@
 
     async def async_start(self) -> None:
         state = self.state
-        policy = LeastLoss(state.health, state.prefixes, state.speeds, state.durations)
+        policy = make_routing_policy(
+            state.health,
+            state.prefixes,
+            state.speeds,
+            state.durations,
+            is_weighing=self.is_weighing_prefixes,
+        )
         dispatcher = ExchangeDispatcher(
             self.core,
             PreparedMachinesAdapter().make_header_codec(),
@@ -152,8 +164,10 @@
 
 
 @asynccontextmanager
-async def async_relay_harness() -> AsyncIterator[RelayHarness]:
-    harness = RelayHarness()
+async def async_relay_harness(
+    is_weighing_prefixes: bool = False,
+) -> AsyncIterator[RelayHarness]:
+    harness = RelayHarness(is_weighing_prefixes)
     await harness.async_start()
     try:
         yield harness
