--- a/chutelink/learning/held_prefixes.py
+++ b/chutelink/learning/held_prefixes.py
@@ -157,6 +157,7 @@
         if capacity is None:
             return
         if not capacity:
+            self._held.pop(endpoint, None)
             super().note(endpoint, chain, now_s)
             return
         tokens, ref, others = self._read_sizes(chain, sizes)
@@ -235,7 +236,8 @@
             return 0.0
         excess = held.tokens + new_tokens - (self._capacity_tokens(endpoint) or 0)
         displaced = min(max(0, excess), held.tokens)
-        return displaced * min(1.0, held.reread_tokens / held.evicted_tokens)
+        evicted_tokens = max(held.evicted_tokens, held.reread_tokens)
+        return displaced * held.reread_tokens / evicted_tokens
 
     def note_alive(self, now_s: float) -> None:
         """Record that this daemon runs, and account for prompts missed in a freeze.
@@ -269,3 +271,6 @@
         """Remove an endpoint whose process has ended."""
         super().forget(endpoint)
         self._held.pop(endpoint, None)
+        evicted = [v for v, by in self._evicted.items() if by == endpoint]
+        for value in evicted:
+            del self._evicted[value]
--- a/tests/learning/test_held_prefixes.py
+++ b/tests/learning/test_held_prefixes.py
@@ -83,10 +83,14 @@
 
 
 def test_restarted_engine_holds_nothing():
+    """What the previous process evicted says nothing of the new one's memory."""
     fixture = HeldFixture()
-    fixture.note(1)
+    for value in range(10):
+        fixture.note(value, 100 + value)
     fixture.table.forget("i-1")
-    assert fixture.held(1) == 0
+    assert fixture.held(9) == 0
+    fixture.note(1, 101)
+    assert fixture.table.lost_tokens("i-1", CAPACITY) == 0.0
 
 
 @pytest.mark.parametrize(("frozen_s", "held"), [(0.5, 1), (30.0, 0)])
