--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -48,6 +48,9 @@
         self.evacuated = self._gauge(
             "failure_domains_evacuated", "Failure domains that operators evacuated"
         )
+        self.prompt_tokens = self._counter(
+            "prompt_tokens_total", "Prompt tokens sent, by whether endpoints hold them"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -123,6 +123,8 @@
     ``max_answer_bytes`` limits the body of an endpoint's answer, except for a stream's.
     Endpoints of an evacuated failure domain must get no new requests after
     ``evacuate_ms``; 0 means that evacuations have no bound of their own.
+    With ``prefix_weighing``, endpoint selection weighs held prompt prefixes against
+    waits and against the memory that they take from other prompts.
     """
 
     caller_listen: Listen
@@ -149,6 +151,7 @@
     address_valid_s: Seconds = 1.0
     max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
     evacuate_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 0.0
+    prefix_weighing: bool = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
