Share the matching of answers with requests between daemons

The waiting for an answer by its number moves into a class of its own, so that it isn't written twice.

--- a/chutelink/limits/permits.py
+++ b/chutelink/limits/permits.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import itertools
 from collections.abc import Callable
 
 from ..core import Application
@@ -16,6 +14,7 @@
 from .messages import PermitAnswer, PermitRequest
 from .model import Permit
 from .pacer import Pacer
+from .pending import PendingAnswers
 
 
 class PermitManager:
@@ -34,8 +33,7 @@
     def __init__(self, core: Application) -> None:
         self._core = core
         self._pacers: dict[Incarnation, Pacer] = {}
-        self._request_numbers = itertools.count(1)
-        self._pending_requests: dict[int, asyncio.Future[Permit]] = {}
+        self._pending: PendingAnswers[Permit] = PendingAnswers()
         self.serving: Callable[[], set[DaemonId]] = set
         """Returns the daemons that serve callers."""
         self.linked: Callable[[], set[DaemonId]] = set
@@ -55,7 +53,7 @@
         own = self._core.daemon_id
         request = PermitRequest(
             own,
-            next(self._request_numbers),
+            self._pending.next_number(),
             endpoint,
             born_ms,
             limit_per_s,
@@ -95,9 +93,8 @@
 
     def handle_answer(self, answer: PermitAnswer) -> None:
         """Handle the answer to a permit request; a late permit is discarded."""
-        pending = self._pending_requests.get(answer.number)
-        if pending is not None and not pending.done():
-            pending.set_result(Permit(answer.is_granted, answer.delay_s))
+        permit = Permit(answer.is_granted, answer.delay_s)
+        self._pending.resolve(answer.number, permit)
 
     def _reserve(self, request: PermitRequest) -> Permit:
         now_s = self._core.clock()
@@ -117,19 +114,13 @@
     async def _async_request_from_peer(
         self, peer: DaemonId, request: PermitRequest
     ) -> Permit:
-        pending = asyncio.get_running_loop().create_future()
-        self._pending_requests[request.number] = pending
-        self.send(peer, request)
-        try:
-            async with asyncio.timeout(PERMIT_TIMEOUT_S):
-                return await pending
-        except TimeoutError:
-            self._core.events.warning(
-                "permit_late", endpoint=request.endpoint, peer=peer
-            )
-            return _refuse(request)
-        finally:
-            del self._pending_requests[request.number]
+        permit = await self._pending.async_wait(
+            request.number, lambda: self.send(peer, request), PERMIT_TIMEOUT_S
+        )
+        if permit is not None:
+            return permit
+        self._core.events.warning("permit_late", endpoint=request.endpoint, peer=peer)
+        return _refuse(request)
 
 
 def _refuse(request: PermitRequest) -> Permit:
