Decode what endpoints and services state of cold starts

Registrations and responses say how long an endpoint takes only few requests, and the configuration of a service says how many. Each endpoint row has this state.

--- a/chutelink/entry/config.py
+++ b/chutelink/entry/config.py
@@ -105,12 +105,23 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service; ``engine`` is None for a service without models."""
+    """A service; ``engine`` is None for a service without models.
+
+    Endpoints are cold for ``cold_s`` after a start, and crash if they get far more than
+    ``cold_per_s`` requests per second meanwhile; both are 0 without such a limit.
+    """
 
     name: ServiceName
     health_path: str
     max_connections: int
     engine: EngineSpec | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+
+    @property
+    def has_cold_limit(self) -> bool:
+        """Whether requests to cold endpoints are limited."""
+        return self.cold_per_s > 0 and self.cold_s > 0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..coldstart.model import ColdStatus
 from ..ids import (
     AdapterName,
     DaemonId,
@@ -64,6 +65,7 @@
     ``born_ms`` is the Unix time at which the process started, 0 if unknown: an
     endpoint may restart under the same id, without its previous state, and with another
     ``software_version``, which is None until the registration of the process is read.
+    ``cold_left_s`` is how long the process will still be cold, 0 if it is warm.
     """
 
     id: EndpointId
@@ -75,6 +77,7 @@
     models: dict[ModelName, frozenset[AdapterName]]
     born_ms: int = 0
     software_version: SoftwareVersion | None = None
+    cold_left_s: float = 0.0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -107,6 +110,7 @@
         self.lapsed_until_s: float | None = None
         """When it is removed unless it registers again; None while registered."""
         self.limit = LimitState()
+        self.cold = ColdStatus()
         self.paused_until_s = float("-inf")
         """End of the pause that it requested from this daemon."""
         self.max_rejections_per_s: float | None = None
@@ -131,6 +135,11 @@
         """Return whether it has asked this daemon to pause requests."""
         return now_s < self.paused_until_s
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request would run at once, as far as this daemon knows."""
+        return self.total_requests < self.record.slots
+
     @property
     def is_full(self) -> bool:
         """Whether another request might have to be rejected, which may crash it."""
@@ -141,6 +150,8 @@
         """Return when it accepts requests again, None if it is unrestricted."""
         if self.limit.is_limited:
             return max(self.limit.next_send_s, self.paused_until_s)
+        if self.cold.next_request_s > now_s:
+            return max(self.cold.likely_s, self.paused_until_s)
         if self.is_paused(now_s):
             return self.paused_until_s
         return now_s if self.is_full else None
--- a/chutelink/entry/headers.py
+++ b/chutelink/entry/headers.py
@@ -76,14 +76,16 @@
     daemons together, None if it sets no limit; ``is_leaving`` says that it will
     terminate soon; ``pause_s`` how long this daemon should send it no requests, None if
     it does not ask for a pause; ``max_rejections_per_s`` is how many requests it can
-    reject for want of room without crashing, None if it states nothing; ``unreadable``
-    names the headers whose values were ignored as invalid.
+    reject for want of room without crashing, None if it states nothing; ``cold_left_s``
+    is how long it will still be cold, 0 if it is warm, None if it states nothing;
+    ``unreadable`` names the headers whose values were ignored as invalid.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
     max_rejections_per_s: float | None = None
+    cold_left_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from ..entry.config import (
     CallerLimits,
@@ -101,12 +102,18 @@
 
 
 class _WireService(msgspec.Struct):
-    """A service; ``engine`` is None unless its endpoints are engines."""
+    """A service; ``engine`` is None unless its endpoints are engines.
+
+    Endpoints are cold for ``cold_s`` after a start, and take ``cold_per_s`` requests
+    per second meanwhile; both are 0 without such a limit.
+    """
 
     name: str
     health_path: str = "/health"
     max_conns: int = 100
     engine: _WireEngine | None = None
+    cold_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _WireLimits(msgspec.Struct):
@@ -206,7 +213,14 @@
 def _decode_service(wire: _WireService) -> ServiceSpec:
     name = ServiceName(wire.name)
     engine = None if wire.engine is None else _decode_engine(wire.engine)
-    return ServiceSpec(name, wire.health_path, wire.max_conns, engine)
+    return ServiceSpec(
+        name,
+        wire.health_path,
+        wire.max_conns,
+        engine,
+        wire.cold_s,
+        wire.cold_per_s,
+    )
 
 
 def _decode_engine(wire: _WireEngine) -> EngineSpec:
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -51,8 +51,9 @@
     """A row of the endpoint table.
 
     ``version`` is the version of the endpoint's software; ``born`` is the start of its
-    process as Unix time in ms. The field ``seq`` numbers heartbeats here and is not
-    decoded; in reports, it counts accepted orders.
+    process as Unix time in ms; ``cold_left_ms`` how long it will still be cold.
+    The field ``seq`` numbers heartbeats here and is not decoded; in reports, it counts
+    accepted orders.
     """
 
     service: Annotated[str, Meta(min_length=1)]
@@ -63,8 +64,10 @@
     state: _WireState
     models: list[_WireModel] = []
     born: Annotated[int, Meta(ge=0)] = 0
+    cold_left_ms: Annotated[float, Meta(ge=0)] = 0.0
 
 
+MS_PER_S = 1000.0
 MAX_PORT = 65535
 REGISTRATION_FIELDS = tuple(
     field.name for field in msgspec.structs.fields(_WireRegistration)
@@ -95,11 +98,16 @@
 def compact_registration(value: Any) -> Any:
     """Keep only the decoded fields, so that a heartbeat alone is not a change.
 
+    The time that the endpoint is still cold differs in each heartbeat, and is omitted
+    once it is 0: the row changes a few times after a start, and once when it is warm.
     A value that is not an object is returned unchanged for the decoder to reject.
     """
     if not isinstance(value, dict):
         return value
-    return {key: value[key] for key in REGISTRATION_FIELDS if key in value}
+    kept = {key: value[key] for key in REGISTRATION_FIELDS if key in value}
+    if kept.get("cold_left_ms") == 0:
+        del kept["cold_left_ms"]
+    return kept
 
 
 def decode_registration(endpoint: str, value: Any) -> EndpointRecord:
@@ -130,6 +138,7 @@
         models=_decode_models(wire.models),
         born_ms=wire.born,
         software_version=SoftwareVersion(wire.version),
+        cold_left_s=wire.cold_left_ms / MS_PER_S,
     )
 
 
--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -37,6 +37,8 @@
 """Maximum requests per second to an endpoint, summed over all daemons."""
 HEADER_BRITTLE = "Server-Brittle"
 """Maximum rejections per second, for all daemons, that an endpoint survives."""
+HEADER_COLD_MS = "X-Cold-Ms"
+"""How long an endpoint will still be cold after its start, 0 if it is warm."""
 HEADER_CUSTOMER = "X-Tenant"
 """Tells endpoints the customer; a value sent by a caller is discarded."""
 RESERVED_HEADERS = (
@@ -56,6 +58,7 @@
 HEADER_LEAVING = "Server-Leaving"
 LEAVING = "1"
 HEADER_DATE = "Date"
+MS_PER_S = 1000.0
 MAX_PAUSE_S = 300.0
 """Upper bound for a requested pause; an endpoint that needs longer repeats it."""
 HTTP_MISDIRECTED = 421
@@ -110,6 +113,12 @@
     return _decode_amount(headers[HEADER_BRITTLE])
 
 
+def _decode_cold_left(headers: CIMultiDictProxy[str]) -> float | None:
+    """Return in seconds how long an endpoint will still be cold."""
+    left_ms = _decode_amount(headers[HEADER_COLD_MS])
+    return None if left_ms is None else left_ms / MS_PER_S
+
+
 def _decode_pause(headers: CIMultiDictProxy[str]) -> float | None:
     """Return the pause in seconds; a date is relative to the answer's Date header."""
     amount = _decode_amount(headers[HEADER_RETRY_AFTER])
@@ -191,7 +200,11 @@
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> EndpointSignals:
         """Return what an answer signals about its endpoint's load and state."""
-        decoders = {HEADER_LIMIT: _decode_limit, HEADER_BRITTLE: _decode_brittle}
+        decoders = {
+            HEADER_LIMIT: _decode_limit,
+            HEADER_BRITTLE: _decode_brittle,
+            HEADER_COLD_MS: _decode_cold_left,
+        }
         if status == HTTP_UNAVAILABLE:
             decoders[HEADER_RETRY_AFTER] = _decode_pause
         values = {
@@ -204,5 +217,6 @@
             is_leaving=headers.get(HEADER_LEAVING, "").strip() == LEAVING,
             pause_s=values.get(HEADER_RETRY_AFTER),
             max_rejections_per_s=values.get(HEADER_BRITTLE),
+            cold_left_s=values.get(HEADER_COLD_MS),
             unreadable=tuple(name for name, value in values.items() if value is None),
         )
