Send to cold endpoints only with grants of the lease holder

Endpoints that get more requests than configured while they are cold crash and come back cold. The holder of the placer's lease counts the grants for each in a sliding window, so that all daemons together stay below the limit. The grant is checked once the connection is open, right before the request is sent, also by a peer that relays the call.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..coldstart.grants import ColdGrantManager
 from ..connections import close_idle
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
@@ -129,6 +130,7 @@
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
+        self.cold_grants = ColdGrantManager(self, self.known.endpoints, self.known.cold)
         self.eligibility = EligibilityChecker()
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
@@ -205,6 +207,7 @@
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
         self.lease.is_deferring = self._is_deferring_placement
+        self._setup_cold_grants()
         self.directory.is_partitioned = self._is_partitioned
         self._setup_placer()
         self.callers = make_caller_server(
@@ -243,6 +246,13 @@
         self.permits.linked = self.mesh.linked_members
         self.permits.serving = lambda: self.router.serving
 
+    def _setup_cold_grants(self) -> None:
+        self.router.cold_grants = self.cold_grants
+        self.cold_grants.granter.lease = self.lease
+        self.cold_grants.send = self.router.reply
+        self.cold_grants.linked = self.mesh.linked_members
+        self.cold_grants.holder = lambda: self.router.placer_id
+
     def _setup_origins(self) -> None:
         self.router.origins = self.origins
         self.origins.send = self.router.reply
@@ -270,6 +280,7 @@
         self.placer.probe = self._probe
         self.placer.partition = self.partition
         self.placer.eligibility = self.eligibility
+        self.placer.is_cold = self.known.cold.is_cold
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
@@ -412,6 +423,7 @@
             self.loads.urgent.clear()
             self.quotas.update(self.router.serving, self.members)
             self.known.expire()
+            self.known.cold.update()
             self.origins.request_history()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable(self.clock())
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -81,6 +81,7 @@
         app.permits,
         app.origins,
         app.eligibility,
+        app.cold_grants,
     )
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ..coldstart.grants import ColdGrantManager
+from ..coldstart.messages import ColdGrantAnswer, ColdGrantRequest
 from ..core import Application
 from ..customers.messages import Loan, LoanRequest
 from ..customers.quotas import QuotaManager
@@ -110,6 +112,12 @@
         self.partitioned_peers = PartitionedPeers()
         self.permits: PermitManager | None = None
         self.origins: OriginManager | None = None
+        self.cold_grants: ColdGrantManager | None = None
+
+    @property
+    def placer_id(self) -> DaemonId | None:
+        """The daemon that sent the last message of the current placer."""
+        return self._placer_id
 
     def send(self, message: EntryMessage) -> None:
         """Send a message to the daemons that need it, and apply it here if needed."""
@@ -182,6 +190,10 @@
             self.permits.handle_answer(message)
         elif isinstance(message, OriginMessage):
             self.origins.handle_message(message)
+        elif isinstance(message, ColdGrantRequest):
+            self.cold_grants.handle_request(message)
+        elif isinstance(message, ColdGrantAnswer):
+            self.cold_grants.handle_answer(message)
 
     def _handle_load(self, message: LoadReport) -> None:
         now_s = self._core.clock()
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from ..coldstart.messages import ColdGrantAnswer, ColdGrantRequest
 from ..customers.messages import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
 from ..ids import (
@@ -222,6 +223,8 @@
     | PermitRequest
     | PermitAnswer
     | OriginMessage
+    | ColdGrantRequest
+    | ColdGrantAnswer
 )
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..coldstart.states import ColdStates
 from ..const import KEY_ROUTING_CONFIG, TABLE_ENDPOINTS
 from ..core import Application
 from ..exceptions import ConfigInvalid, EndpointFailed
-from ..ids import EndpointId
+from ..ids import EndpointId, ServiceName
 from ..learning.durations import DurationTable
 from ..learning.health import HealthTable
 from ..learning.prefill import PrefillTable
@@ -17,7 +18,7 @@
 from ..quarantine.service import Quarantine
 from ..watching.table_state import RowChange
 from .adapter import PlatformAdapter
-from .config import RouteTable
+from .config import RouteTable, ServiceSpec
 from .endpoints import (
     Endpoint,
     EndpointRecord,
@@ -61,7 +62,9 @@
         self.endpoints = EndpointTable()
         self.endpoints.on_restarted = self._handle_restart
         self.endpoints.on_leaving = self._handle_leaving
+        self.cold = ColdStates(core, self.endpoints, self._services)
         self.health = HealthTable()
+        self.health.on_unreachable = self.cold.note_unreachable
         self.prefixes = PrefixTable()
         self.speeds = SpeedTable()
         self.durations = DurationTable()
@@ -69,6 +72,9 @@
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
+    def _services(self) -> dict[ServiceName, ServiceSpec]:
+        return {} if self.routes is None else self.routes.config.services
+
     def apply_row(self, change: RowChange) -> None:
         """Apply a changed or removed row."""
         if change.key == KEY_ROUTING_CONFIG:
@@ -125,6 +131,8 @@
             result = self.endpoints.put(record, now_s)
         if result is RegistrationResult.OUTDATED:
             return
+        row = self.endpoints.rows[record.id]
+        self.cold.note_registration(row, is_restored=change.is_restored)
         if record.state is EndpointState.DRAINING:
             self._quarantine.note_leaving(record.incarnation)
         if result is not RegistrationResult.SAME:
@@ -161,6 +169,7 @@
         self.health.forget(record.id)
         self.prefixes.forget(record.id)
         self.prefill_table.forget(record.id)
+        self.cold.note_restarted(record.id)
         self._quarantine.note_restarted(before.incarnation)
 
     def _handle_leaving(self, record: EndpointRecord) -> None:
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -75,6 +75,10 @@
     is_refused = False
 
 
+class GrantExpired(ChutelinkError):
+    """Nothing was sent: connecting took longer than the grant was valid."""
+
+
 class EndpointRefused(ChutelinkError):
     """The endpoint answered that it did not run the request."""
 
--- a/chutelink/learning/health.py
+++ b/chutelink/learning/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -62,6 +63,8 @@
 
     def __init__(self) -> None:
         self._rows: dict[EndpointId, _Health] = {}
+        self.on_unreachable: Callable[[EndpointId], None] = lambda endpoint: None
+        """Called after a failed connect."""
 
     def note_success(self, endpoint: EndpointId, now_s: float, took_s: float) -> None:
         """Record a success: a complete response, or the first event of a stream.
@@ -109,6 +112,7 @@
         backoff_s = INITIAL_UNREACHABLE_BACKOFF_S * 2 ** min(row.unreachable, 4)
         row.unreachable += 1
         row.away_until_s = now_s + min(MAX_UNREACHABLE_BACKOFF_S, backoff_s)
+        self.on_unreachable(endpoint)
 
     def is_reachable(self, endpoint: EndpointId, now_s: float) -> bool:
         """Return whether an endpoint is outside its backoff after failed connects."""
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -42,6 +42,12 @@
         self.permits = self._counter(
             "permits_total", "Permits requested for endpoints that name a limit"
         )
+        self.cold_grants = self._counter(
+            "cold_grants_total", "Grants requested for cold endpoints by verdict"
+        )
+        self.endpoints_cold = self._gauge(
+            "endpoints_cold", "Endpoints in a cold or unknown state"
+        )
         self.ineligible_endpoints = self._counter(
             "ineligible_endpoints_total", "Endpoints left out of selections by reason"
         )
--- a/chutelink/reachability/relay_client.py
+++ b/chutelink/reachability/relay_client.py
@@ -14,6 +14,8 @@
 from .peers import PartitionedPeers
 from .ticket import RelayTicket, TicketSigner
 
+MS_PER_S = 1000.0
+
 
 class RelayClient:
     """Decides whether a call is sent directly, or which peers may relay it.
@@ -88,10 +90,17 @@
         target: str,
         *,
         is_repeatable: bool,
+        send_left_s: float | None = None,
     ) -> str:
-        """Return the ticket for a call that a peer is asked to relay."""
+        """Return the ticket for a call that a peer is asked to relay.
+
+        ``send_left_s`` is how long the call's grant is valid, if it needs one.
+        """
         record = endpoint.record
-        ticket = RelayTicket(record.id, record.born_ms, is_repeatable)
+        send_within_ms = None
+        if send_left_s is not None:
+            send_within_ms = max(0, int(send_left_s * MS_PER_S))
+        ticket = RelayTicket(record.id, record.born_ms, is_repeatable, send_within_ms)
         signer = TicketSigner(self._core.daemon.peer_key, peer.boot_id)
         return signer.encode(ticket, method, target)
 
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import aiohttp
@@ -14,7 +15,7 @@
 from ..eligibility.model import NO_REQUIREMENTS
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
-from ..exceptions import ConnectionBroken, EndpointUnreachable
+from ..exceptions import ConnectionBroken, EndpointUnreachable, GrantExpired
 from ..learning.health import HealthTable
 from ..quarantine.fingerprint import RequestContent
 from ..quarantine.model import BrokenRun
@@ -24,6 +25,7 @@
 from .monitor import PartitionMonitor
 from .ticket import RelayResult, RelayTicket, TicketSigner
 
+MS_PER_S = 1000.0
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 
@@ -87,6 +89,7 @@
         ticket = self._signer.decode(
             request.headers[HEADER_RELAY_TICKET], request.method, target
         )
+        arrived_s = self._core.clock()
         row = None if ticket is None else self._find_endpoint(ticket)
         if row is None or not self._has_capacity():
             return self._end(request, RelayResult.NOT_SENT)
@@ -97,6 +100,7 @@
             forwarded_headers(request.headers),
             await request.content.read(),
             ticket.is_repeatable,
+            self._send_left_s(ticket, arrived_s),
         )
         with self._count_in_flight():
             return await self._async_relay(request, row, call)
@@ -112,6 +116,15 @@
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
 
+    def _send_left_s(
+        self, ticket: RelayTicket, arrived_s: float
+    ) -> Callable[[], float] | None:
+        """Return a function for the time left to send a call, None if not limited."""
+        if ticket.send_within_ms is None:
+            return None
+        send_before_s = arrived_s + ticket.send_within_ms / MS_PER_S
+        return lambda: send_before_s - self._core.clock()
+
     def _has_capacity(self) -> bool:
         if self._core.is_draining or self._partition.is_partitioned:
             return False
@@ -140,6 +153,8 @@
             self._health.note_unreachable(row.record.id, self._core.clock())
             self._partition.note_failure(row.record.address)
             return self._end(request, RelayResult.NOT_SENT)
+        except GrantExpired:
+            return self._end(request, RelayResult.NOT_SENT)
         except ConnectionBroken as error:
             if _is_connected(request):
                 # Otherwise the peer has closed its connection, not the endpoint.
--- a/chutelink/reachability/ticket.py
+++ b/chutelink/reachability/ticket.py
@@ -12,7 +12,8 @@
 from ..ids import BootId, EndpointId
 
 MAC_BYTES = 16
-_FIELDS = 4
+_FIELDS = (4, 5)
+"""Numbers of fields; the last one before the hash is omitted if it is None."""
 
 
 class RelayResult(Enum):
@@ -29,12 +30,15 @@
 class RelayTicket(msgspec.Struct, frozen=True):
     """The process of an endpoint that is to receive a relayed call.
 
-    ``is_repeatable`` is whether the call may use a pooled connection.
+    ``is_repeatable`` is whether the call may use a pooled connection, and
+    ``send_within_ms`` how long after its arrival the peer may send the call, None if
+    that is not limited.
     """
 
     endpoint: EndpointId
     born_ms: int
     is_repeatable: bool
+    send_within_ms: int | None = None
 
 
 class TicketSigner:
@@ -58,20 +62,25 @@
         """Return the header value of a ticket for a request line."""
         endpoint = quote(ticket.endpoint, safe="")
         text = f"{endpoint} {ticket.born_ms} {int(ticket.is_repeatable)}"
+        if ticket.send_within_ms is not None:
+            text = f"{text} {ticket.send_within_ms}"
         return f"{text} {self._sign(text, method, target)}"
 
     def decode(self, value: str, method: str, target: str) -> RelayTicket | None:
         """Return the ticket in a header value, or None if it is not valid."""
         parts = value.split(" ")
-        if len(parts) != _FIELDS:
+        if len(parts) not in _FIELDS:
             return None
         text, mac = " ".join(parts[:-1]), parts[-1]
         expected = self._sign(text, method, target)
         if not hmac.compare_digest(expected.encode(), mac.encode()):
             return None
-        endpoint, born_ms, is_repeatable, _ = parts
+        endpoint, born_ms, is_repeatable, *rest, _ = parts
         return RelayTicket(
-            EndpointId(unquote(endpoint)), int(born_ms), is_repeatable == "1"
+            EndpointId(unquote(endpoint)),
+            int(born_ms),
+            is_repeatable == "1",
+            int(rest[0]) if rest else None,
         )
 
     def _sign(self, text: str, method: str, target: str) -> str:
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
+from ..coldstart.grants import ColdGrantManager
 from ..core import Application
 from ..eligibility.checker import EligibilityChecker
 from ..entry.endpoints import Endpoint, EndpointTable
@@ -20,7 +22,8 @@
 
     Requests to an endpoint with a rate limit need a permit. An endpoint that requested
     a pause gets no requests until the pause is over, and one that may crash if it
-    rejects requests none while all its slots are taken.
+    rejects requests none while all its slots are taken. Requests to a cold endpoint,
+    or one in an unknown state, need a grant.
 
     Parameters
     ----------
@@ -32,6 +35,8 @@
         Grants permits.
     eligibility : EligibilityChecker
         Decides which endpoints a request may be sent to.
+    cold_grants : ColdGrantManager
+        Requests grants for cold endpoints.
     """
 
     def __init__(
@@ -40,11 +45,13 @@
         table: EndpointTable,
         permits: PermitManager,
         eligibility: EligibilityChecker,
+        cold_grants: ColdGrantManager,
     ) -> None:
         self._core = core
         self._table = table
         self._permits = permits
         self._eligibility = eligibility
+        self._cold_grants = cold_grants
 
     def available_rows(
         self, rows: list[Endpoint], exchange: Exchange
@@ -53,7 +60,7 @@
 
         Endpoints without a limit, and those whose limit may have been lifted, are
         preferred: the permits of the others are kept for requests that only they can
-        serve.
+        serve. Cold endpoints are used while no warm one has a free slot.
         """
         now_s = self._core.clock()
         latest_s = now_s + self._max_delay_s(exchange, now_s)
@@ -64,6 +71,8 @@
             and not row.is_full
             and row.limit.next_send_s <= latest_s
         ]
+        if self.has_cold_limit(exchange):
+            rows = self._prefer_warm(rows, now_s, latest_s)
         preferred = [
             row
             for row in rows
@@ -72,13 +81,35 @@
         return preferred or rows
 
     async def async_admit(self, exchange: Exchange, row: Endpoint) -> bool:
-        """Wait for a permit if needed; return whether the request may be sent now.
+        """Wait for permission if needed; return whether the request may be sent now.
 
         If not, the caller of this method has to choose another endpoint.
         """
-        limit = row.limit
-        if not limit.is_limited:
+        exchange.send_before_s = None
+        if row.limit.is_limited and not await self._async_admit_limited(exchange, row):
+            return False
+        if not self._cold_grants.states.is_cold(row):
             return True
+        return await self._async_admit_cold(exchange, row)
+
+    def has_cold_limit(self, exchange: Exchange) -> bool:
+        """Return whether cold endpoints of the request's service need grants."""
+        states = self._cold_grants.states
+        return states.limited_service(exchange.service.name) is not None
+
+    def send_left_s(self, exchange: Exchange) -> Callable[[], float] | None:
+        """Return a function for the remaining validity of the request's grant.
+
+        None is returned if the request needs no grant.
+        """
+        send_before_s = exchange.send_before_s
+        if send_before_s is None:
+            return None
+        return lambda: send_before_s - self._core.clock()
+
+    async def _async_admit_limited(self, exchange: Exchange, row: Endpoint) -> bool:
+        """Wait for a permit of an endpoint with a rate limit."""
+        limit = row.limit
         record = row.record
         max_delay_s = self._max_delay_s(exchange, self._core.clock())
         permit = await self._permits.async_request_permit(
@@ -90,6 +121,48 @@
         await asyncio.sleep(permit.delay_s)
         return self._is_still_eligible(exchange, row)
 
+    async def _async_admit_cold(self, exchange: Exchange, row: Endpoint) -> bool:
+        """Request a grant, if one is likely in time."""
+        now_s = self._core.clock()
+        wait_s = row.cold.next_request_s - now_s
+        if wait_s > 0:
+            if wait_s > self._max_delay_s(exchange, now_s):
+                return False
+            await asyncio.sleep(wait_s)
+            if not self._is_still_eligible(exchange, row):
+                return False
+            if not self._cold_grants.states.is_cold(row):
+                return True
+        exchange.send_before_s = await self._cold_grants.async_request(row)
+        if exchange.send_before_s is None:
+            return False
+        return self._is_still_eligible(exchange, row)
+
+    def _prefer_warm(
+        self, rows: list[Endpoint], now_s: float, latest_s: float
+    ) -> list[Endpoint]:
+        """Return the warm endpoints with a free slot, or else what is available next.
+
+        These are cold endpoints with a free slot that may grant a request now, then
+        warm ones without a free slot, then the cold one that is likely to grant first.
+        """
+        cold: list[Endpoint] = []
+        warm: list[Endpoint] = []
+        for row in rows:
+            (cold if self._cold_grants.states.is_cold(row) else warm).append(row)
+        if not cold:
+            return rows
+        free = [row for row in warm if row.has_free_slot]
+        if free:
+            return free
+        askable = [row for row in cold if row.cold.next_request_s <= now_s]
+        if warm:
+            return [row for row in askable if row.has_free_slot] or warm
+        if askable:
+            return askable
+        first = min(cold, key=lambda row: row.cold.next_request_s)
+        return [first] if first.cold.next_request_s <= latest_s else []
+
     def retry_delay_s(self, rows: list[Endpoint]) -> float | None:
         """Return the Retry-After delay, None if no endpoint applies back pressure.
 
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -35,7 +35,8 @@
     ``admission`` has the customer and the quota decision. ``knowledge`` is the version
     and age of the list of endpoints at the last choice. ``software_version`` is that of
     the endpoint that began its stream, None if it is unknown; other endpoints don't
-    continue the stream once ``is_version_bound`` is set.
+    continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the end
+    of the grant for the endpoint chosen last, None if it needs none.
     """
 
     meta: RequestMeta
@@ -64,6 +65,7 @@
     knowledge: TableFreshness | None = None
     software_version: SoftwareVersion | None = None
     is_version_bound: bool = False
+    send_before_s: float | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
         """Set the software version that has begun the stream."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -7,6 +7,8 @@
 
 from multidict import CIMultiDict
 
+from ..coldstart.grants import ColdGrantManager
+from ..coldstart.states import ColdStates
 from ..core import Application
 from ..eligibility.checker import EligibilityChecker
 from ..eligibility.model import IneligibleReason
@@ -74,6 +76,8 @@
         Records of which software version began a stream.
     eligibility : EligibilityChecker
         Decides which endpoints a request may be sent to.
+    cold_grants : ColdGrantManager, optional
+        Requests grants for cold endpoints.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         permits: PermitManager,
         origins: OriginManager,
         eligibility: EligibilityChecker | None = None,
+        cold_grants: ColdGrantManager | None = None,
     ) -> None:
         self.core = core
         self.header_codec = header_codec
@@ -110,13 +115,23 @@
         self.quarantine = quarantine
         self.gate = QuarantineGate(quarantine)
         self._eligibility = eligibility or EligibilityChecker()
+        if cold_grants is None:
+            # No service has a limit for cold endpoints.
+            cold_grants = ColdGrantManager(core, table, ColdStates(core, table, dict))
         self._model_waiter = ModelWaiter(
             core, table, speeds, pending, loads, self._eligibility
         )
         self.signals = SignalReader(
-            core, header_codec, table, loads, lambda: retry_budget.daemons
+            core,
+            header_codec,
+            table,
+            loads,
+            lambda: retry_budget.daemons,
+            cold_grants.states,
+        )
+        self._back_pressure = BackPressureGate(
+            core, table, permits, self._eligibility, cold_grants
         )
-        self._back_pressure = BackPressureGate(core, table, permits, self._eligibility)
         self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
@@ -185,10 +200,14 @@
         except Refusal:
             self._check_back_pressure(exchange)
             raise
-        if not await self._back_pressure.async_admit(exchange, row):
-            self._check_back_pressure(exchange)
-            raise unavailable("no endpoint is ready", DEFAULT_RETRY_DELAY_S)
-        return row
+        if await self._back_pressure.async_admit(exchange, row):
+            return row
+        if self._back_pressure.has_cold_limit(exchange):
+            row = await self._async_find_available(exchange)
+            if row is not None:
+                return row
+        self._check_back_pressure(exchange)
+        raise unavailable("no endpoint is ready", DEFAULT_RETRY_DELAY_S)
 
     def _check_eligibility(self, exchange: Exchange) -> None:
         """Refuse a request at once that no endpoint of its service may get.
@@ -376,6 +395,7 @@
             headers,
             exchange.body,
             exchange.is_repeatable,
+            self._back_pressure.send_left_s(exchange),
         )
 
     def take_retry(self, exchange: Exchange) -> bool:
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -12,6 +12,7 @@
     ConnectionBroken,
     EndpointFailed,
     EndpointUnreachable,
+    GrantExpired,
 )
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
@@ -117,6 +118,9 @@
         except EndpointUnreachable as error:
             self.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
             return AttemptResult.UNREACHABLE, None
+        except GrantExpired as error:
+            self.note_not_sent(exchange, row, error)
+            return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
             exchange.may_have_run = True
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
@@ -196,6 +200,18 @@
             sequence=row.sequence,
         )
 
+    def note_not_sent(
+        self, exchange: Exchange, row: Endpoint, error: GrantExpired
+    ) -> None:
+        """Log that a request was not sent since its grant had expired."""
+        self._dispatcher.core.metrics.retries.inc({"reason": "grant_expired"})
+        self._dispatcher.core.events.record(
+            "attempt_not_sent",
+            request=exchange.meta.id,
+            endpoint=row.record.id,
+            error=error,
+        )
+
     async def async_note_broken(
         self,
         exchange: Exchange,
@@ -255,6 +271,9 @@
             self._dispatcher.loads.urgent.set()
         else:
             health.note_failure(row.record.id, core.clock())
+        if isinstance(error, ConnectionBroken):
+            # The process may have crashed, and a cold one may have replaced it.
+            health.on_unreachable(row.record.id)
         if result is not AttemptResult.ANSWERED:
             self._dispatcher.on_path_failure(row.record.address)
         core.metrics.retries.inc({"reason": result.value})
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDictProxy
 
+from ..coldstart.states import ColdStates
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import AnswerKind, HeaderCodec
@@ -35,6 +36,8 @@
         Collects updates for other daemons.
     count_daemons : callable
         Returns how many daemons send requests.
+    cold : ColdStates
+        The cold states of the endpoints.
     """
 
     def __init__(
@@ -44,12 +47,14 @@
         table: EndpointTable,
         loads: LoadTracker,
         count_daemons: Callable[[], int],
+        cold: ColdStates,
     ) -> None:
         self._core = core
         self._header_codec = header_codec
         self._table = table
         self._loads = loads
         self._count_daemons = count_daemons
+        self._cold = cold
 
     def note(
         self,
@@ -77,6 +82,10 @@
         is_success = kind is AnswerKind.ANSWERED and status < FIRST_NON_SUCCESS_STATUS
         if signals.limit_per_s is not None or (is_success and not signals.unreadable):
             self._note_limit(exchange, row, signals.limit_per_s, sent_s)
+        if signals.cold_left_s is not None:
+            self._cold.note_response(
+                row, signals.cold_left_s, sent_s, is_success=is_success
+            )
         if signals.is_leaving:
             self._note_leaving(exchange, row)
         if signals.pause_s:
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -10,6 +10,7 @@
     ChutelinkError,
     EndpointFailed,
     EndpointUnreachable,
+    GrantExpired,
 )
 from ..gateway.refusals import Refusal
 from .caller_stream import CallerStream
@@ -116,6 +117,9 @@
         except EndpointUnreachable as error:
             self.relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
             return AttemptResult.UNREACHABLE, None
+        except GrantExpired as error:
+            self.relay.note_not_sent(exchange, row, error)
+            return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
             exchange.may_have_run = True
             self.relay.note_failure(exchange, row, AttemptResult.FAILED, error)
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
     asynccontextmanager,
 )
 from contextvars import ContextVar
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -18,7 +19,12 @@
 
 from ..const import HEADER_REQUEST_ID
 from ..entry.endpoints import Endpoint
-from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
+from ..exceptions import (
+    ConnectionBroken,
+    EndpointFailed,
+    EndpointUnreachable,
+    GrantExpired,
+)
 from ..ids import EndpointId
 from ..reachability.const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET
 from ..reachability.relay_client import RelayClient
@@ -57,9 +63,13 @@
 
 
 class _ConnectionTracker(msgspec.Struct):
-    """Records whether a call opened a connection or reused a pooled one."""
+    """Records whether a call opened a connection or reused a pooled one.
+
+    ``send_left_s`` is that of the call.
+    """
 
     is_new: bool = False
+    send_left_s: Callable[[], float] | None = None
 
 
 _CONNECTION_TRACKER: ContextVar[_ConnectionTracker | None] = ContextVar(
@@ -101,12 +111,25 @@
             tracker.is_new = True
         return _StrictResponseHandler(loop=self._loop)
 
+    async def connect(self, *args: Any, **options: Any) -> aiohttp.connector.Connection:
+        """Return a connection, unless the call may no longer be sent by then.
+
+        The library sends the request next, without waiting for anything.
+        """
+        connection = await super().connect(*args, **options)
+        tracker = _CONNECTION_TRACKER.get()
+        if tracker is None or tracker.send_left_s is None or tracker.send_left_s() >= 0:
+            return connection
+        connection.release()
+        raise GrantExpired("connecting took too long", step="endpoint.connect")
+
 
 class EndpointCall(msgspec.Struct, frozen=True):
     """A request to an endpoint; ``target`` is the raw path and query.
 
     ``is_repeatable`` allows the use of a pooled connection, which the endpoint may
-    just have closed.
+    just have closed. ``send_left_s`` is called right before sending and returns the
+    time left in which the call may be sent; None if that is not limited.
     """
 
     method: str
@@ -115,6 +138,7 @@
     headers: CIMultiDict[str]
     body: bytes
     is_repeatable: bool
+    send_left_s: Callable[[], float] | None = None
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -161,6 +185,8 @@
             The connection failed; nothing was sent.
         ConnectionBroken
             The call may have run.
+        GrantExpired
+            Nothing was sent.
         """
         async with AsyncExitStack() as stack:
             yield await self._async_enter(stack, endpoint, call)
@@ -205,7 +231,12 @@
         name = endpoint.record.id
         headers = CIMultiDict(call.headers)
         headers[HEADER_RELAY_TICKET] = self.relays.make_ticket(
-            endpoint, peer, call.method, call.target, is_repeatable=call.is_repeatable
+            endpoint,
+            peer,
+            call.method,
+            call.target,
+            is_repeatable=call.is_repeatable,
+            send_left_s=None if call.send_left_s is None else call.send_left_s(),
         )
         relayed = msgspec.structs.replace(call, headers=headers)
         address = f"{peer.address}:{peer.port}"
@@ -230,7 +261,7 @@
         session = self._pooled if call.is_repeatable else self._unpooled
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
-        tracker = _ConnectionTracker()
+        tracker = _ConnectionTracker(send_left_s=call.send_left_s)
         _CONNECTION_TRACKER.set(tracker)
         try:
             async with session.request(
@@ -278,6 +309,8 @@
             The connection failed; nothing was sent.
         EndpointFailed
             The call may have run; also raised on a timeout.
+        GrantExpired
+            Nothing was sent.
         """
         try:
             async with (
--- /dev/null
+++ b/tests/coldstart/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of grants for cold endpoints."""
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from chutelink.coldstart.grants import ColdGrantManager
 from chutelink.customers.access import CustomerAccess
 from chutelink.customers.holders import HolderView
 from chutelink.entry.config import RouteTable
@@ -51,6 +52,9 @@
         )
         self.quarantine = Quarantine(self.core)
         self.state = EntryState(self.core, PreparedMachinesAdapter(), self.quarantine)
+        self.cold_grants = ColdGrantManager(
+            self.core, self.state.endpoints, self.state.cold
+        )
         self.pending = PendingTable()
         self.loads = LoadTracker()
         self.retry_budget = RetryBudgetShare(0.2, 50, 10.0)
@@ -84,6 +88,7 @@
             self.quarantine,
             PermitManager(self.core),
             OriginManager(self.core, state.endpoints.versions),
+            cold_grants=self.cold_grants,
         )
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
--- a/tests/relaying/test_signals.py
+++ b/tests/relaying/test_signals.py
@@ -5,6 +5,7 @@
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from chutelink.coldstart.states import ColdStates
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
 from chutelink.entry.load_tracker import LoadTracker
 from chutelink.platform.headers import PlatformHeaderCodec
@@ -28,6 +29,7 @@
             self.table,
             LoadTracker(),
             lambda: 1,
+            ColdStates(self.core, self.table, dict),
         )
 
     def put(self, born_ms):
