Check for cold endpoints with one lookup per request

Most requests go to warm endpoints. Those that aren't warm are listed by id, also when they were registered before the configuration was read.

--- a/chutelink/coldstart/states.py
+++ b/chutelink/coldstart/states.py
@@ -36,8 +36,11 @@
         self._core = core
         self._table = table
         self._services = services
-        self._logged: dict[EndpointId, ColdState] = {}
-        """Endpoints that were last logged as cold or unknown."""
+        self._not_warm: dict[EndpointId, ColdState] = {}
+        """The state last logged of endpoints that are cold or unknown.
+
+        Endpoints that are missing here are warm, which is checked for each request.
+        """
 
     def limited_service(self, service: ServiceName) -> ServiceSpec | None:
         """Return a service if its cold endpoints have a limit, else None."""
@@ -53,8 +56,15 @@
 
     def is_cold(self, row: Endpoint) -> bool:
         """Return whether requests to an endpoint need a grant."""
+        if row.record.id not in self._not_warm:
+            return False
         return self.state(row) is not ColdState.WARM
 
+    def note_config(self) -> None:
+        """Handle a new configuration: endpoints may have been read before it."""
+        for row in self._table.rows.values():
+            self._log_change(row, "configuration")
+
     def note_registration(self, row: Endpoint, *, is_restored: bool) -> None:
         """Apply the registration of an endpoint that has just been received.
 
@@ -101,15 +111,15 @@
 
     def update(self) -> None:
         """Log the endpoints that have become warm with time, and count the others."""
-        if not self._logged:
+        if not self._not_warm:
             return
-        for endpoint in list(self._logged):
+        for endpoint in list(self._not_warm):
             row = self._table.rows.get(endpoint)
             if row is None:
-                del self._logged[endpoint]
+                del self._not_warm[endpoint]
             else:
                 self._log_change(row, "time")
-        self._core.metrics.endpoints_cold.set({}, len(self._logged))
+        self._core.metrics.endpoints_cold.set({}, len(self._not_warm))
 
     def _mark_unknown(self, row: Endpoint, source: str) -> None:
         row.cold.mark_unknown(self._core.clock())
@@ -117,15 +127,15 @@
 
     def _log_change(self, row: Endpoint, source: str) -> None:
         endpoint = row.record.id
-        before = self._logged.get(endpoint, ColdState.WARM)
+        before = self._not_warm.get(endpoint, ColdState.WARM)
         state = self.state(row)
         if state is before:
             return
         if state is ColdState.WARM:
-            del self._logged[endpoint]
+            del self._not_warm[endpoint]
         else:
-            self._logged[endpoint] = state
-        self._core.metrics.endpoints_cold.set({}, len(self._logged))
+            self._not_warm[endpoint] = state
+        self._core.metrics.endpoints_cold.set({}, len(self._not_warm))
         self._core.events.record(
             "endpoint_cold_state",
             endpoint=endpoint,
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -100,6 +100,7 @@
             )
             return
         self.routes = RouteTable(config)
+        self.cold.note_config()
         self.speeds.set_sizes(
             {
                 name: model.weights_mb
--- a/tests/coldstart/test_states.py
+++ b/tests/coldstart/test_states.py
@@ -28,10 +28,12 @@
 class StatesFixture:
     """The state of one daemon, for which a service with a limit is configured."""
 
-    def __init__(self, cold_per_s=13.0):
+    def __init__(self, cold_per_s=13.0, registration=None):
         self.core = make_core()
         adapter = PreparedMachinesAdapter()
         self.known = EntryState(self.core, adapter, Quarantine(self.core))
+        if registration is not None:
+            self.register(**registration)
         config = make_config(1, {"llm": "llm", "plain": "plain"})
         for service in config["services"]:
             service |= {"cold_s": 3.0, "cold_per_s": cold_per_s}
@@ -51,7 +53,9 @@
 
     @property
     def state(self):
-        return self.known.cold.state(self.row)
+        state = self.known.cold.state(self.row)
+        assert self.known.cold.is_cold(self.row) is (state is not WARM)
+        return state
 
 
 @pytest.fixture
@@ -75,6 +79,10 @@
     assert states.state is WARM
 
 
+def test_endpoint_that_is_read_before_the_configuration_is_cold():
+    assert StatesFixture(registration={"cold_left_ms": 2000}).state is COLD
+
+
 def test_row_that_is_read_again_makes_cold_for_at_most_cold_s(states):
     states.register(cold_left_ms=60_000)
     states.core.now_s += 3.01
@@ -136,4 +144,4 @@
     states.register(cold_left_ms=3000)
     states.known.cold.mark_unknown("zone-a")
     assert states.state is WARM
-    assert not states.known.cold._logged
+    assert not states.known.cold.is_cold(states.row)
--- a/tests/placing/test_placement.py
+++ b/tests/placing/test_placement.py
@@ -324,6 +324,17 @@
     assert (change.model, change.unload_models) == ("m6", ("m3",))
 
 
+def test_cold_replica_does_not_make_a_warm_one_dispensable():
+    """The endpoint takes only few requests, but is not replaced for some seconds."""
+    sites = [make_site(f"i-{n}", {"m0": [], "m3": []}) for n in (1, 2)]
+    sites[1].inventory.on_disk = ("m6",)
+    sites[0] = msgspec.structs.replace(sites[0], is_cold=True)
+    uses = [("m0", "", 30, 0.3, 0), ("m6", "", 1, 0.1, 1)]
+    changes = plan(sites, uses)
+    assert not any(c.endpoint == "i-2" and c.unload_models for c in changes)
+    assert all(change.adapter for change in changes)
+
+
 def test_model_missing_from_the_configuration_is_evicted():
     """Endpoints still hold two replicas after a configuration removed the model."""
     sites = [make_site(f"i-{n}", {"dropped": []}) for n in (1, 2)]
--- a/tests/reachability/test_ticket.py
+++ b/tests/reachability/test_ticket.py
@@ -16,6 +16,14 @@
     assert SIGNER.decode(value, "POST", "/a") is None
 
 
+def test_time_limit_of_ticket_is_signed():
+    """A daemon from before sends tickets without this field."""
+    limited = RelayTicket(EndpointId("i-1"), 17, False, 150)
+    value = SIGNER.encode(limited, "POST", "/a")
+    assert SIGNER.decode(value, "POST", "/a") == limited
+    assert SIGNER.decode(value.replace(" 150 ", " 900 "), "POST", "/a") is None
+
+
 def test_ticket_of_another_process_or_key_is_invalid():
     value = SIGNER.encode(TICKET, "POST", "/a")
     assert TicketSigner("key", BootId("next")).decode(value, "POST", "/a") is None
