Announce endpoints that have become cold to the other daemons

A warm endpoint may become cold without a new process, and registrations show it up to 2 s later. The first daemon whose response states it passes it on at once, so that the others stop sending without grants.

--- a/chutelink/coldstart/messages.py
+++ b/chutelink/coldstart/messages.py
@@ -8,6 +8,14 @@
 from .model import GrantVerdict
 
 
+class ColdEndpoint(msgspec.Struct, frozen=True, array_like=True):
+    """A process that stated in a response how long it will still be cold."""
+
+    endpoint: EndpointId
+    born_ms: int
+    left_s: float
+
+
 class ColdGrantRequest(
     msgspec.Struct, frozen=True, array_like=True, tag="cold_grant_request"
 ):
--- a/chutelink/coldstart/states.py
+++ b/chutelink/coldstart/states.py
@@ -8,6 +8,7 @@
 from ..entry.config import ServiceSpec
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..ids import EndpointId, FailureDomainName, ServiceName
+from .messages import ColdEndpoint
 from .model import ColdState
 
 
@@ -80,15 +81,26 @@
 
     def note_response(
         self, row: Endpoint, left_s: float, sent_s: float, *, is_success: bool
-    ) -> None:
+    ) -> bool:
         """Apply what the response to a request sent at ``sent_s`` states.
 
         An error may be from another endpoint at a reused address, so that only a
-        success shows that the process is warm.
+        success shows that the process is warm. Returns whether a warm process has
+        become cold, which other daemons have to know.
         """
+        was_cold = self.is_cold(row)
         if left_s > 0 or is_success:
             row.cold.note_response(left_s, sent_s, self._core.clock())
             self._log_change(row, "response")
+        return not was_cold and self.is_cold(row)
+
+    def note_peer(self, cold: ColdEndpoint) -> None:
+        """Apply a response that another daemon has got; it can't end a state."""
+        row = self._table.rows.get(cold.endpoint)
+        if row is not None and row.record.born_ms == cold.born_ms:
+            never_s = float("-inf")
+            row.cold.note_response(cold.left_s, never_s, self._core.clock())
+            self._log_change(row, "peer")
 
     def note_unreachable(self, endpoint: EndpointId) -> None:
         """Handle a failed connection: the process may have restarted."""
--- a/chutelink/entry/load_tracker.py
+++ b/chutelink/entry/load_tracker.py
@@ -6,6 +6,7 @@
 import functools
 from collections import Counter, defaultdict
 
+from ..coldstart.messages import ColdEndpoint
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName
 from ..limits.messages import EndpointLimit
 from .endpoints import EndpointTable
@@ -31,6 +32,7 @@
         self._paused: Counter[EndpointId] = Counter()
         self._leaving: list[LeavingEndpoint] = []
         self._limits: dict[EndpointId, EndpointLimit] = {}
+        self._cold: dict[EndpointId, ColdEndpoint] = {}
         self._reported: list[EndpointLoad] = []
         self._was_partitioned = False
         self.urgent = asyncio.Event()
@@ -94,6 +96,16 @@
         self._leaving.append(leaving)
         self.urgent.set()
 
+    def note_cold(self, cold: ColdEndpoint) -> None:
+        """Record that an endpoint has become cold; triggers a report."""
+        self._cold[cold.endpoint] = cold
+        self.urgent.set()
+
+    def _drain_cold(self) -> list[ColdEndpoint]:
+        cold = list(self._cold.values())
+        self._cold.clear()
+        return cold
+
     def _drain_leaving(self) -> list[LeavingEndpoint]:
         leaving, self._leaving = self._leaving, []
         return leaving
@@ -152,7 +164,8 @@
             uses or self._prefixes or ended or loads or self._reported or unreachable
         )
         is_new = is_new or is_partitioned or self._was_partitioned
-        if not is_new and not self._limits and not self._leaving:
+        is_new = is_new or self._limits or self._leaving or self._cold
+        if not is_new:
             return None
         self._was_partitioned = is_partitioned
         report = LoadReport(
@@ -165,6 +178,7 @@
             self._drain_limits(),
             self._drain_leaving(),
             is_partitioned,
+            self._drain_cold(),
         )
         self._reported = loads
         self._prefixes = []
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -207,6 +207,8 @@
         self.partitioned_peers.note(
             message.daemon, is_partitioned=message.is_partitioned, now_s=now_s
         )
+        for cold in message.cold:
+            self._known.cold.note_peer(cold)
         for leaving in message.leaving:
             self._known.endpoints.note_leaving(leaving.endpoint, leaving.born_ms)
         self._wake_placer(message)
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -7,7 +7,7 @@
 import cbor2
 import msgspec
 
-from ..coldstart.messages import ColdGrantAnswer, ColdGrantRequest
+from ..coldstart.messages import ColdEndpoint, ColdGrantAnswer, ColdGrantRequest
 from ..customers.messages import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
 from ..ids import (
@@ -124,7 +124,8 @@
     ``unreachable`` lists endpoints that did not accept connections from it, ``limits``
     the endpoint limits received since the last message, and ``leaving`` the endpoints
     that announced their shutdown since then. ``is_partitioned`` says that it reaches no
-    endpoint at all.
+    endpoint at all. ``cold`` lists endpoints whose responses showed since then that
+    they have become cold.
     """
 
     daemon: DaemonId
@@ -136,6 +137,7 @@
     limits: list[EndpointLimit] = []
     leaving: list[LeavingEndpoint] = []
     is_partitioned: bool = False
+    cold: list[ColdEndpoint] = []
 
 
 class PromptNotice(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
--- a/chutelink/relaying/signals.py
+++ b/chutelink/relaying/signals.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDictProxy
 
+from ..coldstart.messages import ColdEndpoint
 from ..coldstart.states import ColdStates
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
@@ -83,9 +84,7 @@
         if signals.limit_per_s is not None or (is_success and not signals.unreadable):
             self._note_limit(exchange, row, signals.limit_per_s, sent_s)
         if signals.cold_left_s is not None:
-            self._cold.note_response(
-                row, signals.cold_left_s, sent_s, is_success=is_success
-            )
+            self._note_cold(row, signals.cold_left_s, sent_s, is_success=is_success)
         if signals.is_leaving:
             self._note_leaving(exchange, row)
         if signals.pause_s:
@@ -96,6 +95,13 @@
         if is_rejected and row.max_rejections_per_s is not None:
             self._note_rejection(exchange, row)
 
+    def _note_cold(
+        self, row: Endpoint, left_s: float, sent_s: float, *, is_success: bool
+    ) -> None:
+        if self._cold.note_response(row, left_s, sent_s, is_success=is_success):
+            record = row.record
+            self._loads.note_cold(ColdEndpoint(record.id, record.born_ms, left_s))
+
     def _note_rejection(self, exchange: Exchange, row: Endpoint) -> None:
         """Pause until this daemon's share of rejections allows for another one."""
         rate_per_s = max(MIN_REJECTIONS_PER_S, row.max_rejections_per_s)
