--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..coldstart.grants import ColdGrantManager
 from ..connections import close_idle
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
@@ -142,7 +143,9 @@
         self.permits = PermitManager(self)
         self.evacuations = EvacuationTable(self)
         self.evacuations.on_changed = self._handle_endpoints_changed
+        self.evacuations.on_ended = self.known.cold.mark_unknown
         self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
+        self.cold_grants = ColdGrantManager(self, self.known.endpoints, self.known.cold)
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
         )
@@ -228,6 +231,7 @@
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.lease = PlacerLease(self, table, self.rank, gap_s, self.router.send)
         self.lease.is_deferring = self._is_deferring_placement
+        self._setup_cold_grants()
         self.directory.is_partitioned = self._is_partitioned
         self._setup_placer()
         self.callers = make_caller_server(
@@ -274,6 +278,13 @@
         now_s = self.clock()
         return row is None or not self.eligibility.reason(row, NO_REQUIREMENTS, now_s)
 
+    def _setup_cold_grants(self) -> None:
+        self.router.cold_grants = self.cold_grants
+        self.cold_grants.granter.lease = self.lease
+        self.cold_grants.send = self.router.reply
+        self.cold_grants.linked = self.mesh.linked_members
+        self.cold_grants.holder = lambda: self.router.placer_id
+
     def _setup_origins(self) -> None:
         self.router.origins = self.origins
         self.origins.send = self.router.reply
@@ -301,6 +312,7 @@
         self.placer.probe = self._probe
         self.placer.partition = self.partition
         self.placer.eligibility = self.eligibility
+        self.placer.is_cold = self.known.cold.is_cold
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
@@ -448,6 +460,7 @@
             self.quotas.update(self.router.serving, self.members)
             self.known.expire()
             self.known.update_prefixes()
+            self.known.cold.update()
             self.origins.request_history()
             self.known.endpoints.forget_silent(self.clock())
             unreachable = self.known.health.unreachable(self.clock())
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from ..coldstart.messages import ColdEndpoint, ColdGrantAnswer, ColdGrantRequest
 from ..customers.messages import Loan, LoanRequest
 from ..exceptions import PeerMessageInvalid
 from ..ids import (
@@ -137,7 +138,8 @@
     the endpoint limits received since the last message, and ``leaving`` the endpoints
     that announced their shutdown since then. ``is_partitioned`` says that it reaches no
     endpoint at all. ``prompt_sizes`` belongs to ``prefixes``, item by item; it is empty
-    if the sender doesn't weigh prefixes.
+    if the sender doesn't weigh prefixes. ``cold`` lists endpoints whose responses
+    showed since then that they have become cold.
     """
 
     daemon: DaemonId
@@ -150,6 +152,7 @@
     leaving: list[LeavingEndpoint] = []
     is_partitioned: bool = False
     prompt_sizes: list[PromptSizes] = []
+    cold: list[ColdEndpoint] = []
 
 
 class PromptNotice(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
@@ -237,6 +240,8 @@
     | PermitRequest
     | PermitAnswer
     | OriginMessage
+    | ColdGrantRequest
+    | ColdGrantAnswer
 )
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -79,6 +79,10 @@
     """The endpoint may not get the request any more; no byte was sent to it."""
 
 
+class GrantExpired(ChutelinkError):
+    """Nothing was sent: connecting took longer than the grant was valid."""
+
+
 class EndpointRefused(ChutelinkError):
     """The endpoint answered that it did not run the request."""
 
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -10,6 +10,7 @@
     asynccontextmanager,
 )
 from contextvars import ContextVar
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -23,6 +24,7 @@
     EndpointFailed,
     EndpointIneligible,
     EndpointUnreachable,
+    GrantExpired,
 )
 from ..ids import EndpointId
 from ..reachability.const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET
@@ -68,11 +70,12 @@
 class _ConnectionTracker(msgspec.Struct):
     """Records whether a call opened a connection or reused a pooled one.
 
-    ``may_send`` says whether the call may still be sent once it has a connection.
+    ``may_send`` and ``send_left_s`` are those of the call.
     """
 
     is_new: bool = False
     may_send: Callable[[], bool] = _always
+    send_left_s: Callable[[], float] | None = None
 
 
 _CONNECTION_TRACKER: ContextVar[_ConnectionTracker | None] = ContextVar(
@@ -107,23 +110,25 @@
             **({"keepalive_timeout": KEEPALIVE_TIMEOUT_S} if is_pooled else {}),
         )
 
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[aiohttp.tracing.Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> aiohttp.connector.Connection:
+    async def connect(self, *args: Any, **options: Any) -> aiohttp.connector.Connection:
         """Return a connection, unless the call may not be sent any more.
 
         The request is written without a further wait. Connecting takes up to 0.6 s, in
-        which an evacuation may begin.
+        which an evacuation may begin, or the grant for a cold endpoint expire.
         """
-        connection = await super().connect(req, traces, timeout)
+        connection = await super().connect(*args, **options)
         tracker = _CONNECTION_TRACKER.get()
-        if tracker is None or tracker.may_send():
+        if tracker is None:
             return connection
-        connection.release()
-        raise EndpointIneligible("may get no more requests", step="endpoint.connect")
+        if not tracker.may_send():
+            connection.release()
+            raise EndpointIneligible(
+                "may get no more requests", step="endpoint.connect"
+            )
+        if tracker.send_left_s is not None and tracker.send_left_s() < 0:
+            connection.release()
+            raise GrantExpired("connecting took too long", step="endpoint.connect")
+        return connection
 
     def make_handler(self) -> _StrictResponseHandler:
         """Return the handler of a new connection, and record that it is new."""
@@ -138,7 +143,9 @@
 
     ``is_repeatable`` allows the use of a pooled connection, which the endpoint may
     just have closed. ``may_send`` is asked right before the call is sent, directly or
-    to a peer: whether the endpoint may still get it.
+    to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
+    well and returns the time left in which the call may be sent; None if that is not
+    limited.
     """
 
     method: str
@@ -148,6 +155,7 @@
     body: bytes
     is_repeatable: bool
     may_send: Callable[[], bool] = _always
+    send_left_s: Callable[[], float] | None = None
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -196,6 +204,8 @@
             The endpoint may not get the call any more; nothing was sent.
         ConnectionBroken
             The call may have run.
+        GrantExpired
+            Nothing was sent.
         """
         async with AsyncExitStack() as stack:
             yield await self._async_enter(stack, endpoint, call)
@@ -244,7 +254,12 @@
         name = endpoint.record.id
         headers = CIMultiDict(call.headers)
         headers[HEADER_RELAY_TICKET] = self.relays.make_ticket(
-            endpoint, peer, call.method, call.target, is_repeatable=call.is_repeatable
+            endpoint,
+            peer,
+            call.method,
+            call.target,
+            is_repeatable=call.is_repeatable,
+            send_left_s=None if call.send_left_s is None else call.send_left_s(),
         )
         relayed = msgspec.structs.replace(call, headers=headers)
         address = f"{peer.address}:{peer.port}"
@@ -269,7 +284,9 @@
         session = self._pooled if call.is_repeatable else self._unpooled
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
-        tracker = _ConnectionTracker(may_send=call.may_send)
+        tracker = _ConnectionTracker(
+            may_send=call.may_send, send_left_s=call.send_left_s
+        )
         _CONNECTION_TRACKER.set(tracker)
         try:
             async with session.request(
@@ -317,6 +334,8 @@
             The connection failed; nothing was sent.
         EndpointFailed
             The call may have run; also raised on a timeout.
+        GrantExpired
+            Nothing was sent.
         """
         try:
             async with (
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from chutelink.coldstart.grants import ColdGrantManager
 from chutelink.customers.access import CustomerAccess
 from chutelink.customers.holders import HolderView
 from chutelink.eligibility.checker import EligibilityChecker
@@ -60,6 +61,9 @@
             self.quarantine,
             is_weighing_prefixes=is_weighing_prefixes,
         )
+        self.cold_grants = ColdGrantManager(
+            self.core, self.state.endpoints, self.state.cold
+        )
         self.pending = PendingTable()
         self.evacuations = EvacuationTable(self.core)
         self.evacuations.on_changed = self.pending.signal
@@ -103,6 +107,7 @@
             PermitManager(self.core),
             OriginManager(self.core, state.endpoints.versions),
             self.eligibility,
+            cold_grants=self.cold_grants,
         )
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
