--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -36,8 +36,8 @@
     events. ``admission`` has the customer and the quota decision. ``knowledge`` is the
     version and age of the list of endpoints at the last choice. ``software_version`` is
     that of the endpoint that began its stream, None if it is unknown; other endpoints
-    don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the end
-    of the grant for the endpoint chosen last, None if it needs none.
+    don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
+    end of the grant for the endpoint chosen last, None if it needs none.
     """
 
     meta: RequestMeta
