Keep requests with home regions in these regions

Routes and customers may have home_regions, of which the intersection counts. The rule of chutelink/regions/ excludes endpoints elsewhere wherever one is chosen or checked. The regions of failure domains come from the settings. A call with homes is only relayed by peers in them; the signed ticket names the homes, so that the peer checks its own region and the endpoint's. Peers of earlier releases reject such a ticket without sending the call. The directory lists daemons of the client's region first.

--- a/chutelink/customers/model.py
+++ b/chutelink/customers/model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..ids import CustomerName, KeyHash
+from ..ids import CustomerName, KeyHash, RegionName
 
 
 class QuotaUnit(Enum):
@@ -36,9 +36,13 @@
 
 
 class Customer(msgspec.Struct, frozen=True):
-    """A customer; ``priority`` overrides that of its requests' routes."""
+    """A customer; ``priority`` overrides that of its requests' routes.
+
+    ``home_regions`` are the regions in which its requests may be served, None for any.
+    """
 
     name: CustomerName
     key_hashes: tuple[KeyHash, ...] = ()
     priority: int | None = None
     quota: Quota | None = None
+    home_regions: frozenset[RegionName] | None = None
--- a/chutelink/eligibility/checker.py
+++ b/chutelink/eligibility/checker.py
@@ -17,6 +17,14 @@
     def is_active(self) -> bool:
         """Whether the rule can currently apply to any endpoint."""
 
+    def applies_to(self, requirements: Requirements) -> bool:
+        """Return whether the rule can exclude an endpoint for these requirements.
+
+        Called once per selection, so that rules without effect cost nothing per
+        endpoint.
+        """
+        return self.is_active
+
     @abstractmethod
     def check(
         self, row: Endpoint, requirements: Requirements, now_s: float
@@ -46,7 +54,7 @@
     ) -> IneligibleReason | None:
         """Return why an endpoint may not get a request, None if it may."""
         for rule in self._rules:
-            if rule.is_active:
+            if rule.applies_to(requirements):
                 reason = rule.check(row, requirements, now_s)
                 if reason is not None:
                     return reason
@@ -56,7 +64,7 @@
         self, rows: list[Endpoint], requirements: Requirements, now_s: float
     ) -> list[Endpoint]:
         """Return the endpoints that may get a request."""
-        if not any(rule.is_active for rule in self._rules):
+        if not any(rule.applies_to(requirements) for rule in self._rules):
             return rows
         eligible = []
         for row in rows:
@@ -70,6 +78,11 @@
     def common_reason(
         self, rows: list[Endpoint], requirements: Requirements, now_s: float
     ) -> IneligibleReason | None:
-        """Return why no endpoint may get a request, None if one may or none exists."""
+        """Return why no endpoint may get a request, None if one may.
+
+        If no endpoint exists, it is None too unless the request has home regions.
+        """
+        if not rows and requirements.home_regions is not None:
+            return IneligibleReason.OUTSIDE_HOME_REGIONS
         reasons = [self.reason(row, requirements, now_s) for row in rows]
         return None if None in reasons else next(iter(reasons), None)
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -30,6 +30,9 @@
 from ..reachability.monitor import PartitionMonitor
 from ..reachability.probe import VerifiedProbe
 from ..reachability.relay_client import RelayClient
+from ..regions.homes import HomeRegions
+from ..regions.region_map import RegionMap
+from ..regions.rule import HomeRegionRule
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
@@ -124,12 +127,20 @@
         self.retry_budget = RetryBudgetShare(
             entry.retry_ratio, entry.retry_slack, entry.retry_window_s
         )
-        self.directory = Directory(self.members, entry.address_valid_s)
+        self.regions = RegionMap(settings.regions)
+        self.homes = HomeRegions(self, self.regions)
+        self.directory = Directory(
+            self.members, entry.address_valid_s, self.regions, self.homes
+        )
         bounds = QuotaBounds(
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
         self.permits = PermitManager(self)
-        self.eligibility = EligibilityChecker()
+        home_rule = HomeRegionRule(self.regions)
+        home_rule.on_unmapped = lambda domain: self.events.warning(
+            "failure_domain_without_region", failure_domain=domain
+        )
+        self.eligibility = EligibilityChecker((home_rule,))
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
         )
@@ -181,6 +192,7 @@
             self.members,
             self.router.partitioned_peers,
             self.mesh.linked_members,
+            self.regions,
         )
         self.mesh.on_broadcast = self.router.handle_broadcast
         self.mesh.on_direct = self.router.handle_direct
@@ -375,6 +387,10 @@
 
     def _apply_config(self) -> None:
         config = self.known.routes.config
+        self.homes.update(config)
+        # Home regions determine which daemons serve, and where requests may wait.
+        self.router.choose_links()
+        self.pending.signal()
         self.placer.config = config
         self.quotas.update(self.router.serving, self.members)
         self.quotas.update_customers(config.customers)
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -59,6 +59,7 @@
         header_codec,
         upstream,
         app.eligibility,
+        app.regions,
     )
 
 
@@ -82,6 +83,7 @@
         app.origins,
         app.eligibility,
     )
+    dispatcher.homes = app.homes
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
     dispatcher.knowledge = lambda: app.watch.knowledge(TABLE_ENDPOINTS)
--- a/chutelink/entry/config.py
+++ b/chutelink/entry/config.py
@@ -13,6 +13,7 @@
     ConfigVersion,
     CustomerName,
     ModelName,
+    RegionName,
     RouteName,
     ServiceName,
 )
@@ -41,7 +42,8 @@
     for the most urgent; ``max_endpoints`` the maximum number of endpoints a request
     may be sent to; ``patience_s`` how long callers wait for the first or next event
     of a stream before they disconnect, 0 if they wait until their deadline;
-    ``is_anonymous`` allows callers without a key.
+    ``is_anonymous`` allows callers without a key; ``home_regions`` are the regions in
+    which requests may be served, None for any.
     """
 
     name: RouteName
@@ -58,6 +60,7 @@
     max_pause_s: float = 0.0
     patience_s: float = 0.0
     is_anonymous: bool = False
+    home_regions: frozenset[RegionName] | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- a/chutelink/entry/directory.py
+++ b/chutelink/entry/directory.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Callable, Iterable
 
-from ..ids import DaemonId, FailureDomainName
+from ..ids import DaemonId, FailureDomainName, RegionName
+from ..regions.homes import HomeRegions
+from ..regions.region_map import RegionMap
 from ..systems.hashing import rendezvous_order
 from ..tables.members import Member, MemberState, MemberTable
 
@@ -22,6 +24,11 @@
 
 The others could not take the callers of more daemons.
 """
+MIN_SERVING_IN_REGION = 2
+"""Minimum number of daemons listed for a region while home regions are configured.
+
+With one, its failure would send the region's callers elsewhere.
+"""
 PRESENT_STATES = (MemberState.JOINING, MemberState.ALIVE)
 
 
@@ -35,7 +42,8 @@
 class Directory:
     """Addresses of the daemons that currently serve callers.
 
-    Daemons on large VMs serve, and those on small VMs only if there are too few.
+    Daemons on large VMs serve, and those on small VMs only if there are too few. While
+    home regions are configured, this also applies to each region.
 
     Parameters
     ----------
@@ -43,20 +51,40 @@
         Membership of the daemons.
     valid_s : float
         How long callers may cache a response.
+    regions : RegionMap, optional
+        The regions of failure domains.
+    homes : HomeRegions, optional
+        The home regions of requests.
     """
 
-    def __init__(self, members: MemberTable, valid_s: float) -> None:
+    def __init__(
+        self,
+        members: MemberTable,
+        valid_s: float,
+        regions: RegionMap | None = None,
+        homes: HomeRegions | None = None,
+    ) -> None:
         self._members = members
         self.valid_s = valid_s
+        self._regions = regions or RegionMap()
+        self._homes = homes
         self.is_partitioned: Callable[[DaemonId], bool] = lambda daemon: False
         """Returns whether a daemon can serve callers only through its peers."""
 
-    def addresses(self, failure_domain: FailureDomainName) -> list[str]:
+    def addresses(
+        self,
+        failure_domain: FailureDomainName,
+        host: str = "",
+        region: RegionName | None = None,
+    ) -> list[str]:
         """Return the addresses for callers in a failure domain.
 
-        Partitioned daemons are left out while enough others remain.
+        If requests to the host may have home regions, the daemons are those of the
+        callers' own region, else those of the regions that are homes for all such
+        requests, else all. Partitioned daemons are left out while enough others remain.
         """
-        members = self._for_domain(failure_domain, self._candidates())
+        members = self._for_home_regions(failure_domain, host, region)
+        members = members or self._for_domain(failure_domain, self._candidates())
         listed = [member for member in members if not self.is_partitioned(member.id)]
         if len(listed) < MIN_LISTED_SHARE * len(members):
             listed = members
@@ -75,6 +103,13 @@
             for domain in domains
             for member in self._for_domain(domain, candidates)
         }
+        if self._has_homes:
+            listed |= {
+                member.id
+                for region in self._regions.names
+                for key in (region, *self._regions.domains_of(region))
+                for member in self._for_region(region, key, candidates)
+            }
         return listed | {m.id for m in rows if m.state is MemberState.LEAVING}
 
     def _candidates(self) -> list[Member]:
@@ -85,16 +120,65 @@
         starts.
         """
         rows = self._members.rows.values()
-        alive = [member for member in rows if member.state is MemberState.ALIVE]
-        alive.sort(key=lambda member: (-member.capacity, member.id))
+        alive = self._alive()
         present = [member.capacity for member in rows if member.state in PRESENT_STATES]
         return alive[: count_candidates(present)] if alive else []
 
+    @property
+    def _has_homes(self) -> bool:
+        return self._homes is not None and self._homes.is_configured
+
+    def _for_home_regions(
+        self, failure_domain: FailureDomainName, host: str, region: RegionName | None
+    ) -> list[Member]:
+        """Return the daemons for requests that may have home regions, if any."""
+        homes = self._homes.common_to_host(host) if self._has_homes else None
+        if homes is None:
+            return []
+        candidates = self._candidates()
+        domain_region = self._regions.region_of(failure_domain)
+        own = region or domain_region
+        if own is not None:
+            key = failure_domain if domain_region == own else own
+            members = self._for_region(own, key, candidates)
+            if members:
+                return members
+        return [
+            member
+            for home in sorted(homes)
+            for member in self._for_region(home, home, candidates)
+        ]
+
+    def _for_region(
+        self,
+        region: RegionName,
+        key: FailureDomainName | RegionName,
+        candidates: list[Member],
+    ) -> list[Member]:
+        """Return the daemons listed for a region, with small ones if there are few.
+
+        ``key`` determines which of them are listed if there are many.
+        """
+        members = [member for member in candidates if self._is_in(member, region)]
+        if len(members) < MIN_SERVING_IN_REGION:
+            alive = [m for m in self._alive() if self._is_in(m, region)]
+            members = alive[:MIN_SERVING_IN_REGION]
+        return self._for_domain(key, members)
+
+    def _is_in(self, member: Member, region: RegionName) -> bool:
+        return self._regions.region_of(member.failure_domain) == region
+
+    def _alive(self) -> list[Member]:
+        """Return the members that are alive, those on the largest VMs first."""
+        rows = self._members.rows.values()
+        alive = [member for member in rows if member.state is MemberState.ALIVE]
+        return sorted(alive, key=lambda member: (-member.capacity, member.id))
+
     def _for_domain(
-        self, failure_domain: FailureDomainName, candidates: list[Member]
+        self, key: FailureDomainName | RegionName, candidates: list[Member]
     ) -> list[Member]:
         if len(candidates) <= MAX_SERVING:
             return candidates
         by_id = {member.id: member for member in candidates}
-        order = rendezvous_order(failure_domain, by_id)
+        order = rendezvous_order(key, by_id)
         return [by_id[name] for name in order[:MAX_SERVING]]
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -204,6 +204,7 @@
             prompt_parts=quarantine.part_fingerprints(meta.shared_parts),
             caller=request.remote or "",
             admission=admission,
+            homes=self._dispatcher.homes,
         )
 
     def _check_shutdown(self, route: Route, meta: RequestMeta) -> None:
--- a/chutelink/ini.py
+++ b/chutelink/ini.py
@@ -11,7 +11,8 @@
 
 MAX_INI_BYTES = 4 * 1024 * 1024
 _SECTION = re.compile(r"^\[(?P<name>[^\[\]]+)\]\s*$")
-_KEY = re.compile(r"^(?P<key>[A-Za-z][A-Za-z0-9_]*)\s*=\s*(?P<value>.*)$")
+_KEY = re.compile(r"^(?P<key>[A-Za-z0-9][A-Za-z0-9_.-]*)\s*=\s*(?P<value>.*)$")
+"""Keys are case sensitive; those of some sections are names of failure domains."""
 _BOOLEANS = {"yes": True, "no": False, "true": True, "false": False}
 
 
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -45,6 +45,9 @@
         self.ineligible_endpoints = self._counter(
             "ineligible_endpoints_total", "Endpoints left out of selections by reason"
         )
+        self.home_region_errors = self._gauge(
+            "home_region_errors", "Invalid home regions in the configuration in force"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -18,7 +18,12 @@
 )
 from ..exceptions import ConfigInvalid
 from ..ids import AdapterName, ConfigVersion, ModelName, RouteName, ServiceName
-from .customers import WireCustomer, decode_customers, hash_keys
+from .customers import (
+    WireCustomer,
+    decode_customers,
+    decode_home_regions,
+    hash_keys,
+)
 
 MS_PER_S = 1000.0
 ROUTE_KINDS = {
@@ -66,6 +71,7 @@
     resumable: bool = False
     gap_target_ms: float = 0.0
     anonymous: bool = False
+    home_regions: list[str] | None = None
 
 
 class _WireModel(msgspec.Struct):
@@ -191,6 +197,7 @@
         max_pause_s=max_pause_s,
         patience_s=_patience_s(objective_s, max_pause_s) if is_stream else 0.0,
         is_anonymous=wire.anonymous,
+        home_regions=decode_home_regions(wire.home_regions),
     )
 
 
--- a/chutelink/platform/customers.py
+++ b/chutelink/platform/customers.py
@@ -10,7 +10,7 @@
 from ..customers.keys import hash_key
 from ..customers.model import Customer, Quota, QuotaUnit
 from ..exceptions import ConfigInvalid
-from ..ids import CustomerName, KeyHash
+from ..ids import CustomerName, KeyHash, RegionName
 
 FIELD_CUSTOMERS = "tenants"
 FIELD_KEYS = "keys"
@@ -40,6 +40,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     plain_tokens: float = 1.0
+    home_regions: list[str] | None = None
 
 
 def hash_keys(config: Any) -> Any:
@@ -107,10 +108,19 @@
             tuple(KeyHash(key_hash) for key_hash in wire.key_hashes),
             wire.priority,
             _decode_quota(wire),
+            decode_home_regions(wire.home_regions),
         )
     return customers
 
 
+def decode_home_regions(names: list[str] | None) -> frozenset[RegionName] | None:
+    """Decode the home regions of a route or customer, None if it has none.
+
+    An empty list stays an empty set, so that it does not allow all regions.
+    """
+    return None if names is None else frozenset(map(RegionName, names))
+
+
 def _decode_quota(wire: WireCustomer) -> Quota | None:
     unit = UNITS.get(wire.unit)
     if unit is None:
--- a/chutelink/platform/http.py
+++ b/chutelink/platform/http.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ..entry.directory import Directory
-from ..ids import FailureDomainName
+from ..ids import FailureDomainName, RegionName
 
 PATH_RESOLVE = "/api/resolve"
 PATH_READY = "/api/ready"
@@ -21,8 +21,12 @@
     async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path != PATH_RESOLVE:
             return web.Response(status=404)
-        domain = FailureDomainName(request.query.get("zone", ""))
-        addresses = directory.addresses(domain)
+        query = request.query
+        addresses = directory.addresses(
+            FailureDomainName(query.get("zone", "")),
+            query.get("name", ""),
+            RegionName(query.get("region", "")) or None,
+        )
         if not addresses:
             return web.Response(status=503)
         answer = {"addresses": addresses, "ttl_s": directory.valid_s}
--- a/chutelink/reachability/relay_client.py
+++ b/chutelink/reachability/relay_client.py
@@ -7,7 +7,8 @@
 from ..core import Application
 from ..entry.endpoints import Endpoint
 from ..exceptions import EndpointUnreachable
-from ..ids import DaemonId
+from ..ids import DaemonId, RegionName
+from ..regions.region_map import RegionMap
 from ..tables.members import Member, MemberState, MemberTable
 from .const import MAX_RELAY_PEERS
 from .monitor import PartitionMonitor
@@ -30,6 +31,8 @@
         Daemons that can't relay calls.
     linked : callable
         Returns the daemons to which there is a link.
+    regions : RegionMap, optional
+        The regions of failure domains.
     """
 
     def __init__(
@@ -39,32 +42,39 @@
         members: MemberTable,
         partitioned_peers: PartitionedPeers,
         linked: Callable[[], set[DaemonId]],
+        regions: RegionMap | None = None,
     ) -> None:
         self._core = core
         self._partition = partition
         self._members = members
         self._partitioned_peers = partitioned_peers
         self._linked = linked
+        self._regions = regions or RegionMap()
 
     def is_direct(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is called directly."""
         return not self._partition.is_lost(endpoint.record.address)
 
     async def async_peers(
-        self, endpoint: Endpoint, failure: EndpointUnreachable | None
+        self,
+        endpoint: Endpoint,
+        failure: EndpointUnreachable | None,
+        home_regions: frozenset[RegionName] | None = None,
     ) -> list[Member]:
         """Return the peers that may relay a call, in the order in which to ask them.
 
+        The peers get the call's body, so they must be in one of its home regions.
+
         ``failure`` is that of the direct call, if there was one. Unless this daemon is
         partitioned, only a refused connection is worth the time to ask a peer: the
         endpoint has most likely crashed, and most calls can be sent to another one.
         """
         is_lost = await self._partition.async_check(endpoint.record.address)
         if is_lost or failure is None:
-            return self._candidates()[:MAX_RELAY_PEERS]
-        return self._candidates()[:1] if failure.is_refused else []
+            return self._candidates(home_regions)[:MAX_RELAY_PEERS]
+        return self._candidates(home_regions)[:1] if failure.is_refused else []
 
-    def _candidates(self) -> list[Member]:
+    def _candidates(self, home_regions: frozenset[RegionName] | None) -> list[Member]:
         """Return the peers that may reach endpoints, those of this domain first."""
         now_s = self._core.clock()
         linked = self._linked()
@@ -73,6 +83,7 @@
             for member in self._members.rows.values()
             if member.id in linked
             and member.state is MemberState.ALIVE
+            and self._regions.is_inside(member.failure_domain, home_regions)
             and not self._partitioned_peers.is_partitioned(member.id, now_s)
         ]
         self._core.rng.shuffle(candidates)
@@ -88,10 +99,11 @@
         target: str,
         *,
         is_repeatable: bool,
+        home_regions: frozenset[RegionName] | None = None,
     ) -> str:
         """Return the ticket for a call that a peer is asked to relay."""
         record = endpoint.record
-        ticket = RelayTicket(record.id, record.born_ms, is_repeatable)
+        ticket = RelayTicket(record.id, record.born_ms, is_repeatable, home_regions)
         signer = TicketSigner(self._core.daemon.peer_key, peer.boot_id)
         return signer.encode(ticket, method, target)
 
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -11,7 +11,7 @@
 from ..const import HEADER_REQUEST_ID
 from ..core import Application
 from ..eligibility.checker import EligibilityChecker
-from ..eligibility.model import NO_REQUIREMENTS
+from ..eligibility.model import Requirements
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
 from ..exceptions import ConnectionBroken, EndpointUnreachable
@@ -19,6 +19,7 @@
 from ..quarantine.fingerprint import RequestContent
 from ..quarantine.model import BrokenRun
 from ..quarantine.service import Quarantine
+from ..regions.region_map import RegionMap
 from ..relaying.upstream import EndpointCall, Upstream, forwarded_headers
 from .const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET, MAX_RELAYED_CALLS
 from .monitor import PartitionMonitor
@@ -52,6 +53,8 @@
         Connections to endpoints.
     eligibility : EligibilityChecker
         Decides which endpoints may get calls.
+    regions : RegionMap, optional
+        The regions of failure domains.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         header_codec: HeaderCodec,
         upstream: Upstream,
         eligibility: EligibilityChecker | None = None,
+        regions: RegionMap | None = None,
     ) -> None:
         self._core = core
         self._table = table
@@ -73,6 +77,7 @@
         self._header_codec = header_codec
         self._upstream = upstream
         self._eligibility = eligibility or EligibilityChecker()
+        self._regions = regions or RegionMap()
         self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
         self._in_flight = 0
 
@@ -107,7 +112,10 @@
         if row is None or row.record.born_ms != ticket.born_ms:
             return None
         now_s = self._core.clock()
-        if self._eligibility.reason(row, NO_REQUIREMENTS, now_s) is not None:
+        homes = ticket.home_regions
+        if not self._regions.is_inside(self._core.daemon.failure_domain, homes):
+            return None
+        if self._eligibility.reason(row, Requirements(homes), now_s) is not None:
             return None
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
--- a/chutelink/reachability/ticket.py
+++ b/chutelink/reachability/ticket.py
@@ -9,10 +9,12 @@
 
 import msgspec
 
-from ..ids import BootId, EndpointId
+from ..ids import BootId, EndpointId, RegionName
 
 MAC_BYTES = 16
 _FIELDS = 4
+_FIELDS_WITH_HOMES = 5
+"""Daemons of earlier releases reject such a ticket, and don't send the call."""
 
 
 class RelayResult(Enum):
@@ -29,12 +31,14 @@
 class RelayTicket(msgspec.Struct, frozen=True):
     """The process of an endpoint that is to receive a relayed call.
 
-    ``is_repeatable`` is whether the call may use a pooled connection.
+    ``is_repeatable`` is whether the call may use a pooled connection;
+    ``home_regions`` are the regions in which it may be handled, None for any.
     """
 
     endpoint: EndpointId
     born_ms: int
     is_repeatable: bool
+    home_regions: frozenset[RegionName] | None = None
 
 
 class TicketSigner:
@@ -58,20 +62,28 @@
         """Return the header value of a ticket for a request line."""
         endpoint = quote(ticket.endpoint, safe="")
         text = f"{endpoint} {ticket.born_ms} {int(ticket.is_repeatable)}"
+        if ticket.home_regions is not None:
+            names = (quote(name, safe="") for name in sorted(ticket.home_regions))
+            text += f" {','.join(names)}"
         return f"{text} {self._sign(text, method, target)}"
 
     def decode(self, value: str, method: str, target: str) -> RelayTicket | None:
         """Return the ticket in a header value, or None if it is not valid."""
         parts = value.split(" ")
-        if len(parts) != _FIELDS:
+        if len(parts) not in (_FIELDS, _FIELDS_WITH_HOMES):
             return None
         text, mac = " ".join(parts[:-1]), parts[-1]
         expected = self._sign(text, method, target)
         if not hmac.compare_digest(expected.encode(), mac.encode()):
             return None
-        endpoint, born_ms, is_repeatable, _ = parts
+        endpoint, born_ms, is_repeatable = parts[:3]
+        homes = None
+        if len(parts) == _FIELDS_WITH_HOMES:
+            homes = frozenset(
+                RegionName(unquote(name)) for name in parts[3].split(",") if name
+            )
         return RelayTicket(
-            EndpointId(unquote(endpoint)), int(born_ms), is_repeatable == "1"
+            EndpointId(unquote(endpoint)), int(born_ms), is_repeatable == "1", homes
         )
 
     def _sign(self, text: str, method: str, target: str) -> str:
--- /dev/null
+++ b/chutelink/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps requests with home regions inside these regions."""
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -12,6 +12,7 @@
 from ..entry.config import Route, ServiceSpec
 from ..entry.headers import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
+from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .routing import RoutingRequest
 
@@ -35,7 +36,8 @@
     ``admission`` has the customer and the quota decision. ``knowledge`` is the version
     and age of the list of endpoints at the last choice. ``software_version`` is that of
     the endpoint that began its stream, None if it is unknown; other endpoints don't
-    continue the stream once ``is_version_bound`` is set.
+    continue the stream once ``is_version_bound`` is set. ``homes`` has the home regions
+    of the configuration in force, which may be newer than the route.
     """
 
     meta: RequestMeta
@@ -64,6 +66,7 @@
     knowledge: TableFreshness | None = None
     software_version: SoftwareVersion | None = None
     is_version_bound: bool = False
+    homes: HomeRegions | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
         """Set the software version that has begun the stream."""
@@ -91,7 +94,9 @@
     @property
     def requirements(self) -> Requirements:
         """What the request requires of endpoints."""
-        return NO_REQUIREMENTS
+        if self.homes is None:
+            return NO_REQUIREMENTS
+        return self.homes.requirements(self.route, self.admission.customer)
 
     @property
     def first_event_deadline_s(self) -> float:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -26,6 +26,7 @@
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
 from ..quarantine.service import Quarantine
+from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .exchange import Exchange, urgency_of
@@ -117,6 +118,8 @@
             core, header_codec, table, loads, lambda: retry_budget.daemons
         )
         self._back_pressure = BackPressureGate(core, table, permits, self._eligibility)
+        self.homes: HomeRegions | None = None
+        """The home regions of requests, None if they may be served anywhere."""
         self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
@@ -349,6 +352,8 @@
         row = self._choose(exchange)
         if row is None:
             self._check_version(exchange)
+            # The home regions or the endpoints may have changed during the wait.
+            self._check_eligibility(exchange)
         return row
 
     def _check_version(self, exchange: Exchange) -> None:
@@ -376,6 +381,7 @@
             headers,
             exchange.body,
             exchange.is_repeatable,
+            exchange.requirements,
         )
 
     def take_retry(self, exchange: Exchange) -> bool:
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -17,6 +17,7 @@
 from yarl import URL
 
 from ..const import HEADER_REQUEST_ID
+from ..eligibility.model import NO_REQUIREMENTS, Requirements
 from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken, EndpointFailed, EndpointUnreachable
 from ..ids import EndpointId
@@ -106,7 +107,7 @@
     """A request to an endpoint; ``target`` is the raw path and query.
 
     ``is_repeatable`` allows the use of a pooled connection, which the endpoint may
-    just have closed.
+    just have closed. ``requirements`` also apply to the peers that relay the call.
     """
 
     method: str
@@ -115,6 +116,7 @@
     headers: CIMultiDict[str]
     body: bytes
     is_repeatable: bool
+    requirements: Requirements = NO_REQUIREMENTS
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -178,7 +180,8 @@
                 if self.relays is None:
                     raise
                 failure = error
-        for peer in await self.relays.async_peers(endpoint, failure):
+        homes = call.requirements.home_regions
+        for peer in await self.relays.async_peers(endpoint, failure, homes):
             try:
                 return await stack.enter_async_context(
                     self._async_open_relayed(endpoint, call, peer)
@@ -205,7 +208,12 @@
         name = endpoint.record.id
         headers = CIMultiDict(call.headers)
         headers[HEADER_RELAY_TICKET] = self.relays.make_ticket(
-            endpoint, peer, call.method, call.target, is_repeatable=call.is_repeatable
+            endpoint,
+            peer,
+            call.method,
+            call.target,
+            is_repeatable=call.is_repeatable,
+            home_regions=call.requirements.home_regions,
         )
         relayed = msgspec.structs.replace(call, headers=headers)
         address = f"{peer.address}:{peer.port}"
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -9,7 +9,8 @@
 from msgspec import Meta
 
 from .exceptions import SettingsError
-from .ini import Problem, decode_section, read_ini
+from .ids import FailureDomainName, RegionName
+from .ini import Problem, Section, decode_section, read_ini
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
@@ -25,6 +26,8 @@
 LogLevel = Annotated[str, Meta(pattern=r"^(debug|info|warning|error)$")]
 
 DEFAULT_PEER_PORT = 7101
+REGIONS_SECTION = "regions"
+"""The section whose keys are not fixed."""
 
 
 class DaemonSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -149,12 +152,16 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All sections of an entry daemon's settings file."""
+    """All sections of an entry daemon's settings file.
+
+    ``regions`` has one key for each failure domain, with its region as the value.
+    """
 
     daemon: DaemonSection
     platform: PlatformSection
     entry: EntrySection
     peers: PeersSection = PeersSection()
+    regions: dict[FailureDomainName, RegionName] = {}
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -228,7 +235,10 @@
             message = f"unknown section; known sections: {known}"
             problems.append(Problem(file, section.line, section.name, "", message))
             continue
-        value, found = decode_section(section, fields[section.name].type, file)
+        if section.name == REGIONS_SECTION:
+            value, found = _decode_regions(section, file)
+        else:
+            value, found = decode_section(section, fields[section.name].type, file)
         problems += found
         values[section.name] = value
     present = {section.name for section in ini.sections}
@@ -240,13 +250,31 @@
     return kind(**values), []
 
 
+def _decode_regions(
+    section: Section, file: str
+) -> tuple[dict[FailureDomainName, RegionName], list[Problem]]:
+    """Return the region of each failure domain; a region must not be empty."""
+    regions = {
+        FailureDomainName(key): RegionName(entry.value)
+        for key, entry in section.entries.items()
+    }
+    problems = [
+        Problem(file, entry.line, section.name, key, "region is empty")
+        for key, entry in section.entries.items()
+        if not entry.value
+    ]
+    return regions, problems
+
+
 def describe_settings(settings: msgspec.Struct) -> str:
     """Return settings as INI text with secrets masked."""
     lines: list[str] = []
     for section_name, section in msgspec.structs.asdict(settings).items():
         lines.append(f"[{section_name}]")
-        for key, value in msgspec.structs.asdict(section).items():
-            if key.endswith("key") and value:
+        is_table = isinstance(section, dict)
+        values = section if is_table else msgspec.structs.asdict(section)
+        for key, value in values.items():
+            if key.endswith("key") and value and not is_table:
                 value = "***"
             elif isinstance(value, tuple):
                 value = ", ".join(value)
--- a/tests/entry/test_directory.py
+++ b/tests/entry/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chutelink.entry.directory import MAX_SERVING, MIN_SERVING, Directory
+from chutelink.regions.region_map import RegionMap
 from chutelink.tables.members import Member, MemberState, MemberTable, Role
 
 
@@ -22,11 +23,31 @@
     )
 
 
-def make_directory(members) -> Directory:
+REGIONS = RegionMap({"a": "north", "b": "south", "c": "west"})
+
+
+class FakeHomes:
+    """Home regions that requests to one host have."""
+
+    is_configured = True
+
+    def __init__(self, **hosts):
+        self.hosts = hosts
+
+    def common_to_host(self, host):
+        return self.hosts.get(host)
+
+
+def make_directory(members, **hosts) -> Directory:
     table = MemberTable(members[0])
     for other in members[1:]:
         table.merge(other, 0.0)
-    return Directory(table, 1.0)
+    homes = FakeHomes(**hosts) if hosts else None
+    return Directory(table, 1.0, REGIONS, homes)
+
+
+def names_of(addresses) -> set[str]:
+    return {f"d{int(a.partition(':')[0].rpartition('.')[2]):03}" for a in addresses}
 
 
 def test_all_daemons_of_a_small_fleet_serve():
@@ -87,3 +108,49 @@
         partitioned |= {member.id for member in members[:count]}
         assert len(directory.addresses("a")) == listed
     assert len(directory.serving()) == 8
+
+
+def test_callers_with_home_regions_get_daemons_of_their_own_region_first():
+    """Guards against bodies that callers send to a daemon in a third region."""
+    large = [make_member(n, "ab"[n % 2], 2.0) for n in range(8)]
+    small = [make_member(n, "c", 0.5) for n in range(8, 12)]
+    directory = make_directory(large + small, host={"south"}, split=frozenset())
+    ids = {domain: set() for domain in "abc"}
+    for member in large + small:
+        ids[member.failure_domain].add(member.id)
+    for query, expected in (
+        (("a", "host", "north"), ids["a"]),
+        (("a", "host"), ids["a"]),
+        (("c", "host", "west"), {"d008", "d009"}),
+        (("x", "host", "east"), ids["b"]),
+        (("x", "split", "east"), ids["a"] | ids["b"]),
+        (("a", "other", "north"), ids["a"] | ids["b"]),
+    ):
+        assert names_of(directory.addresses(*query)) == expected
+    assert directory.serving() == ids["a"] | ids["b"] | {"d008", "d009"}
+
+
+def test_every_listed_daemon_of_a_region_serves():
+    """Guards against callers sent to a daemon without links, budgets and permits."""
+    members = [make_member(n, "ab"[n % 2]) for n in range(100)]
+    directory = make_directory(members, host={"south"})
+    for query in (("a", "host"), ("b", "host"), ("x", "host"), ("x", "host", "south")):
+        listed = names_of(directory.addresses(*query))
+        assert len(listed) == MAX_SERVING
+        assert listed <= directory.serving()
+
+
+def test_daemon_that_stops_answering_is_not_listed():
+    """Guards against addresses of a daemon that ended, while its death is confirmed."""
+    members = [make_member(number) for number in range(3)]
+    table = MemberTable(members[0])
+    for other in members[1:]:
+        table.merge(other, 0.0)
+    directory = Directory(table, 1.0)
+    table.suspect(members[1].id, 1.0)
+    assert names_of(directory.addresses("a")) == {"d000", "d002"}
+    # Peers that have not noticed yet repeat the old state.
+    assert table.merge(members[1], 1.5) is None
+    table.expire_suspects(10.0, 1.0)
+    table.merge(members[1], 10.0)
+    assert names_of(directory.addresses("a")) == {"d000", "d002"}
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -27,14 +27,20 @@
 _SUBNETS = itertools.count()
 
 
-def render(template: str, fields: dict[str, str]) -> str:
+def render(template: str, fields: dict[str, str | dict[str, str]]) -> str:
     """Render a settings template as the platform does.
 
     A ``#`` section is kept if its field has a value, a ``^`` section if it has none.
+    For a table, a ``#`` section is rendered once for each entry.
     """
 
     def render_section(match: re.Match) -> str:
         value = fields.get(match[2])
+        if isinstance(value, dict) and match[1] == "#":
+            return "".join(
+                match[3].replace("{{@}}", key).replace("{{.}}", entry)
+                for key, entry in value.items()
+            )
         is_shown = bool(value) is (match[1] == "#")
         return match[3].replace("{{.}}", value or "") if is_shown else ""
 
--- /dev/null
+++ b/tests/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of home regions."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from chutelink.settings import EntrySettings, decode_settings
+from chutelink.settings import EntrySettings, decode_settings, describe_settings
 
 from .processes.entry_deployment import ROOT, render
 
 
-def render_entry_settings(**bounds: str) -> str:
+def render_entry_settings(zones: dict[str, str] | None = None, **bounds: str) -> str:
     """Return the deployed template, rendered with example values."""
     fields = dict.fromkeys(
         (
@@ -26,6 +26,7 @@
     values |= {f"listen.{n}": f"{ip}:2" for n in ("front", "ready", "directory")}
     values |= {"listen.control": f"{ip}:3"}
     values |= {"limits.cpu_share": "0.5", "limits.cores": "1"}
+    values["zones"] = zones or {}
     return render((ROOT / "deploy" / "entry.ini").read_text(), values)
 
 
@@ -56,3 +57,18 @@
         render_entry_settings(**bounds), "entry.ini", EntrySettings
     )
     assert len(problems) == 1
+
+
+def test_regions_of_failure_domains_keep_their_case():
+    """Guards against a domain that matches no endpoint because of its spelling."""
+    zones = {"zone-A.1": "North", "2b": "south-1"}
+    settings, problems = decode_settings(
+        render_entry_settings(zones=zones), "entry.ini", EntrySettings
+    )
+    assert problems == []
+    assert settings.regions == zones
+    assert "zone-A.1 = North" in describe_settings(settings)
+    text = render_entry_settings()
+    assert decode_settings(text, "entry.ini", EntrySettings)[0].regions == {}
+    _, problems = decode_settings(f"{text}\na =\n", "entry.ini", EntrySettings)
+    assert [problem.key for problem in problems] == ["a"]
