--- a/tests/reachability/test_ticket.py
+++ b/tests/reachability/test_ticket.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from chutelink.ids import BootId, EndpointId
 from chutelink.reachability.ticket import RelayTicket, TicketSigner
 
@@ -27,3 +29,18 @@
     changed = value.replace(" 17 ", " 18 ")
     for text in (changed, "", "a b", "a b c d", "ä 1 1 ä", value + " x"):
         assert SIGNER.decode(text, "POST", "/a") is None
+
+
+def test_home_regions_are_part_of_a_signed_ticket():
+    """Guards against homes that are lost, and tickets that old releases misread."""
+    plain = SIGNER.encode(TICKET, "POST", "/a")
+    assert len(plain.split(" ")) == 4
+    for homes in (frozenset({"süd 1,2", "a"}), frozenset()):
+        ticket = msgspec.structs.replace(TICKET, home_regions=homes)
+        value = SIGNER.encode(ticket, "POST", "/a")
+        assert len(value.split(" ")) == 5
+        assert SIGNER.decode(value, "POST", "/a") == ticket
+        parts = value.split(" ")
+        assert SIGNER.decode(" ".join([*parts[:3], parts[4]]), "POST", "/a") is None
+        widened = " ".join([*parts[:3], "b", parts[4]])
+        assert SIGNER.decode(widened, "POST", "/a") is None
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -13,6 +13,7 @@
 
 from chutelink.customers.access import CustomerAccess
 from chutelink.customers.holders import HolderView
+from chutelink.eligibility.checker import EligibilityChecker
 from chutelink.entry.config import RouteTable
 from chutelink.entry.http import CallerServer
 from chutelink.entry.load_tracker import LoadTracker
@@ -22,6 +23,9 @@
 from chutelink.origins.manager import OriginManager
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.quarantine.service import Quarantine
+from chutelink.regions.homes import HomeRegions
+from chutelink.regions.region_map import RegionMap
+from chutelink.regions.rule import HomeRegionRule
 from chutelink.relaying.exchange_dispatcher import ExchangeDispatcher
 from chutelink.relaying.relay import Relay
 from chutelink.relaying.retry_budget import RetryBudgetShare
@@ -60,8 +64,12 @@
         self.config_knowledge = TableFreshness(1, 0.0)
         self.customers = CustomerAccess(self.quotas, lambda: self.config_knowledge, 2.0)
         self.state.on_config = self._apply_config
+        self.regions = RegionMap({"zone-a": "north", "zone-b": "south"})
+        self.homes = HomeRegions(self.core, self.regions)
         self.upstream = Upstream()
         self.session = aiohttp.ClientSession()
+        self.zones: dict[str, str] = {}
+        """Failure domains of endpoints that are not in ``zone-a``."""
         self.url = ""
         self._server: asyncio.Server | None = None
 
@@ -84,7 +92,9 @@
             self.quarantine,
             PermitManager(self.core),
             OriginManager(self.core, state.endpoints.versions),
+            EligibilityChecker((HomeRegionRule(self.regions),)),
         )
+        dispatcher.homes = self.homes
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
         streams = StreamRelay(self.core, dispatcher, self.upstream, relay)
@@ -119,7 +129,10 @@
     def register(self, endpoint: EndpointStandin) -> None:
         """Pass an endpoint's current registration to the daemon."""
         key = f"endpoints/{endpoint.name}"
-        self.state.apply_row(RowChange(key, endpoint.registration()))
+        row = endpoint.registration() | {
+            "zone": self.zones.get(endpoint.name, "zone-a")
+        }
+        self.state.apply_row(RowChange(key, row))
 
     def remove(self, endpoint: EndpointStandin) -> None:
         """Pass the removal of an endpoint's registration to the daemon."""
@@ -132,6 +145,8 @@
 
     def _apply_config(self) -> None:
         self.quotas.sync(self.state.routes.config.customers or {})
+        self.homes.update(self.state.routes.config)
+        self.pending.signal()
 
     def route_table(self) -> RouteTable:
         return self.state.routes
