--- a/tests/regions/test_placement.py
+++ b/tests/regions/test_placement.py
@@ -18,6 +18,7 @@
 )
 from chutelink.placing.changes import PlacementView
 from chutelink.placing.placement import DemandPlacement
+from chutelink.placing.residency import ModelResidency
 from chutelink.regions.region_map import RegionMap
 
 from ..placing.test_placement import make_engine, make_site
@@ -119,6 +120,22 @@
     assert demand.waiting_at_home(NOW_S + 6 + UNSERVED_VALID_S) == {}
 
 
+@pytest.mark.parametrize(
+    ("domain", "models", "is_overdue"),
+    [("zone-b", {"m0": []}, True), ("zone-b", {"m1": []}, False), ("x", {}, False)],
+)
+def test_long_denial_at_home_justifies_evictions(domain, models, is_overdue):
+    """Guards against starvation at a full home endpoint beside replicas elsewhere."""
+    sites = [
+        make_site_in("zone-a", "i-1", {"m1": []}),
+        make_site_in(domain, "i-2", models),
+    ]
+    homes = [HomeUsage("m1", "", SOUTH, 1)]
+    view = make_view(sites, [], homes, now_s=NOW_S - 5)
+    view = msgspec.structs.replace(view, now_s=NOW_S)
+    assert ModelResidency(view).is_overdue("m1") is is_overdue
+
+
 def test_report_carries_the_home_regions_of_waiting_requests():
     """Guards against a wait that is never reported, or never ends."""
 
