--- a/tests/peers/test_virtual_fleet.py
+++ b/tests/peers/test_virtual_fleet.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from chutelink.entry.directory import Directory
 from chutelink.tables.members import MemberState
 from tests.virtual_time import run_in_virtual_time
 
@@ -14,6 +15,8 @@
 
 CONVERGENCE_S = 6.0
 """Time limit for a membership change to reach all: timeout, dial and suspicion."""
+DIRECTORY_BOUND_S = 7.0
+"""Time after which no directory may name a daemon that has ended."""
 CONTROL_BYTES_PER_S = 12_000.0
 """Limit of control traffic per daemon."""
 
@@ -167,3 +170,26 @@
         }
     finally:
         await fleet.async_stop()
+
+
+@pytest.mark.parametrize("count", [19, 60])
+@pytest.mark.parametrize("kind", ["domain", "hubs", "most"])
+@in_virtual_time
+async def test_no_directory_names_a_daemon_that_ended_7_s_ago(count, kind):
+    """Guards against addresses of daemons whose neighbours ended with them."""
+    fleet = await async_start_fleet(count)
+    try:
+        killed = {
+            "domain": [n for n in fleet.names if fleet.domain(n) == "domain-2"],
+            "hubs": fleet.names[:12],
+            "most": [n for n in fleet.names if fleet._rng.random() < 0.6],
+        }[kind]
+        await fleet.async_kill(killed)
+        await asyncio.sleep(DIRECTORY_BOUND_S)
+        ended = {f"{name}:2" for name in killed}
+        for mesh in fleet.meshes.values():
+            directory = Directory(mesh.table, 1.0)
+            for domain in range(fleet.domains):
+                assert ended.isdisjoint(directory.addresses(f"domain-{domain}"))
+    finally:
+        await fleet.async_stop()
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -79,3 +79,24 @@
 
 def test_unknown_field_is_ignored():
     assert decode(something="new").version == 7
+
+
+def test_home_regions_of_routes_and_customers_are_decoded():
+    """Guards against an empty list that is read as no restriction."""
+    routes = make_config(7, SERVICES)["routes"]
+    routes[0]["home_regions"], routes[1]["home_regions"] = ["a", "b", "a"], []
+    tenants = [{"name": "c", "home_regions": ["a"]}, {"name": "d"}]
+    config = decode(routes=routes, tenants=tenants)
+    assert [r.home_regions for r in config.routes] == [{"a", "b"}, set(), None]
+    homes = {name: c.home_regions for name, c in config.customers.items()}
+    assert homes == {"c": {"a"}, "d": None}
+
+
+@pytest.mark.parametrize("homes", ["a", [1], {"a": 1}, [None]])
+def test_malformed_home_regions_are_rejected(homes):
+    """Guards against restrictions that are dropped because they can't be read."""
+    routes = make_config(7, SERVICES)["routes"]
+    with pytest.raises(ConfigInvalid):
+        decode(routes=[routes[0] | {"home_regions": homes}])
+    with pytest.raises(ConfigInvalid):
+        decode(tenants=[{"name": "c", "home_regions": homes}])
