--- a/tests/entry/partitioned_fleet.py
+++ b/tests/entry/partitioned_fleet.py
@@ -146,10 +146,14 @@
 
 @asynccontextmanager
 async def async_partitioned_fleet(
-    directory: Path, daemons: int = 3
+    directory: Path,
+    daemons: int = 3,
+    regions: dict[str, str] | None = None,
+    domains: dict[int, str] | None = None,
 ) -> AsyncIterator[PartitionedFleet]:
     """Run a fleet whose daemons list each other, and that has a placer."""
     fleet = PartitionedFleet(directory)
+    fleet.regions, fleet.domains = regions or {}, domains or {}
     fleet.session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(force_close=True)
     )
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -60,6 +60,10 @@
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store_proxy: BlackholeProxy | None = None
+        self.regions: dict[str, str] = {}
+        """The region of each failure domain."""
+        self.domains: dict[int, str] = {}
+        """Failure domains of daemons that are not in ``zone-a``."""
 
     @property
     def store_url(self) -> str:
@@ -95,7 +99,8 @@
         ip = self.address(number)
         fields = {
             "node": f"vm-{number}",
-            "zone": "zone-a",
+            "zone": self.domains.get(number, "zone-a"),
+            "zones": self.regions,
             "ip": ip,
             "listen.control": f"{ip}:{BASE_PORT + 9}",
             "seeds": f"{self.address(0)}:{BASE_PORT + 9}",
