--- a/chutelink/eligibility/checker.py
+++ b/chutelink/eligibility/checker.py
@@ -84,5 +84,10 @@
         """
         if not rows and requirements.home_regions is not None:
             return IneligibleReason.OUTSIDE_HOME_REGIONS
-        reasons = [self.reason(row, requirements, now_s) for row in rows]
-        return None if None in reasons else next(iter(reasons), None)
+        first: IneligibleReason | None = None
+        for row in rows:
+            reason = self.reason(row, requirements, now_s)
+            if reason is None:
+                return None
+            first = first or reason
+        return first
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -11,7 +11,7 @@
 from ..const import HEADER_REQUEST_ID
 from ..core import Application
 from ..eligibility.checker import EligibilityChecker
-from ..eligibility.model import Requirements
+from ..eligibility.model import IneligibleReason, Requirements
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
 from ..exceptions import ConnectionBroken, EndpointUnreachable
@@ -112,10 +112,15 @@
         if row is None or row.record.born_ms != ticket.born_ms:
             return None
         now_s = self._core.clock()
-        homes = ticket.home_regions
-        if not self._regions.is_inside(self._core.daemon.failure_domain, homes):
-            return None
-        if self._eligibility.reason(row, Requirements(homes), now_s) is not None:
+        reason = self._eligibility.reason(row, Requirements(ticket.home_regions), now_s)
+        own_domain = self._core.daemon.failure_domain
+        if not self._regions.is_inside(own_domain, ticket.home_regions):
+            # The sender knows another region for this daemon, or it has none.
+            reason = IneligibleReason.OUTSIDE_HOME_REGIONS
+        if reason is not None:
+            self._core.events.record(
+                "relay_ineligible", endpoint=ticket.endpoint, reason=reason.value
+            )
             return None
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
--- a/chutelink/regions/homes.py
+++ b/chutelink/regions/homes.py
@@ -41,6 +41,8 @@
         self._routes: dict[RouteName, Route] = {}
         self._paths: dict[tuple[str, str], Route] = {}
         self._customers: dict[CustomerName, Customer] = {}
+        self._of_customers: Homes = None
+        self._of_hosts: dict[str, Homes] = {}
         self._cache: dict[_CacheKey, Requirements] = {}
         self.is_configured = False
         """Whether a route or customer of the configuration has home regions."""
@@ -51,8 +53,17 @@
         self._paths = {_path_of(route): route for route in config.routes}
         self._customers = config.customers or {}
         self._cache.clear()
-        with_homes = [*config.routes, *self._customers.values()]
-        self.is_configured = any(e.home_regions is not None for e in with_homes)
+        self._of_customers = intersect(
+            *(customer.home_regions for customer in self._customers.values())
+        )
+        self._of_hosts = {}
+        for route in config.routes:
+            host = route.host.lower()
+            known = self._of_hosts.get(host, self._of_customers)
+            self._of_hosts[host] = intersect(known, route.home_regions)
+        self.is_configured = self._of_customers is not None or any(
+            homes is not None for homes in self._of_hosts.values()
+        )
         errors = 0
         for route, customer, problem in self._errors():
             errors += 1
@@ -137,9 +148,7 @@
         result is None if there are none, and empty if no region is common to all.
         """
         name = host.lower().partition(":")[0]
-        routes = [r for r in self._routes.values() if r.host.lower() == name]
-        entries = [*routes, *self._customers.values()]
-        return intersect(*(entry.home_regions for entry in entries))
+        return self._of_hosts.get(name, self._of_customers)
 
 
 def _path_of(route: Route) -> tuple[str, str]:
--- a/tests/regions/test_homes.py
+++ b/tests/regions/test_homes.py
@@ -100,6 +100,21 @@
     assert len(errors) == len(found)
 
 
+def test_directory_uses_the_homes_of_a_hosts_routes_and_of_all_customers():
+    """Guards against callers that are sent to a region that some request excludes."""
+    routes = {"r": ["north", "south"], "s": None}
+    homes, _ = make_homes(make_config(routes, {"c": ["south", "east"], "d": None}))
+    assert homes.is_configured
+    assert homes.common_to_host("R.example:80") == {"south"}
+    assert homes.common_to_host("s.example") == {"south", "east"}
+    homes.update(make_config(routes, {"d": None}))
+    assert homes.is_configured
+    assert homes.common_to_host("r.example") == {"north", "south"}
+    assert homes.common_to_host("s.example") is None
+    homes.update(make_config({"r": None}))
+    assert not homes.is_configured
+
+
 def make_row(domain):
     return SimpleNamespace(record=SimpleNamespace(failure_domain=domain))
 
