--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -36,6 +36,9 @@
 from ..reachability.monitor import PartitionMonitor
 from ..reachability.probe import VerifiedProbe
 from ..reachability.relay_client import RelayClient
+from ..regions.homes import HomeRegions
+from ..regions.region_map import RegionMap
+from ..regions.rule import HomeRegionRule
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
@@ -136,7 +139,11 @@
         self.retry_budget = RetryBudgetShare(
             entry.retry_ratio, entry.retry_slack, entry.retry_window_s
         )
-        self.directory = Directory(self.members, entry.address_valid_s)
+        self.regions = RegionMap(settings.regions)
+        self.homes = HomeRegions(self, self.regions)
+        self.directory = Directory(
+            self.members, entry.address_valid_s, self.regions, self.homes
+        )
         bounds = QuotaBounds(
             entry.quota_window_s, entry.quota_excess_share, entry.quota_slack
         )
@@ -144,8 +151,14 @@
         self.evacuations = EvacuationTable(self)
         self.evacuations.on_changed = self._handle_endpoints_changed
         self.evacuations.on_ended = self.known.cold.mark_unknown
-        self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
         self.cold_grants = ColdGrantManager(self, self.known.endpoints, self.known.cold)
+        home_rule = HomeRegionRule(self.regions)
+        home_rule.on_unmapped = lambda domain: self.events.warning(
+            "failure_domain_without_region", failure_domain=domain
+        )
+        self.eligibility = EligibilityChecker(
+            (EvacuationRule(self.evacuations), home_rule)
+        )
         self.eligibility.on_ineligible = lambda reason: (
             self.metrics.ineligible_endpoints.inc({"reason": reason.value})
         )
@@ -198,6 +211,7 @@
             self.members,
             self.router.partitioned_peers,
             self.mesh.linked_members,
+            self.regions,
         )
         self.mesh.on_broadcast = self.router.handle_broadcast
         self.mesh.on_direct = self.router.handle_direct
@@ -313,6 +327,7 @@
         self.placer.partition = self.partition
         self.placer.eligibility = self.eligibility
         self.placer.is_cold = self.known.cold.is_cold
+        self.placer.regions = self.regions
         self.placer.cold_load_limiters.window_s = self.settings.entry.cold_load_window_s
         self.placer.cold_load_limiters.excess = self.settings.entry.cold_load_excess
 
@@ -422,6 +437,10 @@
 
     def _apply_config(self) -> None:
         config = self.known.routes.config
+        self.homes.update(config)
+        # Home regions determine which daemons serve, and where requests may wait.
+        self.router.choose_links()
+        self.pending.signal()
         self.placer.config = config
         self.quotas.update(self.router.serving, self.members)
         self.quotas.update_customers(config.customers)
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -17,6 +17,7 @@
     EndpointId,
     ModelName,
     ModelRef,
+    RegionName,
     StoreEra,
 )
 from ..limits.messages import EndpointLimit, PermitAnswer, PermitRequest
@@ -93,6 +94,20 @@
     served: int = 0
 
 
+class HomeUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Those requests of a `ModelUsage` that have the same home regions, sorted.
+
+    ``waiting`` counts the requests whose model or adapter is not loaded there, and
+    ``served`` the requests answered since the last message.
+    """
+
+    model: ModelName
+    adapter: AdapterName
+    regions: tuple[RegionName, ...]
+    waiting: int
+    served: int = 0
+
+
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
     """Requests of one daemon in flight at an endpoint, in total and by model.
 
@@ -139,7 +154,8 @@
     that announced their shutdown since then. ``is_partitioned`` says that it reaches no
     endpoint at all. ``prompt_sizes`` belongs to ``prefixes``, item by item; it is empty
     if the sender doesn't weigh prefixes. ``cold`` lists endpoints whose responses
-    showed since then that they have become cold.
+    showed since then that they have become cold. ``homes`` repeats the usage by
+    requests with home regions. Daemons of earlier releases ignore the last three.
     """
 
     daemon: DaemonId
@@ -153,6 +169,7 @@
     is_partitioned: bool = False
     prompt_sizes: list[PromptSizes] = []
     cold: list[ColdEndpoint] = []
+    homes: list[HomeUsage] = []
 
 
 class PromptNotice(msgspec.Struct, frozen=True, array_like=True, tag="prompt"):
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -57,6 +57,9 @@
         self.prompt_tokens = self._counter(
             "prompt_tokens_total", "Prompt tokens sent, by whether endpoints hold them"
         )
+        self.home_region_errors = self._gauge(
+            "home_region_errors", "Invalid home regions in the configuration in force"
+        )
         self.held_requests = self._gauge(
             "requests_held", "Requests kept away that end their endpoints"
         )
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -20,6 +20,7 @@
 from ..learning.health import HealthTable
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
 from ..reachability.monitor import PartitionMonitor
+from ..regions.region_map import RegionMap
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .change_tracker import ChangeTracker
 from .changes import Change, PlacementView, Site
@@ -114,6 +115,7 @@
         elsewhere."""
         self.is_cold: Callable[[Endpoint], bool] = lambda row: False
         """Returns whether an endpoint takes only few requests for some seconds."""
+        self.regions = RegionMap()
         self._term = 0
         self.config: RoutingConfig | None = None
 
@@ -249,6 +251,8 @@
             cold_loads=limiter.available(now_s),
             now_s=now_s,
             paused=self._load_backoff.paused_models(now_s),
+            loading_at=self._tracker.loading_at(),
+            regions=self.regions,
         )
         for change in self._policy.plan(view):
             if change.is_cold:
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -12,7 +12,7 @@
 from ..const import HEADER_REQUEST_ID
 from ..core import Application
 from ..eligibility.checker import EligibilityChecker
-from ..eligibility.model import NO_REQUIREMENTS
+from ..eligibility.model import IneligibleReason, Requirements
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.headers import HeaderCodec
 from ..exceptions import (
@@ -25,6 +25,7 @@
 from ..quarantine.fingerprint import RequestContent
 from ..quarantine.model import BrokenRun
 from ..quarantine.service import Quarantine
+from ..regions.region_map import RegionMap
 from ..relaying.upstream import EndpointCall, Upstream, forwarded_headers
 from .const import HEADER_RELAY_RESULT, HEADER_RELAY_TICKET, MAX_RELAYED_CALLS
 from .monitor import PartitionMonitor
@@ -59,6 +60,8 @@
         Connections to endpoints.
     eligibility : EligibilityChecker
         Decides which endpoints may get calls.
+    regions : RegionMap, optional
+        The regions of failure domains.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         header_codec: HeaderCodec,
         upstream: Upstream,
         eligibility: EligibilityChecker | None = None,
+        regions: RegionMap | None = None,
     ) -> None:
         self._core = core
         self._table = table
@@ -80,6 +84,7 @@
         self._header_codec = header_codec
         self._upstream = upstream
         self._eligibility = eligibility or EligibilityChecker()
+        self._regions = regions or RegionMap()
         self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
         self._in_flight = 0
 
@@ -98,6 +103,7 @@
         row = None if ticket is None else self._find_endpoint(ticket)
         if row is None or not self._has_capacity():
             return self._end(request, RelayResult.NOT_SENT)
+        requirements = Requirements(ticket.home_regions)
         call = EndpointCall(
             request.method,
             target,
@@ -105,7 +111,7 @@
             forwarded_headers(request.headers),
             await request.content.read(),
             ticket.is_repeatable,
-            lambda: self._is_eligible(row),
+            lambda: self._may_send(row, requirements),
             self._send_left_s(ticket, arrived_s),
         )
         with self._count_in_flight():
@@ -117,14 +123,21 @@
         if row is None or row.record.born_ms != ticket.born_ms:
             return None
         now_s = self._core.clock()
-        if not self._is_eligible(row):
+        reason = self._eligibility.reason(row, Requirements(ticket.home_regions), now_s)
+        own_domain = self._core.daemon.failure_domain
+        if not self._regions.is_inside(own_domain, ticket.home_regions):
+            # The sender knows another region for this daemon, or it has none.
+            reason = IneligibleReason.OUTSIDE_HOME_REGIONS
+        if reason is not None:
+            self._core.events.record(
+                "relay_ineligible", endpoint=ticket.endpoint, reason=reason.value
+            )
             return None
         is_reachable = self._health.is_reachable(ticket.endpoint, now_s)
         return row if is_reachable and row.is_usable(now_s) else None
 
-    def _is_eligible(self, row: Endpoint) -> bool:
-        now_s = self._core.clock()
-        return self._eligibility.may_send(row, NO_REQUIREMENTS, now_s)
+    def _may_send(self, row: Endpoint, requirements: Requirements) -> bool:
+        return self._eligibility.may_send(row, requirements, self._core.clock())
 
     def _send_left_s(
         self, ticket: RelayTicket, arrived_s: float
--- a/chutelink/reachability/ticket.py
+++ b/chutelink/reachability/ticket.py
@@ -9,11 +9,15 @@
 
 import msgspec
 
-from ..ids import BootId, EndpointId
+from ..ids import BootId, EndpointId, RegionName
 
 MAC_BYTES = 16
-_FIELDS = (4, 5)
-"""Numbers of fields; the last one before the hash is omitted if it is None."""
+_FIELDS = (4, 5, 6)
+"""Numbers of fields: the last ones before the hash are omitted if they are None.
+
+Daemons of earlier releases reject longer tickets, and don't send the call.
+"""
+_NO_TIME_LIMIT = "-"
 
 
 class RelayResult(Enum):
@@ -30,15 +34,17 @@
 class RelayTicket(msgspec.Struct, frozen=True):
     """The process of an endpoint that is to receive a relayed call.
 
-    ``is_repeatable`` is whether the call may use a pooled connection, and
-    ``send_within_ms`` how long after its arrival the peer may send the call, None if
-    that is not limited.
+    ``is_repeatable`` is whether the call may use a pooled connection;
+    ``send_within_ms`` is how long after its arrival the peer may send the call, None if
+    that is not limited; ``home_regions`` are the regions in which it may be handled,
+    None for any.
     """
 
     endpoint: EndpointId
     born_ms: int
     is_repeatable: bool
     send_within_ms: int | None = None
+    home_regions: frozenset[RegionName] | None = None
 
 
 class TicketSigner:
@@ -64,6 +70,11 @@
         text = f"{endpoint} {ticket.born_ms} {int(ticket.is_repeatable)}"
         if ticket.send_within_ms is not None:
             text = f"{text} {ticket.send_within_ms}"
+        elif ticket.home_regions is not None:
+            text = f"{text} {_NO_TIME_LIMIT}"
+        if ticket.home_regions is not None:
+            names = (quote(name, safe="") for name in sorted(ticket.home_regions))
+            text += f" {','.join(names)}"
         return f"{text} {self._sign(text, method, target)}"
 
     def decode(self, value: str, method: str, target: str) -> RelayTicket | None:
@@ -75,12 +86,20 @@
         expected = self._sign(text, method, target)
         if not hmac.compare_digest(expected.encode(), mac.encode()):
             return None
-        endpoint, born_ms, is_repeatable, *rest, _ = parts
+        endpoint, born_ms, is_repeatable, *options, _ = parts
+        send_within_ms = homes = None
+        if options and options[0] != _NO_TIME_LIMIT:
+            send_within_ms = int(options[0])
+        if len(options) > 1:
+            homes = frozenset(
+                RegionName(unquote(name)) for name in options[1].split(",") if name
+            )
         return RelayTicket(
             EndpointId(unquote(endpoint)),
             int(born_ms),
             is_repeatable == "1",
-            int(rest[0]) if rest else None,
+            send_within_ms,
+            homes,
         )
 
     def _sign(self, text: str, method: str, target: str) -> str:
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -12,6 +12,7 @@
 from ..entry.config import Route, ServiceSpec
 from ..entry.headers import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
+from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .routing import PrefixChoice, RoutingRequest
 
@@ -38,6 +39,8 @@
     that of the endpoint that began its stream, None if it is unknown; other endpoints
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
+    ``homes`` has the home regions of the configuration in force, which may be newer
+    than the route.
     """
 
     meta: RequestMeta
@@ -68,6 +71,7 @@
     software_version: SoftwareVersion | None = None
     is_version_bound: bool = False
     send_before_s: float | None = None
+    homes: HomeRegions | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
         """Set the software version that has begun the stream."""
@@ -95,7 +99,9 @@
     @property
     def requirements(self) -> Requirements:
         """What the request requires of endpoints."""
-        return NO_REQUIREMENTS
+        if self.homes is None:
+            return NO_REQUIREMENTS
+        return self.homes.requirements(self.route, self.admission.customer)
 
     @property
     def first_event_deadline_s(self) -> float:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -28,6 +28,7 @@
 from ..limits.permits import PermitManager
 from ..origins.manager import OriginManager
 from ..quarantine.service import Quarantine
+from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .exchange import Exchange, urgency_of
@@ -133,6 +134,8 @@
         self._back_pressure = BackPressureGate(
             core, table, permits, self._eligibility, cold_grants
         )
+        self.homes: HomeRegions | None = None
+        """The home regions of requests, None if they may be served anywhere."""
         self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
@@ -387,6 +390,7 @@
         row = self._choose(exchange)
         if row is None:
             self._check_version(exchange)
+            # The home regions or the endpoints may have changed during the wait.
             self._check_eligibility(exchange)
         return row
 
@@ -418,6 +422,7 @@
             exchange.is_repeatable,
             lambda: self._may_send(exchange, row),
             self._back_pressure.send_left_s(exchange),
+            exchange.requirements,
         )
 
     def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -18,6 +18,7 @@
 from yarl import URL
 
 from ..const import HEADER_REQUEST_ID
+from ..eligibility.model import NO_REQUIREMENTS, Requirements
 from ..entry.endpoints import Endpoint
 from ..exceptions import (
     ConnectionBroken,
@@ -145,7 +146,7 @@
     just have closed. ``may_send`` is asked right before the call is sent, directly or
     to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
     well and returns the time left in which the call may be sent; None if that is not
-    limited.
+    limited. ``requirements`` also apply to the peers that relay the call.
     """
 
     method: str
@@ -156,6 +157,7 @@
     is_repeatable: bool
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
+    requirements: Requirements = NO_REQUIREMENTS
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -225,7 +227,8 @@
                 if self.relays is None:
                     raise
                 failure = error
-        for peer in await self.relays.async_peers(endpoint, failure):
+        homes = call.requirements.home_regions
+        for peer in await self.relays.async_peers(endpoint, failure, homes):
             try:
                 return await stack.enter_async_context(
                     self._async_open_relayed(endpoint, call, peer)
@@ -260,6 +263,7 @@
             call.target,
             is_repeatable=call.is_repeatable,
             send_left_s=None if call.send_left_s is None else call.send_left_s(),
+            home_regions=call.requirements.home_regions,
         )
         relayed = msgspec.structs.replace(call, headers=headers)
         address = f"{peer.address}:{peer.port}"
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -26,6 +26,9 @@
 from chutelink.origins.manager import OriginManager
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.quarantine.service import Quarantine
+from chutelink.regions.homes import HomeRegions
+from chutelink.regions.region_map import RegionMap
+from chutelink.regions.rule import HomeRegionRule
 from chutelink.relaying.exchange_dispatcher import ExchangeDispatcher
 from chutelink.relaying.prefix_weighing import make_routing_policy
 from chutelink.relaying.relay import Relay
@@ -67,7 +70,11 @@
         self.pending = PendingTable()
         self.evacuations = EvacuationTable(self.core)
         self.evacuations.on_changed = self.pending.signal
-        self.eligibility = EligibilityChecker((EvacuationRule(self.evacuations),))
+        self.regions = RegionMap({"zone-a": "north", "zone-b": "south"})
+        self.homes = HomeRegions(self.core, self.regions)
+        self.eligibility = EligibilityChecker(
+            (EvacuationRule(self.evacuations), HomeRegionRule(self.regions))
+        )
         self.loads = LoadTracker()
         self.retry_budget = RetryBudgetShare(0.2, 50, 10.0)
         self.quotas = make_quota_manager(self.core)
@@ -78,6 +85,8 @@
         self.state.on_config = self._apply_config
         self.upstream = Upstream()
         self.session = aiohttp.ClientSession()
+        self.zones: dict[str, str] = {}
+        """Failure domains of endpoints that are not in ``zone-a``."""
         self.url = ""
         self._server: asyncio.Server | None = None
 
@@ -109,6 +118,7 @@
             self.eligibility,
             cold_grants=self.cold_grants,
         )
+        dispatcher.homes = self.homes
         self.dispatcher = dispatcher
         self.relay = relay = Relay(dispatcher, self.upstream)
         streams = StreamRelay(self.core, dispatcher, self.upstream, relay)
@@ -143,7 +153,10 @@
     def register(self, endpoint: EndpointStandin) -> None:
         """Pass an endpoint's current registration to the daemon."""
         key = f"endpoints/{endpoint.name}"
-        self.state.apply_row(RowChange(key, endpoint.registration()))
+        row = endpoint.registration() | {
+            "zone": self.zones.get(endpoint.name, "zone-a")
+        }
+        self.state.apply_row(RowChange(key, row))
 
     def remove(self, endpoint: EndpointStandin) -> None:
         """Pass the removal of an endpoint's registration to the daemon."""
@@ -160,6 +173,8 @@
 
     def _apply_config(self) -> None:
         self.quotas.sync(self.state.routes.config.customers or {})
+        self.homes.update(self.state.routes.config)
+        self.pending.signal()
 
     def route_table(self) -> RouteTable:
         return self.state.routes
