Let the stand-in have cold endpoints, evacuations and regions

The features of endpoint eligibility need a platform to be tested against: endpoints that announce a cold phase and crash above its request rate, an operator's row that evacuates a failure domain with the time of its acknowledgement, and home regions in the configuration. Endpoints record each request that they did not answer with 421, with failure domain, region and process, so that checks can find forbidden ones.

Nothing changes unless a service has cold_s and cold_per_s or domains are given.

--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -8,18 +8,36 @@
 
 import asyncio
 import json
+import time
 
+import msgspec
 from aiohttp import web
 
 from .metadata_store import MetadataStore, StoreSnapshot
-from .prepared_config import make_config
-from .prepared_endpoint import EndpointStandin
+from .prepared_config import MODEL_COUNT, make_config
+from .prepared_endpoint import EndpointStandin, ServiceSettings
 from .web import json_response, make_parser, merge_faults, serve
 
+DOMAINS = "zone-a,zone-a"
+"""Failure domains, each with an engine and a plain server."""
+REGISTRATION_INTERVAL_S = 1.2
+EVACUATION_PREFIX = "evacuate/"
 REWRITE_DELAY_S = 0.5
 """Delay after which operators and endpoints rewrite rows that the store has lost."""
 
 
+class Evacuation(msgspec.Struct):
+    """Evacuation of a failure domain, on the monotonic clock of the process.
+
+    ``acked_s`` is when the operators were told that the row is written; ``removed_s``
+    is when its removal began, None before.
+    """
+
+    domain: str
+    acked_s: float
+    removed_s: float | None = None
+
+
 class PreparedMachines:
     """The metadata store and its endpoints."""
 
@@ -33,6 +51,8 @@
         """How long an endpoint stays down after a request has crashed it."""
         self.config: dict | None = None
         """The configuration that the operators wrote last."""
+        self.evacuations: list[Evacuation] = []
+        self._registration_task: asyncio.Task[None] | None = None
 
     async def async_add(self, endpoint: EndpointStandin, host: str) -> None:
         """Start an endpoint on a free port and register it."""
@@ -41,6 +61,7 @@
         endpoint.address = f"{host}:{port}"
         endpoint.on_crash = self.crash
         self.endpoints[endpoint.name] = endpoint
+        self._configure_endpoints()
         self.register(endpoint.name)
 
     async def _async_listen(
@@ -80,6 +101,7 @@
         await asyncio.sleep(self.restart_delay_s)
         host, _, port = endpoint.address.rpartition(":")
         await self._async_listen(endpoint, host, int(port))
+        endpoint.cold.restart()
         self.register(endpoint.name)
 
     def register(self, name: str) -> None:
@@ -89,19 +111,80 @@
     def configure(self, config: dict) -> int:
         """Write a configuration as the operators do and return its row version."""
         self.config = config
+        self._configure_endpoints()
         return self.store.put("op", "config", config)
 
+    def _configure_endpoints(self) -> None:
+        """Apply the services' settings; register periodically if any may be cold."""
+        try:
+            services = msgspec.convert(
+                (self.config or {}).get("services", []), list[ServiceSettings]
+            )
+        except msgspec.ValidationError:
+            # Tests write malformed configurations; the last valid one stays in force.
+            return
+        by_name = {service.name: service for service in services}
+        for endpoint in self.endpoints.values():
+            endpoint.configure(by_name.get(endpoint.service, ServiceSettings("")))
+        may_be_cold = any(e.cold.cold_s for e in self.endpoints.values())
+        if may_be_cold and self._registration_task is None:
+            self._registration_task = asyncio.create_task(self._async_register_all())
+
+    async def _async_register_all(self) -> None:
+        """Write the registrations periodically, as ``cold_left_ms`` changes."""
+        while True:
+            await asyncio.sleep(REGISTRATION_INTERVAL_S)
+            for name, endpoint in self.endpoints.items():
+                if endpoint.cold.cold_s and self._servers[name].is_serving():
+                    self.register(name)
+
+    def make_cold(self, target: str, *, restarts: bool) -> int:
+        """Make an endpoint or a failure domain cold; return how many endpoints."""
+        endpoints = [e for e in self.endpoints.values() if target in (e.name, e.domain)]
+        for endpoint in endpoints:
+            if restarts:
+                self.crash(endpoint)
+            else:
+                endpoint.cold.restart()
+                self.register(endpoint.name)
+        return len(endpoints)
+
+    def evacuate(self, domain: str) -> Evacuation:
+        """Write the row that evacuates a failure domain, as the operators do."""
+        self.store.put("op", EVACUATION_PREFIX + domain, {})
+        self.evacuations.append(Evacuation(domain, time.monotonic()))
+        return self.evacuations[-1]
+
+    def take_back(self, domain: str) -> None:
+        """Remove the row of an evacuated failure domain."""
+        for evacuation in self.evacuations:
+            if evacuation.domain == domain and evacuation.removed_s is None:
+                evacuation.removed_s = time.monotonic()
+        self.store.remove("op", EVACUATION_PREFIX + domain)
+
+    def _rewrite_evacuations(self) -> None:
+        """Write the rows that an older copy of the store lacks; remove the others."""
+        current = {e.domain for e in self.evacuations if e.removed_s is None}
+        for domain in sorted({e.domain for e in self.evacuations}):
+            if domain in current:
+                self.store.put("op", EVACUATION_PREFIX + domain, {})
+            else:
+                self.store.remove("op", EVACUATION_PREFIX + domain)
+
     async def async_restore(self, snapshot: StoreSnapshot) -> None:
-        """Restore a store snapshot, then rewrite configuration and registrations."""
+        """Restore a store snapshot, then rewrite the operators' and endpoints' rows."""
         self.store.restore(snapshot)
         await asyncio.sleep(REWRITE_DELAY_S)
         if self.config is not None:
             self.configure(self.config)
+        self._rewrite_evacuations()
         for name in self.endpoints:
             self.register(name)
 
     async def async_close(self) -> None:
         """Cancel pending restarts and stop all endpoints."""
+        if self._registration_task is not None:
+            self._registration_task.cancel()
         for task in self._restart_tasks:
             task.cancel()
         for server in self._servers.values():
@@ -123,6 +206,10 @@
         app.router.add_post("/standin/forget", self.async_forget)
         app.router.add_post("/standin/store/copy", self.async_copy)
         app.router.add_post("/standin/store/restore", self.async_restore)
+        app.router.add_post("/standin/cold/{target}", self.async_make_cold)
+        app.router.add_put("/standin/evacuations/{domain}", self.async_evacuate)
+        app.router.add_delete("/standin/evacuations/{domain}", self.async_take_back)
+        app.router.add_get("/standin/arrivals", self.async_arrivals)
         app.router.add_put("/standin/rows/{table}/{key}", self.async_put_row)
         app.router.add_delete("/standin/rows/{table}/{key}", self.async_remove_row)
 
@@ -160,6 +247,28 @@
             }
         )
 
+    async def async_make_cold(self, request: web.Request) -> web.Response:
+        """Make an endpoint or a failure domain cold, with a restart if asked for."""
+        target, restarts = request.match_info["target"], "restart" in request.query
+        count = self._machines.make_cold(target, restarts=restarts)
+        return json_response({"count": count}, status=200 if count else 404)
+
+    async def async_evacuate(self, request: web.Request) -> web.Response:
+        """Evacuate a failure domain; return the time of the acknowledgement."""
+        return json_response(self._machines.evacuate(request.match_info["domain"]))
+
+    async def async_take_back(self, request: web.Request) -> web.Response:
+        """Take a failure domain back into service."""
+        self._machines.take_back(request.match_info["domain"])
+        return json_response({})
+
+    async def async_arrivals(self, request: web.Request) -> web.Response:
+        """Return all arrivals and evacuations."""
+        endpoints = self._machines.endpoints.values()
+        arrivals = [arrival for e in endpoints for arrival in e.arrivals]
+        evacuations = self._machines.evacuations
+        return json_response({"arrivals": arrivals, "evacuations": evacuations})
+
     async def async_put_row(self, request: web.Request) -> web.Response:
         """Write a row as another program would; the body is the raw stored value."""
         table, key = request.match_info["table"], request.match_info["key"]
@@ -189,18 +298,20 @@
         return json_response({})
 
 
-def _make_app(address: str) -> web.Application:
+def _make_app(address: str, domains: str) -> web.Application:
     machines = PreparedMachines()
     app = web.Application()
     machines.store.add_routes(app)
     ControlApi(machines).add_routes(app)
 
     async def async_start(app: web.Application) -> None:
-        for number in range(2):
-            models = {f"m{2 * number}": [], f"m{2 * number + 1}": []}
-            engine = EndpointStandin(f"i-llm{number}", "llm", models, 0.1)
+        for number, text in enumerate(domains.split(",")):
+            domain, _, region = text.partition(":")
+            place = (domain, region)
+            models = {f"m{(2 * number + n) % MODEL_COUNT}": [] for n in range(2)}
+            engine = EndpointStandin(f"i-llm{number}", "llm", models, 0.1, *place)
             await machines.async_add(engine, address)
-            plain = EndpointStandin(f"i-plain{number}", "plain", {}, 0.1)
+            plain = EndpointStandin(f"i-plain{number}", "plain", {}, 0.1, *place)
             await machines.async_add(plain, address)
         services = {"llm": "llm", "plain": "plain"}
         machines.configure(make_config(1, services))
@@ -212,5 +323,8 @@
 def main() -> int:
     """Run the stand-in for the prepared machines."""
     parser = make_parser("Stand-in for the prepared machines' platform.")
+    parser.add_argument(
+        "--domains", default=DOMAINS, help="failure domains, as DOMAIN or DOMAIN:REGION"
+    )
     args = parser.parse_args()
-    return serve(_make_app(args.address), args.address, args.port)
+    return serve(_make_app(args.address, args.domains), args.address, args.port)
--- a/standins/prepared_config.py
+++ b/standins/prepared_config.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+
+MODEL_COUNT = 4
+
 
 def make_config(
     version: int,
     services: dict[str, str],
     anonymous: tuple[str, ...] = (),
+    *,
+    home_regions: Mapping[str, Sequence[str]] | None = None,
+    cold_s: float = 0.0,
+    cold_per_s: float = 0.0,
     **changes: object,
 ) -> dict:
     """Return an operator configuration with one route of each kind.
 
     ``services`` maps ``llm`` and ``plain`` to the names of their services. Routes
-    listed in ``anonymous`` need no API key. ``changes`` replaces top-level fields.
+    listed in ``anonymous`` need no API key. ``home_regions`` maps names of routes and
+    customers to regions. With ``cold_s`` and ``cold_per_s``, endpoints of all services
+    are cold after a start. ``changes`` replaces top-level fields.
     """
     engine = {
         "slots": 8,
@@ -22,7 +32,7 @@
         "loads_per_s": 50.0,
         "models": [
             {"name": f"m{n}", "weights_mb": 90.0, "load_s": 0.1, "adapters": 3}
-            for n in range(4)
+            for n in range(MODEL_COUNT)
         ],
     }
     common = {"host": "a.example", "timeout_ms": 4000, "slo_ms": 800}
@@ -66,4 +76,18 @@
         ],
         "limits": {"header_bytes": 16384, "body_bytes": 100_000},
     }
-    return config | changes
+    if cold_s and cold_per_s:
+        for service in config["services"]:
+            service.update(cold_s=cold_s, cold_per_s=cold_per_s)
+    config |= changes
+    for field in ("routes", "tenants"):
+        if home_regions and field in config:
+            config[field] = [
+                _with_home_regions(entry, home_regions) for entry in config[field]
+            ]
+    return config
+
+
+def _with_home_regions(entry: dict, home_regions: Mapping[str, Sequence[str]]) -> dict:
+    regions = home_regions.get(entry["name"])
+    return entry if regions is None else entry | {"home_regions": list(regions)}
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from .cold_state import Arrival, ColdState
 from .web import json_response
 
 TOKEN_INTERVAL_S = 0.005
@@ -72,6 +73,15 @@
     work_s: float = 0.0
 
 
+class ServiceSettings(msgspec.Struct, frozen=True):
+    """What an endpoint uses of its service's configuration."""
+
+    name: str
+    health_path: str = "/health"
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
 class EndpointStandin:
     """An engine, or a plain server without models.
 
@@ -85,15 +95,29 @@
         Resident models with their adapters.
     load_s : float
         Duration of a model load.
+    domain, region : str
+        Failure domain and its region.
     """
 
     def __init__(
-        self, name: str, service: str, models: dict[str, list[str]], load_s: float
+        self,
+        name: str,
+        service: str,
+        models: dict[str, list[str]],
+        load_s: float,
+        domain: str = "zone-a",
+        region: str = "",
     ) -> None:
         self.name = name
         self.service = service
         self.models = models
         self.load_s = load_s
+        self.domain = domain
+        self.region = region
+        self.cold = ColdState()
+        self.health_path = "/health"
+        self.process_number = 0
+        self.arrivals: list[Arrival] = []
         self.address = ""
         self.sequence = 0
         self.is_busy = False
@@ -128,14 +152,23 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "zone-a",
+            "zone": self.domain,
             "version": self.software_version or "v1",
             "slots": 8,
             "state": self.state,
             "models": self._model_list(),
             "seq": self.sequence,
+            **self._cold_fields(),
         } | self._start_time_fields()
 
+    def configure(self, service: ServiceSettings) -> None:
+        """Apply the configuration of its service."""
+        self.health_path = service.health_path
+        self.cold.set_limit(service.cold_s, service.cold_per_s)
+
+    def _cold_fields(self) -> dict[str, int]:
+        return {"cold_left_ms": self.cold.left_ms} if self.cold.cold_s else {}
+
     def change_state(self, state: str) -> None:
         """Change the state; a draining endpoint becomes ready only as a new process."""
         if self.state == "draining" and state == "ready":
@@ -144,6 +177,8 @@
 
     def _start_new_process(self) -> None:
         self.born_ms = time.time_ns() // 1_000_000
+        self.process_number += 1
+        self.cold.restart()
 
     def restart(self) -> None:
         """Reset the state, as a new process under the same id would."""
@@ -186,8 +221,27 @@
             return json_response(self._report())
         if request.path == "/api/order":
             return await self._async_order(request)
+        if request.path == self.health_path:
+            cold_ms = {"X-Cold-Ms": str(self.cold.left_ms)} if self.cold.cold_s else {}
+            return web.Response(headers=cold_ms)
         self.arrived_s.append(time.monotonic())
-        return await self._async_run(request)
+        return await self._async_run(request, self.arrived_s[-1])
+
+    def _record_arrival(self, request_id: str, arrived_s: float) -> None:
+        """Record a request that was not answered with 421; crash if it is too many."""
+        self.arrivals.append(
+            Arrival(
+                request_id,
+                self.name,
+                self.domain,
+                self.region,
+                self.process_number,
+                arrived_s,
+                self.cold.limit,
+            )
+        )
+        if self.cold.exceeds_limit(arrived_s):
+            self.on_crash(self)
 
     def _signal_headers(self) -> dict[str, str]:
         """Return the headers that announce a rate limit or departure in answers."""
@@ -236,7 +290,9 @@
         else:
             self.models.pop(order["model"], None)
 
-    async def _async_run(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _async_run(
+        self, request: web.BaseRequest, arrived_s: float
+    ) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
         self.received_headers.append(dict(request.headers))
@@ -245,6 +301,10 @@
             return web.Response(status=421)
         if model and model not in self.models:
             return web.Response(status=421)
+        process_number = self.process_number
+        self._record_arrival(request_id, arrived_s)
+        if self.process_number != process_number:
+            return web.Response(status=500)
         if self._consume_fault("refuse") or 0 < self.faults.room <= self._active:
             self.rejected_s.append(time.monotonic())
             return web.Response(
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
