--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -142,9 +142,9 @@
         """Make an endpoint or a failure domain cold; return how many endpoints."""
         endpoints = [e for e in self.endpoints.values() if target in (e.name, e.domain)]
         for endpoint in endpoints:
-            if restarts:
+            if restarts and self._servers[endpoint.name].is_serving():
                 self.crash(endpoint)
-            else:
+            elif not restarts:
                 endpoint.cold.restart()
                 self.register(endpoint.name)
         return len(endpoints)
