Inject evacuations and cold endpoints in the soak on request

They have three failure domains in two regions, a limit of 6 requests per second while cold, and, for odd seeds, home regions on one route. Only then the daemons' settings get the section [regions], since daemons reject sections that they do not know.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,8 +10,9 @@
 from standins.prepared_config import make_config
 from tests.processes.entry_deployment import SERVICES, EntryDeployment
 
+from .eligibility import ContactLoss
 from .endpoint_signals import EndpointSignal
-from .plan import Fault, FaultKind, Plan
+from .plan import EligibilitySetup, Fault, FaultKind, Plan
 from .proxy import StoreProxy
 
 ENDPOINTS = ("i-llm0", "i-llm1", "i-plain0", "i-plain1")
@@ -37,12 +38,25 @@
 _PROCESS_KINDS = frozenset({FaultKind.KILL, FaultKind.STOP, FaultKind.FREEZE})
 
 
-def make_routes(version: int) -> list[dict]:
-    """Return the usual routes and one that only this version has."""
-    routes = make_config(version, SERVICES)["routes"]
-    again = next(route for route in routes if route["name"] == "r-again")
+HOME_ROUTE = "r-again"
+"""Name of the route that has home regions if the plan asks for them.
+
+The route that only one version has is a copy of it.
+"""
+
+
+def make_soak_config(version: int, setup: EligibilitySetup | None) -> dict:
+    """Return a configuration with a route that only this version has."""
+    changes = {}
+    if setup is not None:
+        changes = {"cold_s": setup.cold_s, "cold_per_s": setup.cold_per_s}
+        if setup.home_regions:
+            changes["home_regions"] = {HOME_ROUTE: setup.home_regions}
+    config = make_config(version, SERVICES, **changes)
+    again = next(route for route in config["routes"] if route["name"] == HOME_ROUTE)
     own = {"name": f"r-{version}", "prefix": version_prefix(version)}
-    return [*routes, again | own]
+    config["routes"].append(again | own)
+    return config
 
 
 def version_prefix(version: int) -> str:
@@ -59,6 +73,8 @@
         Deployment with a proxy in front of its store.
     daemons : int
         Number of daemons.
+    setup : EligibilitySetup or None
+        Setup of a plan with eligibility faults.
 
     Attributes
     ----------
@@ -70,8 +86,18 @@
         When the store acknowledged it, on the loop's clock; infinite until then.
     """
 
-    def __init__(self, deployment: EntryDeployment, daemons: int) -> None:
+    def __init__(
+        self,
+        deployment: EntryDeployment,
+        daemons: int,
+        setup: EligibilitySetup | None = None,
+    ) -> None:
         self._deployment = deployment
+        self._setup = setup
+        domains = () if setup is None else setup.domains
+        self._domain_locks = {domain: asyncio.Lock() for domain in domains}
+        self.contact_losses: list[ContactLoss] = []
+        """Periods in which daemons may have been out of contact with the store."""
         self._daemons = daemons
         self._locks = [asyncio.Lock() for _ in range(daemons)]
         self._last_disturbed_s = [-math.inf] * daemons
@@ -110,6 +136,9 @@
             FaultKind.ENDPOINT_SAYS_LEAVING: self._async_signal_leaving,
             FaultKind.ENDPOINT_LIMITS: self._async_signal_limit,
             FaultKind.ENDPOINT_PAUSES: self._async_signal_pause,
+            FaultKind.DOMAIN_EVACUATED: self._async_evacuate,
+            FaultKind.DOMAIN_COLD: self._async_make_cold,
+            FaultKind.ENDPOINT_RESTARTED_COLD: self._async_make_cold,
         }
 
     async def async_inject_all(self, plan: Plan) -> None:
@@ -140,7 +169,10 @@
                 began_s = asyncio.get_running_loop().time()
                 await handler(fault)
                 self._last_disturbed_s[daemon] = asyncio.get_running_loop().time()
-                self.disturbances.append((began_s, self._last_disturbed_s[daemon]))
+                ended_s = self._last_disturbed_s[daemon]
+                self.disturbances.append((began_s, ended_s))
+                if fault.kind is FaultKind.FREEZE:
+                    self.contact_losses.append(ContactLoss(began_s, ended_s, daemon))
         elif fault.kind in _STORE_KINDS:
             await self._async_disturb_store(handler, fault)
         else:
@@ -152,7 +184,10 @@
         """Inject a store or link fault; the disturbance ends with the last of them."""
         self._store_faults += 1
         self._store_disturbed_s = math.inf
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
         await handler(fault)
+        self.contact_losses.append(ContactLoss(began_s, loop.time()))
         self._store_faults -= 1
         if not self._store_faults:
             self._store_disturbed_s = asyncio.get_running_loop().time()
@@ -194,10 +229,15 @@
             process.send(signal.SIGHUP)
 
     async def _async_configure(self, fault: Fault) -> None:
+        await self.async_configure(self.version + 1 + round(2 * fault.strength))
+
+    async def async_configure(self, version: int) -> None:
         """Write a configuration with a route that only this version has."""
-        version = self.version + 1 + round(2 * fault.strength)
         self.version, self.configured_s = version, math.inf
-        await self._deployment.async_configure(version, routes=make_routes(version))
+        config = make_soak_config(version, self._setup)
+        await self._deployment.async_configure(
+            version, routes=config["routes"], services=config["services"]
+        )
         if self.version == version:
             self.configured_s = asyncio.get_running_loop().time()
 
@@ -290,6 +330,27 @@
             EndpointSignal(fault.kind, name, began_s, loop.time(), value)
         )
 
+    async def _async_evacuate(self, fault: Fault) -> None:
+        """Evacuate a failure domain and take it back."""
+        domain = self._domain(fault)
+        async with self._domain_locks[domain]:
+            await self._deployment.async_evacuate(domain)
+            await asyncio.sleep(fault.for_s)
+            await self._deployment.async_take_back(domain)
+
+    async def _async_make_cold(self, fault: Fault) -> None:
+        """Make a failure domain cold, or restart an endpoint, which is cold then."""
+        if fault.kind is FaultKind.DOMAIN_COLD:
+            await self._deployment.async_control_store(f"cold/{self._domain(fault)}")
+            return
+        service = "plain" if fault.strength > 0.5 else "llm"
+        name = f"i-{service}{fault.target % len(self._domain_locks)}"
+        await self._deployment.async_control_store(f"cold/{name}?restart")
+
+    def _domain(self, fault: Fault) -> str:
+        domains = list(self._domain_locks)
+        return domains[fault.target % len(domains)]
+
     async def _async_break_endpoint(self, fault: Fault) -> None:
         name = ENDPOINTS[fault.target % len(ENDPOINTS)]
         field = {
--- a/soak/main.py
+++ b/soak/main.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from .plan import Plan, async_shrink, make_plan
+from .plan import Plan, async_shrink, make_eligibility_plan, make_plan
 from .run import SoakResult, async_run_plan
 
 TARGET_COUNT = 12
@@ -49,9 +49,15 @@
         "--plan", type=Path, help="run the plan in this JSON file instead"
     )
     parser.add_argument("--shrink", action="store_true")
+    parser.add_argument(
+        "--eligibility",
+        action="store_true",
+        help="evacuate failure domains, make endpoints cold, use home regions",
+    )
     options = parser.parse_args()
+    make = make_eligibility_plan if options.eligibility else make_plan
     plans = [
-        make_plan(seed, options.seconds, TARGET_COUNT)
+        make(seed, options.seconds, TARGET_COUNT)
         for seed in range(options.first, options.first + options.seeds)
     ]
     if options.plan is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from enum import Enum
@@ -24,6 +25,13 @@
 
 By then the bound on configuration changes applies again.
 """
+CYCLE_S = BURST_S + RECOVERY_S
+MIN_EVACUATION_S = 6.4
+MAX_EVACUATION_S = 7.4
+"""Evacuations outlast their bound; two that overlap fit into one cycle."""
+COMPANION_PROBABILITY = 0.8
+COLD_INTERVAL_S = 5.0
+"""Longer than endpoints are cold, so that the others can take the requests."""
 
 
 class FaultKind(Enum):
@@ -53,6 +61,32 @@
     ENDPOINT_SAYS_LEAVING = "endpoint_says_leaving"
     ENDPOINT_LIMITS = "endpoint_limits"
     ENDPOINT_PAUSES = "endpoint_pauses"
+    DOMAIN_EVACUATED = "domain_evacuated"
+    DOMAIN_COLD = "domain_cold"
+    ENDPOINT_RESTARTED_COLD = "endpoint_restarted_cold"
+
+
+_COLD_KINDS = (FaultKind.DOMAIN_COLD, FaultKind.ENDPOINT_RESTARTED_COLD)
+ELIGIBILITY_KINDS = frozenset({FaultKind.DOMAIN_EVACUATED, *_COLD_KINDS})
+"""Kinds that only plans with an ``EligibilitySetup`` contain."""
+_OTHER_KINDS = tuple(kind for kind in FaultKind if kind not in ELIGIBILITY_KINDS)
+_COLD_COMPANION_KINDS = (
+    FaultKind.KILL,
+    FaultKind.STOP,
+    FaultKind.FREEZE,
+    FaultKind.STORE_DROPS_HISTORY,
+)
+"""Kinds injected beside endpoints that become cold while in service.
+
+Without the store, daemons would not learn of it before the limit is exceeded.
+"""
+_EVACUATION_COMPANION_KINDS = (
+    *_COLD_COMPANION_KINDS,
+    FaultKind.STORE_OUT,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_RESTORED,
+    FaultKind.LINKS_RESET,
+)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -69,12 +103,28 @@
     strength: float
 
 
-class Plan(msgspec.Struct, frozen=True):
+class EligibilitySetup(msgspec.Struct, frozen=True):
+    """Failure domains, regions and limits of a run with eligibility faults.
+
+    ``domains`` maps failure domains to regions, ``home_regions`` those of one route.
+    Endpoints are cold for ``cold_s`` and then tolerate ``cold_per_s``; evacuations are
+    in force ``evacuate_s`` after they are acknowledged.
+    """
+
+    domains: dict[str, str]
+    home_regions: tuple[str, ...] = ()
+    cold_s: float = 3.0
+    cold_per_s: float = 6.0
+    evacuate_s: float = 5.0
+
+
+class Plan(msgspec.Struct, frozen=True, omit_defaults=True):
     """All faults of one run, ordered by start time."""
 
     seed: int
     time_s: float
     faults: tuple[Fault, ...]
+    eligibility: EligibilitySetup | None = None
 
 
 def make_plan(seed: int, time_s: float, target_count: int) -> Plan:
@@ -98,7 +148,7 @@
     while at_s < start_s + BURST_S:
         fault = Fault(
             at_s=round(at_s, 3),
-            kind=rng.choice(list(FaultKind)),
+            kind=rng.choice(_OTHER_KINDS),
             target=rng.randrange(target_count),
             for_s=round(rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S), 3),
             strength=round(rng.random(), 3),
@@ -108,6 +158,73 @@
     return faults
 
 
+def make_eligibility_plan(seed: int, time_s: float, target_count: int) -> Plan:
+    """Return the plan of evacuations and cold endpoints for a seed.
+
+    Each cycle has either evacuations or endpoints that become cold while in service, so
+    that none becomes cold as the only one left. Every second seed has a route with home
+    regions.
+    """
+    rng = random.Random(f"eligibility-{seed}")
+    faults = []
+    first_scene = rng.randrange(2)
+    for cycle in range(math.ceil(time_s / CYCLE_S)):
+        start_s = cycle * CYCLE_S
+        if (first_scene + cycle) % 2 == 0:
+            faults += _make_evacuations(rng, start_s + rng.random(), target_count)
+            companion_kinds = _EVACUATION_COMPANION_KINDS
+        else:
+            faults += _make_cold_faults(rng, start_s + rng.random(), target_count)
+            companion_kinds = _COLD_COMPANION_KINDS
+        if rng.random() < COMPANION_PROBABILITY:
+            at_s = start_s + rng.uniform(0.0, BURST_S)
+            kind = rng.choice(companion_kinds)
+            faults.append(_make_fault(rng, at_s, kind, rng.randrange(target_count)))
+    started = sorted((f for f in faults if f.at_s < time_s), key=lambda f: f.at_s)
+    setup = EligibilitySetup(
+        {"zone-a": "north", "zone-b": "north", "zone-c": "south"},
+        ("north",) if seed % 2 else (),
+    )
+    return Plan(seed, time_s, tuple(started), setup)
+
+
+def _make_fault(rng: random.Random, at_s: float, kind: FaultKind, target: int) -> Fault:
+    for_s = rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
+    if kind is FaultKind.DOMAIN_EVACUATED:
+        for_s = rng.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S)
+    strength = round(rng.random(), 3)
+    return Fault(round(at_s, 3), kind, target, round(for_s, 3), strength)
+
+
+def _make_evacuations(
+    rng: random.Random, start_s: float, target_count: int
+) -> list[Fault]:
+    """Return an evacuation, maybe a second one, and a domain that returns cold."""
+    target = rng.randrange(target_count)
+    first = _make_fault(rng, start_s, FaultKind.DOMAIN_EVACUATED, target)
+    faults = [first]
+    if rng.random() < 0.5:
+        at_s = start_s + rng.uniform(0.0, MIN_EVACUATION_S)
+        kind = FaultKind.DOMAIN_EVACUATED
+        faults.append(_make_fault(rng, at_s, kind, target + 1))
+    if rng.random() < 0.5:
+        # The domain is evacuated until then, so that no request is surprised.
+        at_s = start_s + first.for_s - 0.2
+        faults.append(_make_fault(rng, at_s, FaultKind.DOMAIN_COLD, target))
+    return faults
+
+
+def _make_cold_faults(
+    rng: random.Random, start_s: float, target_count: int
+) -> list[Fault]:
+    """Return domains and endpoints that become cold one after the other."""
+    times_s = [start_s + COLD_INTERVAL_S * number for number in range(2)]
+    return [
+        _make_fault(rng, at_s, rng.choice(_COLD_KINDS), rng.randrange(target_count))
+        for at_s in times_s
+    ]
+
+
 async def async_shrink(
     plan: Plan, async_fails: Callable[[Plan], Awaitable[bool]]
 ) -> Plan:
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,12 @@
 )
 
 from .callers import DEADLINE_S, Caller, Outcome, RequestKind, count_statuses
+from .eligibility import (
+    Record,
+    check_cold_limits,
+    check_evacuations,
+    check_home_regions,
+)
 from .endpoint_signals import check_signals
 from .faults import FaultInjector, version_prefix
 from .invariants import OK, check_answers, check_deadlines, check_executions
@@ -30,6 +36,8 @@
 PROBE_INTERVAL_S = 0.1
 CALLER_KINDS = (*RequestKind, *RequestKind)
 """Kinds of requests by caller: two callers of each kind."""
+ELIGIBILITY_CALLER_KINDS = (*CALLER_KINDS, *RequestKind)
+"""Three callers of each kind send more than one cold endpoint tolerates."""
 
 
 class SoakResult(msgspec.Struct):
@@ -58,10 +66,11 @@
         self._deployment = deployment
         self._daemons = daemons
         self._plan = plan
-        self._injector = FaultInjector(deployment, daemons)
+        self._injector = FaultInjector(deployment, daemons, plan.eligibility)
+        kinds = CALLER_KINDS if plan.eligibility is None else ELIGIBILITY_CALLER_KINDS
         self._callers = [
             Caller(deployment, daemons, kind, 100 * plan.seed + number)
-            for number, kind in enumerate(CALLER_KINDS)
+            for number, kind in enumerate(kinds)
         ]
         self._violations: list[str] = []
         self._newest_served: dict[tuple[int, int], int] = {}
@@ -69,10 +78,14 @@
 
     async def async_run(self) -> SoakResult:
         """Inject the faults, wait for recovery and check the invariants."""
+        if self._plan.eligibility is not None:
+            await self._async_configure_eligibility()
         tasks = [asyncio.ensure_future(c.async_run()) for c in self._callers]
+        # Plans with eligibility faults change no configuration, and probes would load
+        # cold endpoints more than their share of the callers' requests does.
         probes = [
             asyncio.ensure_future(self._async_probe(daemon))
-            for daemon in range(self._daemons)
+            for daemon in range(self._daemons if self._plan.eligibility is None else 0)
         ]
         await self._injector.async_inject_all(self._plan)
         for probe in probes:
@@ -83,6 +96,19 @@
         await self._async_wait_for_recovery()
         return await self._async_evaluate()
 
+    async def _async_configure_eligibility(self) -> None:
+        """Put cold limits and home regions into force; wait for warm endpoints."""
+        version = self._injector.version + 1
+        await self._injector.async_configure(version)
+
+        async def async_is_in_force() -> bool:
+            daemons = range(self._daemons)
+            statuses = [await self._async_version_status(d, version) for d in daemons]
+            return all(status == OK for status in statuses)
+
+        await self._deployment.async_until(async_is_in_force, RECOVERY_TIMEOUT_S)
+        await asyncio.sleep(self._plan.eligibility.cold_s)
+
     async def _async_probe(self, daemon: int) -> None:
         """Probe a daemon periodically for the route of the newest version."""
         while True:
@@ -165,11 +191,26 @@
             self._daemons,
             len(self._callers),
         )
+        if self._plan.eligibility is not None:
+            self._violations += await self._async_check_eligibility(outcomes)
         faults = Counter(fault.kind.value for fault in self._plan.faults)
         return SoakResult(
             self._plan, count_statuses(outcomes), faults, self._violations
         )
 
+    async def _async_check_eligibility(self, outcomes: list[Outcome]) -> list[str]:
+        setup = self._plan.eligibility
+        record = msgspec.convert(await self._deployment.async_arrivals(), Record)
+        daemons = {outcome.id: outcome.daemon for outcome in outcomes}
+        losses = self._injector.contact_losses
+        violations = check_evacuations(record, daemons, losses, setup.evacuate_s)
+        violations += check_cold_limits(record.arrivals, daemons)
+        if setup.home_regions:
+            violations += check_home_regions(
+                record.arrivals, daemons, setup.home_regions
+            )
+        return violations
+
     def _at_unfrozen_daemons(self, outcomes: list[Outcome]) -> list[Outcome]:
         """Return the outcomes at daemons that the plan never freezes."""
         frozen = {
@@ -182,7 +223,13 @@
 
 async def async_run_plan(directory: Path, plan: Plan, daemons: int) -> SoakResult:
     """Start a deployment, run a plan against it and stop it."""
+    setup = plan.eligibility
     async with async_entry_deployment(
-        directory, daemons, has_proxy=True, make_proxy=StoreProxy
+        directory,
+        daemons,
+        has_proxy=True,
+        make_proxy=StoreProxy,
+        domains=None if setup is None else setup.domains,
+        has_region_settings=setup is not None and bool(setup.home_regions),
     ) as deployment:
         return await SoakRun(deployment, daemons, plan).async_run()
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -54,6 +54,10 @@
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store_proxy: BlackholeProxy | None = None
+        self.domains: dict[str, str] = {}
+        """Failure domains with their regions; if empty, there is only zone-a."""
+        self.has_region_settings = False
+        """Whether the daemons' settings name the regions."""
 
     @property
     def store_url(self) -> str:
@@ -82,14 +86,18 @@
     def start_store(self) -> None:
         program = str(BIN / "chutelink-standin-machines")
         options = ["--address", f"{self.subnet}.1", "--port", str(STORE_PORT)]
+        if self.domains:
+            places = [f"{name}:{region}" for name, region in self.domains.items()]
+            options += ["--domains", ",".join(places)]
         self.start("store", [program, *options])
 
     def write_settings(self, number: int) -> Path:
         """Write a daemon's settings file."""
         ip = self.address(number)
+        zones = list(self.domains) or ["zone-a"]
         fields = {
             "node": f"vm-{number}",
-            "zone": "zone-a",
+            "zone": zones[number % len(zones)],
             "ip": ip,
             "listen.control": f"{ip}:{BASE_PORT + 9}",
             "seeds": f"{self.address(0)}:{BASE_PORT + 9}",
@@ -115,9 +123,15 @@
         }
         template = (ROOT / "deploy" / "entry.ini").read_text()
         path = self.directory / f"vm-{number}.ini"
-        path.write_text(render(template, fields))
+        path.write_text(render(template, fields) + self._region_settings())
         return path
 
+    def _region_settings(self) -> str:
+        if not self.has_region_settings:
+            return ""
+        lines = [f"{name} = {region}" for name, region in self.domains.items()]
+        return "\n".join(["", "[regions]", *lines, ""])
+
     def start_daemon(self, number: int) -> Process:
         path = self.write_settings(number)
         program = str(BIN / "chutelink-entry")
@@ -195,6 +209,20 @@
         async with self.session.post(url) as answer:
             assert answer.status == 200
 
+    async def async_evacuate(self, domain: str) -> None:
+        url = f"{self.store_url}/standin/evacuations/{domain}"
+        async with self.session.put(url) as answer:
+            assert answer.status == 200
+
+    async def async_take_back(self, domain: str) -> None:
+        url = f"{self.store_url}/standin/evacuations/{domain}"
+        async with self.session.delete(url) as answer:
+            assert answer.status == 200
+
+    async def async_arrivals(self) -> dict[str, list]:
+        _, body = await self.async_get(f"{self.store_url}/standin/arrivals")
+        return json.loads(body)
+
     async def async_set_endpoint(
         self, name: str, state: str = "ready", **faults
     ) -> None:
@@ -222,8 +250,12 @@
     *,
     has_proxy: bool = False,
     make_proxy: type[BlackholeProxy] = BlackholeProxy,
+    domains: dict[str, str] | None = None,
+    has_region_settings: bool = False,
 ) -> AsyncIterator[EntryDeployment]:
     deployment = EntryDeployment(directory)
+    deployment.domains = domains or {}
+    deployment.has_region_settings = has_region_settings
     deployment.session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(force_close=True)
     )
