Run two seeds of the eligibility soak in the tests

Guards against requests to evacuated domains, to cold endpoints above their limit, and to endpoints outside home regions, while daemons are stopped and endpoints restart.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.main import TARGET_COUNT
-from soak.plan import make_plan
+from soak.plan import make_eligibility_plan, make_plan
 from soak.run import async_run_plan
 
 SECONDS = 15.0
@@ -20,3 +20,11 @@
     result = asyncio.run(async_run_plan(tmp_path, plan, DAEMONS))
     assert result.violations == []
     assert result.statuses["once 200"] and result.statuses["stream 200"]
+
+
+@pytest.mark.parametrize("seed", [2, 5])
+def test_requests_reach_only_eligible_endpoints_under_faults(tmp_path, seed):
+    plan = make_eligibility_plan(seed, SECONDS, TARGET_COUNT)
+    result = asyncio.run(async_run_plan(tmp_path, plan, DAEMONS))
+    assert result.violations == []
+    assert result.statuses["once 200"] and result.statuses["stream 200"]
