--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -61,9 +61,9 @@
         self.session: aiohttp.ClientSession | None = None
         self.store_proxy: BlackholeProxy | None = None
         self.regions: dict[str, str] = {}
-        """The region of each failure domain."""
+        """The region of each failure domain; if empty, there is only zone-a."""
         self.domains: dict[int, str] = {}
-        """Failure domains of daemons that are not in ``zone-a``."""
+        """Failure domains of daemons; the others are spread over all domains."""
 
     @property
     def store_url(self) -> str:
@@ -92,14 +92,18 @@
     def start_store(self) -> None:
         program = str(BIN / "chutelink-standin-machines")
         options = ["--address", f"{self.subnet}.1", "--port", str(STORE_PORT)]
+        if self.regions:
+            places = [f"{name}:{region}" for name, region in self.regions.items()]
+            options += ["--domains", ",".join(places)]
         self.start("store", [program, *options])
 
     def write_settings(self, number: int) -> Path:
         """Write a daemon's settings file."""
         ip = self.address(number)
+        zones = list(self.regions) or ["zone-a"]
         fields = {
             "node": f"vm-{number}",
-            "zone": self.domains.get(number, "zone-a"),
+            "zone": self.domains.get(number, zones[number % len(zones)]),
             "zones": self.regions,
             "ip": ip,
             "listen.control": f"{ip}:{BASE_PORT + 9}",
@@ -207,6 +211,20 @@
         async with self.session.post(url) as answer:
             assert answer.status == 200
 
+    async def async_evacuate(self, domain: str) -> None:
+        url = f"{self.store_url}/standin/evacuations/{domain}"
+        async with self.session.put(url) as answer:
+            assert answer.status == 200
+
+    async def async_take_back(self, domain: str) -> None:
+        url = f"{self.store_url}/standin/evacuations/{domain}"
+        async with self.session.delete(url) as answer:
+            assert answer.status == 200
+
+    async def async_arrivals(self) -> dict[str, list]:
+        _, body = await self.async_get(f"{self.store_url}/standin/arrivals")
+        return json.loads(body)
+
     async def async_set_endpoint(
         self, name: str, state: str = "ready", **faults
     ) -> None:
@@ -234,8 +252,10 @@
     *,
     has_proxy: bool = False,
     make_proxy: type[BlackholeProxy] = BlackholeProxy,
+    regions: dict[str, str] | None = None,
 ) -> AsyncIterator[EntryDeployment]:
     deployment = EntryDeployment(directory)
+    deployment.regions = regions or {}
     deployment.session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(force_close=True)
     )
