--- a/chutelink/relaying/prefix_weighing.py
+++ b/chutelink/relaying/prefix_weighing.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import msgspec
 
 from ..entry.endpoints import Endpoint
@@ -42,11 +40,6 @@
     objective. A held prefix saves either.
     """
 
-    extra_wait_s: Callable[[Endpoint, float], float] = staticmethod(
-        lambda row, now_s: 0.0
-    )
-    """Returns further expected waits at an endpoint, for example while it is cold."""
-
     def choose(
         self, rows: list[Endpoint], request: RoutingRequest, now_s: float
     ) -> Endpoint | None:
@@ -66,11 +59,6 @@
 
         return min(rows, key=key, default=None)
 
-    def expected_s(self, row: Endpoint, request: RoutingRequest, now_s: float) -> float:
-        """Return the expected time to the first byte if the request doesn't fail."""
-        expected_s = super().expected_s(row, request, now_s)
-        return expected_s + self.extra_wait_s(row, now_s)
-
     def _loss(self, row: Endpoint, request: RoutingRequest, now_s: float) -> float:
         loss = super()._loss(row, request, now_s)
         if not request.model:
