--- a/chutelink/eligibility/model.py
+++ b/chutelink/eligibility/model.py
@@ -8,6 +8,9 @@
 
 from ..ids import RegionName
 
+Homes = frozenset[RegionName] | None
+"""Regions in which a request may be served, None for any region."""
+
 
 class IneligibleReason(Enum):
     """Why a request may not be sent to an endpoint.
@@ -24,10 +27,10 @@
 class Requirements(msgspec.Struct, frozen=True):
     """What a request requires of an endpoint, apart from its model and version.
 
-    ``home_regions`` are the regions in which it may be served, None for any region.
+    It may be served in ``home_regions``.
     """
 
-    home_regions: frozenset[RegionName] | None = None
+    home_regions: Homes = None
 
 
 NO_REQUIREMENTS = Requirements()
--- a/chutelink/entry/load_tracker.py
+++ b/chutelink/entry/load_tracker.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 
 from ..coldstart.messages import ColdEndpoint
+from ..eligibility.model import Homes
 from ..ids import AdapterName, DaemonId, EndpointId, ModelName, RegionName
 from ..limits.messages import EndpointLimit
 from .endpoints import EndpointTable
@@ -20,8 +21,6 @@
     StreamCount,
 )
 
-Homes = frozenset[RegionName] | None
-"""Regions in which a request may be served, None for any region."""
 _HomeKey = tuple[ModelName, AdapterName, frozenset[RegionName]]
 
 RETURN_DELAY_MARGIN_S = 0.3
--- a/chutelink/regions/homes.py
+++ b/chutelink/regions/homes.py
@@ -6,13 +6,11 @@
 
 from ..core import Application
 from ..customers.model import Customer
-from ..eligibility.model import NO_REQUIREMENTS, Requirements
+from ..eligibility.model import NO_REQUIREMENTS, Homes, Requirements
 from ..entry.config import Route, RoutingConfig
 from ..ids import CustomerName, RegionName, RouteName
 from .region_map import RegionMap
 
-Homes = frozenset[RegionName] | None
-"""Regions in which a request may be served, None for any region."""
 _CacheKey = tuple[RouteName, Homes, CustomerName | None, Homes]
 MAX_CACHED = 4096
 """Cached pairs of route and customer; more of them are only computed again."""
