Check the signature of relay tickets with home regions again

The merge of home regions raised the number of fields to six, but its test still took the fifth for the signature, which is the home regions since: both checks of changed tickets passed whatever the signature was. They use the last field now. With the check of the signature taken out the test fails. Also names the row on the wire in a docstring.

--- a/chutelink/platform/evacuation.py
+++ b/chutelink/platform/evacuation.py
@@ -1,4 +1,4 @@
-"""Decoding of the rows with which operators evacuate failure domains."""
+"""Decoding of the rows ``op/evacuate/DOMAIN``, which evacuate failure domains."""
 
 from __future__ import annotations
 
--- a/tests/reachability/test_ticket.py
+++ b/tests/reachability/test_ticket.py
@@ -49,6 +49,11 @@
         assert len(value.split(" ")) == 6
         assert SIGNER.decode(value, "POST", "/a") == ticket
         parts = value.split(" ")
-        assert SIGNER.decode(" ".join([*parts[:3], parts[4]]), "POST", "/a") is None
-        widened = " ".join([*parts[:3], "b", parts[4]])
-        assert SIGNER.decode(widened, "POST", "/a") is None
+        mac = parts[-1]
+        for changed in (
+            parts[:3],
+            parts[:4],
+            [*parts[:4], "b"],
+            [*parts[:3], "9", "b"],
+        ):
+            assert SIGNER.decode(" ".join([*changed, mac]), "POST", "/a") is None
