Review case 4: an order of the former placer arrives after the next one's

Cause: the lease is released while an order is under way, and the next holder orders the same server at once.

--- a/review/common/streams.py
+++ b/review/common/streams.py
@@ -24,6 +24,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.connections = 0
+        self.delay_s: Callable[[bytes], float] = lambda data: 0.0
+        """Returns how long data of a caller is held up on its way."""
         self._writers: set[asyncio.StreamWriter] = set()
 
     @property
@@ -65,6 +67,8 @@
         ) -> None:
             try:
                 while data := await source.read(65536):
+                    if target is sink and (delay_s := self.delay_s(data)):
+                        await asyncio.sleep(delay_s)
                     target.write(data)
                     await target.drain()
             except OSError:
@@ -144,10 +148,10 @@
 
 
 async def async_start_servers(
-    fleet: Fleet, count: int, zones: list[str], *args: str
+    fleet: Fleet, count: int, zones: list[str], *args: str, adapters: int = 0
 ) -> list[ServerProcess]:
     """Write the configuration, and start servers that hold the model."""
-    fleet.store.put("op", "config", make_config(1))
+    fleet.store.put("op", "config", make_config(1, adapters))
     host = f"{fleet.subnet}.2"
     ports = free_ports(host, 2 * count)
     servers = [
