--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -90,6 +90,25 @@
     transport.abort()
 
 
+class StoreGate:
+    """Turns the callers of one address of the store away while ``is_shut``."""
+
+    def __init__(self) -> None:
+        self.is_shut = False
+
+    @property
+    def middleware(self) -> Callable:
+        """The middleware, which answers 503 while the gate is shut."""
+
+        @web.middleware
+        async def async_check(request: web.Request, handler: Callable):
+            if self.is_shut:
+                return web.Response(status=503)
+            return await handler(request)
+
+        return async_check
+
+
 class Store:
     """The platform's metadata store, as `PROTOCOL.md` describes it."""
 
@@ -122,9 +141,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def make_app(self) -> web.Application:
-        """Return the HTTP application."""
-        app = web.Application()
+    def make_app(self, gate: StoreGate | None = None) -> web.Application:
+        """Return the HTTP application; a gate may turn its callers away."""
+        middlewares = [] if gate is None else [gate.middleware]
+        app = web.Application(middlewares=middlewares)
         app.router.add_get("/api/rows-get", self._async_get)
         app.router.add_get("/api/rows-feed", self._async_feed)
         app.router.add_post("/api/rows-tx", self._async_transact)
@@ -200,6 +220,7 @@
         self.ready = f"{self.ip}:{ports[1]}"
         self.control = f"{self.ip}:{ports[2]}"
         self.directory = f"{self.ip}:{ports[3]}"
+        self.store_address = fleet.store_address
         self.process: asyncio.subprocess.Process | None = None
 
     async def async_start(self) -> None:
@@ -215,7 +236,7 @@
             "listen.control": self.control,
             "listen.directory": self.directory,
             "seeds": ",".join(d.control for d in fleet.daemons[:3]),
-            "provider.address": fleet.store_address,
+            "provider.address": self.store_address,
         }
         path = fleet.folder / f"{self.node}.ini"
         path.write_text(render((ROOT / role["template"]).read_text(), fields))
@@ -247,6 +268,12 @@
         """Return what the daemon has logged."""
         return (self.fleet.folder / f"{self.node}.log").read_text(errors="replace")
 
+    @property
+    def holds_lease(self) -> bool:
+        """Whether the daemon took the lease and hasn't lost it since."""
+        log = self.log()
+        return log.rfind("event=lease_taken") > log.rfind("event=lease_lost")
+
     async def async_is_ready(self) -> bool:
         """Ask the daemon whether it is ready, as the platform does."""
         host, _, port = self.ready.rpartition(":")
@@ -292,6 +319,10 @@
         self.daemons = [Daemon(self, n + 1, zone) for n, zone in enumerate(zones)]
         for daemon in self.daemons:
             await daemon.async_start()
+        await self.async_until_ready()
+
+    async def async_until_ready(self) -> None:
+        """Wait until all daemons are ready."""
         end_s = time.monotonic() + READY_TIMEOUT_S
         while not all([await d.async_is_ready() for d in self.daemons]):
             if time.monotonic() > end_s:
