Review case 4: resumed streams go on at another software version

Cause: after all daemons were killed, a lookup whose peers have all just started counts as complete, so the one version that is left is taken for the origin.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,13 +1,11 @@
-"""The holder of the lease stops while a lost packet holds up one of its orders.
+"""All daemons are killed while the last server of a software version leaves.
 
-The next holder orders the same server at once, and the held-up order of the former
-holder arrives after that, with a lower fencing token.
+Callers resume the streams that this version began; a server of another one goes on.
 """
 
 from __future__ import annotations
 
 import asyncio
-import re
 import signal
 import sys
 from pathlib import Path
@@ -16,76 +14,110 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 from harness import run_case  # noqa: E402
-from streams import async_start_servers, async_stream  # noqa: E402
-
-RETRANSMISSION_S = 0.25
-"""A lost packet is sent again after 0.2 s or more."""
+from streams import (  # noqa: E402
+    ServerProcess,
+    async_start_server,
+    async_start_servers,
+    async_stream,
+)
+
+STREAMS = 5
+MAX_MIXED = 2
+"""Streams of two versions that the rule allows."""
+EVENTS = 80
+OTHERS = 8
+"""Servers that have been replaced before; the last of nine is replaced now."""
+MODEL = "m1"
+"""Held by the last server and by the one that replaces it; the others hold m0."""
+EVENT_S = "0.035"
+DRAIN_FROM_S = 0.5
+KILL_S = 2.5
+LEAVE_S = 4.0
+"""It says 0.5 s after the streams began that it leaves, and serves for 3.5 s more."""
+DOWN_S = 2.0
+RESUME_S = 0.8
 ZONES = ["tallinn-a", "tallinn-b", "maardu-c"]
-EVENTS = 10
-
-
-def find_holder(fleet):
-    """Return the daemon that holds the lease."""
-    for daemon in fleet.daemons:
-        if "event=lease_taken" in daemon.log():
-            return daemon
-    raise RuntimeError("no daemon holds the lease")
 
 
 async def async_case(fleet, record, has_trouble: bool) -> int:
     """Run the case."""
-    servers = await async_start_servers(fleet, 1, ZONES, adapters=16)
+    servers = await async_start_servers(fleet, OTHERS, ZONES, version="v2")
+    old = ServerProcess(fleet, "i-old", "tallinn-a", [MODEL])
+    new = ServerProcess(fleet, "i-new", "tallinn-b", [MODEL])
+    new.version = "v2"
+    servers += [old, new]
     try:
+        await async_start_server(old, "--event-s", EVENT_S)
         await fleet.async_start(ZONES)
         await asyncio.sleep(4.0)
-        return await async_play(fleet, record, servers[0], has_trouble)
+        return await async_play(fleet, record, old, new, has_trouble)
     finally:
         for server in servers:
             await server.async_close()
 
 
-async def async_play(fleet, record, server, has_trouble: bool) -> int:
-    """Stop the holder as its order is under way; callers ask for adapters meanwhile."""
-    holder = find_holder(fleet)
-    others = [daemon for daemon in fleet.daemons if daemon is not holder]
-    orders: list[dict] = []
-    later: list[asyncio.Task] = []
-
-    def note(_, event: dict) -> None:
-        if "order" in event:
-            orders.append(event["order"])
-
-    def hold_up(data: bytes) -> float:
-        if later or b"/api/order" not in data:
-            return 0.0
-        holder.signal(signal.SIGTERM)
-        for number, daemon in enumerate(others):
-            sent = async_stream(
-                record, daemon.front, f"other{number}", EVENTS, f"m0/a{number + 2}"
-            )
-            later.append(asyncio.ensure_future(sent))
-        record.write(f"an order passes {server.name}'s proxy")
-        return RETRANSMISSION_S if has_trouble else 0.0
-
-    server.on_event = note
-    server.proxy.delay_s = hold_up
-    first = asyncio.ensure_future(
-        async_stream(record, holder.front, "first", EVENTS, "m0/a1")
+async def async_resume(fleet, record, number: int, answer) -> bool:
+    """Resume a stream; return whether it then holds events of two versions."""
+    extra = f"Last-Event-Id: {answer.events[-1]}\r\nResumes: s{number}\r\n"
+    address = fleet.daemons[number % 3].front
+    name = f"again{number}"
+    again = await async_stream(record, address, name, EVENTS, MODEL, extra)
+    versions = sorted({*answer.versions, *again.versions})
+    record.write(f"stream s{number} holds events of {versions}")
+    return len(versions) > 1
+
+
+async def async_play(fleet, record, old, new, has_trouble: bool) -> int:
+    """Replace the server during some streams; kill the daemons if there is trouble."""
+    began_s = record.now_s
+
+    async def async_until(at_s: float) -> None:
+        await asyncio.sleep(max(0.0, began_s + at_s - record.now_s))
+
+    async def async_leave() -> None:
+        await async_start_server(new, "--event-s", EVENT_S)
+        record.write(f"server {new.name} of {new.version} is ready")
+        await async_until(DRAIN_FROM_S)
+        old.state = "draining"
+        old.register()
+        record.write(f"server {old.name} of {old.version} says that it leaves")
+        await async_until(LEAVE_S)
+        old.leave()
+
+    leaving = asyncio.ensure_future(async_leave())
+    sent = [
+        asyncio.ensure_future(
+            async_stream(record, fleet.daemons[n % 3].front, f"s{n}", EVENTS, MODEL)
+        )
+        for n in range(STREAMS)
+    ]
+    if has_trouble:
+        await async_until(KILL_S)
+        for daemon in fleet.daemons:
+            daemon.signal(signal.SIGKILL)
+        await asyncio.sleep(DOWN_S)
+        for daemon in fleet.daemons:
+            await daemon.process.wait()
+            await daemon.async_start()
+        await fleet.async_until_ready()
+        await asyncio.sleep(RESUME_S)
+    first = await asyncio.gather(*sent)
+    await leaving
+    broken = [
+        (number, answer)
+        for number, answer in enumerate(first)
+        if answer.events and not answer.is_complete
+    ]
+    resumed = await asyncio.gather(
+        *(async_resume(fleet, record, *entry) for entry in broken)
     )
-    await asyncio.sleep(4.0)
-    await asyncio.gather(first, *later)
-    highest = 0
-    is_broken = False
-    for order in orders:
-        if order["fence"] < highest:
-            is_broken = True
-            record.write(f"fence {order['fence']} arrived after {highest}: {order}")
-        highest = max(highest, order["fence"])
+    mixed = sum(resumed)
     for daemon in fleet.daemons:
         for line in daemon.log().splitlines():
-            if re.search(r"event=(lease_|order_)", line):
+            if "event=resumption" in line:
                 record.write(f"log of {daemon.node}: {line[:240]}")
-    return int(is_broken)
+    record.write(f"{mixed} streams hold events of two versions, {MAX_MIXED} allowed")
+    return int(mixed > MAX_MIXED)
 
 
 if __name__ == "__main__":
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -83,10 +83,11 @@
 
 
 def reset(transport: asyncio.Transport) -> None:
-    """Reset a connection."""
+    """Reset a connection, unless it is closed."""
     sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if sock is None or sock.fileno() < 0:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     transport.abort()
 
 
@@ -127,6 +128,10 @@
         data = base64.b64encode(json.dumps(value).encode()).decode()
         self._commit([(table, key, data)])
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._commit([(table, key, None)])
+
     def _commit(self, changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
         for table, key, value in changes:
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -22,6 +22,7 @@
         self._id = args.id
         self._prefill_s = args.prefill_s
         self._event_s = args.event_s
+        self._version = args.version
         self._tell_after = args.tell_after
         self._models: dict[str, list[str]] = {name: [] for name in args.models}
         self._sequence = 0
@@ -113,7 +114,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         await asyncio.sleep(self._prefill_s)
         for number in range(first, tokens_out // TOKENS_PER_EVENT + 1):
-            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            event = f"id: {number}\ndata: {self._version}\n\n".encode()
             # An event may arrive in two parts, and a crash may fall between them.
             transport.write(event[:6])
             if number == first + self._tell_after:
@@ -146,6 +147,7 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--models", nargs="*", default=[])
     parser.add_argument("--prefill-s", type=float, default=0.15)
+    parser.add_argument("--version", default="v1")
     parser.add_argument("--event-s", type=float, default=0.025)
     parser.add_argument(
         "--tell-after",
--- a/review/common/streams.py
+++ b/review/common/streams.py
@@ -91,12 +91,14 @@
         self.proxy: Proxy | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.on_event: Callable[[ServerProcess, dict], None] = lambda server, e: None
+        self.version, self.state = "v1", "ready"
         self._reader: asyncio.Task | None = None
 
     async def async_start(self, host: str, port: int, proxy_port: int, *args) -> None:
         """Start the process, and register it once it listens."""
         command = [sys.executable, str(SERVER), "--host", host, "--port", str(port)]
-        command += ["--id", self.name, *args, "--models", *self.models]
+        command += ["--id", self.name, "--version", self.version]
+        command += [*args, "--models", *self.models]
         self.process = await asyncio.create_subprocess_exec(
             *command,
             cwd=ROOT,
@@ -122,14 +124,21 @@
             "service": "vaatleja-llm",
             "address": self.proxy.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
-            "state": "ready",
+            "state": self.state,
             "models": models,
             "seq": 0,
         }
         self.fleet.store.put("servers", self.name, entry)
 
+    def leave(self) -> None:
+        """Remove the entry, and end the process."""
+        self.fleet.record.write(f"server {self.name} has left")
+        self.fleet.store.remove("servers", self.name)
+        self.proxy.close()
+        self.process.terminate()
+
     def crash(self) -> None:
         """Kill the process; its address accepts nothing from then on."""
         self.fleet.record.write(f"killed server {self.name}")
@@ -147,20 +156,29 @@
             await self._reader
 
 
+async def async_start_server(server: ServerProcess, *args: str) -> None:
+    """Start a server on free ports."""
+    host = f"{server.fleet.subnet}.2"
+    await server.async_start(host, *free_ports(host, 2), *args)
+
+
 async def async_start_servers(
-    fleet: Fleet, count: int, zones: list[str], *args: str, adapters: int = 0
+    fleet: Fleet,
+    count: int,
+    zones: list[str],
+    *args: str,
+    adapters: int = 0,
+    version: str = "v1",
 ) -> list[ServerProcess]:
     """Write the configuration, and start servers that hold the model."""
-    fleet.store.put("op", "config", make_config(1, adapters))
-    host = f"{fleet.subnet}.2"
-    ports = free_ports(host, 2 * count)
+    fleet.store.put("op", "config", make_config(2, adapters))
     servers = [
         ServerProcess(fleet, f"i-{n}", zones[n % len(zones)], ["m0"])
         for n in range(count)
     ]
-    for number, server in enumerate(servers):
-        port, proxy_port = ports[2 * number : 2 * number + 2]
-        await server.async_start(host, port, proxy_port, *args)
+    for server in servers:
+        server.version = version
+        await async_start_server(server, *args)
     return servers
 
 
@@ -220,10 +238,11 @@
         self.has_seal = False
         self.is_complete = False
         self.events: list[int] = []
+        self.versions: list[str] = []
         self.error = ""
 
     def __str__(self) -> str:
-        events = f"{len(self.events)} events"
+        events = f"{len(self.events)} events of {','.join(self.versions) or '-'}"
         if self.events:
             events += f" ({self.events[0]} to {self.events[-1]})"
         end = "complete" if self.is_complete else f"not complete {self.error}"
@@ -231,7 +250,12 @@
 
 
 async def async_stream(
-    record: Record, address: str, name: str, events: int, model: str = "m0"
+    record: Record,
+    address: str,
+    name: str,
+    events: int,
+    model: str = "m0",
+    extra: str = "",
 ) -> StreamAnswer:
     """Request a stream on a new connection, and read it to its end."""
     answer = StreamAnswer()
@@ -242,7 +266,7 @@
         f"X-Deadline-Ms: 15000\r\nX-Model: {model}\r\n"
         f"X-Token-Count: 826,{events * 5}\r\n"
         f"X-Prompt-Prefix: 5c1e07a2:119,{part}:707\r\n"
-        "Content-Length: 5\r\n\r\nquery"
+        f"{extra}Content-Length: 5\r\n\r\nquery"
     )
     record.write(f"caller sends {name} to {address}, {events} events expected")
     body = b""
@@ -272,6 +296,8 @@
             writer.close()
     except (OSError, EOFError, TimeoutError, ValueError) as error:
         answer.error = repr(error)
-    answer.events = [int(found) for found in re.findall(rb"(?m)^id: (\d+)$", body)]
+    found = re.findall(rb"(?m)^id: (\d+)\ndata: (\w+)\n\n", body)
+    answer.events = [int(number) for number, _ in found]
+    answer.versions = sorted({version.decode() for _, version in found})
     record.write(f"caller got {name}: {answer}")
     return answer
