Relaying: give a silent endpoint up only if another one can serve the request

What callers saw: while endpoints were silent for longer than the stall timeout, streams were closed without their end, and repeatable requests were answered 502 at 45% of their time, though every endpoint lived and would have gone on.

Cause: the timeouts asked whether the route may repeat, not whether another attempt was left, within the retry budget, and had an endpoint to go to. The attempt was given up first and the rest was found out afterwards. A resumed stream was cut again at its last attempt.

Change: when an endpoint has been silent for the limit, SilencePolicy looks for another one that has responded since, or that nothing was sent to since, and reserves the retry; only then the attempt ends. Otherwise the response is awaited, and the decision repeated every 0.1 s. So of several streams at silent endpoints only one tries an endpoint that may be silent as well, and time in which the caller doesn't read is no silence. An endpoint that sends no head is given up as well, if it responds to no other request either. event=endpoint_silent and endpoint_silences_total state each decision.

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -99,6 +99,8 @@
         self.models = dict(record.models)
         self.sequence = UNKNOWN_SEQUENCE
         self.last_sent_s = float("-inf")
+        self.heard_s = float("-inf")
+        """When this daemon last received a part of a response from it."""
         self.requests = 0
         self.reading_s = 0.0
         self.by_ref: Counter[ModelRef] = Counter()
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -15,6 +15,9 @@
         self.registry = Registry()
         self.requests = self._counter("requests_total", "Requests by outcome")
         self.retries = self._counter("retries_total", "Retries by reason")
+        self.silences = self._counter(
+            "endpoint_silences_total", "Silences of endpoints by decision"
+        )
         self.claims = self._counter("idempotency_claims_total", "Claims by result")
         self.moves = self._counter("moves_total", "Orders by action and result")
         self.violations = self._counter(
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -39,6 +39,8 @@
     that of the endpoint that began its stream, None if it is unknown; other endpoints
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
+    ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
+    attempt, ``switch_to`` the endpoint for which a silent one was given up.
     ``homes`` has the home regions of the configuration in force, which may be newer
     than the route.
     """
@@ -71,6 +73,8 @@
     software_version: SoftwareVersion | None = None
     is_version_bound: bool = False
     send_before_s: float | None = None
+    is_retry_reserved: bool = False
+    switch_to: EndpointId | None = None
     homes: HomeRegions | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -38,6 +38,7 @@
 from .retry_budget import RetryBudgetShare
 from .routing import PrefixChoice, RoutingPolicy, RoutingRequest
 from .signals import SignalReader
+from .silence import is_responsive
 from .upstream import EndpointCall
 from .version_gate import VersionGate
 
@@ -369,10 +370,24 @@
             return others
         return rows
 
+    def choose_alternative(self, exchange: Exchange, since_s: float) -> Endpoint | None:
+        """Return the endpoint for a request whose endpoint has been silent.
+
+        ``since_s`` is the start of the silence. The silent endpoint is considered if it
+        is the only one: its connection may be broken without a notice.
+        """
+        reachable = self._reachable_rows(exchange)
+        others = [row for row in reachable if row.record.id not in exchange.tried]
+        rows = [row for row in others or reachable if is_responsive(row, since_s)]
+        rows = self._back_pressure.available_rows(rows, exchange)
+        return self._policy.choose(rows, exchange.candidate, self.core.clock())
+
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         now_s = self.core.clock()
         eligible = self._eligible_rows(exchange)
         rows = self._back_pressure.available_rows(eligible, exchange)
+        if exchange.switch_to is not None:
+            rows = [r for r in rows if r.record.id == exchange.switch_to] or rows
         if len(rows) > 1:
             free = [r for r in rows if self._capacity_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
@@ -431,12 +446,25 @@
 
     def take_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be retried; if so, take one from the budget."""
-        if len(exchange.tried) >= exchange.route.max_endpoints:
-            return False
-        if exchange.is_trial or self.gate.is_quarantined(exchange):
-            return False
-        if not self.retry_budget.take(exchange.service.name, self.core.clock()):
+        if not self.reserve_retry(exchange):
             return False
+        exchange.is_retry_reserved = False
         if exchange.may_have_run:
             self.on_rerun(exchange)
         return True
+
+    def may_retry(self, exchange: Exchange) -> bool:
+        """Return whether a request may be retried, apart from the retry budget."""
+        if len(exchange.tried) >= exchange.route.max_endpoints:
+            return False
+        return not exchange.is_trial and not self.gate.is_quarantined(exchange)
+
+    def reserve_retry(self, exchange: Exchange) -> bool:
+        """Take a retry from the budget for the next attempt, if that is allowed."""
+        if not self.may_retry(exchange):
+            return False
+        if not exchange.is_retry_reserved:
+            exchange.is_retry_reserved = self.retry_budget.take(
+                exchange.service.name, self.core.clock()
+            )
+        return exchange.is_retry_reserved
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -20,11 +20,12 @@
 from ..quarantine.model import BrokenRun, Evidence
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
-from .upstream import BufferedResponse, Upstream
+from .silence import SilencePolicy
+from .upstream import BufferedResponse, EndpointCall, Upstream
 
 FIRST_SERVER_ERROR_STATUS = 500
 FIRST_ATTEMPT_TIME_SHARE = 0.45
-"""Share of the remaining time for an attempt that may be followed by another."""
+"""Share of the remaining time after which another attempt may follow."""
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 
@@ -52,6 +53,7 @@
     def __init__(self, dispatcher: ExchangeDispatcher, upstream: Upstream) -> None:
         self._dispatcher = dispatcher
         self._upstream = upstream
+        self.silences = SilencePolicy(dispatcher)
 
     async def async_relay_buffered(self, exchange: Exchange) -> BufferedResponse:
         """Return an endpoint's response, unchanged.
@@ -114,8 +116,7 @@
         call = self._dispatcher.make_call(exchange, row)
         try:
             with self.track_in_flight(exchange, row):
-                limit_s = self._attempt_timeout_s(exchange, sent_s)
-                response = await self._upstream.async_exchange(row, call, limit_s)
+                response = await self._async_exchange(exchange, row, call)
         except EndpointUnreachable as error:
             self.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
             return AttemptResult.UNREACHABLE, None
@@ -127,6 +128,7 @@
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
             await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
+        row.heard_s = clock()
         self._dispatcher.signals.note(
             exchange, row, response.status, response.headers, sent_s
         )
@@ -134,6 +136,28 @@
             exchange, row, response, clock() - sent_s
         ), response
 
+    async def _async_exchange(
+        self, exchange: Exchange, row: Endpoint, call: EndpointCall
+    ) -> BufferedResponse:
+        """Send a call; it is ended early only if another endpoint can serve it.
+
+        Raises
+        ------
+        EndpointFailed
+            The call may have run.
+        """
+        left_s = max(0.0, exchange.left_s(self._dispatcher.core.clock()))
+        limit_s = FIRST_ATTEMPT_TIME_SHARE * left_s if exchange.is_repeatable else None
+        silence = self.silences.make_timeout(exchange, row)
+        try:
+            async with silence:
+                with silence.awaiting(limit_s):
+                    return await self._upstream.async_exchange(row, call, left_s)
+        except TimeoutError as error:
+            raise EndpointFailed(
+                "silent", step="endpoint.exchange", peer=row.record.id
+            ) from error
+
     def classify_response(
         self,
         exchange: Exchange,
@@ -164,18 +188,11 @@
             self.note_completed_run(exchange)
         return AttemptResult.ANSWERED
 
-    def _attempt_timeout_s(self, exchange: Exchange, now_s: float) -> float:
-        """Return the timeout of the current attempt."""
-        left_s = exchange.left_s(now_s)
-        has_more_attempts = len(exchange.tried) < exchange.route.max_endpoints
-        if exchange.is_repeatable and has_more_attempts:
-            return max(0.0, FIRST_ATTEMPT_TIME_SHARE * left_s)
-        return max(0.0, left_s)
-
     @contextmanager
     def track_in_flight(self, exchange: Exchange, row: Endpoint):
         """Count a request as in flight at an endpoint within the context."""
         exchange.tried.append(row.record.id)
+        exchange.switch_to = None
         row.last_sent_s = self._dispatcher.core.clock()
         if row.limit.is_limited:
             self._dispatcher.core.metrics.limited_sends.inc({})
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -72,6 +73,10 @@
         self._longest_pause_s = 0.0
         self._first_event_s: float | None = None
         self._events = 0
+        self._has_response = False
+        self._silence = stream_relay.relay.silences.make_timeout(
+            exchange, row, has_response=lambda: self._has_response
+        )
 
     async def async_run(
         self, sent_s: float
@@ -82,13 +87,21 @@
         call = stream_relay.dispatcher.make_call(exchange, row)
         limit_s = max(0.0, exchange.left_s(sent_s))
         try:
-            async with asyncio.timeout(limit_s):
-                async with stream_relay.upstream.async_open(row, call) as response:
-                    return await self._async_handle_response(response, sent_s)
+            async with (
+                asyncio.timeout(limit_s),
+                self._silence,
+                AsyncExitStack() as stack,
+            ):
+                with self._silence.awaiting(self._first_event_timeout_s()):
+                    response = await stack.enter_async_context(
+                        stream_relay.upstream.async_open(row, call)
+                    )
+                self._has_response = True
+                row.heard_s = stream_relay.core.clock()
+                return await self._async_handle_response(response, sent_s)
         except TimeoutError as error:
-            raise EndpointFailed(
-                "no end in time", step="stream", peer=row.record.id
-            ) from error
+            message = "silent" if self._silence.has_expired else "no end in time"
+            raise EndpointFailed(message, step="stream", peer=row.record.id) from error
 
     async def _async_handle_response(
         self, response: aiohttp.ClientResponse, sent_s: float
@@ -176,22 +189,19 @@
     async def _async_read_chunk(
         self, response: aiohttp.ClientResponse, limit_s: float | None
     ) -> bytes:
-        try:
-            async with asyncio.timeout(limit_s):
-                return await response.content.readany()
-        except TimeoutError as error:
-            raise EndpointFailed(
-                "silent within its answer", step="stream", peer=self._row.record.id
-            ) from error
+        with self._silence.awaiting(limit_s):
+            chunk = await response.content.readany()
+        if chunk:
+            self._row.heard_s = self._stream_relay.core.clock()
+        return chunk
 
     def _first_event_timeout_s(self) -> float | None:
-        exchange = self._exchange
-        has_more_attempts = len(exchange.tried) < exchange.route.max_endpoints
-        if not exchange.is_repeatable or not has_more_attempts:
+        route = self._exchange.route
+        if not route.is_repeatable:
             return None
-        objective_s = exchange.route.objective_s
         return max(
-            MIN_FIRST_EVENT_TIMEOUT_S, FIRST_EVENT_TIMEOUT_OBJECTIVES * objective_s
+            MIN_FIRST_EVENT_TIMEOUT_S,
+            FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_s,
         )
 
     def _check_event_id(self, event: StreamEvent) -> None:
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -142,6 +142,7 @@
         self.born_ms: int | None = None
         self.software_version: str | None = None
         """Version of its software; if set, each event of a stream names it."""
+        self._silent_until_s = float("-inf")
         self.on_crash: Callable[[EndpointStandin], None] = lambda endpoint: None
         """Called when a request crashes the endpoint."""
 
@@ -190,6 +191,14 @@
         self.is_busy = False
         self.models = {name: [] for name in self.models}
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for a while, as a process that is stopped and continued."""
+        self._silent_until_s = time.monotonic() + duration_s
+
+    async def _async_while_silent(self) -> None:
+        while (left_s := self._silent_until_s - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
     def upgrade(self, software_version: str) -> None:
         """Replace the process by one of another software version, without models."""
         self._start_new_process()
@@ -217,6 +226,7 @@
 
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a call for a report, an order or a request."""
+        await self._async_while_silent()
         if request.headers.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
         if request.path == "/api/report":
@@ -403,6 +413,7 @@
         try:
             for number in range(first, total + 1):
                 await asyncio.sleep(TOKEN_INTERVAL_S)
+                await self._async_while_silent()
                 if cut_after and number > cut_after:
                     self._consume_fault("cuts")
                     await response.write(b"id: 9")
--- /dev/null
+++ b/tests/relaying/test_silent_endpoints.py
@@ -0,0 +1,166 @@
+"""Endpoints that say nothing for a while, and go on afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from chutelink.relaying.retry_budget import RetryBudgetShare
+from chutelink.relaying.silence import SilenceTimeout
+from standins.prepared_config import make_config
+
+from .relay_harness import SERVICES, async_relay_harness
+from .test_stream import expected, headers
+
+SILENCE_S = 1.9
+"""Longer than the stall timeout; the deadline of requests allows two such silences."""
+NO_RETRIES = RetryBudgetShare(ratio=0.0, slack=0.0, window_s=10.0)
+SILENT_AFTER_EVENTS = (2, 4)
+DEADLINE = {"X_Deadline_Ms": "6000"}
+
+
+def make_silence(standins):
+    """Return a callback that silences all endpoints after some events of a stream."""
+    pending = list(SILENT_AFTER_EVENTS)
+
+    def on_received(received):
+        if pending and received.count(b"\n\n") >= pending[0]:
+            pending.pop(0)
+            for standin in standins:
+                standin.fall_silent(SILENCE_S)
+
+    return on_received
+
+
+def make_routes():
+    """Return routes whose callers wait for 2 s for each event of a stream."""
+    routes = make_config(1, SERVICES)["routes"]
+    return [route | {"slo_ms": 400, "timeout_ms": 6000} for route in routes]
+
+
+async def async_read_stream(harness, request_id, on_received=None):
+    sent = headers() | DEADLINE
+    async with harness.request("/stream/x", request_id, **sent) as answer:
+        assert answer.status == 200
+        received = b""
+        while part := await answer.content.readany():
+            received += part
+            if on_received is not None:
+                on_received(received)
+        return received
+
+
+@pytest.mark.parametrize("endpoints", [1, 2])
+def test_streams_are_not_cut_while_all_endpoints_are_silent(endpoints):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            standins = [
+                await harness.async_add(f"i-{number}", "llm", {"m0": []})
+                for number in range(endpoints)
+            ]
+
+            silence = make_silence(standins)
+            streams = [
+                async_read_stream(harness, "q0", on_received=silence),
+                async_read_stream(harness, "q1"),
+                async_read_stream(harness, "q2"),
+            ]
+            assert await asyncio.gather(*streams) == [expected()] * 3
+
+    asyncio.run(async_test())
+
+
+def test_stream_is_not_cut_by_silence_without_retry_budget():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.dispatcher.retry_budget = NO_RETRIES
+            harness.configure(routes=make_routes())
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+
+            silence = make_silence([endpoint])
+            received = await async_read_stream(harness, "q0", on_received=silence)
+            assert received == expected()
+
+    asyncio.run(async_test())
+
+
+def test_plain_request_waits_for_its_endpoint_without_retry_budget():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.dispatcher.retry_budget = NO_RETRIES
+            harness.configure(routes=make_routes())
+            endpoint = await harness.async_add("i-1", "plain")
+            endpoint.fall_silent(SILENCE_S)
+            async with harness.request("/again/x", X_Deadline_Ms="4000") as answer:
+                assert answer.status == 200
+                assert await answer.read() == b"done body"
+
+    asyncio.run(async_test())
+
+
+def test_stream_moves_from_a_silent_endpoint_to_one_that_responds():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            silence = make_silence([first])
+            stream = asyncio.ensure_future(
+                async_read_stream(harness, "q0", on_received=silence)
+            )
+            while not first.runs:
+                await asyncio.sleep(0)
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            assert await stream == expected()
+            assert second.runs == ["q0"]
+
+    asyncio.run(async_test())
+
+
+def test_stream_moves_from_an_endpoint_that_sends_no_head():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            first.fall_silent(60.0)
+            stream = asyncio.ensure_future(async_read_stream(harness, "q0"))
+            await asyncio.sleep(0.1)
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            assert await stream == expected()
+            assert second.runs == ["q0"]
+
+    asyncio.run(async_test())
+
+
+def test_only_one_of_many_streams_tries_an_endpoint_that_may_be_silent_too():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            first.fall_silent(SILENCE_S)
+            streams = [
+                asyncio.ensure_future(async_read_stream(harness, f"q{n}"))
+                for n in range(5)
+            ]
+            await asyncio.sleep(0.1)
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            second.fall_silent(SILENCE_S)
+            assert await asyncio.gather(*streams) == [expected()] * 5
+            assert len(second.runs) <= 1
+
+    asyncio.run(async_test())
+
+
+def test_slow_caller_does_not_count_as_a_silent_endpoint():
+    async def async_test():
+        checks = []
+        timeout = SilenceTimeout(time.monotonic, lambda since_s: bool(checks.append(1)))
+        async with timeout:
+            with timeout.awaiting(0.02):
+                pass
+            await asyncio.sleep(0.1)
+        assert not checks and not timeout.has_expired
+
+    asyncio.run(async_test())
