--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -14,6 +14,7 @@
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
 from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
+from .response_end import Framing
 from .routing import PrefixChoice, RoutingRequest
 
 LEAST_URGENT_STEP = 9
@@ -39,6 +40,7 @@
     that of the endpoint that began its stream, None if it is unknown; other endpoints
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
+    ``framing`` is what ended the last response of an endpoint, None without a response.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, ``switch_to`` the endpoint for which a silent one was given up.
     ``homes`` has the home regions of the configuration in force, which may be newer
@@ -73,6 +75,7 @@
     software_version: SoftwareVersion | None = None
     is_version_bound: bool = False
     send_before_s: float | None = None
+    framing: Framing | None = None
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
     homes: HomeRegions | None = None
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -20,6 +20,7 @@
 from ..quarantine.model import BrokenRun, Evidence
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
+from .response_end import framing_of
 from .silence import SilencePolicy
 from .upstream import BufferedResponse, EndpointCall, Upstream
 
@@ -129,6 +130,7 @@
             await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
         row.heard_s = clock()
+        exchange.framing = framing_of(response.headers)
         self._dispatcher.signals.note(
             exchange, row, response.status, response.headers, sent_s
         )
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -112,6 +112,7 @@
                 "objective_s": exchange.route.objective_s,
                 "limit_s": exchange.deadline_s - exchange.started_s,
                 "may_have_run": exchange.may_have_run,
+                "framing": "" if exchange.framing is None else exchange.framing.value,
                 "resumes": exchange.meta.resumes or "",
                 "resume_after": exchange.resume_after,
                 "first_event_s": exchange.first_event_s,
--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import aiohttp
+from multidict import CIMultiDictProxy
 
 from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken
@@ -18,6 +21,26 @@
 BODILESS_STATUSES = frozenset({204, 205})
 
 
+class Framing(Enum):
+    """What ends the body of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection, or no body at all."""
+
+
+def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
+    """Return what ends the body of a response with these headers."""
+    if HEADER_RELAY_UNFRAMED in headers:
+        return Framing.CONNECTION
+    if "Content-Length" in headers:
+        return Framing.LENGTH
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKS
+    return Framing.CONNECTION
+
+
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the endpoint's response itself states where its body ends.
 
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -16,7 +16,7 @@
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .relay import AttemptResult
-from .response_end import FIRST_NON_SUCCESS_STATUS, is_framed
+from .response_end import FIRST_NON_SUCCESS_STATUS, framing_of, is_framed
 from .sse import EventSplitter, StreamEvent
 from .upstream import BufferedResponse, forwarded_headers
 
@@ -107,6 +107,7 @@
         self, response: aiohttp.ClientResponse, sent_s: float
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         exchange, row = self._exchange, self._row
+        exchange.framing = framing_of(response.headers)
         self._stream_relay.dispatcher.signals.note(
             exchange, row, response.status, response.headers, sent_s
         )
