Ends of responses: ask the process itself, not whether its port accepts

What callers saw: streams ended as complete after a part of their events, and a part of a plain response was returned as the whole.

Cause: a response without a length that ended with its connection counted as complete if something accepted a connection at the endpoint's address afterwards. A successor at the address does, the process of a supervisor's restart does, and so does the kernel for a process that is stopped or failing. A response with a coding other than chunked wasn't checked at all, as it counted as framed.

Change: PresenceCheck calls the endpoint with the expected instance: the report of an engine, whose start is compared as well, or the health of another endpoint. Only a length or the chunked coding counts as framing.

The test of the former check is replaced by one over all results of the new one.

--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -9,12 +9,13 @@
 import aiohttp
 from aiohttp import web
 
-from ..ids import FailureDomainName
+from ..ids import FailureDomainName, ServiceName
 from ..placing.inventory import EngineClient
+from ..relaying.presence import PresenceCheck
 from ..settings import PlatformSection
 from ..store import WatchableTable
 from ..store.http import ReadRetry
-from .config import RoutingConfig
+from .config import RoutingConfig, ServiceSpec
 from .directory import Directory
 from .endpoints import EndpointRecord
 from .headers import HeaderCodec
@@ -38,6 +39,14 @@
     def make_engine_client(self, session: aiohttp.ClientSession) -> EngineClient:
         """Return the client for the reports and orders of endpoints."""
 
+    @abstractmethod
+    def make_presence_check(
+        self,
+        session: aiohttp.ClientSession,
+        find_service: Callable[[ServiceName], ServiceSpec | None],
+    ) -> PresenceCheck:
+        """Return the check of endpoints' processes; ``find_service`` is by name."""
+
     @abstractmethod
     def make_header_codec(self) -> HeaderCodec:
         """Return the codec for the headers of callers and endpoints."""
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -191,7 +191,10 @@
                 "store_read_retried", **msgspec.structs.asdict(retry)
             ),
         )
-        self._upstream = Upstream(entry.max_answer_bytes)
+        presence = self._adapter.make_presence_check(
+            self.session, self.known.find_service
+        )
+        self._upstream = Upstream(presence, entry.max_answer_bytes)
         self.mesh = Mesh(self, self.settings.peers, self.members)
         self.router = MessageRouter(
             self,
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -81,6 +81,10 @@
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
+    def find_service(self, name: ServiceName) -> ServiceSpec | None:
+        """Return the specification of a service, None if it is not configured."""
+        return self._services().get(name)
+
     def _services(self) -> dict[ServiceName, ServiceSpec]:
         return {} if self.routes is None else self.routes.config.services
 
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -9,12 +9,13 @@
 
 from ..const import KEY_ROUTING_CONFIG, TABLE_ENDPOINTS
 from ..entry.adapter import Handler, PlatformAdapter
-from ..entry.config import RoutingConfig
+from ..entry.config import RoutingConfig, ServiceSpec
 from ..entry.directory import Directory
 from ..entry.endpoints import EndpointRecord
 from ..entry.headers import HeaderCodec
-from ..ids import FailureDomainName
+from ..ids import FailureDomainName, ServiceName
 from ..placing.inventory import EngineClient
+from ..relaying.presence import PresenceCheck
 from ..settings import PlatformSection
 from ..store import WatchableTable
 from ..store.http import ReadRetry
@@ -25,6 +26,7 @@
 from .evacuation import compact_evacuation, decode_evacuated_domain
 from .headers import PlatformHeaderCodec
 from .http import make_directory_handler, make_ready_handler
+from .presence import HttpPresenceCheck
 from .store import async_setup_store
 
 
@@ -44,6 +46,14 @@
         """Return the client for endpoint reports and orders."""
         return HttpEngineClient(session)
 
+    def make_presence_check(
+        self,
+        session: aiohttp.ClientSession,
+        find_service: Callable[[ServiceName], ServiceSpec | None],
+    ) -> PresenceCheck:
+        """Return the check of endpoints' processes; ``find_service`` is by name."""
+        return HttpPresenceCheck(session, find_service)
+
     def make_header_codec(self) -> HeaderCodec:
         """Return the codec for the headers of callers and endpoints."""
         return PlatformHeaderCodec()
--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -13,10 +13,9 @@
 
 from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken
-from ..quarantine.probe import EndingProbe, ProbeResult
 from ..reachability.const import HEADER_RELAY_UNFRAMED
+from .presence import Presence, PresenceCheck
 
-FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 FIRST_NON_SUCCESS_STATUS = 300
 BODILESS_STATUSES = frozenset({204, 205})
 
@@ -31,31 +30,35 @@
 
 
 def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
-    """Return what ends the body of a response with these headers."""
+    """Return what ends the body of an endpoint's response with these headers."""
     if HEADER_RELAY_UNFRAMED in headers:
+        # The peer that relays it sends every response in chunks or with its length.
         return Framing.CONNECTION
+    return _received_framing(headers)
+
+
+def _received_framing(headers: CIMultiDictProxy[str]) -> Framing:
     if "Content-Length" in headers:
         return Framing.LENGTH
-    if "Transfer-Encoding" in headers:
+    codings = ",".join(headers.getall("Transfer-Encoding", ())).split(",")
+    if codings[-1].strip().lower() == "chunked":
         return Framing.CHUNKS
+    # Other codings don't state where the body ends.
     return Framing.CONNECTION
 
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the endpoint's response itself states where its body ends.
-
-    A peer relays every response in chunks or with its length.
-    """
-    if HEADER_RELAY_UNFRAMED in response.headers:
-        return False
-    return not ends_with_connection(response)
+    """Return whether the endpoint's response itself states where its body ends."""
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    return framing_of(response.headers) is not Framing.CONNECTION
 
 
 def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
     """Return whether only the end of the connection ends a received response."""
     if response.method == "HEAD" or response.status in BODILESS_STATUSES:
         return False
-    return FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
+    return _received_framing(response.headers) is Framing.CONNECTION
 
 
 class ResponseEndVerifier:
@@ -63,12 +66,12 @@
 
     Parameters
     ----------
-    probe : EndingProbe
-        Opens a connection to the endpoint.
+    presence : PresenceCheck
+        Asks the process that has sent the response.
     """
 
-    def __init__(self, probe: EndingProbe) -> None:
-        self._probe = probe
+    def __init__(self, presence: PresenceCheck) -> None:
+        self._presence = presence
 
     async def async_verify(
         self, endpoint: Endpoint, response: aiohttp.ClientResponse
@@ -87,10 +90,10 @@
             response
         ):
             return
-        result = await self._probe.async_probe(endpoint.record.address)
-        if result is not ProbeResult.ACCEPTED:
+        presence = await self._presence.async_check(endpoint.record)
+        if presence is not Presence.SAME:
             raise ConnectionBroken(
-                f"ended without a length, then the endpoint was {result.value}",
+                f"ended without a length, then the process was {presence.value}",
                 step="response.end",
                 peer=endpoint.record.id,
             )
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -28,7 +28,6 @@
     GrantExpired,
 )
 from ..ids import EndpointId
-from ..quarantine.probe import ConnectProbe
 from ..reachability.const import (
     HEADER_RELAY_RESULT,
     HEADER_RELAY_TICKET,
@@ -44,6 +43,7 @@
 )
 from ..settings import DEFAULT_MAX_ANSWER_BYTES
 from ..tables.members import Member
+from .presence import PresenceCheck
 from .response_end import ResponseEndVerifier
 
 CONNECT_TIMEOUT_S = 0.6
@@ -182,16 +182,22 @@
 
     Parameters
     ----------
+    presence : PresenceCheck
+        Checks the process behind a response that ended with its connection.
     max_answer_bytes : int, default=DEFAULT_MAX_ANSWER_BYTES
         Limit of a response's body, except for a stream's.
     """
 
-    def __init__(self, max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES) -> None:
+    def __init__(
+        self,
+        presence: PresenceCheck,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+    ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self._pooled = _make_session(is_pooled=True)
         self._unpooled = _make_session(is_pooled=False)
         self.relays: RelayClient | None = None
-        self.ends = ResponseEndVerifier(ConnectProbe())
+        self.ends = ResponseEndVerifier(presence)
 
     async def async_close(self) -> None:
         """Close all connections."""
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -26,6 +26,7 @@
 from chutelink.origins.manager import OriginManager
 from chutelink.origins.stored import StoredHistory
 from chutelink.platform.adapter import PreparedMachinesAdapter
+from chutelink.platform.presence import HttpPresenceCheck
 from chutelink.quarantine.service import Quarantine
 from chutelink.regions.homes import HomeRegions
 from chutelink.regions.region_map import RegionMap
@@ -84,8 +85,10 @@
         self.config_knowledge = TableFreshness(1, 0.0)
         self.customers = CustomerAccess(self.quotas, lambda: self.config_knowledge, 2.0)
         self.state.on_config = self._apply_config
-        self.upstream = Upstream()
         self.session = aiohttp.ClientSession()
+        self.upstream = Upstream(
+            HttpPresenceCheck(self.session, self.state.find_service)
+        )
         self.zones: dict[str, str] = {}
         """Failure domains of endpoints that are not in ``zone-a``."""
         self.url = ""
--- a/tests/relaying/test_response_end.py
+++ b/tests/relaying/test_response_end.py
@@ -6,36 +6,38 @@
 from types import SimpleNamespace
 
 import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from chutelink.exceptions import ConnectionBroken
-from chutelink.quarantine.probe import EndingProbe, ProbeResult
 from chutelink.reachability.const import HEADER_RELAY_UNFRAMED
+from chutelink.relaying.presence import Presence, PresenceCheck
 from chutelink.relaying.response_end import ResponseEndVerifier, is_framed
 
 ENDPOINT = SimpleNamespace(record=SimpleNamespace(id="i-1", address="127.0.0.1:1"))
 
 
-class FixedProbe(EndingProbe):
-    """A probe with a fixed result, which counts its calls."""
+class FixedPresence(PresenceCheck):
+    """A check with a fixed result, which counts its calls."""
 
     def __init__(self, result):
         self.result = result
         self.calls = 0
 
-    async def async_probe(self, address):
+    async def async_check(self, record):
         self.calls += 1
         return self.result
 
 
 def make_response(method="POST", status=200, **headers):
+    headers = CIMultiDictProxy(CIMultiDict(headers))
     return SimpleNamespace(method=method, status=status, headers=headers)
 
 
-@pytest.mark.parametrize("result", list(ProbeResult))
-def test_unframed_success_is_complete_only_if_its_endpoint_accepts(result):
-    verifier = ResponseEndVerifier(FixedProbe(result))
+@pytest.mark.parametrize("result", list(Presence))
+def test_unframed_success_is_complete_only_if_its_own_process_responds(result):
+    verifier = ResponseEndVerifier(FixedPresence(result))
     check = verifier.async_verify(ENDPOINT, make_response())
-    if result is ProbeResult.ACCEPTED:
+    if result is Presence.SAME:
         asyncio.run(check)
         return
     with pytest.raises(ConnectionBroken):
@@ -53,9 +55,18 @@
     ],
 )
 def test_other_responses_are_not_checked(response):
-    probe = FixedProbe(ProbeResult.REFUSED)
-    asyncio.run(ResponseEndVerifier(probe).async_verify(ENDPOINT, response))
-    assert not probe.calls
+    presence = FixedPresence(Presence.REFUSED)
+    asyncio.run(ResponseEndVerifier(presence).async_verify(ENDPOINT, response))
+    assert not presence.calls
+
+
+@pytest.mark.parametrize("coding", ["identity", "gzip", "chunked, gzip"])
+def test_coding_that_does_not_end_the_body_is_checked(coding):
+    """Guards against parts of responses that count as framed."""
+    response = make_response(**{"Transfer-Encoding": coding})
+    verifier = ResponseEndVerifier(FixedPresence(Presence.REFUSED))
+    with pytest.raises(ConnectionBroken):
+        asyncio.run(verifier.async_verify(ENDPOINT, response))
 
 
 @pytest.mark.parametrize("is_unframed", [False, True])
@@ -63,7 +74,7 @@
     headers = {"Transfer-Encoding": "chunked"}
     headers |= {HEADER_RELAY_UNFRAMED: "1"} if is_unframed else {}
     response = make_response(**headers)
-    probe = FixedProbe(ProbeResult.REFUSED)
-    asyncio.run(ResponseEndVerifier(probe).async_verify(ENDPOINT, response))
+    presence = FixedPresence(Presence.REFUSED)
+    asyncio.run(ResponseEndVerifier(presence).async_verify(ENDPOINT, response))
     assert is_framed(response) is not is_unframed
-    assert not probe.calls
+    assert not presence.calls
