Relaying: let plain requests with little time left move to another endpoint

Cause: the least time left for a switch, which is that of a stream, also applied to plain requests. Change: it applies to streams only.

--- a/chutelink/relaying/silence.py
+++ b/chutelink/relaying/silence.py
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     from .exchange_dispatcher import ExchangeDispatcher
 
-MIN_SWITCH_S = 0.3
-"""With less time left, another endpoint could not respond in time."""
+MIN_STREAM_SWITCH_S = 0.3
+"""With less time left, a stream would not get far at another endpoint."""
 RECHECK_INTERVAL_S = 0.1
 """Interval between decisions about an endpoint that stays silent."""
 
@@ -172,10 +172,11 @@
 
     def _decide(self, exchange: Exchange, since_s: float) -> SilenceDecision:
         now_s = self._core.clock()
-        if exchange.left_s(now_s) < MIN_SWITCH_S:
-            return SilenceDecision.NO_TIME
         if not self._dispatcher.may_retry(exchange):
             return SilenceDecision.NO_ATTEMPT
+        min_left_s = MIN_STREAM_SWITCH_S if exchange.route.is_stream else 0.0
+        if exchange.left_s(now_s) <= min_left_s:
+            return SilenceDecision.NO_TIME
         other = self._dispatcher.choose_alternative(exchange, since_s)
         if other is None:
             return SilenceDecision.NO_ENDPOINT
--- a/tests/relaying/test_silent_endpoints.py
+++ b/tests/relaying/test_silent_endpoints.py
@@ -153,6 +153,23 @@
     asyncio.run(async_test())
 
 
+def test_plain_request_with_little_time_left_moves_to_another_endpoint():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            first = await harness.async_add("i-1", "plain")
+            first.fall_silent(60.0)
+            task = asyncio.ensure_future(
+                harness.request("/again/x", X_Deadline_Ms="400").__aenter__()
+            )
+            await asyncio.sleep(0.05)
+            await harness.async_add("i-2", "plain")
+            answer = await task
+            assert answer.status == 200
+
+    asyncio.run(async_test())
+
+
 def test_slow_caller_does_not_count_as_a_silent_endpoint():
     async def async_test():
         checks = []
