Relaying: decide less often about endpoints that stay silent

Cause: each decision looks at all endpoints of the service; at the planned size, with all of them silent, ten decisions a second for each stream would take a good part of a core. Change: the interval doubles from 0.1 s to 0.4 s.

--- a/chutelink/relaying/silence.py
+++ b/chutelink/relaying/silence.py
@@ -21,8 +21,12 @@
 
 MIN_STREAM_SWITCH_S = 0.3
 """With less time left, a stream would not get far at another endpoint."""
-RECHECK_INTERVAL_S = 0.1
-"""Interval between decisions about an endpoint that stays silent."""
+FIRST_RECHECK_INTERVAL_S = 0.1
+MAX_RECHECK_INTERVAL_S = 0.4
+"""Limits of the interval between two decisions, which doubles while a silence lasts.
+
+Each decision looks at all endpoints of the service.
+"""
 
 
 def is_responsive(row: Endpoint, since_s: float) -> bool:
@@ -58,6 +62,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._awaited_since_s: float | None = None
         self._limit_s: float | None = None
+        self._recheck_interval_s = FIRST_RECHECK_INTERVAL_S
         self.has_expired = False
         """Whether the attempt was ended because of a silence."""
 
@@ -109,11 +114,18 @@
             # The next wait starts the timer again.
             return
         left_s = self._limit_s - (self._clock() - self._awaited_since_s)
-        if left_s <= 0 and self._may_switch(self._awaited_since_s):
+        if left_s > 0:
+            self._recheck_interval_s = FIRST_RECHECK_INTERVAL_S
+            self._ensure_timer(left_s)
+            return
+        if self._may_switch(self._awaited_since_s):
             self.has_expired = True
             self._timeout.reschedule(asyncio.get_running_loop().time())
             return
-        self._ensure_timer(max(left_s, RECHECK_INTERVAL_S))
+        self._ensure_timer(self._recheck_interval_s)
+        self._recheck_interval_s = min(
+            2 * self._recheck_interval_s, MAX_RECHECK_INTERVAL_S
+        )
 
 
 class SilenceDecision(Enum):
