Relaying: ask endpoints of which nothing was heard before a stream moves there

What callers saw: streams of an endpoint without power waited to their deadline beside a sound one, if a single request had no response there yet. Streams whose new endpoint refused them were cut, though the silent one would have gone on. Streams of an ended process waited to their deadline.

Cause: a request that was sent and had no response yet counted as a sign of silence, whatever became of it; the attempt that was given up could not be taken again; nothing was asked of the silent endpoint itself.

Change: EndpointInquiry asks the silent endpoint and the best alternative, one call to each at a time and every 0.5 s at most. A stream moves to an endpoint that has responded to anything since the silence began; it returns to the silent one if the other does not take it; it is ended at once if its process is known to have ended. Nothing is asked, and no endpoint looked at, without time, attempt or budget. A decision is made 10 ms late, so that data that arrived while this process was suspended is read first, and withdrawn if data arrives.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -194,7 +194,7 @@
         presence = self._adapter.make_presence_check(
             self.session, self.known.find_service
         )
-        self._upstream = Upstream(presence, entry.max_answer_bytes)
+        self._upstream = Upstream(presence, self.clock, entry.max_answer_bytes)
         self.mesh = Mesh(self, self.settings.peers, self.members)
         self.router = MessageRouter(
             self,
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -29,6 +30,9 @@
 from ..origins.versions import VersionHistory
 from .messages import EndpointLoad
 
+if TYPE_CHECKING:
+    from ..relaying.presence import Presence
+
 NO_ADAPTER = AdapterName("")
 UNKNOWN_SEQUENCE = -1
 """Order sequence before the first report of an endpoint has been read."""
@@ -101,6 +105,11 @@
         self.last_sent_s = float("-inf")
         self.heard_s = float("-inf")
         """When this daemon last received a part of a response from it."""
+        self.asked_s = float("-inf")
+        self.is_being_asked = False
+        self.presence: Presence | None = None
+        """Result of the last call that asked whether it responds, at `presence_s`."""
+        self.presence_s = float("-inf")
         self.requests = 0
         self.reading_s = 0.0
         self.by_ref: Counter[ModelRef] = Counter()
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -42,7 +42,9 @@
     end of the grant for the endpoint chosen last, None if it needs none.
     ``framing`` is what ended the last response of an endpoint, None without a response.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
-    attempt, ``switch_to`` the endpoint for which a silent one was given up.
+    attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
+    the silent endpoint of the attempt before, to which the request returns if the next
+    endpoint doesn't take it.
     ``homes`` has the home regions of the configuration in force, which may be newer
     than the route.
     """
@@ -78,6 +80,7 @@
     framing: Framing | None = None
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
+    given_up: EndpointId | None = None
     homes: HomeRegions | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -38,7 +38,6 @@
 from .retry_budget import RetryBudgetShare
 from .routing import PrefixChoice, RoutingPolicy, RoutingRequest
 from .signals import SignalReader
-from .silence import is_responsive
 from .upstream import EndpointCall
 from .version_gate import VersionGate
 
@@ -364,30 +363,36 @@
     def _eligible_rows(self, exchange: Exchange) -> list[Endpoint]:
         """Return the reachable endpoints that the request may still be sent to."""
         rows = self._reachable_rows(exchange)
+        if exchange.switch_to is not None:
+            chosen = [r for r in rows if r.record.id == exchange.switch_to]
+            if chosen:
+                return chosen
+        if len(set(exchange.tried)) >= exchange.route.max_endpoints:
+            rows = [r for r in rows if r.record.id in exchange.tried]
         others = [r for r in rows if r.record.id not in exchange.tried]
         if others or not (exchange.is_repeatable and exchange.may_have_run):
             # The only endpoint with the model may well answer a second attempt.
             return others
         return rows
 
-    def choose_alternative(self, exchange: Exchange, since_s: float) -> Endpoint | None:
-        """Return the endpoint for a request whose endpoint has been silent.
+    def alternatives(self, exchange: Exchange) -> list[Endpoint]:
+        """Return the endpoints that can take over from the current attempt's.
 
-        ``since_s`` is the start of the silence. The silent endpoint is considered if it
-        is the only one: its connection may be broken without a notice.
+        That endpoint is returned if there is no other: its connection may be broken
+        without a notice.
         """
         reachable = self._reachable_rows(exchange)
         others = [row for row in reachable if row.record.id not in exchange.tried]
-        rows = [row for row in others or reachable if is_responsive(row, since_s)]
-        rows = self._back_pressure.available_rows(rows, exchange)
+        return self._back_pressure.available_rows(others or reachable, exchange)
+
+    def choose_among(self, rows: list[Endpoint], exchange: Exchange) -> Endpoint | None:
+        """Return the best of some endpoints for a request, None if there are none."""
         return self._policy.choose(rows, exchange.candidate, self.core.clock())
 
     def _choose(self, exchange: Exchange) -> Endpoint | None:
         now_s = self.core.clock()
         eligible = self._eligible_rows(exchange)
         rows = self._back_pressure.available_rows(eligible, exchange)
-        if exchange.switch_to is not None:
-            rows = [r for r in rows if r.record.id == exchange.switch_to] or rows
         if len(rows) > 1:
             free = [r for r in rows if self._capacity_in_s(exchange, r, now_s) <= 0]
             rows = free or rows
@@ -455,10 +460,18 @@
 
     def may_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be retried, apart from the retry budget."""
-        if len(exchange.tried) >= exchange.route.max_endpoints:
+        is_return = exchange.switch_to in exchange.tried
+        if len(exchange.tried) >= exchange.route.max_endpoints and not is_return:
             return False
         return not exchange.is_trial and not self.gate.is_quarantined(exchange)
 
+    def has_retry_left(self, exchange: Exchange) -> bool:
+        """Return whether the budget has a retry left, or one has been reserved."""
+        now_s = self.core.clock()
+        return exchange.is_retry_reserved or self.retry_budget.has_left(
+            exchange.service.name, now_s
+        )
+
     def reserve_retry(self, exchange: Exchange) -> bool:
         """Take a retry from the budget for the next attempt, if that is allowed."""
         if not self.may_retry(exchange):
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -21,7 +21,7 @@
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
 from .response_end import framing_of
-from .silence import SilencePolicy
+from .switching import SilencePolicy
 from .upstream import BufferedResponse, EndpointCall, Upstream
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -54,7 +54,7 @@
     def __init__(self, dispatcher: ExchangeDispatcher, upstream: Upstream) -> None:
         self._dispatcher = dispatcher
         self._upstream = upstream
-        self.silences = SilencePolicy(dispatcher)
+        self.silences = SilencePolicy(dispatcher, upstream.inquiry)
 
     async def async_relay_buffered(self, exchange: Exchange) -> BufferedResponse:
         """Return an endpoint's response, unchanged.
@@ -209,6 +209,7 @@
 
     def note_not_run(self, exchange: Exchange, row: Endpoint, status: int) -> None:
         """Log that an endpoint did not run a request."""
+        _return_to_silent(exchange)
         self._dispatcher.core.metrics.retries.inc({"reason": "not_run"})
         self._dispatcher.core.events.record(
             "attempt_not_run",
@@ -224,6 +225,7 @@
         self, exchange: Exchange, row: Endpoint, error: GrantExpired
     ) -> None:
         """Log that a request was not sent since its grant had expired."""
+        _return_to_silent(exchange)
         self._dispatcher.core.metrics.retries.inc({"reason": "grant_expired"})
         self._dispatcher.core.events.record(
             "attempt_not_sent",
@@ -286,6 +288,8 @@
         error: ChutelinkError,
     ) -> None:
         """Log a failed attempt and update the endpoint's health."""
+        if result is AttemptResult.UNREACHABLE:
+            _return_to_silent(exchange)
         core = self._dispatcher.core
         health = self._dispatcher.health
         if isinstance(error, EndpointIneligible):
@@ -320,6 +324,11 @@
         )
 
 
+def _return_to_silent(exchange: Exchange) -> None:
+    """Prefer the silent endpoint that was given up for one that did not take over."""
+    exchange.switch_to, exchange.given_up = exchange.given_up, None
+
+
 def make_refusal(exchange: Exchange, retry_delay_s: float, *, is_late: bool) -> Refusal:
     """Return the refusal of a request that no endpoint answered.
 
--- a/chutelink/relaying/retry_budget.py
+++ b/chutelink/relaying/retry_budget.py
@@ -50,13 +50,19 @@
         """Count a caller's request."""
         self._requests.setdefault(service, _SlidingWindowCounter()).add(now_s)
 
-    def take(self, service: ServiceName, now_s: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def has_left(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether a retry is left in the budget."""
         requests = self._requests.setdefault(service, _SlidingWindowCounter())
         retries = self._retries.setdefault(service, _SlidingWindowCounter())
         allowed = self._ratio * requests.count(now_s, self._window_s)
         allowed += self._slack / max(1, self.daemons)
-        if retries.count(now_s, self._window_s) + 1 > BUDGET_SAFETY_FACTOR * allowed:
+        return (
+            retries.count(now_s, self._window_s) + 1 <= BUDGET_SAFETY_FACTOR * allowed
+        )
+
+    def take(self, service: ServiceName, now_s: float) -> bool:
+        """Take one retry from the budget; return whether one was left."""
+        if not self.has_left(service, now_s):
             return False
-        retries.add(now_s)
+        self._retries[service].add(now_s)
         return True
--- a/chutelink/relaying/silence.py
+++ b/chutelink/relaying/silence.py
@@ -1,42 +1,24 @@
-"""Ends attempts at silent endpoints once another attempt is the better choice.
-
-A silent endpoint may be overloaded, stopped for a moment or gone. If nothing else can
-serve the request, giving up its response can only lose it.
-"""
+"""Timeout of an attempt that is due only if another attempt may follow."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from enum import Enum
 from types import TracebackType
-from typing import TYPE_CHECKING
-
-from ..entry.endpoints import Endpoint
-from .exchange import Exchange
-
-if TYPE_CHECKING:
-    from .exchange_dispatcher import ExchangeDispatcher
 
-MIN_STREAM_SWITCH_S = 0.3
-"""With less time left, a stream would not get far at another endpoint."""
 FIRST_RECHECK_INTERVAL_S = 0.1
 MAX_RECHECK_INTERVAL_S = 0.4
 """Limits of the interval between two decisions, which doubles while a silence lasts.
 
 Each decision looks at all endpoints of the service.
 """
+RECEIVE_DELAY_S = 0.01
+"""Delay of a decision, in which received data reaches the attempt.
 
-
-def is_responsive(row: Endpoint, since_s: float) -> bool:
-    """Return whether an endpoint may be expected to respond.
-
-    It responded after ``since_s``, or nothing was sent to it after that time. So of
-    several requests at silent endpoints only one tries an endpoint that may be silent
-    as well; the others follow once it has responded.
-    """
-    return row.heard_s > since_s or row.last_sent_s <= since_s
+After a suspension of this process, timers are due before what was received meanwhile
+is read.
+"""
 
 
 class SilenceTimeout:
@@ -94,14 +76,24 @@
             yield
         finally:
             self._awaited_since_s = None
+            if self.has_expired and not self._timeout.expired():
+                # Data arrived between the decision and the timeout.
+                self.has_expired = False
+                self._timeout.reschedule(None)
 
     def _ensure_timer(self, delay_s: float) -> None:
         """Start the timer, unless it is due before ``delay_s`` has passed."""
         loop = asyncio.get_running_loop()
         if self._timer is not None and self._timer.when() <= loop.time() + delay_s:
             return
+        self._start_timer(delay_s, self._check)
+
+    def _start_timer(
+        self, delay_s: float, callback: Callable[..., None], *args: float
+    ) -> None:
         self._cancel_timer()
-        self._timer = loop.call_later(delay_s, self._check)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, callback, *args)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -118,7 +110,15 @@
             self._recheck_interval_s = FIRST_RECHECK_INTERVAL_S
             self._ensure_timer(left_s)
             return
-        if self._may_switch(self._awaited_since_s):
+        self._start_timer(RECEIVE_DELAY_S, self._decide, self._awaited_since_s)
+
+    def _decide(self, since_s: float) -> None:
+        self._timer = None
+        if self._awaited_since_s != since_s:
+            if self._awaited_since_s is not None and self._limit_s is not None:
+                self._ensure_timer(self._limit_s)
+            return
+        if self._may_switch(since_s):
             self.has_expired = True
             self._timeout.reschedule(asyncio.get_running_loop().time())
             return
@@ -126,94 +126,3 @@
         self._recheck_interval_s = min(
             2 * self._recheck_interval_s, MAX_RECHECK_INTERVAL_S
         )
-
-
-class SilenceDecision(Enum):
-    """Whether a silent endpoint is given up, and why not."""
-
-    SWITCH = "switch"
-    NO_TIME = "no_time"
-    NO_ATTEMPT = "no_attempt"
-    """The route allows no further one, or the request may crash endpoints."""
-    NO_BUDGET = "no_budget"
-    NO_ENDPOINT = "no_endpoint"
-    """No other endpoint can serve the request, or all are silent."""
-    RESPONDS = "responds"
-    """The endpoint responds to other requests; this one may be queued there."""
-
-
-class SilencePolicy:
-    """Decides whether an attempt at a silent endpoint is ended.
-
-    Parameters
-    ----------
-    dispatcher : ExchangeDispatcher
-        Endpoint selection and the retry budget.
-    """
-
-    def __init__(self, dispatcher: ExchangeDispatcher) -> None:
-        self._dispatcher = dispatcher
-        self._core = dispatcher.core
-
-    def make_timeout(
-        self,
-        exchange: Exchange,
-        row: Endpoint,
-        *,
-        has_response: Callable[[], bool] = lambda: True,
-    ) -> SilenceTimeout:
-        """Return the timeout of an attempt.
-
-        Until ``has_response``, an endpoint that responds to other requests is not
-        given up: it may delay the head of its response until the request runs.
-        """
-        last: SilenceDecision | None = None
-
-        def may_switch(since_s: float) -> bool:
-            nonlocal last
-            if not has_response() and row.heard_s > since_s:
-                decision = SilenceDecision.RESPONDS
-            else:
-                decision = self._decide(exchange, since_s)
-            if decision is not last:
-                last = decision
-                self._note(exchange, row, since_s, decision)
-            return decision is SilenceDecision.SWITCH
-
-        return SilenceTimeout(self._core.clock, may_switch)
-
-    def _decide(self, exchange: Exchange, since_s: float) -> SilenceDecision:
-        now_s = self._core.clock()
-        if not self._dispatcher.may_retry(exchange):
-            return SilenceDecision.NO_ATTEMPT
-        min_left_s = MIN_STREAM_SWITCH_S if exchange.route.is_stream else 0.0
-        if exchange.left_s(now_s) <= min_left_s:
-            return SilenceDecision.NO_TIME
-        other = self._dispatcher.choose_alternative(exchange, since_s)
-        if other is None:
-            return SilenceDecision.NO_ENDPOINT
-        if not self._dispatcher.reserve_retry(exchange):
-            return SilenceDecision.NO_BUDGET
-        # Recorded at once, so that no other request tries a silent endpoint as well.
-        other.last_sent_s = now_s
-        exchange.switch_to = other.record.id
-        return SilenceDecision.SWITCH
-
-    def _note(
-        self,
-        exchange: Exchange,
-        row: Endpoint,
-        since_s: float,
-        decision: SilenceDecision,
-    ) -> None:
-        self._core.metrics.silences.inc({"decision": decision.value})
-        self._core.events.record(
-            "endpoint_silent",
-            request=exchange.meta.id,
-            endpoint=row.record.id,
-            silent_s=self._core.clock() - since_s,
-            others_heard=row.heard_s > since_s,
-            decision=decision.value,
-            switch_to=exchange.switch_to or "",
-            tried=len(exchange.tried),
-        )
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -43,6 +43,7 @@
 )
 from ..settings import DEFAULT_MAX_ANSWER_BYTES
 from ..tables.members import Member
+from .inquiry import EndpointInquiry
 from .presence import PresenceCheck
 from .response_end import ResponseEndVerifier
 
@@ -184,6 +185,8 @@
     ----------
     presence : PresenceCheck
         Checks the process behind a response that ended with its connection.
+    clock : callable
+        Returns the time in seconds.
     max_answer_bytes : int, default=DEFAULT_MAX_ANSWER_BYTES
         Limit of a response's body, except for a stream's.
     """
@@ -191,6 +194,7 @@
     def __init__(
         self,
         presence: PresenceCheck,
+        clock: Callable[[], float],
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
@@ -198,9 +202,11 @@
         self._unpooled = _make_session(is_pooled=False)
         self.relays: RelayClient | None = None
         self.ends = ResponseEndVerifier(presence)
+        self.inquiry = EndpointInquiry(presence, clock)
 
     async def async_close(self) -> None:
         """Close all connections."""
+        self.inquiry.close()
         await self._pooled.close()
         await self._unpooled.close()
 
--- a/tests/relaying/relay_harness.py
+++ b/tests/relaying/relay_harness.py
@@ -87,7 +87,8 @@
         self.state.on_config = self._apply_config
         self.session = aiohttp.ClientSession()
         self.upstream = Upstream(
-            HttpPresenceCheck(self.session, self.state.find_service)
+            HttpPresenceCheck(self.session, self.state.find_service),
+            self.core.clock,
         )
         self.zones: dict[str, str] = {}
         """Failure domains of endpoints that are not in ``zone-a``."""
--- a/tests/relaying/test_silent_endpoints.py
+++ b/tests/relaying/test_silent_endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from chutelink.relaying.retry_budget import RetryBudgetShare
@@ -21,7 +22,7 @@
 DEADLINE = {"X_Deadline_Ms": "6000"}
 
 
-def make_silence(standins):
+def make_silence(standins, silence_s=SILENCE_S):
     """Return a callback that silences all endpoints after some events of a stream."""
     pending = list(SILENT_AFTER_EVENTS)
 
@@ -29,7 +30,7 @@
         if pending and received.count(b"\n\n") >= pending[0]:
             pending.pop(0)
             for standin in standins:
-                standin.fall_silent(SILENCE_S)
+                standin.fall_silent(silence_s)
 
     return on_received
 
@@ -170,6 +171,86 @@
     asyncio.run(async_test())
 
 
+def test_streams_leave_a_dark_endpoint_though_a_call_at_the_other_hangs():
+    """Guards against streams that are lost as one request got no answer elsewhere."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            first.fall_silent(60.0)
+            streams = [
+                asyncio.ensure_future(async_read_stream(harness, f"q{n}"))
+                for n in range(3)
+            ]
+            await asyncio.sleep(0.1)
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            second.faults = type(second.faults)(mute=1)
+            done, pending = await asyncio.wait(streams, timeout=4.0)
+            assert [stream.result() for stream in done] == [expected()] * 2
+            for stream in pending:
+                stream.cancel()
+
+    asyncio.run(async_test())
+
+
+def test_stream_returns_to_its_silent_endpoint_if_the_other_refuses_it():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            silence = make_silence([first])
+            stream = asyncio.ensure_future(
+                async_read_stream(harness, "q0", on_received=silence)
+            )
+            while not first.runs:
+                await asyncio.sleep(0)
+            second = await harness.async_add("i-2", "llm", {"m0": []})
+            second.faults = type(second.faults)(refuse=99)
+            assert await stream == expected()
+            assert first.runs == ["q0", "q0"] and not second.runs
+
+    asyncio.run(async_test())
+
+
+def test_stream_of_an_ended_process_is_cut_before_its_deadline():
+    """Guards against callers that wait though nothing more can come."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            silence = make_silence([first], silence_s=60.0)
+            stream = asyncio.ensure_future(
+                async_read_stream(harness, "q0", on_received=silence)
+            )
+            while not first.runs:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.1)
+            harness.remove(first)
+            async with asyncio.timeout(4.0):
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await stream
+
+    asyncio.run(async_test())
+
+
+def test_suspension_of_the_daemon_does_not_count_as_a_silence():
+    async def async_test():
+        checks = []
+        timeout = SilenceTimeout(time.monotonic, lambda since_s: bool(checks.append(1)))
+        received = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        async with timeout:
+            with timeout.awaiting(0.05):
+                loop.call_later(0.02, received.set)
+                loop.call_soon(time.sleep, 0.1)
+                await received.wait()
+        assert not checks
+
+    asyncio.run(async_test())
+
+
 def test_slow_caller_does_not_count_as_a_silent_endpoint():
     async def async_test():
         checks = []
