Rows of other writers: bound depth and numbers where they are decoded

Seen: one row of `servers` or `op` nested 20,000 deep ended every daemon that read it, again at each start, with RecursionError from _decode_row. Rows of more than 400 levels were accepted, but peers can't decode them in CBOR.

Cause: msgspec raises RecursionError beside its own errors, and nothing bounds a value that it decodes.

Change: chutelink/decoding.py decodes JSON of other programs. A row of more than 32 levels or with an integer of more than 64 bits is UNREADABLE, in every table of the store; its consumers treat and log it as before. Other JSON bodies of the store and of endpoints use the same function, which raises msgspec's errors only.

--- a/chutelink/endpoints/client.py
+++ b/chutelink/endpoints/client.py
@@ -12,6 +12,7 @@
 from multidict import CIMultiDictProxy
 
 from ..const import HEADER_ORDER_KEY, HEADER_REQUEST_ID, MAX_HEADER_BYTES
+from ..decoding import decode_json
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet.model import EndpointKind, EndpointSpec
 from ..responses import MAX_CONTROL_BYTES, BoundedConnector, async_read_body
@@ -197,7 +198,7 @@
                 if response.status != 200:
                     message = f"status {response.status}"
                     raise EndpointFailed(message, step=step, peer=spec.name)
-                return msgspec.json.decode(content, type=OrderAnswer)
+                return decode_json(content, OrderAnswer)
         except aiohttp.ClientConnectorError as error:
             raise EndpointUnreachable(str(error), step=step, peer=spec.name) from error
         except (*_TRANSPORT_ERRORS, msgspec.MsgspecError) as error:
--- a/chutelink/platform/store.py
+++ b/chutelink/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
+from ..decoding import decode_bounded_json, decode_json
 from ..exceptions import (
     HistoryLost,
     PlatformUnavailable,
@@ -85,6 +86,7 @@
 def _decode_row(row: _WireRow) -> Row:
     """Decode a row; a value that can't be decoded becomes ``UNREADABLE``.
 
+    That includes values that are nested too deeply or have numbers out of bounds.
     External writers may store anything. If this function raised an error, a single
     bad row would make every daemon's reads of its table fail for as long as it exists.
     """
@@ -94,12 +96,12 @@
         return Row(key, row.ver, WriteId(""), None)
     try:
         data = base64.b64decode(row.value, validate=True)
+        value = decode_bounded_json(data)
         if row.table in TABLES_BY_WIRE_NAME:
-            value = msgspec.json.decode(data)
             # None stands for a removed row.
             value = UNREADABLE if value is None else value
             return Row(key, row.ver, WriteId(""), value)
-        own = msgspec.json.decode(data, type=_OwnValue)
+        own = msgspec.convert(value, _OwnValue)
     except (msgspec.MsgspecError, binascii.Error, ValueError):
         # Consumers of the row log that they reject it.
         return Row(key, row.ver, WriteId(""), UNREADABLE)
@@ -185,7 +187,7 @@
             key = transaction.checks[0].key if transaction.checks else ""
             raise TransactionConflict(key, step=step, peer=key)
         try:
-            version = msgspec.json.decode(response.body, type=_WirePage).ver
+            version = decode_json(response.body, _WirePage).ver
             return Commit(version, _decode_era(response))
         except (msgspec.MsgspecError, ValueError) as error:
             raise WriteOutcomeUnknown(
@@ -200,7 +202,7 @@
             message = f"status {response.status}"
             raise PlatformUnavailable(message, step=step, peer=self._client.peer)
         try:
-            wire = msgspec.json.decode(response.body, type=_WirePage)
+            wire = decode_json(response.body, _WirePage)
             era = _decode_era(response)
         except (msgspec.MsgspecError, ValueError) as error:
             raise PlatformUnavailable(
--- a/chutelink/store/http.py
+++ b/chutelink/store/http.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..clock import now_s
+from ..decoding import decode_json
 from ..exceptions import (
     PlatformUnavailable,
     TransactionConflict,
@@ -237,7 +238,6 @@
 
     def __init__(self, client: PlatformServiceClient) -> None:
         self._client = client
-        self._page_decoder = msgspec.json.Decoder(RowPage)
 
     async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
         """Return the rows of a prefix that changed after a version."""
@@ -249,7 +249,7 @@
             params={"prefix": prefix, "after": str(after_version)},
         )
         try:
-            return self._page_decoder.decode(response.body)
+            return decode_json(response.body, RowPage)
         except msgspec.MsgspecError as error:
             raise PlatformUnavailable(
                 str(error), step=step, peer=self._client.peer
@@ -266,7 +266,7 @@
             is_conditional_write=True,
         )
         try:
-            result = msgspec.json.decode(response.body, type=_TransactionResponse)
+            result = decode_json(response.body, _TransactionResponse)
         except msgspec.MsgspecError as error:
             raise WriteOutcomeUnknown(
                 str(error), step=step, peer=self._client.peer
@@ -306,7 +306,7 @@
         """Return the current content of the list."""
         response = await self._client.async_call("GET", "/v1/vms", step="vms.list")
         try:
-            return msgspec.json.decode(response.body, type=list[Vm])
+            return decode_json(response.body, list[Vm])
         except msgspec.MsgspecError as error:
             raise PlatformUnavailable(
                 str(error), step="vms.list", peer=self._client.peer
