Registrations and reports: bound numbers, names and lists

Seen: `slots` of 400 digits in one registration gave every stream of its service 500 at every daemon (OverflowError: int too large to convert to float), though other endpoints were sound. A report with such a number failed later in the same way; one nested 20,000 deep raised RecursionError.

Cause: integers had a lower bound at most, and names no bound at all. An endpoint id with a line end can't be sent in a header, which also failed the request.

What is out of bounds raises EndpointFailed, which the callers log (endpoint_refused, report_failed).

Result: 22 of the tests added here and the property test of reports failed with the former endpoints.py; all pass now.

The values of the existing property test move to tests/odd_values.py and also have numbers of 400 digits, 2^64 and 1e308; it now checks that the record's numbers can be used in floating point.

--- a/chutelink/decoding.py
+++ b/chutelink/decoding.py
@@ -16,6 +16,10 @@
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**64 - 1
 """Bounds of the integers that have 64 bits, signed or unsigned."""
+MAX_EXACT_INTEGER = 2**53 - 1
+"""Largest integer up to which floats represent all integers exactly."""
+MAX_NAME_CHARS = 256
+"""Maximum length of an id or a name."""
 _DIGITS_TO_ZERO = bytes.maketrans(b"123456789", b"0" * 9)
 _LONG_INTEGER = b"0" * len(str(2**63))
 
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from ..decoding import MAX_EXACT_INTEGER, MAX_NAME_CHARS, decode_json
 from ..entry.endpoints import EndpointRecord, EndpointState
 from ..exceptions import EndpointFailed
 from ..ids import (
@@ -23,6 +24,17 @@
 PATH_REPORT = "/api/report"
 PATH_ORDER = "/api/order"
 ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000
+MAX_MODELS = 4096
+"""Maximum number of models of an endpoint, and of adapters of a model."""
+
+Name = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
+Names = Annotated[list[Name], Meta(max_length=MAX_MODELS)]
+AdapterText = Annotated[str, Meta(max_length=3 * MAX_NAME_CHARS)]
+"""A model, an adapter and its version."""
+Number = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+"""An integer that a float represents exactly."""
 
 
 class _WireState(Enum):
@@ -35,16 +47,16 @@
 class _WireModel(msgspec.Struct):
     """A model in accelerator memory, with its loaded adapters."""
 
-    name: str
+    name: Name
     version: int = 0
-    adapters: list[str] = []
+    adapters: Names = []
 
 
 class _WireCopies(msgspec.Struct):
     """Models with local copies of their weights, in eviction order."""
 
-    in_memory: list[str] = []
-    on_disk: list[str] = []
+    in_memory: Names = []
+    on_disk: Names = []
 
 
 class _WireRegistration(msgspec.Struct):
@@ -56,15 +68,15 @@
     accepted orders.
     """
 
-    service: Annotated[str, Meta(min_length=1)]
+    service: Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
     address: Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
-    zone: str
-    version: str
-    slots: Annotated[int, Meta(ge=1)]
+    zone: Name
+    version: Name
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: _WireState
-    models: list[_WireModel] = []
-    born: Annotated[int, Meta(ge=0)] = 0
-    cold_left_ms: Annotated[float, Meta(ge=0)] = 0.0
+    models: Annotated[list[_WireModel], Meta(max_length=MAX_MODELS)] = []
+    born: Number = 0
+    cold_left_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MS)] = 0.0
 
 
 MS_PER_S = 1000.0
@@ -83,16 +95,16 @@
     of the process as Unix time in ms. ``seq`` starts again with each process.
     """
 
-    models: list[_WireModel] = []
+    models: Annotated[list[_WireModel], Meta(max_length=MAX_MODELS)] = []
     busy: bool = False
-    seq: int = 0
-    queued: int = 0
-    active: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    coming: list[str] = []
+    seq: Number = 0
+    queued: Number = 0
+    active: Number = 0
+    kv_used: Number = 0
+    kv_total: Number = 0
+    coming: Annotated[list[AdapterText], Meta(max_length=MAX_MODELS)] = []
     at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
-    born: int = 0
+    born: Number = 0
 
 
 def compact_registration(value: Any) -> Any:
@@ -118,16 +130,15 @@
     EndpointFailed
         The value is not a valid registration.
     """
+    step = "registration.decode"
+    if not 0 < len(endpoint) <= MAX_NAME_CHARS or not endpoint.isprintable():
+        # Requests name the endpoint in a header, which must be one line.
+        raise EndpointFailed("endpoint id is invalid", step=step)
     try:
         wire = msgspec.convert(value, _WireRegistration)
-    except msgspec.ValidationError as error:
-        raise EndpointFailed(
-            str(error), step="registration.decode", peer=endpoint
-        ) from error
-    if int(wire.address.rpartition(":")[2]) > MAX_PORT:
-        raise EndpointFailed(
-            "port number is out of range", step="registration.decode", peer=endpoint
-        )
+        _check_address(wire.address)
+    except ValueError as error:
+        raise EndpointFailed(str(error), step=step, peer=endpoint) from error
     return EndpointRecord(
         id=EndpointId(endpoint),
         service=ServiceName(wire.service),
@@ -142,6 +153,12 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError if the port of an address is out of range."""
+    if int(address.rpartition(":")[2]) > MAX_PORT:
+        raise ValueError("port number is out of range")
+
+
 def decode_report(endpoint: EndpointId, body: bytes) -> EndpointReport:
     """Decode an endpoint's report.
 
@@ -151,7 +168,7 @@
         The body is not a valid report.
     """
     try:
-        wire = msgspec.json.decode(body, type=_WireReport)
+        wire = decode_json(body, _WireReport)
     except msgspec.MsgspecError as error:
         raise EndpointFailed(str(error), step="report.decode", peer=endpoint) from error
     return EndpointReport(
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -16,6 +16,8 @@
     encode_order,
 )
 
+from ..odd_values import HUGE
+
 ROW = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -60,6 +62,35 @@
         decode_registration("i-1", value)
 
 
+HUGE_NUMBERS = {"slots": HUGE, "born": HUGE, "cold_left_ms": 1e300}
+
+
+@pytest.mark.parametrize("field", HUGE_NUMBERS)
+def test_registration_with_an_oversized_number_is_rejected(field):
+    """400 digits of slots were one registration's fault, and 500 for the service."""
+    with pytest.raises(EndpointFailed):
+        decode_registration("i-1", ROW | {field: HUGE_NUMBERS[field]})
+
+
+@pytest.mark.parametrize("field", ["seq", "queued", "active", "kv_used", "born"])
+@pytest.mark.parametrize("number", ["1" * 400, str(2**53), "-1"])
+def test_report_with_a_number_out_of_range_is_rejected(field, number):
+    with pytest.raises(EndpointFailed):
+        decode_report("i-1", f'{{"{field}": {number}}}'.encode())
+
+
+@pytest.mark.parametrize("name", ["", "i\n1", "i" * 257])
+def test_endpoint_id_that_no_header_can_hold_is_rejected(name):
+    with pytest.raises(EndpointFailed):
+        decode_registration(name, ROW)
+
+
+def test_overlong_names_are_rejected():
+    for field in ("service", "zone", "version"):
+        with pytest.raises(EndpointFailed):
+            decode_registration("i-1", ROW | {field: "x" * 257})
+
+
 def test_report_lists_adapters_being_loaded():
     body = {"models": [], "busy": True, "seq": 3, "coming": ["m/a2@1"]}
     report = decode_report("i-1", json.dumps(body).encode())
--- a/tests/platform/test_foreign_values.py
+++ b/tests/platform/test_foreign_values.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import copy
+import json
+import math
 
 import msgspec
 from hypothesis import given, settings
@@ -14,21 +16,29 @@
 from chutelink.entry.config import RouteTable
 from chutelink.exceptions import ConfigInvalid, EndpointFailed
 from chutelink.platform.configuration import decode_config
-from chutelink.platform.endpoints import compact_registration, decode_registration
+from chutelink.platform.endpoints import (
+    compact_registration,
+    decode_registration,
+    decode_report,
+)
 from chutelink.quarantine.model import Hold
 from standins.prepared_config import make_config
 
+from ..odd_values import VALUES, make_nested
 from .test_endpoints import ROW
 
 CONFIG = make_config(1, {"llm": "llm", "plain": "plain"})
-VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
-    ),
-    max_leaves=6,
-)
+
+
+REPORT = {
+    "models": ROW["models"],
+    "seq": 3,
+    "kv_used": 1,
+    "kv_total": 2,
+    "coming": ["m/a2@1"],
+    "at_hand": {"in_memory": ["m"], "on_disk": []},
+    "born": 1,
+}
 
 
 def iter_paths(value, path=()):
@@ -71,7 +81,27 @@
         record = decode_registration("i-1", compact_registration(changed))
     except EndpointFailed:
         return
-    assert record.slots >= 1 and record.address.count(":") == 1
+    assert record.address.count(":") == 1
+    assert math.isfinite(record.born_ms / record.slots + record.cold_left_s)
+
+
+@settings(max_examples=400)
+@given(st.sampled_from(list(iter_paths(REPORT))), VALUES)
+def test_report_with_an_arbitrary_part_is_accepted_or_rejected(path, value):
+    try:
+        body = json.dumps(replace_at(REPORT, path, value)).encode()
+        report = decode_report("i-1", body)
+    except EndpointFailed:
+        return
+    assert math.isfinite(float(report.sequence + report.kv_used_tokens))
+
+
+@given(st.binary() | st.sampled_from([make_nested(20_000), b'{"x": NaN}']))
+def test_arbitrary_bytes_are_a_report_or_rejected(body):
+    try:
+        decode_report("i-1", body)
+    except EndpointFailed:
+        return
 
 
 @given(VALUES)
