Registrations: accept only the address and port of a host

Seen: 999.0.0.1:80, port 0 and an address with a line end after the port were accepted; one of ten non-idempotent requests to the first was not answered 200 beside a sound endpoint.

Cause: the pattern allowed three digits in each part, `$` also matches before a line end, and the port had only an upper bound.

Change: the address is parsed by ipaddress, and has to be one that a host can have: neither 0.0.0.0, which reaches the daemon's own machine, nor multicast or reserved.

Result: 6 of the 9 cases of the new test failed before (999.0.0.1, port 0, line end, 0.0.0.0, 224.0.0.1, 255.255.255.255); all pass now.

--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from ipaddress import IPv4Address
 from typing import Annotated, Any
 
 import msgspec
@@ -23,7 +24,7 @@
 
 PATH_REPORT = "/api/report"
 PATH_ORDER = "/api/order"
-ADDRESS_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+ADDRESS_PATTERN = r"\A[0-9.]{7,15}:[0-9]{1,5}\Z"
 MAX_SLOTS = 1_000_000
 MAX_COLD_MS = 86_400_000
 MAX_MODELS = 4096
@@ -154,8 +155,12 @@
 
 
 def _check_address(address: str) -> None:
-    """Raise ValueError if the port of an address is out of range."""
-    if int(address.rpartition(":")[2]) > MAX_PORT:
+    """Raise ValueError unless an address has the IPv4 address and port of a host."""
+    host, _, port = address.rpartition(":")
+    ip = IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f"{host} is not the address of a host")
+    if not 0 < int(port) <= MAX_PORT:
         raise ValueError("port number is out of range")
 
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -79,6 +79,17 @@
         decode_report("i-1", f'{{"{field}": {number}}}'.encode())
 
 
+@pytest.mark.parametrize(
+    "address",
+    ["999.0.0.1:80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:80\n", "10.0.0:80"]
+    + ["0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", "10.0.0.1:٨٠"],
+)
+def test_address_without_a_host_or_port_is_rejected(address):
+    """Requests to it failed, or reached the daemon's own machine."""
+    with pytest.raises(EndpointFailed):
+        decode_registration("i-1", ROW | {"address": address})
+
+
 @pytest.mark.parametrize("name", ["", "i\n1", "i" * 257])
 def test_endpoint_id_that_no_header_can_hold_is_rejected(name):
     with pytest.raises(EndpointFailed):
