Loops of services: log an unexpected exception and go on

Seen: any exception that a poll or a tick didn't expect, such as the RecursionError of a nested row, ended the daemon, all daemons alike and again at each start.

Cause: the service library ends the program if a task of a service raises, and each loop caught only the errors it knew. A row whose handler raised also hid the rows after it, as the copy of the table had them all by then.

The polls, ticks and tasks of all services use it, and those of the entry placer's reports and orders, which defer the endpoint. Rows are applied one by one, each in its own block. A failed flush of claims gives the claims an unknown outcome, so that callers do not wait without end. Cancellation ends loops as before.

--- a/chutelink/configuration.py
+++ b/chutelink/configuration.py
@@ -16,6 +16,7 @@
 from .ids import NO_VERSION, ApplyId, ConfigVersion
 from .peers.mesh import Mesh
 from .peers.messages import ConfigBody
+from .steps import async_run_step
 from .store import Platform, RowPage, decode_value
 
 
@@ -99,14 +100,19 @@
     @Service.task
     async def _async_poll_loop(self) -> None:
         while not self.should_stop:
-            try:
-                await self._async_poll()
-            except PlatformUnavailable as error:
-                self._core.events.warning("config_poll_failed", error=error)
-                self._request_from_peers()
+            await async_run_step(
+                self, self._core.events, "config.poll", self._async_try_poll
+            )
             pause_s = self._poll_interval_s * self._core.rng.uniform(0.8, 1.0)
             await self._async_wait(pause_s)
 
+    async def _async_try_poll(self) -> None:
+        try:
+            await self._async_poll()
+        except PlatformUnavailable as error:
+            self._core.events.warning("config_poll_failed", error=error)
+            self._request_from_peers()
+
     async def _async_wait(self, pause_s: float) -> None:
         self._wake.clear()
         try:
--- a/chutelink/director/leases.py
+++ b/chutelink/director/leases.py
@@ -21,6 +21,7 @@
 )
 from ..ids import FailureDomainName
 from ..settings import DirectorSection
+from ..steps import async_run_step
 from ..store import Check, TableService, Write, async_commit, decode_value
 from ..tables.leases import Lease, LeaseRow, LeaseState, TermRow
 
@@ -93,7 +94,9 @@
         pause_s = self._settings.lease_s / RENEWALS_PER_LEASE
         while not self.should_stop:
             if not self.is_releasing:
-                await self._async_tick()
+                await async_run_step(
+                    self, self._core.events, "leases.tick", self._async_tick
+                )
             await self.sleep(pause_s * self._core.rng.uniform(0.8, 1.0))
 
     async def _async_tick(self) -> None:
--- a/chutelink/director/placer.py
+++ b/chutelink/director/placer.py
@@ -21,6 +21,7 @@
 from ..fleet.model import EndpointSpec
 from ..ids import EndpointName, FailureDomainName
 from ..settings import DirectorSection
+from ..steps import async_run_step
 from ..store import TableService
 from ..systems.load_limiter import LoadLimiter
 from ..systems.placement import PlacementInput, Plan, make_placement
@@ -106,14 +107,19 @@
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
-            try:
-                await self._async_tick()
-            except PlatformUnavailable as error:
-                self._core.events.warning("placement_paused", error=error)
-            except ChutelinkError as error:
-                self._core.events.error("placement_failed", error=error)
+            await async_run_step(
+                self, self._core.events, "placement.tick", self._async_try_tick
+            )
             await self.sleep(self._settings.tick_interval_s)
 
+    async def _async_try_tick(self) -> None:
+        try:
+            await self._async_tick()
+        except PlatformUnavailable as error:
+            self._core.events.warning("placement_paused", error=error)
+        except ChutelinkError as error:
+            self._core.events.error("placement_failed", error=error)
+
     async def _async_tick(self) -> None:
         # The whole tick uses one configuration, although another one may come
         # into force while a read is in progress.
--- a/chutelink/endpoints/monitor.py
+++ b/chutelink/endpoints/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from mode import Service
@@ -11,6 +12,7 @@
 from ..exceptions import EndpointFailed, PlatformUnavailable
 from ..ids import EndpointName
 from ..settings import EndpointsSection
+from ..steps import async_run_step
 from ..store import Platform, Vm, VmState
 from ..tables.endpoints import EndpointTable
 from .client import EndpointClient, is_engine
@@ -61,6 +63,7 @@
         self._report_requests: dict[EndpointName, asyncio.Event] = {}
         self._mean_bytes = float(INITIAL_REPORT_BYTES)
         self._leaving_vms: frozenset[str] = frozenset()
+        self._vm_count = 0
         self._drained: frozenset[str] = frozenset()
         self._round: asyncio.Future | None = None
         self._round_started_s = float("-inf")
@@ -95,9 +98,10 @@
         return max(self._settings.poll_interval_s, budget_interval_s)
 
     async def _async_poll_loop(self, name: EndpointName) -> None:
+        poll = functools.partial(self.async_poll, name)
         await asyncio.sleep(self.interval_s() * self._core.rng.random())
         while not self.should_stop:
-            await self.async_poll(name)
+            await async_run_step(self, self._core.events, "endpoint.poll", poll)
             pause_s = self.interval_s() * self._core.rng.uniform(0.8, 1.0)
             await self._async_wait(name, pause_s)
 
@@ -174,15 +178,23 @@
     @Service.task
     async def _async_vm_loop(self) -> None:
         while not self.should_stop:
-            vms: list[Vm] = []
-            try:
-                vms = await self._platform.vms.async_list()
-                self._update_vms(vms)
-            except PlatformUnavailable as error:
-                self._core.events.warning("vm_list_failed", error=error)
-            budget_interval_s = len(vms) * BYTES_PER_VM / VM_LIST_BUDGET_BYTES_S
+            await async_run_step(
+                self, self._core.events, "vms.poll", self._async_poll_vms
+            )
+            size_bytes = self._vm_count * BYTES_PER_VM
+            budget_interval_s = size_bytes / VM_LIST_BUDGET_BYTES_S
             await self.sleep(max(VM_LIST_INTERVAL_S, budget_interval_s))
 
+    async def _async_poll_vms(self) -> None:
+        self._vm_count = 0
+        try:
+            vms = await self._platform.vms.async_list()
+        except PlatformUnavailable as error:
+            self._core.events.warning("vm_list_failed", error=error)
+            return
+        self._vm_count = len(vms)
+        self._update_vms(vms)
+
     def _update_vms(self, vms: list[Vm]) -> None:
         leaving = frozenset(vm.id for vm in vms if vm.state is VmState.LEAVING)
         if leaving != self._leaving_vms:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -44,6 +44,7 @@
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
 from ..settings import EntrySettings
+from ..steps import async_run_step
 from ..tables.members import MemberState, MemberTable
 from ..watching.table_state import RowChange
 from ..watching.timing import cap_timeout
@@ -491,21 +492,26 @@
             except TimeoutError:
                 pass
             self.loads.urgent.clear()
-            self.quotas.update(self.router.serving, self.members)
-            self.known.expire()
-            self.known.update_prefixes()
-            self.known.cold.update()
-            self.origins.request_history()
-            self.known.endpoints.forget_silent(self.clock())
-            unreachable = self.known.health.unreachable(self.clock())
-            report = self.loads.take(
-                self.daemon_id,
-                self.known.endpoints,
-                unreachable,
-                is_partitioned=self.partition.is_partitioned,
-            )
-            if report is not None:
-                self.router.send(report)
+            await async_run_step(self, self.events, "load.update", self._update_tables)
+            await async_run_step(self, self.events, "load.report", self._report_load)
+
+    def _update_tables(self) -> None:
+        self.quotas.update(self.router.serving, self.members)
+        self.known.expire()
+        self.known.update_prefixes()
+        self.known.cold.update()
+        self.origins.request_history()
+        self.known.endpoints.forget_silent(self.clock())
+
+    def _report_load(self) -> None:
+        report = self.loads.take(
+            self.daemon_id,
+            self.known.endpoints,
+            self.known.health.unreachable(self.clock()),
+            is_partitioned=self.partition.is_partitioned,
+        )
+        if report is not None:
+            self.router.send(report)
 
     async def async_drain(self) -> None:
         """Drain: leave the directory, then refuse connections, then finish requests."""
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -21,6 +21,7 @@
 )
 from ..peers.mesh import Mesh
 from ..settings import EntrySection
+from ..steps import async_run_step
 from ..store import Row, Transaction, WatchableTable, Write, decode_value
 from ..tables.members import Member, Role
 
@@ -131,17 +132,18 @@
     async def async_run(self) -> None:
         """Register and find peers, and repeat the search while there are no links."""
         while not self._core.should_stop:
-            try:
-                await self._async_register()
-                await self._async_find()
-                await self._core.sleep(ISOLATED_RETRY_S)
-            except (
-                PlatformUnavailable,
-                WriteOutcomeUnknown,
-                TransactionConflict,
-            ) as error:
-                self._core.events.warning("registration_failed", error=error)
-                await self._core.sleep(RETRY_S * self._core.rng.uniform(1.0, 2.0))
+            await async_run_step(
+                self._core, self._core.events, "members.register", self._async_try
+            )
+
+    async def _async_try(self) -> None:
+        try:
+            await self._async_register()
+            await self._async_find()
+            await self._core.sleep(ISOLATED_RETRY_S)
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
+            self._core.events.warning("registration_failed", error=error)
+            await self._core.sleep(RETRY_S * self._core.rng.uniform(1.0, 2.0))
 
     async def _async_register(self) -> None:
         """Write this daemon's row; the write is idempotent."""
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -12,6 +12,7 @@
 from ..exceptions import PeerMessageInvalid
 from ..peers.messages import Broadcast
 from ..settings import GatewaySettings
+from ..steps import async_run_step
 from ..tables.members import Role
 from .claims import ClaimManager
 from .components import GatewayComponents
@@ -30,6 +31,7 @@
         super().__init__("chutelink-gateway", settings)
         self.components: GatewayComponents | None = None
         self.http: GatewayHttp | None = None
+        self._has_published_queue = False
 
     @property
     def max_body_bytes(self) -> int:
@@ -105,18 +107,20 @@
 
         One empty update follows the last nonzero one, to clear it at the peers.
         """
-        was_published = False
         while not self.should_stop:
             await self.sleep(QUEUE_PUBLISH_INTERVAL_S)
-            waiting = self.components.dispatcher.waiting_by_model()
-            callers_per_s = self.components.callers.collect_usage(
-                QUEUE_PUBLISH_INTERVAL_S
+            await async_run_step(
+                self, self.events, "queue.publish", self._publish_queue
             )
-            has_data = bool(waiting or callers_per_s)
-            if has_data or was_published:
-                self.mesh.publish_queue(waiting, callers_per_s)
-            was_published = has_data
-            self._update_rate_shares()
+
+    def _publish_queue(self) -> None:
+        waiting = self.components.dispatcher.waiting_by_model()
+        callers_per_s = self.components.callers.collect_usage(QUEUE_PUBLISH_INTERVAL_S)
+        has_data = bool(waiting or callers_per_s)
+        if has_data or self._has_published_queue:
+            self.mesh.publish_queue(waiting, callers_per_s)
+        self._has_published_queue = has_data
+        self._update_rate_shares()
 
     async def async_drain(self) -> None:
         """Drain the gateway and return once no request is in flight.
--- a/chutelink/gateway/claims.py
+++ b/chutelink/gateway/claims.py
@@ -23,6 +23,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import AttemptId, BootId, DaemonId, make_id
+from ..steps import async_run_step
 from ..store import Check, TableService, Write, async_commit, decode_value
 from .refusals import Refusal, unavailable, unknown_outcome
 
@@ -315,8 +316,20 @@
             self._pending_added.clear()
             await asyncio.sleep(self._flush_s)
             while self._pending:
-                batch, self._pending = self._next_batch()
-                await self._async_flush(batch)
+                await async_run_step(
+                    self, self._core.events, "claims.flush", self._async_flush_next
+                )
+
+    async def _async_flush_next(self) -> None:
+        """Commit a batch; all of its claims get an outcome."""
+        batch, self._pending = self._next_batch()
+        try:
+            await self._async_flush(batch)
+        except Exception as error:
+            for pending in batch:
+                unknown = WriteOutcomeUnknown(repr(error), step="claims.flush")
+                _set_exception(pending, unknown)
+            raise
 
     def _next_batch(self) -> tuple[list[_PendingClaim], list[_PendingClaim]]:
         """Return a batch with each key at most once, and the remaining claims."""
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -19,6 +19,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import ServiceName, SoftwareVersion, StoreEra, WriteId, make_id
+from ..steps import async_run_step
 from ..store import Check, RowPage, TableService, Transaction, Write, decode_value
 from .const import SAVE_PERIOD_S, SAVE_RANK_DELAY_S, SAVERS, STORE_RETRY_S
 from .manager import OriginManager
@@ -69,19 +70,29 @@
         self._verified: VersionsRow | None = None
         """What this daemon knew when it last compared the row with it."""
         self._unsaved_since_s: float | None = None
+        self._has_loaded = False
 
     @Service.task
     async def _async_run(self) -> None:
         while not self.should_stop:
-            try:
-                await self.async_load()
+            await async_run_step(
+                self, self._core.events, "origins.load", self._async_try_load
+            )
+            if self._has_loaded:
                 break
-            except PlatformUnavailable as error:
-                self._core.events.warning("stored_origins_not_read", error=error)
             await self.sleep(STORE_RETRY_S)
         while not self.should_stop:
             await self.sleep(SAVE_PERIOD_S)
-            await self.async_save_if_due()
+            await async_run_step(
+                self, self._core.events, "origins.save", self.async_save_if_due
+            )
+
+    async def _async_try_load(self) -> None:
+        try:
+            await self.async_load()
+            self._has_loaded = True
+        except PlatformUnavailable as error:
+            self._core.events.warning("stored_origins_not_read", error=error)
 
     async def async_load(self) -> None:
         """Read what daemons have stored before this one started.
--- a/chutelink/origins/stream_store.py
+++ b/chutelink/origins/stream_store.py
@@ -14,6 +14,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import StoreEra, WriteId, make_id
+from ..steps import async_run_step
 from ..store import Check, TableService, Transaction, Write
 from .const import (
     MAX_REMOVED_ROWS,
@@ -73,8 +74,9 @@
     @Service.task
     async def _async_share_loop(self) -> None:
         while not self.should_stop:
-            self._sharing.update()
-            await self.async_save_if_due()
+            await async_run_step(
+                self, self._core.events, "streams.share", self._async_share
+            )
             is_sharing = self._sharing.is_sharing
             await self.sleep(self._sharing.period_s if is_sharing else SAVE_PERIOD_S)
 
@@ -82,15 +84,20 @@
     async def _async_remove_loop(self) -> None:
         while not self.should_stop:
             await self.sleep(RETENTION_S)
-            try:
-                await self.async_remove_old()
-            except (
-                PlatformUnavailable,
-                WriteOutcomeUnknown,
-                TransactionConflict,
-            ) as error:
-                # The next attempt reads the rows again.
-                self._core.events.warning("old_streams_not_removed", error=error)
+            await async_run_step(
+                self, self._core.events, "streams.remove", self._async_try_remove_old
+            )
+
+    async def _async_share(self) -> None:
+        self._sharing.update()
+        await self.async_save_if_due()
+
+    async def _async_try_remove_old(self) -> None:
+        try:
+            await self.async_remove_old()
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
+            # The next attempt reads the rows again.
+            self._core.events.warning("old_streams_not_removed", error=error)
 
     async def async_save_if_due(self) -> None:
         """Store the recorded streams if they have changed."""
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -17,6 +17,7 @@
 from ..exceptions import PeerMessageInvalid
 from ..ids import ConfigVersion, DaemonId
 from ..settings import PeersSection
+from ..steps import async_run_step
 from ..tables.members import Member, MemberState, MemberTable
 from ..tables.queues import QueueTable
 from .dialing import Dialer
@@ -272,7 +273,7 @@
     @Service.task
     async def _async_tick_loop(self) -> None:
         while not self.should_stop:
-            self._tick()
+            await async_run_step(self, self._core.events, "mesh.tick", self._tick)
             interval_s = self._settings.heartbeat_interval_s
             await self.sleep(
                 interval_s * self._core.rng.uniform(1 - HEARTBEAT_JITTER, 1.0)
--- a/chutelink/placing/lease.py
+++ b/chutelink/placing/lease.py
@@ -26,6 +26,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import NO_ERA, BootId, DaemonId, WriteId, make_id
+from ..steps import async_run_step
 from ..store import Check, Row, Transaction, WatchableTable, Write, decode_value
 from .inventory import ORDER_TIMEOUT_S
 from .lease_row import (
@@ -192,7 +193,9 @@
     @Service.task
     async def _async_loop(self) -> None:
         while not self.should_stop:
-            await self._async_tick()
+            await async_run_step(
+                self, self._core.events, "lease.tick", self._async_tick
+            )
             await self.sleep(TICK_S)
 
     async def _async_tick(self) -> None:
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import functools
+from collections.abc import Awaitable, Callable
 
 from mode import Service
 
@@ -21,6 +22,7 @@
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
 from ..reachability.monitor import PartitionMonitor
 from ..regions.region_map import RegionMap
+from ..steps import FAILED_STEP_PAUSE_S, async_run_step
 from .announcer import ANNOUNCE_PERIOD_S, Announcer
 from .change_tracker import ChangeTracker
 from .changes import Change, PlacementView, Site
@@ -138,7 +140,9 @@
     async def _async_loop(self) -> None:
         while not self.should_stop:
             if self._lease.is_held and self.config is not None:
-                await self._async_tick()
+                await async_run_step(
+                    self, self._core.events, "placer.tick", self._async_tick
+                )
             await self._async_wait()
 
     async def _async_wait(self) -> None:
@@ -204,7 +208,16 @@
             if now_s < inventory.retry_after_s:
                 continue
             inventory.is_changing = True
-            self.add_future(self._async_refresh(inventory))
+            refresh = functools.partial(self._async_refresh, inventory)
+            self._start_step("placer.report", refresh)
+
+    def _start_step(self, step: str, action: Callable[[], Awaitable[None]]) -> None:
+        self.add_future(async_run_step(self, self._core.events, step, action))
+
+    def _defer(self, inventory: Inventory) -> None:
+        """Let an endpoint pause after a failed step, and read its report again."""
+        inventory.retry_after_s = self._core.clock() + FAILED_STEP_PAUSE_S
+        inventory.read_s = float("-inf")
 
     async def _async_refresh(self, inventory: Inventory) -> None:
         try:
@@ -216,6 +229,9 @@
             self._core.events.record(
                 "report_failed", endpoint=inventory.endpoint, error=error
             )
+        except Exception:
+            self._defer(inventory)
+            raise
         finally:
             inventory.is_changing = False
         self.wake()
@@ -306,7 +322,8 @@
             sequence=inventory.sequence,
             term=self._term,
         )
-        self.add_future(self._async_execute(change, inventory))
+        execute = functools.partial(self._async_execute, change, inventory)
+        self._start_step("placer.order", execute)
 
     async def _async_execute(self, change: Change, inventory: Inventory) -> None:
         row = self._table.rows.get(change.endpoint)
@@ -330,6 +347,9 @@
                 has_ended=has_ended,
                 error=error,
             )
+        except Exception:
+            self._defer(inventory)
+            raise
         finally:
             if row is not None:
                 row.closing = frozenset()
--- a/chutelink/quarantine/persistence.py
+++ b/chutelink/quarantine/persistence.py
@@ -23,6 +23,7 @@
     WriteOutcomeUnknown,
 )
 from ..ids import Fingerprint, WriteId, make_id
+from ..steps import async_run_step
 from ..store import Check, TableService, Transaction, Write, decode_value
 from .const import MAX_HOLDS, SAVE_BATCH_SIZE, SAVE_PERIOD_S, SAVE_RANK_DELAY_S
 from .model import Hold, Verdict
@@ -137,17 +138,18 @@
     @Service.task
     async def _async_save_loop(self) -> None:
         while not self.should_stop:
-            try:
-                await self.async_save_pending()
-            except (
-                PlatformUnavailable,
-                WriteOutcomeUnknown,
-                TransactionConflict,
-            ) as error:
-                # The next attempt writes them again; writing a row twice is harmless.
-                self._core.events.warning("holds_not_saved", error=error)
+            await async_run_step(
+                self, self._core.events, "holds.save", self._async_try_save
+            )
             await self._async_wait_for_changes()
 
+    async def _async_try_save(self) -> None:
+        try:
+            await self.async_save_pending()
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
+            # The next attempt writes them again; writing a row twice is harmless.
+            self._core.events.warning("holds_not_saved", error=error)
+
     async def _async_wait_for_changes(self) -> None:
         # Limits the rate of writes even while more holds are waiting to be written.
         await self.sleep(SAVE_PERIOD_S)
--- a/chutelink/trace_export.py
+++ b/chutelink/trace_export.py
@@ -19,6 +19,7 @@
 from .log import EventLog
 from .metrics import Metrics
 from .responses import MAX_CONTROL_BYTES, async_read_body
+from .steps import async_run_step
 
 MAX_QUEUED_SPANS = 4096
 EXPORT_INTERVAL_S = 1.0
@@ -60,7 +61,9 @@
     async def _async_export_loop(self) -> None:
         while not self.should_stop:
             await self.sleep(EXPORT_INTERVAL_S)
-            await self.async_flush()
+            await async_run_step(
+                self, self._event_log, "spans.export", self.async_flush
+            )
 
     async def async_flush(self) -> None:
         """Send the queued spans; they are lost if the collector can't be reached."""
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 from ..entry.messages import SnapshotRequest, StoredRow, StoreUpdate
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId, StoreEra
+from ..steps import async_run_step, contain_errors
 from ..store import Row, RowPage, WatchableTable
 from .probing import ProbeBackoff
 from .storeclock import StoreClock
@@ -128,15 +130,20 @@
             self.add_future(self._async_poll_table(state))
 
     async def _async_poll_table(self, state: TableState) -> None:
+        poll = functools.partial(self._async_poll, state)
         while not self.should_stop:
-            probe_s = self._backoff.pause_s(self._core.clock())
-            pause_s = max(self._pause_s(state), probe_s)
-            if pause_s > 0:
-                await self.sleep(pause_s)
-            elif self._backoff.is_failing:
-                await self._async_probe_store(state)
-            else:
-                await self._async_try_refresh(state)
+            await async_run_step(self, self._core.events, "store.poll", poll)
+
+    async def _async_poll(self, state: TableState) -> None:
+        """Read a table, or wait until its next read is due."""
+        probe_s = self._backoff.pause_s(self._core.clock())
+        pause_s = max(self._pause_s(state), probe_s)
+        if pause_s > 0:
+            await self.sleep(pause_s)
+        elif self._backoff.is_failing:
+            await self._async_probe_store(state)
+        else:
+            await self._async_try_refresh(state)
 
     async def _async_probe_store(self, state: TableState) -> None:
         """Read a table of a failing store, or wait for the probe that is running."""
@@ -323,7 +330,9 @@
                 back_until_s,
                 is_restored,
             )
-            self.on_row(change)
+            # The copy has all rows by now: one skipped here is not reported again.
+            with contain_errors(self._core.events, "store.apply_row", row.key):
+                self.on_row(change)
 
     def _detect_outage(self, state: TableState, update: StoreUpdate) -> None:
         """Detect an outage of the store from the gap between its answers.
