Headers and events: ignore integers of more than 15 digits

X-Token-Count accepted negative numbers, `1_0`, and 400 digits, which overflow later.

Cause: int() limits neither size nor sign, and raises on more than 4300 digits.

Change: one decoder for integers in headers, which ignores what is malformed or has more than 15 digits, as malformed values were ignored before. Decimal amounts end at 1e12, and a date whose time zone overflows counts as unreadable.

--- a/chutelink/platform/headers.py
+++ b/chutelink/platform/headers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from email.utils import parsedate_to_datetime
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -59,6 +58,9 @@
 LEAVING = "1"
 HEADER_DATE = "Date"
 MS_PER_S = 1000.0
+MAX_DIGITS = 15
+"""Maximum length of integers; floats represent all of them exactly."""
+MAX_AMOUNT = 1e12
 MAX_PAUSE_S = 300.0
 """Upper bound for a requested pause; an endpoint that needs longer repeats it."""
 HTTP_MISDIRECTED = 421
@@ -72,11 +74,18 @@
 FIRST_REDIRECT = 300
 
 
-def _decode_ints(text: str) -> list[int]:
-    try:
-        return [int(part) for part in text.split(",")]
-    except ValueError:
-        return []
+def _decode_integer(text: str) -> int | None:
+    """Return a non-negative integer, or None if it is malformed or too large."""
+    text = text.strip()
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
+def _decode_integers(text: str) -> list[int]:
+    """Return integers separated by commas, none if one of them is invalid."""
+    numbers = [_decode_integer(part) for part in text.split(",")]
+    return [] if None in numbers else numbers
 
 
 def _decode_prompt(text: str) -> tuple[PromptPart, ...]:
@@ -84,9 +93,10 @@
     parts = []
     for item in text.split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if not tokens.isdecimal():
+        count = _decode_integer(tokens)
+        if count is None:
             return ()
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, count))
     return tuple(parts)
 
 
@@ -97,12 +107,12 @@
 
 
 def _decode_amount(text: str) -> float | None:
-    """Return a finite, non-negative decimal number, or None for anything else."""
+    """Return a number from 0 to ``MAX_AMOUNT``, or None for anything else."""
     try:
         amount = float(text)
     except ValueError:
         return None
-    return amount if math.isfinite(amount) and amount >= 0 else None
+    return amount if 0 <= amount <= MAX_AMOUNT else None
 
 
 def _decode_limit(headers: CIMultiDictProxy[str]) -> float | None:
@@ -132,7 +142,7 @@
         retry_at = parsedate_to_datetime(headers[HEADER_RETRY_AFTER])
         answered_at = parsedate_to_datetime(headers[HEADER_DATE])
         return max(0.0, (retry_at - answered_at).total_seconds())
-    except (LookupError, ValueError, TypeError):
+    except (LookupError, ValueError, TypeError, OverflowError):
         # The caller of decode_signals logs the header as unreadable.
         return None
 
@@ -145,19 +155,18 @@
         request_id = headers.get(HEADER_REQUEST_ID)
         if not request_id:
             return None
-        deadline_ms = headers.get(HEADER_DEADLINE_MS, "")
+        deadline_ms = _decode_integer(headers.get(HEADER_DEADLINE_MS, ""))
         model, _, adapter = headers.get(HEADER_MODEL, "").partition("/")
-        counts = _decode_ints(headers.get(HEADER_TOKEN_COUNT, ""))
-        last_event = headers.get(HEADER_LAST_EVENT, "")
+        counts = _decode_integers(headers.get(HEADER_TOKEN_COUNT, ""))
         return RequestMeta(
             id=RequestId(request_id),
-            deadline_s=int(deadline_ms) / 1000 if deadline_ms.isdecimal() else None,
+            deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
             model=ModelName(model),
             adapter=AdapterName(adapter),
             prompt_tokens=counts[0] if counts else 0,
             output_tokens=counts[1] if len(counts) > 1 else 0,
             prompt=_decode_prompt(headers.get(HEADER_PROMPT_PREFIX, "")),
-            resume_after=int(last_event) if last_event.isdecimal() else None,
+            resume_after=_decode_integer(headers.get(HEADER_LAST_EVENT, "")),
             resumes=_decode_resumes(headers),
             counted_tokens=sum(counts) if counts else None,
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from chutelink.entry.headers import AnswerKind, Dispatch
@@ -47,6 +49,45 @@
     assert meta.resumes == resumes
 
 
+@pytest.mark.parametrize("number", ["9" * 400, "9" * 5000, "-5", "1_0", "\u0663"])
+def test_integer_out_of_bounds_is_ignored(number):
+    """Such numbers raised OverflowError or ValueError, and gave the caller 500."""
+    meta = CODEC.decode_request(
+        headers(
+            X_Request_Id="q1",
+            X_Deadline_Ms=number,
+            X_Token_Count=f"{number},2",
+            X_Prompt_Prefix=f"p:{number}",
+            Last_Event_Id=number,
+        )
+    )
+    assert (meta.deadline_s, meta.resume_after, meta.counted_tokens) == (None,) * 3
+    assert (meta.prompt_tokens, meta.prompt) == (0, ())
+
+
+HEADER_TEXT = (
+    st.text(st.characters(codec="ascii"), max_size=20)
+    | st.text(max_size=5)
+    | st.sampled_from(["9" * 400, "9" * 5000, "1e308", "5e-324", "nan", "-1", "1,2"])
+    | st.from_regex(r"\A[A-Z][a-z]{2}, [0-9]+ Jan [0-9]+ 0:0:0 [+-][0-9]+\Z")
+)
+
+
+@given(HEADER_TEXT, HEADER_TEXT)
+def test_arbitrary_headers_are_bounded_or_ignored(text, other):
+    names = ["X-Deadline-Ms", "X-Token-Count", "Last-Event-Id", "Server-Limit"]
+    names += ["Server-Brittle", "X-Cold-Ms", "Retry-After", "X-Prompt-Prefix"]
+    values = dict.fromkeys(names, text) | {"X-Request-Id": "q", "Date": other}
+    sent = CIMultiDictProxy(CIMultiDict(values))
+    meta = CODEC.decode_request(sent)
+    numbers = [meta.deadline_s, meta.resume_after, meta.counted_tokens]
+    numbers += [part.tokens for part in meta.prompt]
+    signals = CODEC.decode_signals(503, sent)
+    numbers += [signals.limit_per_s, signals.max_rejections_per_s]
+    numbers += [signals.cold_left_s, signals.pause_s]
+    assert all(0 <= number <= 1e17 for number in numbers if number is not None)
+
+
 def test_request_without_an_id_is_none():
     assert CODEC.decode_request(headers(X_Model="m")) is None
 
