Configuration: reject numbers and names out of bounds

Seen: a configuration with a number of 400 digits (max_conns, slots, priority, ...) or 1e300 was accepted, and failed where it is used; a negative weight fails the choice of a service of each request. A model with 10^12 adapters took all memory of every daemon that read it: the test ended at a limit of 8 GB of address space.

Cause: most numbers had no bounds, and an entry is made for each adapter.

Change: amounts and counts lie within 0 and 2^53-1, priorities and attempts within the same distance of 0, names have 256 characters at most, and an engine's models 100,000 adapters. ConfigInvalid is raised otherwise: config_refused, and the configuration in force stays. Negative times and sizes are rejected too now.

--- a/chutelink/decoding.py
+++ b/chutelink/decoding.py
@@ -4,9 +4,10 @@
 
 import math
 from collections.abc import Iterable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 MAX_DEPTH = 32
 """Maximum nesting of arrays and objects in a row's value.
@@ -20,6 +21,10 @@
 """Largest integer up to which floats represent all integers exactly."""
 MAX_NAME_CHARS = 256
 """Maximum length of an id or a name."""
+Name = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
+Integer = Annotated[int, Meta(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)]
+Count = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
+Amount = Annotated[float, Meta(ge=0, le=MAX_EXACT_INTEGER)]
 _DIGITS_TO_ZERO = bytes.maketrans(b"123456789", b"0" * 9)
 _LONG_INTEGER = b"0" * len(str(2**63))
 
--- a/chutelink/platform/configuration.py
+++ b/chutelink/platform/configuration.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
-from msgspec import Meta
 
+from ..decoding import Amount, Count, Integer, Name
 from ..entry.config import (
     CallerLimits,
     EngineSpec,
@@ -27,6 +27,9 @@
 )
 
 MS_PER_S = 1000.0
+MAX_ADAPTERS = 100_000
+"""Maximum number of adapters of an engine's models; each takes memory."""
+
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -46,8 +49,8 @@
 class _WireBackend(msgspec.Struct):
     """A weighted backend service of a route."""
 
-    service: str
-    weight: float
+    service: Name
+    weight: Amount
 
 
 class _WireRoute(msgspec.Struct):
@@ -58,19 +61,19 @@
     routes that require no key.
     """
 
-    name: str
+    name: Name
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    slo_ms: float = 0.0
-    priority: int = 0
-    service: str = ""
+    timeout_ms: Amount
+    slo_ms: Amount = 0.0
+    priority: Integer = 0
+    service: Name = ""
     backends: list[_WireBackend] = []
-    attempts: int = 1
+    attempts: Integer = 1
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Amount = 0.0
     anonymous: bool = False
     home_regions: list[str] | None = None
 
@@ -83,13 +86,13 @@
     and ``warm_s`` from a copy in memory.
     """
 
-    name: str
-    weights_mb: float
-    load_s: float
-    warm_s: float = 0.0
-    disk_s: float = 0.0
-    adapters: int = 0
-    adapter_mb: float = 0.0
+    name: Name
+    weights_mb: Amount
+    load_s: Amount
+    warm_s: Amount = 0.0
+    disk_s: Amount = 0.0
+    adapters: Count = 0
+    adapter_mb: Amount = 0.0
 
 
 class _WireEngine(msgspec.Struct):
@@ -98,12 +101,12 @@
     ``disk_mb`` is the space for copies of weights on the endpoint's local disk.
     """
 
-    weights_mb: float
-    slots: int = 1
-    kv_capacity: int = 0
-    adapter_slots: int = 0
-    loads_per_s: float = 1.0
-    disk_mb: float = 0.0
+    weights_mb: Amount
+    slots: Count = 1
+    kv_capacity: Count = 0
+    adapter_slots: Count = 0
+    loads_per_s: Amount = 1.0
+    disk_mb: Amount = 0.0
     models: list[_WireModel] = []
 
 
@@ -114,27 +117,27 @@
     per second meanwhile; both are 0 without such a limit.
     """
 
-    name: str
+    name: Name
     health_path: str = "/health"
-    max_conns: int = 100
+    max_conns: Count = 100
     engine: _WireEngine | None = None
-    cold_s: Annotated[float, Meta(ge=0)] = 0.0
-    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_s: Amount = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class _WireLimits(msgspec.Struct):
     """Limits and timeouts for requests of callers."""
 
-    header_bytes: int = CallerLimits().max_header_bytes
-    body_bytes: int = CallerLimits().max_body_bytes
-    header_timeout_ms: float = CallerLimits().header_timeout_s * MS_PER_S
-    idle_timeout_ms: float = CallerLimits().idle_timeout_s * MS_PER_S
+    header_bytes: Count = CallerLimits().max_header_bytes
+    body_bytes: Count = CallerLimits().max_body_bytes
+    header_timeout_ms: Amount = CallerLimits().header_timeout_s * MS_PER_S
+    idle_timeout_ms: Amount = CallerLimits().idle_timeout_s * MS_PER_S
 
 
 class _WireConfig(msgspec.Struct):
     """The complete configuration; if ``tenants`` is absent, callers need no keys."""
 
-    version: int
+    version: Count
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -231,6 +234,9 @@
 
 
 def _decode_engine(wire: _WireEngine) -> EngineSpec:
+    if sum(model.adapters for model in wire.models) > MAX_ADAPTERS:
+        message = f"engine has more than {MAX_ADAPTERS} adapters"
+        raise ConfigInvalid(message, step="config.engine")
     models = {
         ModelName(model.name): ModelSpec(
             name=ModelName(model.name),
--- a/chutelink/platform/customers.py
+++ b/chutelink/platform/customers.py
@@ -9,6 +9,7 @@
 from ..customers.const import MAX_KEY_BYTES
 from ..customers.keys import hash_key
 from ..customers.model import Customer, Quota, QuotaUnit
+from ..decoding import MAX_EXACT_INTEGER, Integer, Name
 from ..exceptions import ConfigInvalid
 from ..ids import CustomerName, KeyHash, RegionName
 
@@ -32,10 +33,10 @@
     ``rate_per_s`` of 0 means no limit, regardless of ``burst``.
     """
 
-    name: str
+    name: Name
     key_hashes: list[str] = []
     key_problem: str = ""
-    priority: int | None = None
+    priority: Integer | None = None
     unit: str = ""
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -125,8 +126,9 @@
     unit = UNITS.get(wire.unit)
     if unit is None:
         raise _make_error(f"unknown quota unit {wire.unit!r}", wire.name)
-    if min(wire.rate_per_s, wire.burst, wire.plain_tokens) < 0:
-        raise _make_error("quota limits must not be negative", wire.name)
+    limits = (wire.rate_per_s, wire.burst, wire.plain_tokens)
+    if not all(0 <= limit <= MAX_EXACT_INTEGER for limit in limits):
+        raise _make_error("quota limits must not be negative or above 2^53", wire.name)
     if not wire.rate_per_s:
         return None
     return Quota(unit, wire.rate_per_s, wire.burst, wire.plain_tokens)
--- a/chutelink/platform/endpoints.py
+++ b/chutelink/platform/endpoints.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from ..decoding import MAX_EXACT_INTEGER, MAX_NAME_CHARS, decode_json
+from ..decoding import MAX_NAME_CHARS, Count, Name, decode_json
 from ..entry.endpoints import EndpointRecord, EndpointState
 from ..exceptions import EndpointFailed
 from ..ids import (
@@ -30,12 +30,9 @@
 MAX_MODELS = 4096
 """Maximum number of models of an endpoint, and of adapters of a model."""
 
-Name = Annotated[str, Meta(max_length=MAX_NAME_CHARS)]
 Names = Annotated[list[Name], Meta(max_length=MAX_MODELS)]
 AdapterText = Annotated[str, Meta(max_length=3 * MAX_NAME_CHARS)]
 """A model, an adapter and its version."""
-Number = Annotated[int, Meta(ge=0, le=MAX_EXACT_INTEGER)]
-"""An integer that a float represents exactly."""
 
 
 class _WireState(Enum):
@@ -76,7 +73,7 @@
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: _WireState
     models: Annotated[list[_WireModel], Meta(max_length=MAX_MODELS)] = []
-    born: Number = 0
+    born: Count = 0
     cold_left_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MS)] = 0.0
 
 
@@ -98,14 +95,14 @@
 
     models: Annotated[list[_WireModel], Meta(max_length=MAX_MODELS)] = []
     busy: bool = False
-    seq: Number = 0
-    queued: Number = 0
-    active: Number = 0
-    kv_used: Number = 0
-    kv_total: Number = 0
+    seq: Count = 0
+    queued: Count = 0
+    active: Count = 0
+    kv_used: Count = 0
+    kv_total: Count = 0
     coming: Annotated[list[AdapterText], Meta(max_length=MAX_MODELS)] = []
     at_hand: _WireCopies = msgspec.field(default_factory=_WireCopies)
-    born: Number = 0
+    born: Count = 0
 
 
 def compact_registration(value: Any) -> Any:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -9,6 +9,8 @@
 from chutelink.platform.configuration import decode_config
 from standins.prepared_config import make_config
 
+from ..odd_values import HUGE
+
 SERVICES = {"llm": "s-llm", "plain": "s-plain"}
 
 
@@ -70,6 +72,31 @@
         decode(**changes)
 
 
+OUT_OF_BOUNDS = [
+    (("version",), 2**60),
+    (("routes", 0, "timeout_ms"), 1e300),
+    (("routes", 0, "priority"), HUGE),
+    (("routes", 0, "name"), "r" * 257),
+    (("routes", 0, "backends"), [{"service": "s-llm", "weight": -1}]),
+    (("services", 0, "max_conns"), HUGE),
+    (("services", 0, "engine", "slots"), HUGE),
+    (("services", 0, "engine", "models", 0, "adapters"), 10**12),
+    (("limits",), {"body_bytes": HUGE}),
+    (("tenants",), [{"name": "c", "rate_per_s": 1e300, "keys": ["k"]}]),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), OUT_OF_BOUNDS, ids=lambda part: "")
+def test_configuration_out_of_bounds_is_rejected(path, value):
+    """Such a number raised OverflowError for requests, or took all memory."""
+    config = part = make_config(7, SERVICES)
+    for key in path[:-1]:
+        part = part[key]
+    part[path[-1]] = value
+    with pytest.raises(ConfigInvalid):
+        decode_config(config)
+
+
 def test_unknown_route_kind_is_rejected():
     config = make_config(7, SERVICES)
     config["routes"][0]["kind"] = "sometimes"
--- a/tests/platform/test_foreign_values.py
+++ b/tests/platform/test_foreign_values.py
@@ -71,6 +71,10 @@
     except ConfigInvalid:
         return
     RouteTable(config).find("a.example", "/once/x")
+    for route in config.routes:
+        weights = [float(part.weight) for part in route.services]
+        assert min(weights) >= 0
+        assert math.isfinite(route.timeout_s + route.priority + sum(weights))
 
 
 @settings(max_examples=400)
