Dialling: log an address that can't be dialled at all

Seen: a member's row with the peer address 10.0.0.1:99999 ended the dial's task with ValueError (port out of range), of which no line was logged by the daemon.

Cause: the transport raises OSError for what it can't reach, ValueError for what it can't parse; only the first was caught.

Change: a dial runs in contain_errors, which logs step_failed with the address.

Result: the new test failed before (ValueError) and passes now.

--- a/chutelink/peers/dialing.py
+++ b/chutelink/peers/dialing.py
@@ -7,6 +7,7 @@
 
 from ..core import Application
 from ..settings import PeersSection
+from ..steps import contain_errors
 from .transport import ConnectionHandler, PeerConnection, PeerTransport
 
 REDIAL_DELAY_S = 2.0
@@ -102,6 +103,16 @@
         return async_handle
 
     async def _async_dial(self, address: str) -> None:
+        try:
+            with contain_errors(self._core.events, "peers.dial", address):
+                await self._async_connect(address)
+        finally:
+            delay_s = REDIAL_DELAY_S * self._core.rng.uniform(0.5, 1.0)
+            self._retry_s[address] = self._core.clock() + delay_s
+            self._dialing.pop(address, None)
+
+    async def _async_connect(self, address: str) -> None:
+        """Open a link, and return once it has ended or could not be opened."""
         try:
             await self._transport.async_dial(
                 address, self._make_connection_handler(address)
@@ -109,7 +120,3 @@
         except OSError as error:
             self._unreachable.add(address)
             self._core.events.debug("peer_dial_failed", peer=address, error=error)
-        finally:
-            delay_s = REDIAL_DELAY_S * self._core.rng.uniform(0.5, 1.0)
-            self._retry_s[address] = self._core.clock() + delay_s
-            self._dialing.pop(address, None)
