Tasks outside services: go on after an unexpected exception

Seen: an unexpected exception of a probe ended the recovery of the partition monitor, so that the daemon took itself for partitioned until it was restarted; one of the registration of gateways and directors ended it without a log line.

Cause: both run as plain tasks, whose exceptions nothing reads.

The event is unexpected_error, as the director's placer has a step_failed of its own, with other fields.

The registration has no test of its own.

--- a/chutelink/daemon.py
+++ b/chutelink/daemon.py
@@ -23,6 +23,7 @@
 from .ids import EndpointName
 from .peers.mesh import Mesh
 from .settings import DirectorSettings, GatewaySettings
+from .steps import async_run_step
 from .store import (
     Check,
     Platform,
@@ -81,6 +82,7 @@
         self.client: EndpointClient | None = None
         self.monitor: EndpointMonitor | None = None
         self._registration_task: asyncio.Task | None = None
+        self._is_registered = False
 
     def _make_member(self) -> Member:
         # Only compared with what peers know of this same daemon. If the clock was set
@@ -172,17 +174,22 @@
 
     async def _async_register(self) -> None:
         """Write the row with which operators' tools find this daemon."""
+        while not self.should_stop and not self._is_registered:
+            await async_run_step(
+                self, self.events, "daemon.register", self._async_try_register
+            )
+
+    async def _async_try_register(self) -> None:
         key = PREFIX_DAEMON + self.daemon_id
         value = msgspec.to_builtins(DaemonRow(self.members.own))
-        while not self.should_stop:
-            try:
-                page = await self.platform.table.async_read(key)
-                row = page.get(key)
-                check = Check(key, row.version if row is not None else 0)
-                await async_commit(self.platform.table, [check], [Write(key, value)])
-                return
-            except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict):
-                await asyncio.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
+        try:
+            page = await self.platform.table.async_read(key)
+            row = page.get(key)
+            check = Check(key, row.version if row is not None else 0)
+            await async_commit(self.platform.table, [check], [Write(key, value)])
+            self._is_registered = True
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict):
+            await asyncio.sleep(REGISTER_RETRY_S * self.rng.uniform(0.5, 1.5))
 
     async def _async_status(self, request: web.Request) -> web.Response:
         expected = f"Bearer {self.settings.platform.key}"
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -133,10 +133,10 @@
         """Register and find peers, and repeat the search while there are no links."""
         while not self._core.should_stop:
             await async_run_step(
-                self._core, self._core.events, "members.register", self._async_try
+                self._core, self._core.events, "members.register", self._async_try_join
             )
 
-    async def _async_try(self) -> None:
+    async def _async_try_join(self) -> None:
         try:
             await self._async_register()
             await self._async_find()
--- a/chutelink/reachability/monitor.py
+++ b/chutelink/reachability/monitor.py
@@ -9,6 +9,7 @@
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..learning.health import HealthTable
 from ..quarantine.probe import EndingProbe, ProbeResult
+from ..steps import contain_errors
 from .const import MAX_PROBED_ENDPOINTS, PROBE_BATCH_SIZE, RECOVERY_PROBE_PERIOD_S
 
 
@@ -137,10 +138,11 @@
         """Probe endpoints until all lost paths work again."""
         while self.is_partitioned or self._lost_paths:
             await asyncio.sleep(RECOVERY_PROBE_PERIOD_S)
-            if self.is_partitioned:
-                await self._async_recheck_partition()
-            else:
-                await self._async_recheck_lost_paths()
+            with contain_errors(self._core.events, "partition.recover", ""):
+                if self.is_partitioned:
+                    await self._async_recheck_partition()
+                else:
+                    await self._async_recheck_lost_paths()
 
     async def _async_recheck_partition(self) -> None:
         """End the partition if an endpoint accepts a connection, or if none is left."""
--- a/chutelink/steps.py
+++ b/chutelink/steps.py
@@ -58,7 +58,7 @@
 def _log_failure(events: EventLog, step: str, peer: str, error: Exception) -> None:
     frame = traceback.extract_tb(error.__traceback__)[-1]
     events.error(
-        "step_failed",
+        "unexpected_error",
         step=step,
         peer=peer,
         error=repr(error)[:MAX_ERROR_CHARS],
--- a/tests/peers/test_dialing.py
+++ b/tests/peers/test_dialing.py
@@ -30,4 +30,4 @@
         assert not dialer._dialing and dialer._retry_s[address] > 0
 
     asyncio.run(async_test())
-    assert logged == [("step_failed", address)]
+    assert logged == [("unexpected_error", address)]
--- a/tests/reachability/test_monitor.py
+++ b/tests/reachability/test_monitor.py
@@ -8,7 +8,7 @@
 from chutelink.ids import EndpointId, FailureDomainName, ServiceName
 from chutelink.learning.health import HealthTable
 from chutelink.quarantine.probe import EndingProbe, ProbeResult
-from chutelink.reachability.const import MAX_PROBED_ENDPOINTS
+from chutelink.reachability.const import MAX_PROBED_ENDPOINTS, RECOVERY_PROBE_PERIOD_S
 from chutelink.reachability.monitor import PartitionMonitor
 
 from ..fakes import make_core
@@ -74,6 +74,24 @@
     asyncio.run(async_test())
 
 
+def test_recovery_goes_on_after_a_probe_that_raises():
+    """Otherwise the daemon took itself for partitioned until it was restarted."""
+
+    async def async_test():
+        monitor, probe = make_monitor(3)
+        assert await monitor.async_check(FAILED)
+        async_probe, probe.async_probe = probe.async_probe, None
+        await asyncio.sleep(1.5 * RECOVERY_PROBE_PERIOD_S)
+        probe.async_probe = async_probe
+        probe.results["10.0.0.1:80"] = ProbeResult.ACCEPTED
+        async with asyncio.timeout(5):
+            while monitor.is_partitioned:
+                await asyncio.sleep(0.01)
+        await monitor.async_close()
+
+    asyncio.run(async_test())
+
+
 def test_concurrent_failures_share_a_bounded_check():
     async def async_test():
         monitor, probe = make_monitor(40)
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -39,7 +39,7 @@
     asyncio.run(async_run_step(service, recorder, "a.step", lambda: fail(2)))
     asyncio.run(async_run_step(service, recorder, "a.step", lambda: None))
     ((event, fields),) = recorder.events
-    assert (event, fields["step"]) == ("step_failed", "a.step")
+    assert (event, fields["step"]) == ("unexpected_error", "a.step")
     assert "ValueError" in fields["error"]
     assert pauses == [steps.FAILED_STEP_PAUSE_S]
 
