--- a/tests/gateway/test_claims.py
+++ b/tests/gateway/test_claims.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from chutelink import steps
 from chutelink.gateway import claims as claims_module
 from chutelink.gateway.claims import ClaimManager, StoredAnswer, claim_key
 from chutelink.gateway.refusals import Outcome, Refusal
@@ -209,3 +210,30 @@
         await manager.stop()
 
     asyncio.run(async_scenario())
+
+
+def test_claims_of_a_flush_that_fails_unexpectedly_get_an_outcome(monkeypatch):
+    """Their callers waited without end, and later claims were never written."""
+    monkeypatch.setattr(steps, "FAILED_STEP_PAUSE_S", 0.01)
+
+    class FailingTable(FakeTable):
+        fails = True
+
+        async def async_transact(self, transaction):
+            if self.fails:
+                raise RecursionError
+            return await super().async_transact(transaction)
+
+    async def async_test():
+        run = RandomizedRun(1)
+        run.table = FailingTable()
+        manager = await run.async_start_gateway(0)
+        async with asyncio.timeout(5):
+            with pytest.raises(Refusal):
+                await manager.async_claim("k1", "hash")
+            run.table.fails = False
+            await asyncio.sleep(0.05)
+            assert await manager.async_claim("k2", "hash")
+        await manager.stop()
+
+    asyncio.run(async_test())
