HTTP clients: a switch of the protocol is no response

What callers saw: a 101 with an empty body as the answer to their request; a caller that waits for the final response after it waits until its time is over.

Cause: the library returns 101 as a final response, as it does for requests that ask for an upgrade. Nothing here asks for one; 101 counted as a success and the rest of the response, cut or not, was not read.

Change: the response handler of all clients fails the exchange.

--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -22,6 +22,8 @@
 MAX_STORE_BYTES: Final = 16 * 1024 * 1024
 """Limit of the table and object services' responses, whose pages take up to 1.4 MB."""
 FIRST_FINAL_STATUS: Final = 200
+SWITCHING_STATUS: Final = 101
+"""Status of a switch to another protocol, which no request asks for."""
 
 
 class ResponseTooLarge(aiohttp.ClientPayloadError):
@@ -71,8 +73,12 @@
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Queue the head of a response."""
+        """Queue the head of a response, unless it switches the protocol."""
         message, _ = data
+        if message.code == SWITCHING_STATUS:
+            # The library would return it as the final response.
+            self._fail(aiohttp.ClientPayloadError("protocol switched unasked"))
+            return
         if message.code >= FIRST_FINAL_STATUS:
             self._awaits_head = False
         super().feed_data(data, size)
@@ -83,7 +89,7 @@
             super().data_received(data)
             return
         if self._is_idle():
-            self._fail("data without a request")
+            self._fail(ResponseTooLarge("data without a request"))
             return
         before = self._progress()
         super().data_received(data)
@@ -92,7 +98,7 @@
             return
         self._overhead_bytes += len(data)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            self._fail("head or chunk framing too large")
+            self._fail(ResponseTooLarge("head or chunk framing too large"))
 
     def _is_idle(self) -> bool:
         """Return whether the response to the last request is complete."""
@@ -105,8 +111,7 @@
         payload = self._payload
         return self._awaits_head, 0 if payload is None else payload.total_bytes
 
-    def _fail(self, message: str) -> None:
-        error = ResponseTooLarge(message)
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         payload, transport = self._payload, self.transport
         self.set_exception(error)
         if payload is not None and not payload.is_eof():
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -36,11 +36,18 @@
         self.is_reset = is_reset
         self.requests = 0
         self.address = ""
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b"\r\n\r\n")
+        self.writers.add(writer)
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            # A check whether the port accepts connections sends nothing.
+            writer.close()
+            return
         self.requests += 1
         response, is_reset = self.response, self.is_reset
         writer.write(response)
@@ -69,6 +76,9 @@
         yield raw
     finally:
         server.close()
+        for writer in raw.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
 
 
 def cut_everywhere(response: bytes) -> list[bytes]:
