Ends of responses: check them after their service was removed, too

What callers saw: 502 with an unknown outcome, or a stream that is cut, though the endpoint had sent its whole response.

Cause: the end of a response without a length is confirmed by a call to the endpoint, whose path is that of its service. The service was looked up in the configuration in force; if a change had removed or renamed it while the response ran, nothing was asked and the response counted as broken off.

Change: the specification of a service is kept after its removal.

Result: the case of renamed services failed before and passes now. The other 15 tests held already: answers of endpoints that are silent for 1.3 s go on across changes of idle and route timeouts, moved and removed routes, fewer attempts, routes that no longer allow repetitions, changed or renamed services, and endpoints that drain, move or are removed.

--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -78,12 +78,16 @@
         self.speeds = SpeedTable()
         self.durations = DurationTable()
         self.prefill_table = PrefillTable()
+        self._former_services: dict[ServiceName, ServiceSpec] = {}
         self.on_config: Callable[[], None] = lambda: None
         self.on_endpoints: Callable[[], None] = lambda: None
 
     def find_service(self, name: ServiceName) -> ServiceSpec | None:
-        """Return the specification of a service, None if it is not configured."""
-        return self._services().get(name)
+        """Return the specification of a service, None if it was never configured.
+
+        Responses of endpoints may outlast the configuration of their service.
+        """
+        return self._services().get(name) or self._former_services.get(name)
 
     def _services(self) -> dict[ServiceName, ServiceSpec]:
         return {} if self.routes is None else self.routes.config.services
@@ -112,6 +116,7 @@
                 "config_ignored", version=config.version, in_force=in_force
             )
             return
+        self._former_services |= self._services()
         self.routes = RouteTable(config)
         self.cold.note_config()
         self.speeds.set_sizes(
