Aborted streams: discard what their callers don't read

What callers saw: nothing; the daemon kept the connection and its unsent bytes for as long as the caller stayed connected without reading.

Cause: an abort closes the connection once the transport has sent all of its buffer, without a limit.

Change: what is unsent 5 s after the abort is discarded.

--- a/chutelink/relaying/caller_stream.py
+++ b/chutelink/relaying/caller_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 
@@ -11,6 +12,8 @@
 from ..core import Application
 from .sse import StreamEvent
 
+ABORT_DRAIN_S = 5.0
+"""How long the caller of an aborted stream may take to read its last events."""
 CLOSE_RESETS = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which the close of a socket resets its connection."""
 CLOSE_ENDS = struct.pack("ii", 0, 0)
@@ -80,4 +83,10 @@
         """Close the connection, so that the response can't appear complete."""
         if self._request.transport is not None:
             self._request.transport.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(ABORT_DRAIN_S, self._discard_unsent)
         return self._response
+
+    def _discard_unsent(self) -> None:
+        if self._request.transport is not None:
+            self._request.transport.abort()
--- a/tests/relaying/test_caller_stream.py
+++ b/tests/relaying/test_caller_stream.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from chutelink.relaying import caller_stream
 from chutelink.relaying.caller_stream import CallerStream
 from chutelink.relaying.sse import StreamEvent
 
@@ -79,16 +80,38 @@
 
 
 @pytest.mark.parametrize("minor", [0, 1])
-def test_aborted_stream_of_a_slow_caller_is_cut(minor):
+def test_aborted_stream_of_a_slow_caller_is_cut(minor, monkeypatch):
     """Guards against an end that the library writes behind the pending events."""
+    monkeypatch.setattr(caller_stream, "ABORT_DRAIN_S", 0.3)
+    errors = []
 
     async def async_test():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
         async with async_aborting_server() as (_, port):
             sock = await async_connect(port, minor)
             await asyncio.sleep(0.1)
             received, was_reset = await async_read_all(sock)
             check_cut(minor, received, was_reset)
             assert minor == 0 or received.count(b"x") == EVENT_BYTES
+            await asyncio.sleep(0.3)
+        assert not errors
+
+    asyncio.run(async_test())
+
+
+def test_aborted_connection_of_a_caller_that_never_reads_ends(monkeypatch):
+    """Guards against connections and buffers that are kept until the caller ends."""
+    monkeypatch.setattr(caller_stream, "ABORT_DRAIN_S", 0.1)
+
+    async def async_test():
+        async with async_aborting_server() as (server, port):
+            sock = await async_connect(port, 1)
+            await asyncio.sleep(0.05)
+            assert server.connections
+            await asyncio.sleep(0.3)
+            assert not server.connections
+            sock.close()
 
     asyncio.run(async_test())
 
