Request log: streams that are cut have the outcome cut

What operators saw: a stream that was cut for its caller was logged and counted as answered with status 200, and its line was subject to the rate limit of lines for successful requests.

Cause: the response object of a cut stream was taken for an answer. Result: the new test failed before and passes now.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -17,7 +17,7 @@
 from ..relaying.exchange import Exchange, pick_service
 from ..relaying.exchange_dispatcher import DEFAULT_RETRY_DELAY_S, ExchangeDispatcher
 from ..relaying.relay import Relay
-from ..relaying.request_log import RequestLog, RequestResult
+from ..relaying.request_log import ANSWERED, CUT, RequestLog, RequestResult
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import BufferedResponse, forwarded_headers
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
@@ -108,8 +108,8 @@
         try:
             exchange = await self._async_accept(request, admission, started_s)
             await self._dispatcher.gate.async_admit(exchange)
-            response = await self._async_relay(request, exchange)
-            status, outcome = response.status, "answered"
+            response, outcome = await self._async_relay(request, exchange)
+            status = response.status
         except Refusal as refusal:
             status, outcome = refusal.status, refusal.outcome.value
             reason = refusal.title
@@ -276,14 +276,16 @@
 
     async def _async_relay(
         self, request: web.BaseRequest, exchange: Exchange
-    ) -> web.StreamResponse:
+    ) -> tuple[web.StreamResponse, str]:
+        """Return the response and the outcome of the request."""
         if not exchange.route.is_stream:
-            return self._respond(await self._relay.async_relay_buffered(exchange))
+            answer = await self._relay.async_relay_buffered(exchange)
+            return self._respond(answer), ANSWERED
         caller = CallerStream(request, self._core)
         result = await self._streams.async_relay(exchange, caller)
         if isinstance(result, BufferedResponse):
-            return self._respond(result)
-        return result
+            return self._respond(result), ANSWERED
+        return result, CUT if caller.is_aborted else ANSWERED
 
     def _respond(self, answer: BufferedResponse) -> web.Response:
         response = web.Response(
--- a/chutelink/relaying/caller_stream.py
+++ b/chutelink/relaying/caller_stream.py
@@ -37,6 +37,7 @@
         self._response: web.StreamResponse | None = None
         self.events = 0
         self.last_event_s: float | None = None
+        self.is_aborted = False
         self.is_sending = False
         """Whether the caller has yet to read events before more can be sent."""
 
@@ -95,6 +96,7 @@
 
     def abort(self) -> web.StreamResponse:
         """Close the connection, so that the response can't appear complete."""
+        self.is_aborted = True
         if self._request.transport is not None:
             self._request.transport.close()
             loop = asyncio.get_running_loop()
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -15,6 +15,8 @@
 SUCCESS_LINE_BURST = 20.0
 FIRST_ERROR_STATUS = 400
 ANSWERED = "answered"
+CUT = "cut"
+"""Outcome of a stream that ended before its last event; its caller knows."""
 
 
 class RequestResult(msgspec.Struct, frozen=True):
--- a/tests/relaying/test_caller_stream.py
+++ b/tests/relaying/test_caller_stream.py
@@ -16,6 +16,7 @@
 from chutelink.relaying.caller_stream import CallerStream
 from chutelink.relaying.sse import StreamEvent
 from standins.prepared_config import make_config
+from standins.prepared_endpoint import EndpointFaults
 
 from ..raw_server import HEAD, async_raw_server
 from .relay_harness import SERVICES, async_relay_harness
@@ -221,3 +222,22 @@
         self._response.write = functools.partial(async_write, self._response)
 
     return async_send
+
+
+def test_cut_stream_is_not_logged_as_answered():
+    """Guards against cut streams that only their callers know of."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            routes = make_config(1, SERVICES)["routes"]
+            harness.configure(routes=[r | {"resumable": False} for r in routes])
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            endpoint.faults = EndpointFaults(cut_after_events=3)
+            results = []
+            harness.http._log.note = lambda *args: results.append(args[3])
+            sock = await async_connect(int(harness.url.rpartition(":")[2]), 1)
+            received, was_reset = await async_read_all(sock)
+            check_cut(1, received, was_reset)
+            assert [result.outcome for result in results] == ["cut"]
+
+    asyncio.run(async_test())
