Relayed calls: record all that fail, and catch oversized responses

What operators saw: a traceback at the peer for a response over the limits of heads and chunks, and no line or count of relayed calls that broke after their head. Callers were told an unknown outcome in each case already.

Cause: the relay handler caught ConnectionBroken alone, and recorded a broken call only before its head was passed on. Change: it catches EndpointFailed, and records both.

--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -17,6 +17,7 @@
 from ..entry.headers import HeaderCodec
 from ..exceptions import (
     ConnectionBroken,
+    EndpointFailed,
     EndpointIneligible,
     EndpointUnreachable,
     GrantExpired,
@@ -187,12 +188,13 @@
             return self._end(request, RelayResult.NOT_SENT)
         except GrantExpired:
             return self._end(request, RelayResult.NOT_SENT)
-        except ConnectionBroken as error:
-            if _is_connected(request):
+        except EndpointFailed as error:
+            if isinstance(error, ConnectionBroken) and _is_connected(request):
                 # Otherwise the peer has closed its connection, not the endpoint.
                 await self._async_note_broken(row, call, error, sent_s)
             if response is None:
                 return self._end(request, RelayResult.BROKEN)
+            self._note_result(request, RelayResult.BROKEN)
             if _is_connected(request):
                 # The response must not appear complete.
                 request.transport.abort()
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -59,7 +60,8 @@
         else:
             writer.write_eof()
             # Unread data at the close would turn the end into a reset.
-            await reader.read()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
         writer.close()
 
 
--- a/tests/reachability/test_cut_responses.py
+++ b/tests/reachability/test_cut_responses.py
@@ -16,11 +16,13 @@
 from chutelink.reachability.relay_handler import RelayHandler
 from chutelink.reachability.ticket import RelayTicket, TicketSigner
 from chutelink.relaying.upstream import EndpointCall, Upstream
+from chutelink.responses import MAX_OVERHEAD_BYTES
 
 from ..fakes import make_core
 from ..raw_server import (
     CHUNKED,
     HEAD,
+    INTERIM,
     RESPONSES,
     WITH_LENGTH,
     async_raw_server,
@@ -140,3 +142,33 @@
             await async_expect_broken(core, row, peer.address, relayed, peer)
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        INTERIM * (MAX_OVERHEAD_BYTES // 50),
+        CHUNKED[:-5] + b"5;" + bytes(2 * MAX_OVERHEAD_BYTES),
+        CHUNKED[:-5],
+    ],
+    ids=["before_head", "after_head", "cut"],
+)
+def test_failed_call_is_recorded_by_the_peer(response, caplog):
+    """Guards against failures of endpoints that end as unexpected errors of peers."""
+
+    async def async_test():
+        core, broken, results = make_core_with_key(), [], []
+        core.events.record = lambda event, **fields: results.append(fields["result"])
+        async with async_raw_server(response) as server:
+            table = make_table(server.address)
+            async with async_peer(core, table, broken) as peer:
+                upstream = Upstream(AlwaysPresent())
+                upstream.relays = OnePeer(core, peer)
+                call = EndpointCall("POST", "/x", "h", CIMultiDict(), b"", False)
+                with pytest.raises(ConnectionBroken):
+                    await upstream.async_exchange(table.rows["i"], call, LIMIT_S)
+                await upstream.async_close()
+        assert results == ["broken"]
+        assert not caplog.records
+
+    asyncio.run(async_test())
