Last attempts: send them over new connections

What callers saw: an idempotent request was answered 502 with an unknown outcome though its endpoint was sound, if its route allows one attempt.

Cause: an endpoint may close a pooled connection while the request is on its way, for example after its idle timeout was lowered below the 4 s for which connections are pooled. The request then needs a further attempt.

Change: a pooled connection is used only if another attempt may follow.

Result: the case of one attempt failed before and passes now; with two attempts the request was answered already.

--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -417,7 +417,10 @@
         self.versions.check(exchange, rows)
 
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
-        """Return the call to an endpoint, with the headers of this dispatch."""
+        """Return the call to an endpoint, with the headers of this dispatch.
+
+        The last attempt uses no pooled connection, which may just have been closed.
+        """
         headers = CIMultiDict(exchange.headers)
         customer = exchange.admission.customer
         dispatch = Dispatch(
@@ -434,7 +437,7 @@
             exchange.host,
             headers,
             exchange.body,
-            exchange.is_repeatable,
+            exchange.is_repeatable and self.may_retry(exchange),
             lambda: self._may_send(exchange, row),
             self._back_pressure.send_left_s(exchange),
             exchange.requirements,
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -114,9 +114,9 @@
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         clock = self._dispatcher.core.clock
         sent_s = clock()
-        call = self._dispatcher.make_call(exchange, row)
         try:
             with self.track_in_flight(exchange, row):
+                call = self._dispatcher.make_call(exchange, row)
                 response = await self._async_exchange(exchange, row, call)
         except EndpointUnreachable as error:
             self.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
--- a/tests/relaying/test_config_changes.py
+++ b/tests/relaying/test_config_changes.py
@@ -188,3 +188,31 @@
             assert pooled[0][0].is_connected()
 
     asyncio.run(async_test())
+
+
+class ClosingProtocol(asyncio.Protocol):
+    """Closes a connection when its next request arrives."""
+
+    def __init__(self, handler) -> None:
+        self._handler = handler
+        self.connection_lost = handler.connection_lost
+
+    def data_received(self, data: bytes) -> None:
+        self._handler.transport.abort()
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_request_that_crosses_the_close_of_a_pooled_connection(attempts):
+    """Guards against requests lost at endpoints whose idle timeout was lowered."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "plain")
+            assert await async_ask(harness, "/again/x") == (200, b"done body")
+            apply(harness, with_routes(attempts=attempts))
+            (handler,) = harness.machines._handlers[endpoint.name].connections
+            handler.transport.set_protocol(ClosingProtocol(handler))
+            assert await async_ask(harness, "/again/x") == (200, b"done body")
+
+    asyncio.run(async_test())
