Ends of streams: wait for slow callers until their deadline

What callers saw: nothing; a request whose caller had stopped reading stayed in flight past its deadline, so that a shutdown waited for it.

Cause: the end of a stream waits until enough of the buffered events is read, outside of the timeout of the attempt. Change: after the deadline, and 5 s at least, the rest is discarded and the request ends as caller_gone. Result: the new test failed before and passes now, as do the streams' tests.

--- a/chutelink/relaying/caller_stream.py
+++ b/chutelink/relaying/caller_stream.py
@@ -13,8 +13,8 @@
 from ..exceptions import CallerGone
 from .sse import StreamEvent
 
-ABORT_DRAIN_S = 5.0
-"""How long the caller of an aborted stream may take to read its last events."""
+MIN_DRAIN_S = 5.0
+"""How long a caller may at least take to read its last events."""
 CLOSE_RESETS = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which the close of a socket resets its connection."""
 CLOSE_ENDS = struct.pack("ii", 0, 0)
@@ -73,13 +73,26 @@
             raise CallerGone(str(error), step="caller.send") from error
         self.is_sending = False
 
-    async def async_finish(self) -> web.StreamResponse:
-        """End the response as complete."""
+    async def async_finish(self, limit_s: float) -> web.StreamResponse:
+        """End the response as complete.
+
+        ``limit_s`` is the time left in which the caller may read its last events.
+
+        Raises
+        ------
+        CallerGone
+            The caller doesn't read.
+        """
         if self._core.is_draining:
             # Headers sent before draining began promised a persistent connection.
             self._response.force_close()
         self._set_linger(CLOSE_ENDS)
-        await self._response.write_eof()
+        try:
+            async with asyncio.timeout(max(limit_s, MIN_DRAIN_S)):
+                await self._response.write_eof()
+        except TimeoutError as error:
+            self._discard_unsent()
+            raise CallerGone("did not read in time", step="caller.finish") from error
         return self._response
 
     def _set_linger(self, value: bytes) -> None:
@@ -100,7 +113,7 @@
         if self._request.transport is not None:
             self._request.transport.close()
             loop = asyncio.get_running_loop()
-            loop.call_later(ABORT_DRAIN_S, self._discard_unsent)
+            loop.call_later(MIN_DRAIN_S, self._discard_unsent)
         return self._response
 
     def _discard_unsent(self) -> None:
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -76,7 +76,8 @@
             result, buffered = await self._async_attempt(exchange, row, caller)
             if result is AttemptResult.ANSWERED:
                 if buffered is None:
-                    response = await caller.async_finish()
+                    left_s = exchange.left_s(self.core.clock())
+                    response = await caller.async_finish(left_s)
                     self.dispatcher.versions.note_completed(exchange)
                     return response
                 if buffered.status < 500 or not exchange.is_repeatable:
--- a/tests/relaying/test_caller_stream.py
+++ b/tests/relaying/test_caller_stream.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from chutelink.exceptions import CallerGone
 from chutelink.relaying import caller_stream
 from chutelink.relaying.caller_stream import CallerStream
 from chutelink.relaying.sse import StreamEvent
@@ -70,8 +71,8 @@
 
 
 @asynccontextmanager
-async def async_aborting_server():
-    """Run a server that aborts each stream while an event is still to be sent.
+async def async_aborting_server(end=CallerStream.abort):
+    """Run a server that ends each stream while an event is still to be sent.
 
     Yields the server, its port and the list of its streams.
     """
@@ -82,7 +83,8 @@
         await caller.async_send_headers(200, CIMultiDict())
         await caller.async_send(StreamEvent(1, b"x" * EVENT_BYTES))
         callers.append(caller)
-        return caller.abort()
+        response = end(caller)
+        return await response if asyncio.iscoroutine(response) else response
 
     server = web.Server(async_handle)
     loop = asyncio.get_running_loop()
@@ -115,7 +117,7 @@
 
 def test_aborted_connection_of_a_caller_that_never_reads_ends(monkeypatch):
     """Guards against connections and buffers that are kept until the caller ends."""
-    monkeypatch.setattr(caller_stream, "ABORT_DRAIN_S", 0.1)
+    monkeypatch.setattr(caller_stream, "MIN_DRAIN_S", 0.1)
 
     async def async_test():
         async with async_aborting_server() as (server, port, callers):
@@ -127,6 +129,30 @@
     asyncio.run(async_test())
 
 
+def test_end_of_a_stream_does_not_wait_without_limit(monkeypatch):
+    """Guards against requests that stay in flight after their deadline."""
+    monkeypatch.setattr(caller_stream, "MIN_DRAIN_S", 0.1)
+    results = []
+
+    async def async_finish(caller):
+        # Less than is still to be sent, so that writes wait for the caller.
+        caller._request.transport.set_write_buffer_limits(high=BUFFER_BYTES)
+        try:
+            return await caller.async_finish(0.0)
+        except CallerGone as error:
+            results.append(error)
+            raise ConnectionResetError from error
+
+    async def async_test():
+        async with async_aborting_server(async_finish) as (server, port, _):
+            sock = await async_connect(port, 1)
+            await async_until(lambda: results)
+            await async_until(lambda: not server.connections)
+            sock.close()
+
+    asyncio.run(async_test())
+
+
 @pytest.mark.parametrize("minor", [0, 1])
 @pytest.mark.parametrize("events", [1, 3, 8])
 def test_unexpected_error_cuts_a_stream(minor, events):
