Configuration: a body cut within a character doesn't end the polls

What operators saw: a daemon that stopped polling the configuration.

Cause: a response of the object store without a length may be cut anywhere. The hash of a body is checked, but a body that is not valid UTF-8 raised UnicodeDecodeError before, which the poll loop doesn't catch. Change: such characters are replaced, so that the hash rejects the body.

--- a/chutelink/configuration.py
+++ b/chutelink/configuration.py
@@ -150,7 +150,9 @@
             )
         # A copy from a peer may have come into force during the fetch.
         if head.version > self.version:
-            self._activate(ConfigBody(head.version, head.hash, body.decode()))
+            # A text with replaced characters doesn't match its hash.
+            text = body.decode(errors="replace")
+            self._activate(ConfigBody(head.version, head.hash, text))
 
     def _request_from_peers(self) -> None:
         if self._mesh.highest_peer_version() > self.version:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -83,6 +83,20 @@
     assert config_manager.version == 0
 
 
+def test_body_that_is_cut_within_a_character_is_fetched_again():
+    """Guards against a part of a response that ends the polls."""
+    platform, config_manager = make_config_manager()
+    text = TEXT + "# Größe\n"
+    commit(platform, 1, text)
+    (name,) = platform.objects.bodies
+    platform.objects.bodies[name] = text.encode()[: -len(b"\x9fe\n")]
+    asyncio.run(config_manager._async_poll())
+    assert config_manager.version == 0
+    platform.objects.bodies[name] = text.encode()
+    asyncio.run(config_manager._async_poll())
+    assert config_manager.version == 1
+
+
 def test_missing_body_is_fetched_again():
     platform, config_manager = make_config_manager()
     commit(platform, 1)
