--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -196,6 +196,7 @@
                 await self._async_note_broken(row, call, error, sent_s)
             if response is None:
                 return self._end(request, RelayResult.BROKEN)
+            self._note_result(request, RelayResult.BROKEN)
             if _is_connected(request):
                 # The response must not appear complete.
                 request.transport.abort()
