Placer: keep the models of an endpoint that is silent for a moment

What callers saw: 503 "the model is not loaded" for each model of an endpoint that was stopped for a second, and loads of these models elsewhere.

Cause: one report without a response within 0.6 s counted as the end of the endpoint; the placer announced it to all daemons as empty.

Change: while it accepts connections, it may send no report for 3 s. A refused or failed connection, another instance or a reset count at once, as before, so an endpoint without power is found as early as before.

Tests of the placer and of load backoff passed.

--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -91,6 +91,10 @@
     """The exchange failed after the request may have been sent."""
 
 
+class EndpointSilent(EndpointFailed):
+    """The endpoint has sent no complete response in time."""
+
+
 class ConnectionBroken(EndpointFailed):
     """The endpoint closed the connection during an exchange.
 
--- a/chutelink/placing/inventory.py
+++ b/chutelink/placing/inventory.py
@@ -110,6 +110,7 @@
     ``is_changing`` is set while the placer executes a change or fetches a report there,
     ``is_busy`` while the endpoint executes an order, and ``is_down`` after a report
     failed. After a failure, the endpoint is left alone until ``retry_after_s``.
+    ``silent_since_s`` is when reports began to fail, None if the last was received.
 
     Parameters
     ----------
@@ -130,6 +131,7 @@
         self.is_busy = False
         self.is_changing = False
         self.is_down = False
+        self.silent_since_s: float | None = None
         self.retry_after_s = float("-inf")
         self._outdated_since_s: float | None = None
 
@@ -151,6 +153,7 @@
         endpoint did not count, and every further order would be rejected.
         """
         self.is_down = False
+        self.silent_since_s = None
         self.read_s = now_s
         if report.born_ms < self.born_ms:
             return
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -16,7 +16,7 @@
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..entry.messages import PlacementUpdate, PlacerHeartbeat
 from ..entry.pending import PendingTable
-from ..exceptions import ChutelinkError
+from ..exceptions import ChutelinkError, EndpointSilent
 from ..ids import EndpointId, ServiceName
 from ..learning.health import HealthTable
 from ..quarantine.probe import ConnectProbe, EndingProbe, ProbeResult
@@ -40,6 +40,12 @@
 RECHECK_PERIOD_S = 0.15
 """Minimum interval between reports of an endpoint that other daemons can't reach."""
 DOWN_RETRY_S = 0.4
+MAX_REPORT_SILENCE_S = 3.0
+"""How long an endpoint that accepts connections may send no report.
+
+A process that is stopped for a moment keeps its models, while loading them elsewhere
+takes seconds.
+"""
 """Interval at which an endpoint that does not respond is polled."""
 REPORT_PERIOD_S = 4.0
 """Interval of reports; it is long because each report is charged.
@@ -223,7 +229,7 @@
         try:
             await self._order_sender.async_report(inventory)
         except ChutelinkError as error:
-            if not await self._async_is_partitioned(inventory.endpoint):
+            if not await self._async_may_be_running(inventory, error):
                 inventory.is_down = True
             inventory.retry_after_s = self._core.clock() + DOWN_RETRY_S
             self._core.events.record(
@@ -236,6 +242,23 @@
             inventory.is_changing = False
         self.wake()
 
+    async def _async_may_be_running(
+        self, inventory: Inventory, error: ChutelinkError
+    ) -> bool:
+        """Return whether an endpoint without a report may still hold its models."""
+        if await self._async_is_partitioned(inventory.endpoint):
+            return True
+        now_s = self._core.clock()
+        if inventory.silent_since_s is None:
+            inventory.silent_since_s = now_s
+        row = self._table.rows.get(inventory.endpoint)
+        if not isinstance(error, EndpointSilent) or row is None:
+            return False
+        if now_s - inventory.silent_since_s >= MAX_REPORT_SILENCE_S:
+            return False
+        result = await self.probe.async_probe(row.record.address)
+        return result is ProbeResult.ACCEPTED
+
     def _is_partitioned(self) -> bool:
         return self.partition is not None and self.partition.is_partitioned
 
--- a/chutelink/platform/engine.py
+++ b/chutelink/platform/engine.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from ..entry.endpoints import Endpoint
-from ..exceptions import EndpointFailed, EndpointUnreachable
+from ..exceptions import EndpointFailed, EndpointSilent, EndpointUnreachable
 from ..placing.inventory import (
     ORDER_TIMEOUT_S,
     EndpointReport,
@@ -82,6 +82,9 @@
             raise EndpointUnreachable(
                 str(error), step="engine.connect", peer=peer
             ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except TimeoutError as error:
+            message = "no response in time"
+            raise EndpointSilent(message, step="engine.call", peer=peer) from error
+        except (aiohttp.ClientError, OSError) as error:
             message = str(error) or type(error).__name__
             raise EndpointFailed(message, step="engine.call", peer=peer) from error
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chutelink.entry.messages import ModelUsage, PendingLoad
+from chutelink.exceptions import EndpointSilent
 from chutelink.placing.changes import Change
 from chutelink.placing.inventory import (
     EndpointReport,
@@ -94,6 +95,30 @@
     run(async_test)
 
 
+def fail_report():
+    raise EndpointSilent("no response in time", step="test", peer=ENDPOINT_ID)
+
+
+@pytest.mark.parametrize(("silent_s", "is_announced"), [(1.5, True), (4.5, False)])
+def test_models_of_an_endpoint_stay_announced_while_it_is_briefly_silent(
+    silent_s, is_announced
+):
+    """Guards against models that no daemon finds while their engines are stopped."""
+
+    async def async_test():
+        harness = PlacerHarness(("m0",))
+        await harness.async_start()
+        harness.sent.clear()
+        harness.engine.before_report = fail_report
+        harness.placer.recheck_endpoints([ENDPOINT_ID])
+        for _ in range(round(silent_s / 0.5)):
+            await harness.async_tick(0.5)
+        announced = [p.models for message in harness.sent for p in message.endpoints]
+        assert all(announced) is is_announced
+
+    run(async_test)
+
+
 def test_partitioned_placer_neither_plans_nor_unlists_models():
     async def async_test():
         harness = PlacerHarness()
