--- a/tests/relaying/test_silent_endpoints.py
+++ b/tests/relaying/test_silent_endpoints.py
@@ -262,3 +262,18 @@
         assert not checks and not timeout.has_expired
 
     asyncio.run(async_test())
+
+
+def test_slow_plain_request_is_not_restarted_at_its_only_endpoint():
+    """Guards against requests that run out of time as they are run again."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure(routes=make_routes())
+            endpoint = await harness.async_add("i-1", "plain")
+            endpoint.faults = type(endpoint.faults)(work_s=1.2)
+            async with harness.request("/again/x", X_Deadline_Ms="2000") as answer:
+                assert answer.status == 200
+            assert endpoint.runs == ["q1"]
+
+    asyncio.run(async_test())
--- a/tests/relaying/test_unframed_responses.py
+++ b/tests/relaying/test_unframed_responses.py
@@ -124,3 +124,31 @@
                 assert answer.status == 200
 
     asyncio.run(async_test())
+
+
+def test_unframed_stream_that_a_living_process_ends_early_is_not_complete():
+    """Guards against faulty endpoints that end a stream before its last event."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            endpoint.faults = EndpointFaults(end_unframed=1, unframed_events=3)
+            await harness.async_add("i-2", "llm", {"m0": []})
+            async with harness.request("/stream/x", **headers()) as answer:
+                assert await answer.read() == expected()
+
+    asyncio.run(async_test())
+
+
+def test_part_of_a_plain_endpoint_that_restarts_under_its_id_is_not_the_whole():
+    """Guards against processes that are told apart by their id alone."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add_replaced(harness, "plain", {}, events=1, successor="i-1")
+            async with harness.request("/once/x") as answer:
+                assert answer.status >= 500
+
+    asyncio.run(async_test())
