--- a/chutelink/steps.py
+++ b/chutelink/steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import inspect
+import os
 import traceback
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -13,7 +14,7 @@
 
 MAX_ERROR_CHARS = 300
 FAILED_STEP_PAUSE_S = 1.0
-"""Pause after a failed step, so that a lasting fault neither spins nor goes unseen."""
+"""Pause after a failed step, so that a loop does not spin on a lasting fault."""
 
 
 async def async_run_step(
@@ -24,7 +25,7 @@
 ) -> None:
     """Run one step of a service's loop; if it fails unexpectedly, log it and pause.
 
-    Without this, an exception that no one expected would end the whole daemon.
+    A task of a service that raises ends the whole daemon.
 
     Parameters
     ----------
@@ -62,5 +63,5 @@
         step=step,
         peer=peer,
         error=repr(error)[:MAX_ERROR_CHARS],
-        at=f"{frame.name}:{frame.lineno}",
+        at=f"{os.path.basename(frame.filename)}:{frame.lineno}",
     )
