Callers' requests: an unexpected error states the outcome

What callers saw: the library's 500 without an outcome, whether or not an endpoint had run the request. The log had the outcome cancelled and no line of the error apart from the library's.

Cause: the handler caught no unexpected errors. Change: the refusal has the outcome unknown once an endpoint was tried, and event=request_failed the traceback. A stream whose head was sent is cut, with the outcome cut. Result: the four new tests failed before and pass now; the six of streams that are cut by an error pass before and after.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable
 
 from aiohttp import web
@@ -10,7 +11,7 @@
 from ..core import Application
 from ..customers.access import Admission, CustomerAccess
 from ..exceptions import CallerGone
-from ..gateway.refusals import Outcome, Refusal, unavailable
+from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
@@ -29,6 +30,8 @@
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
+HTTP_INTERNAL_ERROR = 500
+INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
@@ -123,6 +126,13 @@
                 "cut_at_stop" if self._is_cut_by_shutdown(request) else "caller_gone"
             )
             raise
+        except web.HTTPException:
+            raise
+        except Exception as error:
+            refusal = self._record_unexpected(request, exchange, error)
+            status, outcome = refusal.status, refusal.outcome.value
+            reason = refusal.title
+            response = self._refuse(refusal)
         finally:
             self.in_flight -= 1
             result = RequestResult(status, outcome, reason)
@@ -282,11 +292,32 @@
             answer = await self._relay.async_relay_buffered(exchange)
             return self._respond(answer), ANSWERED
         caller = CallerStream(request, self._core)
-        result = await self._streams.async_relay(exchange, caller)
+        try:
+            result = await self._streams.async_relay(exchange, caller)
+        except (Refusal, CallerGone, ConnectionError):
+            raise
+        except Exception as error:
+            if not caller.has_sent_headers:
+                raise
+            self._record_unexpected(request, exchange, error)
+            result = caller.abort()
         if isinstance(result, BufferedResponse):
             return self._respond(result), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
+    def _record_unexpected(
+        self, request: web.BaseRequest, exchange: Exchange | None, error: Exception
+    ) -> Refusal:
+        """Log an unexpected error with its traceback, and return the refusal."""
+        self._core.events.error(
+            "request_failed",
+            request=request.headers.get("X-Request-Id", ""),
+            error="".join(traceback.format_exception(error)),
+        )
+        if exchange is None or not exchange.tried:
+            return Refusal(HTTP_INTERNAL_ERROR, INTERNAL_ERROR)
+        return unknown_outcome(INTERNAL_ERROR, HTTP_INTERNAL_ERROR)
+
     def _respond(self, answer: BufferedResponse) -> web.Response:
         response = web.Response(
             status=answer.status,
--- a/tests/relaying/test_caller_stream.py
+++ b/tests/relaying/test_caller_stream.py
@@ -22,7 +22,7 @@
 from ..raw_server import HEAD, async_raw_server
 from .relay_harness import SERVICES, async_relay_harness
 from .test_cut_responses import LIMIT_S, register_raw
-from .test_stream import expected
+from .test_stream import expected, headers
 
 BUFFER_BYTES = 4096
 EVENT_BYTES = 60_000
@@ -273,3 +273,31 @@
             assert [result.outcome for result in results] == ["cut"]
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
+@pytest.mark.parametrize(
+    ("step", "outcome"), [("make_call", "unknown"), ("async_acquire", "not-run")]
+)
+def test_unexpected_error_states_the_outcome(step, outcome, path, monkeypatch):
+    """Guards against errors that leave open whether a request may have run."""
+
+    def fail(*args):
+        raise RuntimeError("unexpected")
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "llm", {"m0": []})
+            await harness.async_add("i-2", "plain")
+            results, errors = [], []
+            harness.http._log.note = lambda *args: results.append(args[3])
+            harness.core.events.error = lambda event, **fields: errors.append(event)
+            monkeypatch.setattr(harness.dispatcher, step, fail)
+            async with harness.request(path, **headers()) as answer:
+                assert answer.status == 500
+                assert answer.headers["Chutelink-Outcome"] == outcome
+            assert [result.outcome for result in results] == [outcome]
+            assert errors == ["request_failed"]
+
+    asyncio.run(async_test())
