Soak: silent endpoints, replaced processes and changes of the configuration

All soaks report processes that end by themselves. The stand-in's silences are available over HTTP, and a crashed process may have a successor at once. check_deadlines uses the deadline of each request, as these vary in the new soak; it is as strict as before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak silence-soak bench-setup
 
 setup: $(VENV)/.installed
 
@@ -59,6 +59,9 @@
 eligibility-soak: setup
 	$(BIN)/python -m soak.main --eligibility --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+silence-soak: setup
+	$(BIN)/python -m soak.main --silences --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 partitions: setup
 	$(BIN)/python -m tests.entry.partition_soak --first $(SEED) --seeds $(SEEDS)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,8 @@
     EntryDeployment,
 )
 
+from .plan import SilenceSetup
+
 DEADLINE_S = 3.0
 EVENTS_PER_STREAM = 20
 MODELS = ("m0", "m1", "m2", "m3")
@@ -46,6 +48,8 @@
     status: int = 0
     body: bytes = b""
     is_whole: bool = False
+    deadline_s: float = DEADLINE_S
+    events: int = EVENTS_PER_STREAM
 
 
 class Caller:
@@ -61,17 +65,25 @@
         Kind of its requests.
     seed : int
         Seed of its random choices.
+    silences : SilenceSetup or None
+        Deadlines and lengths of streams, if the plan has silent endpoints.
     """
 
     _ids = itertools.count()
 
     def __init__(
-        self, deployment: EntryDeployment, daemons: int, kind: RequestKind, seed: int
+        self,
+        deployment: EntryDeployment,
+        daemons: int,
+        kind: RequestKind,
+        seed: int,
+        silences: SilenceSetup | None = None,
     ) -> None:
         self._deployment = deployment
         self._daemons = daemons
         self._kind = kind
         self._rng = random.Random(seed)
+        self._silences = silences
         self.outcomes: list[Outcome] = []
         self.is_stopping = False
 
@@ -87,17 +99,19 @@
         """Send one request and read its whole answer."""
         request_id = f"{self._kind.value}-{next(self._ids)}"
         loop = asyncio.get_running_loop()
-        outcome = Outcome(request_id, self._kind, daemon, loop.time(), 0.0)
+        outcome = Outcome(
+            request_id, self._kind, daemon, loop.time(), 0.0, **self._choose_lengths()
+        )
         address = self._deployment.address(daemon)
         url = f"http://{address}:{BASE_PORT}/{self._kind.value}/{request_id}"
         headers = {
             "Host": "a.example",
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": str(round(DEADLINE_S * 1000)),
+            "X-Deadline-Ms": str(round(outcome.deadline_s * 1000)),
         }
         if self._kind is RequestKind.STREAM:
             headers["X-Model"] = self._rng.choice(MODELS)
-            headers["X-Token-Count"] = f"10,{EVENTS_PER_STREAM}"
+            headers["X-Token-Count"] = f"10,{outcome.events}"
         status, body, is_whole = 0, b"", False
         try:
             async with session.post(
@@ -113,6 +127,16 @@
             outcome, ended_s=loop.time(), status=status, body=body, is_whole=is_whole
         )
 
+    def _choose_lengths(self) -> dict[str, float]:
+        """Return the deadline and the number of events, if they vary."""
+        if self._silences is None:
+            return {}
+        setup, rng = self._silences, self._rng
+        return {
+            "deadline_s": rng.uniform(setup.min_deadline_s, setup.max_deadline_s),
+            "events": rng.randint(setup.min_events, setup.max_events),
+        }
+
 
 def count_statuses(outcomes: list[Outcome]) -> Counter[str]:
     """Count outcomes by kind of request and status."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -141,6 +141,9 @@
             FaultKind.ENDPOINT_RESTARTED_COLD: self._async_make_cold,
         }
 
+    async def async_prepare(self) -> None:
+        """Prepare the endpoints for the plan."""
+
     async def async_inject_all(self, plan: Plan) -> None:
         """Inject all faults, each in its own task, and wait for them to end."""
         loop = asyncio.get_running_loop()
@@ -167,6 +170,7 @@
             async with self._locks[daemon]:
                 self._last_disturbed_s[daemon] = math.inf
                 began_s = asyncio.get_running_loop().time()
+                self.check_running(f"vm-{daemon}")
                 await handler(fault)
                 self._last_disturbed_s[daemon] = asyncio.get_running_loop().time()
                 ended_s = self._last_disturbed_s[daemon]
@@ -178,6 +182,11 @@
         else:
             await handler(fault)
 
+    def check_running(self, name: str) -> None:
+        """Report a process that has ended by itself."""
+        if not self._deployment.processes[name].is_running:
+            self.violations.append(f"{name} ended by itself")
+
     async def _async_disturb_store(
         self, handler: Callable[[Fault], Awaitable[None]], fault: Fault
     ) -> None:
@@ -234,13 +243,15 @@
     async def async_configure(self, version: int) -> None:
         """Write a configuration with a route that only this version has."""
         self.version, self.configured_s = version, math.inf
-        config = make_soak_config(version, self._setup)
-        await self._deployment.async_configure(
-            version, routes=config["routes"], services=config["services"]
-        )
+        config = self._make_config(version)
+        del config["version"]
+        await self._deployment.async_configure(version, **config)
         if self.version == version:
             self.configured_s = asyncio.get_running_loop().time()
 
+    def _make_config(self, version: int) -> dict:
+        return make_soak_config(version, self._setup)
+
     async def _async_degrade_store(self, fault: Fault) -> None:
         on, off = {
             FaultKind.STORE_OUT: ({"is_out": True}, {"is_out": False}),
@@ -249,7 +260,7 @@
                 {"delay_s": 0.0},
             ),
             FaultKind.STORE_LOSES_REPLIES: (
-                {"lose_replies": _affected_answers(fault)},
+                {"lose_replies": affected_answers(fault)},
                 {"lose_replies": 0},
             ),
         }[fault.kind]
@@ -360,11 +371,11 @@
             FaultKind.ENDPOINT_RETURNS_WRONG_ID: "foreign",
             FaultKind.ENDPOINT_LOSES_ORDERS: "cut_orders",
         }.get(fault.kind)
-        changes = {field: _affected_answers(fault)}
+        changes = {field: affected_answers(fault)}
         if field is None:
             changes = {
-                "cut_after_events": _affected_answers(fault),
-                "cuts": _affected_answers(fault),
+                "cut_after_events": affected_answers(fault),
+                "cuts": affected_answers(fault),
             }
         await self._deployment.async_set_endpoint(name, **changes)
 
@@ -373,5 +384,6 @@
     return PLAIN_ENDPOINTS[fault.target % len(PLAIN_ENDPOINTS)]
 
 
-def _affected_answers(fault: Fault) -> int:
+def affected_answers(fault: Fault) -> int:
+    """Return how many answers a fault of an endpoint or the store affects."""
     return 1 + int((MAX_AFFECTED_ANSWERS - 1) * fault.strength)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from .callers import EVENTS_PER_STREAM, Outcome, RequestKind
+from .callers import Outcome, RequestKind
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request has not run and will not run."""
@@ -40,17 +40,32 @@
 def _is_expected(outcome: Outcome) -> bool:
     expected = b"done " + outcome.id.encode()
     if outcome.kind is RequestKind.STREAM:
-        events = (f"id: {n}\ndata: t{n}\n\n" for n in range(1, EVENTS_PER_STREAM + 1))
+        events = (f"id: {n}\ndata: t{n}\n\n" for n in range(1, outcome.events + 1))
         expected = "".join(events).encode()
     # A truncated answer must be a prefix of the expected one.
     is_prefix = expected.startswith(outcome.body)
     return outcome.body == expected if outcome.is_whole else is_prefix
 
 
-def check_deadlines(outcomes: list[Outcome], deadline_s: float) -> list[str]:
+def check_deadlines(outcomes: list[Outcome]) -> list[str]:
     """Report requests that ended too late; pass none that a frozen daemon received."""
     return [
         f"{outcome.id} took {outcome.ended_s - outcome.began_s:.2f} s"
         for outcome in outcomes
-        if outcome.ended_s - outcome.began_s > deadline_s + DEADLINE_TOLERANCE_S
+        if outcome.ended_s - outcome.began_s > outcome.deadline_s + DEADLINE_TOLERANCE_S
+    ]
+
+
+def check_lost(outcomes: list[Outcome]) -> list[str]:
+    """Report requests that failed before their deadline; refusals are permitted.
+
+    Only valid if nothing else happened than silences and configuration changes.
+    """
+    return [
+        f"{outcome.id} at vm-{outcome.daemon} ended with status {outcome.status} and "
+        f"{len(outcome.body)} bytes after {outcome.ended_s - outcome.began_s:.2f} s "
+        f"of {outcome.deadline_s:.2f} s"
+        for outcome in outcomes
+        if outcome.ended_s - outcome.began_s < outcome.deadline_s
+        and not (outcome.is_whole and outcome.status in {OK, *NOT_RUN_STATUSES})
     ]
--- a/soak/main.py
+++ b/soak/main.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import functools
 import sys
 import tempfile
 from collections import Counter
@@ -18,6 +19,7 @@
 
 from .plan import Plan, async_shrink, make_eligibility_plan, make_plan
 from .run import SoakResult, async_run_plan
+from .silence_plan import make_silence_plan
 
 TARGET_COUNT = 12
 """Range of target numbers, which are mapped to daemons and endpoints by modulo."""
@@ -54,8 +56,21 @@
         action="store_true",
         help="evacuate failure domains, make endpoints cold, use home regions",
     )
+    parser.add_argument(
+        "--silences",
+        action="store_true",
+        help="silence and replace endpoints while the configuration changes; even "
+        "seeds only silence them, with stricter checks",
+    )
+    parser.add_argument(
+        "--odd-rows",
+        action="store_true",
+        help="with --silences, write unusable registrations on odd seeds",
+    )
     options = parser.parse_args()
     make = make_eligibility_plan if options.eligibility else make_plan
+    if options.silences:
+        make = functools.partial(make_silence_plan, has_odd_rows=options.odd_rows)
     plans = [
         make(seed, options.seconds, TARGET_COUNT)
         for seed in range(options.first, options.first + options.seeds)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -64,12 +64,38 @@
     DOMAIN_EVACUATED = "domain_evacuated"
     DOMAIN_COLD = "domain_cold"
     ENDPOINT_RESTARTED_COLD = "endpoint_restarted_cold"
+    ENDPOINT_SILENT = "endpoint_silent"
+    ALL_ENDPOINTS_SILENT = "all_endpoints_silent"
+    ENDPOINT_REPLACED = "endpoint_replaced"
+    ENDPOINT_REPLACED_BY_NEW_ID = "endpoint_replaced_by_new_id"
+    IDLE_TIMEOUT_CHANGED = "idle_timeout_changed"
+    ROUTE_TIMEOUT_CHANGED = "route_timeout_changed"
+    ROUTE_CHANGED = "route_changed"
+    ODD_ROW = "odd_row"
 
 
 _COLD_KINDS = (FaultKind.DOMAIN_COLD, FaultKind.ENDPOINT_RESTARTED_COLD)
 ELIGIBILITY_KINDS = frozenset({FaultKind.DOMAIN_EVACUATED, *_COLD_KINDS})
 """Kinds that only plans with an ``EligibilitySetup`` contain."""
-_OTHER_KINDS = tuple(kind for kind in FaultKind if kind not in ELIGIBILITY_KINDS)
+CHANGE_KINDS = (
+    FaultKind.IDLE_TIMEOUT_CHANGED,
+    FaultKind.ROUTE_TIMEOUT_CHANGED,
+    FaultKind.ROUTE_CHANGED,
+)
+REPLACED_KINDS = (FaultKind.ENDPOINT_REPLACED, FaultKind.ENDPOINT_REPLACED_BY_NEW_ID)
+SILENCE_KINDS = frozenset(
+    {
+        FaultKind.ENDPOINT_SILENT,
+        FaultKind.ALL_ENDPOINTS_SILENT,
+        FaultKind.ODD_ROW,
+        *CHANGE_KINDS,
+        *REPLACED_KINDS,
+    }
+)
+"""Kinds that only plans with a ``SilenceSetup`` contain."""
+_OTHER_KINDS = tuple(
+    kind for kind in FaultKind if kind not in ELIGIBILITY_KINDS | SILENCE_KINDS
+)
 _COLD_COMPANION_KINDS = (
     FaultKind.KILL,
     FaultKind.STOP,
@@ -120,6 +146,24 @@
     evacuate_s: float = 5.0
 
 
+class SilenceSetup(msgspec.Struct, frozen=True):
+    """Requests of a run with silent endpoints, and how strictly they are checked.
+
+    If ``is_strict``, endpoints are only silent and the configuration changes, so that
+    no request may fail before its deadline, which is longer than a silence and shorter
+    than every timeout of a route. Endpoints send an event every ``event_interval_s``.
+    """
+
+    is_strict: bool
+    min_deadline_s: float = 3.5
+    max_deadline_s: float = 7.0
+    min_timeout_s: float = 7.5
+    max_timeout_s: float = 12.0
+    min_events: int = 20
+    max_events: int = 60
+    event_interval_s: float = 0.02
+
+
 class Plan(msgspec.Struct, frozen=True, omit_defaults=True):
     """All faults of one run, ordered by start time."""
 
@@ -127,6 +171,7 @@
     time_s: float
     faults: tuple[Fault, ...]
     eligibility: EligibilitySetup | None = None
+    silences: SilenceSetup | None = None
 
 
 def make_plan(seed: int, time_s: float, target_count: int) -> Plan:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
     async_entry_deployment,
 )
 
-from .callers import DEADLINE_S, Caller, Outcome, RequestKind, count_statuses
+from .callers import Caller, Outcome, RequestKind, count_statuses
 from .eligibility import (
     Record,
     check_cold_limits,
@@ -23,9 +23,16 @@
 )
 from .endpoint_signals import check_signals
 from .faults import FaultInjector, version_prefix
-from .invariants import OK, check_answers, check_deadlines, check_executions
+from .invariants import (
+    OK,
+    check_answers,
+    check_deadlines,
+    check_executions,
+    check_lost,
+)
 from .plan import FaultKind, Plan
 from .proxy import StoreProxy
+from .silence_faults import SilenceFaultInjector
 
 RECOVERY_GRACE_S = 3.0
 """Time after a fault until bounds apply to a daemon again."""
@@ -39,6 +46,9 @@
 ELIGIBILITY_CALLER_KINDS = (*CALLER_KINDS, *RequestKind)
 """Three callers of each kind, who exceed the limit of a cold endpoint if unlimited."""
 
+SILENCE_CALLER_KINDS = (*CALLER_KINDS, RequestKind.STREAM, RequestKind.STREAM)
+"""Four callers of streams, which are the requests that a silence meets most often."""
+
 
 class SoakResult(msgspec.Struct):
     """Result of a run."""
@@ -66,10 +76,12 @@
         self._deployment = deployment
         self._daemons = daemons
         self._plan = plan
-        self._injector = FaultInjector(deployment, daemons, plan.eligibility)
+        self._injector = make_injector(deployment, daemons, plan)
         kinds = CALLER_KINDS if plan.eligibility is None else ELIGIBILITY_CALLER_KINDS
+        if plan.silences is not None:
+            kinds = SILENCE_CALLER_KINDS
         self._callers = [
-            Caller(deployment, daemons, kind, 100 * plan.seed + number)
+            Caller(deployment, daemons, kind, 100 * plan.seed + number, plan.silences)
             for number, kind in enumerate(kinds)
         ]
         self._violations: list[str] = []
@@ -79,7 +91,11 @@
     async def async_run(self) -> SoakResult:
         """Inject the faults, wait for recovery and check the invariants."""
         if self._plan.eligibility is not None:
-            await self._async_configure_eligibility()
+            await self._async_configure()
+            await asyncio.sleep(self._plan.eligibility.cold_s)
+        if self._plan.silences is not None:
+            await self._injector.async_prepare()
+            await self._async_configure()
         tasks = [asyncio.ensure_future(c.async_run()) for c in self._callers]
         # Plans with eligibility faults change no configuration, and probes would load
         # cold endpoints more than their share of the callers' requests does.
@@ -94,12 +110,18 @@
             caller.is_stopping = True
         await asyncio.gather(*tasks)
         await self._async_wait_for_recovery()
+        if self._plan.silences is not None:
+            await self._async_check_followed()
         return await self._async_evaluate()
 
-    async def _async_configure_eligibility(self) -> None:
-        """Put cold limits and home regions into force; wait for warm endpoints."""
-        version = self._injector.version + 1
-        await self._injector.async_configure(version)
+    async def _async_configure(self) -> None:
+        """Put the configuration that the plan needs into force."""
+        await self._injector.async_configure(self._injector.version + 1)
+        await self._async_until_followed()
+
+    async def _async_until_followed(self) -> None:
+        """Wait until all daemons serve the newest version."""
+        version = self._injector.version
 
         async def async_is_in_force() -> bool:
             daemons = range(self._daemons)
@@ -107,7 +129,15 @@
             return all(status == OK for status in statuses)
 
         await self._deployment.async_until(async_is_in_force, RECOVERY_TIMEOUT_S)
-        await asyncio.sleep(self._plan.eligibility.cold_s)
+
+    async def _async_check_followed(self) -> None:
+        try:
+            await self._async_until_followed()
+        except TimeoutError:
+            self._violations.append(
+                f"version {self._injector.version} not served by all daemons within "
+                f"{RECOVERY_TIMEOUT_S} s"
+            )
 
     async def _async_probe(self, daemon: int) -> None:
         """Probe a daemon periodically for the route of the newest version."""
@@ -177,13 +207,15 @@
     async def _async_evaluate(self) -> SoakResult:
         outcomes = [o for caller in self._callers for o in caller.outcomes]
         endpoints = await self._deployment.async_endpoints()
+        for name in self._deployment.processes:
+            self._injector.check_running(name)
         runs = Counter(name for e in endpoints.values() for name in e["runs"])
         self._violations += self._injector.violations
         self._violations += check_executions(outcomes, runs)
         self._violations += check_answers(outcomes)
-        self._violations += check_deadlines(
-            self._at_unfrozen_daemons(outcomes), DEADLINE_S
-        )
+        self._violations += check_deadlines(self._at_unfrozen_daemons(outcomes))
+        if self._plan.silences is not None and self._plan.silences.is_strict:
+            self._violations += check_lost(outcomes)
         self._violations += check_signals(
             self._injector.signals,
             endpoints,
@@ -221,6 +253,15 @@
         return [outcome for outcome in outcomes if outcome.daemon not in frozen]
 
 
+def make_injector(
+    deployment: EntryDeployment, daemons: int, plan: Plan
+) -> FaultInjector:
+    """Return the injector for the faults of a plan."""
+    if plan.silences is not None:
+        return SilenceFaultInjector(deployment, daemons, plan.silences)
+    return FaultInjector(deployment, daemons, plan.eligibility)
+
+
 async def async_run_plan(directory: Path, plan: Plan, daemons: int) -> SoakResult:
     """Start a deployment, run a plan against it and stop it."""
     setup = plan.eligibility
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -15,7 +15,7 @@
 
 from .metadata_store import MetadataStore, StoreSnapshot
 from .prepared_config import MODEL_COUNT, make_config
-from .prepared_endpoint import EndpointStandin, ServiceSettings
+from .prepared_endpoint import EndpointStandin, ServiceSettings, Successor
 from .web import json_response, make_parser, merge_faults, serve
 
 DOMAINS = "zone-a,zone-a"
@@ -44,6 +44,7 @@
     def __init__(self) -> None:
         self.store = MetadataStore()
         self.endpoints: dict[str, EndpointStandin] = {}
+        """Endpoints by the id of their first process."""
         self._servers: dict[str, asyncio.Server] = {}
         self._handlers: dict[str, web.Server] = {}
         self._restart_tasks: set[asyncio.Task[None]] = set()
@@ -70,16 +71,30 @@
         loop = asyncio.get_running_loop()
         http_server = endpoint.make_server()
         server = await loop.create_server(http_server, host, port, reuse_address=True)
-        self._servers[endpoint.name] = server
-        self._handlers[endpoint.name] = http_server
+        self._servers[endpoint.first_name] = server
+        self._handlers[endpoint.first_name] = http_server
         return server
 
     def crash(self, endpoint: EndpointStandin) -> None:
-        """Crash an endpoint with all its connections and schedule its restart."""
+        """Crash an endpoint with all its connections, and start its successor."""
+        if endpoint.faults.successor is not Successor.DELAYED:
+            self._replace(endpoint)
+            return
         self._end_process(endpoint)
         endpoint.restart()
         self._schedule_restart(endpoint)
 
+    def _replace(self, endpoint: EndpointStandin) -> None:
+        """Replace a crashed process while its address is served on."""
+        old_id = endpoint.name
+        endpoint.restart()
+        if endpoint.faults.successor is Successor.NEW_ID:
+            endpoint.name = f"{endpoint.first_name}-{endpoint.process_number}"
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.restart_delay_s, self.store.remove, "servers", old_id)
+        self.register(endpoint.first_name)
+        self._abort_connections(endpoint)
+
     def upgrade(self, endpoint: EndpointStandin, software_version: str) -> None:
         """Replace an endpoint's process by one of another software version."""
         self._end_process(endpoint)
@@ -87,8 +102,11 @@
         self._schedule_restart(endpoint)
 
     def _end_process(self, endpoint: EndpointStandin) -> None:
-        self._servers[endpoint.name].close()
-        for handler in self._handlers[endpoint.name].connections:
+        self._servers[endpoint.first_name].close()
+        self._abort_connections(endpoint)
+
+    def _abort_connections(self, endpoint: EndpointStandin) -> None:
+        for handler in self._handlers[endpoint.first_name].connections:
             if handler.transport is not None:
                 handler.transport.abort()
 
@@ -102,11 +120,24 @@
         host, _, port = endpoint.address.rpartition(":")
         await self._async_listen(endpoint, host, int(port))
         endpoint.cold.restart()
-        self.register(endpoint.name)
+        self.register(endpoint.first_name)
 
     def register(self, name: str) -> None:
-        """Write an endpoint's registration to the store."""
-        self.store.put("servers", name, self.endpoints[name].registration())
+        """Write the registration of an endpoint, named by its first id."""
+        endpoint = self.endpoints[name]
+        self.store.put("servers", endpoint.name, endpoint.registration())
+
+    def fall_silent(self, target: str, duration_s: float) -> int:
+        """Make an endpoint or a failure domain silent; return how many endpoints."""
+        endpoints = self._find(target)
+        for endpoint in endpoints:
+            endpoint.fall_silent(duration_s)
+        return len(endpoints)
+
+    def _find(self, target: str) -> list[EndpointStandin]:
+        """Return the endpoints of a failure domain, or the one with a first id."""
+        endpoints = self.endpoints.values()
+        return [e for e in endpoints if target in (e.first_name, e.domain)]
 
     def configure(self, config: dict) -> int:
         """Write a configuration as the operators do and return its row version."""
@@ -140,13 +171,13 @@
 
     def make_cold(self, target: str, *, restarts: bool) -> int:
         """Make an endpoint or a failure domain cold; return how many endpoints."""
-        endpoints = [e for e in self.endpoints.values() if target in (e.name, e.domain)]
+        endpoints = self._find(target)
         for endpoint in endpoints:
-            if restarts and self._servers[endpoint.name].is_serving():
+            if restarts and self._servers[endpoint.first_name].is_serving():
                 self.crash(endpoint)
             elif not restarts:
                 endpoint.cold.restart()
-                self.register(endpoint.name)
+                self.register(endpoint.first_name)
         return len(endpoints)
 
     def evacuate(self, domain: str) -> Evacuation:
@@ -206,6 +237,7 @@
         app.router.add_post("/standin/store/copy", self.async_copy)
         app.router.add_post("/standin/store/restore", self.async_restore)
         app.router.add_post("/standin/cold/{target}", self.async_make_cold)
+        app.router.add_post("/standin/silence/{target}", self.async_fall_silent)
         app.router.add_put("/standin/evacuations/{domain}", self.async_evacuate)
         app.router.add_delete("/standin/evacuations/{domain}", self.async_take_back)
         app.router.add_get("/standin/arrivals", self.async_arrivals)
@@ -224,7 +256,7 @@
         state = request.query.get("state")
         if state is not None:
             endpoint.change_state(state)
-            self._machines.register(endpoint.name)
+            self._machines.register(endpoint.first_name)
         endpoint.faults = merge_faults(endpoint.faults, await request.read() or b"{}")
         return json_response(endpoint.faults)
 
@@ -252,6 +284,12 @@
         count = self._machines.make_cold(target, restarts=restarts)
         return json_response({"count": count}, status=200 if count else 404)
 
+    async def async_fall_silent(self, request: web.Request) -> web.Response:
+        """Make an endpoint or a failure domain send nothing for ``for_s`` seconds."""
+        target, for_s = request.match_info["target"], float(request.query["for_s"])
+        count = self._machines.fall_silent(target, for_s)
+        return json_response({"count": count}, status=200 if count else 404)
+
     async def async_evacuate(self, request: web.Request) -> web.Response:
         """Evacuate a failure domain; return the time of the acknowledgement."""
         return json_response(self._machines.evacuate(request.match_info["domain"]))
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -8,6 +8,7 @@
 import struct
 import time
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 from aiohttp import web
@@ -45,6 +46,14 @@
     return not CRASH_PARTS.isdisjoint(part.partition(":")[0] for part in prompt[:-1])
 
 
+class Successor(Enum):
+    """Process that follows at the address of one that a request has crashed."""
+
+    DELAYED = "delayed"
+    SAME_ID = "same_id"
+    NEW_ID = "new_id"
+
+
 class EndpointFaults(msgspec.Struct, frozen=True):
     """Injected faults of one endpoint; each affected call decrements the count.
 
@@ -54,6 +63,9 @@
     this length; 0 rejects none. ``brittle_per_s`` announces that more rejections a
     second than this crash it, 0 announces nothing; ``room`` is the number of requests
     that it takes at the same time, 0 for any; each request runs for ``work_s``.
+    ``event_interval_s`` is the time between the events of a stream.
+    A ``successor`` that isn't delayed serves the address before the crashed process's
+    connections are closed.
     """
 
     refuse: int = 0
@@ -63,6 +75,7 @@
     end_unframed: int = 0
     crash_unframed: int = 0
     unframed_events: int = 0
+    successor: Successor = Successor.DELAYED
     cut_after_events: int = 0
     cuts: int = 1
     mute: int = 0
@@ -73,6 +86,7 @@
     brittle_per_s: float = 0.0
     room: int = 0
     work_s: float = 0.0
+    event_interval_s: float = TOKEN_INTERVAL_S
 
 
 class ServiceSettings(msgspec.Struct, frozen=True):
@@ -111,6 +125,8 @@
         region: str = "",
     ) -> None:
         self.name = name
+        self.first_name = name
+        """Id of its first process, by which tests name it after a change of the id."""
         self.service = service
         self.models = models
         self.load_s = load_s
@@ -412,7 +428,7 @@
         cut_after = self.faults.cut_after_events if self.faults.cuts else 0
         try:
             for number in range(first, total + 1):
-                await asyncio.sleep(TOKEN_INTERVAL_S)
+                await asyncio.sleep(self.faults.event_interval_s)
                 await self._async_while_silent()
                 if cut_after and number > cut_after:
                     self._consume_fault("cuts")
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -211,6 +211,16 @@
         async with self.session.post(url) as answer:
             assert answer.status == 200
 
+    async def async_put_row(self, table: str, key: str, text: str) -> None:
+        url = f"{self.store_url}/standin/rows/{table}/{key}"
+        async with self.session.put(url, data=text) as answer:
+            assert answer.status == 200
+
+    async def async_remove_row(self, table: str, key: str) -> None:
+        url = f"{self.store_url}/standin/rows/{table}/{key}"
+        async with self.session.delete(url) as answer:
+            assert answer.status == 200
+
     async def async_evacuate(self, domain: str) -> None:
         url = f"{self.store_url}/standin/evacuations/{domain}"
         async with self.session.put(url) as answer:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -7,7 +7,12 @@
 import pytest
 
 from soak.callers import EVENTS_PER_STREAM, Outcome, RequestKind
-from soak.invariants import check_answers, check_deadlines, check_executions
+from soak.invariants import (
+    check_answers,
+    check_deadlines,
+    check_executions,
+    check_lost,
+)
 
 STREAM = "".join(
     f"id: {n}\ndata: t{n}\n\n" for n in range(1, EVENTS_PER_STREAM + 1)
@@ -58,5 +63,27 @@
 
 
 def test_check_deadlines_finds_late_requests():
-    assert not check_deadlines([make_outcome("again-1", 0, ended_s=3.5)], 3.0)
-    assert check_deadlines([make_outcome("again-1", 0, ended_s=6.0)], 3.0)
+    assert not check_deadlines([make_outcome("again-1", 0, ended_s=3.5)])
+    assert check_deadlines([make_outcome("again-1", 0, ended_s=6.0)])
+    late = make_outcome("again-1", 0, ended_s=6.0, deadline_s=5.0)
+    assert not check_deadlines([late])
+
+
+@pytest.mark.parametrize(
+    ("status", "changes", "has_violation"),
+    [
+        (200, {}, False),
+        (503, {}, False),
+        (200, {"is_whole": False}, True),
+        (200, {"is_whole": False, "ended_s": 7.1}, False),
+        (0, {"is_whole": False}, True),
+        (502, {}, True),
+        (504, {}, True),
+        (504, {"ended_s": 7.1}, False),
+    ],
+)
+def test_check_lost_finds_requests_that_fail_before_their_time(
+    status, changes, has_violation
+):
+    outcome = make_outcome("stream-1", status, deadline_s=7.0, **changes)
+    assert bool(check_lost([outcome])) is has_violation
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -12,6 +12,7 @@
 
 from soak.plan import (
     ELIGIBILITY_KINDS,
+    SILENCE_KINDS,
     FaultKind,
     Plan,
     async_shrink,
@@ -31,7 +32,7 @@
 def test_plans_cover_every_fault_kind():
     plans = [make_plan(seed, TIME_S, TARGET_COUNT) for seed in range(20)]
     drawn = {fault.kind for plan in plans for fault in plan.faults}
-    assert drawn == set(FaultKind) - ELIGIBILITY_KINDS
+    assert drawn == set(FaultKind) - ELIGIBILITY_KINDS - SILENCE_KINDS
     plans = [make_eligibility_plan(seed, TIME_S, TARGET_COUNT) for seed in range(20)]
     assert plans == [make_eligibility_plan(n, TIME_S, TARGET_COUNT) for n in range(20)]
     drawn = {fault.kind for plan in plans for fault in plan.faults}
--- a/tests/standins/test_prepared.py
+++ b/tests/standins/test_prepared.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import time
 
 import aiohttp
 import pytest
@@ -13,7 +14,7 @@
 from standins.cold_state import ColdState
 from standins.prepared import PreparedMachines
 from standins.prepared_config import make_config
-from standins.prepared_endpoint import EndpointStandin
+from standins.prepared_endpoint import EndpointFaults, EndpointStandin, Successor
 
 SERVICES = {"llm": "llm", "plain": "plain"}
 LIMIT = 6
@@ -110,3 +111,52 @@
     named = {e["name"]: e.get("home_regions") for e in config["routes"]}
     assert named == {"r-stream": None, "r-once": ["north"], "r-again": None}
     assert config["tenants"] == [{"name": "acme", "home_regions": ["north", "south"]}]
+
+
+@pytest.mark.parametrize(
+    ("successor", "new_id"),
+    [(Successor.SAME_ID, "i-1"), (Successor.NEW_ID, "i-1-1")],
+)
+def test_crashed_process_is_replaced_at_once_at_its_address(successor, new_id):
+    """Guards against a soak in which nothing listens after a crash."""
+
+    async def async_scenario():
+        machines = PreparedMachines()
+        machines.restart_delay_s = 0.0
+        endpoint = EndpointStandin("i-1", "plain", {}, 0.1)
+        await machines.async_add(endpoint, "127.0.0.1")
+        endpoint.faults = EndpointFaults(
+            crash_unframed=1, unframed_events=2, successor=successor
+        )
+        url = f"http://{endpoint.address}"
+        async with aiohttp.ClientSession() as session:
+            async with session.post(f"{url}/x") as answer:
+                assert await answer.read() == b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+            assert endpoint.crash_count == 1
+            headers = {"X-Expect-Instance": new_id}
+            async with session.get(f"{url}/api/report", headers=headers) as answer:
+                assert (await answer.json())["born"] == endpoint.born_ms
+        rows = [key for table, key in machines.store.rows if table == "servers"]
+        assert rows == [new_id]
+        await machines.async_close()
+
+    asyncio.run(async_scenario())
+
+
+def test_silent_domain_answers_after_its_silence():
+    async def async_scenario():
+        machines = PreparedMachines()
+        endpoint = EndpointStandin("i-1", "plain", {}, 0.1, "zone-b")
+        await machines.async_add(endpoint, "127.0.0.1")
+        assert machines.fall_silent("zone-a", 0.2) == 0
+        began_s = time.monotonic()
+        assert machines.fall_silent("zone-b", 0.2) == 1
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{endpoint.address}/x") as answer,
+        ):
+            assert answer.status == 200
+        assert time.monotonic() - began_s >= 0.2
+        await machines.async_close()
+
+    asyncio.run(async_scenario())
