--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -16,6 +16,9 @@
 """The failure domain of all endpoints."""
 MIN_IDLE_TIMEOUT_S = 1.0
 MAX_IDLE_TIMEOUT_S = 20.0
+MIN_OBJECTIVE_S = 0.3
+"""Short enough for silences to exceed the time that callers wait for an event."""
+MAX_OBJECTIVE_S = 0.8
 MAX_ATTEMPTS = 3
 MAX_UNFRAMED_EVENTS = 10
 NESTING_DEPTH = 20_000
@@ -74,6 +77,7 @@
         self._idle_timeout_s = MAX_IDLE_TIMEOUT_S
         self._timeout_s = silences.max_timeout_s
         self._attempts = 2
+        self._objective_s = MIN_OBJECTIVE_S
         self._odd_rows = 0
         self._handlers |= {
             FaultKind.ENDPOINT_SILENT: self._async_silence,
@@ -120,7 +124,9 @@
             range_s = self._silences.max_timeout_s - self._silences.min_timeout_s
             self._timeout_s = self._silences.min_timeout_s + range_s * fault.strength
         else:
-            self._attempts = 1 + round((MAX_ATTEMPTS - 1) * fault.strength)
+            self._attempts = 1 + fault.target % MAX_ATTEMPTS
+            range_s = MAX_OBJECTIVE_S - MIN_OBJECTIVE_S
+            self._objective_s = MIN_OBJECTIVE_S + range_s * fault.strength
         # Concurrent writes could leave an older version in the store.
         async with self._configuration_lock:
             await self.async_configure(self.version + 1)
@@ -131,6 +137,7 @@
         for route in config["routes"]:
             route["timeout_ms"] = round(1000 * self._timeout_s)
             route["attempts"] = self._attempts
+            route["slo_ms"] = round(1000 * self._objective_s)
         return config
 
     async def _async_write_odd_row(self, fault: Fault) -> None:
--- a/soak/silence_plan.py
+++ b/soak/silence_plan.py
@@ -53,7 +53,7 @@
     for scene in range(math.ceil(time_s / SCENE_S)):
         start_s = scene * SCENE_S + rng.random()
         faults += _make_silences(rng, start_s)
-        faults += _make_changes(rng, start_s)
+        faults += _make_changes(rng, start_s, target_count)
         if not is_strict:
             faults += _make_others(rng, start_s, target_count)
         if has_odd_rows and not is_strict:
@@ -105,14 +105,17 @@
     return [first, _make_fault(rng, again_s, kind, target, MIN_SILENCE_S)]
 
 
-def _make_changes(rng: random.Random, start_s: float) -> list[Fault]:
+def _make_changes(rng: random.Random, start_s: float, target_count: int) -> list[Fault]:
     """Return changes of the configuration, in series or at random times."""
     count = rng.randint(2, MAX_CHANGES)
     times_s = sorted(rng.uniform(0.0, CHANGES_S) for _ in range(count))
     if rng.random() < 0.5:
         times_s = [CHANGES_S * (number + 0.5) / count for number in range(count)]
     return [
-        _make_fault(rng, start_s + at_s, rng.choice(CHANGE_KINDS)) for at_s in times_s
+        _make_fault(
+            rng, start_s + at_s, rng.choice(CHANGE_KINDS), rng.randrange(target_count)
+        )
+        for at_s in times_s
     ]
 
 
