--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -31,7 +31,7 @@
 def check_answers(outcomes: list[Outcome]) -> list[str]:
     """Report answers of another request, and truncated ones that look complete."""
     return [
-        f"{outcome.id} was answered {outcome.body[:80]!r}"
+        f"{outcome.id} at vm-{outcome.daemon} was answered {outcome.body[:80]!r}"
         for outcome in outcomes
         if outcome.status == OK and not _is_expected(outcome)
     ]
