Inquiries: don't ask full endpoints that rejections may crash

Cause: a health check is rejected as any request is, and too many rejections a second crash some endpoints; found by reading. Change: such an endpoint is not asked while all its slots are taken.

--- a/chutelink/relaying/inquiry.py
+++ b/chutelink/relaying/inquiry.py
@@ -29,9 +29,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def ask(self, row: Endpoint) -> None:
-        """Call an endpoint in the background, unless it was called just before."""
+        """Call an endpoint in the background, unless it was called just before.
+
+        One that may crash if it has to reject a call is not called while it is full.
+        """
         now_s = self._clock()
-        if row.is_being_asked or now_s - row.asked_s < MIN_INTERVAL_S:
+        if row.is_full or row.is_being_asked or now_s - row.asked_s < MIN_INTERVAL_S:
             return
         row.asked_s = now_s
         row.is_being_asked = True
