--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -9,6 +9,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request has not run and will not run."""
 OK = 200
+INTERNAL_ERROR = 500
 DEADLINE_TOLERANCE_S = 1.5
 """How long after its deadline a request may end, as test machines are busy."""
 
@@ -69,3 +70,12 @@
         if outcome.ended_s - outcome.began_s < outcome.deadline_s
         and not (outcome.is_whole and outcome.status in {OK, *NOT_RUN_STATUSES})
     ]
+
+
+def check_internal_errors(outcomes: list[Outcome]) -> list[str]:
+    """Report internal errors of daemons, if endpoints send none of their own."""
+    return [
+        f"{outcome.id} at vm-{outcome.daemon} got an internal error"
+        for outcome in outcomes
+        if outcome.status == INTERNAL_ERROR
+    ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,7 @@
     check_answers,
     check_deadlines,
     check_executions,
+    check_internal_errors,
     check_lost,
 )
 from .plan import FaultKind, Plan
@@ -214,8 +215,10 @@
         self._violations += check_executions(outcomes, runs)
         self._violations += check_answers(outcomes)
         self._violations += check_deadlines(self._at_unfrozen_daemons(outcomes))
-        if self._plan.silences is not None and self._plan.silences.is_strict:
-            self._violations += check_lost(outcomes)
+        if self._plan.silences is not None:
+            self._violations += check_internal_errors(outcomes)
+            if self._plan.silences.is_strict:
+                self._violations += check_lost(outcomes)
         self._violations += check_signals(
             self._injector.signals,
             endpoints,
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -45,9 +45,12 @@
         "models": [],
         "seq": 0,
     }
+    models = [{"name": f"m{n}", "version": 1, "adapters": []} for n in range(4)]
     rows = (
         "[" * NESTING_DEPTH + "]" * NESTING_DEPTH,
-        json.dumps(row | {"service": "llm", "slots": "@"}).replace('"@"', "9" * DIGITS),
+        json.dumps(row | {"service": "llm", "models": models, "slots": "@"}).replace(
+            '"@"', "9" * DIGITS
+        ),
         json.dumps(row | {"address": f"{address}:0"}),
         json.dumps(row | {"address": f"{address}:70000"}),
         json.dumps(row | {"address": "999.0.0.1:80"}),
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -11,6 +11,7 @@
     check_answers,
     check_deadlines,
     check_executions,
+    check_internal_errors,
     check_lost,
 )
 
@@ -87,3 +88,9 @@
 ):
     outcome = make_outcome("stream-1", status, deadline_s=7.0, **changes)
     assert bool(check_lost([outcome])) is has_violation
+
+
+def test_check_internal_errors_finds_only_status_500():
+    assert check_internal_errors([make_outcome("stream-1", 500)])
+    outcomes = [make_outcome("stream-1", status) for status in (0, 200, 502, 503)]
+    assert not check_internal_errors(outcomes)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,7 +32,7 @@
     assert result.statuses["once 200"] and result.statuses["stream 200"]
 
 
-@pytest.mark.parametrize("seed", [2, 7])
+@pytest.mark.parametrize("seed", [2, 25])
 def test_answers_are_whole_while_endpoints_are_silent_or_replaced(tmp_path, seed):
     """Guards against answers that end early; seed 2 contains only silences."""
     plan = make_silence_plan(seed, SILENCE_SECONDS, TARGET_COUNT)
