--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -40,6 +40,11 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def _token_total(request: web.BaseRequest) -> int:
+    """Return the number of events that a stream has in all."""
+    return int(request.headers.get("X-Token-Count", "0,5").partition(",")[2])
+
+
 def _has_crash_part(request: web.BaseRequest) -> bool:
     """Return whether a part of the prompt other than the last crashes endpoints."""
     prompt = request.headers.get("X-Prompt-Prefix", "").split(",")
@@ -403,7 +408,10 @@
     ) -> None:
         """Send the head of an answer without a length, and its first events."""
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        numbers = range(first, first + self.faults.unframed_events)
+        end = first + self.faults.unframed_events
+        if "X-Token-Count" in request.headers:
+            end = min(end, _token_total(request) + 1)
+        numbers = range(first, end)
         events = b"".join(map(self._event, numbers))
         request.transport.write(_unframed_head(headers) + events)
 
@@ -423,7 +431,7 @@
             self.crash_runs_s.append(time.monotonic())
             await asyncio.sleep(CRASH_DELAY_S)
             self.on_crash(self)
-        total = int(request.headers.get("X-Token-Count", "0,5").partition(",")[2])
+        total = _token_total(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         cut_after = self.faults.cut_after_events if self.faults.cuts else 0
         try:
--- a/tests/standins/test_prepared.py
+++ b/tests/standins/test_prepared.py
@@ -160,3 +160,22 @@
         await machines.async_close()
 
     asyncio.run(async_scenario())
+
+
+def test_unframed_events_end_with_the_stream():
+    """Guards against events beyond a stream's last, found by seed 47 of the soak."""
+
+    async def async_scenario():
+        machines = PreparedMachines()
+        endpoint = EndpointStandin("i-1", "llm", {"m0": []}, 0.1)
+        await machines.async_add(endpoint, "127.0.0.1")
+        endpoint.faults = EndpointFaults(end_unframed=1, unframed_events=6)
+        headers = {"X-Model": "m0", "X-Token-Count": "10,5", "Last-Event-Id": "4"}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{endpoint.address}/x", headers=headers) as answer,
+        ):
+            assert await answer.read() == b"id: 5\ndata: t5\n\n"
+        await machines.async_close()
+
+    asyncio.run(async_scenario())
