Comments: state reasons without figures and tales

Cause: comments told a figure, or used words of a story; two broad handlers in the placer gave no reason. Change: comments alone. Result: formatter and linter pass.

--- a/chutelink/coldstart/const.py
+++ b/chutelink/coldstart/const.py
@@ -20,4 +20,4 @@
 Two requests that arrive within one second were granted within this time.
 """
 COLD_RETRY_PAUSE_S: Final = 0.25
-"""How long no grant is requested after a request that nobody could grant."""
+"""How long no grant is requested after a request that no daemon could grant."""
--- a/chutelink/decoding.py
+++ b/chutelink/decoding.py
@@ -52,8 +52,8 @@
         The data are not JSON, or out of these bounds.
     """
     value = decode_json(data)
-    # Most rows are heartbeats, and visiting each part takes three times as long as
-    # decoding. These counts show that nearly all of them are within the bounds.
+    # Visiting each part of a row is slow, and most rows are heartbeats. The counts show
+    # that nearly all of them are within the bounds.
     is_flat = data.count(b"[") + data.count(b"{") <= MAX_DEPTH
     if not is_flat or _LONG_INTEGER in data.translate(_DIGITS_TO_ZERO):
         check_bounds(value)
--- a/chutelink/gateway/claims.py
+++ b/chutelink/gateway/claims.py
@@ -240,7 +240,7 @@
     async def _async_settle(self, claim: Claim, row: ClaimRow) -> None:
         """Write a row's final status, retrying until the platform is available.
 
-        A row that another attempt has claimed meanwhile is left as it is.
+        A row that another attempt has claimed since is left as it is.
         """
         for _ in range(SETTLE_ATTEMPTS):
             await asyncio.sleep(SETTLE_RETRY_S * self._core.rng.uniform(0.5, 1.5))
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -236,6 +236,7 @@
                 "report_failed", endpoint=inventory.endpoint, error=error
             )
         except Exception:
+            # Logged by the step; without a pause the next tick would repeat it.
             self._defer(inventory)
             raise
         finally:
@@ -371,6 +372,7 @@
                 error=error,
             )
         except Exception:
+            # Logged by the step; without a pause the next tick would repeat it.
             self._defer(inventory)
             raise
         finally:
--- a/chutelink/quarantine/verifier.py
+++ b/chutelink/quarantine/verifier.py
@@ -59,7 +59,7 @@
             task = asyncio.ensure_future(self._probe.async_probe(run.address))
             self._probes[incarnation] = task
             task.add_done_callback(lambda _: self._probes.pop(incarnation, None))
-        # The result counts even if the caller disconnects meanwhile.
+        # The result counts even if the caller disconnects during the probe.
         task.add_done_callback(
             lambda done: self._handle_probe_result(run, broken_s, done)
         )
--- a/chutelink/relaying/prefix_weighing.py
+++ b/chutelink/relaying/prefix_weighing.py
@@ -34,7 +34,7 @@
 class PrefixWeighing(LeastLoss):
     """Adds the engine time that a choice costs others to the expected loss.
 
-    An engine that reads a prompt can't read others meanwhile. If its memory is full,
+    An engine that reads a prompt can't read others then. If its memory is full,
     the tokens that it newly keeps displace others, which have to be read again as
     often as evicted tokens were so far. Both times are counted relative to the
     objective. A held prefix saves either.
--- a/chutelink/relaying/silence.py
+++ b/chutelink/relaying/silence.py
@@ -16,8 +16,8 @@
 RECEIVE_DELAY_S = 0.01
 """Delay of a decision, in which received data reaches the attempt.
 
-After a suspension of this process, timers are due before what was received meanwhile
-is read.
+After a suspension of this process, timers are due before the data that arrived during
+it is read.
 """
 
 
--- a/chutelink/relaying/switching.py
+++ b/chutelink/relaying/switching.py
@@ -33,7 +33,7 @@
     """The route allows no further one, or the request may crash endpoints."""
     NO_BUDGET = "no_budget"
     NO_ENDPOINT = "no_endpoint"
-    """No other endpoint can serve the request, or none has responded meanwhile."""
+    """No other endpoint can serve the request, or none has responded since then."""
     RESPONDS = "responds"
     """The endpoint responds to other requests; this one may be queued there."""
 
--- a/chutelink/steps.py
+++ b/chutelink/steps.py
@@ -40,6 +40,7 @@
     """
     try:
         result = action()
+        # Some loops run plain functions, others coroutines.
         if inspect.isawaitable(result):
             await result
     except Exception as error:
--- a/chutelink/watching/storeclock.py
+++ b/chutelink/watching/storeclock.py
@@ -1,4 +1,4 @@
-"""Age of data read from the store, measured by the store's clock. Does no I/O.
+"""Age of data read from the store, on the store's clock. Does no I/O.
 
 Every answer of the store carries the time of its monotonic clock. The age of the data
 is counted from that time, whichever daemon read it and however long the answer, or a
