Packages: presence checks and silences stand on their own

Change: moved to chutelink/presence and chutelink/silence, with their unit tests; nothing else changed.

--- a/chutelink/entry/adapter.py
+++ b/chutelink/entry/adapter.py
@@ -11,7 +11,7 @@
 
 from ..ids import FailureDomainName, ServiceName
 from ..placing.inventory import EngineClient
-from ..relaying.presence import PresenceCheck
+from ..presence.check import PresenceCheck
 from ..settings import PlatformSection
 from ..store import WatchableTable
 from ..store.http import ReadRetry
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -31,7 +31,7 @@
 from .messages import EndpointLoad
 
 if TYPE_CHECKING:
-    from ..relaying.presence import Presence
+    from ..presence.check import Presence
 
 NO_ADAPTER = AdapterName("")
 UNKNOWN_SEQUENCE = -1
--- a/chutelink/platform/adapter.py
+++ b/chutelink/platform/adapter.py
@@ -15,7 +15,7 @@
 from ..entry.headers import HeaderCodec
 from ..ids import FailureDomainName, ServiceName
 from ..placing.inventory import EngineClient
-from ..relaying.presence import PresenceCheck
+from ..presence.check import PresenceCheck
 from ..settings import PlatformSection
 from ..store import WatchableTable
 from ..store.http import ReadRetry
--- a/chutelink/platform/presence.py
+++ b/chutelink/platform/presence.py
@@ -11,7 +11,7 @@
 from ..entry.endpoints import EndpointRecord
 from ..exceptions import EndpointFailed
 from ..ids import ServiceName
-from ..relaying.presence import Presence, PresenceCheck
+from ..presence.check import Presence, PresenceCheck
 from ..responses import MAX_CONTROL_BYTES, async_read_body
 from .endpoints import PATH_REPORT, decode_report
 from .headers import HEADER_EXPECT_INSTANCE
--- /dev/null
+++ b/chutelink/presence/__init__.py
@@ -0,0 +1,1 @@
+"""Whether the process of an endpoint still serves its address."""
--- a/chutelink/relaying/inquiry.py
+++ b/chutelink/presence/inquiry.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..entry.endpoints import Endpoint
-from .presence import Presence, PresenceCheck
+from .check import Presence, PresenceCheck
 
 MIN_INTERVAL_S = 0.5
 """Interval between two calls to an endpoint."""
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -18,10 +18,10 @@
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
 from ..quarantine.model import BrokenRun, Evidence
+from ..silence.policy import SilencePolicy
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
 from .response_end import framing_of
-from .switching import SilencePolicy
 from .upstream import BufferedResponse, EndpointCall, Upstream
 
 FIRST_SERVER_ERROR_STATUS = 500
--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -14,9 +14,9 @@
 
 from ..entry.endpoints import Endpoint
 from ..exceptions import ConnectionBroken, EndpointFailed
+from ..presence.check import Presence, PresenceCheck
 from ..reachability.const import HEADER_RELAY_UNFRAMED
 from ..responses import is_chunked
-from .presence import Presence, PresenceCheck
 
 FIRST_NON_SUCCESS_STATUS = 300
 BODILESS_STATUSES = frozenset({204, 205})
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -28,6 +28,8 @@
     GrantExpired,
 )
 from ..ids import EndpointId
+from ..presence.check import PresenceCheck
+from ..presence.inquiry import EndpointInquiry
 from ..reachability.const import (
     HEADER_RELAY_RESULT,
     HEADER_RELAY_TICKET,
@@ -43,8 +45,6 @@
 )
 from ..settings import DEFAULT_MAX_ANSWER_BYTES
 from ..tables.members import Member
-from .inquiry import EndpointInquiry
-from .presence import PresenceCheck
 from .response_end import ResponseEndVerifier
 
 CONNECT_TIMEOUT_S = 0.6
--- a/chutelink/relaying/switching.py
+++ b/chutelink/silence/policy.py
@@ -11,12 +11,12 @@
 from typing import TYPE_CHECKING
 
 from ..entry.endpoints import Endpoint
-from .exchange import Exchange
-from .inquiry import EndpointInquiry
-from .silence import SilenceTimeout
+from ..presence.inquiry import EndpointInquiry
+from ..relaying.exchange import Exchange
+from .timeout import SilenceTimeout
 
 if TYPE_CHECKING:
-    from .exchange_dispatcher import ExchangeDispatcher
+    from ..relaying.exchange_dispatcher import ExchangeDispatcher
 
 MIN_STREAM_SWITCH_S = 0.3
 """With less time left, a stream would not get far at another endpoint."""
--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -18,7 +18,7 @@
 from chutelink.platform.engine import HttpEngineClient
 from chutelink.platform.presence import HttpPresenceCheck
 from chutelink.platform.store import async_setup_store
-from chutelink.relaying.presence import Presence
+from chutelink.presence.check import Presence
 from chutelink.responses import BoundedConnector
 from chutelink.settings import PlatformSection
 from chutelink.store import Transaction, Write
--- a/tests/platform/test_presence.py
+++ b/tests/platform/test_presence.py
@@ -11,7 +11,7 @@
 
 from chutelink.platform import presence
 from chutelink.platform.presence import HttpPresenceCheck
-from chutelink.relaying.presence import Presence
+from chutelink.presence.check import Presence
 
 ENGINE = SimpleNamespace(engine=object(), health_path="/health")
 PLAIN = SimpleNamespace(engine=None, health_path="/health")
--- /dev/null
+++ b/tests/presence/__init__.py
@@ -0,0 +1,1 @@
+"""Tests for chutelink.presence."""
--- a/tests/relaying/test_inquiry.py
+++ b/tests/presence/test_inquiry.py
@@ -8,8 +8,8 @@
 import pytest
 
 from chutelink.entry.endpoints import Endpoint
-from chutelink.relaying.inquiry import MIN_INTERVAL_S, EndpointInquiry
-from chutelink.relaying.presence import Presence, PresenceCheck
+from chutelink.presence.check import Presence, PresenceCheck
+from chutelink.presence.inquiry import MIN_INTERVAL_S, EndpointInquiry
 
 
 class CountingCheck(PresenceCheck):
--- a/tests/relaying/test_cut_responses.py
+++ b/tests/relaying/test_cut_responses.py
@@ -10,7 +10,7 @@
 
 from chutelink.entry.endpoints import Endpoint, EndpointRecord, EndpointState
 from chutelink.exceptions import ConnectionBroken
-from chutelink.relaying.presence import Presence, PresenceCheck
+from chutelink.presence.check import Presence, PresenceCheck
 from chutelink.relaying.upstream import EndpointCall, Upstream
 from chutelink.watching.table_state import RowChange
 
--- a/tests/relaying/test_response_end.py
+++ b/tests/relaying/test_response_end.py
@@ -9,8 +9,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from chutelink.exceptions import ConnectionBroken, EndpointFailed
+from chutelink.presence.check import Presence, PresenceCheck
 from chutelink.reachability.const import HEADER_RELAY_UNFRAMED
-from chutelink.relaying.presence import Presence, PresenceCheck
 from chutelink.relaying.response_end import ResponseEndVerifier, is_framed
 
 ENDPOINT = SimpleNamespace(record=SimpleNamespace(id="i-1", address="127.0.0.1:1"))
