Resumptions: confirm that no other software version can have begun a stream

Cause: with one version known and a complete history, the daemon concluded from not having heard of another version that there was none, whatever the age of its registrations, as long as the placer was heard. The class is a conclusion from absence without a proof for the whole time that it speaks of. Its own record of the stream and the versions in its peers' records were not looked at.

Change: an endpoint is registered before anything is sent to it. So one version is proven if the registrations are known as of the arrival of the resumption: they are read on demand, by one call for all resumptions that wait. If the store fails, all daemons that were asked must have answered and none may know another version. Otherwise the resumption is refused at once as not run. The daemon's own record counts first, and versions in records of peers are kept. The log of the decision says by what it was confirmed, and the age of the registrations.

A read on demand costs one call to the store for a group of resumptions while one version serves, none otherwise.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -94,4 +94,7 @@
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
     dispatcher.knowledge = lambda: app.watch.knowledge(TABLE_ENDPOINTS)
+    dispatcher.refresh_endpoints = lambda as_of_s, limit_s: app.watch.async_refresh(
+        TABLE_ENDPOINTS, as_of_s, limit_s
+    )
     return dispatcher
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -59,6 +59,10 @@
     answered: set[DaemonId] = msgspec.field(default_factory=set)
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
+    def is_answered_by(self, linked: set[DaemonId]) -> bool:
+        """Return whether all asked daemons that are still linked have answered."""
+        return bool(self.answered) and self.asked & linked <= self.answered
+
 
 class OriginManager:
     """Records the software versions that begin streams.
@@ -119,13 +123,20 @@
         """Keep what daemons have stored, also those that have ended."""
         self._add_recent(versions)
         now_s = self._core.clock()
+        streams = list(streams)
         for origin in streams:
             self._table.put(origin, now_s, is_own=False)
+        self._add_versions(streams)
         self._stored = state
         self._has_history |= state is StoredHistory.CURRENT
         for lookup in self._lookups.values():
             lookup.changed.set()
 
+    def _add_versions(self, origins: Iterable[StreamOrigin]) -> None:
+        """Keep the versions of streams, also if no registration names them."""
+        for service, version in _versions_of(origins):
+            self.versions.add_recent(service, version)
+
     def _add_recent(self, versions: dict[ServiceName, list[SoftwareVersion]]) -> None:
         for service, names in versions.items():
             for version in names:
@@ -228,12 +239,15 @@
             self._handle_history(message)
         elif isinstance(message, BegunStreams):
             self.recorder.apply(message, self._core.clock())
+            self._add_versions(message.begun)
 
     def _handle_update(self, update: OriginUpdate) -> None:
         """Keep the records of another daemon."""
         now_s = self._core.clock()
         for origin in update.origins:
             self._table.put(origin, now_s, is_own=False)
+        for service, version in _versions_of(update.origins):
+            self.versions.note_used(service, version)
 
     def _handle_query(self, query: OriginQuery) -> None:
         """Answer another daemon's search."""
@@ -259,6 +273,17 @@
             lookup.origin = answer.origin
         lookup.changed.set()
 
+    def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
+        """Return what this daemon itself knows of an attempt and the versions."""
+        now_s = self._core.clock()
+        origin = self._table.get(request or RequestId(""), service, now_s)
+        versions = self.versions.versions(service, now_s)
+        return Lookup(origin, versions, self.has_full_history)
+
+    def has_answers(self, lookup: Lookup) -> bool:
+        """Return whether no daemon that was asked may still know of another version."""
+        return lookup.is_answered_by(self.linked())
+
     async def async_find(
         self, request: RequestId | None, service: ServiceName
     ) -> Lookup:
@@ -267,11 +292,8 @@
         Without an attempt, only the versions that the owners have seen are collected.
         """
         request = RequestId("") if request is None else request
-        now_s = self._core.clock()
-        own = self._table.get(request, service, now_s)
-        versions = self.versions.versions(service, now_s)
-        lookup = Lookup(own, versions, self.has_full_history)
-        if own is not None:
+        lookup = self.find_known(request, service)
+        if lookup.origin is not None:
             return lookup
         number = next(self._query_numbers)
         self._lookups[number] = lookup
@@ -324,6 +346,17 @@
                 continue
 
 
+def _versions_of(
+    origins: Iterable[StreamOrigin],
+) -> set[tuple[ServiceName, SoftwareVersion]]:
+    """Return the services and known versions of streams."""
+    return {
+        (origin.service, origin.version)
+        for origin in origins
+        if origin.version is not None
+    }
+
+
 def _is_newer(origin: StreamOrigin | None, known: StreamOrigin | None) -> bool:
     if origin is None:
         return False
--- a/chutelink/origins/versions.py
+++ b/chutelink/origins/versions.py
@@ -47,6 +47,14 @@
         usage = self._usages[service].setdefault(version, _Usage())
         self._note_mixed(service, version, usage)
 
+    def note_used(self, service: ServiceName, version: SoftwareVersion) -> None:
+        """Keep a version that begins or continues a stream at another daemon.
+
+        Without endpoints, it is kept for ``RETENTION_S`` from the next check on.
+        """
+        self.add_recent(service, version)
+        self._usages[service][version].unused_since_s = None
+
     def _note_mixed(
         self, service: ServiceName, version: SoftwareVersion | None, usage: _Usage
     ) -> None:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from multidict import CIMultiDict
 
@@ -55,6 +55,10 @@
 """Retry-After delays: operators end an evacuation or change homes within seconds."""
 
 
+async def _async_skip_refresh(as_of_s: float, limit_s: float) -> None:
+    """Read nothing, where the list of endpoints doesn't come from a store."""
+
+
 class ExchangeDispatcher:
     """Selects endpoints for requests, and holds the tables that this uses.
 
@@ -143,7 +147,17 @@
         self.on_path_failure: Callable[[str], None] = lambda _: None
         """Called with the address of an endpoint that did not respond."""
         self.knowledge: Callable[[], TableFreshness | None] = lambda: None
-        self.versions = VersionGate(core, table, origins, lambda: self.knowledge())
+        self.refresh_endpoints: Callable[[float, float], Awaitable[None]] = (
+            _async_skip_refresh
+        )
+        """Reads the list of endpoints unless it is known as of a time."""
+        self.versions = VersionGate(
+            core,
+            table,
+            origins,
+            lambda: self.knowledge(),
+            lambda as_of_s, limit_s: self.refresh_endpoints(as_of_s, limit_s),
+        )
 
     def stop_waiting(self) -> None:
         """Refuse requests that wait for a model now or later; used on shutdown."""
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..gateway.refusals import Refusal, unresumable
 from ..ids import SoftwareVersion
-from ..origins.const import MAX_KNOWLEDGE_AGE_S
+from ..origins.const import LOOKUP_TIMEOUT_S, MAX_KNOWLEDGE_AGE_S
 from ..origins.manager import Lookup, OriginManager
 from ..origins.messages import StreamOrigin
 from ..watching.table_state import TableFreshness
@@ -37,6 +37,16 @@
         return self in (Resumption.UNKNOWN, Resumption.UNINFORMED)
 
 
+class Confirmation(Enum):
+    """What shows that a daemon knows all versions that may have begun a stream."""
+
+    REGISTRATIONS = "registrations"
+    """They are known as of a time at which the stream had begun already."""
+    PEERS = "peers"
+    """All daemons that were asked have answered."""
+    NONE = "none"
+
+
 def decide_resumption(
     origin: StreamOrigin | None,
     versions: set[SoftwareVersion | None],
@@ -79,6 +89,10 @@
         Records of which version began a stream.
     knowledge : callable
         Returns the age of the list of endpoints, None if it is always up to date.
+    refresh : callable
+        Reads the list of endpoints; called with the time in seconds, on the daemon's
+        clock, as of which it has to be known, and the time in seconds that this may
+        take.
     """
 
     def __init__(
@@ -87,11 +101,13 @@
         table: EndpointTable,
         origins: OriginManager,
         knowledge: Callable[[], TableFreshness | None],
+        refresh: Callable[[float, float], Awaitable[None]],
     ) -> None:
         self._core = core
         self._table = table
         self._origins = origins
         self._knowledge = knowledge
+        self._refresh = refresh
 
     async def async_admit(self, exchange: Exchange) -> None:
         """Bind a resumed stream to its software version.
@@ -103,14 +119,14 @@
         """
         if not exchange.meta.resume_after:
             return
-        lookup = await self._async_find(exchange)
+        lookup, confirmation = await self._async_find(exchange)
         decision = decide_resumption(
             lookup.origin,
             lookup.versions,
-            is_complete=lookup.is_complete,
+            is_complete=lookup.is_complete and confirmation is not Confirmation.NONE,
             is_informed=self._is_informed(),
         )
-        self._note_decision(exchange, lookup, decision)
+        self._note_decision(exchange, lookup, confirmation, decision)
         if decision.is_refused:
             raise unresumable("its software version is unknown")
         if decision is Resumption.KNOWN:
@@ -120,13 +136,32 @@
         elif lookup.versions:
             exchange.bind_version(next(iter(lookup.versions)))
 
-    async def _async_find(self, exchange: Exchange) -> Lookup:
-        service = exchange.service.name
-        resumes = exchange.meta.resumes
-        versions = self._origins.versions.versions(service, self._core.clock())
-        if len(versions) == 1 and self._origins.has_full_history:
-            return Lookup(None, versions, is_complete=True)
-        return await self._origins.async_find(resumes, service)
+    async def _async_find(self, exchange: Exchange) -> tuple[Lookup, Confirmation]:
+        """Search for the version that began a stream, here and at other daemons.
+
+        An endpoint is registered before any daemon sends requests to it. So if the
+        registrations are known as of the arrival of the resumption and have always
+        had the same version, no other one can have begun the stream.
+        """
+        service, resumes = exchange.service.name, exchange.meta.resumes
+        known = self._origins.find_known(resumes, service)
+        if known.origin is None and len(known.versions) <= 1:
+            await self._refresh(exchange.started_s, LOOKUP_TIMEOUT_S)
+            known = self._origins.find_known(resumes, service)
+        is_current = self._is_current(exchange.started_s)
+        confirmation = Confirmation.REGISTRATIONS if is_current else Confirmation.NONE
+        is_single = len(known.versions) == 1 and known.is_complete and is_current
+        if known.origin is not None or is_single:
+            return known, confirmation
+        lookup = await self._origins.async_find(resumes, service)
+        if not is_current and self._origins.has_answers(lookup):
+            confirmation = Confirmation.PEERS
+        return lookup, confirmation
+
+    def _is_current(self, since_s: float) -> bool:
+        """Return whether the registrations are known as of a time or a later one."""
+        knowledge = self._knowledge()
+        return knowledge is None or knowledge.age_s <= self._core.clock() - since_s
 
     def _is_informed(self) -> bool:
         """Return whether this daemon knows the processes of the endpoints.
@@ -142,10 +177,14 @@
         return silent_s <= MAX_KNOWLEDGE_AGE_S
 
     def _note_decision(
-        self, exchange: Exchange, lookup: Lookup, decision: Resumption
+        self,
+        exchange: Exchange,
+        lookup: Lookup,
+        confirmation: Confirmation,
+        decision: Resumption,
     ) -> None:
         self._core.metrics.stream_resumptions.inc({"decision": decision.value})
-        origin = lookup.origin
+        origin, knowledge = lookup.origin, self._knowledge()
         self._core.events.record(
             "resumption_decided",
             request=exchange.meta.id,
@@ -155,6 +194,9 @@
             versions=",".join(sorted(map(str, lookup.versions))),
             asked=len(lookup.asked),
             answered=len(lookup.answered),
+            is_complete=lookup.is_complete,
+            confirmed_by=confirmation.value,
+            endpoints_age_s=0.0 if knowledge is None else knowledge.age_s,
             took_s=self._core.clock() - exchange.started_s,
         )
 
--- a/chutelink/watching/table_state.py
+++ b/chutelink/watching/table_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -65,4 +66,6 @@
         self.recovered_s = float("-inf")
         self.has_gap = False
         self.snapshot_sent_s = float("-inf")
+        self.refresh_lock = asyncio.Lock()
+        """Held during a read on demand, which serves all callers that wait for it."""
         self.kept_sent_s = float("-inf")
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -124,6 +124,48 @@
     def _age_s(self, answered_s: float) -> float:
         return self._store_clock.max_age_s(answered_s, self._core.clock())
 
+    async def async_refresh(self, name: str, as_of_s: float, limit_s: float) -> None:
+        """Read a table unless its copy is known to be current as of a time.
+
+        The read is shared by all callers whose time it covers. The copy stays as it is
+        if the store fails.
+
+        Parameters
+        ----------
+        name : str
+            The table.
+        as_of_s : float
+            Time in seconds on this daemon's clock.
+        limit_s : float
+            Maximum time in seconds to wait.
+        """
+        state = self._tables[name]
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._async_refresh_as_of(state, as_of_s)
+        except TimeoutError:
+            self._core.events.info(
+                "store_refresh_late",
+                table=name,
+                age_s=self._age_s(state.copy.answered_s),
+            )
+
+    async def _async_refresh_as_of(self, state: TableState, as_of_s: float) -> None:
+        if self._is_current(state, as_of_s):
+            return
+        async with state.refresh_lock:
+            while not self._is_current(state, as_of_s):
+                if self._backoff.is_failing:
+                    return
+                try:
+                    await self._async_refresh(state, may_wait=False)
+                except PlatformUnavailable as error:
+                    self._record_failure(state, error)
+
+    def _is_current(self, state: TableState, as_of_s: float) -> bool:
+        age_s = self._age_s(state.copy.answered_s)
+        return state.copy.version > 0 and age_s <= self._core.clock() - as_of_s
+
     async def on_started(self) -> None:
         """Start a polling task for each table."""
         for state in self._tables.values():
@@ -172,12 +214,12 @@
         # repeated before the minimum interval has passed.
         return due_s if self._backoff.is_failing else max(least_s, due_s)
 
-    async def _async_refresh(self, state: TableState) -> None:
+    async def _async_refresh(self, state: TableState, *, may_wait: bool = True) -> None:
         copy = state.copy
         is_first = not copy.version
         before = dict(copy.rows)
-        read = await self._async_read(state)
-        self._record_answer(state, read)
+        read, sent_s = await self._async_read(state, may_wait=may_wait)
+        self._record_answer(state, read, sent_s)
         self._detect_outage(state, read)
         if copy.status_of(read) is not UpdateStatus.APPLICABLE:
             # Updates from peers have advanced the copy during the read.
@@ -195,15 +237,17 @@
         if not is_first:
             self._send(copy.make_update(read, before))
 
-    def _record_answer(self, state: TableState, read: StoreUpdate) -> None:
+    def _record_answer(
+        self, state: TableState, read: StoreUpdate, sent_s: float
+    ) -> None:
         """Record the timing of an answered call, and log a slow one."""
         now_s = self._core.clock()
-        self._store_clock.add_sample(state.call_started_s, now_s, read.answered_s)
+        self._store_clock.add_sample(sent_s, now_s, read.answered_s)
         self._backoff.record_success()
         if self._is_store_down:
             self._is_store_down = False
             self._core.events.info("store_regained", table=read.table)
-        took_s = now_s - state.call_started_s
+        took_s = now_s - sent_s
         if took_s > LONG_POLL_SHARE * state.staleness_bound_s + SLOW_CALL_EXCESS_S:
             self._core.events.record(
                 "store_answer_late",
@@ -212,9 +256,14 @@
                 age_s=self._age_s(read.answered_s),
             )
 
-    async def _async_read(self, state: TableState) -> StoreUpdate:
+    async def _async_read(
+        self, state: TableState, *, may_wait: bool
+    ) -> tuple[StoreUpdate, float]:
         """Return the changes since the copy's version, or the full table.
 
+        The second value is the time in seconds at which the call was sent. The call
+        returns at once without changes unless it ``may_wait``.
+
         The full table is read when there is no copy yet, when the store no longer has
         the history, or when its era has changed. Most writes are heartbeats of
         endpoints: ``compact`` removes them before rows are compared.
@@ -222,11 +271,11 @@
         copy = state.copy
         name, after, era = copy.name, copy.version, copy.era
         prefix = f"{name}/"
-        state.call_started_s = self._core.clock()
+        sent_s = state.call_started_s = self._core.clock()
         page: RowPage | None = None
         if after:
             # Probes do not wait: a recovered store answers them at once.
-            may_wait = self._rank() == 0 and not self._backoff.is_failing
+            may_wait &= self._rank() == 0 and not self._backoff.is_failing
             wait_s = LONG_POLL_SHARE * state.staleness_bound_s if may_wait else 0.0
             try:
                 page = await self._table.async_watch(prefix, after, wait_s)
@@ -235,10 +284,11 @@
         if page is None or page.era != era:
             # The version is of another era, so earlier changes would be missing.
             after = 0
-            state.call_started_s = self._core.clock()
+            sent_s = state.call_started_s = self._core.clock()
             page = await self._table.async_read(prefix)
         rows = [self._make_row(row) for row in page.rows]
-        return StoreUpdate(name, after, page.version, page.answered_s, rows, page.era)
+        update = StoreUpdate(name, after, page.version, page.answered_s, rows, page.era)
+        return update, sent_s
 
     def _make_row(self, row: Row) -> StoredRow:
         value = None if row.value is None else self.compact(row.key, row.value)
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -81,7 +81,13 @@
         self.origins.linked = lambda: world.linked(self)
         self.origins.is_alone = lambda: False
         self.origins.send = lambda to, message: world.send(self, to, message)
-        self.gate = VersionGate(self.core, self.table, self.origins, self._freshness)
+        self.gate = VersionGate(
+            self.core,
+            self.table,
+            self.origins,
+            self._freshness,
+            self._async_refresh,
+        )
         self.persistence = OriginPersistence(
             self.core, world.store, self.origins, self._rank, lambda: world.store.era
         )
@@ -103,6 +109,11 @@
         now_s = self.world.loop.time()
         return TableFreshness(1, now_s - self.updated_s if self.is_cut else 0.0)
 
+    async def _async_refresh(self, as_of_s: float, limit_s: float) -> None:
+        """Read the registrations, which fails while the daemon is cut off."""
+        await asyncio.sleep(READ_DELAY_S)
+        self.read_endpoints()
+
     def start(self) -> None:
         """Ask for the versions that served before, and again once links are settled."""
         for delay_s in (HISTORY_DELAY_S, LINKING_S + HISTORY_DELAY_S):
