Placer: messages say when they were sent, by the store's clock

What callers saw: a daemon that had stood still, or whose links had, resumed streams as one that knows the processes of the endpoints, though its news of them was old.

Cause: a message of the placer counted as of the time at which it was handled. A daemon that stood still for seconds handles what was sent before, and takes it for news.

Change: `placer` and `placement` carry the earliest time that the store's clock may have shown when they were sent, with its era. The receiver bounds their age as it does for updates of tables. Messages of earlier releases carry no time: they are no news beyond the age of the registrations. Who is the placer is decided as before.

The bound is part of the property test of the store's clock.

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -229,6 +229,11 @@
         self.versions = VersionHistory()
         """Software versions that the endpoints run, by service."""
         self.last_placer_message_s = float("-inf")
+        self.placer_known_as_of_s = float("-inf")
+        """Time as of which the placer's messages show the processes of endpoints.
+
+        A daemon that stood still handles messages that were sent long before.
+        """
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
         )
@@ -306,6 +311,10 @@
             row = self._restart(row, record)
         row.update_models(sequence, models)
 
+    def note_placer(self, sent_s: float) -> None:
+        """Record a message of the placer with the time at which it was sent."""
+        self.placer_known_as_of_s = max(self.placer_known_as_of_s, sent_s)
+
     def note_leaving(self, endpoint: EndpointId, born_ms: int) -> bool:
         """Record that a process is shutting down; return whether that is new.
 
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -4,6 +4,8 @@
 
 from itertools import chain, repeat
 
+import msgspec
+
 from ..coldstart.grants import ColdGrantManager
 from ..coldstart.messages import ColdGrantAnswer, ColdGrantRequest
 from ..core import Application
@@ -40,6 +42,7 @@
     PlacerHeartbeat,
     PromptNotice,
     SnapshotRequest,
+    StoreTime,
     StoreUpdate,
     decode_entry_message,
     encode_entry_message,
@@ -135,6 +138,8 @@
             and len(self._mesh.direct_peers) > MAX_PROMPT_UPDATE_PEERS
         ):
             return
+        if isinstance(message, PlacementUpdate | PlacerHeartbeat):
+            message = msgspec.structs.replace(message, sent=self.watch.store_time())
         body, topic = encode_entry_message(message), topic_of(message)
         if isinstance(message, PlacementUpdate | LoadReport | PromptNotice):
             self._mesh.send_to(self._mesh.direct_peers, body, topic)
@@ -174,7 +179,7 @@
         elif isinstance(message, PlacementUpdate):
             self._handle_placement(message)
         elif isinstance(message, PlacerHeartbeat):
-            self._note_placer(message.daemon, message.term)
+            self._note_placer(message.daemon, message.term, message.sent)
         elif isinstance(message, LeaseYield):
             self.lease.note_yield(message)
         elif isinstance(message, EndingsMessage):
@@ -236,7 +241,7 @@
             self.placer.wake()
 
     def _handle_placement(self, message: PlacementUpdate) -> None:
-        if not self._note_placer(message.daemon, message.term):
+        if not self._note_placer(message.daemon, message.term, message.sent):
             return
         if message.daemon != self._core.daemon_id:
             for placement in message.endpoints:
@@ -250,7 +255,7 @@
             message.loads, message.term, self._core.clock(), message.queued
         )
 
-    def _note_placer(self, daemon: DaemonId, term: int) -> bool:
+    def _note_placer(self, daemon: DaemonId, term: int, sent: StoreTime | None) -> bool:
         """Record a message from a placer; return whether it is the current one.
 
         Messages of a previous placer may arrive late. A placer with a lower term is
@@ -262,7 +267,11 @@
             return False
         self._term = term
         self.lease.note_holder(daemon, term)
-        self._known.endpoints.last_placer_message_s = self._core.clock()
+        now_s = self._core.clock()
+        self._known.endpoints.last_placer_message_s = now_s
+        is_own = daemon == self._core.daemon_id
+        age_s = 0.0 if is_own else self.watch.max_age_s(sent)
+        self._known.endpoints.note_placer(now_s - age_s)
         if daemon != self._placer_id:
             self._placer_id = daemon
             self.choose_links()
--- a/chutelink/entry/messages.py
+++ b/chutelink/entry/messages.py
@@ -70,11 +70,23 @@
     daemon: DaemonId
 
 
+class StoreTime(msgspec.Struct, frozen=True, array_like=True):
+    """A time in seconds of the store's clock, in one era of the store."""
+
+    time_s: float
+    era: StoreEra
+
+
 class PlacerHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="placer"):
-    """Heartbeat of the placer, for daemons that don't need placement details."""
+    """Heartbeat of the placer, for daemons that don't need placement details.
+
+    ``sent`` is the earliest time at which it may have been sent. It is None if the
+    sender doesn't know the store's clock, or is of an earlier release.
+    """
 
     daemon: DaemonId
     term: int
+    sent: StoreTime | None = None
 
 
 class ModelUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -217,7 +229,7 @@
     """Placements known to the placer, and the loads in progress.
 
     ``endpoints`` lists those that changed since the last message, ``queued`` the models
-    that wait for an endpoint to load them.
+    that wait for an endpoint to load them. ``sent`` is as in `PlacerHeartbeat`.
     """
 
     daemon: DaemonId
@@ -225,6 +237,7 @@
     endpoints: list[EndpointPlacement]
     loads: list[PendingLoad]
     queued: list[QueuedLoad] = []
+    sent: StoreTime | None = None
 
 
 class LeaseYield(msgspec.Struct, frozen=True, array_like=True, tag="yield"):
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -168,12 +168,13 @@
 
         Endpoints may restart with another version under the same id. Registrations and
         the placer's messages show it before the new process has a model; a daemon that
-        is cut off from both may take the new process for the old one.
+        is cut off from both may take the new process for the old one. Both count as of
+        the time at which they were read or sent.
         """
         knowledge = self._knowledge()
         if knowledge is None or knowledge.age_s <= MAX_KNOWLEDGE_AGE_S:
             return True
-        silent_s = self._core.clock() - self._table.last_placer_message_s
+        silent_s = self._core.clock() - self._table.placer_known_as_of_s
         return silent_s <= MAX_KNOWLEDGE_AGE_S
 
     def _note_decision(
--- a/chutelink/watching/storeclock.py
+++ b/chutelink/watching/storeclock.py
@@ -49,6 +49,15 @@
         self._min_offset_s = max(previous_min_s, min_s)
         self._max_offset_s = min(previous_max_s, max_s)
 
+    def min_time_s(self, now_s: float) -> float:
+        """Return the minimum time of the store's clock; -inf before the first sample.
+
+        Another daemon that takes an event for as old as this time doesn't take it for
+        newer than it is.
+        """
+        drift_s = MAX_DRIFT * max(0.0, now_s - self._last_sample_s)
+        return now_s + self._min_offset_s - drift_s
+
     def max_age_s(self, answered_s: float, now_s: float) -> float:
         """Return the maximum age of an answer; infinite before the first sample."""
         drift_s = MAX_DRIFT * max(0.0, now_s - self._last_sample_s)
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -10,13 +10,14 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable
 from typing import Any
 
 from mode import Service
 
 from ..core import Application
-from ..entry.messages import SnapshotRequest, StoredRow, StoreUpdate
+from ..entry.messages import SnapshotRequest, StoredRow, StoreTime, StoreUpdate
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId, StoreEra
 from ..steps import async_run_step, contain_errors
@@ -124,6 +125,17 @@
     def _age_s(self, answered_s: float) -> float:
         return self._store_clock.max_age_s(answered_s, self._core.clock())
 
+    def store_time(self) -> StoreTime | None:
+        """Return the earliest time that the store's clock may show, if it is known."""
+        time_s = self._store_clock.min_time_s(self._core.clock())
+        return StoreTime(time_s, self.era) if math.isfinite(time_s) else None
+
+    def max_age_s(self, time: StoreTime | None) -> float:
+        """Return how long ago a time was at most; infinite if that is unknown."""
+        if time is None or time.era != self.era:
+            return math.inf
+        return self._age_s(time.time_s)
+
     async def async_refresh(self, name: str, as_of_s: float, limit_s: float) -> None:
         """Read a table unless its copy is known to be current as of a time.
 
--- a/tests/watching/test_storeclock.py
+++ b/tests/watching/test_storeclock.py
@@ -52,3 +52,4 @@
             max_age_s = clock.max_age_s(offset_s + rate * at_s, now_s)
             # The age is counted in seconds of the store's clock.
             assert max_age_s >= rate * (now_s - at_s) - 1e-6
+        assert clock.min_time_s(now_s) <= offset_s + rate * now_s + 1e-6
