Store watch: keep the versions of endpoints that came and left between two reads

What callers saw: an unknown stream of a version whose endpoint came and left within a second or so may go on at the version that stays, if it is resumed at a daemon that was cut off or stood still meanwhile.

Cause: a read has every change of a row, but only the last one counted, and updates for other daemons had only that one. So no daemon that learned of the endpoint by such a read or update noted its version. Likewise, the registration of a process that the placer had already said to be replaced was discarded with its version.

Change: values that are superseded within a read are passed on in updates, in order, and their software versions are kept for as long as streams can be resumed.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -244,6 +244,7 @@
             self, table, self.quarantine, self.rank
         )
         self.watch.on_row = self._apply_row
+        self.watch.on_superseded = self.known.note_superseded_row
         self.watch.on_restored = self._handle_restored
         self.watch.reply = self.router.reply
         self.watch.compact = self._adapter.compact_row
--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -262,7 +262,12 @@
         if record.born_ms > row.record.born_ms:
             self._record_draining(self._restart(row, record))
             return RegistrationResult.RESTARTED
-        if record.born_ms < row.record.born_ms or _is_older_state(row.record, record):
+        if record.born_ms < row.record.born_ms:
+            # Other daemons may have sent requests to the ended process.
+            if record.software_version is not None:
+                self.versions.note_used(record.service, record.software_version)
+            return RegistrationResult.OUTDATED
+        if _is_older_state(row.record, record):
             return RegistrationResult.OUTDATED
         is_changed = row.record.state is not record.state
         self._replace_version(row.record, record)
--- a/chutelink/entry/state.py
+++ b/chutelink/entry/state.py
@@ -104,6 +104,34 @@
             else:
                 self._apply_endpoint(name, change)
 
+    def note_superseded_row(self, change: RowChange) -> None:
+        """Keep the software version of an endpoint that came and left between reads.
+
+        Other daemons may have sent requests to it.
+        """
+        if not change.key.startswith(PREFIX_ENDPOINTS):
+            return
+        name = change.key[len(PREFIX_ENDPOINTS) :]
+        try:
+            record = self._adapter.decode_endpoint(name, change.value)
+        except EndpointFailed:
+            # Endpoints of invalid registrations get no requests.
+            return
+        version = record.software_version
+        if version is None:
+            return
+        versions = self.endpoints.versions
+        if version not in versions.versions(record.service, self._core.clock()):
+            self._core.events.record(
+                "endpoint_superseded",
+                endpoint=record.id,
+                service=record.service,
+                software_version=version,
+                row_version=change.version,
+                source=change.source,
+            )
+        versions.note_used(record.service, version)
+
     def _apply_config(self, value: Any) -> None:
         try:
             config = self._adapter.decode_config(value)
--- a/chutelink/origins/versions.py
+++ b/chutelink/origins/versions.py
@@ -48,7 +48,7 @@
         self._note_mixed(service, version, usage)
 
     def note_used(self, service: ServiceName, version: SoftwareVersion) -> None:
-        """Keep a version that begins or continues a stream at another daemon.
+        """Keep a version that has served, as other daemons or an old row say.
 
         Without endpoints, it is kept for ``RETENTION_S`` from the next check on.
         """
--- a/chutelink/watching/tablecopy.py
+++ b/chutelink/watching/tablecopy.py
@@ -1,8 +1,8 @@
 """A daemon's copy of one of the store's tables. Does no I/O.
 
 A copy at version V holds what the table held at V. A read contains every change after
-its base version, in order. The update sent to other daemons omits rows whose value
-never changed, and applies to a copy of any version between base and end of the read.
+its base version, in order. The update sent to other daemons omits what didn't change a
+row's value, and applies to a copy of any version between base and end of the read.
 
 A store that is restored from a backup begins a new era, in which it assigns version
 numbers again. Versions of two eras are never compared: only a full table moves a copy
@@ -111,25 +111,22 @@
     ) -> StoreUpdate:
         """Return the update for other daemons from a read that was applied.
 
-        ``before`` holds the rows as they were when the read began. A row that changed
-        and changed back is included, since a copy of a version in between still has
-        the other value.
+        ``before`` holds the rows as they were when the read began. All values that a
+        row had are included: a copy of a version in between still has another one, and
+        the receivers may need to know that it was there.
         """
         if read.is_whole:
             return self.to_snapshot()
         values = {key: row.value for key, row in before.items()}
-        changed: dict[str, StoredRow] = {}
+        changed: list[StoredRow] = []
         for row in read.rows:
-            is_changed = row.key in changed or values.get(row.key) != row.value
+            is_changed = values.get(row.key) != row.value
             # A row that is kept elsewhere may have been written again, or removed.
             if is_changed or self._outlasts_restore(row.key):
-                changed[row.key] = row
+                changed.append(row)
             values[row.key] = row.value
-        for key in self.kept_until_s:
-            changed[key] = self.rows[key]
-        return msgspec.structs.replace(
-            read, rows=list(changed.values()), kept=dict(self.kept_until_s)
-        )
+        changed += [self.rows[key] for key in self.kept_until_s]
+        return msgspec.structs.replace(read, rows=changed, kept=dict(self.kept_until_s))
 
     def to_snapshot(self) -> StoreUpdate:
         """Return an update that contains the full table."""
@@ -152,6 +149,20 @@
             dict(self.kept_until_s),
         )
 
+    def superseded_rows(self, update: StoreUpdate) -> list[StoredRow]:
+        """Return the values of an update that a later row of it replaces or removes.
+
+        Those up to the copy's version are left out.
+        """
+        latest = {row.key: row for row in update.rows}
+        return [
+            row
+            for row in update.rows
+            if row.value is not None
+            and row.value != latest[row.key].value
+            and row.version > self.version
+        ]
+
     def _apply_rows(self, update: StoreUpdate) -> list[StoredRow]:
         # A read has every change in order: the last change of a row counts.
         latest = {row.key: row for row in update.rows}
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -89,6 +89,8 @@
         self._probe_lock = asyncio.Lock()
         """Held during a probe: one table at a time is read while the store is down."""
         self.on_row: Callable[[RowChange], None] = lambda change: None
+        self.on_superseded: Callable[[RowChange], None] = lambda change: None
+        """Called with a value that a row had between two reads, and has no more."""
         self.on_restored: Callable[[str, set[str]], None] = lambda table, keys: None
         """Called with a table that moved to a later era, and its keys in that era."""
         self.reply: Callable[[DaemonId, StoreUpdate], None] = lambda daemon, update: (
@@ -351,6 +353,7 @@
         is_restored = copy.version > 0 and update.era > copy.era
         state.has_gap = False
         kept_before = set(copy.kept_until_s)
+        superseded = copy.superseded_rows(update)
         changed = copy.apply(update)
         for key in copy.kept_until_s.keys() - kept_before:
             self._core.events.warning(
@@ -358,6 +361,9 @@
             )
         if is_restored:
             self.on_restored(copy.name, set(copy.rows))
+        for row in superseded:
+            with contain_errors(self._core.events, "store.apply_row", row.key):
+                self.on_superseded(RowChange(row.key, row.value, row.version, source))
         self._notify_rows(state, changed, update.answered_s, source, is_restored)
 
     def handle_snapshot_request(self, request: SnapshotRequest) -> None:
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -6,11 +6,17 @@
 
 import pytest
 
-from chutelink.entry.messages import EndpointPlacement, PlacementUpdate
+from chutelink.entry.messages import (
+    EndpointPlacement,
+    PlacementUpdate,
+    StoredRow,
+    StoreUpdate,
+)
 from chutelink.entry.state import EntryState
 from chutelink.platform.adapter import PreparedMachinesAdapter
 from chutelink.quarantine.service import Quarantine
 from chutelink.watching.table_state import RowChange
+from chutelink.watching.watch import StoreWatch
 
 from ..fakes import make_core
 from .test_message_router import RouterHarness
@@ -160,3 +166,26 @@
     harness.apply_row("i-1", ROW | {"born": 2000})
     assert notified == ["i-1@1000"]
     assert harness.known.health.is_reachable("i-1", harness.core.clock())
+
+
+def test_version_of_an_endpoint_that_came_and_left_between_two_reads_is_kept():
+    harness = StateHarness()
+    watch = StoreWatch(harness.core, None, {"endpoints": 2.0}, lambda: 1, print)
+    watch.on_row = harness.known.apply_row
+    watch.on_superseded = harness.known.note_superseded_row
+    watch.apply_update(StoreUpdate("endpoints", 0, 1, 1.0), "d2")
+    came = StoredRow("endpoints/i-9", 2, ROW | {"version": "v2"})
+    left = StoredRow("endpoints/i-9", 3, None)
+    watch.apply_update(StoreUpdate("endpoints", 1, 3, 1.4, [came, left]), "d2")
+    assert not harness.known.endpoints.rows
+    versions = harness.known.endpoints.versions
+    assert versions.versions("s", harness.core.now_s) == {"v2"}
+
+
+def test_version_of_a_process_that_the_placer_says_was_replaced_is_kept():
+    harness = StateHarness()
+    harness.apply_row("i-1", ROW)
+    harness.known.endpoints.update_models("i-1", 3000, 1, {})
+    harness.apply_row("i-1", ROW | {"born": 2000, "version": "v2"})
+    versions = harness.known.endpoints.versions
+    assert "v2" in versions.versions("s", harness.core.now_s)
