Origins: a daemon that may have missed a version has no complete history

What callers saw: an unknown stream may go on at the only version that a daemon knows, though another one came, began streams and left while the daemon was cut off or stood still.

Cause: `has_full_history` stayed set for the life of the process. It says that all versions that served are known, and a full table that skips changes, or the removal of a row that was never read, shows that this may be wrong.

Change: `StoreWatch` reports both. A full table counts from 1 s on that it skips: all daemons get one when a single daemon has lost the store's history. After a restoration of the store, which all daemons see, what the peers that were asked know together is taken for all there is once links have settled, as after a first start. A daemon that has no peers misses nothing.

Evidence: with a lost history after 3 s, a resumption of an unknown stream went on (200, expected 503); with a history, or after 0.4 s, it still does. No message and no call is added unless changes were missed.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -245,6 +245,7 @@
         )
         self.watch.on_row = self._apply_row
         self.watch.on_superseded = self.known.note_superseded_row
+        self.watch.on_missed = self._handle_missed
         self.watch.on_restored = self._handle_restored
         self.watch.reply = self.router.reply
         self.watch.compact = self._adapter.compact_row
@@ -448,6 +449,10 @@
             return
         self.known.apply_row(change)
 
+    def _handle_missed(self, table: str, is_restored: bool) -> None:
+        if table == TABLE_ENDPOINTS:
+            self.origins.note_missed(is_restored=is_restored)
+
     def _handle_restored(self, table: str, keys: set[str]) -> None:
         if table == TABLE_QUARANTINE:
             self.quarantine_persistence.note_restored(keys)
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -83,6 +83,10 @@
         self._unfinished = UnfinishedStreams()
         self.recorder = StreamRecorder()
         self._created_s = core.clock()
+        self._complete_since_s = self._created_s
+        """Time from which on this daemon has seen all versions that serve."""
+        self._stored_read_s = float("-inf")
+        self._is_restored = False
         self._query_numbers = itertools.count(1)
         self._lookups: dict[int, Lookup] = {}
         self._has_history = False
@@ -99,36 +103,74 @@
 
     @property
     def has_full_history(self) -> bool:
-        """Whether this daemon knows the versions that left before its start."""
+        """Whether this daemon knows the versions that left before its start.
+
+        This includes those that came and left while it was out of step.
+        """
         if self._has_history or self.is_older_than_streams:
             return True
         return self.is_first_fleet and self.is_alone()
 
     @property
     def is_older_than_streams(self) -> bool:
-        """Whether this daemon started before each stream that can be resumed now."""
-        return self._core.clock() - self._created_s > RETENTION_S
+        """Whether it has seen all versions since each stream began that is resumed now.
+
+        Streams can be resumed for ``RETENTION_S``.
+        """
+        return self._core.clock() - self._complete_since_s > RETENTION_S
 
     @property
     def is_first_fleet(self) -> bool:
         """Whether no daemon has served before those that run now."""
         return self._stored is StoredHistory.ABSENT
 
+    @property
+    def lacks_stored(self) -> bool:
+        """Whether what daemons have stored has to be read (again)."""
+        is_read = self._stored_read_s >= self._complete_since_s
+        return not is_read and not self.has_full_history
+
+    def note_missed(self, *, is_restored: bool) -> None:
+        """Record that versions may have come and left without this daemon's knowledge.
+
+        What is stored is read again, and peers are asked again. After a restoration of
+        the store, all of them may lack a complete history. Then what they know together
+        is all there is, as an endpoint that was lost with the store had been read by
+        those that sent requests to it.
+        """
+        if self.is_alone():
+            # No other daemon has sent requests.
+            return
+        self._complete_since_s = self._core.clock()
+        self._has_history = False
+        self._stored = StoredHistory.OUTDATED
+        self._is_restored = is_restored
+        self._history_asked.clear()
+        self._history_answered.clear()
+        self._core.events.info("versions_missed", is_restored=is_restored)
+
     def apply_stored(
         self,
         state: StoredHistory,
         versions: dict[ServiceName, list[SoftwareVersion]],
         streams: Iterable[StreamOrigin] = (),
+        *,
+        read_s: float | None = None,
     ) -> None:
-        """Keep what daemons have stored, also those that have ended."""
+        """Keep what daemons have stored, also those that have ended.
+
+        ``read_s`` is the time at which the read began, now by default.
+        """
         self._add_recent(versions)
         now_s = self._core.clock()
         streams = list(streams)
         for origin in streams:
             self._table.put(origin, now_s, is_own=False)
         self._add_versions(streams)
-        self._stored = state
-        self._has_history |= state is StoredHistory.CURRENT
+        self._stored_read_s = now_s if read_s is None else read_s
+        if self._stored_read_s >= self._complete_since_s:
+            self._stored = state
+            self._has_history |= state is StoredHistory.CURRENT
         for lookup in self._lookups.values():
             lookup.changed.set()
 
@@ -156,10 +198,10 @@
         if self.has_full_history:
             return
         expected = self._history_asked & self.linked()
-        uptime_s = self._core.clock() - self._created_s
-        has_all_answers = expected <= self._history_answered and not self._may_link
-        has_waited = has_all_answers or uptime_s > HISTORY_TIMEOUT_S
-        if self.is_first_fleet and expected and has_waited:
+        waited_s = self._core.clock() - self._complete_since_s
+        has_all_answers = expected <= self._history_answered and waited_s >= LINKING_S
+        has_waited = has_all_answers or waited_s > HISTORY_TIMEOUT_S
+        if (self.is_first_fleet or self._is_restored) and expected and has_waited:
             self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
         for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -2,7 +2,7 @@
 
 The row of the versions that served is written when one appears or is no longer needed.
 While a service has several versions, its unfinished streams are stored, too. Daemons
-read the rows once, at their start.
+read the rows at their start, and again if they may have missed versions.
 """
 
 from __future__ import annotations
@@ -86,6 +86,17 @@
             await async_run_step(
                 self, self._core.events, "origins.save", self.async_save_if_due
             )
+            if self._manager.lacks_stored:
+                await async_run_step(
+                    self, self._core.events, "origins.load", self._async_reload
+                )
+
+    async def _async_reload(self) -> None:
+        """Read again what is stored, as this daemon may have missed versions."""
+        self._has_loaded = False
+        await self._async_try_load()
+        if not self._has_loaded:
+            await self.sleep(STORE_RETRY_S)
 
     async def _async_try_load(self) -> None:
         try:
@@ -95,13 +106,14 @@
             self._core.events.warning("stored_origins_not_read", error=error)
 
     async def async_load(self) -> None:
-        """Read what daemons have stored before this one started.
+        """Read what daemons have stored, also those before this one.
 
         Raises
         ------
         PlatformUnavailable
             The rows could not be read.
         """
+        read_s = self._core.clock()
         page = await self._table.async_read(PREFIX_ORIGINS)
         row = self._decode_versions(page)
         state = state_of(row, page.era)
@@ -113,7 +125,7 @@
             streams=len(streams),
         )
         versions = {} if row is None else row.services
-        self._manager.apply_stored(state, versions, streams)
+        self._manager.apply_stored(state, versions, streams, read_s=read_s)
 
     def _decode_streams(self, page: RowPage) -> list[StreamOrigin]:
         streams: list[StreamOrigin] = []
--- a/chutelink/watching/table_state.py
+++ b/chutelink/watching/table_state.py
@@ -49,7 +49,8 @@
     latest answer that this daemon knows of, its own or a peer's, and of the first one
     after an outage. ``latest_era`` is the era of the latest answer. ``has_gap`` is set
     when an update from a peer could not be applied because the copy lacks changes
-    that precede it. ``outlasts_restore`` is passed on to the copy.
+    that precede it. ``known_as_of_s`` is a time of this daemon's clock, as of which the
+    copy is known to be current. ``outlasts_restore`` is passed on to the copy.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.latest_era = NO_ERA
         self.recovered_s = float("-inf")
         self.has_gap = False
+        self.known_as_of_s = float("-inf")
         self.snapshot_sent_s = float("-inf")
         self.refresh_lock = asyncio.Lock()
         """Held during a read on demand, which serves all callers that wait for it."""
--- a/chutelink/watching/tablecopy.py
+++ b/chutelink/watching/tablecopy.py
@@ -163,6 +163,19 @@
             and row.version > self.version
         ]
 
+    def has_unread_values(self, update: StoreUpdate) -> bool:
+        """Return whether rows had values that neither this copy nor the update has.
+
+        Daemons of earlier releases send only the removal of a row that came and left.
+        """
+        known = set(self.rows)
+        for row in update.rows:
+            if row.value is not None:
+                known.add(row.key)
+            elif row.version > self.version and row.key not in known:
+                return True
+        return False
+
     def _apply_rows(self, update: StoreUpdate) -> list[StoredRow]:
         # A read has every change in order: the last change of a row counts.
         latest = {row.key: row for row in update.rows}
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -43,6 +43,14 @@
 """
 
 
+MAX_SKIPPED_S = 1.0
+"""Time that a full table may skip without being taken for a missing history.
+
+When one daemon has lost the history, all others get a full table from it; the copies of
+those in touch are more recent than this.
+"""
+
+
 class StoreWatch(Service):
     """Keeps copies of tables up to date and reports changed rows to callbacks.
 
@@ -91,6 +99,12 @@
         self.on_row: Callable[[RowChange], None] = lambda change: None
         self.on_superseded: Callable[[RowChange], None] = lambda change: None
         """Called with a value that a row had between two reads, and has no more."""
+        self.on_missed: Callable[[str, bool], None] = lambda table, is_restored: None
+        """Called with a table whose rows may have had values that were never read.
+
+        The second value says whether that is so as the store was restored, which other
+        daemons see at the same time.
+        """
         self.on_restored: Callable[[str, set[str]], None] = lambda table, keys: None
         """Called with a table that moved to a later era, and its keys in that era."""
         self.reply: Callable[[DaemonId, StoreUpdate], None] = lambda daemon, update: (
@@ -354,18 +368,37 @@
         state.has_gap = False
         kept_before = set(copy.kept_until_s)
         superseded = copy.superseded_rows(update)
+        has_missed = self._has_missed(state, update)
         changed = copy.apply(update)
+        age_s = self._age_s(update.answered_s)
+        state.known_as_of_s = max(state.known_as_of_s, self._core.clock() - age_s)
         for key in copy.kept_until_s.keys() - kept_before:
             self._core.events.warning(
                 "store_row_kept", key=key, version=update.version, source=source
             )
         if is_restored:
             self.on_restored(copy.name, set(copy.rows))
+        if has_missed:
+            self._core.events.info(
+                "store_changes_missed", table=copy.name, version=copy.version
+            )
+            self.on_missed(copy.name, is_restored)
         for row in superseded:
             with contain_errors(self._core.events, "store.apply_row", row.key):
                 self.on_superseded(RowChange(row.key, row.value, row.version, source))
         self._notify_rows(state, changed, update.answered_s, source, is_restored)
 
+    def _has_missed(self, state: TableState, update: StoreUpdate) -> bool:
+        """Return whether rows may have come and left between a copy and an update."""
+        copy = state.copy
+        if not copy.version:
+            return False
+        if not update.is_whole:
+            return copy.has_unread_values(update)
+        if (update.era, update.version) == (copy.era, copy.version):
+            return False
+        return self._core.clock() - state.known_as_of_s > MAX_SKIPPED_S
+
     def handle_snapshot_request(self, request: SnapshotRequest) -> None:
         """Send the full table to a daemon that can't reach the store."""
         state = self._tables.get(request.table)
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -9,14 +9,20 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from chutelink.entry.endpoints import EndpointTable
 from chutelink.ids import FIRST_ERA
 from chutelink.origins.const import (
     HISTORY_TIMEOUT_S,
+    LINKING_S,
     REFRESH_PERIOD_S,
+    RETENTION_S,
     SAVE_STREAMS_PERIOD_S,
     SHARE_PERIOD_S,
 )
+from chutelink.origins.manager import OriginManager
+from chutelink.origins.stored import StoredHistory
 
+from ..fakes import make_core
 from ..virtual_time import VirtualTimeLoop, run_in_virtual_time
 from .version_world import Stream, World
 
@@ -349,6 +355,44 @@
     run_in_virtual_time(async_test())
 
 
+@pytest.mark.parametrize("is_restored", [False, True])
+def test_daemon_that_missed_versions_learns_them_from_peers_and_goes_on(is_restored):
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=2)
+        await asyncio.sleep(RETENTION_S + 1.0)
+        for daemon in world.daemons.values():
+            if is_restored or daemon.name == "d0":
+                daemon.origins.note_missed(is_restored=is_restored)
+        missed = world.daemons["d0"].origins
+        missed.versions._usages.clear()
+        missed.versions.add("llm", "v1")
+        assert not missed.has_full_history
+        assert not await world.async_resume("d0", Stream("unknown", {"v2"}))
+        for _ in range(2):
+            for daemon in world.daemons.values():
+                daemon.origins.request_history()
+            await asyncio.sleep(LINKING_S)
+        missed.request_history()
+        assert missed.has_full_history
+        assert missed.versions.versions("llm", world.loop.time()) == {"v1", "v2"}
+
+    run_in_virtual_time(async_test())
+
+
+def test_what_was_stored_before_a_version_was_missed_is_not_all_there_is():
+    core = make_core()
+    origins = OriginManager(core, EndpointTable().versions)
+    origins.is_alone = lambda: False
+    origins.apply_stored(StoredHistory.CURRENT, {})
+    core.now_s += 1.0
+    origins.note_missed(is_restored=False)
+    origins.apply_stored(StoredHistory.CURRENT, {}, read_s=core.now_s - 0.5)
+    assert not origins.has_full_history and origins.lacks_stored
+    origins.apply_stored(StoredHistory.CURRENT, {"llm": ["v2"]}, read_s=core.now_s)
+    assert origins.has_full_history and not origins.lacks_stored
+    assert origins.versions.versions("llm", core.now_s) == {"v2"}
+
+
 def test_nothing_is_sent_for_streams_while_one_version_serves():
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -7,8 +7,11 @@
 import pytest
 
 from chutelink.origins.messages import OriginUpdate, StreamOrigin
+from chutelink.origins.stored import StoredHistory
 from chutelink.watching.table_state import TableFreshness
+from chutelink.watching.watch import StoreWatch
 
+from ..watching.test_watch import ScriptedTable
 from .relay_harness import RelayHarness, async_relay_harness
 from .test_software_versions import STREAM, async_add, async_events
 
@@ -73,3 +76,60 @@
             assert (status, outcome) == (503, "not-run")
 
     asyncio.run(async_test())
+
+
+class ScriptedEndpoints(ScriptedTable):
+    """A store whose clock goes with the daemon's."""
+
+    def __init__(self, harness: RelayHarness) -> None:
+        self._harness = harness
+        super().__init__()
+
+    @property
+    def now_s(self) -> float:
+        return self._harness.core.clock() + 900.0
+
+    @now_s.setter
+    def now_s(self, value: float) -> None:
+        pass
+
+
+def make_watch(harness: RelayHarness) -> tuple[ScriptedTable, StoreWatch]:
+    """Return a store, and the daemon's copy of its endpoints."""
+    table = ScriptedEndpoints(harness)
+    watch = StoreWatch(harness.core, table, {"endpoints": 2.0}, lambda: 3, print)
+    origins = harness.dispatcher.versions._origins
+    watch.on_row = harness.state.apply_row
+    watch.on_missed = lambda table, is_restored: origins.note_missed(
+        is_restored=is_restored
+    )
+    origins.is_alone = lambda: False
+    origins.apply_stored(StoredHistory.CURRENT, {})
+    harness.dispatcher.knowledge = lambda: watch.knowledge("endpoints")
+    harness.dispatcher.refresh_endpoints = lambda as_of_s, limit_s: watch.async_refresh(
+        "endpoints", as_of_s, limit_s
+    )
+    return table, watch
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "keeps_history", "status"),
+    [(0.4, False, 200), (3.0, False, 503), (3.0, True, 200)],
+)
+def test_version_may_have_come_and_left_unless_the_store_has_all_changes(
+    pause_s, keeps_history, status
+):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await async_add(harness, "i-1", "v1")
+            table, watch = make_watch(harness)
+            table.put("endpoints/i-1", endpoint.registration() | {"zone": "zone-a"})
+            await watch.async_refresh("endpoints", harness.core.clock(), 1.0)
+            clock = harness.core.clock
+            harness.core.clock = lambda: clock() + pause_s
+            table.version += 2
+            table.keeps_history = keeps_history
+            assert (await async_resume(harness))[0] == status
+
+    asyncio.run(async_test())
--- a/tests/watching/test_tablecopy.py
+++ b/tests/watching/test_tablecopy.py
@@ -63,6 +63,17 @@
     assert other.apply(sent) == [StoredRow("a", 8, "x")]
 
 
+def test_removal_of_a_row_that_was_never_read_shows_that_a_value_is_missing():
+    copy = make_copy(5, StoredRow("a", 4, "x"))
+    removal = StoredRow("b", 7, None)
+    assert copy.has_unread_values(table_update(5, 7, removal))
+    assert not copy.has_unread_values(table_update(5, 7, StoredRow("a", 7, None)))
+    came = StoredRow("b", 6, "y")
+    assert not copy.has_unread_values(table_update(5, 7, came, removal))
+    copy.apply(table_update(5, 7, removal))
+    assert not copy.has_unread_values(table_update(6, 8, removal))
+
+
 def test_changes_received_during_read_are_included_in_update():
     """A copy at the base version of the read may not have received them."""
     reader = make_copy(5, StoredRow("a", 4, "x"))
