Resumptions: an endpoint that the placer names has a version, read or not

What callers saw: with the store out of reach, an unknown stream goes on at the only version that this daemon and the owners of its record know, though the placer has named an endpoint whose registration was never read here.

Cause: a placement of an unknown endpoint was discarded. That there is another process, of an unknown version, was heard and not used.

Change: the time at which it was named is kept. Answers of peers show no single version before the registrations are known as of then: the endpoint's version is known by then, or it has left unread, and the history is incomplete. Streams whose version is known, and new ones, are not affected, as the processes of known endpoints are known as before.

--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -234,6 +234,8 @@
 
         A daemon that stood still handles messages that were sent long before.
         """
+        self.unread_named_s = float("-inf")
+        """When the placer last named an endpoint whose registration was never read."""
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
         )
@@ -316,6 +318,11 @@
             row = self._restart(row, record)
         row.update_models(sequence, models)
 
+    def note_named(self, endpoint: EndpointId, born_ms: int, now_s: float) -> None:
+        """Record that the placer has named an endpoint process."""
+        if endpoint not in self.rows and not self._removed.has(endpoint, born_ms):
+            self.unread_named_s = now_s
+
     def note_placer(self, sent_s: float) -> None:
         """Record a message of the placer with the time at which it was sent."""
         self.placer_known_as_of_s = max(self.placer_known_as_of_s, sent_s)
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -251,6 +251,9 @@
                 self._known.endpoints.update_models(
                     placement.endpoint, placement.born_ms, placement.sequence, models
                 )
+                self._known.endpoints.note_named(
+                    placement.endpoint, placement.born_ms, self._core.clock()
+                )
         self._pending.take(
             message.loads, message.term, self._core.clock(), message.queued
         )
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -154,7 +154,8 @@
         if known.origin is not None or is_single:
             return known, confirmation
         lookup = await self._origins.async_find(resumes, service)
-        if not is_current and self._origins.has_answers(lookup):
+        has_answers = self._origins.has_answers(lookup) and not self._has_unread()
+        if not is_current and has_answers:
             confirmation = Confirmation.PEERS
         return lookup, confirmation
 
@@ -163,6 +164,14 @@
         knowledge = self._knowledge()
         return knowledge is None or knowledge.age_s <= self._core.clock() - since_s
 
+    def _has_unread(self) -> bool:
+        """Return whether there is an endpoint whose registration was never read.
+
+        Once the registrations are known as of the time at which the placer named it,
+        its version is known, or it has left and the history is incomplete.
+        """
+        return not self._is_current(self._table.unread_named_s)
+
     def _is_informed(self) -> bool:
         """Return whether this daemon knows the processes of the endpoints.
 
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -6,11 +6,13 @@
 
 import pytest
 
-from chutelink.origins.messages import OriginUpdate, StreamOrigin
+from chutelink.entry.messages import EndpointPlacement, PlacementUpdate
+from chutelink.origins.messages import OriginAnswer, OriginUpdate, StreamOrigin
 from chutelink.origins.stored import StoredHistory
 from chutelink.watching.table_state import TableFreshness
 from chutelink.watching.watch import StoreWatch
 
+from ..entry.test_message_router import RouterHarness
 from ..watching.test_watch import ScriptedTable
 from .relay_harness import RelayHarness, async_relay_harness
 from .test_software_versions import STREAM, async_add, async_events
@@ -78,6 +80,45 @@
     asyncio.run(async_test())
 
 
+def add_peers(harness: RelayHarness, answering: int, versions: list[str]) -> None:
+    """Let some of four other daemons answer, each with a complete history."""
+    origins = harness.dispatcher.versions._origins
+    names = [f"d{number}" for number in range(2, 6)]
+
+    def send(to, query):
+        if to in names[:answering]:
+            answer = OriginAnswer(to, query.number, None, versions, True)
+            asyncio.get_running_loop().call_soon(origins.handle_message, answer)
+
+    origins.domains = lambda: dict.fromkeys(names, "zone-b")
+    origins.linked = lambda: set(names)
+    origins.send = send
+
+
+@pytest.mark.parametrize(
+    ("is_named", "versions", "status"),
+    [(False, ["v1"], 200), (True, ["v1"], 503), (False, ["v1", "v2"], 503)],
+)
+def test_peers_confirm_the_version_unless_the_placer_names_an_unread_endpoint(
+    is_named, versions, status
+):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add(harness, "i-1", "v1")
+            fall_behind(harness, 0.9)
+            add_peers(harness, 4, versions)
+            if is_named:
+                placement = EndpointPlacement("i-9", 1, {"m0": []}, 3)
+                router = RouterHarness()
+                router.router._known = harness.state
+                router.core.clock = harness.core.clock
+                router.deliver(PlacementUpdate("d2", 1, [placement], []))
+            assert (await async_resume(harness))[0] == status
+
+    asyncio.run(async_test())
+
+
 class ScriptedEndpoints(ScriptedTable):
     """A store whose clock goes with the daemon's."""
 
