--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -154,7 +154,8 @@
         if known.origin is not None or is_single:
             return known, confirmation
         lookup = await self._origins.async_find(resumes, service)
-        if not is_current and self._origins.has_answers(lookup):
+        has_answers = self._origins.has_answers(lookup) and not self._has_unread()
+        if not is_current and has_answers:
             confirmation = Confirmation.PEERS
         return lookup, confirmation
 
@@ -163,17 +164,26 @@
         knowledge = self._knowledge()
         return knowledge is None or knowledge.age_s <= self._core.clock() - since_s
 
+    def _has_unread(self) -> bool:
+        """Return whether there is an endpoint whose registration was never read.
+
+        Once the registrations are known as of the time at which the placer named it,
+        its version is known, or it has left and the history is incomplete.
+        """
+        return not self._is_current(self._table.unread_named_s)
+
     def _is_informed(self) -> bool:
         """Return whether this daemon knows the processes of the endpoints.
 
         Endpoints may restart with another version under the same id. Registrations and
         the placer's messages show it before the new process has a model; a daemon that
-        is cut off from both may take the new process for the old one.
+        is cut off from both may take the new process for the old one. Both count as of
+        the time at which they were read or sent.
         """
         knowledge = self._knowledge()
         if knowledge is None or knowledge.age_s <= MAX_KNOWLEDGE_AGE_S:
             return True
-        silent_s = self._core.clock() - self._table.last_placer_message_s
+        silent_s = self._core.clock() - self._table.placer_known_as_of_s
         return silent_s <= MAX_KNOWLEDGE_AGE_S
 
     def _note_decision(
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -10,13 +10,14 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable
 from typing import Any
 
 from mode import Service
 
 from ..core import Application
-from ..entry.messages import SnapshotRequest, StoredRow, StoreUpdate
+from ..entry.messages import SnapshotRequest, StoredRow, StoreTime, StoreUpdate
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId, StoreEra
 from ..steps import async_run_step, contain_errors
@@ -42,6 +43,14 @@
 """
 
 
+MAX_SKIPPED_S = 1.0
+"""Time that a full table may skip without being taken for a missing history.
+
+When one daemon has lost the history, all others get a full table from it; the copies of
+those in touch are more recent than this.
+"""
+
+
 class StoreWatch(Service):
     """Keeps copies of tables up to date and reports changed rows to callbacks.
 
@@ -88,6 +97,14 @@
         self._probe_lock = asyncio.Lock()
         """Held during a probe: one table at a time is read while the store is down."""
         self.on_row: Callable[[RowChange], None] = lambda change: None
+        self.on_superseded: Callable[[RowChange], None] = lambda change: None
+        """Called with a value that a row had between two reads, and has no more."""
+        self.on_missed: Callable[[str, bool], None] = lambda table, is_restored: None
+        """Called with a table whose rows may have had values that were never read.
+
+        The second value says whether that is so as the store was restored, which other
+        daemons see at the same time.
+        """
         self.on_restored: Callable[[str, set[str]], None] = lambda table, keys: None
         """Called with a table that moved to a later era, and its keys in that era."""
         self.reply: Callable[[DaemonId, StoreUpdate], None] = lambda daemon, update: (
@@ -124,6 +141,17 @@
     def _age_s(self, answered_s: float) -> float:
         return self._store_clock.max_age_s(answered_s, self._core.clock())
 
+    def store_time(self) -> StoreTime | None:
+        """Return the earliest time that the store's clock may show, if it is known."""
+        time_s = self._store_clock.min_time_s(self._core.clock())
+        return StoreTime(time_s, self.era) if math.isfinite(time_s) else None
+
+    def max_age_s(self, time: StoreTime | None) -> float:
+        """Return how long ago a time was at most; infinite if that is unknown."""
+        if time is None or time.era != self.era:
+            return math.inf
+        return self._age_s(time.time_s)
+
     async def async_refresh(self, name: str, as_of_s: float, limit_s: float) -> None:
         """Read a table unless its copy is known to be current as of a time.
 
@@ -339,15 +367,38 @@
         is_restored = copy.version > 0 and update.era > copy.era
         state.has_gap = False
         kept_before = set(copy.kept_until_s)
+        superseded = copy.superseded_rows(update)
+        has_missed = self._has_missed(state, update)
         changed = copy.apply(update)
+        age_s = self._age_s(update.answered_s)
+        state.known_as_of_s = max(state.known_as_of_s, self._core.clock() - age_s)
         for key in copy.kept_until_s.keys() - kept_before:
             self._core.events.warning(
                 "store_row_kept", key=key, version=update.version, source=source
             )
         if is_restored:
             self.on_restored(copy.name, set(copy.rows))
+        if has_missed:
+            self._core.events.info(
+                "store_changes_missed", table=copy.name, version=copy.version
+            )
+            self.on_missed(copy.name, is_restored)
+        for row in superseded:
+            with contain_errors(self._core.events, "store.apply_row", row.key):
+                self.on_superseded(RowChange(row.key, row.value, row.version, source))
         self._notify_rows(state, changed, update.answered_s, source, is_restored)
 
+    def _has_missed(self, state: TableState, update: StoreUpdate) -> bool:
+        """Return whether rows may have come and left between a copy and an update."""
+        copy = state.copy
+        if not copy.version:
+            return False
+        if not update.is_whole:
+            return copy.has_unread_values(update)
+        if (update.era, update.version) == (copy.era, copy.version):
+            return False
+        return self._core.clock() - state.known_as_of_s > MAX_SKIPPED_S
+
     def handle_snapshot_request(self, request: SnapshotRequest) -> None:
         """Send the full table to a daemon that can't reach the store."""
         state = self._tables.get(request.table)
--- a/tests/watching/test_tablecopy.py
+++ b/tests/watching/test_tablecopy.py
@@ -48,7 +48,7 @@
 
 
 def test_reverted_row_is_included_in_update():
-    """A copy of a version in between has the other value."""
+    """A copy of a version in between has the other value, others never had it."""
     reader = make_copy(5, StoredRow("a", 4, "x"), StoredRow("b", 5, "x"))
     other = make_copy(5, StoredRow("a", 4, "x"), StoredRow("b", 5, "x"))
     other.apply_read(table_update(5, 7, StoredRow("a", 7, "y")))
@@ -57,10 +57,23 @@
     read = table_update(5, 8, heartbeat, StoredRow("a", 7, "y"), StoredRow("a", 8, "x"))
     assert reader.apply_read(read) == []
     sent = reader.make_update(read, before)
-    assert sent.rows == [StoredRow("a", 8, "x")]
+    assert sent.rows == [StoredRow("a", 7, "y"), StoredRow("a", 8, "x")]
+    assert make_copy(5).superseded_rows(sent) == [StoredRow("a", 7, "y")]
+    assert other.superseded_rows(sent) == []
     assert other.apply(sent) == [StoredRow("a", 8, "x")]
 
 
+def test_removal_of_a_row_that_was_never_read_shows_that_a_value_is_missing():
+    copy = make_copy(5, StoredRow("a", 4, "x"))
+    removal = StoredRow("b", 7, None)
+    assert copy.has_unread_values(table_update(5, 7, removal))
+    assert not copy.has_unread_values(table_update(5, 7, StoredRow("a", 7, None)))
+    came = StoredRow("b", 6, "y")
+    assert not copy.has_unread_values(table_update(5, 7, came, removal))
+    copy.apply(table_update(5, 7, removal))
+    assert not copy.has_unread_values(table_update(6, 8, removal))
+
+
 def test_changes_received_during_read_are_included_in_update():
     """A copy at the base version of the read may not have received them."""
     reader = make_copy(5, StoredRow("a", 4, "x"))
