Shutdown: read what callers have sent before closing idle connections

Callers saw a connection reset without an answer up to two seconds after they had sent a whole request on a kept connection of a daemon that was stopping.

Cause: close_idle takes a connection for idle if aiohttp has parsed no request on it. In a daemon with little processor time, a request waits in the socket for as long as the event loop lags, and the connection was closed over it. The close itself also took effect only in a later iteration of the loop, so requests that arrived in between met the same end.

A connection whose socket holds unread data is left open, so that the request is read and answered or refused. One that is closed is shut down at once, so that its caller notices before it sends another request.

Both tests failed before: "assert 0 == 1" (remaining connections) and "assert []" (the caller's socket is not readable).

--- a/chutelink/connections.py
+++ b/chutelink/connections.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
+
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 
 def close_idle(server: web.Server) -> int:
-    """Close the connections that wait for a request.
+    """Close the connections on which no request has arrived.
 
     This replaces the server's ``pre_shutdown``, which leaves idle connections open and
     discards data received on any connection, including the rest of a request body.
@@ -20,13 +26,31 @@
     Returns
     -------
     int
-        Number of remaining connections, on each of which a request was received.
+        Number of remaining connections, on each of which data was received.
     """
     connections = server.connections
-    idle = [connection for connection in connections if _is_idle(connection)]
-    for connection in idle:
-        connection.force_close()
-    return len(connections) - len(idle)
+    return len(connections) - sum(_close_if_idle(c) for c in connections)
+
+
+def _close_if_idle(connection: RequestHandler) -> bool:
+    """Close a connection on which no request has arrived; return whether it is closed.
+
+    The kernel may hold data that a slow or suspended process has yet to read. The
+    caller can't tell later whether its request was read.
+    """
+    if not _is_idle(connection):
+        return False
+    transport = connection.transport
+    if transport is not None and not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        if _unread_bytes(sock.fileno()):
+            return False
+        if not transport.get_write_buffer_size():
+            # The transport closes the socket in a later iteration of the event loop,
+            # before which the next request may arrive.
+            _shut_down(sock)
+    connection.force_close()
+    return True
 
 
 def _is_idle(connection: RequestHandler) -> bool:
@@ -38,3 +62,15 @@
     """
     waiter = connection._waiter
     return waiter is not None and not waiter.done()
+
+
+def _unread_bytes(descriptor: int) -> int:
+    """Return how many received bytes of a socket have not been read."""
+    count = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(struct.calcsize("i")))
+    return struct.unpack("i", count)[0]
+
+
+def _shut_down(sock: socket.socket) -> None:
+    """Tell the caller at once that its connection ends."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from contextlib import asynccontextmanager
 
 import pytest
@@ -56,7 +57,7 @@
 
     async def async_test():
         async with async_server_harness() as harness:
-            harness.close_idle()
+            assert harness.close_idle() == 0
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 assert await harness.reader.read() == b""
 
@@ -114,3 +115,34 @@
             assert answer.endswith(b"done body")
 
     asyncio.run(async_test())
+
+
+def test_request_not_yet_read_is_answered():
+    """A slow daemon used to close the connection up to seconds after the request."""
+
+    async def async_test():
+        async with async_server_harness() as harness:
+            harness.may_answer.set()
+            await asyncio.sleep(0.01)
+            harness.writer.write(HEAD + b"body")
+            assert harness.close_idle() == 1
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                answer = await harness.reader.read()
+            assert answer.endswith(b"done body")
+
+    asyncio.run(async_test())
+
+
+def test_caller_notices_a_closed_connection_before_a_slow_event_loop_goes_on():
+    """A request sent meanwhile was cut off without an answer, seconds later."""
+
+    async def async_test():
+        async with async_server_harness() as harness:
+            await asyncio.sleep(0.01)
+            sock = harness.writer.get_extra_info("socket")
+            harness.close_idle()
+            # Nothing of the server's event loop runs in between.
+            readable, _, _ = select.select([sock.fileno()], [], [], RESPONSE_TIMEOUT_S)
+            assert readable
+
+    asyncio.run(async_test())
