Shutdown: accept the connections that callers have opened before

Callers that opened a connection to a stopping daemon and sent a request had it reset without an answer about a second later.

Cause: the kernel completes connections on behalf of a process that has no processor time, and receives a request on each. The daemon closed its listening socket over those that it had not accepted yet, which resets them. Besides, asyncio drops a connection if its listener closes between accept and the next iteration of the loop (an assertion in Server._attach that it swallows), and the wait of 50 ms that was to cover this ends after one iteration if the loop lags.

The listener now stops accepting in the loop, lets started accepts finish, takes what waits in the kernel's queue, and closes at once after that. The requests are answered, or refused if they can't finish. The server for operators and gateways does the same.

The test's sequence, with the listener closed as before, got ECONNRESET with 0 and 1 iterations after the connect, and no answer with 2.

--- a/chutelink/connections.py
+++ b/chutelink/connections.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -11,6 +13,49 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+ACCEPT_ITERATIONS = 4
+"""Iterations of the event loop in which a listener accepts a connection."""
+
+
+async def async_close_listener(listener: asyncio.Server, server: web.Server) -> None:
+    """Stop listening, and accept the connections that callers have opened before.
+
+    The kernel completes connections, and receives requests on them, on behalf of a slow
+    or suspended process. It resets those that are not accepted when the socket closes.
+
+    Parameters
+    ----------
+    listener : asyncio.Server
+        Listener that is closed.
+    server : web.Server
+        Server that handles its connections.
+    """
+    loop = asyncio.get_running_loop()
+    for bound in listener.sockets:
+        loop.remove_reader(bound.fileno())
+    # asyncio drops a connection if its listener closes while it is being accepted.
+    for _ in range(ACCEPT_ITERATIONS):
+        await asyncio.sleep(0)
+    accepted = [sock for bound in listener.sockets for sock in _accept_all(bound)]
+    listener.close()
+    connecting = [loop.connect_accepted_socket(server, sock) for sock in accepted]
+    # A connection that its caller has closed meanwhile may fail.
+    await asyncio.gather(*connecting, return_exceptions=True)
+
+
+def _accept_all(bound: asyncio.trsock.TransportSocket) -> list[socket.socket]:
+    """Accept all connections that wait at a listening socket."""
+    accepted: list[socket.socket] = []
+    with socket.socket(fileno=os.dup(bound.fileno())) as listening:
+        listening.setblocking(False)
+        # Also ends if no file descriptor is left.
+        with contextlib.suppress(OSError):
+            while True:
+                accepted.append(listening.accept()[0])
+    for sock in accepted:
+        sock.setblocking(False)
+    return accepted
+
 
 def close_idle(server: web.Server) -> int:
     """Close the connections on which no request has arrived.
--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -17,7 +17,7 @@
 
 from . import __version__
 from .clock import BoottimeLoop, now_s
-from .connections import close_idle
+from .connections import async_close_listener, close_idle
 from .const import MAX_HEADER_BYTES
 from .exceptions import ChutelinkError, SettingsError
 from .ids import BootId, DaemonId, make_id
@@ -65,7 +65,7 @@
         self.drain_requested_s = float("inf")
         self.session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
 
     async def on_start(self) -> None:
         """Open the HTTP session, start the services, then listen."""
@@ -100,6 +100,8 @@
 
     async def on_shutdown(self) -> None:
         """Close the server and the session after the services have stopped."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
         if self.session is not None:
@@ -144,16 +146,16 @@
             max_field_size=MAX_HEADER_BYTES,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner, self.daemon.address, self.daemon.port, reuse_address=True
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._runner.server,
+            self.daemon.address,
+            self.daemon.port,
+            reuse_address=True,
         )
-        await self._site.start()
 
     async def async_close_server(self) -> None:
         """Stop accepting connections, and close each as soon as it is idle."""
-        await self._site.stop()
-        # Sockets just accepted become connections in the next loop iterations.
-        await asyncio.sleep(CLOSE_POLL_S)
+        await async_close_listener(self._listener, self._runner.server)
         while close_idle(self._runner.server):
             await asyncio.sleep(CLOSE_POLL_S)
 
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -10,7 +10,7 @@
 from mode import Service
 
 from ..coldstart.grants import ColdGrantManager
-from ..connections import close_idle
+from ..connections import async_close_listener, close_idle
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
 from ..customers.buckets import QuotaBounds
@@ -178,7 +178,7 @@
         self.router: MessageRouter | None = None
         self._upstream: Upstream | None = None
         self._caller_server: web.Server | None = None
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[tuple[asyncio.Server, web.Server]] = []
 
     async def async_setup_parts(self) -> None:
         """Create and connect the components, then start them."""
@@ -381,7 +381,7 @@
             listener = await loop.create_server(
                 server, host, port_of(listen), backlog=ACCEPT_QUEUE, reuse_address=True
             )
-        self._listeners.append(listener)
+        self._listeners.append((listener, server))
 
     def add_routes(self, app: web.Application) -> None:
         """Add the HTTP routes for operators."""
@@ -524,10 +524,8 @@
         cache_end_s = min(grace_end_s, self.clock() + cache_s * CACHE_TIME_MARGIN)
         while self.clock() < cache_end_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        for listener in self._listeners:
-            listener.close()
-        # Sockets accepted just now become connections in the next loop iterations.
-        await asyncio.sleep(DRAIN_POLL_S)
+        for listener, server in self._listeners:
+            await async_close_listener(listener, server)
         while close_idle(self._caller_server) and self.clock() < grace_end_s:
             if self.clock() > grace_end_s - REFUSE_WAITING_LEAD_S:
                 self.callers.stop_waiting()
@@ -536,7 +534,7 @@
 
     async def on_shutdown(self) -> None:
         """Close listeners and connections after the components have stopped."""
-        for listener in self._listeners:
+        for listener, _ in self._listeners:
             listener.close()
         await self.partition.async_close()
         if self._upstream is not None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import select
+import socket
+import time
 from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import web
 
-from chutelink.connections import close_idle
+from chutelink.connections import async_close_listener, close_idle
 
 HEAD = b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
 RESPONSE_TIMEOUT_S = 2.0
@@ -38,11 +40,11 @@
 @asynccontextmanager
 async def async_server_harness():
     harness = ServerHarness()
-    listener = await asyncio.get_running_loop().create_server(
+    harness.listener = listener = await asyncio.get_running_loop().create_server(
         harness.server, "127.0.0.1", 0
     )
-    port = listener.sockets[0].getsockname()[1]
-    harness.reader, harness.writer = await asyncio.open_connection("127.0.0.1", port)
+    harness.address = listener.sockets[0].getsockname()
+    harness.reader, harness.writer = await asyncio.open_connection(*harness.address)
     while not harness.server.connections:
         await asyncio.sleep(0.001)
     try:
@@ -146,3 +148,25 @@
             assert readable
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("loop_iterations", range(4))
+def test_request_on_new_connection_is_answered_by_a_stopping_server(loop_iterations):
+    """A slow daemon used to reset it, or to end before it had read the request."""
+
+    async def async_test():
+        async with async_server_harness() as harness:
+            harness.may_answer.set()
+            with socket.create_connection(harness.address) as client:
+                client.sendall(HEAD + b"body")
+                client.setblocking(False)
+                for _ in range(loop_iterations):
+                    await asyncio.sleep(0)
+                asyncio.get_running_loop().call_soon(time.sleep, 0.06)
+                await async_close_listener(harness.listener, harness.server)
+                while harness.close_idle():
+                    await asyncio.sleep(0.01)
+                answer = client.recv(1000)
+            assert answer.endswith(b"done body")
+
+    asyncio.run(async_test())
