Resumptions: a minority of the daemons doesn't confirm a version

What callers saw: two daemons that are cut off together, one of which places models, let unknown streams go on at the only version that they know. The others had begun them at a new one.

Cause: answers of all asked daemons that are still linked confirmed the version, also if most daemons were out of reach.

No message is added.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -506,7 +506,7 @@
         self.known.expire()
         self.known.update_prefixes()
         self.known.cold.update()
-        self.origins.request_history()
+        self.origins.update()
         self.known.endpoints.forget_silent(self.clock())
 
     def _report_load(self) -> None:
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -60,8 +60,10 @@
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
     def is_answered_by(self, linked: set[DaemonId]) -> bool:
-        """Return whether all asked daemons that are still linked have answered."""
-        return bool(self.answered) and self.asked & linked <= self.answered
+        """Return whether most asked daemons and all that are linked have answered."""
+        has_most = 2 * (len(self.answered) + 1) > len(self.asked) + 1
+        is_complete = self.asked & linked <= self.answered
+        return bool(self.answered) and has_most and is_complete
 
 
 class OriginManager:
@@ -93,6 +95,8 @@
         self._stored = StoredHistory.UNREAD
         self._history_asked: set[DaemonId] = set()
         self._history_answered: set[DaemonId] = set()
+        self._served_s: dict[DaemonId, float] = {}
+        """When each daemon was last known to serve callers."""
         self.domains: Callable[[], dict[DaemonId, FailureDomainName]] = dict
         """Returns the daemons that serve callers, with their failure domains."""
         self.linked: Callable[[], set[DaemonId]] = set
@@ -323,8 +327,27 @@
         return Lookup(origin, versions, self.has_full_history)
 
     def has_answers(self, lookup: Lookup) -> bool:
-        """Return whether no daemon that was asked may still know of another version."""
-        return lookup.is_answered_by(self.linked())
+        """Return whether no daemon may know of another version, as the others say.
+
+        A few daemons that are cut off together don't know what the others have begun.
+        """
+        linked = self.linked()
+        reached = self._served_s.keys() & (linked | {self._core.daemon_id})
+        is_with_most = 2 * len(reached) > len(self._served_s)
+        return is_with_most and lookup.is_answered_by(linked)
+
+    def update(self) -> None:
+        """Note which daemons serve, and ask for a history that is missing."""
+        now_s = self._core.clock()
+        for daemon in self.domains():
+            self._served_s[daemon] = now_s
+        # Others have begun no stream that can be resumed now.
+        self._served_s = {
+            daemon: served_s
+            for daemon, served_s in self._served_s.items()
+            if now_s - served_s <= RETENTION_S
+        }
+        self.request_history()
 
     async def async_find(
         self, request: RequestId | None, service: ServiceName
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -25,7 +25,7 @@
 
 from ..fakes import make_core
 from ..virtual_time import VirtualTimeLoop, run_in_virtual_time
-from .version_world import Stream, World
+from .version_world import UPDATE_DELAY_S, Stream, World
 
 DAEMONS = 8
 ONE_VERSION = ("v1",) * 4
@@ -471,6 +471,28 @@
     assert origins.versions.versions("llm", core.now_s) == {"v2"}
 
 
+@pytest.mark.parametrize("cut_s", [0.5, 1.2, 2.0, 2.8, 3.2, 3.6])
+def test_daemons_that_are_cut_off_together_confirm_no_version(cut_s):
+    """Guards against one of them, the placer, being taken for all the others."""
+
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        await world.async_settle()
+        for name, other in (("d0", "d7"), ("d7", "d0")):
+            world.cut(name, {other}, reaches_store=False)
+        assert world.placer == "d7"
+        world.join("i-9", "v2")
+        await asyncio.sleep(UPDATE_DELAY_S)
+        streams = [await world.async_begin("d1") for _ in range(20)]
+        await asyncio.sleep(cut_s - UPDATE_DELAY_S)
+        began_anew = [stream for stream in streams if stream.versions == {"v2"}]
+        assert began_anew
+        for stream in began_anew:
+            assert not await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
 def test_nothing_is_sent_for_streams_while_one_version_serves():
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -302,7 +302,7 @@
         for daemon in self.daemons.values():
             daemon.read_endpoints()
             if not daemon.is_paused:
-                daemon.origins.request_history()
+                daemon.origins.update()
         self.loop.call_later(UPDATE_DELAY_S, self._poll)
 
     def note_changes(self) -> int:
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -93,6 +93,7 @@
     origins.domains = lambda: dict.fromkeys(names, "zone-b")
     origins.linked = lambda: set(names)
     origins.send = send
+    origins.update()
 
 
 @pytest.mark.parametrize(
