Shutdown: refuse waiting requests however late the drain deadline is noticed

Callers whose requests waited for a model, a permit or a grant at a stopping daemon saw their connection close without an answer when it exited.

Cause: waiting requests were refused only in the last 0.5 s of the grace period, and only those that waited for a model. A daemon whose event loop doesn't run in that time passes the deadline without refusing any. Waits for a permit, a grant, room for the prompt, the trial of a quarantined request or the version of a stream were never ended.

Evidence: three requests that wait for a load of 9.5 s, SIGTERM with a grace period of 8 s, the process suspended from 6.5 s to 7.4 s after it: "drained left=3", three times "outcome=cut_at_stop" after 8.96 s, and the callers read an end of the connection. With this change the same three are answered 503 with Retry-After.

Everything that a request may wait for before it is sent is now a scope that the stop ends with a refusal, which is true as nothing was sent. At the deadline the daemon ends the waits in any case, and runs the loop for some iterations, so that what has arrived by then is read and refused.

Both tests failed before: ServerDisconnectedError, and TimeoutError as the request still waited for its permit.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -71,7 +71,9 @@
 """Part of the grace period that is reserved for shutting down."""
 DRAIN_POLL_S = 0.05
 REFUSE_WAITING_LEAD_S = 0.5
-"""Time before the drain deadline at which requests waiting for a model are refused."""
+"""Time before the drain deadline at which requests that wait are refused."""
+REFUSAL_ITERATIONS = 10
+"""Iterations of the event loop in which requests are read and refused."""
 CACHE_TIME_MARGIN = 1.1
 """Factor by which draining waits longer than callers cache addresses."""
 QUARANTINE_WAIT_S = 1.5
@@ -530,8 +532,19 @@
             if self.clock() > grace_end_s - REFUSE_WAITING_LEAD_S:
                 self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
+        await self._async_refuse_received()
         self.events.info("drained", left=self.callers.in_flight)
 
+    async def _async_refuse_received(self) -> None:
+        """Refuse the requests that wait, or have not been read, at the drain deadline.
+
+        A process without processor time passes the deadline before it has done so.
+        """
+        self.callers.stop_waiting()
+        for _ in range(REFUSAL_ITERATIONS):
+            close_idle(self._caller_server)
+            await asyncio.sleep(0)
+
     async def on_shutdown(self) -> None:
         """Close listeners and connections after the components have stopped."""
         for listener, _ in self._listeners:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -40,6 +40,7 @@
 from .signals import SignalReader
 from .upstream import EndpointCall
 from .version_gate import VersionGate
+from .waits import StoppableWaits
 
 DEFAULT_RETRY_DELAY_S = 0.5
 MIN_RETRY_DELAY_S = 0.2
@@ -115,7 +116,8 @@
         self.retry_budget = retry_budget
         self._policy = policy
         self.quarantine = quarantine
-        self.gate = QuarantineGate(quarantine)
+        self.waits = StoppableWaits()
+        self.gate = QuarantineGate(quarantine, self.waits)
         self._eligibility = eligibility or EligibilityChecker()
         if cold_grants is None:
             # No service has a limit for cold endpoints.
@@ -136,7 +138,6 @@
         )
         self.homes: HomeRegions | None = None
         """The home regions of requests, None if they may be served anywhere."""
-        self.is_stopping = False
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
         """Called when a request that may have run is sent again."""
@@ -146,9 +147,8 @@
         self.versions = VersionGate(core, table, origins, lambda: self.knowledge())
 
     def stop_waiting(self) -> None:
-        """Refuse requests that wait for a model now or later; used on shutdown."""
-        self.is_stopping = self._model_waiter.is_stopping = True
-        self.pending.signal()
+        """Refuse requests that wait for an endpoint now or later; used on shutdown."""
+        self.waits.stop()
 
     def make_routing_request(self, meta: RequestMeta, route: Route) -> RoutingRequest:
         """Return the properties of a request that endpoint selection uses."""
@@ -186,9 +186,10 @@
         Refusal
             No endpoint is available in time, or the request is quarantined.
         """
-        while self._eligibility.is_outdated():
-            await asyncio.sleep(OUTDATED_POLL_S)
-        row = await self._async_find_endpoint(exchange)
+        async with self.waits.async_refuse_at_stop():
+            while self._eligibility.is_outdated():
+                await asyncio.sleep(OUTDATED_POLL_S)
+            row = await self._async_find_endpoint(exchange)
         # The wait may have taken seconds, in which other daemons may have run it.
         self.gate.check(exchange)
         if exchange.left_s(self.core.clock()) <= 0:
@@ -282,11 +283,7 @@
             capacity_in_s = self._capacity_in_s(exchange, row, now_s)
             due_s = exchange.started_s + exchange.route.objective_s
             latest_s = due_s - exchange.expected_s - SEND_MARGIN_S
-            if (
-                capacity_in_s <= 0
-                or now_s + capacity_in_s > latest_s
-                or self.is_stopping
-            ):
+            if capacity_in_s <= 0 or now_s + capacity_in_s > latest_s:
                 break
             await asyncio.sleep(capacity_in_s)
             row = self._choose(exchange)
--- a/chutelink/relaying/model_waiter.py
+++ b/chutelink/relaying/model_waiter.py
@@ -55,7 +55,6 @@
         self._pending = pending
         self._loads = loads
         self._eligibility = eligibility
-        self.is_stopping = False
 
     async def async_wait(
         self, exchange: Exchange, choose: Callable[[Exchange], Endpoint | None]
@@ -90,7 +89,7 @@
         while True:
             wait = self._make_wait(exchange)
             until_s = wait_until_s(wait)
-            if until_s <= wait.now_s or self.is_stopping:
+            if until_s <= wait.now_s:
                 raise self._make_refusal(exchange, wait)
             await self._pending.async_wait(until_s - wait.now_s)
             row = choose(exchange)
--- a/chutelink/relaying/quarantine_gate.py
+++ b/chutelink/relaying/quarantine_gate.py
@@ -6,6 +6,7 @@
 from ..quarantine.model import Verdict
 from ..quarantine.service import Quarantine
 from .exchange import Exchange
+from .waits import StoppableWaits
 
 
 class QuarantineGate:
@@ -15,10 +16,13 @@
     ----------
     quarantine : Quarantine
         Tracks quarantined requests.
+    waits : StoppableWaits
+        Ends the claim of a trial when the daemon stops.
     """
 
-    def __init__(self, quarantine: Quarantine) -> None:
+    def __init__(self, quarantine: Quarantine, waits: StoppableWaits) -> None:
         self._quarantine = quarantine
+        self._waits = waits
 
     async def async_admit(self, exchange: Exchange) -> None:
         """Refuse a quarantined request, unless it is due for a trial run.
@@ -34,7 +38,8 @@
         verdicts = {self._quarantine.verdict(key) for key in held}
         if verdicts == {Verdict.TRIAL}:
             claim = self._quarantine.async_claim_trial
-            exchange.is_trial = all([await claim(key) for key in held])
+            async with self._waits.async_refuse_at_stop():
+                exchange.is_trial = all([await claim(key) for key in held])
         self.check(exchange)
 
     def check(self, exchange: Exchange) -> None:
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -62,7 +62,8 @@
             No endpoint served the request, and nothing was sent to the caller.
         """
         exchange.resume_after = exchange.meta.resume_after
-        await self.dispatcher.versions.async_admit(exchange)
+        async with self.dispatcher.waits.async_refuse_at_stop():
+            await self.dispatcher.versions.async_admit(exchange)
         last: BufferedResponse | None = None
         while True:
             try:
--- a/tests/processes/test_shutdown.py
+++ b/tests/processes/test_shutdown.py
@@ -12,6 +12,9 @@
 
 import pytest
 
+from standins.prepared_config import make_config
+from standins.prepared_endpoint import EndpointStandin
+
 from .deployment import (
     CONNECTION_ERRORS,
     GATEWAY_PORT,
@@ -19,13 +22,22 @@
     async_deploy,
     async_start_all,
 )
-from .entry_deployment import BASE_PORT, async_entry_deployment
+from .entry_deployment import BASE_PORT, SERVICES, async_entry_deployment
+from .platform_in_loop import PlatformInLoop, async_platform_in_loop
 from .shutdown_sweep import ShutdownSweep
 
 STREAM_EVENTS = 400
 """The stream takes about 2.3 s; the route allows 4 s."""
 STREAM_DEADLINE_MS = "4000"
 STREAM_GAP_S = 0.9
+EXPECTED_LOAD_S = 9.5
+"""Requests with 15 s left wait for such a load."""
+SLOW_LOAD_S = 30.0
+CONFIG_APPLY_S = 2.0
+LOAD_BEGIN_S = 1.5
+"""Time after which the placer has announced a load that requests wait for."""
+SUSPENDED_S = (6.5, 7.4)
+"""From before until after the last 0.5 s of draining, which ends after 7.2 s."""
 
 
 def make_entry_request(request_id: str) -> bytes:
@@ -90,6 +102,45 @@
     asyncio.run(async_test())
 
 
+async def async_read_status(deployment: PlatformInLoop, request_id: str) -> int:
+    headers = {"X_Model": "m2", "X_Token_Count": "10,1", "X_Deadline_Ms": "15000"}
+    async with deployment.request(0, "/stream/x", request_id, **headers) as answer:
+        return answer.status
+
+
+def test_daemon_suspended_at_its_drain_deadline_refuses_waiting_requests(tmp_path):
+    """It used to exit without an answer to them."""
+
+    async def async_test():
+        endpoints = [
+            EndpointStandin(f"i-{number}", "llm", {f"m{number}": []}, SLOW_LOAD_S)
+            for number in range(2)
+        ]
+        async with async_platform_in_loop(tmp_path, endpoints, 2) as deployment:
+            config = make_config(2, SERVICES)
+            for route in config["routes"]:
+                route.update(timeout_ms=15_000, slo_ms=6000)
+            for model in config["services"][0]["engine"]["models"]:
+                model["load_s"] = EXPECTED_LOAD_S
+            deployment.machines.configure(config)
+            await asyncio.sleep(CONFIG_APPLY_S)
+            names = [f"q{number}" for number in range(3)]
+            sent = [async_read_status(deployment, name) for name in names]
+            waiting = [asyncio.ensure_future(request) for request in sent]
+            await asyncio.sleep(LOAD_BEGIN_S)
+            assert not any(request.done() for request in waiting)
+            daemon = deployment.processes["vm-0"]
+            daemon.terminate()
+            await asyncio.sleep(SUSPENDED_S[0])
+            daemon.freeze()
+            await asyncio.sleep(SUSPENDED_S[1] - SUSPENDED_S[0])
+            daemon.resume()
+            assert await asyncio.gather(*waiting) == [503, 503, 503]
+            assert await daemon.async_wait() == 0
+
+    asyncio.run(async_test())
+
+
 def make_gateway_request(request_id: str) -> bytes:
     body = request_id.encode()
     head = (
--- a/tests/relaying/test_limits.py
+++ b/tests/relaying/test_limits.py
@@ -185,3 +185,21 @@
             assert len(limited.runs) > before + 5
 
     asyncio.run(async_test())
+
+
+def test_stopping_daemon_refuses_requests_waiting_for_permit():
+    """They were cut off without an answer when the process exited."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add_limited(harness, "i-1", "plain", {}, limit_per_s=2.0)
+            assert await async_send(harness, "/once/x", 2) == [200, 200]
+            waiting = asyncio.ensure_future(async_send(harness, "/once/x", 1, first=2))
+            await asyncio.sleep(0.1)
+            assert harness.http.in_flight == 1
+            harness.http.stop_waiting()
+            async with asyncio.timeout(0.1):
+                assert await waiting == [503]
+
+    asyncio.run(async_test())
