Request log: state how a stream's end was proven, and by which attempt

Streams ended early as complete for callers of resumable routes. A request's log line didn't say whether its last attempt used a pooled connection, how many events were forwarded, whether the caller itself had resumed the stream, how many attempts there were, or what showed that the response was complete, so that an early end in a first response couldn't be told from one in a resumed one.

--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -14,7 +14,7 @@
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
 from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
-from .response_end import Framing
+from .response_end import EndProof, Framing
 from .routing import PrefixChoice, RoutingRequest
 
 LEAST_URGENT_STEP = 9
@@ -40,7 +40,10 @@
     that of the endpoint that began its stream, None if it is unknown; other endpoints
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
-    ``framing`` is what ended the last response of an endpoint, None without a response.
+    ``framing`` is what ended the last response of an endpoint, None without a response,
+    and ``end_proof`` what showed that it was complete. ``is_connection_reused`` is
+    whether the last call was sent on a pooled connection, None before the first, and
+    ``events`` the number of events forwarded.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
     the silent endpoint of the attempt before, to which the request returns if the next
@@ -78,6 +81,9 @@
     is_version_bound: bool = False
     send_before_s: float | None = None
     framing: Framing | None = None
+    end_proof: EndProof = EndProof.NONE
+    is_connection_reused: bool | None = None
+    events: int = 0
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
     given_up: EndpointId | None = None
@@ -88,6 +94,10 @@
         self.software_version = version
         self.is_version_bound = True
 
+    def note_connection(self, is_reused: bool) -> None:
+        """Record which kind of connection the last call was sent on."""
+        self.is_connection_reused = is_reused
+
     @property
     def quarantine_keys(self) -> tuple[Fingerprint, ...]:
         """What the request may be quarantined for: its content and its prompt parts."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -446,6 +446,7 @@
             lambda: self._may_send(exchange, row),
             self._back_pressure.send_left_s(exchange),
             exchange.requirements,
+            exchange.note_connection,
         )
 
     def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -114,8 +114,15 @@
                 "objective_s": exchange.route.objective_s,
                 "limit_s": exchange.deadline_s - exchange.started_s,
                 "may_have_run": exchange.may_have_run,
+                "attempts": len(exchange.tried),
+                "reused_connection": exchange.is_connection_reused,
                 "framing": "" if exchange.framing is None else exchange.framing.value,
+                "end_proof": exchange.end_proof.value
+                if exchange.route.is_stream
+                else "",
+                "events": exchange.events,
                 "resumes": exchange.meta.resumes or "",
+                "last_event_id": exchange.meta.resume_after,
                 "resume_after": exchange.resume_after,
                 "first_event_s": exchange.first_event_s,
                 "expected_s": exchange.expected_s,
--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -32,6 +32,16 @@
     """The end of the connection, or no body at all."""
 
 
+class EndProof(Enum):
+    """What showed that the last response of an endpoint was complete."""
+
+    NONE = "none"
+    """It wasn't complete, or no response was read to its end."""
+    FRAMING = "framing"
+    SAME_PROCESS = "same_process"
+    """Its process responded after the end of the connection."""
+
+
 def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
     """Return what ends the body of an endpoint's response with these headers."""
     if HEADER_RELAY_UNFRAMED in headers:
@@ -78,7 +88,7 @@
         response: aiohttp.ClientResponse,
         *,
         is_repeatable: bool,
-    ) -> None:
+    ) -> EndProof:
         """Verify that a success was not cut off by the end of the process.
 
         The peer that relays a response verifies it. A process that doesn't respond is
@@ -94,13 +104,13 @@
         if response.status >= FIRST_NON_SUCCESS_STATUS or not ends_with_connection(
             response
         ):
-            return
+            return EndProof.FRAMING
         presence = await self._presence.async_check(endpoint.record)
         while presence is Presence.UNKNOWN and not is_repeatable:
             await asyncio.sleep(RECHECK_INTERVAL_S)
             presence = await self._presence.async_check(endpoint.record)
         if presence is Presence.SAME:
-            return
+            return EndProof.SAME_PROCESS
         error = EndpointFailed if presence is Presence.UNKNOWN else ConnectionBroken
         raise error(
             f"ended without a length, then the process was {presence.value}",
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -16,7 +16,12 @@
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .relay import AttemptResult
-from .response_end import FIRST_NON_SUCCESS_STATUS, framing_of, is_framed
+from .response_end import (
+    FIRST_NON_SUCCESS_STATUS,
+    EndProof,
+    framing_of,
+    is_framed,
+)
 from .sse import EventSplitter, StreamEvent
 from .upstream import BufferedResponse, forwarded_headers
 
@@ -119,6 +124,7 @@
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         exchange, row = self._exchange, self._row
         exchange.framing = framing_of(response.headers)
+        exchange.end_proof = EndProof.NONE
         self._stream_relay.dispatcher.signals.note(
             exchange, row, response.status, response.headers, sent_s
         )
@@ -196,9 +202,13 @@
                 step="stream",
                 peer=self._row.record.id,
             )
-        await self._stream_relay.upstream.ends.async_verify(
+        proof = await self._stream_relay.upstream.ends.async_verify(
             self._row, response, is_repeatable=self._exchange.is_repeatable
         )
+        if not is_framed(response):
+            # The peer that relays a response sends it in chunks, and verifies its end.
+            proof = EndProof.SAME_PROCESS
+        self._exchange.end_proof = proof
 
     async def _async_read_chunk(
         self, response: aiohttp.ClientResponse, limit_s: float | None
@@ -262,6 +272,7 @@
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         caller.last_event_s = now_s
         self._events += 1
+        exchange.events += 1
         if self._events == SOUND_EVENTS:
             quarantine = self._stream_relay.dispatcher.quarantine
             quarantine.note_sound(exchange.prompt_parts)
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -76,15 +76,20 @@
     return True
 
 
+def _ignore(is_reused: bool) -> None:
+    """Stand for a caller that doesn't record how its call was sent."""
+
+
 class _ConnectionTracker(msgspec.Struct):
     """Records whether a call opened a connection or reused a pooled one.
 
-    ``may_send`` and ``send_left_s`` are those of the call.
+    ``may_send``, ``send_left_s`` and ``note_connection`` are those of the call.
     """
 
     is_new: bool = False
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
+    note_connection: Callable[[bool], None] = _ignore
 
 
 _CONNECTION_TRACKER: ContextVar[_ConnectionTracker | None] = ContextVar(
@@ -137,6 +142,7 @@
         if tracker.send_left_s is not None and tracker.send_left_s() < 0:
             connection.release()
             raise GrantExpired("connecting took too long", step="endpoint.connect")
+        tracker.note_connection(not tracker.is_new)
         return connection
 
     def make_handler(self) -> _StrictResponseHandler:
@@ -155,6 +161,8 @@
     to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
     well and returns the time left in which the call may be sent; None if that is not
     limited. ``requirements`` also apply to the peers that relay the call.
+    ``note_connection`` is called with whether the connection is a reused one, before
+    the call is sent.
     """
 
     method: str
@@ -166,6 +174,7 @@
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
     requirements: Requirements = NO_REQUIREMENTS
+    note_connection: Callable[[bool], None] = _ignore
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -309,7 +318,9 @@
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
         tracker = _ConnectionTracker(
-            may_send=call.may_send, send_left_s=call.send_left_s
+            may_send=call.may_send,
+            send_left_s=call.send_left_s,
+            note_connection=call.note_connection,
         )
         _CONNECTION_TRACKER.set(tracker)
         try:
