Streams: check an end without framing by resuming after the last event

Callers of resumable routes got streams in chunks that ended as complete before their last event. An endpoint's response without a length or chunks ends with its connection, and counted as complete if its process responded to a report afterwards. A process that has lost that connection, or is about to exit, does so as well. In a resumed attempt even a response without any event counted as the end, as a resumption after the last event brings none.

The end of a repeatable stream is now confirmed by requesting what would come next, at the same endpoint if it is usable. It takes a retry from the budget, but no further endpoint; an empty response confirms the end, events show that it was early and are forwarded. Without an answer within 1 s, a retry or an event id the presence decides as before, except for a response without events and for an endpoint that is leaving. Framed responses are not checked.

The test of a resumed stream without further events now requires exactly two runs instead of one, as one response of this kind proves nothing; it also covers two such responses in a row.

--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -18,6 +18,9 @@
         self.silences = self._counter(
             "endpoint_silences_total", "Silences of endpoints by decision"
         )
+        self.end_checks = self._counter(
+            "stream_end_checks_total", "Checked ends of streams by result"
+        )
         self.claims = self._counter("idempotency_claims_total", "Claims by result")
         self.moves = self._counter("moves_total", "Orders by action and result")
         self.violations = self._counter(
--- /dev/null
+++ b/chutelink/relaying/end_check.py
@@ -0,0 +1,175 @@
+"""Checks the end of a stream by requesting what would come next.
+
+A response without a length or chunks ends with its connection. That its process still
+responds doesn't show that the response was complete: the process may have lost that
+connection, or be about to exit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..entry.endpoints import Endpoint
+from ..exceptions import EndpointFailed
+from ..gateway.refusals import Refusal
+from .caller_stream import CallerStream
+from .exchange import Exchange
+from .relay import AttemptResult
+from .response_end import EndProof
+
+if TYPE_CHECKING:
+    from .stream import StreamRelay
+
+CHECK_TIMEOUT_S = 1.0
+"""Limit of the wait for an endpoint, and of its first event or the empty response.
+
+The caller has all events already if the stream is complete.
+"""
+
+
+class CheckResult(Enum):
+    """Result of a check of the end of a stream."""
+
+    CONFIRMED = "confirmed"
+    """A resumption after the last event has brought no event."""
+    EARLY = "early"
+    """The resumption has brought further events."""
+    NO_RETRY = "no_retry"
+    """Time, attempts or the budget allow no resumption."""
+    UNNUMBERED = "unnumbered"
+    """The last event has no id, after which the stream could be resumed."""
+    UNANSWERED = "unanswered"
+    """No endpoint has run the resumption in time."""
+    BROKEN = "broken"
+    """The resumption has broken off without an event."""
+
+
+class EndChecker:
+    """Resumes streams after their last event if only a connection ended them.
+
+    Parameters
+    ----------
+    stream_relay : StreamRelay
+        Sends the resumptions, and forwards what they bring.
+    """
+
+    def __init__(self, stream_relay: StreamRelay) -> None:
+        self._stream_relay = stream_relay
+        self._core = stream_relay.core
+        self._dispatcher = stream_relay.dispatcher
+
+    async def async_check(
+        self, exchange: Exchange, row: Endpoint, caller: CallerStream, events: int
+    ) -> AttemptResult:
+        """Return ANSWERED if a stream whose response has ended is complete.
+
+        ``events`` is the number of events of that response. Events that are missing
+        are forwarded. Any other result is that of the last attempt at the stream.
+        """
+        while self._needs_check(exchange):
+            before, started_s = exchange.events, self._core.clock()
+            result, other = await self._async_resume(exchange, row, caller)
+            self._note(exchange, row, result, started_s)
+            if exchange.events == before:
+                return await self._async_decide(exchange, row, result, events)
+            self._note_early_end(exchange, row)
+            if result is not CheckResult.EARLY:
+                return AttemptResult.FAILED
+            row, events = other, exchange.events - before
+        return AttemptResult.ANSWERED
+
+    @staticmethod
+    def _needs_check(exchange: Exchange) -> bool:
+        return exchange.is_repeatable and exchange.end_proof is EndProof.SAME_PROCESS
+
+    async def _async_resume(
+        self, exchange: Exchange, row: Endpoint, caller: CallerStream
+    ) -> tuple[CheckResult, Endpoint]:
+        """Resume a stream after its last event, at the same endpoint if possible."""
+        if not exchange.can_resume:
+            return CheckResult.UNNUMBERED, row
+        if not self._reserve(exchange, row):
+            return CheckResult.NO_RETRY, row
+        other = await self._async_acquire(exchange)
+        if other is None:
+            return CheckResult.UNANSWERED, row
+        exchange.is_retry_reserved = False
+        before = exchange.events
+        result, response = await self._stream_relay.async_attempt(
+            exchange, other, caller, answer_timeout_s=CHECK_TIMEOUT_S
+        )
+        if result in (AttemptResult.FAILED, AttemptResult.UNREACHABLE):
+            return CheckResult.BROKEN, other
+        if result is not AttemptResult.ANSWERED or response is not None:
+            return CheckResult.UNANSWERED, other
+        is_early = exchange.events > before
+        return CheckResult.EARLY if is_early else CheckResult.CONFIRMED, other
+
+    def _reserve(self, exchange: Exchange, row: Endpoint) -> bool:
+        """Take a retry from the budget; the same endpoint has the prompt cached."""
+        if exchange.left_s(self._core.clock()) < CHECK_TIMEOUT_S:
+            return False
+        exchange.may_have_run = True
+        exchange.switch_to = row.record.id
+        if self._dispatcher.reserve_retry(exchange):
+            return True
+        exchange.switch_to = None
+        return False
+
+    async def _async_acquire(self, exchange: Exchange) -> Endpoint | None:
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                return await self._dispatcher.async_acquire(exchange)
+        except (Refusal, TimeoutError):
+            # The result of the check is logged.
+            exchange.switch_to = None
+            return None
+
+    async def _async_decide(
+        self, exchange: Exchange, row: Endpoint, result: CheckResult, events: int
+    ) -> AttemptResult:
+        """Return the result of a stream of which a check brought no further event.
+
+        Without an answer, a response with events counts as complete if its process is
+        not about to exit.
+        """
+        if result is CheckResult.CONFIRMED:
+            exchange.end_proof = EndProof.RESUMED
+            return AttemptResult.ANSWERED
+        exchange.end_proof = EndProof.NONE
+        table = self._dispatcher.table
+        is_leaving = not table.is_registered(row.record)
+        if not events or is_leaving or table.is_replaced(row.record):
+            return AttemptResult.FAILED
+        if result is CheckResult.BROKEN:
+            ends = self._stream_relay.upstream.ends
+            if not await ends.async_is_present(row):
+                return AttemptResult.FAILED
+        exchange.end_proof = EndProof.SAME_PROCESS
+        return AttemptResult.ANSWERED
+
+    def _note_early_end(self, exchange: Exchange, row: Endpoint) -> None:
+        """Record that an endpoint has ended a response before the last event."""
+        self._dispatcher.on_rerun(exchange)
+        error = EndpointFailed(
+            "ended before the last event", step="response.end", peer=row.record.id
+        )
+        self._stream_relay.relay.note_failure(
+            exchange, row, AttemptResult.ANSWERED, error
+        )
+
+    def _note(
+        self, exchange: Exchange, row: Endpoint, result: CheckResult, started_s: float
+    ) -> None:
+        self._core.metrics.end_checks.inc({"result": result.value})
+        self._core.events.record(
+            "stream_end_checked",
+            request=exchange.meta.id,
+            endpoint=row.record.id,
+            result=result.value,
+            tried=len(exchange.tried),
+            resume_after=exchange.resume_after,
+            took_s=self._core.clock() - started_s,
+        )
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -43,7 +43,8 @@
     ``framing`` is what ended the last response of an endpoint, None without a response,
     and ``end_proof`` what showed that it was complete. ``is_connection_reused`` is
     whether the last call was sent on a pooled connection, None before the first, and
-    ``events`` the number of events forwarded.
+    ``events`` the number of events forwarded. ``is_last_event_numbered`` is whether the
+    stream can be resumed after the last one.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
     the silent endpoint of the attempt before, to which the request returns if the next
@@ -84,6 +85,7 @@
     end_proof: EndProof = EndProof.NONE
     is_connection_reused: bool | None = None
     events: int = 0
+    is_last_event_numbered: bool = True
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
     given_up: EndpointId | None = None
@@ -94,6 +96,11 @@
         self.software_version = version
         self.is_version_bound = True
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether the stream can be resumed after the last event forwarded."""
+        return self.resume_after is not None and self.is_last_event_numbered
+
     def note_connection(self, is_reused: bool) -> None:
         """Record which kind of connection the last call was sent on."""
         self.is_connection_reused = is_reused
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -38,6 +38,8 @@
     NOT_RUN = "not_run"
     UNREACHABLE = "unreachable"
     FAILED = "failed"
+    UNANSWERED = "unanswered"
+    """A check of a stream's end brought nothing in time."""
 
 
 class Relay:
--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -40,6 +40,8 @@
     FRAMING = "framing"
     SAME_PROCESS = "same_process"
     """Its process responded after the end of the connection."""
+    RESUMED = "resumed"
+    """A resumption after its last event brought no further event."""
 
 
 def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
@@ -82,6 +84,10 @@
     def __init__(self, presence: PresenceCheck) -> None:
         self._presence = presence
 
+    async def async_is_present(self, endpoint: Endpoint) -> bool:
+        """Return whether the process of an endpoint responds."""
+        return await self._presence.async_check(endpoint.record) is Presence.SAME
+
     async def async_verify(
         self,
         endpoint: Endpoint,
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -14,6 +14,7 @@
 )
 from ..gateway.refusals import Refusal
 from .caller_stream import CallerStream
+from .end_check import EndChecker
 from .exchange import Exchange
 from .exchange_dispatcher import ExchangeDispatcher
 from .relay import AttemptResult, Relay, make_refusal
@@ -50,6 +51,7 @@
         self.dispatcher = dispatcher
         self.upstream = upstream
         self.relay = relay
+        self._end_checker = EndChecker(self)
 
     async def async_relay(
         self, exchange: Exchange, caller: CallerStream
@@ -73,7 +75,12 @@
                 raise
             if row is None:
                 return last
-            result, buffered = await self._async_attempt(exchange, row, caller)
+            events_before = exchange.events
+            result, buffered = await self.async_attempt(exchange, row, caller)
+            if result is AttemptResult.ANSWERED and buffered is None:
+                result = await self._end_checker.async_check(
+                    exchange, row, caller, exchange.events - events_before
+                )
             if result is AttemptResult.ANSWERED:
                 if buffered is None:
                     left_s = exchange.left_s(self.core.clock())
@@ -104,15 +111,25 @@
         retry_delay_s = self.dispatcher.retry_after_s(exchange)
         raise make_refusal(exchange, retry_delay_s, is_late=is_late)
 
-    async def _async_attempt(
-        self, exchange: Exchange, row: Endpoint, caller: CallerStream
+    async def async_attempt(
+        self,
+        exchange: Exchange,
+        row: Endpoint,
+        caller: CallerStream,
+        *,
+        answer_timeout_s: float | None = None,
     ) -> tuple[AttemptResult, BufferedResponse | None]:
-        """Send to one endpoint; ANSWERED without a response is a finished stream."""
+        """Send to one endpoint; ANSWERED without a response is a finished stream.
+
+        If nothing has come after ``answer_timeout_s``, the result is UNANSWERED.
+        """
         sent_s = self.core.clock()
         if exchange.resume_after:
             self._log_resumed_stream(exchange, row)
         events_before = caller.events
-        attempt = StreamAttempt(self, exchange, row, caller)
+        attempt = StreamAttempt(
+            self, exchange, row, caller, answer_timeout_s=answer_timeout_s
+        )
         try:
             with self.relay.track_in_flight(exchange, row):
                 self.dispatcher.versions.note_send(exchange, row)
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -60,7 +60,11 @@
 
 
 class StreamAttempt:
-    """One attempt to stream from an endpoint."""
+    """One attempt to stream from an endpoint.
+
+    ``answer_timeout_s`` limits the wait for the first event of a check of a stream's
+    end; None for other attempts.
+    """
 
     def __init__(
         self,
@@ -68,7 +72,10 @@
         exchange: Exchange,
         row: Endpoint,
         caller: CallerStream,
+        *,
+        answer_timeout_s: float | None = None,
     ) -> None:
+        self._answer_timeout_s = answer_timeout_s
         self._stream_relay = stream_relay
         self._exchange = exchange
         self._row = row
@@ -102,6 +109,7 @@
         try:
             async with (
                 asyncio.timeout(limit_s),
+                asyncio.timeout(self._answer_timeout_s) as self._answer_timeout,
                 self._silence,
                 AsyncExitStack() as stack,
             ):
@@ -116,6 +124,8 @@
             if self._caller.is_sending:
                 self._caller.abort()
                 raise CallerGone("did not read in time", step="stream") from error
+            if self._answer_timeout.expired() and not self._events:
+                return AttemptResult.UNANSWERED, None
             message = "silent" if self._silence.has_expired else "no end in time"
             raise EndpointFailed(message, step="stream", peer=row.record.id) from error
 
@@ -144,6 +154,9 @@
                 exchange, row, buffered, took_s
             ), buffered
         await self._async_forward_events(response, sent_s)
+        if self._answer_timeout_s is not None and not self._events:
+            # A check of the end: the attempt before it has recorded the run.
+            return AttemptResult.ANSWERED, None
         self._stream_relay.relay.note_completed_run(exchange)
         self._note_duration()
         limit_s = exchange.route.max_pause_s
@@ -176,6 +189,7 @@
             if not chunk:
                 break
             for event in splitter.feed(chunk):
+                self._answer_timeout.reschedule(None)
                 self._check_event_id(event)
                 dispatcher.versions.note_event(self._exchange, row)
                 await caller.async_send_headers(response.status, headers)
@@ -231,6 +245,7 @@
     def _check_event_id(self, event: StreamEvent) -> None:
         """Raise if an event does not directly follow the last one forwarded."""
         exchange = self._exchange
+        exchange.is_last_event_numbered = event.id is not None
         if event.id is None:
             return
         last = exchange.resume_after
--- /dev/null
+++ b/tests/relaying/test_end_check.py
@@ -0,0 +1,106 @@
+"""Streams without a length or chunks, whose end is checked by a resumption."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from chutelink.relaying.retry_budget import RetryBudgetShare
+from standins.prepared_endpoint import EndpointFaults
+
+from .relay_harness import async_relay_harness
+from .test_stream import EVENTS, expected, headers
+
+WHOLE = EndpointFaults(end_unframed=1, unframed_events=EVENTS)
+WHOLE_TWICE = EndpointFaults(end_unframed=2, unframed_events=EVENTS)
+EARLY = EndpointFaults(end_unframed=1, unframed_events=3)
+
+
+def take_budget(harness, endpoint):
+    harness.dispatcher.retry_budget = RetryBudgetShare(0.0, 0.0, 10.0)
+
+
+def refuse(harness, endpoint):
+    endpoint.faults = EndpointFaults(refuse=1)
+
+
+def hang(harness, endpoint):
+    endpoint.faults = EndpointFaults(mute=1)
+
+
+def leave(harness, endpoint):
+    endpoint.change_state("draining")
+    harness.register(endpoint)
+
+
+def send_no_ids(harness, endpoint):
+    endpoint._event = lambda number: b"data: t%d\n\n" % number
+
+
+def keep(harness, endpoint):
+    """Change nothing."""
+
+
+async def async_play(faults, before, after, **sent):
+    """Return the body, None if it was cut off, the results of checks, and failures."""
+    async with async_relay_harness() as harness:
+        harness.configure()
+        endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+        endpoint.faults = faults
+        before(harness, endpoint)
+        write, checks = endpoint._write_unframed, []
+
+        def write_and_change(request, response_headers):
+            write(request, response_headers)
+            after(harness, endpoint)
+
+        endpoint._write_unframed = write_and_change
+        harness.core.events.record = lambda event, **fields: checks.extend(
+            [fields["result"]]
+            if event in ("stream_end_checked", "attempt_failed")
+            else []
+        )
+        try:
+            async with harness.request("/stream/x", **headers(), **sent) as answer:
+                body = await answer.read() if answer.status == 200 else None
+        except aiohttp.ClientPayloadError:
+            body = None
+        return body, checks
+
+
+@pytest.mark.parametrize(
+    ("faults", "before", "after", "checks"),
+    [
+        pytest.param(WHOLE, keep, keep, ["confirmed"], id="chunks"),
+        pytest.param(WHOLE_TWICE, keep, keep, ["confirmed"], id="unframed"),
+        pytest.param(EARLY, keep, keep, ["early", "answered"], id="early"),
+        pytest.param(WHOLE, take_budget, keep, ["no_retry"], id="no_budget"),
+        pytest.param(WHOLE, keep, refuse, ["unanswered"], id="refused"),
+        pytest.param(WHOLE, keep, hang, ["unanswered"], id="silent"),
+    ],
+)
+def test_unframed_stream_is_complete_with_all_events(faults, before, after, checks):
+    """Guards against whole streams that a check of their end cuts off."""
+    assert asyncio.run(async_play(faults, before, after)) == (expected(), checks)
+
+
+def test_unframed_stream_without_event_ids_is_not_resumed():
+    """Guards against events that a check of the end sends twice."""
+    body, checks = asyncio.run(async_play(WHOLE, send_no_ids, keep))
+    assert body.count(b"\n\n") == EVENTS
+    assert checks == ["unnumbered"]
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "sent"),
+    [(take_budget, keep, {"Last_Event_Id": "3"}), (take_budget, leave, {})],
+    ids=["resumed_without_event", "leaving"],
+)
+def test_end_that_presence_does_not_prove_is_not_complete(before, after, sent):
+    """Guards against ends that a process confirms before it exits."""
+    faults = EndpointFaults(end_unframed=1, unframed_events=0 if sent else 3)
+    body, checks = asyncio.run(async_play(faults, before, after, **sent))
+    assert body is None
+    assert checks[0] == "no_retry"
--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -120,17 +120,18 @@
     asyncio.run(async_test())
 
 
-def test_resumed_unframed_stream_without_further_events_is_complete():
+@pytest.mark.parametrize("unframed", [1, 2])
+def test_resumed_unframed_stream_without_further_events_is_complete(unframed):
     async def async_test():
         async with async_relay_harness() as harness:
             harness.configure()
             first = await harness.async_add("i-1", "llm", {"m0": []})
-            first.faults = type(first.faults)(end_unframed=1)
+            first.faults = type(first.faults)(end_unframed=unframed)
             sent = headers() | {"Last_Event_Id": str(EVENTS)}
             async with harness.request("/stream/x", **sent) as answer:
                 assert answer.status == 200
                 assert await answer.read() == b""
-            assert first.runs == ["q1"]
+            assert first.runs == ["q1", "q1"]
 
     asyncio.run(async_test())
 
