Relaying: never repeat a request at one endpoint on a pooled connection

An endpoint may send an extra response late, where the next one on a connection is expected. Its request id tells it apart, except from the response to another attempt of the same request. The last attempt uses no pooled connection, so this takes a route with three attempts and one endpoint: there, after a first attempt with status 500, the late response was forwarded, and the test shows 3 of 8 events as the whole stream on the code before.

Each further attempt at one endpoint now opens its own connection. Late responses to other requests were told apart before as well; a second test holds that.

--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -424,8 +424,11 @@
     def make_call(self, exchange: Exchange, row: Endpoint) -> EndpointCall:
         """Return the call to an endpoint, with the headers of this dispatch.
 
-        The last attempt uses no pooled connection, which may just have been closed.
+        The last attempt uses no pooled connection, which may just have been closed. Nor
+        does another attempt at one endpoint: a late response to the attempt before has
+        the same request id.
         """
+        is_first = exchange.tried.count(row.record.id) <= 1
         headers = CIMultiDict(exchange.headers)
         customer = exchange.admission.customer
         dispatch = Dispatch(
@@ -442,7 +445,7 @@
             exchange.host,
             headers,
             exchange.body,
-            exchange.is_repeatable and self.may_retry(exchange),
+            exchange.is_repeatable and is_first and self.may_retry(exchange),
             lambda: self._may_send(exchange, row),
             self._back_pressure.send_left_s(exchange),
             exchange.requirements,
