--- a/chutelink/relaying/response_end.py
+++ b/chutelink/relaying/response_end.py
@@ -32,6 +32,18 @@
     """The end of the connection, or no body at all."""
 
 
+class EndProof(Enum):
+    """What showed that the last response of an endpoint was complete."""
+
+    NONE = "none"
+    """It wasn't complete, or no response was read to its end."""
+    FRAMING = "framing"
+    SAME_PROCESS = "same_process"
+    """Its process responded after the end of the connection."""
+    RESUMED = "resumed"
+    """A resumption after its last event brought no further event."""
+
+
 def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
     """Return what ends the body of an endpoint's response with these headers."""
     if HEADER_RELAY_UNFRAMED in headers:
@@ -72,13 +84,17 @@
     def __init__(self, presence: PresenceCheck) -> None:
         self._presence = presence
 
+    async def async_is_present(self, endpoint: Endpoint) -> bool:
+        """Return whether the process of an endpoint responds."""
+        return await self._presence.async_check(endpoint.record) is Presence.SAME
+
     async def async_verify(
         self,
         endpoint: Endpoint,
         response: aiohttp.ClientResponse,
         *,
         is_repeatable: bool,
-    ) -> None:
+    ) -> EndProof:
         """Verify that a success was not cut off by the end of the process.
 
         The peer that relays a response verifies it. A process that doesn't respond is
@@ -94,13 +110,13 @@
         if response.status >= FIRST_NON_SUCCESS_STATUS or not ends_with_connection(
             response
         ):
-            return
+            return EndProof.FRAMING
         presence = await self._presence.async_check(endpoint.record)
         while presence is Presence.UNKNOWN and not is_repeatable:
             await asyncio.sleep(RECHECK_INTERVAL_S)
             presence = await self._presence.async_check(endpoint.record)
         if presence is Presence.SAME:
-            return
+            return EndProof.SAME_PROCESS
         error = EndpointFailed if presence is Presence.UNKNOWN else ConnectionBroken
         raise error(
             f"ended without a length, then the process was {presence.value}",
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -16,7 +16,12 @@
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .relay import AttemptResult
-from .response_end import FIRST_NON_SUCCESS_STATUS, framing_of, is_framed
+from .response_end import (
+    FIRST_NON_SUCCESS_STATUS,
+    EndProof,
+    framing_of,
+    is_framed,
+)
 from .sse import EventSplitter, StreamEvent
 from .upstream import BufferedResponse, forwarded_headers
 
@@ -55,7 +60,11 @@
 
 
 class StreamAttempt:
-    """One attempt to stream from an endpoint."""
+    """One attempt to stream from an endpoint.
+
+    ``answer_timeout_s`` limits the wait for the first event of a check of a stream's
+    end; None for other attempts.
+    """
 
     def __init__(
         self,
@@ -63,7 +72,10 @@
         exchange: Exchange,
         row: Endpoint,
         caller: CallerStream,
+        *,
+        answer_timeout_s: float | None = None,
     ) -> None:
+        self._answer_timeout_s = answer_timeout_s
         self._stream_relay = stream_relay
         self._exchange = exchange
         self._row = row
@@ -97,6 +109,7 @@
         try:
             async with (
                 asyncio.timeout(limit_s),
+                asyncio.timeout(self._answer_timeout_s) as self._answer_timeout,
                 self._silence,
                 AsyncExitStack() as stack,
             ):
@@ -111,6 +124,8 @@
             if self._caller.is_sending:
                 self._caller.abort()
                 raise CallerGone("did not read in time", step="stream") from error
+            if self._answer_timeout.expired() and not self._events:
+                return AttemptResult.UNANSWERED, None
             message = "silent" if self._silence.has_expired else "no end in time"
             raise EndpointFailed(message, step="stream", peer=row.record.id) from error
 
@@ -119,6 +134,7 @@
     ) -> tuple[AttemptResult, BufferedResponse | None]:
         exchange, row = self._exchange, self._row
         exchange.framing = framing_of(response.headers)
+        exchange.end_proof = EndProof.NONE
         self._stream_relay.dispatcher.signals.note(
             exchange, row, response.status, response.headers, sent_s
         )
@@ -138,6 +154,9 @@
                 exchange, row, buffered, took_s
             ), buffered
         await self._async_forward_events(response, sent_s)
+        if self._answer_timeout_s is not None and not self._events:
+            # A check of the end: the attempt before it has recorded the run.
+            return AttemptResult.ANSWERED, None
         self._stream_relay.relay.note_completed_run(exchange)
         self._note_duration()
         limit_s = exchange.route.max_pause_s
@@ -170,6 +189,7 @@
             if not chunk:
                 break
             for event in splitter.feed(chunk):
+                self._answer_timeout.reschedule(None)
                 self._check_event_id(event)
                 dispatcher.versions.note_event(self._exchange, row)
                 await caller.async_send_headers(response.status, headers)
@@ -196,9 +216,13 @@
                 step="stream",
                 peer=self._row.record.id,
             )
-        await self._stream_relay.upstream.ends.async_verify(
+        proof = await self._stream_relay.upstream.ends.async_verify(
             self._row, response, is_repeatable=self._exchange.is_repeatable
         )
+        if not is_framed(response):
+            # The peer that relays a response sends it in chunks, and verifies its end.
+            proof = EndProof.SAME_PROCESS
+        self._exchange.end_proof = proof
 
     async def _async_read_chunk(
         self, response: aiohttp.ClientResponse, limit_s: float | None
@@ -221,6 +245,7 @@
     def _check_event_id(self, event: StreamEvent) -> None:
         """Raise if an event does not directly follow the last one forwarded."""
         exchange = self._exchange
+        exchange.is_last_event_numbered = event.id is not None
         if event.id is None:
             return
         last = exchange.resume_after
@@ -262,6 +287,7 @@
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         caller.last_event_s = now_s
         self._events += 1
+        exchange.events += 1
         if self._events == SOUND_EVENTS:
             quarantine = self._stream_relay.dispatcher.quarantine
             quarantine.note_sound(exchange.prompt_parts)
