Quarantine: report no prompt part that turned out sound before the report

Daemons that know a suspected prompt part as sound reply to a report of endpoint terminations, and one reply cancels all the others. In one run of the suite, test_part_known_as_sound_at_another_daemon_is_not_held saw two replies. Callers saw nothing: each needless reply is one more message to all daemons, and one more decision at each of them.

Cause: a run's sound parts were removed when the run was recorded, but the report is sent up to 10 ms later. If the reply to an earlier report arrived in between, the report still named the part, and all daemons scheduled their replies again.

The test's own delay, 32 ms, is just after the last report on an idle machine and before it if the test's waits take longer.

The sound parts are now removed when the report is sent.

--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -248,8 +248,7 @@
         )
         about = _sanitize_text(run.about)
         broken_ago_s = max(0.0, self._core.clock() - broken_s)
-        parts = tuple(part for part in run.parts if part not in self._sound)
-        ended = EndedRun(run.fingerprint, about, ending, broken_ago_s, parts)
+        ended = EndedRun(run.fingerprint, about, ending, broken_ago_s, run.parts)
         for fingerprint in self._add_ending(ended, OWN_RUN):
             self.on_held(fingerprint)
         if not self._unsent:
@@ -259,9 +258,15 @@
         self._unsent.append(ended)
 
     def _send_endings(self) -> None:
-        runs, self._unsent = self._unsent, []
+        # Parts may have turned out to be sound since their runs were recorded.
+        runs = [self._without_sound_parts(run) for run in self._unsent]
+        self._unsent = []
         self.send(EndingsMessage(runs))
 
+    def _without_sound_parts(self, run: EndedRun) -> EndedRun:
+        parts = tuple(part for part in run.parts if part not in self._sound)
+        return msgspec.structs.replace(run, parts=parts)
+
     def _add_ending(self, run: EndedRun, source: str) -> list[Fingerprint]:
         """Count a termination, and return what is held from now on."""
         held = []
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -10,7 +10,11 @@
 from hypothesis import strategies as st
 
 from chutelink.ids import EndpointId, Fingerprint
-from chutelink.quarantine.const import ENDINGS_TO_HOLD, SOUND_REPLY_SPREAD_S
+from chutelink.quarantine.const import (
+    ENDING_BATCH_DELAY_S,
+    ENDINGS_TO_HOLD,
+    SOUND_REPLY_SPREAD_S,
+)
 from chutelink.quarantine.messages import (
     ClearedMessage,
     EndingsMessage,
@@ -20,6 +24,7 @@
 from chutelink.quarantine.service import Quarantine
 
 from ..fakes import make_core
+from ..virtual_time import run_in_virtual_time
 
 FIRST = Fingerprint("part-first")
 CRASHES_BEFORE_LIMIT = 5
@@ -127,6 +132,20 @@
     run(async_test, daemons=6)
 
 
+def test_part_found_sound_before_it_is_reported_gets_no_second_reply():
+    async def async_test():
+        shared = SharedQuarantine(daemons=2)
+        shared.daemons[1].note_sound([FIRST])
+        crash = asyncio.ensure_future(shared.async_crash("i-0", [(0, "r0", [FIRST])]))
+        await asyncio.sleep(ENDING_BATCH_DELAY_S / 2)
+        shared.daemons[0].apply_sound_parts(SoundPartsMessage([FIRST]))
+        await crash
+        await asyncio.sleep(SOUND_REPLY_SPREAD_S)
+        assert shared.sent == ["EndingsMessage"]
+
+    run_in_virtual_time(async_test())
+
+
 def test_inseparable_parts_are_held_only_together_until_one_is_sound():
     async def async_test(shared):
         parts = [FIRST, "part-bad"]
