Relaying: refuse a request as not run if its time ends before it is sent

A request whose deadline passed while the connection to its endpoint was being opened ended with 504 and an unknown outcome. Callers can't repeat a request with an unknown outcome that isn't idempotent, though nothing of this one had left the daemon.

Cause: every timeout of an attempt was an EndpointFailed, and each of these set may_have_run. A call now records when its connection is open, right before the request is written, and a timeout before that doesn't count as a run. Calls through a peer count as sent once the connection to the peer is open. The effect on the health of endpoints is unchanged.

--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -88,7 +88,15 @@
 
 
 class EndpointFailed(ChutelinkError):
-    """The exchange failed after the request may have been sent."""
+    """The exchange failed, in most cases after the request may have been sent.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether the request may have been sent.
+    """
+
+    is_sent = True
 
 
 class EndpointSilent(EndpointFailed):
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -125,7 +125,7 @@
             self.note_not_sent(exchange, row, error)
             return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
-            exchange.may_have_run = True
+            exchange.may_have_run |= error.is_sent
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
             await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
@@ -146,7 +146,7 @@
         Raises
         ------
         EndpointFailed
-            The call may have run.
+            The call may have run, unless a timeout ended it before it was sent.
         """
         left_s = max(0.0, exchange.left_s(self._dispatcher.core.clock()))
         limit_s = FIRST_ATTEMPT_TIME_SHARE * left_s if exchange.is_repeatable else None
@@ -156,8 +156,8 @@
                 with silence.awaiting(limit_s):
                     return await self._upstream.async_exchange(row, call, left_s)
         except TimeoutError as error:
-            raise EndpointFailed(
-                "silent", step="endpoint.exchange", peer=row.record.id
+            raise call.make_timeout_error(
+                "silent", "endpoint.exchange", row.record.id
             ) from error
 
     def classify_response(
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -124,7 +124,7 @@
             self.relay.note_not_sent(exchange, row, error)
             return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
-            exchange.may_have_run = True
+            exchange.may_have_run |= error.is_sent
             self.relay.note_failure(exchange, row, AttemptResult.FAILED, error)
             self._log_broken_stream(exchange, row, caller.events - events_before, error)
             await self.relay.async_note_broken(exchange, row, error, sent_s)
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -88,7 +88,7 @@
         CallerGone
             The caller has left or doesn't read; the endpoint has not failed.
         EndpointFailed
-            The response is incomplete.
+            The response is incomplete, or a timeout ended the call before it was sent.
         """
         stream_relay, exchange, row = self._stream_relay, self._exchange, self._row
         self._start_prefill()
@@ -112,7 +112,7 @@
                 self._caller.abort()
                 raise CallerGone("did not read in time", step="stream") from error
             message = "silent" if self._silence.has_expired else "no end in time"
-            raise EndpointFailed(message, step="stream", peer=row.record.id) from error
+            raise call.make_timeout_error(message, "stream", row.record.id) from error
 
     async def _async_handle_response(
         self, response: aiohttp.ClientResponse, sent_s: float
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -76,12 +76,22 @@
     return True
 
 
+class CallProgress(msgspec.Struct):
+    """How far a call has got.
+
+    ``is_sent`` is False until a connection to the endpoint or to a peer is open.
+    """
+
+    is_sent: bool = False
+
+
 class _ConnectionTracker(msgspec.Struct):
     """Records whether a call opened a connection or reused a pooled one.
 
-    ``may_send`` and ``send_left_s`` are those of the call.
+    ``progress``, ``may_send`` and ``send_left_s`` are those of the call.
     """
 
+    progress: CallProgress
     is_new: bool = False
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
@@ -137,6 +147,7 @@
         if tracker.send_left_s is not None and tracker.send_left_s() < 0:
             connection.release()
             raise GrantExpired("connecting took too long", step="endpoint.connect")
+        tracker.progress.is_sent = True
         return connection
 
     def make_handler(self) -> _StrictResponseHandler:
@@ -155,6 +166,7 @@
     to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
     well and returns the time left in which the call may be sent; None if that is not
     limited. ``requirements`` also apply to the peers that relay the call.
+    ``progress`` is updated while the call is sent.
     """
 
     method: str
@@ -166,6 +178,15 @@
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
     requirements: Requirements = NO_REQUIREMENTS
+    progress: CallProgress = msgspec.field(default_factory=CallProgress)
+
+    def make_timeout_error(
+        self, message: str, step: str, peer: EndpointId
+    ) -> EndpointFailed:
+        """Return the error of a call that was cancelled by a timeout."""
+        error = EndpointFailed(message, step=step, peer=peer)
+        error.is_sent = self.progress.is_sent
+        return error
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -309,7 +330,7 @@
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
         tracker = _ConnectionTracker(
-            may_send=call.may_send, send_left_s=call.send_left_s
+            call.progress, may_send=call.may_send, send_left_s=call.send_left_s
         )
         _CONNECTION_TRACKER.set(tracker)
         try:
@@ -357,7 +378,8 @@
         EndpointUnreachable
             The connection failed; nothing was sent.
         EndpointFailed
-            The call may have run; also raised on a timeout.
+            The call may have run; also raised on a timeout, whose ``is_sent`` says
+            whether it may.
         GrantExpired
             Nothing was sent.
         """
@@ -372,8 +394,8 @@
                 )
                 return BufferedResponse(response.status, response.headers, body)
         except TimeoutError as error:
-            raise EndpointFailed(
-                "no answer in time", step="endpoint.exchange", peer=endpoint.record.id
+            raise call.make_timeout_error(
+                "no answer in time", "endpoint.exchange", endpoint.record.id
             ) from error
 
 
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from chutelink.relaying.upstream import _StrictConnector
+
 from .relay_harness import async_relay_harness
 
 
@@ -209,6 +211,29 @@
     asyncio.run(async_test())
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/again/x", "/stream/x"])
+def test_deadline_while_connecting_refuses_the_request_as_not_run(path, monkeypatch):
+    """Guards against an unknown outcome of requests that were never sent."""
+
+    async def async_connect(*arguments):
+        await asyncio.sleep(3600)
+
+    monkeypatch.setattr(_StrictConnector, "_create_connection", async_connect)
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "plain")
+            await harness.async_add("i-2", "llm", {"m0": []})
+            sent = {"X_Deadline_Ms": "300"}
+            sent |= {"X_Model": "m0"} if path == "/stream/x" else {}
+            async with harness.request(path, **sent) as answer:
+                assert answer.status == 503
+                assert b"not-run" in await answer.read()
+
+    asyncio.run(async_test())
+
+
 def test_endpoint_request_is_cancelled_if_caller_disconnects():
     async def async_test():
         async with async_relay_harness() as harness:
