--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -14,6 +14,7 @@
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
 from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
+from .call_progress import CallProgress
 from .response_end import EndProof, Framing
 from .routing import PrefixChoice, RoutingRequest
 
@@ -41,9 +42,9 @@
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
     ``framing`` is what ended the last response of an endpoint, None without a response,
-    and ``end_proof`` what showed that it was complete. ``is_connection_reused`` is
-    whether the last call was sent on a pooled connection, None before the first, and
-    ``events`` the number of events forwarded. ``is_last_event_numbered`` is whether the
+    and ``end_proof`` what showed that it was complete. ``last_call`` is how
+    far the last call to an endpoint has got, and ``events`` the number of events
+    forwarded. ``is_last_event_numbered`` is whether the
     stream can be resumed after the last one.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
@@ -83,7 +84,7 @@
     send_before_s: float | None = None
     framing: Framing | None = None
     end_proof: EndProof = EndProof.NONE
-    is_connection_reused: bool | None = None
+    last_call: CallProgress = msgspec.field(default_factory=CallProgress)
     events: int = 0
     is_last_event_numbered: bool = True
     is_retry_reserved: bool = False
@@ -101,10 +102,6 @@
         """Whether the stream can be resumed after the last event forwarded."""
         return self.resume_after is not None and self.is_last_event_numbered
 
-    def note_connection(self, is_reused: bool) -> None:
-        """Record which kind of connection the last call was sent on."""
-        self.is_connection_reused = is_reused
-
     @property
     def quarantine_keys(self) -> tuple[Fingerprint, ...]:
         """What the request may be quarantined for: its content and its prompt parts."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -31,6 +31,7 @@
 from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .backpressure import SEND_MARGIN_S, BackPressureGate
+from .call_progress import CallProgress
 from .exchange import Exchange, urgency_of
 from .model_wait import MAX_RETRY_DELAY_SHARE
 from .model_waiter import ModelWaiter, can_be_loaded
@@ -450,6 +451,7 @@
             customer=customer.name if customer is not None else None,
         )
         self.header_codec.encode_dispatch(headers, dispatch)
+        exchange.last_call = CallProgress()
         return EndpointCall(
             exchange.method,
             exchange.target,
@@ -460,7 +462,7 @@
             lambda: self._may_send(exchange, row),
             self._back_pressure.send_left_s(exchange),
             exchange.requirements,
-            exchange.note_connection,
+            exchange.last_call,
         )
 
     def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -115,7 +115,7 @@
                 "limit_s": exchange.deadline_s - exchange.started_s,
                 "may_have_run": exchange.may_have_run,
                 "attempts": len(exchange.tried),
-                "reused_connection": exchange.is_connection_reused,
+                "reused_connection": exchange.last_call.is_reused,
                 "framing": "" if exchange.framing is None else exchange.framing.value,
                 "end_proof": exchange.end_proof.value
                 if exchange.route.is_stream
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -45,6 +45,7 @@
 )
 from ..settings import DEFAULT_MAX_ANSWER_BYTES
 from ..tables.members import Member
+from .call_progress import CallProgress
 from .response_end import ResponseEndVerifier
 
 CONNECT_TIMEOUT_S = 0.6
@@ -76,20 +77,16 @@
     return True
 
 
-def _ignore(is_reused: bool) -> None:
-    """Stand for a caller that doesn't record how its call was sent."""
-
-
 class _ConnectionTracker(msgspec.Struct):
     """Records whether a call opened a connection or reused a pooled one.
 
-    ``may_send``, ``send_left_s`` and ``note_connection`` are those of the call.
+    ``progress``, ``may_send`` and ``send_left_s`` are those of the call.
     """
 
+    progress: CallProgress
     is_new: bool = False
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
-    note_connection: Callable[[bool], None] = _ignore
 
 
 _CONNECTION_TRACKER: ContextVar[_ConnectionTracker | None] = ContextVar(
@@ -142,7 +139,7 @@
         if tracker.send_left_s is not None and tracker.send_left_s() < 0:
             connection.release()
             raise GrantExpired("connecting took too long", step="endpoint.connect")
-        tracker.note_connection(not tracker.is_new)
+        tracker.progress.note_connected(is_reused=not tracker.is_new)
         return connection
 
     def make_handler(self) -> _StrictResponseHandler:
@@ -161,8 +158,7 @@
     to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
     well and returns the time left in which the call may be sent; None if that is not
     limited. ``requirements`` also apply to the peers that relay the call.
-    ``note_connection`` is called with whether the connection is a reused one, before
-    the call is sent.
+    ``progress`` is updated while the call is sent.
     """
 
     method: str
@@ -174,7 +170,15 @@
     may_send: Callable[[], bool] = _always
     send_left_s: Callable[[], float] | None = None
     requirements: Requirements = NO_REQUIREMENTS
-    note_connection: Callable[[bool], None] = _ignore
+    progress: CallProgress = msgspec.field(default_factory=CallProgress)
+
+    def make_timeout_error(
+        self, message: str, step: str, peer: EndpointId
+    ) -> EndpointFailed:
+        """Return the error of a call that was cancelled by a timeout."""
+        error = EndpointFailed(message, step=step, peer=peer)
+        error.is_sent = self.progress.is_sent
+        return error
 
 
 class BufferedResponse(msgspec.Struct, frozen=True):
@@ -318,9 +322,7 @@
         headers = CIMultiDict(call.headers)
         headers["Host"] = call.host
         tracker = _ConnectionTracker(
-            may_send=call.may_send,
-            send_left_s=call.send_left_s,
-            note_connection=call.note_connection,
+            call.progress, may_send=call.may_send, send_left_s=call.send_left_s
         )
         _CONNECTION_TRACKER.set(tracker)
         try:
@@ -368,7 +370,8 @@
         EndpointUnreachable
             The connection failed; nothing was sent.
         EndpointFailed
-            The call may have run; also raised on a timeout.
+            The call may have run; also raised on a timeout, whose ``is_sent`` says
+            whether it may.
         GrantExpired
             Nothing was sent.
         """
@@ -383,8 +386,8 @@
                 )
                 return BufferedResponse(response.status, response.headers, body)
         except TimeoutError as error:
-            raise EndpointFailed(
-                "no answer in time", step="endpoint.exchange", peer=endpoint.record.id
+            raise call.make_timeout_error(
+                "no answer in time", "endpoint.exchange", endpoint.record.id
             ) from error
 
 
