Tests: daemons as processes, one out of step while a version joins

A report of a like system: during a release one daemon was cut off from the others or stood still for some seconds, and streams that endpoints of the new version had begun through other daemons were resumed there and went on at another version.

Three daemons dial each other and the store through proxies, so that one of them loses the others, the store, both, or all but the placer, which is another daemon than the one that reads the store. Or it is stopped by signal for 0.6 to 6 s, with and without the loss of its connections. Meanwhile one or two endpoints of v2 start with their models, begin streams through the others, and leave again in some cases; the streams break and are resumed at the daemon during the cut, right after it, and until half of them have gone on. Checked: no stream has events of two versions; each resumption goes on or is refused within half of its deadline and then has run nowhere; new streams go through.

Not covered: links that are cut in one direction, and loss of single packets.

--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -127,6 +127,12 @@
         endpoint = self.endpoints[name]
         self.store.put("servers", endpoint.name, endpoint.registration())
 
+    def remove(self, name: str) -> None:
+        """Stop an endpoint, named by its first id, and remove its registration."""
+        endpoint = self.endpoints[name]
+        self._end_process(endpoint)
+        self.store.remove("servers", endpoint.name)
+
     def fall_silent(self, target: str, duration_s: float) -> int:
         """Make an endpoint or a failure domain silent; return how many endpoints."""
         endpoints = self._find(target)
--- a/tests/processes/blackhole_proxy.py
+++ b/tests/processes/blackhole_proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can blackhole its open connections without a reset."""
+"""A loopback proxy that can be cut, or blackhole its open connections."""
 
 from __future__ import annotations
 
@@ -11,7 +11,8 @@
 class BlackholeProxy:
     """Forwards bytes, and can blackhole the connections that are open.
 
-    A blackholed connection stays open but forwards nothing any more.
+    A blackholed connection stays open but forwards nothing any more. While the proxy is
+    cut, it holds all bytes, those of new connections too.
 
     Parameters
     ----------
@@ -31,6 +32,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.connections = 0
+        self._is_healed = asyncio.Event()
+        self._is_healed.set()
 
     async def async_start(self) -> None:
         """Start listening."""
@@ -44,6 +47,17 @@
         blackholed, self.connections = self.connections, 0
         return blackholed
 
+    def cut(self) -> None:
+        """Hold all bytes and ends of connections until ``heal`` is called."""
+        self._is_healed.clear()
+
+    def heal(self, *, loses_held: bool = False) -> None:
+        """Forward again what was held, or close all connections without it."""
+        if loses_held:
+            for task in self._tasks:
+                task.cancel()
+        self._is_healed.set()
+
     async def async_close(self) -> None:
         """Close the listener and all connections."""
         self._server.close()
@@ -95,6 +109,7 @@
             if generation != self._generation:
                 # Forward neither data nor the end of the stream any more.
                 await asyncio.Event().wait()
+            await self._is_healed.wait()
             if not data:
                 writer.close()
                 return
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -23,6 +23,7 @@
 BIN = Path(os.sys.executable).parent
 STORE_PORT = 7000
 BASE_PORT = 7100
+CONTROL_PORT = BASE_PORT + 9
 SERVICES = {"llm": "llm", "plain": "plain"}
 _SUBNETS = itertools.count()
 
@@ -64,6 +65,8 @@
         """The region of each failure domain; if empty, there is only zone-a."""
         self.domains: dict[int, str] = {}
         """Failure domains of daemons; the others are spread over all domains."""
+        self.cpu_shares: dict[int, float] = {}
+        """Processor shares of daemons; the others have 1."""
 
     @property
     def store_url(self) -> str:
@@ -77,6 +80,10 @@
         """Host at which daemons reach the store, directly or through the proxy."""
         return f"{self.subnet}.1" if self.store_proxy is None else f"{self.subnet}.2"
 
+    def store_host_of(self, number: int) -> str:
+        """Return the host at which a daemon reaches the store."""
+        return self.store_host
+
     async def async_start_proxy(self, make_proxy: type[BlackholeProxy]) -> None:
         """Start a proxy between the daemons and the store."""
         self.store_proxy = make_proxy(
@@ -106,14 +113,14 @@
             "zone": self.domains.get(number, zones[number % len(zones)]),
             "zones": self.regions,
             "ip": ip,
-            "listen.control": f"{ip}:{BASE_PORT + 9}",
-            "seeds": f"{self.address(0)}:{BASE_PORT + 9}",
-            "provider.address": f"{self.store_host}:{STORE_PORT}",
+            "listen.control": f"{ip}:{CONTROL_PORT}",
+            "seeds": f"{self.address(0)}:{CONTROL_PORT}",
+            "provider.address": f"{self.store_host_of(number)}:{STORE_PORT}",
             "listen.front": f"{ip}:{BASE_PORT}",
             "listen.ready": f"{ip}:{BASE_PORT + 1}",
             "listen.directory": f"{ip}:{BASE_PORT + 2}",
             "bounds.grace_s": "8",
-            "limits.cpu_share": "1.0",
+            "limits.cpu_share": str(self.cpu_shares.get(number, 1.0)),
             "limits.cores": "2",
             "bounds.drain_ms": "2000",
             "bounds.contact_ms": "3000",
@@ -136,8 +143,12 @@
 
     def start_daemon(self, number: int) -> Process:
         path = self.write_settings(number)
-        program = str(BIN / "chutelink-entry")
-        return self.start(f"vm-{number}", [program, "--settings", str(path)])
+        command = [*self.daemon_program(number), "--settings", str(path)]
+        return self.start(f"vm-{number}", command)
+
+    def daemon_program(self, number: int) -> list[str]:
+        """Return the program of a daemon, with options if it needs any."""
+        return [str(BIN / "chutelink-entry")]
 
     async def async_start_daemons(self, count: int) -> None:
         """Start daemons, and wait until each lists all of them."""
--- a/tests/processes/resuming_caller.py
+++ b/tests/processes/resuming_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import random
 import re
@@ -22,7 +23,8 @@
 
     ``versions`` are the software versions that wrote its events. ``resumptions`` counts
     the attempts that resumed it, ``went_on`` those of them that brought an event or the
-    end of the stream, ``refused`` the ids of those that were refused as not run.
+    end of the stream, ``refused`` the ids of those that were refused as not run, and
+    ``refused_after_s`` how long each of these took.
     """
 
     id: str
@@ -33,6 +35,7 @@
     resumptions: int = 0
     went_on: int = 0
     refused: list[str] = []
+    refused_after_s: list[float] = []
     is_complete: bool = False
     gaps: list[tuple[int, int]] = []
 
@@ -55,6 +58,8 @@
         self._rng = rng
         self.daemons = [0]
         """The daemons to which attempts are sent."""
+        self.prefix = "/stream"
+        """Path of the route to which attempts are sent."""
 
     def begin(self, label: str) -> StreamOutcome:
         """Return a stream that has not been sent yet."""
@@ -91,9 +96,11 @@
             }
         before = stream.last_event
         status = 0
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
         try:
             async with self._deployment.request(
-                daemon, f"/stream/{stream.id}", name, **headers
+                daemon, f"{self.prefix}/{stream.id}", name, **headers
             ) as answer:
                 status = answer.status
                 if status == OK:
@@ -106,6 +113,7 @@
             stream.went_on += stream.last_event > before or stream.is_complete
             if status == 503:
                 stream.refused.append(name)
+                stream.refused_after_s.append(loop.time() - sent_s)
 
     async def _async_read(
         self, stream: StreamOutcome, name: str, answer, max_events: int
