--- a/chutelink/entry/endpoints.py
+++ b/chutelink/entry/endpoints.py
@@ -229,6 +229,13 @@
         self.versions = VersionHistory()
         """Software versions that the endpoints run, by service."""
         self.last_placer_message_s = float("-inf")
+        self.placer_known_as_of_s = float("-inf")
+        """Time as of which the placer's messages show the processes of endpoints.
+
+        A daemon that stood still handles messages that were sent long before.
+        """
+        self.unread_named_s = float("-inf")
+        """When the placer last named an endpoint whose registration was never read."""
         self.on_restarted: Callable[[EndpointRecord, EndpointRecord], None] = (
             lambda before, record: None
         )
@@ -257,7 +264,12 @@
         if record.born_ms > row.record.born_ms:
             self._record_draining(self._restart(row, record))
             return RegistrationResult.RESTARTED
-        if record.born_ms < row.record.born_ms or _is_older_state(row.record, record):
+        if record.born_ms < row.record.born_ms:
+            # Other daemons may have sent requests to the ended process.
+            if record.software_version is not None:
+                self.versions.note_used(record.service, record.software_version)
+            return RegistrationResult.OUTDATED
+        if _is_older_state(row.record, record):
             return RegistrationResult.OUTDATED
         is_changed = row.record.state is not record.state
         self._replace_version(row.record, record)
@@ -306,6 +318,15 @@
             row = self._restart(row, record)
         row.update_models(sequence, models)
 
+    def note_named(self, endpoint: EndpointId, born_ms: int, now_s: float) -> None:
+        """Record that the placer has named an endpoint process."""
+        if endpoint not in self.rows and not self._removed.has(endpoint, born_ms):
+            self.unread_named_s = now_s
+
+    def note_placer(self, sent_s: float) -> None:
+        """Record a message of the placer with the time at which it was sent."""
+        self.placer_known_as_of_s = max(self.placer_known_as_of_s, sent_s)
+
     def note_leaving(self, endpoint: EndpointId, born_ms: int) -> bool:
         """Record that a process is shutting down; return whether that is new.
 
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -59,6 +59,10 @@
     answered: set[DaemonId] = msgspec.field(default_factory=set)
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
+    def is_answered_by(self, linked: set[DaemonId]) -> bool:
+        """Return whether all asked daemons that are still linked have answered."""
+        return bool(self.answered) and self.asked & linked <= self.answered
+
 
 class OriginManager:
     """Records the software versions that begin streams.
@@ -79,6 +83,10 @@
         self._unfinished = UnfinishedStreams()
         self.recorder = StreamRecorder()
         self._created_s = core.clock()
+        self._complete_since_s = self._created_s
+        """Time from which on this daemon has seen all versions that serve."""
+        self._stored_read_s = float("-inf")
+        self._is_restored = False
         self._query_numbers = itertools.count(1)
         self._lookups: dict[int, Lookup] = {}
         self._has_history = False
@@ -95,37 +103,82 @@
 
     @property
     def has_full_history(self) -> bool:
-        """Whether this daemon knows the versions that left before its start."""
+        """Whether this daemon knows the versions that left before its start.
+
+        This includes those that came and left while it was out of step.
+        """
         if self._has_history or self.is_older_than_streams:
             return True
         return self.is_first_fleet and self.is_alone()
 
     @property
     def is_older_than_streams(self) -> bool:
-        """Whether this daemon started before each stream that can be resumed now."""
-        return self._core.clock() - self._created_s > RETENTION_S
+        """Whether it has seen all versions since each stream began that is resumed now.
+
+        Streams can be resumed for ``RETENTION_S``.
+        """
+        return self._core.clock() - self._complete_since_s > RETENTION_S
 
     @property
     def is_first_fleet(self) -> bool:
         """Whether no daemon has served before those that run now."""
         return self._stored is StoredHistory.ABSENT
 
+    @property
+    def lacks_stored(self) -> bool:
+        """Whether what daemons have stored has to be read (again)."""
+        is_read = self._stored_read_s >= self._complete_since_s
+        return not is_read and not self.has_full_history
+
+    def note_missed(self, *, is_restored: bool) -> None:
+        """Record that versions may have come and left without this daemon's knowledge.
+
+        What is stored is read again, and peers are asked again. After a restoration of
+        the store, all of them may lack a complete history. Then what they know together
+        is all there is, as an endpoint that was lost with the store had been read by
+        those that sent requests to it.
+        """
+        if self.is_alone():
+            # No other daemon has sent requests.
+            return
+        self._complete_since_s = self._core.clock()
+        self._has_history = False
+        self._stored = StoredHistory.OUTDATED
+        self._is_restored = is_restored
+        self._history_asked.clear()
+        self._history_answered.clear()
+        self._core.events.info("versions_missed", is_restored=is_restored)
+
     def apply_stored(
         self,
         state: StoredHistory,
         versions: dict[ServiceName, list[SoftwareVersion]],
         streams: Iterable[StreamOrigin] = (),
+        *,
+        read_s: float | None = None,
     ) -> None:
-        """Keep what daemons have stored, also those that have ended."""
+        """Keep what daemons have stored, also those that have ended.
+
+        ``read_s`` is the time at which the read began, now by default.
+        """
         self._add_recent(versions)
         now_s = self._core.clock()
+        streams = list(streams)
         for origin in streams:
             self._table.put(origin, now_s, is_own=False)
-        self._stored = state
-        self._has_history |= state is StoredHistory.CURRENT
+        self._add_versions(streams)
+        self._stored_read_s = now_s if read_s is None else read_s
+        if self._stored_read_s >= self._complete_since_s:
+            self._stored = state
+            self._has_history |= state is StoredHistory.CURRENT
         for lookup in self._lookups.values():
             lookup.changed.set()
 
+    def _add_versions(self, origins: Iterable[StreamOrigin]) -> None:
+        """Keep the versions of streams, also if no registration names them."""
+        for service, version in _versions_of(origins):
+            self.versions.add_recent(service, version)
+
     def _add_recent(self, versions: dict[ServiceName, list[SoftwareVersion]]) -> None:
         for service, names in versions.items():
             for version in names:
@@ -145,10 +198,10 @@
         if self.has_full_history:
             return
         expected = self._history_asked & self.linked()
-        uptime_s = self._core.clock() - self._created_s
-        has_all_answers = expected <= self._history_answered and not self._may_link
-        has_waited = has_all_answers or uptime_s > HISTORY_TIMEOUT_S
-        if self.is_first_fleet and expected and has_waited:
+        waited_s = self._core.clock() - self._complete_since_s
+        has_all_answers = expected <= self._history_answered and waited_s >= LINKING_S
+        has_waited = has_all_answers or waited_s > HISTORY_TIMEOUT_S
+        if (self.is_first_fleet or self._is_restored) and expected and has_waited:
             self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
         for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
@@ -228,12 +281,15 @@
             self._handle_history(message)
         elif isinstance(message, BegunStreams):
             self.recorder.apply(message, self._core.clock())
+            self._add_versions(message.begun)
 
     def _handle_update(self, update: OriginUpdate) -> None:
         """Keep the records of another daemon."""
         now_s = self._core.clock()
         for origin in update.origins:
             self._table.put(origin, now_s, is_own=False)
+        for service, version in _versions_of(update.origins):
+            self.versions.note_used(service, version)
 
     def _handle_query(self, query: OriginQuery) -> None:
         """Answer another daemon's search."""
@@ -259,6 +315,17 @@
             lookup.origin = answer.origin
         lookup.changed.set()
 
+    def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
+        """Return what this daemon itself knows of an attempt and the versions."""
+        now_s = self._core.clock()
+        origin = self._table.get(request or RequestId(""), service, now_s)
+        versions = self.versions.versions(service, now_s)
+        return Lookup(origin, versions, self.has_full_history)
+
+    def has_answers(self, lookup: Lookup) -> bool:
+        """Return whether no daemon that was asked may still know of another version."""
+        return lookup.is_answered_by(self.linked())
+
     async def async_find(
         self, request: RequestId | None, service: ServiceName
     ) -> Lookup:
@@ -267,11 +334,8 @@
         Without an attempt, only the versions that the owners have seen are collected.
         """
         request = RequestId("") if request is None else request
-        now_s = self._core.clock()
-        own = self._table.get(request, service, now_s)
-        versions = self.versions.versions(service, now_s)
-        lookup = Lookup(own, versions, self.has_full_history)
-        if own is not None:
+        lookup = self.find_known(request, service)
+        if lookup.origin is not None:
             return lookup
         number = next(self._query_numbers)
         self._lookups[number] = lookup
@@ -324,6 +388,17 @@
                 continue
 
 
+def _versions_of(
+    origins: Iterable[StreamOrigin],
+) -> set[tuple[ServiceName, SoftwareVersion]]:
+    """Return the services and known versions of streams."""
+    return {
+        (origin.service, origin.version)
+        for origin in origins
+        if origin.version is not None
+    }
+
+
 def _is_newer(origin: StreamOrigin | None, known: StreamOrigin | None) -> bool:
     if origin is None:
         return False
