Resumptions: read the registrations for a stream whose process is unverified

What callers saw: a stream whose record has no version was refused while only one version served, since one version has to be confirmed.

Cause: any record of the stream kept the daemon from reading the registrations, also one that says that the version is unknown. Its copy is always older than the resumption.

Change: only a record with a version does. The test failed before (503) and passes; it costs the same single read as for a stream without a record.

--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -59,6 +59,11 @@
     answered: set[DaemonId] = msgspec.field(default_factory=set)
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
+    @property
+    def has_version(self) -> bool:
+        """Whether the version that began the stream is known."""
+        return self.origin is not None and self.origin.version is not None
+
     def is_answered_by(self, linked: set[DaemonId]) -> bool:
         """Return whether most asked daemons and all that are linked have answered."""
         has_most = 2 * (len(self.answered) + 1) > len(self.asked) + 1
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -145,7 +145,7 @@
         """
         service, resumes = exchange.service.name, exchange.meta.resumes
         known = self._origins.find_known(resumes, service)
-        if known.origin is None and len(known.versions) <= 1:
+        if not known.has_version and len(known.versions) <= 1:
             await self._refresh(exchange.started_s, LOOKUP_TIMEOUT_S)
             known = self._origins.find_known(resumes, service)
         is_current = self._is_current(exchange.started_s)
