Origins: keep the version of a record that a peer has found

What callers saw: after a daemon had got the record of one stream, it could still take the only version that it knew for the only one there was.

Cause: versions of records in updates were kept, those in answers weren't.

The list of versions in an answer isn't, as daemons that tell each other of a version that has left would keep it for ever. The test failed before (200 instead of 503).

--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -322,6 +322,8 @@
         lookup.is_complete |= answer.is_complete
         if _is_newer(answer.origin, lookup.origin):
             lookup.origin = answer.origin
+        for service, version in _versions_of([answer.origin] if answer.origin else []):
+            self.versions.note_used(service, version)
         lookup.changed.set()
 
     def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -190,3 +190,19 @@
             assert (await async_resume(harness))[0] == 200
 
     asyncio.run(async_test())
+
+
+def test_version_in_an_answer_of_a_peer_may_have_begun_other_streams():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add(harness, "i-1", "v1")
+            origins = harness.dispatcher.versions._origins
+            lookup = origins.find_known("q7", "llm")
+            origins._lookups[7] = lookup
+            record = StreamOrigin("q7", "llm", "v2")
+            origins.handle_message(OriginAnswer("d2", 7, record, ["v1"], True))
+            status, outcome, _ = await async_resume(harness)
+            assert (status, outcome) == (503, "not-run")
+
+    asyncio.run(async_test())
