Store watch: don't send reads on demand that show no change

Cause: each read for a resumption was sent to all daemons, as a poll is. While endpoints break, many daemons resume streams, and each would send an empty update for every group of its resumptions to all others, on top of the reads of the daemon that polls for all.

Change: such a read is not sent if no row has changed. The next update begins where the first one that was left out did, unless an update of another daemon was applied in between, whose changes it doesn't have. Reads by polling are sent as before: they show the others that the store answers.

Evidence: three reads on demand, of which the last one shows a change, are one update that leaves no gap (three updates before).

--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from mode import Service
 
 from ..core import Application
@@ -263,7 +264,27 @@
         self._apply(state, read, OWN_READ)
         # Full tables are large, and every daemon reads them when it starts.
         if not is_first:
-            self._send(copy.make_update(read, before))
+            update = copy.make_update(read, before)
+            self._send_update(state, update, is_on_demand=not may_wait)
+
+    def _send_update(
+        self, state: TableState, update: StoreUpdate, *, is_on_demand: bool
+    ) -> None:
+        """Send the changes of a read, unless it was on demand and there are none.
+
+        Reads on demand may be frequent. The next update then begins where the first
+        one that was left out did, so that its receivers see no gap.
+        """
+        if update.is_whole:
+            state.unsent_after = None
+            self._send(update)
+            return
+        after = update.after if state.unsent_after is None else state.unsent_after
+        if is_on_demand and not update.rows:
+            state.unsent_after = after
+            return
+        state.unsent_after = None
+        self._send(msgspec.structs.replace(update, after=after))
 
     def _record_answer(
         self, state: TableState, read: StoreUpdate, sent_s: float
@@ -343,6 +364,8 @@
             )
         self._detect_outage(state, update)
         if status is UpdateStatus.APPLICABLE:
+            # Its changes are in none of this daemon's own reads.
+            state.unsent_after = None
             self._apply(state, update, source)
             self._send_kept_rows(state, update, source)
 
--- a/tests/watching/test_refresh.py
+++ b/tests/watching/test_refresh.py
@@ -78,3 +78,17 @@
     asyncio.run(async_refresh_together())
     assert table.calls == calls + 1
     assert daemon.watch.is_store_failing
+
+
+def test_read_without_changes_is_not_sent_and_leaves_no_gap():
+    table, daemon = make_daemon()
+    peer = DaemonUnderTest(table, rank=4)
+    peer.refresh()
+    for value in (None, None, 2):
+        table.now_s += 0.9
+        table.put("t/b" if value else "t/a", value or 1)
+        asyncio.run(async_refresh(daemon, daemon.core.clock()))
+    (update,) = daemon.sent
+    peer.watch.apply_update(update, "d1")
+    assert ("t/b", 2) in peer.rows
+    assert not peer.state.has_gap
