Store watch: at most two reads on demand for one caller

Cause: a table was read again until its copy was current. A store that answers with a table older than what is known (a fault that is logged as `store_read_outdated`) was called again and again for 0.5 s for each group of resumptions: 49 calls in the test.

Change: two reads, since the first one may be overtaken by an update of a peer. The test counts 2.

--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -44,6 +44,11 @@
 """
 
 
+MAX_READS_ON_DEMAND = 2
+"""Reads for one caller that needs a table as of a time.
+
+The first one may be overtaken by an update of a peer, and then is not applied.
+"""
 MAX_SKIPPED_S = 1.0
 """Time that a full table may skip without being taken for a missing history.
 
@@ -183,8 +188,8 @@
         if self._is_current(state, as_of_s):
             return
         async with state.refresh_lock:
-            while not self._is_current(state, as_of_s):
-                if self._backoff.is_failing:
+            for _ in range(MAX_READS_ON_DEMAND):
+                if self._is_current(state, as_of_s) or self._backoff.is_failing:
                     return
                 try:
                     await self._async_refresh(state, may_wait=False)
--- a/tests/watching/test_refresh.py
+++ b/tests/watching/test_refresh.py
@@ -92,3 +92,12 @@
     peer.watch.apply_update(update, "d1")
     assert ("t/b", 2) in peer.rows
     assert not peer.state.has_gap
+
+
+def test_store_that_answers_with_an_old_table_is_not_read_until_the_limit():
+    table, daemon = make_daemon()
+    table.now_s += 0.9
+    table.version -= 1
+    calls = table.calls
+    asyncio.run(async_refresh(daemon, daemon.core.clock()))
+    assert table.calls == calls + 2
