--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -59,6 +59,11 @@
     answered: set[DaemonId] = msgspec.field(default_factory=set)
     changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
+    @property
+    def has_version(self) -> bool:
+        """Whether the version that began the stream is known."""
+        return self.origin is not None and self.origin.version is not None
+
     def is_answered_by(self, linked: set[DaemonId]) -> bool:
         """Return whether most asked daemons and all that are linked have answered."""
         has_most = 2 * (len(self.answered) + 1) > len(self.asked) + 1
@@ -317,6 +322,8 @@
         lookup.is_complete |= answer.is_complete
         if _is_newer(answer.origin, lookup.origin):
             lookup.origin = answer.origin
+        for service, version in _versions_of([answer.origin] if answer.origin else []):
+            self.versions.note_used(service, version)
         lookup.changed.set()
 
     def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
