End checks: leave the route's attempts to broken streams

An end check that brings further events goes on as the stream's attempt. It counted among the attempts of the route, so that a stream whose endpoint then broke off could not go on elsewhere, although only one endpoint had been tried.

Checks are no longer counted; the number of distinct endpoints stays bounded by the route's attempts, and checks by the retry budget and the time left.

--- a/chutelink/relaying/end_check.py
+++ b/chutelink/relaying/end_check.py
@@ -96,6 +96,8 @@
         if other is None:
             return CheckResult.UNANSWERED, row
         exchange.is_retry_reserved = False
+        # Endpoints that haven't been tried remain bounded by the route's attempts.
+        exchange.end_checks += 1
         before = exchange.events
         result, response = await self._stream_relay.async_attempt(
             exchange, other, caller, answer_timeout_s=CHECK_TIMEOUT_S
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -44,7 +44,8 @@
     and ``end_proof`` what showed that it was complete. ``is_connection_reused`` is
     whether the last call was sent on a pooled connection, None before the first, and
     ``events`` the number of events forwarded. ``is_last_event_numbered`` is whether the
-    stream can be resumed after the last one.
+    stream can be resumed after the last one. ``end_checks`` is the number of attempts
+    that checked the end of a stream, which are in ``tried`` as well.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
     the silent endpoint of the attempt before, to which the request returns if the next
@@ -86,6 +87,7 @@
     is_connection_reused: bool | None = None
     events: int = 0
     is_last_event_numbered: bool = True
+    end_checks: int = 0
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
     given_up: EndpointId | None = None
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -468,7 +468,8 @@
     def may_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be retried, apart from the retry budget."""
         is_return = exchange.switch_to in exchange.tried
-        if len(exchange.tried) >= exchange.route.max_endpoints and not is_return:
+        attempts = len(exchange.tried) - exchange.end_checks
+        if attempts >= exchange.route.max_endpoints and not is_return:
             return False
         return not exchange.is_trial and not self.gate.is_quarantined(exchange)
 
--- a/tests/relaying/test_end_check.py
+++ b/tests/relaying/test_end_check.py
@@ -8,9 +8,10 @@
 import pytest
 
 from chutelink.relaying.retry_budget import RetryBudgetShare
-from standins.prepared_endpoint import EndpointFaults
+from standins.prepared_endpoint import EndpointFaults, EndpointStandin
 
 from .relay_harness import async_relay_harness
+from .test_cut_responses import async_ask
 from .test_stream import EVENTS, expected, headers
 
 WHOLE = EndpointFaults(end_unframed=1, unframed_events=EVENTS)
@@ -104,3 +105,25 @@
     body, checks = asyncio.run(async_play(faults, before, after, **sent))
     assert body is None
     assert checks[0] == "no_retry"
+
+
+def test_stream_that_breaks_after_a_check_goes_on_elsewhere():
+    """Guards against checks that use up the attempts of a route."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            first = await harness.async_add("i-1", "llm", {"m0": []})
+            first.faults = EndpointFaults(
+                end_unframed=1, unframed_events=3, cut_after_events=5
+            )
+            second = EndpointStandin("i-2", "llm", {"m0": []}, 0.05)
+            await harness.machines.async_add(second, "127.0.0.1")
+            asking = asyncio.ensure_future(async_ask(harness, "/stream/x", headers()))
+            while not first.runs:
+                await asyncio.sleep(0)
+            harness.register(second)
+            assert await asking == (200, expected())
+            assert len(first.runs) == 2 and second.runs == ["q1"]
+
+    asyncio.run(async_test())
