Streams: don't take a framed response without an event for a whole stream

A response with a length of 0, or with nothing but the last chunk, ended the stream to the caller as complete, in a first attempt as well as in one resumed within the stream: framing proves that the response was received as it was sent, but not that the stream had ended.

A first response without an event is now incomplete, as it was without framing. A resumed one is checked by a second resumption, as few streams break off after their last event; if that isn't run, it counts as before.

--- a/chutelink/relaying/end_check.py
+++ b/chutelink/relaying/end_check.py
@@ -2,7 +2,8 @@
 
 A response without a length or chunks ends with its connection. That its process still
 responds doesn't show that the response was complete: the process may have lost that
-connection, or be about to exit.
+connection, or be about to exit. A resumed response without an event is unusual in any
+framing: few streams break off after their last event.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..entry.endpoints import Endpoint
 from ..exceptions import EndpointFailed
 from ..gateway.refusals import Refusal
@@ -46,6 +49,14 @@
     """The resumption has broken off without an event."""
 
 
+class _EndedResponse(msgspec.Struct, frozen=True):
+    """A response whose end is checked, and the number of its events."""
+
+    row: Endpoint
+    events: int
+    proof: EndProof
+
+
 class EndChecker:
     """Resumes streams after their last event if only a connection ended them.
 
@@ -68,12 +79,14 @@
         ``events`` is the number of events of that response. Events that are missing
         are forwarded. Any other result is that of the last attempt at the stream.
         """
-        while self._needs_check(exchange):
-            before, started_s = exchange.events, self._core.clock()
+        while self._needs_check(exchange, events):
+            before, proof = exchange.events, exchange.end_proof
+            ended = _EndedResponse(row, events, proof)
+            started_s = self._core.clock()
             result, other = await self._async_resume(exchange, row, caller)
             self._note(exchange, row, result, started_s)
             if exchange.events == before:
-                return await self._async_decide(exchange, row, result, events)
+                return await self._async_decide(exchange, ended, result)
             self._note_early_end(exchange, row)
             if result is not CheckResult.EARLY:
                 return AttemptResult.FAILED
@@ -81,8 +94,10 @@
         return AttemptResult.ANSWERED
 
     @staticmethod
-    def _needs_check(exchange: Exchange) -> bool:
-        return exchange.is_repeatable and exchange.end_proof is EndProof.SAME_PROCESS
+    def _needs_check(exchange: Exchange, events: int) -> bool:
+        if not exchange.is_repeatable:
+            return False
+        return not events or exchange.end_proof is EndProof.SAME_PROCESS
 
     async def _async_resume(
         self, exchange: Exchange, row: Endpoint, caller: CallerStream
@@ -130,27 +145,36 @@
             return None
 
     async def _async_decide(
-        self, exchange: Exchange, row: Endpoint, result: CheckResult, events: int
+        self, exchange: Exchange, ended: _EndedResponse, result: CheckResult
     ) -> AttemptResult:
-        """Return the result of a stream of which a check brought no further event.
-
-        Without an answer, a response with events counts as complete if its process is
-        not about to exit.
-        """
+        """Return the result of a stream of which a check brought no further event."""
         if result is CheckResult.CONFIRMED:
             exchange.end_proof = EndProof.RESUMED
             return AttemptResult.ANSWERED
+        if await self._async_counts_unchecked(ended, result):
+            exchange.end_proof = ended.proof
+            return AttemptResult.ANSWERED
         exchange.end_proof = EndProof.NONE
-        table = self._dispatcher.table
-        is_leaving = not table.is_registered(row.record)
-        if not events or is_leaving or table.is_replaced(row.record):
-            return AttemptResult.FAILED
-        if result is CheckResult.BROKEN:
-            ends = self._stream_relay.upstream.ends
-            if not await ends.async_is_present(row):
-                return AttemptResult.FAILED
-        exchange.end_proof = EndProof.SAME_PROCESS
-        return AttemptResult.ANSWERED
+        return AttemptResult.FAILED
+
+    async def _async_counts_unchecked(
+        self, ended: _EndedResponse, result: CheckResult
+    ) -> bool:
+        """Return whether a response counts as complete without the check's answer.
+
+        So does one with events whose process isn't about to exit. One with framing, and
+        without an event, does unless its endpoint has failed since.
+        """
+        if ended.proof is EndProof.FRAMING:
+            return result is not CheckResult.BROKEN
+        table, record = self._dispatcher.table, ended.row.record
+        is_leaving = not table.is_registered(record) or table.is_replaced(record)
+        if is_leaving or not ended.events:
+            return False
+        ends = self._stream_relay.upstream.ends
+        return result is not CheckResult.BROKEN or await ends.async_is_present(
+            ended.row
+        )
 
     def _note_early_end(self, exchange: Exchange, row: Endpoint) -> None:
         """Record that an endpoint has ended a response before the last event."""
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -204,14 +204,16 @@
         await caller.async_send_headers(response.status, headers)
 
     async def _async_verify_end(self, response: aiohttp.ClientResponse) -> None:
-        """Raise if a stream that ended with its connection may be incomplete.
+        """Raise if the end of a response can't be the end of the stream.
 
         A stream that is resumed after its last event has no further ones; any other
         stream has at least one.
         """
-        is_resumed = self._exchange.resume_after is not None
-        if not self._events and not is_resumed and not is_framed(response):
-            raise ConnectionBroken(
+        is_resumed = bool(self._exchange.resume_after)
+        if not self._events and not is_resumed:
+            # With framing, the connection and the process are intact.
+            broken = EndpointFailed if is_framed(response) else ConnectionBroken
+            raise broken(
                 "ended before its first event",
                 step="stream",
                 peer=self._row.record.id,
--- a/tests/relaying/test_end_check.py
+++ b/tests/relaying/test_end_check.py
@@ -10,8 +10,9 @@
 from chutelink.relaying.retry_budget import RetryBudgetShare
 from standins.prepared_endpoint import EndpointFaults, EndpointStandin
 
+from ..raw_server import HEAD, async_raw_server
 from .relay_harness import async_relay_harness
-from .test_cut_responses import async_ask
+from .test_cut_responses import async_ask, register_raw
 from .test_stream import EVENTS, expected, headers
 
 WHOLE = EndpointFaults(end_unframed=1, unframed_events=EVENTS)
@@ -107,6 +108,35 @@
     assert checks[0] == "no_retry"
 
 
+@pytest.mark.parametrize("after", [0, 3], ids=["first", "resumed"])
+@pytest.mark.parametrize(
+    "framing",
+    [b"Content-Length: 0\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"],
+    ids=["length", "chunks"],
+)
+def test_framed_response_without_an_event_does_not_end_a_stream(framing, after):
+    """Guards against truncated responses that count as streams without events."""
+
+    async def async_test():
+        async with (
+            async_raw_server(HEAD + framing) as server,
+            async_relay_harness() as harness,
+        ):
+            harness.configure()
+            other = EndpointStandin("i-2", "llm", {"m0": []}, 0.05)
+            await harness.machines.async_add(other, "127.0.0.1")
+            register_raw(harness, server, "llm", {"m0": []})
+            sent = headers() | ({"Last_Event_Id": str(after)} if after else {})
+            asking = asyncio.ensure_future(async_ask(harness, "/stream/x", sent))
+            while not server.requests:
+                await asyncio.sleep(0)
+            harness.register(other)
+            server.response = b""
+            assert await asking == (200, expected(after + 1))
+
+    asyncio.run(async_test())
+
+
 def test_stream_that_breaks_after_a_check_goes_on_elsewhere():
     """Guards against checks that use up the attempts of a route."""
 
