--- a/tests/relaying/test_early_ends.py
+++ b/tests/relaying/test_early_ends.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
+import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from enum import Enum
 from types import SimpleNamespace
@@ -17,6 +19,7 @@
 from chutelink.reachability.ticket import RelayTicket, TicketSigner
 from standins.prepared_endpoint import EndpointStandin
 
+from ..raw_server import RESET
 from .ending_engine import (
     EVENTS,
     Ending,
@@ -179,3 +182,76 @@
     """Guards against ends of endpoints' responses that count as ends of streams."""
     early = asyncio.run(async_play_all(cases_of(ending, framing)))
     assert early == []
+
+
+def close_connections(peer: web.Server, *, is_reset: bool) -> None:
+    """End the connections of a peer's process."""
+    for handler in peer.connections:
+        if handler.transport is None:
+            continue
+        if is_reset:
+            sock = handler.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        handler.transport.close()
+
+
+@asynccontextmanager
+async def async_relayed_engine(framing: Framing, position: Position):
+    """Yield a harness, its peer and an engine that only the peer reaches."""
+    async with async_relay_harness() as harness, async_peer(harness) as peer:
+        harness.configure()
+        engine = EndingEngine("i-1", Ending.CONNECTION_LOST, framing, position)
+        await engine.async_start()
+        harness.state.apply_row(engine.registration())
+        yield harness, peer, engine
+        engine.close()
+
+
+async def async_play_peer_that_stops(
+    framing: Framing, position: Position, *, is_reset: bool
+) -> Received:
+    async with async_relayed_engine(framing, position) as (harness, peer, engine):
+        loop = asyncio.get_running_loop()
+        # The engine ends its response 10 ms after it has sent the part.
+        stop = functools.partial(close_connections, peer, is_reset=is_reset)
+        engine.on_request = lambda: (
+            loop.call_later(0.005, stop) if len(engine.requests) == 1 else None
+        )
+        return await async_request(harness)
+
+
+async def async_play_peer_that_stops_after_its_check(
+    framing: Framing, position: Position, *, is_reset: bool
+) -> Received:
+    async with async_relayed_engine(framing, position) as (harness, peer, _):
+        verify, calls = harness.upstream.ends.async_verify, []
+
+        async def async_verify_and_stop(*args, **options):
+            proof = await verify(*args, **options)
+            if not calls:
+                close_connections(peer, is_reset=is_reset)
+            calls.append(proof)
+            return proof
+
+        harness.upstream.ends.async_verify = async_verify_and_stop
+        return await async_request(harness)
+
+
+@pytest.mark.parametrize(
+    "async_play_peer",
+    [async_play_peer_that_stops, async_play_peer_that_stops_after_its_check],
+    ids=["within", "after_check"],
+)
+@pytest.mark.parametrize("is_reset", [False, True], ids=["fin", "rst"])
+def test_peer_that_stops_does_not_end_a_stream(async_play_peer, is_reset):
+    """Guards against ends of peers that count as ends of the streams they relay."""
+
+    async def async_test():
+        cases = list(itertools.product(Framing, Position))
+        plays = [async_play_peer(*case, is_reset=is_reset) for case in cases]
+        received = await asyncio.gather(*plays)
+        whole = events_after(0)
+        pairs = zip(cases, received, strict=True)
+        assert [c for c, r in pairs if r.is_complete and r.body != whole] == []
+
+    asyncio.run(async_test())
