Streams: an end at the time limit that was sent is no end of the stream

An endpoint stops work at the limit in its request.

The timer is armed with the time that is left then. An end within 5 ms of the limit counts only with a length, as the limit is sent in whole milliseconds, rounded down. A stream that ends completely within these 5 ms is cut off, as one that ends after the limit was before.

--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -19,6 +19,7 @@
 from .response_end import (
     FIRST_NON_SUCCESS_STATUS,
     EndProof,
+    Framing,
     framing_of,
     is_framed,
 )
@@ -42,6 +43,8 @@
 A less urgent stream may be silent for seconds while others are served first. With a
 fixed timeout of 1.5 s, a stream whose caller would have waited for 20 s never finished.
 """
+TIME_LIMIT_MARGIN_S = 0.005
+"""How much sooner an endpoint may reach its time limit, which is sent in whole ms."""
 SOUND_EVENTS = 3
 """Events after which a prompt does not crash endpoints that begin to answer on it."""
 MIN_LEARNED_TOKENS = 1000
@@ -105,7 +108,7 @@
         stream_relay, exchange, row = self._stream_relay, self._exchange, self._row
         self._start_prefill()
         call = stream_relay.dispatcher.make_call(exchange, row)
-        limit_s = max(0.0, exchange.left_s(sent_s))
+        limit_s = max(0.0, exchange.left_s(stream_relay.core.clock()))
         try:
             async with (
                 asyncio.timeout(limit_s),
@@ -209,6 +212,12 @@
         A stream that is resumed after its last event has no further ones; any other
         stream has at least one.
         """
+        left_s = self._exchange.left_s(self._stream_relay.core.clock())
+        is_cut_by_limit = left_s <= TIME_LIMIT_MARGIN_S
+        if is_cut_by_limit and framing_of(response.headers) is not Framing.LENGTH:
+            raise EndpointFailed(
+                "ended at its time limit", step="stream", peer=self._row.record.id
+            )
         is_resumed = bool(self._exchange.resume_after)
         if not self._events and not is_resumed:
             # With framing, the connection and the process are intact.
