Tests: whole streams without a length stay complete, also after their last event

The engine of the matrix sent an invalid empty chunk when it was asked for what follows the last event, which the daemon treated as a broken response.

--- a/tests/relaying/ending_engine.py
+++ b/tests/relaying/ending_engine.py
@@ -150,9 +150,8 @@
         after = int(headers.get("last-event-id", 0))
         if len(self.requests) > 1:
             writer.write(self._head(after, headers, Framing.CHUNKS))
-            writer.write(
-                b"%x\r\n%s\r\n" % (len(events_after(after)), events_after(after))
-            )
+            if rest := events_after(after):
+                writer.write(b"%x\r\n%s\r\n" % (len(rest), rest))
             writer.write(b"0\r\n\r\n")
             return
         for part in self._parts(after, headers):
--- a/tests/relaying/test_early_ends.py
+++ b/tests/relaying/test_early_ends.py
@@ -255,3 +255,16 @@
         assert [c for c, r in pairs if r.is_complete and r.body != whole] == []
 
     asyncio.run(async_test())
+
+
+def test_whole_stream_without_a_length_is_complete():
+    """Guards against checks of ends that cut whole streams off."""
+
+    async def async_test():
+        sound = (Ending.CONNECTION_LOST, Framing.CONNECTION, Position.AFTER_LAST_EVENT)
+        cases = [Case(*sound, *rest) for rest in itertools.product(Attempt, Path)]
+        received = await asyncio.gather(*map(async_play, cases))
+        pairs = zip(cases, received, strict=True)
+        assert [c for c, r in pairs if not r.is_complete or is_early(c, r)] == []
+
+    asyncio.run(async_test())
