--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -42,10 +42,11 @@
     don't continue the stream once ``is_version_bound`` is set. ``send_before_s`` is the
     end of the grant for the endpoint chosen last, None if it needs none.
     ``framing`` is what ended the last response of an endpoint, None without a response,
-    and ``end_proof`` what showed that it was complete. ``last_call`` is how
-    far the last call to an endpoint has got, and ``events`` the number of events
-    forwarded. ``is_last_event_numbered`` is whether the
-    stream can be resumed after the last one.
+    and ``end_proof`` what showed that it was complete. ``last_call`` is how far the
+    last call to an endpoint has got, and ``events`` the number of events forwarded.
+    ``is_last_event_numbered`` is whether the stream can be resumed after the last one.
+    ``end_checks`` is the number of attempts that checked the end of a stream, which are
+    in ``tried`` as well.
     ``is_retry_reserved`` is whether a retry has been taken from the budget for the next
     attempt, and ``switch_to`` the endpoint that is preferred for it. ``given_up`` is
     the silent endpoint of the attempt before, to which the request returns if the next
@@ -87,6 +88,7 @@
     last_call: CallProgress = msgspec.field(default_factory=CallProgress)
     events: int = 0
     is_last_event_numbered: bool = True
+    end_checks: int = 0
     is_retry_reserved: bool = False
     switch_to: EndpointId | None = None
     given_up: EndpointId | None = None
