--- a/chutelink/relaying/end_check.py
+++ b/chutelink/relaying/end_check.py
@@ -58,7 +58,7 @@
 
 
 class EndChecker:
-    """Resumes streams after their last event if only a connection ended them.
+    """Resumes streams whose end is not proven after their last event.
 
     Parameters
     ----------
@@ -162,8 +162,8 @@
     ) -> bool:
         """Return whether a response counts as complete without the check's answer.
 
-        So does one with events whose process isn't about to exit. One with framing, and
-        without an event, does unless its endpoint has failed since.
+        One with events does if its process isn't about to exit. One with framing, which
+        is checked only without an event, does unless the check has broken off.
         """
         if ended.proof is EndProof.FRAMING:
             return result is not CheckResult.BROKEN
