End checks: keep half of the retry budget for failures

Sound endpoints may send streams without a length or chunks as well. Each check of such an end takes a retry, so that checks could use up the budget that broken streams need. Responses that count as complete without a check now leave half of it; ends that don't are checked as long as a retry is left. The test shows a check with the last retry on the code before.

--- a/chutelink/relaying/end_check.py
+++ b/chutelink/relaying/end_check.py
@@ -83,7 +83,7 @@
             before, proof = exchange.events, exchange.end_proof
             ended = _EndedResponse(row, events, proof)
             started_s = self._core.clock()
-            result, other = await self._async_resume(exchange, row, caller)
+            result, other = await self._async_resume(exchange, ended, caller)
             self._note(exchange, row, result, started_s)
             if exchange.events == before:
                 return await self._async_decide(exchange, ended, result)
@@ -100,12 +100,13 @@
         return not events or exchange.end_proof is EndProof.SAME_PROCESS
 
     async def _async_resume(
-        self, exchange: Exchange, row: Endpoint, caller: CallerStream
+        self, exchange: Exchange, ended: _EndedResponse, caller: CallerStream
     ) -> tuple[CheckResult, Endpoint]:
         """Resume a stream after its last event, at the same endpoint if possible."""
+        row = ended.row
         if not exchange.can_resume:
             return CheckResult.UNNUMBERED, row
-        if not self._reserve(exchange, row):
+        if not self._reserve(exchange, ended):
             return CheckResult.NO_RETRY, row
         other = await self._async_acquire(exchange)
         if other is None:
@@ -124,12 +125,17 @@
         is_early = exchange.events > before
         return CheckResult.EARLY if is_early else CheckResult.CONFIRMED, other
 
-    def _reserve(self, exchange: Exchange, row: Endpoint) -> bool:
-        """Take a retry from the budget; the same endpoint has the prompt cached."""
+    def _reserve(self, exchange: Exchange, ended: _EndedResponse) -> bool:
+        """Take a retry from the budget; the same endpoint has the prompt cached.
+
+        Responses that would otherwise count as complete don't use up the budget.
+        """
         if exchange.left_s(self._core.clock()) < CHECK_TIMEOUT_S:
             return False
+        if ended.events and not self._dispatcher.may_check_end(exchange):
+            return False
         exchange.may_have_run = True
-        exchange.switch_to = row.record.id
+        exchange.switch_to = ended.row.record.id
         if self._dispatcher.reserve_retry(exchange):
             return True
         exchange.switch_to = None
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -41,6 +41,8 @@
 from .upstream import EndpointCall
 from .version_gate import VersionGate
 
+CHECK_BUDGET_SHARE = 0.5
+"""Share of the retry budget that checks of ends may use; the rest is for failures."""
 DEFAULT_RETRY_DELAY_S = 0.5
 MIN_RETRY_DELAY_S = 0.2
 OUTDATED_POLL_S = 0.02
@@ -480,6 +482,12 @@
             exchange.service.name, now_s
         )
 
+    def may_check_end(self, exchange: Exchange) -> bool:
+        """Return whether the budget has a retry left for the check of an end."""
+        return self.retry_budget.has_left(
+            exchange.service.name, self.core.clock(), CHECK_BUDGET_SHARE
+        )
+
     def reserve_retry(self, exchange: Exchange) -> bool:
         """Take a retry from the budget for the next attempt, if that is allowed."""
         if not self.may_retry(exchange):
--- a/chutelink/relaying/retry_budget.py
+++ b/chutelink/relaying/retry_budget.py
@@ -50,14 +50,15 @@
         """Count a caller's request."""
         self._requests.setdefault(service, _SlidingWindowCounter()).add(now_s)
 
-    def has_left(self, service: ServiceName, now_s: float) -> bool:
-        """Return whether a retry is left in the budget."""
+    def has_left(self, service: ServiceName, now_s: float, share: float = 1.0) -> bool:
+        """Return whether a retry is left in the budget, or in a share of it."""
         requests = self._requests.setdefault(service, _SlidingWindowCounter())
         retries = self._retries.setdefault(service, _SlidingWindowCounter())
         allowed = self._ratio * requests.count(now_s, self._window_s)
         allowed += self._slack / max(1, self.daemons)
         return (
-            retries.count(now_s, self._window_s) + 1 <= BUDGET_SAFETY_FACTOR * allowed
+            retries.count(now_s, self._window_s) + 1
+            <= share * BUDGET_SAFETY_FACTOR * allowed
         )
 
     def take(self, service: ServiceName, now_s: float) -> bool:
--- a/tests/relaying/test_end_check.py
+++ b/tests/relaying/test_end_check.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from chutelink.relaying.retry_budget import RetryBudgetShare
+from chutelink.relaying.retry_budget import BUDGET_SAFETY_FACTOR, RetryBudgetShare
 from standins.prepared_endpoint import EndpointFaults, EndpointStandin
 
 from ..raw_server import HEAD, async_raw_server
@@ -24,6 +24,11 @@
     harness.dispatcher.retry_budget = RetryBudgetShare(0.0, 0.0, 10.0)
 
 
+def leave_one_retry(harness, endpoint):
+    slack = 1.5 / BUDGET_SAFETY_FACTOR
+    harness.dispatcher.retry_budget = RetryBudgetShare(0.0, slack, 10.0)
+
+
 def refuse(harness, endpoint):
     endpoint.faults = EndpointFaults(refuse=1)
 
@@ -79,6 +84,7 @@
         pytest.param(WHOLE_TWICE, keep, keep, ["confirmed"], id="unframed"),
         pytest.param(EARLY, keep, keep, ["early", "answered"], id="early"),
         pytest.param(WHOLE, take_budget, keep, ["no_retry"], id="no_budget"),
+        pytest.param(WHOLE, leave_one_retry, keep, ["no_retry"], id="last_retry"),
         pytest.param(WHOLE, keep, refuse, ["unanswered"], id="refused"),
         pytest.param(WHOLE, keep, hang, ["unanswered"], id="silent"),
     ],
