Startup: keep signals that arrive before the event loop handles them

A SIGHUP, which says that the settings file has changed, ended a daemon that was still starting. Callers that had connected to it, as it listens from early on, had their requests reset, also on SIGTERM.

Cause: until the event loop has its handlers, signals have their default action, which ends the process. Starting takes 0.6 to 0.8 s with a core of its own.

Evidence: a daemon process got SIGHUP 0.05, 0.1, 0.2, 0.3, 0.45 and 0.6 s after its start: exit status -1 each time; SIGTERM: -15 each time. A request that was sent on a connection opened in that time got no answer.

Signals are now recorded from the first line of the program on, with their time, and passed on when the loop runs: SIGHUP reloads the settings, SIGTERM drains with a grace period that began when the signal arrived.

test_core passes the recorded signals, of which there are none, as an argument.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 from abc import abstractmethod
 from collections.abc import Callable
 from typing import TypeVar
@@ -25,7 +24,15 @@
 from .metrics import CONTENT_TYPE, Metrics
 from .responses import BoundedConnector
 from .settings import DaemonSection
-from .startup import EXIT_FAILED, EXIT_OK, StartupContext, prepare_startup
+from .startup import (
+    EXIT_FAILED,
+    EXIT_OK,
+    RELOAD_SIGNAL,
+    STOP_SIGNALS,
+    HeldSignals,
+    StartupContext,
+    prepare_startup,
+)
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 MAX_CONNECTIONS_PER_HOST = 0
@@ -89,13 +96,14 @@
         exporter = SpanExporter(queue, self.session, self.daemon.trace_url, self.events)
         await self.add_runtime_dependency(exporter)
 
-    def request_drain(self) -> None:
+    def request_drain(self, requested_s: float | None = None) -> None:
         """Request a graceful stop.
 
         The grace period starts with the first request, which may arrive while the
-        services are still starting.
+        services are still starting, or before (``requested_s``).
         """
-        self.drain_requested_s = min(self.drain_requested_s, self.clock())
+        requested_s = self.clock() if requested_s is None else requested_s
+        self.drain_requested_s = min(self.drain_requested_s, requested_s)
         self.drain_requested.set()
 
     async def on_shutdown(self) -> None:
@@ -175,12 +183,18 @@
 async def _async_run(
     make_application: Callable[[], Application],
     reload: Callable[[Application], None],
+    held: HeldSignals,
 ) -> int:
     app = make_application()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, app.request_drain)
-    loop.add_signal_handler(signal.SIGHUP, reload, app)
+    loop.add_signal_handler(RELOAD_SIGNAL, reload, app)
+    for number, arrived_s in held.take():
+        if number == RELOAD_SIGNAL:
+            reload(app)
+        else:
+            app.request_drain(arrived_s)
     try:
         await app.start()
     except (OSError, ChutelinkError) as error:
@@ -218,15 +232,21 @@
     SystemExit
         With code 2 for invalid settings.
     """
-    return run_daemon(prepare_startup(program, description, kind), make_application)
+    held = HeldSignals()
+    held.hold()
+    start = prepare_startup(program, description, kind)
+    return run_daemon(start, make_application, held)
 
 
 def run_daemon(
     start: StartupContext[SettingsT],
     make_application: Callable[[SettingsT], Application],
+    held: HeldSignals,
 ) -> int:
     """Run a daemon until it is asked to stop.
 
+    ``held`` are the signals since the process started.
+
     Returns
     -------
     int
@@ -243,4 +263,6 @@
 
     setup_logging(start.settings.daemon.log_level)
     with asyncio.Runner(loop_factory=BoottimeLoop) as runner:
-        return runner.run(_async_run(lambda: make_application(start.settings), reload))
+        return runner.run(
+            _async_run(lambda: make_application(start.settings), reload, held)
+        )
--- a/chutelink/entry/main.py
+++ b/chutelink/entry/main.py
@@ -6,12 +6,14 @@
 import sys
 
 from ..settings import EntrySettings
-from ..startup import prepare_startup
+from ..startup import HeldSignals, prepare_startup
 from .listeners import open_listener
 
 
 def main() -> int:
     """Run an entry daemon."""
+    held = HeldSignals()
+    held.hold()
     start = prepare_startup(
         "chutelink-entry",
         "Relays callers' requests to endpoints on lent VMs.",
@@ -29,7 +31,9 @@
     gc.freeze()
     gc.enable()
     return run_daemon(
-        start, lambda settings: EntryApp(settings, PreparedMachinesAdapter(), listener)
+        start,
+        lambda settings: EntryApp(settings, PreparedMachinesAdapter(), listener),
+        held,
     )
 
 
--- a/chutelink/startup.py
+++ b/chutelink/startup.py
@@ -8,8 +8,12 @@
 
 import argparse
 import os
+import signal
 import sys
+import time
+from collections.abc import Iterator
 from pathlib import Path
+from types import FrameType
 from typing import Generic, TypeVar
 
 import msgspec
@@ -24,6 +28,34 @@
 EXIT_USAGE = 2
 
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
+
+
+class HeldSignals:
+    """Signals that arrive before the event loop handles them.
+
+    By default they end the process. Starting takes seconds with little processor time,
+    and callers may have opened connections by then.
+    """
+
+    def __init__(self) -> None:
+        self._arrived_s: dict[int, float] = {}
+
+    def hold(self) -> None:
+        """Record signals from now on, until other handlers are installed."""
+        for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+            signal.signal(number, self._note)
+
+    def take(self) -> Iterator[tuple[int, float]]:
+        """Yield each recorded signal and the boot time in seconds of its arrival."""
+        while self._arrived_s:
+            yield self._arrived_s.popitem()
+
+    def _note(self, number: int, frame: FrameType | None) -> None:
+        self._arrived_s.setdefault(number, time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class StartupContext(msgspec.Struct, Generic[SettingsT], frozen=True):
     """A daemon's settings and the file from which they can be reloaded."""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
 
 from chutelink.core import Application, _async_run
 from chutelink.settings import DaemonSection
+from chutelink.startup import HeldSignals
 
 START_S = 0.3
 
@@ -40,7 +41,7 @@
 
     async def async_test():
         app = SlowStart()
-        assert await _async_run(lambda: app, lambda app: None) == 0
+        assert await _async_run(lambda: app, lambda app: None, HeldSignals()) == 0
         assert app.drained_s - app.signalled_s >= START_S
         assert app.drain_requested_s - app.signalled_s < START_S / 2
 
