Shutdown: refuse streams that have waited too long to finish

Callers whose streams waited for a model at a stopping daemon got the first events and then the end of the connection.

Cause: whether a stream can finish before the daemon exits is decided when the request is accepted, with its objective as the time to its first event. One that waits for a load for longer than that was sent to an endpoint all the same, up to the last 0.5 s, and cut off.

Evidence: a daemon with a grace period of 8 s gets three requests 2.5 s after SIGTERM, for a model whose load takes 3 s; their streams take 3.4 s, the mean of the earlier ones is about 1.7 s. They were sent to the endpoint when it had the model, and all three were cut off 4.82 s after they were sent.

The decision is taken again before a request is sent that has not run; a refusal says so and another daemon may serve it. A stream that has begun is still resumed to the end.

The test failed before with (200, ['q1']) instead of (503, []).

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -92,6 +92,7 @@
     def set_shutdown_deadline(self, deadline_s: float) -> None:
         """From now on, accept only requests that can finish by the deadline."""
         self._shutdown_deadline_s = deadline_s
+        self._dispatcher.shutdown_deadline_s = deadline_s
 
     def stop_waiting(self) -> None:
         """Refuse the requests that have not been sent to an endpoint yet."""
--- a/chutelink/entry/shutdown.py
+++ b/chutelink/entry/shutdown.py
@@ -32,3 +32,12 @@
     if not route.is_stream:
         return left_s > (route.timeout_s or route.objective_s)
     return left_s > route.objective_s + STREAM_DURATION_FACTOR * stream_s
+
+
+def can_finish_sent(route: Route, left_s: float, stream_s: float) -> bool:
+    """Return whether a request that is sent now will most likely finish in time.
+
+    A stream may have waited for its model for longer than its objective. The time that
+    other requests take at most was checked when they were accepted.
+    """
+    return not route.is_stream or left_s > STREAM_DURATION_FACTOR * stream_s
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -18,6 +18,7 @@
 from ..entry.load_tracker import LoadTracker
 from ..entry.messages import PromptNotice
 from ..entry.pending import PendingTable
+from ..entry.shutdown import OTHER_DAEMON_RETRY_S, can_finish_sent
 from ..gateway.refusals import Refusal, unavailable
 from ..ids import DaemonId, FailureDomainName, model_ref
 from ..learning.durations import DurationTable
@@ -138,6 +139,8 @@
         )
         self.homes: HomeRegions | None = None
         """The home regions of requests, None if they may be served anywhere."""
+        self.shutdown_deadline_s: float | None = None
+        """When this daemon cuts off requests in flight, None if it doesn't stop."""
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
         """Called when a request that may have run is sent again."""
@@ -195,8 +198,24 @@
         if exchange.left_s(self.core.clock()) <= 0:
             # The caller has given up. Also happens after a suspension of the VM.
             raise unavailable("the time limit was reached", DEFAULT_RETRY_DELAY_S)
+        self._check_shutdown(exchange)
         return row
 
+    def _check_shutdown(self, exchange: Exchange) -> None:
+        """Refuse a request that would be cut off at the end of the grace period.
+
+        Raises
+        ------
+        Refusal
+            Another daemon may serve the request.
+        """
+        if self.shutdown_deadline_s is None or exchange.may_have_run:
+            return
+        left_s = self.shutdown_deadline_s - self.core.clock()
+        stream_s = self.durations.mean_s(exchange.meta.model)
+        if not can_finish_sent(exchange.route, left_s, stream_s):
+            raise unavailable("this daemon is stopping", OTHER_DAEMON_RETRY_S)
+
     async def _async_find_endpoint(self, exchange: Exchange) -> Endpoint:
         row = await self._async_find_available(exchange)
         if row is not None:
--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -308,6 +308,29 @@
     asyncio.run(async_test())
 
 
+def test_stream_that_waited_too_long_to_finish_is_refused_by_stopping_daemon():
+    """It was sent to an endpoint, and cut off when the process exited."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            harness.state.durations.note("m1", 1.0)
+            load = PendingLoad("i-1", "m1", "", 0.4)
+            harness.pending.take([load], 1, harness.core.clock())
+            harness.http.set_shutdown_deadline(harness.core.clock() + 3.0)
+            task = asyncio.ensure_future(harness.request("/stream/x", **headers("m1")))
+            await harness.loads.urgent.wait()
+            harness.http.set_shutdown_deadline(harness.core.clock() + 1.9)
+            endpoint.models["m1"] = []
+            harness.register(endpoint)
+            harness.pending.signal()
+            answer = await task
+            assert (answer.status, endpoint.runs) == (503, [])
+
+    asyncio.run(async_test())
+
+
 def test_connection_closes_after_stream_started_before_draining():
     """Otherwise the caller would send another request to the stopping daemon."""
 
