Relaying: don't take an endpoint for unreachable after a pause of the daemon

A daemon that stood still for 0.6 s or longer while it connected to an endpoint gave the endpoint up as unreachable, although the connection had been opened. Where it was the only endpoint, callers got 503 as not run; in any case the endpoint got no requests for 0.3 s and the address was reported as a failure of the path.

Cause: after the pause, the timer of the connect is due in the same iteration of the loop in which the open connection is noticed, and cancels the task before it can use the connection. The timer now leaves 10 ms to notice it, as the timeout of silent endpoints does.

Evidence: with the process blocked for 0.7 s while it connects, the test got 503 on both routes before, 200 now.

--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -44,6 +44,7 @@
     async_read_body,
 )
 from ..settings import DEFAULT_MAX_ANSWER_BYTES
+from ..silence.timeout import RECEIVE_DELAY_S
 from ..tables.members import Member
 from .response_end import ResponseEndVerifier
 
@@ -118,6 +119,26 @@
         super().connection_lost(exc)
 
 
+@asynccontextmanager
+async def _async_limit_connecting() -> AsyncIterator[None]:
+    """Raise TimeoutError if a connection is not open in time.
+
+    After a suspension of this process, the first timer is due before a connection that
+    was opened during it is noticed.
+    """
+    loop = asyncio.get_running_loop()
+
+    def expire() -> None:
+        timeout.reschedule(loop.time() + RECEIVE_DELAY_S)
+
+    async with asyncio.timeout(None) as timeout:
+        timer = loop.call_later(CONNECT_TIMEOUT_S, expire)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 class _StrictConnector(BoundedConnector):
     """Connector that uses the strict response handler."""
 
@@ -135,7 +156,8 @@
         The request is written without a further wait. Connecting takes up to 0.6 s, in
         which an evacuation may begin, or the grant for a cold endpoint expire.
         """
-        connection = await super().connect(*args, **options)
+        async with _async_limit_connecting():
+            connection = await super().connect(*args, **options)
         tracker = _CONNECTION_TRACKER.get()
         if tracker is None:
             return connection
@@ -354,7 +376,7 @@
                 str(error), step="endpoint.exchange", peer=peer
             ) from error
         except aiohttp.ServerTimeoutError as error:
-            # Only connecting has a timeout in this session.
+            # Only connecting has a timeout; see the connector.
             raise EndpointUnreachable(
                 str(error), step="endpoint.connect", peer=peer
             ) from error
@@ -404,7 +426,7 @@
         connector=_StrictConnector(is_pooled=is_pooled),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=None),
     )
     # Retries are decided by the relay; the library would retry some calls itself.
     session._retry_connection = False
--- a/tests/relaying/test_relay.py
+++ b/tests/relaying/test_relay.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
-from chutelink.relaying.upstream import _StrictConnector
+from chutelink.relaying.upstream import CONNECT_TIMEOUT_S, _StrictConnector
 
 from .relay_harness import async_relay_harness
 
@@ -282,3 +283,28 @@
             assert endpoint.runs == ["q1", "q2", "q2"]
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/again/x"])
+def test_stall_while_connecting_does_not_make_an_endpoint_unreachable(
+    path, monkeypatch
+):
+    """Guards against refusals after this process stood still."""
+    async_create = _StrictConnector._create_connection
+
+    async def async_stall_and_connect(*arguments):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(time.sleep, CONNECT_TIMEOUT_S + 0.1)
+        return await async_create(*arguments)
+
+    monkeypatch.setattr(_StrictConnector, "_create_connection", async_stall_and_connect)
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "plain")
+            async with harness.request(path) as answer:
+                assert answer.status == 200
+            assert endpoint.runs == ["q1"]
+
+    asyncio.run(async_test())
