--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -20,6 +20,11 @@
 """
 LOOKUP_TIMEOUT_S: Final = 0.5
 """How long a request waits for the answers; callers wait for seconds for an event."""
+LOOKUP_SETTLE_S: Final = 0.05
+"""How long other answers are awaited after the first record.
+
+An owner that has missed the last update has an older record of the attempt.
+"""
 LOOKUP_POLL_S: Final = 0.02
 """How often a daemon that has just started looks for new links during a lookup."""
 LINKING_S: Final = 2.0
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -22,6 +22,7 @@
     LINKING_S,
     LOOKUP_PEERS,
     LOOKUP_POLL_S,
+    LOOKUP_SETTLE_S,
     LOOKUP_TIMEOUT_S,
     MAX_ORIGINS_PER_MESSAGE,
     OWNERS,
@@ -174,7 +175,7 @@
         now_s = self._core.clock()
         streams = list(streams)
         for origin in streams:
-            self._table.put(origin, now_s, is_own=False)
+            self._table.put(origin, now_s, is_own=False, has_begun=True)
         self._add_versions(streams)
         self._stored_read_s = now_s if read_s is None else read_s
         if self._stored_read_s >= self._complete_since_s:
@@ -210,10 +211,13 @@
         waited_s = self._core.clock() - self._complete_since_s
         has_all_answers = expected <= self._history_answered and waited_s >= LINKING_S
         has_waited = has_all_answers or waited_s > HISTORY_TIMEOUT_S
-        if (self.is_first_fleet or self._is_restored) and expected and has_waited:
+        is_all = has_all_answers if self._is_restored else has_waited
+        if (self.is_first_fleet or self._is_restored) and expected and is_all:
             self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
-        for peer in missing[: HISTORY_PEERS - len(self._history_asked)]:
+        # After a restoration, none of the others may have a complete history.
+        limit = len(self.linked()) if self._is_restored else HISTORY_PEERS
+        for peer in missing[: max(0, limit - len(self._history_asked))]:
             self._history_asked.add(peer)
             self.send(peer, HistoryRequest(self._core.daemon_id))
 
@@ -226,6 +230,9 @@
     def _handle_history(self, answer: HistoryAnswer) -> None:
         """Keep the versions that another daemon has seen."""
         self._add_recent(answer.versions)
+        if answer.daemon not in self._history_asked:
+            # It was asked before this daemon may have missed a version.
+            return
         self._history_answered.add(answer.daemon)
         self._has_history |= answer.is_complete
 
@@ -327,10 +334,18 @@
         lookup.changed.set()
 
     def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
-        """Return what this daemon itself knows of an attempt and the versions."""
+        """Return what this daemon itself knows of an attempt and the versions.
+
+        Others may have a newer record than one that is held for them: it counts as one
+        of the versions only.
+        """
         now_s = self._core.clock()
-        origin = self._table.get(request or RequestId(""), service, now_s)
+        request = RequestId("") if request is None else request
+        origin = self._table.get(request, service, now_s)
         versions = self.versions.versions(service, now_s)
+        if origin is not None and not self._table.is_settled(request):
+            versions |= {origin.version}
+            origin = None
         return Lookup(origin, versions, self.has_full_history)
 
     def has_answers(self, lookup: Lookup) -> bool:
@@ -382,11 +397,13 @@
             )
         finally:
             del self._lookups[number]
-        # The stored rows may have arrived during the lookup.
-        if lookup.origin is None:
-            lookup.origin = self._table.get(request, service, self._core.clock())
+        # A record may be held here, or have arrived during the lookup.
+        held = self._table.get(request, service, self._core.clock())
+        if _is_newer(held, lookup.origin):
+            lookup.origin = held
         lookup.versions |= self.versions.versions(service, self._core.clock())
-        lookup.is_complete |= self.has_full_history
+        has_complete_peer = lookup.is_complete and lookup.is_answered_by(self.linked())
+        lookup.is_complete = self.has_full_history or has_complete_peer
         return lookup
 
     def _has_record(self, query: OriginQuery) -> bool:
@@ -395,15 +412,24 @@
         return self._table.get(query.request, query.service, now_s) is not None
 
     async def _async_ask(self, query: OriginQuery, lookup: Lookup) -> None:
-        """Ask the owners, and wait until one has the record or all have answered."""
-        while lookup.origin is None:
-            if self._has_record(query):
+        """Ask the owners, and wait until all have answered.
+
+        Once there is a record, the other answers are awaited for a short time only.
+        """
+        settled_s = float("inf")
+        while self._core.clock() < settled_s:
+            if self._table.is_settled(query.request):
                 return
+            has_found = lookup.origin is not None or self._has_record(query)
+            if has_found:
+                settled_s = min(settled_s, self._core.clock() + LOOKUP_SETTLE_S)
             peers = set(self._candidates(query.request)[:LOOKUP_PEERS])
             for peer in peers & self.linked() - lookup.asked:
                 lookup.asked.add(peer)
                 self.send(peer, query)
             is_loading = self._stored is StoredHistory.UNREAD
+            if has_found and lookup.asked & self.linked() <= lookup.answered:
+                return
             if peers and lookup.answered >= peers and not is_loading:
                 lookup.is_complete |= self.is_first_fleet
                 return
--- a/chutelink/origins/table.py
+++ b/chutelink/origins/table.py
@@ -15,11 +15,13 @@
     """A record with the time at which it was last written.
 
     ``is_own`` says that this daemon sent the request, and shares the record.
+    ``has_begun`` says that the stream has brought an event, which settles its version.
     """
 
     origin: StreamOrigin
     written_s: float
     is_own: bool
+    has_begun: bool
 
 
 class OriginTable:
@@ -31,14 +33,21 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def put(self, origin: StreamOrigin, now_s: float, *, is_own: bool) -> None:
+    def put(
+        self,
+        origin: StreamOrigin,
+        now_s: float,
+        *,
+        is_own: bool,
+        has_begun: bool = False,
+    ) -> None:
         """Write a record, unless it is older than the known one of the attempt."""
         known = self._entries.get(origin.request)
         if known is not None and origin.sends < known.origin.sends:
             return
         # Removed first, so that the entry moves to the end.
         self._entries.pop(origin.request, None)
-        self._entries[origin.request] = _Entry(origin, now_s, is_own)
+        self._entries[origin.request] = _Entry(origin, now_s, is_own, has_begun)
         self._expire(now_s)
 
     def get(
@@ -50,6 +59,11 @@
             return None
         return None if now_s - entry.written_s > RETENTION_S else entry.origin
 
+    def is_settled(self, request: RequestId) -> bool:
+        """Return whether no other daemon can have a newer record of an attempt."""
+        entry = self._entries.get(request)
+        return entry is not None and (entry.is_own or entry.has_begun)
+
     def own(self, service: ServiceName) -> Iterator[StreamOrigin]:
         """Yield the records that this daemon has written for a service."""
         for entry in self._entries.values():
--- a/chutelink/watching/table_state.py
+++ b/chutelink/watching/table_state.py
@@ -70,6 +70,9 @@
         self.snapshot_sent_s = float("-inf")
         self.refresh_lock = asyncio.Lock()
         """Held during a read on demand, which serves all callers that wait for it."""
+        self.refreshed_s = float("-inf")
+        self.has_refresh_failed = False
+        """Whether the last read on demand failed, which began at ``refreshed_s``."""
         self.unsent_after: int | None = None
         """Version from which on reads on demand have shown no change."""
         self.kept_sent_s = float("-inf")
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -49,6 +49,8 @@
 
 The first one may be overtaken by an update of a peer, and then is not applied.
 """
+MIN_REFRESH_INTERVAL_S = 0.1
+"""Interval of a daemon's reads on demand, which bounds those of a large fleet."""
 MAX_SKIPPED_S = 1.0
 """Time that a full table may skip without being taken for a missing history.
 
@@ -189,12 +191,26 @@
             return
         async with state.refresh_lock:
             for _ in range(MAX_READS_ON_DEMAND):
+                due_s = state.refreshed_s + MIN_REFRESH_INTERVAL_S - self._core.clock()
+                if state.has_refresh_failed and due_s > 0:
+                    return
+                if not self._is_current(state, as_of_s):
+                    await asyncio.sleep(max(0.0, due_s))
                 if self._is_current(state, as_of_s) or self._backoff.is_failing:
                     return
-                try:
-                    await self._async_refresh(state, may_wait=False)
-                except PlatformUnavailable as error:
-                    self._record_failure(state, error)
+                await self._async_read_on_demand(state)
+
+    async def _async_read_on_demand(self, state: TableState) -> None:
+        """Read a table; a failure doesn't put off the polls, which have longer."""
+        state.refreshed_s = self._core.clock()
+        try:
+            await self._async_refresh(state, may_wait=False)
+            state.has_refresh_failed = False
+        except PlatformUnavailable as error:
+            state.has_refresh_failed = True
+            self._core.events.info(
+                "store_refresh_failed", table=state.copy.name, error=error
+            )
 
     def _is_current(self, state: TableState, as_of_s: float) -> bool:
         age_s = self._age_s(state.copy.answered_s)
@@ -325,7 +341,10 @@
         copy = state.copy
         name, after, era = copy.name, copy.version, copy.era
         prefix = f"{name}/"
-        sent_s = state.call_started_s = self._core.clock()
+        sent_s = self._core.clock()
+        if may_wait:
+            # Reads on demand don't put off the next poll, which updates the others.
+            state.call_started_s = sent_s
         page: RowPage | None = None
         if after:
             # Probes do not wait: a recovered store answers them at once.
@@ -338,7 +357,7 @@
         if page is None or page.era != era:
             # The version is of another era, so earlier changes would be missing.
             after = 0
-            sent_s = state.call_started_s = self._core.clock()
+            sent_s = self._core.clock()
             page = await self._table.async_read(prefix)
         rows = [self._make_row(row) for row in page.rows]
         update = StoreUpdate(name, after, page.version, page.answered_s, rows, page.era)
@@ -423,7 +442,10 @@
             return False
         if not update.is_whole:
             return copy.has_unread_values(update)
-        if (update.era, update.version) == (copy.era, copy.version):
+        if update.era > copy.era:
+            # Endpoints that joined after the backup may be lost with it.
+            return True
+        if update.version == copy.version:
             return False
         return self._core.clock() - state.known_as_of_s > MAX_SKIPPED_S
 
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -21,6 +21,7 @@
     SHARE_PERIOD_S,
 )
 from chutelink.origins.manager import OriginManager
+from chutelink.origins.messages import HistoryAnswer
 from chutelink.origins.stored import StoredHistory
 
 from ..fakes import make_core
@@ -519,3 +520,81 @@
         assert not sent
 
     run_in_virtual_time(async_test())
+
+
+def test_answer_to_a_question_asked_before_a_version_was_missed_completes_nothing():
+    core = make_core()
+    origins = OriginManager(core, EndpointTable().versions)
+    origins.is_alone = lambda: False
+    origins.linked = lambda: {"d2"}
+    origins.request_history()
+    core.now_s += 1.0
+    origins.note_missed(is_restored=False)
+    origins.handle_message(HistoryAnswer("d2", {"llm": ["v1"]}, True))
+    assert not origins.has_full_history
+
+
+@pytest.mark.parametrize("answering", [0, 8])
+def test_peers_that_were_not_heard_leave_the_history_after_a_restoration_open(
+    answering,
+):
+    core = make_core()
+    origins = OriginManager(core, EndpointTable().versions)
+    origins.is_alone = lambda: False
+    peers = [f"e{number}" for number in range(12)]
+    origins.linked = lambda: set(peers)
+    origins.note_missed(is_restored=True)
+    origins.request_history()
+    for peer in sorted(peers)[:answering]:
+        origins.handle_message(HistoryAnswer(peer, {"llm": ["v1"]}, False))
+    core.now_s += HISTORY_TIMEOUT_S + 0.1
+    origins.request_history()
+    assert not origins.has_full_history
+
+
+@pytest.mark.parametrize("cut_s", [0.5, 0.9, 1.5, 2.5])
+def test_daemon_that_started_anew_while_cut_off_with_another_confirms_no_version(cut_s):
+    """Guards against a majority of only those daemons that it has met since."""
+
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        await asyncio.sleep(RETENTION_S + 1.0)
+        for name, other in (("d0", "d7"), ("d7", "d0")):
+            world.cut(name, {other}, reaches_store=False)
+        world.kill("d0")
+        world.cut("d0", {"d7"}, reaches_store=False)
+        before = world.daemons["d7"]
+        world.daemons["d0"].origins.domains = lambda: {"d0": "zone-0", "d7": "zone-1"}
+        world.daemons["d0"].origins.linked = lambda: {"d7"}
+        # The peer sends its copy of the registrations.
+        world.daemons["d0"]._apply(0, before.version, before.known_as_of_s)
+        world.join("i-9", "v2")
+        await asyncio.sleep(UPDATE_DELAY_S)
+        streams = [await world.async_begin("d1") for _ in range(20)]
+        await asyncio.sleep(cut_s - UPDATE_DELAY_S)
+        for stream in streams:
+            if stream.versions == {"v2"}:
+                assert not await world.async_resume("d0", stream)
+
+    run_in_virtual_time(async_test())
+
+
+def test_daemon_that_lost_its_links_between_two_attempts_keeps_to_the_second_one():
+    """Guards against the version of an attempt that brought no event."""
+
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, seed=3)
+        await world.async_settle()
+        for _ in range(60):
+            world.start_process("i-2", "v1")
+            begin = asyncio.ensure_future(world.async_begin("d1"))
+            await asyncio.sleep(0.005)
+            world.cut("d0", set(), reaches_store=True)
+            stream = await begin
+            if stream is not None:
+                await world.async_resume("d0", stream)
+                assert len(stream.versions) == 1
+            world.heal("d0")
+            await asyncio.sleep(0.1)
+
+    run_in_virtual_time(async_test())
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -7,7 +7,12 @@
 import pytest
 
 from chutelink.entry.messages import EndpointPlacement, PlacementUpdate
-from chutelink.origins.messages import OriginAnswer, OriginUpdate, StreamOrigin
+from chutelink.origins.messages import (
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
+    StreamOrigin,
+)
 from chutelink.origins.stored import StoredHistory
 from chutelink.watching.table_state import TableFreshness
 from chutelink.watching.watch import StoreWatch
@@ -206,3 +211,71 @@
             assert (status, outcome) == (503, "not-run")
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("is_held", [False, True], ids=["asked", "held"])
+def test_record_of_an_attempt_before_the_one_that_began_a_stream_is_not_its_version(
+    is_held,
+):
+    """Guards against records of attempts without an event, which count as known."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add(harness, "i-1", "v1")
+            await async_add(harness, "i-2", "v2")
+            add_peers(harness, 0, [])
+            origins = harness.dispatcher.versions._origins
+            first = StreamOrigin("unknown", "llm", "v1", 1)
+            second = StreamOrigin("unknown", "llm", "v2", 2)
+
+            def send(to, query):
+                if not isinstance(query, OriginQuery):
+                    return
+                origin, delay_s = {"d2": (first, 0.0), "d3": (second, 0.02)}.get(
+                    to, (None, 0.0)
+                )
+                answer = OriginAnswer(to, query.number, origin, ["v1", "v2"], True)
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay_s, origins.handle_message, answer)
+
+            origins.send = send
+            if is_held:
+                origins.handle_message(OriginUpdate([first]))
+            status, outcome, events = await async_resume(harness)
+            assert (status, outcome) == (503, "not-run") or events[1] == {b"v2"}
+
+    asyncio.run(async_test())
+
+
+def test_version_may_have_been_lost_with_a_store_that_was_restored_at_once():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await async_add(harness, "i-1", "v1")
+            table, watch = make_watch(harness)
+            table.put("endpoints/i-1", endpoint.registration() | {"zone": "zone-a"})
+            await watch.async_refresh("endpoints", harness.core.clock(), 1.0)
+            clock = harness.core.clock
+            harness.core.clock = lambda: clock() + 0.9
+            # An endpoint of v2 has joined, served, and is not in the backup.
+            table.era += 1
+            status, outcome, _ = await async_resume(harness)
+            assert (status, outcome) == (503, "not-run")
+
+    asyncio.run(async_test())
+
+
+def test_one_answer_of_five_does_not_replace_a_history_that_is_incomplete():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add(harness, "i-1", "v1")
+            add_peers(harness, 1, ["v1"])
+            origins = harness.dispatcher.versions._origins
+            origins.is_alone = lambda: False
+            origins.note_missed(is_restored=False)
+            status, outcome, _ = await async_resume(harness)
+            assert (status, outcome) == (503, "not-run")
+
+    asyncio.run(async_test())
