Tests: the daemon that places models learns of restarts from the endpoints

In the product the placer polls the endpoints' reports, which say when the process started, and so takes the version for unknown (`publish_models`). The world did not.

Open: services without an engine are not polled, so the placer's messages are no news of their processes (by reading).

--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -329,6 +329,7 @@
         elif now_s - self._placer_renewed_s > LEASE_S:
             self._elect()
         if not placer.is_paused and now_s - self._placer_renewed_s <= LEASE_S:
+            self._ask_endpoints(placer)
             rows = placer.table.rows.values()
             named = [(row.record.id, row.record.born_ms) for row in rows]
             placer.handle_placer(now_s, [])
@@ -339,6 +340,14 @@
                     )
         self.loop.call_later(PLACER_PERIOD_S, self._place)
 
+    def _ask_endpoints(self, placer: Daemon) -> None:
+        """Let the daemon that places models learn of restarts from the endpoints."""
+        for name in list(placer.table.rows):
+            process = self.processes.get(name)
+            if process is not None:
+                models = {"m0": frozenset()}
+                placer.table.update_models(name, process.born_ms, 1, models)
+
     def _elect(self) -> None:
         for daemon in self.daemons.values():
             if daemon.reaches_store and not daemon.is_paused:
