Soak of upgrades: cuts, and releases of services with one version

Daemons lose the others, the store or both for up to 3 s, and links deliver or lose what they held. Endpoints of a new version join services that have run one version so far, most often beside such a cut, and leave again; most streams go to such a service meanwhile. Endpoints that start with their models are upgraded, too: under a new id, as the platform has it. Faults and callers draw from generators of their own, so that a seed selects the same faults. A proxy whose target is down resets the connection instead of keeping it.

--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -2,9 +2,10 @@
 
 ``python -m soak.upgrades --first 1 --seeds 50`` runs new seeds; the same seed selects
 the same faults. Endpoints restart one after the other with another software version,
-announced or not; daemons are killed, terminated, frozen and started again, in series
-and overlapping, up to all of them at once; streams break. Callers resume their streams
-at any daemon.
+announced or not, with their models at once or without; those of a new version join a
+service and leave it again; daemons are killed, terminated, frozen and started again, in
+series and overlapping, up to all of them at once, and cut off from the others, from the
+store, or from both; streams break. Callers resume their streams at any daemon.
 
 Checked from outside:
 
@@ -24,12 +25,13 @@
 import msgspec
 
 from standins.prepared_endpoint import EndpointFaults, EndpointStandin
-from tests.processes.platform_in_loop import (
-    PlatformInLoop,
-    async_platform_in_loop,
-    make_engine,
-)
+from tests.processes.platform_in_loop import make_engine
+from tests.processes.releases import Release, async_start_releases
 from tests.processes.resuming_caller import EVENTS, ResumingCaller, StreamOutcome, mixed
+from tests.processes.severable_deployment import (
+    SeverableDeployment,
+    async_severable_deployment,
+)
 
 from .seeds import SeedReport, run_seeds
 
@@ -40,6 +42,10 @@
 MAX_PAUSE_S = 1.0
 MAX_DOWN_S = 1.5
 MAX_DRAIN_S = 0.8
+MAX_CUT_S = 3.0
+RELEASES = 6
+"""Services with one version, which endpoints of another one join for a while."""
+MAX_STAY_S = 3.0
 VERSIONS = ("v1", "v2", "v3")
 RESTART_S = 0.6
 """Time in which an upgraded endpoint has started again."""
@@ -58,13 +64,22 @@
 class UpgradeSoak:
     """A soak run with one seed."""
 
-    def __init__(self, fleet: PlatformInLoop, seed: int) -> None:
+    def __init__(
+        self, fleet: SeverableDeployment, releases: list[Release], seed: int
+    ) -> None:
         self._fleet = fleet
         self._rng = random.Random(seed)
+        self._call_rng = random.Random(seed + 2)
         self._caller = ResumingCaller(fleet, random.Random(seed + 1))
-        self._caller.daemons = list(range(DAEMONS))
+        self._callers = [self._caller, *(release.caller for release in releases)]
+        for caller in self._callers:
+            caller.daemons = list(range(DAEMONS))
         self._streams: list[StreamOutcome] = []
         self._restarts: set[asyncio.Task[None]] = set()
+        self._unreleased = list(releases)
+        self._releasing: list[ResumingCaller] = []
+        """Callers of services which endpoints are joining; they send most streams."""
+        self._cut_locks: dict[int, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._endpoint_locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._faults = (
             self._upgrade,
@@ -73,6 +88,11 @@
             self._kill_all,
             self._terminate,
             self._freeze,
+            self._cut_off,
+            self._cut_off,
+            self._release,
+            self._release_beside_cut,
+            self._release_beside_cut,
             self._cut_streams,
         )
 
@@ -94,10 +114,12 @@
 
     async def _async_call(self) -> None:
         while True:
-            stream = self._caller.begin("soak")
+            callers = self._callers + len(self._callers) * self._releasing
+            caller = self._call_rng.choice(callers)
+            stream = caller.begin("soak")
             self._streams.append(stream)
-            closes = tuple(self._rng.randint(1, EVENTS) for _ in range(2))
-            await self._caller.async_run(stream, close_after=closes)
+            closes = tuple(self._call_rng.randint(1, EVENTS) for _ in range(2))
+            await caller.async_run(stream, close_after=closes)
             await asyncio.sleep(0.02)
 
     async def _async_inject_faults(self) -> None:
@@ -114,24 +136,89 @@
         task.add_done_callback(self._restarts.discard)
 
     def _endpoint(self) -> EndpointStandin:
-        return self._rng.choice(list(self._fleet.machines.endpoints.values()))
+        """Return one of the endpoints that stay."""
+        endpoints = list(self._fleet.machines.endpoints.values())
+        return self._rng.choice(endpoints[:ENGINES])
 
     def _upgrade(self) -> None:
         drain_s = self._rng.choice((0.0, self._rng.uniform(0.0, MAX_DRAIN_S)))
         version = self._rng.choice(VERSIONS)
-        self._spawn(self._async_upgrade(self._endpoint(), version, drain_s))
+        keeps_models = self._rng.choice((False, True))
+        self._spawn(
+            self._async_upgrade(
+                self._endpoint(), version, drain_s, keeps_models=keeps_models
+            )
+        )
 
     async def _async_upgrade(
-        self, endpoint: EndpointStandin, version: str, drain_s: float
+        self,
+        endpoint: EndpointStandin,
+        version: str,
+        drain_s: float,
+        *,
+        keeps_models: bool,
     ) -> None:
-        async with self._endpoint_locks[endpoint.name]:
-            if drain_s:
-                endpoint.change_state("draining")
-                self._fleet.machines.register(endpoint.name)
-                await asyncio.sleep(drain_s)
-            self._fleet.machines.upgrade(endpoint, version)
+        async with self._endpoint_locks[endpoint.first_name]:
+            await self._async_drain(endpoint, drain_s)
+            machines = self._fleet.machines
+            machines.upgrade(endpoint, version, keeps_models=keeps_models)
             await asyncio.sleep(RESTART_S)
 
+    async def _async_drain(self, endpoint: EndpointStandin, drain_s: float) -> None:
+        """Announce a departure, unless it is to come at once."""
+        if drain_s:
+            endpoint.change_state("draining")
+            self._fleet.machines.register(endpoint.first_name)
+            await asyncio.sleep(drain_s)
+
+    def _release(self) -> None:
+        """Let an endpoint of another version join a service for a while."""
+        if not self._unreleased:
+            return
+        stay_s = self._rng.uniform(0.0, MAX_STAY_S)
+        drain_s = self._rng.uniform(0.0, MAX_DRAIN_S)
+        self._spawn(self._async_release(self._unreleased.pop(), stay_s, drain_s))
+
+    async def _async_release(
+        self, release: Release, stay_s: float, drain_s: float
+    ) -> None:
+        self._releasing.append(release.caller)
+        await release.async_join()
+        await asyncio.sleep(stay_s)
+        await release.async_take_back(drain_s)
+        self._releasing.remove(release.caller)
+
+    def _release_beside_cut(self) -> None:
+        self._cut_off()
+        self._release()
+
+    def _cut_off(self) -> None:
+        """Cut a daemon off from the others, from the store, or from both."""
+        number = self._rng.randrange(DAEMONS)
+        peers, store = self._rng.choice(((True, False), (False, True), (True, True)))
+        others = [n for n in range(DAEMONS) if peers and n != number]
+        loses_held = self._rng.choice((False, True))
+        cut_s = self._rng.uniform(0.0, MAX_CUT_S)
+        self._spawn(
+            self._async_cut_off(
+                number, others, cut_s, store=store, loses_held=loses_held
+            )
+        )
+
+    async def _async_cut_off(
+        self,
+        number: int,
+        others: list[int],
+        cut_s: float,
+        *,
+        store: bool,
+        loses_held: bool,
+    ) -> None:
+        async with self._cut_locks[number]:
+            self._fleet.cut(number, others, store=store)
+            await asyncio.sleep(cut_s)
+            self._fleet.heal(number, others, store=store, loses_held=loses_held)
+
     def _kill(self) -> None:
         number = self._rng.randrange(DAEMONS)
         self._spawn(self._async_kill(number, self._rng.uniform(0.0, MAX_DOWN_S)))
@@ -216,8 +303,10 @@
             make_engine(f"i-{number}", VERSIONS[number % 2])
             for number in range(ENGINES)
         ]
-        async with async_platform_in_loop(directory, engines, DAEMONS) as fleet:
-            return await UpgradeSoak(fleet, seed).async_run()
+        async with async_severable_deployment(directory, engines, DAEMONS) as fleet:
+            releases = [Release(fleet, f"llm{n}") for n in range(RELEASES)]
+            await async_start_releases(fleet, releases, list(range(DAEMONS)))
+            return await UpgradeSoak(fleet, releases, seed).async_run()
 
     return asyncio.run(async_run())
 
--- a/standins/prepared.py
+++ b/standins/prepared.py
@@ -95,10 +95,22 @@
         self.register(endpoint.first_name)
         self._abort_connections(endpoint)
 
-    def upgrade(self, endpoint: EndpointStandin, software_version: str) -> None:
-        """Replace an endpoint's process by one of another software version."""
+    def upgrade(
+        self,
+        endpoint: EndpointStandin,
+        software_version: str,
+        *,
+        keeps_models: bool = False,
+    ) -> None:
+        """Replace an endpoint's process by one of another software version.
+
+        One that starts with its models has a new id.
+        """
         self._end_process(endpoint)
-        endpoint.upgrade(software_version)
+        endpoint.upgrade(software_version, keeps_models=keeps_models)
+        if keeps_models:
+            self.store.remove("servers", endpoint.name)
+            endpoint.name = f"{endpoint.first_name}-{endpoint.process_number}"
         self._schedule_restart(endpoint)
 
     def _end_process(self, endpoint: EndpointStandin) -> None:
--- a/standins/prepared_endpoint.py
+++ b/standins/prepared_endpoint.py
@@ -220,13 +220,13 @@
         while (left_s := self._silent_until_s - time.monotonic()) > 0:
             await asyncio.sleep(left_s)
 
-    def upgrade(self, software_version: str) -> None:
-        """Replace the process by one of another software version, without models."""
+    def upgrade(self, software_version: str, *, keeps_models: bool = False) -> None:
+        """Replace the process by one of another version, usually without models."""
         self._start_new_process()
         self.software_version = software_version
         self.sequence = 0
         self.is_busy = False
-        self.models = {}
+        self.models = self.models if keeps_models else {}
         self.state = "ready"
 
     def _start_time_fields(self) -> dict[str, int]:
--- a/tests/processes/blackhole_proxy.py
+++ b/tests/processes/blackhole_proxy.py
@@ -76,9 +76,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         generation = self._generation
-        target_reader, target_writer = await asyncio.open_connection(
-            self._target, self._port
-        )
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                self._target, self._port
+            )
+        except OSError:
+            # The target is down, and so the connection is reset.
+            writer.transport.abort()
+            return
         self.connections += 1
         try:
             async with asyncio.TaskGroup() as group:
--- a/tests/processes/releases.py
+++ b/tests/processes/releases.py
@@ -172,7 +172,7 @@
     for release in releases:
         await release.async_start()
     endpoints = fleet.machines.endpoints.values()
-    services = sorted({endpoint.service for endpoint in endpoints})
+    services = sorted({endpoint.service for endpoint in endpoints} - SERVICES.keys())
     version = fleet.machines.config["version"] + 1
     fleet.machines.configure(make_release_config(version, services))
 
