--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -43,7 +43,7 @@
     REGISTRATIONS = "registrations"
     """They are known as of a time at which the stream had begun already."""
     PEERS = "peers"
-    """All daemons that were asked have answered."""
+    """Most daemons are linked, and all that were asked have answered."""
     NONE = "none"
 
 
