Connections: plain words in a comment

Cause: the comment used a phrase that the house style avoids. Change: wording alone. Result: formatter and linter pass, as do the tests of connections; behaviour is the same.

--- a/chutelink/connections.py
+++ b/chutelink/connections.py
@@ -39,7 +39,7 @@
     accepted = [sock for bound in listener.sockets for sock in _accept_all(bound)]
     listener.close()
     connecting = [loop.connect_accepted_socket(server, sock) for sock in accepted]
-    # A connection that its caller has closed meanwhile may fail.
+    # A connection that its caller has closed by then may fail.
     await asyncio.gather(*connecting, return_exceptions=True)
 
 
