--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -135,11 +135,11 @@
         self.faults = merge_faults(self.faults, await request.read())
         return json_response(self.faults)
 
-    async def _async_apply_faults(self, table: str = "") -> None:
+    async def _async_apply_faults(self, *tables: str) -> None:
         self.calls += 1
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
-        if self.faults.is_out or table in self.faults.out_tables:
+        if self.faults.is_out or not set(tables).isdisjoint(self.faults.out_tables):
             raise web.HTTPServiceUnavailable(text="outage")
 
     async def async_get(self, request: web.Request) -> web.Response:
@@ -188,8 +188,9 @@
 
     async def async_transact(self, request: web.Request) -> web.Response:
         """Apply all entries atomically if all checks hold."""
-        await self._async_apply_faults()
         body = json.loads(await request.read())
+        entries = body["expected_rev"] + body["set_keys"] + body["remove"]
+        await self._async_apply_faults(*(entry["table"] for entry in entries))
         for check in body["expected_rev"]:
             row = self.rows.get((check["table"], check["key"]))
             if (row.ver if row else 0) != check["ver"]:
--- a/tests/processes/releases.py
+++ b/tests/processes/releases.py
@@ -90,16 +90,18 @@
         begun: list[StreamOutcome] = []
 
         async def async_has_enough() -> bool:
-            streams = await self._async_break(label, daemons)
+            streams = await self.async_break_some(label, daemons)
             begun.extend(s for s in streams if s.versions == {NEW})
-            self.broken_old += [s for s in streams if s.versions == {OLD}]
             return len(begun) >= count
 
         await self._fleet.async_until(async_has_enough)
         self.broken += begun
         return begun
 
-    async def _async_break(self, label: str, daemons: list[int]) -> list[StreamOutcome]:
+    async def async_break_some(
+        self, label: str, daemons: list[int]
+    ) -> list[StreamOutcome]:
+        """Return streams that broke, and keep those that the old version began."""
         places = daemons * BATCH
         streams = [self.caller.begin(f"{self.service}-{label}") for _ in places]
         await asyncio.gather(
@@ -108,6 +110,7 @@
                 for stream, daemon in zip(streams, places, strict=True)
             )
         )
+        self.broken_old += [s for s in streams if s.versions == {OLD}]
         return streams
 
     async def async_send(self, daemon: int) -> StreamOutcome:
