Origins: prove that the stored versions are all that served

What callers saw: after the loss of all daemons, streams that a new software version had begun went on at the old one. Cause: a version serves as soon as it is registered, but is stored up to a save period later, or not at all while the store refuses the writes. A daemon that starts took the stored row for complete, whenever it was written, and a missing row for a first start. Nothing in the row said until when it was complete. Change: the row says up to which version of the store its registrations are known, and is confirmed every 5 s. A daemon that starts replays the changes of registrations since then from the store, which has them in order, also of endpoints that have left. If they are lost, the row is not complete. A missing row counts as a first start only if all registrations can be replayed, or if no process of this daemon had registered before. Daemons now always read the previous registrations before they write their own. Why it works: an endpoint is registered in the store before any daemon sends requests to it, so the changes contain each version that served. Cost: one write every 5 s for the whole fleet, one read of the feed and one of the members at each start; no message and no wait for a request.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -46,6 +46,7 @@
 from ..settings import EntrySettings
 from ..steps import async_run_step
 from ..tables.members import MemberState, MemberTable
+from ..watching.registrations import WatchedRegistrations
 from ..watching.table_state import RowChange
 from ..watching.timing import cap_timeout
 from ..watching.watch import StoreWatch
@@ -118,6 +119,7 @@
         super().__init__("chutelink-entry", daemon)
         self.settings = settings
         self._created_s = self.clock()
+        self._is_first_process: bool | None = None
         self._adapter = adapter
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
@@ -256,7 +258,13 @@
         )
         gap_s = self.settings.entry.holder_gap_ms / MS_PER_S
         self.origin_persistence = OriginPersistence(
-            self, table, self.origins, self.rank, lambda: self.watch.era
+            self,
+            table,
+            self.origins,
+            self.rank,
+            lambda: self.watch.era,
+            WatchedRegistrations(self.watch),
+            lambda: self._is_first_process,
         )
         self.stream_store = StreamStore(
             self, table, self.origins, self.rank, lambda: self.watch.era
@@ -285,14 +293,12 @@
         ):
             await self.add_runtime_dependency(part)
         peer_address = self.members.own.peer_address
-        has_quotas = entry.quota_slack > 0 or entry.quota_excess_share > 0
         registration = Registration(
             self,
             table,
             self.mesh,
             peer_address,
             self.members.own.capacity,
-            reads_previous_fleet=has_quotas,
             era=lambda: self.watch.era,
         )
         registration.on_previous_fleet = self._apply_previous_fleet
@@ -470,8 +476,11 @@
         self.quotas.update_customers(config.customers)
 
     def _apply_previous_fleet(self, previous: PreviousFleet) -> None:
-        serving = count_candidates(previous.capacities)
-        self.quotas.set_former_fleet(serving, previous.own_began_ago_s)
+        self._is_first_process = previous.own_began_ago_s is None
+        entry = self.settings.entry
+        if entry.quota_slack > 0 or entry.quota_excess_share > 0:
+            serving = count_candidates(previous.capacities)
+            self.quotas.set_former_fleet(serving, previous.own_began_ago_s)
 
     def _handle_endpoints_changed(self) -> None:
         self.pending.signal()
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -85,8 +85,8 @@
 class Registration:
     """Writes this daemon's row and reads the rows of the others.
 
-    The daemon's own row is written first: if two daemons start at the same time, the
-    one that writes last finds the other.
+    Previous registrations are read once. Then the daemon's own row is written: if two
+    daemons start at the same time, the one that writes last finds the other.
 
     Parameters
     ----------
@@ -100,8 +100,6 @@
         This daemon's own address for peers.
     capacity : float
         The processor share of its VM.
-    reads_previous_fleet : bool
-        Whether to read the previous registrations before the first write.
     era : callable
         Returns the latest known era of the store; the row is rewritten in each era.
     """
@@ -114,7 +112,6 @@
         peer_address: str,
         capacity: float = 0.0,
         *,
-        reads_previous_fleet: bool = False,
         era: Callable[[], StoreEra] = lambda: NO_ERA,
     ) -> None:
         self._core = core
@@ -123,7 +120,7 @@
         self._mesh = mesh
         self._peer_address = peer_address
         self._capacity = capacity
-        self._reads_previous_fleet = reads_previous_fleet
+        self._has_read_previous = False
         self._started_s = 0.0
         self._read_era = NO_ERA
         self._written_era: StoreEra | None = None
@@ -150,7 +147,7 @@
         if self._written_era is not None and self._written_era >= self._era():
             return
         key = f"{TABLE_MEMBERS}/{self._core.daemon_id}"
-        if self._reads_previous_fleet:
+        if not self._has_read_previous:
             await self._async_read_previous_fleet(key)
         row = MemberRow(
             self._peer_address,
@@ -166,7 +163,7 @@
     async def _async_read_previous_fleet(self, own_key: str) -> None:
         """Read the previous registrations and report them, once per process."""
         page = await self._table.async_read(f"{TABLE_MEMBERS}/")
-        self._reads_previous_fleet = False
+        self._has_read_previous = True
         self._started_s, self._read_era = page.answered_s, page.era
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -37,6 +37,12 @@
 """Bounds the size of a message, some 10 KB."""
 SAVE_PERIOD_S: Final = 0.25
 """Interval at which a daemon compares the stored versions with those it knows."""
+COVERAGE_PERIOD_S: Final = 5.0
+"""Interval at which the stored versions are confirmed.
+
+A daemon that starts needs all changes of registrations since then; the store keeps them
+for some 20 s.
+"""
 SAVERS: Final = 3
 """Number of daemons that store new versions; each waits for those before it."""
 SAVE_RANK_DELAY_S: Final = 0.5
@@ -67,6 +73,8 @@
 """Limit of a row's ids and versions; the store accepts 64 KB in base64."""
 MAX_REMOVED_ROWS: Final = 50
 """Number of rows that are removed at once; the store accepts 100 changes."""
+FIRST_READ_POLL_S: Final = 0.02
+"""How often a daemon that starts looks whether it has read the registrations."""
 STORE_RETRY_S: Final = 0.5
 """Time after a failed call to the store until the next one."""
 MAX_KNOWLEDGE_AGE_S: Final = 1.0
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -1,8 +1,11 @@
 """Stores what daemons need to resume streams after all of them have been lost.
 
-The row of the versions that served is written when one appears or is no longer needed.
-While a service has several versions, its unfinished streams are stored, too. Daemons
-read the rows at their start, and again if they may have missed versions.
+The row of the versions that served is written when one appears or is no longer needed,
+and confirmed from time to time. A version may serve, and leave, before it is stored. So
+a daemon that reads the row also reads the changes of registrations since then; without
+them, the row is not taken for complete. While a service has several versions, its
+unfinished streams are stored, too. Daemons read the rows at their start, and again if
+they may have missed versions.
 """
 
 from __future__ import annotations
@@ -14,20 +17,44 @@
 
 from ..core import Application
 from ..exceptions import (
+    HistoryLost,
     PlatformUnavailable,
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from ..ids import ServiceName, SoftwareVersion, StoreEra, WriteId, make_id
+from ..ids import (
+    ServiceName,
+    SoftwareVersion,
+    StoreEra,
+    WriteId,
+    make_id,
+)
 from ..steps import async_run_step
-from ..store import Check, RowPage, TableService, Transaction, Write, decode_value
-from .const import SAVE_PERIOD_S, SAVE_RANK_DELAY_S, SAVERS, STORE_RETRY_S
+from ..store import (
+    Check,
+    RowPage,
+    StorePosition,
+    TableService,
+    Transaction,
+    Write,
+    decode_value,
+)
+from .const import (
+    COVERAGE_PERIOD_S,
+    FIRST_READ_POLL_S,
+    SAVE_PERIOD_S,
+    SAVE_RANK_DELAY_S,
+    SAVERS,
+    STORE_RETRY_S,
+)
 from .manager import OriginManager
 from .messages import StreamOrigin
+from .registrations import RegistrationLog
 from .stored import (
     KEY_VERSIONS,
     PREFIX_ORIGINS,
     PREFIX_STREAMS,
+    StoredHistory,
     StreamsRow,
     VersionsRow,
     state_of,
@@ -51,6 +78,11 @@
         Returns this daemon's rank among the live daemons, 0 for the first.
     era : callable
         Returns the latest era of the store that is known.
+    registrations : RegistrationLog
+        The registrations of endpoints that this daemon knows.
+    is_first_process : callable
+        Returns whether no process of this daemon has registered before, None if that
+        is not known yet.
     """
 
     def __init__(
@@ -60,6 +92,8 @@
         manager: OriginManager,
         rank: Callable[[], int],
         era: Callable[[], StoreEra],
+        registrations: RegistrationLog,
+        is_first_process: Callable[[], bool | None] = lambda: False,
     ) -> None:
         super().__init__()
         self._core = core
@@ -67,13 +101,22 @@
         self._manager = manager
         self._rank = rank
         self._era = era
+        self._registrations = registrations
+        self._is_first_process = is_first_process
         self._verified: VersionsRow | None = None
-        """What this daemon knew when it last compared the row with it."""
+        """What this daemon knew when it last compared the row with it.
+
+        The coverage is that of the row.
+        """
+        self._verified_s = float("-inf")
         self._unsaved_since_s: float | None = None
         self._has_loaded = False
 
     @Service.task
     async def _async_run(self) -> None:
+        # Changes up to the first read of the registrations are replayed.
+        while not self.should_stop and self._registrations.position() is None:
+            await self.sleep(FIRST_READ_POLL_S)
         while not self.should_stop:
             await async_run_step(
                 self, self._core.events, "origins.load", self._async_try_load
@@ -116,7 +159,7 @@
         read_s = self._core.clock()
         page = await self._table.async_read(PREFIX_ORIGINS)
         row = self._decode_versions(page)
-        state = state_of(row, page.era)
+        state = await self._async_prove(row, page)
         streams = self._decode_streams(page)
         self._core.events.info(
             "stored_origins_read",
@@ -127,6 +170,39 @@
         versions = {} if row is None else row.services
         self._manager.apply_stored(state, versions, streams, read_s=read_s)
 
+    async def _async_prove(
+        self, row: VersionsRow | None, page: RowPage
+    ) -> StoredHistory:
+        """Return what a row says, after a look for versions that came after it.
+
+        Raises
+        ------
+        PlatformUnavailable
+            The changes of registrations could not be read.
+        """
+        state = state_of(row, page.era)
+        if state is StoredHistory.OUTDATED:
+            return state
+        since = StorePosition(0, page.era) if row is None else row.position
+        try:
+            await self._registrations.async_replay(since)
+        except HistoryLost as error:
+            self._core.events.info("registrations_not_replayed", error=error)
+            return self._state_without_changes(row)
+        return StoredHistory.CURRENT
+
+    def _state_without_changes(self, row: VersionsRow | None) -> StoredHistory:
+        """Return what a row says if changes of registrations since then are lost."""
+        if row is not None:
+            return StoredHistory.UNPROVEN
+        is_first = self._is_first_process()
+        if is_first is None:
+            raise PlatformUnavailable(
+                "not registered yet", step="origins.load", peer=KEY_VERSIONS
+            )
+        # Daemons that served before may have failed to store versions.
+        return StoredHistory.ABSENT if is_first else StoredHistory.UNPROVEN
+
     def _decode_streams(self, page: RowPage) -> list[StreamOrigin]:
         streams: list[StreamOrigin] = []
         for found in page.rows:
@@ -174,29 +250,57 @@
         known, verified = self._known(), self._verified
         # In a fleet that serves for the first time, there is nothing else to know.
         may_save = self._manager.has_full_history or self._manager.is_first_fleet
-        if not known or not may_save:
+        if not known or not may_save or self._registrations.position() is None:
             return False
         if verified is None or verified.era < self._era():
             return True
-        return verified.services != known
+        return verified.services != known or self._is_confirmation_due()
+
+    def _is_confirmation_due(self) -> bool:
+        """Return whether to look whether the row's coverage is still recent.
+
+        Daemons of higher ranks do so less often, as the first one confirms the row.
+        """
+        period_s = COVERAGE_PERIOD_S * (1 + self._rank())
+        return self._core.clock() - self._verified_s >= period_s
 
     def _known(self) -> Versions:
         versions = self._manager.versions.all_versions(self._core.clock())
         return {service: names for service, names in versions.items() if names}
 
-    def _merge(self, stored: Versions, known: Versions) -> Versions:
-        """Return the versions to store.
+    def _merge(
+        self, row: VersionsRow | None, known: Versions, position: StorePosition
+    ) -> VersionsRow:
+        """Return the row to store.
 
         A version that this daemon doesn't know may have been seen by another one,
-        unless this daemon has served for as long as streams can be resumed.
+        unless this daemon knows as many registrations and has served for as long as
+        streams can be resumed.
         """
-        if self._rank() == 0 and self._manager.is_older_than_streams:
-            return known
+        stored = {} if row is None else row.services
+        covered_version = position.version
+        if row is not None and row.era == position.era:
+            covered_version = max(covered_version, row.covered_version)
+        is_older = self._rank() == 0 and self._manager.is_older_than_streams
+        if is_older and covered_version == position.version:
+            return VersionsRow(known, position.era, covered_version)
         names = known.keys() | stored.keys()
-        return {
+        merged = {
             name: sorted({*stored.get(name, ()), *known.get(name, ())})
             for name in sorted(names)
         }
+        return VersionsRow(merged, position.era, covered_version)
+
+    def _needs_write(self, row: VersionsRow | None, merged: VersionsRow) -> bool:
+        """Return whether a row lacks something, or nobody else confirms it."""
+        if row is None or row.era != merged.era or row.services != merged.services:
+            return True
+        if row.covered_version == merged.covered_version:
+            return False
+        if self._verified is None:
+            return self._rank() == 0
+        is_confirmed = row.covered_version > self._verified.covered_version
+        return self._is_confirmation_due() and not is_confirmed
 
     async def _async_save(self) -> None:
         """Compare the row with what this daemon knows, and write it if it differs.
@@ -206,13 +310,15 @@
         PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict
             The row may not have been written.
         """
-        known = self._known()
+        known, position = self._known(), self._registrations.position()
         page = await self._table.async_read(KEY_VERSIONS)
+        if position is None or position.era != page.era:
+            # The registrations have to be read in this era first.
+            return
         row = self._decode_versions(page)
-        merged = VersionsRow(
-            self._merge({} if row is None else row.services, known), page.era
-        )
-        if merged != row:
+        merged = self._merge(row, known, position)
+        is_written = self._needs_write(row, merged)
+        if is_written:
             found = page.get(KEY_VERSIONS)
             check = Check(KEY_VERSIONS, 0 if found is None else found.version)
             write = Write(KEY_VERSIONS, msgspec.to_builtins(merged))
@@ -225,5 +331,8 @@
                 "versions_saved",
                 services=len(merged.services),
                 versions=sum(map(len, merged.services.values())),
+                covered_version=merged.covered_version,
             )
-        self._verified = VersionsRow(known, page.era)
+        covered_version = (merged if is_written else row).covered_version
+        self._verified = VersionsRow(known, page.era, covered_version)
+        self._verified_s = self._core.clock()
--- a/chutelink/origins/stored.py
+++ b/chutelink/origins/stored.py
@@ -15,6 +15,7 @@
     SoftwareVersion,
     StoreEra,
 )
+from ..store import StorePosition
 from .const import MAX_ROW_BYTES
 from .messages import StreamOrigin
 
@@ -32,6 +33,9 @@
     ABSENT = "absent"
     """No versions have been stored, as no daemon has served before."""
     CURRENT = "current"
+    """All versions are known: those of the row, and of registrations since then."""
+    UNPROVEN = "unproven"
+    """Versions may have come and left since the row was written, if there is one."""
     OUTDATED = "outdated"
     """The row is from before a restore of the store, which may have lost versions."""
 
@@ -39,11 +43,19 @@
 class VersionsRow(msgspec.Struct, frozen=True):
     """Versions that may have begun streams that can be resumed, by service.
 
-    ``era`` is the store era in which they were known to be all of them.
+    ``era`` is the store era in which they were known to be all of them, and
+    ``covered_version`` the version of the store up to which registrations were known;
+    0 in rows of releases that didn't record it.
     """
 
     services: dict[ServiceName, list[SoftwareVersion]]
     era: StoreEra
+    covered_version: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Up to where the row has the versions of all registrations."""
+        return StorePosition(self.covered_version, self.era)
 
 
 class StreamsRow(msgspec.Struct, frozen=True):
@@ -80,7 +92,10 @@
 
 
 def state_of(row: VersionsRow | None, era: StoreEra) -> StoredHistory:
-    """Return what a row, or its absence, says in an era of the store."""
+    """Return what a row, or its absence, says in an era of the store.
+
+    Whether versions have come since then is not considered.
+    """
     if (FIRST_ERA if row is None else row.era) < era:
         return StoredHistory.OUTDATED
     return StoredHistory.ABSENT if row is None else StoredHistory.CURRENT
--- a/chutelink/store/base.py
+++ b/chutelink/store/base.py
@@ -48,6 +48,13 @@
         return next((row for row in self.rows if row.key == key), None)
 
 
+class StorePosition(msgspec.Struct, frozen=True):
+    """Version of the service, in an era, up to which changes are known."""
+
+    version: int
+    era: StoreEra = NO_ERA
+
+
 class Check(msgspec.Struct, frozen=True):
     """A precondition: the row has this version; 0 means that it does not exist."""
 
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -22,7 +22,7 @@
 from ..exceptions import HistoryLost, PlatformUnavailable
 from ..ids import DaemonId, StoreEra
 from ..steps import async_run_step, contain_errors
-from ..store import Row, RowPage, WatchableTable
+from ..store import Row, RowPage, StorePosition, WatchableTable
 from .probing import ProbeBackoff
 from .storeclock import StoreClock
 from .table_state import OWN_READ, RowChange, TableFreshness, TableState
@@ -146,6 +146,36 @@
         copy = self._tables[name].copy
         return TableFreshness(copy.version, self._age_s(copy.answered_s))
 
+    def position(self, name: str) -> StorePosition | None:
+        """Return up to where a table's copy has all changes, None before a read."""
+        copy = self._tables[name].copy
+        return StorePosition(copy.version, copy.era) if copy.version else None
+
+    async def async_replay(self, name: str, since: StorePosition) -> None:
+        """Report all values that a table's rows had after a position as superseded.
+
+        They are read up to the version of the copy at least, which must exist.
+
+        Raises
+        ------
+        HistoryLost
+            The store no longer has all of these changes, or its era has changed.
+        PlatformUnavailable
+            The store did not respond in time.
+        """
+        version = since.version
+        until_version = max(version + 1, self._tables[name].copy.version)
+        while version < until_version:
+            page = await self._table.async_watch(f"{name}/", version, 0.0)
+            if page.era != since.era:
+                raise HistoryLost("store was restored", step="store.replay", peer=name)
+            for row in map(self._make_row, page.rows):
+                if row.value is not None:
+                    self.on_superseded(RowChange(row.key, row.value, row.version))
+            if page.version <= version:
+                break
+            version = page.version
+
     def _age_s(self, answered_s: float) -> float:
         return self._store_clock.max_age_s(answered_s, self._core.clock())
 
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -18,9 +18,7 @@
     core = make_core(name)
     mesh = SimpleNamespace(linked_members=set, set_seeds=lambda seeds: None)
     found = []
-    registration = Registration(
-        core, table, mesh, f"{name}:1", capacity, reads_previous_fleet=True
-    )
+    registration = Registration(core, table, mesh, f"{name}:1", capacity)
     registration.on_previous_fleet = found.append
     asyncio.run(registration._async_register())
     asyncio.run(registration._async_register())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,19 +11,23 @@
 from chutelink.customers.buckets import QuotaBounds
 from chutelink.customers.quotas import QuotaManager
 from chutelink.exceptions import (
+    HistoryLost,
     PlatformUnavailable,
     TransactionConflict,
     WriteOutcomeUnknown,
 )
-from chutelink.ids import NO_ERA, BootId, DaemonId
+from chutelink.ids import NO_ERA, BootId, DaemonId, ServiceName, SoftwareVersion
 from chutelink.log import EventLog
 from chutelink.metrics import Metrics
+from chutelink.origins.registrations import RegistrationLog
+from chutelink.origins.versions import VersionHistory
 from chutelink.store import (
     Commit,
     ObjectStore,
     Platform,
     Row,
     RowPage,
+    StorePosition,
     TableService,
     Transaction,
     Vm,
@@ -83,6 +87,30 @@
                 self.table.commit(transaction)
 
 
+class FakeRegistrations(RegistrationLog):
+    """Registrations of endpoints, read up to the version of a fake table.
+
+    ``changes`` holds the software versions of registrations by the table's version;
+    those up to ``lost_version`` can't be read any more.
+    """
+
+    def __init__(self, table: FakeTable, versions: VersionHistory) -> None:
+        self._table = table
+        self._versions = versions
+        self.changes: list[tuple[int, SoftwareVersion]] = []
+        self.lost_version = -1
+
+    def position(self) -> StorePosition | None:
+        return StorePosition(self._table.table.version, self._table.era)
+
+    async def async_replay(self, since: StorePosition) -> None:
+        if since.version <= self.lost_version or since.era != self._table.era:
+            raise HistoryLost("lost", step="test")
+        for version, name in self.changes:
+            if version > since.version:
+                self._versions.note_used(ServiceName("llm"), name)
+
+
 class FakeObjects(ObjectStore):
     """An object store in memory; ``on_get`` is called during each read."""
 
--- a/tests/origins/test_persistence.py
+++ b/tests/origins/test_persistence.py
@@ -8,14 +8,20 @@
 import pytest
 
 from chutelink.entry.endpoints import EndpointTable
+from chutelink.exceptions import PlatformUnavailable
 from chutelink.ids import FIRST_ERA, StoreEra
-from chutelink.origins.const import RETENTION_S, SAVE_RANK_DELAY_S, SAVERS
+from chutelink.origins.const import (
+    COVERAGE_PERIOD_S,
+    RETENTION_S,
+    SAVE_RANK_DELAY_S,
+    SAVERS,
+)
 from chutelink.origins.manager import OriginManager
 from chutelink.origins.persistence import OriginPersistence
 from chutelink.origins.stored import KEY_VERSIONS
 from chutelink.store import UNREADABLE, Transaction, Write
 
-from ..fakes import FakeTable, make_core
+from ..fakes import FakeRegistrations, FakeTable, make_core
 
 
 class Daemon:
@@ -26,8 +32,16 @@
         self.table = table
         self.versions = EndpointTable().versions
         self.manager = OriginManager(self.core, self.versions)
+        self.registrations = FakeRegistrations(table, self.versions)
+        self.is_first_process = False
         self.persistence = OriginPersistence(
-            self.core, table, self.manager, lambda: rank, lambda: table.era
+            self.core,
+            table,
+            self.manager,
+            lambda: rank,
+            lambda: table.era,
+            self.registrations,
+            lambda: self.is_first_process,
         )
 
     def load(self):
@@ -183,3 +197,95 @@
     table.era = FIRST_ERA
     start(table, "v1").save()
     assert msgspec.to_builtins(table.table.rows[KEY_VERSIONS].value)["era"] == FIRST_ERA
+
+
+def test_version_that_came_and_left_after_the_row_was_written_is_known():
+    """Guards against a version that was lost with all daemons before it was stored."""
+    table = FakeTable()
+    start(table, "v1").save()
+    again = Daemon(table)
+    again.registrations.changes = [(table.table.version + 1, "v2")]
+    again.load()
+    again.versions.add("llm", "v1")
+    assert again.manager.has_full_history
+    assert again.versions.versions("llm", 0.0) == {"v1", "v2"}
+
+
+def test_row_is_no_full_history_if_later_registrations_are_lost():
+    table = FakeTable()
+    start(table, "v1").save()
+    again = Daemon(table)
+    again.registrations.lost_version = table.table.version
+    again.load()
+    assert not again.manager.has_full_history
+
+
+@pytest.mark.parametrize("is_first", [False, True])
+def test_absent_row_is_a_first_start_only_if_no_process_served_before(is_first):
+    """Guards against a fleet that failed to store versions from its start on."""
+    daemon = Daemon(FakeTable())
+    daemon.is_first_process = is_first
+    daemon.registrations.lost_version = 0
+    daemon.load()
+    assert daemon.manager.has_full_history is is_first
+
+
+def test_absent_row_says_nothing_before_the_daemon_has_registered():
+    daemon = Daemon(FakeTable())
+    daemon.is_first_process = None
+    daemon.registrations.lost_version = 0
+    with pytest.raises(PlatformUnavailable):
+        daemon.load()
+
+
+def covered_version(table):
+    return table.table.rows[KEY_VERSIONS].value["covered_version"]
+
+
+def advance(table):
+    """Let the store's version increase by a write to another table."""
+    table.table.commit(Transaction("w", (), (Write("other/row", 1),)))
+
+
+def test_row_is_confirmed_before_later_registrations_are_lost():
+    table = FakeTable()
+    daemon = start(table, "v1")
+    daemon.save()
+    before = covered_version(table)
+    advance(table)
+    daemon.save(COVERAGE_PERIOD_S / 2)
+    assert covered_version(table) == before
+    daemon.save(COVERAGE_PERIOD_S / 2)
+    assert covered_version(table) > before
+
+
+@pytest.mark.parametrize("is_first_lost", [False, True])
+def test_row_is_confirmed_by_another_daemon_only_if_the_first_is_lost(is_first_lost):
+    table = FakeTable()
+    first, second = start(table, "v1"), start(table, "v1", rank=1)
+    first.save()
+    second.save()
+    second.save(SAVE_RANK_DELAY_S)
+    advance(table)
+    if not is_first_lost:
+        first.save(COVERAGE_PERIOD_S)
+    version = table.table.version
+    advance(table)
+    second.save(2 * COVERAGE_PERIOD_S)
+    second.save(SAVE_RANK_DELAY_S)
+    assert (covered_version(table) > version) is is_first_lost
+
+
+def test_row_with_later_registrations_keeps_its_versions():
+    """Guards against a daemon with an old copy that removes a new version."""
+    table = FakeTable()
+    old = start(table, "v1")
+    old.core.now_s += RETENTION_S + 1.0
+    position = old.registrations.position()
+    old.registrations.position = lambda: position
+    advance(table)
+    start(table, "v2").save()
+    covered = covered_version(table)
+    old.save()
+    assert stored(table) == {"llm": ["v1", "v2"]}
+    assert covered_version(table) == covered
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -332,6 +332,38 @@
     run_in_virtual_time(async_test())
 
 
+@pytest.mark.parametrize("served_s", [0.0, 0.1, 0.5])
+@pytest.mark.parametrize("keeps_history", [True, False])
+def test_streams_of_a_version_that_was_lost_with_all_daemons_are_not_mixed(
+    served_s, keeps_history
+):
+    """Guards against a version that was not stored before all daemons were killed."""
+
+    async def async_test():
+        world = World(asyncio.get_running_loop(), DAEMONS, versions=ONE_VERSION)
+        await world.async_settle()
+        world.join("i-9", "v2")
+        for daemon in world.daemons.values():
+            daemon.read_endpoints()
+        streams = await asyncio.gather(
+            *(world.async_begin(f"d{n % DAEMONS}") for n in range(40))
+        )
+        await asyncio.sleep(served_s)
+        world.stop_process("i-9")
+        if not keeps_history:
+            world.compacted = world.note_changes()
+        for name in list(world.daemons):
+            world.kill(name)
+        for delay_s in (0.0, 1.0, HISTORY_TIMEOUT_S):
+            await asyncio.sleep(delay_s)
+            for stream, name in zip(streams, itertools.cycle(world.daemons)):
+                await world.async_resume(name, stream)
+        assert {"v2"} in [stream.versions for stream in streams]
+        assert all(len(stream.versions) == 1 for stream in streams)
+
+    run_in_virtual_time(async_test())
+
+
 @pytest.mark.parametrize("daemons", [1, 3, DAEMONS])
 def test_streams_of_a_version_that_left_while_all_daemons_were_killed_stay_broken(
     daemons,
--- a/tests/origins/test_stream_store.py
+++ b/tests/origins/test_stream_store.py
@@ -21,7 +21,7 @@
 from chutelink.origins.stream_store import StreamStore
 from chutelink.store import UNREADABLE, Transaction, Write
 
-from ..fakes import FakeTable, make_core
+from ..fakes import FakeRegistrations, FakeTable, make_core
 
 
 class Recorder:
@@ -59,8 +59,16 @@
 def load(table):
     """Return the software version of each stream that a new daemon knows."""
     core = make_core("d2")
-    manager = OriginManager(core, EndpointTable().versions)
-    persistence = OriginPersistence(core, table, manager, lambda: 0, lambda: table.era)
+    versions = EndpointTable().versions
+    manager = OriginManager(core, versions)
+    persistence = OriginPersistence(
+        core,
+        table,
+        manager,
+        lambda: 0,
+        lambda: table.era,
+        FakeRegistrations(table, versions),
+    )
     asyncio.run(persistence.async_load())
     found = asyncio.run(async_find_all(manager, stored(table)))
     return {request: lookup.origin.version for request, lookup in found.items()}
@@ -216,8 +224,16 @@
     key = f"{PREFIX_STREAMS}boot-8/0"
     table.table.commit(Transaction("w", (), (Write(key, UNREADABLE),)))
     core = make_core("d2")
-    manager = OriginManager(core, EndpointTable().versions)
-    persistence = OriginPersistence(core, table, manager, lambda: 0, lambda: table.era)
+    versions = EndpointTable().versions
+    manager = OriginManager(core, versions)
+    persistence = OriginPersistence(
+        core,
+        table,
+        manager,
+        lambda: 0,
+        lambda: table.era,
+        FakeRegistrations(table, versions),
+    )
     asyncio.run(persistence.async_load())
     lookup = asyncio.run(manager.async_find("q1", "llm"))
     assert lookup.origin.version == "v1"
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -22,7 +22,7 @@
 
 from chutelink.entry.endpoints import EndpointRecord, EndpointState, EndpointTable
 from chutelink.entry.headers import RequestMeta
-from chutelink.exceptions import PlatformUnavailable
+from chutelink.exceptions import HistoryLost, PlatformUnavailable
 from chutelink.gateway.refusals import Refusal
 from chutelink.ids import BootId, DaemonId
 from chutelink.origins.const import (
@@ -34,11 +34,18 @@
 )
 from chutelink.origins.manager import OriginManager
 from chutelink.origins.persistence import OriginPersistence
+from chutelink.origins.registrations import RegistrationLog
 from chutelink.origins.sharing import StreamSharing
 from chutelink.origins.stream_store import StreamStore
 from chutelink.relaying.exchange import Exchange
 from chutelink.relaying.version_gate import VersionGate
-from chutelink.store import Commit, RowPage, TableService, Transaction
+from chutelink.store import (
+    Commit,
+    RowPage,
+    StorePosition,
+    TableService,
+    Transaction,
+)
 from chutelink.watching.table_state import TableFreshness
 from chutelink.watching.watch import MAX_SKIPPED_S
 
@@ -97,6 +104,28 @@
         return await self._reach().async_transact(transaction)
 
 
+class WorldRegistrations(RegistrationLog):
+    """Registrations as one daemon knows them."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon = daemon
+
+    def position(self) -> StorePosition | None:
+        version = self._daemon.version
+        return StorePosition(version, self._daemon.world.store.era) if version else None
+
+    async def async_replay(self, since: StorePosition) -> None:
+        world = self._daemon.world
+        if not self._daemon.reaches_store:
+            raise PlatformUnavailable("cut off", step="test")
+        world.note_changes()
+        if since.version < world.compacted:
+            raise HistoryLost("compacted", step="test")
+        for _, process in world.changes[since.version :]:
+            if process is not None:
+                self._daemon.table.versions.note_used(SERVICE, process.version)
+
+
 class Daemon:
     """A daemon's tables and decisions."""
 
@@ -129,9 +158,13 @@
         )
         store = StoreLink(self)
         self.persistence = OriginPersistence(
-            self.core, store, self.origins, self._rank, lambda: world.store.era
+            self.core,
+            store,
+            self.origins,
+            self._rank,
+            lambda: world.store.era,
+            WorldRegistrations(self),
         )
-
         self.stream_store = StreamStore(
             self.core,
             store,
