Origins: count the daemons that served before a start for a majority

Cause: a version is confirmed by most of the daemons that served recently, and a daemon that starts knew only those that it had met since: two of two. Change: an answer about the history names the daemons that served, and the daemons that had registered before a start count as well.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -477,6 +477,7 @@
 
     def _apply_previous_fleet(self, previous: PreviousFleet) -> None:
         self._is_first_process = previous.own_began_ago_s is None
+        self.origins.note_served(previous.daemons)
         entry = self.settings.entry
         if entry.quota_slack > 0 or entry.quota_excess_share > 0:
             serving = count_candidates(previous.capacities)
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -13,6 +13,7 @@
 from ..ids import (
     FIRST_ERA,
     NO_ERA,
+    DaemonId,
     FailureDomainName,
     StoreEra,
     VmId,
@@ -50,11 +51,13 @@
 
     ``own_began_ago_s`` is how long ago the previous process of this daemon registered,
     None if there was none, 0 if the store may have lost its row; ``capacities`` are
-    those of all VMs that ever registered.
+    those of all VMs that ever registered, and ``daemons`` the ids of the daemons that
+    had registered.
     """
 
     own_began_ago_s: float | None
     capacities: list[float]
+    daemons: frozenset[DaemonId] = frozenset()
 
 
 def make_member(core: Application, entry: EntrySection) -> Member:
@@ -174,7 +177,9 @@
         capacities = [row.capacity for row in rows.values() if row is not None]
         if own is None:
             capacities.append(self._capacity)
-        self.on_previous_fleet(PreviousFleet(began_ago_s, capacities))
+        prefix = f"{TABLE_MEMBERS}/"
+        daemons = frozenset(DaemonId(key.removeprefix(prefix)) for key in rows)
+        self.on_previous_fleet(PreviousFleet(began_ago_s, capacities, daemons))
 
     def _decode(self, row: Row) -> MemberRow | None:
         """Return the decoded row, or None if it is invalid; other rows still count."""
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -224,12 +224,18 @@
     def _handle_history_request(self, request: HistoryRequest) -> None:
         """Answer a daemon that has started."""
         versions = self.versions.all_versions(self._core.clock())
-        answer = HistoryAnswer(self._core.daemon_id, versions, self.has_full_history)
+        answer = HistoryAnswer(
+            self._core.daemon_id,
+            versions,
+            self.has_full_history,
+            sorted(self._served_s),
+        )
         self.send(request.daemon, answer)
 
     def _handle_history(self, answer: HistoryAnswer) -> None:
-        """Keep the versions that another daemon has seen."""
+        """Keep the versions and the daemons that another daemon has seen."""
         self._add_recent(answer.versions)
+        self.note_served(answer.served)
         if answer.daemon not in self._history_asked:
             # It was asked before this daemon may have missed a version.
             return
@@ -358,11 +364,15 @@
         is_with_most = 2 * len(reached) > len(self._served_s)
         return is_with_most and lookup.is_answered_by(linked)
 
+    def note_served(self, daemons: Iterable[DaemonId]) -> None:
+        """Record that daemons serve, or served recently as far as is known."""
+        now_s = self._core.clock()
+        self._served_s |= dict.fromkeys(daemons, now_s)
+
     def update(self) -> None:
         """Note which daemons serve, and ask for a history that is missing."""
         now_s = self._core.clock()
-        for daemon in self.domains():
-            self._served_s[daemon] = now_s
+        self.note_served(self.domains())
         # Others have begun no stream that can be resumed now.
         self._served_s = {
             daemon: served_s
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -62,12 +62,15 @@
 class HistoryAnswer(msgspec.Struct, frozen=True, array_like=True, tag="versions"):
     """Versions that the endpoints of each service run or ran recently.
 
-    ``is_complete`` is unset if the sender has just started, too.
+    ``is_complete`` is unset if the sender has just started, too. ``served`` are the
+    daemons that it knows to have served since streams began that can be resumed now;
+    releases that didn't send them left it empty.
     """
 
     daemon: DaemonId
     versions: dict[ServiceName, list[SoftwareVersion]]
     is_complete: bool
+    served: list[DaemonId] = []
 
 
 class BegunStreams(msgspec.Struct, frozen=True, array_like=True, tag="begun_streams"):
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -30,7 +30,8 @@
     """A daemon restarted within a quota window must not start with a full share."""
     table = FakeTable()
     assert register(table, "d1", 2.0) == PreviousFleet(None, [2.0])
-    assert register(table, "d2", 2.0) == PreviousFleet(None, [2.0, 2.0])
+    second = PreviousFleet(None, [2.0, 2.0], frozenset({"d1"}))
+    assert register(table, "d2", 2.0) == second
     again = register(table, "d1", 2.0)
     assert again.own_began_ago_s is not None
     assert sorted(again.capacities) == [2.0, 2.0]
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -20,7 +20,7 @@
     SAVE_STREAMS_PERIOD_S,
     SHARE_PERIOD_S,
 )
-from chutelink.origins.manager import OriginManager
+from chutelink.origins.manager import Lookup, OriginManager
 from chutelink.origins.messages import HistoryAnswer
 from chutelink.origins.stored import StoredHistory
 
@@ -611,6 +611,18 @@
     run_in_virtual_time(async_test())
 
 
+def test_daemon_that_started_anew_counts_the_registered_daemons_for_a_majority():
+    """Guards against a majority of only those daemons that it has met since."""
+    origins = OriginManager(make_core("d0"), EndpointTable().versions)
+    origins.domains = lambda: {"d0": "zone-0", "d7": "zone-1"}
+    origins.linked = lambda: {"d7"}
+    lookup = Lookup(None, {"v1"}, True, asked={"d7"}, answered={"d7"})
+    origins.update()
+    assert origins.has_answers(lookup)
+    origins.note_served({f"d{number}" for number in range(DAEMONS)})
+    assert not origins.has_answers(lookup)
+
+
 def test_daemon_that_lost_its_links_between_two_attempts_keeps_to_the_second_one():
     """Guards against the version of an attempt that brought no event."""
 
