Origins: records say whether their attempt brought an event

Cause: an owner keeps the record of an attempt from before it is sent. If the attempt brings no event, a later one may begin the stream at another version; an owner that doesn't get that record took the former one for the stream's. Change: a record says whether the stream has begun, and is sent again with its first event. One that says it hasn't is only a possible version. While one version serves, nothing is sent, as before; with several, one more message to each owner for a stream.

--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
+import msgspec
+
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..gateway.refusals import Refusal, unresumable
@@ -131,8 +133,8 @@
             raise unresumable("its software version is unknown")
         if decision is Resumption.KNOWN:
             exchange.bind_version(lookup.origin.version)
-            self._origins.note(lookup.origin)
-            self._origins.note_begun(lookup.origin)
+            begun = msgspec.structs.replace(lookup.origin, has_begun=True)
+            self._origins.note_begun(begun)
         elif lookup.versions:
             exchange.bind_version(next(iter(lookup.versions)))
 
@@ -214,7 +216,8 @@
         """Record the version of an endpoint before a stream is requested from it."""
         if exchange.is_version_bound or not exchange.is_repeatable:
             return
-        self._origins.note(self._make_origin(exchange, self._version_of(row)))
+        origin = self._make_origin(exchange, self._version_of(row))
+        self._origins.note(msgspec.structs.replace(origin, has_begun=False))
 
     def note_event(self, exchange: Exchange, row: Endpoint) -> None:
         """Bind a stream to the version of the endpoint that brings its first event."""
