--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -164,6 +164,8 @@
         self._core.events.info(
             "stored_origins_read",
             state=state.value,
+            covered_version=0 if row is None else row.covered_version,
+            read_version=page.version,
             services=0 if row is None else len(row.services),
             streams=len(streams),
         )
