Resumptions: read the registrations at a daemon that stood still

Cause: registrations were read on demand only for streams whose version needs them as a proof, not for the processes of the endpoints. Evidence: test_known_stream_goes_on_at_a_daemon_that_stood_still gave 503, now 200.

--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -147,7 +147,8 @@
         """
         service, resumes = exchange.service.name, exchange.meta.resumes
         known = self._origins.find_known(resumes, service)
-        if not known.has_version and len(known.versions) <= 1:
+        needs_proof = not known.has_version and len(known.versions) <= 1
+        if needs_proof or not self._is_informed():
             await self._refresh(exchange.started_s, LOOKUP_TIMEOUT_S)
             known = self._origins.find_known(resumes, service)
         is_current = self._is_current(exchange.started_s)
--- a/tests/relaying/test_daemon_out_of_step.py
+++ b/tests/relaying/test_daemon_out_of_step.py
@@ -182,6 +182,26 @@
     asyncio.run(async_test())
 
 
+def test_known_stream_goes_on_at_a_daemon_that_stood_still():
+    """Guards against refusals until the next poll of a store that is in reach."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await async_add(harness, "i-1", "v1")
+            await async_add(harness, "i-2", "v2")
+            table, watch = make_watch(harness)
+            table.put("endpoints/i-1", endpoint.registration() | {"zone": "zone-a"})
+            await watch.async_refresh("endpoints", harness.core.clock(), 1.0)
+            origins = harness.dispatcher.versions._origins
+            origins.note(StreamOrigin("unknown", "llm", "v1"))
+            clock = harness.core.clock
+            harness.core.clock = lambda: clock() + 6.0
+            assert (await async_resume(harness))[0] == 200
+
+    asyncio.run(async_test())
+
+
 def test_stream_of_an_unverified_process_goes_on_at_the_only_version():
     async def async_test():
         async with async_relay_harness() as harness:
