--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -5,7 +5,9 @@
 announced or not, with their models at once or without; those of a new version join a
 service and leave it again; daemons are killed, terminated, frozen and started again, in
 series and overlapping, up to all of them at once, and cut off from the others, from the
-store, or from both; streams break. Callers resume their streams at any daemon.
+store, or from both; the store refuses calls about versions and streams, or discards its
+history; a new version is taken back while all daemons are lost; streams break. Callers
+resume their streams at any daemon.
 
 Checked from outside:
 
@@ -24,6 +26,7 @@
 
 import msgspec
 
+from chutelink.const import TABLE_ORIGINS
 from standins.prepared_endpoint import EndpointFaults, EndpointStandin
 from tests.processes.platform_in_loop import make_engine
 from tests.processes.releases import Release, async_start_releases
@@ -46,6 +49,7 @@
 RELEASES = 6
 """Services with one version, which endpoints of another one join for a while."""
 MAX_STAY_S = 3.0
+MAX_REFUSED_S = 4.0
 VERSIONS = ("v1", "v2", "v3")
 RESTART_S = 0.6
 """Time in which an upgraded endpoint has started again."""
@@ -80,6 +84,7 @@
         self._releasing: list[ResumingCaller] = []
         """Callers of services which endpoints are joining; they send most streams."""
         self._cut_locks: dict[int, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._refusal_lock = asyncio.Lock()
         self._endpoint_locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._faults = (
             self._upgrade,
@@ -93,6 +98,9 @@
             self._release,
             self._release_beside_cut,
             self._release_beside_cut,
+            self._release_before_loss,
+            self._refuse_origins,
+            self._forget_history,
             self._cut_streams,
         )
 
@@ -192,6 +200,43 @@
         self._cut_off()
         self._release()
 
+    def _release_before_loss(self) -> None:
+        """Let a version join and leave around the loss of all daemons."""
+        if not self._unreleased:
+            return
+        stay_s = self._rng.uniform(0.0, MAX_STAY_S)
+        down_s = [self._rng.uniform(0.0, MAX_DOWN_S) for _ in range(DAEMONS)]
+        if self._rng.choice((False, True)):
+            self._refuse_origins()
+        self._spawn(
+            self._async_release_before_loss(self._unreleased.pop(), stay_s, down_s)
+        )
+
+    async def _async_release_before_loss(
+        self, release: Release, stay_s: float, down_s: list[float]
+    ) -> None:
+        left = asyncio.ensure_future(self._async_release(release, stay_s, 0.0))
+        await asyncio.sleep(stay_s)
+        kills = [self._async_kill(n, pause_s) for n, pause_s in enumerate(down_s)]
+        await asyncio.gather(left, *kills)
+
+    def _refuse_origins(self) -> None:
+        """Let the store refuse calls about versions and streams for a while."""
+        self._spawn(self._async_refuse_origins(self._rng.uniform(0.0, MAX_REFUSED_S)))
+
+    async def _async_refuse_origins(self, for_s: float) -> None:
+        async with self._refusal_lock:
+            self._set_refused(TABLE_ORIGINS)
+            await asyncio.sleep(for_s)
+            self._set_refused()
+
+    def _set_refused(self, *tables: str) -> None:
+        store = self._fleet.machines.store
+        store.faults = msgspec.structs.replace(store.faults, out_tables=tables)
+
+    def _forget_history(self) -> None:
+        self._fleet.machines.store.forget_history()
+
     def _cut_off(self) -> None:
         """Cut a daemon off from the others, from the store, or from both."""
         number = self._rng.randrange(DAEMONS)
