--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -50,6 +50,8 @@
 """Services with one version, which endpoints of another one join for a while."""
 MAX_STAY_S = 3.0
 MAX_REFUSED_S = 4.0
+RESUMED_TIMES = 4
+"""How often callers resume streams that broke when all daemons were lost."""
 VERSIONS = ("v1", "v2", "v3")
 RESTART_S = 0.6
 """Time in which an upgraded endpoint has started again."""
@@ -79,6 +81,7 @@
         for caller in self._callers:
             caller.daemons = list(range(DAEMONS))
         self._streams: list[StreamOutcome] = []
+        self._streams_of: dict[ResumingCaller, list[StreamOutcome]] = defaultdict(list)
         self._restarts: set[asyncio.Task[None]] = set()
         self._unreleased = list(releases)
         self._releasing: list[ResumingCaller] = []
@@ -126,6 +129,7 @@
             caller = self._call_rng.choice(callers)
             stream = caller.begin("soak")
             self._streams.append(stream)
+            self._streams_of[caller].append(stream)
             closes = tuple(self._call_rng.randint(1, EVENTS) for _ in range(2))
             await caller.async_run(stream, close_after=closes)
             await asyncio.sleep(0.02)
@@ -219,6 +223,19 @@
         await asyncio.sleep(stay_s)
         kills = [self._async_kill(n, pause_s) for n, pause_s in enumerate(down_s)]
         await asyncio.gather(left, *kills)
+        for _ in range(RESUMED_TIMES):
+            await self._async_resume_broken(release.caller)
+            await asyncio.sleep(MAX_PAUSE_S)
+
+    async def _async_resume_broken(self, caller: ResumingCaller) -> None:
+        """Resume a caller's unfinished streams once, each at any daemon."""
+        await asyncio.gather(
+            *(
+                caller.async_attempt(stream, self._call_rng.randrange(DAEMONS))
+                for stream in self._streams_of[caller]
+                if stream.last_event and not stream.is_complete
+            )
+        )
 
     def _refuse_origins(self) -> None:
         """Let the store refuse calls about versions and streams for a while."""
