Soak of upgrades: resume only streams whose callers have given up

Cause: the soak sent two attempts of one stream at once, which it counted as gaps. Change: a caller's streams are resumed once its own attempts have ended.

--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -81,7 +81,8 @@
         for caller in self._callers:
             caller.daemons = list(range(DAEMONS))
         self._streams: list[StreamOutcome] = []
-        self._streams_of: dict[ResumingCaller, list[StreamOutcome]] = defaultdict(list)
+        self._unfinished: dict[ResumingCaller, list[StreamOutcome]] = defaultdict(list)
+        """Streams whose callers have given up for now."""
         self._restarts: set[asyncio.Task[None]] = set()
         self._unreleased = list(releases)
         self._releasing: list[ResumingCaller] = []
@@ -129,9 +130,10 @@
             caller = self._call_rng.choice(callers)
             stream = caller.begin("soak")
             self._streams.append(stream)
-            self._streams_of[caller].append(stream)
             closes = tuple(self._call_rng.randint(1, EVENTS) for _ in range(2))
             await caller.async_run(stream, close_after=closes)
+            if stream.last_event and not stream.is_complete:
+                self._unfinished[caller].append(stream)
             await asyncio.sleep(0.02)
 
     async def _async_inject_faults(self) -> None:
@@ -232,8 +234,8 @@
         await asyncio.gather(
             *(
                 caller.async_attempt(stream, self._call_rng.randrange(DAEMONS))
-                for stream in self._streams_of[caller]
-                if stream.last_event and not stream.is_complete
+                for stream in self._unfinished[caller]
+                if not stream.is_complete
             )
         )
 
