Origins: only recent registrations speak for other daemons

What callers saw: streams of a version that was lost with most daemons went on at the old one. Change: a first start is one in which all daemons registered first within 2 s of the store's clock, and such a fleet stores its row even without versions. Answers about the history state the age of the sender's registrations; older ones count once most daemons that served have given one. A history is complete by age only from the first read on.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -238,6 +238,9 @@
             self, table, bounds_s, self.rank, self.router.send, outage_s
         )
         self.watch.isolated_until_s = self.mesh.isolated_until_s
+        self.origins.registrations_age_s = lambda: (
+            self.watch.knowledge(TABLE_ENDPOINTS).age_s
+        )
         self.eligibility.is_outdated = SuspensionGate(
             self,
             lambda: self.watch.knowledge(TABLE_CONFIG),
@@ -476,7 +479,7 @@
         self.quotas.update_customers(config.customers)
 
     def _apply_previous_fleet(self, previous: PreviousFleet) -> None:
-        self._is_first_process = previous.own_began_ago_s is None
+        self._is_first_process = previous.is_first_start
         self.origins.note_served(previous.daemons)
         entry = self.settings.entry
         if entry.quota_slack > 0 or entry.quota_excess_share > 0:
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -23,11 +24,16 @@
 from ..peers.mesh import Mesh
 from ..settings import EntrySection
 from ..steps import async_run_step
-from ..store import Row, Transaction, WatchableTable, Write, decode_value
+from ..store import Row, RowPage, Transaction, WatchableTable, Write, decode_value
 from ..tables.members import Member, Role
 
 NS_PER_MS = 1_000_000
 RETRY_S = 0.5
+FIRST_START_S = 2.0
+"""Time within which the daemons of a fleet start for the first time.
+
+A daemon that starts later finds the versions that the others have stored.
+"""
 ISOLATED_RETRY_S = 2.0
 """Interval at which a daemon without links looks for peers; links form within 1 s."""
 
@@ -37,13 +43,15 @@
 
     ``capacity`` is the processor share of its VM; ``started_s`` the time of the store's
     clock at which its process registered, 0 if it did not read that; ``era`` the era of
-    the store known to it when it wrote the row.
+    the store known to it when it wrote the row. ``first_started_s`` is when the first
+    process of this daemon registered in this era, 0 if that is unknown.
     """
 
     peer_address: str
     capacity: float = 0.0
     started_s: float = 0.0
     era: StoreEra = NO_ERA
+    first_started_s: float = 0.0
 
 
 class PreviousFleet(msgspec.Struct, frozen=True):
@@ -51,13 +59,19 @@
 
     ``own_began_ago_s`` is how long ago the previous process of this daemon registered,
     None if there was none, 0 if the store may have lost its row; ``capacities`` are
-    those of all VMs that ever registered, and ``daemons`` the ids of the daemons that
-    had registered.
+    those of all VMs that ever registered, ``daemons`` the ids of the daemons that had
+    registered, and ``oldest_s`` is how long ago the first of them did so first.
     """
 
     own_began_ago_s: float | None
     capacities: list[float]
     daemons: frozenset[DaemonId] = frozenset()
+    oldest_s: float = 0.0
+
+    @property
+    def is_first_start(self) -> bool:
+        """Whether no daemon served before those that are starting now."""
+        return self.own_began_ago_s is None and self.oldest_s <= FIRST_START_S
 
 
 def make_member(core: Application, entry: EntrySection) -> Member:
@@ -125,6 +139,7 @@
         self._capacity = capacity
         self._has_read_previous = False
         self._started_s = 0.0
+        self._first_started_s = 0.0
         self._read_era = NO_ERA
         self._written_era: StoreEra | None = None
         self.on_previous_fleet: Callable[[PreviousFleet], None] = lambda previous: None
@@ -157,6 +172,7 @@
             self._capacity,
             self._started_s,
             max(self._read_era, self._era()),
+            self._first_started_s,
         )
         value = msgspec.to_builtins(row)
         transaction = Transaction(WriteId(make_id()), (), (Write(key, value),))
@@ -170,6 +186,10 @@
         self._started_s, self._read_era = page.answered_s, page.era
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
+        if own_key not in rows:
+            self._first_started_s = self._started_s
+        elif own is not None and own.era == page.era:
+            self._first_started_s = own.first_started_s
         began_ago_s = None if own is None else page.answered_s - own.started_s
         written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
         if written_era < page.era:
@@ -179,7 +199,16 @@
             capacities.append(self._capacity)
         prefix = f"{TABLE_MEMBERS}/"
         daemons = frozenset(DaemonId(key.removeprefix(prefix)) for key in rows)
-        self.on_previous_fleet(PreviousFleet(began_ago_s, capacities, daemons))
+        oldest_s = max((self._age_s(row, page) for row in rows.values()), default=0.0)
+        self.on_previous_fleet(
+            PreviousFleet(began_ago_s, capacities, daemons, oldest_s)
+        )
+
+    def _age_s(self, row: MemberRow | None, page: RowPage) -> float:
+        """Return how long ago a daemon first registered, infinite if it is unknown."""
+        if row is None or row.era != page.era or not row.first_started_s:
+            return math.inf
+        return page.answered_s - row.first_started_s
 
     def _decode(self, row: Row) -> MemberRow | None:
         """Return the decoded row, or None if it is invalid; other rows still count."""
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
@@ -24,6 +25,7 @@
     LOOKUP_POLL_S,
     LOOKUP_SETTLE_S,
     LOOKUP_TIMEOUT_S,
+    MAX_KNOWLEDGE_AGE_S,
     MAX_ORIGINS_PER_MESSAGE,
     OWNERS,
     RETENTION_S,
@@ -101,6 +103,8 @@
         self._stored = StoredHistory.UNREAD
         self._history_asked: set[DaemonId] = set()
         self._history_answered: set[DaemonId] = set()
+        self._outdated_histories: set[DaemonId] = set()
+        """Daemons whose complete history is as old as their registrations."""
         self._served_s: dict[DaemonId, float] = {}
         """When each daemon was last known to serve callers."""
         self.domains: Callable[[], dict[DaemonId, FailureDomainName]] = dict
@@ -109,6 +113,8 @@
         """Returns the daemons to which there is a link."""
         self.is_alone: Callable[[], bool] = lambda: True
         """Returns whether there are no other daemons, also none out of reach."""
+        self.registrations_age_s: Callable[[], float] = lambda: 0.0
+        """Returns the age of the registrations, infinite before the first read."""
         self.send: Callable[[DaemonId, OriginMessage], None] = lambda to, message: None
 
     @property
@@ -157,6 +163,7 @@
         self._is_restored = is_restored
         self._history_asked.clear()
         self._history_answered.clear()
+        self._outdated_histories.clear()
         self._core.events.info("versions_missed", is_restored=is_restored)
 
     def apply_stored(
@@ -229,6 +236,7 @@
             versions,
             self.has_full_history,
             sorted(self._served_s),
+            min(self.registrations_age_s(), RETENTION_S),
         )
         self.send(request.daemon, answer)
 
@@ -240,7 +248,14 @@
             # It was asked before this daemon may have missed a version.
             return
         self._history_answered.add(answer.daemon)
-        self._has_history |= answer.is_complete
+        if not answer.is_complete:
+            return
+        if answer.age_s <= MAX_KNOWLEDGE_AGE_S:
+            self._has_history = True
+            return
+        # The versions that came since then are known to others, if any are.
+        self._outdated_histories.add(answer.daemon)
+        self._has_history |= self._is_majority(self._outdated_histories)
 
     def note(self, origin: StreamOrigin) -> None:
         """Record the version of an endpoint that a request is sent to."""
@@ -322,7 +337,7 @@
             query.number,
             self._table.get(query.request, query.service, now_s),
             list(self.versions.versions(query.service, now_s)),
-            self.has_full_history,
+            self.has_full_history and self._is_up_to_date,
         )
         self.send(query.daemon, answer)
 
@@ -340,6 +355,16 @@
             self.versions.note_used(service, version)
         lookup.changed.set()
 
+    @property
+    def _is_up_to_date(self) -> bool:
+        """Whether the registrations are recent enough to speak for other daemons."""
+        return self.registrations_age_s() <= MAX_KNOWLEDGE_AGE_S
+
+    def _is_majority(self, daemons: set[DaemonId]) -> bool:
+        """Return whether these daemons and this one are most of those that served."""
+        counted = self._served_s.keys() & (daemons | {self._core.daemon_id})
+        return 2 * len(counted) > len(self._served_s)
+
     def find_known(self, request: RequestId | None, service: ServiceName) -> Lookup:
         """Return what this daemon itself knows of an attempt and the versions.
 
@@ -361,9 +386,7 @@
         A few daemons that are cut off together don't know what the others have begun.
         """
         linked = self.linked()
-        reached = self._served_s.keys() & (linked | {self._core.daemon_id})
-        is_with_most = 2 * len(reached) > len(self._served_s)
-        return is_with_most and lookup.is_answered_by(linked)
+        return self._is_majority(linked) and lookup.is_answered_by(linked)
 
     def note_served(self, daemons: Iterable[DaemonId]) -> None:
         """Record that daemons serve, or served recently as far as is known."""
@@ -373,6 +396,9 @@
     def update(self) -> None:
         """Note which daemons serve, and ask for a history that is missing."""
         now_s = self._core.clock()
+        if math.isinf(self.registrations_age_s()):
+            # Nothing has been read yet, so versions may have come and left.
+            self._complete_since_s = now_s
         self.note_served(self.domains())
         # Others have begun no stream that can be resumed now.
         self._served_s = {
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -49,7 +49,7 @@
 
     ``origin`` is None if the daemon has no record; ``versions`` are those that the
     service's endpoints ran recently. ``is_complete`` is unset if the daemon may not
-    know all of them, as it has just started.
+    know all of them, as it has just started or its registrations are old.
     """
 
     daemon: DaemonId
@@ -70,15 +70,17 @@
 class HistoryAnswer(msgspec.Struct, frozen=True, array_like=True, tag="versions"):
     """Versions that the endpoints of each service run or ran recently.
 
-    ``is_complete`` is unset if the sender has just started, too. ``served`` are the
-    daemons that it knows to have served since streams began that can be resumed now;
-    releases that didn't send them left it empty.
+    ``is_complete`` is unset if the sender has just started, too. ``age_s`` is the age
+    of its registrations, and ``served`` are the daemons that it knows to have served
+    since streams began that can be resumed now; releases that didn't send them left
+    them at 0 and empty.
     """
 
     daemon: DaemonId
     versions: dict[ServiceName, list[SoftwareVersion]]
     is_complete: bool
     served: list[DaemonId] = []
+    age_s: float = 0.0
 
 
 class BegunStreams(msgspec.Struct, frozen=True, array_like=True, tag="begun_streams"):
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -250,9 +250,11 @@
     def _needs_check(self) -> bool:
         """Return whether the row may lack something that this daemon knows."""
         known, verified = self._known(), self._verified
-        # In a fleet that serves for the first time, there is nothing else to know.
-        may_save = self._manager.has_full_history or self._manager.is_first_fleet
-        if not known or not may_save or self._registrations.position() is None:
+        # In a fleet that serves for the first time, there is nothing else to know. Its
+        # row is stored even without versions, for daemons that start later.
+        is_first = self._manager.is_first_fleet
+        may_save = is_first or (known and self._manager.has_full_history)
+        if not may_save or self._registrations.position() is None:
             return False
         if verified is None or verified.era < self._era():
             return True
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -3,17 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from chutelink.entry.directory import count_candidates
-from chutelink.entry.membership import PreviousFleet, Registration
+from chutelink.entry.membership import FIRST_START_S, PreviousFleet, Registration
 from chutelink.ids import FIRST_ERA
+from chutelink.store import RowPage
 
 from ..fakes import FakeTable, make_core
 
 
+class ClockedTable(FakeTable):
+    """A table whose service states its clock."""
+
+    now_s = 100.0
+
+    async def async_read(self, prefix: str, after_version: int = 0) -> RowPage:
+        page = await super().async_read(prefix, after_version)
+        return msgspec.structs.replace(page, answered_s=self.now_s)
+
+
 def register(table: FakeTable, name: str, capacity: float) -> PreviousFleet:
     core = make_core(name)
     mesh = SimpleNamespace(linked_members=set, set_seeds=lambda seeds: None)
@@ -30,13 +43,38 @@
     """A daemon restarted within a quota window must not start with a full share."""
     table = FakeTable()
     assert register(table, "d1", 2.0) == PreviousFleet(None, [2.0])
-    second = PreviousFleet(None, [2.0, 2.0], frozenset({"d1"}))
+    second = PreviousFleet(None, [2.0, 2.0], frozenset({"d1"}), math.inf)
     assert register(table, "d2", 2.0) == second
     again = register(table, "d1", 2.0)
     assert again.own_began_ago_s is not None
     assert sorted(again.capacities) == [2.0, 2.0]
 
 
+@pytest.mark.parametrize(
+    ("before", "pause_s", "is_first_start"),
+    [
+        ([], 0.0, True),
+        (["d1"], 1.0, True),
+        (["d1"], FIRST_START_S + 1.0, False),
+        (["d0"], 0.5, False),
+        (["d1", FIRST_START_S, "d1"], 0.5, False),
+    ],
+    ids=["alone", "beside", "later", "again", "beside_again"],
+)
+def test_daemon_of_a_new_vm_is_not_the_first_of_its_fleet(
+    before, pause_s, is_first_start
+):
+    """Guards against a replaced VM that takes a missing row for a first start."""
+    table = ClockedTable()
+    for step in before:
+        if isinstance(step, float):
+            table.now_s += step
+        else:
+            register(table, step, 1.0)
+    table.now_s += pause_s
+    assert register(table, "d0", 1.0).is_first_start is is_first_start
+
+
 @pytest.mark.parametrize(
     ("capacities", "count"),
     [([], 0), ([1.0], 1), ([1.0] * 7, 7), ([2.0] * 8 + [0.5] * 52, 8)],
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -148,6 +148,9 @@
         self.origins.domains = lambda: world.seen_domains(self)
         self.origins.linked = lambda: world.linked(self)
         self.origins.is_alone = lambda: False
+        self.origins.registrations_age_s = lambda: (
+            world.loop.time() - self.known_as_of_s
+        )
         self.origins.send = lambda to, message: world.send(self, to, message)
         self.gate = VersionGate(
             self.core,
