Origins: record an attempt with its first event only

Cause: an owner of a former release drops the new field of a record, so that one of an attempt without an event settled a stream of another version (found by the review). Change: there is no record before the first event, and the field goes; one message for each owner and stream again.

--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -258,7 +258,7 @@
         self._has_history |= self._is_majority(self._outdated_histories)
 
     def note(self, origin: StreamOrigin) -> None:
-        """Record the version of an endpoint that a request is sent to."""
+        """Record the version that began a stream."""
         now_s = self._core.clock()
         self._table.put(origin, now_s, is_own=True)
         if self.versions.is_mixed(origin.service, now_s):
@@ -349,7 +349,7 @@
         lookup.answered.add(answer.daemon)
         lookup.versions |= set(answer.versions)
         lookup.is_complete |= answer.is_complete
-        if answer.origin is not None and answer.origin.is_newer_than(lookup.origin):
+        if _is_newer(answer.origin, lookup.origin):
             lookup.origin = answer.origin
         for service, version in _versions_of([answer.origin] if answer.origin else []):
             self.versions.note_used(service, version)
@@ -436,26 +436,17 @@
             del self._lookups[number]
         # A record may be held here, or have arrived during the lookup.
         held = self._table.get(request, service, self._core.clock())
-        if held is not None and held.is_newer_than(lookup.origin):
+        if _is_newer(held, lookup.origin):
             lookup.origin = held
-        if lookup.origin is not None and not self._is_settled(lookup.origin):
-            # A later attempt, of which no record was found, may have begun the stream.
-            lookup.versions |= {lookup.origin.version}
-            lookup.origin = None
         lookup.versions |= self.versions.versions(service, self._core.clock())
         has_complete_peer = lookup.is_complete and lookup.is_answered_by(self.linked())
         lookup.is_complete = self.has_full_history or has_complete_peer
         return lookup
 
-    def _is_settled(self, origin: StreamOrigin) -> bool:
-        """Return whether no other attempt may have begun the stream."""
-        return origin.has_begun or self._table.is_settled(origin.request)
-
-    def _has_found(self, query: OriginQuery, lookup: Lookup) -> bool:
-        """Return whether a record says which version began the stream."""
-        held = self._table.get(query.request, query.service, self._core.clock())
-        records = (record for record in (lookup.origin, held) if record is not None)
-        return any(map(self._is_settled, records))
+    def _has_record(self, query: OriginQuery) -> bool:
+        """Return whether a record has arrived since a lookup began."""
+        now_s = self._core.clock()
+        return self._table.get(query.request, query.service, now_s) is not None
 
     async def _async_ask(self, query: OriginQuery, lookup: Lookup) -> None:
         """Ask the owners, and wait until all have answered.
@@ -466,7 +457,7 @@
         while self._core.clock() < settled_s:
             if self._table.is_settled(query.request):
                 return
-            has_found = self._has_found(query, lookup)
+            has_found = lookup.origin is not None or self._has_record(query)
             if has_found:
                 settled_s = min(settled_s, self._core.clock() + LOOKUP_SETTLE_S)
             peers = set(self._candidates(query.request)[:LOOKUP_PEERS])
@@ -499,3 +490,9 @@
         for origin in origins
         if origin.version is not None
     }
+
+
+def _is_newer(origin: StreamOrigin | None, known: StreamOrigin | None) -> bool:
+    if origin is None:
+        return False
+    return known is None or origin.sends > known.sends
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -8,25 +8,17 @@
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
-    """The software version of the endpoint that an attempt of a caller was sent to.
+    """The software version of the endpoint that brought a stream's first event.
 
     ``version`` is None if it is unknown. ``sends`` counts the endpoints that the
-    attempt was sent to: before the first event of its stream, each one replaces the
-    previous one. ``has_begun`` says that the stream has brought an event, which settles
-    its version; releases that didn't send it left it set.
+    caller's attempt was sent to by then. Releases that also recorded endpoints that
+    brought no event replaced each such record by the next one.
     """
 
     request: RequestId
     service: ServiceName
     version: SoftwareVersion | None
     sends: int = 1
-    has_begun: bool = True
-
-    def is_newer_than(self, other: StreamOrigin | None) -> bool:
-        """Return whether it supersedes another record of the attempt."""
-        if other is None:
-            return True
-        return (self.sends, self.has_begun) > (other.sends, other.has_begun)
 
 
 class OriginUpdate(msgspec.Struct, frozen=True, array_like=True, tag="origins"):
--- a/chutelink/origins/table.py
+++ b/chutelink/origins/table.py
@@ -43,7 +43,7 @@
     ) -> None:
         """Write a record, unless it is older than the known one of the attempt."""
         known = self._entries.get(origin.request)
-        if known is not None and known.origin.is_newer_than(origin):
+        if known is not None and origin.sends < known.origin.sends:
             return
         # Removed first, so that the entry moves to the end.
         self._entries.pop(origin.request, None)
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -133,7 +133,6 @@
         )
         try:
             with self.relay.track_in_flight(exchange, row):
-                self.dispatcher.versions.note_send(exchange, row)
                 return await attempt.async_run(sent_s)
         except EndpointUnreachable as error:
             self.relay.note_failure(exchange, row, AttemptResult.UNREACHABLE, error)
--- a/chutelink/relaying/version_gate.py
+++ b/chutelink/relaying/version_gate.py
@@ -8,8 +8,6 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
-import msgspec
-
 from ..core import Application
 from ..entry.endpoints import Endpoint, EndpointTable
 from ..gateway.refusals import Refusal, unresumable
@@ -133,8 +131,7 @@
             raise unresumable("its software version is unknown")
         if decision is Resumption.KNOWN:
             exchange.bind_version(lookup.origin.version)
-            begun = msgspec.structs.replace(lookup.origin, has_begun=True)
-            self._origins.note_begun(begun)
+            self._origins.note_begun(lookup.origin)
         elif lookup.versions:
             exchange.bind_version(next(iter(lookup.versions)))
 
@@ -213,15 +210,12 @@
             took_s=self._core.clock() - exchange.started_s,
         )
 
-    def note_send(self, exchange: Exchange, row: Endpoint) -> None:
-        """Record the version of an endpoint before a stream is requested from it."""
-        if exchange.is_version_bound or not exchange.is_repeatable:
-            return
-        origin = self._make_origin(exchange, self._version_of(row))
-        self._origins.note(msgspec.structs.replace(origin, has_begun=False))
-
     def note_event(self, exchange: Exchange, row: Endpoint) -> None:
-        """Bind a stream to the version of the endpoint that brings its first event."""
+        """Bind a stream to the version of the endpoint that brings its first event.
+
+        Called before the caller gets the event. There is no earlier record: an attempt
+        without an event may be followed by one at another version.
+        """
         if exchange.is_version_bound:
             return
         version = self._version_of(row)
--- a/tests/origins/version_world.py
+++ b/tests/origins/version_world.py
@@ -562,7 +562,6 @@
         rows = daemon.gate.matching_rows(exchange, rows)
         for row in self.rng.sample(rows, min(2, len(rows))):
             exchange.tried.append(row.record.id)
-            daemon.gate.note_send(exchange, row)
             await asyncio.sleep(0.01)
             process = self.processes.get(row.record.id)
             if process is None or self.loop.time() < process.serves_from_s:
