Origins: keep the stored versions provable

Causes: only the first three daemons confirmed the row, also if they didn't reach the store; a fleet without endpoints stored none; daemons that all missed changes waited for a peer with a complete history. Change: daemons of any rank confirm the row, later the higher the rank, and go on every 5 s while nobody before them does; a row without versions is stored; what all daemons know together is all there is if each has run for as long as streams can be resumed. An unreadable registration is no first start, a store that is restored within a read is read again, a long replay lets other tasks run, and retries are spread. The stand-in store says when its history is not complete.

--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -58,7 +58,7 @@
     """Registrations found in the store when a daemon starts.
 
     ``own_began_ago_s`` is how long ago the previous process of this daemon registered,
-    None if there was none, 0 if the store may have lost its row; ``capacities`` are
+    None if there was none, 0 if its row is lost or unreadable; ``capacities`` are
     those of all VMs that ever registered, ``daemons`` the ids of the daemons that had
     registered, and ``oldest_s`` is how long ago the first of them did so first.
     """
@@ -190,7 +190,9 @@
             self._first_started_s = self._started_s
         elif own is not None and own.era == page.era:
             self._first_started_s = own.first_started_s
-        began_ago_s = None if own is None else page.answered_s - own.started_s
+        began_ago_s = None if own_key not in rows else 0.0
+        if own is not None:
+            began_ago_s = page.answered_s - own.started_s
         written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
         if written_era < page.era:
             began_ago_s = 0.0
--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -103,6 +103,8 @@
         self._stored = StoredHistory.UNREAD
         self._history_asked: set[DaemonId] = set()
         self._history_answered: set[DaemonId] = set()
+        self._long_running: set[DaemonId] = set()
+        """Those that answered and have run since all streams that can be resumed."""
         self._outdated_histories: set[DaemonId] = set()
         """Daemons whose complete history is as old as their registrations."""
         self._served_s: dict[DaemonId, float] = {}
@@ -164,6 +166,7 @@
         self._history_asked.clear()
         self._history_answered.clear()
         self._outdated_histories.clear()
+        self._long_running.clear()
         self._core.events.info("versions_missed", is_restored=is_restored)
 
     def apply_stored(
@@ -221,13 +224,29 @@
         is_all = has_all_answers if self._is_restored else has_waited
         if (self.is_first_fleet or self._is_restored) and expected and is_all:
             self._has_history = True
+        if expected and self._is_joint_history():
+            self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
-        # After a restoration, none of the others may have a complete history.
-        limit = len(self.linked()) if self._is_restored else HISTORY_PEERS
+        # After an outage of the store, none of the others may have a complete history.
+        asks_all = self._is_restored or expected <= self._history_answered
+        limit = len(self.linked()) if asks_all else HISTORY_PEERS
         for peer in missing[: max(0, limit - len(self._history_asked))]:
             self._history_asked.add(peer)
             self.send(peer, HistoryRequest(self._core.daemon_id))
 
+    def _is_joint_history(self) -> bool:
+        """Return whether all daemons together know all versions.
+
+        Each version was known to the daemon that sent requests to it.
+        """
+        others = self._served_s.keys() - {self._core.daemon_id}
+        return self._up_s > RETENTION_S and others <= self._long_running
+
+    @property
+    def _up_s(self) -> float:
+        """How long this process has run."""
+        return self._core.clock() - self._created_s
+
     def _handle_history_request(self, request: HistoryRequest) -> None:
         """Answer a daemon that has started."""
         versions = self.versions.all_versions(self._core.clock())
@@ -237,6 +256,7 @@
             self.has_full_history,
             sorted(self._served_s),
             min(self.registrations_age_s(), RETENTION_S),
+            self._up_s,
         )
         self.send(request.daemon, answer)
 
@@ -248,6 +268,8 @@
             # It was asked before this daemon may have missed a version.
             return
         self._history_answered.add(answer.daemon)
+        if answer.up_s > RETENTION_S:
+            self._long_running.add(answer.daemon)
         if not answer.is_complete:
             return
         if answer.age_s <= MAX_KNOWLEDGE_AGE_S:
--- a/chutelink/origins/messages.py
+++ b/chutelink/origins/messages.py
@@ -63,9 +63,9 @@
     """Versions that the endpoints of each service run or ran recently.
 
     ``is_complete`` is unset if the sender has just started, too. ``age_s`` is the age
-    of its registrations, and ``served`` are the daemons that it knows to have served
-    since streams began that can be resumed now; releases that didn't send them left
-    them at 0 and empty.
+    of its registrations, ``served`` are the daemons that it knows to have served since
+    streams began that can be resumed now, and ``up_s`` is how long its process has run.
+    Releases that didn't send them left them at 0 and empty.
     """
 
     daemon: DaemonId
@@ -73,6 +73,7 @@
     is_complete: bool
     served: list[DaemonId] = []
     age_s: float = 0.0
+    up_s: float = 0.0
 
 
 class BegunStreams(msgspec.Struct, frozen=True, array_like=True, tag="begun_streams"):
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -108,7 +108,9 @@
 
         The coverage is that of the row.
         """
-        self._verified_s = float("-inf")
+        self._verified_s = core.clock()
+        self._is_confirming = False
+        """Whether this daemon was the last one to confirm the row."""
         self._unsaved_since_s: float | None = None
         self._has_loaded = False
 
@@ -123,7 +125,7 @@
             )
             if self._has_loaded:
                 break
-            await self.sleep(STORE_RETRY_S)
+            await self.sleep(STORE_RETRY_S * self._core.rng.uniform(1.0, 2.0))
         while not self.should_stop:
             await self.sleep(SAVE_PERIOD_S)
             await async_run_step(
@@ -139,7 +141,7 @@
         self._has_loaded = False
         await self._async_try_load()
         if not self._has_loaded:
-            await self.sleep(STORE_RETRY_S)
+            await self.sleep(STORE_RETRY_S * self._core.rng.uniform(1.0, 2.0))
 
     async def _async_try_load(self) -> None:
         try:
@@ -238,7 +240,9 @@
         if self._unsaved_since_s is None:
             self._unsaved_since_s = now_s
         rank = self._rank()
-        if rank >= SAVERS or now_s - self._unsaved_since_s < rank * SAVE_RANK_DELAY_S:
+        if rank >= SAVERS and not self._is_confirmation_due():
+            return
+        if rank < SAVERS and now_s - self._unsaved_since_s < rank * SAVE_RANK_DELAY_S:
             return
         try:
             await self._async_save()
@@ -250,10 +254,9 @@
     def _needs_check(self) -> bool:
         """Return whether the row may lack something that this daemon knows."""
         known, verified = self._known(), self._verified
-        # In a fleet that serves for the first time, there is nothing else to know. Its
+        # In a fleet that serves for the first time, there is nothing else to know. The
         # row is stored even without versions, for daemons that start later.
-        is_first = self._manager.is_first_fleet
-        may_save = is_first or (known and self._manager.has_full_history)
+        may_save = self._manager.has_full_history or self._manager.is_first_fleet
         if not may_save or self._registrations.position() is None:
             return False
         if verified is None or verified.era < self._era():
@@ -263,10 +266,12 @@
     def _is_confirmation_due(self) -> bool:
         """Return whether to look whether the row's coverage is still recent.
 
-        Daemons of higher ranks do so less often, as the first one confirms the row.
+        Daemons of higher ranks do so less often, unless those before them have failed
+        to confirm the row.
         """
-        period_s = COVERAGE_PERIOD_S * (1 + self._rank())
-        return self._core.clock() - self._verified_s >= period_s
+        periods = 1 if self._is_confirming else 1 + self._rank()
+        since_s = self._core.clock() - self._verified_s
+        return since_s >= periods * COVERAGE_PERIOD_S
 
     def _known(self) -> Versions:
         versions = self._manager.versions.all_versions(self._core.clock())
@@ -301,8 +306,10 @@
             return True
         if row.covered_version == merged.covered_version:
             return False
-        if self._verified is None:
+        if self._verified is None and not self._is_confirmation_due():
             return self._rank() == 0
+        if self._verified is None:
+            return True
         is_confirmed = row.covered_version > self._verified.covered_version
         return self._is_confirmation_due() and not is_confirmed
 
@@ -320,6 +327,10 @@
             # The registrations have to be read in this era first.
             return
         row = self._decode_versions(page)
+        if row is None and self._rank() >= SAVERS:
+            # Only an existing row is confirmed by so many daemons.
+            self._verified_s = self._core.clock()
+            return
         merged = self._merge(row, known, position)
         is_written = self._needs_write(row, merged)
         if is_written:
@@ -337,6 +348,7 @@
                 versions=sum(map(len, merged.services.values())),
                 covered_version=merged.covered_version,
             )
+        self._is_confirming = is_written
         covered_version = (merged if is_written else row).covered_version
         self._verified = VersionsRow(known, page.era, covered_version)
         self._verified_s = self._core.clock()
--- a/chutelink/origins/registrations.py
+++ b/chutelink/origins/registrations.py
@@ -26,5 +26,5 @@
         HistoryLost
             The store no longer has all of these changes.
         PlatformUnavailable
-            The store did not respond in time.
+            The store did not respond in time, or was restored.
         """
--- a/chutelink/watching/watch.py
+++ b/chutelink/watching/watch.py
@@ -51,6 +51,8 @@
 """
 MIN_REFRESH_INTERVAL_S = 0.1
 """Interval of a daemon's reads on demand, which bounds those of a large fleet."""
+REPLAYED_ROWS = 200
+"""Number of rows that are replayed before other tasks run."""
 MAX_SKIPPED_S = 1.0
 """Time that a full table may skip without being taken for a missing history.
 
@@ -159,18 +161,25 @@
         Raises
         ------
         HistoryLost
-            The store no longer has all of these changes, or its era has changed.
+            The store no longer has all of these changes.
         PlatformUnavailable
-            The store did not respond in time.
+            The store did not respond in time, or was restored.
         """
+        reported: set[tuple[str, bytes]] = set()
         version = since.version
         until_version = max(version + 1, self._tables[name].copy.version)
         while version < until_version:
             page = await self._table.async_watch(f"{name}/", version, 0.0)
             if page.era != since.era:
-                raise HistoryLost("store was restored", step="store.replay", peer=name)
-            for row in map(self._make_row, page.rows):
-                if row.value is not None:
+                raise PlatformUnavailable(
+                    "store was restored", step="store.replay", peer=name
+                )
+            for number, row in enumerate(map(self._make_row, page.rows)):
+                if number % REPLAYED_ROWS == REPLAYED_ROWS - 1:
+                    await asyncio.sleep(0)
+                value = (row.key, msgspec.json.encode(row.value))
+                if row.value is not None and value not in reported:
+                    reported.add(value)
                     self.on_superseded(RowChange(row.key, row.value, row.version))
             if page.version <= version:
                 break
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -109,6 +109,8 @@
                 self.rows.pop((table, key), None)
             else:
                 self.rows[table, key] = row
+            if len(self._history) == self._history.maxlen:
+                self._oldest_readable_version = self._history[0].ver
             self._history.append(row)
         self._notify_waiters()
         return self.version
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -9,10 +9,11 @@
 import msgspec
 import pytest
 
+from chutelink.const import TABLE_MEMBERS
 from chutelink.entry.directory import count_candidates
 from chutelink.entry.membership import FIRST_START_S, PreviousFleet, Registration
 from chutelink.ids import FIRST_ERA
-from chutelink.store import RowPage
+from chutelink.store import UNREADABLE, RowPage, Transaction, Write
 
 from ..fakes import FakeTable, make_core
 
@@ -118,3 +119,12 @@
     table.table.rows.clear()
     table.era = FIRST_ERA
     assert register(table, "d1", 2.0).own_began_ago_s is None
+
+
+def test_unreadable_row_is_not_taken_for_a_first_start():
+    """Guards against a fleet that served before and is taken for a new one."""
+    table = FakeTable()
+    register(table, "d1", 2.0)
+    row = Write(f"{TABLE_MEMBERS}/d1", UNREADABLE)
+    table.table.commit(Transaction("w", (), (row,)))
+    assert not register(table, "d1", 2.0).is_first_start
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -104,7 +104,9 @@
         return StorePosition(self._table.table.version, self._table.era)
 
     async def async_replay(self, since: StorePosition) -> None:
-        if since.version <= self.lost_version or since.era != self._table.era:
+        if since.era != self._table.era:
+            raise PlatformUnavailable("restored", step="test")
+        if since.version <= self.lost_version:
             raise HistoryLost("lost", step="test")
         for version, name in self.changes:
             if version > since.version:
