Quarantine: confirm a release once it is stored

What operators and callers saw: a request that an operator had released was refused again after a restart of daemons, for up to 80 minutes, or until it was released again. Cause: the release was confirmed (204) before the row of the hold was removed. Only the daemon that released it knew that the row was to be removed; if that daemon was lost first, all that started later read the hold as current. The same held for holds that ended with a successful run. A hold that was released while its own write had no known outcome was never removed at all. Change: the release waits for the removal, and is answered with 503 if the store does not confirm it; repeating it is safe. Daemons that are told of a release remove the row themselves if the first one is overdue, as they do for new holds. Holds whose write has no known outcome count as stored.

--- a/chutelink/cli/held.py
+++ b/chutelink/cli/held.py
@@ -15,6 +15,7 @@
 HTTP_NO_CONTENT = 204
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
 
 
 async def async_held(
@@ -61,6 +62,12 @@
         )
     if status == HTTP_NOT_FOUND:
         return make_failure(ExitCode.INVALID, f"nothing is held as {free}", "see: held")
+    if status == HTTP_UNAVAILABLE:
+        return make_failure(
+            ExitCode.UNKNOWN,
+            f"{free} is free, but daemons that start later may hold it again",
+            "repeat the command once the store accepts writes",
+        )
     if status == HTTP_NO_CONTENT:
         return Result(ExitCode.OK, [f"{free} is free"], {"free": free})
     return _format_held(msgspec.json.decode(body, type=HeldRequests).held)
--- a/chutelink/entry/message_router.py
+++ b/chutelink/entry/message_router.py
@@ -185,7 +185,7 @@
         elif isinstance(message, EndingsMessage):
             self._quarantine.apply_endings(message, origin)
         elif isinstance(message, ClearedMessage):
-            self._quarantine.clear(message.fingerprint, "told")
+            self._quarantine.apply_cleared(message.fingerprint)
         elif isinstance(message, SoundPartsMessage):
             self._quarantine.apply_sound_parts(message)
         elif isinstance(message, LoanRequest):
--- a/chutelink/quarantine/persistence.py
+++ b/chutelink/quarantine/persistence.py
@@ -61,7 +61,11 @@
         self._rank = rank
         self._locally_held: set[Fingerprint] = set()
         self._saved: set[Fingerprint] = set()
+        self._unconfirmed: set[Fingerprint] = set()
+        """Holds that a write without a known outcome may have stored."""
         self._pending_removals: set[Fingerprint] = set()
+        self._expected_removals: dict[Fingerprint, float] = {}
+        """Rows that other daemons remove, and when these daemons cleared the holds."""
         self._cleared: dict[Fingerprint, None] = {}
         """Holds that have ended, the latest last.
 
@@ -71,22 +75,44 @@
         self._changed = asyncio.Event()
         quarantine.on_held = self._note_held
         quarantine.on_cleared = self._note_cleared
+        quarantine.on_cleared_elsewhere = self._note_cleared_elsewhere
+        quarantine.is_removal_pending = self.is_removal_pending
+        quarantine.async_store_removal = self.async_store_removal
         quarantine.async_claim_trial = self.async_claim_trial
 
     def _note_held(self, fingerprint: Fingerprint) -> None:
         self._locally_held.add(fingerprint)
         self._saved.discard(fingerprint)
         self._cleared.pop(fingerprint, None)
-        self._pending_removals.discard(fingerprint)
+        self._drop_removal(fingerprint)
         self._changed.set()
 
     def _note_cleared(self, fingerprint: Fingerprint) -> None:
         self._locally_held.discard(fingerprint)
         self._remember_cleared(fingerprint)
-        if fingerprint in self._saved:
+        if self._may_be_stored(fingerprint):
             self._pending_removals.add(fingerprint)
             self._changed.set()
 
+    def _note_cleared_elsewhere(self, fingerprint: Fingerprint) -> None:
+        if self._may_be_stored(fingerprint):
+            self._remember_cleared(fingerprint)
+            self._expected_removals.setdefault(fingerprint, self._core.clock())
+
+    def _may_be_stored(self, fingerprint: Fingerprint) -> bool:
+        return fingerprint in self._saved or fingerprint in self._unconfirmed
+
+    def _drop_removal(self, fingerprint: Fingerprint) -> None:
+        self._pending_removals.discard(fingerprint)
+        self._expected_removals.pop(fingerprint, None)
+
+    def is_removal_pending(self, fingerprint: Fingerprint) -> bool:
+        """Return whether the row of a cleared request is still to be removed."""
+        return (
+            fingerprint in self._pending_removals
+            or fingerprint in self._expected_removals
+        )
+
     def _remember_cleared(self, fingerprint: Fingerprint) -> None:
         self._cleared[fingerprint] = None
         if len(self._cleared) > MAX_HOLDS:
@@ -107,7 +133,8 @@
         fingerprint = Fingerprint(key.removeprefix(PREFIX_HOLDS))
         if value is None and not is_restored:
             self._saved.discard(fingerprint)
-            self._pending_removals.discard(fingerprint)
+            self._unconfirmed.discard(fingerprint)
+            self._drop_removal(fingerprint)
             self._remember_cleared(fingerprint)
             self._quarantine.clear(fingerprint, "removed_from_store")
         if value is None:
@@ -122,6 +149,7 @@
             self._core.events.info("hold_outdated", fingerprint=fingerprint)
             return
         self._saved.add(fingerprint)
+        self._unconfirmed.discard(fingerprint)
         self._quarantine.apply_stored_hold(fingerprint, hold)
 
     def _is_outdated(self, fingerprint: Fingerprint, hold: Hold) -> bool:
@@ -163,7 +191,7 @@
             self._changed.clear()
 
     def _has_pending_writes(self) -> bool:
-        return bool(self._pending_removals or self._evicted() or self._unsaved())
+        return bool(self._removals() or self._unsaved())
 
     async def async_save_pending(self) -> None:
         """Write the holds that are not in the store, and remove those that ended.
@@ -173,8 +201,28 @@
         PlatformUnavailable, WriteOutcomeUnknown
             The changes may not have been stored.
         """
-        removed = [*self._pending_removals, *self._evicted()][:SAVE_BATCH_SIZE]
-        unsaved = self._unsaved()[:SAVE_BATCH_SIZE]
+        removed = self._removals()[:SAVE_BATCH_SIZE]
+        await self._async_write(removed, self._unsaved()[:SAVE_BATCH_SIZE])
+
+    async def async_store_removal(self, fingerprint: Fingerprint) -> bool:
+        """Remove the row of a cleared request at once.
+
+        Returns whether it is removed for certain. Otherwise daemons that start later
+        may hold the request again.
+        """
+        if not self.is_removal_pending(fingerprint):
+            return True
+        try:
+            await self._async_write([fingerprint], [])
+        except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
+            self._core.events.warning(
+                "hold_not_removed", fingerprint=fingerprint, error=error
+            )
+        return not self.is_removal_pending(fingerprint)
+
+    async def _async_write(
+        self, removed: list[Fingerprint], unsaved: list[Fingerprint]
+    ) -> None:
         writes = [Write(PREFIX_HOLDS + name, None) for name in removed]
         holds = self._quarantine.table.holds()
         writes += [
@@ -185,15 +233,35 @@
             return
         transaction = Transaction(WriteId(make_id()), (), tuple(writes))
         restored_s = self._restored_s
+        self._unconfirmed.update(unsaved)
         await self._table.async_transact(transaction)
         if restored_s != self._restored_s:
             # The restore may have lost this write, so it stays pending.
             return
-        self._pending_removals.difference_update(removed)
+        for fingerprint in removed:
+            self._drop_removal(fingerprint)
         self._saved.difference_update(removed)
+        self._unconfirmed.difference_update(removed, unsaved)
         self._saved.update(unsaved)
         self._locally_held.difference_update(unsaved)
 
+    def _removals(self) -> list[Fingerprint]:
+        """Return the rows to remove.
+
+        Those that other daemons remove are included once these daemons are overdue:
+        they may have been lost.
+        """
+        late_s = SAVE_RANK_DELAY_S * (1 + self._rank())
+        now_s = self._core.clock()
+        holds = self._quarantine.table.holds()
+        overdue = [
+            fingerprint
+            for fingerprint, cleared_s in self._expected_removals.items()
+            if now_s - cleared_s >= late_s and fingerprint not in holds
+        ]
+        removals = (*self._pending_removals, *overdue, *self._evicted())
+        return list(dict.fromkeys(removals))
+
     def _evicted(self) -> list[Fingerprint]:
         """Return the stored holds that were evicted; only rank 0 removes their rows."""
         if len(self._saved) <= MAX_HOLDS or self._rank():
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -44,6 +44,15 @@
 from .verifier import EndingVerifier
 
 
+def _is_never_pending(fingerprint: Fingerprint) -> bool:
+    return False
+
+
+async def _async_skip_removal(fingerprint: Fingerprint) -> bool:
+    """Report the removal as done: without a store, nothing was stored."""
+    return True
+
+
 async def _async_deny_trial(fingerprint: Fingerprint) -> bool:
     """Deny the trial: without the store, two daemons might run it at once."""
     return False
@@ -78,6 +87,12 @@
         Sends a message to all other daemons.
     on_held, on_cleared : callable
         Called when this daemon itself holds or clears a request, to update the store.
+    on_cleared_elsewhere : callable
+        Called when another daemon reports that it has cleared a request.
+    is_removal_pending : callable
+        Returns whether the row of a cleared request is still to be removed.
+    async_store_removal : callable
+        Removes the row of a cleared request; returns whether it is removed for certain.
     async_claim_trial : callable
         Returns whether this daemon may run the trial of an expired hold.
     """
@@ -101,6 +116,13 @@
         self.send: Callable[[QuarantineMessage], None] = lambda message: None
         self.on_held: Callable[[Fingerprint], None] = lambda fingerprint: None
         self.on_cleared: Callable[[Fingerprint], None] = lambda fingerprint: None
+        self.on_cleared_elsewhere: Callable[[Fingerprint], None] = lambda fingerprint: (
+            None
+        )
+        self.is_removal_pending: Callable[[Fingerprint], bool] = _is_never_pending
+        self.async_store_removal: Callable[[Fingerprint], Awaitable[bool]] = (
+            _async_skip_removal
+        )
         self.async_claim_trial: Callable[[Fingerprint], Awaitable[bool]] = (
             _async_deny_trial
         )
@@ -175,7 +197,12 @@
             if reply is not None:
                 reply.cancel()
             self._sound.add(part)
-            self.clear(part, "told")
+            self.apply_cleared(part)
+
+    def apply_cleared(self, fingerprint: Fingerprint) -> None:
+        """Apply another daemon's report that it has cleared a request or part."""
+        self.clear(fingerprint, "told")
+        self.on_cleared_elsewhere(fingerprint)
 
     def release(self, fingerprint: Fingerprint, reason: str) -> bool:
         """Clear a request at all daemons; return whether it was known."""
--- a/chutelink/quarantine/web.py
+++ b/chutelink/quarantine/web.py
@@ -73,9 +73,16 @@
         )
 
     async def async_release(self, request: web.Request) -> web.Response:
-        """Release a held request at all daemons."""
+        """Release a held request at all daemons, also at those that start later.
+
+        If the store can't be updated, the request may run, but the operator has to
+        repeat the call.
+        """
         self._require_operator(request)
         fingerprint = Fingerprint(request.match_info["fingerprint"])
-        if not self._quarantine.release(fingerprint, "operator"):
+        is_held = self._quarantine.release(fingerprint, "operator")
+        if not is_held and not self._quarantine.is_removal_pending(fingerprint):
             raise web.HTTPNotFound(text="nothing is held against it here")
+        if not await self._quarantine.async_store_removal(fingerprint):
+            raise web.HTTPServiceUnavailable(text="released, but not in the store")
         return web.Response(status=204)
--- a/tests/quarantine/test_persistence.py
+++ b/tests/quarantine/test_persistence.py
@@ -4,15 +4,24 @@
 
 import asyncio
 
+import aiohttp
 import msgspec
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
+from chutelink.cli.held import async_held
+from chutelink.cli.output import ExitCode
 from chutelink.entry.messages import decode_entry_message, encode_entry_message
+from chutelink.exceptions import WriteOutcomeUnknown
 from chutelink.ids import FIRST_ERA, EndpointId, Fingerprint, WriteId
 from chutelink.quarantine import const
 from chutelink.quarantine.model import BrokenRun, Hold, Verdict
 from chutelink.quarantine.persistence import PREFIX_HOLDS, QuarantinePersistence
 from chutelink.quarantine.probe import ProbeResult
 from chutelink.quarantine.service import Quarantine
+from chutelink.quarantine.web import QuarantineHandlers
+from chutelink.settings import PlatformSection
 from chutelink.store import Transaction, Write
 
 from ..fakes import FakeTable, make_core
@@ -352,3 +361,81 @@
         assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
 
     asyncio.run(async_test())
+
+
+def test_released_hold_does_not_return_after_loss_of_the_daemon_that_released_it():
+    async def async_test():
+        table = FakeTable()
+        releasing, other = Daemon(table), Daemon(table, rank=1)
+        await releasing.async_break_runs(*ENDPOINTS)
+        await releasing.persistence.async_save_pending()
+        await other.async_read_table()
+        releasing.quarantine.send = lambda message: other.quarantine.apply_cleared(
+            message.fingerprint
+        )
+        releasing.quarantine.release(BAD, "operator")
+        other.core.now_s += const.SAVE_RANK_DELAY_S * 3
+        await other.persistence.async_save_pending()
+        later = Daemon(table)
+        await later.async_read_table()
+        assert later.verdict is Verdict.FREE
+
+    asyncio.run(async_test())
+
+
+def test_hold_released_during_its_write_is_removed_from_the_store():
+    async def async_test():
+        table = FakeTable()
+        daemon = Daemon(table)
+        await daemon.async_break_runs(*ENDPOINTS)
+        table.lose_replies = 1
+        with pytest.raises(WriteOutcomeUnknown):
+            await daemon.persistence.async_save_pending()
+        daemon.quarantine.release(BAD, "operator")
+        await daemon.persistence.async_save_pending()
+        later = Daemon(table)
+        await later.async_read_table()
+        assert later.verdict is Verdict.FREE
+
+    asyncio.run(async_test())
+
+
+def test_request_held_again_is_not_removed_for_an_earlier_release():
+    async def async_test():
+        table = FakeTable()
+        finder, other = Daemon(table), Daemon(table, rank=1)
+        await finder.async_break_runs(*ENDPOINTS)
+        await finder.persistence.async_save_pending()
+        await other.async_read_table()
+        other.quarantine.apply_cleared(BAD)
+        await other.async_read_table()
+        other.core.now_s += const.SAVE_RANK_DELAY_S * 3
+        await other.persistence.async_save_pending()
+        assert (await table.async_read(PREFIX_HOLDS)).get(KEY) is not None
+
+    asyncio.run(async_test())
+
+
+def test_release_is_confirmed_only_once_daemons_that_start_later_know_it():
+    async def async_test():
+        table = FakeTable()
+        daemon = Daemon(table)
+        await daemon.async_break_runs(*ENDPOINTS)
+        await daemon.persistence.async_save_pending()
+        app = web.Application()
+        QuarantineHandlers(daemon.quarantine, "key").add_routes(app)
+        settings = PlatformSection(url="http://x", key="key")
+        async with TestServer(app) as server, aiohttp.ClientSession() as session:
+            address = f"{server.host}:{server.port}"
+            table.is_out = True
+            unstored = await async_held(session, settings, address, BAD)
+            assert unstored.code is ExitCode.UNKNOWN
+            assert daemon.verdict is Verdict.FREE
+            table.is_out = False
+            stored = await async_held(session, settings, address, BAD)
+            assert stored.code is ExitCode.OK
+        later = Daemon(table)
+        await later.async_read_table()
+        assert later.verdict is Verdict.FREE
+
+    asyncio.run(async_test())
