Quotas: add the start allowance once the registration is stored

Cause: a process that starts gets the allowance unless the stored registration shows that the previous one started within the window. The allowance was added after the registrations were read and before the own one was written. If that write failed, the next process found an older row, or none, and took it for the latest start. The row also stated the time of the read, however late it was written. Change: the allowance is added once the own registration is known to be stored, and the row states the time of that write.

--- a/chutelink/customers/sharing.py
+++ b/chutelink/customers/sharing.py
@@ -29,6 +29,7 @@
     ) -> None:
         self._core = core
         self._holders = QuotaHolders(core.daemon_id, core.clock())
+        self._own_began_ago_s: float | None = None
         self.manager = QuotaManager(core, bounds, is_lending=is_lending)
 
     def update_customers(self, customers: dict[CustomerName, Customer] | None) -> None:
@@ -42,7 +43,7 @@
         alive; ``own_began_ago_s`` is how long ago this VM's previous process started.
         """
         self._holders.expected = expected
-        self.manager.note_previous_start(own_began_ago_s)
+        self._own_began_ago_s = own_began_ago_s
         self._core.events.info(
             "former_fleet", serving=expected, began_ago_s=own_began_ago_s
         )
@@ -52,3 +53,7 @@
         now_s = self._core.clock()
         self._holders.update(serving, members, now_s)
         self.manager.update_holder_view(self._holders.view(now_s))
+
+    def note_registered(self) -> None:
+        """Add the start allowance, as the next process of this VM will know of it."""
+        self.manager.note_previous_start(self._own_began_ago_s)
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -302,6 +302,7 @@
             era=lambda: self.watch.era,
         )
         registration.on_previous_fleet = self._apply_previous_fleet
+        registration.on_registered = self.quotas.note_registered
         self.add_future(registration.async_run())
 
     def _setup_permits(self) -> None:
--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -124,10 +124,14 @@
         self._peer_address = peer_address
         self._capacity = capacity
         self._has_read_previous = False
-        self._started_s = 0.0
+        self._answered_s = 0.0
+        self._read_s = core.clock()
         self._read_era = NO_ERA
         self._written_era: StoreEra | None = None
+        self._started_s: float | None = None
         self.on_previous_fleet: Callable[[PreviousFleet], None] = lambda previous: None
+        self.on_registered: Callable[[], None] = lambda: None
+        """Called once this process is known to be registered."""
 
     async def async_run(self) -> None:
         """Register and find peers, and repeat the search while there are no links."""
@@ -152,22 +156,29 @@
         key = f"{TABLE_MEMBERS}/{self._core.daemon_id}"
         if not self._has_read_previous:
             await self._async_read_previous_fleet(key)
+        started_s = self._started_s
+        if started_s is None:
+            started_s = self._answered_s + self._core.clock() - self._read_s
         row = MemberRow(
             self._peer_address,
             self._capacity,
-            self._started_s,
+            started_s,
             max(self._read_era, self._era()),
         )
         value = msgspec.to_builtins(row)
         transaction = Transaction(WriteId(make_id()), (), (Write(key, value),))
         commit = await self._table.async_transact(transaction)
         self._written_era = commit.era
+        if self._started_s is None:
+            self._started_s = started_s
+            self.on_registered()
 
     async def _async_read_previous_fleet(self, own_key: str) -> None:
         """Read the previous registrations and report them, once per process."""
         page = await self._table.async_read(f"{TABLE_MEMBERS}/")
         self._has_read_previous = True
-        self._started_s, self._read_era = page.answered_s, page.era
+        self._answered_s, self._read_era = page.answered_s, page.era
+        self._read_s = self._core.clock()
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
         began_ago_s = None if own is None else page.answered_s - own.started_s
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
+from chutelink.customers.buckets import QuotaBounds
+from chutelink.customers.holders import HolderView
+from chutelink.customers.model import Customer, Quota, QuotaUnit
+from chutelink.customers.sharing import QuotaSharing
 from chutelink.entry.directory import count_candidates
 from chutelink.entry.membership import PreviousFleet, Registration
+from chutelink.exceptions import PlatformUnavailable
 from chutelink.ids import FIRST_ERA
 
 from ..fakes import FakeTable, make_core
@@ -80,3 +87,66 @@
     table.table.rows.clear()
     table.era = FIRST_ERA
     assert register(table, "d1", 2.0).own_began_ago_s is None
+
+
+class ReadOnlyTable(FakeTable):
+    """A store that answers reads and, while ``is_read_only``, refuses writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_read_only = False
+        self.now_s = 1000.0
+
+    async def async_read(self, prefix, after_version=0):
+        page = await super().async_read(prefix, after_version)
+        return msgspec.structs.replace(page, answered_s=self.now_s)
+
+    async def async_transact(self, transaction):
+        if self.is_read_only:
+            raise PlatformUnavailable("refused", step="table.transact")
+        return await super().async_transact(transaction)
+
+
+def start_process(table: ReadOnlyTable) -> tuple[QuotaSharing, Registration]:
+    """Start a process of the only daemon, whose customer may send 10 requests a s."""
+    core = make_core("d1")
+    sharing = QuotaSharing(core, QuotaBounds(8.0, 0.1, 0.0), is_lending=False)
+    quota = Quota(QuotaUnit.REQUESTS, 10.0, 80.0)
+    sharing.update_customers({"a": Customer("a", quota=quota)})
+    view = HolderView(core.daemon_id, frozenset({core.daemon_id}))
+    sharing.manager.update_holder_view(view)
+    mesh = SimpleNamespace(linked_members=set, set_seeds=lambda seeds: None)
+    registration = Registration(core, table, mesh, "d1:1", 2.0)
+    registration.on_previous_fleet = lambda previous: sharing.set_former_fleet(
+        1, previous.own_began_ago_s
+    )
+    registration.on_registered = sharing.note_registered
+    with contextlib.suppress(PlatformUnavailable):
+        asyncio.run(registration._async_register())
+    return sharing, registration
+
+
+def test_restarts_that_are_not_stored_get_no_start_allowance():
+    """Otherwise each restart admits it again, as the next one can't know of it."""
+    table = ReadOnlyTable()
+    start_process(table)
+    registered_level = start_process(table)[0].manager.buckets["a"].level
+    table.now_s += 100.0
+    table.is_read_only = True
+    for _ in range(3):
+        sharing, registration = start_process(table)
+        assert sharing.manager.buckets["a"].level == registered_level
+    table.is_read_only = False
+    asyncio.run(registration._async_register())
+    assert sharing.manager.buckets["a"].level > registered_level
+
+
+def test_registration_that_was_delayed_states_when_it_was_stored():
+    table = ReadOnlyTable()
+    table.is_read_only = True
+    _, registration = start_process(table)
+    registration._core.now_s += 100.0
+    table.now_s += 100.0
+    table.is_read_only = False
+    asyncio.run(registration._async_register())
+    assert register(table, "d1", 2.0).own_began_ago_s == 0.0
