Membership: don't take an unreadable registration for a first start

What customers saw: a daemon whose own stored row could not be read, or had no start time, began with the start allowance of all quotas although its previous process had started within the window. It also counted as a first process, for which missing versions of streams are taken for complete. Cause: the row was decoded to nothing and then counted as absent; a start time of 0, which means unknown, counted as long ago. Change: such a row is taken for one that has just been written, like one that a restored store may have lost. Evidence: both cases of the new test in tests/entry/test_membership.py failed before (no previous start; 1000 s ago), and pass now.

--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -23,7 +23,7 @@
 from ..peers.mesh import Mesh
 from ..settings import EntrySection
 from ..steps import async_run_step
-from ..store import Row, Transaction, WatchableTable, Write, decode_value
+from ..store import Row, RowPage, Transaction, WatchableTable, Write, decode_value
 from ..tables.members import Member, Role
 
 NS_PER_MS = 1_000_000
@@ -50,9 +50,9 @@
     """Registrations found in the store when a daemon starts.
 
     ``own_began_ago_s`` is how long ago the previous process of this daemon registered,
-    None if there was none, 0 if the store may have lost its row; ``capacities`` are
-    those of all VMs that ever registered, and ``daemons`` the ids of the daemons that
-    had registered.
+    None if there was none, 0 if the store may have lost its row or the row doesn't show
+    it; ``capacities`` are those of all VMs that ever registered, and ``daemons`` the
+    ids of the daemons that had registered.
     """
 
     own_began_ago_s: float | None
@@ -181,15 +181,12 @@
         self._read_s = self._core.clock()
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
-        began_ago_s = None if own is None else page.answered_s - own.started_s
-        written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
-        if written_era < page.era:
-            began_ago_s = 0.0
         capacities = [row.capacity for row in rows.values() if row is not None]
         if own is None:
             capacities.append(self._capacity)
         prefix = f"{TABLE_MEMBERS}/"
         daemons = frozenset(DaemonId(key.removeprefix(prefix)) for key in rows)
+        began_ago_s = _own_began_ago_s(page, own, is_present=own_key in rows)
         self.on_previous_fleet(PreviousFleet(began_ago_s, capacities, daemons))
 
     def _decode(self, row: Row) -> MemberRow | None:
@@ -208,3 +205,19 @@
         found = {row.peer_address for row in rows if row is not None}
         self._mesh.set_seeds(found - {self._peer_address})
         self._core.events.info("peers_found", peers=len(found))
+
+
+def _own_began_ago_s(
+    page: RowPage, own: MemberRow | None, *, is_present: bool
+) -> float | None:
+    """Return how long ago the previous process registered, as far as its row shows.
+
+    A row that can't be read, has no start time or may have been lost is taken for one
+    that has just been written.
+    """
+    written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
+    if written_era < page.era:
+        return 0.0
+    if own is None:
+        return 0.0 if is_present else None
+    return page.answered_s - own.started_s if own.started_s else 0.0
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from chutelink.const import TABLE_MEMBERS
 from chutelink.customers.buckets import QuotaBounds
 from chutelink.customers.holders import HolderView
 from chutelink.customers.model import Customer, Quota, QuotaUnit
@@ -16,7 +17,8 @@
 from chutelink.entry.directory import count_candidates
 from chutelink.entry.membership import PreviousFleet, Registration
 from chutelink.exceptions import PlatformUnavailable
-from chutelink.ids import FIRST_ERA
+from chutelink.ids import FIRST_ERA, WriteId
+from chutelink.store import Transaction, Write
 
 from ..fakes import FakeTable, make_core
 
@@ -150,3 +152,12 @@
     table.is_read_only = False
     asyncio.run(registration._async_register())
     assert register(table, "d1", 2.0).own_began_ago_s == 0.0
+
+
+@pytest.mark.parametrize("value", [{"started_s": "x"}, {"peer_address": "d1:1"}])
+def test_unreadable_previous_row_is_not_taken_for_a_first_start(value):
+    """A daemon restarted within a quota window must not start with a full share."""
+    table = ReadOnlyTable()
+    write = Write(f"{TABLE_MEMBERS}/d1", value)
+    table.table.commit(Transaction(WriteId("w"), (), (write,)))
+    assert register(table, "d1", 2.0).own_began_ago_s == 0.0
