--- a/tests/customers/test_holders.py
+++ b/tests/customers/test_holders.py
@@ -96,3 +96,12 @@
         assert sum(shares) == pytest.approx(1)
         assert max(shares) == 1 / MAX_HOLDERS
     assert HolderView("d1", names).holders("a") != HolderView("d1", names).holders("b")
+
+
+def test_halves_of_a_partitioned_fleet_keep_their_shares_when_all_daemons_restart():
+    """Otherwise both halves together admit twice the quota."""
+    fleet = Fleet("d1", "d2", "d3")
+    fleet.holders.expected = 8
+    serving = {"d0", "d1", "d2", "d3"}
+    assert fleet.share(serving, 0.0) == 1 / 8
+    assert fleet.share(serving, SETTLE_S + 1.0) == 1 / 8
--- a/tests/quarantine/test_persistence.py
+++ b/tests/quarantine/test_persistence.py
@@ -439,3 +439,22 @@
         assert later.verdict is Verdict.FREE
 
     asyncio.run(async_test())
+
+
+def test_endings_before_repeated_losses_of_all_daemons_are_counted():
+    """The operators allow three sends after the third endpoint has ended."""
+
+    async def async_test():
+        table = FakeTable()
+        endings = 0
+        for start in range(4):
+            daemon = Daemon(table)
+            await daemon.async_read_table()
+            for number in range(const.ENDINGS_TO_HOLD - 1):
+                if daemon.verdict is Verdict.FREE:
+                    await daemon.async_break_runs(f"i-{start}-{number}")
+                    endings += 1
+            await daemon.persistence.async_save_pending()
+        assert endings <= 2 * const.ENDINGS_TO_HOLD
+
+    asyncio.run(async_test())
