Quarantine: store the count that is one below the threshold

What callers and endpoints saw: a repeated request that crashes endpoints ended more of them than allowed when all daemons were lost repeatedly: each new fleet let it end three more. Cause: only holds were stored, so the endings before a hold were forgotten with the daemons, and missing endings were taken for none. It is removed once the request is cleared, or its hold is stored. Prompt parts are not covered, nor is a first ending: after a mass crash there is one for each stream. Daemons of earlier releases leave these rows out and log hold_invalid.

--- a/chutelink/quarantine/const.py
+++ b/chutelink/quarantine/const.py
@@ -11,6 +11,8 @@
 cause: a lower threshold would hold requests that merely ran at the same time. The
 operators allow 3.
 """
+MIN_ENDINGS_TO_STORE: Final = ENDINGS_TO_HOLD - 1
+"""Endpoint terminations during one request from which their count is stored."""
 MIN_CONTENTS_TO_HOLD: Final = 2
 """Different requests that must end endpoints before a part that they share is held.
 
--- a/chutelink/quarantine/model.py
+++ b/chutelink/quarantine/model.py
@@ -88,6 +88,13 @@
     rivals: tuple[Fingerprint, ...] = ()
 
 
+class EndingCount(msgspec.Struct, frozen=True):
+    """The endpoint terminations during a request that is not held yet, as stored."""
+
+    about: str
+    endings: tuple[Ending, ...]
+
+
 class Suspect(msgspec.Struct):
     """A request, or a part of prompts, that was running when an endpoint terminated.
 
--- a/chutelink/quarantine/persistence.py
+++ b/chutelink/quarantine/persistence.py
@@ -1,6 +1,7 @@
 """Persistence of holds in the store, where they survive restarts of all daemons.
 
-Only changes of a hold are written: its start, its trials and its end. Each daemon reads
+Only changes of a hold are written: its start, its trials and its end, and before it the
+count of terminations that is one below the threshold. Each daemon reads
 them by following the table, so that daemons that started later or are disconnected from
 the others receive them too.
 """
@@ -26,10 +27,12 @@
 from ..steps import async_run_step
 from ..store import Check, TableService, Transaction, Write, decode_value
 from .const import MAX_HOLDS, SAVE_BATCH_SIZE, SAVE_PERIOD_S, SAVE_RANK_DELAY_S
-from .model import Hold, Verdict
+from .counts import StoredCounts
+from .model import EndingCount, Hold, Verdict
 from .service import Quarantine
 
 PREFIX_HOLDS = f"{TABLE_QUARANTINE}/"
+PREFIX_COUNTS = f"{PREFIX_HOLDS}count-"
 
 
 class QuarantinePersistence(Service):
@@ -59,6 +62,7 @@
         self._table = table
         self._quarantine = quarantine
         self._rank = rank
+        self._counts = StoredCounts(quarantine.table)
         self._locally_held: set[Fingerprint] = set()
         self._saved: set[Fingerprint] = set()
         self._unconfirmed: set[Fingerprint] = set()
@@ -74,12 +78,17 @@
         self._restored_s = float("-inf")
         self._changed = asyncio.Event()
         quarantine.on_held = self._note_held
+        quarantine.on_ending = self._note_ending
         quarantine.on_cleared = self._note_cleared
         quarantine.on_cleared_elsewhere = self._note_cleared_elsewhere
         quarantine.is_removal_pending = self.is_removal_pending
         quarantine.async_store_removal = self.async_store_removal
         quarantine.async_claim_trial = self.async_claim_trial
 
+    def _note_ending(self, fingerprint: Fingerprint) -> None:
+        self._counts.note_found(fingerprint)
+        self._changed.set()
+
     def _note_held(self, fingerprint: Fingerprint) -> None:
         self._locally_held.add(fingerprint)
         self._saved.discard(fingerprint)
@@ -95,8 +104,8 @@
             self._changed.set()
 
     def _note_cleared_elsewhere(self, fingerprint: Fingerprint) -> None:
+        self._remember_cleared(fingerprint)
         if self._may_be_stored(fingerprint):
-            self._remember_cleared(fingerprint)
             self._expected_removals.setdefault(fingerprint, self._core.clock())
 
     def _may_be_stored(self, fingerprint: Fingerprint) -> bool:
@@ -121,7 +130,12 @@
     def note_restored(self, keys: set[str]) -> None:
         """Handle a store that was restored from a backup with these rows."""
         self._restored_s = self._core.clock()
-        self._saved = {Fingerprint(key.removeprefix(PREFIX_HOLDS)) for key in keys}
+        self._saved = {
+            Fingerprint(key.removeprefix(PREFIX_HOLDS))
+            for key in keys
+            if not key.startswith(PREFIX_COUNTS)
+        }
+        self._counts.forget_stored()
         self._changed.set()
 
     def apply_row(self, key: str, value: Any, *, is_restored: bool = False) -> None:
@@ -130,6 +144,9 @@
         A row of a store restored from a backup doesn't override newer knowledge, which
         is written again instead.
         """
+        if key.startswith(PREFIX_COUNTS):
+            self._apply_count(key, value, is_restored=is_restored)
+            return
         fingerprint = Fingerprint(key.removeprefix(PREFIX_HOLDS))
         if value is None and not is_restored:
             self._saved.discard(fingerprint)
@@ -152,6 +169,21 @@
         self._unconfirmed.discard(fingerprint)
         self._quarantine.apply_stored_hold(fingerprint, hold)
 
+    def _apply_count(self, key: str, value: Any, *, is_restored: bool) -> None:
+        """Apply a count, unless its request has been cleared or may have been."""
+        fingerprint = Fingerprint(key.removeprefix(PREFIX_COUNTS))
+        if value is None:
+            self._counts.note_stored(fingerprint, None)
+            return
+        try:
+            count = msgspec.convert(value, EndingCount)
+        except msgspec.ValidationError as error:
+            self._core.events.warning("hold_invalid", key=key, error=str(error))
+            return
+        self._counts.note_stored(fingerprint, count)
+        if not is_restored and fingerprint not in self._cleared:
+            self._quarantine.apply_stored_count(fingerprint, count)
+
     def _is_outdated(self, fingerprint: Fingerprint, hold: Hold) -> bool:
         """Return whether a hold from a backup is older than the known state."""
         known = self._quarantine.table.holds().get(fingerprint)
@@ -191,7 +223,12 @@
             self._changed.clear()
 
     def _has_pending_writes(self) -> bool:
-        return bool(self._removals() or self._unsaved())
+        return bool(
+            self._removals()
+            or self._unsaved()
+            or self._counts.unsaved(self._core.clock(), self._rank())
+            or self._outdated_counts()
+        )
 
     async def async_save_pending(self) -> None:
         """Write the holds that are not in the store, and remove those that ended.
@@ -203,6 +240,36 @@
         """
         removed = self._removals()[:SAVE_BATCH_SIZE]
         await self._async_write(removed, self._unsaved()[:SAVE_BATCH_SIZE])
+        await self._async_save_counts()
+
+    def _outdated_counts(self) -> list[Fingerprint]:
+        """Return the counts to remove; those of holds only once these are stored."""
+        holds = self._quarantine.table.holds()
+        return [
+            fingerprint
+            for fingerprint in self._counts.outdated(self._rank())
+            if fingerprint not in holds or fingerprint in self._saved
+        ]
+
+    async def _async_save_counts(self) -> None:
+        rank = self._rank()
+        counts = self._counts.unsaved(self._core.clock(), rank)
+        changes: list[tuple[Fingerprint, EndingCount | None]] = [
+            *list(counts.items())[:SAVE_BATCH_SIZE],
+            *((name, None) for name in self._outdated_counts()[:SAVE_BATCH_SIZE]),
+        ]
+        if not changes:
+            return
+        writes = tuple(
+            Write(PREFIX_COUNTS + name, count and msgspec.to_builtins(count))
+            for name, count in changes
+        )
+        restored_s = self._restored_s
+        await self._table.async_transact(Transaction(WriteId(make_id()), (), writes))
+        if restored_s != self._restored_s:
+            return
+        for name, count in changes:
+            self._counts.note_stored(name, count)
 
     async def async_store_removal(self, fingerprint: Fingerprint) -> bool:
         """Remove the row of a cleared request at once.
--- a/chutelink/quarantine/service.py
+++ b/chutelink/quarantine/service.py
@@ -36,7 +36,7 @@
     QuarantineMessage,
     SoundPartsMessage,
 )
-from .model import BrokenRun, Evidence, Hold, Verdict
+from .model import BrokenRun, EndingCount, Evidence, Hold, Verdict
 from .policy import EndingCountPolicy, QuarantinePolicy
 from .probe import ConnectProbe, EndingProbe
 from .sound_parts import SoundParts
@@ -87,6 +87,8 @@
         Sends a message to all other daemons.
     on_held, on_cleared : callable
         Called when this daemon itself holds or clears a request, to update the store.
+    on_ending : callable
+        Called with a request during which this daemon has detected a termination.
     on_cleared_elsewhere : callable
         Called when another daemon reports that it has cleared a request.
     is_removal_pending : callable
@@ -116,6 +118,7 @@
         self.send: Callable[[QuarantineMessage], None] = lambda message: None
         self.on_held: Callable[[Fingerprint], None] = lambda fingerprint: None
         self.on_cleared: Callable[[Fingerprint], None] = lambda fingerprint: None
+        self.on_ending: Callable[[Fingerprint], None] = lambda fingerprint: None
         self.on_cleared_elsewhere: Callable[[Fingerprint], None] = lambda fingerprint: (
             None
         )
@@ -237,6 +240,12 @@
         if self.table.put_hold(fingerprint, hold, self._core.clock()):
             self._log_hold(fingerprint, hold, "store")
 
+    def apply_stored_count(self, fingerprint: Fingerprint, count: EndingCount) -> None:
+        """Apply the terminations during a request that were read from the store."""
+        for ending in count.endings:
+            run = EndedRun(fingerprint, count.about, ending)
+            self._add_to_table(fingerprint, run, "store")
+
     def apply_endings(self, message: EndingsMessage, source: str) -> None:
         """Apply another daemon's report of runs during which endpoints terminated."""
         now_s = self._core.clock()
@@ -278,6 +287,7 @@
         ended = EndedRun(run.fingerprint, about, ending, broken_ago_s, run.parts)
         for fingerprint in self._add_ending(ended, OWN_RUN):
             self.on_held(fingerprint)
+        self.on_ending(run.fingerprint)
         if not self._unsent:
             asyncio.get_running_loop().call_later(
                 ENDING_BATCH_DELAY_S, self._send_endings
--- a/chutelink/quarantine/table.py
+++ b/chutelink/quarantine/table.py
@@ -12,6 +12,7 @@
     MAX_HOLDS,
     MAX_SUSPECTS,
     MIN_CONTENTS_TO_HOLD,
+    MIN_ENDINGS_TO_STORE,
     MIN_RIVAL_RUNS,
     RUNS_TO_CONFIRM,
     SUSPECT_RETENTION_S,
@@ -106,6 +107,14 @@
         row.hold = msgspec.structs.replace(row.hold, rivals=())
         return True
 
+    def counted(self) -> dict[Fingerprint, Suspect]:
+        """Return the requests whose terminations are stored although not held."""
+        return {
+            fingerprint: row
+            for fingerprint, row in self._free.items()
+            if len(row.endings) >= MIN_ENDINGS_TO_STORE and not row.contents
+        }
+
     def holds(self) -> dict[Fingerprint, Hold]:
         """Return the holds of all held requests."""
         return {fingerprint: row.hold for fingerprint, row in self._held.items()}
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -23,6 +23,8 @@
 PROPAGATION_S = 0.3
 """Pause between attempts; daemons on one machine inform each other within ms."""
 
+SAVED_WITHIN_S = 1.0
+
 
 async def async_send(deployment, number: int, request_id: str) -> int:
     async with deployment.request(number, "/again/x", request_id, CRASH_BODY) as answer:
@@ -64,6 +66,24 @@
     asyncio.run(async_test())
 
 
+def test_crashes_are_counted_across_repeated_losses_of_all_daemons(tmp_path):
+    """Each new fleet counted from 0, as only held requests were stored."""
+
+    async def async_test():
+        async with async_entry_deployment(tmp_path, 2) as deployment:
+            for attempt in range(4):
+                await async_send(deployment, attempt % 2, f"bad-{attempt}")
+                await asyncio.sleep(SAVED_WITHIN_S)
+                for number in range(2):
+                    deployment.processes[f"vm-{number}"].kill()
+                for number in range(2):
+                    deployment.start_daemon(number)
+                await deployment.async_until_all_listed([0, 1])
+            assert 1 <= await async_count_crashes(deployment) <= 2 * MAX_CRASHES
+
+    asyncio.run(async_test())
+
+
 async def async_send_with_part(deployment, number: int, request_id: str) -> None:
     """Send a request of its own content, with a part that crashes endpoints."""
     part = min(CRASH_PARTS)
--- a/tests/quarantine/test_persistence.py
+++ b/tests/quarantine/test_persistence.py
@@ -17,7 +17,11 @@
 from chutelink.ids import FIRST_ERA, EndpointId, Fingerprint, WriteId
 from chutelink.quarantine import const
 from chutelink.quarantine.model import BrokenRun, Hold, Verdict
-from chutelink.quarantine.persistence import PREFIX_HOLDS, QuarantinePersistence
+from chutelink.quarantine.persistence import (
+    PREFIX_COUNTS,
+    PREFIX_HOLDS,
+    QuarantinePersistence,
+)
 from chutelink.quarantine.probe import ProbeResult
 from chutelink.quarantine.service import Quarantine
 from chutelink.quarantine.web import QuarantineHandlers
@@ -458,3 +462,65 @@
         assert endings <= 2 * const.ENDINGS_TO_HOLD
 
     asyncio.run(async_test())
+
+
+def test_count_of_a_request_that_ran_well_is_not_applied_again():
+    async def async_test():
+        table = FakeTable()
+        finder, other = Daemon(table), Daemon(table, rank=1)
+        await finder.async_break_runs(*ENDPOINTS[:-1])
+        await finder.persistence.async_save_pending()
+        row = (await table.async_read(PREFIX_COUNTS)).rows[0]
+        for daemon in (finder, other):
+            daemon.quarantine.release(BAD, "ran_well")
+            daemon.quarantine.apply_cleared(BAD)
+            daemon.persistence.apply_row(row.key, row.value)
+            assert daemon.quarantine.table.get(BAD) is None
+        await other.persistence.async_save_pending()
+        assert (await table.async_read(PREFIX_COUNTS)).rows
+        await finder.persistence.async_save_pending()
+        assert not (await table.async_read(PREFIX_COUNTS)).rows
+
+    asyncio.run(async_test())
+
+
+def test_invalid_count_is_ignored():
+    daemon = Daemon(FakeTable())
+    daemon.persistence.apply_row(PREFIX_COUNTS + BAD, {"endings": 1})
+    assert daemon.quarantine.table.get(BAD) is None
+
+
+def test_count_is_stored_once_and_removed_when_the_request_is_held():
+    async def async_test():
+        table = FakeTable()
+        daemon = Daemon(table)
+        await daemon.async_break_runs(*ENDPOINTS[:-1])
+        await daemon.persistence.async_save_pending()
+        version = table.table.version
+        await daemon.persistence.async_save_pending()
+        assert table.table.version == version
+        await daemon.async_break_runs(ENDPOINTS[-1])
+        await daemon.persistence.async_save_pending()
+        assert [r.key for r in (await table.async_read(PREFIX_HOLDS)).rows] == [KEY]
+
+    asyncio.run(async_test())
+
+
+def test_count_is_kept_until_the_hold_that_another_daemon_began_is_stored():
+    async def async_test():
+        table = FakeTable()
+        finder, first = Daemon(table, rank=1), Daemon(table)
+        await finder.async_break_runs(*ENDPOINTS[:-1])
+        await finder.persistence.async_save_pending()
+        for row in (await table.async_read(PREFIX_COUNTS)).rows:
+            first.persistence.apply_row(row.key, row.value)
+        sent = []
+        finder.quarantine.send = sent.append
+        await finder.async_break_runs(ENDPOINTS[-1])
+        await asyncio.sleep(0.05)
+        first.quarantine.apply_endings(sent[-1], "d1")
+        assert first.verdict is Verdict.HELD
+        await first.persistence.async_save_pending()
+        assert (await table.async_read(PREFIX_COUNTS)).rows
+
+    asyncio.run(async_test())
