--- a/chutelink/entry/membership.py
+++ b/chutelink/entry/membership.py
@@ -58,9 +58,10 @@
     """Registrations found in the store when a daemon starts.
 
     ``own_began_ago_s`` is how long ago the previous process of this daemon registered,
-    None if there was none, 0 if its row is lost or unreadable; ``capacities`` are
-    those of all VMs that ever registered, ``daemons`` the ids of the daemons that had
-    registered, and ``oldest_s`` is how long ago the first of them did so first.
+    None if there was none, 0 if the store may have lost its row or the row doesn't show
+    it; ``capacities`` are those of all VMs that ever registered, ``daemons`` the ids of
+    the daemons that had registered, and ``oldest_s`` is how long ago the first of them
+    did so first.
     """
 
     own_began_ago_s: float | None
@@ -138,11 +139,15 @@
         self._peer_address = peer_address
         self._capacity = capacity
         self._has_read_previous = False
-        self._started_s = 0.0
+        self._answered_s = 0.0
+        self._read_s = core.clock()
         self._first_started_s = 0.0
         self._read_era = NO_ERA
         self._written_era: StoreEra | None = None
+        self._started_s: float | None = None
         self.on_previous_fleet: Callable[[PreviousFleet], None] = lambda previous: None
+        self.on_registered: Callable[[], None] = lambda: None
+        """Called once this process is known to be registered."""
 
     async def async_run(self) -> None:
         """Register and find peers, and repeat the search while there are no links."""
@@ -167,10 +172,13 @@
         key = f"{TABLE_MEMBERS}/{self._core.daemon_id}"
         if not self._has_read_previous:
             await self._async_read_previous_fleet(key)
+        started_s = self._started_s
+        if started_s is None:
+            started_s = self._answered_s + self._core.clock() - self._read_s
         row = MemberRow(
             self._peer_address,
             self._capacity,
-            self._started_s,
+            started_s,
             max(self._read_era, self._era()),
             self._first_started_s,
         )
@@ -178,40 +186,35 @@
         transaction = Transaction(WriteId(make_id()), (), (Write(key, value),))
         commit = await self._table.async_transact(transaction)
         self._written_era = commit.era
+        if self._started_s is None:
+            self._started_s = started_s
+            self.on_registered()
 
     async def _async_read_previous_fleet(self, own_key: str) -> None:
         """Read the previous registrations and report them, once per process."""
         page = await self._table.async_read(f"{TABLE_MEMBERS}/")
         self._has_read_previous = True
-        self._started_s, self._read_era = page.answered_s, page.era
+        self._answered_s, self._read_era = page.answered_s, page.era
+        self._read_s = self._core.clock()
         rows = {row.key: self._decode(row) for row in page.rows}
         own = rows.get(own_key)
         if own_key not in rows:
-            self._first_started_s = self._started_s
+            self._first_started_s = self._answered_s
         elif own is not None and own.era == page.era:
             self._first_started_s = own.first_started_s
-        began_ago_s = None if own_key not in rows else 0.0
-        if own is not None:
-            began_ago_s = page.answered_s - own.started_s
-        written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
-        if written_era < page.era:
-            began_ago_s = 0.0
         capacities = [row.capacity for row in rows.values() if row is not None]
         if own is None:
             capacities.append(self._capacity)
         prefix = f"{TABLE_MEMBERS}/"
         daemons = frozenset(DaemonId(key.removeprefix(prefix)) for key in rows)
-        oldest_s = max((self._age_s(row, page) for row in rows.values()), default=0.0)
+        began_ago_s = _own_began_ago_s(page, own, is_present=own_key in rows)
+        oldest_s = max(
+            (_first_began_ago_s(page, row) for row in rows.values()), default=0.0
+        )
         self.on_previous_fleet(
             PreviousFleet(began_ago_s, capacities, daemons, oldest_s)
         )
 
-    def _age_s(self, row: MemberRow | None, page: RowPage) -> float:
-        """Return how long ago a daemon first registered, infinite if it is unknown."""
-        if row is None or row.era != page.era or not row.first_started_s:
-            return math.inf
-        return page.answered_s - row.first_started_s
-
     def _decode(self, row: Row) -> MemberRow | None:
         """Return the decoded row, or None if it is invalid; other rows still count."""
         try:
@@ -228,3 +231,26 @@
         found = {row.peer_address for row in rows if row is not None}
         self._mesh.set_seeds(found - {self._peer_address})
         self._core.events.info("peers_found", peers=len(found))
+
+
+def _first_began_ago_s(page: RowPage, row: MemberRow | None) -> float:
+    """Return how long ago a daemon first registered, infinite if that is unknown."""
+    if row is None or row.era != page.era or not row.first_started_s:
+        return math.inf
+    return page.answered_s - row.first_started_s
+
+
+def _own_began_ago_s(
+    page: RowPage, own: MemberRow | None, *, is_present: bool
+) -> float | None:
+    """Return how long ago the previous process registered, as far as its row shows.
+
+    A row that can't be read, has no start time or may have been lost is taken for one
+    that has just been written.
+    """
+    written_era = FIRST_ERA if own is None else max(FIRST_ERA, own.era)
+    if written_era < page.era:
+        return 0.0
+    if own is None:
+        return 0.0 if is_present else None
+    return page.answered_s - own.started_s if own.started_s else 0.0
