Model waits: decide by the time that the caller has left

Callers saw: a request whose model would be loaded in 0.8 s, with 3 s left, was refused if it had just arrived and waited if it came 0.2 s later. One that no load could serve in time was held for an eighth of its objective first, and one whose model the placer didn't plan to load waited for most of its objective.

Cause: an eighth of the objective was taken as the price of a wait, a retry as better than a wait if it came early, and an announcement without the model as no news.

A request now waits if the load (announced, or begun now from a copy) and the prefill end before the caller gives up. Else it is refused at once with the time of the load as Retry-After. If an announcement after the planning of its report lists no load, it is refused then. With a replica that doesn't take the request, it waits for as long as an announcement takes. Cold loads count as useful by the time left instead of the objective. First tries and repeats are treated alike.

--- a/chutelink/entry/pending.py
+++ b/chutelink/entry/pending.py
@@ -98,6 +98,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    @property
+    def heard_s(self) -> float:
+        """When the last announcement was received."""
+        return self._heard_s
+
     def has_placer(self, now_s: float) -> bool:
         """Return whether a placer has sent an announcement recently."""
         return now_s - self._heard_s < ANNOUNCEMENT_VALID_S
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -34,7 +34,7 @@
 from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .call_progress import CallProgress
 from .exchange import Exchange, urgency_of
-from .model_wait import MAX_RETRY_DELAY_SHARE
+from .model_wait import HONORED_RETRY_SHARE
 from .model_waiter import ModelWaiter, can_be_loaded
 from .quarantine_gate import QuarantineGate
 from .retry_budget import RetryBudgetShare
@@ -377,9 +377,7 @@
         # After a mean stream duration the current streams have most likely ended.
         stream_s = self.durations.mean_s(exchange.meta.model)
         retry_delay_s = max(exchange.expected_s - due_s, stream_s, MIN_RETRY_DELAY_S)
-        retry_delay_s = min(
-            retry_delay_s, MAX_RETRY_DELAY_SHARE * exchange.left_s(now_s)
-        )
+        retry_delay_s = min(retry_delay_s, HONORED_RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", retry_delay_s)
 
     def _reachable_rows(self, exchange: Exchange) -> list[Endpoint]:
--- a/chutelink/relaying/model_waiter.py
+++ b/chutelink/relaying/model_waiter.py
@@ -13,8 +13,9 @@
 from ..learning.speeds import SpeedTable
 from .exchange import Exchange
 from .model_wait import (
+    HONORED_RETRY_SHARE,
     LOAD_MARGIN_S,
-    MAX_RETRY_DELAY_SHARE,
+    PLANNING_S,
     ModelWait,
     model_retry_delay_s,
     wait_until_s,
@@ -67,7 +68,7 @@
             No endpoint has the model in time.
         """
         meta = exchange.meta
-        is_patient = _has_time_for_cold_load(exchange)
+        is_patient = self._has_time_for_cold_load(exchange)
         homes = exchange.requirements.home_regions
         self._loads.begin_wait(
             meta.model, meta.adapter, is_patient=is_patient, homes=homes
@@ -87,7 +88,7 @@
     ) -> Endpoint:
         wait_started_s = self._core.clock()
         while True:
-            wait = self._make_wait(exchange)
+            wait = self._make_wait(exchange, wait_started_s)
             until_s = wait_until_s(wait)
             if until_s <= wait.now_s:
                 raise self._make_refusal(exchange, wait)
@@ -104,21 +105,21 @@
                 )
                 return row
 
-    def _make_wait(self, exchange: Exchange) -> ModelWait:
+    def _make_wait(self, exchange: Exchange, started_s: float) -> ModelWait:
         meta = exchange.meta
         now_s = self._core.clock()
         spec = exchange.service.engine.models[meta.model]
         is_base_model_loaded = self._is_base_model_loaded(exchange)
         return ModelWait(
             now_s=now_s,
-            started_s=exchange.started_s,
+            started_s=started_s,
             last_s=exchange.first_event_deadline_s,
-            objective_s=exchange.route.objective_s,
             read_s=self._speeds.read_s(meta.model, meta.prompt_tokens),
             copy_load_s=0.0 if is_base_model_loaded else spec.disk_load_s,
             cold_load_s=0.0 if is_base_model_loaded else spec.cold_load_s,
             ready_s=self._pending.ready_s(meta.model, meta.adapter, now_s),
             is_held_off=self._has_unavailable_replica(exchange),
+            is_declined=self._is_declined(exchange, started_s),
         )
 
     def _make_refusal(self, exchange: Exchange, wait: ModelWait) -> Refusal:
@@ -128,15 +129,33 @@
         return unavailable(f"the {missing} {reason}", model_retry_delay_s(wait))
 
     def _has_unavailable_replica(self, exchange: Exchange) -> bool:
-        """Return whether an endpoint with the model and adapter accepts nothing now."""
+        """Return whether an endpoint with the model and adapter doesn't take it.
+
+        The endpoint accepts nothing now, or the request was already sent to it.
+        """
         meta = exchange.meta
         now_s = self._core.clock()
         return any(
-            row.accepts_from_s(now_s) is not None
-            and row.holds(meta.model, meta.adapter)
+            row.holds(meta.model, meta.adapter)
+            and (
+                row.accepts_from_s(now_s) is not None or row.record.id in exchange.tried
+            )
             for row in self._eligible_rows(exchange, now_s)
         )
 
+    def _is_declined(self, exchange: Exchange, wait_started_s: float) -> bool:
+        """Return whether the placer planned no load although it knows of the request.
+
+        An announcement lists all models without a replica that requests wait for, if
+        endpoints can load them. Adapters, and models that are loaded outside of the
+        request's home regions, are listed only once their load has begun.
+        """
+        if exchange.requirements.home_regions is not None:
+            return False
+        if self._is_base_model_loaded(exchange):
+            return False
+        return self._pending.heard_s >= wait_started_s + PLANNING_S
+
     def _is_base_model_loaded(self, exchange: Exchange) -> bool:
         """Return whether an endpoint has the model, so only the adapter is missing.
 
@@ -149,6 +168,14 @@
         rows = self._table.of_service(exchange.service.name, now_s)
         return self._eligibility.eligible(rows, exchange.requirements, now_s)
 
+    def _has_time_for_cold_load(self, exchange: Exchange) -> bool:
+        """Return whether a load from the weight store is ready before it gives up."""
+        meta = exchange.meta
+        spec = exchange.service.engine.models[meta.model]
+        read_s = self._speeds.read_s(meta.model, meta.prompt_tokens)
+        left_s = exchange.first_event_deadline_s - self._core.clock()
+        return spec.cold_load_s + LOAD_MARGIN_S + read_s <= left_s
+
     def _keep_demand_until_retry(self, exchange: Exchange, refusal: Refusal) -> None:
         """Keep reporting the demand until the caller retries, if it is to retry.
 
@@ -157,7 +184,7 @@
         if refusal.retry_after_s is None:
             return
         left_s = exchange.left_s(self._core.clock())
-        retry_delay_s = min(refusal.retry_after_s, MAX_RETRY_DELAY_SHARE * left_s)
+        retry_delay_s = min(refusal.retry_after_s, HONORED_RETRY_SHARE * left_s)
         meta = exchange.meta
         homes = exchange.requirements.home_regions
         self._loads.begin_wait(meta.model, meta.adapter, is_patient=True, homes=homes)
@@ -168,9 +195,3 @@
     """Return whether the service's endpoints could load the requested model."""
     engine = exchange.service.engine
     return engine is not None and exchange.meta.model in engine.models
-
-
-def _has_time_for_cold_load(exchange: Exchange) -> bool:
-    """Return whether a load from the weight store fits into the objective."""
-    spec = exchange.service.engine.models[exchange.meta.model]
-    return exchange.route.objective_s > spec.cold_load_s + LOAD_MARGIN_S
--- a/tests/placing/placement_simulation.py
+++ b/tests/placing/placement_simulation.py
@@ -20,7 +20,7 @@
 from chutelink.placing.inventory import EndpointReport, Inventory
 from chutelink.placing.placement import PlacementPolicy
 from chutelink.relaying.model_wait import (
-    MAX_RETRY_DELAY_SHARE,
+    HONORED_RETRY_SHARE,
     ModelWait,
     model_retry_delay_s,
     wait_until_s,
@@ -39,8 +39,8 @@
 UNLOAD_NOTICE_S = 0.03
 READ_S = 0.03
 STREAM_S = 1.5
-BUSY_OBJECTIVE_S = 0.4
-RARE_OBJECTIVE_S = 5.0
+BUSY_PATIENCE_S = 2.0
+"""How long callers of busy models wait for the first event, by the protocol."""
 RARE_DEADLINE_S = 20.0
 WARM_UP_S = 12.0
 """Time that endpoints run before the first request."""
@@ -245,19 +245,18 @@
             return True
         left_s = waiting.requested_s + RARE_DEADLINE_S - self.now_s
         waiting.retry_at_s = self.now_s + min(
-            model_retry_delay_s(wait), MAX_RETRY_DELAY_SHARE * left_s
+            model_retry_delay_s(wait), HONORED_RETRY_SHARE * left_s
         )
         waiting.is_retry = True
         return False
 
     def _make_wait(self, waiting: _Waiting) -> ModelWait:
         is_busy = waiting.model in self._names[: len(BUSY_SHARES)]
-        objective_s = BUSY_OBJECTIVE_S if is_busy else RARE_OBJECTIVE_S
+        patience_s = BUSY_PATIENCE_S if is_busy else RARE_DEADLINE_S
         return ModelWait(
             now_s=self.now_s,
             started_s=waiting.started_s,
-            last_s=waiting.requested_s + RARE_DEADLINE_S,
-            objective_s=objective_s,
+            last_s=waiting.requested_s + patience_s,
             read_s=READ_S,
             copy_load_s=DISK_S,
             cold_load_s=COLD_S,
