Backlog: refuse only requests whose callers would leave first

Callers with seconds left were refused with "endpoints are busy" as soon as the expected first byte missed the objective, though they would have been served in time. The limit was the objective of the route. It is now the time at which the caller gives up; beyond it, the request is still refused at once.

--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -355,11 +355,11 @@
         counter.add({"kind": "saved"}, choice.held_tokens)
 
     def _check_backlog(self, exchange: Exchange) -> None:
-        """Refuse a request that would be late even at the best endpoint.
+        """Refuse a request whose caller would leave before the best endpoint answers.
 
-        If a model's endpoints are full, a late request also delays all requests
-        queued behind it. Requests of the highest priority are exempt: endpoints
-        admit them first, and a retry would only be refused again.
+        It is refused at once: until its caller left, it would delay all requests that
+        are queued behind it. Requests of the highest priority are exempt: endpoints
+        admit them first, so that the expected time doesn't apply to them.
 
         Raises
         ------
@@ -371,12 +371,12 @@
         if not exchange.priority or exchange.resume_after is not None:
             return
         now_s = self.core.clock()
-        due_s = exchange.started_s + exchange.route.objective_s - now_s
-        if exchange.expected_s <= due_s:
+        excess_s = exchange.expected_s - (exchange.first_event_deadline_s - now_s)
+        if excess_s <= 0:
             return
         # After a mean stream duration the current streams have most likely ended.
         stream_s = self.durations.mean_s(exchange.meta.model)
-        retry_delay_s = max(exchange.expected_s - due_s, stream_s, MIN_RETRY_DELAY_S)
+        retry_delay_s = max(excess_s, stream_s, MIN_RETRY_DELAY_S)
         retry_delay_s = min(retry_delay_s, HONORED_RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", retry_delay_s)
 
--- /dev/null
+++ b/tests/relaying/test_backlog.py
@@ -0,0 +1,48 @@
+"""Which requests wait, or are refused, because endpoints are busy."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from .relay_harness import RelayHarness, async_relay_harness
+
+STREAM = {"X_Model": "m0", "X_Token_Count": "10,2", "X_Deadline_Ms": "4000"}
+OBJECTIVE_S = 0.8
+PATIENCE_S = 4 * OBJECTIVE_S
+
+
+async def async_send_to_busy_endpoint(
+    harness: RelayHarness, expected_s: float, path: str = "/stream/x"
+) -> tuple[int, float]:
+    """Return the status and Retry-After where the first byte takes ``expected_s``."""
+    harness.dispatcher._policy.expected_s = lambda *_: expected_s
+    async with harness.request(path, **STREAM) as response:
+        await response.read()
+        return response.status, float(response.headers.get("Retry-After", 0))
+
+
+@pytest.mark.parametrize("expected_s", [0.5, 1.0, 2.5])
+def test_request_that_can_be_served_before_its_caller_leaves_is_not_refused(expected_s):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "llm", {"m0": []})
+            status, _ = await async_send_to_busy_endpoint(harness, expected_s)
+            assert status == 200
+
+    asyncio.run(async_test())
+
+
+def test_request_whose_caller_would_leave_first_is_refused_with_time_of_backlog():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            status, delay_s = await async_send_to_busy_endpoint(harness, 3.9)
+            assert status == 503
+            assert 3.9 - PATIENCE_S <= delay_s <= 4.0 / 3
+            assert not endpoint.runs
+
+    asyncio.run(async_test())
