Permits and capacity: wait by the time that the caller has left

A request that could send 1 s later, with 4 s left, was refused (no permit until then) or sent at once into the streams of others (no capacity for its prompt), because the waits ended with the objective of the route. They now end when the caller would give up, less the expected time to the first byte. The bound of 1 s for permits stays, as permits of callers that leave are lost.

--- a/chutelink/limits/const.py
+++ b/chutelink/limits/const.py
@@ -23,7 +23,10 @@
 to the endpoint again, at the rate of the limit, since only a response can lift it.
 """
 MAX_DELAY_S: Final = 1.0
-"""Maximum time that a request waits for a permit to become valid."""
+"""Maximum time that a request waits for a permit to become valid.
+
+Permits can't be returned: those of callers that leave while they wait are lost.
+"""
 PERMIT_TIMEOUT_S: Final = 0.08
 """How long a daemon waits for a permit from another: some round trips of 3 ms."""
 PERMIT_RETRY_PAUSE_S: Final = 0.25
--- a/chutelink/relaying/backpressure.py
+++ b/chutelink/relaying/backpressure.py
@@ -177,9 +177,9 @@
         return self._core.rng.uniform(wait_s, 2 * wait_s)
 
     def _max_delay_s(self, exchange: Exchange, now_s: float) -> float:
-        """Return how long a request may wait and still meet its objective."""
-        due_s = exchange.started_s + exchange.route.objective_s
-        latest_s = due_s - (exchange.expected_s or 0.0) - SEND_MARGIN_S
+        """Return how long a request may wait and be served before its caller leaves."""
+        last_s = exchange.first_event_deadline_s
+        latest_s = last_s - (exchange.expected_s or 0.0) - SEND_MARGIN_S
         return min(MAX_DELAY_S, max(0.0, latest_s - now_s))
 
     def _is_still_eligible(self, exchange: Exchange, row: Endpoint) -> bool:
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -310,15 +310,15 @@
     async def _async_wait_for_capacity(
         self, exchange: Exchange, row: Endpoint
     ) -> Endpoint | None:
-        """Wait while the prompt would make streams pause, within the objective.
+        """Wait while the prompt would make streams pause, if the caller has the time.
 
         Returns the endpoint to send to, None if none is available any more.
         """
         while row is not None and not exchange.tried:
             now_s = self.core.clock()
             capacity_in_s = self._capacity_in_s(exchange, row, now_s)
-            due_s = exchange.started_s + exchange.route.objective_s
-            latest_s = due_s - exchange.expected_s - SEND_MARGIN_S
+            last_s = exchange.first_event_deadline_s
+            latest_s = last_s - exchange.expected_s - SEND_MARGIN_S
             if capacity_in_s <= 0 or now_s + capacity_in_s > latest_s:
                 break
             await asyncio.sleep(capacity_in_s)
--- a/tests/relaying/test_backlog.py
+++ b/tests/relaying/test_backlog.py
@@ -46,3 +46,43 @@
             assert not endpoint.runs
 
     asyncio.run(async_test())
+
+
+def test_request_waits_for_a_permit_that_is_valid_before_its_caller_leaves():
+    """The permit of the second request becomes valid later than the objective."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            endpoint.faults = type(endpoint.faults)(limit_per_s=1.1)
+            for number in range(2):
+                async with harness.request("/stream/x", f"q{number}", **STREAM) as sent:
+                    assert sent.status == 200
+            started_s = harness.core.clock()
+            async with harness.request("/stream/x", "q2", **STREAM) as response:
+                assert response.status == 200
+            assert harness.core.clock() - started_s > OBJECTIVE_S
+
+    asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("deadline_ms", ["4000", "600"])
+def test_request_waits_for_capacity_while_its_caller_has_the_time(deadline_ms):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "llm", {"m0": []})
+            free_s = harness.core.clock() + 1.0
+
+            def delay_s(*_: object) -> float:
+                return max(0.0, free_s - harness.core.clock())
+
+            harness.state.prefill_table.prefill_delay_s = delay_s
+            headers = STREAM | {"X_Deadline_Ms": deadline_ms}
+            async with harness.request("/stream/x", **headers) as response:
+                assert response.status == 200
+            is_after = harness.core.clock() >= free_s
+            assert is_after == (deadline_ms == "4000")
+
+    asyncio.run(async_test())
