--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -34,7 +34,7 @@
 from .backpressure import SEND_MARGIN_S, BackPressureGate
 from .call_progress import CallProgress
 from .exchange import Exchange, urgency_of
-from .model_wait import MAX_RETRY_DELAY_SHARE
+from .model_wait import HONORED_RETRY_SHARE
 from .model_waiter import ModelWaiter, can_be_loaded
 from .quarantine_gate import QuarantineGate
 from .retry_budget import RetryBudgetShare
@@ -310,15 +310,15 @@
     async def _async_wait_for_capacity(
         self, exchange: Exchange, row: Endpoint
     ) -> Endpoint | None:
-        """Wait while the prompt would make streams pause, within the objective.
+        """Wait while the prompt would make streams pause, if the caller has the time.
 
         Returns the endpoint to send to, None if none is available any more.
         """
         while row is not None and not exchange.tried:
             now_s = self.core.clock()
             capacity_in_s = self._capacity_in_s(exchange, row, now_s)
-            due_s = exchange.started_s + exchange.route.objective_s
-            latest_s = due_s - exchange.expected_s - SEND_MARGIN_S
+            last_s = exchange.first_event_deadline_s
+            latest_s = last_s - exchange.expected_s - SEND_MARGIN_S
             if capacity_in_s <= 0 or now_s + capacity_in_s > latest_s:
                 break
             await asyncio.sleep(capacity_in_s)
@@ -355,11 +355,11 @@
         counter.add({"kind": "saved"}, choice.held_tokens)
 
     def _check_backlog(self, exchange: Exchange) -> None:
-        """Refuse a request that would be late even at the best endpoint.
+        """Refuse a request whose caller would leave before the best endpoint answers.
 
-        If a model's endpoints are full, a late request also delays all requests
-        queued behind it. Requests of the highest priority are exempt: endpoints
-        admit them first, and a retry would only be refused again.
+        It is refused at once: until its caller left, it would delay all requests that
+        are queued behind it. Requests of the highest priority are exempt: endpoints
+        admit them first, so that the expected time doesn't apply to them.
 
         Raises
         ------
@@ -371,15 +371,13 @@
         if not exchange.priority or exchange.resume_after is not None:
             return
         now_s = self.core.clock()
-        due_s = exchange.started_s + exchange.route.objective_s - now_s
-        if exchange.expected_s <= due_s:
+        excess_s = exchange.expected_s - (exchange.first_event_deadline_s - now_s)
+        if excess_s <= 0:
             return
         # After a mean stream duration the current streams have most likely ended.
         stream_s = self.durations.mean_s(exchange.meta.model)
-        retry_delay_s = max(exchange.expected_s - due_s, stream_s, MIN_RETRY_DELAY_S)
-        retry_delay_s = min(
-            retry_delay_s, MAX_RETRY_DELAY_SHARE * exchange.left_s(now_s)
-        )
+        retry_delay_s = max(excess_s, stream_s, MIN_RETRY_DELAY_S)
+        retry_delay_s = min(retry_delay_s, HONORED_RETRY_SHARE * exchange.left_s(now_s))
         raise unavailable("endpoints are busy", retry_delay_s)
 
     def _reachable_rows(self, exchange: Exchange) -> list[Endpoint]:
