Backlog: treat repeats that have not run like first tries

A request that an endpoint had rejected without running it, and a stream that its caller resumed, were sent to endpoints that would answer after the caller had left, and their prompts weren't spaced. First tries were refused or waited. The exemption now covers only requests that may have run, which can't be refused as not run.

tests/relaying/test_backlog.py: two new cases failed before, both pass after.

--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -314,7 +314,7 @@
 
         Returns the endpoint to send to, None if none is available any more.
         """
-        while row is not None and not exchange.tried:
+        while row is not None and not exchange.may_have_run:
             now_s = self.core.clock()
             capacity_in_s = self._capacity_in_s(exchange, row, now_s)
             last_s = exchange.first_event_deadline_s
@@ -366,9 +366,9 @@
         Refusal
             The backlog is too long.
         """
-        if exchange.tried or exchange.service.engine is None:
+        if exchange.may_have_run or exchange.service.engine is None:
             return
-        if not exchange.priority or exchange.resume_after is not None:
+        if not exchange.priority:
             return
         now_s = self.core.clock()
         excess_s = exchange.expected_s - (exchange.first_event_deadline_s - now_s)
--- a/tests/relaying/test_backlog.py
+++ b/tests/relaying/test_backlog.py
@@ -86,3 +86,32 @@
             assert is_after == (deadline_ms == "4000")
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("headers", [{}, {"Last_Event_Id": "1"}])
+def test_request_that_has_not_run_yet_is_refused_like_a_first_try(headers):
+    """Also one that an endpoint rejected, and a stream that its caller resumes."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoints = [
+                await harness.async_add(f"i-{number}", "llm", {"m0": []})
+                for number in range(2)
+            ]
+            for endpoint in endpoints:
+                endpoint.faults = type(endpoint.faults)(refuse=0 if headers else 1)
+            is_busy_at_once = bool(headers)
+
+            def expected_s(*_: object) -> float:
+                rejected = sum(endpoint.faults.refuse == 0 for endpoint in endpoints)
+                return 3.9 if is_busy_at_once or rejected else 0.1
+
+            harness.dispatcher._policy.expected_s = expected_s
+            async with harness.request("/stream/x", **STREAM, **headers) as response:
+                assert response.status == 503
+            assert not any(endpoint.runs for endpoint in endpoints)
+            refused = [endpoint.faults.refuse for endpoint in endpoints]
+            assert sorted(refused) == ([0, 0] if headers else [0, 1])
+
+    asyncio.run(async_test())
