Streams: time out the first event by the time that the caller waits

A stream whose busy endpoint would begin it in time was sent to another endpoint as well after twice the objective, and ran there a second time, although its caller waits four times the objective or longer. The timeout is now three quarters of the time that the caller has left, as it is between events.

tests/relaying/test_backlog.py: the new case failed before (one run at each of two endpoints), passes after.

--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -29,8 +29,6 @@
 if TYPE_CHECKING:
     from .stream import StreamRelay
 
-FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.0
-"""Timeout of the first event, as a multiple of the route's objective."""
 MIN_FIRST_EVENT_TIMEOUT_S = 1.5
 DEFAULT_STALL_TIMEOUT_S = 1.5
 """Time without an event after which another endpoint is tried.
@@ -245,13 +243,16 @@
         return chunk
 
     def _first_event_timeout_s(self) -> float | None:
-        route = self._exchange.route
-        if not route.is_repeatable:
-            return None
-        return max(
-            MIN_FIRST_EVENT_TIMEOUT_S,
-            FIRST_EVENT_TIMEOUT_OBJECTIVES * route.objective_s,
-        )
+        """Return the timeout, a share of the time that the caller waits from now on.
+
+        The rest of that time is left to another endpoint.
+        """
+        exchange = self._exchange
+        if exchange.events or not exchange.is_repeatable:
+            return stall_timeout_s(exchange.route)
+        now_s = self._stream_relay.core.clock()
+        left_s = exchange.first_event_deadline_s - now_s
+        return max(MIN_FIRST_EVENT_TIMEOUT_S, STALL_TIMEOUT_SHARE * left_s)
 
     def _check_event_id(self, event: StreamEvent) -> None:
         """Raise if an event does not directly follow the last one forwarded."""
--- a/tests/relaying/test_backlog.py
+++ b/tests/relaying/test_backlog.py
@@ -115,3 +115,22 @@
             assert sorted(refused) == ([0, 0] if headers else [0, 1])
 
     asyncio.run(async_test())
+
+
+def test_stream_is_not_sent_again_while_its_caller_waits_for_the_first_event():
+    """Both endpoints are busy, and begin the stream before the caller leaves."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoints = [
+                await harness.async_add(f"i-{number}", "llm", {"m0": []})
+                for number in range(2)
+            ]
+            for endpoint in endpoints:
+                endpoint.faults = type(endpoint.faults)(work_s=2.5 * OBJECTIVE_S)
+            async with harness.request("/stream/x", **STREAM) as response:
+                assert response.status == 200
+            assert sorted(len(endpoint.runs) for endpoint in endpoints) == [0, 1]
+
+    asyncio.run(async_test())
