Urgency: tell endpoints the time that the caller has left

Of two requests of the same rank, the one whose caller left after 2 s was admitted after one whose caller waited for 20 s, if its route's objective was longer. The urgency was made of the objective; it is now made of the time until the caller gives up, so that a request gets more urgent while it waits or comes back. A step is 6 s, as callers of streams wait four objectives and a step was 1.5 s of objective. The rank still counts two steps.

--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -19,8 +19,8 @@
 from .routing import PrefixChoice, RoutingRequest
 
 LEAST_URGENT_STEP = 9
-OBJECTIVE_S_PER_URGENCY_STEP = 1.5
-"""Difference in objective that lowers the urgency by one step."""
+LEFT_S_PER_URGENCY_STEP = 6.0
+"""Difference in the time that callers have left that lowers the urgency by one step."""
 
 
 class Exchange(msgspec.Struct, eq=False):
@@ -153,13 +153,14 @@
     return services.get(chosen.service)
 
 
-def urgency_of(exchange: Exchange) -> int | None:
+def urgency_of(exchange: Exchange, now_s: float) -> int | None:
     """Return the urgency for the endpoint, 0 the most urgent; None without an engine.
 
-    It combines the priority, which counts two steps, and the objective.
+    It combines the priority, which counts two steps, and the time until the caller
+    gives up: of two callers, the one that leaves sooner is served first.
     """
     if exchange.service.engine is None:
         return None
-    step = 2 * exchange.priority
-    step += int(exchange.route.objective_s / OBJECTIVE_S_PER_URGENCY_STEP)
+    left_s = max(0.0, exchange.first_event_deadline_s - now_s)
+    step = 2 * exchange.priority + int(left_s / LEFT_S_PER_URGENCY_STEP)
     return min(LEAST_URGENT_STEP, step)
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -462,10 +462,11 @@
         is_first = exchange.tried.count(row.record.id) <= 1
         headers = CIMultiDict(exchange.headers)
         customer = exchange.admission.customer
+        now_s = self.core.clock()
         dispatch = Dispatch(
             endpoint=row.record.id,
-            deadline_s=exchange.left_s(self.core.clock()),
-            urgency=urgency_of(exchange),
+            deadline_s=exchange.left_s(now_s),
+            urgency=urgency_of(exchange, now_s),
             resume_after=exchange.resume_after,
             customer=customer.name if customer is not None else None,
         )
