Dispatcher: the order of queues decides no more who gets a free slot

At an endpoint with several models, a freed slot went to the model whose queue was begun first, however urgent the others' requests were; a standing queue took all slots. The queueing policy ordered only requests for the same model. It now selects among all requests that the endpoint can serve.

tests/gateway/test_dispatcher.py: of the two new cases, one failed before (the other is the order that the queues had), both pass after.

--- a/chutelink/gateway/dispatcher.py
+++ b/chutelink/gateway/dispatcher.py
@@ -185,7 +185,7 @@
         if not request.may_be_late and request.slack_s(now_s) < 0:
             raise unavailable("the target can't be met", self._retry_after_s())
         self._queue.add(request)
-        self._dispatch_group(request.artifacts)
+        self._dispatch_groups([request.artifacts])
         if not request.dispatched.done():
             await self._async_wait(request, now_s)
         return request.dispatched.result()
@@ -231,9 +231,9 @@
         row = self._table.rows.get(name)
         if row is None or not self._queue.size:
             return
-        for artifacts in self._queue.groups():
-            if row.loaded.issuperset(artifacts):
-                self._dispatch_group(artifacts)
+        self._dispatch_groups(
+            [each for each in self._queue.groups() if row.loaded.issuperset(each)]
+        )
         self._wake_unserved()
 
     def _wake_unserved(self) -> None:
@@ -248,18 +248,24 @@
                 self._queue.remove(request)
                 request.dispatched.set_result(None)
 
-    def _dispatch_group(self, artifacts: tuple[Artifact, ...]) -> None:
+    def _dispatch_groups(self, groups: list[tuple[Artifact, ...]]) -> None:
+        """Dispatch requests in the order of the queueing policy across all groups.
+
+        One group after the other, a standing queue for one model would take all slots
+        of an endpoint that serves several.
+        """
         now_s = self._core.clock()
-        holders = self._table.holders(artifacts)
-        skipped: list[WaitingRequest] = []
-        while group := [r for r in self._queue.group(artifacts) if r not in skipped]:
-            request = self._queueing.select(group, now_s)
+        waiting = [r for artifacts in groups for r in self._queue.group(artifacts)]
+        while waiting:
+            request = self._queueing.select(waiting, now_s)
+            waiting.remove(request)
+            holders = self._table.holders(request.artifacts)
             candidates = usable_endpoints(holders, request, now_s)
             row = self._routing.choose(candidates, request, now_s)
-            if row is None and not request.excluded:
-                return
             if row is None:
-                skipped.append(request)
+                if not request.excluded:
+                    artifacts = request.artifacts
+                    waiting = [r for r in waiting if r.artifacts != artifacts]
                 continue
             self._queue.remove(request)
             row.inflight += 1
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -46,15 +46,17 @@
     return EndpointReport(BootId("b"), artifacts=held)
 
 
-def make_request(dispatcher: Dispatcher, fleet) -> WaitingRequest:
+def make_request(
+    dispatcher: Dispatcher, fleet, name: str = "m", deadline_s: float = 110.0
+) -> WaitingRequest:
     return WaitingRequest(
         request_id="q",
         caller="c",
-        name="m",
-        artifacts=dispatcher.artifacts_for(fleet, "m"),
+        name=name,
+        artifacts=dispatcher.artifacts_for(fleet, name),
         request_class=next(iter(fleet.request_classes.values())),
         arrived_s=100.0,
-        deadline_s=110.0,
+        deadline_s=deadline_s,
         expected_s=0.1,
         prompt_tokens=10,
         prefixes=(),
@@ -160,3 +162,45 @@
         assert (await waiting).name == "f"
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("urgent", ["m", "n"])
+def test_free_slot_goes_to_most_urgent_request_whichever_model_was_queued_first(urgent):
+    """A model with a standing queue took every slot of an endpoint with two models."""
+
+    async def async_test():
+        fleet = parse_fleet(FLEET + "[model n]\nmemory_mb = 20\n").unwrap()
+        table = EndpointTable()
+        table.sync(fleet)
+        held = tuple(
+            ReportedArtifact(
+                name, "1", ArtifactState.LOADED, (0,), 20, FencingNumber(1)
+            )
+            for name in ("m", "n")
+        )
+        loaded = EndpointReport(BootId("b"), artifacts=held)
+        table.note_report("e", loaded, 100.0, 100.0)
+        dispatcher = Dispatcher(make_core(), table, 10, 500.0)
+        dispatcher.sync(fleet)
+        row = table.rows["e"]
+        row.inflight = row.spec.slots
+        requests = {
+            name: make_request(
+                dispatcher, fleet, name, 300.0 if name == urgent else 400.0
+            )
+            for name in ("m", "n")
+        }
+        tasks = [
+            asyncio.ensure_future(dispatcher.async_acquire(request))
+            for request in requests.values()
+        ]
+        while dispatcher.queue_length < len(tasks):
+            await asyncio.sleep(0)
+        dispatcher.release("e")
+        dispatched = [name for name, r in requests.items() if r.dispatched.done()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert dispatched == [urgent]
+
+    asyncio.run(async_test())
