Comments: reasons of callers and endpoints in place of what is charged

The values are right for another reason: the round trip between failure domains, the level of a quota, and the calls to endpoints that may be overloaded. No change of behavior.

--- a/chutelink/customers/buckets.py
+++ b/chutelink/customers/buckets.py
@@ -157,8 +157,7 @@
         While the customer is at its limit, smaller requests also need the level that
         its largest ones need. Otherwise the level would never rise that far, and the
         largest requests would be refused for as long as the customer is at its limit.
-        Requests with a very small cost are exempt: they would make up most of the
-        refusals, and they hardly lower the level.
+        Requests with a very small cost are exempt, since they hardly lower the level.
         """
         needed = cost
         large = min(self._peak_cost, self.capacity / 2)
--- a/chutelink/learning/health.py
+++ b/chutelink/learning/health.py
@@ -122,8 +122,8 @@
     def unreachable(self, now_s: float) -> list[EndpointId]:
         """Return the endpoints in a backoff after a failed connect.
 
-        The placer requests a report from each of them, which is charged for. An
-        endpoint that is no longer tried is therefore not listed again.
+        The placer requests a report from each of them, one more call to an endpoint
+        that may be overloaded. One that is no longer tried is not listed again.
         """
         return [
             name
--- a/chutelink/relaying/routing.py
+++ b/chutelink/relaying/routing.py
@@ -13,8 +13,8 @@
 from ..learning.prefixes import PrefixTable
 from ..learning.speeds import SpeedTable
 
-CROSS_DOMAIN_COST_S = 0.003
-"""Cost of crossing failure domains, for the round trip and the billed traffic."""
+CROSS_DOMAIN_ROUND_TRIP_S = 0.003
+"""Additional time of a call to another failure domain: one round trip."""
 DEFAULT_OBJECTIVE_S = 1.0
 """Assumed for requests without an objective."""
 
@@ -168,7 +168,7 @@
         objective_s = request.objective_s or DEFAULT_OBJECTIVE_S
         expected_s = self.expected_s(row, request, now_s)
         if row.record.failure_domain != request.failure_domain:
-            expected_s += CROSS_DOMAIN_COST_S
+            expected_s += CROSS_DOMAIN_ROUND_TRIP_S
         loss = self._health.failure_share(endpoint, now_s)
         if not request.model:
             return loss + expected_s / objective_s
