--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -314,7 +314,7 @@
 
         Returns the endpoint to send to, None if none is available any more.
         """
-        while row is not None and not exchange.tried:
+        while row is not None and not exchange.may_have_run:
             now_s = self.core.clock()
             capacity_in_s = self._capacity_in_s(exchange, row, now_s)
             last_s = exchange.first_event_deadline_s
@@ -366,9 +366,9 @@
         Refusal
             The backlog is too long.
         """
-        if exchange.tried or exchange.service.engine is None:
+        if exchange.may_have_run or exchange.service.engine is None:
             return
-        if not exchange.priority or exchange.resume_after is not None:
+        if not exchange.priority:
             return
         now_s = self.core.clock()
         excess_s = exchange.expected_s - (exchange.first_event_deadline_s - now_s)
@@ -462,10 +462,11 @@
         is_first = exchange.tried.count(row.record.id) <= 1
         headers = CIMultiDict(exchange.headers)
         customer = exchange.admission.customer
+        now_s = self.core.clock()
         dispatch = Dispatch(
             endpoint=row.record.id,
-            deadline_s=exchange.left_s(self.core.clock()),
-            urgency=urgency_of(exchange),
+            deadline_s=exchange.left_s(now_s),
+            urgency=urgency_of(exchange, now_s),
             resume_after=exchange.resume_after,
             customer=customer.name if customer is not None else None,
         )
