Placement: derive demand from rates, not from the order of models

Cause: the forecast assumed that demand moves along that list, and the first plan retained nine neighbors of the model with most replicas. Ties went by position. Change: a model's rate is projected to the end of a cold load from two moving averages, if it grows by more than a constant rate varies. Before any request, models without a copy are fetched, then models without a replica take the place of surplus replicas. A second replica follows from the requests of an average endpoint instead of 14%, the time for which a model is in use from its load time instead of 4 s. An endpoint with copies is awaited by one model: others waited for it in vain, which these plans would have made worse. Evidence: test_order_of_models_in_the_configuration_changes_no_decision failed with and without demand, now passes; test_endpoint_with_copies_is_awaited_by_one_model_only failed without its change.

Tests that asserted the order of the list: the model after a busy one is now one whose rate grows, the second replica one whose share grows, each with a steady rate that must cause no load. A starved model evicts one whose growth is only projected, which an overdue one still must not. No second replica is preloaded while another model is rejected, now before it is overdue. Before demand, the surplus replica yields, then a model with another copy (it was m12, outside the nine). The replica beside a cold one is retained because it is requested, and yields if both are warm.

--- a/chutelink/entry/demand.py
+++ b/chutelink/entry/demand.py
@@ -14,7 +14,18 @@
 """A model or adapter, and the home regions of requests for it."""
 
 AVERAGING_S = 3.0
-"""Time constant of the moving averages; demand shifts within about 5 s."""
+"""Time constant of the moving averages.
+
+It is close to the duration of a load: with a shorter one, loads would start for bursts
+that end before the load does.
+"""
+TREND_S = 2 * AVERAGING_S
+"""Time constant of the slower average, from which the growth of a rate is derived."""
+MIN_GROWTH_DEVIATIONS = 2.0
+"""Standard deviations by which a rate must rise to count as growth.
+
+A constant rate of independent requests varies as well; a single request is no growth.
+"""
 ASKS_DECAY_S = 8.0
 """Decay time constant of the request count that justifies a rare model's cold load."""
 UNSERVED_VALID_S = 20.0
@@ -31,12 +42,14 @@
     """Moving averages of the requests for one model or adapter.
 
     ``work_per_s`` is the requested engine time in seconds per second; ``asks`` is a
-    slowly decaying count of arrivals. ``denied_since_s`` is when the first request
+    slowly decaying count of arrivals, and ``trend_per_s`` the average of arrivals over
+    ``TREND_S``. ``denied_since_s`` is when the first request
     since the last served one began to wait; None if none has waited since.
     """
 
     work_per_s: float = 0.0
     arrivals_per_s: float = 0.0
+    trend_per_s: float = 0.0
     asks: float = 0.0
     updated_s: float = 0.0
     last_arrival_s: float = float("-inf")
@@ -55,6 +68,7 @@
         factor = math.exp(-elapsed_s / AVERAGING_S)
         self.work_per_s *= factor
         self.arrivals_per_s *= factor
+        self.trend_per_s *= math.exp(-elapsed_s / TREND_S)
         self.asks *= math.exp(-elapsed_s / ASKS_DECAY_S)
         self.updated_s = now_s
 
@@ -64,8 +78,28 @@
 
     work_per_s: float = 0.0
     arrivals_per_s: float = 0.0
+    trend_per_s: float = 0.0
     last_arrival_s: float = float("-inf")
 
+    def growth_per_s2(self, observed_s: float) -> float:
+        """Return the growth of the request rate in requests per second squared.
+
+        A rate that grows steadily leads each average by the growth times its time
+        constant, so the difference of the averages gives the growth. It is 0 if the
+        difference is within the variation of a constant rate. That both averages
+        began at 0 ``observed_s`` seconds ago is no growth.
+        """
+        if observed_s < AVERAGING_S:
+            return 0.0
+        recent_per_s = self.arrivals_per_s / -math.expm1(-observed_s / AVERAGING_S)
+        lead_per_s = recent_per_s + self.trend_per_s / math.expm1(-observed_s / TREND_S)
+        variance = self.arrivals_per_s * (
+            1 / (2 * AVERAGING_S) + 1 / (2 * TREND_S) - 2 / (AVERAGING_S + TREND_S)
+        )
+        if lead_per_s <= MIN_GROWTH_DEVIATIONS * math.sqrt(variance):
+            return 0.0
+        return lead_per_s / (TREND_S - AVERAGING_S)
+
 
 class _WaitingRequests(msgspec.Struct, frozen=True):
     """Requests waiting at one daemon, from its latest report."""
@@ -114,6 +148,7 @@
             tuple[ModelName, AdapterName], dict[DaemonId, _WaitingRequests]
         ] = {}
         self._homes: dict[HomeKey, _HomeDemand] = {}
+        self._since_s = math.inf
 
     def take(
         self,
@@ -123,6 +158,7 @@
         homes: Sequence[HomeUsage] = (),
     ) -> None:
         """Apply the usage reported by one daemon."""
+        self._since_s = min(self._since_s, now_s)
         for usage in homes:
             key = (usage.model, usage.adapter, frozenset(usage.regions))
             self._homes.setdefault(key, _HomeDemand()).note(daemon, usage, now_s)
@@ -132,6 +168,7 @@
             average.decay(now_s)
             average.work_per_s += usage.work_s / AVERAGING_S
             average.arrivals_per_s += usage.arrivals / AVERAGING_S
+            average.trend_per_s += usage.arrivals / TREND_S
             average.asks += usage.arrivals
             if usage.arrivals:
                 average.last_arrival_s = now_s
@@ -149,9 +186,14 @@
             total = totals.setdefault(name, ModelDemand())
             total.work_per_s += average.work_per_s
             total.arrivals_per_s += average.arrivals_per_s
+            total.trend_per_s += average.trend_per_s
             total.last_arrival_s = max(total.last_arrival_s, average.last_arrival_s)
         return totals
 
+    def observed_s(self, now_s: float) -> float:
+        """Return for how many seconds daemons have reported their demand."""
+        return max(0.0, now_s - self._since_s)
+
     def asks(self, model: ModelName, now_s: float) -> float:
         """Return the number of recent requests for a model, decaying in about 8 s."""
         total = 0.0
--- a/chutelink/placing/adapter_planner.py
+++ b/chutelink/placing/adapter_planner.py
@@ -86,13 +86,18 @@
         return changes
 
     def _missing(self, model: ModelName) -> list[AdapterName]:
-        """Return the model's adapters that no endpoint has or is loading."""
-        return [
+        """Return the model's adapters that no endpoint has or is loading.
+
+        The most recently requested one comes first.
+        """
+        missing = [
             adapter
             for adapter in self._view.engine.models[model].adapters
             if not self._residency.is_loading(model, adapter)
             and not any(s.inventory.has(model, adapter) for s in self._view.sites)
         ]
+        arrival_s = self._view.demand.adapter_arrival_s
+        return sorted(missing, key=lambda name: (-arrival_s(model, name), name))
 
     def _change(
         self, site: Site, model: ModelName, adapter: AdapterName
@@ -129,9 +134,10 @@
         ]
         return [(model, adapter) for _, model, adapter in sorted(evictable)]
 
-    def _cost(self, change: Change) -> tuple[int, int]:
+    def _cost(self, change: Change) -> tuple[int, int, EndpointId]:
         site = self._free[change.endpoint]
-        return len(change.unload_adapters), site.endpoint.total_requests
+        requests = site.endpoint.total_requests
+        return len(change.unload_adapters), requests, change.endpoint
 
     def _commit(self, change: Change) -> Change:
         self._residency.apply(change, self._free.pop(change.endpoint))
--- a/chutelink/placing/changes.py
+++ b/chutelink/placing/changes.py
@@ -22,12 +22,13 @@
     ASKED = "asked"
     BUSY = "busy"
     PAIR = "pair"
-    """The model is or will be in high demand, and only one endpoint holds it."""
+    """One endpoint serves a large share of all requests: those for this model."""
     HOME = "home"
     """Requests wait for it that may be served in some regions only."""
     NEXT = "next"
+    """The model's demand grows: its requests will need the replica."""
     SPREAD = "spread"
-    """No endpoint has a copy of the weights, so any load would be a cold load."""
+    """Before any request, no endpoint holds the model."""
 
 
 class DeclineReason(Enum):
--- a/chutelink/placing/demand_forecast.py
+++ b/chutelink/placing/demand_forecast.py
@@ -1,55 +1,59 @@
-"""Determine which models are busy and forecast which will be next, without I/O."""
+"""Determine which models are busy and project their demand, without I/O."""
 
 from __future__ import annotations
 
-from ..entry.demand import DemandTable, ModelDemand
+import math
+
+from ..entry.config import EngineSpec
+from ..entry.demand import AVERAGING_S, TREND_S, DemandTable, ModelDemand
 from ..ids import ModelName
 
 MIN_BUSY_SHARE = 0.03
 """Minimum share of all requests for a model to count as busy."""
 MIN_BUSY_PER_S = 0.4
 """Minimum requests per second for a model to count as busy."""
-MAX_RUN_GAP = 3
-"""Maximum distance between busy models of one run, in configuration order."""
-DEMAND_SHIFT = 3
-"""Number of positions by which demand shifts at once, in configuration order.
-
-The first busy models stop receiving requests, those after them take over their share,
-and the same number of new models become busy at the end.
-"""
-FORECAST_SHARE = 0.6
-"""Share of a busy model's demand that is forecast for the models after it."""
 
 
 class DemandForecast:
-    """Current demand, and demand as it would be after a shift along the model order.
+    """Current demand, and demand as it will be when a load started now completes.
 
-    ``busy`` lists the models that are busy now, ``upcoming`` contains the demand of
-    models after such a shift.
+    ``busy`` lists the models that are busy now, highest demand first, and ``growing``
+    contains the projected demand of models that will be busy and whose rate grows.
 
     Parameters
     ----------
-    order : list of ModelName
-        Models in the order of the operators' configuration.
+    engine : EngineSpec
+        The models and their load times.
     demand : DemandTable
         Request rates and waiting requests.
     now_s : float
         Time to which the averages are decayed.
     """
 
-    def __init__(
-        self, order: list[ModelName], demand: DemandTable, now_s: float
-    ) -> None:
-        self._order = order
+    def __init__(self, engine: EngineSpec, demand: DemandTable, now_s: float) -> None:
         totals = demand.totals(now_s)
-        known = {model: totals.get(model, ModelDemand()) for model in order}
+        known = {
+            model: totals.get(model, ModelDemand()) for model in sorted(engine.models)
+        }
         self._work = {model: total.work_per_s for model, total in known.items()}
         self._arrivals = {m: total.arrivals_per_s for m, total in known.items()}
         self._last_s = {m: total.last_arrival_s for m, total in totals.items()}
-        total = sum(self._arrivals.values())
-        min_per_s = max(MIN_BUSY_SHARE * total, MIN_BUSY_PER_S)
-        self.busy = [m for m in order if self._arrivals[m] > min_per_s]
-        self.upcoming = self._forecast_upcoming()
+        observed_s = demand.observed_s(now_s)
+        self._projected = {
+            model: _project_arrivals(
+                total, engine.models[model].cold_load_s, observed_s
+            )
+            for model, total in known.items()
+        }
+        ranked = sorted(known, key=lambda model: (-self._work[model], model))
+        self.busy = _find_busy(ranked, self._arrivals)
+        will_be_busy = _find_busy(ranked, self._projected)
+        self.growing = {
+            model: self.work(model)
+            for model in will_be_busy
+            if self._projected[model] > self._arrivals[model]
+        }
+        self._expected = frozenset(self.busy) | frozenset(self.growing)
 
     def demand(self, model: ModelName) -> float:
         """Return the model's current demand, in engine seconds per second."""
@@ -60,56 +64,43 @@
         return self._last_s.get(model, float("-inf"))
 
     def expected(self) -> list[ModelName]:
-        """Return models that are busy or may soon be, in configuration order."""
-        return [model for model in self._order if self.is_expected(model)]
+        """Return models that are busy or will be, highest demand first."""
+        return sorted(self._expected, key=lambda model: (-self.work(model), model))
 
     def work(self, model: ModelName) -> float:
-        """Return the greater of current and forecast demand, in engine seconds/s."""
-        return max(self._work.get(model, 0.0), self.upcoming.get(model, 0.0))
+        """Return the greater of current and projected demand, in engine seconds/s."""
+        arrivals_per_s = self._arrivals.get(model, 0.0)
+        work = self._work.get(model, 0.0)
+        if not arrivals_per_s:
+            return work
+        return work * self._projected[model] / arrivals_per_s
 
-    def share(self, model: ModelName) -> float:
-        """Return the model's share of all requests."""
-        total = sum(self._arrivals.values())
-        return self._arrivals.get(model, 0.0) / total if total else 0.0
+    def arrivals_per_s(self, model: ModelName) -> float:
+        """Return the model's current requests per second."""
+        return self._arrivals.get(model, 0.0)
 
-    def peak_share(self, model: ModelName) -> float:
-        """Return the greater of the model's share now and after a demand shift."""
-        if model not in self.upcoming:
-            return self.share(model)
-        index = self._order.index(model) - DEMAND_SHIFT
-        return max(self.share(model), self.share(self._order[index]))
+    def projected_per_s(self, model: ModelName) -> float:
+        """Return the model's projected requests per second."""
+        return self._projected.get(model, 0.0)
 
     def is_expected(self, model: ModelName) -> bool:
-        """Return whether the model is busy or may soon be."""
-        return model in self.upcoming or model in self.busy
-
-    def _find_busiest_run(self) -> list[ModelName]:
-        """Return the run of neighboring busy models with the most requests."""
-        runs: list[list[ModelName]] = []
-        last = -MAX_RUN_GAP - 1
-        busy = set(self.busy)
-        for index, model in enumerate(self._order):
-            if model not in busy:
-                continue
-            if index - last > MAX_RUN_GAP:
-                runs.append([])
-            runs[-1].append(model)
-            last = index
-        return max(
-            runs, key=lambda run: sum(self._arrivals[m] for m in run), default=[]
-        )
-
-    def _forecast_upcoming(self) -> dict[ModelName, float]:
-        """Return the demand for each model if it shifted now.
-
-        It is derived from the models up to ``DEMAND_SHIFT`` positions before it.
-        """
-        upcoming: dict[ModelName, float] = {}
-        count = len(self._order)
-        position = {model: index for index, model in enumerate(self._order)}
-        for model in self._find_busiest_run():
-            work = FORECAST_SHARE * self._work[model]
-            for step in range(1, min(DEMAND_SHIFT, count - 1) + 1):
-                successor = self._order[(position[model] + step) % count]
-                upcoming[successor] = max(work, upcoming.get(successor, 0.0))
-        return upcoming
+        """Return whether the model is busy or will be."""
+        return model in self._expected
+
+
+def _find_busy(
+    models: list[ModelName], arrivals: dict[ModelName, float]
+) -> list[ModelName]:
+    """Return the models that are busy at the given requests per second."""
+    min_per_s = max(MIN_BUSY_SHARE * math.fsum(arrivals.values()), MIN_BUSY_PER_S)
+    return [model for model in models if arrivals[model] > min_per_s]
+
+
+def _project_arrivals(demand: ModelDemand, load_s: float, observed_s: float) -> float:
+    """Return the requests per second at the end of a load that starts now.
+
+    The average lags a growing rate by its time constant. Growth is projected no
+    further than the time over which it is observed.
+    """
+    horizon_s = AVERAGING_S + min(load_s, TREND_S)
+    return demand.arrivals_per_s + horizon_s * demand.growth_per_s2(observed_s)
--- a/chutelink/placing/load_forecast.py
+++ b/chutelink/placing/load_forecast.py
@@ -1,8 +1,8 @@
 """Forecast when queued models will be loaded, without I/O.
 
-After a shift in demand, all endpoints load one model after another for many seconds.
-The forecast tells a request immediately whether its model can be loaded before its
-caller gives up.
+Where more models are requested than endpoints hold, each endpoint loads one after
+another, and a model waits for the loads before it as well. The forecast tells a request
+immediately whether its model can be loaded before its caller gives up.
 """
 
 from __future__ import annotations
--- a/chutelink/placing/placement.py
+++ b/chutelink/placing/placement.py
@@ -12,7 +12,7 @@
 from ..ids import ModelName
 from .changes import Change, DeclineReason, PlacementView
 from .planner import PlacementPlanner
-from .residency import RECENT_S, RetainReason
+from .residency import RetainReason
 
 
 class PlacementPolicy(ABC):
@@ -59,15 +59,15 @@
         waiting = {key: n for key, n in waiting.items() if key not in bound}
         bound_models = {model for model, _ in bound} - {model for model, _ in waiting}
         denied_s = planner.denied_s
-        wanted = sorted(waiting, key=lambda key: -waiting[key])
+        wanted = sorted(waiting, key=lambda key: (-waiting[key], key))
         busy = [key for key in wanted if key[0] in planner.forecast.busy]
         rare = [key for key in wanted if key[0] not in planner.forecast.busy]
         rare.sort(key=lambda key: -denied_s.get(key, 0.0))
         rejected = [
             key for key in denied_s if key not in waiting and key[0] not in bound_models
         ]
-        rejected.sort(key=lambda key: -denied_s[key])
-        recent = view.demand.recent(view.now_s, RECENT_S)
+        rejected.sort(key=lambda key: (-denied_s[key], key))
+        recent = planner.recent()
         for model, adapter in busy:
             planner.load_requested(model, adapter)
         for model in planner.forecast.busy:
@@ -83,16 +83,15 @@
         for model in recent:
             if model not in bound_models:
                 planner.ensure_resident(model)
-        # Forecast demand comes after waiting requests.
+        # Projected demand comes after waiting requests.
         for model in planner.forecast.expected():
             planner.preload_second_replica(model)
-        for model in planner.upcoming_models():
+        for model in planner.growing_models():
             planner.preload(model)
         for model in planner.forecast.busy:
             planner.add_adapters(model)
-        if planner.may_prefetch():
-            for model in view.engine.models:
-                planner.prefetch(model)
+        if planner.may_spread():
+            planner.spread()
         self.queued = planner.without_replica([model for model, _ in (*busy, *rare)])
         self.declined = planner.declined
         self.retained = planner.retained() if planner.declined else Counter()
--- a/chutelink/placing/planner.py
+++ b/chutelink/placing/planner.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..entry.config import ModelSpec
-from ..ids import AdapterName, ModelName, RegionName
+from ..ids import AdapterName, EndpointId, ModelName, RegionName
 from .adapter_planner import AdapterPlanner
 from .capacity import load_time, lost_copies, model_mb, used_mb
 from .changes import Change, ChangeReason, DeclineReason, PlacementView, Site
@@ -21,7 +21,7 @@
 share an endpoint, and queueing delay grows quickly above half.
 """
 MAX_PRELOADED_REPLICAS = 3
-"""Maximum number of replicas to load before a model is requested."""
+"""Maximum number of replicas to load before a model's requests need them."""
 RUNNING_PENALTY_S = 1.0
 """Expected wait of an unload for running requests; long responses take 1 to 3 s."""
 ADAPTER_BLOCK_SHARE = 0.5
@@ -44,10 +44,10 @@
 The remaining endpoints stay free for adapters and replicas of busy models.
 """
 COLD_LOAD_MIN_REQUESTS = 1.5
-"""Recent requests that a rare model needs to justify a cold load.
+"""Recent requests that show that a rare model will be requested after a cold load.
 
-A cold load costs about as much as one request is worth, and evicts another model that
-is as likely to be requested.
+The caller of a single request that cannot wait for the load gains nothing from it, and
+callers of the evicted model would wait for another load.
 """
 BUSY_PENALTY_S = 3.0
 """Cost, as load time, of choosing an endpoint that is busy all the time."""
@@ -74,7 +74,7 @@
         self._cold_loads = view.cold_loads
         self._free = {
             site.inventory.endpoint: site
-            for site in view.sites
+            for site in sorted(view.sites, key=lambda s: s.inventory.endpoint)
             if site.inventory.is_known
             and not site.inventory.is_changing
             and not site.inventory.is_busy
@@ -84,6 +84,7 @@
         self._residency = ModelResidency(view)
         self.forecast = self._residency.forecast
         self._adapter_planner = AdapterPlanner(view, self._free, self._residency)
+        self._awaited: dict[EndpointId, ModelName] = {}
         self.changes: list[Change] = []
         self.declined: dict[ModelName, DeclineReason] = {}
 
@@ -92,10 +93,14 @@
         """How long requests for each model and adapter have gone unserved."""
         return self._residency.denied_s
 
-    def upcoming_models(self) -> list[ModelName]:
-        """Return the models with forecast demand, highest first."""
-        upcoming = self.forecast.upcoming
-        return sorted(upcoming, key=lambda model: -upcoming[model])
+    def recent(self) -> list[ModelName]:
+        """Return the models in use, highest demand first."""
+        return self._residency.recent()
+
+    def growing_models(self) -> list[ModelName]:
+        """Return the models with growing demand, highest projected demand first."""
+        growing = self.forecast.growing
+        return sorted(growing, key=lambda model: (-growing[model], model))
 
     def load_requested(self, model: ModelName, adapter: AdapterName) -> None:
         """Load the model and adapter that a request is waiting for."""
@@ -139,25 +144,29 @@
         return has_requests or demand.can_wait_for_cold_load(model, now_s)
 
     def add_second_replica(self, model: ModelName) -> None:
-        """Load a second replica of a model that is or will be in high demand.
+        """Load a second replica of a model that is in high demand.
 
         Does nothing while a rare model is overdue, which would evict the replica again.
         """
         if self._residency.has_overdue:
             return
-        if self._residency.replicas(model) < 2 and self._residency.is_high_traffic(
+        if self._residency.replicas(model) < 2 and self._residency.has_large_share(
             model
         ):
             self._load(model, ChangeReason.PAIR)
 
     def preload_second_replica(self, model: ModelName) -> None:
-        """Load a second replica of a model that may soon be in high demand.
+        """Load a second replica of a model that will be in high demand.
 
         Does nothing while a requested model is missing, because the replica would
         evict one that is requested.
         """
-        if not self._residency.has_missing:
-            self.add_second_replica(model)
+        if self._residency.has_missing:
+            return
+        if self._residency.replicas(model) < 2 and self._residency.is_high_traffic(
+            model
+        ):
+            self._load(model, ChangeReason.PAIR)
 
     def add_replica(self, model: ModelName) -> None:
         """Add a replica if the model is busy or shares saturated endpoints."""
@@ -186,8 +195,8 @@
         )
 
     def preload(self, model: ModelName) -> None:
-        """Load replicas in advance for the model's forecast demand."""
-        wanted = max(1, math.ceil(self.forecast.upcoming[model] / REPLICA_WORK))
+        """Load replicas for the demand when their load completes."""
+        wanted = max(1, math.ceil(self.forecast.growing[model] / REPLICA_WORK))
         if self._residency.replicas(model) < min(wanted, MAX_PRELOADED_REPLICAS):
             self._load(model, ChangeReason.NEXT)
 
@@ -201,7 +210,21 @@
             return
         self._load(model, ChangeReason.SPREAD)
 
-    def may_prefetch(self) -> bool:
+    def spread(self) -> None:
+        """Hold as many models as possible before any request shows which are needed.
+
+        Models without any copy of their weights come first, because their callers
+        would wait longest. Others get a replica in free memory or instead of a
+        surplus one, if an endpoint has a copy.
+        """
+        models = sorted(self._view.engine.models)
+        for model in models:
+            self.prefetch(model)
+        for model in models:
+            if self._residency.replicas(model) == 0:
+                self._load(model, ChangeReason.SPREAD, may_be_cold=False)
+
+    def may_spread(self) -> bool:
         """Return whether there is no demand yet and all endpoints have reported."""
         if self._view.demand.uses:
             return False
@@ -253,9 +276,11 @@
         if not options:
             self.declined[model] = self._decline_reason(has_capacity=has_capacity)
             return
-        best = min(options, key=self._model_cost)
-        if best.is_cold and best.load_s > self._copy_available_in_s(spec, sites):
+        best = min(options, key=lambda c: (self._model_cost(c), c.endpoint))
+        available_in_s, endpoint = self._copy_available_in_s(spec, sites)
+        if best.is_cold and best.load_s > available_in_s:
             self.declined[model] = DeclineReason.COPY_SOON_FREE
+            self._awaited[endpoint] = model
             return
         self._commit(msgspec.structs.replace(best, reason=reason))
 
@@ -277,21 +302,28 @@
             return DeclineReason.NO_FREE_ENDPOINT
         return DeclineReason.NO_COPY if has_capacity else DeclineReason.NO_ROOM
 
-    def _copy_available_in_s(self, spec: ModelSpec, sites: list[Site]) -> float:
-        """Return how soon a currently busy endpoint could load its copy of the model.
+    def _copy_available_in_s(
+        self, spec: ModelSpec, sites: list[Site]
+    ) -> tuple[float, EndpointId]:
+        """Return how soon a busy endpoint could load its copy of the model, and which.
 
         A cold load instead would keep another endpoint busy for seconds, so that the
-        copies there could not be used either.
+        copies there could not be used either. An endpoint that a model before it in
+        the load order waits for will not be free for this one.
         """
         available_in_s = [
-            site.free_in_s + load_time(site.inventory, spec)[0] + CHANGE_MARGIN_S
+            (
+                site.free_in_s + load_time(site.inventory, spec)[0] + CHANGE_MARGIN_S,
+                site.inventory.endpoint,
+            )
             for site in sites
             if site.inventory.endpoint not in self._free
+            and self._awaited.get(site.inventory.endpoint, spec.name) == spec.name
             and not site.overloaded
             and spec.name not in site.inventory.models
             and site.inventory.has_weights(spec.name)
         ]
-        return min(available_in_s, default=math.inf)
+        return min(available_in_s, default=(math.inf, EndpointId("")))
 
     def _model_change(
         self, site: Site, spec: ModelSpec, *, is_replica: bool
--- a/chutelink/placing/residency.py
+++ b/chutelink/placing/residency.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
@@ -12,8 +13,6 @@
 from .changes import Change, PlacementView, Site
 from .demand_forecast import DemandForecast
 
-RECENT_S = 4.0
-"""A model requested within this time is in use; demand shifts in about 5 s."""
 RARE_IDLE_S = 0.6
 """Idle time after which an unused rare model may be evicted for a requested one.
 
@@ -33,29 +32,22 @@
 """
 IDLE_WORK = 0.10
 """Work per replica below which evicting an additional replica costs nothing."""
-SECOND_REPLICA_SHARE = 0.14
-"""Share of all requests from which a model gets a second replica.
-
-With one replica, the loss of its endpoint rejects this share of requests until a cold
-load completes, 4 s later.
-"""
 LAST_REPLICA_WORK = 0.05
 """Cost of evicting a model's last replica, in addition to the model's demand."""
 EXPECTED_MODEL_WORK = 1.0
-"""Additional cost of evicting a preloaded model or a busy model's last replica.
+"""Additional cost of evicting the last replica of a busy or growing model.
 
-It exceeds an endpoint's entire capacity, so only a waiting model with as much demand
+It is an endpoint's entire capacity, so only a waiting model with as much demand
 outweighs it.
 """
 RUNNING_REQUEST_WORK = 0.05
 """Cost that each running request adds to the eviction of its model."""
-INITIAL_MODEL_COUNT = 9
-"""Models retained for the initial demand: six busy ones and the next three."""
 STARVED_COLD_LOADS = 2.0
 """Number of cold load times after which an unserved model counts as starved.
 
-Only a starved model may evict a preloaded one, because a shift in demand sends many
-requests to the preloaded model at once.
+One load may just have started at the endpoint when the model was first requested. A
+model that is still missing after its own load could have followed may evict one whose
+requests are only projected.
 """
 PAUSED_STREAMS_WORK = 2.0
 """Work added to an endpoint if all of its streams pause too long."""
@@ -73,13 +65,13 @@
     UNSERVED = "unserved"
     """Requests for it were rejected, and it has served none since."""
     EXPECTED = "expected"
-    """It is busy or may soon be."""
+    """It is busy or will be."""
 
 
 class ModelResidency:
     """What endpoints hold during one planning pass, including its planned changes.
 
-    ``expected`` contains the models that are or may soon be in demand. ``has_missing``
+    ``expected`` contains the models that are or will be busy. ``has_missing``
     means that requests for some model are rejected because no endpoint holds it, and
     ``has_overdue`` that at least one of these models is overdue.
 
@@ -92,8 +84,10 @@
     def __init__(self, view: PlacementView) -> None:
         self._view = view
         self._loading = Counter(view.loading)
-        order = list(view.engine.models)
-        self.forecast = DemandForecast(order, view.demand, view.now_s)
+        self._longest_load_s = max(
+            (spec.cold_load_s for spec in view.engine.models.values()), default=0.0
+        )
+        self.forecast = DemandForecast(view.engine, view.demand, view.now_s)
         waiting = view.demand.waiting(view.now_s)
         self._waiting = frozenset(model for model, _ in waiting)
         self.denied_s = view.demand.denied_s(view.now_s)
@@ -106,7 +100,13 @@
             if not site.is_cold:
                 serving = (m for m in site.endpoint.models if m not in lost)
                 self._serving_count.update(serving)
-        self.expected = frozenset(self.forecast.expected() or self._initial_models())
+        held = [model for model in view.engine.models if self.replicas(model)]
+        endpoints = max(1, len(view.sites))
+        self._average_per_s = (
+            math.fsum(map(self.forecast.arrivals_per_s, held)) / endpoints,
+            math.fsum(map(self.forecast.projected_per_s, held)) / endpoints,
+        )
+        self.expected = frozenset(self.forecast.expected())
         self._missing_s: dict[ModelName, float] = {}
         for (model, _), denied_s in self.denied_s.items():
             if model in view.engine.models and not self.replicas(model):
@@ -115,7 +115,9 @@
         self._loading_at = set(view.loading_at)
         self._note_missing_at_home()
         self._homes_of: dict[ModelName, list[frozenset[RegionName]]] = {}
-        for model, _, homes in view.demand.used_at_home(view.now_s, RECENT_S):
+        for model, _, homes in view.demand.used_at_home(
+            view.now_s, self._longest_load_s
+        ):
             self._homes_of.setdefault(model, []).append(homes)
         self.has_missing = bool(self._missing_s)
         self.has_overdue = any(map(self.is_overdue, self._missing_s))
@@ -206,7 +208,7 @@
         return self._serving_count[model]
 
     def site_work(self, site: Site) -> float:
-        """Return the endpoint's current or forecast work, in engine seconds per second.
+        """Return the endpoint's current or projected work, in engine seconds/s.
 
         An endpoint whose streams pause too long counts as busier than that.
         """
@@ -216,24 +218,58 @@
         )
         return work + PAUSED_STREAMS_WORK * site.paused_share
 
-    def _initial_models(self) -> list[ModelName]:
-        """Return the models that will probably be requested first, before any demand.
+    def recent(self) -> list[ModelName]:
+        """Return the models in use, highest demand first."""
+        recent = self._view.demand.recent(self._view.now_s, self._longest_load_s)
+        return [model for model in recent if self._is_in_use(model)]
 
-        The busiest model is the one that most endpoints hold, and busy models are
-        adjacent in configuration order.
+    def _is_in_use(self, model: ModelName) -> bool:
+        """Return whether a model was requested within its own cold load time.
+
+        Callers that come as often would all miss a model evicted between them.
         """
-        order = list(self._view.engine.models)
-        busiest = max(order, key=self.replicas)
-        start = order.index(busiest)
-        return [order[(start + n) % len(order)] for n in range(INITIAL_MODEL_COUNT)]
+        spec = self._view.engine.models.get(model)
+        load_s = self._longest_load_s if spec is None else spec.cold_load_s
+        return self._view.now_s - self.forecast.last_arrival_s(model) <= load_s
+
+    def _spread_candidates(self, site: Site, wanted: ModelName) -> list[ModelName]:
+        """Return the models that may yield to another one before any request.
+
+        Most replicas first. A last replica yields only to a model without any copy of
+        its weights, and only if a copy of its own remains.
+        """
+        min_replicas = self.replicas(wanted) + 2
+        may_take_last = not self.has_weights(wanted)
+        candidates = [
+            model
+            for model in site.inventory.models
+            if model != wanted
+            and not site.endpoint.running(model)
+            and (
+                model not in self._view.engine.models
+                or self.serving_replicas(model) >= min_replicas
+                or (may_take_last and self._has_other_copy(site, model))
+            )
+        ]
+        return sorted(candidates, key=lambda m: (-self.serving_replicas(m), m))
+
+    def _has_other_copy(self, site: Site, model: ModelName) -> bool:
+        """Return whether a copy of the weights remains if the model is evicted."""
+        copies = {*site.inventory.on_disk, *site.inventory.in_memory}
+        return model in copies or any(
+            other is not site and other.inventory.has_weights(model)
+            for other in self._view.sites
+        )
 
     def eviction_candidates(
         self, site: Site, wanted: ModelName, *, is_replica: bool
     ) -> list[ModelName]:
         """Return the models that may be evicted, cheapest first."""
         demand, now_s = self._view.demand, self._view.now_s
+        if not demand.uses:
+            return self._spread_candidates(site, wanted)
         requested_work = max(self.forecast.work(wanted), LAST_REPLICA_WORK)
-        ranked: list[tuple[float, float, ModelName]] = []
+        ranked: list[tuple[float, bool, float, ModelName]] = []
         for model in site.inventory.models:
             if model in self._waiting or model == wanted:
                 continue
@@ -244,21 +280,24 @@
             eviction_cost += RUNNING_REQUEST_WORK * site.endpoint.running(model)
             last_s = self.forecast.last_arrival_s(model)
             is_rare = model not in self.expected
-            idle_s = RARE_IDLE_S if is_rare else RECENT_S
             is_unused = is_rare and not site.endpoint.running(model)
-            is_idle = now_s - last_s > idle_s
+            is_idle = (
+                now_s - last_s > RARE_IDLE_S if is_rare else not self._is_in_use(model)
+            )
             is_idle &= is_unused or eviction_cost <= requested_work
-            is_spare = bool(demand.uses) and self._is_spare(model)
-            is_spare |= wanted in self._waiting and self._is_preloaded_twice(model)
+            is_spare = self._is_spare(model)
+            is_spare |= wanted in self._waiting and self._is_surplus(model)
             is_spare |= self.is_overdue(wanted) and self._is_redundant(model)
             is_spare &= not is_last_at_home
             is_outweighed = not is_replica and 2 * eviction_cost < requested_work
             may_evict = self._may_evict(model, wanted)
             if is_idle or is_spare or is_outweighed or may_evict:
-                # Rare models are evicted in least recently requested order.
+                # Surplus replicas of rare models are evicted first, then the least
+                # recently requested model.
                 cost = 0.0 if is_unused and is_idle else eviction_cost
-                ranked.append((cost, last_s, model))
-        return [model for _, _, model in sorted(ranked)]
+                is_last = self.serving_replicas(model) <= 1
+                ranked.append((cost, is_last, last_s, model))
+        return [model for *_, model in sorted(ranked)]
 
     def is_delayed(self, model: ModelName) -> bool:
         """Return whether a model is missing for longer than a load from disk takes."""
@@ -331,17 +370,28 @@
         others = self.serving_replicas(model) - 1
         return others >= 1 and self.forecast.demand(model) / others < MAX_REDUNDANT_WORK
 
-    def _is_preloaded_twice(self, model: ModelName) -> bool:
-        """Return whether several endpoints hold a model that is not busy yet.
+    def _is_surplus(self, model: ModelName) -> bool:
+        """Return whether several endpoints hold a model that is not busy.
 
         The additional replicas leave no room for rarely requested models and have no
         benefit while there are no requests.
         """
-        return model not in self.forecast.busy and self.serving_replicas(model) > 1
+        return model not in self.expected and self.serving_replicas(model) > 1
 
     def is_high_traffic(self, model: ModelName) -> bool:
-        """Return whether a model's current or forecast share justifies two replicas."""
-        return self.forecast.peak_share(model) >= SECOND_REPLICA_SHARE
+        """Return whether a model has or will have a large share of the requests."""
+        projected_per_s = self.forecast.projected_per_s(model)
+        will_be = projected_per_s >= self._average_per_s[1] and projected_per_s > 0
+        return will_be or self.has_large_share(model)
+
+    def has_large_share(self, model: ModelName) -> bool:
+        """Return whether a model has the requests of an average endpoint, or more.
+
+        With a single replica, the loss of its endpoint would refuse more requests than
+        the loss of an average one.
+        """
+        arrivals_per_s = self.forecast.arrivals_per_s(model)
+        return arrivals_per_s >= self._average_per_s[0] and arrivals_per_s > 0
 
     def _eviction_cost(self, model: ModelName, *, is_last: bool = False) -> float:
         """Return the cost of evicting one replica, in engine seconds per second.
@@ -350,9 +400,8 @@
         """
         replicas = self.serving_replicas(model)
         work = self.forecast.work(model)
-        is_before_demand = not self._view.demand.uses and model in self.expected
         has_one_spare = replicas == 2 and self.is_high_traffic(model)
-        if is_last or replicas <= 1 or is_before_demand or has_one_spare:
+        if is_last or replicas <= 1 or has_one_spare:
             return (
                 LAST_REPLICA_WORK
                 + work
