--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chutelink.entry.messages import PendingLoad
+from chutelink.relaying.model_wait import ANNOUNCEMENT_S
 from chutelink.relaying.stream_attempt import stall_timeout_s
 from standins.prepared_config import make_config
 
@@ -265,8 +266,8 @@
             held = harness.state.endpoints.rows["i-1"].models.pop("m0")
             request = harness.request("/stream/x", **headers())
             task = asyncio.ensure_future(async_status(request))
-            # Longer than other requests wait for an announcement: 0.2 s.
-            await asyncio.sleep(0.4)
+            # Longer than requests with an unavailable replica wait for a load.
+            await asyncio.sleep(ANNOUNCEMENT_S + 0.1)
             assert not task.done()
             harness.state.endpoints.rows["i-1"].models["m0"] = held
             harness.pending.signal()
