Placement: don't fetch a model over the only copy of another before any request

Cause: a model without a copy was fetched although that drove out another's only copy, which was fetched next. Change: before any request such a load is not planned. Evidence: test_model_is_not_prefetched_over_the_only_copy_of_another failed before.

--- a/chutelink/placing/planner.py
+++ b/chutelink/placing/planner.py
@@ -272,6 +272,9 @@
                 continue
             if is_replica and change.is_cold and self._blocks_adapters(site):
                 continue
+            if reason is ChangeReason.SPREAD and self._loses_only_copy(change):
+                # The other model would be fetched next, and so on without end.
+                continue
             options.append(change)
         if not options:
             self.declined[model] = self._decline_reason(has_capacity=has_capacity)
--- a/tests/placing/test_placement.py
+++ b/tests/placing/test_placement.py
@@ -266,6 +266,17 @@
         assert changes[0].reason is ChangeReason.SPREAD
 
 
+def test_model_is_not_prefetched_over_the_only_copy_of_another():
+    """Endpoints fetched models in turn without end before any request."""
+    engine = msgspec.structs.replace(make_engine(), disk_copies_mb=2 * WEIGHTS_MB)
+    held = {"m0": [], "m1": []}
+    sites = [make_site("i-1", held, on_disk=("m0", "m1"))]
+    assert plan(sites, [], engine=engine, cold_loads=9) == []
+    larger = msgspec.structs.replace(engine, disk_copies_mb=3 * WEIGHTS_MB)
+    changes = plan(sites, [], engine=larger, cold_loads=9)
+    assert [change.model for change in changes] == ["m2"]
+
+
 def test_last_replica_is_not_evicted_before_any_demand():
     """Only a surplus replica yields to a model of which endpoints have a copy."""
     sites = [
