--- a/chutelink/origins/const.py
+++ b/chutelink/origins/const.py
@@ -53,7 +53,7 @@
 Streams that began since the last time can't be resumed if all daemons are lost.
 """
 SAVE_STREAMS_PERIOD_S: Final = 0.2
-"""Minimum interval between two writes of a recorder, each of which is charged."""
+"""Minimum interval between two writes of a recorder; the store limits their rate."""
 MAX_REPORTS_PER_S: Final = 160.0
 """Number of reports that a recorder gets; daemons of large fleets report less often."""
 MAX_SAVED_BYTES_PER_S: Final = 100_000
--- a/chutelink/placing/orders.py
+++ b/chutelink/placing/orders.py
@@ -25,7 +25,7 @@
 MIN_POLL_PERIOD_S = 0.05
 """Minimum interval between reports while waiting for an order to complete."""
 POLL_PERIOD_SHARE = 0.15
-"""Interval between reports as a share of the time waited, as reports are charged."""
+"""Interval between reports as a share of the time waited, which bounds their number."""
 MAX_LEARNED_LAG_S = 0.5
 REPORT_LAG_SMOOTHING = 0.2
 """Smoothing factor of the learned report lag."""
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -48,7 +48,7 @@
 """
 """Interval at which an endpoint that does not respond is polled."""
 REPORT_PERIOD_S = 4.0
-"""Interval of reports; it is long because each report is charged.
+"""Interval of reports, each of which an endpoint has to answer beside its requests.
 
 Orders keep the inventory up to date in between. The loss of an endpoint shows in failed
 requests, or in its registration, which expires within this time.
--- a/chutelink/placing/planner.py
+++ b/chutelink/placing/planner.py
@@ -130,7 +130,7 @@
             self._load(model, reason, may_be_cold=self._justifies_cold_load(model))
 
     def _justifies_cold_load(self, model: ModelName) -> bool:
-        """Return whether a load from the weight store is worth its cost."""
+        """Return whether requests will use a load from the weight store."""
         demand, now_s = self._view.demand, self._view.now_s
         if self.forecast.is_expected(model):
             return True
--- a/tests/origins/test_stream_store.py
+++ b/tests/origins/test_stream_store.py
@@ -56,8 +56,8 @@
     ]
 
 
-def load(table):
-    """Return the software version of each stream that a new daemon knows."""
+def load_manager(table):
+    """Return the streams and versions that a new daemon has read."""
     core = make_core("d2")
     versions = EndpointTable().versions
     manager = OriginManager(core, versions)
@@ -70,6 +70,12 @@
         FakeRegistrations(table, versions),
     )
     asyncio.run(persistence.async_load())
+    return manager
+
+
+def load(table):
+    """Return the software version of each stream that a new daemon knows."""
+    manager = load_manager(table)
     found = asyncio.run(async_find_all(manager, stored(table)))
     return {request: lookup.origin.version for request, lookup in found.items()}
 
@@ -223,17 +229,6 @@
     recorder.save()
     key = f"{PREFIX_STREAMS}boot-8/0"
     table.table.commit(Transaction("w", (), (Write(key, UNREADABLE),)))
-    core = make_core("d2")
-    versions = EndpointTable().versions
-    manager = OriginManager(core, versions)
-    persistence = OriginPersistence(
-        core,
-        table,
-        manager,
-        lambda: 0,
-        lambda: table.era,
-        FakeRegistrations(table, versions),
-    )
-    asyncio.run(persistence.async_load())
+    manager = load_manager(table)
     lookup = asyncio.run(manager.async_find("q1", "llm"))
     assert lookup.origin.version == "v1"
--- a/tests/processes/test_loss_of_all_daemons.py
+++ b/tests/processes/test_loss_of_all_daemons.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from chutelink.const import TABLE_ORIGINS
+from chutelink.const import TABLE_MEMBERS, TABLE_ORIGINS
 
 from .platform_in_loop import PlatformInLoop, async_platform_in_loop
 from .releases import Release, async_start_releases, check_releases, share_complete
@@ -39,10 +39,22 @@
     store.faults = msgspec.structs.replace(store.faults, out_tables=tables)
 
 
-async def async_restart_all(fleet: PlatformInLoop) -> None:
-    """Kill all daemons, and wait until their successors serve."""
+async def async_lose_new_version(fleet: PlatformInLoop, release: Release) -> None:
+    """Let a version begin streams and leave, and kill all daemons."""
+    await release.async_join()
+    await release.async_begin("new", STREAMS, ALL)
+    await release.async_take_back(0.0)
+    kill_all(fleet)
+
+
+def kill_all(fleet: PlatformInLoop) -> None:
     for number in ALL:
         fleet.processes[f"vm-{number}"].kill()
+
+
+async def async_restart_all(fleet: PlatformInLoop) -> None:
+    """Kill all daemons, and wait until their successors serve."""
+    kill_all(fleet)
     for number in ALL:
         fleet.start_daemon(number)
     await fleet.async_until_all_listed(ALL)
@@ -83,12 +95,28 @@
     async def async_test():
         async with async_release(tmp_path, refused) as (fleet, release):
             set_refusing(fleet, is_refusing=refused is not Refused.NEVER)
-            await release.async_join()
-            await release.async_begin("new", STREAMS, ALL)
-            await release.async_take_back(0.0)
-            for number in ALL:
-                fleet.processes[f"vm-{number}"].kill()
+            await async_lose_new_version(fleet, release)
+            set_refusing(fleet, is_refusing=False)
+            await async_restart_all(fleet)
+            await async_resume_for_a_while(release)
+
+    asyncio.run(async_test())
+
+
+def test_new_daemon_does_not_complete_the_history_of_those_that_served_before(
+    tmp_path,
+):
+    """Guards against one daemon with a new id that takes the fleet for a first one."""
+
+    async def async_test():
+        async with async_release(tmp_path, Refused.ALWAYS) as (fleet, release):
+            await async_lose_new_version(fleet, release)
             set_refusing(fleet, is_refusing=False)
+            store = fleet.machines.store
+            # The first daemon has no registration, as one that replaces a lost VM.
+            keys = [key for table, key in store.rows if table == TABLE_MEMBERS]
+            store.remove(TABLE_MEMBERS, min(keys))
+            store.forget_history()
             await async_restart_all(fleet)
             await async_resume_for_a_while(release)
 
