Origins: space the attempts to confirm the stored versions

Cause: since daemons of any rank confirm the row, each of them tried a store that fails every 0.25 s: 1581 attempts of one daemon in 600 s. Change: after a failure the next attempt is later the higher the rank; 20 at most in 600 s at rank 40. is_first_process is now is_first_start, as it says that no daemon served before. Evidence: test_fleet_does_not_flood_a_store_that_fails_with_confirmations failed before and passes.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -119,7 +119,7 @@
         super().__init__("chutelink-entry", daemon)
         self.settings = settings
         self._created_s = self.clock()
-        self._is_first_process: bool | None = None
+        self._is_first_start: bool | None = None
         self._adapter = adapter
         self._caller_listener = caller_listener
         self.members = MemberTable(make_member(self, settings.entry))
@@ -267,7 +267,7 @@
             self.rank,
             lambda: self.watch.era,
             WatchedRegistrations(self.watch),
-            lambda: self._is_first_process,
+            lambda: self._is_first_start,
         )
         self.stream_store = StreamStore(
             self, table, self.origins, self.rank, lambda: self.watch.era
@@ -480,7 +480,7 @@
         self.quotas.update_customers(config.customers)
 
     def _apply_previous_fleet(self, previous: PreviousFleet) -> None:
-        self._is_first_process = previous.is_first_start
+        self._is_first_start = previous.is_first_start
         self.origins.note_served(previous.daemons)
         entry = self.settings.entry
         if entry.quota_slack > 0 or entry.quota_excess_share > 0:
--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -80,9 +80,9 @@
         Returns the latest era of the store that is known.
     registrations : RegistrationLog
         The registrations of endpoints that this daemon knows.
-    is_first_process : callable
-        Returns whether no process of this daemon has registered before, None if that
-        is not known yet.
+    is_first_start : callable
+        Returns whether no daemon served before those that are starting now, None if
+        that is not known yet.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         rank: Callable[[], int],
         era: Callable[[], StoreEra],
         registrations: RegistrationLog,
-        is_first_process: Callable[[], bool | None] = lambda: False,
+        is_first_start: Callable[[], bool | None] = lambda: False,
     ) -> None:
         super().__init__()
         self._core = core
@@ -102,7 +102,7 @@
         self._rank = rank
         self._era = era
         self._registrations = registrations
-        self._is_first_process = is_first_process
+        self._is_first_start = is_first_start
         self._verified: VersionsRow | None = None
         """What this daemon knew when it last compared the row with it.
 
@@ -112,6 +112,8 @@
         self._is_confirming = False
         """Whether this daemon was the last one to confirm the row."""
         self._unsaved_since_s: float | None = None
+        self._next_try_s = float("-inf")
+        """Time of the next attempt after one that failed."""
         self._has_loaded = False
 
     @Service.task
@@ -199,7 +201,7 @@
         """Return what a row says if changes of registrations since then are lost."""
         if row is not None:
             return StoredHistory.UNPROVEN
-        is_first = self._is_first_process()
+        is_first = self._is_first_start()
         if is_first is None:
             raise PlatformUnavailable(
                 "not registered yet", step="origins.load", peer=KEY_VERSIONS
@@ -239,6 +241,8 @@
         now_s = self._core.clock()
         if self._unsaved_since_s is None:
             self._unsaved_since_s = now_s
+        if now_s < self._next_try_s:
+            return
         rank = self._rank()
         if rank >= SAVERS and not self._is_confirmation_due():
             return
@@ -248,7 +252,7 @@
             await self._async_save()
         except (PlatformUnavailable, WriteOutcomeUnknown, TransactionConflict) as error:
             # The next attempt reads the row again.
-            self._unsaved_since_s = now_s + STORE_RETRY_S
+            self._next_try_s = now_s + STORE_RETRY_S * (1 + rank)
             self._core.events.warning("versions_not_saved", error=error)
 
     def _needs_check(self) -> bool:
@@ -306,11 +310,12 @@
             return True
         if row.covered_version == merged.covered_version:
             return False
-        if self._verified is None and not self._is_confirmation_due():
-            return self._rank() == 0
-        if self._verified is None:
+        if self._verified is None and self._rank() == 0:
             return True
-        is_confirmed = row.covered_version > self._verified.covered_version
+        is_confirmed = (
+            self._verified is not None
+            and row.covered_version > self._verified.covered_version
+        )
         return self._is_confirmation_due() and not is_confirmed
 
     async def _async_save(self) -> None:
--- a/tests/origins/test_coverage.py
+++ b/tests/origins/test_coverage.py
@@ -78,7 +78,7 @@
     """Guards against refusals after a restart of a fleet that had no endpoints."""
     table = FakeTable()
     daemon = start(table, *(["v1"] if has_served else []))
-    daemon.is_first_process = True
+    daemon.is_first_start = True
     daemon.save()
     if has_served:
         daemon.versions.remove("llm", "v1")
--- a/tests/origins/test_persistence.py
+++ b/tests/origins/test_persistence.py
@@ -33,7 +33,7 @@
         self.versions = EndpointTable().versions
         self.manager = OriginManager(self.core, self.versions)
         self.registrations = FakeRegistrations(table, self.versions)
-        self.is_first_process = False
+        self.is_first_start = False
         self.persistence = OriginPersistence(
             self.core,
             table,
@@ -41,7 +41,7 @@
             lambda: rank,
             lambda: table.era,
             self.registrations,
-            lambda: self.is_first_process,
+            lambda: self.is_first_start,
         )
 
     def load(self):
@@ -224,7 +224,7 @@
 def test_absent_row_is_a_first_start_only_if_no_process_served_before(is_first):
     """Guards against a fleet that failed to store versions from its start on."""
     daemon = Daemon(FakeTable())
-    daemon.is_first_process = is_first
+    daemon.is_first_start = is_first
     daemon.registrations.lost_version = 0
     daemon.load()
     assert daemon.manager.has_full_history is is_first
@@ -232,7 +232,7 @@
 
 def test_absent_row_says_nothing_before_the_daemon_has_registered():
     daemon = Daemon(FakeTable())
-    daemon.is_first_process = None
+    daemon.is_first_start = None
     daemon.registrations.lost_version = 0
     with pytest.raises(PlatformUnavailable):
         daemon.load()
@@ -276,6 +276,23 @@
     assert (covered_version(table) > version) is is_first_lost
 
 
+def test_fleet_does_not_flood_a_store_that_fails_with_confirmations():
+    """Guards against each daemon of a large fleet that tries again within a second."""
+    table = FakeTable()
+    start(table, "v1").save()
+    late = start(table, "v1", rank=40)
+    table.is_out = True
+    attempts = []
+    late.persistence._async_save = lambda: attempts.append(1) or failing_call()
+    for _ in range(4 * 600):
+        late.save(0.25)
+    assert 1 <= len(attempts) <= 20
+
+
+async def failing_call():
+    raise PlatformUnavailable("outage", step="test")
+
+
 def test_row_with_later_registrations_keeps_its_versions():
     """Guards against a daemon with an old copy that removes a new version."""
     table = FakeTable()
