Origins: ask few peers for the history after a start

Cause: since all daemons together can complete a history, a daemon asked all that were linked as soon as it started: 40 of 40 instead of 8. Change: only a daemon that has run for as long as streams can be resumed asks all, once the first eight have answered. Evidence: test_daemon_that_has_just_started_asks_few_peers_for_the_history failed before and passes; that of the discarded history still passes.

--- a/chutelink/origins/manager.py
+++ b/chutelink/origins/manager.py
@@ -224,23 +224,25 @@
         is_all = has_all_answers if self._is_restored else has_waited
         if (self.is_first_fleet or self._is_restored) and expected and is_all:
             self._has_history = True
-        if expected and self._is_joint_history():
+        lacks_complete_peer = bool(expected) and expected <= self._history_answered
+        may_join = lacks_complete_peer and self._up_s > RETENTION_S
+        if may_join and self._is_joint_history():
             self._has_history = True
         missing = sorted(self.linked() - self._history_asked)
         # After an outage of the store, none of the others may have a complete history.
-        asks_all = self._is_restored or expected <= self._history_answered
+        asks_all = self._is_restored or may_join
         limit = len(self.linked()) if asks_all else HISTORY_PEERS
         for peer in missing[: max(0, limit - len(self._history_asked))]:
             self._history_asked.add(peer)
             self.send(peer, HistoryRequest(self._core.daemon_id))
 
     def _is_joint_history(self) -> bool:
-        """Return whether all daemons together know all versions.
+        """Return whether the daemons that have answered know all versions together.
 
         Each version was known to the daemon that sent requests to it.
         """
         others = self._served_s.keys() - {self._core.daemon_id}
-        return self._up_s > RETENTION_S and others <= self._long_running
+        return others <= self._long_running
 
     @property
     def _up_s(self) -> float:
--- a/tests/origins/test_resumption.py
+++ b/tests/origins/test_resumption.py
@@ -13,6 +13,7 @@
 from chutelink.entry.endpoints import EndpointTable
 from chutelink.ids import FIRST_ERA
 from chutelink.origins.const import (
+    HISTORY_PEERS,
     HISTORY_TIMEOUT_S,
     LINKING_S,
     REFRESH_PERIOD_S,
@@ -584,6 +585,23 @@
     assert not origins.has_full_history
 
 
+def test_daemon_that_has_just_started_asks_few_peers_for_the_history():
+    """Guards against messages from each daemon to all others after a mass restart."""
+    core = make_core()
+    origins = OriginManager(core, EndpointTable().versions)
+    origins.is_alone = lambda: False
+    asked = []
+    origins.send = lambda peer, message: asked.append(peer)
+    peers = {f"e{number}" for number in range(5 * HISTORY_PEERS)}
+    origins.linked = lambda: peers
+    for _ in range(3):
+        origins.request_history()
+        for peer in asked:
+            origins.handle_message(HistoryAnswer(peer, {}, False))
+        core.now_s += LINKING_S
+    assert len(asked) == HISTORY_PEERS
+
+
 @pytest.mark.parametrize("cut_s", [0.5, 0.9, 1.5, 2.5])
 def test_daemon_that_started_anew_while_cut_off_with_another_confirms_no_version(cut_s):
     """Guards against a majority of only those daemons that it has met since."""
