Tests: an engine that has exited serves no accepted connection

In a trace the engine exited, the check of the end was refused 34 ms later, and 17 ms after that a report was answered: on a connection that was accepted before the exit and handled after the engine had closed the others. No process is left to do that. Change: such a connection is reset. The test asks for the same as before.

--- a/tests/relaying/ending_engine.py
+++ b/tests/relaying/ending_engine.py
@@ -89,6 +89,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._has_power = True
+        self._has_exited = False
 
     async def async_start(self) -> None:
         """Listen on a free port."""
@@ -120,6 +121,10 @@
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._has_exited:
+            # Accepted before the exit: no process is left to serve it.
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         # The caller of the stream closes its connection once the response is complete.
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
@@ -217,5 +222,6 @@
         if self.ending is not Ending.KILLED:
             await asyncio.sleep(REPORT_TIME_S)
             self._server.close()
+        self._has_exited = True
         for other in self._writers:
             other.close()
