Tests: refusals at a cold endpoint don't depend on the time they take

Since requests wait by their callers' time, how many get a grant of a later second depends on when they are read. Change: with 0.6 s left, exactly 5 of 20 arrive and 15 are refused, as the test demanded before; another test lets callers have 3 s: never more than 5 within a second, which is the promise, and all others are refused with Retry-After.

--- a/tests/coldstart/test_gate.py
+++ b/tests/coldstart/test_gate.py
@@ -48,15 +48,34 @@
 def test_cold_endpoint_gets_granted_requests_and_others_are_refused(route):
     path, service, models, headers = ROUTES[route]
 
+    async def async_test():
+        async with async_relay_harness() as harness:
+            configure(harness, 5.0)
+            endpoint = await async_add_cold(harness, "i-1", service, models)
+            # Too short for a grant of the next second.
+            sent = headers | {"X_Deadline_Ms": "600"}
+            answers = await async_send_all(harness, path, 20, **sent)
+            assert len(endpoint.arrived_s) == 5
+            refused = [retry_s for status, retry_s in answers if status == 503]
+            assert len(refused) == 15 and min(refused) > 0
+
+    asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_cold_endpoint_gets_no_more_requests_a_second_if_callers_have_time(route):
+    """Guards against a second's grants that requests take beside those of the next."""
+    path, service, models, headers = ROUTES[route]
+
     async def async_test():
         async with async_relay_harness() as harness:
             configure(harness, 5.0)
             endpoint = await async_add_cold(harness, "i-1", service, models)
             answers = await async_send_all(harness, path, 20, **headers)
-            # Those that get a grant of the next window in time wait for it.
             assert max_events_in_window(endpoint.arrived_s, 1.0) == 5
             refused = [retry_s for status, retry_s in answers if status == 503]
-            assert len(endpoint.arrived_s) in {5, 10}
+            # Callers have 3 s.
+            assert 5 <= len(endpoint.arrived_s) <= 15
             assert len(refused) == 20 - len(endpoint.arrived_s) and min(refused) > 0
 
     asyncio.run(async_test())
