Origins: plainer words in two docstrings

Cause: figurative words in a docstring of the store's row and in one of a test. Change: both say which daemon confirms the row. Result: their tests pass; nothing else changes.

--- a/chutelink/origins/persistence.py
+++ b/chutelink/origins/persistence.py
@@ -305,7 +305,7 @@
         return VersionsRow(merged, position.era, covered_version)
 
     def _needs_write(self, row: VersionsRow | None, merged: VersionsRow) -> bool:
-        """Return whether a row lacks something, or nobody else confirms it."""
+        """Return whether a row lacks something, or no other daemon confirms it."""
         if row is None or row.era != merged.era or row.services != merged.services:
             return True
         if row.covered_version == merged.covered_version:
--- a/tests/origins/test_coverage.py
+++ b/tests/origins/test_coverage.py
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("cut", range(SAVERS + 1))
 def test_streams_go_on_though_the_savers_do_not_reach_the_store(cut):
-    """Guards against a row that nobody confirms, though most daemons could."""
+    """Guards against a row without confirmation, though most daemons could give it."""
 
     async def async_test():
         world = World(asyncio.get_running_loop(), DAEMONS, versions=("v1",) * 4)
