Request log: state the time left when a request was accepted while stopping

A line with outcome=cut_at_stop didn't say whether the request had come before the stop signal, where it may outlast the grace period, or after it, where the daemon had promised to answer it. drain_left_s says so.

tests/relaying/test_request_log.py: 3 passed; the new test fails before (KeyError).

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -184,6 +184,8 @@
             request, admission, meta, route, service, target, body, started_s
         )
         self._check_shutdown(route, meta)
+        if self._shutdown_deadline_s is not None:
+            exchange.drain_left_s = self._shutdown_deadline_s - self._core.clock()
         self._dispatcher.note_arrival(exchange)
         return exchange
 
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -52,7 +52,8 @@
     the silent endpoint of the attempt before, to which the request returns if the next
     endpoint doesn't take it.
     ``homes`` has the home regions of the configuration in force, which may be newer
-    than the route.
+    than the route. ``drain_left_s`` is the time that was left until the end of draining
+    when the request was accepted, None if this daemon wasn't stopping.
     """
 
     meta: RequestMeta
@@ -93,6 +94,7 @@
     switch_to: EndpointId | None = None
     given_up: EndpointId | None = None
     homes: HomeRegions | None = None
+    drain_left_s: float | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
         """Set the software version that has begun the stream."""
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -113,6 +113,7 @@
                 "endpoints": ",".join(exchange.tried),
                 "objective_s": exchange.route.objective_s,
                 "limit_s": exchange.deadline_s - exchange.started_s,
+                "drain_left_s": exchange.drain_left_s,
                 "may_have_run": exchange.may_have_run,
                 "attempts": len(exchange.tried),
                 "reused_connection": exchange.last_call.is_reused,
--- a/tests/relaying/test_request_log.py
+++ b/tests/relaying/test_request_log.py
@@ -44,3 +44,24 @@
             assert [lines[0][field] for field in RESUMED] == [2, 8]
 
     asyncio.run(async_test())
+
+
+def test_request_log_states_whether_a_request_was_accepted_while_stopping():
+    """Guards against cuts that can't be told from those of earlier requests."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "llm", {"m0": []})
+            left_s = []
+            harness.core.events.record = lambda event, **fields: (
+                left_s.append(fields["drain_left_s"]) if event == "request" else None
+            )
+            for name in ("before", "while_stopping"):
+                async with harness.request("/stream/x", name, **headers()) as answer:
+                    await answer.read()
+                harness.http.set_shutdown_deadline(harness.core.clock() + 8.0)
+            assert left_s[0] is None
+            assert 0 < left_s[1] <= 8.0
+
+    asyncio.run(async_test())
