A stopping daemon accepts only requests that end before it does

Callers saw: streams that a daemon accepted after SIGTERM ended within their chunks when the grace period was over; non-idempotent requests that it accepted then ended with an unknown outcome.

Cause: a request was accepted if the objective and twice the mean duration of the model's streams were left (other requests: the time limit of the route, or the objective without one). The mean is over routes of short and long streams, over streams that have ended, and over the time before engines slowed down; the callers' own deadlines weren't looked at. It is a promise that rests on an average.

Change: only the deadline of a request counts, at which it ends in any case. One that could last longer is refused as not run, as soon as it is read or, if it already waits for a model, a permit or a grant, as soon as the stop signal arrives. Retry-After is 0.02 s, and 1 s while no other daemon is alive. What is left when the drain ends is now ended explicitly: with 502 and an unknown outcome, or by closing a stream within its chunks, where the order of the clean-up had decided it before.

Tests: test_stopping_daemon_refuses_requests_that_can_not_finish asserted that the mean decides; its successor asserts the refusal with a short and with a long mean. test_stream_that_waited_too_long... is replaced by one that asserts the refusal before the model is loaded, not after it.

--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -553,7 +553,10 @@
                 self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
         await self._async_refuse_received()
-        self.events.info("drained", left=self.callers.in_flight)
+        left = self.callers.in_flight
+        self.callers.end_requests()
+        await self._async_close_answered()
+        self.events.info("drained", left=left)
 
     async def _async_refuse_received(self) -> None:
         """Refuse the requests that wait, or have not been read, at the drain deadline.
@@ -561,6 +564,10 @@
         A process without processor time passes the deadline before it has done so.
         """
         self.callers.stop_waiting()
+        await self._async_close_answered()
+
+    async def _async_close_answered(self) -> None:
+        """Close connections as the responses to their requests are written."""
         for _ in range(REFUSAL_ITERATIONS):
             close_idle(self._caller_server)
             await asyncio.sleep(0)
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -91,6 +91,7 @@
         app.cold_grants,
     )
     dispatcher.homes = app.homes
+    dispatcher.drain.has_other_daemon = app.members.has_other_alive
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
     dispatcher.knowledge = lambda: app.watch.knowledge(TABLE_ENDPOINTS)
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -18,12 +18,18 @@
 from ..relaying.exchange import Exchange, pick_service
 from ..relaying.exchange_dispatcher import DEFAULT_RETRY_DELAY_S, ExchangeDispatcher
 from ..relaying.relay import Relay
-from ..relaying.request_log import ANSWERED, CUT, RequestLog, RequestResult
+from ..relaying.request_log import (
+    ANSWERED,
+    CUT,
+    CUT_AT_STOP,
+    RequestLog,
+    RequestResult,
+)
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import BufferedResponse, forwarded_headers
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
 from .headers import RequestMeta
-from .shutdown import OTHER_DAEMON_RETRY_S, can_finish
+from .shutdown import EndableRequests, RequestEnded
 
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
@@ -86,18 +92,22 @@
         self._relay_handler = relay_handler
         self._created_s = core.clock()
         self._log = RequestLog(core)
-        self._shutdown_deadline_s: float | None = None
+        self._endable = EndableRequests()
+        self._drain = dispatcher.drain
         self.in_flight = 0
 
     def set_shutdown_deadline(self, deadline_s: float) -> None:
-        """From now on, accept only requests that can finish by the deadline."""
-        self._shutdown_deadline_s = deadline_s
-        self._dispatcher.shutdown_deadline_s = deadline_s
+        """From now on, accept only requests that end by the deadline."""
+        self._dispatcher.start_draining(deadline_s)
 
     def stop_waiting(self) -> None:
         """Refuse the requests that have not been sent to an endpoint yet."""
         self._dispatcher.stop_waiting()
 
+    def end_requests(self) -> None:
+        """End the requests in flight: with a response, unless theirs has begun."""
+        self._endable.end_all()
+
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request, including invalid ones."""
         if self._relay_handler is not None and self._relay_handler.handles(request):
@@ -123,9 +133,8 @@
             raise ConnectionResetError(error.message) from error
         except (ConnectionError, asyncio.CancelledError):
             # The connection is gone, so no response can be sent.
-            outcome = (
-                "cut_at_stop" if self._is_cut_by_shutdown(request) else "caller_gone"
-            )
+            is_cut = self._is_cut_by_shutdown(request)
+            outcome = CUT_AT_STOP if is_cut else "caller_gone"
             raise
         except web.HTTPException:
             raise
@@ -177,15 +186,15 @@
         service = pick_service(route, table.config.services, self._core.rng)
         if service is None:
             raise unavailable("no service for the route", DEFAULT_RETRY_DELAY_S)
-        self._check_shutdown(route, meta)
+        deadline_s = started_s + _time_limit_s(route, meta.deadline_s)
+        self._drain.check(deadline_s)
         await self._customers.async_admit(admission, meta.counted_tokens)
         body = await self._async_body(request, limits)
         exchange = self._make_exchange(
             request, admission, meta, route, service, target, body, started_s
         )
-        self._check_shutdown(route, meta)
-        if self._shutdown_deadline_s is not None:
-            exchange.drain_left_s = self._shutdown_deadline_s - self._core.clock()
+        self._drain.check(exchange.deadline_s)
+        exchange.drain_left_s = self._drain.left_s
         self._dispatcher.note_arrival(exchange)
         return exchange
 
@@ -224,21 +233,6 @@
             homes=self._dispatcher.homes,
         )
 
-    def _check_shutdown(self, route: Route, meta: RequestMeta) -> None:
-        """Refuse a request that can't finish before this daemon shuts down.
-
-        Raises
-        ------
-        Refusal
-            Another daemon may serve the request.
-        """
-        if self._shutdown_deadline_s is None:
-            return
-        left_s = self._shutdown_deadline_s - self._core.clock()
-        stream_s = self._dispatcher.durations.mean_s(meta.model)
-        if not can_finish(route, left_s, stream_s):
-            raise unavailable("this daemon is stopping", OTHER_DAEMON_RETRY_S)
-
     async def _async_until_ready(self) -> None:
         """Wait until the store has been read if this daemon has just started."""
         end_s = self._created_s + START_WAIT_S
@@ -247,10 +241,8 @@
 
     def _is_cut_by_shutdown(self, request: web.BaseRequest) -> bool:
         """Return whether this daemon shuts down while the caller still waits."""
-        if (
-            self._shutdown_deadline_s is None
-            or self._core.clock() < self._shutdown_deadline_s
-        ):
+        left_s = self._drain.left_s
+        if left_s is None or left_s > 0:
             return False
         return request.transport is not None and not request.transport.is_closing()
 
@@ -291,12 +283,17 @@
         self, request: web.BaseRequest, exchange: Exchange
     ) -> tuple[web.StreamResponse, str]:
         """Return the response and the outcome of the request."""
-        if not exchange.route.is_stream:
-            answer = await self._relay.async_relay_buffered(exchange)
-            return self._respond(answer), ANSWERED
         caller = CallerStream(request, self._core)
         try:
-            result = await self._streams.async_relay(exchange, caller)
+            async with self._endable.async_track():
+                if not exchange.route.is_stream:
+                    answer = await self._relay.async_relay_buffered(exchange)
+                    return self._respond(answer), ANSWERED
+                result = await self._streams.async_relay(exchange, caller)
+        except RequestEnded as error:
+            if caller.has_sent_headers:
+                return caller.abort(), CUT_AT_STOP
+            raise self._make_end_refusal(exchange) from error
         except (Refusal, CallerGone, ConnectionError):
             raise
         except Exception as error:
@@ -308,6 +305,12 @@
             return self._respond(result), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
+    def _make_end_refusal(self, exchange: Exchange) -> Refusal:
+        """Return the refusal of a request that was ended before its response began."""
+        if exchange.may_have_run or exchange.last_call.is_sent:
+            return unknown_outcome("this daemon is stopping")
+        return self._drain.make_refusal()
+
     def _record_unexpected(
         self, request: web.BaseRequest, exchange: Exchange | None, error: Exception
     ) -> Refusal:
--- a/chutelink/entry/shutdown.py
+++ b/chutelink/entry/shutdown.py
@@ -1,43 +1,108 @@
-"""Decides which requests a daemon still accepts while it shuts down.
+"""Decides which requests a stopping daemon accepts, and ends those that are left.
 
-A request that can't finish within the grace period would be cut off. It is refused as
-soon as it is read, so that its caller can retry with another daemon at once.
+A request that could last longer than the grace period is refused as soon as it is read,
+so that its caller can retry with another daemon at once.
 """
 
 from __future__ import annotations
 
-from .config import Route
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
-STREAM_DURATION_FACTOR = 2.0
-"""Multiple of the mean duration within which nearly all streams finish.
+from ..core import Application
+from ..gateway.refusals import Refusal, unavailable
 
-Durations vary by about half of the mean.
-"""
 OTHER_DAEMON_RETRY_S = 0.02
 """Retry delay for callers that can reconnect to another daemon immediately."""
+RESTART_RETRY_S = 1.0
+"""Retry delay while no other daemon serves; a daemon starts within a second."""
+
+
+def _has_other_daemon() -> bool:
+    return True
+
 
+class Drain:
+    """When a stopping daemon ends the requests in flight, and what it still accepts.
 
-def can_finish(route: Route, left_s: float, stream_s: float) -> bool:
-    """Return whether a request will most likely finish in the remaining time.
+    The time that a request will most likely take doesn't count: endpoints may slow down
+    meanwhile, and few requests take several times as long as most. What counts is the
+    deadline of the request, at which it ends in any case.
 
     Parameters
     ----------
-    route : Route
-        Route of the request.
-    left_s : float
-        Time until this daemon cuts off requests in flight.
-    stream_s : float
-        Mean duration of a stream.
+    core : Application
+        The daemon's shared services.
     """
-    if not route.is_stream:
-        return left_s > (route.timeout_s or route.objective_s)
-    return left_s > route.objective_s + STREAM_DURATION_FACTOR * stream_s
 
+    def __init__(self, core: Application) -> None:
+        self._core = core
+        self.deadline_s: float | None = None
+        """When requests in flight are ended, None if the daemon doesn't stop."""
+        self.has_other_daemon: Callable[[], bool] = _has_other_daemon
+        """Returns whether another daemon serves callers."""
 
-def can_finish_sent(route: Route, left_s: float, stream_s: float) -> bool:
-    """Return whether a request that is sent now will most likely finish in time.
+    @property
+    def left_s(self) -> float | None:
+        """The time until requests in flight are ended, None without such a time."""
+        return None if self.deadline_s is None else self.deadline_s - self._core.clock()
 
-    A stream may have waited for its model for longer than its objective. The time that
-    other requests take at most was checked when they were accepted.
-    """
-    return not route.is_stream or left_s > STREAM_DURATION_FACTOR * stream_s
+    def can_finish(self, request_deadline_s: float) -> bool:
+        """Return whether a request ends before the daemon does, at its deadline."""
+        return self.deadline_s is None or request_deadline_s <= self.deadline_s
+
+    def check(self, request_deadline_s: float) -> None:
+        """Refuse a request that could last longer than the daemon.
+
+        Raises
+        ------
+        Refusal
+            The request has not run; another daemon may serve it.
+        """
+        if not self.can_finish(request_deadline_s):
+            raise self.make_refusal()
+
+    def make_refusal(self) -> Refusal:
+        """Return the refusal of a request that has not run."""
+        has_other = self.has_other_daemon()
+        retry_delay_s = OTHER_DAEMON_RETRY_S if has_other else RESTART_RETRY_S
+        return unavailable("this daemon is stopping", retry_delay_s)
+
+
+class RequestEnded(Exception):
+    """A request was ended before its response was complete."""
+
+
+class EndableRequests:
+    """Requests in flight that can be ended together when the daemon stops."""
+
+    def __init__(self) -> None:
+        self._scopes: set[asyncio.Timeout] = set()
+
+    @asynccontextmanager
+    async def async_track(self) -> AsyncIterator[None]:
+        """Let the request within the context be ended.
+
+        Raises
+        ------
+        RequestEnded
+            The request was ended.
+        """
+        scope = asyncio.timeout(None)
+        self._scopes.add(scope)
+        try:
+            async with scope:
+                yield
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            raise RequestEnded from error
+        finally:
+            self._scopes.discard(scope)
+
+    def end_all(self) -> None:
+        """End all requests in flight."""
+        now_s = asyncio.get_running_loop().time()
+        for scope in self._scopes:
+            scope.reschedule(now_s)
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -18,7 +18,7 @@
 from ..entry.load_tracker import LoadTracker
 from ..entry.messages import PromptNotice
 from ..entry.pending import PendingTable
-from ..entry.shutdown import OTHER_DAEMON_RETRY_S, can_finish_sent
+from ..entry.shutdown import Drain
 from ..gateway.refusals import Refusal, unavailable
 from ..ids import DaemonId, FailureDomainName, model_ref
 from ..learning.durations import DurationTable
@@ -124,7 +124,8 @@
         self.retry_budget = retry_budget
         self._policy = policy
         self.quarantine = quarantine
-        self.waits = StoppableWaits()
+        self.drain = Drain(core)
+        self.waits = StoppableWaits(self.drain)
         self.gate = QuarantineGate(quarantine, self.waits)
         self._eligibility = eligibility or EligibilityChecker()
         if cold_grants is None:
@@ -146,8 +147,6 @@
         )
         self.homes: HomeRegions | None = None
         """The home regions of requests, None if they may be served anywhere."""
-        self.shutdown_deadline_s: float | None = None
-        """When this daemon cuts off requests in flight, None if it doesn't stop."""
         self.on_prompt: Callable[[PromptNotice], None] = lambda _: None
         self.on_rerun: Callable[[Exchange], None] = lambda _: None
         """Called when a request that may have run is sent again."""
@@ -166,6 +165,14 @@
             lambda as_of_s, limit_s: self.refresh_endpoints(as_of_s, limit_s),
         )
 
+    def start_draining(self, deadline_s: float) -> None:
+        """Refuse requests that could last longer, also those that wait already.
+
+        ``deadline_s`` is when the requests in flight are ended.
+        """
+        self.drain.deadline_s = deadline_s
+        self.waits.refuse_unfinishable()
+
     def stop_waiting(self) -> None:
         """Refuse requests that wait for an endpoint now or later; used on shutdown."""
         self.waits.stop()
@@ -206,7 +213,7 @@
         Refusal
             No endpoint is available in time, or the request is quarantined.
         """
-        async with self.waits.async_refuse_at_stop():
+        async with self.waits.async_refuse_at_stop(exchange):
             while self._eligibility.is_outdated():
                 await asyncio.sleep(OUTDATED_POLL_S)
             row = await self._async_find_endpoint(exchange)
@@ -215,24 +222,11 @@
         if exchange.left_s(self.core.clock()) <= 0:
             # The caller has given up. Also happens after a suspension of the VM.
             raise unavailable("the time limit was reached", DEFAULT_RETRY_DELAY_S)
-        self._check_shutdown(exchange)
+        if not exchange.may_have_run:
+            # The wait may have ended as the daemon was asked to stop.
+            self.drain.check(exchange.deadline_s)
         return row
 
-    def _check_shutdown(self, exchange: Exchange) -> None:
-        """Refuse a request that would be cut off at the end of the grace period.
-
-        Raises
-        ------
-        Refusal
-            Another daemon may serve the request.
-        """
-        if self.shutdown_deadline_s is None or exchange.may_have_run:
-            return
-        left_s = self.shutdown_deadline_s - self.core.clock()
-        stream_s = self.durations.mean_s(exchange.meta.model)
-        if not can_finish_sent(exchange.route, left_s, stream_s):
-            raise unavailable("this daemon is stopping", OTHER_DAEMON_RETRY_S)
-
     async def _async_find_endpoint(self, exchange: Exchange) -> Endpoint:
         row = await self._async_find_available(exchange)
         if row is not None:
--- a/chutelink/relaying/quarantine_gate.py
+++ b/chutelink/relaying/quarantine_gate.py
@@ -38,7 +38,7 @@
         verdicts = {self._quarantine.verdict(key) for key in held}
         if verdicts == {Verdict.TRIAL}:
             claim = self._quarantine.async_claim_trial
-            async with self._waits.async_refuse_at_stop():
+            async with self._waits.async_refuse_at_stop(exchange):
                 exchange.is_trial = all([await claim(key) for key in held])
         self.check(exchange)
 
--- a/chutelink/relaying/request_log.py
+++ b/chutelink/relaying/request_log.py
@@ -17,6 +17,8 @@
 ANSWERED = "answered"
 CUT = "cut"
 """Outcome of a stream that ended before its last event; its caller knows."""
+CUT_AT_STOP = "cut_at_stop"
+"""Outcome of a request whose response was cut off as the daemon stopped."""
 
 
 class RequestResult(msgspec.Struct, frozen=True):
--- a/chutelink/relaying/waits.py
+++ b/chutelink/relaying/waits.py
@@ -6,8 +6,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from ..entry.shutdown import OTHER_DAEMON_RETRY_S
-from ..gateway.refusals import unavailable
+from ..entry.shutdown import Drain
+from .exchange import Exchange
 
 
 class StoppableWaits:
@@ -15,14 +15,20 @@
 
     A request may wait for a model, a permit, a grant, or another daemon's answer. One
     that still waits when the process exits would end without an answer.
+
+    Parameters
+    ----------
+    drain : Drain
+        Which requests a stopping daemon can finish.
     """
 
-    def __init__(self) -> None:
-        self._scopes: set[asyncio.Timeout] = set()
+    def __init__(self, drain: Drain) -> None:
+        self._drain = drain
+        self._scopes: dict[asyncio.Timeout, Exchange] = {}
         self._is_stopping = False
 
     @asynccontextmanager
-    async def async_refuse_at_stop(self) -> AsyncIterator[None]:
+    async def async_refuse_at_stop(self, exchange: Exchange) -> AsyncIterator[None]:
         """Refuse the request if it waits within the context now or later.
 
         Raises
@@ -30,25 +36,36 @@
         Refusal
             The daemon stops; another daemon may serve the request.
         """
-        scope = asyncio.timeout(0 if self._is_stopping else None)
-        self._scopes.add(scope)
+        scope = asyncio.timeout(0 if self._must_end(exchange) else None)
+        self._scopes[scope] = exchange
         try:
             async with scope:
                 yield
         except TimeoutError as error:
             if not scope.expired():
                 raise
-            raise unavailable("this daemon is stopping", OTHER_DAEMON_RETRY_S) from (
-                error
-            )
+            raise self._drain.make_refusal() from error
         finally:
-            self._scopes.discard(scope)
+            del self._scopes[scope]
+
+    def refuse_unfinishable(self) -> None:
+        """End the waits of requests that could last longer than the daemon."""
+        now_s = asyncio.get_running_loop().time()
+        for scope, exchange in self._scopes.items():
+            if self._must_end(exchange):
+                scope.reschedule(now_s)
 
     def stop(self) -> None:
         """End all waits, and from now on each as it begins."""
         if self._is_stopping:
             return
         self._is_stopping = True
-        now_s = asyncio.get_running_loop().time()
-        for scope in self._scopes:
-            scope.reschedule(now_s)
+        self.refuse_unfinishable()
+
+    def _must_end(self, exchange: Exchange) -> bool:
+        if self._is_stopping:
+            return True
+        if exchange.may_have_run:
+            # No other daemon can continue it without its caller.
+            return False
+        return not self._drain.can_finish(exchange.deadline_s)
--- a/chutelink/tables/members.py
+++ b/chutelink/tables/members.py
@@ -135,6 +135,13 @@
             if member.state in _IN_SERVICE and role in (None, member.role)
         ]
 
+    def has_other_alive(self) -> bool:
+        """Return whether another daemon is alive and isn't leaving."""
+        return any(
+            member.state is MemberState.ALIVE and member.id != self.own.id
+            for member in self.rows.values()
+        )
+
     def linkable(self) -> list[Member]:
         """Return the other members to which links may be opened."""
         return [
--- a/tests/relaying/test_stream.py
+++ b/tests/relaying/test_stream.py
@@ -11,6 +11,7 @@
 from chutelink.relaying.model_wait import ANNOUNCEMENT_S
 from chutelink.relaying.stream_attempt import stall_timeout_s
 from standins.prepared_config import make_config
+from standins.prepared_endpoint import EndpointFaults
 
 from ..steady_time import run_in_steady_time
 from .relay_harness import SERVICES, async_relay_harness
@@ -311,25 +312,22 @@
     asyncio.run(async_test())
 
 
-def test_stream_that_waited_too_long_to_finish_is_refused_by_stopping_daemon():
+def test_waiting_stream_that_could_outlast_a_stopping_daemon_is_refused_at_once():
     """It was sent to an endpoint, and cut off when the process exited."""
 
     async def async_test():
         async with async_relay_harness() as harness:
             harness.configure()
             endpoint = await harness.async_add("i-1", "llm", {"m0": []})
-            harness.state.durations.note("m1", 1.0)
             load = PendingLoad("i-1", "m1", "", 0.4)
             harness.pending.take([load], 1, harness.core.clock())
-            harness.http.set_shutdown_deadline(harness.core.clock() + 3.0)
             task = asyncio.ensure_future(harness.request("/stream/x", **headers("m1")))
             await harness.loads.urgent.wait()
+            assert harness.http.in_flight == 1
             harness.http.set_shutdown_deadline(harness.core.clock() + 1.9)
-            endpoint.models["m1"] = []
-            harness.register(endpoint)
-            harness.pending.signal()
             answer = await task
             assert (answer.status, endpoint.runs) == (503, [])
+            assert float(answer.headers["Retry-After"]) < 0.1
 
     asyncio.run(async_test())
 
@@ -357,12 +355,15 @@
     asyncio.run(async_test())
 
 
-def test_stopping_daemon_refuses_requests_that_can_not_finish():
+@pytest.mark.parametrize("mean_duration_s", [0.01, 2.0])
+def test_stopping_daemon_refuses_requests_that_could_outlast_it(mean_duration_s):
+    """Streams that take longer than most used to be accepted, and were cut."""
+
     async def async_test():
         async with async_relay_harness() as harness:
             harness.configure()
             await harness.async_add("i-1", "llm", {"m0": []})
-            harness.state.durations.note("m0", 2.0)
+            harness.state.durations.note("m0", mean_duration_s)
             harness.http.set_shutdown_deadline(harness.core.clock() + 2.0)
             async with harness.request("/stream/x", **headers()) as answer:
                 assert answer.status == 503
@@ -374,6 +375,61 @@
     asyncio.run(async_test())
 
 
+def test_last_daemon_that_stops_asks_callers_to_wait_for_a_restart():
+    """They used up their retries within milliseconds."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await harness.async_add("i-1", "llm", {"m0": []})
+            harness.dispatcher.drain.has_other_daemon = lambda: False
+            harness.http.set_shutdown_deadline(harness.core.clock() + 2.0)
+            async with harness.request("/stream/x", **headers()) as answer:
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) == 1.0
+
+    asyncio.run(async_test())
+
+
+@pytest.mark.parametrize(("path", "status"), [("/once/x", 502), ("/again/x", 502)])
+def test_requests_left_when_a_daemon_has_drained_are_answered(path, status):
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "plain")
+            endpoint.faults = EndpointFaults(work_s=3.0)
+            task = asyncio.ensure_future(harness.request(path))
+            while not endpoint.runs:
+                await asyncio.sleep(0.01)
+            harness.http.end_requests()
+            answer = await task
+            assert answer.status == status
+            assert answer.headers["Chutelink-Outcome"] == "unknown"
+            assert len(endpoint.runs) == 1
+
+    asyncio.run(async_test())
+
+
+def test_stream_left_when_a_daemon_has_drained_does_not_appear_complete():
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            endpoint = await harness.async_add("i-1", "llm", {"m0": []})
+            endpoint.faults = EndpointFaults(event_interval_s=1.0)
+            outcomes = []
+            harness.core.events.record = lambda event, **fields: (
+                outcomes.append(fields["outcome"]) if event == "request" else None
+            )
+            async with harness.request("/stream/x", **headers()) as answer:
+                await answer.content.readuntil(b"\n\n")
+                harness.http.end_requests()
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await answer.read()
+            assert outcomes == ["cut_at_stop"]
+
+    asyncio.run(async_test())
+
+
 @pytest.mark.parametrize(
     ("objective_ms", "max_pause_ms", "limit_s"),
     [(400, 250, 1.5), (5000, 250, 15.0), (800, 400, 2.4)],
