--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -6,6 +6,7 @@
 import hashlib
 import itertools
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -24,6 +25,7 @@
 GATEWAY_PORT = 7100
 DIRECTOR_PORT = 7200
 DEFAULT_TIMEOUT_S = 40.0
+KB_PER_MB = 1024
 CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, ConnectionError)
 _SUBNETS = itertools.count()
 
@@ -64,6 +66,12 @@
     def is_running(self) -> bool:
         return self._popen.poll() is None
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Peak resident memory of the running process."""
+        status = Path(f"/proc/{self._popen.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / KB_PER_MB
+
     async def async_wait(self, timeout_s: float = DEFAULT_TIMEOUT_S) -> int:
         async with asyncio.timeout(timeout_s):
             while self._popen.poll() is None:
