Endpoints' responses share a limited part of the daemon's memory

Cause: each response is limited (8 MB, an event 1 MB), their sum isn't. An endpoint may get hundreds of calls at once. Besides, the parts of a body that had become too large stayed in memory until the next garbage collection, as the traceback of the error referred to them.

Change: responses take the memory beyond their first 32 KB from a budget, an eighth of memory_mb (from limits.memory_mb). While it is used up they are not read on, so that a good response waits and doesn't fail; one endpoint may take a quarter of it, and if responses wait for each other the one that has waited longest may exceed the budget. Buffered responses hold their memory until they are written to the caller. Connections to endpoints receive at most 64 KB, and 16 KB are read at once.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -6,6 +6,7 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..customers.access import CustomerAccess
+from ..memory import MemoryBudget, make_memory_budget
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
 from ..relaying.prefix_weighing import make_routing_policy
@@ -19,6 +20,8 @@
     from .app import EntryApp
 
 MS_PER_S = 1000.0
+RESPONSE_MEMORY_SHARE = 0.125
+"""Share of the daemon's memory that endpoints' responses may take."""
 
 
 def make_caller_server(
@@ -91,6 +94,7 @@
         app.cold_grants,
     )
     dispatcher.homes = app.homes
+    dispatcher.response_memory = _make_response_memory(app)
     dispatcher.drain.has_other_daemon = app.members.has_other_alive
     dispatcher.on_prompt = app.router.send
     dispatcher.on_path_failure = app.partition.note_failure
@@ -99,3 +103,9 @@
         TABLE_ENDPOINTS, as_of_s, limit_s
     )
     return dispatcher
+
+
+def _make_response_memory(app: EntryApp) -> MemoryBudget:
+    memory = make_memory_budget(app.settings.entry.memory_mb, RESPONSE_MEMORY_SHARE)
+    memory.on_wait = lambda endpoint: app.metrics.response_memory_waits.inc({})
+    return memory
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -12,6 +12,7 @@
 from ..customers.access import Admission, CustomerAccess
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
+from ..memory import MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
@@ -29,6 +30,7 @@
 from ..relaying.upstream import BufferedResponse, forwarded_headers
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
 from .headers import RequestMeta
+from .leased_response import LeasedResponse
 from .shutdown import EndableRequests, RequestEnded
 
 HTTP_BAD_REQUEST = 400
@@ -116,6 +118,7 @@
         started_s = self._core.clock()
         exchange: Exchange | None = None
         admission = Admission()
+        response: web.StreamResponse | None = None
         status = 0
         outcome = "cancelled"
         reason = ""
@@ -145,6 +148,8 @@
             response = self._refuse(refusal)
         finally:
             self.in_flight -= 1
+            if exchange is not None and not isinstance(response, LeasedResponse):
+                _close_lease(exchange)
             result = RequestResult(status, outcome, reason)
             self._log.note(request, exchange, admission, result, started_s)
             if _has_not_run(exchange, outcome):
@@ -230,9 +235,14 @@
             prompt_parts=quarantine.part_fingerprints(meta.shared_parts),
             caller=request.remote or "",
             admission=admission,
+            lease=self._open_lease(),
             homes=self._dispatcher.homes,
         )
 
+    def _open_lease(self) -> MemoryLease | None:
+        memory = self._dispatcher.response_memory
+        return None if memory is None else memory.open()
+
     async def _async_until_ready(self) -> None:
         """Wait until the store has been read if this daemon has just started."""
         end_s = self._created_s + START_WAIT_S
@@ -288,7 +298,7 @@
             async with self._endable.async_track():
                 if not exchange.route.is_stream:
                     answer = await self._relay.async_relay_buffered(exchange)
-                    return self._respond(answer), ANSWERED
+                    return self._respond(answer, exchange.lease), ANSWERED
                 result = await self._streams.async_relay(exchange, caller)
         except RequestEnded as error:
             if caller.has_sent_headers:
@@ -302,7 +312,7 @@
             self._record_unexpected(request, exchange, error)
             result = caller.abort()
         if isinstance(result, BufferedResponse):
-            return self._respond(result), ANSWERED
+            return self._respond(result, exchange.lease), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
     def _make_end_refusal(self, exchange: Exchange) -> Refusal:
@@ -324,8 +334,11 @@
             return Refusal(HTTP_INTERNAL_ERROR, INTERNAL_ERROR)
         return unknown_outcome(INTERNAL_ERROR, HTTP_INTERNAL_ERROR)
 
-    def _respond(self, answer: BufferedResponse) -> web.Response:
-        response = web.Response(
+    def _respond(
+        self, answer: BufferedResponse, lease: MemoryLease | None
+    ) -> web.Response:
+        response = LeasedResponse(
+            lease,
             status=answer.status,
             body=answer.body,
             headers=forwarded_headers(answer.headers),
@@ -341,6 +354,11 @@
         return response
 
 
+def _close_lease(exchange: Exchange) -> None:
+    if exchange.lease is not None:
+        exchange.lease.close()
+
+
 def _has_not_run(exchange: Exchange | None, outcome: str) -> bool:
     """Return whether it is certain that no endpoint has started the request."""
     if exchange is None or not exchange.tried:
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -39,6 +39,9 @@
         self.limited_sends = self._counter(
             "limited_sends_total", "Requests sent to endpoints that name a limit"
         )
+        self.response_memory_waits = self._counter(
+            "response_memory_waits_total", "Reads of responses that wait for memory"
+        )
         self.pauses = self._counter(
             "endpoint_pauses_total", "Answers that ask for a pause"
         )
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -12,6 +12,7 @@
 from ..entry.config import Route, ServiceSpec
 from ..entry.headers import RequestMeta
 from ..ids import EndpointId, Fingerprint, ServiceName, SoftwareVersion
+from ..memory import MemoryLease
 from ..regions.homes import HomeRegions
 from ..watching.table_state import TableFreshness
 from .call_progress import CallProgress
@@ -53,7 +54,8 @@
     endpoint doesn't take it.
     ``homes`` has the home regions of the configuration in force, which may be newer
     than the route. ``drain_left_s`` is the time that was left until the end of draining
-    when the request was accepted, None if this daemon wasn't stopping.
+    when the request was accepted, None if this daemon wasn't stopping. ``lease`` is the
+    memory of its response.
     """
 
     meta: RequestMeta
@@ -95,6 +97,7 @@
     given_up: EndpointId | None = None
     homes: HomeRegions | None = None
     drain_left_s: float | None = None
+    lease: MemoryLease | None = None
 
     def bind_version(self, version: SoftwareVersion | None) -> None:
         """Set the software version that has begun the stream."""
--- a/chutelink/relaying/exchange_dispatcher.py
+++ b/chutelink/relaying/exchange_dispatcher.py
@@ -27,6 +27,7 @@
 from ..learning.prefixes import PrefixTable, hash_chain
 from ..learning.speeds import SpeedTable
 from ..limits.permits import PermitManager
+from ..memory import MemoryBudget
 from ..origins.manager import OriginManager
 from ..quarantine.service import Quarantine
 from ..regions.homes import HomeRegions
@@ -125,6 +126,8 @@
         self._policy = policy
         self.quarantine = quarantine
         self.drain = Drain(core)
+        self.response_memory: MemoryBudget | None = None
+        """Memory that responses share, None if only each of them is limited."""
         self.waits = StoppableWaits(self.drain)
         self.gate = QuarantineGate(quarantine, self.waits)
         self._eligibility = eligibility or EligibilityChecker()
@@ -466,6 +469,8 @@
         )
         self.header_codec.encode_dispatch(headers, dispatch)
         exchange.last_call = CallProgress()
+        if exchange.lease is not None:
+            exchange.lease.restart(row.record.id)
         return EndpointCall(
             exchange.method,
             exchange.target,
@@ -477,6 +482,7 @@
             self._back_pressure.send_left_s(exchange),
             exchange.requirements,
             exchange.last_call,
+            exchange.lease,
         )
 
     def _may_send(self, exchange: Exchange, row: Endpoint) -> bool:
--- a/chutelink/relaying/sse.py
+++ b/chutelink/relaying/sse.py
@@ -35,6 +35,11 @@
         """Whether the buffer contains an incomplete event."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that this chunk completes.
 
@@ -53,5 +58,7 @@
             events.append(StreamEvent(int(found[1]) if found else None, data))
         self._searched = max(0, len(self._buffer) - _MAX_END_BYTES)
         if len(self._buffer) > MAX_EVENT_BYTES:
+            # The traceback of the error may keep it until the next garbage collection.
+            self._buffer = b""
             raise ResponseTooLarge(f"event has more than {MAX_EVENT_BYTES} bytes")
         return events
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -12,7 +12,7 @@
 from ..entry.endpoints import Endpoint
 from ..entry.headers import AnswerKind
 from ..exceptions import CallerGone, ConnectionBroken, EndpointFailed
-from ..responses import async_read_body
+from ..responses import READ_BYTES, async_read_body
 from .caller_stream import CallerStream
 from .exchange import Exchange
 from .relay import AttemptResult
@@ -174,7 +174,7 @@
         if kind is AnswerKind.FOREIGN:
             return b""
         max_bytes = self._stream_relay.upstream.max_answer_bytes
-        return await async_read_body(response, max_bytes)
+        return await async_read_body(response, max_bytes, self._exchange.lease)
 
     async def _async_forward_events(
         self, response: aiohttp.ClientResponse, sent_s: float
@@ -186,6 +186,8 @@
         headers = forwarded_headers(response.headers)
         limit_s = self._first_event_timeout_s()
         while True:
+            if self._exchange.lease is not None:
+                await self._exchange.lease.async_resize(splitter.buffered_bytes)
             chunk = await self._async_read_chunk(response, limit_s)
             if not chunk:
                 break
@@ -237,7 +239,7 @@
         self, response: aiohttp.ClientResponse, limit_s: float | None
     ) -> bytes:
         with self._silence.awaiting(limit_s):
-            chunk = await response.content.readany()
+            chunk = await response.content.read(READ_BYTES)
         if chunk:
             self._row.heard_s = self._stream_relay.core.clock()
         return chunk
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import (
     AbstractAsyncContextManager,
@@ -14,6 +15,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.connector import AddrInfoType
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
@@ -28,6 +30,7 @@
     GrantExpired,
 )
 from ..ids import EndpointId
+from ..memory import MemoryLease
 from ..presence.check import PresenceCheck
 from ..presence.inquiry import EndpointInquiry
 from ..reachability.const import (
@@ -38,6 +41,7 @@
 from ..reachability.relay_client import RelayClient
 from ..reachability.ticket import RelayResult
 from ..responses import (
+    READ_BYTES,
     BoundedConnector,
     BoundedResponseHandler,
     ResponseTooLarge,
@@ -53,6 +57,7 @@
 """Endpoints are a few ms away; an unreachable one does not answer at all."""
 KEEPALIVE_TIMEOUT_S = 4.0
 """Shorter than the endpoints' timeout, so that idle connections are closed here."""
+RECEIVE_BUFFER_BYTES = 64 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -131,6 +136,14 @@
             timer.cancel()
 
 
+def _make_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket that receives little while its response is not read."""
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
+
+
 class _StrictConnector(BoundedConnector):
     """Connector that uses the strict response handler."""
 
@@ -139,6 +152,7 @@
             limit=0,
             limit_per_host=0,
             force_close=not is_pooled,
+            socket_factory=_make_socket,
             **({"keepalive_timeout": KEEPALIVE_TIMEOUT_S} if is_pooled else {}),
         )
 
@@ -180,7 +194,8 @@
     to a peer: whether the endpoint may still get it. ``send_left_s`` is called then as
     well and returns the time left in which the call may be sent; None if that is not
     limited. ``requirements`` also apply to the peers that relay the call.
-    ``progress`` is updated while the call is sent.
+    ``progress`` is updated while the call is sent. ``lease`` is the memory of the
+    response's body, None if it isn't limited.
     """
 
     method: str
@@ -193,6 +208,7 @@
     send_left_s: Callable[[], float] | None = None
     requirements: Requirements = NO_REQUIREMENTS
     progress: CallProgress = msgspec.field(default_factory=CallProgress)
+    lease: MemoryLease | None = None
 
     def make_timeout_error(
         self, message: str, step: str, peer: EndpointId
@@ -402,7 +418,9 @@
                 asyncio.timeout(limit_s),
                 self.async_open(endpoint, call) as response,
             ):
-                body = await async_read_body(response, self.max_answer_bytes)
+                body = await async_read_body(
+                    response, self.max_answer_bytes, call.lease
+                )
                 await self.ends.async_verify(
                     endpoint, response, is_repeatable=call.is_repeatable
                 )
@@ -419,6 +437,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
+        read_bufsize=READ_BYTES,
     )
     # Retries are decided by the relay; the library would retry some calls itself.
     session._retry_connection = False
--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -12,6 +12,10 @@
 from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDictProxy
 
+from .memory import MemoryLease
+
+READ_BYTES: Final = 16 * 1024
+"""Largest part of a body that is read at once."""
 MAX_OVERHEAD_BYTES: Final = 256 * 1024
 """Limit of a head with its interim responses, and of what is sent without a body byte.
 
@@ -36,9 +40,14 @@
     return codings[-1].strip().lower() == "chunked"
 
 
-async def async_read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def async_read_body(
+    response: aiohttp.ClientResponse, max_bytes: int, lease: MemoryLease | None = None
+) -> bytes:
     """Return the body of a response.
 
+    With a lease, its memory is taken before it is read. The lease covers the body until
+    it is closed.
+
     Raises
     ------
     ResponseTooLarge
@@ -46,13 +55,21 @@
     """
     parts: list[bytes] = []
     size_bytes = 0
-    while part := await response.content.readany():
-        size_bytes += len(part)
-        if size_bytes > max_bytes:
-            response.close()
-            raise ResponseTooLarge(f"body has more than {max_bytes} bytes")
-        parts.append(part)
-    return b"".join(parts)
+    try:
+        while True:
+            if lease is not None:
+                await lease.async_resize(size_bytes + READ_BYTES)
+            part = await response.content.read(READ_BYTES)
+            if not part:
+                return b"".join(parts)
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                response.close()
+                raise ResponseTooLarge(f"body has more than {max_bytes} bytes")
+            parts.append(part)
+    finally:
+        # The traceback of an error may keep them until the next garbage collection.
+        parts.clear()
 
 
 class BoundedResponseHandler(ResponseHandler):
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -67,6 +67,7 @@
 
 
 DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024
+DEFAULT_MEMORY_MB = 256.0
 
 
 class EndpointsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -124,6 +125,7 @@
     ``quota_excess_share`` of it plus ``quota_slack``, in the unit of its quota. With
     ``quota_lending``, daemons lend each other parts of their shares.
     ``max_answer_bytes`` limits the body of an endpoint's answer, except for a stream's.
+    ``memory_mb`` is what the process may take; a share of it is for answers.
     Endpoints of an evacuated failure domain must get no new requests after
     ``evacuate_ms``; 0 means that evacuations have no bound of their own.
     With ``prefix_weighing``, endpoint selection weighs held prompt prefixes against
@@ -153,6 +155,7 @@
     cpu_cores: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     address_valid_s: Seconds = 1.0
     max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
+    memory_mb: Annotated[float, Meta(ge=16, le=1_048_576)] = DEFAULT_MEMORY_MB
     evacuate_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 0.0
     prefix_weighing: bool = False
 
--- a/tests/processes/entry_deployment.py
+++ b/tests/processes/entry_deployment.py
@@ -122,6 +122,7 @@
             "bounds.grace_s": "8",
             "limits.cpu_share": str(self.cpu_shares.get(number, 1.0)),
             "limits.cores": "2",
+            "limits.memory_mb": "300",
             "bounds.drain_ms": "2000",
             "bounds.contact_ms": "3000",
             "bounds.config_apply_ms": "2000",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,7 @@
     values |= {f"listen.{n}": f"{ip}:2" for n in ("front", "ready", "directory")}
     values |= {"listen.control": f"{ip}:3"}
     values |= {"limits.cpu_share": "0.5", "limits.cores": "1"}
+    values["limits.memory_mb"] = "300"
     values["zones"] = zones or {}
     return render((ROOT / "deploy" / "entry.ini").read_text(), values)
 
