Request bodies share a limited part of the daemon's memory

Callers could see: a daemon that ran out of memory, as each request body is limited (limits.body_bytes, 4 MB on one deployment) but not their sum. The daemon holds a body until its request has been answered, to repeat it.

Cause: the same as of endless responses, a sum of things that are limited one by one.

Change: bodies beyond their first 32 KB are taken from a quarter of memory_mb. A request whose body doesn't fit is refused at once as not run, by its Content-Length before the body is read if it states one.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -20,6 +20,8 @@
     from .app import EntryApp
 
 MS_PER_S = 1000.0
+BODY_MEMORY_SHARE = 0.25
+"""Share of the daemon's memory that bodies of requests may take."""
 RESPONSE_MEMORY_SHARE = 0.125
 """Share of the daemon's memory that endpoints' responses may take."""
 
@@ -37,7 +39,7 @@
     dispatcher.on_rerun = lambda exchange: customers.charge_again(exchange.admission)
     relay = Relay(dispatcher, upstream)
     streams = StreamRelay(app, dispatcher, upstream, relay)
-    return CallerServer(
+    callers = CallerServer(
         app,
         dispatcher,
         relay,
@@ -47,6 +49,10 @@
         app.is_ready,
         _make_relay_handler(app, header_codec, upstream),
     )
+    callers.body_memory = make_memory_budget(
+        app.settings.entry.memory_mb, BODY_MEMORY_SHARE, owner_share=1.0
+    )
+    return callers
 
 
 def _make_relay_handler(
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -12,7 +12,7 @@
 from ..customers.access import Admission, CustomerAccess
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
-from ..memory import MemoryLease
+from ..memory import MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
@@ -41,6 +41,7 @@
 HTTP_INTERNAL_ERROR = 500
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
+NO_MEMORY_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
 
@@ -95,6 +96,8 @@
         self._created_s = core.clock()
         self._log = RequestLog(core)
         self._endable = EndableRequests()
+        self.body_memory: MemoryBudget | None = None
+        """Memory that request bodies share, None if only each of them is limited."""
         self._drain = dispatcher.drain
         self.in_flight = 0
 
@@ -118,12 +121,15 @@
         started_s = self._core.clock()
         exchange: Exchange | None = None
         admission = Admission()
+        body_lease = None if self.body_memory is None else self.body_memory.open()
         response: web.StreamResponse | None = None
         status = 0
         outcome = "cancelled"
         reason = ""
         try:
-            exchange = await self._async_accept(request, admission, started_s)
+            exchange = await self._async_accept(
+                request, admission, started_s, body_lease
+            )
             await self._dispatcher.gate.async_admit(exchange)
             response, outcome = await self._async_relay(request, exchange)
             status = response.status
@@ -148,6 +154,8 @@
             response = self._refuse(refusal)
         finally:
             self.in_flight -= 1
+            if body_lease is not None:
+                body_lease.close()
             if exchange is not None and not isinstance(response, LeasedResponse):
                 _close_lease(exchange)
             result = RequestResult(status, outcome, reason)
@@ -157,7 +165,11 @@
         return response
 
     async def _async_accept(
-        self, request: web.BaseRequest, admission: Admission, started_s: float
+        self,
+        request: web.BaseRequest,
+        admission: Admission,
+        started_s: float,
+        body_lease: MemoryLease | None,
     ) -> Exchange:
         """Validate a request and read its body.
 
@@ -194,7 +206,7 @@
         deadline_s = started_s + _time_limit_s(route, meta.deadline_s)
         self._drain.check(deadline_s)
         await self._customers.async_admit(admission, meta.counted_tokens)
-        body = await self._async_body(request, limits)
+        body = await self._async_body(request, limits, body_lease)
         exchange = self._make_exchange(
             request, admission, meta, route, service, target, body, started_s
         )
@@ -264,14 +276,23 @@
             raise Refusal(HTTP_TOO_LARGE, "body too large")
 
     async def _async_body(
-        self, request: web.BaseRequest, limits: CallerLimits
+        self,
+        request: web.BaseRequest,
+        limits: CallerLimits,
+        lease: MemoryLease | None,
     ) -> bytes:
         """Return the complete body.
 
         Each chunk must arrive within the idle timeout.
+
+        Raises
+        ------
+        Refusal
+            The body is too large or too slow, or there is no memory for it.
         """
         if not request.body_exists:
             return b""
+        self._take_memory(lease, request.content_length or 0)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts: list[bytes] = []
@@ -287,8 +308,22 @@
             size += len(part)
             if size > limits.max_body_bytes:
                 raise Refusal(HTTP_TOO_LARGE, "body too large")
+            if size > (request.content_length or 0):
+                self._take_memory(lease, size)
             parts.append(part)
 
+    @staticmethod
+    def _take_memory(lease: MemoryLease | None, size_bytes: int) -> None:
+        """Take the memory of a body; it is held as long as the request is served.
+
+        Raises
+        ------
+        Refusal
+            Other bodies take it; another daemon may have more.
+        """
+        if lease is not None and not lease.try_resize(size_bytes):
+            raise unavailable("no memory for the body", NO_MEMORY_RETRY_S)
+
     async def _async_relay(
         self, request: web.BaseRequest, exchange: Exchange
     ) -> tuple[web.StreamResponse, str]:
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -47,6 +47,11 @@
         self.close()
         self.owner = owner
 
+    def try_resize(self, size_bytes: int) -> bool:
+        """Change the size of the body if there is memory for it; return whether."""
+        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        return self._budget.try_take(self, more_bytes)
+
     async def async_resize(self, size_bytes: int) -> None:
         """Change the size of the body, waiting for memory if it grows."""
         more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
@@ -71,11 +76,13 @@
     ----------
     limit_bytes : float
         Limit of the sum.
+    owner_share : float, default=OWNER_SHARE
+        Share of it that the bodies of one sender may take.
     """
 
-    def __init__(self, limit_bytes: float) -> None:
+    def __init__(self, limit_bytes: float, owner_share: float = OWNER_SHARE) -> None:
         self._limit_bytes = limit_bytes
-        self._owner_limit_bytes = OWNER_SHARE * limit_bytes
+        self._owner_limit_bytes = owner_share * limit_bytes
         self._owners_bytes: Counter[str] = Counter()
         self._waiting: list[_Waiter] = []
         self._exempt: MemoryLease | None = None
@@ -87,10 +94,16 @@
         """Return the lease of a body of which nothing has been read yet."""
         return MemoryLease(self, owner)
 
+    def try_take(self, lease: MemoryLease, more_bytes: int) -> bool:
+        """Charge a lease with more bytes if they are available; return whether."""
+        if more_bytes > 0 and not self._fits(lease, more_bytes):
+            return False
+        self._charge(lease, more_bytes)
+        return True
+
     async def async_take(self, lease: MemoryLease, more_bytes: int) -> None:
         """Charge a lease with more bytes, waiting until they are available."""
-        if self._fits(lease, more_bytes):
-            self._charge(lease, more_bytes)
+        if self.try_take(lease, more_bytes):
             return
         granted = asyncio.get_running_loop().create_future()
         waiter = _Waiter(lease, more_bytes, granted)
@@ -151,6 +164,8 @@
         return True
 
 
-def make_memory_budget(memory_mb: float, share: float) -> MemoryBudget:
+def make_memory_budget(
+    memory_mb: float, share: float, owner_share: float = OWNER_SHARE
+) -> MemoryBudget:
     """Return a budget of a share of the memory that a daemon may take."""
-    return MemoryBudget(share * memory_mb * BYTES_PER_MB)
+    return MemoryBudget(share * memory_mb * BYTES_PER_MB, owner_share)
