A grace period starts when its signal arrives, not when it is handled

Seen: a daemon whose event loop is busy when it gets SIGTERM drains until its grace period, counted from the end of that work, is over. The platform counts from the signal, and kills the daemon while requests are still to be ended with an answer.

Cause: the event loop's signal handler took the time when the loop ran it.

Change: the handler of the interpreter, which runs between two instructions and within interrupted system calls, records the arrival, as it did before the loop was set up; the loop then acts on the recorded time. A process that is suspended as a whole still notes the signal when it continues.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -187,14 +187,19 @@
 ) -> int:
     app = make_application()
     loop = asyncio.get_running_loop()
-    for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, app.request_drain)
-    loop.add_signal_handler(RELOAD_SIGNAL, reload, app)
-    for number, arrived_s in held.take():
-        if number == RELOAD_SIGNAL:
-            reload(app)
-        else:
-            app.request_drain(arrived_s)
+
+    def handle_signals() -> None:
+        for number, arrived_s in held.take():
+            if number == RELOAD_SIGNAL:
+                reload(app)
+            else:
+                app.request_drain(arrived_s)
+
+    for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+        loop.add_signal_handler(number, handle_signals)
+    # The event loop is still woken, but doesn't record when a signal arrived.
+    held.hold()
+    handle_signals()
     try:
         await app.start()
     except (OSError, ChutelinkError) as error:
--- a/chutelink/startup.py
+++ b/chutelink/startup.py
@@ -33,19 +33,22 @@
 
 
 class HeldSignals:
-    """Signals that arrive before the event loop handles them.
+    """Signals that arrive before the event loop handles them, and when they do.
 
     By default they end the process. Starting takes seconds with little processor time,
-    and callers may have opened connections by then.
+    and callers may have opened connections by then. Later, a busy event loop may handle
+    a signal long after its arrival.
     """
 
     def __init__(self) -> None:
         self._arrived_s: dict[int, float] = {}
 
     def hold(self) -> None:
-        """Record signals from now on, until other handlers are installed."""
+        """Record signals from now on."""
         for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
             signal.signal(number, self._note)
+            # The event loop's own handlers don't interrupt system calls either.
+            signal.siginterrupt(number, False)
 
     def take(self) -> Iterator[tuple[int, float]]:
         """Yield each recorded signal and the boot time in seconds of its arrival."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,12 +5,14 @@
 import asyncio
 import os
 import signal
+import time
 
 from chutelink.core import Application, _async_run
 from chutelink.settings import DaemonSection
 from chutelink.startup import HeldSignals
 
 START_S = 0.3
+BUSY_S = 0.6
 
 
 class SlowStart(Application):
@@ -46,3 +48,27 @@
         assert app.drain_requested_s - app.signalled_s < START_S / 2
 
     asyncio.run(async_test())
+
+
+class BusyLoop(SlowStart):
+    """An application that receives SIGTERM while its event loop is busy."""
+
+    async def async_setup_parts(self) -> None:
+        asyncio.get_running_loop().call_later(START_S, self._occupy)
+
+    def _occupy(self) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.signalled_s = self.clock()
+        time.sleep(BUSY_S)
+
+
+def test_grace_period_starts_at_signal_while_event_loop_is_busy():
+    """It used to start, and so to end, as much later as the loop was busy."""
+
+    async def async_test():
+        app = BusyLoop()
+        assert await _async_run(lambda: app, lambda app: None, HeldSignals()) == 0
+        assert app.drained_s - app.signalled_s >= BUSY_S
+        assert app.drain_requested_s - app.signalled_s < BUSY_S / 2
+
+    asyncio.run(async_test())
