A gateway ends what outlasts its grace period with an answer

Seen: a gateway that gets SIGTERM waits until nothing is in flight, however long that takes.

Cause: the stop of a gateway has no bound; the entry daemon has one.

Change: grace_s in [gateway] states when the platform kills the process. 0.8 s before that, requests that were not sent to an endpoint get 503 not-run, others 502 with an unknown outcome, and streams that have begun end with an error event. Claims of idempotency keys are settled in the same way, as unknown or as not run. Connections whose callers don't read are aborted, as the server's clean-up waits for each up to 2 s. The default, 0, is the behaviour so far.

--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -19,6 +19,10 @@
 from .http import GatewayHttp
 
 DRAIN_POLL_S = 0.05
+SHUTDOWN_MARGIN_S = 0.8
+"""Part of the grace period that is reserved for ending requests and closing."""
+END_TIMEOUT_S = 0.4
+"""Time in which requests that were ended are answered and their claims are stored."""
 QUEUE_PUBLISH_INTERVAL_S = 1.0
 
 
@@ -128,11 +132,48 @@
         Peers stop listing this gateway at once. Callers may cache an address for
         ``valid_s``, so new requests are accepted for that long plus
         ``drain_margin_s``; then the server stops accepting connections and the
-        requests in flight are completed.
+        requests in flight are completed. What is left shortly before the end of the
+        grace period is ended with an error response.
         """
         self.mesh.announce_leaving()
         daemon = self.settings.daemon
-        await asyncio.sleep(self.settings.gateway.valid_s + daemon.drain_margin_s)
+        accepting_s = self.settings.gateway.valid_s + daemon.drain_margin_s
+        if (left_s := self._grace_left_s()) is not None:
+            accepting_s = min(accepting_s, left_s)
+        await asyncio.sleep(accepting_s)
+        try:
+            async with asyncio.timeout(self._grace_left_s()):
+                await self._async_complete_requests()
+        except TimeoutError:
+            self.components.ender.end_all()
+            await self._async_complete_ended()
+
+    def _grace_left_s(self) -> float | None:
+        """Return the time until requests are ended, None if they never are."""
+        grace_s = self.settings.gateway.grace_s
+        if not grace_s:
+            return None
+        end_s = self.drain_requested_s + grace_s - SHUTDOWN_MARGIN_S
+        return max(0.0, end_s - self.clock())
+
+    async def _async_complete_requests(self) -> None:
+        """Close the server, and wait until no request is in flight."""
         await self.async_close_server()
         while self.components.running_tasks:
             await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _async_complete_ended(self) -> None:
+        """Wait for the responses to requests that were ended.
+
+        Connections whose callers neither read the response nor send the rest of the
+        request would hold up the clean-up of the server for seconds.
+        """
+        try:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self._async_complete_requests()
+        except TimeoutError:
+            connections = self._runner.server.connections
+            self.events.warning("connections_aborted", left=len(connections))
+            for connection in connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -24,6 +24,7 @@
     decode_completion,
     hash_prefixes,
 )
+from .shutdown import refuse_not_run
 
 PATH_CHAT = "/v1/chat/completions"
 PATH_COMPLETIONS = "/v1/completions"
@@ -40,9 +41,10 @@
     ) -> web.StreamResponse:
         """Serve a completion request."""
         settings = self._components.settings.gateway
-        body = await async_read_body(
-            request, settings.max_body_bytes, settings.idle_timeout_s
-        )
+        async with self._components.ender.async_end_at_stop(refuse_not_run):
+            body = await async_read_body(
+                request, settings.max_body_bytes, settings.idle_timeout_s
+            )
         completion = decode_completion(body, is_chat=request.path == PATH_CHAT)
         check_model(caller, fleet, completion.model)
         self._components.admit(caller)
--- a/chutelink/gateway/components.py
+++ b/chutelink/gateway/components.py
@@ -22,6 +22,7 @@
 from .dispatcher import Dispatcher
 from .refusals import Refusal, unauthorized
 from .relay import Relay
+from .shutdown import RequestEnder
 
 DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
 REQUEST_ID = web.RequestKey("request_id", RequestId)
@@ -64,6 +65,7 @@
         self.callers = CallerTable()
         self.keys: KeyIndex[CallerSpec] = KeyIndex()
         self.retry_budget = RetryBudget(settings.gateway.retry_budget_ratio)
+        self.ender = RequestEnder()
         self.dispatcher = Dispatcher(
             core,
             endpoints,
@@ -77,6 +79,7 @@
             endpoints,
             self.retry_budget,
             settings.gateway.idle_timeout_s,
+            self.ender,
         )
         self._tasks: set[asyncio.Task] = set()
 
--- a/chutelink/gateway/idempotency.py
+++ b/chutelink/gateway/idempotency.py
@@ -11,6 +11,7 @@
 from .claims import Claim, StoredAnswer, claim_key
 from .components import GatewayComponents
 from .refusals import Outcome, Refusal, malformed
+from .shutdown import refuse_unknown
 
 HEADER_REPLAYED = "Chutelink-Replayed"
 MAX_KEY_LENGTH = 256
@@ -52,7 +53,9 @@
 async def _async_claim_and_run(
     components: GatewayComponents, row_key: str, request_hash: str, run: RunRequest
 ) -> web.Response:
-    found = await components.claims.async_claim(row_key, request_hash)
+    # An earlier request with this key may be running elsewhere.
+    async with components.ender.async_end_at_stop(refuse_unknown, may_have_run=True):
+        found = await components.claims.async_claim(row_key, request_hash)
     if isinstance(found, StoredAnswer):
         return web.Response(
             status=found.status,
--- a/chutelink/gateway/relay.py
+++ b/chutelink/gateway/relay.py
@@ -42,6 +42,7 @@
 from ..tracing import inject_context
 from .dispatcher import Dispatcher
 from .refusals import Outcome, Refusal, unavailable, unknown_outcome
+from .shutdown import RequestEnder, refuse_not_run, refuse_unknown
 
 MAX_ATTEMPTS = 4
 CLIENT_ERROR = 400
@@ -79,6 +80,8 @@
         Limits retries after failures.
     idle_timeout_s : float
         Maximum time without data from an endpoint or to a caller in a response.
+    ender : RequestEnder
+        Ends the requests that outlast the gateway.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         table: EndpointTable,
         retry_budget: RetryBudget,
         idle_timeout_s: float,
+        ender: RequestEnder,
     ) -> None:
         self._core = core
         self._client = client
@@ -96,6 +100,7 @@
         self._table = table
         self._retry_budget = retry_budget
         self._idle_timeout_s = idle_timeout_s
+        self._ender = ender
 
     async def async_relay_response(self, exchange: Exchange) -> EndpointResponse:
         """Return the complete response of an endpoint.
@@ -109,7 +114,10 @@
         for _ in range(MAX_ATTEMPTS):
             row = await self._async_acquire(exchange, may_have_run)
             try:
-                return await self._async_attempt_response(exchange, row)
+                async with self._ender.async_end_at_stop(
+                    refuse_unknown, may_have_run=may_have_run
+                ):
+                    return await self._async_attempt_response(exchange, row)
             except (EndpointUnreachable, EndpointRefused, EndpointFailed) as error:
                 may_have_run |= isinstance(error, EndpointFailed)
                 self._record_failure(exchange, row, error)
@@ -126,7 +134,8 @@
         context = set_span_in_context(exchange.span)
         with self._core.tracer.start_as_current_span("gateway.queue", context=context):
             try:
-                return await self._dispatcher.async_acquire(exchange.waiting)
+                async with self._ender.async_end_at_stop(refuse_not_run):
+                    return await self._dispatcher.async_acquire(exchange.waiting)
             except Refusal as refusal:
                 if may_have_run:
                     refusal.outcome = Outcome.UNKNOWN
@@ -164,7 +173,10 @@
         for _ in range(MAX_ATTEMPTS):
             try:
                 row = await self._async_acquire(exchange, may_have_run)
-                await self._async_attempt_stream(exchange, row, stream)
+                async with self._ender.async_end_at_stop(
+                    refuse_unknown, may_have_run=may_have_run
+                ):
+                    await self._async_attempt_stream(exchange, row, stream)
                 return response
             except (EndpointUnreachable, EndpointRefused, EndpointFailed) as error:
                 may_have_run |= isinstance(error, EndpointFailed)
--- a/chutelink/gateway/services.py
+++ b/chutelink/gateway/services.py
@@ -17,6 +17,7 @@
 from .idempotency import async_run_idempotent
 from .refusals import Refusal, forbidden, not_found, unavailable, unknown_outcome
 from .requests import async_read_body
+from .shutdown import refuse_not_run, refuse_unknown
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 2.0
@@ -40,9 +41,10 @@
         if service is None:
             raise not_found(f"service {name}")
         settings = self._components.settings.gateway
-        body = await async_read_body(
-            request, settings.max_body_bytes, settings.idle_timeout_s
-        )
+        async with self._components.ender.async_end_at_stop(refuse_not_run):
+            body = await async_read_body(
+                request, settings.max_body_bytes, settings.idle_timeout_s
+            )
         self._components.admit(caller)
         call = _ServiceCall(self._components, request, span, service, body)
         key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
@@ -98,7 +100,10 @@
         candidates = self._candidates()
         for row in candidates[:MAX_ATTEMPTS]:
             try:
-                return await self._async_attempt(row)
+                async with self._components.ender.async_end_at_stop(
+                    refuse_unknown, may_have_run=may_have_run
+                ):
+                    return await self._async_attempt(row)
             except (EndpointUnreachable, EndpointRefused) as error:
                 self._record_failure(row, error)
             except EndpointFailed as error:
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -86,7 +86,11 @@
 
 
 class GatewaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[gateway]``: limits and timeouts for requests of callers."""
+    """``[gateway]``: limits and timeouts for requests of callers.
+
+    ``grace_s`` is the time from a stop signal until the platform kills the process; 0
+    if it doesn't, so that the gateway waits for all requests in flight.
+    """
 
     valid_s: Seconds = 2.0
     subset: Annotated[int, Meta(ge=1, le=64)] = 8
@@ -97,6 +101,7 @@
     retry_budget_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     claim_flush_s: Seconds = 0.005
     claim_wait_s: Seconds = 10.0
+    grace_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
 
 
 class DirectorSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
