The gateway dispatches no request that was just cancelled

By reading, the same can happen without a stop, if a queued request's caller leaves, or its time limit passes, in the same iteration of the event loop in which another one releases its slot.

Cause: cancelling a task cancels the future that it waits for at once, but the request leaves the queue only when its task runs. Until then a released slot was given to it: InvalidStateError at the request that released the slot, whose answer was lost, and the slot stayed taken.

Change: requests whose future is done are skipped.

Measured: the new test in tests/gateway/test_dispatcher.py failed with InvalidStateError and passes; tests/gateway: 23 passed.

--- a/chutelink/gateway/dispatcher.py
+++ b/chutelink/gateway/dispatcher.py
@@ -242,7 +242,7 @@
         They are dispatched anew or refused at once, instead of at their timeout.
         """
         for artifacts in self._queue.groups():
-            for request in list(self._queue.group(artifacts)):
+            for request in self._undispatched(artifacts):
                 if self._is_served(artifacts, request.excluded):
                     continue
                 self._queue.remove(request)
@@ -255,7 +255,7 @@
         of an endpoint that serves several.
         """
         now_s = self._core.clock()
-        waiting = [r for artifacts in groups for r in self._queue.group(artifacts)]
+        waiting = [r for artifacts in groups for r in self._undispatched(artifacts)]
         while waiting:
             request = self._queueing.select(waiting, now_s)
             waiting.remove(request)
@@ -272,6 +272,13 @@
             self._drain_rate.record(now_s)
             request.dispatched.set_result(row.name)
 
+    def _undispatched(self, artifacts: tuple[Artifact, ...]) -> list[WaitingRequest]:
+        """Return the requests of a group, except those that were just cancelled.
+
+        A cancelled request leaves the queue only when its task runs.
+        """
+        return [r for r in self._queue.group(artifacts) if not r.dispatched.done()]
+
     def _retry_after_s(self) -> float:
         rate_per_s = self._drain_rate.rate_per_s(self._core.clock())
         return retry_after_s(self._queue.size, rate_per_s)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -204,3 +204,36 @@
         assert dispatched == [urgent]
 
     asyncio.run(async_test())
+
+
+def test_slot_is_released_just_after_a_queued_request_is_cancelled():
+    """Guard against an error at the request that releases the slot.
+
+    A request that is cancelled, or times out, stays queued until its task runs.
+    """
+
+    async def async_test():
+        fleet = parse_fleet(FLEET).unwrap()
+        table = EndpointTable()
+        table.sync(fleet)
+        table.note_report("e", report("1"), 100.0, 100.0)
+        dispatcher = Dispatcher(make_core(), table, 10, 5.0)
+        dispatcher.sync(fleet)
+        slots = table.rows["e"].spec.slots
+        for _ in range(slots):
+            await dispatcher.async_acquire(make_request(dispatcher, fleet))
+        first, second = (
+            asyncio.ensure_future(
+                dispatcher.async_acquire(make_request(dispatcher, fleet))
+            )
+            for _ in range(2)
+        )
+        await asyncio.sleep(0)
+        assert dispatcher.queue_length == 2
+        first.cancel()
+        dispatcher.release("e")
+        assert (await second).name == "e"
+        assert first.cancelled()
+        assert table.rows["e"].inflight == slots
+
+    asyncio.run(async_test())
