Test of requests that are queued when a gateway's grace period ends

50 requests at once, more than two engines run: those that no engine has received end as not run, the others as unknown, and as many as the engines have received.

--- a/tests/processes/test_gateway_grace_period.py
+++ b/tests/processes/test_gateway_grace_period.py
@@ -18,6 +18,8 @@
 WORK_S = 30.0
 UNTIL_SENT_S = 1.0
 STREAM_TOKENS = 10_000
+REQUESTS = 50
+"""More than two engines run at once."""
 CUT = "cut"
 GATEWAY_SETTINGS = f"valid_s = 1.0\ngrace_s = {GRACE_S}\n"
 
@@ -94,3 +96,31 @@
     asyncio.run(
         async_run_with_service(tmp_path, async_scenario, gateway_extra=GATEWAY_SETTINGS)
     )
+
+
+def test_requests_queued_at_the_end_of_the_grace_period_are_not_run(tmp_path):
+    """Guards against queued requests that end as unknown, or sent ones as not run."""
+
+    async def async_scenario(deployment):
+        late = {"late_answers": 10 * REQUESTS, "late_answer_s": WORK_S}
+        for engine in deployment.engines.values():
+            await deployment.async_set_faults(engine["url"], **late)
+        completion = {"model": "m", "prompt": "p"}
+        received = len(await deployment.async_received_ids())
+        tasks = [
+            asyncio.ensure_future(
+                async_outcome(deployment, "/v1/completions", completion)
+            )
+            for _ in range(REQUESTS)
+        ]
+        await asyncio.sleep(UNTIL_SENT_S)
+        assert not any(task.done() for task in tasks)
+        assert await async_stop(deployment.processes["gateway-1"]) == 0
+        outcomes = await asyncio.gather(*tasks)
+        assert set(outcomes) == {"502 unknown", "503 not-run"}
+        received = len(await deployment.async_received_ids()) - received
+        assert outcomes.count("502 unknown") == received
+
+    asyncio.run(
+        async_run_with_service(tmp_path, async_scenario, gateway_extra=GATEWAY_SETTINGS)
+    )
