--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -72,3 +72,23 @@
         assert app.drain_requested_s - app.signalled_s < BUSY_S / 2
 
     asyncio.run(async_test())
+
+
+class ReloadingLoop(BusyLoop):
+    """An application that receives SIGHUP as well while its event loop is busy."""
+
+    def _occupy(self) -> None:
+        os.kill(os.getpid(), signal.SIGHUP)
+        super()._occupy()
+
+
+def test_signals_that_arrive_together_are_all_handled():
+    """Guards against a reload that is lost, or is taken for a stop."""
+
+    async def async_test():
+        app, reloaded = ReloadingLoop(), []
+        assert await _async_run(lambda: app, reloaded.append, HeldSignals()) == 0
+        assert reloaded == [app]
+        assert app.drain_requested_s - app.signalled_s < BUSY_S / 2
+
+    asyncio.run(async_test())
