Bodies take memory as they arrive, not as they are announced

Callers could see: 503 "no memory for the body" although the daemon held no body. A caller that sent heads with a large Content-Length and no body, or one byte per idle timeout, kept all bodies over 32 KB of other callers out.

Cause: the whole announced size was charged before any byte had arrived.

Change: the announced size is only compared with what is left; the memory is charged with what has been received.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -41,6 +41,7 @@
 HTTP_INTERNAL_ERROR = 500
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
+NO_BODY_MEMORY = "no memory for the body"
 NO_MEMORY_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
@@ -292,7 +293,8 @@
         """
         if not request.body_exists:
             return b""
-        self._take_memory(lease, request.content_length or 0)
+        if lease is not None and not lease.fits(request.content_length or 0):
+            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts: list[bytes] = []
@@ -308,8 +310,8 @@
             size += len(part)
             if size > limits.max_body_bytes:
                 raise Refusal(HTTP_TOO_LARGE, "body too large")
-            if size > (request.content_length or 0):
-                self._take_memory(lease, size)
+            # Announced bytes may never come, so that only those received count.
+            self._take_memory(lease, size)
             parts.append(part)
 
     @staticmethod
@@ -322,7 +324,7 @@
             Other bodies take it; another daemon may have more.
         """
         if lease is not None and not lease.try_resize(size_bytes):
-            raise unavailable("no memory for the body", NO_MEMORY_RETRY_S)
+            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
 
     async def _async_relay(
         self, request: web.BaseRequest, exchange: Exchange
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -47,6 +47,11 @@
         self.close()
         self.owner = owner
 
+    def fits(self, size_bytes: int) -> bool:
+        """Return whether there is memory for a size now; nothing is taken."""
+        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        return self._budget.fits(self, more_bytes)
+
     def try_resize(self, size_bytes: int) -> bool:
         """Change the size of the body if there is memory for it; return whether."""
         more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
@@ -96,7 +101,7 @@
 
     def try_take(self, lease: MemoryLease, more_bytes: int) -> bool:
         """Charge a lease with more bytes if they are available; return whether."""
-        if more_bytes > 0 and not self._fits(lease, more_bytes):
+        if not self.fits(lease, more_bytes):
             return False
         self._charge(lease, more_bytes)
         return True
@@ -127,8 +132,9 @@
             self._exempt = None
         self.give_back(lease, lease.charged_bytes)
 
-    def _fits(self, lease: MemoryLease, more_bytes: int) -> bool:
-        if lease is self._exempt:
+    def fits(self, lease: MemoryLease, more_bytes: int) -> bool:
+        """Return whether a lease may be charged with more bytes now."""
+        if more_bytes <= 0 or lease is self._exempt:
             return True
         of_owner_bytes = self._owners_bytes[lease.owner] + more_bytes
         return (
@@ -157,7 +163,7 @@
         """Return whether a waiter has been cancelled, or is granted its memory now."""
         if waiter.granted.done():
             return True
-        if not self._fits(waiter.lease, waiter.more_bytes):
+        if not self.fits(waiter.lease, waiter.more_bytes):
             return False
         self._charge(waiter.lease, waiter.more_bytes)
         waiter.granted.set_result(None)
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -14,6 +14,10 @@
 BODY_BYTES = 90_000
 CALLERS = 20
 FITTING = 5
+ANNOUNCED_HEAD = (
+    "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: a{number}\r\n"
+    "X-Deadline-Ms: 3000\r\nContent-Length: {size_bytes}\r\n\r\n"
+)
 
 
 async def async_stream_body(body: bytes):
@@ -49,3 +53,31 @@
             assert memory.used_bytes == 0
 
     asyncio.run(async_test())
+
+
+def test_announced_bodies_that_do_not_come_take_no_memory():
+    """Callers that sent only the heads of requests kept all other bodies out."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            limit_bytes = FITTING * (BODY_BYTES - FREE_BYTES)
+            harness.http.body_memory = MemoryBudget(limit_bytes, owner_share=1.0)
+            await harness.async_add("i-1", "plain")
+            host, _, port = harness.url.removeprefix("http://").partition(":")
+            writers = []
+            for number in range(FITTING):
+                _, writer = await asyncio.open_connection(host, int(port))
+                head = ANNOUNCED_HEAD.format(number=number, size_bytes=BODY_BYTES)
+                writer.write(head.encode())
+                writers.append(writer)
+            async with asyncio.timeout(5.0):
+                while harness.http.in_flight < FITTING:
+                    await asyncio.sleep(0.01)
+            body = b"a" * BODY_BYTES
+            async with harness.request("/once/x", "q0", body) as answer:
+                assert answer.status == 200
+            for writer in writers:
+                writer.close()
+
+    asyncio.run(async_test())
