A lease that gave its memory back may no longer exceed the budget

Callers could see: responses over 32 KB that waited until their deadline.

Cause: if responses wait for each other, one of them may exceed the budget. It stayed the only one until its end, also a stream that had given its memory back after one large event and went on for a minute.

Change: the exemption ends as soon as the lease holds no memory.

Measured: tests/test_memory.py, 4 passed, and tests/relaying/test_response_memory.py, 12 passed; test_lease_that_gave_its_memory_back_is_limited_again failed before.

--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -75,7 +75,8 @@
 
     No sender's bodies may take more than a share, so that senders without end don't
     keep others waiting. If bodies wait for each other, the one that has waited longest
-    may exceed the budget until it has ended, at most up to the limit of one body.
+    may exceed the budget until it has given all back, at most up to the limit of one
+    body.
 
     Parameters
     ----------
@@ -124,12 +125,12 @@
     def give_back(self, lease: MemoryLease, less_bytes: int) -> None:
         """Charge a lease with fewer bytes."""
         self._charge(lease, -less_bytes)
+        if self._exempt is lease and not lease.charged_bytes:
+            self._exempt = None
         self._grant_waiting()
 
     def close(self, lease: MemoryLease) -> None:
         """Release all that a lease is charged with."""
-        if self._exempt is lease:
-            self._exempt = None
         self.give_back(lease, lease.charged_bytes)
 
     def fits(self, lease: MemoryLease, more_bytes: int) -> bool:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -54,6 +54,31 @@
     asyncio.run(async_test())
 
 
+def test_lease_that_gave_its_memory_back_is_limited_again():
+    """A stream that had once exceeded the budget kept others waiting until its end."""
+
+    async def async_test():
+        budget = MemoryBudget(LIMIT_BYTES, owner_share=1.0)
+        stream, first, second = (budget.open(owner) for owner in "abc")
+        half_bytes = LIMIT_BYTES // 2 + FREE_BYTES
+        await first.async_resize(half_bytes)
+        await second.async_resize(half_bytes)
+        await asyncio.wait_for(stream.async_resize(PART_BYTES), 1.0)
+        await stream.async_resize(0)
+        waits = [
+            asyncio.ensure_future(lease.async_resize(half_bytes + PART_BYTES))
+            for lease in (first, second)
+        ]
+        done, pending = await asyncio.wait(
+            waits, timeout=1.0, return_when=asyncio.FIRST_COMPLETED
+        )
+        for wait in pending:
+            wait.cancel()
+        assert done
+
+    asyncio.run(async_test())
+
+
 @given(
     owners=st.lists(st.sampled_from("abcdef"), min_size=1, max_size=40),
     cancelled=st.sets(st.integers(0, 39)),
