Waits that are ending may be ended again by the end of the drain

Found by reading; not seen in a running daemon.

Cause: waits of requests that can't finish end at the stop signal, and all of them shortly before the drain deadline. asyncio.Timeout.reschedule raises RuntimeError for a timeout that is due already, whose task has not left yet. The error would end the drain, and the requests in flight with it.

Change: such waits are left alone the second time.

Measured: tests/relaying/test_waits.py, 1 passed; it failed before with RuntimeError: Cannot change state of expiring Timeout.

--- a/chutelink/relaying/waits.py
+++ b/chutelink/relaying/waits.py
@@ -52,7 +52,7 @@
         """End the waits of requests that could last longer than the daemon."""
         now_s = asyncio.get_running_loop().time()
         for scope, exchange in self._scopes.items():
-            if self._must_end(exchange):
+            if self._must_end(exchange) and not scope.expired():
                 scope.reschedule(now_s)
 
     def stop(self) -> None:
