Buffered responses that callers don't read end with the requests' time

Callers could see: responses over 32 KB of one endpoint that waited until their deadline and failed.

Cause: a buffered response holds its memory until it is written. The write had no limit, so that callers that sent requests and read nothing kept the memory as long as their connections were open.

Change: the write may take the rest of the request's time, at least 5 s, as for streams; then the connection is closed and the memory given back.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -335,7 +335,7 @@
             async with self._endable.async_track():
                 if not exchange.route.is_stream:
                     answer = await self._relay.async_relay_buffered(exchange)
-                    return self._respond(answer, exchange.lease), ANSWERED
+                    return self._respond(answer, exchange), ANSWERED
                 result = await self._streams.async_relay(exchange, caller)
         except RequestEnded as error:
             if caller.has_sent_headers:
@@ -349,7 +349,7 @@
             self._record_unexpected(request, exchange, error)
             result = caller.abort()
         if isinstance(result, BufferedResponse):
-            return self._respond(result, exchange.lease), ANSWERED
+            return self._respond(result, exchange), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
     def _make_end_refusal(self, exchange: Exchange) -> Refusal:
@@ -371,11 +371,10 @@
             return Refusal(HTTP_INTERNAL_ERROR, INTERNAL_ERROR)
         return unknown_outcome(INTERNAL_ERROR, HTTP_INTERNAL_ERROR)
 
-    def _respond(
-        self, answer: BufferedResponse, lease: MemoryLease | None
-    ) -> web.Response:
+    def _respond(self, answer: BufferedResponse, exchange: Exchange) -> web.Response:
         response = LeasedResponse(
-            lease,
+            exchange.lease,
+            exchange.left_s(self._core.clock()),
             status=answer.status,
             body=answer.body,
             headers=forwarded_headers(answer.headers),
--- a/chutelink/entry/leased_response.py
+++ b/chutelink/entry/leased_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from aiohttp import web
@@ -9,6 +10,9 @@
 
 from ..memory import MemoryLease
 
+MIN_WRITE_S = 5.0
+"""How long a caller may at least take to read its response."""
+
 
 class LeasedResponse(web.Response):
     """Response whose lease is closed once its body is written, or can't be.
@@ -17,12 +21,17 @@
     ----------
     lease : MemoryLease or None
         The memory of the body, None if it isn't limited.
+    limit_s : float
+        The time left in which the caller may read the response.
     **options : object
         Those of the base class.
     """
 
-    def __init__(self, lease: MemoryLease | None, **options: Any) -> None:
+    def __init__(
+        self, lease: MemoryLease | None, limit_s: float, **options: Any
+    ) -> None:
         super().__init__(**options)
+        self._limit_s = max(limit_s, MIN_WRITE_S)
         self._lease = lease
 
     async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
@@ -34,9 +43,21 @@
             raise
 
     async def write_eof(self, data: bytes = b"") -> None:
-        """Send the body."""
+        """Send the body.
+
+        Raises
+        ------
+        ConnectionResetError
+            The caller has not read it in time; its connection is closed.
+        """
+        transport = None if self._req is None else self._req.transport
         try:
-            await super().write_eof(data)
+            async with asyncio.timeout(self._limit_s):
+                await super().write_eof(data)
+        except TimeoutError as error:
+            if transport is not None:
+                transport.abort()
+            raise ConnectionResetError("did not read in time") from error
         finally:
             self._close_lease()
 
