A wait for memory is no failure of the endpoint

Callers could see: requests refused or sent elsewhere while sound endpoints were in backoff, after their daemon had run short of memory for responses.

Cause: while there is no memory a response isn't read. The time limit, or for idempotent requests the timeout of a silence (45% of the time), then ended the attempt as that of a silent endpoint: its health and the partition monitor noted a failure, and another endpoint ran the request again.

Change: a lease knows whether its body waits. An attempt that ends meanwhile is logged as attempt_without_memory and says nothing about the endpoint; the silence timeout doesn't give the endpoint up.

--- a/chutelink/exceptions.py
+++ b/chutelink/exceptions.py
@@ -103,6 +103,10 @@
     """The endpoint has sent no complete response in time."""
 
 
+class MemoryAwaited(EndpointFailed):
+    """The response was not read in time, as there was no memory for it here."""
+
+
 class ConnectionBroken(EndpointFailed):
     """The endpoint closed the connection during an exchange.
 
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -41,11 +41,14 @@
         self._budget = budget
         self.owner = owner
         self.charged_bytes = 0
+        self.is_waiting = False
+        """Whether the body waits for memory, or waited when its read was ended."""
 
     def restart(self, owner: str) -> None:
         """Use the lease for the body of another sender instead."""
         self.close()
         self.owner = owner
+        self.is_waiting = False
 
     def fits(self, size_bytes: int) -> bool:
         """Return whether there is memory for a size now; nothing is taken."""
@@ -116,8 +119,10 @@
         self._waiting.append(waiter)
         self.on_wait(lease.owner)
         self._grant_waiting()
+        lease.is_waiting = True
         try:
             await granted
+            lease.is_waiting = False
         finally:
             if granted.cancelled():
                 self._grant_waiting()
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -14,6 +14,7 @@
     EndpointIneligible,
     EndpointUnreachable,
     GrantExpired,
+    MemoryAwaited,
 )
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..ids import model_ref
@@ -303,6 +304,15 @@
                 endpoint=row.record.id,
             )
             return
+        if isinstance(error, MemoryAwaited):
+            core.metrics.retries.inc({"reason": "no_memory"})
+            core.events.record(
+                "attempt_without_memory",
+                request=exchange.meta.id,
+                endpoint=row.record.id,
+                left_s=exchange.left_s(core.clock()),
+            )
+            return
         if result is AttemptResult.UNREACHABLE:
             health.note_unreachable(row.record.id, core.clock())
             self._dispatcher.loads.urgent.set()
--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -28,6 +28,7 @@
     EndpointIneligible,
     EndpointUnreachable,
     GrantExpired,
+    MemoryAwaited,
 )
 from ..ids import EndpointId
 from ..memory import MemoryLease
@@ -214,7 +215,10 @@
         self, message: str, step: str, peer: EndpointId
     ) -> EndpointFailed:
         """Return the error of a call that was cancelled by a timeout."""
-        error = EndpointFailed(message, step=step, peer=peer)
+        error_type = EndpointFailed
+        if self.lease is not None and self.lease.is_waiting:
+            message, error_type = "no memory in time", MemoryAwaited
+        error = error_type(message, step=step, peer=peer)
         error.is_sent = self.progress.is_sent
         return error
 
--- a/chutelink/silence/policy.py
+++ b/chutelink/silence/policy.py
@@ -34,6 +34,8 @@
     NO_BUDGET = "no_budget"
     NO_ENDPOINT = "no_endpoint"
     """No other endpoint can serve the request, or none has responded since then."""
+    NO_MEMORY = "no_memory"
+    """The response is not read now; the endpoint isn't silent."""
     RESPONDS = "responds"
     """The endpoint responds to other requests; this one may be queued there."""
 
@@ -78,7 +80,9 @@
 
         def may_switch(since_s: float) -> bool:
             nonlocal last
-            if not has_response() and row.heard_s > since_s:
+            if exchange.lease is not None and exchange.lease.is_waiting:
+                decision = SilenceDecision.NO_MEMORY
+            elif not has_response() and row.heard_s > since_s:
                 decision = SilenceDecision.RESPONDS
             else:
                 decision = self._decide(exchange, row, since_s)
--- a/tests/entry/test_unread_responses.py
+++ b/tests/entry/test_unread_responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 
 from chutelink.entry import leased_response
 from chutelink.memory import MemoryBudget
@@ -28,13 +29,15 @@
 async def async_answer(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    """Answer one request with a large body."""
+    """Answer one request, also a health check, with a large body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     lines = (line.partition(": ") for line in head.splitlines())
     headers = {name.lower(): value for name, _, value in lines}
-    answer = RESPONSE_HEAD.format(id=headers["x-request-id"], size_bytes=BODY_BYTES)
+    request_id = headers.get("x-request-id", "")
+    answer = RESPONSE_HEAD.format(id=request_id, size_bytes=BODY_BYTES)
     writer.write(answer.encode() + b"a" * BODY_BYTES)
-    await writer.drain()
+    with suppress(ConnectionError):
+        await writer.drain()
     writer.close()
 
 
