A failed attempt gives its memory back before its request waits again

Callers could see: responses over 32 KB that waited although nothing was read.

Cause: the memory of an attempt was given back when the next one began. A request may wait for a model, a permit or a probe of the endpoint before that, and kept up to 8 MB charged, and the right to exceed the budget.

Change: the memory is given back as the attempt fails.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -158,7 +158,7 @@
             if body_lease is not None:
                 body_lease.close()
             if exchange is not None and not isinstance(response, LeasedResponse):
-                _close_lease(exchange)
+                exchange.release_memory()
             result = RequestResult(status, outcome, reason)
             self._log.note(request, exchange, admission, result, started_s)
             if _has_not_run(exchange, outcome):
@@ -390,11 +390,6 @@
         return response
 
 
-def _close_lease(exchange: Exchange) -> None:
-    if exchange.lease is not None:
-        exchange.lease.close()
-
-
 def _has_not_run(exchange: Exchange | None, outcome: str) -> bool:
     """Return whether it is certain that no endpoint has started the request."""
     if exchange is None or not exchange.tried:
--- a/chutelink/relaying/exchange.py
+++ b/chutelink/relaying/exchange.py
@@ -142,6 +142,11 @@
             return self.deadline_s
         return min(self.deadline_s, self.started_s + patience_s)
 
+    def release_memory(self) -> None:
+        """Give back the memory of a response that is no longer held."""
+        if self.lease is not None:
+            self.lease.close()
+
     def left_s(self, now_s: float) -> float:
         """Return the time left until the deadline."""
         return self.deadline_s - now_s
--- a/chutelink/relaying/relay.py
+++ b/chutelink/relaying/relay.py
@@ -129,6 +129,7 @@
             return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
             exchange.may_have_run |= error.is_sent
+            exchange.release_memory()
             self.note_failure(exchange, row, AttemptResult.FAILED, error)
             await self.async_note_broken(exchange, row, error, sent_s)
             return AttemptResult.FAILED, None
--- a/chutelink/relaying/stream.py
+++ b/chutelink/relaying/stream.py
@@ -142,6 +142,7 @@
             return AttemptResult.NOT_RUN, None
         except EndpointFailed as error:
             exchange.may_have_run |= error.is_sent
+            exchange.release_memory()
             self.relay.note_failure(exchange, row, AttemptResult.FAILED, error)
             self._log_broken_stream(exchange, row, caller.events - events_before, error)
             await self.relay.async_note_broken(exchange, row, error, sent_s)
--- a/tests/relaying/test_memory_waits.py
+++ b/tests/relaying/test_memory_waits.py
@@ -8,9 +8,11 @@
 
 from chutelink.learning.health import FAILURES_BEFORE_BACKOFF
 from chutelink.memory import FREE_BYTES, MemoryBudget
+from standins.endless import EndlessPart
 
 from ..entry.test_unread_responses import async_add_large
 from .relay_harness import async_relay_harness
+from .test_endless_answers import STREAM, async_add_endless
 
 LIMIT_BYTES = 1024 * 1024
 
@@ -41,3 +43,34 @@
             server.close()
 
     asyncio.run(async_test())
+
+
+@pytest.mark.parametrize("part", [EndlessPart.CHUNKS, EndlessPart.EVENT])
+def test_failed_attempt_holds_no_memory_while_its_request_waits(part):
+    """Requests kept the memory of a failed attempt while they waited for another."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            memory = MemoryBudget(16 * LIMIT_BYTES, owner_share=1.0)
+            harness.dispatcher.response_memory = memory
+            is_stream = part is EndlessPart.EVENT
+            path = "/stream/x" if is_stream else "/again/x"
+            service = "llm" if is_stream else "plain"
+            server = await async_add_endless(harness, part, service)
+            used_bytes = []
+            acquire = harness.dispatcher.async_acquire
+
+            async def async_acquire(exchange):
+                used_bytes.append(memory.used_bytes)
+                return await acquire(exchange)
+
+            harness.dispatcher.async_acquire = async_acquire
+            headers = STREAM if is_stream else {}
+            async with harness.request(path, "q0", **headers) as answer:
+                await answer.read()
+            assert server.requests
+            assert len(used_bytes) > 1
+            assert not any(used_bytes)
+
+    asyncio.run(async_test())
