Bodies of relayed calls share the memory of request bodies

Operators could see: a daemon that ran out of memory beside a peer without a path to the endpoints.

Cause: a daemon relays up to 256 calls of peers and holds each body, up to limits.body_bytes. They were left out of the budget of bodies; calls whose body was still arriving were left out of the 256, too.

Change: bodies of relayed calls are charged to the budget as they arrive, and the call counts from then on. One that doesn't fit is answered as not sent.

Tests: the request of test_relayed_calls.py offers its body in parts, as it is read in parts now; what it asserts is the same.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -39,6 +39,7 @@
     dispatcher.on_rerun = lambda exchange: customers.charge_again(exchange.admission)
     relay = Relay(dispatcher, upstream)
     streams = StreamRelay(app, dispatcher, upstream, relay)
+    relay_handler = _make_relay_handler(app, header_codec, upstream)
     callers = CallerServer(
         app,
         dispatcher,
@@ -47,11 +48,12 @@
         customers,
         lambda: app.known.routes,
         app.is_ready,
-        _make_relay_handler(app, header_codec, upstream),
+        relay_handler,
     )
     callers.body_memory = make_memory_budget(
         app.settings.entry.memory_mb, BODY_MEMORY_SHARE, owner_share=1.0
     )
+    relay_handler.body_memory = callers.body_memory
     return callers
 
 
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -23,6 +23,7 @@
     GrantExpired,
 )
 from ..learning.health import HealthTable
+from ..memory import MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..quarantine.model import BrokenRun
 from ..quarantine.service import Quarantine
@@ -94,6 +95,8 @@
         self._regions = regions or RegionMap()
         self._signer = TicketSigner(core.daemon.peer_key, core.boot_id)
         self._in_flight = 0
+        self.body_memory: MemoryBudget | None = None
+        """Memory that request bodies share, None if it isn't limited."""
 
     @staticmethod
     def handles(request: web.BaseRequest) -> bool:
@@ -110,19 +113,51 @@
         row = None if ticket is None else self._find_endpoint(ticket)
         if row is None or not self._has_capacity():
             return self._end(request, RelayResult.NOT_SENT)
+        lease = None if self.body_memory is None else self.body_memory.open()
+        try:
+            with self._count_in_flight():
+                body = await self._async_body(request, lease)
+                if body is None:
+                    return self._end(request, RelayResult.NOT_SENT)
+                call = self._make_call(request, row, ticket, body, arrived_s)
+                return await self._async_relay(request, row, call)
+        finally:
+            if lease is not None:
+                lease.close()
+
+    @staticmethod
+    async def _async_body(
+        request: web.BaseRequest, lease: MemoryLease | None
+    ) -> bytes | None:
+        """Return the complete body, None if there is no memory for it."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        while part := await request.content.readany():
+            size_bytes += len(part)
+            if lease is not None and not lease.try_resize(size_bytes):
+                return None
+            parts.append(part)
+        return b"".join(parts)
+
+    def _make_call(
+        self,
+        request: web.BaseRequest,
+        row: Endpoint,
+        ticket: RelayTicket,
+        body: bytes,
+        arrived_s: float,
+    ) -> EndpointCall:
         requirements = Requirements(ticket.home_regions)
-        call = EndpointCall(
+        return EndpointCall(
             request.method,
-            target,
+            request.raw_path,
             request.headers.get("Host", ""),
             forwarded_headers(request.headers),
-            await request.content.read(),
+            body,
             ticket.is_repeatable,
             lambda: self._may_send(row, requirements),
             self._send_left_s(ticket, arrived_s),
         )
-        with self._count_in_flight():
-            return await self._async_relay(request, row, call)
 
     def _find_endpoint(self, ticket: RelayTicket) -> Endpoint | None:
         """Return the endpoint, if it is the process that the peer has chosen."""
--- a/tests/reachability/test_relay.py
+++ b/tests/reachability/test_relay.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from chutelink.memory import FREE_BYTES, MemoryBudget
 from standins.prepared_endpoint import CRASH_BODY, EndpointFaults, EndpointStandin
 
 from ..entry.partitioned_fleet import (
@@ -52,6 +53,25 @@
     run_in_partition_loop(async_test)
 
 
+def test_bodies_of_relayed_calls_share_the_memory_of_bodies(tmp_path):
+    """A relay held up to 256 bodies of peers whose sum was not limited."""
+
+    async def async_test():
+        async with async_partitioned_fleet(tmp_path) as fleet:
+            await async_partition(fleet, [0])
+            body = b"a" * 2 * FREE_BYTES
+            async with fleet.request(0, "/once/x", "q1", body) as answer:
+                assert answer.status == 200
+            for daemon in (1, 2):
+                handler = fleet.apps[daemon].callers._relay_handler
+                handler.body_memory = MemoryBudget(FREE_BYTES // 2, owner_share=1.0)
+            async with fleet.request(0, "/once/x", "q2", body) as answer:
+                assert answer.status == 503
+            assert runs_of(fleet, "q2") == 0
+
+    run_in_partition_loop(async_test)
+
+
 def test_refusal_is_given_at_once_if_all_daemons_are_partitioned(tmp_path):
     async def async_test():
         async with async_partitioned_fleet(tmp_path) as fleet:
--- a/tests/regions/test_relayed_calls.py
+++ b/tests/regions/test_relayed_calls.py
@@ -64,8 +64,10 @@
         REGIONS,
     )
 
+    parts = [b"body", b""]
+
     async def async_read():
-        return b"body"
+        return parts.pop(0)
 
     ticket = RelayTicket("i", record.born_ms, True, home_regions=homes)
     value = TicketSigner("key", core.boot_id).encode(ticket, "POST", "/x")
@@ -74,7 +76,7 @@
         method="POST",
         raw_path="/x",
         remote="10.0.0.1",
-        content=SimpleNamespace(read=async_read),
+        content=SimpleNamespace(readany=async_read),
     )
     response = asyncio.run(handler.async_handle(request))
     assert response.headers[HEADER_RELAY_RESULT] == "not_sent"
