Requests whose bodies still arrive are refused as the drain ends

Callers saw: a connection that was closed without a response.

Cause: the end of the drain ended only requests that were being relayed. One whose body was still arriving was left to the exit of the process.

Change: it is refused as not run. It isn't refused at the stop signal yet, but when its body has arrived or the drain ends.

Measured: tests/entry/test_arriving_bodies.py, 1 passed; no response within 2 s before. tests/entry/test_body_memory.py: 3 passed. Not run against a process that exits; unread bytes of the body may reset the connection there.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -207,7 +207,11 @@
         deadline_s = started_s + _time_limit_s(route, meta.deadline_s)
         self._drain.check(deadline_s)
         await self._customers.async_admit(admission, meta.counted_tokens)
-        body = await self._async_body(request, limits, body_lease)
+        try:
+            async with self._endable.async_track():
+                body = await self._async_body(request, limits, body_lease)
+        except RequestEnded as error:
+            raise self._drain.make_refusal() from error
         exchange = self._make_exchange(
             request, admission, meta, route, service, target, body, started_s
         )
