--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -41,6 +41,7 @@
 HTTP_INTERNAL_ERROR = 500
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
+NO_BODY_MEMORY = "no memory for the body"
 NO_MEMORY_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
@@ -157,7 +158,7 @@
             if body_lease is not None:
                 body_lease.close()
             if exchange is not None and not isinstance(response, LeasedResponse):
-                _close_lease(exchange)
+                exchange.release_memory()
             result = RequestResult(status, outcome, reason)
             self._log.note(request, exchange, admission, result, started_s)
             if _has_not_run(exchange, outcome):
@@ -206,7 +207,11 @@
         deadline_s = started_s + _time_limit_s(route, meta.deadline_s)
         self._drain.check(deadline_s)
         await self._customers.async_admit(admission, meta.counted_tokens)
-        body = await self._async_body(request, limits, body_lease)
+        try:
+            async with self._endable.async_track():
+                body = await self._async_body(request, limits, body_lease)
+        except RequestEnded as error:
+            raise self._drain.make_refusal() from error
         exchange = self._make_exchange(
             request, admission, meta, route, service, target, body, started_s
         )
@@ -292,7 +297,8 @@
         """
         if not request.body_exists:
             return b""
-        self._take_memory(lease, request.content_length or 0)
+        if lease is not None and not lease.fits(request.content_length or 0):
+            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts: list[bytes] = []
@@ -308,8 +314,8 @@
             size += len(part)
             if size > limits.max_body_bytes:
                 raise Refusal(HTTP_TOO_LARGE, "body too large")
-            if size > (request.content_length or 0):
-                self._take_memory(lease, size)
+            # Announced bytes may never come, so that only those received count.
+            self._take_memory(lease, size)
             parts.append(part)
 
     @staticmethod
@@ -322,7 +328,7 @@
             Other bodies take it; another daemon may have more.
         """
         if lease is not None and not lease.try_resize(size_bytes):
-            raise unavailable("no memory for the body", NO_MEMORY_RETRY_S)
+            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
 
     async def _async_relay(
         self, request: web.BaseRequest, exchange: Exchange
@@ -333,7 +339,7 @@
             async with self._endable.async_track():
                 if not exchange.route.is_stream:
                     answer = await self._relay.async_relay_buffered(exchange)
-                    return self._respond(answer, exchange.lease), ANSWERED
+                    return self._respond(answer, exchange), ANSWERED
                 result = await self._streams.async_relay(exchange, caller)
         except RequestEnded as error:
             if caller.has_sent_headers:
@@ -347,7 +353,7 @@
             self._record_unexpected(request, exchange, error)
             result = caller.abort()
         if isinstance(result, BufferedResponse):
-            return self._respond(result, exchange.lease), ANSWERED
+            return self._respond(result, exchange), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
     def _make_end_refusal(self, exchange: Exchange) -> Refusal:
@@ -369,11 +375,10 @@
             return Refusal(HTTP_INTERNAL_ERROR, INTERNAL_ERROR)
         return unknown_outcome(INTERNAL_ERROR, HTTP_INTERNAL_ERROR)
 
-    def _respond(
-        self, answer: BufferedResponse, lease: MemoryLease | None
-    ) -> web.Response:
+    def _respond(self, answer: BufferedResponse, exchange: Exchange) -> web.Response:
         response = LeasedResponse(
-            lease,
+            exchange.lease,
+            exchange.left_s(self._core.clock()),
             status=answer.status,
             body=answer.body,
             headers=forwarded_headers(answer.headers),
@@ -389,11 +394,6 @@
         return response
 
 
-def _close_lease(exchange: Exchange) -> None:
-    if exchange.lease is not None:
-        exchange.lease.close()
-
-
 def _has_not_run(exchange: Exchange | None, outcome: str) -> bool:
     """Return whether it is certain that no endpoint has started the request."""
     if exchange is None or not exchange.tried:
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -41,11 +41,19 @@
         self._budget = budget
         self.owner = owner
         self.charged_bytes = 0
+        self.is_waiting = False
+        """Whether the body waits for memory, or waited when its read was ended."""
 
     def restart(self, owner: str) -> None:
         """Use the lease for the body of another sender instead."""
         self.close()
         self.owner = owner
+        self.is_waiting = False
+
+    def fits(self, size_bytes: int) -> bool:
+        """Return whether there is memory for a size now; nothing is taken."""
+        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        return self._budget.fits(self, more_bytes)
 
     def try_resize(self, size_bytes: int) -> bool:
         """Change the size of the body if there is memory for it; return whether."""
@@ -70,7 +78,8 @@
 
     No sender's bodies may take more than a share, so that senders without end don't
     keep others waiting. If bodies wait for each other, the one that has waited longest
-    may exceed the budget until it has ended, at most up to the limit of one body.
+    may exceed the budget until it has given all back, at most up to the limit of one
+    body.
 
     Parameters
     ----------
@@ -96,7 +105,7 @@
 
     def try_take(self, lease: MemoryLease, more_bytes: int) -> bool:
         """Charge a lease with more bytes if they are available; return whether."""
-        if more_bytes > 0 and not self._fits(lease, more_bytes):
+        if not self.fits(lease, more_bytes):
             return False
         self._charge(lease, more_bytes)
         return True
@@ -110,8 +119,10 @@
         self._waiting.append(waiter)
         self.on_wait(lease.owner)
         self._grant_waiting()
+        lease.is_waiting = True
         try:
             await granted
+            lease.is_waiting = False
         finally:
             if granted.cancelled():
                 self._grant_waiting()
@@ -119,16 +130,17 @@
     def give_back(self, lease: MemoryLease, less_bytes: int) -> None:
         """Charge a lease with fewer bytes."""
         self._charge(lease, -less_bytes)
+        if self._exempt is lease and not lease.charged_bytes:
+            self._exempt = None
         self._grant_waiting()
 
     def close(self, lease: MemoryLease) -> None:
         """Release all that a lease is charged with."""
-        if self._exempt is lease:
-            self._exempt = None
         self.give_back(lease, lease.charged_bytes)
 
-    def _fits(self, lease: MemoryLease, more_bytes: int) -> bool:
-        if lease is self._exempt:
+    def fits(self, lease: MemoryLease, more_bytes: int) -> bool:
+        """Return whether a lease may be charged with more bytes now."""
+        if more_bytes <= 0 or lease is self._exempt:
             return True
         of_owner_bytes = self._owners_bytes[lease.owner] + more_bytes
         return (
@@ -157,7 +169,7 @@
         """Return whether a waiter has been cancelled, or is granted its memory now."""
         if waiter.granted.done():
             return True
-        if not self._fits(waiter.lease, waiter.more_bytes):
+        if not self.fits(waiter.lease, waiter.more_bytes):
             return False
         self._charge(waiter.lease, waiter.more_bytes)
         waiter.granted.set_result(None)
