One class for steps that are ended when a daemon stops

Waits, relays and the gateway's steps kept their timeouts each on their own. endable.py replaces them; no change of behaviour.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -10,6 +10,7 @@
 
 from ..core import Application
 from ..customers.access import Admission, CustomerAccess
+from ..endable import EndableSteps, RequestEnded
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
 from ..memory import MemoryBudget, MemoryLease
@@ -31,7 +32,6 @@
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
 from .headers import RequestMeta
 from .leased_response import LeasedResponse
-from .shutdown import EndableRequests, RequestEnded
 
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
@@ -96,7 +96,7 @@
         self._relay_handler = relay_handler
         self._created_s = core.clock()
         self._log = RequestLog(core)
-        self._endable = EndableRequests()
+        self._steps: EndableSteps[None] = EndableSteps()
         self.body_memory: MemoryBudget | None = None
         """Memory that request bodies share, None if only each of them is limited."""
         self._drain = dispatcher.drain
@@ -112,7 +112,7 @@
 
     def end_requests(self) -> None:
         """End the requests in flight: with a response, unless theirs has begun."""
-        self._endable.end_all()
+        self._steps.end_all()
 
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request, including invalid ones."""
@@ -208,7 +208,7 @@
         self._drain.check(deadline_s)
         await self._customers.async_admit(admission, meta.counted_tokens)
         try:
-            async with self._endable.async_track():
+            async with self._steps.async_track(None):
                 body = await self._async_body(request, limits, body_lease)
         except RequestEnded as error:
             raise self._drain.make_refusal() from error
@@ -336,7 +336,7 @@
         """Return the response and the outcome of the request."""
         caller = CallerStream(request, self._core)
         try:
-            async with self._endable.async_track():
+            async with self._steps.async_track(None):
                 if not exchange.route.is_stream:
                     answer = await self._relay.async_relay_buffered(exchange)
                     return self._respond(answer, exchange), ANSWERED
--- a/chutelink/entry/shutdown.py
+++ b/chutelink/entry/shutdown.py
@@ -1,4 +1,4 @@
-"""Decides which requests a stopping daemon accepts, and ends those that are left.
+"""Decides which requests a stopping daemon accepts.
 
 A request that could last longer than the grace period is refused as soon as it is read,
 so that its caller can retry with another daemon at once.
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 
 from ..core import Application
 from ..gateway.refusals import Refusal, unavailable
@@ -68,41 +66,3 @@
         has_other = self.has_other_daemon()
         retry_delay_s = OTHER_DAEMON_RETRY_S if has_other else RESTART_RETRY_S
         return unavailable("this daemon is stopping", retry_delay_s)
-
-
-class RequestEnded(Exception):
-    """A request was ended before its response was complete."""
-
-
-class EndableRequests:
-    """Requests in flight that can be ended together when the daemon stops."""
-
-    def __init__(self) -> None:
-        self._scopes: set[asyncio.Timeout] = set()
-
-    @asynccontextmanager
-    async def async_track(self) -> AsyncIterator[None]:
-        """Let the request within the context be ended.
-
-        Raises
-        ------
-        RequestEnded
-            The request was ended.
-        """
-        scope = asyncio.timeout(None)
-        self._scopes.add(scope)
-        try:
-            async with scope:
-                yield
-        except TimeoutError as error:
-            if not scope.expired():
-                raise
-            raise RequestEnded from error
-        finally:
-            self._scopes.discard(scope)
-
-    def end_all(self) -> None:
-        """End all requests in flight."""
-        now_s = asyncio.get_running_loop().time()
-        for scope in self._scopes:
-            scope.reschedule(now_s)
--- a/chutelink/gateway/shutdown.py
+++ b/chutelink/gateway/shutdown.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from ..entry.shutdown import EndableRequests, RequestEnded
+from ..endable import EndableSteps, RequestEnded
 from .refusals import Refusal, unavailable, unknown_outcome
 
 STOPPING = "this gateway is stopping"
@@ -16,7 +16,7 @@
     """Ends the steps of requests with a refusal when the gateway stops."""
 
     def __init__(self) -> None:
-        self._endable = EndableRequests()
+        self._steps: EndableSteps[None] = EndableSteps()
         self._has_ended = False
 
     @asynccontextmanager
@@ -40,7 +40,7 @@
         if self._has_ended:
             raise refuse_unknown() if may_have_run else refuse_not_run()
         try:
-            async with self._endable.async_track():
+            async with self._steps.async_track(None):
                 yield
         except RequestEnded as error:
             raise make_refusal() from error
@@ -48,7 +48,7 @@
     def end_all(self) -> None:
         """End all steps in progress, and from now on each as it begins."""
         self._has_ended = True
-        self._endable.end_all()
+        self._steps.end_all()
 
 
 def refuse_not_run() -> Refusal:
--- a/chutelink/relaying/waits.py
+++ b/chutelink/relaying/waits.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from ..endable import EndableSteps, RequestEnded
 from ..entry.shutdown import Drain
 from .exchange import Exchange
 
@@ -24,7 +24,7 @@
 
     def __init__(self, drain: Drain) -> None:
         self._drain = drain
-        self._scopes: dict[asyncio.Timeout, Exchange] = {}
+        self._steps: EndableSteps[Exchange] = EndableSteps()
         self._is_stopping = False
 
     @asynccontextmanager
@@ -36,24 +36,16 @@
         Refusal
             The daemon stops; another daemon may serve the request.
         """
-        scope = asyncio.timeout(0 if self._must_end(exchange) else None)
-        self._scopes[scope] = exchange
+        is_ended = self._must_end(exchange)
         try:
-            async with scope:
+            async with self._steps.async_track(exchange, is_ended=is_ended):
                 yield
-        except TimeoutError as error:
-            if not scope.expired():
-                raise
+        except RequestEnded as error:
             raise self._drain.make_refusal() from error
-        finally:
-            del self._scopes[scope]
 
     def refuse_unfinishable(self) -> None:
         """End the waits of requests that could last longer than the daemon."""
-        now_s = asyncio.get_running_loop().time()
-        for scope, exchange in self._scopes.items():
-            if self._must_end(exchange) and not scope.expired():
-                scope.reschedule(now_s)
+        self._steps.end(self._must_end)
 
     def stop(self) -> None:
         """End all waits, and from now on each as it begins."""
