Models in backoff are announced for the end of their backoff

Callers of a model whose loads made endpoints exit waited until their time was up, for a load that was not planned, although the placer knew until when it would not load the model. Callers of models queued behind it were told a time that was too late by one load, and could be refused in vain.

Cause: a model in backoff was announced as queued for the next free endpoint, as if it could be loaded there at once, and took that endpoint in the forecast.

The forecast adds the backoff, and the model takes no endpoint before its end. A caller with less time is refused at once, with that time as Retry-After; one with more time waits.

--- a/chutelink/placing/changes.py
+++ b/chutelink/placing/changes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
+from types import MappingProxyType
 
 import msgspec
 
@@ -14,6 +16,7 @@
 from .inventory import Inventory
 
 NO_REGIONS = RegionMap()
+NOT_PAUSED: Mapping[ModelName, float] = MappingProxyType({})
 
 
 class ChangeReason(Enum):
@@ -86,7 +89,8 @@
     ``cold_loads`` is the number of loads from the weight store that may start now;
     ``sites`` contains every usable endpoint of the service, ``loading`` the number of
     loads in progress by model and adapter, and ``loading_at`` their endpoints;
-    ``paused`` models must not be loaded now. ``regions`` are those of failure domains.
+    the models in ``paused_until_s`` must not be loaded before then. ``regions`` are
+    those of failure domains.
     """
 
     engine: EngineSpec
@@ -95,7 +99,7 @@
     demand: DemandTable
     cold_loads: int
     now_s: float
-    paused: frozenset[ModelName] = frozenset()
+    paused_until_s: Mapping[ModelName, float] = NOT_PAUSED
     loading_at: frozenset[tuple[EndpointId, ModelName, AdapterName]] = frozenset()
     regions: RegionMap = NO_REGIONS
 
--- a/chutelink/placing/load_backoff.py
+++ b/chutelink/placing/load_backoff.py
@@ -46,6 +46,6 @@
         """Reset the model's backoff after a successful load."""
         self._rows.pop(model, None)
 
-    def paused_models(self, now_s: float) -> frozenset[ModelName]:
-        """Return the models that must not be loaded now."""
-        return frozenset(m for m, row in self._rows.items() if now_s < row.until_s)
+    def paused_until_s(self, now_s: float) -> dict[ModelName, float]:
+        """Return the models that must not be loaded now, and until when."""
+        return {m: row.until_s for m, row in self._rows.items() if now_s < row.until_s}
--- a/chutelink/placing/load_forecast.py
+++ b/chutelink/placing/load_forecast.py
@@ -32,7 +32,8 @@
     -------
     dict
         A lower bound for each model, in seconds: endpoints are used as they become
-        free, and a copy of the weights counts as local if any endpoint has one.
+        free, a copy of the weights counts as local if any endpoint has one, and a
+        paused model is loaded once its pause ends.
     """
     known_s = [s.free_in_s for s in view.sites if math.isfinite(s.free_in_s)]
     slots = max(1, math.ceil(MAX_OVERDUE_SHARE * len(view.sites)))
@@ -41,7 +42,13 @@
     for model in queued:
         if not free_s:
             break
-        ready_s[model] = free_s[0] + _shortest_load_s(view, model)
+        load_s = _shortest_load_s(view, model)
+        paused_until_s = view.paused_until_s.get(model)
+        if paused_until_s is not None:
+            # Endpoints load other models until then.
+            ready_s[model] = max(free_s[0], paused_until_s - view.now_s) + load_s
+            continue
+        ready_s[model] = free_s[0] + load_s
         heapq.heapreplace(free_s, ready_s[model])
     return ready_s
 
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -290,7 +290,7 @@
             demand=self._demand,
             cold_loads=limiter.available(now_s),
             now_s=now_s,
-            paused=self._load_backoff.paused_models(now_s),
+            paused_until_s=self._load_backoff.paused_until_s(now_s),
             loading_at=self._tracker.loading_at(),
             regions=self.regions,
         )
--- a/chutelink/placing/planner.py
+++ b/chutelink/placing/planner.py
@@ -251,7 +251,7 @@
         spec = self._view.engine.models.get(model)
         if spec is None:
             return
-        if model in self._view.paused:
+        if model in self._view.paused_until_s:
             self.declined[model] = DeclineReason.ENDS_ENDPOINTS
             return
         options = []
