Announced load times allow for the rate limit of cold loads

While the rate limit of the weight store was used up, callers of a model without any copy of its weights were told a time at which its load could not have ended, and waited for it although their time was shorter.

Cause: the forecast of queued models knew when endpoints become free, but not when the limit allows the next load from the store. Such a model also took an endpoint in the forecast, which put off the models behind it.

The limiter tells when the next load may start. The forecast begins no cold load before then, and endpoints load other models until then.

Measured: with the limit used up for 5 s or more and a cold load of 4 s, the model was announced for the time at which the limit allows a load, or before; now at least 4 s later (test; failed before).

--- a/chutelink/placing/changes.py
+++ b/chutelink/placing/changes.py
@@ -86,7 +86,8 @@
 class PlacementView(msgspec.Struct, frozen=True):
     """The input of a placement policy.
 
-    ``cold_loads`` is the number of loads from the weight store that may start now;
+    ``cold_loads`` is the number of loads from the weight store that may start now, and
+    ``cold_load_in_s`` the time until one may;
     ``sites`` contains every usable endpoint of the service, ``loading`` the number of
     loads in progress by model and adapter, and ``loading_at`` their endpoints;
     the models in ``paused_until_s`` must not be loaded before then. ``regions`` are
@@ -99,6 +100,7 @@
     demand: DemandTable
     cold_loads: int
     now_s: float
+    cold_load_in_s: float = 0.0
     paused_until_s: Mapping[ModelName, float] = NOT_PAUSED
     loading_at: frozenset[tuple[EndpointId, ModelName, AdapterName]] = frozenset()
     regions: RegionMap = NO_REGIONS
--- a/chutelink/placing/cold_load_limiter.py
+++ b/chutelink/placing/cold_load_limiter.py
@@ -48,6 +48,14 @@
             self._started_s.popleft()
         return max(0, self._limit - len(self._started_s))
 
+    def next_start_in_s(self, now_s: float) -> float:
+        """Return how many seconds remain until a load may start, 0 if one may now."""
+        if self.available(now_s):
+            return 0.0
+        return (
+            self._started_s[len(self._started_s) - self._limit] + self._window_s - now_s
+        )
+
     def record_start(self, now_s: float) -> None:
         """Count a load that starts or has started; call in order of start time."""
         self._started_s.append(now_s)
--- a/chutelink/placing/load_forecast.py
+++ b/chutelink/placing/load_forecast.py
@@ -33,7 +33,8 @@
     dict
         A lower bound for each model, in seconds: endpoints are used as they become
         free, a copy of the weights counts as local if any endpoint has one, and a
-        paused model is loaded once its pause ends.
+        paused model is loaded once its pause ends, and one without any copy once the
+        rate limit allows a cold load.
     """
     known_s = [s.free_in_s for s in view.sites if math.isfinite(s.free_in_s)]
     slots = max(1, math.ceil(MAX_OVERDUE_SHARE * len(view.sites)))
@@ -42,17 +43,18 @@
     for model in queued:
         if not free_s:
             break
-        load_s = _shortest_load_s(view, model)
-        paused_until_s = view.paused_until_s.get(model)
-        if paused_until_s is not None:
-            # Endpoints load other models until then.
-            ready_s[model] = max(free_s[0], paused_until_s - view.now_s) + load_s
-            continue
-        ready_s[model] = free_s[0] + load_s
-        heapq.heapreplace(free_s, ready_s[model])
+        load_s, is_cold = _shortest_load(view, model)
+        allowed_in_s = view.paused_until_s.get(model, view.now_s) - view.now_s
+        if is_cold:
+            allowed_in_s = max(allowed_in_s, view.cold_load_in_s)
+        ready_s[model] = max(free_s[0], allowed_in_s) + load_s
+        # Until a load is allowed, endpoints load other models.
+        if allowed_in_s <= free_s[0]:
+            heapq.heapreplace(free_s, ready_s[model])
     return ready_s
 
 
-def _shortest_load_s(view: PlacementView, model: ModelName) -> float:
+def _shortest_load(view: PlacementView, model: ModelName) -> tuple[float, bool]:
+    """Return how long a load takes at least, and whether it is a cold load."""
     spec = view.engine.models[model]
-    return min(load_time(site.inventory, spec)[0] for site in view.sites)
+    return min(load_time(site.inventory, spec) for site in view.sites)
--- a/chutelink/placing/placer.py
+++ b/chutelink/placing/placer.py
@@ -289,6 +289,7 @@
             ),
             demand=self._demand,
             cold_loads=limiter.available(now_s),
+            cold_load_in_s=limiter.next_start_in_s(now_s),
             now_s=now_s,
             paused_until_s=self._load_backoff.paused_until_s(now_s),
             loading_at=self._tracker.loading_at(),
--- a/tests/placing/test_cold_load_limiter.py
+++ b/tests/placing/test_cold_load_limiter.py
@@ -39,3 +39,13 @@
             started_s.append(now_s)
     for first in started_s:
         assert sum(first <= t <= first + WINDOW_S for t in started_s) <= ALLOWED
+
+
+def test_next_start_is_when_the_limit_allows_a_load_again():
+    limiter = ColdLoadLimiter(1.0, 5.0, 1.0)
+    assert limiter.next_start_in_s(98.0) == 0.0
+    while limiter.available(98.0):
+        limiter.record_start(98.0)
+    next_in_s = limiter.next_start_in_s(100.0)
+    assert not limiter.available(100.0 + next_in_s - 0.01)
+    assert limiter.available(100.0 + next_in_s + 0.01)
--- a/tests/placing/test_load_forecast.py
+++ b/tests/placing/test_load_forecast.py
@@ -45,6 +45,34 @@
     assert forecast_loads(make_view([math.inf]), ["m1"]) == {}
 
 
+def test_callers_are_not_told_to_wait_for_a_load_that_the_rate_limit_does_not_allow():
+    async def async_test():
+        harness = PlacerHarness()
+        await harness.async_start()
+        limiter = harness.placer.cold_load_limiters.get(
+            "llm", make_engine().cold_loads_per_s, is_first_term=True
+        )
+        started_s = harness.core.now_s
+        while limiter.available(started_s):
+            limiter.record_start(started_s)
+        harness.request_model("m1")
+        await harness.async_tick(1.0)
+        allowed_s = started_s + harness.placer.cold_load_limiters.window_s
+        ready_s = harness.core.now_s + harness.sent[-1].queued[0].ready_in_s
+        assert harness.sent[-1].queued[0].model == "m1"
+        assert ready_s >= allowed_s + make_engine().models["m1"].cold_load_s
+
+    run(async_test)
+
+
+def test_load_that_waits_for_the_rate_limit_does_not_put_off_loads_from_disk():
+    view = make_view([0.0], on_disk=("m2",))
+    view = msgspec.structs.replace(view, cold_load_in_s=3.5)
+    ready_s = forecast_loads(view, ["m1", "m2"])
+    assert ready_s["m1"] == pytest.approx(7.5)
+    assert ready_s["m2"] == pytest.approx(0.8)
+
+
 def test_requested_models_that_no_endpoint_loads_are_queued():
     demand = DemandTable()
     demand.take("d1", [ModelUsage(f"m{n}", "", 1, 0.1, 1, 1) for n in (1, 2)], 100.0)
