Soak of stops: requests around the SIGTERM of their daemon

No soak sends requests throughout stops beside other faults and compares each outcome with the time of SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak silence-soak bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak silence-soak stop-soak bench-setup
 
 setup: $(VENV)/.installed
 
@@ -62,6 +62,9 @@
 silence-soak: setup
 	$(BIN)/python -m soak.main --silences --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+stop-soak: setup
+	$(BIN)/python -m soak.stops --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 partitions: setup
 	$(BIN)/python -m tests.entry.partition_soak --first $(SEED) --seeds $(SEEDS)
 
