Soak of stops: count the responses without end

Cause: the bound on memory shows nothing if no endless response reaches a daemon, and the result didn't say whether any did.

Change: the result has their number, and the seeded test requires some.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -85,6 +85,8 @@
     stops: int
     requests: int
     late: Counter[str]
+    endless: int
+    """Number of responses without end that were begun."""
     peak_mb: float
 
 
@@ -98,6 +100,8 @@
         self._stops_two = seed % 3 == 0
         self._suspends = seed % 2 == 0
         self._config_version = 2
+        part = self._rng.choice(ENDLESS_PARTS)
+        self._endless = EndlessServer(part, ENDLESS_MAX_BYTES)
         self._listed = list(range(DAEMONS))
         self._stops: list[Stop] = []
         self._sweeps: list[StopSweep] = []
@@ -135,10 +139,9 @@
         return self._make_result()
 
     async def _async_add_endless(self) -> None:
-        server = EndlessServer(self._rng.choice(ENDLESS_PARTS), ENDLESS_MAX_BYTES)
-        await server.async_start(f"{self._fleet.subnet}.1")
+        await self._endless.async_start(f"{self._fleet.subnet}.1")
         endpoint = EndpointStandin("i-endless", "endless", {}, LOAD_S)
-        endpoint.address = server.address
+        endpoint.address = self._endless.address
         self._fleet.machines.endpoints[endpoint.name] = endpoint
         self._fleet.machines.register(endpoint.name)
 
@@ -267,6 +270,7 @@
             len(self._stops),
             len(outcomes),
             self._count_late(outcomes),
+            self._endless.requests,
             max(self._peaks_mb.values()),
         )
 
@@ -298,7 +302,8 @@
     result = run_seed(seed, directory, seconds)
     summary = (
         f"{result.stops} stops, {result.requests} requests, sent after SIGTERM "
-        f"{dict(sorted(result.late.items()))}, peak {result.peak_mb:.0f} MB; "
+        f"{dict(sorted(result.late.items()))}, "
+        f"{result.endless} endless responses, peak {result.peak_mb:.0f} MB; "
     )
     return SeedReport(result.violations, summary)
 
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -30,6 +30,7 @@
     assert result.violations == []
     assert result.late["whole"]
     assert result.late["not-run"]
+    assert result.endless
 
 
 @pytest.mark.parametrize("outcome", [CUT, LATE_UNKNOWN], ids=["cut", "unknown"])
