Buffered responses that aren't read are given up

A caller that stopped reading a large buffered response kept its memory until it disconnected. Two or three such responses took the part of the budget that one endpoint's responses may take, so that other callers of the endpoint got 504: 200 callers of 6 MB bodies, deadline 3 s, one further caller 9 s later.

Cause: the lease of a response is closed once the body is written, and writing had no time limit. Streams have had one.

A caller now has the time left of its request to read the response, at least 5 s as for the last events of a stream; then its connection is closed. Slow callers of large bodies are cut by this too if they need longer than that.

--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -15,7 +15,7 @@
 from ..memory import MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
-from ..relaying.caller_stream import CallerStream
+from ..relaying.caller_stream import MIN_DRAIN_S, CallerStream
 from ..relaying.exchange import Exchange, pick_service
 from ..relaying.exchange_dispatcher import DEFAULT_RETRY_DELAY_S, ExchangeDispatcher
 from ..relaying.relay import Relay
@@ -333,7 +333,7 @@
             async with self._endable.async_track():
                 if not exchange.route.is_stream:
                     answer = await self._relay.async_relay_buffered(exchange)
-                    return self._respond(answer, exchange.lease), ANSWERED
+                    return self._respond(answer, exchange), ANSWERED
                 result = await self._streams.async_relay(exchange, caller)
         except RequestEnded as error:
             if caller.has_sent_headers:
@@ -347,7 +347,7 @@
             self._record_unexpected(request, exchange, error)
             result = caller.abort()
         if isinstance(result, BufferedResponse):
-            return self._respond(result, exchange.lease), ANSWERED
+            return self._respond(result, exchange), ANSWERED
         return result, CUT if caller.is_aborted else ANSWERED
 
     def _make_end_refusal(self, exchange: Exchange) -> Refusal:
@@ -369,11 +369,11 @@
             return Refusal(HTTP_INTERNAL_ERROR, INTERNAL_ERROR)
         return unknown_outcome(INTERNAL_ERROR, HTTP_INTERNAL_ERROR)
 
-    def _respond(
-        self, answer: BufferedResponse, lease: MemoryLease | None
-    ) -> web.Response:
+    def _respond(self, answer: BufferedResponse, exchange: Exchange) -> web.Response:
+        left_s = exchange.left_s(self._core.clock())
         response = LeasedResponse(
-            lease,
+            exchange.lease,
+            max(left_s, MIN_DRAIN_S),
             status=answer.status,
             body=answer.body,
             headers=forwarded_headers(answer.headers),
--- a/chutelink/relaying/caller_stream.py
+++ b/chutelink/relaying/caller_stream.py
@@ -14,7 +14,7 @@
 from .sse import StreamEvent
 
 MIN_DRAIN_S = 5.0
-"""How long a caller may at least take to read its last events."""
+"""How long a caller may at least take to read its last events, or a response."""
 CLOSE_RESETS = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which the close of a socket resets its connection."""
 CLOSE_ENDS = struct.pack("ii", 0, 0)
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -6,6 +6,8 @@
 from enum import Enum
 
 PIECE_BYTES = 16 * 1024
+LARGE_EVENT_BYTES = 900_000
+"""Size of a large event, below the limit of one event."""
 
 
 class EndlessPart(Enum):
@@ -21,6 +23,8 @@
     TRAILERS = "trailers"
     EVENT = "event"
     EVENT_LINES = "event_lines"
+    EVENTS = "events"
+    LARGE_EVENTS = "large_events"
     AFTER_RESPONSE = "after_response"
     """Answers that no request asked for, on a connection that is kept open."""
 
@@ -48,6 +52,11 @@
     EndlessPart.TRAILERS: (_CHUNKED + b"0\r\n", _repeat(b"X-A: b\r\n")),
     EndlessPart.EVENT: (_STREAM + b"id: 1\ndata: ", _repeat(b"a")),
     EndlessPart.EVENT_LINES: (_STREAM, _repeat(b"data: a\n")),
+    EndlessPart.EVENTS: (_STREAM, _repeat(b"data: a\n\n")),
+    EndlessPart.LARGE_EVENTS: (
+        _STREAM,
+        b"data: " + b"a" * LARGE_EVENT_BYTES + b"\n\n",
+    ),
     EndlessPart.AFTER_RESPONSE: (
         _OK + b"Content-Length: 2\r\n\r\nok",
         _repeat(_COMPLETE),
