Gateway: request bodies share a limited part of the memory

Many callers that send bodies at once could exhaust a gateway's memory: each body was limited to max_body_bytes (1 MB), their sum was not.

Request bodies now share a quarter of memory_mb, a new key of [gateway] with the default of entry daemons (256). A stated length is charged before the body is read; a request for which there is no memory is refused as not run, with Retry-After. A keyed request whose caller has left still runs, and its body is then no longer counted. Responses of endpoints are not limited in sum yet.

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -6,7 +6,7 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..customers.access import CustomerAccess
-from ..memory import MemoryBudget, make_memory_budget
+from ..memory import BODY_MEMORY_SHARE, MemoryBudget, make_memory_budget
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
 from ..relaying.prefix_weighing import make_routing_policy
@@ -20,8 +20,6 @@
     from .app import EntryApp
 
 MS_PER_S = 1000.0
-BODY_MEMORY_SHARE = 0.25
-"""Share of the daemon's memory that bodies of requests may take."""
 RESPONSE_MEMORY_SHARE = 0.125
 """Share of the daemon's memory that endpoints' responses may take."""
 
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -12,7 +12,7 @@
 from ..customers.access import Admission, CustomerAccess
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
-from ..memory import MemoryBudget, MemoryLease
+from ..memory import NO_MEMORY_RETRY_S, MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import MIN_DRAIN_S, CallerStream
@@ -41,7 +41,6 @@
 HTTP_INTERNAL_ERROR = 500
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
-NO_MEMORY_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
 
--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -12,7 +12,7 @@
 from ..endpoints.client import EndpointResponse
 from ..fleet import CallerSpec, FleetSpec
 from ..tables.requests import WaitingRequest
-from .components import REQUEST_ID, GatewayComponents
+from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .idempotency import async_run_idempotent
 from .refusals import malformed
 from .relay import Exchange
@@ -41,7 +41,10 @@
         """Serve a completion request."""
         settings = self._components.settings.gateway
         body = await async_read_body(
-            request, settings.max_body_bytes, settings.idle_timeout_s
+            request,
+            settings.max_body_bytes,
+            settings.idle_timeout_s,
+            request[BODY_LEASE],
         )
         completion = decode_completion(body, is_chat=request.path == PATH_CHAT)
         check_model(caller, fleet, completion.model)
--- a/chutelink/gateway/components.py
+++ b/chutelink/gateway/components.py
@@ -13,6 +13,7 @@
 from ..endpoints.client import EndpointClient
 from ..fleet import CallerSpec, FleetSpec
 from ..ids import KeyHash, RequestId
+from ..memory import BODY_MEMORY_SHARE, MemoryLease, make_memory_budget
 from ..settings import GatewaySettings
 from ..systems.admission import RetryBudget
 from ..tables.callers import CallerTable
@@ -25,6 +26,7 @@
 
 DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
 REQUEST_ID = web.RequestKey("request_id", RequestId)
+BODY_LEASE = web.RequestKey("body_lease", MemoryLease)
 
 
 class GatewayComponents:
@@ -63,6 +65,9 @@
         self.members = members
         self.callers = CallerTable()
         self.keys: KeyIndex[CallerSpec] = KeyIndex()
+        self.body_memory = make_memory_budget(
+            settings.gateway.memory_mb, BODY_MEMORY_SHARE, owner_share=1.0
+        )
         self.retry_budget = RetryBudget(settings.gateway.retry_budget_ratio)
         self.dispatcher = Dispatcher(
             core,
--- a/chutelink/gateway/http.py
+++ b/chutelink/gateway/http.py
@@ -16,7 +16,7 @@
 from ..tables.members import Member, MemberState, Role
 from ..tracing import extract_context
 from .completions import PATH_CHAT, PATH_COMPLETIONS, CompletionHandler
-from .components import REQUEST_ID, GatewayComponents
+from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .refusals import Refusal, malformed, unavailable, unknown_outcome
 from .requests import check_model
 from .services import ServiceHandler
@@ -83,6 +83,8 @@
         core = self._components.core
         request_id = RequestId(make_id())
         request[REQUEST_ID] = request_id
+        lease = self._components.body_memory.open()
+        request[BODY_LEASE] = lease
         with core.tracer.start_as_current_span(
             "gateway.receive", context=extract_context(request.headers)
         ) as span:
@@ -103,6 +105,8 @@
                 core.events.error("request_failed", path=request.path, error=error)
                 response = unknown_outcome("internal error", 500).to_response()
                 outcome = "unknown"
+            finally:
+                lease.close()
             span.set_attribute("outcome", outcome)
         if not response.prepared:
             response.headers[HEADER_REQUEST_ID] = request_id
--- a/chutelink/gateway/requests.py
+++ b/chutelink/gateway/requests.py
@@ -11,8 +11,9 @@
 from msgspec import Meta
 
 from ..fleet import CallerSpec, FleetSpec
+from ..memory import NO_MEMORY_RETRY_S, MemoryLease
 from ..systems.routing import CHARACTERS_PER_TOKEN
-from .refusals import Refusal, forbidden, malformed, not_found
+from .refusals import Refusal, forbidden, malformed, not_found, unavailable
 
 PREFIX_BLOCK_CHARACTERS = 256
 MAX_PREFIXES = 16
@@ -58,17 +59,38 @@
 
 
 async def async_read_body(
-    request: web.Request, max_bytes: int, timeout_s: float
+    request: web.Request, max_bytes: int, timeout_s: float, lease: MemoryLease
 ) -> bytes:
-    """Return the request body; refuse one that is too large or arrives too slowly."""
-    if request.content_length is not None and request.content_length > max_bytes:
+    """Return the request body, whose memory the lease covers until it is closed.
+
+    Raises
+    ------
+    Refusal
+        The body is too large or too slow, or other bodies take the memory.
+    """
+    length = request.content_length or 0
+    if length > max_bytes:
         raise Refusal(413, f"body above {max_bytes} bytes")
+    _take_memory(lease, length)
+    parts: list[bytes] = []
+    size = 0
     try:
-        return await asyncio.wait_for(request.read(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            while part := await request.content.readany():
+                size += len(part)
+                if size > max_bytes:
+                    raise Refusal(413, f"body above {max_bytes} bytes")
+                if size > length:
+                    _take_memory(lease, size)
+                parts.append(part)
     except TimeoutError as error:
         raise Refusal(408, f"body not received within {timeout_s:g} s") from error
-    except web.HTTPRequestEntityTooLarge as error:
-        raise Refusal(413, f"body above {max_bytes} bytes") from error
+    return b"".join(parts)
+
+
+def _take_memory(lease: MemoryLease, size_bytes: int) -> None:
+    if not lease.try_resize(size_bytes):
+        raise unavailable("no memory for the body", NO_MEMORY_RETRY_S)
 
 
 def decode_completion(body: bytes, *, is_chat: bool) -> CompletionRequest:
--- a/chutelink/gateway/services.py
+++ b/chutelink/gateway/services.py
@@ -13,7 +13,7 @@
 from ..fleet import CallerSpec, FleetSpec, ServiceSpec
 from ..tables.endpoints import Endpoint
 from ..tracing import inject_context
-from .components import REQUEST_ID, GatewayComponents
+from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .idempotency import async_run_idempotent
 from .refusals import Refusal, forbidden, not_found, unavailable, unknown_outcome
 from .requests import async_read_body
@@ -41,7 +41,10 @@
             raise not_found(f"service {name}")
         settings = self._components.settings.gateway
         body = await async_read_body(
-            request, settings.max_body_bytes, settings.idle_timeout_s
+            request,
+            settings.max_body_bytes,
+            settings.idle_timeout_s,
+            request[BODY_LEASE],
         )
         self._components.admit(caller)
         call = _ServiceCall(self._components, request, span, service, body)
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -16,6 +16,10 @@
 BYTES_PER_MB = 1024 * 1024
 FREE_BYTES = 32 * 1024
 """Part of each body that is not limited, so that usual ones never wait."""
+BODY_MEMORY_SHARE = 0.25
+"""Share of a daemon's memory that bodies of requests may take."""
+NO_MEMORY_RETRY_S = 0.5
+"""Retry-After delay of requests for whose bodies there is no memory."""
 OWNER_SHARE = 0.25
 """Share of the limit that the bodies of one sender may take."""
 
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -86,7 +86,10 @@
 
 
 class GatewaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """``[gateway]``: limits and timeouts for requests of callers."""
+    """``[gateway]``: limits and timeouts for requests of callers.
+
+    ``memory_mb`` is what the process may take; a quarter of it is for request bodies.
+    """
 
     valid_s: Seconds = 2.0
     subset: Annotated[int, Meta(ge=1, le=64)] = 8
@@ -97,6 +100,7 @@
     retry_budget_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     claim_flush_s: Seconds = 0.005
     claim_wait_s: Seconds = 10.0
+    memory_mb: Annotated[float, Meta(ge=16, le=1_048_576)] = DEFAULT_MEMORY_MB
 
 
 class DirectorSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
