--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -13,7 +13,7 @@
 from ..endable import EndableSteps, RequestEnded
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
-from ..memory import MemoryBudget, MemoryLease
+from ..memory import NO_MEMORY_RETRY_S, MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
@@ -42,7 +42,6 @@
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
 NO_BODY_MEMORY = "no memory for the body"
-NO_MEMORY_RETRY_S = 0.5
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
 
--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -12,7 +12,7 @@
 from ..endpoints.client import EndpointResponse
 from ..fleet import CallerSpec, FleetSpec
 from ..tables.requests import WaitingRequest
-from .components import REQUEST_ID, GatewayComponents
+from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .idempotency import async_run_idempotent
 from .refusals import malformed
 from .relay import Exchange
@@ -43,7 +43,10 @@
         settings = self._components.settings.gateway
         async with self._components.ender.async_end_at_stop(refuse_not_run):
             body = await async_read_body(
-                request, settings.max_body_bytes, settings.idle_timeout_s
+                request,
+                settings.max_body_bytes,
+                settings.idle_timeout_s,
+                request[BODY_LEASE],
             )
         completion = decode_completion(body, is_chat=request.path == PATH_CHAT)
         check_model(caller, fleet, completion.model)
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -90,6 +90,7 @@
 
     ``grace_s`` is the time from a stop signal until the platform kills the process; 0
     if it doesn't, so that the gateway waits for all requests in flight.
+    ``memory_mb`` is what the process may take; a quarter of it is for request bodies.
     """
 
     valid_s: Seconds = 2.0
@@ -102,6 +103,7 @@
     claim_flush_s: Seconds = 0.005
     claim_wait_s: Seconds = 10.0
     grace_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+    memory_mb: Annotated[float, Meta(ge=16, le=1_048_576)] = DEFAULT_MEMORY_MB
 
 
 class DirectorSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
