Streams of very many events leave the event loop to other tasks

Callers saw: 503 for other streams, and streams that ended seconds after their limits, while 200 streams forwarded endless events of 9 bytes (2 of 4 runs of test_others_are_served_beside_callers_that_do_not_read[events]).

Cause: a write to a caller that doesn't wait lets no other task run. All events that had been received, 3640 in the test, were forwarded in one iteration of the event loop.

Change: after each 16 events of a response other tasks run. The gateway, as the entry daemon, compares the announced length of a body with what is left and charges only what has arrived.

--- a/chutelink/gateway/requests.py
+++ b/chutelink/gateway/requests.py
@@ -17,6 +17,7 @@
 
 PREFIX_BLOCK_CHARACTERS = 256
 MAX_PREFIXES = 16
+NO_BODY_MEMORY = "no memory for the body"
 DEFAULT_MAX_TOKENS = 16
 
 
@@ -71,7 +72,8 @@
     length = request.content_length or 0
     if length > max_bytes:
         raise Refusal(413, f"body above {max_bytes} bytes")
-    _take_memory(lease, length)
+    if not lease.fits(length):
+        raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
     parts: list[bytes] = []
     size = 0
     try:
@@ -80,19 +82,14 @@
                 size += len(part)
                 if size > max_bytes:
                     raise Refusal(413, f"body above {max_bytes} bytes")
-                if size > length:
-                    _take_memory(lease, size)
+                if not lease.try_resize(size):
+                    raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
                 parts.append(part)
     except TimeoutError as error:
         raise Refusal(408, f"body not received within {timeout_s:g} s") from error
     return b"".join(parts)
 
 
-def _take_memory(lease: MemoryLease, size_bytes: int) -> None:
-    if not lease.try_resize(size_bytes):
-        raise unavailable("no memory for the body", NO_MEMORY_RETRY_S)
-
-
 def decode_completion(body: bytes, *, is_chat: bool) -> CompletionRequest:
     """Return the completion request, or refuse it naming the error's position."""
     try:
--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     from .stream import StreamRelay
 
+EVENTS_PER_ITERATION = 16
+"""Events that are forwarded in one iteration of the event loop."""
 MIN_FIRST_EVENT_TIMEOUT_S = 1.5
 DEFAULT_STALL_TIMEOUT_S = 1.5
 """Time without an event after which another endpoint is tried.
@@ -198,6 +200,9 @@
                 await caller.async_send_headers(response.status, headers)
                 await caller.async_send(event)
                 self._note_event(sent_s)
+                if self._events % EVENTS_PER_ITERATION == 0:
+                    # A write that doesn't wait lets no other task run.
+                    await asyncio.sleep(0)
             limit_s = stall_timeout_s(self._exchange.route)
         if splitter.has_partial_event:
             raise ConnectionBroken(
--- a/tests/relaying/test_endless_answers.py
+++ b/tests/relaying/test_endless_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 
 from chutelink.relaying.sse import MAX_EVENT_BYTES, EventSplitter
+from chutelink.relaying.stream_attempt import EVENTS_PER_ITERATION
 from chutelink.responses import MAX_OVERHEAD_BYTES
 from chutelink.settings import DEFAULT_MAX_ANSWER_BYTES
 from chutelink.watching.table_state import RowChange
@@ -218,6 +220,37 @@
     asyncio.run(async_test())
 
 
+def test_endless_short_events_do_not_keep_the_event_loop_busy():
+    """Thousands of events were forwarded in one iteration of the event loop."""
+
+    async def async_test():
+        async with async_relay_harness() as harness:
+            harness.configure()
+            await async_add_endless(harness, EndlessPart.EVENTS, "llm")
+            iterations = [0]
+            events_by_iteration = Counter()
+            note_event = harness.dispatcher.versions.note_event
+
+            def note(*args):
+                events_by_iteration[iterations[0]] += 1
+                note_event(*args)
+
+            async def async_count():
+                while True:
+                    iterations[0] += 1
+                    await asyncio.sleep(0)
+
+            harness.dispatcher.versions.note_event = note
+            counting = asyncio.ensure_future(async_count())
+            async with harness.request("/stream/x", "q0", **STREAM) as answer:
+                await answer.content.readexactly(100_000)
+            counting.cancel()
+            assert sum(events_by_iteration.values()) > 1000
+            assert max(events_by_iteration.values()) <= 2 * EVENTS_PER_ITERATION
+
+    asyncio.run(async_test())
+
+
 def test_event_up_to_the_limit_is_split_at_its_end():
     splitter = EventSplitter()
     piece = b"data: " + b"a" * 1000 + b"\n"
