Soak of stops: a connection closed late counts as a lost request

A request whose connection was closed without a response was allowed however long after its last byte, if no endpoint had run it.

--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -18,14 +18,20 @@
 MEMORY_LIMIT_MB = 300.0
 """What the settings of the deployment allow a daemon."""
 NOT_RUN = "not-run"
+UNREAD_CLOSE_S = 0.2
+"""A request counts as unread if its connection is closed within this time."""
 
 
 class Stop(msgspec.Struct):
-    """A stop of a daemon, on the clock of the loop."""
+    """A stop of a daemon, on the clock of the loop.
+
+    ``suspended_s`` is how long its process may have been suspended at a time.
+    """
 
     daemon: int
     signaled_s: float
     gone_s: float = math.inf
+    suspended_s: float = 0.0
 
 
 def find_stop(outcome: StopOutcome, stops: Iterable[Stop]) -> Stop | None:
@@ -61,8 +67,8 @@
 
 def _is_allowed(outcome: StopOutcome, stop: Stop, run_count: int) -> bool:
     if not outcome.status and not run_count:
-        # The connection was closed without the request having been read.
-        return True
+        closed_after_s = outcome.ended_s - outcome.last_byte_s
+        return closed_after_s <= UNREAD_CLOSE_S + stop.suspended_s
     is_refused = outcome.is_whole and outcome.outcome == NOT_RUN
     if outcome.has_whole_answer or is_refused or outcome.ended_at_limit:
         return True
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -198,6 +198,8 @@
         self._sweeps.append(sweep)
         await sweep.async_open()
         stop = Stop(number, asyncio.get_running_loop().time())
+        if self._suspends:
+            stop.suspended_s = SUSPEND_S[1]
         self._stops.append(stop)
         process.terminate()
         sweeping = asyncio.ensure_future(sweep.async_run(lambda: process.is_running))
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -43,10 +43,16 @@
     assert len(check_stops([early], [STOP], runs)) == 1
 
 
-def test_connection_closed_without_a_response_is_a_fault_only_if_the_request_ran():
-    closed = msgspec.structs.replace(LATE_UNKNOWN, status=0, outcome="")
+def test_connection_closed_without_a_response_is_a_fault_if_the_request_was_read():
+    closed = msgspec.structs.replace(
+        LATE_UNKNOWN, status=0, outcome="", ended_s=LATE_UNKNOWN.last_byte_s + 0.1
+    )
     assert check_stops([closed], [STOP], Counter()) == []
     assert len(check_stops([closed], [STOP], Counter({closed.id: 1}))) == 1
+    late = msgspec.structs.replace(closed, ended_s=closed.last_byte_s + 0.3)
+    assert len(check_stops([late], [STOP], Counter())) == 1
+    suspended = msgspec.structs.replace(STOP, suspended_s=0.5)
+    assert check_stops([late], [suspended], Counter()) == []
 
 
 def test_request_that_ends_at_its_own_limit_was_not_ended_by_the_stop():
