Gateway: responses being read share memory; memory_mb has a default

Cause: each response of the gateway was limited, not their sum; the template of the settings had no default.

Change: responses beyond 32 KB are read only while they fit into an eighth of memory_mb, as at entry daemons, until they are complete.

--- a/chutelink/endpoints/client.py
+++ b/chutelink/endpoints/client.py
@@ -15,6 +15,7 @@
 from ..decoding import decode_json
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet.model import EndpointKind, EndpointSpec
+from ..memory import MemoryBudget
 from ..responses import (
     MAX_CONTROL_BYTES,
     BoundedConnector,
@@ -83,6 +84,8 @@
     ) -> None:
         self._session = session
         self._settings = settings
+        self.response_memory: MemoryBudget | None = None
+        """Memory of responses being read, None if only each of them is limited."""
         # If the endpoint closes a pooled connection while a call is sent on it, it
         # is unknown whether the call was run. Calls that must not be repeated
         # therefore open a new connection.
@@ -154,15 +157,20 @@
         EndpointUnreachable, EndpointRefused, EndpointFailed
             As in `async_open`.
         """
-        async with self.async_open(spec, request) as response:
-            try:
+        memory = self.response_memory
+        lease = None if memory is None else memory.open(spec.name)
+        try:
+            async with self.async_open(spec, request) as response:
                 content = await asyncio.wait_for(
-                    async_read_body(response, self._settings.max_answer_bytes),
+                    async_read_body(response, self._settings.max_answer_bytes, lease),
                     request.timeout_s,
                 )
-            except _TRANSPORT_ERRORS as error:
-                raise _make_error(error, "endpoint.read", spec) from error
-            return EndpointResponse(response.status, response.headers, content)
+                return EndpointResponse(response.status, response.headers, content)
+        except _TRANSPORT_ERRORS as error:
+            raise _make_error(error, "endpoint.read", spec) from error
+        finally:
+            if lease is not None:
+                lease.close()
 
     async def async_report(self, spec: EndpointSpec) -> tuple[EndpointReport, int]:
         """Return an engine's report and the number of bytes transferred for it."""
--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -6,7 +6,12 @@
 
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS
 from ..customers.access import CustomerAccess
-from ..memory import BODY_MEMORY_SHARE, MemoryBudget, make_memory_budget
+from ..memory import (
+    BODY_MEMORY_SHARE,
+    RESPONSE_MEMORY_SHARE,
+    MemoryBudget,
+    make_memory_budget,
+)
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
 from ..relaying.prefix_weighing import make_routing_policy
@@ -20,8 +25,6 @@
     from .app import EntryApp
 
 MS_PER_S = 1000.0
-RESPONSE_MEMORY_SHARE = 0.125
-"""Share of the daemon's memory that endpoints' responses may take."""
 
 
 def make_caller_server(
--- a/chutelink/gateway/components.py
+++ b/chutelink/gateway/components.py
@@ -13,7 +13,12 @@
 from ..endpoints.client import EndpointClient
 from ..fleet import CallerSpec, FleetSpec
 from ..ids import KeyHash, RequestId
-from ..memory import BODY_MEMORY_SHARE, MemoryLease, make_memory_budget
+from ..memory import (
+    BODY_MEMORY_SHARE,
+    RESPONSE_MEMORY_SHARE,
+    MemoryLease,
+    make_memory_budget,
+)
 from ..settings import GatewaySettings
 from ..systems.admission import RetryBudget
 from ..tables.callers import CallerTable
@@ -61,6 +66,9 @@
         self.core = core
         self.settings = settings
         self.client = client
+        client.response_memory = make_memory_budget(
+            settings.gateway.memory_mb, RESPONSE_MEMORY_SHARE
+        )
         self.claims = claims
         self.endpoints = endpoints
         self.members = members
--- a/tests/endpoints/test_endless_responses.py
+++ b/tests/endpoints/test_endless_responses.py
@@ -15,12 +15,14 @@
 )
 from chutelink.exceptions import EndpointFailed
 from chutelink.fleet.model import EndpointKind, EndpointSpec
+from chutelink.memory import MemoryBudget
 from chutelink.responses import BoundedConnector
 from chutelink.settings import DEFAULT_MAX_ANSWER_BYTES, EndpointsSection
 from standins.endless import EndlessPart, EndlessServer
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """What the buffers of both sockets may take besides what is read."""
+SHARED_BYTES = 16 * 1024 * 1024
 TIMEOUT_S = 30.0
 """Long enough for the limits to apply first."""
 PARTS = [
@@ -68,6 +70,30 @@
     )
 
 
+def test_many_answers_without_end_share_the_memory():
+    """Each answer was limited, but not their sum."""
+
+    async def async_call(client, spec):
+        client.response_memory = MemoryBudget(SHARED_BYTES)
+        calls = [client.async_exchange(spec, make_request()) for _ in range(50)]
+        peaks_bytes = []
+
+        async def async_watch():
+            while True:
+                peaks_bytes.append(client.response_memory.used_bytes)
+                await asyncio.sleep(0)
+
+        watching = asyncio.ensure_future(async_watch())
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        watching.cancel()
+        assert all(isinstance(result, EndpointFailed) for result in results)
+        assert 0 < max(peaks_bytes) <= SHARED_BYTES + DEFAULT_MAX_ANSWER_BYTES
+        assert client.response_memory.used_bytes == 0
+        raise results[0]
+
+    asyncio.run(async_with_client(EndlessPart.CHUNKS, async_call))
+
+
 @pytest.mark.parametrize("part", PARTS, ids=lambda part: part.value)
 def test_report_fails_at_the_limit(part):
     asyncio.run(async_with_client(part, lambda client, spec: client.async_report(spec)))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,12 +4,19 @@
 
 import pytest
 
-from chutelink.settings import EntrySettings, decode_settings, describe_settings
+from chutelink.settings import (
+    DEFAULT_MEMORY_MB,
+    EntrySettings,
+    decode_settings,
+    describe_settings,
+)
 
 from .processes.entry_deployment import ROOT, render
 
 
-def render_entry_settings(zones: dict[str, str] | None = None, **bounds: str) -> str:
+def render_entry_settings(
+    zones: dict[str, str] | None = None, memory_mb: str = "300", **bounds: str
+) -> str:
     """Return the deployed template, rendered with example values."""
     fields = dict.fromkeys(
         (
@@ -26,11 +33,19 @@
     values |= {f"listen.{n}": f"{ip}:2" for n in ("front", "ready", "directory")}
     values |= {"listen.control": f"{ip}:3"}
     values |= {"limits.cpu_share": "0.5", "limits.cores": "1"}
-    values["limits.memory_mb"] = "300"
+    values["limits.memory_mb"] = memory_mb
     values["zones"] = zones or {}
     return render((ROOT / "deploy" / "entry.ini").read_text(), values)
 
 
+def test_deployments_that_state_no_memory_use_the_default():
+    """Daemons did not start without it."""
+    text = render_entry_settings(memory_mb="")
+    settings, problems = decode_settings(text, "entry.ini", EntrySettings)
+    assert problems == []
+    assert settings.entry.memory_mb == DEFAULT_MEMORY_MB
+
+
 @pytest.mark.parametrize(
     "bounds",
     [
