Streams with short backlogs don't yield after each 16 events

Cause: let other tasks run after each 16 events. A process that is suspended most of the time runs few iterations of the event loop, so that a backlog of some 20 events took several of its turns.

Change: other tasks run after each 128 events, some 4 ms of work.

--- a/chutelink/relaying/stream_attempt.py
+++ b/chutelink/relaying/stream_attempt.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from .stream import StreamRelay
 
-EVENTS_PER_ITERATION = 16
+EVENTS_PER_ITERATION = 128
 """Events that are forwarded in one iteration of the event loop."""
 MIN_FIRST_EVENT_TIMEOUT_S = 1.5
 DEFAULT_STALL_TIMEOUT_S = 1.5
