Gateway: don't keep the decoded bodies of waiting requests

Callers saw: a gateway of 128 MB took 221 MB for 40 completion requests of 1 MB that waited for their engine, and would have been killed: bodies of very many short messages, or with one wide character.

Cause: the handler held the decoded body until the response. 35,000 short messages take several times the bytes of their body, and text with a single character outside the basic plane takes four bytes a character. Only the body itself is counted.

Change: the body is decoded in a function of its own, which returns the exchange and whether to stream. The decoded objects exist for one request at a time, within one iteration of the event loop.

--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -48,20 +48,35 @@
                 settings.idle_timeout_s,
                 request[BODY_LEASE],
             )
-        completion = decode_completion(body, is_chat=request.path == PATH_CHAT)
-        check_model(caller, fleet, completion.model)
-        self._components.admit(caller)
-        exchange = self._make_exchange(request, span, caller, fleet, completion, body)
+        exchange, is_stream = self._accept(request, span, caller, fleet, body)
         key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
-        if key and completion.stream:
+        if key and is_stream:
             raise malformed(f"{HEADER_IDEMPOTENCY_KEY} can't go with stream")
         if key:
             return await self._async_run_idempotent(exchange, caller, key, body)
-        if completion.stream:
+        if is_stream:
             return await self._components.relay.async_relay_stream(request, exchange)
         answer = await self._components.relay.async_relay_response(exchange)
         return _to_response(answer)
 
+    def _accept(
+        self,
+        request: web.Request,
+        span: Span,
+        caller: CallerSpec,
+        fleet: FleetSpec,
+        body: bytes,
+    ) -> tuple[Exchange, bool]:
+        """Return the exchange, and whether its response is streamed.
+
+        The decoded body is not kept: it may take several times the memory of the body.
+        """
+        completion = decode_completion(body, is_chat=request.path == PATH_CHAT)
+        check_model(caller, fleet, completion.model)
+        self._components.admit(caller)
+        exchange = self._make_exchange(request, span, caller, fleet, completion, body)
+        return exchange, completion.stream
+
     async def _async_run_idempotent(
         self, exchange: Exchange, caller: CallerSpec, key: str, body: bytes
     ) -> web.Response:
