Parse one request of a connection at a time, within bounds

Callers saw: crowds that sent heads without end, pipelined requests or bodies to paths that read none took a process of 128 MB to 139 to 533 MB, at each HTTP port of both programs. A single legal request with more than 128 header fields got 400, at any configured limit.

Cause: asyncio reads up to 256 KB at once, and the library parses all of it: up to 32 requests ahead, each part of an unfinished head, and up to 512 KB of a body that nobody reads. As objects, short fields take up to a hundred times their bytes. Only bodies that a handler had read counted. The number of fields was limited by the library, not by the configuration, and the size of a field was counted with an optional space. header_timeout_ms was decoded and not applied.

Change: a package serving/ with a request handler for all ports. It holds received data (16 KB at once) until a head is complete and the request before it is answered, so that one request of a connection is parsed at a time, and refuses heads above their limit or time (431, 408, stated as not run, as are requests that can't be parsed). Parsed heads and trailers share a 32nd of the memory, in which a single head always fits. Data with very many fields or chunks is parsed in turn, 5 ms of each iteration of the event loop, so that ordinary requests don't wait for them. Kernel buffers of these connections are 16 and 64 KB.

A property test sends the same requests in any split and with bodies that look like heads.

--- a/chutelink/connections.py
+++ b/chutelink/connections.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -17,7 +18,9 @@
 """Iterations of the event loop in which a listener accepts a connection."""
 
 
-async def async_close_listener(listener: asyncio.Server, server: web.Server) -> None:
+async def async_close_listener(
+    listener: asyncio.Server, make_connection: Callable[[], asyncio.Protocol]
+) -> None:
     """Stop listening, and accept the connections that callers have opened before.
 
     The kernel completes connections, and receives requests on them, on behalf of a slow
@@ -27,8 +30,8 @@
     ----------
     listener : asyncio.Server
         Listener that is closed.
-    server : web.Server
-        Server that handles its connections.
+    make_connection : callable
+        Returns the protocol of an accepted connection.
     """
     loop = asyncio.get_running_loop()
     for bound in listener.sockets:
@@ -38,7 +41,9 @@
         await asyncio.sleep(0)
     accepted = [sock for bound in listener.sockets for sock in _accept_all(bound)]
     listener.close()
-    connecting = [loop.connect_accepted_socket(server, sock) for sock in accepted]
+    connecting = [
+        loop.connect_accepted_socket(make_connection, sock) for sock in accepted
+    ]
     # A connection that its caller has closed by then may fail.
     await asyncio.gather(*connecting, return_exceptions=True)
 
@@ -88,7 +93,7 @@
     transport = connection.transport
     if transport is not None and not transport.is_closing():
         sock = transport.get_extra_info("socket")
-        if _unread_bytes(sock.fileno()):
+        if count_unread_bytes(sock.fileno()):
             return False
         if not transport.get_write_buffer_size():
             # The transport closes the socket in a later iteration of the event loop,
@@ -105,11 +110,13 @@
     In between, only aiohttp's private waiter shows it; aiohttp's keep-alive timer
     relies on the same state.
     """
+    if getattr(connection, "has_request", False):
+        return False
     waiter = connection._waiter
     return waiter is not None and not waiter.done()
 
 
-def _unread_bytes(descriptor: int) -> int:
+def count_unread_bytes(descriptor: int) -> int:
     """Return how many received bytes of a socket have not been read."""
     count = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(struct.calcsize("i")))
     return struct.unpack("i", count)[0]
--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -16,14 +16,17 @@
 
 from . import __version__
 from .clock import BoottimeLoop, now_s
-from .connections import async_close_listener, close_idle
 from .const import MAX_HEADER_BYTES
 from .exceptions import ChutelinkError, SettingsError
 from .ids import BootId, DaemonId, make_id
 from .log import EventLog, setup_logging
 from .metrics import CONTENT_TYPE, Metrics
 from .responses import BoundedConnector
-from .settings import DaemonSection
+from .serving.connection import HeadLimits
+from .serving.const import DEFAULT_HEAD_TIMEOUT_S
+from .serving.listening import bind_socket
+from .serving.port import HttpPort, ServingBounds
+from .settings import DEFAULT_MEMORY_MB, DaemonSection
 from .startup import (
     EXIT_FAILED,
     EXIT_OK,
@@ -71,14 +74,16 @@
         self.drain_requested = asyncio.Event()
         self.drain_requested_s = float("inf")
         self.session: aiohttp.ClientSession | None = None
+        self.serving: ServingBounds | None = None
         self._runner: web.AppRunner | None = None
-        self._listener: asyncio.Server | None = None
+        self._port: HttpPort | None = None
 
     async def on_start(self) -> None:
         """Open the HTTP session, start the services, then listen."""
         connector = BoundedConnector(limit=0, limit_per_host=MAX_CONNECTIONS_PER_HOST)
         no_limit = aiohttp.ClientTimeout(total=None)
         self.session = aiohttp.ClientSession(connector=connector, timeout=no_limit)
+        self.serving = self._make_bounds()
         if self.daemon.trace_url:
             await self._async_export_spans()
         await self.async_setup_parts()
@@ -108,8 +113,8 @@
 
     async def on_shutdown(self) -> None:
         """Close the server and the session after the services have stopped."""
-        if self._listener is not None:
-            self._listener.close()
+        if self._port is not None:
+            self._port.close()
         if self._runner is not None:
             await self._runner.cleanup()
         if self.session is not None:
@@ -140,6 +145,18 @@
         """Maximum size of a request body."""
         return 1_000_000
 
+    @property
+    def memory_mb(self) -> float:
+        """Memory that the process may take."""
+        return DEFAULT_MEMORY_MB
+
+    def head_limits(self) -> HeadLimits:
+        """Return the limits of requests' heads."""
+        return HeadLimits(MAX_HEADER_BYTES, DEFAULT_HEAD_TIMEOUT_S)
+
+    def _make_bounds(self) -> ServingBounds:
+        return ServingBounds(self.clock, self.memory_mb, lambda: self.head_limits())
+
     async def _async_listen(self) -> None:
         app = web.Application(client_max_size=self.max_body_bytes)
         app.router.add_get("/healthz", self._async_health)
@@ -151,20 +168,18 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=1.0,
-            max_field_size=MAX_HEADER_BYTES,
         )
         await self._runner.setup()
-        self._listener = await asyncio.get_running_loop().create_server(
+        self._port = await self.serving.async_open_port(
             self._runner.server,
-            self.daemon.address,
-            self.daemon.port,
-            reuse_address=True,
+            bind_socket(self.daemon.address, self.daemon.port),
+            access_log=None,
         )
 
     async def async_close_server(self) -> None:
         """Stop accepting connections, and close each as soon as it is idle."""
-        await async_close_listener(self._listener, self._runner.server)
-        while close_idle(self._runner.server):
+        await self._port.async_stop_accepting()
+        while self._port.close_idle():
             await asyncio.sleep(CLOSE_POLL_S)
 
     async def _async_health(self, request: web.Request) -> web.Response:
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -10,7 +10,6 @@
 from mode import Service
 
 from ..coldstart.grants import ColdGrantManager
-from ..connections import async_close_listener, close_idle
 from ..const import TABLE_CONFIG, TABLE_ENDPOINTS, TABLE_QUARANTINE
 from ..core import Application
 from ..customers.buckets import QuotaBounds
@@ -43,6 +42,9 @@
 from ..regions.rule import HomeRegionRule
 from ..relaying.retry_budget import RetryBudgetShare
 from ..relaying.upstream import Upstream
+from ..serving.connection import HeadLimits
+from ..serving.listening import bind_socket
+from ..serving.port import HttpPort
 from ..settings import EntrySettings
 from ..steps import async_run_step
 from ..tables.members import MemberState, MemberTable
@@ -52,10 +54,10 @@
 from ..watching.watch import StoreWatch
 from .adapter import Handler, PlatformAdapter
 from .caller_server import make_caller_server
+from .config import CallerLimits
 from .demand import DemandTable
 from .directory import Directory, count_candidates
 from .http import CallerServer
-from .listeners import ACCEPT_QUEUE
 from .load_tracker import LoadTracker
 from .membership import PreviousFleet, Registration, make_member, port_of
 from .message_router import MessageRouter
@@ -91,8 +93,6 @@
 """
 MAX_LAPSE_HEARTBEATS = 4
 """Heartbeat intervals after which a terminated endpoint's registration has lapsed."""
-MAX_HEADER_BYTES = 64 * 1024
-"""Limit of the HTTP parser; the configured limit is checked afterwards."""
 
 
 class EntryApp(Application):
@@ -181,8 +181,8 @@
         self.callers: CallerServer | None = None
         self.router: MessageRouter | None = None
         self._upstream: Upstream | None = None
-        self._caller_server: web.Server | None = None
-        self._listeners: list[tuple[asyncio.Server, web.Server]] = []
+        self._caller_port: HttpPort | None = None
+        self._ports: list[HttpPort] = []
 
     async def async_setup_parts(self) -> None:
         """Create and connect the components, then start them."""
@@ -365,37 +365,34 @@
         """Listen for operators, callers, address lookups and readiness checks."""
         await super()._async_listen()
         entry = self.settings.entry
-        self._caller_server = web.Server(
-            self.callers.async_handle,
-            handler_cancellation=True,
+        listener = self._caller_listener or _bind(entry.caller_listen)
+        self._caller_port = await self._async_serve(self.callers.async_handle, listener)
+        directory = self._adapter.make_directory_handler(self.directory)
+        await self._async_serve(directory, _bind(entry.directory_listen))
+        ready = self._adapter.make_ready_handler(self.is_serving)
+        await self._async_serve(ready, _bind(entry.ready_listen))
+
+    async def _async_serve(self, handler: Handler, listener: socket.socket) -> HttpPort:
+        """Accept connections on a bound socket."""
+        port = await self.serving.async_open_port(
+            web.Server(handler, handler_cancellation=True),
+            listener,
             access_log=None,
             auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
         )
-        await self._async_serve(
-            entry.caller_listen, self._caller_server, self._caller_listener
-        )
-        directory = self._adapter.make_directory_handler(self.directory)
-        await self._async_serve(entry.directory_listen, _make_server(directory))
-        ready = self._adapter.make_ready_handler(self.is_serving)
-        await self._async_serve(entry.ready_listen, _make_server(ready))
+        self._ports.append(port)
+        return port
 
-    async def _async_serve(
-        self, listen: str, server: web.Server, opened: socket.socket | None = None
-    ) -> None:
-        """Accept connections on ``listen``, or on ``opened`` if it is given."""
-        loop = asyncio.get_running_loop()
-        if opened is not None:
-            listener = await loop.create_server(
-                server, sock=opened, backlog=ACCEPT_QUEUE
-            )
-        else:
-            host = listen.rpartition(":")[0]
-            listener = await loop.create_server(
-                server, host, port_of(listen), backlog=ACCEPT_QUEUE, reuse_address=True
-            )
-        self._listeners.append((listener, server))
+    @property
+    def memory_mb(self) -> float:
+        """Memory that the process may take."""
+        return self.settings.entry.memory_mb
+
+    def head_limits(self) -> HeadLimits:
+        """Return the configured limits of requests' heads."""
+        routes = self.known.routes
+        limits = CallerLimits() if routes is None else routes.config.limits
+        return HeadLimits(limits.max_header_bytes, limits.header_timeout_s)
 
     def add_routes(self, app: web.Application) -> None:
         """Add the HTTP routes for operators."""
@@ -546,9 +543,9 @@
         cache_end_s = min(grace_end_s, self.clock() + cache_s * CACHE_TIME_MARGIN)
         while self.clock() < cache_end_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        for listener, server in self._listeners:
-            await async_close_listener(listener, server)
-        while close_idle(self._caller_server) and self.clock() < grace_end_s:
+        for port in self._ports:
+            await port.async_stop_accepting()
+        while self._caller_port.close_idle() and self.clock() < grace_end_s:
             if self.clock() > grace_end_s - REFUSE_WAITING_LEAD_S:
                 self.callers.stop_waiting()
             await asyncio.sleep(DRAIN_POLL_S)
@@ -569,18 +566,18 @@
     async def _async_close_answered(self) -> None:
         """Close connections as the responses to their requests are written."""
         for _ in range(REFUSAL_ITERATIONS):
-            close_idle(self._caller_server)
+            self._caller_port.close_idle()
             await asyncio.sleep(0)
 
     async def on_shutdown(self) -> None:
         """Close listeners and connections after the components have stopped."""
-        for listener, _ in self._listeners:
-            listener.close()
+        for port in self._ports:
+            port.close()
         await self.partition.async_close()
         if self._upstream is not None:
             await self._upstream.async_close()
         await super().on_shutdown()
 
 
-def _make_server(handler: Handler) -> web.Server:
-    return web.Server(handler, access_log=None)
+def _bind(listen: str) -> socket.socket:
+    return bind_socket(listen.rpartition(":")[0], port_of(listen))
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -39,6 +39,9 @@
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 HTTP_INTERNAL_ERROR = 500
+FIELD_FRAMING_BYTES = 3
+"""The colon and the line end of a header field; spaces around its value are optional.
+"""
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
 NO_BODY_MEMORY = "no memory for the body"
@@ -273,7 +276,10 @@
         return request.transport is not None and not request.transport.is_closing()
 
     def _check_size(self, request: web.BaseRequest, limits: CallerLimits) -> None:
-        header_bytes = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
+        header_bytes = sum(
+            len(name) + len(value) + FIELD_FRAMING_BYTES
+            for name, value in request.raw_headers
+        )
         if header_bytes > limits.max_header_bytes:
             raise Refusal(HTTP_HEADERS_TOO_LARGE, "headers too large")
         if (request.content_length or 0) > limits.max_body_bytes:
--- a/chutelink/entry/listeners.py
+++ b/chutelink/entry/listeners.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from ..serving.listening import bind_socket
+
 ACCEPT_QUEUE = 512
 """Backlog of connections waiting to be accepted; callers wait up to 1 s."""
 
@@ -14,14 +16,10 @@
     In that case the daemon tries again later in the startup and reports the error.
     """
     host, _, port = listen.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        listener.bind((host, int(port)))
-        listener.listen(ACCEPT_QUEUE)
+        listener = bind_socket(host, int(port))
     except OSError:
         # Logging isn't set up yet; the second attempt reports the error.
-        listener.close()
         return None
-    listener.setblocking(False)
+    listener.listen(ACCEPT_QUEUE)
     return listener
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -11,6 +11,8 @@
 from ..endpoints.notifications import TOPIC_LOADED, decode_loaded
 from ..exceptions import PeerMessageInvalid
 from ..peers.messages import Broadcast
+from ..serving.connection import HeadLimits
+from ..serving.const import DEFAULT_HEAD_TIMEOUT_S
 from ..settings import GatewaySettings
 from ..steps import async_run_step
 from ..tables.members import Role
@@ -42,6 +44,17 @@
         """Maximum size of a request body in bytes."""
         return self.settings.gateway.max_body_bytes
 
+    @property
+    def memory_mb(self) -> float:
+        """Memory that the process may take."""
+        return self.settings.gateway.memory_mb
+
+    def head_limits(self) -> HeadLimits:
+        """Return the limits of requests' heads."""
+        return HeadLimits(
+            self.settings.gateway.max_header_bytes, DEFAULT_HEAD_TIMEOUT_S
+        )
+
     async def async_setup_role(self) -> None:
         """Create the components that serve callers."""
         settings = self.settings
@@ -172,8 +185,5 @@
             async with asyncio.timeout(END_TIMEOUT_S):
                 await self._async_complete_requests()
         except TimeoutError:
-            connections = self._runner.server.connections
-            self.events.warning("connections_aborted", left=len(connections))
-            for connection in connections:
-                if connection.transport is not None:
-                    connection.transport.abort()
+            left = self._port.abort_connections()
+            self.events.warning("connections_aborted", left=left)
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -58,17 +58,21 @@
 
     def fits(self, size_bytes: int) -> bool:
         """Return whether there is memory for a size now; nothing is taken."""
-        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        more_bytes = self._budget.charge_of(size_bytes) - self.charged_bytes
         return self._budget.fits(self, more_bytes)
 
     def try_resize(self, size_bytes: int) -> bool:
         """Change the size of the body if there is memory for it; return whether."""
-        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        more_bytes = self._budget.charge_of(size_bytes) - self.charged_bytes
+        return self._budget.try_take(self, more_bytes)
+
+    def try_grow(self, more_bytes: int) -> bool:
+        """Charge more bytes if they are available; return whether."""
         return self._budget.try_take(self, more_bytes)
 
     async def async_resize(self, size_bytes: int) -> None:
         """Change the size of the body, waiting for memory if it grows."""
-        more_bytes = max(0, size_bytes - FREE_BYTES) - self.charged_bytes
+        more_bytes = self._budget.charge_of(size_bytes) - self.charged_bytes
         if more_bytes > 0:
             await self._budget.async_take(self, more_bytes)
         elif more_bytes < 0:
@@ -93,10 +97,23 @@
         Limit of the sum.
     owner_share : float, default=OWNER_SHARE
         Share of it that the bodies of one sender may take.
+    admits_one : bool, default=False
+        Whether one body may exceed the limit while there are no others.
+    free_bytes : int, default=FREE_BYTES
+        Part of each body that is not limited.
     """
 
-    def __init__(self, limit_bytes: float, owner_share: float = OWNER_SHARE) -> None:
+    def __init__(
+        self,
+        limit_bytes: float,
+        owner_share: float = OWNER_SHARE,
+        *,
+        admits_one: bool = False,
+        free_bytes: int = FREE_BYTES,
+    ) -> None:
+        self._free_bytes = free_bytes
         self._limit_bytes = limit_bytes
+        self._admits_one = admits_one
         self._owner_limit_bytes = owner_share * limit_bytes
         self._owners_bytes: Counter[str] = Counter()
         self._waiting: list[_Waiter] = []
@@ -109,6 +126,10 @@
         """Return the lease of a body of which nothing has been read yet."""
         return MemoryLease(self, owner)
 
+    def charge_of(self, size_bytes: int) -> int:
+        """Return what a body of a size is charged."""
+        return max(0, size_bytes - self._free_bytes)
+
     def try_take(self, lease: MemoryLease, more_bytes: int) -> bool:
         """Charge a lease with more bytes if they are available; return whether."""
         if not self.fits(lease, more_bytes):
@@ -148,6 +169,8 @@
         """Return whether a lease may be charged with more bytes now."""
         if more_bytes <= 0 or lease is self._exempt:
             return True
+        if self._admits_one and self.used_bytes == lease.charged_bytes:
+            return True
         of_owner_bytes = self._owners_bytes[lease.owner] + more_bytes
         return (
             of_owner_bytes <= self._owner_limit_bytes
@@ -187,3 +210,16 @@
 ) -> MemoryBudget:
     """Return a budget of a share of the memory that a daemon may take."""
     return MemoryBudget(share * memory_mb * BYTES_PER_MB, owner_share)
+
+
+def make_request_memory(
+    memory_mb: float, share: float, free_bytes: int
+) -> MemoryBudget:
+    """Return a budget for requests, in which each fits while there are no others.
+
+    ``free_bytes`` of each request are not limited.
+    """
+    limit_bytes = share * memory_mb * BYTES_PER_MB
+    return MemoryBudget(
+        limit_bytes, owner_share=1.0, admits_one=True, free_bytes=free_bytes
+    )
--- /dev/null
+++ b/chutelink/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Accepts HTTP connections of callers and operators, within bounds."""
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -68,6 +68,7 @@
 
 DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024
 DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_HEADER_BYTES = 64 * 1024
 
 
 class EndpointsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -96,6 +97,7 @@
     valid_s: Seconds = 2.0
     subset: Annotated[int, Meta(ge=1, le=64)] = 8
     max_body_bytes: Count = 1_000_000
+    max_header_bytes: Bytes = DEFAULT_MAX_HEADER_BYTES
     max_queue: Count = 1000
     request_timeout_s: Seconds = 120.0
     idle_timeout_s: Seconds = 30.0
--- /dev/null
+++ b/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chutelink.serving."""
