Close connections of little use when a port has too many

Callers saw: with 300 connections that stopped within a head, or sent requests ahead, to a daemon with 256 descriptors, ordinary requests at all ports were not answered within 20 s. Each connection also took memory, and nothing limited their number.

Cause: no port limited its connections. Once the descriptors were used up, nobody was accepted, and the daemon reached neither store nor endpoints.

At the limit a new connection takes the place of one without a complete request, then of one whose client sends or reads slowly or sends requests far ahead, then of an idle one. Connections whose request is being served are not closed. The ports for readiness and operators have shares of their own, so that a crowd of callers doesn't reach them.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -25,6 +25,7 @@
 from .serving.connection import HeadLimits
 from .serving.const import DEFAULT_HEAD_TIMEOUT_S
 from .serving.listening import bind_socket
+from .serving.pool import PortShares, Standing
 from .serving.port import HttpPort, ServingBounds
 from .settings import DEFAULT_MEMORY_MB, DaemonSection
 from .startup import (
@@ -150,12 +151,36 @@
         """Memory that the process may take."""
         return DEFAULT_MEMORY_MB
 
+    @property
+    def max_descriptors(self) -> int:
+        """Descriptors that the process may have, 0 if only the system limits them."""
+        return 0
+
+    @property
+    def port_share(self) -> float:
+        """Share of the descriptors for connections to the port of all programs."""
+        return PortShares().operators
+
     def head_limits(self) -> HeadLimits:
         """Return the limits of requests' heads."""
         return HeadLimits(MAX_HEADER_BYTES, DEFAULT_HEAD_TIMEOUT_S)
 
     def _make_bounds(self) -> ServingBounds:
-        return ServingBounds(self.clock, self.memory_mb, lambda: self.head_limits())
+        bounds = ServingBounds(
+            self.clock, self.memory_mb, self.max_descriptors, lambda: self.head_limits()
+        )
+        bounds.on_closed = self._note_closed
+        bounds.on_refused = self._note_refused
+        return bounds
+
+    def _note_closed(self, port: str, standing: Standing) -> None:
+        labels = {"port": port, "standing": standing.name.lower()}
+        self.metrics.closed_connections.inc(labels)
+        self.events.warning("connection_closed_for_room", **labels)
+
+    def _note_refused(self, port: str) -> None:
+        self.metrics.refused_connections.inc({"port": port})
+        self.events.warning("connection_refused", port=port)
 
     async def _async_listen(self) -> None:
         app = web.Application(client_max_size=self.max_body_bytes)
@@ -172,6 +197,7 @@
         await self._runner.setup()
         self._port = await self.serving.async_open_port(
             self._runner.server,
+            self.serving.make_pool("http", self.port_share),
             bind_socket(self.daemon.address, self.daemon.port),
             access_log=None,
         )
--- a/chutelink/entry/app.py
+++ b/chutelink/entry/app.py
@@ -44,6 +44,7 @@
 from ..relaying.upstream import Upstream
 from ..serving.connection import HeadLimits
 from ..serving.listening import bind_socket
+from ..serving.pool import PortShares
 from ..serving.port import HttpPort
 from ..settings import EntrySettings
 from ..steps import async_run_step
@@ -366,16 +367,24 @@
         await super()._async_listen()
         entry = self.settings.entry
         listener = self._caller_listener or _bind(entry.caller_listen)
-        self._caller_port = await self._async_serve(self.callers.async_handle, listener)
+        shares = PortShares()
+        self._caller_port = await self._async_serve(
+            "callers", self.callers.async_handle, listener, shares.callers
+        )
         directory = self._adapter.make_directory_handler(self.directory)
-        await self._async_serve(directory, _bind(entry.directory_listen))
+        listener = _bind(entry.directory_listen)
+        await self._async_serve("directory", directory, listener, shares.directory)
         ready = self._adapter.make_ready_handler(self.is_serving)
-        await self._async_serve(ready, _bind(entry.ready_listen))
+        listener = _bind(entry.ready_listen)
+        await self._async_serve("ready", ready, listener, shares.ready)
 
-    async def _async_serve(self, handler: Handler, listener: socket.socket) -> HttpPort:
-        """Accept connections on a bound socket."""
+    async def _async_serve(
+        self, name: str, handler: Handler, listener: socket.socket, share: float
+    ) -> HttpPort:
+        """Accept connections on a bound socket, with a share of the descriptors."""
         port = await self.serving.async_open_port(
             web.Server(handler, handler_cancellation=True),
+            self.serving.make_pool(name, share),
             listener,
             access_log=None,
             auto_decompress=False,
@@ -388,6 +397,11 @@
         """Memory that the process may take."""
         return self.settings.entry.memory_mb
 
+    @property
+    def max_descriptors(self) -> int:
+        """Descriptors that the process may have, 0 if only the system limits them."""
+        return self.settings.entry.max_descriptors
+
     def head_limits(self) -> HeadLimits:
         """Return the configured limits of requests' heads."""
         routes = self.known.routes
--- a/chutelink/gateway/app.py
+++ b/chutelink/gateway/app.py
@@ -13,6 +13,7 @@
 from ..peers.messages import Broadcast
 from ..serving.connection import HeadLimits
 from ..serving.const import DEFAULT_HEAD_TIMEOUT_S
+from ..serving.pool import PortShares
 from ..settings import GatewaySettings
 from ..steps import async_run_step
 from ..tables.members import Role
@@ -49,6 +50,16 @@
         """Memory that the process may take."""
         return self.settings.gateway.memory_mb
 
+    @property
+    def max_descriptors(self) -> int:
+        """Descriptors that the process may have, 0 if only the system limits them."""
+        return self.settings.gateway.max_descriptors
+
+    @property
+    def port_share(self) -> float:
+        """Share of the descriptors for connections of callers and operators."""
+        return PortShares().callers
+
     def head_limits(self) -> HeadLimits:
         """Return the limits of requests' heads."""
         return HeadLimits(
--- a/chutelink/metrics.py
+++ b/chutelink/metrics.py
@@ -42,6 +42,12 @@
         self.response_memory_waits = self._counter(
             "response_memory_waits_total", "Reads of responses that wait for memory"
         )
+        self.closed_connections = self._counter(
+            "connections_closed_for_room_total", "Connections closed for others by port"
+        )
+        self.refused_connections = self._counter(
+            "connections_refused_total", "Connections that found no room by port"
+        )
         self.pauses = self._counter(
             "endpoint_pauses_total", "Answers that ask for a pause"
         )
--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -32,6 +32,26 @@
 
 FREE_HEAD_BYTES: Final = 8 * 1024
 """Memory of each parsed head that isn't limited, so that usual ones always fit."""
+
+CONNECTION_BYTES: Final = 128 * 1024
+"""Memory of a connection whose client sends what it may and reads nothing.
+
+That are its objects, its buffers here and in the kernel, and the parts of its request
+that are free.
+"""
+PROCESS_MB: Final = 64
+"""Memory of a process without connections."""
+CONNECTION_MEMORY_SHARE: Final = 0.3
+"""Share of the rest of its memory that connections of callers may take."""
+FILE_DESCRIPTORS: Final = 96
+"""Descriptors kept for files, listeners, and connections that are being accepted."""
+FILE_DESCRIPTOR_SHARE: Final = 0.05
+"""The same as a share of all descriptors, where that is more."""
+DEFAULT_DESCRIPTORS: Final = 65536
+"""Descriptors that a process may have if neither settings nor system limit them."""
+MIN_CONNECTIONS: Final = 8
+"""Connections that each port accepts at least."""
+
 CHEAP_LINES: Final = 100
 """Lines up to which received data are parsed at once."""
 PARSE_SLICE_S: Final = 0.005
@@ -48,3 +68,14 @@
 HEAD_RECHECK_S: Final = 1.0
 """Delay of the next check of a head that is late, but of which more has arrived."""
 DEFAULT_HEAD_TIMEOUT_S: Final = 10.0
+MIN_STALL_S: Final = 1.0
+"""Time without received data after which an unfinished body counts as stalled."""
+MIN_BODY_BYTES_PER_S: Final = 1024.0
+"""Average rate below which an unfinished body counts as stalled."""
+SLOW_READ_S: Final = 5.0
+"""Time that a client may take to read a full write buffer before it counts as stalled.
+"""
+CLOSED_SHARE: Final = 1 / 32
+"""Share of a port's connections that are closed at once to make room."""
+RECHECK_S: Final = 0.05
+"""Time for which no connections are checked again after none could be closed."""
--- a/chutelink/serving/port.py
+++ b/chutelink/serving/port.py
@@ -11,7 +11,7 @@
 
 from ..connections import async_close_listener, close_idle
 from ..memory import MemoryBudget, make_request_memory
-from .connection import BoundedRequestHandler, HeadLimits
+from .connection import HeadLimits
 from .const import (
     ACCEPT_BATCH,
     ACCEPT_QUEUE,
@@ -19,6 +19,8 @@
     HEAD_MEMORY_SHARE,
 )
 from .parse_queue import ParseQueue
+from .pool import ConnectionPool, Standing, count_descriptors, limit_connections
+from .pooled_connection import PooledRequestHandler
 
 
 class HttpPort:
@@ -37,7 +39,7 @@
     def __init__(
         self,
         server: web.Server,
-        make_connection: Callable[[], BoundedRequestHandler],
+        make_connection: Callable[[], PooledRequestHandler],
         listener: asyncio.Server,
     ) -> None:
         self._server = server
@@ -74,6 +76,8 @@
         Monotonic clock in seconds.
     memory_mb : float
         Memory that the process may take.
+    max_descriptors : int
+        Descriptors that the process may have, 0 if only the system limits them.
     head_limits : callable
         Returns the limits of requests' heads.
     """
@@ -82,6 +86,7 @@
         self,
         clock: Callable[[], float],
         memory_mb: float,
+        max_descriptors: int,
         head_limits: Callable[[], HeadLimits],
     ) -> None:
         self._head_limits = head_limits
@@ -89,10 +94,26 @@
             memory_mb, HEAD_MEMORY_SHARE, FREE_HEAD_BYTES
         )
         self._parse_queue = ParseQueue(clock)
+        self._clock = clock
+        self._memory_mb = memory_mb
+        self._descriptors = count_descriptors(max_descriptors)
+        self.on_closed: Callable[[str, Standing], None] = lambda port, standing: None
+        """Called for each connection to a port that is closed to make room."""
+        self.on_refused: Callable[[str], None] = lambda port: None
+        """Called for each connection to a port that is not accepted."""
+
+    def make_pool(self, port: str, share: float) -> ConnectionPool:
+        """Return the pool of a port with a share of the descriptors."""
+        limit = limit_connections(share, self._descriptors, self._memory_mb)
+        pool = ConnectionPool(limit, self._clock)
+        pool.on_closed = lambda standing: self.on_closed(port, standing)
+        pool.on_refused = lambda: self.on_refused(port)
+        return pool
 
     async def async_open_port(
         self,
         server: web.Server,
+        pool: ConnectionPool,
         listener: socket.socket,
         **options: Any,
     ) -> HttpPort:
@@ -102,6 +123,8 @@
         ----------
         server : web.Server
             Handles the requests.
+        pool : ConnectionPool
+            The connections to the port.
         listener : socket.socket
             The bound socket.
         **options : object
@@ -113,8 +136,9 @@
             The socket can't listen.
         """
 
-        def make_connection() -> BoundedRequestHandler:
-            return BoundedRequestHandler(
+        def make_connection() -> PooledRequestHandler:
+            return PooledRequestHandler(
+                pool,
                 server,
                 self._parse_queue,
                 self._head_limits,
--- a/chutelink/settings.py
+++ b/chutelink/settings.py
@@ -14,6 +14,7 @@
 
 SettingsT = TypeVar("SettingsT", bound=msgspec.Struct)
 
+Descriptors = Annotated[int, Meta(ge=0, le=10_000_000)]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 Bytes = Annotated[int, Meta(ge=1024, le=1024**3)]
@@ -92,6 +93,8 @@
     ``grace_s`` is the time from a stop signal until the platform kills the process; 0
     if it doesn't, so that the gateway waits for all requests in flight.
     ``memory_mb`` is what the process may take; a quarter of it is for request bodies.
+    ``max_descriptors`` are the file descriptors that it may have, 0 if only the system
+    limits them; they and the memory limit the number of connections.
     """
 
     valid_s: Seconds = 2.0
@@ -106,6 +109,7 @@
     claim_wait_s: Seconds = 10.0
     grace_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
     memory_mb: Annotated[float, Meta(ge=16, le=1_048_576)] = DEFAULT_MEMORY_MB
+    max_descriptors: Descriptors = 0
 
 
 class DirectorSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -135,6 +139,8 @@
     ``quota_lending``, daemons lend each other parts of their shares.
     ``max_answer_bytes`` limits the body of an endpoint's answer, except for a stream's.
     ``memory_mb`` is what the process may take; a share of it is for answers.
+    ``max_descriptors`` are the file descriptors that it may have, 0 if only the system
+    limits them; they and the memory limit the number of connections.
     Endpoints of an evacuated failure domain must get no new requests after
     ``evacuate_ms``; 0 means that evacuations have no bound of their own.
     With ``prefix_weighing``, endpoint selection weighs held prompt prefixes against
@@ -165,6 +171,7 @@
     address_valid_s: Seconds = 1.0
     max_answer_bytes: Bytes = DEFAULT_MAX_ANSWER_BYTES
     memory_mb: Annotated[float, Meta(ge=16, le=1_048_576)] = DEFAULT_MEMORY_MB
+    max_descriptors: Descriptors = 0
     evacuate_ms: Annotated[float, Meta(ge=0, le=86_400_000)] = 0.0
     prefix_weighing: bool = False
 
--- a/tests/serving/serving_harness.py
+++ b/tests/serving/serving_harness.py
@@ -11,6 +11,7 @@
 
 from chutelink.serving.connection import BoundedRequestHandler, HeadLimits
 from chutelink.serving.listening import bind_socket
+from chutelink.serving.pool import ConnectionPool
 from chutelink.serving.port import HttpPort, ServingBounds
 
 HOST = "127.0.0.1"
@@ -26,7 +27,8 @@
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         loop = asyncio.get_running_loop()
-        self.bounds = ServingBounds(loop.time, 128, lambda: self.limits)
+        self.bounds = ServingBounds(loop.time, 128, 0, lambda: self.limits)
+        self.pool: ConnectionPool = self.bounds.make_pool("test", 0.4)
         self.server = web.Server(self._async_handle, handler_cancellation=True)
         self.port: HttpPort | None = None
         self.address = ("", 0)
@@ -42,7 +44,7 @@
         listener = bind_socket(HOST, 0)
         self.address = listener.getsockname()
         self.port = await self.bounds.async_open_port(
-            self.server, listener, access_log=None, auto_decompress=False
+            self.server, self.pool, listener, access_log=None, auto_decompress=False
         )
 
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
