One reader for request bodies, whose memory includes the copy being sent

Callers saw: 250 complete bodies of 1 MB, whose answers are not read, took an entry daemon of 128 MB to 133 MB and a gateway to 147 MB; a gateway took 235 MB for pipelined bodies. Bodies that stop just before their end kept all other bodies out until the idle timeout, which each byte renewed.

Cause: the budget of bodies counted each body once, but while it is sent to an endpoint the transport holds a second copy. Parts of a few bytes were kept as objects of their own. Three readers of bodies differed in what they limit.

Change: serving/body.py reads bodies for callers of both programs and for peers, into one buffer. Bodies may take an eighth of the memory, as sending them takes as much again; a single one always fits, and 16 KB of each are free. If there is no room, connections whose bodies stall are closed: no byte for 1 s, or less than 1 KB/s on average. A body has to arrive by the deadline of its request, else 408 (not run).

--- a/chutelink/entry/caller_server.py
+++ b/chutelink/entry/caller_server.py
@@ -11,6 +11,7 @@
     RESPONSE_MEMORY_SHARE,
     MemoryBudget,
     make_memory_budget,
+    make_request_memory,
 )
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.exchange_dispatcher import ExchangeDispatcher
@@ -18,6 +19,7 @@
 from ..relaying.relay import Relay
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import Upstream
+from ..serving.const import FREE_BODY_BYTES
 from .headers import HeaderCodec
 from .http import CallerServer
 
@@ -51,8 +53,8 @@
         app.is_ready,
         relay_handler,
     )
-    callers.body_memory = make_memory_budget(
-        app.settings.entry.memory_mb, BODY_MEMORY_SHARE, owner_share=1.0
+    callers.body_memory = make_request_memory(
+        app.settings.entry.memory_mb, BODY_MEMORY_SHARE, FREE_BODY_BYTES
     )
     relay_handler.body_memory = callers.body_memory
     return callers
--- a/chutelink/entry/http.py
+++ b/chutelink/entry/http.py
@@ -13,7 +13,7 @@
 from ..endable import EndableSteps, RequestEnded
 from ..exceptions import CallerGone
 from ..gateway.refusals import Outcome, Refusal, unavailable, unknown_outcome
-from ..memory import NO_MEMORY_RETRY_S, MemoryBudget, MemoryLease
+from ..memory import MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
 from ..reachability.relay_handler import RelayHandler
 from ..relaying.caller_stream import CallerStream
@@ -29,14 +29,13 @@
 )
 from ..relaying.stream import StreamRelay
 from ..relaying.upstream import BufferedResponse, forwarded_headers
+from ..serving.body import async_read_body, check_body_size
 from .config import CallerLimits, Route, RouteTable, ServiceSpec
 from .headers import RequestMeta
 from .leased_response import LeasedResponse
 
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
-HTTP_TIMEOUT = 408
-HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 HTTP_INTERNAL_ERROR = 500
 FIELD_FRAMING_BYTES = 3
@@ -44,7 +43,6 @@
 """
 INTERNAL_ERROR = "internal error"
 NO_CONFIG_RETRY_S = 0.5
-NO_BODY_MEMORY = "no memory for the body"
 START_WAIT_S = 0.3
 """How long after a start requests wait for the configuration and the endpoints.
 
@@ -211,7 +209,7 @@
         await self._customers.async_admit(admission, meta.counted_tokens)
         try:
             async with self._steps.async_track(None):
-                body = await self._async_body(request, limits, body_lease)
+                body = await self._async_body(request, limits, body_lease, deadline_s)
         except RequestEnded as error:
             raise self._drain.make_refusal() from error
         exchange = self._make_exchange(
@@ -282,18 +280,18 @@
         )
         if header_bytes > limits.max_header_bytes:
             raise Refusal(HTTP_HEADERS_TOO_LARGE, "headers too large")
-        if (request.content_length or 0) > limits.max_body_bytes:
-            raise Refusal(HTTP_TOO_LARGE, "body too large")
+        check_body_size(request.content_length or 0, limits.max_body_bytes)
 
     async def _async_body(
         self,
         request: web.BaseRequest,
         limits: CallerLimits,
         lease: MemoryLease | None,
+        deadline_s: float,
     ) -> bytes:
         """Return the complete body.
 
-        Each chunk must arrive within the idle timeout.
+        Each part must arrive within the idle timeout, and all by the deadline.
 
         Raises
         ------
@@ -302,38 +300,15 @@
         """
         if not request.body_exists:
             return b""
-        if lease is not None and not lease.fits(request.content_length or 0):
-            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            try:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    part = await request.content.readany()
-            except TimeoutError as error:
-                raise Refusal(HTTP_TIMEOUT, "body not sent in time") from error
-            if not part:
-                return b"".join(parts)
-            size += len(part)
-            if size > limits.max_body_bytes:
-                raise Refusal(HTTP_TOO_LARGE, "body too large")
-            # Announced bytes may never come, so that only those received count.
-            self._take_memory(lease, size)
-            parts.append(part)
-
-    @staticmethod
-    def _take_memory(lease: MemoryLease | None, size_bytes: int) -> None:
-        """Take the memory of a body; it is held as long as the request is served.
-
-        Raises
-        ------
-        Refusal
-            Other bodies take it; another daemon may have more.
-        """
-        if lease is not None and not lease.try_resize(size_bytes):
-            raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
+        return await async_read_body(
+            request,
+            limits.max_body_bytes,
+            lease,
+            idle_timeout_s=limits.idle_timeout_s,
+            timeout_s=deadline_s - self._core.clock(),
+        )
 
     async def _async_relay(
         self, request: web.BaseRequest, exchange: Exchange
--- a/chutelink/gateway/completions.py
+++ b/chutelink/gateway/completions.py
@@ -11,6 +11,7 @@
 from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_NON_IDEMPOTENT
 from ..endpoints.client import EndpointResponse
 from ..fleet import CallerSpec, FleetSpec
+from ..serving.body import async_read_body
 from ..tables.requests import WaitingRequest
 from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .idempotency import async_run_idempotent
@@ -18,7 +19,6 @@
 from .relay import Exchange
 from .requests import (
     CompletionRequest,
-    async_read_body,
     check_model,
     count_tokens,
     decode_completion,
@@ -45,8 +45,8 @@
             body = await async_read_body(
                 request,
                 settings.max_body_bytes,
-                settings.idle_timeout_s,
                 request[BODY_LEASE],
+                timeout_s=settings.idle_timeout_s,
             )
         exchange, is_stream = self._accept(request, span, caller, fleet, body)
         key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
--- a/chutelink/gateway/components.py
+++ b/chutelink/gateway/components.py
@@ -18,7 +18,9 @@
     RESPONSE_MEMORY_SHARE,
     MemoryLease,
     make_memory_budget,
+    make_request_memory,
 )
+from ..serving.const import FREE_BODY_BYTES
 from ..settings import GatewaySettings
 from ..systems.admission import RetryBudget
 from ..tables.callers import CallerTable
@@ -74,8 +76,8 @@
         self.members = members
         self.callers = CallerTable()
         self.keys: KeyIndex[CallerSpec] = KeyIndex()
-        self.body_memory = make_memory_budget(
-            settings.gateway.memory_mb, BODY_MEMORY_SHARE, owner_share=1.0
+        self.body_memory = make_request_memory(
+            settings.gateway.memory_mb, BODY_MEMORY_SHARE, FREE_BODY_BYTES
         )
         self.retry_budget = RetryBudget(settings.gateway.retry_budget_ratio)
         self.ender = RequestEnder()
--- a/chutelink/gateway/requests.py
+++ b/chutelink/gateway/requests.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from typing import Annotated, Any
 
 import msgspec
-from aiohttp import web
 from msgspec import Meta
 
 from ..fleet import CallerSpec, FleetSpec
-from ..memory import NO_MEMORY_RETRY_S, MemoryLease
 from ..systems.routing import CHARACTERS_PER_TOKEN
-from .refusals import Refusal, forbidden, malformed, not_found, unavailable
+from .refusals import forbidden, malformed, not_found
 
 PREFIX_BLOCK_CHARACTERS = 256
 MAX_PREFIXES = 16
-NO_BODY_MEMORY = "no memory for the body"
 DEFAULT_MAX_TOKENS = 16
 
 
@@ -59,37 +55,6 @@
         raise not_found(f"model {name}")
 
 
-async def async_read_body(
-    request: web.Request, max_bytes: int, timeout_s: float, lease: MemoryLease
-) -> bytes:
-    """Return the request body, whose memory the lease covers until it is closed.
-
-    Raises
-    ------
-    Refusal
-        The body is too large or too slow, or other bodies take the memory.
-    """
-    length = request.content_length or 0
-    if length > max_bytes:
-        raise Refusal(413, f"body above {max_bytes} bytes")
-    if not lease.fits(length):
-        raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
-    parts: list[bytes] = []
-    size = 0
-    try:
-        async with asyncio.timeout(timeout_s):
-            while part := await request.content.readany():
-                size += len(part)
-                if size > max_bytes:
-                    raise Refusal(413, f"body above {max_bytes} bytes")
-                if not lease.try_resize(size):
-                    raise unavailable(NO_BODY_MEMORY, NO_MEMORY_RETRY_S)
-                parts.append(part)
-    except TimeoutError as error:
-        raise Refusal(408, f"body not received within {timeout_s:g} s") from error
-    return b"".join(parts)
-
-
 def decode_completion(body: bytes, *, is_chat: bool) -> CompletionRequest:
     """Return the completion request, or refuse it naming the error's position."""
     try:
--- a/chutelink/gateway/services.py
+++ b/chutelink/gateway/services.py
@@ -11,12 +11,12 @@
 from ..endpoints.client import EndpointRequest, EndpointResponse
 from ..exceptions import EndpointFailed, EndpointRefused, EndpointUnreachable
 from ..fleet import CallerSpec, FleetSpec, ServiceSpec
+from ..serving.body import async_read_body
 from ..tables.endpoints import Endpoint
 from ..tracing import inject_context
 from .components import BODY_LEASE, REQUEST_ID, GatewayComponents
 from .idempotency import async_run_idempotent
 from .refusals import Refusal, forbidden, not_found, unavailable, unknown_outcome
-from .requests import async_read_body
 from .shutdown import refuse_not_run, refuse_unknown
 
 MAX_ATTEMPTS = 3
@@ -45,8 +45,8 @@
             body = await async_read_body(
                 request,
                 settings.max_body_bytes,
-                settings.idle_timeout_s,
                 request[BODY_LEASE],
+                timeout_s=settings.idle_timeout_s,
             )
         self._components.admit(caller)
         call = _ServiceCall(self._components, request, span, service, body)
--- a/chutelink/memory.py
+++ b/chutelink/memory.py
@@ -18,8 +18,11 @@
 """Part of each body that is not limited, so that usual ones never wait."""
 RESPONSE_MEMORY_SHARE = 0.125
 """Share of the daemon's memory that endpoints' responses may take."""
-BODY_MEMORY_SHARE = 0.25
-"""Share of a daemon's memory that bodies of requests may take."""
+BODY_MEMORY_SHARE = 0.125
+"""Share of a daemon's memory that bodies of requests may take.
+
+Sending them to endpoints takes as much again.
+"""
 NO_MEMORY_RETRY_S = 0.5
 """Retry-After delay of requests for whose bodies there is no memory."""
 OWNER_SHARE = 0.25
--- a/chutelink/reachability/relay_handler.py
+++ b/chutelink/reachability/relay_handler.py
@@ -22,6 +22,7 @@
     EndpointUnreachable,
     GrantExpired,
 )
+from ..gateway.refusals import Refusal
 from ..learning.health import HealthTable
 from ..memory import MemoryBudget, MemoryLease
 from ..quarantine.fingerprint import RequestContent
@@ -30,6 +31,7 @@
 from ..regions.region_map import RegionMap
 from ..relaying.response_end import ends_with_connection
 from ..relaying.upstream import EndpointCall, Upstream, forwarded_headers
+from ..serving.body import async_read_body
 from .const import (
     HEADER_RELAY_RESULT,
     HEADER_RELAY_TICKET,
@@ -130,14 +132,10 @@
         request: web.BaseRequest, lease: MemoryLease | None
     ) -> bytes | None:
         """Return the complete body, None if there is no memory for it."""
-        parts: list[bytes] = []
-        size_bytes = 0
-        while part := await request.content.readany():
-            size_bytes += len(part)
-            if lease is not None and not lease.try_resize(size_bytes):
-                return None
-            parts.append(part)
-        return b"".join(parts)
+        try:
+            return await async_read_body(request, None, lease)
+        except Refusal:
+            return None
 
     def _make_call(
         self,
--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -32,6 +32,8 @@
 
 FREE_HEAD_BYTES: Final = 8 * 1024
 """Memory of each parsed head that isn't limited, so that usual ones always fit."""
+FREE_BODY_BYTES: Final = 16 * 1024
+"""Part of each request's body that isn't limited."""
 
 CONNECTION_BYTES: Final = 128 * 1024
 """Memory of a connection whose client sends what it may and reads nothing.
--- a/chutelink/serving/pooled_connection.py
+++ b/chutelink/serving/pooled_connection.py
@@ -48,6 +48,10 @@
         self._write_paused_s = None
         super().resume_writing()
 
+    def make_room_for_body(self) -> bool:
+        """Close connections whose clients stall; return whether there were any."""
+        return self._pool.close_stalled()
+
     def standing(self, now_s: float) -> tuple[Standing, float]:
         """Return what the connection is doing, and since when in seconds."""
         paused_s = self._write_paused_s
--- a/tests/serving/serving_harness.py
+++ b/tests/serving/serving_harness.py
@@ -9,6 +9,9 @@
 
 from aiohttp import web
 
+from chutelink.gateway.refusals import Refusal
+from chutelink.memory import MemoryBudget
+from chutelink.serving.body import async_read_body
 from chutelink.serving.connection import BoundedRequestHandler, HeadLimits
 from chutelink.serving.listening import bind_socket
 from chutelink.serving.pool import ConnectionPool
@@ -26,6 +29,7 @@
         self.requests: list[tuple[str, str, bytes]] = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
+        self.body_memory: MemoryBudget | None = None
         loop = asyncio.get_running_loop()
         self.bounds = ServingBounds(loop.time, 128, 0, lambda: self.limits)
         self.pool: ConnectionPool = self.bounds.make_pool("test", 0.4)
@@ -48,7 +52,14 @@
         )
 
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
+        lease = None if self.body_memory is None else self.body_memory.open()
+        try:
+            body = await async_read_body(request, None, lease)
+        except Refusal as refusal:
+            return refusal.to_response()
+        finally:
+            if lease is not None:
+                lease.close()
         self.requests.append((request.method, request.raw_path, body))
         await self.may_answer.wait()
         return web.Response(body=body)
