Peers: limit what connections without the key may hold

Callers saw: 250 connections to the port for peers with heads of 1 MB that never ended took an entry daemon of 128 MB to 311 MB and a gateway to 307 MB.

Cause: the library limits a handshake to 128 lines of 8 KB and to 10 s, but not the number of connections in it.

--- a/bench/capacity_mesh.py
+++ b/bench/capacity_mesh.py
@@ -14,7 +14,14 @@
 from chutelink.metrics import Metrics
 from chutelink.peers.link import Link
 from chutelink.peers.mesh import Mesh
-from chutelink.settings import PeersSection
+from chutelink.serving.connection import HeadLimits
+from chutelink.serving.const import DEFAULT_HEAD_TIMEOUT_S
+from chutelink.serving.port import ServingBounds
+from chutelink.settings import (
+    DEFAULT_MAX_HEADER_BYTES,
+    DEFAULT_MEMORY_MB,
+    PeersSection,
+)
 from chutelink.tables.members import Member, MemberState, MemberTable, Role
 
 from .slopes import Point
@@ -71,6 +78,12 @@
         events=EventLog("bench"),
         metrics=Metrics(),
         clock=time.monotonic,
+        serving=ServingBounds(
+            time.monotonic,
+            DEFAULT_MEMORY_MB,
+            0,
+            lambda: HeadLimits(DEFAULT_MAX_HEADER_BYTES, DEFAULT_HEAD_TIMEOUT_S),
+        ),
     )
     own = Member(
         DaemonId(daemon.id),
--- a/chutelink/peers/mesh.py
+++ b/chutelink/peers/mesh.py
@@ -16,6 +16,7 @@
 from ..core import Application
 from ..exceptions import PeerMessageInvalid
 from ..ids import ConfigVersion, DaemonId
+from ..serving.pool import PortShares
 from ..settings import PeersSection
 from ..steps import async_run_step
 from ..tables.members import Member, MemberState, MemberTable
@@ -90,6 +91,7 @@
             core.daemon.peer_port,
             core.daemon.peer_key,
             settings.peer_timeout_s,
+            core.serving.make_pool("peers", PortShares().peers),
         )
         self._dialer = Dialer(
             core, settings, own_address, self._transport, self._async_run
--- a/chutelink/serving/listening.py
+++ b/chutelink/serving/listening.py
@@ -11,9 +11,13 @@
 """Data that the kernel holds until the client has received it, with the same factor."""
 
 
-def bind_socket(host: str, port: int) -> socket.socket:
+def bind_socket(
+    host: str, port: int, *, has_small_buffers: bool = True
+) -> socket.socket:
     """Return a socket that is bound to an address, for a listener.
 
+    With ``has_small_buffers``, the kernel holds little for each accepted connection.
+
     Raises
     ------
     OSError
@@ -23,9 +27,10 @@
     bound = socket.socket(family, socket.SOCK_STREAM)
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted connections inherit the sizes. Both count towards the VM's memory.
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        if has_small_buffers:
+            # Accepted connections inherit both. They count towards the VM's memory.
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         bound.bind((host, port))
         bound.setblocking(False)
     except OSError:
