Items of a field's list count towards the memory of heads

Callers saw: 250 heads of 64 KB with one field of 9,300 prompt parts each, and bodies that don't come, took a daemon of 128 MB to 352 MB on.

Cause: a head was charged by its size and its fields; a list in one field is decoded into as many objects.

Change: each item is charged 200 bytes. 16 KB of each head are free instead of 8, so that heads with usual lists always fit. If a head doesn't fit, stalled connections are closed, as for bodies, so that its repetition does.

--- a/chutelink/serving/body.py
+++ b/chutelink/serving/body.py
@@ -8,7 +8,7 @@
 
 from ..gateway.refusals import Refusal, unavailable
 from ..memory import NO_MEMORY_RETRY_S, MemoryLease
-from .pooled_connection import PooledRequestHandler
+from .connection import BoundedRequestHandler
 
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
@@ -109,8 +109,8 @@
 async def _async_make_room(request: web.BaseRequest) -> None:
     """Close connections whose bodies stall, until their memory is released."""
     connection = request.protocol
-    if not isinstance(connection, PooledRequestHandler):
+    if not isinstance(connection, BoundedRequestHandler):
         return
-    if connection.make_room_for_body():
+    if connection.make_room():
         for _ in range(CLOSE_ITERATIONS):
             await asyncio.sleep(0)
--- a/chutelink/serving/connection.py
+++ b/chutelink/serving/connection.py
@@ -28,6 +28,7 @@
     FREE_FRAMING_BYTES,
     HEAD_END,
     HEAD_RECHECK_S,
+    LIST_ITEM_BYTES,
     MAX_PIPELINED_BYTES,
     PARSER_LIMIT,
     READ_BUFFER_BYTES,
@@ -237,11 +238,23 @@
 
     def _parse_head(self, head: bytes) -> None:
         """Parse a head if there is memory for it."""
-        memory_bytes = TEXT_COPIES * len(head) + FIELD_BYTES * head.count(b"\n")
+        memory_bytes = (
+            TEXT_COPIES * len(head)
+            + FIELD_BYTES * head.count(b"\n")
+            + LIST_ITEM_BYTES * head.count(b",")
+        )
         if self._head_lease.try_resize(memory_bytes):
             self._parse(head)
         else:
             self._refuse(unavailable(NO_HEAD_MEMORY, NO_MEMORY_RETRY_S))
+            self.make_room()
+
+    def make_room(self) -> bool:
+        """Close connections whose clients stall; return whether there were any.
+
+        Their memory is released in later iterations of the event loop.
+        """
+        return False
 
     def _check_framing(self, piece: bytes, *, has_progress: bool) -> None:
         """Limit chunk extensions and trailers like the fields of a head."""
--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -17,6 +17,9 @@
 
 FIELD_BYTES: Final = 400
 """Memory that a parsed header field takes besides its text."""
+LIST_ITEM_BYTES: Final = 200
+"""Memory that an item of a field's list takes besides its text, such as a prompt part.
+"""
 TEXT_COPIES: Final = 3
 """Copies of a head's text: as received, as raw fields and as decoded ones."""
 HEAD_MEMORY_SHARE: Final = 0.03125
@@ -30,7 +33,7 @@
 FREE_FRAMING_BYTES: Final = 1024
 """Chunk extensions and trailers of a body that don't count as fields."""
 
-FREE_HEAD_BYTES: Final = 8 * 1024
+FREE_HEAD_BYTES: Final = 16 * 1024
 """Memory of each parsed head that isn't limited, so that usual ones always fit."""
 FREE_BODY_BYTES: Final = 16 * 1024
 """Part of each request's body that isn't limited."""
--- a/chutelink/serving/pooled_connection.py
+++ b/chutelink/serving/pooled_connection.py
@@ -48,7 +48,7 @@
         self._write_paused_s = None
         super().resume_writing()
 
-    def make_room_for_body(self) -> bool:
+    def make_room(self) -> bool:
         """Close connections whose clients stall; return whether there were any."""
         return self._pool.close_stalled()
 
--- a/tests/processes/test_unruly_callers.py
+++ b/tests/processes/test_unruly_callers.py
@@ -33,6 +33,7 @@
     send_pipeline,
     send_pipelined_bodies,
     send_pipelined_fields,
+    send_prompt_parts,
     send_short_fields,
     send_short_fields_and_body,
     send_trailers,
@@ -70,6 +71,7 @@
     send_trailers,
     send_short_fields,
     send_short_fields_and_body,
+    send_prompt_parts,
     send_large_fields,
     send_pipeline,
     send_pipelined_fields,
@@ -84,6 +86,7 @@
     send_trailers,
     send_short_fields,
     send_short_fields_and_body,
+    send_prompt_parts,
     send_large_fields,
 }
 """Crowds none of whose requests may run."""
--- a/tests/processes/unruly_callers.py
+++ b/tests/processes/unruly_callers.py
@@ -105,6 +105,14 @@
     yield head + fields + b"\r\na"
 
 
+def send_prompt_parts(target: Target) -> Iterator[bytes]:
+    """Send a head of legal size with one field of very many parts, and half a body."""
+    head = target.head("POST", "Content-Length: 2\r\n")
+    size_bytes = HEADER_LIMIT_BYTES - len(head) - 100
+    parts = "".join(f"{number:x}:1," for number in range(size_bytes // 7))
+    yield head + f"X-Prompt-Prefix: {parts}1:1\r\n\r\na".encode()
+
+
 def send_large_fields(target: Target) -> Iterator[bytes]:
     """Send a head far above the limit in many large fields, without its end."""
     yield target.head("GET")
