--- a/chutelink/serving/parse_queue.py
+++ b/chutelink/serving/parse_queue.py
@@ -47,9 +47,11 @@
     def _run(self) -> None:
         self._handle = None
         end_s = self._clock() + PARSE_SLICE_S
-        while self._waiting:
-            self._waiting.popleft().parse_next()
-            if self._clock() >= end_s:
-                break
-        if self._waiting and self._handle is None:
-            self._schedule()
+        try:
+            while self._waiting:
+                self._waiting.popleft().parse_next()
+                if self._clock() >= end_s:
+                    break
+        finally:
+            if self._waiting and self._handle is None:
+                self._schedule()
