A gateway stops beside callers that don't read their responses

Callers and operators saw: after SIGTERM a gateway with 60 callers that had sent pipelined requests or large bodies and read nothing didn't end within 60 s, in 3 of 3 cases. Unless grace_s is set, nothing bounds its stop.

Cause: the stop waits until each connection is idle, and a response that nobody reads is never written.

Change: while a daemon waits for that, connections whose clients read less than 1 KB/s over 5 s are closed. The same rate decides which connections count as stalled when room is needed; until now that was the time since a response began to wait, which a large one that is read steadily exceeds as well.

Not bounded: callers that read above that rate.

--- a/chutelink/core.py
+++ b/chutelink/core.py
@@ -203,9 +203,13 @@
         )
 
     async def async_close_server(self) -> None:
-        """Stop accepting connections, and close each as soon as it is idle."""
+        """Stop accepting connections, and close each as soon as it is idle.
+
+        Clients that don't read their responses would keep the daemon from stopping.
+        """
         await self._port.async_stop_accepting()
         while self._port.close_idle():
+            self._port.close_slow_readers()
             await asyncio.sleep(CLOSE_POLL_S)
 
     async def _async_health(self, request: web.Request) -> web.Response:
--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -78,8 +78,9 @@
 MIN_BODY_BYTES_PER_S: Final = 1024.0
 """Average rate below which an unfinished body counts as stalled."""
 SLOW_READ_S: Final = 5.0
-"""Time that a client may take to read a full write buffer before it counts as stalled.
-"""
+"""Period over which the rate at which a client reads is checked."""
+MIN_READ_BYTES_PER_S: Final = 1024.0
+"""Average rate below which a client that has a response to read counts as stalled."""
 CLOSED_SHARE: Final = 1 / 32
 """Share of a port's connections that are closed at once to make room."""
 RECHECK_S: Final = 0.05
--- a/chutelink/serving/pooled_connection.py
+++ b/chutelink/serving/pooled_connection.py
@@ -6,7 +6,12 @@
 from typing import Any
 
 from .connection import BoundedRequestHandler
-from .const import MIN_BODY_BYTES_PER_S, MIN_STALL_S, SLOW_READ_S
+from .const import (
+    MIN_BODY_BYTES_PER_S,
+    MIN_READ_BYTES_PER_S,
+    MIN_STALL_S,
+    SLOW_READ_S,
+)
 from .pool import ConnectionPool, PooledConnection, Standing
 
 
@@ -25,7 +30,11 @@
         super().__init__(*arguments, **options)
         self._pool = pool
         self._write_paused_s: float | None = None
-        """Since when the client has not read its responses, None if it has."""
+        """Since when responses wait for the client to read, None if they don't."""
+        self._checked_s = 0.0
+        self._unsent_bytes = 0
+        """What it had to read when its rate was last checked."""
+        self._reads_slowly = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, unless there are too many."""
@@ -40,7 +49,9 @@
 
     def pause_writing(self) -> None:
         """Note since when the client has not read its responses."""
-        self._write_paused_s = self._loop.time()
+        self._write_paused_s = self._checked_s = self._loop.time()
+        self._unsent_bytes = self.transport.get_write_buffer_size()
+        self._reads_slowly = False
         super().pause_writing()
 
     def resume_writing(self) -> None:
@@ -54,9 +65,8 @@
 
     def standing(self, now_s: float) -> tuple[Standing, float]:
         """Return what the connection is doing, and since when in seconds."""
-        paused_s = self._write_paused_s
-        if paused_s is not None and now_s - paused_s >= SLOW_READ_S:
-            return Standing.STALLED, paused_s
+        if self.reads_slowly(now_s):
+            return Standing.STALLED, self._write_paused_s
         if self._buffer_paused or self._is_body_stalled(now_s):
             return Standing.STALLED, self._body_since_s
         if self._unfinished:
@@ -67,6 +77,22 @@
             return Standing.INCOMPLETE, self._since_s
         return Standing.IDLE, self._since_s
 
+    def reads_slowly(self, now_s: float) -> bool:
+        """Return whether the client reads its responses slowly or not at all.
+
+        Its rate is checked over periods of ``SLOW_READ_S`` or more, as the kernel takes
+        a part at once.
+        """
+        if self._write_paused_s is None or self.transport is None:
+            return False
+        elapsed_s = now_s - self._checked_s
+        if elapsed_s >= SLOW_READ_S:
+            unsent_bytes = self.transport.get_write_buffer_size()
+            read_bytes = self._unsent_bytes - unsent_bytes
+            self._reads_slowly = read_bytes < MIN_READ_BYTES_PER_S * elapsed_s
+            self._checked_s, self._unsent_bytes = now_s, unsent_bytes
+        return self._reads_slowly
+
     def _is_body_stalled(self, now_s: float) -> bool:
         """Return whether the client sends the rest of a body slowly or not at all."""
         if self._body.is_eof() or self._reading_paused:
--- a/chutelink/serving/port.py
+++ b/chutelink/serving/port.py
@@ -54,6 +54,13 @@
         """Close connections without a request, and return how many are left."""
         return close_idle(self._server)
 
+    def close_slow_readers(self) -> None:
+        """Close connections whose clients don't read their responses."""
+        now_s = asyncio.get_running_loop().time()
+        for connection in self._server.connections:
+            if connection.reads_slowly(now_s):
+                connection.transport.abort()
+
     def abort_connections(self) -> int:
         """Close all connections at once, and return how many there were."""
         connections = self._server.connections
--- a/tests/processes/test_unruly_gateway_callers.py
+++ b/tests/processes/test_unruly_gateway_callers.py
@@ -30,9 +30,11 @@
     find_unproven_refusals,
     send_body,
     send_body_in_chunks,
+    send_complete_body,
     send_half_head,
     send_large_fields,
     send_pipeline,
+    send_pipelined_bodies,
     send_pipelined_fields,
     send_short_fields,
 )
@@ -55,6 +57,7 @@
     ("metrics", send_pipeline),
 ]
 COMPLETIONS = 40
+STOP_CALLERS = 60
 MANY_TOKENS = 100_000
 
 
@@ -157,6 +160,30 @@
     asyncio.run(async_run_gateway(tmp_path, async_scenario, DESCRIPTOR_LIMIT))
 
 
+@pytest.mark.parametrize(
+    ("target", "crowd"),
+    [
+        ("metrics", send_pipeline),
+        ("service", send_complete_body),
+        ("service", send_pipelined_bodies),
+    ],
+    ids=name_crowd,
+)
+def test_gateway_stops_beside_callers_that_do_not_read(tmp_path, target, crowd):
+    """It waited for them without end, unless its settings limit the grace period."""
+
+    async def async_scenario(deployment):
+        process = deployment.processes["gateway-1"]
+        host = f"{deployment.subnet}.11"
+        callers = await async_gather_crowd(host, TARGETS[target], crowd, STOP_CALLERS)
+        process.terminate()
+        assert await process.async_wait() == 0
+        for caller in callers:
+            caller.close()
+
+    asyncio.run(async_run_gateway(tmp_path, async_scenario))
+
+
 def make_many_messages() -> bytes:
     """Return a chat request of legal size with very many short messages."""
     message = {"role": "u", "content": ""}
