--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -9,7 +9,7 @@
 RECEIVE_BYTES: Final = 16 * 1024
 """Largest part of the data of a connection that is received at once."""
 READ_BUFFER_BYTES: Final = 8 * 1024
-"""Part of a body that is buffered while nobody reads it; up to twice as much is."""
+"""Part of a body that is buffered while nobody reads it, at most twice as much."""
 WRITE_BUFFER_BYTES: Final = 16 * 1024
 """Unsent data of a connection above which its responses wait for the client."""
 MAX_PIPELINED_BYTES: Final = 8 * 1024
@@ -41,8 +41,8 @@
 CONNECTION_BYTES: Final = 128 * 1024
 """Memory of a connection whose client sends what it may and reads nothing.
 
-That are its objects, its buffers here and in the kernel, and the parts of its request
-that are free.
+It includes the connection's objects, its buffers here and in the kernel, and the parts
+of its request that are free.
 """
 PROCESS_MB: Final = 64
 """Memory of a process without connections."""
--- a/chutelink/serving/pool.py
+++ b/chutelink/serving/pool.py
@@ -125,8 +125,9 @@
 class PortShares(msgspec.Struct, frozen=True):
     """Shares of the descriptors for connections, by port.
 
-    The rest is for connections to endpoints, to the store and to peers. ``directory``
-    and ``ready`` are 0 in programs without these ports.
+    The rest is for connections to endpoints, to the store and to peers. ``operators``
+    is for the port that all programs have; a gateway serves its callers there as well,
+    and gives it their share.
     """
 
     callers: float = 0.4
