Soak of callers that don't behave, in waves beside faults

make unruly-soak connects crowds of random kinds to all ports of a daemon of 128 MB with 512 descriptors, in waves that stay, beside SIGHUP, suspensions, changes of the configuration and outages of the store, and ends with SIGTERM while they are connected.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak silence-soak stop-soak bench-setup
+.PHONY: setup demo demo-up demo-down test lint latency policies changes plans pauses capacity chaos partitions deadly upgrades soak eligibility-soak silence-soak stop-soak unruly-soak bench-setup
 
 setup: $(VENV)/.installed
 
@@ -65,6 +65,9 @@
 stop-soak: setup
 	$(BIN)/python -m soak.stops --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
 
+unruly-soak: setup
+	$(BIN)/python -m soak.unruly --first $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 partitions: setup
 	$(BIN)/python -m tests.entry.partition_soak --first $(SEED) --seeds $(SEEDS)
 
