--- a/chutelink/serving/const.py
+++ b/chutelink/serving/const.py
@@ -9,7 +9,7 @@
 RECEIVE_BYTES: Final = 16 * 1024
 """Largest part of the data of a connection that is received at once."""
 READ_BUFFER_BYTES: Final = 8 * 1024
-"""Part of a body that is buffered while nobody reads it, at most twice as much."""
+"""Part of a body that is buffered until its handler reads it, at most twice as much."""
 WRITE_BUFFER_BYTES: Final = 16 * 1024
 """Unsent data of a connection above which its responses wait for the client."""
 MAX_PIPELINED_BYTES: Final = 8 * 1024
--- a/chutelink/serving/pool.py
+++ b/chutelink/serving/pool.py
@@ -1,6 +1,6 @@
 """Limits the number of connections to a port, and closes the least useful ones.
 
-A port that refuses new connections while clients hold the old ones idle serves nobody.
+A port that only refuses new connections can be filled with idle ones.
 So a new connection is accepted as long as another can be closed for it.
 """
 
