--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the scripts of this review: processes on loopback addresses."""
