--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -11,21 +11,21 @@
 import re
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 import aiohttp
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-STORE_PORT = 7000
-FRONT_PORT = 7100
-READY_PORT = 7101
-DIRECTORY_PORT = 7102
-CONTROL_PORT = 7109
+PORTS = 6
+"""Ports that the stand-in and the daemons use, besides that of the metrics."""
+METRICS_PORT = 9464
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -34,6 +34,24 @@
     """The case could not run; says nothing about the rule."""
 
 
+def _find_ports(addresses: list[str]) -> int:
+    """Return the first of some ports that are free at all addresses."""
+    for first in range(20000 + os.getpid() % 5000, 32000, PORTS):
+        bound = []
+        try:
+            for address in addresses:
+                for port in (*range(first, first + PORTS), METRICS_PORT):
+                    bound.append(socket.socket())
+                    bound[-1].bind((address, port))
+        except OSError:
+            continue
+        finally:
+            for each in bound:
+                each.close()
+        return first
+    raise CannotRun("no free ports")
+
+
 def _render(template: str, fields: dict[str, str]) -> str:
     """Render the settings template with plain values, as the platform does."""
 
@@ -56,6 +74,12 @@
         pid = os.getpid()
         self.subnet = f"127.{100 + pid % 100}.{pid // 100 % 250}"
         self.daemons = daemons
+        names = [self.platform, *map(self.address, range(daemons))]
+        self.store_port = _find_ports(names)
+        self.front_port = self.store_port + 1
+        self.ready_port = self.store_port + 2
+        self.directory_port = self.store_port + 3
+        self.control_port = self.store_port + 4
         self.processes: dict[str, subprocess.Popen] = {}
         self.session: aiohttp.ClientSession | None = None
         self.started_s = time.monotonic()
@@ -92,7 +116,7 @@
         """Start the stand-in of the platform and of its servers."""
         path = f"{ROOT / 'target' / 'deps'}:{ROOT}"
         command = [sys.executable, str(program), "--address", self.platform]
-        command += ["--port", str(STORE_PORT), *options]
+        command += ["--port", str(self.store_port), *options]
         self.spawn("platform", command, {"PYTHONPATH": path})
 
     def spawn_daemon(self, number: int, store: str | None = None) -> None:
@@ -104,12 +128,12 @@
             "ip": ip,
             "@": "zone-a",
             ".": "region-a",
-            "seeds": f"{self.address(0)}:{CONTROL_PORT}",
-            "provider.address": f"{store or self.platform}:{STORE_PORT}",
-            "listen.front": f"{ip}:{FRONT_PORT}",
-            "listen.ready": f"{ip}:{READY_PORT}",
-            "listen.directory": f"{ip}:{DIRECTORY_PORT}",
-            "listen.control": f"{ip}:{CONTROL_PORT}",
+            "seeds": f"{self.address(0)}:{self.control_port}",
+            "provider.address": f"{store or self.platform}:{self.store_port}",
+            "listen.front": f"{ip}:{self.front_port}",
+            "listen.ready": f"{ip}:{self.ready_port}",
+            "listen.directory": f"{ip}:{self.directory_port}",
+            "listen.control": f"{ip}:{self.control_port}",
             "limits.cpu_share": "1.0",
             "limits.cores": "1",
             "limits.memory_mb": "300",
@@ -152,14 +176,14 @@
 
     async def async_is_ready(self, number: int) -> bool:
         """Return whether a daemon says that it is ready."""
-        url = f"http://{self.address(number)}:{READY_PORT}/api/ready"
+        url = f"http://{self.address(number)}:{self.ready_port}/api/ready"
         return (await self.async_get(url))[0] == 200
 
     async def async_all_listed(self) -> bool:
         """Return whether each daemon lists all daemons."""
         query = "name=a.example&region=region-a&zone=zone-a"
         for number in range(self.daemons):
-            base = f"http://{self.address(number)}:{DIRECTORY_PORT}"
+            base = f"http://{self.address(number)}:{self.directory_port}"
             status, body = await self.async_get(f"{base}/api/resolve?{query}")
             if status != 200 or len(json.loads(body)["addresses"]) != self.daemons:
                 return False
@@ -171,7 +195,7 @@
             connector=aiohttp.TCPConnector(limit=0, force_close=True)
         )
         self.spawn_platform(program, *options)
-        url = f"http://{self.platform}:{STORE_PORT}/api/rows-get?table=op"
+        url = f"http://{self.platform}:{self.store_port}/api/rows-get?table=op"
 
         async def async_has_store() -> bool:
             return (await self.async_get(url))[0] == 200
@@ -184,7 +208,7 @@
 
     async def async_control(self, method: str, path: str, body: object = None) -> bytes:
         """Call the control interface of the stand-in."""
-        url = f"http://{self.platform}:{STORE_PORT}{path}"
+        url = f"http://{self.platform}:{self.store_port}{path}"
         async with self.session.request(method, url, json=body) as answer:
             if answer.status != 200:
                 raise CannotRun(f"{path}: {answer.status}")
@@ -212,11 +236,16 @@
         try:
             async with asyncio.timeout(110):
                 has_held = await async_play(rig)
-        except (CannotRun, TimeoutError, OSError, aiohttp.ClientError) as error:
+        except Exception as error:
             rig.note(f"could not run: {error!r}")
-            return NOT_RUN
+            raise
         finally:
             await rig.async_close()
         return HELD if has_held else BROKEN
 
-    return asyncio.run(async_run())
+    try:
+        return asyncio.run(async_run())
+    except Exception:
+        # Python's own exit code for an error would say that the rule was broken.
+        traceback.print_exc()
+        return NOT_RUN
