--- a/review/loopback/engine.py
+++ b/review/loopback/engine.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 ADAPTER_LOAD_S = 0.01
-EVENTS = 3
 
 
 class OrderArrival:
@@ -40,6 +39,8 @@
         address: str,
         models: list[str],
         load_s: float = 1.2,
+        events: int = 3,
+        event_interval_s: float = 0.01,
     ) -> None:
         self.name = name
         self._service = service
@@ -47,6 +48,8 @@
         self.address = address
         self.models: dict[str, list[str]] = {model: [] for model in models}
         self._load_s = load_s
+        self._events = events
+        self._event_interval_s = event_interval_s
         self._born_ms = time.time_ns() // 1_000_000
         self._sequence = 0
         self._is_busy = False
@@ -189,11 +192,11 @@
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
         first = int(headers.get("last-event-id", "0")) + 1
-        for number in range(first, EVENTS + 1):
+        for number in range(first, self._events + 1):
             event = f"id: {number}\ndata: part {number} of {request_id}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self._event_interval_s)
         writer.write(b"0\r\n\r\n")
 
 
--- a/review/loopback/fleet.py
+++ b/review/loopback/fleet.py
@@ -93,6 +93,10 @@
         )
         await self.store.async_start(self.address(1), STORE_PORT)
         self.store.put("op", "config", config)
+        await self.async_start_daemons()
+
+    async def async_start_daemons(self) -> None:
+        """Start all daemons, and wait until they are ready."""
         for number in range(self._daemons):
             self.start_daemon(number)
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/review/loopback/store.py
+++ b/review/loopback/store.py
@@ -19,6 +19,7 @@
         self.rows: dict[tuple[str, str], dict] = {}
         self.history: list[dict] = []
         self.version = 0
+        self._oldest_readable = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -47,6 +48,11 @@
         if (table, key) in self.rows:
             self._commit([(table, key, None)])
 
+    def forget_history(self) -> None:
+        """Discard the history: a feed from an earlier version gets 410 from now on."""
+        self.history.clear()
+        self._oldest_readable = self.version
+
     def _commit(self, changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
         for table, key, text in changes:
@@ -86,6 +92,8 @@
         table, after = request.query["table"], int(request.query["after"])
         end_s = time.monotonic() + int(request.query.get("wait_ms", "0")) / 1000
         while True:
+            if after < self._oldest_readable:
+                return self._answer(410)
             rows = [
                 row
                 for row in self.history
