Responses: a status line outside HTTP is no response

What callers saw: an endpoint's answer with status 000 was returned as "HTTP/1.1 0" with its seal and body; so were other statuses below 100 and above 599, answers of RTSP/1.0, HTTP/0.9 and HTTP/2.0, answers after empty lines, and reason phrases with control bytes. An interim status such as 000 ended the search for the final response. The store, reports, orders and the gateway's endpoints were read in the same way.

Cause: the library's parser is lenient with responses; it takes any three digits and skips leading line ends. Nothing of ours checked a head between the parser and the code that uses it.

Change: HeadReader checks the received bytes before the parser sees them, line by line, in BoundedResponseHandler, which all sessions of daemons use. What is no status line of HTTP/1 with a status from 100 to 599 (RFC 9110, 15; RFC 9112, 4) fails at once as a broken connection: the connection is closed, the failure counts for the endpoint's health, and what may run again does. A reason phrase may still be missing, also with the blank before it.

--- /dev/null
+++ b/chutelink/response_syntax.py
@@ -0,0 +1,108 @@
+"""Checks of received responses by the grammar of HTTP (RFC 9110 and RFC 9112).
+
+The library's parser is lenient with responses, and what it accepts reaches callers. The
+readers here see the received bytes first. They check each line as it arrives, so that
+a connection on which something else is sent is closed at once.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+import aiohttp
+
+FIRST_FINAL_STATUS: Final = 200
+_LINE_END: Final = b"\r\n"
+_PROTOCOL: Final = b"HTTP/1."
+_STATUS_LINE: Final = re.compile(
+    # Some servers leave out the blank before an empty reason phrase.
+    rb"HTTP/1\.\d ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
+)
+_MAX_QUOTED_BYTES: Final = 80
+
+
+class MalformedResponse(aiohttp.ClientPayloadError):
+    """Received data are not a valid response."""
+
+
+def _make_error(reason: str, line: bytes) -> MalformedResponse:
+    quoted = bytes(line[:_MAX_QUOTED_BYTES])
+    return MalformedResponse(f"malformed response, {reason}: {quoted!r}")
+
+
+def _strip_line_end(line: bytes) -> bytes:
+    """Return a line without its end, which may be a single line feed."""
+    return line[:-2] if line.endswith(_LINE_END) else line[:-1]
+
+
+class HeadReader:
+    """Reads the head of a response, and those of interim responses before it.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the head of the final response has been read.
+    """
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self._partial_line = bytearray()
+        self._status_line = b""
+        """Line of the head that is being read, empty before it is complete."""
+        self._status = 0
+        self._lines = bytearray()
+        """Other lines of that head."""
+
+    def read(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the heads that the data complete, and what follows the final head.
+
+        Parameters
+        ----------
+        data : bytes
+            Received data, before the head of the final response is complete.
+
+        Raises
+        ------
+        MalformedResponse
+            The data can't be a part of a response.
+        """
+        heads = b""
+        position = 0
+        while not self.is_complete:
+            end = data.find(b"\n", position) + 1
+            if not end:
+                self._keep_partial_line(data[position:])
+                return heads, b""
+            line = bytes(self._partial_line) + data[position:end]
+            self._partial_line.clear()
+            position = end
+            if not self._status_line:
+                self._read_status_line(line)
+            else:
+                self._lines += line
+                if not _strip_line_end(line):
+                    heads += self._finish_head()
+        return heads, data[position:]
+
+    def _keep_partial_line(self, data: bytes) -> None:
+        self._partial_line += data
+        beginning = self._partial_line[: len(_PROTOCOL)]
+        if not self._status_line and not _PROTOCOL.startswith(beginning):
+            raise _make_error("invalid status line", beginning)
+
+    def _read_status_line(self, line: bytes) -> None:
+        content = _strip_line_end(line)
+        matched = _STATUS_LINE.fullmatch(content)
+        if matched is None:
+            raise _make_error("invalid status line", content)
+        self._status_line = content + _LINE_END
+        self._status = int(matched[1])
+
+    def _finish_head(self) -> bytes:
+        """Return the head that has been read, and prepare for the next one."""
+        self.is_complete = self._status >= FIRST_FINAL_STATUS
+        head = self._status_line + bytes(self._lines)
+        self._status_line = b""
+        self._lines.clear()
+        return head
--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDictProxy
 
 from .memory import MemoryLease
+from .response_syntax import FIRST_FINAL_STATUS, HeadReader, MalformedResponse
 
 READ_BYTES: Final = 16 * 1024
 """Largest part of a body that is read at once."""
@@ -25,7 +26,6 @@
 """Limit of reports, answers to orders and health checks, which take some KB."""
 MAX_STORE_BYTES: Final = 16 * 1024 * 1024
 """Limit of the table and object services' responses, whose pages take up to 1.4 MB."""
-FIRST_FINAL_STATUS: Final = 200
 SWITCHING_STATUS: Final = 101
 """Status of a switch to another protocol, which no request asks for."""
 
@@ -73,20 +73,22 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Closes a connection whose peer sends data, but no response.
+    """Closes a connection whose peer sends data, but no valid response.
 
-    This covers endless heads, interim responses, chunk extensions and trailers, and
-    data that no request asked for. Bodies are limited where they are read: the library
-    stops receiving while nobody reads them.
+    This covers data that are not HTTP (see `response_syntax`) or that no request asked
+    for, and endless heads, interim responses, chunk extensions and trailers. Bodies are
+    limited where they are read: the library stops receiving while nobody reads them.
     """
 
     _awaits_head = False
     _overhead_bytes = 0
+    _head_reader: HeadReader | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to a request."""
         self._awaits_head = True
         self._overhead_bytes = 0
+        self._head_reader = HeadReader()
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -109,7 +111,16 @@
             self._fail(ResponseTooLarge("data without a request"))
             return
         before = self._progress()
-        super().data_received(data)
+        try:
+            checked = self._check(data)
+        except MalformedResponse as error:
+            self._fail(error)
+            return
+        if checked:
+            super().data_received(checked)
+        else:
+            # The parser would do it; it is not called without data.
+            self._reschedule_timeout()
         if self._progress() != before:
             self._overhead_bytes = 0
             return
@@ -117,6 +128,13 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ResponseTooLarge("head or chunk framing too large"))
 
+    def _check(self, data: bytes) -> bytes:
+        """Return the data that may be parsed; an incomplete head is held back."""
+        heads, body = b"", data
+        if self._awaits_head:
+            heads, body = self._head_reader.read(data)
+        return heads + body
+
     def _is_idle(self) -> bool:
         """Return whether the response to the last request is complete."""
         if self._awaits_head:
@@ -144,6 +162,6 @@
         super().__init__(use_dns_cache=False, **options)
         self._factory = self.make_handler
 
-    def make_handler(self) -> ResponseHandler:
+    def make_handler(self) -> BoundedResponseHandler:
         """Return the handler of a new connection."""
         return BoundedResponseHandler(loop=self._loop)
--- /dev/null
+++ b/tests/platform/test_malformed_responses.py
@@ -0,0 +1,74 @@
+"""Stores and endpoints that send a daemon something other than a response."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from chutelink.entry.endpoints import Endpoint
+from chutelink.exceptions import (
+    EndpointFailed,
+)
+from chutelink.placing.inventory import Order, OrderAction
+from chutelink.platform.engine import HttpEngineClient
+from chutelink.platform.presence import HttpPresenceCheck
+from chutelink.platform.store import async_setup_store
+from chutelink.presence.check import Presence
+from chutelink.settings import PlatformSection
+
+from ..malformed_responses import make_malformed
+from .test_cut_responses import (
+    REPORT,
+    STORE_BODY,
+    STORE_CALLS,
+    make_record,
+    run_with_server,
+)
+
+ORDER = Order(OrderAction.LOAD, "m0", "", 0, "d1", 1)
+
+
+@pytest.mark.parametrize("call", STORE_CALLS)
+def test_malformed_response_of_the_store_is_no_result(call):
+    async_call, error = STORE_CALLS[call]
+
+    async def async_check(session, address):
+        settings = PlatformSection(url=f"http://{address}", key="none")
+        table = async_setup_store(session, settings, lambda retry: None)
+        with pytest.raises(error):
+            await async_call(table)
+
+    responses = make_malformed(b"200 OK", STORE_BODY).values()
+    run_with_server(async_check, responses, is_reset=False)
+
+
+def test_malformed_response_of_an_engine_is_no_report():
+    async def async_check(session, address):
+        with pytest.raises(EndpointFailed):
+            await HttpEngineClient(session).async_report(Endpoint(make_record(address)))
+
+    responses = make_malformed(b"200 OK", REPORT).values()
+    run_with_server(async_check, responses, is_reset=False)
+
+
+def test_malformed_response_of_an_engine_is_no_answer_to_an_order():
+    async def async_check(session, address):
+        with pytest.raises(EndpointFailed):
+            await HttpEngineClient(session).async_order(
+                Endpoint(make_record(address)), ORDER
+            )
+
+    responses = make_malformed(b"202 Accepted", b"{}").values()
+    run_with_server(async_check, responses, is_reset=False)
+
+
+def test_malformed_response_to_a_presence_check_is_unknown():
+    service = SimpleNamespace(engine=object(), health_path="/health")
+
+    async def async_check(session, address):
+        check = HttpPresenceCheck(session, lambda name: service)
+        assert await check.async_check(make_record(address)) is Presence.UNKNOWN
+
+    responses = make_malformed(b"200 OK", REPORT).values()
+    run_with_server(async_check, responses, is_reset=False)
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -17,6 +18,11 @@
 WITH_LENGTH = HEAD + b"Content-Length: 12\r\n\r\nhello hello\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 BARE_LINE_FEEDS = WITH_LENGTH.replace(b"\r\n", b"\n")
+PRESENT = (
+    b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-0\r\nContent-Length: 39\r\n"
+    b'Connection: close\r\n\r\n{"models": [], "busy": false, "seq": 3}'
+)
+"""Report of an engine, and health of a plain server, that is registered as i-0."""
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 RESPONSES = [
     pytest.param(WITH_LENGTH, id="length"),
@@ -39,18 +45,23 @@
         self.address = ""
         self.writers: set[asyncio.StreamWriter] = set()
 
+    def choose_response(self, head: bytes) -> bytes:
+        """Return the response to a request with this head."""
+        return self.response
+
     async def async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
         try:
-            await reader.readuntil(b"\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
             # A check whether the port accepts connections sends nothing.
             writer.close()
             return
-        self.requests += 1
-        response, is_reset = self.response, self.is_reset
+        response = self.choose_response(head)
+        self.requests += response is not PRESENT
+        is_reset = self.is_reset and response is not PRESENT
         writer.write(response)
         if is_reset:
             # Data that is received at once with the reset would be discarded.
@@ -65,12 +76,39 @@
         writer.close()
 
 
+class RawEndpoint(RawServer):
+    """Sends ``response`` to requests, and sound responses to checks of its process.
+
+    Requests without the id ``q1`` get their own id in its place.
+    """
+
+    def choose_response(self, head: bytes) -> bytes:
+        if head.startswith(b"GET "):
+            return PRESENT
+        sent = re.search(rb"(?i)\r\nx-request-id: ([^\r]*)", head)
+        return self.response.replace(b"q1", sent[1])
+
+
+async def async_call_raw(url: str, request: bytes) -> bytes:
+    """Send a request, and return all bytes until the connection ends."""
+    host, _, port = url.removeprefix("http://").partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request)
+    try:
+        return await reader.read()
+    finally:
+        writer.transport.abort()
+
+
 @asynccontextmanager
 async def async_raw_server(
-    response: bytes = b"", *, is_reset: bool = False
+    response: bytes = b"",
+    *,
+    is_reset: bool = False,
+    server_type: type[RawServer] = RawServer,
 ) -> AsyncIterator[RawServer]:
     """Yield a server that listens on a free port."""
-    raw = RawServer(response, is_reset=is_reset)
+    raw = server_type(response, is_reset=is_reset)
     server = await asyncio.start_server(raw.async_serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     raw.address = f"127.0.0.1:{port}"
--- /dev/null
+++ b/tests/test_response_syntax.py
@@ -0,0 +1,50 @@
+"""Readers of heads and of bodies in chunks, with data in pieces of any size."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chutelink.response_syntax import HeadReader
+
+from .malformed_responses import SOUND
+
+TOKEN_BYTES = frozenset(
+    b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+)
+VALUE_BYTES = frozenset({9, *range(0x20, 0x7F), *range(0x80, 0x100)})
+names = st.text(st.sampled_from(sorted(map(chr, TOKEN_BYTES))), min_size=1)
+values = st.text(st.sampled_from(sorted(map(chr, VALUE_BYTES))))
+fields = st.lists(st.tuples(names, values)).map(
+    lambda pairs: [
+        f"{name}:{value}\r\n".encode("latin-1")
+        for name, value in pairs
+        if name.lower() not in ("content-length", "transfer-encoding")
+    ]
+)
+
+
+def read_response(data: bytes, piece_bytes: int) -> bytes:
+    """Return what a parser would get of a response that arrives in pieces."""
+    head, parsed = HeadReader(), b""
+    for start in range(0, len(data), piece_bytes):
+        body = data[start : start + piece_bytes]
+        if not head.is_complete:
+            heads, body = head.read(body)
+            parsed += heads
+        parsed += body
+    return parsed
+
+
+@given(st.integers(100, 599), fields)
+def test_valid_head_is_returned_unchanged(status, lines):
+    head = b"HTTP/1.1 %d Any\r\n" % status + b"".join(lines) + b"\r\n"
+    assert HeadReader().read(head) == (head, b"")
+
+
+@pytest.mark.parametrize("case", SOUND.values(), ids=SOUND)
+def test_pieces_are_read_like_the_whole(case):
+    whole = read_response(case.data, len(case.data))
+    for piece_bytes in (1, 2, 3, 7):
+        assert read_response(case.data, piece_bytes) == whole
