Responses: a line that is no field makes a head invalid

What callers saw: "Content-Length : 5" was taken as the length, and passed on with its blank; "Transfer-Encoding : chunked" likewise. "Content-Length x: 5" left the response without a length, with a body that was not the endpoint's. A line feed at the start of a name, or at the end of a value, ended the head, and its other fields became the body. A first field that began with a blank was accepted. A control byte in a value closed the caller's connection without a response, as the library refuses to write it.

Cause: the parser accepts a blank after some names that it knows, and control bytes in values. A name with a blank or a control byte in its midst was refused before; these tests are kept.

Change: each line has to be a field (RFC 9110, 5.1 and 5.5; RFC 9112, 5) or continue the one before it. Folded values are unfolded before the parser sees them, as RFC 9112, 5.2 asks of gateways. The empty line has to end like the line before it; heads whose lines all end with a line feed stay valid.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -13,12 +13,15 @@
 import aiohttp
 
 FIRST_FINAL_STATUS: Final = 200
+_BLANKS: Final = b" \t"
 _LINE_END: Final = b"\r\n"
 _PROTOCOL: Final = b"HTTP/1."
 _STATUS_LINE: Final = re.compile(
     # Some servers leave out the blank before an empty reason phrase.
     rb"HTTP/1\.\d ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
+_FIELD: Final = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)")
+_FOLDED_LINE: Final = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
 _MAX_QUOTED_BYTES: Final = 80
 
 
@@ -31,9 +34,57 @@
     return MalformedResponse(f"malformed response, {reason}: {quoted!r}")
 
 
-def _strip_line_end(line: bytes) -> bytes:
-    """Return a line without its end, which may be a single line feed."""
-    return line[:-2] if line.endswith(_LINE_END) else line[:-1]
+def _split_line_end(line: bytes) -> tuple[bytes, bytes]:
+    """Return a line without its end, and the end, which may be a single line feed."""
+    size = len(_LINE_END) if line.endswith(_LINE_END) else 1
+    return line[:-size], line[-size:]
+
+
+class FieldReader:
+    """Reads the fields of a head.
+
+    Attributes
+    ----------
+    lines : bytearray
+        The fields, unfolded to a line each.
+    """
+
+    def __init__(self) -> None:
+        self.lines = bytearray()
+        self._name = b""
+        """Name of the last field, which the next line may continue."""
+        self._value = b""
+        self._last_line_end = _LINE_END
+
+    def read(self, line: bytes) -> bool:
+        """Check a line, and return whether it is the empty line after the fields.
+
+        Raises
+        ------
+        MalformedResponse
+            The line is neither a field nor the continuation of one.
+        """
+        content, line_end = _split_line_end(line)
+        if not content:
+            if line_end != self._last_line_end:
+                # A line feed in a name or value would end the fields too early.
+                raise _make_error("empty line with another line end", line)
+            self._finish_field()
+            return True
+        self._last_line_end = line_end
+        if self._name and _FOLDED_LINE.fullmatch(content):
+            self._value += b" " + content.strip(_BLANKS)
+            return False
+        field = _FIELD.fullmatch(content)
+        if field is None:
+            raise _make_error("invalid field", content)
+        self._finish_field()
+        self._name, self._value = field.groups()
+        return False
+
+    def _finish_field(self) -> None:
+        if self._name:
+            self.lines += self._name + b":" + self._value + _LINE_END
 
 
 class HeadReader:
@@ -51,12 +102,13 @@
         self._status_line = b""
         """Line of the head that is being read, empty before it is complete."""
         self._status = 0
-        self._lines = bytearray()
-        """Other lines of that head."""
+        self._fields = FieldReader()
 
     def read(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the heads that the data complete, and what follows the final head.
 
+        In the returned heads, each field takes one line.
+
         Parameters
         ----------
         data : bytes
@@ -79,10 +131,8 @@
             position = end
             if not self._status_line:
                 self._read_status_line(line)
-            else:
-                self._lines += line
-                if not _strip_line_end(line):
-                    heads += self._finish_head()
+            elif self._fields.read(line):
+                heads += self._finish_head()
         return heads, data[position:]
 
     def _keep_partial_line(self, data: bytes) -> None:
@@ -92,7 +142,7 @@
             raise _make_error("invalid status line", beginning)
 
     def _read_status_line(self, line: bytes) -> None:
-        content = _strip_line_end(line)
+        content, _ = _split_line_end(line)
         matched = _STATUS_LINE.fullmatch(content)
         if matched is None:
             raise _make_error("invalid status line", content)
@@ -102,7 +152,7 @@
     def _finish_head(self) -> bytes:
         """Return the head that has been read, and prepare for the next one."""
         self.is_complete = self._status >= FIRST_FINAL_STATUS
-        head = self._status_line + bytes(self._lines)
+        head = self._status_line + self._fields.lines + _LINE_END
         self._status_line = b""
-        self._lines.clear()
+        self._fields = FieldReader()
         return head
--- a/tests/malformed_responses.py
+++ b/tests/malformed_responses.py
@@ -12,6 +12,7 @@
 BODY = b"hello"
 FRAMED = b"Content-Length: 5\r\n\r\n" + BODY
 CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 
 
 def with_status(code: bytes) -> bytes:
@@ -39,6 +40,41 @@
     f"interim_{code.decode()}": b"HTTP/1.1 " + code + b" Odd\r\n\r\n" + HEAD + FRAMED
     for code in (b"000", b"099")
 }
+NAMES = {
+    "name_blank": with_line(b"Odd Name: 1"),
+    "name_leading_blank": STATUS_LINE + b" " + HEAD.removeprefix(STATUS_LINE) + FRAMED,
+    "name_trailing_blank": with_line(b"Odd : 1"),
+    "name_trailing_tab": with_line(b"Odd\t: 1"),
+    "name_control": with_line(b"Odd\x01Name: 1"),
+    "name_delete": with_line(b"Odd\x7fName: 1"),
+    "name_null": with_line(b"Odd\0Name: 1"),
+    "name_carriage_return": with_line(b"Odd\rName: 1"),
+    "name_line_feed": with_line(b"Odd\nName: 1"),
+    "name_leading_line_feed": with_line(b"\nOdd: 1"),
+    "name_leading_carriage_return": with_line(b"\rOdd: 1"),
+    "name_high_byte": with_line(b"Odd\xe9: 1"),
+    "name_separator": with_line(b"Odd(Name): 1"),
+    "name_empty": with_line(b": 1"),
+    "no_colon": with_line(b"Odd"),
+    "known_name_blank": HEAD + b"Content-Length : 5\r\n\r\nhello",
+    "known_name_blank_and_more": HEAD + b"Content-Length : 5\r\n\r\nhello and more",
+    "known_name_blank_beside_length": HEAD
+    + b"Content-Length : 5\r\nContent-Length: 5\r\n\r\nhello",
+    "known_name_tab": HEAD + b"Content-Length\t: 5\r\n\r\nhello and more",
+    "known_name_null": HEAD + b"Content-Length\0: 5\r\n\r\nhello and more",
+    "known_name_and_word": HEAD + b"Content-Length x: 5\r\n\r\nhello and more",
+    "coding_name_blank": with_coding(b"Transfer-Encoding : chunked"),
+    "connection_name_blank": with_line(b"Connection : close"),
+    "upgrade_name_blank": with_line(b"Upgrade : none"),
+}
+VALUES = {
+    "value_null": with_line(b"Odd: a\0b"),
+    "value_control": with_line(b"Odd: a\x01b"),
+    "value_escape": with_line(b"Odd: \x1b[1m"),
+    "value_delete": with_line(b"Odd: a\x7fb"),
+    "value_carriage_return": with_line(b"Odd: a\rb"),
+    "value_trailing_line_feed": with_line(b"Odd: a\n"),
+}
 STATUS_LINES = {
     "reason_null": with_status(b"200 O\0K"),
     "reason_control": with_status(b"200 O\x01K"),
@@ -51,7 +87,7 @@
     "leading_text": b"none" + HEAD + FRAMED,
     "no_head": b"hello\r\n\r\n",
 }
-MALFORMED = STATUSES | INTERIM_STATUSES | STATUS_LINES
+MALFORMED = STATUSES | INTERIM_STATUSES | NAMES | VALUES | STATUS_LINES
 
 BROKEN_ON_ALL_PATHS = {
     name: MALFORMED[name]
@@ -59,6 +95,11 @@
         "status_000",
         "status_600",
         "interim_000",
+        "name_control",
+        "name_leading_line_feed",
+        "known_name_blank",
+        "known_name_and_word",
+        "value_control",
         "other_protocol",
     )
 }
@@ -71,6 +112,9 @@
     length = b"Content-Length: %d\r\n" % len(body)
     whole = head + length + b"\r\n" + body
     return {
+        "name_blank": whole.replace(b"Length:", b"Length :"),
+        "name_control": whole.replace(b"Store-Era", b"Store\x01Era"),
+        "value_control": whole.replace(b"Era: 12", b"Era: 12\r\nOdd: \x01"),
         "other_protocol": whole.replace(b"HTTP/1.1", b"RTSP/1.0"),
         "leading_line": b"\r\n" + whole,
         "status_000_first": b"HTTP/1.1 000 Odd\r\n\r\n" + whole,
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -6,10 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.response_syntax import HeadReader
+from chutelink.response_syntax import HeadReader, MalformedResponse
 
 from .malformed_responses import SOUND
 
+NAME = "Odd-Name"
 TOKEN_BYTES = frozenset(
     b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 )
@@ -43,8 +44,33 @@
     assert HeadReader().read(head) == (head, b"")
 
 
+@pytest.mark.parametrize("byte", sorted(set(range(256)) - TOKEN_BYTES - {ord(":")}))
+def test_no_other_byte_is_a_part_of_a_name(byte):
+    for position in range(1, len(NAME) + 1):
+        name = NAME[:position].encode() + bytes([byte]) + NAME[position:].encode()
+        with pytest.raises(MalformedResponse):
+            HeadReader().read(b"HTTP/1.1 200 OK\r\nA: 1\r\n" + name + b": 1\r\n\r\n")
+    if chr(byte) not in " \t":
+        first = bytes([byte]) + NAME.encode()
+        with pytest.raises(MalformedResponse):
+            HeadReader().read(b"HTTP/1.1 200 OK\r\nA: 1\r\n" + first + b": 1\r\n\r\n")
+
+
+@pytest.mark.parametrize("byte", sorted(set(range(256)) - VALUE_BYTES - {ord("\n")}))
+def test_no_control_byte_is_a_part_of_a_value_or_reason(byte):
+    for line in (b"HTTP/1.1 200 O%cK\r\n", b"HTTP/1.1 200 OK\r\nA: b%cc\r\n"):
+        with pytest.raises(MalformedResponse):
+            HeadReader().read(line % byte + b"\r\n")
+
+
 @pytest.mark.parametrize("case", SOUND.values(), ids=SOUND)
 def test_pieces_are_read_like_the_whole(case):
     whole = read_response(case.data, len(case.data))
     for piece_bytes in (1, 2, 3, 7):
         assert read_response(case.data, piece_bytes) == whole
+
+
+def test_folded_value_takes_one_line():
+    folded = b"HTTP/1.1 200 OK\r\nA: b\r\n\t c\r\n \r\nD:\r\n e\r\n\r\n"
+    unfolded = b"HTTP/1.1 200 OK\r\nA: b c \r\nD: e\r\n\r\n"
+    assert HeadReader().read(folded) == (unfolded, b"")
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -9,7 +9,7 @@
 
 from chutelink.responses import BoundedConnector
 
-from .malformed_responses import MALFORMED, SOUND, with_line, with_status
+from .malformed_responses import MALFORMED, SOUND, with_line
 from .raw_server import async_raw_server
 
 TIMEOUT_S = 10.0
@@ -56,8 +56,8 @@
 
 @pytest.mark.parametrize(
     "beginning",
-    [b"none", b"HTTP/1.1 000 Odd\r\n"],
-    ids=["no_http", "status"],
+    [b"none", b"HTTP/1.1 000 Odd\r\n", b"HTTP/1.1 200 OK\r\nOdd Name: 1\r\n"],
+    ids=["no_http", "status", "field"],
 )
 def test_malformed_head_fails_before_it_ends(beginning):
     """Guards against calls that wait for the rest of what can't be a response."""
@@ -80,7 +80,7 @@
 
 def test_connection_of_a_malformed_response_is_not_used_again():
     async def async_test():
-        responses = [with_status(b"000 Odd"), *[with_line(b"Rare: 1")] * 2]
+        responses = [with_line(b"Odd: \x01"), *[with_line(b"Rare: 1")] * 2]
         connections = []
 
         async def async_serve(reader, writer):
