Responses: only chunked is a transfer coding that can be removed

What callers saw: the raw bytes of a body in an unknown transfer coding, with status 200 and the seal; of "chunked;x=1", and of "chunked," which is chunked, with the chunk sizes in the body. A body in gzip and chunks arrived as gzip without a field that says so. A length of 2**64 - 1 gave an empty body. Chunks in HTTP/1.0, and chunked applied twice, were taken for one chunked body.

Cause: the parser reads to the end of the connection if it doesn't know the last coding; the field concerns one connection and isn't passed on. It uses 2**64 - 1 for an unknown length.

Change: the fields that state how a body ends are checked together (RFC 9112, 6) and replaced by one. Calls request no coding besides chunked, so any other makes the response invalid, as does one in HTTP/1.0 or beside a length. Empty elements of the list are skipped. Fields of interim responses, which have no body, don't count.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -16,12 +16,18 @@
 _BLANKS: Final = b" \t"
 _LINE_END: Final = b"\r\n"
 _PROTOCOL: Final = b"HTTP/1."
+_MINOR_VERSION_0: Final = b"0"
+_NAME_LENGTH: Final = b"content-length"
+_NAME_CODING: Final = b"transfer-encoding"
+_CHUNKED: Final = b"chunked"
 _STATUS_LINE: Final = re.compile(
     # Some servers leave out the blank before an empty reason phrase.
-    rb"HTTP/1\.\d ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
+    rb"HTTP/1\.(\d) ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 _FIELD: Final = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)")
 _FOLDED_LINE: Final = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
+_LENGTH: Final = re.compile(rb"0*(\d{1,19})")
+"""A number below 2**64 - 1, by which the parser means that there is no length."""
 _MAX_QUOTED_BYTES: Final = 80
 
 
@@ -45,12 +51,16 @@
 
     Attributes
     ----------
-    lines : bytearray
-        The fields, unfolded to a line each.
+    lengths, codings : list[bytes]
+        Values of the fields ``Content-Length`` and ``Transfer-Encoding``.
+    other_lines : bytearray
+        The other fields, unfolded to a line each.
     """
 
     def __init__(self) -> None:
-        self.lines = bytearray()
+        self.lengths: list[bytes] = []
+        self.codings: list[bytes] = []
+        self.other_lines = bytearray()
         self._name = b""
         """Name of the last field, which the next line may continue."""
         self._value = b""
@@ -83,8 +93,13 @@
         return False
 
     def _finish_field(self) -> None:
-        if self._name:
-            self.lines += self._name + b":" + self._value + _LINE_END
+        name = self._name.lower()
+        if name == _NAME_LENGTH:
+            self.lengths.append(self._value)
+        elif name == _NAME_CODING:
+            self.codings.append(self._value)
+        elif name:
+            self.other_lines += self._name + b":" + self._value + _LINE_END
 
 
 class HeadReader:
@@ -101,13 +116,15 @@
         self._partial_line = bytearray()
         self._status_line = b""
         """Line of the head that is being read, empty before it is complete."""
+        self._minor_version = b""
         self._status = 0
         self._fields = FieldReader()
 
     def read(self, data: bytes) -> tuple[bytes, bytes]:
         """Return the heads that the data complete, and what follows the final head.
 
-        In the returned heads, each field takes one line.
+        In the returned heads, each field takes one line, and one field states the
+        length of the body.
 
         Parameters
         ----------
@@ -147,12 +164,51 @@
         if matched is None:
             raise _make_error("invalid status line", content)
         self._status_line = content + _LINE_END
-        self._status = int(matched[1])
+        self._minor_version = matched[1]
+        self._status = int(matched[2])
 
     def _finish_head(self) -> bytes:
         """Return the head that has been read, and prepare for the next one."""
         self.is_complete = self._status >= FIRST_FINAL_STATUS
-        head = self._status_line + self._fields.lines + _LINE_END
+        # An interim response has no body, whatever its fields say.
+        framing = self._framing() if self.is_complete else b""
+        head = self._status_line + self._fields.other_lines + framing + _LINE_END
         self._status_line = b""
         self._fields = FieldReader()
         return head
+
+    def _framing(self) -> bytes:
+        """Return the line that states how the body ends, empty if none does."""
+        fields = self._fields
+        length = _decode_length(fields.lengths)
+        if not fields.codings:
+            return length
+        if length:
+            raise _make_error("length and transfer coding", length)
+        if self._minor_version == _MINOR_VERSION_0:
+            raise _make_error("transfer coding in HTTP/1.0", fields.codings[0])
+        listed = b",".join(fields.codings).lower().split(b",")
+        codings = [coding for each in listed if (coding := each.strip(_BLANKS))]
+        if not codings:
+            return b""
+        if codings != [_CHUNKED]:
+            # No other coding is requested, and none is decoded.
+            raise _make_error("transfer coding", b",".join(codings))
+        return b"Transfer-Encoding: chunked" + _LINE_END
+
+
+def _decode_length(values: list[bytes]) -> bytes:
+    """Return the line that states the length.
+
+    Raises
+    ------
+    MalformedResponse
+        The value is not a length, or there are several.
+    """
+    if not values:
+        return b""
+    value = b",".join(values)
+    matched = _LENGTH.fullmatch(value.strip(_BLANKS))
+    if matched is None:
+        raise _make_error("invalid length", value)
+    return b"Content-Length: %d" % int(matched[1]) + _LINE_END
--- a/tests/malformed_responses.py
+++ b/tests/malformed_responses.py
@@ -87,7 +87,34 @@
     "leading_text": b"none" + HEAD + FRAMED,
     "no_head": b"hello\r\n\r\n",
 }
-MALFORMED = STATUSES | INTERIM_STATUSES | NAMES | VALUES | STATUS_LINES
+FRAMINGS = {
+    "length_sign": HEAD + b"Content-Length: +5\r\n\r\nhello",
+    "length_hex": HEAD + b"Content-Length: 0x5\r\n\r\nhello",
+    "length_empty": HEAD + b"Content-Length: \r\n\r\nhello",
+    "length_text": HEAD + b"Content-Length: 5 x\r\n\r\nhello",
+    "length_none": HEAD + b"Content-Length: 18446744073709551615\r\n\r\nhello",
+    "length_list": HEAD + b"Content-Length: 5, 6\r\n\r\nhello",
+    "length_list_empty": HEAD + b"Content-Length: 5,\r\n\r\nhello",
+    "length_overflow": HEAD + b"Content-Length: 18446744073709551621\r\n\r\nhello",
+    "two_lengths": HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+    "length_and_coding": HEAD
+    + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + CHUNKS,
+    "coding_unknown": with_coding(b"Transfer-Encoding: xchunked"),
+    "coding_not_requested": with_coding(b"Transfer-Encoding: gzip, chunked"),
+    "coding_identity": with_coding(b"Transfer-Encoding: identity"),
+    "coding_empty_and_length": with_coding(b"Transfer-Encoding:\r\nContent-Length: 5"),
+    "coding_gzip": with_coding(b"Transfer-Encoding: gzip", b"\x1f\x8bhello"),
+    "coding_parameter": with_coding(b"Transfer-Encoding: chunked;x=1"),
+    "coding_twice": with_coding(b"Transfer-Encoding: chunked, chunked"),
+    "coding_lines": with_coding(
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"
+    ),
+    "coding_in_http_1.0": with_coding(b"Transfer-Encoding: chunked").replace(
+        b"HTTP/1.1", b"HTTP/1.0"
+    ),
+}
+MALFORMED = STATUSES | INTERIM_STATUSES | NAMES | VALUES | STATUS_LINES | FRAMINGS
 
 BROKEN_ON_ALL_PATHS = {
     name: MALFORMED[name]
@@ -101,6 +128,9 @@
         "known_name_and_word",
         "value_control",
         "other_protocol",
+        "length_none",
+        "coding_unknown",
+        "coding_in_http_1.0",
     )
 }
 """One or two of each kind, for the tests of a whole path to a caller."""
@@ -118,6 +148,10 @@
         "other_protocol": whole.replace(b"HTTP/1.1", b"RTSP/1.0"),
         "leading_line": b"\r\n" + whole,
         "status_000_first": b"HTTP/1.1 000 Odd\r\n\r\n" + whole,
+        "coding_unknown": head + b"Transfer-Encoding: xnone\r\n\r\n" + body,
+        "coding_in_http_1.0": head.replace(b"1.1", b"1.0")
+        + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+        % (len(body), body),
     }
 
 
@@ -157,6 +191,9 @@
     ),
     "length_zero": RareResponse(HEAD + b"Content-Length: 0\r\n\r\n", body=b""),
     "coding_case": RareResponse(with_coding(b"TRANSFER-ENCODING: Chunked")),
+    "coding_trailing_comma": RareResponse(
+        with_coding(b"Transfer-Encoding: chunked , ,")
+    ),
     "coding_folded": RareResponse(with_coding(b"Transfer-Encoding:\r\n chunked")),
     "coding_leading_comma": RareResponse(with_coding(b"Transfer-Encoding: , chunked")),
     "chunk_extension": RareResponse(with_chunks(b'5;a="b c";d\r\nhello\r\n0\r\n\r\n')),
@@ -180,7 +217,7 @@
     "interim": RareResponse(
         b"HTTP/1.1 100 Continue\r\n\r\n"
         b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nLink: </b>\r\n\r\n"
-        b"HTTP/1.1 199 Rare\r\n\r\n" + HEAD + FRAMED
+        b"HTTP/1.1 199 Rare\r\nTransfer-Encoding: chunked\r\n\r\n" + HEAD + FRAMED
     ),
     "unframed": RareResponse(HEAD + b"\r\n" + BODY),
     "coding_empty": RareResponse(with_coding(b"Transfer-Encoding:", BODY)),
