Responses: accept several equal lengths

RFC 9112, 6.3 has them processed with the single value if all values are valid and the same.

Change: equal lengths are replaced by one before the parser sees them. Different ones stay invalid.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -198,17 +198,22 @@
 
 
 def _decode_length(values: list[bytes]) -> bytes:
-    """Return the line that states the length.
+    """Return the line that states a length; it may be stated several times.
 
     Raises
     ------
     MalformedResponse
-        The value is not a length, or there are several.
+        A value is not a length, or the lengths differ.
     """
     if not values:
         return b""
-    value = b",".join(values)
-    matched = _LENGTH.fullmatch(value.strip(_BLANKS))
-    if matched is None:
-        raise _make_error("invalid length", value)
-    return b"Content-Length: %d" % int(matched[1]) + _LINE_END
+    listed = b",".join(values)
+    lengths = set()
+    for value in listed.split(b","):
+        matched = _LENGTH.fullmatch(value.strip(_BLANKS))
+        if matched is None:
+            raise _make_error("invalid length", listed)
+        lengths.add(int(matched[1]))
+    if len(lengths) > 1:
+        raise _make_error("different lengths", listed)
+    return b"Content-Length: %d" % lengths.pop() + _LINE_END
--- a/tests/malformed_responses.py
+++ b/tests/malformed_responses.py
@@ -189,6 +189,10 @@
     "length_folded": RareResponse(
         HEAD + b"Content-Length:\r\n\t5\r\nRare: 1\r\n\r\nhello"
     ),
+    "lengths_in_lines": RareResponse(
+        HEAD + b"Content-Length: 5\r\nRare: 1\r\nContent-Length: 05\r\n\r\nhello"
+    ),
+    "lengths_in_list": RareResponse(HEAD + b"Content-Length: 5, 5\r\n\r\nhello"),
     "length_zero": RareResponse(HEAD + b"Content-Length: 0\r\n\r\n", body=b""),
     "coding_case": RareResponse(with_coding(b"TRANSFER-ENCODING: Chunked")),
     "coding_trailing_comma": RareResponse(
