Responses: check the framing of chunks and the trailers

What callers saw: a body in chunks counted as whole though its trailers held "Connection : 1" or a control byte, or though a line feed alone ended a chunk or its extensions.

Cause: the parser is as lenient with trailers as with heads, and with the ends of chunks.

Change: ChunkReader checks sizes, ends of chunks and trailers (RFC 9112, 7.1); the data between are skipped. Extensions, and blanks after a size, stay valid.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 FIRST_FINAL_STATUS: Final = 200
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 _BLANKS: Final = b" \t"
 _LINE_END: Final = b"\r\n"
 _PROTOCOL: Final = b"HTTP/1."
@@ -28,6 +29,9 @@
 _FOLDED_LINE: Final = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
 _LENGTH: Final = re.compile(rb"0*(\d{1,19})")
 """A number below 2**64 - 1, by which the parser means that there is no length."""
+_CHUNK_SIZE: Final = re.compile(
+    rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
 _MAX_QUOTED_BYTES: Final = 80
 
 
@@ -47,7 +51,7 @@
 
 
 class FieldReader:
-    """Reads the fields of a head.
+    """Reads the fields of a head, or of the trailers of a body in chunks.
 
     Attributes
     ----------
@@ -109,15 +113,20 @@
     ----------
     is_complete : bool
         Whether the head of the final response has been read.
+    is_chunked : bool
+        Whether that head states that the body is in chunks.
+    status : int
+        Status of the head that was read last, 0 before the first.
     """
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.is_chunked = False
+        self.status = 0
         self._partial_line = bytearray()
         self._status_line = b""
         """Line of the head that is being read, empty before it is complete."""
         self._minor_version = b""
-        self._status = 0
         self._fields = FieldReader()
 
     def read(self, data: bytes) -> tuple[bytes, bytes]:
@@ -165,11 +174,11 @@
             raise _make_error("invalid status line", content)
         self._status_line = content + _LINE_END
         self._minor_version = matched[1]
-        self._status = int(matched[2])
+        self.status = int(matched[2])
 
     def _finish_head(self) -> bytes:
         """Return the head that has been read, and prepare for the next one."""
-        self.is_complete = self._status >= FIRST_FINAL_STATUS
+        self.is_complete = self.status >= FIRST_FINAL_STATUS
         # An interim response has no body, whatever its fields say.
         framing = self._framing() if self.is_complete else b""
         head = self._status_line + self._fields.other_lines + framing + _LINE_END
@@ -194,6 +203,7 @@
         if codings != [_CHUNKED]:
             # No other coding is requested, and none is decoded.
             raise _make_error("transfer coding", b",".join(codings))
+        self.is_chunked = True
         return b"Transfer-Encoding: chunked" + _LINE_END
 
 
@@ -217,3 +227,60 @@
     if len(lengths) > 1:
         raise _make_error("different lengths", listed)
     return b"Content-Length: %d" % lengths.pop() + _LINE_END
+
+
+class ChunkReader:
+    """Checks the framing of a body in chunks, whose data are skipped."""
+
+    def __init__(self) -> None:
+        self._is_complete = False
+        self._left_bytes = 0
+        """Part of the current chunk that has not been received."""
+        self._is_after_data = False
+        self._partial_line = bytearray()
+        self._trailers: FieldReader | None = None
+
+    def read(self, data: bytes) -> None:
+        """Check received data, up to the end of the body.
+
+        Raises
+        ------
+        MalformedResponse
+            The data are not a part of a body in chunks.
+        """
+        position = self._skip(data, 0)
+        while position < len(data) and not self._is_complete:
+            end = data.find(b"\n", position) + 1
+            if not end:
+                self._partial_line += data[position:]
+                return
+            line = bytes(self._partial_line) + data[position:end]
+            self._partial_line.clear()
+            self._read_line(line)
+            position = self._skip(data, end)
+
+    def _skip(self, data: bytes, position: int) -> int:
+        """Return the position after the data of the current chunk."""
+        skipped_bytes = min(self._left_bytes, len(data) - position)
+        self._left_bytes -= skipped_bytes
+        return position + skipped_bytes
+
+    def _read_line(self, line: bytes) -> None:
+        if self._trailers is not None:
+            self._is_complete = self._trailers.read(line)
+        elif self._is_after_data:
+            if line != _LINE_END:
+                raise _make_error("chunk without end", line)
+            self._is_after_data = False
+        else:
+            self._read_size(line)
+
+    def _read_size(self, line: bytes) -> None:
+        matched = _CHUNK_SIZE.fullmatch(line)
+        if matched is None:
+            raise _make_error("invalid chunk size", line)
+        self._left_bytes = int(matched[1], 16)
+        if self._left_bytes:
+            self._is_after_data = True
+        else:
+            self._trailers = FieldReader()
--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -13,7 +13,13 @@
 from multidict import CIMultiDictProxy
 
 from .memory import MemoryLease
-from .response_syntax import FIRST_FINAL_STATUS, HeadReader, MalformedResponse
+from .response_syntax import (
+    FIRST_FINAL_STATUS,
+    STATUSES_WITHOUT_BODY,
+    ChunkReader,
+    HeadReader,
+    MalformedResponse,
+)
 
 READ_BYTES: Final = 16 * 1024
 """Largest part of a body that is read at once."""
@@ -83,12 +89,15 @@
     _awaits_head = False
     _overhead_bytes = 0
     _head_reader: HeadReader | None = None
+    _chunk_reader: ChunkReader | None = None
+    """None unless the body of the response is in chunks."""
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to a request."""
         self._awaits_head = True
         self._overhead_bytes = 0
         self._head_reader = HeadReader()
+        self._chunk_reader = None
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -133,8 +142,16 @@
         heads, body = b"", data
         if self._awaits_head:
             heads, body = self._head_reader.read(data)
+            if self._head_reader.is_chunked and self._has_body():
+                self._chunk_reader = ChunkReader()
+        if self._chunk_reader is not None:
+            self._chunk_reader.read(body)
         return heads + body
 
+    def _has_body(self) -> bool:
+        is_without = self._head_reader.status in STATUSES_WITHOUT_BODY
+        return not self._skip_payload and not is_without
+
     def _is_idle(self) -> bool:
         """Return whether the response to the last request is complete."""
         if self._awaits_head:
--- a/tests/malformed_responses.py
+++ b/tests/malformed_responses.py
@@ -114,7 +114,31 @@
         b"HTTP/1.1", b"HTTP/1.0"
     ),
 }
-MALFORMED = STATUSES | INTERIM_STATUSES | NAMES | VALUES | STATUS_LINES | FRAMINGS
+CHUNK_ERRORS = {
+    "chunk_size_text": with_chunks(b"x\r\nhello\r\n"),
+    "chunk_size_sign": with_chunks(b"+5\r\nhello\r\n0\r\n\r\n"),
+    "chunk_size_missing": with_chunks(b"\r\nhello\r\n0\r\n\r\n"),
+    "chunk_too_long": with_chunks(b"5\r\nhello!\r\n0\r\n\r\n"),
+    "chunk_extension_control": with_chunks(b"5;a=\x01\r\nhello\r\n0\r\n\r\n"),
+    "trailer_name_blank": with_chunks(b"5\r\nhello\r\n0\r\nOdd Name: 1\r\n\r\n"),
+    "chunk_data_line_feed": with_chunks(b"5\r\nhello\n0\r\n\r\n"),
+    "chunk_extension_line_feed": with_chunks(b"5;a\nhello\r\n0\r\n\r\n"),
+    "trailer_known_name_blank": with_chunks(
+        b"5\r\nhello\r\n0\r\nConnection : 1\r\n\r\n"
+    ),
+    "trailer_value_control": with_chunks(b"5\r\nhello\r\n0\r\nOdd: \x01\r\n\r\n"),
+    "trailer_leading_blank": with_chunks(b"5\r\nhello\r\n0\r\n Odd: 1\r\n\r\n"),
+    "trailer_no_colon": with_chunks(b"5\r\nhello\r\n0\r\nOdd\r\n\r\n"),
+}
+MALFORMED = (
+    STATUSES
+    | INTERIM_STATUSES
+    | NAMES
+    | VALUES
+    | STATUS_LINES
+    | FRAMINGS
+    | CHUNK_ERRORS
+)
 
 BROKEN_ON_ALL_PATHS = {
     name: MALFORMED[name]
@@ -131,6 +155,7 @@
         "length_none",
         "coding_unknown",
         "coding_in_http_1.0",
+        "trailer_known_name_blank",
     )
 }
 """One or two of each kind, for the tests of a whole path to a caller."""
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chutelink.response_syntax import HeadReader, MalformedResponse
+from chutelink.response_syntax import ChunkReader, HeadReader, MalformedResponse
 
 from .malformed_responses import SOUND
 
@@ -28,12 +28,15 @@
 
 def read_response(data: bytes, piece_bytes: int) -> bytes:
     """Return what a parser would get of a response that arrives in pieces."""
-    head, parsed = HeadReader(), b""
+    head, chunks, parsed = HeadReader(), None, b""
     for start in range(0, len(data), piece_bytes):
         body = data[start : start + piece_bytes]
         if not head.is_complete:
             heads, body = head.read(body)
             parsed += heads
+            chunks = ChunkReader() if head.is_chunked else None
+        if chunks is not None:
+            chunks.read(body)
         parsed += body
     return parsed
 
@@ -74,3 +77,18 @@
     folded = b"HTTP/1.1 200 OK\r\nA: b\r\n\t c\r\n \r\nD:\r\n e\r\n\r\n"
     unfolded = b"HTTP/1.1 200 OK\r\nA: b c \r\nD: e\r\n\r\n"
     assert HeadReader().read(folded) == (unfolded, b"")
+
+
+@given(
+    st.lists(st.binary(min_size=1), max_size=5),
+    st.integers(1, 9),
+    st.binary(max_size=5),
+)
+def test_chunks_of_any_data_are_read_to_their_end(parts, piece_bytes, after):
+    data = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    data += b"0\r\nA: b\r\n\r\n"
+    reader = ChunkReader()
+    for start in range(0, len(data), piece_bytes):
+        reader.read(data[start : start + piece_bytes])
+    # These bytes belong to no response; the connection is closed for them elsewhere.
+    reader.read(after)
