Responses: a reset never ends a body without a length as complete

What callers saw: nothing through an entry daemon. The store, reports, orders and presence checks took the part for the whole: a write to the object store counted as done when the store reset the connection within its early answer, an order as accepted.

Cause: the library completes a body without a length however its connection ends. Only the connections to endpoints corrected that.

Change: the correction moves from their handler to BoundedResponseHandler.

--- a/chutelink/relaying/upstream.py
+++ b/chutelink/relaying/upstream.py
@@ -102,21 +102,6 @@
 """The tracker of the current task's call, which the connector updates."""
 
 
-class _StrictResponseHandler(BoundedResponseHandler):
-    """Treats a body that ends with a connection reset as incomplete.
-
-    The library treats a body without a length as complete, however its connection
-    ends.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body before the parser can treat it as complete."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
-
 @asynccontextmanager
 async def _async_limit_connecting() -> AsyncIterator[None]:
     """Raise TimeoutError if a connection is not open in time.
@@ -146,7 +131,7 @@
 
 
 class _StrictConnector(BoundedConnector):
-    """Connector that uses the strict response handler."""
+    """Connector that sends a call only while it may still be sent."""
 
     def __init__(self, *, is_pooled: bool) -> None:
         super().__init__(
@@ -179,12 +164,12 @@
         tracker.progress.note_connected(is_reused=not tracker.is_new)
         return connection
 
-    def make_handler(self) -> _StrictResponseHandler:
+    def make_handler(self) -> BoundedResponseHandler:
         """Return the handler of a new connection, and record that it is new."""
         tracker = _CONNECTION_TRACKER.get()
         if tracker is not None:
             tracker.is_new = True
-        return _StrictResponseHandler(loop=self._loop)
+        return super().make_handler()
 
 
 class EndpointCall(msgspec.Struct, frozen=True):
--- a/chutelink/responses.py
+++ b/chutelink/responses.py
@@ -84,6 +84,9 @@
     This covers data that are not HTTP (see `response_syntax`) or that no request asked
     for, and endless heads, interim responses, chunk extensions and trailers. Bodies are
     limited where they are read: the library stops receiving while nobody reads them.
+
+    A body that ends with a connection reset is incomplete, also if it has no length:
+    the library treats that as complete, however its connection ends.
     """
 
     _awaits_head = False
@@ -137,6 +140,13 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ResponseTooLarge("head or chunk framing too large"))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body before the parser can treat it as complete."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
     def _check(self, data: bytes) -> bytes:
         """Return the data that may be parsed; an incomplete head is held back."""
         heads, body = b"", data
--- a/tests/processes/test_malformed_responses.py
+++ b/tests/processes/test_malformed_responses.py
@@ -5,12 +5,15 @@
 import asyncio
 
 from ..malformed_responses import BROKEN_ON_ALL_PATHS, SOUND, UNFRAMED_RARE
-from ..raw_server import RawEndpoint, async_call_raw, async_raw_server
+from ..raw_server import UNFRAMED, RawEndpoint, async_call_raw, async_raw_server
 from ..relaying.test_malformed_responses import split_response
 from .deployment import KEY, async_deploy, async_start_all
 from .scenarios import ONE_MODEL
 
 PATH = "/services/permits/permits"
+UPLOAD_BYTES = 1_000_000
+"""The most that a gateway takes."""
+GATEWAY = f"valid_s = 1.0\nmax_body_bytes = {UPLOAD_BYTES}\n"
 HEALTHY = SOUND["value_empty"]
 
 
@@ -58,6 +61,14 @@
         assert (status, body) == (case.status, case.body), name
 
 
+async def async_check_early_response(deployment, server) -> None:
+    await async_until_served(deployment, server)
+    server.response, server.is_reset = UNFRAMED, True
+    status, head, _ = await async_call(deployment, b"a" * UPLOAD_BYTES)
+    assert status == 502
+    assert b"chutelink-outcome: unknown" in head.lower()
+
+
 def test_gateway_returns_responses_and_nothing_else(tmp_path):
     async def async_test():
         async with (
@@ -66,10 +77,13 @@
         ):
             deployment.start_engine(1)
             deployment.services["raw"] = f"http://{server.address}"
-            await async_start_all(deployment, gateways=1, directors=("a",))
+            await async_start_all(
+                deployment, gateways=1, directors=("a",), gateway_extra=GATEWAY
+            )
             fleet = deployment.fleet_text(ONE_MODEL)
             code, _ = await deployment.async_apply(fleet, 0, "--wait")
             assert code == 0
             await async_check(deployment, server)
+            await async_check_early_response(deployment, server)
 
     asyncio.run(async_test())
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import struct
+import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -18,6 +19,7 @@
 WITH_LENGTH = HEAD + b"Content-Length: 12\r\n\r\nhello hello\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
 BARE_LINE_FEEDS = WITH_LENGTH.replace(b"\r\n", b"\n")
+UNFRAMED = HEAD + b"\r\nhello "
 PRESENT = (
     b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-0\r\nContent-Length: 39\r\n"
     b'Connection: close\r\n\r\n{"models": [], "busy": false, "seq": 3}'
@@ -100,6 +102,33 @@
         writer.transport.abort()
 
 
+def serve_early_reset(response: bytes, *, is_pooled: bool) -> str:
+    """Reset a connection after a response to a request that is still being sent.
+
+    A thread does it, so that it goes on while the event loop is blocked. With
+    ``is_pooled``, a request before it is answered. The URL of the server is returned.
+    """
+    listening = socket.create_server(("127.0.0.1", 0))
+    listening.settimeout(10.0)
+
+    def receive_head(connection: socket.socket) -> None:
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += connection.recv(100)
+
+    def serve() -> None:
+        with listening, listening.accept()[0] as connection:
+            if is_pooled:
+                receive_head(connection)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            receive_head(connection)
+            connection.sendall(response)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    threading.Thread(target=serve, daemon=True).start()
+    return f"http://127.0.0.1:{listening.getsockname()[1]}/"
+
+
 @asynccontextmanager
 async def async_raw_server(
     response: bytes = b"",
--- a/tests/reachability/test_malformed_responses.py
+++ b/tests/reachability/test_malformed_responses.py
@@ -12,7 +12,7 @@
 from chutelink.relaying.upstream import EndpointCall, Upstream
 
 from ..malformed_responses import BROKEN_ON_ALL_PATHS, SOUND
-from ..raw_server import HEAD, async_raw_server
+from ..raw_server import HEAD, UNFRAMED, async_raw_server
 from ..relaying.test_cut_responses import LIMIT_S, AlwaysPresent
 from .test_cut_responses import (
     RELAYED,
@@ -22,6 +22,7 @@
     make_table,
 )
 
+UPLOAD_BYTES = 8 * 1024 * 1024
 all_malformed = pytest.mark.parametrize(
     "response", BROKEN_ON_ALL_PATHS.values(), ids=BROKEN_ON_ALL_PATHS
 )
@@ -38,12 +39,12 @@
         await upstream.async_close()
 
 
-def run_with_endpoint(response, async_check) -> None:
+def run_with_endpoint(response, async_check, *, is_reset=False) -> None:
     """Run a check of a call to an endpoint, which a peer relays."""
 
     async def async_test():
         core, broken = make_core_with_key(), []
-        async with async_raw_server(response) as server:
+        async with async_raw_server(response, is_reset=is_reset) as server:
             table = make_table(server.address)
             async with async_peer(core, table, broken) as peer:
                 await async_check(core, table.rows["i"], peer)
@@ -70,6 +71,14 @@
     run_with_endpoint(case.data, async_check)
 
 
+def test_relayed_part_of_an_early_response_to_a_long_upload_is_not_the_whole():
+    async def async_check(core, endpoint, peer):
+        with pytest.raises(ConnectionBroken):
+            await async_call_through(core, endpoint, peer, b"a" * UPLOAD_BYTES)
+
+    run_with_endpoint(UNFRAMED, async_check, is_reset=True)
+
+
 @all_malformed
 def test_malformed_response_of_a_peer_is_broken(response):
     """Guards against calls that count as not sent, and are sent once more."""
--- a/tests/relaying/test_malformed_responses.py
+++ b/tests/relaying/test_malformed_responses.py
@@ -9,6 +9,7 @@
 
 from ..malformed_responses import BROKEN_ON_ALL_PATHS, SOUND
 from ..raw_server import (
+    UNFRAMED,
     RawEndpoint,
     async_call_raw,
     async_raw_server,
@@ -17,6 +18,10 @@
 from .test_cut_responses import register_raw
 from .test_stream import EVENTS, expected
 
+UPLOAD_BYTES = 8 * 1024 * 1024
+"""More than the buffers of both sockets hold, so that a part is still unsent."""
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
+LIMITS = {"header_bytes": 16384, "body_bytes": BODY_LIMIT_BYTES}
 PLAIN = "/again/x"
 ONCE = "/once/x"
 STREAM = "/stream/x"
@@ -56,16 +61,18 @@
     raise AssertionError("response is cut")
 
 
-def run_with_endpoint(response, path, async_check) -> None:
+def run_with_endpoint(response, path, async_check, *, is_reset=False) -> None:
     """Run a check with an endpoint that sends the response to each request."""
 
     async def async_test():
         is_stream = path == STREAM
         async with (
-            async_raw_server(response, server_type=RawEndpoint) as server,
+            async_raw_server(
+                response, is_reset=is_reset, server_type=RawEndpoint
+            ) as server,
             async_relay_harness() as harness,
         ):
-            harness.configure()
+            harness.configure(limits=LIMITS)
             service = "llm" if is_stream else "plain"
             register_raw(harness, server, service, {"m0": []} if is_stream else {})
             await async_check(harness, server)
@@ -121,3 +128,21 @@
         assert b"x-server-seal: seal-raw" in head.lower()
 
     run_with_endpoint(case.data, ONCE, async_check)
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM], ids=["plain", "stream"])
+def test_part_of_an_early_response_to_a_long_upload_is_not_the_whole(path):
+    """Guards against parts that count as whole as the upload fails first."""
+    is_stream = path == STREAM
+    part = UNFRAMED.replace(b"hello ", expected()[:15]) if is_stream else UNFRAMED
+
+    async def async_check(harness, server):
+        request = make_request(path, b"a" * UPLOAD_BYTES)
+        data = await async_call_raw(harness.url, request)
+        if is_stream and data.startswith(b"HTTP/1.1 200"):
+            with pytest.raises(AssertionError, match="cut"):
+                split_response(data)
+            return
+        check_is_unknown(data)
+
+    run_with_endpoint(part, path, async_check, is_reset=True)
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
@@ -10,10 +11,13 @@
 from chutelink.responses import BoundedConnector
 
 from .malformed_responses import MALFORMED, SOUND, with_line
-from .raw_server import async_raw_server
+from .raw_server import UNFRAMED, async_raw_server, serve_early_reset
 
 TIMEOUT_S = 10.0
 """Far more than a local call takes."""
+LOOP_BLOCK_S = 0.05
+UPLOADS_BYTES = (200_000, 12_000_000)
+"""Uploads of which the sockets' buffers hold the whole, and a part."""
 
 
 def make_session() -> aiohttp.ClientSession:
@@ -103,3 +107,38 @@
         server.close()
 
     asyncio.run(async_test())
+
+
+def test_response_whose_connection_is_reset_is_incomplete_without_length():
+    """Guards against parts of a response that count as the whole."""
+    assert asyncio.run(async_fetch(UNFRAMED)) == (200, b"hello ")
+    with pytest.raises(aiohttp.ClientError):
+        asyncio.run(async_fetch(UNFRAMED, is_reset=True))
+
+
+@pytest.mark.parametrize("block_s", [0.0, LOOP_BLOCK_S], ids=["free", "blocked"])
+@pytest.mark.parametrize("size_bytes", UPLOADS_BYTES)
+@pytest.mark.parametrize("is_pooled", [False, True], ids=["new", "pooled"])
+def test_part_of_an_early_response_to_an_upload_is_incomplete(
+    is_pooled, size_bytes, block_s
+):
+    """Guards against parts that count as whole as the upload fails first."""
+
+    async def async_block_loop():
+        while True:
+            await asyncio.sleep(0)
+            time.sleep(block_s)
+
+    async def async_test():
+        url = serve_early_reset(UNFRAMED, is_pooled=is_pooled)
+        async with make_session() as session, asyncio.timeout(TIMEOUT_S):
+            if is_pooled:
+                async with session.post(url) as response:
+                    assert await response.read() == b""
+            blocking = asyncio.ensure_future(async_block_loop())
+            with pytest.raises(aiohttp.ClientError):
+                async with session.post(url, data=b"a" * size_bytes) as response:
+                    await response.read()
+            blocking.cancel()
+
+    asyncio.run(async_test())
