Commands: read the store's responses as the daemons do

What operators saw: "chutelink history" and the other commands took a malformed response of the store for a valid one.

Cause: their session used the library's own connections.

Change: it uses BoundedConnector, as the daemons' sessions do.

Evidence: 6 of 14 tests of the commands failed before; all pass now.

--- a/chutelink/cli/main.py
+++ b/chutelink/cli/main.py
@@ -13,6 +13,7 @@
 from .. import __version__
 from ..exceptions import ChutelinkError, SettingsError, WriteOutcomeUnknown
 from ..ids import ApplyId, ConfigVersion
+from ..responses import BoundedConnector
 from ..settings import OperatorSettings, load_settings
 from ..store import Platform, async_setup_platform
 from .apply import Applier, validate
@@ -123,7 +124,7 @@
 
 async def _async_run(args: argparse.Namespace) -> Result:
     settings = load_settings(args.settings, OperatorSettings)
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=BoundedConnector()) as session:
         if args.command == "held":
             return await async_held(session, settings.platform, args.daemon, args.free)
         if args.command == "customers":
