--- a/tests/relaying/test_malformed_responses.py
+++ b/tests/relaying/test_malformed_responses.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ..malformed_responses import BROKEN_ON_ALL_PATHS, SOUND
+from ..malformed_responses import BROKEN_ON_ALL_PATHS, SOUND, with_line
 from ..raw_server import (
     UNFRAMED,
     RawEndpoint,
@@ -130,6 +130,17 @@
     run_with_endpoint(case.data, ONCE, async_check)
 
 
+@pytest.mark.parametrize(
+    "value", [b"S\xc3\xbc\xc3\x9f", b"S\xfc\xdf"], ids=["utf_8", "latin_1"]
+)
+def test_value_of_a_field_reaches_the_caller_byte_for_byte(value):
+    async def async_check(harness, server):
+        data = await async_call_raw(harness.url, make_request(ONCE))
+        assert b"\r\nRare: " + value + b"\r\n" in data
+
+    run_with_endpoint(with_line(b"Rare: " + value), ONCE, async_check)
+
+
 @pytest.mark.parametrize("path", [ONCE, STREAM], ids=["plain", "stream"])
 def test_part_of_an_early_response_to_a_long_upload_is_not_the_whole(path):
     """Guards against parts that count as whole as the upload fails first."""
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,11 @@
     b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 )
 VALUE_BYTES = frozenset({9, *range(0x20, 0x7F), *range(0x80, 0x100)})
+VALID_HEADS = re.compile(
+    rb"""(?: HTTP/1\.[0-9]\ [1-5][0-9]{2} (?:\ [\t\x20-\x7e\x80-\xff]*)? \r\n
+    (?: [-!\#$%&'*+.^_`|~0-9A-Za-z]+ : [\t\x20-\x7e\x80-\xff]* \r\n )* \r\n )+""",
+    re.VERBOSE,
+)
 names = st.text(st.sampled_from(sorted(map(chr, TOKEN_BYTES))), min_size=1)
 values = st.text(st.sampled_from(sorted(map(chr, VALUE_BYTES))))
 fields = st.lists(st.tuples(names, values)).map(
@@ -47,6 +54,20 @@
     assert HeadReader().read(head) == (head, b"")
 
 
+@given(
+    st.sampled_from(sorted(SOUND)), st.integers(0), st.integers(0, 255), st.booleans()
+)
+def test_head_with_a_changed_byte_is_valid_or_refused(name, position, byte, is_added):
+    data = bytearray(SOUND[name].data)
+    position %= len(data)
+    data[position : position + (not is_added)] = bytes([byte])
+    try:
+        heads, _ = HeadReader().read(bytes(data))
+    except MalformedResponse:
+        return
+    assert not heads or VALID_HEADS.fullmatch(heads)
+
+
 @pytest.mark.parametrize("byte", sorted(set(range(256)) - TOKEN_BYTES - {ord(":")}))
 def test_no_other_byte_is_a_part_of_a_name(byte):
     for position in range(1, len(NAME) + 1):
