Responses: limit the lines of a head while they are checked

Cause: the checks of heads read all lines that arrive at once, up to 256 KB, before the parser refuses more than 128 fields. Heads of fields or folded lines of 2 to 3 bytes would keep the event loop busy for longer than before the checks.

Change: FieldReader has the parser's limit of 128 fields, and stops at folded values above the larger limit of a field (16 KB). Nothing is refused that the parser accepts. A field is matched together with its line end.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -12,8 +12,12 @@
 
 import aiohttp
 
+from .const import MAX_HEADER_BYTES
+
 FIRST_FINAL_STATUS: Final = 200
 STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+MAX_FIELDS: Final = 128
+"""Limit of the fields of a head, as in the library's parser."""
 _BLANKS: Final = b" \t"
 _LINE_END: Final = b"\r\n"
 _PROTOCOL: Final = b"HTTP/1."
@@ -25,7 +29,9 @@
     # Some servers leave out the blank before an empty reason phrase.
     rb"HTTP/1\.(\d) ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
-_FIELD: Final = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)")
+_FIELD: Final = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)(\r?\n)"
+)
 _FOLDED_LINE: Final = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
 _LENGTH: Final = re.compile(rb"0*(\d{1,19})")
 """A number below 2**64 - 1, by which the parser means that there is no length."""
@@ -68,7 +74,11 @@
         self._name = b""
         """Name of the last field, which the next line may continue."""
         self._value = b""
+        self._folded: list[bytes] = []
+        """Further lines of its value."""
+        self._folded_bytes = 0
         self._last_line_end = _LINE_END
+        self._count = 0
 
     def read(self, line: bytes) -> bool:
         """Check a line, and return whether it is the empty line after the fields.
@@ -76,27 +86,38 @@
         Raises
         ------
         MalformedResponse
-            The line is neither a field nor the continuation of one.
+            The line is neither a field nor the continuation of one, or there are more
+            than the parser accepts.
         """
+        field = _FIELD.fullmatch(line)
+        if field is not None:
+            self._finish_field()
+            self._name, self._value, self._last_line_end = field.groups()
+            self._count += 1
+            if self._count > MAX_FIELDS:
+                raise _make_error("too many fields", line)
+            return False
         content, line_end = _split_line_end(line)
-        if not content:
-            if line_end != self._last_line_end:
-                # A line feed in a name or value would end the fields too early.
-                raise _make_error("empty line with another line end", line)
+        if not content and line_end == self._last_line_end:
             self._finish_field()
             return True
-        self._last_line_end = line_end
-        if self._name and _FOLDED_LINE.fullmatch(content):
-            self._value += b" " + content.strip(_BLANKS)
-            return False
-        field = _FIELD.fullmatch(content)
-        if field is None:
+        if not content:
+            # A line feed in a name or value would end the fields too early.
+            raise _make_error("empty line with another line end", line)
+        if not self._name or not _FOLDED_LINE.fullmatch(content):
             raise _make_error("invalid field", content)
-        self._finish_field()
-        self._name, self._value = field.groups()
+        self._folded.append(content.strip(_BLANKS))
+        self._folded_bytes += len(line)
+        if self._folded_bytes > MAX_HEADER_BYTES:
+            raise _make_error("field too large", self._name)
+        self._last_line_end = line_end
         return False
 
     def _finish_field(self) -> None:
+        if self._folded:
+            self._value = b" ".join([self._value, *self._folded])
+            self._folded.clear()
+            self._folded_bytes = 0
         name = self._name.lower()
         if name == _NAME_LENGTH:
             self.lengths.append(self._value)
--- a/tests/test_response_syntax.py
+++ b/tests/test_response_syntax.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chutelink.const import MAX_HEADER_BYTES
 from chutelink.response_syntax import ChunkReader, HeadReader, MalformedResponse
 
 from .malformed_responses import SOUND
@@ -100,6 +101,15 @@
     assert HeadReader().read(folded) == (unfolded, b"")
 
 
+@pytest.mark.parametrize("line", [b"A:\n", b" \n"], ids=["fields", "folded"])
+def test_number_of_lines_is_limited(line):
+    """Guards against heads of many short lines, which take long to check."""
+    reader = HeadReader()
+    reader.read(b"HTTP/1.1 200 OK\nA:\n")
+    with pytest.raises(MalformedResponse):
+        reader.read(line * MAX_HEADER_BYTES)
+
+
 @given(
     st.lists(st.binary(min_size=1), max_size=5),
     st.integers(1, 9),
