Responses: name what the next line of a body in chunks has to be

The state was spread over two flags and an optional reader; it is an Enum now. No change of behaviour: the tests of responses pass as before.

--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from enum import Enum
 from typing import Final
 
 import aiohttp
@@ -250,16 +251,26 @@
     return b"Content-Length: %d" % lengths.pop() + _LINE_END
 
 
+class ChunkLine(Enum):
+    """What the next line of a body in chunks has to be."""
+
+    SIZE = "size"
+    END_OF_DATA = "end_of_data"
+    TRAILER = "trailer"
+    """A trailer, or the empty line that ends the body."""
+    NONE = "none"
+    """The body has ended."""
+
+
 class ChunkReader:
     """Checks the framing of a body in chunks, whose data are skipped."""
 
     def __init__(self) -> None:
-        self._is_complete = False
+        self._next_line = ChunkLine.SIZE
         self._left_bytes = 0
         """Part of the current chunk that has not been received."""
-        self._is_after_data = False
         self._partial_line = bytearray()
-        self._trailers: FieldReader | None = None
+        self._trailers = FieldReader()
 
     def read(self, data: bytes) -> None:
         """Check received data, up to the end of the body.
@@ -269,8 +280,8 @@
         MalformedResponse
             The data are not a part of a body in chunks.
         """
-        position = self._skip(data, 0)
-        while position < len(data) and not self._is_complete:
+        position = self._skip_chunk(data, 0)
+        while position < len(data) and self._next_line is not ChunkLine.NONE:
             end = data.find(b"\n", position) + 1
             if not end:
                 self._partial_line += data[position:]
@@ -278,30 +289,28 @@
             line = bytes(self._partial_line) + data[position:end]
             self._partial_line.clear()
             self._read_line(line)
-            position = self._skip(data, end)
+            position = self._skip_chunk(data, end)
 
-    def _skip(self, data: bytes, position: int) -> int:
-        """Return the position after the data of the current chunk."""
+    def _skip_chunk(self, data: bytes, position: int) -> int:
+        """Return the position after what the data hold of the current chunk."""
         skipped_bytes = min(self._left_bytes, len(data) - position)
         self._left_bytes -= skipped_bytes
         return position + skipped_bytes
 
     def _read_line(self, line: bytes) -> None:
-        if self._trailers is not None:
-            self._is_complete = self._trailers.read(line)
-        elif self._is_after_data:
+        if self._next_line is ChunkLine.SIZE:
+            self._read_size(line)
+        elif self._next_line is ChunkLine.END_OF_DATA:
             if line != _LINE_END:
                 raise _make_error("chunk without end", line)
-            self._is_after_data = False
-        else:
-            self._read_size(line)
+            self._next_line = ChunkLine.SIZE
+        elif self._trailers.read(line):
+            self._next_line = ChunkLine.NONE
 
     def _read_size(self, line: bytes) -> None:
         matched = _CHUNK_SIZE.fullmatch(line)
         if matched is None:
             raise _make_error("invalid chunk size", line)
         self._left_bytes = int(matched[1], 16)
-        if self._left_bytes:
-            self._is_after_data = True
-        else:
-            self._trailers = FieldReader()
+        is_last = not self._left_bytes
+        self._next_line = ChunkLine.TRAILER if is_last else ChunkLine.END_OF_DATA
