--- a/tests/platform/test_cut_responses.py
+++ b/tests/platform/test_cut_responses.py
@@ -64,10 +64,8 @@
 }
 
 
-@all_ends
-@pytest.mark.parametrize("call", STORE_CALLS)
-def test_cut_response_of_the_store_is_no_result(call, is_reset):
-    """Guards against parts of a page, and against writes that count as known."""
+def make_store_check(call):
+    """Return a check that a call to the store fails."""
     async_call, error = STORE_CALLS[call]
 
     async def async_check(session, address):
@@ -76,9 +74,15 @@
         with pytest.raises(error):
             await async_call(table)
 
-    run_with_server(
-        async_check, make_responses(b"200 OK", STORE_BODY), is_reset=is_reset
-    )
+    return async_check
+
+
+@all_ends
+@pytest.mark.parametrize("call", STORE_CALLS)
+def test_cut_response_of_the_store_is_no_result(call, is_reset):
+    """Guards against parts of a page, and against writes that count as known."""
+    responses = make_responses(b"200 OK", STORE_BODY)
+    run_with_server(make_store_check(call), responses, is_reset=is_reset)
 
 
 def make_record(address: str) -> EndpointRecord:
--- a/tests/platform/test_malformed_responses.py
+++ b/tests/platform/test_malformed_responses.py
@@ -15,7 +15,6 @@
 from chutelink.placing.inventory import Order, OrderAction
 from chutelink.platform.engine import HttpEngineClient
 from chutelink.platform.presence import HttpPresenceCheck
-from chutelink.platform.store import async_setup_store
 from chutelink.presence.check import Presence
 from chutelink.settings import PlatformSection
 from chutelink.store.http import PlatformServiceClient
@@ -26,6 +25,7 @@
     STORE_BODY,
     STORE_CALLS,
     make_record,
+    make_store_check,
     run_with_server,
 )
 
@@ -35,16 +35,8 @@
 
 @pytest.mark.parametrize("call", STORE_CALLS)
 def test_malformed_response_of_the_store_is_no_result(call):
-    async_call, error = STORE_CALLS[call]
-
-    async def async_check(session, address):
-        settings = PlatformSection(url=f"http://{address}", key="none")
-        table = async_setup_store(session, settings, lambda retry: None)
-        with pytest.raises(error):
-            await async_call(table)
-
     responses = make_malformed(b"200 OK", STORE_BODY).values()
-    run_with_server(async_check, responses, is_reset=False)
+    run_with_server(make_store_check(call), responses, is_reset=False)
 
 
 def test_malformed_response_of_an_engine_is_no_report():
