--- a/chutelink/response_syntax.py
+++ b/chutelink/response_syntax.py
@@ -26,26 +26,24 @@
 _NAME_LENGTH: Final = b"content-length"
 _NAME_CODING: Final = b"transfer-encoding"
 _CHUNKED: Final = b"chunked"
+_TOKEN: Final = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT: Final = rb"[\t\x20-\x7e\x80-\xff]*"
+"""A value or reason phrase, with the blanks around it."""
+# Some servers leave out the blank before an empty reason phrase.
+_REASON: Final = rb"(?: " + _TEXT + rb")?"
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.(\d) ([1-5]\d\d)" + _REASON)
+_FIELD: Final = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")(\r?\n)")
+_FOLDED_LINE: Final = re.compile(rb"[ \t]" + _TEXT)
+_LENGTH: Final = re.compile(rb"0*(\d{1,19})")
+"""A number below 2**64 - 1, by which the parser means that there is no length."""
+_CHUNK_SIZE: Final = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;" + _TEXT + rb")?\r\n")
 _USUAL_HEAD: Final = re.compile(
-    rb"HTTP/1\.1 ([2-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?\r\n"
-    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n)*+\r\n"
+    rb"HTTP/1\.1 ([2-5]\d\d)" + _REASON + rb"\r\n"
+    rb"(?:" + _TOKEN + rb":" + _TEXT + rb"\r\n)*+\r\n"
 )
 """A final head without folded values, whose lines end in the usual way."""
 _USUAL_LENGTH: Final = re.compile(rb"\r\ncontent-length:[ \t]*\d{1,19}[ \t]*\r\n")
 _USUAL_CODING: Final = b"\r\ntransfer-encoding: chunked\r\n"
-_STATUS_LINE: Final = re.compile(
-    # Some servers leave out the blank before an empty reason phrase.
-    rb"HTTP/1\.(\d) ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?"
-)
-_FIELD: Final = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)(\r?\n)"
-)
-_FOLDED_LINE: Final = re.compile(rb"[ \t][\t\x20-\x7e\x80-\xff]*")
-_LENGTH: Final = re.compile(rb"0*(\d{1,19})")
-"""A number below 2**64 - 1, by which the parser means that there is no length."""
-_CHUNK_SIZE: Final = re.compile(
-    rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n"
-)
 _MAX_QUOTED_BYTES: Final = 80
 
 
